--- /dev/null
+++ b/apps/daemon/src/createDaemon.ts
@@ -0,0 +1,163 @@
+/** Wires one entry box together. */
+import { indexBundle, type ActiveBundle, type BundleIndex } from "@stairgauge/bundle";
+import {
+  createSystemClock,
+  createSystemRandom,
+  type Ms,
+  type Timer,
+} from "@stairgauge/common";
+import { createServiceRouter } from "@stairgauge/decisions";
+import { createHttpEngineClient } from "@stairgauge/engines";
+import { createAnswerRegistry, createEntryServer } from "@stairgauge/entry";
+import type { TlsIdentity } from "@stairgauge/http";
+import { createHttpPlatform } from "@stairgauge/platform";
+import { createRelay } from "@stairgauge/relay";
+import { createHeadWatcher, type WatchFailure } from "@stairgauge/rollout";
+import { createHttpServiceClient } from "@stairgauge/services";
+import type { Settings } from "@stairgauge/settings";
+import { createMetrics, type Logger } from "@stairgauge/telemetry";
+import { createOperatorsServer } from "./operatorsServer.js";
+import { toHostAndPort } from "./toHostAndPort.js";
+
+/** Ports that a started daemon listens on. */
+export type DaemonPorts = Readonly<{ callers: number; operators: number }>;
+
+/** A box that can be started and stopped. */
+export type Daemon = Readonly<{
+  start: () => Promise<DaemonPorts>;
+  /** Takes no new work, lets running answers finish, then closes. Called again, it hastens. */
+  stop: () => Promise<void>;
+  /** Resolves once a bundle is in force. */
+  waitForBundle: () => Promise<void>;
+}>;
+
+/** What the shell around a daemon gives it. */
+export type DaemonOptions = Readonly<{
+  settings: Settings;
+  logger: Logger;
+  tls?: TlsIdentity | undefined;
+}>;
+
+/** Creates a box from its settings. */
+export const createDaemon = ({ settings, logger, tls }: DaemonOptions): Daemon => {
+  const clock = createSystemClock();
+  const random = createSystemRandom();
+  const metrics = createMetrics();
+  const platform = createHttpPlatform(settings.platform);
+  const engines = createHttpEngineClient();
+  const services = createHttpServiceClient();
+  const relay = createRelay({ clock, random, engines, logger, metrics });
+  const answers = createAnswerRegistry();
+  let index: BundleIndex | undefined;
+  let isStopping = false;
+  let graceTimer: Timer | undefined;
+  let stopped: Promise<void> | undefined;
+  let resolveBundle: () => void = () => undefined;
+  const bundleAdopted = new Promise<void>((resolve) => {
+    resolveBundle = resolve;
+  });
+
+  const adopt = (active: ActiveBundle) => {
+    index = indexBundle(active);
+    relay.adopt(index);
+    const { version, digest } = active.head;
+    metrics.bundleVersion.set(version);
+    logger.info({ version, digest }, "bundle in force");
+    resolveBundle();
+  };
+  const recordWatchFailure = (failure: WatchFailure) => {
+    if (failure.kind === "store_unavailable")
+      metrics.storeFailures.inc({ store: "platform" });
+    else metrics.headFailures.inc({ kind: failure.kind });
+    logger.warn({ failure }, "no newer bundle could be taken");
+  };
+  const watcher = createHeadWatcher({
+    platform,
+    rules: {
+      trusted: settings.signOff.trustedOperators,
+      approvalsNeeded: settings.signOff.approvalsNeeded,
+    },
+    clock,
+    interval: settings.bundlePollMs as Ms,
+    onAdopted: adopt,
+    onFailure: recordWatchFailure,
+  });
+
+  const entryServer = createEntryServer({
+    clock,
+    random,
+    logger,
+    metrics,
+    relay,
+    services,
+    serviceRouter: createServiceRouter(random),
+    getIndex: () => index,
+    resumeKeys: settings.resumeKeys,
+    bodyLimits: {
+      maxBytes: settings.limits.bodyBytes,
+      idleTimeout: settings.limits.bodyIdleMs as Ms,
+      totalTimeout: settings.limits.bodyTotalMs as Ms,
+    },
+    tls,
+    answers,
+  });
+  const findNotReadyReason = () => {
+    if (isStopping) return "stopping";
+    return index ? undefined : "no_bundle";
+  };
+  const operatorsServer = createOperatorsServer({
+    metrics,
+    logger,
+    findNotReadyReason,
+    getStatus: () => ({
+      box: settings.box,
+      dataHall: settings.dataHall,
+      bundleVersion: index?.active.head.version ?? 0,
+      bundleDigest: index?.active.head.digest,
+      openAnswers: answers.count(),
+      isStopping,
+    }),
+  });
+
+  const hasten = () => {
+    graceTimer?.cancel();
+    relay.refuseWaiting();
+    answers.sendAllAway();
+  };
+  const drain = async () => {
+    isStopping = true;
+    logger.info({ openAnswers: answers.count() }, "stopping: no new work");
+    watcher.stop();
+    graceTimer = clock.setTimer(settings.drainGraceMs as Ms, hasten);
+    const callersClosed = entryServer.close();
+    await answers.closeAndWait();
+    graceTimer.cancel();
+    await callersClosed;
+    relay.stop();
+    await Promise.all([
+      operatorsServer.close(),
+      engines.close(),
+      services.close(),
+      platform.close(),
+    ]);
+    logger.info("stopped");
+  };
+
+  return {
+    start: async () => {
+      watcher.start();
+      const callers = toHostAndPort(settings.listen);
+      const operators = toHostAndPort(settings.operatorsListen);
+      return {
+        callers: await entryServer.open(callers.host, callers.port),
+        operators: await operatorsServer.open(operators.host, operators.port),
+      };
+    },
+    stop: () => {
+      if (stopped) hasten();
+      stopped ??= drain();
+      return stopped;
+    },
+    waitForBundle: () => bundleAdopted,
+  };
+};
--- /dev/null
+++ b/apps/daemon/src/standinsMain.ts
@@ -0,0 +1,106 @@
+#!/usr/bin/env node
+/** `npm run standins -- …`: serves the stand-ins as processes of their own. */
+import {
+  binary,
+  command,
+  multioption,
+  array,
+  number,
+  option,
+  run,
+  string,
+  subcommands,
+} from "cmd-ts";
+import { createSystemClock, type Clock } from "@stairgauge/common";
+import type { HttpRoute } from "@stairgauge/http";
+import {
+  buildExampleBundle,
+  createEngineHost,
+  createEngineRoutes,
+  createPlatformModel,
+  createPlatformRoutes,
+  createServiceRoutes,
+  createStandinServer,
+  EXAMPLE_ENGINE,
+  seedExampleBundle,
+} from "@stairgauge/standins";
+
+const LOOPBACK = "127.0.0.1";
+
+const clock: Clock = createSystemClock();
+
+const port = option({
+  type: number,
+  long: "port",
+  description: "port on 127.0.0.1, 0 for any",
+});
+
+/** Serves until a signal; prints the address as one line, which tests wait for. */
+const serve = async (name: string, routes: readonly HttpRoute[], atPort: number) => {
+  const server = createStandinServer(routes);
+  const bound = await server.open(LOOPBACK, atPort);
+  process.stdout.write(`${name} on ${LOOPBACK}:${bound}\n`);
+  const stop = () => process.exit(0);
+  process.on("SIGTERM", stop);
+  process.on("SIGINT", stop);
+};
+
+const engine = command({
+  name: "engine",
+  args: {
+    port,
+    seed: option({ type: number, long: "seed", defaultValue: () => 1 }),
+    model: option({ type: string, long: "model", defaultValue: () => "redac-llm" }),
+    stepMs: option({
+      type: number,
+      long: "step-ms",
+      description: "fixed part of a decoding step",
+      defaultValue: () => EXAMPLE_ENGINE.stepBaseMs,
+    }),
+  },
+  handler: (args) => {
+    const profile = { ...EXAMPLE_ENGINE, stepBaseMs: args.stepMs };
+    const models = [args.model];
+    const host = createEngineHost({
+      profile,
+      models,
+      checksOrders: true,
+      seed: args.seed,
+      clock,
+    });
+    return serve("engine", createEngineRoutes(host, clock), args.port);
+  },
+});
+
+const service = command({
+  name: "service",
+  args: {
+    port,
+    name: option({ type: string, long: "name", defaultValue: () => "annonces" }),
+  },
+  handler: (args) => serve("service", createServiceRoutes(args.name, clock), args.port),
+});
+
+const platform = command({
+  name: "platform",
+  description: "table, object store and box list, with the example bundle in force",
+  args: {
+    port,
+    engines: multioption({ type: array(string), long: "engine", description: "IP:PORT" }),
+    services: multioption({
+      type: array(string),
+      long: "service",
+      description: "IP:PORT",
+    }),
+  },
+  handler: (args) => {
+    const model = createPlatformModel();
+    seedExampleBundle(model, buildExampleBundle(args));
+    return serve("platform", createPlatformRoutes(model, clock), args.port);
+  },
+});
+
+await run(
+  binary(subcommands({ name: "standins", cmds: { engine, service, platform } })),
+  process.argv,
+);
--- /dev/null
+++ b/apps/daemon/src/toHostAndPort.ts
@@ -0,0 +1,11 @@
+/** Splits the addresses of settings and arguments. */
+
+/** An IP number and a port. */
+export type HostAndPort = Readonly<{ host: string; port: number }>;
+
+/** Splits IP:PORT, which the schema has checked. */
+export const toHostAndPort = (address: string): HostAndPort => {
+  const at = address.lastIndexOf(":");
+  const host = address.slice(0, at).replace(/^\[|\]$/g, "");
+  return { host, port: Number(address.slice(at + 1)) };
+};
--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,145 @@
+// Lint rules: typed linting, the verb list, the import directions and the house style.
+import { readFileSync } from "node:fs";
+import tseslint from "typescript-eslint";
+
+const readVerbs = () => {
+  const rows = readFileSync(new URL("docs/verbs.md", import.meta.url), "utf8").split(
+    "\n",
+  );
+  return rows
+    .filter(
+      (row) =>
+        row.startsWith("| ") && !row.startsWith("| verb") && !row.startsWith("| ---"),
+    )
+    .flatMap((row) => row.split("|")[1].split(","))
+    .map((verb) => verb.trim());
+};
+
+/** What each package may import; tests and measurements may import more. */
+const ALLOWED_IMPORTS = {
+  common: [],
+  outcomes: ["common"],
+  bundle: ["common"],
+  decisions: ["common", "bundle"],
+  streams: ["common", "outcomes"],
+  http: ["common", "outcomes"],
+  platform: ["common", "outcomes", "http"],
+  engines: ["common", "outcomes", "http", "streams"],
+  services: ["common", "outcomes", "http"],
+  telemetry: ["common"],
+  settings: ["common", "bundle", "streams"],
+  rollout: ["common", "bundle", "platform"],
+  relay: ["common", "bundle", "decisions", "streams", "outcomes", "engines", "telemetry"],
+  entry: [
+    "common",
+    "bundle",
+    "decisions",
+    "streams",
+    "outcomes",
+    "http",
+    "services",
+    "telemetry",
+    "relay",
+  ],
+  standins: [
+    "common",
+    "bundle",
+    "streams",
+    "outcomes",
+    "http",
+    "platform",
+    "engines",
+    "rollout",
+  ],
+};
+
+const directionRules = Object.entries(ALLOWED_IMPORTS).map(([name, allowed]) => ({
+  files: [`packages/${name}/src/**/*.ts`],
+  ignores: ["**/*.test.ts"],
+  rules: {
+    "no-restricted-imports": [
+      "error",
+      {
+        patterns: [
+          {
+            regex: `^@stairgauge/(?!(${allowed.join("|") || "none"})$)`,
+            message: `the package ${name} may import only: ${allowed.join(", ") || "nothing"}`,
+          },
+        ],
+      },
+    ],
+  },
+}));
+
+const VERB_PATTERN = `^(${readVerbs().join("|")})([A-Z0-9]|$)`;
+
+export default tseslint.config(
+  { ignores: ["**/dist/**", "**/node_modules/**"] },
+  ...tseslint.configs.recommendedTypeChecked.map((config) => ({
+    ...config,
+    files: ["**/*.ts"],
+  })),
+  {
+    files: ["**/*.ts"],
+    languageOptions: {
+      parserOptions: {
+        project: "./tsconfig.tests.json",
+        tsconfigRootDir: import.meta.dirname,
+      },
+    },
+    rules: {
+      "@typescript-eslint/switch-exhaustiveness-check": [
+        "error",
+        { considerDefaultExhaustiveForUnions: true },
+      ],
+      "@typescript-eslint/consistent-type-imports": "error",
+      "@typescript-eslint/naming-convention": [
+        "error",
+        {
+          selector: "variable",
+          types: ["function"],
+          format: ["camelCase"],
+          custom: { regex: VERB_PATTERN, match: true },
+          filter: { regex: "^(Ok|Err)$", match: false },
+        },
+        { selector: "typeLike", format: ["PascalCase"] },
+      ],
+      "@typescript-eslint/no-unused-vars": ["error", { argsIgnorePattern: "^_" }],
+      "@typescript-eslint/prefer-promise-reject-errors": "off",
+      "@typescript-eslint/restrict-template-expressions": [
+        "error",
+        { allowNumber: true },
+      ],
+      "@typescript-eslint/only-throw-error": "error",
+      "prefer-const": "error",
+      "max-lines": ["error", { max: 400, skipBlankLines: true, skipComments: true }],
+      "no-restricted-syntax": [
+        "error",
+        { selector: "ClassDeclaration", message: "use a factory function" },
+        { selector: "FunctionDeclaration", message: "use an arrow function" },
+        { selector: "TSEnumDeclaration", message: "use a union" },
+      ],
+    },
+  },
+  {
+    files: ["packages/*/src/**/*.ts"],
+    ignores: [
+      "**/*.test.ts",
+      "packages/common/src/**",
+      "packages/testkit/src/**",
+      "packages/measure/src/**",
+    ],
+    rules: {
+      "no-restricted-properties": [
+        "error",
+        { object: "Date", property: "now", message: "take a Clock" },
+        { object: "Math", property: "random", message: "take a Random" },
+      ],
+    },
+  },
+  {
+    files: ["**/*.test.ts"],
+    rules: { "max-lines": "off", "@typescript-eslint/require-await": "off" },
+  },
+  ...directionRules,
+);
--- /dev/null
+++ b/packages/bundle/src/indexBundle.ts
@@ -0,0 +1,71 @@
+/** Look-ups over a bundle in force, built once when it is adopted. */
+import type { ActiveBundle } from "./adoptHead.js";
+import { buildKeyIndex, type KeyIndex } from "./keys.js";
+import type {
+  BackendServer,
+  EngineServer,
+  Model,
+  Service,
+  ServiceServer,
+  Tier,
+  Workspace,
+} from "./types.js";
+
+/** A bundle in force with its look-ups. */
+export type BundleIndex = Readonly<{
+  active: ActiveBundle;
+  keys: KeyIndex<Workspace>;
+  tiers: ReadonlyMap<string, Tier>;
+  models: ReadonlyMap<string, Model>;
+  /** Model that each adapter belongs to. */
+  adapterModels: ReadonlyMap<string, Model>;
+  services: ReadonlyMap<string, Service>;
+  servers: ReadonlyMap<string, BackendServer>;
+  enginesByModel: ReadonlyMap<string, readonly EngineServer[]>;
+  serversByService: ReadonlyMap<string, readonly ServiceServer[]>;
+}>;
+
+const groupByServed = <S extends BackendServer>(
+  servers: readonly S[],
+): ReadonlyMap<string, readonly S[]> => {
+  const groups = new Map<string, S[]>();
+  for (const server of servers) {
+    for (const served of server.serves) {
+      const group = groups.get(served) ?? [];
+      group.push(server);
+      groups.set(served, group);
+    }
+  }
+  return groups;
+};
+
+const indexByName = <T extends Readonly<{ name: string }>>(
+  items: readonly T[],
+): ReadonlyMap<string, T> => new Map(items.map((item) => [item.name, item]));
+
+/** Builds the look-ups of a bundle in force. */
+export const indexBundle = (active: ActiveBundle): BundleIndex => {
+  const { bundle } = active;
+  const owners = bundle.workspaces.map((workspace) => ({
+    keyHashes: workspace.keyHashes,
+    owner: workspace,
+  }));
+  const adapters = bundle.models.flatMap((model) =>
+    model.adapters.map((adapter) => [adapter, model] as const),
+  );
+  return {
+    active,
+    keys: buildKeyIndex(owners),
+    tiers: indexByName(bundle.tiers),
+    models: indexByName(bundle.models),
+    adapterModels: new Map(adapters),
+    services: indexByName(bundle.services),
+    servers: indexByName(bundle.backendServers),
+    enginesByModel: groupByServed(
+      bundle.backendServers.filter((one) => one.kind === "engine"),
+    ),
+    serversByService: groupByServed(
+      bundle.backendServers.filter((one) => one.kind === "service"),
+    ),
+  };
+};
--- /dev/null
+++ b/packages/bundle/src/parseBundle.ts
@@ -0,0 +1,177 @@
+/** Reads a bundle from YAML or JSON text and checks that its names meet. */
+import { parse as parseYaml } from "yaml";
+import type { z } from "zod";
+import { Err, Ok, type Result } from "@stairgauge/common";
+import { bundleSchema } from "./schema.js";
+import type { Bundle, BundleFailure, BundleFault } from "./types.js";
+
+const formatPath = (path: readonly PropertyKey[]): string =>
+  path.map(String).join(".") || "(whole bundle)";
+
+const toFaults = (error: z.ZodError): readonly BundleFault[] =>
+  error.issues.map((issue) => ({
+    path: formatPath(issue.path),
+    expected: issue.message,
+  }));
+
+const findRepeats = (
+  names: readonly string[],
+  pathOf: (index: number) => string,
+): readonly BundleFault[] => {
+  const seen = new Set<string>();
+  return names.flatMap((name, index) => {
+    const isRepeat = seen.has(name);
+    seen.add(name);
+    return isRepeat
+      ? [{ path: pathOf(index), expected: `one meaning for "${name}"` }]
+      : [];
+  });
+};
+
+const findDangling = (options: {
+  readonly names: readonly string[];
+  readonly known: ReadonlySet<string>;
+  readonly path: string;
+  readonly what: string;
+}): readonly BundleFault[] =>
+  options.names.flatMap((name, index) =>
+    options.known.has(name)
+      ? []
+      : [
+          {
+            path: `${options.path}.${index}`,
+            expected: `a ${options.what} of this bundle, not "${name}"`,
+          },
+        ],
+  );
+
+const findNameFaults = (bundle: Bundle): readonly BundleFault[] => [
+  ...findRepeats(
+    bundle.tiers.map((tier) => tier.name),
+    (i) => `tiers.${i}.name`,
+  ),
+  ...findRepeats(
+    bundle.models.map((model) => model.name),
+    (i) => `models.${i}.name`,
+  ),
+  ...findRepeats(
+    bundle.services.map((service) => service.name),
+    (i) => `services.${i}.name`,
+  ),
+  ...findRepeats(
+    bundle.workspaces.map((one) => one.name),
+    (i) => `workspaces.${i}.name`,
+  ),
+  ...findRepeats(
+    bundle.backendServers.map((one) => one.name),
+    (i) => `backendServers.${i}.name`,
+  ),
+  ...findRepeats(
+    bundle.backendServers.map((one) => one.address),
+    (i) => `backendServers.${i}.address`,
+  ),
+  ...findRepeats(
+    bundle.workspaces.flatMap((one) => one.keyHashes),
+    () => "workspaces.*.keyHashes",
+  ),
+];
+
+const findReferenceFaults = (bundle: Bundle): readonly BundleFault[] => {
+  const tiers = new Set(bundle.tiers.map((tier) => tier.name));
+  const models = new Set(bundle.models.map((model) => model.name));
+  const adapters = new Set(bundle.models.flatMap((model) => model.adapters));
+  const services = new Set(bundle.services.map((service) => service.name));
+  const workspaceFaults = bundle.workspaces.flatMap((workspace, i) => {
+    const path = `workspaces.${i}`;
+    return [
+      ...findDangling({
+        names: [workspace.tier],
+        known: tiers,
+        path: `${path}.tier`,
+        what: "tier",
+      }),
+      ...findDangling({
+        names: workspace.models,
+        known: models,
+        path: `${path}.models`,
+        what: "model",
+      }),
+      ...findDangling({
+        names: workspace.adapters,
+        known: adapters,
+        path: `${path}.adapters`,
+        what: "adapter",
+      }),
+      ...findDangling({
+        names: workspace.services,
+        known: services,
+        path: `${path}.services`,
+        what: "service",
+      }),
+    ];
+  });
+  const serverFaults = bundle.backendServers.flatMap((server, i) =>
+    findDangling({
+      names: server.serves,
+      known: server.kind === "engine" ? models : services,
+      path: `backendServers.${i}.serves`,
+      what: server.kind === "engine" ? "model" : "service",
+    }),
+  );
+  return [...workspaceFaults, ...serverFaults];
+};
+
+const findReachFaults = (bundle: Bundle): readonly BundleFault[] => {
+  const engines = bundle.backendServers.filter((server) => server.kind === "engine");
+  const served = new Set(bundle.backendServers.flatMap((server) => server.serves));
+  const unreachable = [
+    ...bundle.models.map((model, i) => ({ name: model.name, path: `models.${i}` })),
+    ...bundle.services.map((service, i) => ({
+      name: service.name,
+      path: `services.${i}`,
+    })),
+  ].filter((one) => !served.has(one.name));
+  const tooSmall = bundle.models.flatMap((model, i) => {
+    const servers = engines.filter((engine) => engine.serves.includes(model.name));
+    const canHold = servers.some((engine) => engine.memoryTokens >= model.contextTokens);
+    return servers.length === 0 || canHold
+      ? []
+      : [
+          {
+            path: `models.${i}.contextTokens`,
+            expected: "an engine whose memoryTokens hold it",
+          },
+        ];
+  });
+  return [
+    ...unreachable.map((one) => ({
+      path: one.path,
+      expected: "a backend server that serves it",
+    })),
+    ...tooSmall,
+  ];
+};
+
+/** Checks a value already decoded. Every fault is named by its path. */
+export const checkBundle = (value: unknown): Result<Bundle, BundleFailure> => {
+  const parsed = bundleSchema.safeParse(value);
+  if (!parsed.success)
+    return Err({ kind: "invalid_bundle", faults: toFaults(parsed.error) });
+  const bundle: Bundle = parsed.data;
+  const faults = [
+    ...findNameFaults(bundle),
+    ...findReferenceFaults(bundle),
+    ...findReachFaults(bundle),
+  ];
+  return faults.length > 0 ? Err({ kind: "invalid_bundle", faults }) : Ok(bundle);
+};
+
+/** Reads a bundle from YAML (of which JSON is a part). */
+export const parseBundle = (text: string): Result<Bundle, BundleFailure> => {
+  try {
+    return checkBundle(parseYaml(text));
+  } catch (error) {
+    const expected = error instanceof Error ? error.message : "YAML";
+    return Err({ kind: "invalid_bundle", faults: [{ path: "(text)", expected }] });
+  }
+};
--- /dev/null
+++ b/packages/common/src/index.ts
@@ -0,0 +1,11 @@
+/** Ids, units, time, randomness and results for every other package. */
+export * from "./types.js";
+export { assertNever } from "./assertNever.js";
+export { Err, Ok } from "./result.js";
+export type { Result } from "./result.js";
+export { createSystemClock } from "./clock.js";
+export type { Clock, Timer } from "./clock.js";
+export { createVirtualClock } from "./virtualClock.js";
+export type { VirtualClock } from "./virtualClock.js";
+export { createSeededRandom, createSystemRandom } from "./random.js";
+export type { Random } from "./random.js";
--- /dev/null
+++ b/packages/decisions/src/decisionCore.ts
@@ -0,0 +1,272 @@
+/** The decision core: events and a time in, decisions out. No clock, network or randomness of its own. */
+import type { BundleIndex, Tier, Workspace } from "@stairgauge/bundle";
+import {
+  assertNever,
+  type BackendServerName,
+  type Ms,
+  type Random,
+  type RequestId,
+} from "@stairgauge/common";
+import { createAdmissionQueue } from "./admissionQueue.js";
+import { choosePlace, type Choice } from "./choosePlace.js";
+import { EJECTION_MS, MIN_RETRY_AFTER_MS } from "./constants.js";
+import { createEngineView, type EngineView } from "./engineView.js";
+import type {
+  Decision,
+  DecisionEvent,
+  GenerationRequest,
+  RefusalReason,
+  WaitingReason,
+} from "./types.js";
+
+type Rules = Readonly<{ workspace: Workspace; tier: Tier }>;
+
+type Entry = {
+  readonly request: GenerationRequest;
+  readonly rules: Rules;
+  server: BackendServerName | undefined;
+};
+
+/** A decision core. */
+export type DecisionCore = Readonly<{
+  handle: (event: DecisionEvent, now: Ms) => readonly Decision[];
+  countWaiting: () => number;
+}>;
+
+const NO_DECISIONS: readonly Decision[] = [];
+
+/** Creates a core that knows no bundle yet. */
+export const createDecisionCore = (options: {
+  readonly random: Random;
+}): DecisionCore => {
+  const { random } = options;
+  const queue = createAdmissionQueue();
+  const entries = new Map<RequestId, Entry>();
+  const placedByWorkspace = new Map<string, number>();
+  let views: ReadonlyMap<string, EngineView> = new Map();
+  let index: BundleIndex | undefined;
+
+  const adopt = (adopted: BundleIndex) => {
+    index = adopted;
+    const engines = adopted.active.bundle.backendServers.filter(
+      (one) => one.kind === "engine",
+    );
+    const kept = views;
+    views = new Map(
+      engines.map((server) => {
+        const old = kept.get(server.name);
+        const isSame = old && JSON.stringify(old.server) === JSON.stringify(server);
+        return [server.name, isSame ? old : createEngineView(server)];
+      }),
+    );
+  };
+
+  const listViews = (model: string): readonly EngineView[] =>
+    (index?.enginesByModel.get(model) ?? []).flatMap(
+      (server) => views.get(server.name) ?? [],
+    );
+
+  const countPlaced = (workspace: string) => placedByWorkspace.get(workspace) ?? 0;
+  const changePlaced = (workspace: string, change: number) => {
+    const count = countPlaced(workspace) + change;
+    if (count > 0) placedByWorkspace.set(workspace, count);
+    else placedByWorkspace.delete(workspace);
+  };
+
+  const refuse = (request: GenerationRequest, reason: RefusalReason): Decision => {
+    const deadline = entries.get(request.id)?.rules.tier.firstTokenDeadlineMs ?? 0;
+    entries.delete(request.id);
+    const retryAfter = Math.max(MIN_RETRY_AFTER_MS, deadline / 2) as Ms;
+    return { kind: "refused", request: request.id, reason, retryAfter };
+  };
+
+  const place = (
+    entry: Entry,
+    choice: Extract<Choice, { kind: "chosen" }>,
+    now: Ms,
+  ): Decision => {
+    const { request, rules } = entry;
+    const server = choice.view.server.name as BackendServerName;
+    choice.view.put(request.id, toStream(request));
+    entry.server = server;
+    changePlaced(request.workspace, 1);
+    return {
+      kind: "placed",
+      request: request.id,
+      server,
+      priority: rules.tier.rank,
+      reason: choice.reason,
+      considered: choice.considered,
+      waited: (now - request.arrivedAt) as Ms,
+    };
+  };
+
+  const toStream = (request: GenerationRequest) => ({
+    promptTokens: request.promptTokens,
+    maxOutputTokens: request.maxOutputTokens,
+    generatedTokens: 0,
+  });
+
+  const choose = (request: GenerationRequest, now: Ms): Choice =>
+    choosePlace({
+      views: listViews(request.model),
+      stream: toStream(request),
+      random,
+      now,
+    });
+
+  const isAtLimit = ({ rules, request }: Entry): boolean =>
+    countPlaced(request.workspace) >= rules.workspace.limits.concurrentStreams;
+
+  const fitsNowhere = (request: GenerationRequest): boolean =>
+    listViews(request.model).every(
+      (view) => view.server.memoryTokens <= request.promptTokens,
+    );
+
+  const enqueue = (
+    entry: Entry,
+    reason: WaitingReason,
+    considered: Extract<Decision, { kind: "waiting" }>["considered"],
+  ): Decision => {
+    const { request, rules } = entry;
+    const { rank } = rules.tier;
+    if (
+      queue.countWorkspace(rank, request.workspace) >=
+      rules.workspace.limits.queuedRequests
+    ) {
+      return refuse(request, "queue_full");
+    }
+    const ahead = queue.getSize();
+    queue.add(rank, request);
+    return { kind: "waiting", request: request.id, reason, ahead, considered };
+  };
+
+  const handleArrived = (request: GenerationRequest, now: Ms): readonly Decision[] => {
+    const workspace = index?.active.bundle.workspaces.find(
+      (one) => one.name === request.workspace,
+    );
+    const tier = workspace && index?.tiers.get(workspace.tier);
+    if (!workspace || !tier) return [refuse(request, "no_backend_server")];
+    const entry: Entry = { request, rules: { workspace, tier }, server: undefined };
+    entries.set(request.id, entry);
+    if (fitsNowhere(request)) return [refuse(request, "too_large_for_memory")];
+    if (isAtLimit(entry)) return [enqueue(entry, "workspace_limit", [])];
+    if (queue.getSize() > 0) {
+      const decision = enqueue(entry, "behind_others", []);
+      return [decision, ...drain(now)];
+    }
+    const choice = choose(request, now);
+    switch (choice.kind) {
+      case "chosen":
+        return [place(entry, choice, now)];
+      case "none_free":
+        return [enqueue(entry, choice.reason, choice.considered)];
+      case "none_left":
+        return [refuse(request, "no_backend_server")];
+      default:
+        return assertNever(choice);
+    }
+  };
+
+  /** Places what now fits, a request of each workspace in turn, until nothing more does. */
+  const drain = (now: Ms): readonly Decision[] => {
+    const decisions: Decision[] = [];
+    const fullModels = new Set<string>();
+    for (let hasMoved = true; hasMoved;) {
+      hasMoved = false;
+      for (const { rank, request } of queue.listHeads()) {
+        const entry = entries.get(request.id);
+        if (!entry || fullModels.has(request.model) || isAtLimit(entry)) continue;
+        const choice = choose(request, now);
+        if (choice.kind !== "chosen") {
+          fullModels.add(request.model);
+          continue;
+        }
+        queue.remove(rank, request);
+        decisions.push(place(entry, choice, now));
+        hasMoved = true;
+      }
+    }
+    return decisions;
+  };
+
+  const refuseLate = (now: Ms): readonly Decision[] =>
+    queue.listAll().flatMap(({ rank, request }) => {
+      const entry = entries.get(request.id);
+      const deadline = entry?.rules.tier.firstTokenDeadlineMs ?? 0;
+      if (now - request.arrivedAt < deadline) return [];
+      queue.remove(rank, request);
+      return [refuse(request, "deadline_unreachable")];
+    });
+
+  const release = (entry: Entry) => {
+    if (!entry.server) return;
+    views.get(entry.server)?.remove(entry.request.id);
+    entry.server = undefined;
+    changePlaced(entry.request.workspace, -1);
+  };
+
+  const handleAttemptFailed = (
+    event: Extract<DecisionEvent, { kind: "attemptFailed" }>,
+    now: Ms,
+  ): readonly Decision[] => {
+    const entry = entries.get(event.request);
+    if (!entry) return NO_DECISIONS;
+    release(entry);
+    const view = views.get(event.server);
+    if (event.isLeaving) view?.setLeaving(true);
+    else view?.eject((now + EJECTION_MS) as Ms);
+    const choice = choose(entry.request, now);
+    if (choice.kind === "chosen") return [place(entry, choice, now)];
+    if (choice.kind === "none_left") return [refuse(entry.request, "no_backend_server")];
+    queue.addFirst(entry.rules.tier.rank, entry.request);
+    const { reason, considered } = choice;
+    return [{ kind: "waiting", request: event.request, reason, ahead: 0, considered }];
+  };
+
+  const handleProgressed = (event: Extract<DecisionEvent, { kind: "progressed" }>) => {
+    const entry = entries.get(event.request);
+    const view = entry?.server && views.get(entry.server);
+    const stream = view && view.getOwn(event.request);
+    if (stream)
+      view.put(event.request, { ...stream, generatedTokens: event.generatedTokens });
+    return NO_DECISIONS;
+  };
+
+  const handleEnded = (id: RequestId, now: Ms): readonly Decision[] => {
+    const entry = entries.get(id);
+    if (!entry) return NO_DECISIONS;
+    if (!entry.server) queue.remove(entry.rules.tier.rank, entry.request);
+    release(entry);
+    entries.delete(id);
+    return drain(now);
+  };
+
+  const handle = (event: DecisionEvent, now: Ms): readonly Decision[] => {
+    switch (event.kind) {
+      case "bundleAdopted":
+        adopt(event.index);
+        return drain(now);
+      case "arrived":
+        return handleArrived(event.request, now);
+      case "attemptFailed":
+        return handleAttemptFailed(event, now);
+      case "progressed":
+        return handleProgressed(event);
+      case "ended":
+        return handleEnded(event.request, now);
+      case "loadReported":
+        views.get(event.server)?.recordReport(event.load, now);
+        return drain(now);
+      case "serverMarked":
+        views.get(event.server)?.setLeaving(event.isLeaving);
+        return NO_DECISIONS;
+      case "ticked":
+        return [...refuseLate(now), ...drain(now)];
+      default:
+        return assertNever(event);
+    }
+  };
+
+  return { handle, countWaiting: queue.getSize };
+};
--- /dev/null
+++ b/packages/decisions/src/index.ts
@@ -0,0 +1,15 @@
+/** Decisions: which engine takes a request, when one waits, which is refused. Pure. */
+export type {
+  Candidate,
+  Decision,
+  DecisionEvent,
+  GenerationRequest,
+  PlacementReason,
+  RefusalReason,
+  ReportedLoad,
+  WaitingReason,
+} from "./types.js";
+export { createDecisionCore } from "./decisionCore.js";
+export type { DecisionCore } from "./decisionCore.js";
+export { createServiceRouter } from "./serviceRouter.js";
+export type { ServiceChoice, ServiceRouter } from "./serviceRouter.js";
--- /dev/null
+++ b/packages/engines/src/frameReader.ts
@@ -0,0 +1,52 @@
+/** Cuts the bytes of an engine's answer into frames, with bounded memory. */
+import { createParser } from "eventsource-parser";
+import type { LinkFailure } from "@stairgauge/outcomes";
+import type { EngineFrame } from "@stairgauge/streams";
+import { MAX_FRAME_BYTES } from "./constants.js";
+import { decodeFrame } from "./wire.js";
+
+const MAX_SHOWN_GARBAGE = 80;
+
+/** Reads chunks of any size; the first failure is final. */
+export type FrameReader = Readonly<{
+  /** Takes the next bytes; returns the failure, if they are not the protocol. */
+  read: (chunk: Uint8Array) => LinkFailure | undefined;
+}>;
+
+/** Creates a reader that hands each frame to `onFrame`. */
+export const createFrameReader = (onFrame: (frame: EngineFrame) => void): FrameReader => {
+  const decoder = new TextDecoder();
+  let failure: LinkFailure | undefined;
+  let pendingBytes = 0;
+
+  const parser = createParser({
+    onEvent: (event) => {
+      pendingBytes = 0;
+      if (failure) return;
+      const frame = decodeFrame(event.data);
+      if (frame) {
+        onFrame(frame);
+        return;
+      }
+      failure = {
+        kind: "garbage",
+        detail: `${event.data.length} characters that are no frame`,
+      };
+    },
+    onError: (error) => {
+      failure ??= { kind: "garbage", detail: error.message.slice(0, MAX_SHOWN_GARBAGE) };
+    },
+  });
+
+  return {
+    read: (chunk) => {
+      if (failure) return failure;
+      pendingBytes += chunk.length;
+      parser.feed(decoder.decode(chunk, { stream: true }));
+      if (pendingBytes > MAX_FRAME_BYTES) {
+        failure ??= { kind: "garbage", detail: "a frame over the size limit" };
+      }
+      return failure;
+    },
+  };
+};
--- /dev/null
+++ b/packages/entry/src/answerRegistry.ts
@@ -0,0 +1,31 @@
+/** Keeps the answers under way, so that a planned stop cuts none. */
+import type { AnswerRegistry, OpenAnswer } from "./types.js";
+
+/** Creates an empty registry that is open for new requests. */
+export const createAnswerRegistry = (): AnswerRegistry => {
+  const answers = new Set<OpenAnswer>();
+  let isOpen = true;
+  let resolveEmpty: (() => void) | undefined;
+
+  return {
+    add: (answer) => {
+      answers.add(answer);
+    },
+    remove: (answer) => {
+      answers.delete(answer);
+      if (answers.size === 0) resolveEmpty?.();
+    },
+    count: () => answers.size,
+    sendAllAway: () => {
+      for (const answer of [...answers]) answer.sendAway();
+    },
+    isOpen: () => isOpen,
+    closeAndWait: () => {
+      isOpen = false;
+      if (answers.size === 0) return Promise.resolve();
+      return new Promise((resolve) => {
+        resolveEmpty = resolve;
+      });
+    },
+  };
+};
--- /dev/null
+++ b/packages/entry/src/apiError.ts
@@ -0,0 +1,239 @@
+/** Every error that a caller can meet, in the shape of the interface that callers know. */
+import type { ServerResponse } from "node:http";
+import { assertNever, type Ms } from "@stairgauge/common";
+import type { BodyFailure, ClientFault } from "@stairgauge/http";
+import { sendJson } from "@stairgauge/http";
+import type { LinkFailure, Outcome } from "@stairgauge/outcomes";
+import { toOutcome } from "@stairgauge/outcomes";
+import type { Refusal } from "@stairgauge/relay";
+import type { ResumeTokenFailure, StreamFailure } from "@stairgauge/streams";
+import type { Metrics } from "@stairgauge/telemetry";
+
+const MS_PER_SECOND = 1_000;
+
+/** Why a request got no answer, or no whole one. */
+export type ApiFailure = Readonly<
+  | BodyFailure
+  | ResumeTokenFailure
+  | { kind: "client_fault"; fault: ClientFault }
+  | { kind: "invalid_field"; param: string; expected: string }
+  | { kind: "unsupported_field"; param: string }
+  | { kind: "context_length_exceeded"; limit: number }
+  | { kind: "missing_key" }
+  | { kind: "wrong_key" }
+  | { kind: "unknown_model"; model: string }
+  | { kind: "unknown_service"; service: string }
+  | { kind: "unknown_route" }
+  | { kind: "not_ready" }
+  | { kind: "refused"; refusal: Refusal }
+  | { kind: "stream_failed"; failure: StreamFailure }
+  | { kind: "resume_elsewhere" }
+  | { kind: "service_failed"; failure: LinkFailure }
+  | { kind: "no_service_server" }
+>;
+
+/** An error as it is answered. */
+export type ApiError = Readonly<{
+  status: number;
+  type: string;
+  code: string;
+  message: string;
+  param: string | null;
+  outcome: Outcome;
+  retryAfter: Ms | undefined;
+}>;
+
+const INVALID = "invalid_request_error";
+const SERVER = "server_error";
+const RETRY_SOON_MS = 1_000 as Ms;
+
+const build = (
+  status: number,
+  code: string,
+  message: string,
+  rest: Partial<ApiError> = {},
+): ApiError => ({
+  status,
+  type: status < 500 ? INVALID : SERVER,
+  code,
+  message,
+  param: null,
+  outcome: "not_run",
+  retryAfter: undefined,
+  ...rest,
+});
+
+const REFUSAL_MESSAGES = {
+  no_backend_server: "No backend server for this model takes new work.",
+  queue_full: "Too many requests of this workspace are waiting.",
+  deadline_unreachable:
+    "The first token could not be reached within the tier's deadline.",
+  too_large_for_memory: "The prompt does not fit the memory of any engine.",
+  leaving: "This entry box is stopping; ask again.",
+} as const satisfies Record<Refusal["reason"], string>;
+
+const describeRefusal = ({ reason, retryAfter }: Refusal): ApiError => {
+  const message = REFUSAL_MESSAGES[reason];
+  switch (reason) {
+    case "queue_full":
+      return build(429, reason, message, { type: "rate_limit_error", retryAfter });
+    case "too_large_for_memory":
+      return build(400, reason, message);
+    case "no_backend_server":
+    case "deadline_unreachable":
+    case "leaving":
+      return build(503, reason, message, { retryAfter });
+    default:
+      return assertNever(reason);
+  }
+};
+
+const describeStreamFailure = (failure: StreamFailure): ApiError => {
+  const { outcome } = failure;
+  switch (failure.kind) {
+    case "generation_lost":
+      return build(502, failure.kind, "The generation was lost before its end.", {
+        outcome,
+      });
+    case "attempts_exhausted":
+      return build(503, failure.kind, "No engine could start the generation.", {
+        outcome,
+        retryAfter: RETRY_SOON_MS,
+      });
+    case "token_count_mismatch":
+      return build(502, failure.kind, "The engine's end does not fit its tokens.", {
+        outcome,
+      });
+    default:
+      return assertNever(failure);
+  }
+};
+
+const CLIENT_FAULT_STATUS = {
+  header_too_large: 431,
+  too_slow: 408,
+  malformed: 400,
+} as const;
+
+/** Describes a failure as callers are told of it. */
+export const describeFailure = (failure: ApiFailure): ApiError => {
+  switch (failure.kind) {
+    case "body_too_large":
+      return build(413, failure.kind, `The body exceeds ${failure.maxBytes} bytes.`);
+    case "body_too_slow":
+      return build(408, failure.kind, "The body arrived too slowly.");
+    case "body_cut_off":
+      return build(400, failure.kind, "The body ended early.");
+    case "body_not_json":
+      return build(400, failure.kind, "The body is not valid JSON.");
+    case "client_fault":
+      return build(
+        CLIENT_FAULT_STATUS[failure.fault],
+        failure.fault,
+        "The request is not acceptable HTTP.",
+      );
+    case "invalid_field":
+      return build(400, failure.kind, `${failure.param}: ${failure.expected}`, {
+        param: failure.param,
+      });
+    case "unsupported_field":
+      return build(400, failure.kind, `${failure.param} is not supported here.`, {
+        param: failure.param,
+      });
+    case "context_length_exceeded":
+      return build(
+        400,
+        failure.kind,
+        `Prompt and answer exceed ${failure.limit} tokens.`,
+        { param: "messages" },
+      );
+    case "missing_key":
+      return build(401, failure.kind, "A key is needed: Authorization: Bearer KEY.");
+    case "wrong_key":
+      return build(401, "invalid_api_key", "The key is not known.");
+    case "unknown_model":
+      return build(
+        404,
+        "model_not_found",
+        `The model ${JSON.stringify(failure.model)} does not exist or is not granted.`,
+        { param: "model" },
+      );
+    case "unknown_service":
+      return build(
+        404,
+        "service_not_found",
+        "The service does not exist or is not granted.",
+      );
+    case "unknown_route":
+      return build(404, failure.kind, "There is no such route.");
+    case "not_ready":
+      return build(503, failure.kind, "No bundle is in force on this box yet.", {
+        retryAfter: RETRY_SOON_MS,
+      });
+    case "refused":
+      return describeRefusal(failure.refusal);
+    case "stream_failed":
+      return describeStreamFailure(failure.failure);
+    case "resume_elsewhere":
+      return build(
+        503,
+        failure.kind,
+        "This box stops: resume with the last event's id.",
+        {
+          outcome: "unknown",
+          retryAfter: 0 as Ms,
+        },
+      );
+    case "malformed_token":
+    case "unknown_key":
+    case "wrong_signature":
+      return build(
+        400,
+        "invalid_resume_token",
+        "Last-Event-ID is no token of this workspace.",
+        { param: "Last-Event-ID" },
+      );
+    case "expired_token":
+      return build(410, failure.kind, "The resume token has expired.", {
+        param: "Last-Event-ID",
+      });
+    case "service_failed":
+      return build(502, failure.kind, "The service gave no whole answer.", {
+        outcome: toOutcome(failure.failure),
+      });
+    case "no_service_server":
+      return build(503, failure.kind, "No server of this service takes new work.", {
+        retryAfter: RETRY_SOON_MS,
+      });
+    default:
+      return assertNever(failure);
+  }
+};
+
+/** The body of an error. */
+export const renderErrorBody = ({ message, type, param, code, outcome }: ApiError) => ({
+  error: { message, type, param, code, outcome },
+});
+
+/** Headers of an error; Retry-After in whole seconds, rounded up. */
+export const renderErrorHeaders = ({ retryAfter }: ApiError): Record<string, string> =>
+  retryAfter === undefined
+    ? {}
+    : { "retry-after": String(Math.ceil(retryAfter / MS_PER_SECOND)) };
+
+/** Answers a failure and counts it. Does nothing once an answer has begun. */
+export const sendFailure = (
+  response: ServerResponse,
+  failure: ApiFailure,
+  metrics: Metrics,
+): void => {
+  const error = describeFailure(failure);
+  metrics.refusals.inc({ code: error.code });
+  const headers = renderErrorHeaders(error);
+  // NOTE: what is left of an unread body would be taken for the next request.
+  const isBodyUnread = !response.req.complete;
+  sendJson(response, error.status, renderErrorBody(error), {
+    ...headers,
+    ...(isBodyUnread ? { connection: "close" } : {}),
+  });
+};
--- /dev/null
+++ b/packages/entry/src/streamedAnswer.ts
@@ -0,0 +1,166 @@
+/** Sends a generation to its caller as server-sent events, each with a resume token. */
+import type { ServerResponse } from "node:http";
+import type { Ms, Timer, WorkspaceName } from "@stairgauge/common";
+import type { AnswerSink, RunHandle, TokenSource } from "@stairgauge/relay";
+import { formatResumeToken, signResumeClaim } from "@stairgauge/streams";
+import { createAnswerFormat, type AnswerFormat } from "./answerFormat.js";
+import {
+  describeFailure,
+  renderErrorBody,
+  sendFailure,
+  type ApiFailure,
+} from "./apiError.js";
+import {
+  MAX_UNSENT_BYTES,
+  READER_IDLE_MS,
+  RESUME_TOKEN_LIFE_MS,
+  RESUME_TOKEN_RENEW_MS,
+} from "./constants.js";
+import type { GenerationAsk, GenerationInterface } from "./parseGeneration.js";
+import type { EntryDeps } from "./types.js";
+
+const SSE_HEADERS = {
+  "content-type": "text/event-stream; charset=utf-8",
+  "cache-control": "no-cache",
+  "x-accel-buffering": "no",
+};
+const DONE = "data: [DONE]\n\n";
+
+/** A streamed answer under way. */
+export type StreamedAnswer = Readonly<{
+  sink: AnswerSink;
+  /** Hands over the run once it has begun. */
+  attach: (run: RunHandle) => void;
+  sendAway: () => void;
+}>;
+
+/** What a streamed answer needs. */
+export type StreamedAnswerOptions = Readonly<{
+  deps: EntryDeps;
+  response: ServerResponse;
+  kind: GenerationInterface;
+  ask: GenerationAsk;
+  workspace: WorkspaceName;
+  isContinued: boolean;
+  onOver: (end: "whole" | "failed" | "left") => void;
+}>;
+
+type OpenSource = Readonly<{
+  format: AnswerFormat;
+  signedClaim: string;
+  renewAt: number;
+}>;
+
+/** Creates the answer; nothing is sent before the first token or the failure. */
+export const createStreamedAnswer = (options: StreamedAnswerOptions): StreamedAnswer => {
+  const { deps, response, ask } = options;
+  const { clock, metrics } = deps;
+  let open: OpenSource | undefined;
+  let run: RunHandle | undefined;
+  let isOver = false;
+  let isBlocked = false;
+  let idleTimer: Timer | undefined;
+
+  const finish = (end: "whole" | "failed" | "left") => {
+    if (isOver) return;
+    isOver = true;
+    idleTimer?.cancel();
+    options.onOver(end);
+  };
+
+  const signSource = (source: TokenSource): string => {
+    const [key] = deps.resumeKeys;
+    if (!key) throw new TypeError("settings give at least one resume key");
+    const expiresAt = (clock.now() + RESUME_TOKEN_LIFE_MS) as Ms;
+    return signResumeClaim(key, { ...source, workspace: options.workspace, expiresAt });
+  };
+
+  const openSource = (source: TokenSource): OpenSource => {
+    const { generation } = source;
+    const format =
+      open?.format ??
+      createAnswerFormat(options.kind, {
+        generation,
+        model: ask.model,
+        createdAt: clock.now(),
+      });
+    const renewAt = clock.monotonic() + RESUME_TOKEN_RENEW_MS;
+    return { format, signedClaim: signSource(source), renewAt };
+  };
+
+  const sendHead = (format: AnswerFormat) => {
+    response.writeHead(200, SSE_HEADERS);
+    const opening = options.isContinued ? undefined : format.renderOpening();
+    if (opening !== undefined) response.write(`data: ${opening}\n\n`);
+  };
+
+  const getOpen = (source: TokenSource): OpenSource => {
+    if (open && clock.monotonic() < open.renewAt) return open;
+    const isFirst = open === undefined;
+    open = openSource(source);
+    if (isFirst) sendHead(open.format);
+    return open;
+  };
+
+  const fail = (failure: ApiFailure) => {
+    if (isOver) return;
+    if (!response.headersSent) {
+      sendFailure(response, failure, metrics);
+    } else {
+      const error = describeFailure(failure);
+      metrics.refusals.inc({ code: error.code });
+      response.end(`data: ${JSON.stringify(renderErrorBody(error))}\n\n`);
+    }
+    finish("failed");
+  };
+
+  const watchReader = () => {
+    isBlocked = true;
+    idleTimer ??= clock.setTimer(READER_IDLE_MS, () => response.destroy());
+  };
+  const handleDrain = () => {
+    if (!isBlocked) return;
+    isBlocked = false;
+    idleTimer?.cancel();
+    idleTimer = undefined;
+    run?.setBlocked(false);
+  };
+  response.on("drain", handleDrain);
+  response.on("close", () => {
+    if (isOver) return;
+    run?.leave();
+    finish("left");
+  });
+
+  const sink: AnswerSink = {
+    onToken: (index, text, source) => {
+      const { format, signedClaim } = getOpen(source);
+      const id = formatResumeToken(signedClaim, index + 1);
+      const hasRoom = response.write(`id: ${id}\ndata: ${format.renderToken(text)}\n\n`);
+      if (hasRoom || response.writableLength < MAX_UNSENT_BYTES) return true;
+      watchReader();
+      return false;
+    },
+    onDiscard: () => undefined,
+    onEnd: (end, source) => {
+      const { format } = getOpen(source);
+      const usage = ask.includesUsage ? `data: ${format.renderUsage(end)}\n\n` : "";
+      response.end(`data: ${format.renderFinish(end)}\n\n${usage}${DONE}`);
+      finish("whole");
+    },
+    onRefused: (refusal) => fail({ kind: "refused", refusal }),
+    onFailed: (failure) => fail({ kind: "stream_failed", failure }),
+  };
+
+  return {
+    sink,
+    attach: (started) => {
+      run = started;
+    },
+    sendAway: () => {
+      if (isOver) return;
+      run?.leave();
+      fail({ kind: "resume_elsewhere" });
+    },
+  };
+};
--- /dev/null
+++ b/packages/http/src/httpServer.ts
@@ -0,0 +1,178 @@
+/** A bounded HTTP server around a find-my-way router. */
+import {
+  createServer,
+  type IncomingMessage,
+  type OutgoingHttpHeaders,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import { createServer as createTlsServer } from "node:https";
+import type { AddressInfo, Socket } from "node:net";
+import findMyWay from "find-my-way";
+import { HEADERS_TIMEOUT_MS, KEEP_ALIVE_MS, MAX_HEADER_BYTES } from "./constants.js";
+
+/** A request as a route sees it. */
+export type HttpExchange = Readonly<{
+  request: IncomingMessage;
+  response: ServerResponse;
+  params: Readonly<Record<string, string | undefined>>;
+  query: URLSearchParams;
+}>;
+
+/** One route. `path` is a find-my-way pattern. */
+export type HttpRoute = Readonly<{
+  method: "GET" | "HEAD" | "POST" | "PUT" | "PATCH" | "DELETE";
+  path: string;
+  handle: (exchange: HttpExchange) => void | Promise<void>;
+}>;
+
+/** Why a connection broke before a request could be routed. */
+export type ClientFault = "header_too_large" | "too_slow" | "malformed";
+
+/** An answer that is sent whole. */
+export type HttpAnswer = Readonly<{
+  status: number;
+  headers: OutgoingHttpHeaders;
+  body: string;
+}>;
+
+/** Certificate and key of a server, PEM. */
+export type TlsIdentity = Readonly<{ cert: string; key: string }>;
+
+/** What a server needs. */
+export type HttpServerOptions = Readonly<{
+  routes: readonly HttpRoute[];
+  /** Answers a request that no route takes. */
+  handleUnknown: (exchange: HttpExchange) => void;
+  /** Answers bytes that were no acceptable request. */
+  renderClientFault: (fault: ClientFault) => HttpAnswer;
+  /** Serves HTTPS where given. */
+  tls?: TlsIdentity | undefined;
+  /** Told of a route that threw: a fault of this program. */
+  reportFault: (error: unknown) => void;
+}>;
+
+/** A server that can be opened and closed. */
+export type HttpServer = Readonly<{
+  /** Listens on `host:port` and resolves with the port (0 picks a free one). */
+  open: (host: string, port: number) => Promise<number>;
+  /** Accepts no more connections and closes idle ones; resolves when all are closed. */
+  close: () => Promise<void>;
+  /** Cuts every connection. */
+  destroy: () => void;
+}>;
+
+const FAULT_BY_CODE: Readonly<Record<string, ClientFault>> = {
+  HPE_HEADER_OVERFLOW: "header_too_large",
+  ERR_HTTP_REQUEST_TIMEOUT: "too_slow",
+};
+
+const ALLOWED_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"] as const;
+
+/** Sends a JSON answer. */
+export const sendJson = (
+  response: ServerResponse,
+  status: number,
+  value: unknown,
+  headers: OutgoingHttpHeaders = {},
+): void => {
+  if (response.headersSent || response.destroyed) return;
+  const body = JSON.stringify(value);
+  response.writeHead(status, {
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(body),
+    ...headers,
+  });
+  response.end(body);
+};
+
+const writeRawAnswer = (socket: Socket, answer: HttpAnswer) => {
+  const head = [
+    `HTTP/1.1 ${answer.status} Error`,
+    "Connection: close",
+    `Content-Length: ${Buffer.byteLength(answer.body)}`,
+    ...Object.entries(answer.headers).map(([key, value]) => `${key}: ${String(value)}`),
+  ];
+  socket.end(`${head.join("\r\n")}\r\n\r\n${answer.body}`);
+};
+
+const buildRouter = (options: HttpServerOptions) => {
+  const router = findMyWay({ ignoreTrailingSlash: true, maxParamLength: 500 });
+  for (const route of options.routes) {
+    router.on(route.method, route.path, (request, response, params, _store, query) => {
+      const exchange: HttpExchange = {
+        request,
+        response: response,
+        params,
+        query: new URLSearchParams(query as Record<string, string>),
+      };
+      void runRoute(route, exchange, options);
+    });
+  }
+  return router;
+};
+
+const runRoute = async (
+  route: HttpRoute,
+  exchange: HttpExchange,
+  options: HttpServerOptions,
+) => {
+  try {
+    await route.handle(exchange);
+  } catch (error) {
+    options.reportFault(error);
+    exchange.response.destroy();
+  }
+};
+
+/** Creates the server; `open` makes it listen. */
+export const createHttpServer = (options: HttpServerOptions): HttpServer => {
+  const router = buildRouter(options);
+  const handleRequest = (request: IncomingMessage, response: ServerResponse) => {
+    const method = ALLOWED_METHODS.find((one) => one === request.method);
+    const found =
+      method && router.find(method, (request.url ?? "/").split("?")[0] ?? "/");
+    if (found) {
+      router.lookup(request, response);
+      return;
+    }
+    const query = new URLSearchParams();
+    options.handleUnknown({ request, response, params: {}, query });
+  };
+  const bounds = {
+    maxHeaderSize: MAX_HEADER_BYTES,
+    headersTimeout: HEADERS_TIMEOUT_MS,
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    // NOTE: bodies have their own bounds of pause and total time (readBody).
+    requestTimeout: 0,
+    noDelay: true,
+  };
+  const server: Server = options.tls
+    ? createTlsServer({ ...bounds, ...options.tls }, handleRequest)
+    : createServer(bounds, handleRequest);
+  server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+    if (!socket.writable || error.code === "ECONNRESET") {
+      socket.destroy();
+      return;
+    }
+    const fault = FAULT_BY_CODE[error.code ?? ""] ?? "malformed";
+    writeRawAnswer(socket as Socket, options.renderClientFault(fault));
+  });
+
+  return {
+    open: (host, port) =>
+      new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(port, host, () => {
+          server.off("error", reject);
+          resolve((server.address() as AddressInfo).port);
+        });
+      }),
+    close: () =>
+      new Promise((resolve) => {
+        server.close(() => resolve());
+        server.closeIdleConnections();
+      }),
+    destroy: () => server.closeAllConnections(),
+  };
+};
--- /dev/null
+++ b/packages/outcomes/src/index.ts
@@ -0,0 +1,3 @@
+/** Ran, not run, unknown: what may be said of a call, and why. */
+export type { LinkFailure, Outcome } from "./types.js";
+export { combineOutcomes, toOutcome } from "./combineOutcomes.js";
--- /dev/null
+++ b/packages/relay/src/runGeneration.ts
@@ -0,0 +1,239 @@
+/** Shell of one stream's session: applies its actions to the engine's links and the caller's sink. */
+import { assertNever, type GenerationId, type Timer } from "@stairgauge/common";
+import type { EngineLink } from "@stairgauge/engines";
+import type { LinkFailure } from "@stairgauge/outcomes";
+import {
+  createStreamSession,
+  type SessionAction,
+  type SessionEvent,
+} from "@stairgauge/streams";
+import { PROGRESS_EVERY_TOKENS, RESUME_GRACE_MS } from "./constants.js";
+import type { Dispatcher } from "./dispatcher.js";
+import type { RelayDeps, RunHandle, RunRequest, TokenSource } from "./types.js";
+
+const MS_PER_SECOND = 1_000;
+
+type OpenLinkAction = Extract<SessionAction, { kind: "openLink" }>;
+
+/** A run as the relay keeps it. */
+export type Run = RunHandle & Readonly<{ tick: () => void }>;
+
+/** Starts (or continues) a generation and relays it until its end. */
+export const runGeneration = (
+  deps: RelayDeps &
+    Readonly<{
+      dispatcher: Dispatcher;
+      onOver: () => void;
+      /** Address of a server that only a later bundle names. */
+      findNewerAddress: (server: string) => string | undefined;
+    }>,
+  request: RunRequest,
+): Run => {
+  const { clock, random, engines, logger, metrics, dispatcher } = deps;
+  const { call, index, sink } = request;
+  const session = createStreamSession({
+    mintGeneration: () => random.nextId() as GenerationId,
+    deliversAtOnce: request.deliversAtOnce,
+    mayRunAgain: true,
+    ...(request.continuation ? { continuation: request.continuation } : {}),
+  });
+  const arrivedAt = clock.monotonic();
+  let link: EngineLink | undefined;
+  let linkTimer: Timer | undefined;
+  let isBlocked = false;
+  let isOver = false;
+  let priority = 0;
+  let lastTokenAt = 0;
+  let tokensSinceProgress = 0;
+
+  const getAddress = (server: string): string =>
+    index.servers.get(server)?.address ?? deps.findNewerAddress(server) ?? "";
+  const send = (event: SessionEvent) => {
+    for (const action of session.handle(event, clock.monotonic())) apply(action);
+  };
+
+  const finish = (isWhole: boolean) => {
+    if (isOver) return;
+    isOver = true;
+    linkTimer?.cancel();
+    dispatcher.end(call.id, session.getNextIndex(), isWhole);
+    deps.onOver();
+  };
+
+  const recordToken = () => {
+    const now = clock.monotonic();
+    if (lastTokenAt === 0) metrics.firstToken.observe((now - arrivedAt) / MS_PER_SECOND);
+    else metrics.tokenGap.observe((now - lastTokenAt) / MS_PER_SECOND);
+    lastTokenAt = now;
+    metrics.tokens.inc();
+    tokensSinceProgress += 1;
+    if (tokensSinceProgress < PROGRESS_EVERY_TOKENS) return;
+    tokensSinceProgress = 0;
+    const generatedTokens = session.getNextIndex();
+    dispatcher.tell({ kind: "progressed", request: call.id, generatedTokens });
+  };
+
+  const openLink = (action: OpenLinkAction) => {
+    const { link: own, mode, server, generation } = action;
+    const address = getAddress(server);
+    const handlers = {
+      onFrame: (frame: Extract<SessionEvent, { kind: "frame" }>["frame"]) =>
+        send({ kind: "frame", link: own, frame }),
+      onEnd: (failure: LinkFailure | undefined) => {
+        if (failure) metrics.linkFailures.inc({ kind: failure.kind });
+        send({ kind: "linkEnded", link: own, failure });
+      },
+    };
+    link =
+      mode.kind === "resume"
+        ? engines.openResume(address, { generation, from: mode.from }, handlers)
+        : engines.openStart(
+            address,
+            {
+              generation,
+              model: call.model,
+              adapter: call.adapter,
+              prompt: call.prompt,
+              promptTokens: call.promptTokens,
+              maxTokens: call.maxTokens,
+              stop: call.stop,
+              temperature: call.temperature,
+              priority,
+              detachGraceMs: RESUME_GRACE_MS,
+            },
+            handlers,
+          );
+    if (isBlocked) link.pause();
+  };
+
+  const scheduleLink = (action: OpenLinkAction) => {
+    if (action.mode.kind === "resume") {
+      const { server, generation, mode } = action;
+      const line = {
+        decision: "resumed",
+        request: call.id,
+        server,
+        generation,
+        from: mode.from,
+      };
+      logger.info({ ...line, delay: action.delay }, "decision: resumed");
+    }
+    if (action.delay === 0) openLink(action);
+    else linkTimer = clock.setTimer(action.delay, () => openLink(action));
+  };
+
+  const closeLink = () => {
+    linkTimer?.cancel();
+    link?.close();
+    link = undefined;
+  };
+
+  const cancelGeneration = async (source: TokenSource, onlyIfDetached: boolean) => {
+    const { generation } = source;
+    const result = await engines.cancel(getAddress(source.server), {
+      generation,
+      onlyIfDetached,
+    });
+    if (result.err) logger.debug({ generation, failure: result.val }, "cancel failed");
+  };
+
+  const apply = (action: SessionAction) => {
+    switch (action.kind) {
+      case "deliver": {
+        recordToken();
+        const source = session.getSource();
+        if (source && !sink.onToken(action.index, action.text, source)) setBlocked(true);
+        return;
+      }
+      case "finish": {
+        const source = session.getSource();
+        finish(true);
+        if (source) sink.onEnd(action.end, source);
+        return;
+      }
+      case "fail":
+        finish(false);
+        sink.onFailed(action.failure);
+        return;
+      case "drop":
+        metrics.droppedFrames.inc({ reason: action.reason });
+        return;
+      case "discard":
+        sink.onDiscard();
+        return;
+      case "openLink":
+        scheduleLink(action);
+        return;
+      case "closeLink":
+        closeLink();
+        return;
+      case "requestPlacement":
+        dispatcher.tell({
+          kind: "attemptFailed",
+          request: call.id,
+          server: action.failedServer,
+          isLeaving: action.cause.kind === "refused" && action.cause.isLeaving,
+        });
+        return;
+      case "cancelGeneration":
+        void cancelGeneration(action, false);
+        return;
+      case "orphanGeneration":
+        clock.setTimer(RESUME_GRACE_MS, () => void cancelGeneration(action, true));
+        return;
+      default:
+        assertNever(action);
+    }
+  };
+
+  const setBlocked = (value: boolean) => {
+    if (isBlocked === value || isOver) return;
+    isBlocked = value;
+    if (value) {
+      link?.pause();
+      return;
+    }
+    send({ kind: "readerResumed" });
+    link?.resume();
+  };
+
+  const start = () => {
+    if (request.continuation) {
+      send({ kind: "continued" });
+      return;
+    }
+    dispatcher.submit(
+      {
+        id: call.id,
+        workspace: call.workspace,
+        model: call.model,
+        promptTokens: call.promptTokens,
+        maxOutputTokens: call.maxTokens,
+        arrivedAt: arrivedAt,
+      },
+      {
+        onPlaced: (server, chosenPriority) => {
+          priority = chosenPriority;
+          send({ kind: "placed", server });
+        },
+        onRefused: (refusal) => {
+          finish(false);
+          sink.onRefused(refusal);
+        },
+      },
+    );
+  };
+
+  start();
+  return {
+    leave: () => {
+      if (isOver) return;
+      send({ kind: "callerGone" });
+      finish(false);
+    },
+    setBlocked,
+    tick: () => {
+      if (!isBlocked && !isOver) send({ kind: "ticked" });
+    },
+  };
+};
--- /dev/null
+++ b/packages/rollout/src/headWatcher.ts
@@ -0,0 +1,92 @@
+/** Watches the platform's head and adopts each higher version whose sign-off holds. */
+import {
+  adoptHead,
+  type ActiveBundle,
+  type BundleHead,
+  type HeadFailure,
+  type SignOffRules,
+} from "@stairgauge/bundle";
+import { Err, type Clock, type Ms, type Result, type Timer } from "@stairgauge/common";
+import type { Platform, ReadFailure } from "@stairgauge/platform";
+import { decodeHead, HEAD_ROW, toObjectName } from "./headRecord.js";
+
+/** Why a look at the head brought no new bundle. */
+export type WatchFailure = Readonly<
+  | HeadFailure
+  | ReadFailure
+  | { kind: "malformed_head" }
+  | { kind: "content_missing"; digest: string }
+>;
+
+/** What a watcher needs. */
+export type HeadWatcherOptions = Readonly<{
+  platform: Platform;
+  rules: SignOffRules;
+  clock: Clock;
+  interval: Ms;
+  onAdopted: (active: ActiveBundle) => void;
+  onFailure: (failure: WatchFailure) => void;
+}>;
+
+/** A running watcher. */
+export type HeadWatcher = Readonly<{
+  /** Looks once; true where a new bundle came into force. */
+  look: () => Promise<boolean>;
+  start: () => void;
+  stop: () => void;
+}>;
+
+/** Creates a watcher that holds no bundle yet. */
+export const createHeadWatcher = (options: HeadWatcherOptions): HeadWatcher => {
+  const { platform, rules, clock } = options;
+  let version = 0;
+  let timer: Timer | undefined;
+  let isStopped = false;
+
+  const readContent = async (
+    head: BundleHead,
+  ): Promise<Result<ActiveBundle, WatchFailure>> => {
+    const content = await platform.objects.read(toObjectName(head.digest));
+    if (content.err) return content;
+    if (content.val === undefined)
+      return Err({ kind: "content_missing", digest: head.digest });
+    return adoptHead({ currentVersion: version, head, content: content.val, rules });
+  };
+
+  const look = async (): Promise<boolean> => {
+    const row = await platform.table.read(HEAD_ROW);
+    if (row.err) {
+      options.onFailure(row.val);
+      return false;
+    }
+    if (row.val === undefined) return false;
+    const head = decodeHead(row.val.value);
+    if (!head) {
+      options.onFailure({ kind: "malformed_head" });
+      return false;
+    }
+    if (head.version <= version) return false;
+    const adopted = await readContent(head);
+    if (adopted.err) {
+      options.onFailure(adopted.val);
+      return false;
+    }
+    version = adopted.val.head.version;
+    options.onAdopted(adopted.val);
+    return true;
+  };
+
+  const poll = async () => {
+    await look();
+    if (!isStopped) timer = clock.setTimer(options.interval, () => void poll());
+  };
+
+  return {
+    look,
+    start: () => void poll(),
+    stop: () => {
+      isStopped = true;
+      timer?.cancel();
+    },
+  };
+};
--- /dev/null
+++ b/packages/services/src/httpServiceClient.ts
@@ -0,0 +1,69 @@
+/** The client of plain services over HTTP, bodies streamed both ways. */
+import { Agent, type Dispatcher } from "undici";
+import { toLinkFailure } from "@stairgauge/http";
+import type {
+  ServiceCall,
+  ServiceClient,
+  ServiceExchange,
+  ServiceSink,
+} from "./types.js";
+
+const CONNECT_TIMEOUT_MS = 2_000;
+const HEADERS_TIMEOUT_MS = 30_000;
+const BODY_IDLE_TIMEOUT_MS = 30_000;
+
+/** Creates the client. */
+export const createHttpServiceClient = (): ServiceClient => {
+  const agent = new Agent({
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    headersTimeout: HEADERS_TIMEOUT_MS,
+    bodyTimeout: BODY_IDLE_TIMEOUT_MS,
+  });
+
+  const open = (call: ServiceCall, sink: ServiceSink): ServiceExchange => {
+    let controller: Dispatcher.DispatchController | undefined;
+    let isOver = false;
+    const abort = () => controller?.abort(new Error("call closed by this side"));
+    agent.dispatch(
+      {
+        origin: `http://${call.address}`,
+        path: call.path,
+        method: call.method,
+        body: call.body,
+        headers: call.headers as Record<string, string | string[]>,
+      },
+      {
+        onRequestStart: (started) => {
+          controller = started;
+          if (isOver) abort();
+        },
+        onResponseStart: (_controller, status, headers) => {
+          if (!isOver) sink.onHead(status, headers);
+        },
+        onResponseData: (_controller, chunk) => {
+          if (!isOver && !sink.onData(chunk)) controller?.pause();
+        },
+        onResponseEnd: () => {
+          if (isOver) return;
+          isOver = true;
+          sink.onEnd();
+        },
+        onResponseError: (_controller, error) => {
+          if (isOver) return;
+          isOver = true;
+          sink.onFailure(toLinkFailure(error));
+        },
+      },
+    );
+    return {
+      resume: () => controller?.resume(),
+      close: () => {
+        if (isOver) return;
+        isOver = true;
+        abort();
+      },
+    };
+  };
+
+  return { open, close: () => agent.destroy() };
+};
--- /dev/null
+++ b/packages/services/src/index.ts
@@ -0,0 +1,8 @@
+/** Clients of plain services. */
+export type {
+  ServiceCall,
+  ServiceClient,
+  ServiceExchange,
+  ServiceSink,
+} from "./types.js";
+export { createHttpServiceClient } from "./httpServiceClient.js";
--- /dev/null
+++ b/packages/settings/src/parseSettings.ts
@@ -0,0 +1,56 @@
+/** Reads a box's settings from YAML text. */
+import { parse as parseYaml } from "yaml";
+import type { z } from "zod";
+import { Err, Ok, type Result } from "@stairgauge/common";
+import { settingsSchema } from "./schema.js";
+
+/** A box's settings, validated. */
+export type Settings = Readonly<z.infer<typeof settingsSchema>>;
+
+/** One wrong setting: where it stands and what was expected. */
+export type SettingFault = Readonly<{ path: string; expected: string }>;
+
+/** Why a text is no settings file. */
+export type SettingsFailure = Readonly<
+  | { kind: "not_yaml"; detail: string }
+  | { kind: "invalid_settings"; faults: readonly SettingFault[] }
+>;
+
+const describeIssue = (issue: z.core.$ZodIssue): readonly SettingFault[] => {
+  const path = issue.path.map(String);
+  if (issue.code === "unrecognized_keys") {
+    return issue.keys.map((key) => ({
+      path: [...path, key].join("."),
+      expected: "no such setting",
+    }));
+  }
+  return [{ path: path.join(".") || "(whole file)", expected: issue.message }];
+};
+
+const decodeYaml = (text: string): Result<unknown, SettingsFailure> => {
+  try {
+    return Ok(parseYaml(text) as unknown);
+  } catch (error) {
+    const detail =
+      error instanceof Error ? (error.message.split("\n")[0] ?? "") : "not YAML";
+    return Err({ kind: "not_yaml", detail });
+  }
+};
+
+/** Reads and checks settings; every wrong key is named by its path. */
+export const parseSettings = (text: string): Result<Settings, SettingsFailure> => {
+  const decoded = decodeYaml(text);
+  if (decoded.err) return decoded;
+  const parsed = settingsSchema.safeParse(decoded.val);
+  if (parsed.success) return Ok(parsed.data);
+  return Err({
+    kind: "invalid_settings",
+    faults: parsed.error.issues.flatMap(describeIssue),
+  });
+};
+
+/** Describes a failure for people, one line a fault. */
+export const formatSettingsFailure = (failure: SettingsFailure): string =>
+  failure.kind === "not_yaml"
+    ? `not YAML: ${failure.detail}`
+    : failure.faults.map(({ path, expected }) => `${path}: ${expected}`).join("\n");
--- /dev/null
+++ b/packages/standins/src/index.ts
@@ -0,0 +1,21 @@
+/** Small stand-ins for the systems around stairgauge, for tests, measurements and the first run. */
+export { createEngineModel } from "./engineModel.js";
+export type { EngineModel } from "./engineModel.js";
+export { createEngineHost } from "./engineHost.js";
+export type { EngineHost, EngineHostOptions } from "./engineHost.js";
+export { createEngineRoutes } from "./engineRoutes.js";
+export type { EngineProfile, SequenceStart, StepResult } from "./engineTypes.js";
+export { createPlatformModel } from "./platformModel.js";
+export type { PlatformMode, PlatformModel } from "./platformModel.js";
+export { createPlatformRoutes } from "./platformRoutes.js";
+export { createServiceRoutes } from "./serviceRoutes.js";
+export { createStandinServer } from "./standinServer.js";
+export {
+  buildExampleBundle,
+  EXAMPLE_ENGINE,
+  EXAMPLE_KEY,
+  OTHER_EXAMPLE_KEY,
+  seedExampleBundle,
+  signExampleBundle,
+} from "./exampleSite.js";
+export type { ExampleAddresses, SignedBundle } from "./exampleSite.js";
--- /dev/null
+++ b/packages/standins/src/serviceRoutes.ts
@@ -0,0 +1,99 @@
+/** A stand-in plain service: look-ups that may be repeated, and contacts that may not. */
+import { z } from "zod";
+import type { Clock, Ms } from "@stairgauge/common";
+import { readBody, sendJson, type HttpExchange, type HttpRoute } from "@stairgauge/http";
+import { readBodyAs } from "./readBodyAs.js";
+
+const MAX_BODY_BYTES = 16 * 1024 * 1024;
+const BODY_TIMEOUT_MS = 30_000 as Ms;
+
+const faultSchema = z.object({
+  kind: z.enum(["none", "lose_answer", "refuse", "refuse_leaving", "hang"]),
+  times: z.int().min(1).default(1),
+});
+
+type ServiceFault = z.infer<typeof faultSchema>;
+
+const NO_FAULT: ServiceFault = { kind: "none", times: 1 };
+
+/** Routes of one server of a stand-in plain service. */
+export const createServiceRoutes = (
+  server: string,
+  clock: Clock,
+): readonly HttpRoute[] => {
+  const runs = new Map<string, number>();
+  let fault: ServiceFault = NO_FAULT;
+
+  const takeFault = (): ServiceFault["kind"] => {
+    const { kind } = fault;
+    if (kind !== "none") {
+      fault = fault.times > 1 ? { ...fault, times: fault.times - 1 } : NO_FAULT;
+    }
+    return kind;
+  };
+  const refuse = ({ response }: HttpExchange, kind: string) =>
+    sendJson(response, 503, {
+      error: { kind, message: "asked to refuse" },
+      outcome: "not_run",
+    });
+  const recordRun = (name: string) => runs.set(name, (runs.get(name) ?? 0) + 1);
+
+  /** Runs a call unless the fault prevents it, and answers unless the fault loses the answer. */
+  const serve = (exchange: HttpExchange, name: string, answer: unknown) => {
+    const kind = takeFault();
+    if (kind === "refuse") return refuse(exchange, "overloaded");
+    if (kind === "refuse_leaving") return refuse(exchange, "leaving");
+    recordRun(name);
+    if (kind === "hang") return undefined;
+    if (kind === "lose_answer") {
+      exchange.response.destroy();
+      return undefined;
+    }
+    return sendJson(exchange.response, 200, answer);
+  };
+
+  const handleContact = async (exchange: HttpExchange) => {
+    const limits = {
+      maxBytes: MAX_BODY_BYTES,
+      idleTimeout: BODY_TIMEOUT_MS,
+      totalTimeout: BODY_TIMEOUT_MS,
+    };
+    const body = await readBody(exchange.request, limits, clock);
+    if (body.err) return;
+    const name = `contact ${body.val.toString().slice(0, 200)}`;
+    serve(exchange, name, { server, sent: true, bytes: body.val.length });
+  };
+
+  return [
+    {
+      method: "GET",
+      path: "/search",
+      handle: (exchange) =>
+        serve(exchange, "search", { server, query: exchange.query.get("q"), hits: 3 }),
+    },
+    { method: "POST", path: "/contact", handle: handleContact },
+    {
+      method: "POST",
+      path: "/echo",
+      handle: ({ request, response }) => {
+        response.writeHead(200, { "content-type": "application/octet-stream" });
+        request.pipe(response);
+      },
+    },
+    {
+      method: "PUT",
+      path: "/standin/v1/fault",
+      handle: async (exchange) => {
+        const asked = await readBodyAs(exchange, faultSchema, clock);
+        if (!asked) return;
+        fault = asked;
+        sendJson(exchange.response, 200, {});
+      },
+    },
+    {
+      method: "GET",
+      path: "/standin/v1/runs",
+      handle: ({ response }) => sendJson(response, 200, Object.fromEntries(runs)),
+    },
+  ];
+};
--- /dev/null
+++ b/packages/standins/src/syntheticText.ts
@@ -0,0 +1,60 @@
+/** Text and lengths of the stand-in engine: repeatable, and heavy-tailed in length. */
+import { createHash } from "node:crypto";
+import type { GenerationId } from "@stairgauge/common";
+import type { StartRequest } from "@stairgauge/engines";
+
+const WORDS =
+  "a bright quiet flat near the old port with two rooms and one small balcony over the river freshly painted ready in spring call after noon".split(
+    " ",
+  );
+const MEDIAN_LENGTH = 120;
+const LENGTH_SPREAD = 0.9;
+const PREFIX_CHARACTERS = 256;
+const UINT32_RANGE = 2 ** 32;
+const LENGTH_MARK = /\[length=(\d{1,6})\]/;
+const CHARACTERS_PER_TOKEN = 4;
+
+const hashToUnits = (text: string): readonly [number, number] => {
+  const digest = createHash("sha256").update(text).digest();
+  return [
+    (digest.readUInt32LE(0) + 1) / (UINT32_RANGE + 1),
+    digest.readUInt32LE(4) / UINT32_RANGE,
+  ];
+};
+
+/**
+ * Length of the answer to a prompt: log-normal by the prompt's hash. A mark `[length=N]` in the
+ * prompt sets it, for tests and demonstrations.
+ */
+export const computeLength = (seed: number, prompt: string): number => {
+  const marked = LENGTH_MARK.exec(prompt)?.[1];
+  if (marked !== undefined) return Math.max(1, Number(marked));
+  const [u, v] = hashToUnits(`${seed}\n${prompt}`);
+  const normal = Math.sqrt(-2 * Math.log(u)) * Math.cos(2 * Math.PI * v);
+  return Math.max(1, Math.round(MEDIAN_LENGTH * Math.exp(LENGTH_SPREAD * normal)));
+};
+
+/** The token at an index; its text depends on the generation, so that spliced answers show. */
+export const generateToken = (options: {
+  readonly seed: number;
+  readonly id: GenerationId;
+  readonly index: number;
+}): string => {
+  const { seed, id, index } = options;
+  const start = seed + id.charCodeAt(0) + id.charCodeAt(id.length - 1);
+  const word = WORDS[(start + index * 7) % WORDS.length] ?? "";
+  return index === 0 ? word : ` ${word}`;
+};
+
+/** The part of a prompt that later prompts may share. */
+export const findPrefix = (
+  request: StartRequest,
+): Readonly<{ hash: string; tokens: number }> => {
+  const text = request.prompt.slice(0, PREFIX_CHARACTERS);
+  const hash = createHash("sha256").update(text).digest("hex").slice(0, 16);
+  const tokens = Math.min(
+    request.promptTokens,
+    Math.ceil(text.length / CHARACTERS_PER_TOKEN),
+  );
+  return { hash, tokens };
+};
--- /dev/null
+++ b/packages/testkit/src/index.ts
@@ -0,0 +1,12 @@
+/** Help for tests: sites of separate processes, and a small caller. */
+export { spawnProcess } from "./spawnProcess.js";
+export type { SpawnedProcess } from "./spawnProcess.js";
+export { createProcessSite } from "./processSite.js";
+export type {
+  BoxProcess,
+  ProcessSite,
+  ProcessSiteOptions,
+  StandinProcess,
+} from "./processSite.js";
+export { readStream } from "./readStream.js";
+export type { AnswerEvent, CallerAsk, CallerView } from "./readStream.js";
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,11 @@
+import { defineConfig } from "vitest/config";
+
+export default defineConfig({
+  resolve: { conditions: ["source"] },
+  ssr: { resolve: { conditions: ["source"] } },
+  test: {
+    include: ["packages/*/src/**/*.test.ts", "apps/*/src/**/*.test.ts"],
+    testTimeout: 60_000,
+    hookTimeout: 60_000,
+  },
+});
