--- a/apps/daemon/src/createDaemon.ts
+++ b/apps/daemon/src/createDaemon.ts
@@ -46,7 +46,8 @@
   const platform = createHttpPlatform(settings.platform);
   const engines = createHttpEngineClient();
   const services = createHttpServiceClient();
-  const relay = createRelay({ clock, random, engines, logger, metrics });
+  const resumeGrace = settings.resumeGraceMs as Ms;
+  const relay = createRelay({ clock, random, engines, logger, metrics, resumeGrace });
   const answers = createAnswerRegistry();
   let index: BundleIndex | undefined;
   let isStopping = false;
--- a/apps/daemon/src/embeddedSite.ts
+++ b/apps/daemon/src/embeddedSite.ts
@@ -12,23 +12,48 @@
   createStandinServer,
   EXAMPLE_ENGINE,
   seedExampleBundle,
+  type EngineHost,
+  type EngineProfile,
+  type PlatformModel,
 } from "@stairgauge/standins";
 import type { Logger } from "@stairgauge/telemetry";
-import { createDaemon } from "./createDaemon.js";
+import { createDaemon, type Daemon } from "./createDaemon.js";
 
 const LOOPBACK = "127.0.0.1";
-const ENGINES = 3;
+const DEFAULT_ENGINES = 3;
 const SERVICE_SERVERS = 2;
 const EXAMPLE_SECRET = "example-secret-example-secret-example";
 
+/** What an embedded site is made of. */
+export type EmbeddedSiteOptions = Readonly<{
+  /** Callers' port on the loopback address, 0 for any. */
+  port: number;
+  logger: Logger;
+  engines?: number;
+  profile?: EngineProfile;
+  /** Settings of the box beyond the necessary ones. */
+  settings?: Readonly<Record<string, unknown>>;
+}>;
+
+/** A stand-in engine of an embedded site. */
+export type EmbeddedEngine = Readonly<{ host: EngineHost; address: string }>;
+
 /** A running example site. */
-export type EmbeddedSite = Readonly<{ port: number; stop: () => Promise<void> }>;
+export type EmbeddedSite = Readonly<{
+  port: number;
+  operatorsPort: number;
+  daemon: Daemon;
+  engines: readonly EmbeddedEngine[];
+  /** Addresses of the plain service's servers. */
+  services: readonly string[];
+  platform: PlatformModel;
+  stop: () => Promise<void>;
+}>;
 
-/** Starts the site; callers reach it on `port` of the loopback address (0 for any). */
-export const createEmbeddedSite = async (options: {
-  readonly port: number;
-  readonly logger: Logger;
-}): Promise<EmbeddedSite> => {
+/** Starts the site and waits until its box has a bundle. */
+export const createEmbeddedSite = async (
+  options: EmbeddedSiteOptions,
+): Promise<EmbeddedSite> => {
   const clock = createSystemClock();
   const servers: ReturnType<typeof createStandinServer>[] = [];
 
@@ -37,19 +62,19 @@
     servers.push(server);
     return `${LOOPBACK}:${await server.open(LOOPBACK, 0)}`;
   };
-  const serveEngine = (seed: number) => {
+  const serveEngine = async (seed: number): Promise<EmbeddedEngine> => {
     const host = createEngineHost({
-      profile: EXAMPLE_ENGINE,
+      profile: options.profile ?? EXAMPLE_ENGINE,
       models: ["redac-llm"],
       checksOrders: true,
       seed,
       clock,
     });
-    return serve(createEngineRoutes(host, clock));
+    return { host, address: await serve(createEngineRoutes(host, clock)) };
   };
 
   const engines = await Promise.all(
-    Array.from({ length: ENGINES }, (_, i) => serveEngine(i)),
+    Array.from({ length: options.engines ?? DEFAULT_ENGINES }, (_, i) => serveEngine(i)),
   );
   const services = await Promise.all(
     Array.from({ length: SERVICE_SERVERS }, (_, i) =>
@@ -58,10 +83,11 @@
   );
   const model = createPlatformModel();
   const platform = await serve(createPlatformRoutes(model, clock));
-  const trustedOperators = seedExampleBundle(
-    model,
-    buildExampleBundle({ engines, services }),
-  );
+  const bundle = buildExampleBundle({
+    engines: engines.map((one) => one.address),
+    services,
+  });
+  const trustedOperators = seedExampleBundle(model, bundle);
 
   const settings = parseSettings(
     JSON.stringify({
@@ -72,6 +98,7 @@
       platform: { table: platform, objects: platform, boxes: platform },
       signOff: { approvalsNeeded: 1, trustedOperators },
       resumeKeys: [{ id: "example", secret: EXAMPLE_SECRET }],
+      ...options.settings,
     }),
   );
   if (settings.err) throw new TypeError(JSON.stringify(settings.val));
@@ -84,5 +111,13 @@
     for (const server of servers) server.destroy();
     await Promise.all(servers.map((server) => server.close()));
   };
-  return { port: ports.callers, stop };
+  return {
+    port: ports.callers,
+    operatorsPort: ports.operators,
+    daemon,
+    engines,
+    services,
+    platform: model,
+    stop,
+  };
 };
--- a/packages/http/src/httpServer.ts
+++ b/packages/http/src/httpServer.ts
@@ -128,7 +128,12 @@
 /** Creates the server; `open` makes it listen. */
 export const createHttpServer = (options: HttpServerOptions): HttpServer => {
   const router = buildRouter(options);
+  let isClosing = false;
+  const closeIfIdle = () => {
+    if (isClosing) setImmediate(() => server.closeIdleConnections());
+  };
   const handleRequest = (request: IncomingMessage, response: ServerResponse) => {
+    response.on("close", closeIfIdle);
     const method = ALLOWED_METHODS.find((one) => one === request.method);
     const found =
       method && router.find(method, (request.url ?? "/").split("?")[0] ?? "/");
@@ -170,6 +175,7 @@
       }),
     close: () =>
       new Promise((resolve) => {
+        isClosing = true;
         server.close(() => resolve());
         server.closeIdleConnections();
       }),
--- a/packages/relay/src/constants.ts
+++ b/packages/relay/src/constants.ts
@@ -7,8 +7,5 @@
 /** Tokens between two reports of a stream's progress to the decisions. */
 export const PROGRESS_EVERY_TOKENS = 16;
 
-/** How long a caller may stay away before its generation is cancelled. */
-export const RESUME_GRACE_MS = 20_000 as Ms;
-
 /** How often an engine's load is read. */
 export const LOAD_POLL_MS = 500 as Ms;
--- a/packages/relay/src/runGeneration.ts
+++ b/packages/relay/src/runGeneration.ts
@@ -7,7 +7,7 @@
   type SessionAction,
   type SessionEvent,
 } from "@stairgauge/streams";
-import { PROGRESS_EVERY_TOKENS, RESUME_GRACE_MS } from "./constants.js";
+import { PROGRESS_EVERY_TOKENS } from "./constants.js";
 import type { Dispatcher } from "./dispatcher.js";
 import type { RelayDeps, RunHandle, RunRequest, TokenSource } from "./types.js";
 
@@ -99,7 +99,7 @@
               stop: call.stop,
               temperature: call.temperature,
               priority,
-              detachGraceMs: RESUME_GRACE_MS,
+              detachGraceMs: deps.resumeGrace,
             },
             handlers,
           );
@@ -179,7 +179,7 @@
         void cancelGeneration(action, false);
         return;
       case "orphanGeneration":
-        clock.setTimer(RESUME_GRACE_MS, () => void cancelGeneration(action, true));
+        clock.setTimer(deps.resumeGrace, () => void cancelGeneration(action, true));
         return;
       default:
         assertNever(action);
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -22,6 +22,8 @@
   engines: EngineClient;
   logger: Logger;
   metrics: Metrics;
+  /** How long a caller may stay away before its generation is cancelled. */
+  resumeGrace: Ms;
 }>;
 
 /** A caller's request for a generation, validated. */
--- a/packages/settings/src/schema.ts
+++ b/packages/settings/src/schema.ts
@@ -57,6 +57,8 @@
     })
     .prefault({}),
   bundlePollMs: positiveMs.default(1_000),
+  /** How long a caller may stay away before its generation is cancelled. */
+  resumeGraceMs: positiveMs.default(20_000),
   /** How long a planned stop waits for running answers before it sends them elsewhere. */
   drainGraceMs: positiveMs.default(30_000),
 });
--- a/packages/standins/src/engineHost.ts
+++ b/packages/standins/src/engineHost.ts
@@ -85,9 +85,7 @@
   ) => {
     for (const id of advanced) {
       const generation = generations.get(id);
-      generation?.tokens.push(
-        generateToken({ seed, id, index: generation.tokens.length }),
-      );
+      generation?.tokens.push(generateToken(id, generation.tokens.length));
     }
     for (const id of finished) {
       const generation = generations.get(id);
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -19,3 +19,4 @@
   signExampleBundle,
 } from "./exampleSite.js";
 export type { ExampleAddresses, SignedBundle } from "./exampleSite.js";
+export { generateToken } from "./syntheticText.js";
--- a/packages/standins/src/syntheticText.ts
+++ b/packages/standins/src/syntheticText.ts
@@ -34,15 +34,11 @@
   return Math.max(1, Math.round(MEDIAN_LENGTH * Math.exp(LENGTH_SPREAD * normal)));
 };
 
-/** The token at an index; its text depends on the generation, so that spliced answers show. */
-export const generateToken = (options: {
-  readonly seed: number;
-  readonly id: GenerationId;
-  readonly index: number;
-}): string => {
-  const { seed, id, index } = options;
-  const start = seed + id.charCodeAt(0) + id.charCodeAt(id.length - 1);
-  const word = WORDS[(start + index * 7) % WORDS.length] ?? "";
+/** The token at an index; it depends on the generation, so that a spliced answer shows. */
+export const generateToken = (id: GenerationId, index: number): string => {
+  const start = id.charCodeAt(0) + 31 * id.charCodeAt(id.length - 1);
+  const stride = 1 + (id.charCodeAt(id.length >> 1) % (WORDS.length - 1));
+  const word = WORDS[(start + index * stride) % WORDS.length] ?? "";
   return index === 0 ? word : ` ${word}`;
 };
 
--- a/packages/testkit/src/readStream.ts
+++ b/packages/testkit/src/readStream.ts
@@ -18,6 +18,8 @@
   /** Whether the connection broke. */
   isCut: boolean;
   lastId: string | undefined;
+  /** Generation that the answer names. */
+  generation: string;
 }>;
 
 /** A request of the small caller. */
@@ -31,6 +33,7 @@
 }>;
 
 type Chunk = Readonly<{
+  id?: string;
   choices?: readonly Readonly<{ delta?: Readonly<{ content?: string }> }>[];
 }>;
 
@@ -48,6 +51,13 @@
   return text === undefined || text === "" ? undefined : text;
 };
 
+const findGeneration = (events: readonly AnswerEvent[]): string => {
+  const first = events.find(({ data }) => data.startsWith("{"));
+  return first
+    ? ((JSON.parse(first.data) as Chunk).id ?? "").replace("chatcmpl-", "")
+    : "";
+};
+
 /** Asks for a streamed chat answer and reads it to its end. */
 export const readStream = async (ask: CallerAsk): Promise<CallerView> => {
   const response = await request(`${ask.url}/v1/chat/completions`, {
@@ -99,6 +109,7 @@
     tokens,
     isWhole: events.at(-1)?.data === "[DONE]",
     isCut,
+    generation: findGeneration(events),
     lastId: events.findLast((event) => event.id !== undefined)?.id,
   };
 };
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,8 +1,8 @@
 import { defineConfig } from "vitest/config";
 
 export default defineConfig({
-  resolve: { conditions: ["source"] },
-  ssr: { resolve: { conditions: ["source"] } },
+  resolve: { conditions: ["@stairgauge/source"] },
+  ssr: { resolve: { conditions: ["@stairgauge/source"] } },
   test: {
     include: ["packages/*/src/**/*.test.ts", "apps/*/src/**/*.test.ts"],
     testTimeout: 60_000,
