--- a/apps/daemon/src/callers.test.ts
+++ b/apps/daemon/src/callers.test.ts
@@ -32,7 +32,7 @@
     logger,
     engines: 2,
     profile: FAST_ENGINE,
-    settings: { limits: { bodyBytes: 20_000, bodyIdleMs: 200 }, resumeGraceMs: 100 },
+    settings: { limits: { bodyBytes: 20_000, bodyIdleMs: 1_500 } },
   });
   url = `http://127.0.0.1:${site.port}`;
 });
@@ -289,9 +289,6 @@
 });
 
 describe("a caller that goes away", () => {
-  const countGenerations = () =>
-    site.engines.reduce((sum, { host }) => sum + host.getReport().running, 0);
-
   it("may resume with its last event's id, within the grace, token by token", async () => {
     const first = await readStream({
       url,
@@ -310,14 +307,19 @@
   });
 
   it("has its generation cancelled after the grace", async () => {
+    const logger = createLogger({ level: "silent", format: "json", base: {} });
+    const settings = { resumeGraceMs: 50 };
+    const own = await createEmbeddedSite({ port: 0, logger, engines: 1, settings });
+    const { host } = own.engines[0]!;
     await readStream({
-      url,
+      url: `http://127.0.0.1:${own.port}`,
       key: EXAMPLE_KEY,
       prompt: "x [length=7000]",
       onToken: (count) => (count === 2 ? "leave" : undefined),
     });
-    expect(countGenerations()).toBe(1);
-    await waitUntil(() => countGenerations() === 0);
+    await waitUntil(() => host.getReport().running === 0);
+    expect(host.getCounts().generations).toBe(0);
+    await own.stop();
   });
 });
 
--- a/apps/daemon/src/processes.test.ts
+++ b/apps/daemon/src/processes.test.ts
@@ -1,31 +1,157 @@
-/** The whole path over separate processes and real sockets. */
-import { afterAll, beforeAll, describe, expect, it } from "vitest";
-import { EXAMPLE_KEY } from "@stairgauge/standins";
-import { createProcessSite, readStream, type ProcessSite } from "@stairgauge/testkit";
+/** The whole path over separate processes and real sockets, while processes stop, die and freeze. */
+import { request } from "undici";
+import { afterEach, describe, expect, it } from "vitest";
+import type { GenerationId } from "@stairgauge/common";
+import { EXAMPLE_KEY, generateToken } from "@stairgauge/standins";
+import {
+  createProcessSite,
+  readStream,
+  type CallerAsk,
+  type ProcessSite,
+  type ProcessSiteOptions,
+} from "@stairgauge/testkit";
 
-describe("a site of separate processes", () => {
-  let site: ProcessSite;
-  beforeAll(async () => {
-    site = await createProcessSite({ engines: 1, services: 1, boxes: 1 });
+let site: ProcessSite;
+afterEach(() => site.destroy());
+
+const startSite = async (options: Partial<ProcessSiteOptions> = {}) => {
+  site = await createProcessSite({ engines: 1, services: 1, boxes: 1, ...options });
+  return site;
+};
+
+const ask = (
+  length: number,
+  options: Partial<CallerAsk> = {},
+): Promise<Awaited<ReturnType<typeof readStream>>> =>
+  readStream({
+    url: site.boxes[0]!.url,
+    key: EXAMPLE_KEY,
+    prompt: `an ad [length=${length}]`,
+    ...options,
   });
-  afterAll(() => site.destroy());
 
+const renderWhole = (generation: string, length: number) =>
+  Array.from({ length }, (_, index) => generateToken(generation as GenerationId, index));
+
+/** Runs `act` once, after the given count of tokens. */
+const actAfter =
+  (tokens: number, act: () => void | Promise<void>) => async (count: number) => {
+    if (count === tokens) await act();
+    return undefined;
+  };
+
+const readStatus = async (box: number) => {
+  const response = await request(`${site.boxes[box]!.operatorsUrl}/status`);
+  return (await response.body.json()) as { openAnswers: number; isStopping: boolean };
+};
+
+describe("a site of separate processes", () => {
   it("streams an answer from caller to engine and back, and logs the placement", async () => {
-    const box = site.boxes[0]!;
-    const view = await readStream({
-      url: box.url,
-      key: EXAMPLE_KEY,
-      prompt: "an ad [length=40]",
-    });
+    await startSite();
+    const view = await ask(40);
     expect(view).toMatchObject({ status: 200, isWhole: true });
-    expect(view.tokens).toHaveLength(40);
-    const placements = box.process
-      .listLines()
-      .filter((line) => line.includes('"decision":"placed"'));
+    expect(view.tokens).toEqual(renderWhole(view.generation, 40));
+    const lines = site.boxes[0]!.process.listLines();
+    const placements = lines.filter((line) => line.includes('"decision":"placed"'));
     expect(placements).toHaveLength(1);
     expect(JSON.parse(placements[0]!)).toMatchObject({
       server: "engine-1",
       reason: "only_one",
     });
+    expect(lines.join("\n")).not.toContain("an ad");
+    expect(lines.join("\n")).not.toContain(EXAMPLE_KEY);
+  });
+
+  it("cuts no stream in a planned stop, takes no new work, and exits with 0", async () => {
+    await startSite();
+    const box = site.boxes[0]!;
+    const view = await ask(150, {
+      onToken: actAfter(5, async () => {
+        box.process.kill("SIGTERM");
+        await box.process.waitForLine(/stopping: no new work/);
+        const ready = await request(`${box.operatorsUrl}/readyz`);
+        expect(ready.statusCode).toBe(503);
+        await expect(request(`${box.url}/v1/models`)).rejects.toMatchObject({
+          code: "ECONNREFUSED",
+        });
+      }),
+    });
+    expect(view.isWhole).toBe(true);
+    expect(view.tokens).toEqual(renderWhole(view.generation, 150));
+    expect(await box.process.waitForExit()).toBe(0);
+  });
+
+  it("sends streams elsewhere when a stop is hastened, and another box goes on", async () => {
+    await startSite({ boxes: 2 });
+    const box = site.boxes[0]!;
+    const first = await ask(400, {
+      onToken: actAfter(5, async () => {
+        box.process.kill("SIGTERM");
+        await box.process.waitForLine(/stopping: no new work/);
+        box.process.kill("SIGTERM");
+      }),
+    });
+    expect(first.events.at(-1)?.data).toContain('"code":"resume_elsewhere"');
+    const rest = await ask(400, { url: site.boxes[1]!.url, lastEventId: first.lastId });
+    expect([...first.tokens, ...rest.tokens]).toEqual(renderWhole(first.generation, 400));
+    expect(rest.isWhole).toBe(true);
+    expect(await box.process.waitForExit()).toBe(0);
+  });
+
+  it("loses nothing when a box is killed: another goes on from the last event's id", async () => {
+    await startSite({ boxes: 2 });
+    const box = site.boxes[0]!;
+    const first = await ask(400, {
+      onToken: actAfter(20, () => box.process.kill("SIGKILL")),
+    });
+    expect(first.isWhole).toBe(false);
+    const rest = await ask(400, { url: site.boxes[1]!.url, lastEventId: first.lastId });
+    expect([...first.tokens, ...rest.tokens]).toEqual(renderWhole(first.generation, 400));
+    expect(rest.isWhole).toBe(true);
+  });
+
+  it("ends a stream with a typed error when its engine is killed", async () => {
+    await startSite({ engines: 2 });
+    const view = await ask(2_000, {
+      onToken: actAfter(20, () =>
+        site.engines.forEach(({ process }) => process.kill("SIGKILL")),
+      ),
+    });
+    expect(view.isWhole).toBe(false);
+    expect(view.events.at(-1)?.data).toContain('"code":"generation_lost"');
+    expect(view.tokens).toEqual(renderWhole(view.generation, view.tokens.length));
+  });
+
+  it("starts anew on another engine when the first is dead before the first token", async () => {
+    await startSite({ engines: 2 });
+    site.engines[0]!.process.kill("SIGKILL");
+    await site.engines[0]!.process.waitForExit();
+    const views = await Promise.all(Array.from({ length: 8 }, () => ask(20)));
+    for (const view of views)
+      expect(view.tokens).toEqual(renderWhole(view.generation, 20));
+  });
+
+  it("goes on with the same generation after its engine was frozen and let go", async () => {
+    await startSite();
+    const [engine] = site.engines;
+    const view = await ask(300, {
+      onToken: actAfter(20, () => {
+        engine!.process.kill("SIGSTOP");
+        void site.boxes[0]!.process.waitForLine(/decision: resumed/).then(() =>
+          engine!.process.kill("SIGCONT"),
+        );
+      }),
+    });
+    expect(view.isWhole).toBe(true);
+    expect(view.tokens).toEqual(renderWhole(view.generation, 300));
+  });
+
+  it("serves on with the platform's stores dead", async () => {
+    await startSite();
+    site.platform.process.kill("SIGKILL");
+    await site.platform.process.waitForExit();
+    await site.boxes[0]!.process.waitForLine(/no newer bundle could be taken/);
+    expect((await ask(20)).isWhole).toBe(true);
+    expect(await readStatus(0)).toMatchObject({ isStopping: false });
   });
 });
--- a/apps/daemon/src/standinsMain.ts
+++ b/apps/daemon/src/standinsMain.ts
@@ -3,6 +3,7 @@
 import {
   binary,
   command,
+  flag,
   multioption,
   array,
   number,
@@ -87,6 +88,7 @@
   args: {
     port,
     engines: multioption({ type: array(string), long: "engine", description: "IP:PORT" }),
+    isRoomy: flag({ long: "roomy", description: "engines without narrow limits" }),
     services: multioption({
       type: array(string),
       long: "service",
--- a/packages/bundle/src/parseBundle.ts
+++ b/packages/bundle/src/parseBundle.ts
@@ -169,7 +169,7 @@
 /** Reads a bundle from YAML (of which JSON is a part). */
 export const parseBundle = (text: string): Result<Bundle, BundleFailure> => {
   try {
-    return checkBundle(parseYaml(text));
+    return checkBundle(parseYaml(text, { logLevel: "error" }));
   } catch (error) {
     const expected = error instanceof Error ? error.message : "YAML";
     return Err({ kind: "invalid_bundle", faults: [{ path: "(text)", expected }] });
--- a/packages/settings/src/parseSettings.ts
+++ b/packages/settings/src/parseSettings.ts
@@ -29,7 +29,7 @@
 
 const decodeYaml = (text: string): Result<unknown, SettingsFailure> => {
   try {
-    return Ok(parseYaml(text) as unknown);
+    return Ok(parseYaml(text, { logLevel: "error" }) as unknown);
   } catch (error) {
     const detail =
       error instanceof Error ? (error.message.split("\n")[0] ?? "") : "not YAML";
--- a/packages/standins/src/exampleSite.ts
+++ b/packages/standins/src/exampleSite.ts
@@ -40,11 +40,16 @@
 export type ExampleAddresses = Readonly<{
   engines: readonly string[];
   services: readonly string[];
+  /** Engines as large as a benchmark needs, instead of the example's. */
+  isRoomy?: boolean;
 }>;
 
+const ROOMY_ENGINE = { memoryTokens: 100_000_000, maxRunning: 10_000 };
+
 /** Builds the example bundle for stand-ins at the given addresses. */
 export const buildExampleBundle = (addresses: ExampleAddresses): Bundle => {
   const halls = ["rennes-a", "rennes-b", "brest", "lorient"];
+  const engineSize = addresses.isRoomy ? ROOMY_ENGINE : EXAMPLE_ENGINE;
   const toHall = (index: number) => halls[index % halls.length];
   const result = checkBundle({
     tiers: [
@@ -94,8 +99,8 @@
         address,
         dataHall: toHall(index),
         serves: ["redac-llm"],
-        memoryTokens: EXAMPLE_ENGINE.memoryTokens,
-        maxRunning: EXAMPLE_ENGINE.maxRunning,
+        memoryTokens: engineSize.memoryTokens,
+        maxRunning: engineSize.maxRunning,
         checksOrders: index === 0,
       })),
       ...addresses.services.map((address, index) => ({
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,7 +1,7 @@
 /** Help for tests: sites of separate processes, and a small caller. */
 export { spawnProcess } from "./spawnProcess.js";
 export type { SpawnedProcess } from "./spawnProcess.js";
-export { createProcessSite } from "./processSite.js";
+export { createBoxBefore, createProcessSite } from "./processSite.js";
 export type {
   BoxProcess,
   ProcessSite,
@@ -10,3 +10,5 @@
 } from "./processSite.js";
 export { readStream } from "./readStream.js";
 export type { AnswerEvent, CallerAsk, CallerView } from "./readStream.js";
+export { createFakeEngine } from "./fakeEngine.js";
+export type { FakeEngine, FakeLink } from "./fakeEngine.js";
--- a/packages/testkit/src/processSite.ts
+++ b/packages/testkit/src/processSite.ts
@@ -136,3 +136,26 @@
     },
   };
 };
+
+/** One box before an engine that runs already, for benchmarks. */
+export const createBoxBefore = async (
+  engine: string,
+): Promise<BoxProcess & Readonly<{ destroy: () => Promise<void> }>> => {
+  const folder = mkdtempSync(join(tmpdir(), "stairgauge-bench-"));
+  const service = await spawnStandin(["service"]);
+  const addresses = ["--engine", engine, "--service", service.address];
+  const platform = await spawnStandin(["platform", "--roomy", ...addresses]);
+  const file = join(folder, "box.yaml");
+  const extra = { log: { level: "info" } };
+  writeFileSync(file, buildSettings({ box: "bench", platform: platform.address, extra }));
+  const box = await spawnBox(file);
+  const processes = [service.process, platform.process, box.process];
+  return {
+    ...box,
+    destroy: async () => {
+      for (const process of processes) process.kill("SIGKILL");
+      await Promise.all(processes.map((process) => process.waitForExit()));
+      rmSync(folder, { recursive: true, force: true });
+    },
+  };
+};
