--- a/packages/engines/src/frameReader.ts
+++ b/packages/engines/src/frameReader.ts
@@ -1,4 +1,5 @@
 /** Cuts the bytes of an engine's answer into frames, with bounded memory. */
+import { StringDecoder } from "node:string_decoder";
 import { createParser } from "eventsource-parser";
 import type { LinkFailure } from "@stairgauge/outcomes";
 import type { EngineFrame } from "@stairgauge/streams";
@@ -10,12 +11,12 @@
 /** Reads chunks of any size; the first failure is final. */
 export type FrameReader = Readonly<{
   /** Takes the next bytes; returns the failure, if they are not the protocol. */
-  read: (chunk: Uint8Array) => LinkFailure | undefined;
+  read: (chunk: Buffer) => LinkFailure | undefined;
 }>;
 
 /** Creates a reader that hands each frame to `onFrame`. */
 export const createFrameReader = (onFrame: (frame: EngineFrame) => void): FrameReader => {
-  const decoder = new TextDecoder();
+  const decoder = new StringDecoder("utf8");
   let failure: LinkFailure | undefined;
   let pendingBytes = 0;
 
@@ -42,7 +43,7 @@
     read: (chunk) => {
       if (failure) return failure;
       pendingBytes += chunk.length;
-      parser.feed(decoder.decode(chunk, { stream: true }));
+      parser.feed(decoder.write(chunk));
       if (pendingBytes > MAX_FRAME_BYTES) {
         failure ??= { kind: "garbage", detail: "a frame over the size limit" };
       }
--- a/packages/relay/src/runGeneration.ts
+++ b/packages/relay/src/runGeneration.ts
@@ -56,19 +56,23 @@
     if (isOver) return;
     isOver = true;
     linkTimer?.cancel();
+    recordTokenCount();
     dispatcher.end(call.id, session.getNextIndex(), isWhole);
     deps.onOver();
   };
 
+  const recordTokenCount = () => {
+    metrics.tokens.inc(tokensSinceProgress);
+    tokensSinceProgress = 0;
+  };
   const recordToken = () => {
     const now = clock.monotonic();
     if (lastTokenAt === 0) metrics.firstToken.observe((now - arrivedAt) / MS_PER_SECOND);
     else metrics.tokenGap.observe((now - lastTokenAt) / MS_PER_SECOND);
     lastTokenAt = now;
-    metrics.tokens.inc();
     tokensSinceProgress += 1;
     if (tokensSinceProgress < PROGRESS_EVERY_TOKENS) return;
-    tokensSinceProgress = 0;
+    recordTokenCount();
     const generatedTokens = session.getNextIndex();
     dispatcher.tell({ kind: "progressed", request: call.id, generatedTokens });
   };
