--- a/apps/daemon/src/callers.test.ts
+++ b/apps/daemon/src/callers.test.ts
@@ -38,7 +38,7 @@
 });
 afterAll(() => site.stop());
 
-const post = async (
+const sendPost = async (
   body: string | Buffer,
   options: { readonly path?: string; readonly headers?: Record<string, string> } = {},
 ) => {
@@ -180,7 +180,7 @@
     ],
   ])("answers %s", async (_name, body, status, code) => {
     const before = await readMetric("stairgauge_refusals_total");
-    const answer = await post(body);
+    const answer = await sendPost(body);
     expect(answer.status).toBe(status);
     if (code === undefined) return;
     expect(answer.body.error).toMatchObject({
@@ -194,7 +194,7 @@
   it("answers a missing key, an unknown route and a wrong method", async () => {
     const missing = await request(`${url}/v1/models`);
     expect(missing.statusCode).toBe(401);
-    expect((await post("{}", { path: "/v1/nothing" })).body.error["code"]).toBe(
+    expect((await sendPost("{}", { path: "/v1/nothing" })).body.error["code"]).toBe(
       "unknown_route",
     );
     const wrongMethod = await request(`${url}/v1/chat/completions`);
@@ -218,20 +218,20 @@
   it("refuses a resume token of another workspace, and one that is none", async () => {
     const view = await readStream({ url, key: EXAMPLE_KEY, prompt: "x [length=3]" });
     const body = JSON.stringify({ ...ASK, stream: true });
-    const stolen = await post(body, {
+    const stolen = await sendPost(body, {
       headers: {
         authorization: `Bearer ${OTHER_EXAMPLE_KEY}`,
         "last-event-id": view.lastId ?? "",
       },
     });
     expect(stolen.body.error).toMatchObject({ code: "invalid_resume_token" });
-    const none = await post(body, { headers: { "last-event-id": "x~y" } });
+    const none = await sendPost(body, { headers: { "last-event-id": "x~y" } });
     expect(none.status).toBe(400);
   });
 });
 
 describe("an engine that misbehaves", () => {
-  const expectWhole = async () => {
+  const checkWhole = async () => {
     const view = await readStream({ url, key: EXAMPLE_KEY, prompt: "x [length=30]" });
     expect(view.tokens).toHaveLength(30);
     expect(view.isWhole).toBe(true);
@@ -247,7 +247,7 @@
     "close_early",
   ])("sends %s mid-stream, and the caller still gets every token once", async (kind) => {
     await setFaultOnAll({ kind, afterTokens: 10 });
-    await expectWhole();
+    await checkWhole();
     await setFaultOnAll({ kind: "none" });
   });
 
@@ -255,14 +255,14 @@
     "sends %s before the first token, and another attempt answers",
     async (kind) => {
       await setFaultOnAll({ kind, afterTokens: 0 });
-      await expectWhole();
+      await checkWhole();
       await setFaultOnAll({ kind: "none" });
     },
   );
 
   it("refuses every attempt: a typed, true not_run", async () => {
     await setFaultOnAll({ kind: "refuse", times: 10 });
-    const answer = await post(JSON.stringify(ASK));
+    const answer = await sendPost(JSON.stringify(ASK));
     await setFaultOnAll({ kind: "none" });
     expect(answer.status).toBe(503);
     expect(answer.body.error).toMatchObject({
@@ -274,7 +274,7 @@
 
   it("closes every link early before any token: a typed, honest unknown", async () => {
     await setFaultOnAll({ kind: "close_early", times: 10 });
-    const answer = await post(JSON.stringify(ASK));
+    const answer = await sendPost(JSON.stringify(ASK));
     await setFaultOnAll({ kind: "none" });
     expect(answer.body.error).toMatchObject({
       code: "attempts_exhausted",
@@ -284,7 +284,7 @@
 
   it("disturbs no other stream", async () => {
     await setFault({ kind: "close_early", afterTokens: 3, times: 3 });
-    await Promise.all(Array.from({ length: 20 }, expectWhole));
+    await Promise.all(Array.from({ length: 20 }, checkWhole));
   });
 });
 
--- a/apps/daemon/src/processes.test.ts
+++ b/apps/daemon/src/processes.test.ts
@@ -19,7 +19,7 @@
   return site;
 };
 
-const ask = (
+const readAnswer = (
   length: number,
   options: Partial<CallerAsk> = {},
 ): Promise<Awaited<ReturnType<typeof readStream>>> =>
@@ -34,7 +34,7 @@
   Array.from({ length }, (_, index) => generateToken(generation as GenerationId, index));
 
 /** Runs `act` once, after the given count of tokens. */
-const actAfter =
+const runAfter =
   (tokens: number, act: () => void | Promise<void>) => async (count: number) => {
     if (count === tokens) await act();
     return undefined;
@@ -48,7 +48,7 @@
 describe("a site of separate processes", () => {
   it("streams an answer from caller to engine and back, and logs the placement", async () => {
     await startSite();
-    const view = await ask(40);
+    const view = await readAnswer(40);
     expect(view).toMatchObject({ status: 200, isWhole: true });
     expect(view.tokens).toEqual(renderWhole(view.generation, 40));
     const lines = site.boxes[0]!.process.listLines();
@@ -65,8 +65,8 @@
   it("cuts no stream in a planned stop, takes no new work, and exits with 0", async () => {
     await startSite();
     const box = site.boxes[0]!;
-    const view = await ask(150, {
-      onToken: actAfter(5, async () => {
+    const view = await readAnswer(150, {
+      onToken: runAfter(5, async () => {
         box.process.kill("SIGTERM");
         await box.process.waitForLine(/stopping: no new work/);
         const ready = await request(`${box.operatorsUrl}/readyz`);
@@ -84,15 +84,18 @@
   it("sends streams elsewhere when a stop is hastened, and another box goes on", async () => {
     await startSite({ boxes: 2 });
     const box = site.boxes[0]!;
-    const first = await ask(400, {
-      onToken: actAfter(5, async () => {
+    const first = await readAnswer(400, {
+      onToken: runAfter(5, async () => {
         box.process.kill("SIGTERM");
         await box.process.waitForLine(/stopping: no new work/);
         box.process.kill("SIGTERM");
       }),
     });
     expect(first.events.at(-1)?.data).toContain('"code":"resume_elsewhere"');
-    const rest = await ask(400, { url: site.boxes[1]!.url, lastEventId: first.lastId });
+    const rest = await readAnswer(400, {
+      url: site.boxes[1]!.url,
+      lastEventId: first.lastId,
+    });
     expect([...first.tokens, ...rest.tokens]).toEqual(renderWhole(first.generation, 400));
     expect(rest.isWhole).toBe(true);
     expect(await box.process.waitForExit()).toBe(0);
@@ -101,19 +104,22 @@
   it("loses nothing when a box is killed: another goes on from the last event's id", async () => {
     await startSite({ boxes: 2 });
     const box = site.boxes[0]!;
-    const first = await ask(400, {
-      onToken: actAfter(20, () => box.process.kill("SIGKILL")),
+    const first = await readAnswer(400, {
+      onToken: runAfter(20, () => box.process.kill("SIGKILL")),
     });
     expect(first.isWhole).toBe(false);
-    const rest = await ask(400, { url: site.boxes[1]!.url, lastEventId: first.lastId });
+    const rest = await readAnswer(400, {
+      url: site.boxes[1]!.url,
+      lastEventId: first.lastId,
+    });
     expect([...first.tokens, ...rest.tokens]).toEqual(renderWhole(first.generation, 400));
     expect(rest.isWhole).toBe(true);
   });
 
   it("ends a stream with a typed error when its engine is killed", async () => {
     await startSite({ engines: 2 });
-    const view = await ask(2_000, {
-      onToken: actAfter(20, () =>
+    const view = await readAnswer(2_000, {
+      onToken: runAfter(20, () =>
         site.engines.forEach(({ process }) => process.kill("SIGKILL")),
       ),
     });
@@ -126,7 +132,7 @@
     await startSite({ engines: 2 });
     site.engines[0]!.process.kill("SIGKILL");
     await site.engines[0]!.process.waitForExit();
-    const views = await Promise.all(Array.from({ length: 8 }, () => ask(20)));
+    const views = await Promise.all(Array.from({ length: 8 }, () => readAnswer(20)));
     for (const view of views)
       expect(view.tokens).toEqual(renderWhole(view.generation, 20));
   });
@@ -134,8 +140,8 @@
   it("goes on with the same generation after its engine was frozen and let go", async () => {
     await startSite();
     const [engine] = site.engines;
-    const view = await ask(300, {
-      onToken: actAfter(20, () => {
+    const view = await readAnswer(300, {
+      onToken: runAfter(20, () => {
         engine!.process.kill("SIGSTOP");
         void site.boxes[0]!.process.waitForLine(/decision: resumed/).then(() =>
           engine!.process.kill("SIGCONT"),
@@ -151,7 +157,7 @@
     site.platform.process.kill("SIGKILL");
     await site.platform.process.waitForExit();
     await site.boxes[0]!.process.waitForLine(/no newer bundle could be taken/);
-    expect((await ask(20)).isWhole).toBe(true);
+    expect((await readAnswer(20)).isWhole).toBe(true);
     expect(await readStatus(0)).toMatchObject({ isStopping: false });
   });
 });
--- a/packages/entry/src/parseGeneration.test.ts
+++ b/packages/entry/src/parseGeneration.test.ts
@@ -74,7 +74,7 @@
       fc.jsonValue(),
       fc.constantFrom("chat", "completion"),
       (body, kind) => {
-        const result = parseGeneration(kind as "chat", body);
+        const result = parseGeneration(kind, body);
         expect(typeof result.ok).toBe("boolean");
       },
     );
--- a/packages/measure/src/benchRelayMain.ts
+++ b/packages/measure/src/benchRelayMain.ts
@@ -39,7 +39,7 @@
   kibPerStream: number;
 }>;
 
-const pause = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
+const wait = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
 
 const BODY = JSON.stringify({
   model: "redac-llm",
@@ -56,10 +56,10 @@
   const { url, headers } = target;
   const client = createLoadClient({ url, headers, body: BODY, streams: size.streams });
   await client.waitForAll();
-  await pause(WARM_UP_MS);
+  await wait(WARM_UP_MS);
   client.restart();
   const before = readUsage(target.process.pid);
-  await pause(seconds * MS_PER_SECOND);
+  await wait(seconds * MS_PER_SECOND);
   const after = readUsage(target.process.pid);
   const tokens = client.countTokens();
   const { delays } = client;
@@ -164,7 +164,7 @@
           const row = await measureTarget(target, size, seconds);
           rows.push(row);
           printRow(row);
-          await pause(MS_PER_SECOND);
+          await wait(MS_PER_SECOND);
         }
       }
     }
