feat: calls that run at most once, leaving marks of the list, one outcome algebra

Cause: routes marked once were only not retried; a crash between send and answer could run them twice, and a leaving server was known only by its own report, which a later report could take back. Change: a pure once-guard over conditional inserts (claim before dispatch, lost answers settled by re-reading with the same attempt id, ends kept for repeats, claims released where nothing was sent), batched within a budget; generations with an Idempotency-Key; the platform's list polled each second; leaving marks kept apart by source. Ruled out: claim without an end counted as free after a time (could run twice). Measured: 1,000 random schedules of two boxes against a naive table pass; a guard that sends first and one that ignores content are both caught; 10 HTTP tests of once-calls and leaving pass.

--- a/apps/daemon/src/callers.test.ts
+++ b/apps/daemon/src/callers.test.ts
@@ -350,3 +350,167 @@
     expect(other.statusCode).toBe(404);
   });
 });
+
+describe("calls that may run once", () => {
+  const sendContact = async (key: string | undefined, body = "hello") => {
+    const response = await request(`${url}/services/annonces-api/contact`, {
+      method: "POST",
+      headers: {
+        authorization: `Bearer ${EXAMPLE_KEY}`,
+        ...(key === undefined ? {} : { "idempotency-key": key }),
+      },
+      body,
+    });
+    const text = await response.body.text();
+    return { status: response.statusCode, body: JSON.parse(text) as ErrorBody, text };
+  };
+  const countRuns = async (body: string) => {
+    const counts = await Promise.all(
+      site.services.map(async (address) => {
+        const response = await request(`http://${address}/standin/v1/runs`);
+        return (await response.body.json()) as Readonly<Record<string, number>>;
+      }),
+    );
+    return counts.reduce((sum, runs) => sum + (runs[`contact ${body}`] ?? 0), 0);
+  };
+  const setServiceFault = (kind: string, times = 1) =>
+    Promise.all(
+      site.services.map((address) =>
+        request(`http://${address}/standin/v1/fault`, {
+          method: "PUT",
+          body: JSON.stringify({ kind, times }),
+        }),
+      ),
+    );
+
+  it("need a key", async () => {
+    expect(await sendContact(undefined)).toMatchObject({
+      status: 400,
+      body: { error: { code: "idempotency_key_needed", outcome: "not_run" } },
+    });
+  });
+
+  it("run once for one key, however often and however crossed they are asked", async () => {
+    const many = await Promise.all(
+      Array.from({ length: 10 }, () => sendContact("k1", "once")),
+    );
+    const later = await sendContact("k1", "once");
+    expect(later.status).toBe(200);
+    for (const answer of many.filter(({ status }) => status === 200)) {
+      expect(answer.text).toBe(later.text);
+    }
+    expect(await countRuns("once")).toBe(1);
+    expect(await sendContact("k1", "another")).toMatchObject({
+      status: 422,
+      body: { error: { code: "key_reused" } },
+    });
+  });
+
+  it("are never run again once their answer was lost", async () => {
+    await setServiceFault("lose_answer");
+    expect(await sendContact("k2", "lost")).toMatchObject({
+      body: { error: { code: "service_failed", outcome: "unknown" } },
+    });
+    await setServiceFault("none");
+    expect(await sendContact("k2", "lost")).toMatchObject({
+      status: 409,
+      body: { error: { outcome: "unknown" } },
+    });
+    expect(await countRuns("lost")).toBe(1);
+  });
+
+  it("go to another server when one that leaves refuses, and may be asked again when all do", async () => {
+    await setServiceFault("refuse");
+    expect(await sendContact("k3", "refused")).toMatchObject({
+      body: { error: { outcome: "not_run" } },
+    });
+    await setServiceFault("none");
+    expect((await sendContact("k3", "refused")).status).toBe(200);
+    expect(await countRuns("refused")).toBe(1);
+  });
+
+  it("are refused, truly not run, while the store is down", async () => {
+    site.platform.setMode({ isDown: true });
+    expect(await sendContact("k4", "down")).toMatchObject({
+      status: 503,
+      body: { error: { code: "store_unavailable", outcome: "not_run" } },
+    });
+    site.platform.setMode({ isDown: false });
+    expect(await countRuns("down")).toBe(0);
+    expect((await sendContact("k4", "down")).status).toBe(200);
+  });
+
+  it("settle the lost answer of their claim's write, and run once", async () => {
+    site.platform.setMode({ answersToLose: 1 });
+    expect((await sendContact("k5", "settled")).status).toBe(200);
+    expect(await countRuns("settled")).toBe(1);
+  });
+
+  it("can be generations: the repeat gets the same whole answer", async () => {
+    const headers = { "idempotency-key": "g1" };
+    const first = await sendPost(JSON.stringify(ASK), { headers });
+    const again = await sendPost(JSON.stringify(ASK), { headers });
+    expect(first.status).toBe(200);
+    expect(again.body).toEqual(first.body);
+    const other = await sendPost(JSON.stringify({ ...ASK, max_tokens: 2 }), { headers });
+    expect(other.body.error).toMatchObject({ code: "key_reused" });
+  });
+
+  it("can be streamed generations: the repeat is told that it ran", async () => {
+    const headers = { "idempotency-key": "g2" };
+    const body = JSON.stringify({ ...ASK, stream: true });
+    const first = await request(`${url}/v1/chat/completions`, {
+      method: "POST",
+      headers: { ...headers, authorization: `Bearer ${EXAMPLE_KEY}` },
+      body,
+    });
+    expect(await first.body.text()).toContain("[DONE]");
+    await waitUntil(() => site.platform.getCounts().rows > 0);
+    const again = await sendPost(body, { headers });
+    expect(again.status).toBe(409);
+  });
+});
+
+describe("a backend server that leaves", () => {
+  const countStarted = (engine: number) => site.engines[engine]!.host.getCounts().started;
+  const listLeaving = (names: readonly string[]) =>
+    site.platform.setServers(
+      names.map((name) => ({
+        name,
+        kind: "backend_server",
+        address: "",
+        dataHall: "rennes-a",
+        state: "leaving",
+      })),
+    );
+  const checkNoNewWork = async (engine: number) => {
+    const before = countStarted(engine);
+    await Promise.all(
+      Array.from({ length: 12 }, () =>
+        readStream({ url, key: EXAMPLE_KEY, prompt: "x [length=3]" }),
+      ),
+    );
+    expect(countStarted(engine)).toBe(before);
+  };
+
+  it("gets no new work once the platform's list marks it, and some again afterwards", async () => {
+    listLeaving(["engine-1"]);
+    const metric = "stairgauge_leaving_servers";
+    while ((await readMetric(metric)) !== 1);
+    await checkNoNewWork(0);
+    listLeaving([]);
+    while ((await readMetric(metric)) !== 0);
+  });
+
+  it("gets no new work from its own refusal on, and cuts no stream that runs there", async () => {
+    site.engines[1]!.host.setLeaving(true);
+    const views = await Promise.all(
+      Array.from({ length: 6 }, () =>
+        readStream({ url, key: EXAMPLE_KEY, prompt: "x [length=20]" }),
+      ),
+    );
+    for (const view of views) expect(view.isWhole).toBe(true);
+    await checkNoNewWork(1);
+    site.engines[1]!.host.setLeaving(false);
+  });
+});
--- a/apps/daemon/src/createDaemon.ts
+++ b/apps/daemon/src/createDaemon.ts
@@ -6,10 +6,12 @@
   type Ms,
   type Timer,
 } from "@stairgauge/common";
+import { createOnceGuard, createWriteBatcher } from "@stairgauge/claims";
 import { createServiceRouter } from "@stairgauge/decisions";
 import { createHttpEngineClient } from "@stairgauge/engines";
 import { createAnswerRegistry, createEntryServer } from "@stairgauge/entry";
 import type { TlsIdentity } from "@stairgauge/http";
+import { createServerListWatcher } from "@stairgauge/membership";
 import { createHttpPlatform } from "@stairgauge/platform";
 import { createRelay } from "@stairgauge/relay";
 import { createHeadWatcher, type WatchFailure } from "@stairgauge/rollout";
@@ -49,6 +51,10 @@
   const resumeGrace = settings.resumeGraceMs as Ms;
   const relay = createRelay({ clock, random, engines, logger, metrics, resumeGrace });
   const answers = createAnswerRegistry();
+  const { table } = platform;
+  const callsPerSecond = settings.claimCallsPerSecond;
+  const batcher = createWriteBatcher({ table, clock, callsPerSecond });
+  const onceGuard = createOnceGuard({ table, batcher, random, clock });
   let index: BundleIndex | undefined;
   let isStopping = false;
   let graceTimer: Timer | undefined;
@@ -84,6 +90,20 @@
     onFailure: recordWatchFailure,
   });
 
+  const serviceRouter = createServiceRouter(random);
+  const listWatcher = createServerListWatcher({
+    platform,
+    clock,
+    interval: settings.serverListPollMs as Ms,
+    onMark: (server, isLeaving) => {
+      logger.info({ server, isLeaving }, "server marked by the platform's list");
+      metrics.leavingServers.inc(isLeaving ? 1 : -1);
+      relay.markServer(server, isLeaving);
+      serviceRouter.markLeaving(server, isLeaving);
+    },
+    onFailure: () => metrics.storeFailures.inc({ store: "boxes" }),
+  });
+
   const entryServer = createEntryServer({
     clock,
     random,
@@ -91,7 +111,8 @@
     metrics,
     relay,
     services,
-    serviceRouter: createServiceRouter(random),
+    serviceRouter,
+    onceGuard,
     getIndex: () => index,
     resumeKeys: settings.resumeKeys,
     bodyLimits: {
@@ -129,6 +150,7 @@
     isStopping = true;
     logger.info({ openAnswers: answers.count() }, "stopping: no new work");
     watcher.stop();
+    listWatcher.stop();
     graceTimer = clock.setTimer(settings.drainGraceMs as Ms, hasten);
     const callersClosed = entryServer.close();
     await answers.closeAndWait();
@@ -147,6 +169,7 @@
   return {
     start: async () => {
       watcher.start();
+      listWatcher.start();
       const callers = toHostAndPort(settings.listen);
       const operators = toHostAndPort(settings.operatorsListen);
       return {
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -29,8 +29,11 @@
   telemetry: ["common"],
   settings: ["common", "bundle", "streams"],
   rollout: ["common", "bundle", "platform"],
+  membership: ["common", "platform"],
+  claims: ["common", "outcomes", "platform"],
   relay: ["common", "bundle", "decisions", "streams", "outcomes", "engines", "telemetry"],
   entry: [
+    "claims",
     "common",
     "bundle",
     "decisions",
--- /dev/null
+++ b/packages/claims/src/onceGuard.test.ts
@@ -0,0 +1,236 @@
+/**
+ * The once-guard against a naive serial table: random calls with few keys, from several boxes, while
+ * the store is down, slow, and loses answers of writes that took effect, and boxes die.
+ */
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import {
+  createSeededRandom,
+  createVirtualClock,
+  type Ms,
+  type WorkspaceName,
+} from "@stairgauge/common";
+import type { KeptAnswer } from "@stairgauge/outcomes";
+import { createMemoryPlatform, createPlatformModel } from "@stairgauge/standins";
+import { createOnceGuard, type ClaimedCall, type OnceGuard } from "./onceGuard.js";
+import { createWriteBatcher } from "./writeBatcher.js";
+
+const WORKSPACE = "w" as WorkspaceName;
+const SETTLE_MS = 30_000 as Ms;
+
+type Answer = Readonly<
+  | { kind: "answered"; body: string }
+  | { kind: "failed"; outcome: string }
+  | { kind: "refused"; reason: string; outcome: string }
+>;
+
+const makeAnswer = (body: string): KeptAnswer => ({ status: 200, headers: {}, body });
+
+/** Lets promises settle between two moves of the virtual clock. */
+const settle = async () => {
+  for (let i = 0; i < 12; i += 1) await Promise.resolve();
+};
+
+const createBench = (boxes: number) => {
+  const clock = createVirtualClock();
+  const model = createPlatformModel();
+  const { table } = createMemoryPlatform(model, clock);
+  const guards = Array.from({ length: boxes }, (_, i) => {
+    const batcher = createWriteBatcher({ table, clock, callsPerSecond: 20 });
+    return createOnceGuard({ table, batcher, random: createSeededRandom(i + 1), clock });
+  });
+  const advance = async (duration: number) => {
+    const end = clock.now() + duration;
+    await settle();
+    for (
+      let at = clock.getNextAt();
+      at !== undefined && at <= end;
+      at = clock.getNextAt()
+    ) {
+      clock.step();
+      await settle();
+    }
+    clock.advance((end - clock.now()) as Ms);
+    await settle();
+  };
+  return { clock, model, guards, advance };
+};
+
+const STEP = fc.oneof(
+  fc.record({
+    kind: fc.constant("call" as const),
+    box: fc.nat(1),
+    key: fc.constantFrom("k1", "k2"),
+    content: fc.constantFrom("c1", "c1", "c1", "c2"),
+    how: fc.constantFrom("answer", "answer", "lose", "connect_failed", "die"),
+    takesMs: fc.constantFrom(0, 300, 5_000),
+  }),
+  fc.record({
+    kind: fc.constant("store" as const),
+    isDown: fc.boolean(),
+    delayMs: fc.nat(800),
+  }),
+  fc.record({
+    kind: fc.constant("lose" as const),
+    answers: fc.integer({ min: 1, max: 3 }),
+  }),
+  fc.record({
+    kind: fc.constant("wait" as const),
+    ms: fc.integer({ min: 1, max: 3_000 }),
+  }),
+);
+
+type Step = typeof STEP extends fc.Arbitrary<infer T> ? T : never;
+type Call = Extract<Step, { kind: "call" }>;
+
+/** Drives schedules over a guard and checks each promise at the end. */
+const checkSchedule = async (
+  steps: readonly Step[],
+  wrap: (guard: OnceGuard) => OnceGuard,
+) => {
+  const bench = createBench(2);
+  const guards = bench.guards.map(wrap);
+  const runs = new Map<string, number>();
+  const answers: { readonly call: Call; readonly answer: Answer }[] = [];
+  const sent = new Set<Call>();
+
+  const startCall = (call: Call) => {
+    const record = (answer: Answer) => answers.push({ call, answer });
+    const finish = (claimed: ClaimedCall) => {
+      const ran = call.how === "answer" || call.how === "lose";
+      if (ran) runs.set(call.key, (runs.get(call.key) ?? 0) + 1);
+      if (call.how === "die") return;
+      if (call.how === "answer") {
+        const body = `${call.key} ${call.content}`;
+        record({ kind: "answered", body });
+        void claimed.recordAnswer(makeAnswer(body));
+        return;
+      }
+      const outcome = call.how === "lose" ? "unknown" : "not_run";
+      record({ kind: "failed", outcome });
+      void claimed.recordFailure(outcome);
+    };
+    guards[call.box]!.claim(
+      { key: { workspace: WORKSPACE, key: call.key }, contentHash: call.content },
+      {
+        onSend: (claimed) => {
+          sent.add(call);
+          bench.clock.setTimer(call.takesMs as Ms, () => finish(claimed));
+        },
+        onReplay: (kept) => record({ kind: "answered", body: kept.body }),
+        onRefused: (reason, outcome) => record({ kind: "refused", reason, outcome }),
+      },
+    );
+  };
+
+  for (const step of steps) {
+    if (step.kind === "call") startCall(step);
+    if (step.kind === "store") {
+      bench.model.setMode({ isDown: step.isDown, delayMs: step.delayMs });
+    }
+    if (step.kind === "lose") bench.model.setMode({ answersToLose: step.answers });
+    if (step.kind === "wait") await bench.advance(step.ms);
+  }
+  bench.model.setMode({ isDown: false, delayMs: 0, answersToLose: 0 });
+  await bench.advance(SETTLE_MS);
+
+  const calls = steps.filter((step) => step.kind === "call");
+  const silent = calls.filter((call) => call.how === "die").length;
+  for (const [key, count] of runs) {
+    if (count > 1) return `${key} ran ${count} times`;
+  }
+  if (answers.length + silent < calls.length) return "a call has no answer";
+  for (const { call, answer } of answers) {
+    if (answer.kind === "answered" && answer.body !== `${call.key} ${call.content}`) {
+      return "a call got another call's answer";
+    }
+    if (answer.kind === "refused" && answer.outcome === "not_run" && sent.has(call)) {
+      return "a call that was sent was said not to have run";
+    }
+  }
+  return undefined;
+};
+
+const runSchedules = (
+  numRuns: number,
+  wrap: (guard: OnceGuard) => OnceGuard = (guard) => guard,
+) =>
+  fc.check(
+    fc.asyncProperty(fc.array(STEP, { maxLength: 25 }), async (steps) => {
+      const fault = await checkSchedule(steps, wrap);
+      if (fault !== undefined) throw new Error(fault);
+    }),
+    { seed: 42, numRuns },
+  );
+
+describe("createOnceGuard", () => {
+  it("runs a key at most once and answers every call, over 1,000 schedules", async () => {
+    const result = await runSchedules(1_000);
+    expect(result.failed ? fc.defaultReportMessage(result) : undefined).toBeUndefined();
+  });
+
+  it("is caught when it sends before the claim is confirmed", async () => {
+    const sendFirst = (guard: OnceGuard): OnceGuard => ({
+      claim: (call, handlers) => {
+        const resolveAtOnce = () => Promise.resolve();
+        handlers.onSend({ recordAnswer: resolveAtOnce, recordFailure: resolveAtOnce });
+        guard.claim(call, { ...handlers, onSend: () => undefined });
+      },
+    });
+    expect((await runSchedules(1_000, sendFirst)).failed).toBe(true);
+  });
+
+  it("is caught when it answers a repeat without looking at its content", async () => {
+    const wrapIgnoringContent = (guard: OnceGuard): OnceGuard => ({
+      claim: (call, handlers) => guard.claim({ ...call, contentHash: "same" }, handlers),
+    });
+    expect((await runSchedules(1_000, wrapIgnoringContent)).failed).toBe(true);
+  });
+
+  const claimOnce = async (bench: ReturnType<typeof createBench>, content = "c") => {
+    const seen: string[] = [];
+    bench.guards[0]!.claim(
+      { key: { workspace: WORKSPACE, key: "k" }, contentHash: content },
+      {
+        onSend: (claimed) => {
+          seen.push("sent");
+          void claimed.recordAnswer(makeAnswer("answer"));
+        },
+        onReplay: ({ body }) => seen.push(`replayed ${body}`),
+        onRefused: (reason, outcome) => seen.push(`${reason} ${outcome}`),
+      },
+    );
+    await bench.advance(5_000);
+    return seen;
+  };
+
+  it("takes a lost answer to its own write for a claim, and answers a repeat the same", async () => {
+    const bench = createBench(1);
+    bench.model.setMode({ answersToLose: 1 });
+    expect(await claimOnce(bench)).toEqual(["sent"]);
+    expect(await claimOnce(bench)).toEqual(["replayed answer"]);
+    expect(await claimOnce(bench, "other")).toEqual(["key_reused not_run"]);
+  });
+
+  it("refuses while the store is down, truly not run, and runs later", async () => {
+    const bench = createBench(1);
+    bench.model.setMode({ isDown: true });
+    expect(await claimOnce(bench)).toEqual(["store_unavailable not_run"]);
+    bench.model.setMode({ isDown: false });
+    expect(await claimOnce(bench)).toEqual(["sent"]);
+  });
+
+  it("never runs again what an owner took that is gone", async () => {
+    const bench = createBench(1);
+    const key = { workspace: WORKSPACE, key: "k" };
+    const drop = () => undefined;
+    bench.guards[0]!.claim(
+      { key, contentHash: "c" },
+      { onSend: drop, onReplay: drop, onRefused: drop },
+    );
+    await bench.advance(1_000);
+    expect(await claimOnce(bench)).toEqual(["in_progress unknown"]);
+    await bench.advance(200_000);
+    expect(await claimOnce(bench)).toEqual(["outcome_unknown unknown"]);
+  });
+});
--- /dev/null
+++ b/packages/claims/src/onceGuard.ts
@@ -0,0 +1,157 @@
+/** Shell of the once-guard: claims a key in the table service, then lets the call be sent. */
+import { assertNever, type Clock, type Ms, type Random } from "@stairgauge/common";
+import {
+  createOnceCall,
+  type Claim,
+  type KeptAnswer,
+  type OnceAction,
+  type OnceEvent,
+  type OnceRefusal,
+  type Outcome,
+} from "@stairgauge/outcomes";
+import type { TableService, WriteFailure } from "@stairgauge/platform";
+import { decodeClaim, encodeClaim, toClaimRow, type OnceKey } from "./claimRecord.js";
+import type { WriteBatcher } from "./writeBatcher.js";
+
+const MAX_END_WRITES = 4;
+
+/** Wait between two tries against a store that gave no answer. */
+const RETRY_DELAY_MS = 200 as Ms;
+
+/** Longest life of a claimed call: past it, its owner has surely given up. */
+const CALL_LIFE_MS = 120_000;
+
+/** What the guard tells of one call. Exactly one of these is called, once. */
+export type OnceHandlers = Readonly<{
+  /** The claim is confirmed: send the call now. */
+  onSend: (claimed: ClaimedCall) => void;
+  onReplay: (answer: KeptAnswer) => void;
+  onRefused: (reason: OnceRefusal, outcome: Outcome) => void;
+}>;
+
+/** A call whose claim is held; tell how it ended, once. */
+export type ClaimedCall = Readonly<{
+  /** Resolves once the end has been recorded or that was given up. */
+  recordAnswer: (answer: KeptAnswer | undefined) => Promise<void>;
+  recordFailure: (outcome: Outcome) => Promise<void>;
+}>;
+
+/** Guards calls that may run once. */
+export type OnceGuard = Readonly<{
+  claim: (
+    call: Readonly<{ key: OnceKey; contentHash: string }>,
+    handlers: OnceHandlers,
+  ) => void;
+}>;
+
+/** Creates the guard of a box. */
+export const createOnceGuard = (deps: {
+  readonly table: TableService;
+  readonly batcher: WriteBatcher;
+  readonly random: Random;
+  readonly clock: Clock;
+}): OnceGuard => {
+  const { table, batcher, random, clock } = deps;
+
+  const wait = () =>
+    new Promise<void>((resolve) => {
+      clock.setTimer(RETRY_DELAY_MS, resolve);
+    });
+
+  const toEvent = (failure: WriteFailure): OnceEvent => {
+    switch (failure.kind) {
+      case "store_unavailable":
+        return { kind: "storeUnavailable" };
+      case "answer_lost":
+        return { kind: "claimAnswerLost" };
+      case "conflict":
+        return {
+          kind: "claimConflict",
+          found: failure.current && decodeClaim(failure.current),
+        };
+      default:
+        return assertNever(failure);
+    }
+  };
+
+  const claim: OnceGuard["claim"] = ({ key, contentHash }, handlers) => {
+    const at = toClaimRow(key);
+    const attempt = random.nextId();
+    const expiresAt = clock.now() + CALL_LIFE_MS;
+    const guard = createOnceCall({ attempt, contentHash, expiresAt });
+
+    const send = (event: OnceEvent): Promise<void> =>
+      applyAll(guard.handle(event, clock.now()));
+    const applyAll = async (actions: readonly OnceAction[]): Promise<void> => {
+      for (const action of actions) await apply(action);
+    };
+
+    const writeClaim = async (value: Claim, expectedRevision: number | undefined) => {
+      const result = await batcher.write({
+        at,
+        value: encodeClaim(value),
+        expected:
+          expectedRevision === undefined
+            ? { kind: "absent" }
+            : { kind: "revision", revision: expectedRevision },
+      });
+      await send(
+        result.err
+          ? toEvent(result.val)
+          : { kind: "claimWritten", revision: result.val.revision },
+      );
+    };
+    const readClaim = async () => {
+      const row = await table.read(at);
+      if (row.err) {
+        await wait();
+        await send({ kind: "readFailed" });
+      } else await send({ kind: "claimRead", found: row.val && decodeClaim(row.val) });
+    };
+    const writeEnd = async (value: Claim, revision: number) => {
+      for (let tries = 0; tries < MAX_END_WRITES; tries += 1) {
+        const expected = { kind: "revision", revision } as const;
+        const result = await batcher.write({ at, value: encodeClaim(value), expected });
+        // NOTE: after a lost answer the repeat meets a conflict with this very end.
+        if (result.ok || result.val.kind === "conflict") return;
+        await wait();
+      }
+    };
+    const releaseClaim = async () => {
+      const row = await table.read(at);
+      const found = row.ok && row.val ? decodeClaim(row.val) : undefined;
+      if (found?.claim.attempt !== attempt) return;
+      await writeEnd({ ...found.claim, state: { kind: "not_run" } }, found.revision);
+    };
+
+    const claimed: ClaimedCall = {
+      recordAnswer: (answer) => send({ kind: "answered", answer }),
+      recordFailure: (outcome) => send({ kind: "callFailed", outcome }),
+    };
+
+    const apply = (action: OnceAction): Promise<void> | void => {
+      switch (action.kind) {
+        case "writeClaim":
+          return writeClaim(action.claim, action.expectedRevision);
+        case "readClaim":
+          return readClaim();
+        case "releaseClaim":
+          return releaseClaim();
+        case "writeEnd":
+          return writeEnd(action.claim, action.expectedRevision);
+        case "send":
+          return handlers.onSend(claimed);
+        case "replay":
+          return handlers.onReplay(action.answer);
+        case "refuse":
+          return handlers.onRefused(action.reason, action.outcome);
+        default:
+          return assertNever(action);
+      }
+    };
+
+    void send({ kind: "started" });
+  };
+
+  return { claim };
+};
--- a/packages/decisions/src/choosePlace.ts
+++ b/packages/decisions/src/choosePlace.ts
@@ -45,7 +45,7 @@
   readonly now: Ms;
 }): Choice => {
   const { stream, random, now } = options;
-  const staying = options.views.filter((view) => !view.isLeaving());
+  const staying = options.views.filter((view) => !view.isLeaving(now));
   if (staying.length === 0) return { kind: "none_left" };
   const sampled = sampleViews(dropEjected(staying, now), random);
   const looked = sampled.map((view) => ({
--- a/packages/decisions/src/constants.ts
+++ b/packages/decisions/src/constants.ts
@@ -21,3 +21,6 @@
 
 /** Largest share of a model's engines that may be passed over for failures. */
 export const MAX_EJECTED_SHARE = 0.5;
+
+/** How long an engine's own refusal because it leaves counts as a mark. */
+export const LEAVING_REFUSAL_MS = 30_000 as Ms;
--- a/packages/decisions/src/decisionCore.ts
+++ b/packages/decisions/src/decisionCore.ts
@@ -43,6 +43,8 @@
   const queue = createAdmissionQueue();
   const entries = new Map<RequestId, Entry>();
   const placedByWorkspace = new Map<string, number>();
+  /** Marks of the list outlive a change of bundle. */
+  const listedLeaving = new Set<string>();
   let views: ReadonlyMap<string, EngineView> = new Map();
   let index: BundleIndex | undefined;
 
@@ -59,6 +61,7 @@
         return [server.name, isSame ? old : createEngineView(server)];
       }),
     );
+    for (const name of listedLeaving) views.get(name)?.setListedLeaving(true);
   };
 
   const listViews = (model: string): readonly EngineView[] =>
@@ -214,7 +217,7 @@
     if (!entry) return NO_DECISIONS;
     release(entry);
     const view = views.get(event.server);
-    if (event.isLeaving) view?.setLeaving(true);
+    if (event.isLeaving) view?.recordLeavingRefusal(now);
     else view?.eject((now + EJECTION_MS) as Ms);
     const choice = choose(entry.request, now);
     if (choice.kind === "chosen") return [place(entry, choice, now)];
@@ -259,7 +262,9 @@
         views.get(event.server)?.recordReport(event.load, now);
         return drain(now);
       case "serverMarked":
-        views.get(event.server)?.setLeaving(event.isLeaving);
+        if (event.isLeaving) listedLeaving.add(event.server);
+        else listedLeaving.delete(event.server);
+        views.get(event.server)?.setListedLeaving(event.isLeaving);
         return NO_DECISIONS;
       case "ticked":
         return [...refuseLate(now), ...drain(now)];
--- a/packages/decisions/src/engineView.ts
+++ b/packages/decisions/src/engineView.ts
@@ -1,7 +1,12 @@
 /** What this box believes of one engine: the bundle's facts, a late report, and its own streams. */
 import type { EngineServer } from "@stairgauge/bundle";
 import type { Ms, RequestId } from "@stairgauge/common";
-import { MEMORY_FILL, PRIOR_OUTPUT_TOKENS, REPORT_STALE_MS } from "./constants.js";
+import {
+  LEAVING_REFUSAL_MS,
+  MEMORY_FILL,
+  PRIOR_OUTPUT_TOKENS,
+  REPORT_STALE_MS,
+} from "./constants.js";
 import type { ReportedLoad } from "./types.js";
 
 /** A stream that this box placed on the engine. */
@@ -35,7 +40,10 @@
 export const createEngineView = (server: EngineServer) => {
   const own = new Map<RequestId, OwnStream>();
   let report: Report | undefined;
-  let isLeaving = false;
+  /** Marks by source: one source's silence does not take back another's mark. */
+  let isListedLeaving = false;
+  let isReportedLeaving = false;
+  let refusedLeavingAt = Number.NEGATIVE_INFINITY;
   let ejectedUntil = 0;
   /** Sums over `own`, kept so that a look at an engine costs the same however busy it is. */
   let heldTokens = 0;
@@ -72,16 +80,21 @@
     countOwn: () => own.size,
     recordReport: (load: ReportedLoad, now: Ms) => {
       report = { load, at: now, ownTokens: heldTokens, ownStreams: own.size };
-      isLeaving = load.isLeaving;
+      isReportedLeaving = load.isLeaving;
     },
-    setLeaving: (value: boolean) => {
-      isLeaving = value;
+    setListedLeaving: (value: boolean) => {
+      isListedLeaving = value;
+    },
+    /** The engine itself refused new work because it leaves. */
+    recordLeavingRefusal: (now: Ms) => {
+      refusedLeavingAt = now;
     },
     eject: (until: Ms) => {
       ejectedUntil = until;
     },
     isEjected: (now: Ms) => now < ejectedUntil,
-    isLeaving: () => isLeaving,
+    isLeaving: (now: Ms): boolean =>
+      isListedLeaving || isReportedLeaving || now - refusedLeavingAt < LEAVING_REFUSAL_MS,
     /** Room that the forecast leaves after one more stream; negative where it does not fit. */
     computeFreeTokens: (stream: OwnStream, now: Ms): number => {
       const others = estimateOthers(now);
--- a/packages/engines/src/frameReader.test.ts
+++ b/packages/engines/src/frameReader.test.ts
@@ -12,7 +12,7 @@
 const readAll = (chunks: readonly Uint8Array[]) => {
   const frames: EngineFrame[] = [];
   const reader = createFrameReader((frame) => frames.push(frame));
-  const failures = chunks.map((chunk) => reader.read(chunk));
+  const failures = chunks.map((chunk) => reader.read(Buffer.from(chunk)));
   return { frames, failure: failures.find((failure) => failure !== undefined) };
 };
 
--- a/packages/entry/src/apiError.ts
+++ b/packages/entry/src/apiError.ts
@@ -3,8 +3,7 @@
 import { assertNever, type Ms } from "@stairgauge/common";
 import type { BodyFailure, ClientFault } from "@stairgauge/http";
 import { sendJson } from "@stairgauge/http";
-import type { LinkFailure, Outcome } from "@stairgauge/outcomes";
-import { toOutcome } from "@stairgauge/outcomes";
+import type { LinkFailure, OnceRefusal, Outcome } from "@stairgauge/outcomes";
 import type { Refusal } from "@stairgauge/relay";
 import type { ResumeTokenFailure, StreamFailure } from "@stairgauge/streams";
 import type { Metrics } from "@stairgauge/telemetry";
@@ -28,8 +27,11 @@
   | { kind: "refused"; refusal: Refusal }
   | { kind: "stream_failed"; failure: StreamFailure }
   | { kind: "resume_elsewhere" }
-  | { kind: "service_failed"; failure: LinkFailure }
-  | { kind: "no_service_server" }
+  /** Without a failure no server of the service takes new work. */
+  | { kind: "service_failed"; failure: LinkFailure | undefined; outcome: Outcome }
+  | { kind: "idempotency_key_needed" }
+  | { kind: "once_refused"; reason: OnceRefusal; outcome: Outcome }
+  | { kind: "once_answer_too_large" }
 >;
 
 /** An error as it is answered. */
@@ -43,6 +45,12 @@
   retryAfter: Ms | undefined;
 }>;
 
+/** Refusal of a box that is stopping. */
+export const LEAVING: ApiFailure = {
+  kind: "refused",
+  refusal: { reason: "leaving", retryAfter: 0 as Ms },
+};
+
 const INVALID = "invalid_request_error";
 const SERVER = "server_error";
 const RETRY_SOON_MS = 1_000 as Ms;
@@ -109,6 +117,40 @@
   }
 };
 
+const ONCE_REFUSALS = {
+  store_unavailable: {
+    status: 503,
+    message: "The store cannot be reached, so nothing was sent.",
+  },
+  key_reused: {
+    status: 422,
+    message: "This Idempotency-Key was used with another content.",
+  },
+  in_progress: { status: 409, message: "A call with this Idempotency-Key is being run." },
+  outcome_unknown: {
+    status: 409,
+    message: "An earlier call may have run; it is not run again.",
+  },
+  already_ran: { status: 409, message: "The call ran; its answer was not kept." },
+} as const satisfies Record<OnceRefusal, Readonly<{ status: number; message: string }>>;
+
+const describeOnceRefusal = (reason: OnceRefusal, outcome: Outcome): ApiError => {
+  const { status, message } = ONCE_REFUSALS[reason];
+  const mayChange = reason === "store_unavailable" || reason === "in_progress";
+  const retryAfter = mayChange ? RETRY_SOON_MS : undefined;
+  return build(status, reason, message, { outcome, retryAfter });
+};
+
+const describeServiceFailure = (
+  failure: LinkFailure | undefined,
+  outcome: Outcome,
+): ApiError => {
+  if (failure)
+    return build(502, "service_failed", "The service gave no whole answer.", { outcome });
+  const message = "No server of this service takes new work.";
+  return build(503, "no_service_server", message, { outcome, retryAfter: RETRY_SOON_MS });
+};
+
 const CLIENT_FAULT_STATUS = {
   header_too_large: 431,
   too_slow: 408,
@@ -198,13 +240,22 @@
         param: "Last-Event-ID",
       });
     case "service_failed":
-      return build(502, failure.kind, "The service gave no whole answer.", {
-        outcome: toOutcome(failure.failure),
-      });
-    case "no_service_server":
-      return build(503, failure.kind, "No server of this service takes new work.", {
-        retryAfter: RETRY_SOON_MS,
+      return describeServiceFailure(failure.failure, failure.outcome);
+    case "idempotency_key_needed":
+      return build(400, failure.kind, "This route needs an Idempotency-Key.", {
+        param: "Idempotency-Key",
       });
+    case "once_refused":
+      return describeOnceRefusal(failure.reason, failure.outcome);
+    case "once_answer_too_large":
+      return build(
+        502,
+        failure.kind,
+        "The call ran; its answer is too large to pass on.",
+        {
+          outcome: "ran",
+        },
+      );
     default:
       return assertNever(failure);
   }
--- a/packages/entry/src/constants.ts
+++ b/packages/entry/src/constants.ts
@@ -24,3 +24,6 @@
 
 /** Largest body of a service call that is kept so that it can be sent again. */
 export const MAX_REPLAY_BYTES = 64 * 1024;
+
+/** Largest answer of a call that may run once; a larger one is not passed on. */
+export const MAX_ONCE_ANSWER_BYTES = 256 * 1024;
--- /dev/null
+++ b/packages/entry/src/keptAnswer.ts
@@ -0,0 +1,34 @@
+/** Answers that are kept for a repeat of the same call. */
+import { createHash } from "node:crypto";
+import type { ServerResponse } from "node:http";
+import type { KeptAnswer } from "@stairgauge/outcomes";
+import type { PassedHeaders } from "./serviceTarget.js";
+
+/** Builds what is kept of an answer. */
+export const toKeptAnswer = (answer: {
+  readonly status: number;
+  readonly headers: PassedHeaders;
+  readonly body: Buffer;
+}): KeptAnswer => ({
+  status: answer.status,
+  headers: answer.headers,
+  body: answer.body.toString("base64"),
+});
+
+/** Sends a kept answer, the first time or again. */
+export const sendKeptAnswer = (response: ServerResponse, kept: KeptAnswer): void => {
+  if (response.headersSent || response.destroyed) return;
+  const body = Buffer.from(kept.body, "base64");
+  response.writeHead(kept.status, {
+    ...kept.headers,
+    "content-length": body.length,
+  } as never);
+  response.end(body);
+};
+
+/** Identity of a call's content, so that another content under the same key is refused. */
+export const computeContentHash = (parts: readonly (string | Buffer)[]): string => {
+  const hash = createHash("sha256");
+  for (const part of parts) hash.update(`${part.length}\n`).update(part);
+  return hash.digest("hex");
+};
--- /dev/null
+++ b/packages/entry/src/streamServiceAnswer.ts
@@ -0,0 +1,45 @@
+/** Passes a plain service's answer on as it comes. */
+import type { ServerResponse } from "node:http";
+import { sendFailure } from "./apiError.js";
+import { callService, type ServiceCallRequest } from "./callService.js";
+import { copyHeaders } from "./serviceTarget.js";
+import type { EntryDeps, OpenAnswer } from "./types.js";
+
+/** Calls the service and streams the answer to the caller. */
+export const streamServiceAnswer = (
+  deps: EntryDeps,
+  call: ServiceCallRequest,
+  response: ServerResponse,
+): void => {
+  const answer: OpenAnswer = { sendAway: () => undefined };
+  let isOver = false;
+  const finish = (end: "whole" | "failed" | "left") => {
+    if (isOver) return;
+    isOver = true;
+    deps.answers.remove(answer);
+    deps.metrics.requests.inc({ interface: "service", end });
+  };
+
+  deps.answers.add(answer);
+  const exchange = callService(deps, call, {
+    onHead: (status, headers) =>
+      response.writeHead(status, { ...copyHeaders(headers) } as never),
+    onData: (chunk) => response.write(chunk),
+    onEnd: () => {
+      response.end();
+      finish("whole");
+    },
+    onFailure: (failure, outcome) => {
+      if (response.headersSent) response.destroy();
+      else
+        sendFailure(response, { kind: "service_failed", failure, outcome }, deps.metrics);
+      finish("failed");
+    },
+  });
+  response.on("drain", exchange.resume);
+  response.on("close", () => {
+    if (isOver) return;
+    exchange.close();
+    finish("left");
+  });
+};
--- a/packages/entry/src/streamedAnswer.ts
+++ b/packages/entry/src/streamedAnswer.ts
@@ -17,7 +17,7 @@
   RESUME_TOKEN_RENEW_MS,
 } from "./constants.js";
 import type { GenerationAsk, GenerationInterface } from "./parseGeneration.js";
-import type { EntryDeps } from "./types.js";
+import type { Answer, AnswerOver, EntryDeps } from "./types.js";
 
 const SSE_HEADERS = {
   "content-type": "text/event-stream; charset=utf-8",
@@ -26,14 +26,6 @@
 };
 const DONE = "data: [DONE]\n\n";
 
-/** A streamed answer under way. */
-export type StreamedAnswer = Readonly<{
-  sink: AnswerSink;
-  /** Hands over the run once it has begun. */
-  attach: (run: RunHandle) => void;
-  sendAway: () => void;
-}>;
-
 /** What a streamed answer needs. */
 export type StreamedAnswerOptions = Readonly<{
   deps: EntryDeps;
@@ -42,7 +34,7 @@
   ask: GenerationAsk;
   workspace: WorkspaceName;
   isContinued: boolean;
-  onOver: (end: "whole" | "failed" | "left") => void;
+  onOver: (over: AnswerOver) => void;
 }>;
 
 type OpenSource = Readonly<{
@@ -52,7 +44,7 @@
 }>;
 
 /** Creates the answer; nothing is sent before the first token or the failure. */
-export const createStreamedAnswer = (options: StreamedAnswerOptions): StreamedAnswer => {
+export const createStreamedAnswer = (options: StreamedAnswerOptions): Answer => {
   const { deps, response, ask } = options;
   const { clock, metrics } = deps;
   let open: OpenSource | undefined;
@@ -61,11 +53,11 @@
   let isBlocked = false;
   let idleTimer: Timer | undefined;
 
-  const finish = (end: "whole" | "failed" | "left") => {
+  const finish = (over: AnswerOver) => {
     if (isOver) return;
     isOver = true;
     idleTimer?.cancel();
-    options.onOver(end);
+    options.onOver(over);
   };
 
   const signSource = (source: TokenSource): string => {
@@ -111,7 +103,7 @@
       metrics.refusals.inc({ code: error.code });
       response.end(`data: ${JSON.stringify(renderErrorBody(error))}\n\n`);
     }
-    finish("failed");
+    finish({ end: "failed", outcome: describeFailure(failure).outcome });
   };
 
   const watchReader = () => {
@@ -129,7 +121,7 @@
   response.on("close", () => {
     if (isOver) return;
     run?.leave();
-    finish("left");
+    finish({ end: "left" });
   });
 
   const sink: AnswerSink = {
@@ -146,7 +138,7 @@
       const { format } = getOpen(source);
       const usage = ask.includesUsage ? `data: ${format.renderUsage(end)}\n\n` : "";
       response.end(`data: ${format.renderFinish(end)}\n\n${usage}${DONE}`);
-      finish("whole");
+      finish({ end: "whole", body: undefined });
     },
     onRefused: (refusal) => fail({ kind: "refused", refusal }),
     onFailed: (failure) => fail({ kind: "stream_failed", failure }),
--- a/packages/entry/src/types.ts
+++ b/packages/entry/src/types.ts
@@ -1,9 +1,11 @@
 /** What the callers' interface is made of. */
 import type { BundleIndex, Workspace } from "@stairgauge/bundle";
+import type { OnceGuard } from "@stairgauge/claims";
 import type { Clock, Random } from "@stairgauge/common";
 import type { ServiceRouter } from "@stairgauge/decisions";
 import type { BodyLimits, TlsIdentity } from "@stairgauge/http";
-import type { Relay } from "@stairgauge/relay";
+import type { Outcome } from "@stairgauge/outcomes";
+import type { AnswerSink, Relay, RunHandle } from "@stairgauge/relay";
 import type { ServiceClient } from "@stairgauge/services";
 import type { ResumeKey } from "@stairgauge/streams";
 import type { Logger, Metrics } from "@stairgauge/telemetry";
@@ -17,6 +19,7 @@
   relay: Relay;
   services: ServiceClient;
   serviceRouter: ServiceRouter;
+  onceGuard: OnceGuard;
   /** The bundle in force, once there is one. */
   getIndex: () => BundleIndex | undefined;
   /** The first signs, all verify. */
@@ -37,6 +40,22 @@
   sendAway: () => void;
 }>;
 
+/** How an answer to a generation ended. */
+export type AnswerOver = Readonly<
+  /** `body` is the whole answer's, where it was not streamed. */
+  | { end: "whole"; body: string | undefined }
+  | { end: "failed"; outcome: Outcome }
+  | { end: "left" }
+>;
+
+/** The answer to a generation. */
+export type Answer = OpenAnswer &
+  Readonly<{
+    sink: AnswerSink;
+    /** Hands over the run once it has begun. */
+    attach: (run: RunHandle) => void;
+  }>;
+
 /** The answers under way on this box. */
 export type AnswerRegistry = Readonly<{
   add: (answer: OpenAnswer) => void;
--- a/packages/entry/src/wholeAnswer.ts
+++ b/packages/entry/src/wholeAnswer.ts
@@ -3,10 +3,9 @@
 import { sendJson } from "@stairgauge/http";
 import type { AnswerSink, RunHandle } from "@stairgauge/relay";
 import { createAnswerFormat } from "./answerFormat.js";
-import { sendFailure, type ApiFailure } from "./apiError.js";
+import { describeFailure, sendFailure, type ApiFailure } from "./apiError.js";
 import type { GenerationInterface } from "./parseGeneration.js";
-import type { StreamedAnswer } from "./streamedAnswer.js";
-import type { EntryDeps } from "./types.js";
+import type { Answer, AnswerOver, EntryDeps } from "./types.js";
 
 /** What a whole answer needs. */
 export type WholeAnswerOptions = Readonly<{
@@ -15,29 +14,29 @@
   kind: GenerationInterface;
   /** Name of the model as the caller gave it. */
   model: string;
-  onOver: (end: "whole" | "failed" | "left") => void;
+  onOver: (over: AnswerOver) => void;
 }>;
 
 /** Creates the answer; its size is bounded by the request's most tokens. */
-export const createWholeAnswer = (options: WholeAnswerOptions): StreamedAnswer => {
+export const createWholeAnswer = (options: WholeAnswerOptions): Answer => {
   const { deps, response } = options;
   let texts: string[] = [];
   let run: RunHandle | undefined;
   let isOver = false;
 
-  const finish = (end: "whole" | "failed" | "left") => {
+  const finish = (over: AnswerOver) => {
     isOver = true;
-    options.onOver(end);
+    options.onOver(over);
   };
   const fail = (failure: ApiFailure) => {
     if (isOver) return;
     sendFailure(response, failure, deps.metrics);
-    finish("failed");
+    finish({ end: "failed", outcome: describeFailure(failure).outcome });
   };
   response.on("close", () => {
     if (isOver) return;
     run?.leave();
-    finish("left");
+    finish({ end: "left" });
   });
 
   const sink: AnswerSink = {
@@ -51,8 +50,9 @@
     onEnd: (end, { generation }) => {
       const identity = { generation, model: options.model, createdAt: deps.clock.now() };
       const format = createAnswerFormat(options.kind, identity);
-      sendJson(response, 200, format.renderWhole(texts.join(""), end));
-      finish("whole");
+      const whole = format.renderWhole(texts.join(""), end);
+      sendJson(response, 200, whole);
+      finish({ end: "whole", body: JSON.stringify(whole) });
     },
     onRefused: (refusal) => fail({ kind: "refused", refusal }),
     onFailed: (failure) => fail({ kind: "stream_failed", failure }),
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -66,6 +66,7 @@
     call,
     index: bench.index,
     deliversAtOnce: true,
+    mayRunAgain: true,
     sink,
   });
   return { tokens, ends, handle };
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -1,6 +1,6 @@
 /** The relay of one box: all running generations, the decisions and the engines' loads. */
 import type { BundleIndex } from "@stairgauge/bundle";
-import type { RequestId, Timer } from "@stairgauge/common";
+import type { BackendServerName, RequestId, Timer } from "@stairgauge/common";
 import { TICK_MS } from "./constants.js";
 import { createDispatcher } from "./dispatcher.js";
 import { createLoadPoller } from "./loadPoller.js";
@@ -11,6 +11,8 @@
 export type Relay = Readonly<{
   run: (request: RunRequest) => RunHandle;
   adopt: (index: BundleIndex) => void;
+  /** Takes a mark of the platform's list: the server leaves, or does no longer. */
+  markServer: (server: BackendServerName, isLeaving: boolean) => void;
   countRuns: () => number;
   refuseWaiting: () => void;
   stop: () => void;
@@ -56,6 +58,8 @@
       dispatcher.adopt(index);
       poller.adopt(index);
     },
+    markServer: (server, isLeaving) =>
+      dispatcher.tell({ kind: "serverMarked", server, isLeaving }),
     countRuns: () => runs.size,
     refuseWaiting: dispatcher.refuseWaiting,
     stop: () => {
--- a/packages/relay/src/runGeneration.ts
+++ b/packages/relay/src/runGeneration.ts
@@ -34,7 +34,7 @@
   const session = createStreamSession({
     mintGeneration: () => random.nextId() as GenerationId,
     deliversAtOnce: request.deliversAtOnce,
-    mayRunAgain: true,
+    mayRunAgain: request.mayRunAgain,
     ...(request.continuation ? { continuation: request.continuation } : {}),
   });
   const arrivedAt = clock.monotonic();
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -65,6 +65,8 @@
   /** Rules in force when the request began; it keeps them. */
   index: BundleIndex;
   deliversAtOnce: boolean;
+  /** Whether an attempt that may have run may be followed by another. */
+  mayRunAgain: boolean;
   continuation?: Continuation;
   sink: AnswerSink;
 }>;
--- a/packages/settings/src/schema.ts
+++ b/packages/settings/src/schema.ts
@@ -56,7 +56,10 @@
       bodyTotalMs: positiveMs.default(30_000),
     })
     .prefault({}),
+  /** Calls a second to the table service for claims; each carries up to 200 of them. */
+  claimCallsPerSecond: z.number().positive().default(20),
   bundlePollMs: positiveMs.default(1_000),
+  serverListPollMs: positiveMs.default(1_000),
   /** How long a caller may stay away before its generation is cancelled. */
   resumeGraceMs: positiveMs.default(20_000),
   /** How long a planned stop waits for running answers before it sends them elsewhere. */
--- a/packages/standins/src/engineHost.ts
+++ b/packages/standins/src/engineHost.ts
@@ -61,6 +61,7 @@
   let sequence = 0;
   let fencingToken = 0;
   let orders = 0;
+  let started = 0;
 
   const notifyReaders = (generation: Generation) => {
     for (const reader of [...generation.readers]) reader.notify();
@@ -127,6 +128,7 @@
     if (isLeaving) return Err({ kind: "leaving" });
     if (!options.models.includes(request.model)) return Err({ kind: "unknown_model" });
     if (generations.has(request.generation)) return Ok(undefined);
+    started += 1;
     generations.set(request.generation, {
       request,
       tokens: [],
@@ -196,6 +198,6 @@
       isLeaving = value;
     },
     /** Counts for tests and people. */
-    getCounts: () => ({ generations: generations.size, orders }),
+    getCounts: () => ({ generations: generations.size, started, orders }),
   };
 };
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -7,6 +7,7 @@
 export type { EngineProfile, SequenceStart, StepResult } from "./engineTypes.js";
 export { createPlatformModel } from "./platformModel.js";
 export type { PlatformMode, PlatformModel } from "./platformModel.js";
+export { createMemoryPlatform } from "./memoryPlatform.js";
 export { createPlatformRoutes } from "./platformRoutes.js";
 export { createServiceRoutes } from "./serviceRoutes.js";
 export { createStandinServer } from "./standinServer.js";
--- /dev/null
+++ b/packages/standins/src/memoryPlatform.ts
@@ -0,0 +1,61 @@
+/** The stand-in platform without network: the same model behind the platform's interface. */
+import { Err, Ok, type Clock, type Ms, type Result } from "@stairgauge/common";
+import type {
+  Platform,
+  ReadFailure,
+  Row,
+  RowWrite,
+  WriteFailure,
+} from "@stairgauge/platform";
+import type { PlatformModel } from "./platformModel.js";
+
+const DOWN = { kind: "store_unavailable", detail: "down" } as const;
+const LOST = { kind: "answer_lost", detail: "lost" } as const;
+
+/** Creates a platform over a model; the model's mode decides how it behaves. */
+export const createMemoryPlatform = (model: PlatformModel, clock: Clock): Platform => {
+  const wait = (): Promise<void> => {
+    const { delayMs } = model.getMode();
+    if (delayMs === 0) return Promise.resolve();
+    return new Promise((resolve) => {
+      clock.setTimer(delayMs as Ms, resolve);
+    });
+  };
+  const read = async <T>(get: () => T): Promise<Result<T, ReadFailure>> => {
+    if (model.getMode().isDown) return Err(DOWN);
+    await wait();
+    return Ok(get());
+  };
+  const writeRow = (write: RowWrite): Result<Row, WriteFailure> => {
+    const result = model.writeRow(write);
+    if (result.kind === "written") return Ok(result.row);
+    return Err({ kind: "conflict", current: result.current });
+  };
+  const writeBatch = async (
+    writes: readonly RowWrite[],
+  ): Promise<readonly Result<Row, WriteFailure>[]> => {
+    if (model.getMode().isDown) return writes.map(() => Err(DOWN));
+    await wait();
+    const results = writes.map(writeRow);
+    return model.takeLostAnswer() ? writes.map(() => Err(LOST)) : results;
+  };
+
+  return {
+    table: {
+      read: (at) => read(() => model.readRow(at)),
+      write: async (write) => (await writeBatch([write]))[0]!,
+      writeBatch,
+    },
+    objects: {
+      read: (name) => read(() => model.readObject(name)),
+      write: async (name, content) => {
+        if (model.getMode().isDown) return Err(DOWN);
+        await wait();
+        model.writeObject(name, content);
+        return model.takeLostAnswer() ? Err(LOST) : Ok(undefined);
+      },
+    },
+    boxes: { read: () => read(model.listServers) },
+    close: () => Promise.resolve(),
+  };
+};
--- a/packages/standins/src/serviceRoutes.ts
+++ b/packages/standins/src/serviceRoutes.ts
@@ -31,18 +31,20 @@
     }
     return kind;
   };
-  const refuse = ({ response }: HttpExchange, kind: string) =>
-    sendJson(response, 503, {
-      error: { kind, message: "asked to refuse" },
-      outcome: "not_run",
-    });
+  const refuse = ({ response }: HttpExchange, isLeaving: boolean) =>
+    sendJson(
+      response,
+      503,
+      { error: "asked to refuse" },
+      { "stairgauge-outcome": "not_run", "stairgauge-leaving": String(isLeaving) },
+    );
   const recordRun = (name: string) => runs.set(name, (runs.get(name) ?? 0) + 1);
 
   /** Runs a call unless the fault prevents it, and answers unless the fault loses the answer. */
   const serve = (exchange: HttpExchange, name: string, answer: unknown) => {
     const kind = takeFault();
-    if (kind === "refuse") return refuse(exchange, "overloaded");
-    if (kind === "refuse_leaving") return refuse(exchange, "leaving");
+    if (kind === "refuse") return refuse(exchange, false);
+    if (kind === "refuse_leaving") return refuse(exchange, true);
     recordRun(name);
     if (kind === "hang") return undefined;
     if (kind === "lose_answer") {
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -59,6 +59,11 @@
       help: "Requests that wait for a place",
       registers,
     }),
+    leavingServers: new Gauge({
+      name: "stairgauge_leaving_servers",
+      help: "Backend servers that the platform's list marks as leaving",
+      registers,
+    }),
     bundleVersion: new Gauge({
       name: "stairgauge_bundle_version",
       help: "Version of the bundle in force, 0 before the first",
