--- a/eslint.config.js
+++ b/eslint.config.js
@@ -29,6 +29,7 @@
   telemetry: ["common"],
   settings: ["common", "bundle", "streams"],
   rollout: ["common", "bundle", "platform"],
+  orders: ["common", "platform", "engines", "outcomes"],
   membership: ["common", "platform"],
   claims: ["common", "outcomes", "platform"],
   relay: ["common", "bundle", "decisions", "streams", "outcomes", "engines", "telemetry"],
--- a/packages/claims/src/onceGuard.test.ts
+++ b/packages/claims/src/onceGuard.test.ts
@@ -5,6 +5,7 @@
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
 import {
+  advanceSettled,
   createSeededRandom,
   createVirtualClock,
   type Ms,
@@ -26,11 +27,6 @@
 
 const makeAnswer = (body: string): KeptAnswer => ({ status: 200, headers: {}, body });
 
-/** Lets promises settle between two moves of the virtual clock. */
-const settle = async () => {
-  for (let i = 0; i < 12; i += 1) await Promise.resolve();
-};
-
 const createBench = (boxes: number) => {
   const clock = createVirtualClock();
   const model = createPlatformModel();
@@ -39,20 +35,7 @@
     const batcher = createWriteBatcher({ table, clock, callsPerSecond: 20 });
     return createOnceGuard({ table, batcher, random: createSeededRandom(i + 1), clock });
   });
-  const advance = async (duration: number) => {
-    const end = clock.now() + duration;
-    await settle();
-    for (
-      let at = clock.getNextAt();
-      at !== undefined && at <= end;
-      at = clock.getNextAt()
-    ) {
-      clock.step();
-      await settle();
-    }
-    clock.advance((end - clock.now()) as Ms);
-    await settle();
-  };
+  const advance = (duration: number) => advanceSettled(clock, duration as Ms);
   return { clock, model, guards, advance };
 };
 
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -9,3 +9,4 @@
 export type { VirtualClock } from "./virtualClock.js";
 export { createSeededRandom, createSystemRandom } from "./random.js";
 export type { Random } from "./random.js";
+export { advanceSettled } from "./advanceSettled.js";
--- /dev/null
+++ b/packages/orders/src/orderLease.ts
@@ -0,0 +1,127 @@
+/**
+ * The lease under which one box at a time gives an engine orders, kept in the table service.
+ *
+ * Each holder has a higher fencing token than all before it. An engine that checks tokens refuses
+ * older ones. For one that does not, a new holder first waits until the longest order of the old
+ * one has passed its deadline.
+ */
+import { z } from "zod";
+import { Err, Ok, type Clock, type Ms, type Result } from "@stairgauge/common";
+import type { Row, RowKey, TableService } from "@stairgauge/platform";
+import { LEASE_MARGIN_MS, LEASE_MS, ORDER_LIFE_MS } from "./constants.js";
+
+/** A lease that this box holds. */
+export type HeldLease = Readonly<{
+  fencingToken: number;
+  revision: number;
+  /** Monotonic time until which orders may be sent. */
+  usableUntil: Ms;
+  /** Monotonic time before which an engine that does not check tokens gets no order. */
+  quietUntil: Ms;
+}>;
+
+/** Why no lease was got. */
+export type LeaseFailure = Readonly<
+  | { kind: "held_by_another"; holder: string; endsIn: Ms }
+  | { kind: "lost_race" }
+  | { kind: "store_unavailable" }
+>;
+
+/** The lease of one engine. */
+export type OrderLease = Readonly<{
+  /** Gets or renews the lease. */
+  acquire: () => Promise<Result<HeldLease, LeaseFailure>>;
+  /** The lease held, while orders may still be sent under it. */
+  getUsable: () => HeldLease | undefined;
+}>;
+
+const leaseSchema = z.object({
+  holder: z.string(),
+  /** Tells two runs of one box apart. */
+  incarnation: z.string(),
+  fencingToken: z.int(),
+  /** Wall time of the end; advice on how long to wait, never proof that it is over. */
+  endsAt: z.number(),
+});
+
+type LeaseRecord = z.infer<typeof leaseSchema>;
+
+const decodeLease = (row: Row): LeaseRecord | undefined => {
+  try {
+    return leaseSchema.safeParse(JSON.parse(row.value)).data;
+  } catch {
+    return undefined;
+  }
+};
+
+/** Creates the lease of one engine as `holder` wants it. */
+export const createOrderLease = (options: {
+  readonly table: TableService;
+  readonly clock: Clock;
+  readonly engine: string;
+  readonly holder: string;
+  readonly incarnation: string;
+}): OrderLease => {
+  const { table, clock, holder, incarnation } = options;
+  const at: RowKey = { table: "leases", key: `orders/${options.engine}` };
+  let held: HeldLease | undefined;
+
+  const isOwn = (record: LeaseRecord): boolean =>
+    record.holder === holder && record.incarnation === incarnation;
+
+  /** Judges what stands in the table: whether it may be replaced. */
+  const findBlock = (record: LeaseRecord | undefined): LeaseFailure | undefined => {
+    if (!record || isOwn(record)) return undefined;
+    const endsIn = (record.endsAt - clock.now()) as Ms;
+    if (endsIn <= 0) return undefined;
+    return { kind: "held_by_another", holder: record.holder, endsIn };
+  };
+
+  const toHeld = (row: Row, record: LeaseRecord, begunAt: Ms): HeldLease => {
+    const isRenewal = held?.fencingToken === record.fencingToken;
+    return {
+      fencingToken: record.fencingToken,
+      revision: row.revision,
+      usableUntil: (begunAt + LEASE_MS - LEASE_MARGIN_MS) as Ms,
+      quietUntil: isRenewal && held ? held.quietUntil : ((begunAt + ORDER_LIFE_MS) as Ms),
+    };
+  };
+
+  const acquire = async (): Promise<Result<HeldLease, LeaseFailure>> => {
+    // NOTE: the lease counts from before the write, so a slow answer shortens it.
+    const begunAt = clock.monotonic();
+    const read = await table.read(at);
+    if (read.err) return Err({ kind: "store_unavailable" });
+    const current = read.val && decodeLease(read.val);
+    const block = findBlock(current);
+    if (block) return Err(block);
+    const isRenewal = current !== undefined && isOwn(current);
+    const fencingToken = (current?.fencingToken ?? 0) + (isRenewal ? 0 : 1);
+    const record: LeaseRecord = {
+      holder,
+      incarnation,
+      fencingToken,
+      endsAt: clock.now() + LEASE_MS,
+    };
+    const written = await table.write({
+      at,
+      value: JSON.stringify(record),
+      expected: read.val
+        ? { kind: "revision", revision: read.val.revision }
+        : { kind: "absent" },
+    });
+    if (written.ok) {
+      held = toHeld(written.val, record, begunAt);
+      return Ok(held);
+    }
+    // NOTE: after a lost answer the next acquire reads the row and finds it its own.
+    return Err({
+      kind: written.val.kind === "conflict" ? "lost_race" : "store_unavailable",
+    });
+  };
+
+  return {
+    acquire,
+    getUsable: () => (held && clock.monotonic() < held.usableUntil ? held : undefined),
+  };
+};
--- /dev/null
+++ b/packages/orders/src/orderSender.ts
@@ -0,0 +1,57 @@
+/** Sends orders to an engine under its lease. */
+import { Err, type Clock, type Ms, type Result } from "@stairgauge/common";
+import type { EngineAddress, EngineClient, EngineOrder } from "@stairgauge/engines";
+import type { LinkFailure } from "@stairgauge/outcomes";
+import { ORDER_LIFE_MS } from "./constants.js";
+import type { LeaseFailure, OrderLease } from "./orderLease.js";
+
+type WithoutFence<T> = T extends unknown ? Omit<T, "fencingToken" | "deadlineAt"> : never;
+
+/** An order before it has its fencing token and deadline. */
+export type OrderContent = WithoutFence<EngineOrder>;
+
+/** Why an order was not carried out, as far as is known. */
+export type OrderFailure = Readonly<
+  | { kind: "no_lease"; failure: LeaseFailure }
+  /** The lease ran out between getting it and sending; nothing was sent. */
+  | { kind: "lease_lapsed" }
+  | { kind: "not_delivered"; failure: LinkFailure }
+>;
+
+/** Sends orders to one engine. */
+export type OrderSender = Readonly<{
+  send: (order: OrderContent) => Promise<Result<void, OrderFailure>>;
+}>;
+
+/** Creates the sender. `checksOrders` says whether the engine checks fencing tokens. */
+export const createOrderSender = (options: {
+  readonly lease: OrderLease;
+  readonly engines: EngineClient;
+  readonly clock: Clock;
+  readonly address: EngineAddress;
+  readonly checksOrders: boolean;
+}): OrderSender => {
+  const { lease, engines, clock } = options;
+
+  const wait = (delay: Ms) =>
+    new Promise<void>((resolve) => {
+      clock.setTimer(delay, resolve);
+    });
+
+  const send = async (order: OrderContent): Promise<Result<void, OrderFailure>> => {
+    const acquired = await lease.acquire();
+    if (acquired.err) return Err({ kind: "no_lease", failure: acquired.val });
+    const quiet = (acquired.val.quietUntil - clock.monotonic()) as Ms;
+    if (!options.checksOrders && quiet > 0) await wait(quiet);
+    // NOTE: looked at last, on the monotonic clock: a process that was paused sends nothing.
+    const usable = lease.getUsable();
+    if (!usable) return Err({ kind: "lease_lapsed" });
+    const { fencingToken } = usable;
+    const deadlineAt = (clock.now() + ORDER_LIFE_MS) as Ms;
+    const fenced = { ...order, fencingToken, deadlineAt } as EngineOrder;
+    const sent = await engines.sendOrder(options.address, fenced);
+    return sent.err ? Err({ kind: "not_delivered", failure: sent.val }) : sent;
+  };
+
+  return { send };
+};
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -7,6 +7,8 @@
 export type { EngineProfile, SequenceStart, StepResult } from "./engineTypes.js";
 export { createPlatformModel } from "./platformModel.js";
 export type { PlatformMode, PlatformModel } from "./platformModel.js";
+export { createMemoryEngines } from "./memoryEngines.js";
+export type { MemoryEngines } from "./memoryEngines.js";
 export { createMemoryPlatform } from "./memoryPlatform.js";
 export { createPlatformRoutes } from "./platformRoutes.js";
 export { createServiceRoutes } from "./serviceRoutes.js";
