feat: survival curves, a forecast of memory, and measurement under three policies

Change: decayed survival curves; mean and variance of memory at seven horizons; an allowance for what other boxes placed since the report; the least busy engine of those with room; caution by tier, lost by waiting. npm run measure runs naive, stairgauge and clairvoyant on the same arrivals. Ruled out by measurement: counting an engine's waiting streams as memory (reverted).

--- /dev/null
+++ b/packages/decisions/src/boxSummary.ts
@@ -0,0 +1,38 @@
+/** Sums up, over all engines, how this box's streams grow and how many others there are. */
+import type { Ms } from "@stairgauge/common";
+import type { BoxSummary, EngineView } from "./engineView.js";
+import { HORIZONS } from "./memoryForecast.js";
+
+/** Growth assumed while a box has no streams of its own to judge by. */
+const DEFAULT_GROWTH = 1.1;
+
+/** Computes the summary. */
+export const computeBoxSummary = (
+  views: Iterable<EngineView>,
+  ownTokensPerMs: number,
+  now: Ms,
+): BoxSummary => {
+  const growth = new Float64Array(HORIZONS.length);
+  const spread = new Float64Array(HORIZONS.length);
+  let ownStreams = 0;
+  let otherStreams = 0;
+  let engines = 0;
+  for (const view of views) {
+    const { mean, variance } = view.getOwnForecast();
+    engines += 1;
+    ownStreams += view.countOwn();
+    otherStreams += view.countOthers(now);
+    for (let h = 0; h < HORIZONS.length; h += 1) {
+      growth[h]! += mean[h]!;
+      spread[h]! += variance[h]!;
+    }
+  }
+  const held = growth[0]!;
+  for (let h = 0; h < HORIZONS.length; h += 1) {
+    growth[h] = held > 0 ? growth[h]! / held : DEFAULT_GROWTH;
+    spread[h] = held > 0 ? spread[h]! / held : 0;
+  }
+  const othersPerOwn = ownStreams > 0 ? otherStreams / ownStreams : 0;
+  const othersTokensPerMs = engines > 0 ? (ownTokensPerMs * othersPerOwn) / engines : 0;
+  return { growth, spread, othersPerOwn, othersTokensPerMs };
+};
--- a/packages/decisions/src/choosePlace.ts
+++ b/packages/decisions/src/choosePlace.ts
@@ -1,7 +1,12 @@
 /** Chooses an engine for one request. */
 import type { Ms, Random } from "@stairgauge/common";
-import { MAX_EJECTED_SHARE, PLACEMENT_SAMPLE } from "./constants.js";
-import type { EngineView, OwnStream } from "./engineView.js";
+import {
+  MAX_EJECTED_SHARE,
+  PLACEMENT_SAMPLE,
+  PREFILL_TOKENS_PER_STREAM,
+} from "./constants.js";
+import type { BoxSummary, EngineView } from "./engineView.js";
+import type { Forecast } from "./memoryForecast.js";
 import type { Candidate, PlacementReason, WaitingReason } from "./types.js";
 
 /** The engine chosen, or why none was. */
@@ -21,14 +26,11 @@
   random: Random,
 ): readonly EngineView[] => {
   if (views.length <= PLACEMENT_SAMPLE) return views;
-  const rest = [...views];
-  return Array.from({ length: PLACEMENT_SAMPLE }, () => {
-    const at = random.nextInt(0, rest.length - 1);
-    const picked = rest[at]!;
-    rest[at] = rest[rest.length - 1]!;
-    rest.pop();
-    return picked;
-  });
+  const picked = new Set<EngineView>();
+  while (picked.size < PLACEMENT_SAMPLE) {
+    picked.add(views[random.nextInt(0, views.length - 1)]!);
+  }
+  return [...picked];
 };
 
 /** Leaves out engines that failed lately, unless that would leave out too many. */
@@ -37,35 +39,40 @@
   return kept.length >= views.length * (1 - MAX_EJECTED_SHARE) ? kept : views;
 };
 
-/** Chooses among the engines that serve the request's model. */
+/** Chooses among the engines that serve the request's model: of those with room, the least busy. */
 export const choosePlace = (options: {
   readonly views: readonly EngineView[];
-  readonly stream: OwnStream;
+  readonly candidate: Forecast;
+  readonly summary: BoxSummary;
+  readonly caution: number;
   readonly random: Random;
   readonly now: Ms;
 }): Choice => {
-  const { stream, random, now } = options;
+  const { candidate, summary, caution, random, now } = options;
   const staying = options.views.filter((view) => !view.isLeaving(now));
   if (staying.length === 0) return { kind: "none_left" };
   const sampled = sampleViews(dropEjected(staying, now), random);
+  const tokensPerStream = PREFILL_TOKENS_PER_STREAM;
   const looked = sampled.map((view) => ({
     view,
     hasSlot: view.hasSlot(now),
-    freeTokens: view.computeFreeTokens(stream, now),
+    freeTokens: view.computeRoom({ candidate, summary, caution, now }),
+    busyness: view.computeBusyness({ summary, tokensPerStream, now }),
+    /** Breaks ties apart on each box. */
+    lot: random.nextFloat(),
   }));
-  const considered = looked.map(({ view, freeTokens }) => ({
+  const considered = looked.map(({ view, freeTokens, busyness }) => ({
     server: view.server.name as Candidate["server"],
     freeTokens,
+    busyness: Number(busyness.toFixed(2)),
   }));
-  const fitting = looked.filter((one) => one.hasSlot && one.freeTokens >= 0);
-  const best = fitting.reduce<(typeof fitting)[number] | undefined>(
-    (most, one) => (!most || one.freeTokens > most.freeTokens ? one : most),
-    undefined,
-  );
+  const [best] = looked
+    .filter((one) => one.hasSlot && one.freeTokens >= 0)
+    .sort((a, b) => a.busyness - b.busyness || a.lot - b.lot);
   if (!best) {
     const reason = looked.some((one) => one.hasSlot) ? "no_memory" : "no_slot";
     return { kind: "none_free", reason, considered };
   }
-  const reason = staying.length === 1 ? "only_one" : "most_room";
+  const reason = staying.length === 1 ? "only_one" : "least_busy";
   return { kind: "chosen", view: best.view, reason, considered };
 };
--- a/packages/decisions/src/decisionCore.ts
+++ b/packages/decisions/src/decisionCore.ts
@@ -10,7 +10,12 @@
 import { createAdmissionQueue } from "./admissionQueue.js";
 import { choosePlace, type Choice } from "./choosePlace.js";
 import { EJECTION_MS, MIN_RETRY_AFTER_MS } from "./constants.js";
-import { createEngineView, type EngineView } from "./engineView.js";
+import { computeBoxSummary } from "./boxSummary.js";
+import { computeCaution } from "./computeCaution.js";
+import { createEngineView, type BoxSummary, type EngineView } from "./engineView.js";
+import { createLengthEstimator, type LengthKey } from "./lengthEstimator.js";
+import { computeForecast, type Forecast, type ForecastStream } from "./memoryForecast.js";
+import { createPlacementRate } from "./placementRate.js";
 import type {
   Decision,
   DecisionEvent,
@@ -24,6 +29,8 @@
 type Entry = {
   readonly request: GenerationRequest;
   readonly rules: Rules;
+  readonly stream: ForecastStream;
+  readonly forecast: Forecast;
   server: BackendServerName | undefined;
 };
 
@@ -46,10 +53,15 @@
   /** Marks of the list outlive a change of bundle. */
   const listedLeaving = new Set<string>();
   let views: ReadonlyMap<string, EngineView> = new Map();
+  const estimator = createLengthEstimator();
+  const rate = createPlacementRate();
   let index: BundleIndex | undefined;
+  let lastRank = 0;
+  let summary: BoxSummary = computeBoxSummary([], 0, 0 as Ms);
 
   const adopt = (adopted: BundleIndex) => {
     index = adopted;
+    lastRank = Math.max(...adopted.active.bundle.tiers.map((tier) => tier.rank));
     const engines = adopted.active.bundle.backendServers.filter(
       (one) => one.kind === "engine",
     );
@@ -90,7 +102,8 @@
   ): Decision => {
     const { request, rules } = entry;
     const server = choice.view.server.name as BackendServerName;
-    choice.view.put(request.id, toStream(request));
+    rate.record(request.promptTokens, now);
+    choice.view.place(request.id, entry.stream, now);
     entry.server = server;
     changePlaced(request.workspace, 1);
     return {
@@ -104,16 +117,35 @@
     };
   };
 
-  const toStream = (request: GenerationRequest) => ({
+  const toLengthKey = (request: GenerationRequest): LengthKey => ({
+    workspace: request.workspace,
+    model: request.model,
     promptTokens: request.promptTokens,
-    maxOutputTokens: request.maxOutputTokens,
-    generatedTokens: 0,
   });
 
-  const choose = (request: GenerationRequest, now: Ms): Choice =>
+  const createEntry = (request: GenerationRequest, rules: Rules): Entry => {
+    const { promptTokens, maxOutputTokens } = request;
+    const curve = estimator.getCurve(toLengthKey(request));
+    const stream = { promptTokens, maxOutputTokens, generatedTokens: 0, curve };
+    return {
+      request,
+      rules,
+      stream,
+      forecast: computeForecast(stream),
+      server: undefined,
+    };
+  };
+
+  const choose = ({ request, rules, forecast }: Entry, now: Ms): Choice =>
     choosePlace({
       views: listViews(request.model),
-      stream: toStream(request),
+      candidate: forecast,
+      summary,
+      caution: computeCaution({
+        rank: rules.tier.rank,
+        lastRank,
+        waitedShare: (now - request.arrivedAt) / rules.tier.firstTokenDeadlineMs,
+      }),
       random,
       now,
     });
@@ -150,7 +182,7 @@
     );
     const tier = workspace && index?.tiers.get(workspace.tier);
     if (!workspace || !tier) return [refuse(request, "no_backend_server")];
-    const entry: Entry = { request, rules: { workspace, tier }, server: undefined };
+    const entry = createEntry(request, { workspace, tier });
     entries.set(request.id, entry);
     if (fitsNowhere(request)) return [refuse(request, "too_large_for_memory")];
     if (isAtLimit(entry)) return [enqueue(entry, "workspace_limit", [])];
@@ -158,7 +190,7 @@
       const decision = enqueue(entry, "behind_others", []);
       return [decision, ...drain(now)];
     }
-    const choice = choose(request, now);
+    const choice = choose(entry, now);
     switch (choice.kind) {
       case "chosen":
         return [place(entry, choice, now)];
@@ -180,7 +212,7 @@
       for (const { rank, request } of queue.listHeads()) {
         const entry = entries.get(request.id);
         if (!entry || fullModels.has(request.model) || isAtLimit(entry)) continue;
-        const choice = choose(request, now);
+        const choice = choose(entry, now);
         if (choice.kind !== "chosen") {
           fullModels.add(request.model);
           continue;
@@ -219,7 +251,7 @@
     const view = views.get(event.server);
     if (event.isLeaving) view?.recordLeavingRefusal(now);
     else view?.eject((now + EJECTION_MS) as Ms);
-    const choice = choose(entry.request, now);
+    const choice = choose(entry, now);
     if (choice.kind === "chosen") return [place(entry, choice, now)];
     if (choice.kind === "none_left") return [refuse(entry.request, "no_backend_server")];
     queue.addFirst(entry.rules.tier.rank, entry.request);
@@ -228,17 +260,20 @@
   };
 
   const handleProgressed = (event: Extract<DecisionEvent, { kind: "progressed" }>) => {
-    const entry = entries.get(event.request);
-    const view = entry?.server && views.get(entry.server);
-    const stream = view && view.getOwn(event.request);
-    if (stream)
-      view.put(event.request, { ...stream, generatedTokens: event.generatedTokens });
+    const server = entries.get(event.request)?.server;
+    if (server) views.get(server)?.recordProgress(event.request, event.generatedTokens);
     return NO_DECISIONS;
   };
 
-  const handleEnded = (id: RequestId, now: Ms): readonly Decision[] => {
+  const handleEnded = (
+    event: Extract<DecisionEvent, { kind: "ended" }>,
+    now: Ms,
+  ): readonly Decision[] => {
+    const id = event.request;
     const entry = entries.get(id);
     if (!entry) return NO_DECISIONS;
+    if (event.isWhole)
+      estimator.observe(toLengthKey(entry.request), event.generatedTokens);
     if (!entry.server) queue.remove(entry.rules.tier.rank, entry.request);
     release(entry);
     entries.delete(id);
@@ -257,9 +292,10 @@
       case "progressed":
         return handleProgressed(event);
       case "ended":
-        return handleEnded(event.request, now);
+        return handleEnded(event, now);
       case "loadReported":
         views.get(event.server)?.recordReport(event.load, now);
+        summary = computeBoxSummary(views.values(), rate.compute(now), now);
         return drain(now);
       case "serverMarked":
         if (event.isLeaving) listedLeaving.add(event.server);
@@ -267,6 +303,7 @@
         views.get(event.server)?.setListedLeaving(event.isLeaving);
         return NO_DECISIONS;
       case "ticked":
+        summary = computeBoxSummary(views.values(), rate.compute(now), now);
         return [...refuseLate(now), ...drain(now)];
       default:
         return assertNever(event);
--- a/packages/decisions/src/types.ts
+++ b/packages/decisions/src/types.ts
@@ -49,7 +49,7 @@
 >;
 
 /** Why an engine was chosen. */
-export type PlacementReason = "only_one" | "most_room" | "resumed";
+export type PlacementReason = "only_one" | "least_busy";
 
 /** Why a request waits. */
 export type WaitingReason = "no_memory" | "no_slot" | "workspace_limit" | "behind_others";
@@ -58,8 +58,14 @@
 export type RefusalReason =
   "no_backend_server" | "queue_full" | "deadline_unreachable" | "too_large_for_memory";
 
-/** An engine that was looked at. `freeTokens` is the forecast's room after this request. */
-export type Candidate = Readonly<{ server: BackendServerName; freeTokens: number }>;
+/** An engine that was looked at. */
+export type Candidate = Readonly<{
+  server: BackendServerName;
+  /** Room that the forecast leaves after this request; negative where it does not fit. */
+  freeTokens: number;
+  /** How busy the engine is held to be, in streams. */
+  busyness: number;
+}>;
 
 /** What the core decided. */
 export type Decision = Readonly<
--- a/packages/entry/src/apiError.ts
+++ b/packages/entry/src/apiError.ts
@@ -48,7 +48,7 @@
 /** Refusal of a box that is stopping. */
 export const LEAVING: ApiFailure = {
   kind: "refused",
-  refusal: { reason: "leaving", retryAfter: 0 as Ms },
+  refusal: { reason: "leaving", retryAfter: 0 as Ms, outcome: "not_run" },
 };
 
 const INVALID = "invalid_request_error";
@@ -80,17 +80,21 @@
   leaving: "This entry box is stopping; ask again.",
 } as const satisfies Record<Refusal["reason"], string>;
 
-const describeRefusal = ({ reason, retryAfter }: Refusal): ApiError => {
+const describeRefusal = ({ reason, retryAfter, outcome }: Refusal): ApiError => {
   const message = REFUSAL_MESSAGES[reason];
   switch (reason) {
     case "queue_full":
-      return build(429, reason, message, { type: "rate_limit_error", retryAfter });
+      return build(429, reason, message, {
+        type: "rate_limit_error",
+        retryAfter,
+        outcome,
+      });
     case "too_large_for_memory":
-      return build(400, reason, message);
+      return build(400, reason, message, { outcome });
     case "no_backend_server":
     case "deadline_unreachable":
     case "leaving":
-      return build(503, reason, message, { retryAfter });
+      return build(503, reason, message, { retryAfter, outcome });
     default:
       return assertNever(reason);
   }
--- a/packages/hunt/src/world.ts
+++ b/packages/hunt/src/world.ts
@@ -129,7 +129,7 @@
         record.continuation = { server, generation, nextIndex: record.tokens.length };
         finish("whole");
       },
-      onRefused: () => finish("refused", "not_run"),
+      onRefused: ({ outcome }) => finish("refused", outcome),
       onFailed: ({ outcome }) => finish("failed", outcome),
     };
   };
--- a/packages/measure/src/model/arrivals.ts
+++ b/packages/measure/src/model/arrivals.ts
@@ -9,13 +9,13 @@
 
 const MS_PER_SECOND = 1_000;
 
-const drawNormal = (random: Random): number => {
+const sampleNormal = (random: Random): number => {
   const u = 1 - random.nextFloat();
   return Math.sqrt(-2 * Math.log(u)) * Math.cos(2 * Math.PI * random.nextFloat());
 };
 
-const drawLogNormal = (random: Random, median: number, spread: number): number =>
-  Math.max(1, Math.round(median * Math.exp(spread * drawNormal(random))));
+const sampleLogNormal = (random: Random, median: number, spread: number): number =>
+  Math.max(1, Math.round(median * Math.exp(spread * sampleNormal(random))));
 
 const pickWeighted = <T>(
   items: readonly T[],
@@ -41,8 +41,8 @@
 }): Arrival => {
   const { profile, traffic, random } = options;
   const workspace = pickWeighted(profile.workspaces, (one) => one.weight, random);
-  const rest = drawLogNormal(random, traffic.promptMedian, traffic.promptSpread);
-  const output = drawLogNormal(random, traffic.outputMedian, traffic.outputSpread);
+  const rest = sampleLogNormal(random, traffic.promptMedian, traffic.promptSpread);
+  const output = sampleLogNormal(random, traffic.outputMedian, traffic.outputSpread);
   return {
     id: `g${options.count}` as GenerationId,
     at: options.at as Ms,
--- a/packages/measure/src/model/engineDriver.ts
+++ b/packages/measure/src/model/engineDriver.ts
@@ -36,9 +36,9 @@
   let held: (() => void)[] = [];
 
   /** What is told while the link is stalled arrives once it is not. */
-  const tell = (say: () => void) => {
-    if (isStalled) held.push(say);
-    else say();
+  const tell = (send: () => void) => {
+    if (isStalled) held.push(send);
+    else send();
   };
 
   const applyStep = (
@@ -105,7 +105,7 @@
       isStalled = value;
       const waiting = held;
       held = [];
-      for (const say of waiting) tell(say);
+      for (const send of waiting) tell(send);
     },
     isAlive: () => isAlive,
     getLoad: () => model.getLoad(),
--- a/packages/measure/src/model/runPolicy.ts
+++ b/packages/measure/src/model/runPolicy.ts
@@ -61,12 +61,12 @@
         policy.handleEnd(id, generated, true, clock.now());
       },
       onPreempted: statistics.recordPreemptions,
-      onLost: (id, generated) => loseStream(id, generated, engine),
+      onLost: (id, generated) => dropStream(id, generated, engine),
     }),
   );
 
   /** Before the first token another engine takes the stream; after it the answer is lost. */
-  const loseStream = (id: GenerationId, generated: number, engine: number) => {
+  const dropStream = (id: GenerationId, generated: number, engine: number) => {
     if (generated === 0) {
       clock.setTimer(0 as Ms, () => policy.handleFailure(id, engine, clock.now()));
       return;
@@ -115,44 +115,44 @@
     clock.setTimer(REPORT_EVERY_MS as Ms, () => report(engine));
   };
 
-  const after = (ms: number, run: () => void) => clock.setTimer(ms as Ms, run);
-  const killEngine = (engine: number) => {
+  const schedule = (ms: number, run: () => void) => clock.setTimer(ms as Ms, run);
+  const stopEngine = (engine: number) => {
     engines[engine]!.kill();
-    after(FAULT_LASTS_MS, engines[engine]!.revive);
+    schedule(FAULT_LASTS_MS, engines[engine]!.revive);
   };
   const startFault = (fault: Fault) => {
     switch (fault) {
       case "engine-death":
-        return killEngine(0);
+        return stopEngine(0);
       case "reclaim":
         policy.handleMark(1, true, clock.now());
-        after(RECLAIM_NOTICE_MS, () => killEngine(1));
-        after(RECLAIM_NOTICE_MS + FAULT_LASTS_MS, () =>
+        schedule(RECLAIM_NOTICE_MS, () => stopEngine(1));
+        schedule(RECLAIM_NOTICE_MS + FAULT_LASTS_MS, () =>
           policy.handleMark(1, false, clock.now()),
         );
         return;
       case "reports-frozen":
         areReportsFrozen = true;
-        after(FAULT_LASTS_MS, () => (areReportsFrozen = false));
+        schedule(FAULT_LASTS_MS, () => (areReportsFrozen = false));
         return;
       case "stalled-link":
         engines[2]!.setStalled(true);
-        after(STALL_LASTS_MS, () => engines[2]!.setStalled(false));
+        schedule(STALL_LASTS_MS, () => engines[2]!.setStalled(false));
         return;
       case "box-lost":
         stoppedBoxes.add(0);
         policy.handleBoxLoss(0, clock.now());
-        after(FAULT_LASTS_MS, () => stoppedBoxes.delete(0));
+        schedule(FAULT_LASTS_MS, () => stoppedBoxes.delete(0));
     }
   };
 
   scheduleArrival(0);
   tick();
   engines.forEach((_, engine) =>
-    after((engine * REPORT_EVERY_MS) / engines.length, () => report(engine)),
+    schedule((engine * REPORT_EVERY_MS) / engines.length, () => report(engine)),
   );
   for (const fault of options.faults)
-    after(durationMs * FAULT_AT, () => startFault(fault));
+    schedule(durationMs * FAULT_AT, () => startFault(fault));
   clock.advance(endMs as Ms);
   statistics.closeAt(endMs);
   return statistics.render(durationMs / MS_PER_SECOND, policy.countWaiting());
--- a/packages/measure/src/model/statistics.ts
+++ b/packages/measure/src/model/statistics.ts
@@ -80,7 +80,7 @@
 
 const renderTier = (collector: Collector): TierReport => {
   const { arrived, completed, refused, lost, stall } = collector;
-  const seconds = (percentile: number) => toMs(stall, percentile) / MS_PER_SECOND;
+  const toSeconds = (percentile: number) => toMs(stall, percentile) / MS_PER_SECOND;
   const streams = Math.max(1, arrived - refused);
   return {
     arrived,
@@ -92,9 +92,9 @@
     gapMs: { ...renderPercentiles(collector.gap), p999: toMs(collector.gap, 99.9) },
     stallSecondsPerStream: {
       mean: Number((collector.stallMs / MS_PER_SECOND / streams).toFixed(4)),
-      p50: seconds(50),
-      p95: seconds(95),
-      p99: seconds(99),
+      p50: toSeconds(50),
+      p95: toSeconds(95),
+      p99: toSeconds(99),
     },
   };
 };
@@ -188,6 +188,3 @@
     }),
   };
 };
-
-/** What a run collects. */
-export type Statistics = ReturnType<typeof createStatistics>;
--- a/packages/relay/src/dispatcher.ts
+++ b/packages/relay/src/dispatcher.ts
@@ -4,6 +4,7 @@
   assertNever,
   type BackendServerName,
   type Clock,
+  type Ms,
   type Random,
   type RequestId,
 } from "@stairgauge/common";
@@ -14,12 +15,12 @@
   type GenerationRequest,
 } from "@stairgauge/decisions";
 import type { Logger, Metrics } from "@stairgauge/telemetry";
-import type { Refusal } from "./types.js";
+import type { PlacementRefusal } from "./types.js";
 
 /** Receives what was decided of one request. */
 export type PlacementHandlers = Readonly<{
   onPlaced: (server: BackendServerName, priority: number) => void;
-  onRefused: (refusal: Refusal) => void;
+  onRefused: (refusal: PlacementRefusal) => void;
 }>;
 
 /** Decides for every request of the box. */
@@ -99,7 +100,7 @@
       for (const [id, { handlers, isPlaced }] of [...requests]) {
         if (isPlaced) continue;
         end(id, 0, false);
-        handlers.onRefused({ reason: "leaving", retryAfter: 0 as Refusal["retryAfter"] });
+        handlers.onRefused({ reason: "leaving", retryAfter: 0 as Ms });
       }
     },
   };
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -4,6 +4,7 @@
 import {
   createSeededRandom,
   createVirtualClock,
+  type BackendServerName,
   type ModelName,
   type Ms,
   type RequestId,
@@ -48,7 +49,7 @@
     },
     onDiscard: () => undefined,
     onEnd: () => ends.push("whole"),
-    onRefused: ({ reason }) => ends.push(reason),
+    onRefused: ({ reason, outcome }) => ends.push(`${reason} ${outcome}`),
     onFailed: ({ kind }) => ends.push(kind),
   };
   const call: RunRequest["call"] = {
@@ -155,12 +156,22 @@
     expect(later.map((link) => link.address)).not.toContain(first!.address);
   });
 
+  it("does not say not run of a refusal after an attempt that may have run", () => {
+    const bench = createBench();
+    const { ends } = runStream(bench, "a");
+    for (const name of ["engine-1", "engine-2"]) {
+      bench.relay.markServer(name as BackendServerName, true);
+    }
+    bench.fake.links[0]!.handlers.onEnd({ kind: "closed_early", detail: "test" });
+    expect(ends).toEqual(["no_backend_server unknown"]);
+  });
+
   it("refuses what waits when the box stops, and says that it did not run", () => {
     const bench = createBench();
     for (let i = 0; i < 64; i += 1) runStream(bench, `busy-${i}`);
     const waiting = runStream(bench, "waiting");
     expect(waiting.ends).toEqual([]);
     bench.relay.refuseWaiting();
-    expect(waiting.ends).toEqual(["leaving"]);
+    expect(waiting.ends).toEqual(["leaving not_run"]);
   });
 });
--- a/packages/relay/src/runGeneration.ts
+++ b/packages/relay/src/runGeneration.ts
@@ -222,7 +222,7 @@
         },
         onRefused: (refusal) => {
           finish(false);
-          sink.onRefused(refusal);
+          sink.onRefused({ ...refusal, outcome: session.getOutcomeSoFar() });
         },
       },
     );
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -12,6 +12,7 @@
 } from "@stairgauge/common";
 import type { RefusalReason } from "@stairgauge/decisions";
 import type { EngineClient } from "@stairgauge/engines";
+import type { Outcome } from "@stairgauge/outcomes";
 import type { Continuation, StreamEnd, StreamFailure } from "@stairgauge/streams";
 import type { Logger, Metrics } from "@stairgauge/telemetry";
 
@@ -45,8 +46,14 @@
   generation: GenerationId;
 }>;
 
-/** Why a call was refused; nothing of it has run. */
-export type Refusal = Readonly<{ reason: RefusalReason | "leaving"; retryAfter: Ms }>;
+/** Why a call got no place. */
+export type PlacementRefusal = Readonly<{
+  reason: RefusalReason | "leaving";
+  retryAfter: Ms;
+}>;
+
+/** Why a call was refused, and what may be said of it: an earlier attempt may have run. */
+export type Refusal = PlacementRefusal & Readonly<{ outcome: Outcome }>;
 
 /** Receives an answer. Exactly one of `onEnd`, `onRefused` and `onFailed` comes last. */
 export type AnswerSink = Readonly<{
--- a/packages/streams/src/streamSession.ts
+++ b/packages/streams/src/streamSession.ts
@@ -51,6 +51,8 @@
   handle: (event: SessionEvent, now: Ms) => readonly SessionAction[];
   /** Index of the next token to deliver. */
   getNextIndex: () => number;
+  /** What may be said of all attempts that have failed so far, if there is no other. */
+  getOutcomeSoFar: () => Outcome;
   /** Generation and server that the next token comes from, once placed. */
   getSource: () =>
     Readonly<{ server: BackendServerName; generation: GenerationId }> | undefined;
@@ -246,5 +248,10 @@
     }
   };
 
-  return { handle, getNextIndex: () => next, getSource: () => source };
+  return {
+    handle,
+    getNextIndex: () => next,
+    getOutcomeSoFar: () => combineOutcomes(earlier),
+    getSource: () => source,
+  };
 };
