--- a/packages/bundle/src/keys.ts
+++ b/packages/bundle/src/keys.ts
@@ -8,7 +8,8 @@
 export const hashKey = (key: string): string =>
   KEY_HASH_PREFIX + createHash("sha256").update(key).digest("hex");
 
-type Entry<T> = Readonly<{ hash: Buffer; owner: T }>;
+/** The hash is the bundle's own string: a copy for each key would cost more than the index. */
+type Entry<T> = Readonly<{ hash: string; owner: T }>;
 
 /** Finds the owner of a presented key. */
 export type KeyIndex<T> = Readonly<{ findOwner: (key: string) => T | undefined }>;
@@ -26,7 +27,7 @@
   for (const { keyHashes, owner } of owners) {
     for (const hash of keyHashes) {
       const entries = buckets.get(toBucket(hash)) ?? [];
-      entries.push({ hash: Buffer.from(hash), owner });
+      entries.push({ hash, owner });
       buckets.set(toBucket(hash), entries);
     }
   }
@@ -35,7 +36,8 @@
       const presented = hashKey(key);
       const hash = Buffer.from(presented);
       const entries = buckets.get(toBucket(presented)) ?? [];
-      return entries.find((entry) => timingSafeEqual(entry.hash, hash))?.owner;
+      return entries.find((entry) => timingSafeEqual(Buffer.from(entry.hash), hash))
+        ?.owner;
     },
   };
 };
--- a/packages/measure/src/slopes/probes.ts
+++ b/packages/measure/src/slopes/probes.ts
@@ -8,13 +8,18 @@
 import {
   createSeededRandom,
   createVirtualClock,
+  type BackendServerName,
   type GenerationId,
   type ModelName,
   type Ms,
   type RequestId,
   type WorkspaceName,
 } from "@stairgauge/common";
-import { createDecisionCore, type DecisionCore } from "@stairgauge/decisions";
+import {
+  createDecisionCore,
+  type DecisionCore,
+  type DecisionEvent,
+} from "@stairgauge/decisions";
 import { createRelay } from "@stairgauge/relay";
 import { createStreamSession } from "@stairgauge/streams";
 import { createLogger, createMetrics } from "@stairgauge/telemetry";
@@ -32,15 +37,17 @@
   globalThis.gc();
 };
 
+/** Holds what is measured, so that it is not collected before it has been weighed. */
+const held: unknown[] = [];
+
 /** Bytes of heap that `make`'s result keeps. */
 const measureHeap = <T>(make: () => T): number => {
   collectGarbage();
   const before = process.memoryUsage().heapUsed;
-  const made = make();
+  held.push(make());
   collectGarbage();
   const after = process.memoryUsage().heapUsed;
-  // Keeps the result alive until here.
-  if (made === undefined) throw new TypeError("nothing was made");
+  held.length = 0;
   return after - before;
 };
 
@@ -81,6 +88,17 @@
   return (ms * MICROSECONDS_PER_MS) / DECISIONS;
 };
 
+/** Microseconds of one event. */
+const measureEvents = (
+  core: DecisionCore,
+  makeEvent: (i: number) => DecisionEvent,
+): number => {
+  const ms = measureMs(() => {
+    for (let i = 0; i < DECISIONS; i += 1) core.handle(makeEvent(i), i as Ms);
+  });
+  return (ms * MICROSECONDS_PER_MS) / DECISIONS;
+};
+
 const openStreams = (count: number) => {
   const fake = createFakeEngine();
   const index = buildIndex({ engines: 100, workspaces: 10 });
@@ -172,6 +190,24 @@
     sizes: [10, 1_000, 35_000],
     measure: (workspaces) => measureDecisions(createCore(75, workspaces), workspaces),
   },
+  {
+    name: "time of a tick and its summary, by engines",
+    unit: "microseconds",
+    sizes: [6, 75, 750],
+    measure: (engines) =>
+      measureEvents(createCore(engines, 10), () => ({ kind: "ticked" })),
+  },
+  {
+    name: "time to take a load report, by engines",
+    unit: "microseconds",
+    sizes: [6, 75, 750],
+    measure: (engines) =>
+      measureEvents(createCore(engines, 10), (i) => ({
+        kind: "loadReported",
+        server: `engine-${i % engines}` as BackendServerName,
+        load: { running: 10, waiting: 0, usedTokens: 1_000, isLeaving: false },
+      })),
+  },
   {
     name: "time of the session's part of relaying, by tokens",
     unit: "milliseconds",
