--- a/apps/daemon/src/callers.test.ts
+++ b/apps/daemon/src/callers.test.ts
@@ -282,6 +282,12 @@
     });
   });
 
+  it("says nothing at all mid-stream, and the link is opened anew after its silence", async () => {
+    await setFaultOnAll({ kind: "silent", afterTokens: 10 });
+    await checkWhole();
+    await setFaultOnAll({ kind: "none" });
+  });
+
   it("disturbs no other stream", async () => {
     await setFault({ kind: "close_early", afterTokens: 3, times: 3 });
     await Promise.all(Array.from({ length: 20 }, checkWhole));
--- a/apps/daemon/src/embeddedSite.ts
+++ b/apps/daemon/src/embeddedSite.ts
@@ -1,6 +1,6 @@
 /** An example site in this process: stand-ins on loopback ports, and one box before them. */
 import { createSystemClock } from "@stairgauge/common";
-import type { HttpRoute } from "@stairgauge/http";
+import type { HttpRoute, TlsIdentity } from "@stairgauge/http";
 import { parseSettings } from "@stairgauge/settings";
 import {
   buildExampleBundle,
@@ -31,6 +31,8 @@
   logger: Logger;
   engines?: number;
   profile?: EngineProfile;
+  /** Serves callers over HTTPS where given. */
+  tls?: TlsIdentity;
   /** Settings of the box beyond the necessary ones. */
   settings?: Readonly<Record<string, unknown>>;
 }>;
@@ -102,7 +104,11 @@
     }),
   );
   if (settings.err) throw new TypeError(JSON.stringify(settings.val));
-  const daemon = createDaemon({ settings: settings.val, logger: options.logger });
+  const daemon = createDaemon({
+    settings: settings.val,
+    logger: options.logger,
+    tls: options.tls,
+  });
   const ports = await daemon.start();
   await daemon.waitForBundle();
 
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -18,7 +18,7 @@
 
 const GRACE_MS = 1_000 as Ms;
 
-const createBench = () => {
+const createBench = (options: { readonly isRoomy?: boolean } = {}) => {
   const clock = createVirtualClock();
   const fake = createFakeEngine();
   const relay = createRelay({
@@ -30,7 +30,7 @@
     resumeGrace: GRACE_MS,
   });
   const engines = ["127.0.0.1:1", "127.0.0.1:2"];
-  const bundle = buildExampleBundle({ engines, services: ["127.0.0.1:3"] });
+  const bundle = buildExampleBundle({ engines, services: ["127.0.0.1:3"], ...options });
   const index = indexBundle({ head: signExampleBundle(bundle, 1).head, bundle });
   relay.adopt(index);
   return { clock, fake, relay, index };
@@ -99,6 +99,20 @@
     expect(stalledLink!.state.isPaused).toBe(false);
   });
 
+  it("lets one stalled reader among 1,000 delay nobody", () => {
+    const bench = createBench({ isRoomy: true });
+    const streams = Array.from({ length: 1_000 }, (_, i) =>
+      runStream(bench, `s${i}`, () => i !== 0),
+    );
+    for (let index = 0; index < 20; index += 1) {
+      for (const link of bench.fake.links)
+        if (!link.state.isPaused) sendTokens(link, index, 1);
+    }
+    expect(streams[0]!.tokens).toHaveLength(1);
+    for (const { tokens } of streams.slice(1)) expect(tokens).toHaveLength(20);
+    expect(bench.fake.links.filter((link) => link.state.isPaused)).toHaveLength(1);
+  });
+
   it("cancels a generation only after the grace, and only while nobody reads it", () => {
     const bench = createBench();
     const { handle } = runStream(bench, "a");
