--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -10,3 +10,5 @@
 export { createSeededRandom, createSystemRandom } from "./random.js";
 export type { Random } from "./random.js";
 export { advanceSettled } from "./advanceSettled.js";
+export { createPoller } from "./poller.js";
+export type { Poller } from "./poller.js";
--- /dev/null
+++ b/packages/common/src/poller.ts
@@ -0,0 +1,30 @@
+/** Looks at something again and again, each time an interval after the last look has ended. */
+import type { Clock, Timer } from "./clock.js";
+import type { Ms } from "./types.js";
+
+/** A poller that can be started and stopped. */
+export type Poller = Readonly<{ start: () => void; stop: () => void }>;
+
+/** Creates a poller; it looks first when it is started. */
+export const createPoller = (options: {
+  readonly clock: Clock;
+  readonly interval: Ms;
+  readonly look: () => Promise<unknown>;
+}): Poller => {
+  const { clock, interval, look } = options;
+  let timer: Timer | undefined;
+  let isStopped = false;
+
+  const poll = async () => {
+    await look();
+    if (!isStopped) timer = clock.setTimer(interval, () => void poll());
+  };
+
+  return {
+    start: () => void poll(),
+    stop: () => {
+      isStopped = true;
+      timer?.cancel();
+    },
+  };
+};
--- a/packages/entry/src/streamedAnswer.test.ts
+++ b/packages/entry/src/streamedAnswer.test.ts
@@ -65,7 +65,7 @@
 };
 
 /** Hands tokens over until the answer asks to stop; returns how many it took. */
-const fill = (answer: ReturnType<typeof createAnswer>["answer"]): number => {
+const writeUntilFull = (answer: ReturnType<typeof createAnswer>["answer"]): number => {
   for (let index = 0; index < MOST_TOKENS; index += 1) {
     if (!answer.sink.onToken(index, " token", SOURCE)) return index + 1;
   }
@@ -76,7 +76,7 @@
   it("asks to stop once its caller takes nothing, with bounded memory", async () => {
     const response = await openResponse();
     const { answer } = createAnswer(response);
-    expect(fill(answer)).toBeLessThan(MOST_TOKENS);
+    expect(writeUntilFull(answer)).toBeLessThan(MOST_TOKENS);
     expect(response.writableLength).toBeLessThan(MAX_UNSENT_BYTES + EVENT_BYTES);
   });
 
@@ -85,7 +85,7 @@
     const { clock, answer, overs } = createAnswer(response);
     let left = 0;
     answer.attach({ leave: () => (left += 1), setBlocked: () => undefined });
-    fill(answer);
+    writeUntilFull(answer);
     clock.advance((READER_IDLE_MS - 1) as Ms);
     expect(response.destroyed).toBe(false);
     const closed = new Promise((resolve) => response.on("close", resolve));
--- a/packages/entry/src/streamedAnswer.ts
+++ b/packages/entry/src/streamedAnswer.ts
@@ -1,8 +1,9 @@
 /** Sends a generation to its caller as server-sent events, each with a resume token. */
 import type { ServerResponse } from "node:http";
 import type { Ms, Timer, WorkspaceName } from "@stairgauge/common";
-import type { AnswerSink, RunHandle, TokenSource } from "@stairgauge/relay";
+import type { AnswerSink, TokenSource } from "@stairgauge/relay";
 import { formatResumeToken, signResumeClaim } from "@stairgauge/streams";
+import { createAnswerControl } from "./answerControl.js";
 import { createAnswerFormat, type AnswerFormat } from "./answerFormat.js";
 import {
   describeFailure,
@@ -48,7 +49,6 @@
   const { deps, response, ask } = options;
   const { clock, metrics } = deps;
   let open: OpenSource | undefined;
-  let run: RunHandle | undefined;
   let isOver = false;
   let isBlocked = false;
   let idleTimer: Timer | undefined;
@@ -106,6 +106,8 @@
     finish({ end: "failed", outcome: describeFailure(failure).outcome });
   };
 
+  const control = createAnswerControl({ isOver: () => isOver, fail });
+
   const watchReader = () => {
     isBlocked = true;
     idleTimer ??= clock.setTimer(READER_IDLE_MS, () => response.destroy());
@@ -115,12 +117,12 @@
     isBlocked = false;
     idleTimer?.cancel();
     idleTimer = undefined;
-    run?.setBlocked(false);
+    control.setBlocked(false);
   };
   response.on("drain", handleDrain);
   response.on("close", () => {
     if (isOver) return;
-    run?.leave();
+    control.leave();
     finish({ end: "left" });
   });
 
@@ -144,15 +146,5 @@
     onFailed: (failure) => fail({ kind: "stream_failed", failure }),
   };
 
-  return {
-    sink,
-    attach: (started) => {
-      run = started;
-    },
-    sendAway: () => {
-      if (isOver) return;
-      run?.leave();
-      fail({ kind: "resume_elsewhere" });
-    },
-  };
+  return { sink, attach: control.attach, sendAway: control.sendAway };
 };
--- a/packages/entry/src/wholeAnswer.ts
+++ b/packages/entry/src/wholeAnswer.ts
@@ -1,7 +1,8 @@
 /** Collects a generation and sends it to its caller whole. */
 import type { ServerResponse } from "node:http";
 import { sendJson } from "@stairgauge/http";
-import type { AnswerSink, RunHandle } from "@stairgauge/relay";
+import type { AnswerSink } from "@stairgauge/relay";
+import { createAnswerControl } from "./answerControl.js";
 import { createAnswerFormat } from "./answerFormat.js";
 import { describeFailure, sendFailure, type ApiFailure } from "./apiError.js";
 import type { GenerationInterface } from "./parseGeneration.js";
@@ -21,7 +22,6 @@
 export const createWholeAnswer = (options: WholeAnswerOptions): Answer => {
   const { deps, response } = options;
   let texts: string[] = [];
-  let run: RunHandle | undefined;
   let isOver = false;
 
   const finish = (over: AnswerOver) => {
@@ -33,9 +33,10 @@
     sendFailure(response, failure, deps.metrics);
     finish({ end: "failed", outcome: describeFailure(failure).outcome });
   };
+  const control = createAnswerControl({ isOver: () => isOver, fail });
   response.on("close", () => {
     if (isOver) return;
-    run?.leave();
+    control.leave();
     finish({ end: "left" });
   });
 
@@ -58,15 +59,5 @@
     onFailed: (failure) => fail({ kind: "stream_failed", failure }),
   };
 
-  return {
-    sink,
-    attach: (started) => {
-      run = started;
-    },
-    sendAway: () => {
-      if (isOver) return;
-      run?.leave();
-      fail({ kind: "resume_elsewhere" });
-    },
-  };
+  return { sink, attach: control.attach, sendAway: control.sendAway };
 };
--- a/packages/membership/src/serverListWatcher.ts
+++ b/packages/membership/src/serverListWatcher.ts
@@ -1,5 +1,11 @@
 /** Watches the platform's lagging list of live and leaving servers. */
-import type { BackendServerName, Clock, Ms, Timer } from "@stairgauge/common";
+import {
+  createPoller,
+  type BackendServerName,
+  type Clock,
+  type Ms,
+  type Poller,
+} from "@stairgauge/common";
 import type { ListedServer, Platform, ReadFailure } from "@stairgauge/platform";
 
 /** What a watcher needs. */
@@ -13,11 +19,10 @@
 }>;
 
 /** A running watcher. */
-export type ServerListWatcher = Readonly<{
-  look: () => Promise<void>;
-  start: () => void;
-  stop: () => void;
-}>;
+export type ServerListWatcher = Poller &
+  Readonly<{
+    look: () => Promise<void>;
+  }>;
 
 const listLeaving = (servers: readonly ListedServer[]): ReadonlySet<BackendServerName> =>
   new Set(
@@ -32,8 +37,6 @@
 ): ServerListWatcher => {
   const { platform, clock } = options;
   let leaving: ReadonlySet<BackendServerName> = new Set();
-  let timer: Timer | undefined;
-  let isStopped = false;
 
   const look = async () => {
     const listed = await platform.boxes.read();
@@ -46,17 +49,6 @@
     for (const server of leaving) if (!now.has(server)) options.onMark(server, false);
     leaving = now;
   };
-  const poll = async () => {
-    await look();
-    if (!isStopped) timer = clock.setTimer(options.interval, () => void poll());
-  };
-
-  return {
-    look,
-    start: () => void poll(),
-    stop: () => {
-      isStopped = true;
-      timer?.cancel();
-    },
-  };
+  const poller = createPoller({ clock, interval: options.interval, look });
+  return { look, ...poller };
 };
--- a/packages/rollout/src/headWatcher.ts
+++ b/packages/rollout/src/headWatcher.ts
@@ -6,7 +6,14 @@
   type HeadFailure,
   type SignOffRules,
 } from "@stairgauge/bundle";
-import { Err, type Clock, type Ms, type Result, type Timer } from "@stairgauge/common";
+import {
+  createPoller,
+  Err,
+  type Clock,
+  type Ms,
+  type Poller,
+  type Result,
+} from "@stairgauge/common";
 import type { Platform, ReadFailure } from "@stairgauge/platform";
 import { decodeHead, HEAD_ROW, toObjectName } from "./headRecord.js";
 
@@ -29,19 +36,16 @@
 }>;
 
 /** A running watcher. */
-export type HeadWatcher = Readonly<{
-  /** Looks once; true where a new bundle came into force. */
-  look: () => Promise<boolean>;
-  start: () => void;
-  stop: () => void;
-}>;
+export type HeadWatcher = Poller &
+  Readonly<{
+    /** Looks once; true where a new bundle came into force. */
+    look: () => Promise<boolean>;
+  }>;
 
 /** Creates a watcher that holds no bundle yet. */
 export const createHeadWatcher = (options: HeadWatcherOptions): HeadWatcher => {
   const { platform, rules, clock } = options;
   let version = 0;
-  let timer: Timer | undefined;
-  let isStopped = false;
 
   const readContent = async (
     head: BundleHead,
@@ -76,17 +80,6 @@
     return true;
   };
 
-  const poll = async () => {
-    await look();
-    if (!isStopped) timer = clock.setTimer(options.interval, () => void poll());
-  };
-
-  return {
-    look,
-    start: () => void poll(),
-    stop: () => {
-      isStopped = true;
-      timer?.cancel();
-    },
-  };
+  const poller = createPoller({ clock, interval: options.interval, look });
+  return { look, ...poller };
 };
