test: a box killed mid-claim, the store down mid-stream, an engine's planned stop, over processes

Cause: these were proved only in process or on the virtual clock (docs/PROOFS.md listed them as missing). Change: four tests over separate processes and real sockets, waits driven by events.

--- a/apps/daemon/src/processes.test.ts
+++ b/apps/daemon/src/processes.test.ts
@@ -160,4 +160,86 @@
     expect((await readAnswer(20)).isWhole).toBe(true);
     expect(await readStatus(0)).toMatchObject({ isStopping: false });
   });
+
+  const sendContact = async (box: number, body: string) => {
+    const response = await request(
+      `${site.boxes[box]!.url}/services/annonces-api/contact`,
+      {
+        method: "POST",
+        headers: {
+          authorization: `Bearer ${EXAMPLE_KEY}`,
+          "idempotency-key": `key-${body}`,
+        },
+        body,
+      },
+    );
+    return { status: response.statusCode, text: await response.body.text() };
+  };
+  const readRuns = async (body: string) => {
+    const response = await request(`http://${site.services[0]!.address}/standin/v1/runs`);
+    const runs = (await response.body.json()) as Readonly<Record<string, number>>;
+    return runs[`contact ${body}`] ?? 0;
+  };
+  const setMode = (address: string, path: string, mode: object) =>
+    request(`http://${address}/standin/v1/${path}`, {
+      method: "PUT",
+      body: JSON.stringify(mode),
+    });
+
+  it("never runs again what a killed box had claimed and sent", async () => {
+    await startSite({ boxes: 2 });
+    await setMode(site.services[0]!.address, "fault", { kind: "hang" });
+    const cut = sendContact(0, "hello").catch(() => "cut" as const);
+    while ((await readRuns("hello")) === 0);
+    site.boxes[0]!.process.kill("SIGKILL");
+    expect(await cut).toBe("cut");
+    const again = await sendContact(1, "hello");
+    expect(again.status).toBe(409);
+    expect(again.text).toContain('"outcome":"unknown"');
+    expect(await readRuns("hello")).toBe(1);
+  });
+
+  it("refuses once-calls while the store is down, cuts no stream, and runs them when it is back", async () => {
+    await startSite();
+    const { address } = site.platform;
+    const view = await readAnswer(150, {
+      onToken: runAfter(5, async () => {
+        await setMode(address, "mode", { isDown: true });
+        const refused = await sendContact(0, "later");
+        expect(refused.status).toBe(503);
+        expect(refused.text).toContain('"outcome":"not_run"');
+        await setMode(address, "mode", { isDown: false });
+        expect(await readRuns("later")).toBe(0);
+        expect((await sendContact(0, "later")).status).toBe(200);
+      }),
+    });
+    expect(view.tokens).toEqual(renderWhole(view.generation, 150));
+    expect(view.isWhole).toBe(true);
+    expect(await readRuns("later")).toBe(1);
+  });
+
+  it("answers the first call the same when its claim's answer was lost", async () => {
+    await startSite();
+    await setMode(site.platform.address, "mode", { answersToLose: 1 });
+    const first = await sendContact(0, "settled");
+    expect(first.status).toBe(200);
+    expect(await readRuns("settled")).toBe(1);
+  });
+
+  it("moves no new work to an engine that stops as planned, and lets its streams end", async () => {
+    await startSite({ engines: 2 });
+    const stopped = site.engines[0]!;
+    const views = await Promise.all(
+      Array.from({ length: 6 }, (_, i) =>
+        readAnswer(120, {
+          onToken: runAfter(5, async () => {
+            if (i === 0) await setMode(stopped.address, "leaving", {});
+          }),
+        }),
+      ),
+    );
+    for (const view of views)
+      expect(view.tokens).toEqual(renderWhole(view.generation, 120));
+    for (let i = 0; i < 6; i += 1) expect((await readAnswer(5)).isWhole).toBe(true);
+  });
 });
