fix: no test's process outlives the test program that started it

Cause: a site whose start failed half way left its first processes running (seen when a bundle was refused). Change: the testkit ends what still runs when its program exits.

--- a/packages/testkit/src/spawnProcess.ts
+++ b/packages/testkit/src/spawnProcess.ts
@@ -1,5 +1,5 @@
 /** Starts a program of this repository as a process of its own. For tests and benchmarks only. */
-import { spawn } from "node:child_process";
+import { spawn, type ChildProcess } from "node:child_process";
 import { createInterface } from "node:readline";
 
 /** A started process. */
@@ -20,9 +20,16 @@
   reject: (error: Error) => void;
 }>;
 
+/** Processes that still run: none outlives the program that started it, even where that one fails. */
+const living = new Set<ChildProcess>();
+process.once("exit", () => {
+  for (const child of living) child.kill("SIGKILL");
+});
+
 /** Starts `node ARGS`. */
 export const spawnProcess = (args: readonly string[]): SpawnedProcess => {
   const child = spawn(process.execPath, [...args], { stdio: ["ignore", "pipe", "pipe"] });
+  living.add(child);
   const lines: string[] = [];
   let waiters: LineWaiter[] = [];
   let exit: { readonly code: number | null } | undefined;
@@ -41,6 +48,7 @@
   const exited = new Promise<number | null>((resolve) => {
     child.on("close", (code) => {
       exit = { code };
+      living.delete(child);
       const error = new Error(
         `node ${args.join(" ")} ended (${code}):\n${lines.join("\n")}`,
       );
