refactor: one look-up a request, one registration of service answers, errors described once

Cause: a read of the whole change. The server looked each route up twice (find, then lookup); streamed and once-only service answers kept the same registration apart; a failed answer was described up to three times; two sites of processes ended theirs by the same lines. Change: find-my-way's default route answers unknown requests; registerServiceAnswer; sendFailure returns what it described; destroyProcesses. Behaviour as before, and no test was touched.

--- a/packages/entry/src/apiError.ts
+++ b/packages/entry/src/apiError.ts
@@ -276,12 +276,12 @@
     ? {}
     : { "retry-after": String(Math.ceil(retryAfter / MS_PER_SECOND)) };
 
-/** Answers a failure and counts it. Does nothing once an answer has begun. */
+/** Answers a failure, unless an answer has begun, and counts it; returns what it describes. */
 export const sendFailure = (
   response: ServerResponse,
   failure: ApiFailure,
   metrics: Metrics,
-): void => {
+): ApiError => {
   const error = describeFailure(failure);
   metrics.refusals.inc({ code: error.code });
   const headers = renderErrorHeaders(error);
@@ -291,4 +291,5 @@
     ...headers,
     ...(isBodyUnread ? { connection: "close" } : {}),
   });
+  return error;
 };
--- a/packages/entry/src/runOnceService.ts
+++ b/packages/entry/src/runOnceService.ts
@@ -6,8 +6,9 @@
 import { callService, type ServiceCallRequest } from "./callService.js";
 import { MAX_ONCE_ANSWER_BYTES } from "./constants.js";
 import { sendKeptAnswer, toKeptAnswer } from "./keptAnswer.js";
+import { registerServiceAnswer } from "./registerServiceAnswer.js";
 import { copyHeaders } from "./serviceTarget.js";
-import type { EntryDeps, OpenAnswer } from "./types.js";
+import type { EntryDeps } from "./types.js";
 
 /** A call that may run once. */
 export type OnceServiceCall = Readonly<{
@@ -25,13 +26,7 @@
   { call, key, contentHash }: OnceServiceCall,
   response: ServerResponse,
 ): void => {
-  const answer: OpenAnswer = { sendAway: () => undefined };
-  deps.answers.add(answer);
-
-  const finish = (end: "whole" | "failed") => {
-    deps.answers.remove(answer);
-    deps.metrics.requests.inc({ interface: "service", end });
-  };
+  const { finish } = registerServiceAnswer(deps);
   const fail = (failure: ApiFailure) => {
     sendFailure(response, failure, deps.metrics);
     finish("failed");
--- a/packages/entry/src/streamServiceAnswer.ts
+++ b/packages/entry/src/streamServiceAnswer.ts
@@ -2,8 +2,9 @@
 import type { ServerResponse } from "node:http";
 import { sendFailure } from "./apiError.js";
 import { callService, type ServiceCallRequest } from "./callService.js";
+import { registerServiceAnswer } from "./registerServiceAnswer.js";
 import { copyHeaders } from "./serviceTarget.js";
-import type { EntryDeps, OpenAnswer } from "./types.js";
+import type { EntryDeps } from "./types.js";
 
 /** Calls the service and streams the answer to the caller. */
 export const streamServiceAnswer = (
@@ -11,16 +12,7 @@
   call: ServiceCallRequest,
   response: ServerResponse,
 ): void => {
-  const answer: OpenAnswer = { sendAway: () => undefined };
-  let isOver = false;
-  const finish = (end: "whole" | "failed" | "left") => {
-    if (isOver) return;
-    isOver = true;
-    deps.answers.remove(answer);
-    deps.metrics.requests.inc({ interface: "service", end });
-  };
-
-  deps.answers.add(answer);
+  const { finish, isOver } = registerServiceAnswer(deps);
   const exchange = callService(deps, call, {
     onHead: (status, headers) =>
       response.writeHead(status, { ...copyHeaders(headers) } as never),
@@ -38,7 +30,7 @@
   });
   response.on("drain", exchange.resume);
   response.on("close", () => {
-    if (isOver) return;
+    if (isOver()) return;
     exchange.close();
     finish("left");
   });
--- a/packages/entry/src/streamedAnswer.ts
+++ b/packages/entry/src/streamedAnswer.ts
@@ -9,6 +9,7 @@
   describeFailure,
   renderErrorBody,
   sendFailure,
+  type ApiError,
   type ApiFailure,
 } from "./apiError.js";
 import {
@@ -94,16 +95,19 @@
     return open;
   };
 
+  /** Makes the failure the stream's last event. */
+  const endWithError = (failure: ApiFailure): ApiError => {
+    const error = describeFailure(failure);
+    metrics.refusals.inc({ code: error.code });
+    response.end(`data: ${JSON.stringify(renderErrorBody(error))}\n\n`);
+    return error;
+  };
   const fail = (failure: ApiFailure) => {
     if (isOver) return;
-    if (!response.headersSent) {
-      sendFailure(response, failure, metrics);
-    } else {
-      const error = describeFailure(failure);
-      metrics.refusals.inc({ code: error.code });
-      response.end(`data: ${JSON.stringify(renderErrorBody(error))}\n\n`);
-    }
-    finish({ end: "failed", outcome: describeFailure(failure).outcome });
+    const { outcome } = response.headersSent
+      ? endWithError(failure)
+      : sendFailure(response, failure, metrics);
+    finish({ end: "failed", outcome });
   };
 
   const control = createAnswerControl({ isOver: () => isOver, fail });
--- a/packages/entry/src/wholeAnswer.ts
+++ b/packages/entry/src/wholeAnswer.ts
@@ -4,7 +4,7 @@
 import type { AnswerSink } from "@stairgauge/relay";
 import { createAnswerControl } from "./answerControl.js";
 import { createAnswerFormat } from "./answerFormat.js";
-import { describeFailure, sendFailure, type ApiFailure } from "./apiError.js";
+import { sendFailure, type ApiFailure } from "./apiError.js";
 import type { GenerationInterface } from "./parseGeneration.js";
 import type { Answer, AnswerOver, EntryDeps } from "./types.js";
 
@@ -30,8 +30,8 @@
   };
   const fail = (failure: ApiFailure) => {
     if (isOver) return;
-    sendFailure(response, failure, deps.metrics);
-    finish({ end: "failed", outcome: describeFailure(failure).outcome });
+    const { outcome } = sendFailure(response, failure, deps.metrics);
+    finish({ end: "failed", outcome });
   };
   const control = createAnswerControl({ isOver: () => isOver, fail });
   response.on("close", () => {
--- a/packages/http/src/httpServer.ts
+++ b/packages/http/src/httpServer.ts
@@ -67,8 +67,6 @@
   ERR_HTTP_REQUEST_TIMEOUT: "too_slow",
 };
 
-const ALLOWED_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"] as const;
-
 /** Sends a JSON answer. */
 export const sendJson = (
   response: ServerResponse,
@@ -97,7 +95,14 @@
 };
 
 const buildRouter = (options: HttpServerOptions) => {
-  const router = findMyWay({ ignoreTrailingSlash: true, maxParamLength: 500 });
+  const router = findMyWay({
+    ignoreTrailingSlash: true,
+    maxParamLength: 500,
+    defaultRoute: (request, response) => {
+      const query = new URLSearchParams();
+      options.handleUnknown({ request, response, params: {}, query });
+    },
+  });
   for (const route of options.routes) {
     router.on(route.method, route.path, (request, response, params, _store, query) => {
       const exchange: HttpExchange = {
@@ -134,15 +139,7 @@
   };
   const handleRequest = (request: IncomingMessage, response: ServerResponse) => {
     response.on("close", closeIfIdle);
-    const method = ALLOWED_METHODS.find((one) => one === request.method);
-    const found =
-      method && router.find(method, (request.url ?? "/").split("?")[0] ?? "/");
-    if (found) {
-      router.lookup(request, response);
-      return;
-    }
-    const query = new URLSearchParams();
-    options.handleUnknown({ request, response, params: {}, query });
+    router.lookup(request, response);
   };
   const bounds = {
     maxHeaderSize: MAX_HEADER_BYTES,
--- a/packages/testkit/src/processSite.ts
+++ b/packages/testkit/src/processSite.ts
@@ -93,6 +93,12 @@
   });
 };
 
+const destroyProcesses = async (processes: readonly SpawnedProcess[], folder: string) => {
+  for (const process of processes) process.kill("SIGKILL");
+  await Promise.all(processes.map((process) => process.waitForExit()));
+  rmSync(folder, { recursive: true, force: true });
+};
+
 /** Starts all processes of a site and waits until its boxes serve. */
 export const createProcessSite = async (
   options: ProcessSiteOptions,
@@ -138,11 +144,7 @@
     services,
     platform,
     boxes,
-    destroy: async () => {
-      for (const process of processes) process.kill("SIGKILL");
-      await Promise.all(processes.map((process) => process.waitForExit()));
-      rmSync(folder, { recursive: true, force: true });
-    },
+    destroy: () => destroyProcesses(processes, folder),
   };
 };
 
@@ -164,10 +166,6 @@
   const processes = [service.process, platform.process, box.process];
   return {
     ...box,
-    destroy: async () => {
-      for (const process of processes) process.kill("SIGKILL");
-      await Promise.all(processes.map((process) => process.waitForExit()));
-      rmSync(folder, { recursive: true, force: true });
-    },
+    destroy: () => destroyProcesses(processes, folder),
   };
 };
