--- /dev/null
+++ b/apps/box/src/createBox.ts
@@ -0,0 +1,244 @@
+/** Wires one box together. */
+import { createServer, type Server } from "node:http";
+import {
+  createSystemRandom,
+  type Clock,
+  type DataHallName,
+  type Ms,
+} from "@stairgauge/common";
+import { createServerDirectory, type BackendServer } from "@stairgauge/directory";
+import {
+  createConfigurationSink,
+  createPlacer,
+  createReportPoller,
+  createServerSink,
+} from "@stairgauge/fleet";
+import {
+  createActiveRuns,
+  createClientServer,
+  createForwarder,
+  createRetryBudget,
+} from "@stairgauge/forwarding";
+import { createRunMover } from "@stairgauge/migration";
+import { createLoadBook } from "@stairgauge/placement";
+import {
+  CONFIGURATION_KEY,
+  createEngineActions,
+  createHeadCodec,
+  createStoreReader,
+  decodeConfiguration,
+  decodeServerEntry,
+  READY_PATH,
+  TABLE,
+} from "@stairgauge/platform";
+import { createConfigurationKeeper } from "@stairgauge/routing";
+import type { BoxSettings } from "@stairgauge/settings";
+import { createRevisionMark, createTableFollower } from "@stairgauge/storefeed";
+import { createBoxMetrics, type DecisionLog } from "@stairgauge/telemetry";
+import {
+  observeConfiguration,
+  observeForwarding,
+  observeMoves,
+  observeServers,
+} from "./observers.js";
+import { stopInOrder } from "./stopInOrder.js";
+
+/** A box that can be started and stopped. */
+export type Box = Readonly<{
+  start: () => Promise<void>;
+  /** Takes itself out, serves what it has, and resolves when the process may end. */
+  stop: () => Promise<void>;
+  applySettings: (settings: BoxSettings) => void;
+}>;
+
+/** What a box is made of. */
+export type BoxOptions = Readonly<{
+  settings: BoxSettings;
+  clock: Clock;
+  log: DecisionLog;
+}>;
+
+/** Keys are refused this long before the bound, so that a slow turn of the loop breaks nothing. */
+const KEY_MARGIN_MS = 300;
+/** How long a server that left is remembered, for runs that are still being moved from it. */
+const LEFT_MEMORY_MS = 30_000 as Ms;
+
+const splitAddress = (text: string) => {
+  const at = text.lastIndexOf(":");
+  return { host: text.slice(0, at), port: Number(text.slice(at + 1)) };
+};
+
+const listen = (server: Server, address: string) =>
+  new Promise<void>((resolve, reject) => {
+    const { host, port } = splitAddress(address);
+    server.once("error", reject);
+    server.listen({ host, port }, resolve);
+  });
+
+/** Creates a box from its settings. */
+export const createBox = ({ settings: first, clock, log }: BoxOptions): Box => {
+  let settings = first;
+  let isStopping = false;
+  const random = createSystemRandom();
+  const metrics = createBoxMetrics();
+  const keeper = createConfigurationKeeper({
+    denyWithin: settings.bounds.configurationMs as Ms,
+    acceptWithin: (settings.bounds.keyRemovalMs - KEY_MARGIN_MS) as Ms,
+  });
+  const book = createLoadBook();
+  const runs = createActiveRuns();
+  const actions = createEngineActions();
+  const reader = createStoreReader(settings.store.address);
+
+  const directory = createServerDirectory({
+    memory: LEFT_MEMORY_MS,
+    onEvent: (event) => {
+      observeServers({ log, metrics }, directory, event);
+      const { server } = event;
+      if (event.kind === "joined") reports.add(server);
+      if (event.kind === "leaving") mover.onServerLeaving(server);
+      if (event.kind === "forgotten") book.drop(server.entry.id);
+    },
+  });
+  const isEngineService: (service: BackendServer["entry"]["service"]) => boolean = (
+    service,
+  ) => keeper.getIndex()?.findService(service)?.engine !== undefined;
+  const reports = createReportPoller({
+    clock,
+    random,
+    directory,
+    book,
+    actions,
+    interval: settings.engines.reportIntervalMs as Ms,
+    limit: settings.engines.reportLimitMs as Ms,
+    isEngineService,
+    onReport: (server, report) => {
+      if (report.isLeaving) directory.mark(server.entry.id, "report", clock.monotonic());
+    },
+  });
+  const placer = createPlacer({
+    clock,
+    random,
+    ownHall: settings.dataHall as DataHallName,
+    directory,
+    book,
+    onClosingAnnounced: (server) => {
+      if (!server.leaving && isEngineService(server.entry.service))
+        void reports.ask(server);
+    },
+  });
+  const mover = createRunMover({
+    clock,
+    actions,
+    listTargets: placer.listTargets,
+    listRunsAt: (server) => runs.listAt(server.entry.id),
+    reserve: placer.reserve,
+    onDecision: observeMoves({ log, metrics }),
+  });
+  const budget = createRetryBudget(() => ({
+    ratio: settings.retries.ratio,
+    slack: settings.retries.slack / settings.retries.boxes,
+    window: (settings.retries.windowSeconds * 1000) as Ms,
+  }));
+  const forwarder = createForwarder({
+    clock,
+    random,
+    codec: createHeadCodec(),
+    configuration: keeper,
+    placer,
+    budget,
+    runs,
+    runKeeper: mover,
+    observer: observeForwarding({ log, metrics, keeper, clock }),
+    retryAfter: settings.clients.retryAfterMs as Ms,
+    connectLimit: settings.clients.connectLimitMs as Ms,
+  });
+  const clientServer = createClientServer({
+    handle: forwarder.handle,
+    onClientFault: (code) => log.writeDecision("client_fault", { code }),
+  });
+
+  const revisions = createRevisionMark();
+  const shared = {
+    reader,
+    clock,
+    random,
+    patience: settings.store.patienceMs as Ms,
+    retryPause: {
+      first: settings.store.firstPauseMs as Ms,
+      most: settings.store.mostPauseMs as Ms,
+    },
+    revisions,
+  };
+  const serverFollower = createTableFollower({
+    ...shared,
+    table: TABLE.servers,
+    wait: settings.store.serversWaitMs as Ms,
+    sink: createServerSink({
+      clock,
+      directory,
+      decode: decodeServerEntry,
+      onEvent: (event) => log.writeWarning("server_list", event),
+    }),
+  });
+  const configurationFollower = createTableFollower({
+    ...shared,
+    table: TABLE.operator,
+    wait: settings.store.configurationWaitMs as Ms,
+    sink: createConfigurationSink({
+      key: CONFIGURATION_KEY,
+      keeper,
+      decode: decodeConfiguration,
+      onEvent: (event) => {
+        observeConfiguration({ log, metrics }, event);
+        if (event.kind === "adopted")
+          clientServer.applyLimits(event.configuration.limits);
+        // A store that is lost for one table is lost for both: the longer call would notice late.
+        if (event.kind === "store_lost") serverFollower.reread();
+      },
+    }),
+  });
+
+  const isReady = () => {
+    const standing = keeper.getStanding(clock.monotonic());
+    return !isStopping && (standing === "current" || standing === "ageing");
+  };
+  const readyServer = createServer((incoming, response) => {
+    const isAsked = incoming.url === READY_PATH;
+    response.writeHead(isAsked ? (isReady() ? 200 : 503) : 404, ["Content-Length", "0"]);
+    response.end();
+  });
+  const metricsServer = createServer((_incoming, response) => {
+    void metrics.registry.metrics().then((text) => {
+      response.writeHead(200, ["Content-Type", metrics.registry.contentType]);
+      response.end(text);
+    });
+  });
+
+  return {
+    start: async () => {
+      configurationFollower.start();
+      serverFollower.start();
+      const clients = splitAddress(settings.listen.clients);
+      await clientServer.listen(clients.host, clients.port);
+      await listen(readyServer, settings.listen.ready);
+      await listen(metricsServer, settings.listen.metrics);
+      log.writeNotice("started", { listen: settings.listen });
+    },
+    stop: async () => {
+      if (isStopping) return;
+      isStopping = true;
+      forwarder.announceStop();
+      log.writeNotice("stopping", { open: forwarder.countOpen(), runs: runs.count() });
+      await stopInOrder({
+        clock,
+        countOpen: forwarder.countOpen,
+        grace: (settings.bounds.stopSeconds * 1000) as Ms,
+      });
+      log.writeNotice("stopped", { open: forwarder.countOpen() });
+    },
+    applySettings: (changed) => {
+      settings = changed;
+    },
+  };
+};
--- /dev/null
+++ b/apps/box/src/main.ts
@@ -0,0 +1,72 @@
+/** `stairgauged` on a platform that keeps configuration and server list: one box, alike everywhere. */
+import { readFileSync } from "node:fs";
+import { createSystemClock } from "@stairgauge/common";
+import {
+  formatSettingsFailure,
+  parseBoxSettings,
+  type BoxSettings,
+} from "@stairgauge/settings";
+import { createDecisionLog } from "@stairgauge/telemetry";
+import { createBox } from "./createBox.js";
+import { watchSettings } from "./watchSettings.js";
+
+/** Names the settings file when the command line does not. */
+const SETTINGS_VARIABLE = "STAIRGAUGE_BOOT";
+const DEFAULT_PATH = "/etc/stairgauge/settings.conf";
+const EXIT_USAGE = 2;
+const EXIT_FAILED = 1;
+
+const exitWith = (code: number, message: string): never => {
+  process.stderr.write(`stairgauged: ${message}\n`);
+  process.exit(code);
+};
+
+const findPath = (): string => {
+  const at = process.argv.indexOf("--settings");
+  const named = at < 0 ? undefined : process.argv[at + 1];
+  return named ?? process.env[SETTINGS_VARIABLE] ?? DEFAULT_PATH;
+};
+
+const readSettings = (path: string): BoxSettings => {
+  let text: string;
+  try {
+    text = readFileSync(path, "utf8");
+  } catch (error) {
+    return exitWith(EXIT_USAGE, error instanceof Error ? error.message : "unreadable");
+  }
+  const parsed = parseBoxSettings(text);
+  if (parsed.ok) return parsed.val;
+  return exitWith(EXIT_USAGE, `settings ${path}\n${formatSettingsFailure(parsed.val)}`);
+};
+
+const path = findPath();
+const settings = readSettings(path);
+const clock = createSystemClock();
+const log = createDecisionLog({
+  level: settings.log.level,
+  clock,
+  linesPerSecond: settings.log.linesPerSecond,
+  base: { box: settings.box },
+});
+const box = createBox({ settings, clock, log });
+const endProcess = (code: number) => {
+  log.flush();
+  process.exit(code);
+};
+
+process.on("SIGTERM", () => void box.stop().then(() => endProcess(0)));
+process.on("SIGINT", () => void box.stop().then(() => endProcess(0)));
+watchSettings({ path, clock, log, onChanged: box.applySettings });
+process.on("uncaughtException", (error) => {
+  log.writeWarning("unexpected_error", { error: error.stack ?? error.message });
+});
+process.on("unhandledRejection", (error) => {
+  log.writeWarning("unexpected_error", { error: String(error) });
+});
+
+try {
+  await box.start();
+} catch (error) {
+  log.flush();
+  exitWith(EXIT_FAILED, error instanceof Error ? error.message : "cannot listen");
+}
--- /dev/null
+++ b/apps/box/src/observers.ts
@@ -0,0 +1,97 @@
+/** Log lines and metrics of what a box decides and believes. */
+import type { Clock } from "@stairgauge/common";
+import type { DirectoryEvent, ServerDirectory } from "@stairgauge/directory";
+import type { ConfigurationEvent } from "@stairgauge/fleet";
+import type { ForwardDecision, ForwardObserver } from "@stairgauge/forwarding";
+import type { RunMoverDeps } from "@stairgauge/migration";
+import type { ConfigurationKeeper } from "@stairgauge/routing";
+import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
+
+type Sinks = Readonly<{ log: DecisionLog; metrics: BoxMetrics }>;
+
+const MS_PER_S = 1000;
+
+const ENDS: ReadonlySet<ForwardDecision["kind"]> = new Set([
+  "refused",
+  "answered",
+  "stream_ended",
+  "stream_lost",
+  "client_left",
+]);
+
+/** Observes decisions about requests. */
+export const observeForwarding = (
+  options: Sinks & Readonly<{ keeper: ConfigurationKeeper; clock: Clock }>,
+): ForwardObserver => {
+  const { log, metrics, keeper, clock } = options;
+  return {
+    onDecision: (head, decision, sinceReceived) => {
+      const { kind, ...inputs } = decision;
+      metrics.decisions.inc({ kind });
+      if (ENDS.has(kind))
+        metrics.answerSeconds.observe({ end: kind }, sinceReceived / MS_PER_S);
+      log.writeDecision(kind, {
+        request: head.id,
+        afterMs: Math.round(sinceReceived),
+        version: keeper.getIndex()?.configuration.version,
+        versionAgeMs: Math.round(keeper.getAge(clock.monotonic())),
+        ...inputs,
+      });
+    },
+  };
+};
+
+/** Observes moves of runs. */
+export const observeMoves =
+  ({ log, metrics }: Sinks): RunMoverDeps["onDecision"] =>
+  (run, decision) => {
+    const { kind, ...inputs } = decision;
+    metrics.moves.inc({ kind });
+    log.writeDecision(kind, { request: run.id, events: run.getEventsMade(), ...inputs });
+  };
+
+/** Observes the list of servers. */
+export const observeServers = (
+  { log, metrics }: Sinks,
+  directory: ServerDirectory,
+  event: DirectoryEvent,
+): void => {
+  const { entry, leaving } = event.server;
+  metrics.knownServers.set(directory.list().filter((server) => !server.leaving).length);
+  log.writeDecision(`server_${event.kind}`, {
+    server: entry.id,
+    service: entry.service,
+    address: `${entry.address.host}:${entry.address.port}`,
+    hall: entry.dataHall,
+    reason: leaving?.reason,
+  });
+};
+
+/** Observes the configuration in force. */
+export const observeConfiguration = (
+  { log, metrics }: Sinks,
+  event: ConfigurationEvent,
+): void => {
+  switch (event.kind) {
+    case "adopted": {
+      const { version, routes, workspaces } = event.configuration;
+      metrics.configurationVersion.set(version);
+      log.writeNotice("configuration_adopted", {
+        version,
+        routes: routes.length,
+        workspaces: workspaces?.length,
+      });
+      return;
+    }
+    case "store_lost":
+      metrics.storeFailures.inc({ table: "configuration", kind: event.failure.kind });
+      log.writeWarning("store_lost", { failure: event.failure });
+      return;
+    case "store_regained":
+      log.writeNotice("store_regained", {});
+      return;
+    case "older_ignored":
+    case "unreadable":
+      log.writeWarning(`configuration_${event.kind}`, event);
+  }
+};
--- /dev/null
+++ b/apps/box/src/stopInOrder.ts
@@ -0,0 +1,25 @@
+/** Waits until a stopping box has served what it took, or its time is over. */
+import type { Clock, Ms } from "@stairgauge/common";
+
+/** Until then clients may still be sent here: two questions a second apart, and the way. */
+const STILL_FOUND_MS = 3_500;
+/** The end comes this long before the process would be killed. */
+const END_MARGIN_MS = 250;
+const LOOK_INTERVAL_MS = 100 as Ms;
+
+/** Resolves when nothing is open any more, or shortly before `grace` ends. */
+export const stopInOrder = (
+  options: Readonly<{ clock: Clock; countOpen: () => number; grace: Ms }>,
+): Promise<void> => {
+  const { clock, countOpen, grace } = options;
+  const begunAt = clock.monotonic();
+  return new Promise((resolve) => {
+    const look = () => {
+      const passed = clock.monotonic() - begunAt;
+      const isServed = passed >= STILL_FOUND_MS && countOpen() === 0;
+      if (isServed || passed >= grace - END_MARGIN_MS) resolve();
+      else clock.setTimer(LOOK_INTERVAL_MS, look);
+    };
+    look();
+  });
+};
--- a/apps/cli/src/openSite.ts
+++ b/apps/cli/src/openSite.ts
@@ -7,7 +7,7 @@
   Ok,
   type Result,
 } from "@stairgauge/common";
-import { createHttpPlatform } from "@stairgauge/platform";
+import { createHttpPlatform } from "@stairgauge/stores";
 import { createOperatorFlows, type OperatorFlows } from "@stairgauge/rollout";
 import {
   formatSettingsFailure,
--- a/apps/daemon/src/createDaemon.ts
+++ b/apps/daemon/src/createDaemon.ts
@@ -12,7 +12,7 @@
 import { createAnswerRegistry, createEntryServer } from "@stairgauge/entry";
 import type { TlsIdentity } from "@stairgauge/http";
 import { createServerListWatcher } from "@stairgauge/membership";
-import { createHttpPlatform } from "@stairgauge/platform";
+import { createHttpPlatform } from "@stairgauge/stores";
 import { createRelay } from "@stairgauge/relay";
 import { createHeadWatcher, type WatchFailure } from "@stairgauge/rollout";
 import { createHttpServiceClient } from "@stairgauge/services";
--- a/packages/claims/src/claimRecord.ts
+++ b/packages/claims/src/claimRecord.ts
@@ -2,7 +2,7 @@
 import { z } from "zod";
 import type { WorkspaceName } from "@stairgauge/common";
 import type { Claim, FoundClaim } from "@stairgauge/outcomes";
-import type { Row, RowKey } from "@stairgauge/platform";
+import type { Row, RowKey } from "@stairgauge/stores";
 
 const TABLE = "claims";
 
--- a/packages/claims/src/onceGuard.ts
+++ b/packages/claims/src/onceGuard.ts
@@ -9,7 +9,7 @@
   type OnceRefusal,
   type Outcome,
 } from "@stairgauge/outcomes";
-import type { TableService, WriteFailure } from "@stairgauge/platform";
+import type { TableService, WriteFailure } from "@stairgauge/stores";
 import { decodeClaim, encodeClaim, toClaimRow, type OnceKey } from "./claimRecord.js";
 import type { WriteBatcher } from "./writeBatcher.js";
 
--- a/packages/claims/src/writeBatcher.ts
+++ b/packages/claims/src/writeBatcher.ts
@@ -1,6 +1,6 @@
 /** Gathers conditional writes into batches within a budget of calls a second. */
 import type { Clock, Ms, Result } from "@stairgauge/common";
-import type { Row, RowWrite, TableService, WriteFailure } from "@stairgauge/platform";
+import type { Row, RowWrite, TableService, WriteFailure } from "@stairgauge/stores";
 
 const MS_PER_SECOND = 1_000;
 const MAX_BATCH = 200;
--- /dev/null
+++ b/packages/directory/src/index.ts
@@ -0,0 +1,8 @@
+/** Backend servers: their entries, and which of them get new work. */
+export type * from "./types.js";
+export { createServerDirectory } from "./serverDirectory.js";
+export type {
+  DirectoryEvent,
+  DirectoryOptions,
+  ServerDirectory,
+} from "./serverDirectory.js";
--- /dev/null
+++ b/packages/directory/src/serverDirectory.ts
@@ -0,0 +1,81 @@
+/** The list of backend servers, changed through entries and marks only. */
+import type { Ms, ServiceName } from "@stairgauge/common";
+import type { BackendServer, LeavingReason, ServerEntry, ServerId } from "./types.js";
+
+/** A change that others act on. */
+export type DirectoryEvent = Readonly<
+  | { kind: "joined"; server: BackendServer }
+  | { kind: "leaving"; server: BackendServer }
+  | { kind: "forgotten"; server: BackendServer }
+>;
+
+/** What a directory is given. */
+export type DirectoryOptions = Readonly<{
+  /** How long a leaving server is remembered, so that its runs can still be moved. */
+  memory: Ms;
+  onEvent: (event: DirectoryEvent) => void;
+}>;
+
+/** The servers that a box knows. */
+export type ServerDirectory = Readonly<{
+  /** Takes one server's entry. */
+  put: (entry: ServerEntry, now: Ms) => void;
+  /** Takes the whole list: servers that it lacks are gone. */
+  replaceAll: (entries: readonly ServerEntry[], now: Ms) => void;
+  /** Marks a server that gets no new work; a mark is never taken back. */
+  mark: (id: ServerId, reason: LeavingReason, now: Ms) => void;
+  find: (id: ServerId) => BackendServer | undefined;
+  /** Servers of a service that may get new work. */
+  listReady: (service: ServiceName) => readonly BackendServer[];
+  list: () => readonly BackendServer[];
+  /** Forgets servers that left long ago. */
+  dropForgotten: (now: Ms) => void;
+}>;
+
+/** Creates an empty directory. */
+export const createServerDirectory = (options: DirectoryOptions): ServerDirectory => {
+  const { memory, onEvent } = options;
+  const servers = new Map<ServerId, BackendServer>();
+
+  const mark = (id: ServerId, reason: LeavingReason, now: Ms) => {
+    const server = servers.get(id);
+    if (!server || server.leaving) return;
+    const marked = { ...server, leaving: { reason, since: now } };
+    servers.set(id, marked);
+    onEvent({ kind: "leaving", server: marked });
+  };
+
+  const put = (entry: ServerEntry, now: Ms) => {
+    const known = servers.get(entry.id);
+    // An entry that came back after an outage of the store lives on under the same identity.
+    const hasReturned = known?.leaving?.reason === "entry_gone";
+    const leaving = hasReturned ? undefined : known?.leaving;
+    const server: BackendServer = { entry, leaving };
+    servers.set(entry.id, server);
+    if (!known || hasReturned) onEvent({ kind: "joined", server });
+    if (entry.isLeaving) mark(entry.id, "entry_says_leaving", now);
+  };
+
+  return {
+    put,
+    replaceAll: (entries, now) => {
+      const listed = new Set(entries.map((entry) => entry.id));
+      for (const id of servers.keys()) if (!listed.has(id)) mark(id, "entry_gone", now);
+      for (const entry of entries) put(entry, now);
+    },
+    mark,
+    find: (id) => servers.get(id),
+    listReady: (service) =>
+      [...servers.values()].filter(
+        (server) => server.entry.service === service && !server.leaving,
+      ),
+    list: () => [...servers.values()],
+    dropForgotten: (now) => {
+      for (const [id, server] of servers) {
+        if (!server.leaving || now - server.leaving.since <= memory) continue;
+        servers.delete(id);
+        onEvent({ kind: "forgotten", server });
+      }
+    },
+  };
+};
--- /dev/null
+++ b/packages/fleet/src/followConfiguration.ts
@@ -0,0 +1,82 @@
+/** Keeps the configuration in force by following the operators' table. */
+import type { Ms, Result } from "@stairgauge/common";
+import type { ConfigurationKeeper, FleetConfiguration } from "@stairgauge/routing";
+import type {
+  FollowerSink,
+  RowChange,
+  StoredRow,
+  StoreFailure,
+} from "@stairgauge/storefeed";
+
+/** What is told while following. */
+export type ConfigurationEvent = Readonly<
+  | { kind: "adopted"; configuration: FleetConfiguration }
+  | { kind: "older_ignored"; version: number; inForce: number }
+  | { kind: "unreadable"; failure: unknown }
+  | { kind: "store_lost"; failure: StoreFailure }
+  | { kind: "store_regained" }
+>;
+
+/** What following needs. */
+export type ConfigurationSinkOptions = Readonly<{
+  /** Key of the row that holds the newest configuration. */
+  key: string;
+  keeper: ConfigurationKeeper;
+  decode: (value: Buffer) => Result<FleetConfiguration, unknown>;
+  onEvent: (event: ConfigurationEvent) => void;
+}>;
+
+/** Creates the sink for a follower of the operators' table. */
+export const createConfigurationSink = (
+  options: ConfigurationSinkOptions,
+): FollowerSink => {
+  const { key, keeper, decode, onEvent } = options;
+
+  const adopt = (row: StoredRow, asOf: Ms) => {
+    const decoded = decode(row.value);
+    if (decoded.err) {
+      onEvent({ kind: "unreadable", failure: decoded.val });
+      return;
+    }
+    const configuration = decoded.val;
+    const outcome = keeper.adopt(configuration, asOf);
+    switch (outcome.kind) {
+      case "adopted":
+        onEvent({ kind: "adopted", configuration });
+        return;
+      case "older":
+        onEvent({
+          kind: "older_ignored",
+          version: outcome.version,
+          inForce: outcome.inForce,
+        });
+        return;
+      case "known":
+        return;
+    }
+  };
+
+  const findRow = (changes: readonly RowChange[]): StoredRow | undefined => {
+    const puts = changes.filter(
+      (change) => change.kind === "put" && change.row.key === key,
+    );
+    const last = puts.at(-1);
+    return last?.kind === "put" ? last.row : undefined;
+  };
+
+  return {
+    onWhole: (rows, asOf) => {
+      const row = rows.find((candidate) => candidate.key === key);
+      if (row) adopt(row, asOf);
+    },
+    onChanges: (changes, asOf) => {
+      const row = findRow(changes);
+      if (row) adopt(row, asOf);
+      else keeper.confirm(asOf);
+    },
+    onFailure: (failure, failuresInARow) => {
+      if (failuresInARow === 1) onEvent({ kind: "store_lost", failure });
+    },
+    onRegained: () => onEvent({ kind: "store_regained" }),
+  };
+};
--- /dev/null
+++ b/packages/fleet/src/index.ts
@@ -0,0 +1,9 @@
+/** What one box knows of the fleet: configuration, servers and their load, each kept by following its source. */
+export { createConfigurationSink } from "./followConfiguration.js";
+export type { ConfigurationEvent } from "./followConfiguration.js";
+export { createServerSink } from "./followServers.js";
+export type { ServerListEvent } from "./followServers.js";
+export { createPlacer } from "./createPlacer.js";
+export type { FleetPlacer, PlacerOptions } from "./createPlacer.js";
+export { createReportPoller } from "./pollReports.js";
+export type { ReportPoller, ReportPollerOptions } from "./pollReports.js";
--- /dev/null
+++ b/packages/forwarding/src/createForwarder.ts
@@ -0,0 +1,147 @@
+/** Takes clients' requests: reads them, lets them in or refuses them at once, and dispatches them. */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Ms, ServiceName } from "@stairgauge/common";
+import {
+  computeTimeLimit,
+  decideAccess,
+  type AccessRefusal,
+  type Route,
+} from "@stairgauge/routing";
+import { createClientAnswer, type ClientAnswer } from "./clientAnswer.js";
+import { dispatchCall, type DispatchedCall } from "./dispatchCall.js";
+import type { ForwarderDeps } from "./forwarderTypes.js";
+import { readRequestBody } from "./readRequestBody.js";
+import type { RequestHead } from "./types.js";
+
+/** Bound on a body while no configuration is known. */
+const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
+
+/** Bound on the bodies that are held at once; beyond it requests are refused, not run. */
+const MOST_HELD_BYTES = 32 * 1024 * 1024;
+
+const STATUS_OF_REFUSAL: Readonly<Record<AccessRefusal, number>> = {
+  no_configuration: 503,
+  knowledge_too_old: 503,
+  no_such_route: 404,
+  key_missing: 401,
+  key_unknown: 401,
+};
+
+/** Handles the requests of one box. */
+export type Forwarder = Readonly<{
+  handle: (incoming: IncomingMessage, response: ServerResponse) => void;
+  /** Every further answer is the last of its connection. */
+  announceStop: () => void;
+  countOpen: () => number;
+}>;
+
+/** Creates the forwarder. */
+export const createForwarder = (deps: ForwarderDeps): Forwarder => {
+  const { clock, codec, configuration, random, observer } = deps;
+  let isStopping = false;
+  let open = 0;
+  let heldBytes = 0;
+
+  const pickService = (route: Route): ServiceName => {
+    const total = route.shares.reduce((sum, share) => sum + share.weight, 0);
+    let point = random.nextFloat() * total;
+    for (const share of route.shares) {
+      point -= share.weight;
+      if (point < 0) return share.service;
+    }
+    return route.shares.at(-1)!.service;
+  };
+
+  const refuse = (
+    context: Readonly<{ head: RequestHead; answer: ClientAnswer; receivedAt: Ms }>,
+    refusal: Readonly<{ status: number; reason: string; isLast: boolean }>,
+  ) => {
+    const { head, answer, receivedAt } = context;
+    const { status, reason, isLast } = refusal;
+    const retryAfter = status === 503 ? deps.retryAfter : undefined;
+    const since = (clock.monotonic() - receivedAt) as Ms;
+    observer.onDecision(head, { kind: "refused", reason, status, retryAfter }, since);
+    const headers = codec.encodeOwnAnswer(head, { status, retryAfter, isLast });
+    answer.sendWhole({ status, headers }, Buffer.from(JSON.stringify({ error: reason })));
+  };
+
+  const handle = (incoming: IncomingMessage, response: ServerResponse) => {
+    const receivedAt = clock.monotonic();
+    const head = codec.decodeRequest({
+      method: incoming.method ?? "GET",
+      target: incoming.url ?? "/",
+      headers: incoming.rawHeaders,
+    });
+    let isLast = false;
+    const answer = createClientAnswer(response, () => isStopping || isLast);
+    const context = { head, answer, receivedAt };
+    let call: DispatchedCall | undefined;
+    let held = 0;
+    let hasLeft = false;
+    open += 1;
+    response.once("close", () => {
+      open -= 1;
+      heldBytes -= held;
+      hasLeft = true;
+      call?.clientLeft();
+    });
+
+    const limit =
+      configuration.getIndex()?.configuration.limits.bodyBytes ?? DEFAULT_BODY_BYTES;
+    if ((head.contentLength ?? 0) > limit) {
+      isLast = true;
+      refuse(context, { status: 413, reason: "body too long", isLast });
+      return;
+    }
+
+    const admit = (body: Buffer) => {
+      const now = clock.monotonic();
+      const access = decideAccess(
+        configuration.getIndex(),
+        configuration.getStanding(now),
+        { host: head.host, path: head.target, key: head.key },
+      );
+      if (access.kind === "refused") {
+        const status = STATUS_OF_REFUSAL[access.reason];
+        refuse(context, { status, reason: access.reason, isLast: false });
+        return;
+      }
+      if (heldBytes + body.length > MOST_HELD_BYTES) {
+        refuse(context, { status: 503, reason: "too many bodies held", isLast: false });
+        return;
+      }
+      held = body.length;
+      heldBytes += held;
+      const { route, workspace } = access;
+      call = dispatchCall(deps, {
+        head,
+        body,
+        route,
+        workspace,
+        service: pickService(route),
+        receivedAt,
+        endsAt: (receivedAt + computeTimeLimit(route, head.patience)) as Ms,
+        answer,
+      });
+    };
+
+    void readRequestBody(incoming, limit).then((read) => {
+      if (hasLeft) return;
+      if (read.ok) {
+        admit(read.val);
+        return;
+      }
+      if (read.val.kind === "client_left") return;
+      isLast = true;
+      refuse(context, { status: 413, reason: "body too long", isLast });
+    });
+  };
+
+  return {
+    handle,
+    announceStop: () => {
+      isStopping = true;
+    },
+    countOpen: () => open,
+  };
+};
--- /dev/null
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -0,0 +1,432 @@
+/**
+ * Brings one admitted request to its end: chooses a server, sends it, judges what comes back, and goes
+ * on with another attempt, another server for the same run, or the final answer.
+ */
+import type { Ms, Timer } from "@stairgauge/common";
+import type { BackendServer, ServerId } from "@stairgauge/directory";
+import type { Demand } from "@stairgauge/placement";
+import type { ActiveRun, RunContinuation } from "./activeRuns.js";
+import { decideNext, judgeAttempt, mayRepeat, type AttemptEnd } from "./decideNext.js";
+import type {
+  AdmittedRequest,
+  ForwardDecision,
+  ForwarderDeps,
+} from "./forwarderTypes.js";
+import { openExchange, type Exchange } from "./openExchange.js";
+import { createStreamRelay } from "./streamRelay.js";
+import type { AnswerHead, DispatchTerms, ExchangeFailure } from "./types.js";
+
+/** Tokens of an event when the configuration does not say; from the users' sites. */
+const TOKENS_PER_EVENT = 4;
+
+/** Tokens expected of a generation whose client gives no guess: a short answer. */
+const DEFAULT_EXPECTED_TOKENS = 64;
+
+/** Attempts that never reached a server before the request is given up. */
+const MAX_UNREACHED = 3;
+
+/** An answer longer than this is passed on as it comes, since it cannot be held. */
+const HELD_ANSWER_BYTES = 512 * 1024;
+
+/** Continuations of one run after which it counts as lost. */
+const MAX_CONTINUATIONS = 12;
+
+/** A call that can be told that its client has left. */
+export type DispatchedCall = Readonly<{ clientLeft: () => void }>;
+
+type Attempt = {
+  readonly server: BackendServer;
+  exchange: Exchange | undefined;
+  head: AnswerHead | undefined;
+  reason: string;
+  isStream: boolean;
+  readonly chunks: Buffer[];
+  held: number;
+  readonly release: () => void;
+};
+
+const computeDemand = ({ head, route }: AdmittedRequest): Demand => {
+  if (route.kind !== "stream" || !head.usage) return { tokens: undefined };
+  const { prompt, mostOut } = head.usage;
+  const guess = head.lengthGuess ?? DEFAULT_EXPECTED_TOKENS;
+  return { tokens: { prompt, expectedOut: Math.min(guess, mostOut || guess) } };
+};
+
+const canStream = (request: AdmittedRequest, head: AnswerHead): boolean =>
+  request.route.kind === "stream" &&
+  head.isEventStream &&
+  judgeAttempt({ kind: "answered", head }, request.head.id) === "final" &&
+  head.status === 200;
+
+/** Dispatches a request; it always ends in one final answer, or with the client gone. */
+export const dispatchCall = (
+  deps: ForwarderDeps,
+  request: AdmittedRequest,
+): DispatchedCall => {
+  const { clock, codec, placer, budget, runs, runKeeper, observer } = deps;
+  const { head, body, route, workspace, service, answer, receivedAt, endsAt } = request;
+  const demand = computeDemand(request);
+  const tried = new Set<ServerId>();
+  let attemptsSent = 0;
+  let unreached = 0;
+  let continuations = 0;
+  let mayHaveRun = false;
+  let isOver = false;
+  let current: Attempt | undefined;
+  let run: ActiveRun | undefined;
+
+  const getNow = () => clock.monotonic();
+  const tell = (decision: ForwardDecision) =>
+    observer.onDecision(head, decision, (getNow() - receivedAt) as Ms);
+
+  const dropAttempt = () => {
+    current?.exchange?.cancel();
+    current?.release();
+    current = undefined;
+  };
+  const finish = () => {
+    if (isOver) return;
+    isOver = true;
+    limitTimer.cancel();
+    dropAttempt();
+    if (!run) return;
+    runs.remove(run);
+    runKeeper.onFinished(run);
+  };
+  const answerOwn = (status: number, reason: string, canComeBack: boolean) => {
+    if (isOver) return;
+    const retryAfter = canComeBack ? deps.retryAfter : undefined;
+    tell({ kind: "refused", reason, status, retryAfter });
+    const headers = codec.encodeOwnAnswer(head, { status, retryAfter, isLast: false });
+    answer.sendWhole({ status, headers }, Buffer.from(JSON.stringify({ error: reason })));
+    finish();
+  };
+  const answerNotRun = (reason: string) => answerOwn(503, reason, true);
+  const answerUnknown = (reason: string) => answerOwn(502, reason, false);
+  const loseStream = (server: BackendServer, detail: string) => {
+    const events = relay.getEvents();
+    tell({ kind: "stream_lost", server: server.entry.id, events, detail });
+    answer.break();
+    finish();
+  };
+  const endOutOfTime = () => {
+    if (isOver) return;
+    tell({ kind: "out_of_time", mayHaveRun: mayHaveRun || current !== undefined });
+    if (answer.hasBegun()) {
+      answer.break();
+      finish();
+      return;
+    }
+    const mayRunStill = mayHaveRun || (current?.exchange?.isSent() ?? false);
+    if (mayRunStill) answerOwn(504, "no answer within the time allowed", false);
+    else answerNotRun("not sent to a server within the time allowed");
+  };
+  const limitTimer: Timer = clock.setTimer((endsAt - getNow()) as Ms, endOutOfTime);
+
+  const relay = createStreamRelay(answer, () => {
+    if (run) runKeeper.onBegun(run);
+  });
+  answer.onDrain(() => current?.exchange?.resume());
+
+  const createRun = (): ActiveRun => {
+    let server = current!.server;
+    const getMade = () => relay.getEvents() * TOKENS_PER_EVENT;
+    return {
+      id: head.id!,
+      route,
+      startedAt: receivedAt,
+      getServer: () => {
+        server = current?.server ?? server;
+        return server;
+      },
+      hasBegun: relay.hasBegun,
+      getEventsMade: relay.getEvents,
+      getTokens: () => (demand.tokens?.prompt ?? 0) + getMade(),
+      getTokensLeft: () => Math.max(0, (demand.tokens?.expectedOut ?? 0) - getMade()),
+      cutOver: () => {
+        const attempt = current;
+        if (!attempt || isOver) return;
+        attempt.exchange?.cancel();
+        void continueElsewhere(attempt, "given up for another server");
+      },
+    };
+  };
+
+  const startRun = () => {
+    if (run || head.id === undefined) return;
+    run = createRun();
+    runs.add(run);
+  };
+
+  const openAt = (server: BackendServer, terms: Partial<DispatchTerms>): Attempt => {
+    const attempt: Attempt = {
+      server,
+      exchange: undefined,
+      head: undefined,
+      reason: "",
+      isStream: false,
+      chunks: [],
+      held: 0,
+      release: placer.place(server, head, demand),
+    };
+    current = attempt;
+    const headers = codec.encodeDispatch(head, {
+      server: server.entry.id,
+      timeLeft: Math.max(0, endsAt - getNow()) as Ms,
+      workspace: workspace?.name,
+      bodyLength:
+        body.length > 0 || head.contentLength !== undefined ? body.length : undefined,
+      enginePriority: demand.tokens && (workspace?.tier ?? route.tier),
+      continuation: undefined,
+      ...terms,
+    });
+    const exchangeRequest = {
+      address: server.entry.address,
+      method: head.method,
+      target: head.target,
+      headers,
+      body,
+      connectLimit: deps.connectLimit,
+    };
+    const isCurrent = () => current === attempt && !isOver;
+    attempt.exchange = openExchange(clock, exchangeRequest, {
+      onHead: (status, raw, reason) => {
+        if (isCurrent()) takeHead(attempt, codec.decodeAnswer(status, raw), reason);
+      },
+      onData: (chunk) => {
+        if (isCurrent()) takeData(attempt, chunk);
+      },
+      onEnd: () => {
+        if (isCurrent()) takeEnd(attempt);
+      },
+      onFailure: (failure) => {
+        if (isCurrent()) takeFailure(attempt, failure);
+      },
+    });
+    return attempt;
+  };
+
+  const takeHead = (attempt: Attempt, answerHead: AnswerHead, reason: string) => {
+    attempt.head = answerHead;
+    attempt.reason = reason;
+    attempt.isStream = canStream(request, answerHead);
+    if (answerHead.isClosing) placer.onConnectionClosing(attempt.server);
+    if (!attempt.isStream) return;
+    relay.takeHead(answerHead.passedOn, reason);
+    if (continuations > 0 && run) runKeeper.onContinued(run, { kind: "goes_on" });
+    startRun();
+  };
+
+  const takeData = (attempt: Attempt, chunk: Buffer) => {
+    if (attempt.isStream) {
+      if (relay.push(chunk)) attempt.exchange?.pause();
+      return;
+    }
+    if (answer.hasBegun()) {
+      if (!answer.write(chunk)) attempt.exchange?.pause();
+      return;
+    }
+    attempt.chunks.push(chunk);
+    attempt.held += chunk.length;
+    if (attempt.held > HELD_ANSWER_BYTES) startPassingOn(attempt);
+  };
+
+  const startPassingOn = (attempt: Attempt) => {
+    const answerHead = attempt.head!;
+    if (judgeAttempt({ kind: "answered", head: answerHead }, head.id) !== "final") return;
+    mayHaveRun = true;
+    const { status, passedOn } = answerHead;
+    answer.begin({ status, reason: attempt.reason, headers: passedOn });
+    if (!answer.write(Buffer.concat(attempt.chunks))) attempt.exchange?.pause();
+    attempt.chunks.length = 0;
+  };
+
+  const takeEnd = (attempt: Attempt) => {
+    if (attempt.isStream) {
+      // A body that ends with its connection cannot tell an end from a stop that was asked for.
+      if (attempt.head!.isUnframed && attempt.server.leaving && run) {
+        void continueElsewhere(attempt, "connection ended without an end of the stream");
+        return;
+      }
+      const { id } = attempt.server.entry;
+      tell({ kind: "stream_ended", server: id, events: relay.getEvents() });
+      relay.finish();
+      finish();
+      return;
+    }
+    if (answer.hasBegun() && !relay.hasBegun()) {
+      answer.end();
+      tell({
+        kind: "answered",
+        server: attempt.server.entry.id,
+        status: attempt.head!.status,
+      });
+      finish();
+      return;
+    }
+    conclude(attempt, { kind: "answered", head: attempt.head! });
+  };
+
+  const takeFailure = (attempt: Attempt, failure: ExchangeFailure) => {
+    if (attempt.isStream && relay.hasBegun()) {
+      void continueElsewhere(attempt, failure.detail);
+      return;
+    }
+    if (answer.hasBegun() && !relay.hasBegun()) {
+      loseStream(attempt.server, failure.detail);
+      return;
+    }
+    conclude(attempt, { kind: "failed", failure });
+  };
+
+  const canRetryNow = (): boolean => {
+    if (unreached >= MAX_UNREACHED) return false;
+    if (attemptsSent >= route.maxServers) return false;
+    if (endsAt - getNow() <= 0) return false;
+    return placer.choose(service, demand, tried).kind === "placed";
+  };
+
+  const describeEnd = (end: AttemptEnd) =>
+    end.kind === "answered" ? `status ${end.head.status}` : end.failure.detail;
+
+  const conclude = (attempt: Attempt, end: AttemptEnd) => {
+    if (continuations > 0) {
+      refuseContinuation(attempt, end);
+      return;
+    }
+    const { server } = attempt;
+    const verdict = judgeAttempt(end, head.id);
+    const wasSent = attempt.exchange?.isSent() ?? false;
+    if (wasSent) attemptsSent += 1;
+    else unreached += 1;
+    if (end.kind === "answered" && end.head.isOtherServer) placer.onAddressReused(server);
+    dropAttempt();
+    const step = decideNext({
+      end,
+      verdict,
+      route,
+      mayHaveRunBefore: mayHaveRun,
+      canRetry: canRetryNow() && (attemptsSent === 0 || budget.take(service, getNow())),
+    });
+    if (verdict === "may_have_run" || verdict === "ran_and_failed") mayHaveRun = true;
+    switch (step.kind) {
+      case "pass_on":
+        passAnswerOn(attempt);
+        return;
+      case "retry":
+        tell({
+          kind: "retry",
+          server: server.entry.id,
+          reason: step.reason,
+          detail: describeEnd(end),
+        });
+        attemptNext();
+        return;
+      case "answer_not_run":
+        answerNotRun(`no server ran it (${describeEnd(end)})`);
+        return;
+      case "answer_unknown":
+        answerUnknown(`the server's answer was lost (${describeEnd(end)})`);
+        return;
+    }
+  };
+
+  const passAnswerOn = (attempt: Attempt) => {
+    const answerHead = attempt.head!;
+    const { status, passedOn } = answerHead;
+    tell({ kind: "answered", server: attempt.server.entry.id, status });
+    answer.sendWhole(
+      { status, reason: attempt.reason, headers: passedOn },
+      Buffer.concat(attempt.chunks),
+    );
+    finish();
+  };
+
+  const attemptNext = () => {
+    if (isOver) return;
+    const decision = placer.choose(service, demand, tried);
+    if (decision.kind === "no_server") {
+      if (mayHaveRun && !mayRepeat(route)) answerUnknown("no server is left");
+      else answerNotRun("no server is known that may take it");
+      return;
+    }
+    const { server, reason, load, reportAge, candidates } = decision;
+    tried.add(server.entry.id);
+    const attempt = attemptsSent + 1;
+    tell({
+      kind: "placed",
+      server: server.entry.id,
+      attempt,
+      reason,
+      load,
+      reportAge,
+      candidates,
+    });
+    openAt(server, {});
+  };
+
+  /** The run's server has ended its stream: the same run goes on elsewhere, or a new one where that is allowed. */
+  const continueElsewhere = async (attempt: Attempt, detail: string) => {
+    const { server } = attempt;
+    relay.dropRest();
+    dropAttempt();
+    if (continuations === 0) attemptsSent += 1;
+    continuations += 1;
+    const continuation =
+      run && continuations <= MAX_CONTINUATIONS
+        ? await runKeeper.recover(run, detail)
+        : undefined;
+    if (isOver) return;
+    if (continuation) {
+      continueRun(server, continuation);
+      return;
+    }
+    if (!resumeAnew()) loseStream(server, detail);
+  };
+
+  const continueRun = (from: BackendServer, continuation: RunContinuation) => {
+    const { server, memory } = continuation;
+    const events = relay.getEvents();
+    tell({ kind: "continued", from: from.entry.id, to: server.entry.id, events });
+    openAt(server, { continuation: { lastEventId: relay.getLastEventId(), memory } });
+  };
+
+  /** Where the route allows it, a new run of another server goes on after the last whole event. */
+  const resumeAnew = (): boolean => {
+    if (!route.isResumable || attemptsSent >= route.maxServers) return false;
+    if (!budget.take(service, getNow())) return false;
+    const decision = placer.choose(service, demand, tried);
+    if (decision.kind === "no_server") return false;
+    attemptsSent += 1;
+    tried.add(decision.server.entry.id);
+    openAt(decision.server, {
+      continuation: { lastEventId: relay.getLastEventId(), memory: undefined },
+    });
+    return true;
+  };
+
+  const refuseContinuation = (attempt: Attempt, end: AttemptEnd) => {
+    const detail = describeEnd(end);
+    tell({ kind: "continuation_refused", to: attempt.server.entry.id, detail });
+    if (run) {
+      const outcome =
+        end.kind === "answered"
+          ? ({ kind: "refused", status: end.head.status } as const)
+          : ({ kind: "broken", detail } as const);
+      runKeeper.onContinued(run, outcome);
+    }
+    void continueElsewhere(attempt, detail);
+  };
+
+  budget.recordRequest(service, receivedAt);
+  attemptNext();
+
+  return {
+    clientLeft: () => {
+      if (isOver) return;
+      tell({ kind: "client_left", events: relay.getEvents() });
+      answer.break();
+      finish();
+    },
+  };
+};
--- /dev/null
+++ b/packages/forwarding/src/forwarderTypes.ts
@@ -0,0 +1,95 @@
+/** What the forwarder needs of the rest of the system. */
+import type { Clock, Ms, Random, ServiceName } from "@stairgauge/common";
+import type { BackendServer, ServerId } from "@stairgauge/directory";
+import type { Demand, PlacementDecision } from "@stairgauge/placement";
+import type {
+  ConfigurationIndex,
+  Route,
+  Standing,
+  WorkspaceSpec,
+} from "@stairgauge/routing";
+import type { ActiveRun, ActiveRuns, RunKeeper } from "./activeRuns.js";
+import type { ClientAnswer } from "./clientAnswer.js";
+import type { RetryBudget } from "./retryBudget.js";
+import type { HeadCodec, RequestHead } from "./types.js";
+
+/** What is known when a request comes. */
+export type ConfigurationView = Readonly<{
+  getIndex: () => ConfigurationIndex | undefined;
+  getStanding: (now: Ms) => Standing;
+  getAge: (now: Ms) => Ms;
+}>;
+
+/** A decision that touches a request; each is logged as one line. */
+export type ForwardDecision = Readonly<
+  | { kind: "refused"; reason: string; status: number; retryAfter: Ms | undefined }
+  | {
+      kind: "placed";
+      server: ServerId;
+      attempt: number;
+      reason: string;
+      load: number;
+      reportAge: Ms | undefined;
+      candidates: number;
+    }
+  | { kind: "retry"; server: ServerId; reason: string; detail: string }
+  | { kind: "continued"; from: ServerId; to: ServerId; events: number }
+  | { kind: "continuation_refused"; to: ServerId; detail: string }
+  | { kind: "answered"; server: ServerId; status: number }
+  | { kind: "stream_ended"; server: ServerId; events: number }
+  | { kind: "stream_lost"; server: ServerId; events: number; detail: string }
+  | { kind: "client_left"; events: number }
+  | { kind: "out_of_time"; mayHaveRun: boolean }
+>;
+
+/** Where decisions are told. */
+export type ForwardObserver = Readonly<{
+  onDecision: (head: RequestHead, decision: ForwardDecision, sinceReceived: Ms) => void;
+}>;
+
+/** How placements are made and kept. */
+export type Placer = Readonly<{
+  choose: (
+    service: ServiceName,
+    demand: Demand,
+    except: ReadonlySet<ServerId>,
+  ) => PlacementDecision;
+  /** Notes a request at a server until the returned function is called. */
+  place: (server: BackendServer, head: RequestHead, demand: Demand) => () => void;
+  /** The server's address belongs to another one now. */
+  onAddressReused: (server: BackendServer) => void;
+  /** An answer announced the end of its connection, which a leaving server does. */
+  onConnectionClosing: (server: BackendServer) => void;
+}>;
+
+/** Collaborators of the forwarder. */
+export type ForwarderDeps = Readonly<{
+  clock: Clock;
+  random: Random;
+  codec: HeadCodec;
+  configuration: ConfigurationView;
+  placer: Placer;
+  budget: RetryBudget;
+  runs: ActiveRuns;
+  runKeeper: RunKeeper;
+  observer: ForwardObserver;
+  /** When a refused client should come back. */
+  retryAfter: Ms;
+  /** How long a connection to a server may take to come up. */
+  connectLimit: Ms;
+}>;
+
+/** A request that was let in. */
+export type AdmittedRequest = Readonly<{
+  head: RequestHead;
+  body: Buffer;
+  route: Route;
+  workspace: WorkspaceSpec | undefined;
+  service: ServiceName;
+  receivedAt: Ms;
+  /** Time by which it must have its final answer. */
+  endsAt: Ms;
+  answer: ClientAnswer;
+}>;
+
+export type { ActiveRun };
--- /dev/null
+++ b/packages/forwarding/src/index.ts
@@ -0,0 +1,24 @@
+/** Forwarding: clients' requests to backend servers, and the answers back, unchanged. */
+export type * from "./types.js";
+export type {
+  AdmittedRequest,
+  ConfigurationView,
+  ForwardDecision,
+  ForwarderDeps,
+  ForwardObserver,
+  Placer,
+} from "./forwarderTypes.js";
+export { createActiveRuns } from "./activeRuns.js";
+export type {
+  ActiveRun,
+  ActiveRuns,
+  ContinuationOutcome,
+  RunContinuation,
+  RunKeeper,
+} from "./activeRuns.js";
+export { createClientServer } from "./clientServer.js";
+export type { ClientServer, ClientServerOptions } from "./clientServer.js";
+export { createForwarder } from "./createForwarder.js";
+export type { Forwarder } from "./createForwarder.js";
+export { createRetryBudget } from "./retryBudget.js";
+export type { RetryBudget, RetryBudgetLimits } from "./retryBudget.js";
--- a/packages/hunt/src/gate.ts
+++ b/packages/hunt/src/gate.ts
@@ -1,7 +1,7 @@
 /** A gate around one box: while it is paused nothing reaches it; once it is killed nothing ever does. */
 import type { Clock } from "@stairgauge/common";
 import type { EngineClient, LinkHandlers } from "@stairgauge/engines";
-import type { Platform, TableService } from "@stairgauge/platform";
+import type { Platform, TableService } from "@stairgauge/stores";
 
 /** The gate of one box. */
 export type Gate = Readonly<{
--- a/packages/hunt/src/worldBox.ts
+++ b/packages/hunt/src/worldBox.ts
@@ -8,7 +8,7 @@
   type Ms,
 } from "@stairgauge/common";
 import type { EngineClient } from "@stairgauge/engines";
-import type { Platform } from "@stairgauge/platform";
+import type { Platform } from "@stairgauge/stores";
 import { createRelay, type Relay } from "@stairgauge/relay";
 import { createHeadWatcher } from "@stairgauge/rollout";
 import { createLogger, createMetrics } from "@stairgauge/telemetry";
--- a/packages/membership/src/serverListWatcher.ts
+++ b/packages/membership/src/serverListWatcher.ts
@@ -6,7 +6,7 @@
   type Ms,
   type Poller,
 } from "@stairgauge/common";
-import type { ListedServer, Platform, ReadFailure } from "@stairgauge/platform";
+import type { ListedServer, Platform, ReadFailure } from "@stairgauge/stores";
 
 /** What a watcher needs. */
 export type ServerListWatcherOptions = Readonly<{
--- /dev/null
+++ b/packages/migration/src/index.ts
@@ -0,0 +1,4 @@
+/** Runs that outlive their engine. */
+export type * from "./types.js";
+export { createRunMover } from "./runMover.js";
+export type { MoveDecision, RunMover, RunMoverDeps } from "./runMover.js";
--- a/packages/orders/src/orderLease.ts
+++ b/packages/orders/src/orderLease.ts
@@ -7,7 +7,7 @@
  */
 import { z } from "zod";
 import { Err, Ok, type Clock, type Ms, type Result } from "@stairgauge/common";
-import type { Row, RowKey, TableService } from "@stairgauge/platform";
+import type { Row, RowKey, TableService } from "@stairgauge/stores";
 import { LEASE_MARGIN_MS, LEASE_MS, ORDER_LIFE_MS } from "./constants.js";
 
 /** A lease that this box holds. */
--- /dev/null
+++ b/packages/placement/src/types.ts
@@ -0,0 +1,50 @@
+/** What placement knows of servers and requests. */
+import type { BackendServer, ServerId } from "@stairgauge/directory";
+import type { Ms } from "@stairgauge/common";
+
+/** A run that an engine reports. */
+export type ReportedRun = Readonly<{
+  /** The id of the request that it answers. */
+  id: string;
+  tokensInMemory: number;
+  eventsMade: number;
+}>;
+
+/** An engine's own account of itself, some hundred milliseconds old when it arrives. */
+export type EngineReport = Readonly<{
+  isLeaving: boolean;
+  /** Time until it goes, if it knows. */
+  leavesIn: Ms | undefined;
+  waiting: number;
+  running: number;
+  memoryUsed: number;
+  memoryTotal: number;
+  runs: readonly ReportedRun[];
+}>;
+
+/** What a request needs of a server. */
+export type Demand = Readonly<{
+  /** Tokens of memory that a generation takes at least and may take; none for plain requests. */
+  tokens: Readonly<{ prompt: number; expectedOut: number }> | undefined;
+}>;
+
+/** Why a server was chosen. */
+export type PlacementReason = "only_one" | "least_busy" | "most_free_memory";
+
+/** A choice, with the figures that made it. */
+export type PlacementDecision = Readonly<
+  | {
+      kind: "placed";
+      server: BackendServer;
+      reason: PlacementReason;
+      /** Load that the choice saw at the server chosen: requests a slot, or share of memory taken. */
+      load: number;
+      /** Age of the report that the load rests on. */
+      reportAge: Ms | undefined;
+      candidates: number;
+    }
+  | { kind: "no_server"; known: number }
+>;
+
+/** One placement under way at a server. */
+export type OpenPlacement = Readonly<{ id: string; server: ServerId }>;
--- a/packages/rollout/src/headRecord.ts
+++ b/packages/rollout/src/headRecord.ts
@@ -1,7 +1,7 @@
 /** Where the head stands in the table service, and its encoding. */
 import { z } from "zod";
 import type { Approval, BundleHead } from "@stairgauge/bundle";
-import type { RowKey } from "@stairgauge/platform";
+import type { RowKey } from "@stairgauge/stores";
 
 /** The one row whose compare-and-set rolls a bundle out. */
 export const HEAD_ROW: RowKey = { table: "bundle", key: "head" };
--- a/packages/rollout/src/headWatcher.ts
+++ b/packages/rollout/src/headWatcher.ts
@@ -14,7 +14,7 @@
   type Poller,
   type Result,
 } from "@stairgauge/common";
-import type { Platform, ReadFailure } from "@stairgauge/platform";
+import type { Platform, ReadFailure } from "@stairgauge/stores";
 import { decodeHead, HEAD_ROW, toObjectName } from "./headRecord.js";
 
 /** Why a look at the head brought no new bundle. */
--- a/packages/rollout/src/operatorFlows.ts
+++ b/packages/rollout/src/operatorFlows.ts
@@ -11,7 +11,7 @@
   type SignOffRules,
 } from "@stairgauge/bundle";
 import { Err, Ok, type Clock, type Random, type Result } from "@stairgauge/common";
-import type { Platform, Row, RowKey, RowWrite } from "@stairgauge/platform";
+import type { Platform, Row, RowKey, RowWrite } from "@stairgauge/stores";
 import {
   decodeHeadRecord,
   decodeProposal,
--- /dev/null
+++ b/packages/routing/src/decideAccess.ts
@@ -0,0 +1,56 @@
+/** Whether a request is let in: its route, its workspace, or why not. Pure. */
+import type { Ms } from "@stairgauge/common";
+import type { ConfigurationIndex } from "./indexConfiguration.js";
+import type { Standing } from "./configurationKeeper.js";
+import type { Route, WorkspaceSpec } from "./types.js";
+
+/** What a request asks for. */
+export type AccessRequest = Readonly<{
+  host: string;
+  path: string;
+  key: string | undefined;
+}>;
+
+/** Why a request is not let in. */
+export type AccessRefusal =
+  /** The box knows no configuration yet. */
+  | "no_configuration"
+  /** What the box knows is too old to say that a route or key is not there, or that a key is still good. */
+  | "knowledge_too_old"
+  | "no_such_route"
+  | "key_missing"
+  | "key_unknown";
+
+/** The decision. */
+export type AccessDecision = Readonly<
+  | { kind: "admitted"; route: Route; workspace: WorkspaceSpec | undefined }
+  | { kind: "refused"; reason: AccessRefusal }
+>;
+
+const refuse = (reason: AccessRefusal): AccessDecision => ({ kind: "refused", reason });
+
+/** Denials need fresh knowledge: a route or key that is unknown here may be a new one. */
+const deny = (standing: Standing, reason: AccessRefusal): AccessDecision =>
+  refuse(standing === "current" ? reason : "knowledge_too_old");
+
+/** Decides by the configuration in force and by how lately it was confirmed. */
+export const decideAccess = (
+  index: ConfigurationIndex | undefined,
+  standing: Standing,
+  request: AccessRequest,
+): AccessDecision => {
+  if (!index || standing === "unknown") return refuse("no_configuration");
+  const route = index.findRoute(request.host, request.path);
+  if (!route) return deny(standing, "no_such_route");
+  if (!index.hasKeys || route.isKeyless)
+    return { kind: "admitted", route, workspace: undefined };
+  if (request.key === undefined) return refuse("key_missing");
+  if (standing === "expired") return refuse("knowledge_too_old");
+  const workspace = index.findWorkspace(request.key);
+  if (!workspace) return deny(standing, "key_unknown");
+  return { kind: "admitted", route, workspace };
+};
+
+/** The longest that a request may be held: its route's limit, or the client's own patience. */
+export const computeTimeLimit = (route: Route, patience: Ms | undefined): Ms =>
+  Math.min(route.answerLimit, patience ?? route.answerLimit) as Ms;
--- /dev/null
+++ b/packages/routing/src/indexConfiguration.ts
@@ -0,0 +1,65 @@
+/** Look-ups over one configuration: routes by host and longest path prefix, workspaces by key. */
+import type { ServiceName } from "@stairgauge/common";
+import type { FleetConfiguration, Route, ServiceSpec, WorkspaceSpec } from "./types.js";
+
+/** A configuration that can be asked. */
+export type ConfigurationIndex = Readonly<{
+  configuration: FleetConfiguration;
+  /** Whether requests need a key at all. */
+  hasKeys: boolean;
+  findRoute: (host: string, path: string) => Route | undefined;
+  findWorkspace: (key: string) => WorkspaceSpec | undefined;
+  findService: (name: ServiceName) => ServiceSpec | undefined;
+}>;
+
+const PORT_SUFFIX = /:\d+$/;
+
+const toHostKey = (host: string): string => host.replace(PORT_SUFFIX, "").toLowerCase();
+
+/** Ends just behind each slash of the path, longest first; a query is no part of it. */
+const listPrefixes = (path: string): readonly string[] => {
+  const end = path.indexOf("?");
+  const plain = end < 0 ? path : path.slice(0, end);
+  const prefixes: string[] = [];
+  for (let at = plain.lastIndexOf("/"); at >= 0; at = plain.lastIndexOf("/", at - 1)) {
+    prefixes.push(plain.slice(0, at + 1));
+    if (at === 0) break;
+  }
+  return prefixes;
+};
+
+/** Builds the look-ups; each then costs one map access a path segment. */
+export const indexConfiguration = (
+  configuration: FleetConfiguration,
+): ConfigurationIndex => {
+  const routesByHost = new Map<string, Map<string, Route>>();
+  for (const route of configuration.routes) {
+    const key = toHostKey(route.host);
+    const routes = routesByHost.get(key) ?? new Map<string, Route>();
+    routes.set(route.pathPrefix, route);
+    routesByHost.set(key, routes);
+  }
+  const workspaces = configuration.workspaces ?? [];
+  const workspacesByKey = new Map(
+    workspaces.flatMap((workspace) =>
+      workspace.keys.map((key) => [key, workspace] as const),
+    ),
+  );
+  const services = new Map(configuration.services.map((spec) => [spec.name, spec]));
+
+  return {
+    configuration,
+    hasKeys: configuration.workspaces !== undefined,
+    findRoute: (host, path) => {
+      const routes = routesByHost.get(toHostKey(host));
+      if (!routes) return undefined;
+      for (const prefix of listPrefixes(path)) {
+        const route = routes.get(prefix);
+        if (route) return route;
+      }
+      return undefined;
+    },
+    findWorkspace: (key) => workspacesByKey.get(key),
+    findService: (name) => services.get(name),
+  };
+};
--- /dev/null
+++ b/packages/settings/src/boxSettings.ts
@@ -0,0 +1,66 @@
+/** Settings of a box on a platform that keeps configuration and server list in its store. */
+import { z } from "zod";
+
+const ADDRESS_PATTERN = /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/;
+
+const address = z.string().regex(ADDRESS_PATTERN, "expected IP:PORT by IP number");
+const ms = z.number().positive();
+
+/** Schema of the file; every figure that is not given has a default with its reason beside it. */
+export const boxSettingsSchema = z.strictObject({
+  box: z.string().min(1),
+  dataHall: z.string().min(1),
+  listen: z.strictObject({ clients: address, ready: address, metrics: address }),
+  store: z.strictObject({
+    address,
+    /** How long the store holds a call without news; each call has its price. */
+    configurationWaitMs: ms.default(1_300),
+    serversWaitMs: ms.default(10_000),
+    /** How much longer an answer may take before it counts as lost. */
+    patienceMs: ms.default(1_000),
+    firstPauseMs: ms.default(100),
+    mostPauseMs: ms.default(500),
+  }),
+  bounds: z.strictObject({
+    /** A change is in force within this time of its acceptance. */
+    configurationMs: ms,
+    /** A key that was taken away is refused within this time. */
+    keyRemovalMs: ms,
+    /** A leaving server gets no new work after this time. */
+    leavingMs: ms,
+    /** Time between the order to stop and the end of the process. */
+    stopSeconds: z.number().positive(),
+  }),
+  retries: z.strictObject({
+    ratio: z.number().nonnegative(),
+    slack: z.number().nonnegative(),
+    windowSeconds: z.number().positive(),
+    /** Boxes that share the slack. More than there are is safe, fewer is not. */
+    boxes: z.int().positive().default(16),
+  }),
+  engines: z
+    .strictObject({
+      /** How often an engine is asked for its report. */
+      reportIntervalMs: ms.default(1_000),
+      reportLimitMs: ms.default(500),
+    })
+    .prefault({}),
+  clients: z
+    .strictObject({
+      /** When a refused client should come back. */
+      retryAfterMs: ms.default(400),
+      /** How long a connection to a server may take to come up. */
+      connectLimitMs: ms.default(250),
+    })
+    .prefault({}),
+  log: z
+    .strictObject({
+      level: z.enum(["debug", "info", "warn", "error", "silent"]).default("info"),
+      /** Lines a second beyond which decisions are counted, not written. */
+      linesPerSecond: z.int().positive().default(200),
+    })
+    .prefault({}),
+});
+
+/** A box's settings. */
+export type BoxSettings = Readonly<z.infer<typeof boxSettingsSchema>>;
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,6 +1,7 @@
 /** A box's settings: YAML, checked by schema. */
 export {
   formatSettingsFailure,
+  parseBoxSettings,
   parseCliSettings,
   parseSettings,
 } from "./parseSettings.js";
@@ -10,3 +11,4 @@
   Settings,
   SettingsFailure,
 } from "./parseSettings.js";
+export type { BoxSettings } from "./boxSettings.js";
--- a/packages/settings/src/parseSettings.ts
+++ b/packages/settings/src/parseSettings.ts
@@ -2,6 +2,7 @@
 import { parse as parseYaml } from "yaml";
 import type { z } from "zod";
 import { Err, Ok, type Result } from "@stairgauge/common";
+import { boxSettingsSchema, type BoxSettings } from "./boxSettings.js";
 import { cliSettingsSchema, settingsSchema } from "./schema.js";
 
 /** A box's settings, validated. */
@@ -55,6 +56,10 @@
 export const parseSettings = (text: string): Result<Settings, SettingsFailure> =>
   parseAs(settingsSchema, text);
 
+/** Reads and checks the settings of a box whose configuration lies in the platform's store. */
+export const parseBoxSettings = (text: string): Result<BoxSettings, SettingsFailure> =>
+  parseAs(boxSettingsSchema, text);
+
 /** Reads and checks the command line's settings. */
 export const parseCliSettings = (text: string): Result<CliSettings, SettingsFailure> =>
   parseAs(cliSettingsSchema, text);
--- a/packages/standins/src/memoryPlatform.ts
+++ b/packages/standins/src/memoryPlatform.ts
@@ -6,7 +6,7 @@
   Row,
   RowWrite,
   WriteFailure,
-} from "@stairgauge/platform";
+} from "@stairgauge/stores";
 import type { PlatformModel } from "./platformModel.js";
 
 const DOWN = { kind: "store_unavailable", detail: "down" } as const;
--- a/packages/standins/src/platformModel.ts
+++ b/packages/standins/src/platformModel.ts
@@ -1,5 +1,5 @@
 /** The stand-in platform: a table with compare-and-set, an object store and a box list. */
-import type { ListedServer, Row, RowKey, RowWrite } from "@stairgauge/platform";
+import type { ListedServer, Row, RowKey, RowWrite } from "@stairgauge/stores";
 
 /** How the stand-in platform behaves. */
 export type PlatformMode = Readonly<{
--- a/packages/standins/src/platformRoutes.ts
+++ b/packages/standins/src/platformRoutes.ts
@@ -2,7 +2,7 @@
 import { z } from "zod";
 import type { Clock, Ms } from "@stairgauge/common";
 import { readBody, sendJson, type HttpExchange, type HttpRoute } from "@stairgauge/http";
-import { writesSchema } from "@stairgauge/platform";
+import { writesSchema } from "@stairgauge/stores";
 import type { PlatformModel } from "./platformModel.js";
 import { readBodyAs } from "./readBodyAs.js";
 import { createWritePacer } from "./writePacer.js";
--- /dev/null
+++ b/packages/storefeed/src/index.ts
@@ -0,0 +1,9 @@
+/** Following tables of the platform's store. */
+export type * from "./types.js";
+export { createRevisionMark, createTableFollower } from "./tableFollower.js";
+export type {
+  FollowerOptions,
+  FollowerSink,
+  RevisionMark,
+  TableFollower,
+} from "./tableFollower.js";
--- /dev/null
+++ b/packages/storefeed/src/tableFollower.ts
@@ -0,0 +1,159 @@
+/** Follows one table of the store: reads it whole, then waits for its changes, again after each failure. */
+import type { Clock, Ms, Random } from "@stairgauge/common";
+import type { RowChange, StoredRow, StoreFailure, StoreReader } from "./types.js";
+
+/** What a follower tells; every call names the time at which it was true at the store. */
+export type FollowerSink = Readonly<{
+  onWhole: (rows: readonly StoredRow[], asOf: Ms) => void;
+  onChanges: (changes: readonly RowChange[], asOf: Ms) => void;
+  onFailure: (failure: StoreFailure, failuresInARow: number) => void;
+  /** The store answers again after failures. */
+  onRegained: () => void;
+}>;
+
+/** How a table is followed. */
+export type FollowerOptions = Readonly<{
+  table: string;
+  reader: StoreReader;
+  clock: Clock;
+  random: Random;
+  /** How long the store holds a call without a change. */
+  wait: Ms;
+  /** How much longer than that an answer may take before it counts as lost. */
+  patience: Ms;
+  /** First pause after a failure; it doubles up to the second. */
+  retryPause: Readonly<{ first: Ms; most: Ms }>;
+  /** The newest revision that any answer of the store has shown to this process. */
+  revisions: RevisionMark;
+  sink: FollowerSink;
+}>;
+
+/** The newest revision seen; shared by all followers, since one counter numbers all tables. */
+export type RevisionMark = Readonly<{
+  get: () => number;
+  raise: (revision: number) => void;
+}>;
+
+/** Creates a mark that has seen nothing. */
+export const createRevisionMark = (): RevisionMark => {
+  let newest = 0;
+  return {
+    get: () => newest,
+    raise: (revision) => {
+      newest = Math.max(newest, revision);
+    },
+  };
+};
+
+/** A follower that can be started, stopped, and told to ask again at once. */
+export type TableFollower = Readonly<{
+  start: () => void;
+  stop: () => void;
+  /** Gives up the call under way and reads the table whole. */
+  reread: () => void;
+}>;
+
+/** Whole reads that may be older than what is known before one is taken as it is. */
+const STALE_READS_BORNE = 40;
+const BACKOFF_FACTOR = 2;
+
+/** Creates a follower. */
+export const createTableFollower = (options: FollowerOptions): TableFollower => {
+  const { table, reader, clock, random, wait, patience, retryPause, revisions, sink } =
+    options;
+  let isStopped = false;
+  let failures = 0;
+  let staleReads = 0;
+  let pause: number = retryPause.first;
+  let abort = new AbortController();
+
+  const callWithin = async <T>(
+    limit: Ms,
+    call: (signal: AbortSignal) => Promise<T>,
+  ): Promise<T> => {
+    abort = new AbortController();
+    const { signal } = abort;
+    const timer = clock.setTimer(limit, () => abort.abort());
+    try {
+      return await call(signal);
+    } finally {
+      timer.cancel();
+    }
+  };
+
+  const waitFor = (duration: Ms) =>
+    new Promise<void>((resolve) => {
+      clock.setTimer(duration, resolve);
+    });
+
+  const recordFailure = async (failure: StoreFailure) => {
+    failures += 1;
+    sink.onFailure(failure, failures);
+    const jittered = pause * (0.5 + random.nextFloat());
+    pause = Math.min(retryPause.most, pause * BACKOFF_FACTOR);
+    await waitFor(jittered as Ms);
+  };
+
+  const recordAnswer = (revision: number) => {
+    revisions.raise(revision);
+    pause = retryPause.first;
+    if (failures > 0) sink.onRegained();
+    failures = 0;
+  };
+
+  /** Reads the table whole; undefined after a failure or a stale answer. */
+  const readWhole = async (): Promise<number | undefined> => {
+    const sentAt = clock.monotonic();
+    const newestBefore = revisions.get();
+    const read = await callWithin(patience, (signal) => reader.readTable(table, signal));
+    if (isStopped) return undefined;
+    if (read.err) {
+      await recordFailure(read.val);
+      return undefined;
+    }
+    const { rows, revision } = read.val;
+    if (revision < newestBefore && staleReads < STALE_READS_BORNE) {
+      staleReads += 1;
+      await waitFor(retryPause.first);
+      return undefined;
+    }
+    staleReads = 0;
+    recordAnswer(revision);
+    sink.onWhole(rows, sentAt);
+    return revision;
+  };
+
+  /** Waits for changes after `since`; the revision to go on from, or undefined to read whole. */
+  const followOnce = async (since: number): Promise<number | undefined> => {
+    const sentAt = clock.monotonic();
+    const read = await callWithin((wait + patience) as Ms, (signal) =>
+      reader.awaitChanges({ table, since, wait, signal }),
+    );
+    if (isStopped) return undefined;
+    if (read.err) {
+      if (read.val.kind === "history_gone") return undefined;
+      await recordFailure(read.val);
+      return undefined;
+    }
+    const { changes, revision } = read.val;
+    recordAnswer(revision);
+    sink.onChanges(changes, sentAt);
+    return Math.max(since, revision);
+  };
+
+  const run = async () => {
+    let since: number | undefined;
+    while (!isStopped) {
+      since = since === undefined ? await readWhole() : await followOnce(since);
+    }
+  };
+
+  return {
+    start: () => void run(),
+    stop: () => {
+      isStopped = true;
+      abort.abort();
+    },
+    reread: () => abort.abort(),
+  };
+};
--- /dev/null
+++ b/packages/storefeed/src/types.ts
@@ -0,0 +1,38 @@
+/** Rows of the platform's store, as a follower of one table sees them. */
+import type { Ms, Result } from "@stairgauge/common";
+
+/** One row of a table. */
+export type StoredRow = Readonly<{ key: string; value: Buffer; revision: number }>;
+
+/** A change of a table: a row as it is now, or one that was dropped. */
+export type RowChange = Readonly<
+  { kind: "put"; row: StoredRow } | { kind: "gone"; key: string }
+>;
+
+/** The whole of a table at one moment. */
+export type TableSnapshot = Readonly<{ rows: readonly StoredRow[]; revision: number }>;
+
+/** Changes since an earlier revision, in order; none when the wait ended without one. */
+export type TableChanges = Readonly<{ changes: readonly RowChange[]; revision: number }>;
+
+/** Why the store gave no answer that can be used. */
+export type StoreFailure = Readonly<
+  | { kind: "unreachable"; detail: string }
+  | { kind: "refused"; status: number }
+  | { kind: "timed_out" }
+  | { kind: "malformed"; detail: string }
+  /** The history since the revision is gone: read the table whole. */
+  | { kind: "history_gone" }
+>;
+
+/** Reading calls of the store. */
+export type StoreReader = Readonly<{
+  readTable: (
+    table: string,
+    signal: AbortSignal,
+  ) => Promise<Result<TableSnapshot, StoreFailure>>;
+  /** Answers as soon as there is a change, or after `wait` without one. */
+  awaitChanges: (
+    request: Readonly<{ table: string; since: number; wait: Ms; signal: AbortSignal }>,
+  ) => Promise<Result<TableChanges, StoreFailure>>;
+}>;
--- /dev/null
+++ b/packages/telemetry/src/boxMetrics.ts
@@ -0,0 +1,51 @@
+/** Metrics of a box by prom-client, each defined once here. */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+const LATENCY_BUCKETS_SECONDS = [0.03, 0.1, 0.3, 0.6, 1, 1.8, 3, 6, 12, 40];
+
+/** The metrics of one box. */
+export type BoxMetrics = ReturnType<typeof createBoxMetrics>;
+
+/** Creates the metrics and the registry that renders them. */
+export const createBoxMetrics = () => {
+  const registry = new Registry();
+  const registers = [registry];
+  return {
+    registry,
+    decisions: new Counter({
+      name: "stairgauge_decisions_total",
+      help: "Decisions that touched a request, by kind",
+      labelNames: ["kind"],
+      registers,
+    }),
+    moves: new Counter({
+      name: "stairgauge_moves_total",
+      help: "Steps of moving runs between engines, by kind",
+      labelNames: ["kind"],
+      registers,
+    }),
+    storeFailures: new Counter({
+      name: "stairgauge_store_failures_total",
+      help: "Calls of the platform's store that brought nothing, by table and failure",
+      labelNames: ["table", "kind"],
+      registers,
+    }),
+    configurationVersion: new Gauge({
+      name: "stairgauge_configuration_version",
+      help: "Version of the configuration in force, 0 before the first",
+      registers,
+    }),
+    knownServers: new Gauge({
+      name: "stairgauge_known_servers",
+      help: "Backend servers that get new work",
+      registers,
+    }),
+    answerSeconds: new Histogram({
+      name: "stairgauge_answer_seconds",
+      help: "Time from a request to the end of its answer",
+      labelNames: ["end"],
+      buckets: LATENCY_BUCKETS_SECONDS,
+      registers,
+    }),
+  };
+};
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -4,7 +4,7 @@
   resolve: { conditions: ["@stairgauge/source"] },
   ssr: { resolve: { conditions: ["@stairgauge/source"] } },
   test: {
-    include: ["packages/*/src/**/*.test.ts", "apps/*/src/**/*.test.ts"],
+    include: ["{packages/*,apps/*,platform}/src/**/*.test.ts"],
     testTimeout: 60_000,
     hookTimeout: 60_000,
   },
