fix: an answer without a length that is reset with its last bytes is not taken for whole

The runtime's event loop reports a hang-up together with the last bytes as an end in order; the reset is never told. Ruled out: the parser's own end on errors (its error comes first). Change: at the end of an unframed answer an empty line is written; after a reset that write fails.

--- a/apps/box/src/watchSettings.ts
+++ b/apps/box/src/watchSettings.ts
@@ -40,7 +40,7 @@
       return undefined;
     }
   };
-  const reload = () => {
+  const applyChange = () => {
     const text = readText();
     if (text === undefined || text === knownText) return;
     knownText = text;
@@ -56,13 +56,13 @@
     const stamp = findStamp();
     if (stamp !== knownStamp) {
       knownStamp = stamp;
-      reload();
+      applyChange();
     }
     clock.setTimer(LOOK_INTERVAL_MS, look);
   };
 
   knownText = readText() ?? "";
   knownStamp = findStamp();
-  process.on("SIGHUP", reload);
+  process.on("SIGHUP", applyChange);
   clock.setTimer(LOOK_INTERVAL_MS, look);
 };
--- a/packages/fleet/src/createPlacer.ts
+++ b/packages/fleet/src/createPlacer.ts
@@ -32,7 +32,7 @@
 /** Creates the placer. */
 export const createPlacer = (options: PlacerOptions): FleetPlacer => {
   const { clock, random, ownHall, directory, book, onClosingAnnounced } = options;
-  const nextId = createPlacementIds();
+  const mintId = createPlacementIds();
 
   return {
     choose: (service, demand, except) => {
@@ -53,7 +53,7 @@
     },
     place: (server, head, demand) => {
       const { id } = server.entry;
-      const runId = head.id ?? nextId();
+      const runId = head.id ?? mintId();
       book.addOpen(id);
       if (demand.tokens)
         book.addRun(id, {
--- a/packages/forwarding/src/openExchange.ts
+++ b/packages/forwarding/src/openExchange.ts
@@ -43,6 +43,11 @@
   isSent: () => boolean;
 }>;
 
+const EMPTY_LINE = "\r\n";
+
+const isUnframed = ({ headers }: IncomingMessage): boolean =>
+  headers["content-length"] === undefined && headers["transfer-encoding"] === undefined;
+
 const getCode = (error: unknown): string => {
   const code = (error as { readonly code?: unknown } | null)?.code;
   if (typeof code === "string") return code;
@@ -59,7 +64,8 @@
   let isConnected = false;
   let isOver = false;
   let answer: IncomingMessage | undefined;
-  const socket = connect({ host: address.host, port: address.port, noDelay: true });
+  const { host, port } = address;
+  const socket = connect({ host, port, noDelay: true, allowHalfOpen: true });
 
   const finish = () => {
     if (isOver) return false;
@@ -94,6 +100,15 @@
     headers: headers as string[],
     maxHeaderSize: ANSWER_HEAD_BYTES,
   });
+  // NOTE: the runtime reports a reset that arrives with the last bytes as an end in order. Only a
+  // write tells them apart, and only an answer that ends with its connection needs to know; the
+  // empty line is one that servers skip between requests.
+  socket.prependListener("end", () => {
+    if (!answer || !isUnframed(answer)) return;
+    socket.write(EMPTY_LINE, (error) => {
+      if (error) fail(toFailure(error));
+    });
+  });
   outgoing.on("error", (error) => fail(toFailure(error)));
   outgoing.on("close", () =>
     fail({ kind: "broken", detail: "closed without an answer" }),
@@ -106,8 +121,7 @@
     });
     incoming.on("end", () => {
       if (!incoming.complete) return;
-      // NOTE: the parser reports an end before the error of a reset reaches the answer, so the
-      // end counts only when the turn passes without one.
+      // The end counts only when the turn passes without an error.
       setImmediate(() => {
         if (!finish()) return;
         socket.destroy();
