feat: runs of a leaving engine are assigned alike by all boxes and stopped once its link is quiet

Ruled out: slots by time for each run (needs the target's hall of other boxes' runs). Change: the engine's report, read at the notice, gives every box the same list: targets are assigned greedily from it, and runs are stopped when the copies of all should be through; a dead source leaves its copy to go on from; prompts that are not read yet count twice in placement.

--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -19,7 +19,7 @@
   createForwarder,
   createRetryBudget,
 } from "@stairgauge/forwarding";
-import { createRunMover } from "@stairgauge/migration";
+import { createRunMover, planEvacuation } from "@stairgauge/migration";
 import { createLoadBook } from "@stairgauge/placement";
 import {
   CONFIGURATION_KEY,
@@ -97,7 +97,9 @@
       const { server } = event;
       if (event.kind === "joined") reports.add(server);
       if (event.kind === "leaving") mover.onServerLeaving(server);
-      if (event.kind === "forgotten") book.drop(server.entry.id);
+      if (event.kind !== "forgotten") return;
+      book.drop(server.entry.id);
+      mover.onServerForgotten(server);
     },
   });
   const isEngineService: (service: BackendServer["entry"]["service"]) => boolean = (
@@ -127,10 +129,24 @@
         void reports.ask(server);
     },
   });
+  const makePlan = async (server: BackendServer) => {
+    const noticedAt = clock.monotonic();
+    const report = await reports.ask(server);
+    const engine = keeper.getIndex()?.findService(server.entry.service)?.engine;
+    return planEvacuation({
+      noticedAt,
+      report,
+      targets: placer.listTargets(server),
+      bytesPerToken: engine?.bytesPerToken ?? 0,
+      linkMbps: engine?.linkMbps ?? 1,
+    });
+  };
   const mover = createRunMover({
     clock,
     actions,
-    listTargets: placer.listTargets,
+    isLeaving: placer.isLeaving,
+    makePlan,
+    findServer: directory.find,
     listRunsAt: (server) => runs.listAt(server.entry.id),
     reserve: placer.reserve,
     onDecision: observeMoves({ log, metrics }),
--- a/packages/fleet/src/createPlacer.ts
+++ b/packages/fleet/src/createPlacer.ts
@@ -2,7 +2,12 @@
 import type { Clock, DataHallName, Random } from "@stairgauge/common";
 import type { BackendServer, ServerDirectory } from "@stairgauge/directory";
 import type { ActiveRun, Placer } from "@stairgauge/forwarding";
-import { chooseServer, estimateMemory, type LoadBook } from "@stairgauge/placement";
+import {
+  chooseServer,
+  estimateEngineLoad,
+  type LoadBook,
+  type MoveTarget,
+} from "@stairgauge/placement";
 
 /** What placing needs. */
 export type PlacerOptions = Readonly<{
@@ -17,8 +22,8 @@
 /** Places requests, and finds targets for runs that move. */
 export type FleetPlacer = Placer &
   Readonly<{
-    /** Engines that may take a run, the one with most free memory first. */
-    listTargets: (run: ActiveRun) => readonly BackendServer[];
+    /** Engines that may take runs of the one given. */
+    listTargets: (source: BackendServer) => readonly MoveTarget[];
     /** Notes a run at its target while it is being copied there. */
     reserve: (target: BackendServer, run: ActiveRun) => () => void;
   }>;
@@ -29,6 +34,12 @@
   return () => `unnamed-${(next += 1)}`;
 };
 
+/** A server that the directory has forgotten left long ago. */
+const isLeaving = (directory: ServerDirectory, server: BackendServer): boolean => {
+  const known = directory.find(server.entry.id);
+  return !known || known.leaving !== undefined;
+};
+
 /** Creates the placer. */
 export const createPlacer = (options: PlacerOptions): FleetPlacer => {
   const { clock, random, ownHall, directory, book, onClosingAnnounced } = options;
@@ -61,6 +72,7 @@
           placedAt: clock.monotonic(),
           promptTokens: demand.tokens.prompt,
           expectedOut: demand.tokens.expectedOut,
+          hasBegun: false,
         });
       let isReleased = false;
       return () => {
@@ -70,19 +82,27 @@
         book.removeRun(id, runId);
       };
     },
+    isLeaving: (server) => isLeaving(directory, server),
     onAddressReused: (server) =>
       directory.mark(server.entry.id, "address_reused", clock.monotonic()),
     onConnectionClosing: onClosingAnnounced,
-    listTargets: (run) => {
+    onRunBegun: (server, head) => {
+      if (head.id !== undefined) book.markBegun(server.entry.id, head.id);
+    },
+    listTargets: (source) => {
       const now = clock.monotonic();
-      const own = run.getServer();
-      const ready = directory
-        .listReady(own.entry.service)
-        .filter((server) => server.entry.id !== own.entry.id);
-      const views = new Map(
-        ready.map((server) => [server, estimateMemory(server, book, now).taken]),
-      );
-      return [...ready].sort((a, b) => views.get(a)! - views.get(b)!);
+      return directory
+        .listReady(source.entry.service)
+        .filter((server) => server.entry.id !== source.entry.id)
+        .map((server) => {
+          const { taken, total } = estimateEngineLoad(server, book, now);
+          return {
+            server: server.entry.id,
+            takenTokens: taken,
+            totalTokens: total,
+            isNear: server.entry.dataHall === source.entry.dataHall,
+          };
+        });
     },
     reserve: (target, run) => {
       const { id } = target.entry;
@@ -92,6 +112,7 @@
         placedAt: clock.monotonic(),
         promptTokens: run.getTokens(),
         expectedOut: run.getTokensLeft(),
+        hasBegun: true,
       });
       return () => book.removeRun(id, runId);
     },
--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -124,6 +124,7 @@
   const limitTimer: Timer = clock.setTimer((endsAt - getNow()) as Ms, endOutOfTime);
 
   const relay = createStreamRelay(answer, () => {
+    if (current) placer.onRunBegun(current.server, head);
     if (run) runKeeper.onBegun(run);
   });
   answer.onDrain(() => current?.exchange?.resume());
@@ -213,7 +214,10 @@
     if (answerHead.isClosing) placer.onConnectionClosing(attempt.server);
     if (!attempt.isStream) return;
     relay.takeHead(answerHead.passedOn, reason);
-    if (continuations > 0 && run) runKeeper.onContinued(run, { kind: "goes_on" });
+    if (continuations > 0 && run) {
+      placer.onRunBegun(attempt.server, head);
+      runKeeper.onContinued(run, { kind: "goes_on" });
+    }
     startRun();
   };
 
@@ -244,7 +248,7 @@
   const takeEnd = (attempt: Attempt) => {
     if (attempt.isStream) {
       // A body that ends with its connection cannot tell an end from a stop that was asked for.
-      if (attempt.head!.isUnframed && attempt.server.leaving && run) {
+      if (attempt.head!.isUnframed && run && placer.isLeaving(attempt.server)) {
         void continueElsewhere(attempt, "connection ended without an end of the stream");
         return;
       }
--- a/packages/forwarding/src/forwarderTypes.ts
+++ b/packages/forwarding/src/forwarderTypes.ts
@@ -56,6 +56,10 @@
   ) => PlacementDecision;
   /** Notes a request at a server until the returned function is called. */
   place: (server: BackendServer, head: RequestHead, demand: Demand) => () => void;
+  /** A run's first event has come from the server. */
+  onRunBegun: (server: BackendServer, head: RequestHead) => void;
+  /** Whether a server gets no new work, as known now. */
+  isLeaving: (server: BackendServer) => boolean;
   /** The server's address belongs to another one now. */
   onAddressReused: (server: BackendServer) => void;
   /** An answer announced the end of its connection, which a leaving server does. */
--- a/packages/forwarding/src/openExchange.test.ts
+++ b/packages/forwarding/src/openExchange.test.ts
@@ -22,7 +22,7 @@
   return { host: "127.0.0.1", port: (server.address() as AddressInfo).port };
 };
 
-const hear = (address: { host: string; port: number }): Promise<Heard> =>
+const listenTo = (address: { host: string; port: number }): Promise<Heard> =>
   new Promise((resolve) => {
     const heard: Heard = { status: undefined, body: "", end: undefined };
     openExchange(
@@ -53,7 +53,7 @@
     const address = await serveRaw((socket) =>
       socket.end("HTTP/1.1 200 OK\r\n\r\nall of it"),
     );
-    expect(await hear(address)).toMatchObject({ body: "all of it", end: "whole" });
+    expect(await listenTo(address)).toMatchObject({ body: "all of it", end: "whole" });
   });
 
   it("never takes an answer without a length as whole when its connection is reset", async () => {
@@ -62,7 +62,7 @@
         setTimeout(() => socket.resetAndDestroy(), 20),
       );
     });
-    expect(await hear(address)).toMatchObject({ body: "half of", end: "broken" });
+    expect(await listenTo(address)).toMatchObject({ body: "half of", end: "broken" });
   });
 
   it("never takes an answer as whole that is reset together with its last bytes", async () => {
@@ -70,7 +70,7 @@
       socket.write("HTTP/1.1 200 OK\r\n\r\nhalf of");
       socket.resetAndDestroy();
     });
-    expect((await hear(address)).end).toBe("broken");
+    expect((await listenTo(address)).end).toBe("broken");
   });
 
   it.each([
@@ -78,24 +78,24 @@
     ["chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nhalf of\r\n"],
   ])("finds an answer with %s that ends too soon", async (_name, text) => {
     const address = await serveRaw((socket) => socket.end(text));
-    expect((await hear(address)).end).toBe("broken");
+    expect((await listenTo(address)).end).toBe("broken");
   });
 
   it("finds bytes that are no answer", async () => {
     const address = await serveRaw((socket) => socket.end("\x00\x01 no answer\r\n\r\n"));
-    expect((await hear(address)).end).toBe("malformed");
+    expect((await listenTo(address)).end).toBe("malformed");
   });
 
   it("ignores what follows a whole answer", async () => {
     const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
     const address = await serveRaw((socket) => socket.write(whole + whole));
-    expect(await hear(address)).toMatchObject({ body: "ok", end: "whole" });
+    expect(await listenTo(address)).toMatchObject({ body: "ok", end: "whole" });
   });
 
   it("says that nothing was sent when no connection comes up", async () => {
     const address = await serveRaw(() => undefined);
     closers.splice(0).forEach((close) => close());
     await new Promise((resolve) => setTimeout(resolve, 10));
-    expect((await hear(address)).end).toBe("unreachable");
+    expect((await listenTo(address)).end).toBe("unreachable");
   });
 });
--- a/packages/migration/src/runMover.ts
+++ b/packages/migration/src/runMover.ts
@@ -1,27 +1,33 @@
 /**
- * Moves the runs of an engine that leaves to other engines: a copy while the run goes on, then the rest.
+ * Moves the runs of an engine that leaves to other engines.
  *
+ * Each run is copied while it goes on. Once the copies of all runs should be through, the run is stopped
+ * and the rest follows. An engine that ends before leaves a copy from which the run goes on all the same.
  * The stream itself is switched by the forwarder, which asks `recover` where a run goes on once its
  * server has ended the stream.
  */
 import type { Clock, Ms } from "@stairgauge/common";
-import type { BackendServer, ServerAddress } from "@stairgauge/directory";
+import type { BackendServer, ServerAddress, ServerId } from "@stairgauge/directory";
 import type {
   ActiveRun,
   ContinuationOutcome,
   RunContinuation,
   RunKeeper,
 } from "@stairgauge/forwarding";
+import type { EvacuationPlan } from "./planEvacuation.js";
 import type { CopyAnswer, EngineActions } from "./types.js";
 
 /** A step of a move; each is logged as one line. */
 export type MoveDecision = Readonly<
   | { kind: "move_begun"; from: string; to: string; tokens: number }
   | { kind: "copied"; from: string; to: string; took: Ms }
+  | { kind: "stop_due"; from: string; quietIn: Ms; leavesIn: Ms }
   | { kind: "stopped"; from: string; to: string; took: Ms }
   | { kind: "copy_failed"; from: string; to: string; detail: string }
   | { kind: "no_target"; from: string }
+  | { kind: "given_up_before_its_end"; from: string }
   | { kind: "goes_on_from_copy"; from: string; to: string; detail: string }
+  | { kind: "goes_back_to_source"; from: string; detail: string }
   | { kind: "not_recovered"; from: string; detail: string }
 >;
 
@@ -29,25 +35,25 @@
 export type RunMoverDeps = Readonly<{
   clock: Clock;
   actions: EngineActions;
-  /** Engines that may take a run of this many tokens, best first. */
-  listTargets: (run: ActiveRun) => readonly BackendServer[];
+  findServer: (id: ServerId) => BackendServer | undefined;
   listRunsAt: (server: BackendServer) => readonly ActiveRun[];
+  isLeaving: (server: BackendServer) => boolean;
+  /** Asks a leaving engine and plans when its runs are to be stopped. */
+  makePlan: (server: BackendServer) => Promise<EvacuationPlan>;
   /** Notes tokens at a target until the returned function is called. */
   reserve: (target: BackendServer, run: ActiveRun) => () => void;
   onDecision: (run: ActiveRun, decision: MoveDecision) => void;
 }>;
 
-/** A copy that lies at its target. */
-type Copy = Readonly<{ source: ServerAddress; target: BackendServer; handle: string }>;
-
 type Move = {
   readonly from: BackendServer;
-  target: BackendServer;
-  copy: Copy | undefined;
+  release: () => void;
+  /** A copy that lies at its target. */
+  copy: RunContinuation | undefined;
   /** The last part is being copied; resolves with where the run goes on. */
   stopping: Promise<RunContinuation | undefined> | undefined;
-  release: () => void;
-  failures: number;
+  /** The stopped run at its source, for a target that takes it back. */
+  source: RunContinuation | undefined;
 };
 
 /** Longest that a copy may take; an engine that leaves is gone by then. */
@@ -56,152 +62,219 @@
 /** Targets tried for one move. */
 const MAX_TARGETS = 3;
 
+/** A run is stopped at the latest this long before its engine goes: the rest takes 20 to 40 ms, measured. */
+const STOP_BEFORE_END_MS = 300;
+
+/** With less time than this the rest cannot be copied: the run goes on from its copy. */
+const TOO_LATE_TO_STOP_MS = 120;
+
 /** Keeps runs alive across their engines. */
 export type RunMover = RunKeeper &
   Readonly<{
     /** An engine gets no new work: its runs begin to move. */
     onServerLeaving: (server: BackendServer) => void;
+    /** An engine is forgotten. */
+    onServerForgotten: (server: BackendServer) => void;
   }>;
 
+const describeAnswer = (answer: CopyAnswer): string =>
+  answer.kind === "no_answer" ? `no answer: ${answer.detail}` : answer.kind;
+
 /** Creates the mover. */
 export const createRunMover = (deps: RunMoverDeps): RunMover => {
-  const { clock, actions, listTargets, listRunsAt, reserve, onDecision } = deps;
+  const { clock, actions, listRunsAt, isLeaving, reserve, onDecision } = deps;
   const moves = new Map<ActiveRun, Move>();
-
-  const describe = (answer: CopyAnswer) =>
-    answer.kind === "no_answer" ? `no answer: ${answer.detail}` : answer.kind;
+  const plans = new Map<ServerId, Promise<EvacuationPlan>>();
 
   const endMove = (run: ActiveRun) => {
     moves.get(run)?.release();
     moves.delete(run);
   };
+  const isCurrent = (run: ActiveRun, move: Move) => moves.get(run) === move;
+
+  const getPlan = (server: BackendServer): Promise<EvacuationPlan> => {
+    const { id } = server.entry;
+    const plan = plans.get(id) ?? deps.makePlan(server);
+    plans.set(id, plan);
+    return plan;
+  };
+
+  const waitUntil = (at: number) =>
+    new Promise<void>((resolve) => {
+      const left = at - clock.monotonic();
+      if (left <= 0) resolve();
+      else clock.setTimer(left as Ms, resolve);
+    });
 
-  const copyOnce = async (run: ActiveRun, move: Move, isLast: boolean) => {
+  const copyOnce = async (
+    run: ActiveRun,
+    request: Readonly<{ from: BackendServer; target: BackendServer; isLast: boolean }>,
+  ): Promise<CopyAnswer> => {
+    const { from, target, isLast } = request;
     const begunAt = clock.monotonic();
     const answer = await actions.copyRun({
-      source: move.from.entry.address,
-      target: move.target.entry.address,
+      source: from.entry.address,
+      target: target.entry.address,
       id: run.id,
       isLast,
       limit: COPY_LIMIT_MS,
     });
     const took = (clock.monotonic() - begunAt) as Ms;
-    const from = move.from.entry.id;
-    const to = move.target.entry.id;
+    const names = { from: from.entry.id, to: target.entry.id };
     if (answer.kind === "copied")
-      onDecision(run, { kind: isLast ? "stopped" : "copied", from, to, took });
-    else onDecision(run, { kind: "copy_failed", from, to, detail: describe(answer) });
+      onDecision(run, { kind: isLast ? "stopped" : "copied", ...names, took });
+    else
+      onDecision(run, { kind: "copy_failed", ...names, detail: describeAnswer(answer) });
     return answer;
   };
 
+  const makeContinuation = (
+    server: BackendServer,
+    source: ServerAddress,
+    handle: string,
+  ): RunContinuation => ({ server, memory: { source, handle } });
+
   const stopAtSource = async (
     run: ActiveRun,
     move: Move,
+    target: BackendServer,
   ): Promise<RunContinuation | undefined> => {
-    const source = move.from.entry.address;
-    const answer = await copyOnce(run, move, true);
-    switch (answer.kind) {
-      case "copied":
-        return { server: move.target, memory: { source, handle: answer.handle } };
-      case "no_room":
-        // The run was stopped and its memory lies at its source: it goes on there.
-        return answer.handle === undefined
-          ? undefined
-          : { server: move.from, memory: { source, handle: answer.handle } };
-      case "no_such_run":
-      case "under_way":
-      case "no_answer":
-        return undefined;
+    const { from } = move;
+    const { address } = from.entry;
+    const answer = await copyOnce(run, { from, target, isLast: true });
+    if (answer.kind === "copied") {
+      move.source = makeContinuation(from, address, answer.handle);
+      return makeContinuation(target, address, answer.handle);
     }
+    // A run that was stopped without room at its target lies at its source, and goes on there.
+    if (answer.kind === "no_room" && answer.handle !== undefined)
+      return makeContinuation(from, address, answer.handle);
+    return undefined;
   };
 
-  const attemptTargets = async (run: ActiveRun, move: Move): Promise<void> => {
-    const targets = listTargets(run).slice(0, MAX_TARGETS);
-    for (const target of targets) {
-      if (moves.get(run) !== move) return;
+  /** Copies the run to the first target with room. */
+  const copyToTarget = async (
+    run: ActiveRun,
+    move: Move,
+  ): Promise<BackendServer | undefined> => {
+    const { from } = move;
+    const plan = await getPlan(from);
+    const targets = plan.listTargets(run.id, run.getTokens()).slice(0, MAX_TARGETS);
+    for (const id of targets) {
+      const target = deps.findServer(id);
+      if (!target || isLeaving(target)) continue;
+      if (!isCurrent(run, move)) return undefined;
       move.release();
-      move.target = target;
       move.release = reserve(target, run);
-      const from = move.from.entry.id;
-      onDecision(run, {
-        kind: "move_begun",
-        from,
-        to: target.entry.id,
-        tokens: run.getTokens(),
-      });
-      const answer = await copyOnce(run, move, false);
-      if (moves.get(run) !== move) return;
+      const names = { from: from.entry.id, to: target.entry.id };
+      onDecision(run, { kind: "move_begun", ...names, tokens: run.getTokens() });
+      const answer = await copyOnce(run, { from, target, isLast: false });
+      if (!isCurrent(run, move)) return undefined;
       if (answer.kind === "copied") {
-        const { handle } = answer;
-        move.copy = { source: move.from.entry.address, target, handle };
-        move.stopping = stopAtSource(run, move);
-        return;
+        move.copy = makeContinuation(target, from.entry.address, answer.handle);
+        return target;
       }
-      if (answer.kind !== "no_room") return;
+      if (answer.kind !== "no_room") return undefined;
     }
-    onDecision(run, { kind: "no_target", from: move.from.entry.id });
+    onDecision(run, { kind: "no_target", from: from.entry.id });
+    return undefined;
+  };
+
+  const stopWhenQuiet = async (run: ActiveRun, move: Move, target: BackendServer) => {
+    const { quietAt, leavesAt } = await getPlan(move.from);
+    const now = clock.monotonic();
+    const from = move.from.entry.id;
+    const quietIn = (quietAt - now) as Ms;
+    onDecision(run, {
+      kind: "stop_due",
+      from,
+      quietIn,
+      leavesIn: (leavesAt - now) as Ms,
+    });
+    await waitUntil(Math.min(quietAt, leavesAt - STOP_BEFORE_END_MS));
+    if (!isCurrent(run, move) || !move.copy) return;
+    if (leavesAt - clock.monotonic() < TOO_LATE_TO_STOP_MS) {
+      onDecision(run, { kind: "given_up_before_its_end", from });
+      run.cutOver();
+      return;
+    }
+    move.stopping = stopAtSource(run, move, target);
   };
 
   const startMove = async (run: ActiveRun, from: BackendServer) => {
-    if (moves.has(run)) return;
+    // A stream that a new run may go on with needs no memory moved.
+    if (run.route.isResumable || moves.has(run)) return;
     const move: Move = {
       from,
-      target: from,
+      release: () => undefined,
       copy: undefined,
       stopping: undefined,
-      release: () => undefined,
-      failures: 0,
+      source: undefined,
     };
     moves.set(run, move);
-    await attemptTargets(run, move);
+    const target = await copyToTarget(run, move);
+    if (target) await stopWhenQuiet(run, move, target);
   };
 
-  const continueFromCopy = (
-    run: ActiveRun,
-    move: Move,
-    detail: string,
-  ): RunContinuation | undefined => {
+  const takeCopy = (run: ActiveRun, move: Move, detail: string) => {
     const { copy } = move;
-    if (!copy) return undefined;
     move.copy = undefined;
+    if (!copy) return undefined;
     const from = move.from.entry.id;
-    const to = copy.target.entry.id;
+    const to = copy.server.entry.id;
     onDecision(run, { kind: "goes_on_from_copy", from, to, detail });
-    return { server: copy.target, memory: { source: copy.source, handle: copy.handle } };
+    return copy;
+  };
+
+  const takeSource = (run: ActiveRun, move: Move, detail: string) => {
+    const { source } = move;
+    move.source = undefined;
+    if (!source) return undefined;
+    onDecision(run, { kind: "goes_back_to_source", from: move.from.entry.id, detail });
+    return source;
+  };
+
+  const findContinuation = async (
+    run: ActiveRun,
+    detail: string,
+  ): Promise<RunContinuation | undefined> => {
+    const move = moves.get(run);
+    if (!move) return undefined;
+    const { stopping } = move;
+    move.stopping = undefined;
+    const stopped = await stopping;
+    if (stopped) {
+      move.copy = undefined;
+      return stopped;
+    }
+    return takeCopy(run, move, detail) ?? takeSource(run, move, detail);
   };
 
   return {
     onServerLeaving: (server) => {
-      for (const run of listRunsAt(server))
-        if (run.hasBegun()) void startMove(run, server);
+      const begun = listRunsAt(server).filter((run) => run.hasBegun());
+      if (begun.length > 0) void getPlan(server);
+      const longestFirst = begun.toSorted(
+        (a, b) => b.getTokensLeft() - a.getTokensLeft(),
+      );
+      for (const run of longestFirst) void startMove(run, server);
     },
+    onServerForgotten: (server) => void plans.delete(server.entry.id),
     onBegun: (run) => {
       const server = run.getServer();
-      if (server.leaving) void startMove(run, server);
+      if (isLeaving(server)) void startMove(run, server);
     },
     recover: async (run, detail) => {
-      const move = moves.get(run);
+      const found = await findContinuation(run, detail);
       const from = run.getServer().entry.id;
-      if (!move) {
-        onDecision(run, { kind: "not_recovered", from, detail });
-        return undefined;
-      }
-      const { stopping } = move;
-      move.stopping = undefined;
-      const stopped = await stopping;
-      if (stopped) {
-        move.copy = undefined;
-        return stopped;
-      }
-      const copied = continueFromCopy(run, move, detail);
-      if (!copied) onDecision(run, { kind: "not_recovered", from, detail });
-      return copied;
+      if (!found) onDecision(run, { kind: "not_recovered", from, detail });
+      return found;
     },
     onContinued: (run, outcome: ContinuationOutcome) => {
       if (outcome.kind !== "goes_on") return;
       endMove(run);
       const server = run.getServer();
-      if (server.leaving) void startMove(run, server);
+      if (isLeaving(server)) void startMove(run, server);
     },
     onFinished: endMove,
   };
--- a/packages/placement/src/chooseServer.ts
+++ b/packages/placement/src/chooseServer.ts
@@ -23,31 +23,73 @@
   random: Random;
 }>;
 
-/** Memory at an engine, and what of it is spoken for. */
-export type MemoryView = Readonly<{
+/** What an engine has taken on, in tokens, as far as this box can tell. */
+export type EngineLoad = Readonly<{
+  /** Memory taken or spoken for. */
   taken: number;
-  total: number | undefined;
+  /** Prompts that wait to be read. */
+  backlog: number;
+  total: number;
   reportAge: Ms | undefined;
 }>;
 
+/** Memory of an engine that has not reported yet, until it does; from the users' sites. */
+const ASSUMED_MEMORY_TOKENS = 34_000;
+
+/** Tokens that another box's run is expected to make yet; from the users' sites, half of a mean output. */
+const GROWTH_OF_OTHERS_TOKENS = 400;
+
+/** Prompt of a waiting request whose size the report does not tell; mean of the users' sites. */
+const ASSUMED_PROMPT_TOKENS = 2_600;
+
+/** A token that waits to be read delays the next request; a token in memory only takes room. */
+const BACKLOG_WEIGHT = 2;
+
+/** Loads closer together than this are as good as equal, given how old reports are. */
+const LOAD_JITTER = 0.06;
+
 const sumRuns = (runs: readonly PlacedRun[]): number =>
   runs.reduce((sum, run) => sum + run.promptTokens + run.expectedOut, 0);
 
+const sumBacklog = (runs: readonly PlacedRun[]): number =>
+  runs.reduce((sum, run) => sum + (run.hasBegun ? 0 : run.promptTokens), 0);
+
 const sumOthers = ({ report }: KeptReport, own: ReadonlySet<string>): number =>
-  report.runs.reduce((sum, run) => sum + (own.has(run.id) ? 0 : run.tokensInMemory), 0);
+  report.runs.reduce(
+    (sum, run) =>
+      sum + (own.has(run.id) ? 0 : run.tokensInMemory + GROWTH_OF_OTHERS_TOKENS),
+    0,
+  );
+
+/** Prompts of other boxes that waited when the report was made. */
+const sumWaitingOthers = ({ report }: KeptReport, own: readonly PlacedRun[]): number => {
+  const ownWaiting = own.filter((run) => !run.hasBegun).length;
+  const others = Math.max(0, report.waiting - ownWaiting);
+  return others * (report.firstWaitingTokens || ASSUMED_PROMPT_TOKENS);
+};
 
-/** Memory taken at an engine: own runs as placed, those of other boxes as last reported. */
-export const estimateMemory = (
+/** Works an engine's load out: own runs as placed, those of other boxes as last reported. */
+export const estimateEngineLoad = (
   server: BackendServer,
   book: LoadBook,
   now: Ms,
-): MemoryView => {
+): EngineLoad => {
   const own = book.listRuns(server.entry.id);
   const kept = book.findReport(server.entry.id);
-  if (!kept) return { taken: sumRuns(own), total: undefined, reportAge: undefined };
+  const ownTaken = sumRuns(own);
+  const ownBacklog = sumBacklog(own);
+  if (!kept)
+    return {
+      taken: ownTaken,
+      backlog: ownBacklog,
+      total: ASSUMED_MEMORY_TOKENS,
+      reportAge: undefined,
+    };
+  const waiting = sumWaitingOthers(kept, own);
   const ids = new Set(own.map((run) => run.id));
   return {
-    taken: sumRuns(own) + sumOthers(kept, ids),
+    taken: ownTaken + sumOthers(kept, ids) + waiting,
+    backlog: ownBacklog + waiting,
     total: kept.report.memoryTotal,
     reportAge: (now - kept.at + REPORT_LAG_MS) as Ms,
   };
@@ -70,13 +112,11 @@
   };
 };
 
-/** Memory of an engine that has not reported yet, until it does; from the users' sites. */
-const ASSUMED_MEMORY_TOKENS = 34_000;
-
 const scoreEngine = (server: BackendServer, inputs: ChoiceInputs): Scored => {
-  const view = estimateMemory(server, inputs.book, inputs.now);
-  const total = view.total ?? ASSUMED_MEMORY_TOKENS;
-  return { server, load: view.taken / total, reportAge: view.reportAge };
+  const { book, now, random } = inputs;
+  const { taken, backlog, total, reportAge } = estimateEngineLoad(server, book, now);
+  const jitter = random.nextFloat() * LOAD_JITTER;
+  return { server, load: (taken + BACKLOG_WEIGHT * backlog) / total + jitter, reportAge };
 };
 
 const pickLeast = (scored: readonly Scored[], random: Random): Scored | undefined => {
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -2,5 +2,7 @@
 export type * from "./types.js";
 export { createLoadBook } from "./loadBook.js";
 export type { KeptReport, LoadBook, PlacedRun } from "./loadBook.js";
-export { chooseServer, estimateMemory } from "./chooseServer.js";
-export type { ChoiceInputs, MemoryView } from "./chooseServer.js";
+export { chooseServer, estimateEngineLoad } from "./chooseServer.js";
+export type { ChoiceInputs, EngineLoad } from "./chooseServer.js";
+export { rankTargets } from "./rankTargets.js";
+export type { MoveTarget } from "./rankTargets.js";
--- a/packages/placement/src/loadBook.ts
+++ b/packages/placement/src/loadBook.ts
@@ -10,6 +10,8 @@
   promptTokens: number;
   /** Tokens that it is expected to make in all. */
   expectedOut: number;
+  /** Its first event has come: its prompt has been read. */
+  hasBegun: boolean;
 }>;
 
 /** A report and when it came. */
@@ -22,6 +24,8 @@
   countOpen: (server: ServerId) => number;
   addRun: (server: ServerId, run: PlacedRun) => void;
   removeRun: (server: ServerId, id: string) => void;
+  /** A run's first event has come. */
+  markBegun: (server: ServerId, id: string) => void;
   listRuns: (server: ServerId) => readonly PlacedRun[];
   putReport: (server: ServerId, report: EngineReport, at: Ms) => void;
   findReport: (server: ServerId) => KeptReport | undefined;
@@ -55,6 +59,11 @@
       placed?.delete(id);
       if (placed?.size === 0) runs.delete(server);
     },
+    markBegun: (server, id) => {
+      const placed = runs.get(server);
+      const run = placed?.get(id);
+      if (placed && run) placed.set(id, { ...run, hasBegun: true });
+    },
     listRuns: (server) => [...(runs.get(server)?.values() ?? [])],
     putReport: (server, report, at) => void reports.set(server, { report, at }),
     findReport: (server) => reports.get(server),
--- a/packages/placement/src/types.ts
+++ b/packages/placement/src/types.ts
@@ -16,6 +16,8 @@
   /** Time until it goes, if it knows. */
   leavesIn: Ms | undefined;
   waiting: number;
+  /** Prompt tokens of the first that waits. */
+  firstWaitingTokens: number;
   running: number;
   memoryUsed: number;
   memoryTotal: number;
