feat: boxes tell each other their placements over gRPC; membership by rows of the store

Cause (pace lines of the log): seven boxes read the same reports, half a second old, and sent their prompts to the same emptiest engine: 8 of 10 prompts within half a second on one, first events after 1.5 to 5 s. Ruled out: a shorter interval of reports (their content stays 500 ms old; each has its price); random choice alone (a queue of half the prompts still forms by chance). Change: each box streams its runs (prompt, expected output, begun) to every other; placement counts them.

--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -2,6 +2,7 @@
 import { createServer, type Server } from "node:http";
 import {
   createSystemRandom,
+  type BoxName,
   type Clock,
   type DataHallName,
   type Ms,
@@ -20,12 +21,20 @@
   createRetryBudget,
 } from "@stairgauge/forwarding";
 import { createRunMover, planEvacuation } from "@stairgauge/migration";
+import {
+  createMembership,
+  createPeerLinks,
+  createPeerServer,
+  createRunTeller,
+} from "@stairgauge/peers";
 import { createLoadBook } from "@stairgauge/placement";
 import {
+  BOX_TABLE,
   CONFIGURATION_KEY,
   createEngineActions,
   createHeadCodec,
   createStoreReader,
+  createStoreWriter,
   decodeConfiguration,
   decodeServerEntry,
   READY_PATH,
@@ -85,7 +94,40 @@
     denyWithin: settings.bounds.configurationMs as Ms,
     acceptWithin: (settings.bounds.keyRemovalMs - KEY_MARGIN_MS) as Ms,
   });
-  const book = createLoadBook();
+  const own = settings.box as BoxName;
+  const book = createLoadBook((change) => teller.takeChange(change));
+  const teller = createRunTeller({
+    clock,
+    own,
+    book,
+    send: (update) => links.tell(update),
+  });
+  const links = createPeerLinks({ clock, random, own, makeWhole: teller.makeWhole });
+  const peerServer = createPeerServer({
+    onUpdate: (update) => {
+      if (update.isWhole) book.dropPeer(update.box);
+      for (const placed of update.put) book.putPeerRun(update.box, placed);
+      for (const { server, id } of update.drop)
+        book.removePeerRun(update.box, server, id);
+    },
+    onPeerLost: (box) => {
+      book.dropPeer(box);
+      log.writeDecision("peer_lost", { peer: box });
+    },
+  });
+  const peerAddress = splitAddress(settings.listen.peers);
+  const membership = createMembership({
+    clock,
+    writer: createStoreWriter(settings.store.address),
+    table: BOX_TABLE,
+    own: { box: own, address: peerAddress },
+    limit: settings.store.patienceMs as Ms,
+    onPeers: (peers) => {
+      links.setPeers(peers);
+      log.writeNotice("peers", { boxes: peers.length });
+    },
+    onFailure: (failure) => log.writeWarning("membership", { failure }),
+  });
   const runs = createActiveRuns();
   const actions = createEngineActions();
   const reader = createStoreReader(settings.store.address);
@@ -219,6 +261,12 @@
     const standing = keeper.getStanding(clock.monotonic());
     return !isStopping && (standing === "current" || standing === "ageing");
   };
+  const memberFollower = createTableFollower({
+    ...shared,
+    table: BOX_TABLE,
+    wait: settings.store.boxesWaitMs as Ms,
+    sink: membership.sink,
+  });
   const readyServer = createServer((incoming, response) => {
     const isAsked = incoming.url === READY_PATH;
     response.writeHead(isAsked ? (isReady() ? 200 : 503) : 404, ["Content-Length", "0"]);
@@ -235,9 +283,12 @@
     start: async () => {
       configurationFollower.start();
       serverFollower.start();
+      memberFollower.start();
+      membership.join();
       const clients = splitAddress(settings.listen.clients);
       await clientServer.listen(clients.host, clients.port);
       await listen(readyServer, settings.listen.ready);
+      await peerServer.listen(peerAddress);
       await listen(metricsServer, settings.listen.metrics);
       log.writeNotice("started", { listen: settings.listen });
     },
@@ -251,6 +302,9 @@
         countOpen: forwarder.countOpen,
         grace: (settings.bounds.stopSeconds * 1000) as Ms,
       });
+      await membership.leave();
+      links.close();
+      peerServer.close();
       log.writeNotice("stopped", { open: forwarder.countOpen() });
     },
     applySettings: (changed) => {
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -38,6 +38,7 @@
   placement: ["common", "directory"],
   forwarding: ["common", "routing", "directory", "placement"],
   migration: ["common", "directory", "forwarding", "placement"],
+  peers: ["common", "directory", "placement", "storefeed"],
   fleet: [
     "common",
     "directory",
--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -123,7 +123,7 @@
   };
   const limitTimer: Timer = clock.setTimer((endsAt - getNow()) as Ms, endOutOfTime);
 
-  const relay = createStreamRelay(answer, () => {
+  const relay = createStreamRelay(clock, answer, () => {
     if (current) placer.onRunBegun(current.server, head);
     if (run) runKeeper.onBegun(run);
   });
@@ -253,7 +253,16 @@
         return;
       }
       const { id } = attempt.server.entry;
-      tell({ kind: "stream_ended", server: id, events: relay.getEvents() });
+      const { firstEventAt, longestPause, longestPauseAt } = relay.getPace();
+      tell({
+        kind: "stream_ended",
+        server: id,
+        events: relay.getEvents(),
+        firstEventAfter: ((firstEventAt ?? getNow()) - receivedAt) as Ms,
+        longestPause,
+        longestPauseAfter: ((longestPauseAt ?? getNow()) - receivedAt) as Ms,
+        continuations,
+      });
       relay.finish();
       finish();
       return;
--- a/packages/forwarding/src/forwarderTypes.ts
+++ b/packages/forwarding/src/forwarderTypes.ts
@@ -36,7 +36,16 @@
   | { kind: "continued"; from: ServerId; to: ServerId; events: number }
   | { kind: "continuation_refused"; to: ServerId; detail: string }
   | { kind: "answered"; server: ServerId; status: number }
-  | { kind: "stream_ended"; server: ServerId; events: number }
+  | {
+      kind: "stream_ended";
+      server: ServerId;
+      events: number;
+      firstEventAfter: Ms;
+      longestPause: Ms;
+      /** Time from the request to the end of the longest pause. */
+      longestPauseAfter: Ms;
+      continuations: number;
+    }
   | { kind: "stream_lost"; server: ServerId; events: number; detail: string }
   | { kind: "client_left"; events: number }
   | { kind: "out_of_time"; mayHaveRun: boolean }
--- a/packages/forwarding/src/streamRelay.ts
+++ b/packages/forwarding/src/streamRelay.ts
@@ -1,4 +1,5 @@
 /** Passes the events of a run on to its client, whole events only, from whichever server makes them. */
+import type { Clock, Ms } from "@stairgauge/common";
 import type { ClientAnswer } from "./clientAnswer.js";
 import { createEventSplitter } from "./eventSplitter.js";
 import type { RawHeaders } from "./types.js";
@@ -16,12 +17,21 @@
   hasBegun: () => boolean;
   getEvents: () => number;
   getLastEventId: () => string | undefined;
+  getPace: () => StreamPace;
+}>;
+
+/** How a stream came, as its client sees it. */
+export type StreamPace = Readonly<{
+  firstEventAt: Ms | undefined;
+  longestPause: Ms;
+  longestPauseAt: Ms | undefined;
 }>;
 
 const STREAM_STATUS = 200;
 
 /** Creates a relay before its first head. */
 export const createStreamRelay = (
+  clock: Clock,
   answer: ClientAnswer,
   onFirstEvent: () => void,
 ): StreamRelay => {
@@ -29,6 +39,20 @@
   let headers: RawHeaders | undefined;
   let reason = "";
   let events = 0;
+  let firstEventAt: Ms | undefined;
+  let lastEventAt: Ms | undefined;
+  let longestPause = 0 as Ms;
+  let longestPauseAt: Ms | undefined;
+
+  const recordPace = () => {
+    const now = clock.monotonic();
+    firstEventAt ??= now;
+    const pause = (now - (lastEventAt ?? now)) as Ms;
+    lastEventAt = now;
+    if (pause <= longestPause) return;
+    longestPause = pause;
+    longestPauseAt = now;
+  };
 
   const begin = () => {
     if (answer.hasBegun()) return;
@@ -46,6 +70,7 @@
       if (!batch) return false;
       const isFirst = events === 0;
       events += batch.events;
+      recordPace();
       begin();
       const mayGoOn = answer.write(batch.bytes);
       if (isFirst) onFirstEvent();
@@ -61,5 +86,6 @@
     hasBegun: () => events > 0,
     getEvents: () => events,
     getLastEventId: splitter.getLastEventId,
+    getPace: () => ({ firstEventAt, longestPause, longestPauseAt }),
   };
 };
--- /dev/null
+++ b/packages/peers/src/index.ts
@@ -0,0 +1,10 @@
+/** Boxes that tell each other what they have placed where. */
+export type * from "./types.js";
+export { createMembership } from "./membership.js";
+export type { Membership, MembershipOptions } from "./membership.js";
+export { createPeerLinks } from "./peerLinks.js";
+export type { PeerLinks, PeerLinksOptions } from "./peerLinks.js";
+export { createPeerServer } from "./peerServer.js";
+export type { PeerServer, PeerServerOptions } from "./peerServer.js";
+export { createRunTeller } from "./runTeller.js";
+export type { RunTeller, RunTellerOptions } from "./runTeller.js";
--- /dev/null
+++ b/packages/peers/src/memberSink.ts
@@ -0,0 +1,58 @@
+/** The boxes that take part, from their rows in the platform's store. */
+import { Err, Ok, type BoxName, type Result } from "@stairgauge/common";
+import type { FollowerSink, StoredRow } from "@stairgauge/storefeed";
+import { z } from "zod";
+import type { Peer } from "./types.js";
+
+const memberSchema = z.object({ host: z.string(), port: z.number().int().positive() });
+
+/** Why a row names no box. */
+export type MemberFailure = Readonly<{ kind: "unreadable_member"; key: string }>;
+
+/** Encodes a box's own row. */
+export const encodeMember = ({ address }: Peer): Buffer =>
+  Buffer.from(JSON.stringify({ host: address.host, port: address.port }));
+
+/** Decodes another box's row. */
+export const decodeMember = (key: string, value: Buffer): Result<Peer, MemberFailure> => {
+  try {
+    const address = memberSchema.parse(JSON.parse(value.toString("utf8")));
+    return Ok({ box: key as BoxName, address });
+  } catch {
+    return Err({ kind: "unreadable_member", key });
+  }
+};
+
+/** What is told while following. */
+export type MemberSinkOptions = Readonly<{
+  onMembers: (members: readonly Peer[]) => void;
+  onUnreadable: (failure: MemberFailure) => void;
+}>;
+
+/** Creates the sink for a follower of the boxes' table. */
+export const createMemberSink = (options: MemberSinkOptions): FollowerSink => {
+  const members = new Map<string, Peer>();
+  const put = (row: StoredRow) => {
+    const decoded = decodeMember(row.key, row.value);
+    if (decoded.ok) members.set(row.key, decoded.val);
+    else options.onUnreadable(decoded.val);
+  };
+  const tellMembers = () => options.onMembers([...members.values()]);
+
+  return {
+    onWhole: (rows) => {
+      members.clear();
+      for (const row of rows) put(row);
+      tellMembers();
+    },
+    onChanges: (changes) => {
+      for (const change of changes) {
+        if (change.kind === "put") put(change.row);
+        else members.delete(change.key);
+      }
+      if (changes.length > 0) tellMembers();
+    },
+    onFailure: () => undefined,
+    onRegained: () => undefined,
+  };
+};
--- /dev/null
+++ b/packages/peers/src/membership.ts
@@ -0,0 +1,70 @@
+/** Puts this box's row into the store, and takes the rows of the others from it. */
+import type { Clock, Ms } from "@stairgauge/common";
+import type { FollowerSink, StoreWriteFailure, StoreWriter } from "@stairgauge/storefeed";
+import { createMemberSink, encodeMember, type MemberFailure } from "./memberSink.js";
+import type { Peer } from "./types.js";
+
+/** What membership needs. */
+export type MembershipOptions = Readonly<{
+  clock: Clock;
+  writer: StoreWriter;
+  table: string;
+  own: Peer;
+  /** How long a write may take. */
+  limit: Ms;
+  onPeers: (peers: readonly Peer[]) => void;
+  onFailure: (failure: StoreWriteFailure | MemberFailure) => void;
+}>;
+
+/** One box's part in the list of boxes. */
+export type Membership = Readonly<{
+  /** For the follower of the boxes' table. */
+  sink: FollowerSink;
+  /** Puts the own row, until it is seen there. */
+  join: () => void;
+  /** Drops the own row; other boxes then stop telling this one. */
+  leave: () => Promise<void>;
+}>;
+
+/** Pause before the own row is put again. */
+const JOIN_PAUSE_MS = 2_000 as Ms;
+
+/** Creates the membership of one box. */
+export const createMembership = (options: MembershipOptions): Membership => {
+  const { clock, writer, table, own, limit, onPeers, onFailure } = options;
+  const value = encodeMember(own);
+  let isListed = false;
+  let isLeaving = false;
+
+  const isSame = (peer: Peer) =>
+    peer.box === own.box &&
+    peer.address.host === own.address.host &&
+    peer.address.port === own.address.port;
+
+  const join = async () => {
+    if (isListed || isLeaving) return;
+    const signal = AbortSignal.timeout(limit);
+    const written = await writer.putRow({ table, key: own.box, value, signal });
+    if (written.err) onFailure(written.val);
+    clock.setTimer(JOIN_PAUSE_MS, () => void join());
+  };
+
+  return {
+    sink: createMemberSink({
+      onMembers: (members) => {
+        const wasListed = isListed;
+        isListed = members.some(isSame);
+        if (wasListed && !isListed) void join();
+        onPeers(members);
+      },
+      onUnreadable: onFailure,
+    }),
+    join: () => void join(),
+    leave: async () => {
+      isLeaving = true;
+      const signal = AbortSignal.timeout(limit);
+      const dropped = await writer.dropRow({ table, key: own.box, signal });
+      if (dropped.err) onFailure(dropped.val);
+    },
+  };
+};
--- /dev/null
+++ b/packages/peers/src/peerLinks.ts
@@ -0,0 +1,137 @@
+/** Tells this box's runs to every other box, over one stream each. */
+import { Client, credentials, type ClientWritableStream } from "@grpc/grpc-js";
+import type { BoxName, Clock, Ms, Random, Timer } from "@stairgauge/common";
+import { peerService } from "./service.js";
+import type { Peer, RunUpdate } from "./types.js";
+
+/** What the links need. */
+export type PeerLinksOptions = Readonly<{
+  clock: Clock;
+  random: Random;
+  own: BoxName;
+  /** The whole state, for a link that has just come up. */
+  makeWhole: () => RunUpdate;
+}>;
+
+/** The links of one box. */
+export type PeerLinks = Readonly<{
+  /** Takes the list of all boxes; links to those that are gone are closed. */
+  setPeers: (peers: readonly Peer[]) => void;
+  /** Hands an update to all links that are up. */
+  tell: (update: RunUpdate) => void;
+  count: () => number;
+  close: () => void;
+}>;
+
+type Link = {
+  readonly peer: Peer;
+  readonly client: Client;
+  stream: ClientWritableStream<RunUpdate> | undefined;
+  retry: Timer | undefined;
+  pause: number;
+};
+
+/** Pauses between tries at a box that cannot be reached. */
+const FIRST_PAUSE_MS = 300;
+const MOST_PAUSE_MS = 5_000;
+
+/** A link is probed this often when nothing is said, so that a half-open one is found. */
+const LINK_OPTIONS = {
+  "grpc.keepalive_time_ms": 5_000,
+  "grpc.keepalive_timeout_ms": 1_500,
+  "grpc.initial_reconnect_backoff_ms": 200,
+  "grpc.max_reconnect_backoff_ms": 2_000,
+  "grpc.enable_retries": 0,
+} as const;
+
+/** Updates that may wait for a slow peer before its link is opened anew. */
+const MOST_BUFFERED_BYTES = 256 * 1024;
+
+/** Creates the links; there are none until peers are set. */
+export const createPeerLinks = (options: PeerLinksOptions): PeerLinks => {
+  const { clock, random, own, makeWhole } = options;
+  const links = new Map<BoxName, Link>();
+
+  const closeLink = (link: Link) => {
+    link.retry?.cancel();
+    link.stream?.cancel();
+    link.stream = undefined;
+    link.client.close();
+  };
+
+  const scheduleRetry = (link: Link) => {
+    if (links.get(link.peer.box) !== link) return;
+    link.retry?.cancel();
+    const pause = link.pause * (0.5 + random.nextFloat());
+    link.pause = Math.min(MOST_PAUSE_MS, link.pause * 2);
+    link.retry = clock.setTimer(pause as Ms, () => openStream(link));
+  };
+
+  const openStream = (link: Link) => {
+    const stream = link.client.makeClientStreamRequest(
+      peerService.tellRuns.path,
+      peerService.tellRuns.requestSerialize,
+      peerService.tellRuns.responseDeserialize,
+      () => {
+        if (link.stream !== stream) return;
+        link.stream = undefined;
+        scheduleRetry(link);
+      },
+    );
+    link.stream = stream;
+    stream.on("metadata", () => {
+      link.pause = FIRST_PAUSE_MS;
+    });
+    stream.on("error", () => undefined);
+    stream.write(makeWhole());
+  };
+
+  const openLink = (peer: Peer) => {
+    const { host, port } = peer.address;
+    const client = new Client(
+      `${host}:${port}`,
+      credentials.createInsecure(),
+      LINK_OPTIONS,
+    );
+    const link: Link = {
+      peer,
+      client,
+      stream: undefined,
+      retry: undefined,
+      pause: FIRST_PAUSE_MS,
+    };
+    links.set(peer.box, link);
+    openStream(link);
+  };
+
+  const hasMoved = (link: Link, peer: Peer) =>
+    link.peer.address.host !== peer.address.host ||
+    link.peer.address.port !== peer.address.port;
+
+  return {
+    setPeers: (peers) => {
+      const wanted = new Map(
+        peers.filter((peer) => peer.box !== own).map((peer) => [peer.box, peer]),
+      );
+      for (const [box, link] of links) {
+        const peer = wanted.get(box);
+        if (peer && !hasMoved(link, peer)) continue;
+        links.delete(box);
+        closeLink(link);
+      }
+      for (const peer of wanted.values()) if (!links.has(peer.box)) openLink(peer);
+    },
+    tell: (update) => {
+      for (const { stream } of links.values()) {
+        if (!stream) continue;
+        if (stream.writableLength > MOST_BUFFERED_BYTES) stream.cancel();
+        else stream.write(update);
+      }
+    },
+    count: () => links.size,
+    close: () => {
+      for (const link of links.values()) closeLink(link);
+      links.clear();
+    },
+  };
+};
--- /dev/null
+++ b/packages/peers/src/peerServer.ts
@@ -0,0 +1,61 @@
+/** Takes the updates of other boxes. */
+import { Server, ServerCredentials, type ServerReadableStream } from "@grpc/grpc-js";
+import type { BoxName } from "@stairgauge/common";
+import type { ServerAddress } from "@stairgauge/directory";
+import { peerService } from "./service.js";
+import type { RunUpdate } from "./types.js";
+
+/** What is done with updates. */
+export type PeerServerOptions = Readonly<{
+  onUpdate: (update: RunUpdate) => void;
+  /** A box's stream has ended: what it told is no longer kept up. */
+  onPeerLost: (box: BoxName) => void;
+}>;
+
+/** The listener for other boxes. */
+export type PeerServer = Readonly<{
+  listen: (address: ServerAddress) => Promise<number>;
+  close: () => void;
+}>;
+
+type UpdateStream = ServerReadableStream<RunUpdate, undefined>;
+
+/** Creates the listener. */
+export const createPeerServer = (options: PeerServerOptions): PeerServer => {
+  const server = new Server({ "grpc.keepalive_time_ms": 5_000 });
+  /** The stream that counts for a box: a box that came back opens another. */
+  const streams = new Map<BoxName, UpdateStream>();
+
+  const handleStream = (stream: UpdateStream) => {
+    let box: BoxName | undefined;
+    const loseBox = () => {
+      if (box === undefined || streams.get(box) !== stream) return;
+      streams.delete(box);
+      options.onPeerLost(box);
+    };
+    stream.on("data", (update: RunUpdate) => {
+      box = update.box;
+      streams.set(box, stream);
+      options.onUpdate(update);
+    });
+    stream.on("error", loseBox);
+    stream.on("end", loseBox);
+    stream.on("cancelled", loseBox);
+  };
+  server.addService(peerService, { tellRuns: handleStream });
+
+  return {
+    listen: ({ host, port }) =>
+      new Promise((resolve, reject) => {
+        server.bindAsync(
+          `${host}:${port}`,
+          ServerCredentials.createInsecure(),
+          (error, bound) => {
+            if (error) reject(error);
+            else resolve(bound);
+          },
+        );
+      }),
+    close: () => server.forceShutdown(),
+  };
+};
--- /dev/null
+++ b/packages/peers/src/runTeller.ts
@@ -0,0 +1,50 @@
+/** Collects changes of this box's runs and tells them together. */
+import type { BoxName, Clock, Ms } from "@stairgauge/common";
+import type { LoadBook, RunChange } from "@stairgauge/placement";
+import type { RunUpdate } from "./types.js";
+
+/** Changes within this time go out together; a placement by another box should see them. */
+const GATHER_MS = 3 as Ms;
+
+/** What telling needs. */
+export type RunTellerOptions = Readonly<{
+  clock: Clock;
+  own: BoxName;
+  book: LoadBook;
+  send: (update: RunUpdate) => void;
+}>;
+
+/** Tells the runs of one box. */
+export type RunTeller = Readonly<{
+  takeChange: (change: RunChange) => void;
+  makeWhole: () => RunUpdate;
+}>;
+
+/** Creates the teller. */
+export const createRunTeller = (options: RunTellerOptions): RunTeller => {
+  const { clock, own, book, send } = options;
+  let pending: RunChange[] = [];
+
+  const sendPending = () => {
+    const changes = pending;
+    pending = [];
+    const last = new Map(
+      changes.map((change) => [`${change.server} ${change.id}`, change]),
+    );
+    const kept = [...last.values()];
+    send({
+      box: own,
+      isWhole: false,
+      put: kept.flatMap(({ server, run }) => (run ? [{ server, run }] : [])),
+      drop: kept.flatMap(({ server, id, run }) => (run ? [] : [{ server, id }])),
+    });
+  };
+
+  return {
+    takeChange: (change) => {
+      pending.push(change);
+      if (pending.length === 1) clock.setTimer(GATHER_MS, sendPending);
+    },
+    makeWhole: () => ({ box: own, isWhole: true, put: book.listAllRuns(), drop: [] }),
+  };
+};
--- a/packages/placement/src/chooseServer.ts
+++ b/packages/placement/src/chooseServer.ts
@@ -68,14 +68,15 @@
   return others * (report.firstWaitingTokens || ASSUMED_PROMPT_TOKENS);
 };
 
-/** Works an engine's load out: own runs as placed, those of other boxes as last reported. */
+/** Works an engine's load out: runs of this box and of its peers as placed, other runs as last reported. */
 export const estimateEngineLoad = (
   server: BackendServer,
   book: LoadBook,
   now: Ms,
 ): EngineLoad => {
-  const own = book.listRuns(server.entry.id);
-  const kept = book.findReport(server.entry.id);
+  const { id } = server.entry;
+  const own = [...book.listRuns(id), ...book.listPeerRuns(id)];
+  const kept = book.findReport(id);
   const ownTaken = sumRuns(own);
   const ownBacklog = sumBacklog(own);
   if (!kept)
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,7 +1,7 @@
 /** Which server takes a request. */
 export type * from "./types.js";
 export { createLoadBook } from "./loadBook.js";
-export type { KeptReport, LoadBook, PlacedRun } from "./loadBook.js";
+export type { KeptReport, LoadBook, PlacedAt, PlacedRun, RunChange } from "./loadBook.js";
 export { chooseServer, estimateEngineLoad } from "./chooseServer.js";
 export type { ChoiceInputs, EngineLoad } from "./chooseServer.js";
 export { rankTargets } from "./rankTargets.js";
--- a/packages/placement/src/loadBook.ts
+++ b/packages/placement/src/loadBook.ts
@@ -14,6 +14,16 @@
   hasBegun: boolean;
 }>;
 
+/** A change of this box's own runs; without a run it was dropped. */
+export type RunChange = Readonly<{
+  server: ServerId;
+  id: string;
+  run: PlacedRun | undefined;
+}>;
+
+/** A run of this box and where it is. */
+export type PlacedAt = Readonly<{ server: ServerId; run: PlacedRun }>;
+
 /** A report and when it came. */
 export type KeptReport = Readonly<{ report: EngineReport; at: Ms }>;
 
@@ -27,16 +37,40 @@
   /** A run's first event has come. */
   markBegun: (server: ServerId, id: string) => void;
   listRuns: (server: ServerId) => readonly PlacedRun[];
+  listAllRuns: () => readonly PlacedAt[];
+  /** Takes what another box tells of its runs. */
+  putPeerRun: (peer: string, placed: PlacedAt) => void;
+  removePeerRun: (peer: string, server: ServerId, id: string) => void;
+  /** Forgets all that a box told. */
+  dropPeer: (peer: string) => void;
+  listPeerRuns: (server: ServerId) => readonly PlacedRun[];
   putReport: (server: ServerId, report: EngineReport, at: Ms) => void;
   findReport: (server: ServerId) => KeptReport | undefined;
   /** Forgets a server. */
   drop: (server: ServerId) => void;
 }>;
 
-/** Creates an empty book. */
-export const createLoadBook = (): LoadBook => {
+type RunsByServer = Map<ServerId, Map<string, PlacedRun>>;
+
+const putRun = (runs: RunsByServer, server: ServerId, run: PlacedRun) => {
+  const placed = runs.get(server) ?? new Map<string, PlacedRun>();
+  placed.set(run.id, run);
+  runs.set(server, placed);
+};
+
+const dropRun = (runs: RunsByServer, server: ServerId, id: string) => {
+  const placed = runs.get(server);
+  placed?.delete(id);
+  if (placed?.size === 0) runs.delete(server);
+};
+
+/** Creates an empty book; `onChange` hears each change of this box's own runs. */
+export const createLoadBook = (
+  onChange: (change: RunChange) => void = () => undefined,
+): LoadBook => {
   const open = new Map<ServerId, number>();
-  const runs = new Map<ServerId, Map<string, PlacedRun>>();
+  const runs: RunsByServer = new Map();
+  const peers = new Map<string, RunsByServer>();
   const reports = new Map<ServerId, KeptReport>();
 
   const changeOpen = (server: ServerId, step: number) => {
@@ -44,33 +78,48 @@
     if (count > 0) open.set(server, count);
     else open.delete(server);
   };
+  const addRun = (server: ServerId, run: PlacedRun) => {
+    putRun(runs, server, run);
+    onChange({ server, id: run.id, run });
+  };
 
   return {
     addOpen: (server) => changeOpen(server, 1),
     removeOpen: (server) => changeOpen(server, -1),
     countOpen: (server) => open.get(server) ?? 0,
-    addRun: (server, run) => {
-      const placed = runs.get(server) ?? new Map<string, PlacedRun>();
-      placed.set(run.id, run);
-      runs.set(server, placed);
-    },
+    addRun,
     removeRun: (server, id) => {
-      const placed = runs.get(server);
-      placed?.delete(id);
-      if (placed?.size === 0) runs.delete(server);
+      dropRun(runs, server, id);
+      onChange({ server, id, run: undefined });
     },
     markBegun: (server, id) => {
-      const placed = runs.get(server);
-      const run = placed?.get(id);
-      if (placed && run) placed.set(id, { ...run, hasBegun: true });
+      const run = runs.get(server)?.get(id);
+      if (run) addRun(server, { ...run, hasBegun: true });
     },
     listRuns: (server) => [...(runs.get(server)?.values() ?? [])],
+    listAllRuns: () =>
+      [...runs].flatMap(([server, placed]) =>
+        [...placed.values()].map((run) => ({ server, run })),
+      ),
+    putPeerRun: (peer, { server, run }) => {
+      const told = peers.get(peer) ?? new Map<ServerId, Map<string, PlacedRun>>();
+      putRun(told, server, run);
+      peers.set(peer, told);
+    },
+    removePeerRun: (peer, server, id) => {
+      const told = peers.get(peer);
+      if (told) dropRun(told, server, id);
+    },
+    dropPeer: (peer) => void peers.delete(peer),
+    listPeerRuns: (server) =>
+      [...peers.values()].flatMap((told) => [...(told.get(server)?.values() ?? [])]),
     putReport: (server, report, at) => void reports.set(server, { report, at }),
     findReport: (server) => reports.get(server),
     drop: (server) => {
       open.delete(server);
       runs.delete(server);
       reports.delete(server);
+      for (const told of peers.values()) told.delete(server);
     },
   };
 };
--- a/packages/settings/src/boxSettings.ts
+++ b/packages/settings/src/boxSettings.ts
@@ -10,12 +10,18 @@
 export const boxSettingsSchema = z.strictObject({
   box: z.string().min(1),
   dataHall: z.string().min(1),
-  listen: z.strictObject({ clients: address, ready: address, metrics: address }),
+  listen: z.strictObject({
+    clients: address,
+    ready: address,
+    metrics: address,
+    peers: address,
+  }),
   store: z.strictObject({
     address,
     /** How long the store holds a call without news; each call has its price. */
     configurationWaitMs: ms.default(1_300),
     serversWaitMs: ms.default(10_000),
+    boxesWaitMs: ms.default(15_000),
     /** How much longer an answer may take before it counts as lost. */
     patienceMs: ms.default(1_000),
     firstPauseMs: ms.default(100),
--- a/packages/storefeed/src/types.ts
+++ b/packages/storefeed/src/types.ts
@@ -36,3 +36,21 @@
     request: Readonly<{ table: string; since: number; wait: Ms; signal: AbortSignal }>,
   ) => Promise<Result<TableChanges, StoreFailure>>;
 }>;
+
+/** Why a write is not known to be done. */
+export type StoreWriteFailure = Readonly<
+  /** Nothing was done. */
+  | { kind: "refused"; status: number }
+  /** It may have been done, or may still be. */
+  | { kind: "answer_lost"; detail: string }
+>;
+
+/** Writing calls of the store that need no condition. */
+export type StoreWriter = Readonly<{
+  putRow: (
+    row: Readonly<{ table: string; key: string; value: Buffer; signal: AbortSignal }>,
+  ) => Promise<Result<void, StoreWriteFailure>>;
+  dropRow: (
+    row: Readonly<{ table: string; key: string; signal: AbortSignal }>,
+  ) => Promise<Result<void, StoreWriteFailure>>;
+}>;
