feat: one order of moves for all boxes, and a stopped run goes on from its first copy at once

Cause: lost streams were those whose copy was still queued when their engine died (5 copies of 0.4 s in 1.6 s of notice); late ones had waited for the rest of their memory behind other copies, or all went on from their copies at the same moment when the engine died (195 to 350 ms). Ruled out: waiting until the link is quiet (often after the engine's end); the report's own time to leave (its content is older than the notice). Change: the runs to move are those that the boxes have told each other; all boxes order them alike, small ones first, those that will probably end soon last, 8 ms apart; a run is stopped when its copy is there and goes on from it, and what the copy lacks is read anew.

--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -20,7 +20,7 @@
   createForwarder,
   createRetryBudget,
 } from "@stairgauge/forwarding";
-import { createRunMover, planEvacuation } from "@stairgauge/migration";
+import { createRunMover, listRunsToMove, planEvacuation } from "@stairgauge/migration";
 import {
   createMembership,
   createPeerLinks,
@@ -174,14 +174,11 @@
   const makePlan = async (server: BackendServer) => {
     const noticedAt = clock.monotonic();
     const report = await reports.ask(server);
-    const engine = keeper.getIndex()?.findService(server.entry.service)?.engine;
-    return planEvacuation({
-      noticedAt,
-      report,
-      targets: placer.listTargets(server),
-      bytesPerToken: engine?.bytesPerToken ?? 0,
-      linkMbps: engine?.linkMbps ?? 1,
-    });
+    const { id } = server.entry;
+    const placed = [...book.listRuns(id), ...book.listPeerRuns(id)];
+    const runs = listRunsToMove(placed, report);
+    log.writeDecision("evacuation", { server: id, runs: runs.length });
+    return planEvacuation({ noticedAt, runs, targets: placer.listTargets(server) });
   };
   const mover = createRunMover({
     clock,
--- a/packages/fleet/src/createPlacer.ts
+++ b/packages/fleet/src/createPlacer.ts
@@ -73,6 +73,7 @@
           promptTokens: demand.tokens.prompt,
           expectedOut: demand.tokens.expectedOut,
           hasBegun: false,
+          isMovable: demand.tokens.isMovable,
         });
       let isReleased = false;
       return () => {
@@ -113,6 +114,7 @@
         promptTokens: run.getTokens(),
         expectedOut: run.getTokensLeft(),
         hasBegun: true,
+        isMovable: false,
       });
       return () => book.removeRun(id, runId);
     },
--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -4,8 +4,8 @@
  */
 import type { Ms, Timer } from "@stairgauge/common";
 import type { BackendServer, ServerId } from "@stairgauge/directory";
-import type { Demand } from "@stairgauge/placement";
 import type { ActiveRun, RunContinuation } from "./activeRuns.js";
+import { computeDemand, TOKENS_PER_EVENT } from "./computeDemand.js";
 import { decideNext, judgeAttempt, mayRepeat, type AttemptEnd } from "./decideNext.js";
 import type {
   AdmittedRequest,
@@ -16,12 +16,6 @@
 import { createStreamRelay } from "./streamRelay.js";
 import type { AnswerHead, DispatchTerms, ExchangeFailure } from "./types.js";
 
-/** Tokens of an event when the configuration does not say; from the users' sites. */
-const TOKENS_PER_EVENT = 4;
-
-/** Tokens expected of a generation whose client gives no guess: a short answer. */
-const DEFAULT_EXPECTED_TOKENS = 64;
-
 /** Attempts that never reached a server before the request is given up. */
 const MAX_UNREACHED = 3;
 
@@ -45,13 +39,6 @@
   readonly release: () => void;
 };
 
-const computeDemand = ({ head, route }: AdmittedRequest): Demand => {
-  if (route.kind !== "stream" || !head.usage) return { tokens: undefined };
-  const { prompt, mostOut } = head.usage;
-  const guess = head.lengthGuess ?? DEFAULT_EXPECTED_TOKENS;
-  return { tokens: { prompt, expectedOut: Math.min(guess, mostOut || guess) } };
-};
-
 const canStream = (request: AdmittedRequest, head: AnswerHead): boolean =>
   request.route.kind === "stream" &&
   head.isEventStream &&
--- a/packages/migration/src/index.ts
+++ b/packages/migration/src/index.ts
@@ -3,4 +3,5 @@
 export { createRunMover } from "./runMover.js";
 export type { MoveDecision, RunMover, RunMoverDeps } from "./runMover.js";
 export { planEvacuation } from "./planEvacuation.js";
-export type { EvacuationInputs, EvacuationPlan } from "./planEvacuation.js";
+export type { EvacuationInputs, EvacuationPlan, RunPlan } from "./planEvacuation.js";
+export { listRunsToMove } from "./listRunsToMove.js";
--- a/packages/migration/src/planEvacuation.ts
+++ b/packages/migration/src/planEvacuation.ts
@@ -1,65 +1,56 @@
 /**
- * When the runs of a leaving engine are to be stopped there. Pure.
+ * How the runs of a leaving engine are moved. Pure.
  *
- * All boxes' copies queue on the engine's one link. A run that is stopped while other copies are still
- * queued waits behind them, and its client sees a pause. So runs are stopped once the first copies of
- * all of them should be through, whichever box makes them; each box works that out from the engine's report.
+ * All boxes' copies queue on the engine's one link, so the boxes agree on an order without talking: each
+ * works it out from the same runs, and begins its copies a little apart, in that order.
  */
 import type { Ms } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
-import { rankTargets, type EngineReport, type MoveTarget } from "@stairgauge/placement";
+import { rankTargets, type MoveTarget, type RunToMove } from "@stairgauge/placement";
 
 /** What is known when an engine starts to leave. */
 export type EvacuationInputs = Readonly<{
   noticedAt: Ms;
-  report: EngineReport | undefined;
+  /** In the order in which they are to be moved. */
+  runs: readonly RunToMove[];
   targets: readonly MoveTarget[];
-  bytesPerToken: number;
-  linkMbps: number;
 }>;
 
-/** The plan; both times are on the box's steady clock. */
-export type EvacuationPlan = Readonly<{
-  /** From then on the link should be free of first copies. */
-  quietAt: Ms;
-  /** From then on the engine may be gone; infinite when it does not say. */
-  leavesAt: Ms;
-  /** Targets of a run, best first. */
-  listTargets: (runId: string, tokens: number) => readonly ServerId[];
+/** What one run is to do. */
+export type RunPlan = Readonly<{
+  /** When its copy begins, on the box's steady clock. */
+  copyAt: Ms;
+  /** Engines to copy it to, best first. */
+  targets: readonly ServerId[];
 }>;
 
-const BITS_PER_BYTE = 8;
-const KILOBIT = 1000;
-
-/** A copy to another data hall takes twice as long, and most go there. */
-const OTHER_HALL_FACTOR = 2;
-
-/** Longest that a plan waits for copies which may not even be made. */
-const LONGEST_WAIT_MS = 3_000;
+/** The plan for one engine. */
+export type EvacuationPlan = Readonly<{
+  planRun: (id: string, tokensInMemory: number) => RunPlan;
+}>;
 
-/** Time that the link takes for a run's memory, to another data hall. */
-export const estimateCopyTime = (
-  tokens: number,
-  { bytesPerToken, linkMbps }: Pick<EvacuationInputs, "bytesPerToken" | "linkMbps">,
-): Ms =>
-  ((tokens * bytesPerToken * BITS_PER_BYTE * OTHER_HALL_FACTOR) /
-    (linkMbps * KILOBIT)) as Ms;
+/** Boxes hear a notice within a few milliseconds of each other; their calls keep this distance. */
+const DISTANCE_MS = 8;
 
 /** Plans the evacuation of one engine. */
 export const planEvacuation = (inputs: EvacuationInputs): EvacuationPlan => {
-  const { noticedAt, report, targets } = inputs;
-  const runs = report?.runs ?? [];
+  const { noticedAt, runs, targets } = inputs;
   const assigned = rankTargets(runs, targets);
-  const tokens = runs.reduce((sum, run) => sum + run.tokensInMemory, 0);
-  const copying = Math.min(LONGEST_WAIT_MS, estimateCopyTime(tokens, inputs));
-  const leavesIn = report?.leavesIn ?? Infinity;
+  const ranks = new Map(runs.map((run, rank) => [run.id, rank]));
   return {
-    quietAt: (noticedAt + copying) as Ms,
-    leavesAt: (noticedAt + leavesIn) as Ms,
-    // A run that the report did not know yet is put on top of those that it did.
-    listTargets: (id, tokensInMemory) =>
-      assigned.get(id) ??
-      rankTargets([...runs, { id, tokensInMemory, eventsMade: 0 }], targets).get(id) ??
-      [],
+    planRun: (id, tokensInMemory) => {
+      const rank = ranks.get(id);
+      if (rank !== undefined)
+        return {
+          copyAt: (noticedAt + rank * DISTANCE_MS) as Ms,
+          targets: assigned.get(id) ?? [],
+        };
+      // A run that has begun since goes behind all others.
+      const late: RunToMove = { id, tokensInMemory, tokensLeft: 0 };
+      return {
+        copyAt: (noticedAt + runs.length * DISTANCE_MS) as Ms,
+        targets: rankTargets([...runs, late], targets).get(id) ?? [],
+      };
+    },
   };
 };
--- a/packages/migration/src/runMover.ts
+++ b/packages/migration/src/runMover.ts
@@ -1,9 +1,9 @@
 /**
  * Moves the runs of an engine that leaves to other engines.
  *
- * Each run is copied while it goes on. Once the copies of all runs should be through, the run is stopped
- * and the rest follows. An engine that ends before leaves a copy from which the run goes on all the same.
- * The stream itself is switched by the forwarder, which asks `recover` where a run goes on once its
+ * Each run is copied while it goes on, then stopped, and goes on at once from its copy: what the copy
+ * lacks is read anew there, which takes less time than the rest would wait for the link. An engine that ends
+ * before leaves a copy from which the run goes on all the same. The stream itself is switched by the forwarder, which asks `recover` where a run goes on once its
  * server has ended the stream.
  */
 import type { Clock, Ms } from "@stairgauge/common";
@@ -21,11 +21,9 @@
 export type MoveDecision = Readonly<
   | { kind: "move_begun"; from: string; to: string; tokens: number }
   | { kind: "copied"; from: string; to: string; took: Ms }
-  | { kind: "stop_due"; from: string; quietIn: Ms; leavesIn: Ms }
   | { kind: "stopped"; from: string; to: string; took: Ms }
   | { kind: "copy_failed"; from: string; to: string; detail: string }
   | { kind: "no_target"; from: string }
-  | { kind: "given_up_before_its_end"; from: string }
   | { kind: "goes_on_from_copy"; from: string; to: string; detail: string }
   | { kind: "goes_back_to_source"; from: string; detail: string }
   | { kind: "not_recovered"; from: string; detail: string }
@@ -38,7 +36,7 @@
   findServer: (id: ServerId) => BackendServer | undefined;
   listRunsAt: (server: BackendServer) => readonly ActiveRun[];
   isLeaving: (server: BackendServer) => boolean;
-  /** Asks a leaving engine and plans when its runs are to be stopped. */
+  /** Asks a leaving engine and plans what its runs are to do. */
   makePlan: (server: BackendServer) => Promise<EvacuationPlan>;
   /** Notes tokens at a target until the returned function is called. */
   reserve: (target: BackendServer, run: ActiveRun) => () => void;
@@ -62,12 +60,6 @@
 /** Targets tried for one move. */
 const MAX_TARGETS = 3;
 
-/** A run is stopped at the latest this long before its engine goes: the rest takes 20 to 40 ms, measured. */
-const STOP_BEFORE_END_MS = 300;
-
-/** With less time than this the rest cannot be copied: the run goes on from its copy. */
-const TOO_LATE_TO_STOP_MS = 120;
-
 /** Keeps runs alive across their engines. */
 export type RunMover = RunKeeper &
   Readonly<{
@@ -152,53 +144,32 @@
     return undefined;
   };
 
-  /** Copies the run to the first target with room. */
-  const copyToTarget = async (
-    run: ActiveRun,
-    move: Move,
-  ): Promise<BackendServer | undefined> => {
+  /** Copies the run to a target and stops it there; false when the target has no room. */
+  const attemptMove = async (run: ActiveRun, move: Move, target: BackendServer) => {
     const { from } = move;
-    const plan = await getPlan(from);
-    const targets = plan.listTargets(run.id, run.getTokens()).slice(0, MAX_TARGETS);
-    for (const id of targets) {
-      const target = deps.findServer(id);
-      if (!target || isLeaving(target)) continue;
-      if (!isCurrent(run, move)) return undefined;
-      move.release();
-      move.release = reserve(target, run);
-      const names = { from: from.entry.id, to: target.entry.id };
-      onDecision(run, { kind: "move_begun", ...names, tokens: run.getTokens() });
-      const answer = await copyOnce(run, { from, target, isLast: false });
-      if (!isCurrent(run, move)) return undefined;
-      if (answer.kind === "copied") {
-        move.copy = makeContinuation(target, from.entry.address, answer.handle);
-        return target;
-      }
-      if (answer.kind !== "no_room") return undefined;
-    }
-    onDecision(run, { kind: "no_target", from: from.entry.id });
-    return undefined;
+    move.release();
+    move.release = reserve(target, run);
+    const names = { from: from.entry.id, to: target.entry.id };
+    onDecision(run, { kind: "move_begun", ...names, tokens: run.getTokens() });
+    const copied = await copyOnce(run, { from, target, isLast: false });
+    if (!isCurrent(run, move) || copied.kind !== "copied")
+      return copied.kind !== "no_room";
+    move.copy = makeContinuation(target, from.entry.address, copied.handle);
+    move.stopping = stopAtSource(run, move, target);
+    const stopped = await move.stopping;
+    return stopped !== undefined || !isCurrent(run, move);
   };
 
-  const stopWhenQuiet = async (run: ActiveRun, move: Move, target: BackendServer) => {
-    const { quietAt, leavesAt } = await getPlan(move.from);
-    const now = clock.monotonic();
-    const from = move.from.entry.id;
-    const quietIn = (quietAt - now) as Ms;
-    onDecision(run, {
-      kind: "stop_due",
-      from,
-      quietIn,
-      leavesIn: (leavesAt - now) as Ms,
-    });
-    await waitUntil(Math.min(quietAt, leavesAt - STOP_BEFORE_END_MS));
-    if (!isCurrent(run, move) || !move.copy) return;
-    if (leavesAt - clock.monotonic() < TOO_LATE_TO_STOP_MS) {
-      onDecision(run, { kind: "given_up_before_its_end", from });
-      run.cutOver();
-      return;
+  const attemptTargets = async (run: ActiveRun, move: Move): Promise<void> => {
+    const plan = (await getPlan(move.from)).planRun(run.id, run.getTokens());
+    await waitUntil(plan.copyAt);
+    for (const id of plan.targets.slice(0, MAX_TARGETS)) {
+      const target = deps.findServer(id);
+      if (!isCurrent(run, move)) return;
+      if (!target || isLeaving(target)) continue;
+      if (await attemptMove(run, move, target)) return;
     }
-    move.stopping = stopAtSource(run, move, target);
+    onDecision(run, { kind: "no_target", from: move.from.entry.id });
   };
 
   const startMove = async (run: ActiveRun, from: BackendServer) => {
@@ -212,8 +183,7 @@
       source: undefined,
     };
     moves.set(run, move);
-    const target = await copyToTarget(run, move);
-    if (target) await stopWhenQuiet(run, move, target);
+    await attemptTargets(run, move);
   };
 
   const takeCopy = (run: ActiveRun, move: Move, detail: string) => {
@@ -240,14 +210,11 @@
   ): Promise<RunContinuation | undefined> => {
     const move = moves.get(run);
     if (!move) return undefined;
-    const { stopping } = move;
-    move.stopping = undefined;
-    const stopped = await stopping;
-    if (stopped) {
-      move.copy = undefined;
-      return stopped;
-    }
-    return takeCopy(run, move, detail) ?? takeSource(run, move, detail);
+    return (
+      takeCopy(run, move, detail) ??
+      (await move.stopping) ??
+      takeSource(run, move, detail)
+    );
   };
 
   return {
--- a/packages/peers/src/updateCodec.ts
+++ b/packages/peers/src/updateCodec.ts
@@ -10,6 +10,7 @@
   prompt: z.number().nonnegative(),
   out: z.number().nonnegative(),
   begun: z.boolean(),
+  movable: z.boolean(),
 });
 
 const updateSchema = z.object({
@@ -31,6 +32,7 @@
         prompt: run.promptTokens,
         out: run.expectedOut,
         begun: run.hasBegun,
+        movable: run.isMovable,
       })),
       drop: update.drop,
     }),
@@ -42,7 +44,7 @@
   return {
     box: update.box as BoxName,
     isWhole: update.whole,
-    put: update.put.map(({ server, id, prompt, out, begun }) => ({
+    put: update.put.map(({ server, id, prompt, out, begun, movable }) => ({
       server: server as ServerId,
       run: {
         id,
@@ -50,6 +52,7 @@
         promptTokens: prompt,
         expectedOut: out,
         hasBegun: begun,
+        isMovable: movable,
       },
     })),
     drop: update.drop.map(({ server, id }) => ({ server: server as ServerId, id })),
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -5,4 +5,4 @@
 export { chooseServer, estimateEngineLoad } from "./chooseServer.js";
 export type { ChoiceInputs, EngineLoad } from "./chooseServer.js";
 export { rankTargets } from "./rankTargets.js";
-export type { MoveTarget } from "./rankTargets.js";
+export type { MoveTarget, RunToMove } from "./rankTargets.js";
--- a/packages/placement/src/loadBook.ts
+++ b/packages/placement/src/loadBook.ts
@@ -12,6 +12,8 @@
   expectedOut: number;
   /** Its first event has come: its prompt has been read. */
   hasBegun: boolean;
+  /** It may run once only, so that it outlives its engine by a move of its memory or not at all. */
+  isMovable: boolean;
 }>;
 
 /** A change of this box's own runs; without a run it was dropped. */
--- a/packages/placement/src/rankTargets.ts
+++ b/packages/placement/src/rankTargets.ts
@@ -4,9 +4,16 @@
  * Every box that has runs there makes the same assignment from the engine's own list of runs, as far as their
  * views of the targets agree, and carries out its own part: so they do not all choose the emptiest one.
  */
-import type { ReportedRun } from "./types.js";
 import type { ServerId } from "@stairgauge/directory";
 
+/** A run that is to be moved. */
+export type RunToMove = Readonly<{
+  id: string;
+  tokensInMemory: number;
+  /** Tokens that it is expected to make yet, by its client's guess. */
+  tokensLeft: number;
+}>;
+
 /** An engine that may take runs. */
 export type MoveTarget = Readonly<{
   server: ServerId;
@@ -19,9 +26,6 @@
 /** Share of an engine's memory up to which being near counts. */
 const ROOMY_LOAD = 0.7;
 
-/** Tokens that a moved run is expected to make yet; from the users' sites, half of a mean output. */
-const GROWTH_TOKENS = 400;
-
 type Room = { readonly target: MoveTarget; taken: number };
 
 const computeLoad = ({ target, taken }: Room, tokens: number): number =>
@@ -35,18 +39,15 @@
   return aLoad - bLoad || (a.target.server < b.target.server ? -1 : 1);
 };
 
-/** Gives for each run its targets, best first, largest runs placed first. */
+/** Gives for each run its targets, best first, in the order given. */
 export const rankTargets = (
-  runs: readonly ReportedRun[],
+  runs: readonly RunToMove[],
   targets: readonly MoveTarget[],
 ): ReadonlyMap<string, readonly ServerId[]> => {
   const rooms: Room[] = targets.map((target) => ({ target, taken: target.takenTokens }));
-  const order = runs.toSorted(
-    (a, b) => b.tokensInMemory - a.tokensInMemory || (a.id < b.id ? -1 : 1),
-  );
   const assigned = new Map<string, readonly ServerId[]>();
-  for (const run of order) {
-    const tokens = run.tokensInMemory + GROWTH_TOKENS;
+  for (const run of runs) {
+    const tokens = run.tokensInMemory + run.tokensLeft;
     rooms.sort((a, b) => comparePlaces(a, b, tokens));
     const first = rooms[0];
     if (first) first.taken += tokens;
--- a/packages/placement/src/types.ts
+++ b/packages/placement/src/types.ts
@@ -27,7 +27,14 @@
 /** What a request needs of a server. */
 export type Demand = Readonly<{
   /** Tokens of memory that a generation takes at least and may take; none for plain requests. */
-  tokens: Readonly<{ prompt: number; expectedOut: number }> | undefined;
+  tokens:
+    | Readonly<{
+        prompt: number;
+        expectedOut: number;
+        /** It may run once only, so its memory has to be moved when its engine leaves. */
+        isMovable: boolean;
+      }>
+    | undefined;
 }>;
 
 /** Why a server was chosen. */
