--- /dev/null
+++ b/apps/box/src/box.test.ts
@@ -0,0 +1,494 @@
+/** One box, whole, before the stand-in of the users' platform, on loopback. */
+import { request as openRequest, type IncomingMessage } from "node:http";
+import { connect } from "node:net";
+import { afterEach, describe, expect, it } from "vitest";
+import { createSystemClock } from "@stairgauge/common";
+import { parseBoxSettings } from "@stairgauge/settings";
+import {
+  formatEngineEvent,
+  formatServiceBody,
+  SITE_HOST,
+  SITE_KEY,
+  SITE_WORKSPACE,
+  startUsersSite,
+  type ServiceFault,
+} from "@stairgauge/standins";
+import { createBox, type BoxPorts } from "./createBox.js";
+
+const closers: (() => unknown)[] = [];
+afterEach(async () => {
+  for (const close of closers.splice(0).reverse()) await close();
+});
+
+const waitFor = async (isMet: () => boolean | Promise<boolean>) => {
+  while (!(await isMet())) await new Promise((resolve) => setTimeout(resolve, 5));
+};
+
+const formatSettings = (box: string, store: string, stopSeconds: number) => `
+box: ${box}
+dataHall: hall-a
+listen: { clients: "127.0.0.1:0", ready: "127.0.0.1:0", metrics: "127.0.0.1:0", peers: "127.0.0.1:0" }
+store: { address: "${store}", configurationWaitMs: 200, patienceMs: 200, firstPauseMs: 20, mostPauseMs: 50 }
+bounds: { configurationMs: 600, keyRemovalMs: 1300, leavingMs: 2000, stopSeconds: ${stopSeconds} }
+retries: { ratio: 0.2, slack: 160, windowSeconds: 10 }
+engines: { reportIntervalMs: 50 }`;
+
+/** Long enough for the end of a test, which has no open requests. */
+const SHORT_STOP_SECONDS = 0.3;
+
+type Line = Readonly<Record<string, unknown>>;
+
+const startBox = async (
+  store: string,
+  name = "box-1",
+  stopSeconds = SHORT_STOP_SECONDS,
+) => {
+  const settings = parseBoxSettings(formatSettings(name, store, stopSeconds));
+  if (settings.err) throw new TypeError(JSON.stringify(settings.val));
+  const lines: Line[] = [];
+  const write = (event: string, fields: Line) => lines.push({ event, ...fields });
+  const log = {
+    writeDecision: write,
+    writeNotice: write,
+    writeWarning: write,
+    flush: () => undefined,
+  };
+  const box = createBox({ settings: settings.val, clock: createSystemClock(), log });
+  const ports = await box.start();
+  closers.push(box.stop);
+  return { box, ports, lines };
+};
+
+const startSite = async (engines = 0, services = 1, stopSeconds = SHORT_STOP_SECONDS) => {
+  const site = await startUsersSite({ engines, services });
+  closers.push(site.close);
+  const { box, ports, lines } = await startBox(site.store.address, "box-1", stopSeconds);
+  const start = async () => {
+    site.putConfiguration();
+    await waitFor(() => lines.some(({ event }) => event === "configuration_adopted"));
+    await waitFor(
+      () =>
+        lines.filter(({ event }) => event === "server_joined").length >=
+        engines + services,
+    );
+  };
+  return { site, box, ports, lines, start };
+};
+
+type Answer = Readonly<{
+  status: number;
+  headers: IncomingMessage["headers"];
+  body: string;
+  isWhole: boolean;
+}>;
+
+let nextId = 0;
+
+type Ask = Readonly<{
+  path: string;
+  method?: string;
+  id?: string;
+  headers?: Readonly<Record<string, string>>;
+  body?: string;
+  onData?: (body: string) => void;
+}>;
+
+const ask = (ports: BoxPorts, { path, method, id, headers, body, onData }: Ask) =>
+  new Promise<Answer>((resolve) => {
+    const outgoing = openRequest({
+      host: "127.0.0.1",
+      port: ports.clients,
+      path,
+      method: method ?? "POST",
+      agent: false,
+      headers: {
+        Host: SITE_HOST,
+        "Request-Id": id ?? `r${(nextId += 1)}`,
+        "Deadline-Ms": "5000",
+        Authorization: `Token ${SITE_KEY}`,
+        ...headers,
+      },
+    });
+    const lost = { status: 0, headers: {}, body: "", isWhole: false };
+    outgoing.on("error", () => resolve(lost));
+    outgoing.on("response", (incoming) => {
+      let text = "";
+      const finish = () =>
+        resolve({
+          status: incoming.statusCode ?? 0,
+          headers: incoming.headers,
+          body: text,
+          isWhole: incoming.complete,
+        });
+      incoming.on("data", (chunk: Buffer) => {
+        text += chunk.toString();
+        onData?.(text);
+      });
+      incoming.on("error", () => undefined);
+      incoming.on("close", finish);
+    });
+    outgoing.end(body ?? "hello");
+  });
+
+const makeGeneration = (tokens: number, out: number) => ({
+  Model: "m",
+  "Token-Usage": `${tokens},${out}`,
+  "Length-Hint": String(out * 4),
+});
+
+const formatStream = (id: string, events: number) =>
+  Array.from({ length: events }, (_, i) => formatEngineEvent(id, i)).join("");
+
+describe("a box on the users' platform", () => {
+  it("answers 503 with a time to come back, never 401 or 404, before it knows a configuration", async () => {
+    const { ports } = await startSite();
+    const answer = await ask(ports, { path: "/nowhere/" });
+    expect(answer.status).toBe(503);
+    expect(answer.headers["retry-after"]).toBe("0.4");
+  });
+
+  it("hands a request on unchanged, with what only the system may set", async () => {
+    const { site, ports, start } = await startSite();
+    await start();
+    const answer = await ask(ports, {
+      path: "/once/x?y=1",
+      id: "r-1",
+      headers: {
+        "X-Own": "kept",
+        Tenant: "forged",
+        "Kv-From": "1.2.3.4:5/x",
+        Priority: "0",
+      },
+      body: "the body",
+    });
+    expect(answer).toMatchObject({
+      status: 200,
+      body: formatServiceBody("page-0", "r-1"),
+    });
+    expect(answer.headers["response-signature"]).toBe("signature-r-1");
+    const [received] = site.services[0]!.listReceived();
+    expect(received).toMatchObject({
+      method: "POST",
+      target: "/once/x?y=1",
+      body: "the body",
+    });
+    const headers = new Map<string, string>();
+    for (let i = 0; i < received!.headers.length; i += 2)
+      headers.set(received!.headers[i]!, received!.headers[i + 1]!);
+    expect(headers.get("X-Own")).toBe("kept");
+    expect(headers.get("Tenant")).toBe(SITE_WORKSPACE);
+    expect(headers.get("Expect-Instance")).toBe("page-0");
+    expect(Number(headers.get("Deadline-Ms"))).toBeLessThanOrEqual(2_000);
+    for (const name of ["Authorization", "Kv-From", "Priority"])
+      expect(headers.has(name)).toBe(false);
+  });
+
+  it.each([
+    ["/nowhere/", {}, 404],
+    ["/once/", { Authorization: "Token another" }, 401],
+    ["/open/", { Authorization: "" }, 200],
+  ])("answers %s with headers %j by %i", async (path, headers, status) => {
+    const { ports, start } = await startSite();
+    await start();
+    expect((await ask(ports, { path, headers })).status).toBe(status);
+  });
+
+  const SOUND = 200;
+  it.each<[ServiceFault, number, number]>([
+    ["none", SOUND, SOUND],
+    ["error", 500, SOUND],
+    ["full", 503, SOUND],
+    ["bare_503", 502, SOUND],
+    ["other_server", 503, SOUND],
+    ["unsigned", 502, SOUND],
+    ["encoded", 502, SOUND],
+    ["crossed", 502, SOUND],
+    ["cut", 502, SOUND],
+    ["no_answer", 502, SOUND],
+    ["unframed", SOUND, SOUND],
+    ["unframed_reset", 502, SOUND],
+    ["extra", SOUND, SOUND],
+    ["garbage", 502, SOUND],
+    ["early", SOUND, SOUND],
+  ])("after a server's fault %s: once %i, repeatable %i", async (fault, once, again) => {
+    const first = await startSite(0, 1);
+    await first.start();
+    first.site.services[0]!.setFaults([fault]);
+    const answer = await ask(first.ports, { path: "/once/" });
+    expect([answer.status, answer.isWhole]).toEqual([once, true]);
+
+    const second = await startSite(0, 2);
+    await second.start();
+    second.site.services[0]!.setFaults([fault]);
+    const repeated = await ask(second.ports, { path: "/again/" });
+    expect([repeated.status, repeated.isWhole]).toEqual([again, true]);
+  });
+
+  it("sends a request that may run once to one server only", async () => {
+    const { site, ports, start } = await startSite(0, 2);
+    await start();
+    for (const service of site.services) service.setFaults(["no_answer"]);
+    expect((await ask(ports, { path: "/once/" })).status).toBe(502);
+    const received = site.services.flatMap((service) => service.listReceived());
+    expect(received).toHaveLength(1);
+  });
+
+  it("answers at the route's time, and lets the server's connection go", async () => {
+    const { site, ports, start } = await startSite();
+    await start();
+    site.services[0]!.setFaults(["silent"]);
+    expect((await ask(ports, { path: "/short/" })).status).toBe(504);
+    await waitFor(() => site.services[0]!.countSilent() === 0);
+  });
+
+  it("lets the server go when its client has left", async () => {
+    const { site, ports, start } = await startSite();
+    await start();
+    site.services[0]!.setFaults(["silent"]);
+    const socket = connect(ports.clients, "127.0.0.1");
+    socket.write(
+      `GET /again/ HTTP/1.1\r\nHost: ${SITE_HOST}\r\nRequest-Id: gone\r\nAuthorization: Token ${SITE_KEY}\r\n\r\n`,
+    );
+    await waitFor(() => site.services[0]!.countSilent() === 1);
+    socket.destroy();
+    await waitFor(() => site.services[0]!.countSilent() === 0);
+  });
+
+  it("refuses a body beyond the bound", async () => {
+    const { ports, start } = await startSite();
+    await start();
+    expect((await ask(ports, { path: "/once/", body: "x".repeat(70_000) })).status).toBe(
+      413,
+    );
+    const chunked = { "Transfer-Encoding": "chunked" };
+    const answer = await ask(ports, {
+      path: "/once/",
+      body: "x".repeat(70_000),
+      headers: chunked,
+    });
+    expect(answer.status).toBe(413);
+  });
+
+  it.each([
+    ["two lengths", "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"],
+    [
+      "a length and chunks",
+      "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    ],
+    ["no request", "\u0000\u0001\r\n\r\n"],
+  ])("refuses %s, and runs nothing", async (_name, rest) => {
+    const { site, ports, start } = await startSite();
+    await start();
+    const socket = connect(ports.clients, "127.0.0.1");
+    let text = "";
+    socket.on("data", (chunk: Buffer) => {
+      text += chunk.toString();
+    });
+    const closed = new Promise((resolve) => socket.once("close", resolve));
+    socket.write(
+      `POST /once/ HTTP/1.1\r\nHost: ${SITE_HOST}\r\nAuthorization: Token ${SITE_KEY}\r\n${rest}GET /open/ HTTP/1.1\r\n\r\n`,
+    );
+    await closed;
+    expect(text).toMatch(/^HTTP\/1\.1 400 /);
+    expect(site.services[0]!.listReceived()).toEqual([]);
+  });
+
+  it("takes a new configuration, never an older one, and refuses a key that was taken away", async () => {
+    const { site, ports, lines, start } = await startSite();
+    await start();
+    site.putConfiguration({
+      version: 9,
+      tenants: [{ name: SITE_WORKSPACE, apiKeys: ["new"] }],
+    });
+    await waitFor(async () => (await ask(ports, { path: "/once/" })).status === 401);
+    site.putConfiguration({ version: 3 });
+    await waitFor(() =>
+      lines.some(({ event }) => event === "configuration_older_ignored"),
+    );
+    expect((await ask(ports, { path: "/once/" })).status).toBe(401);
+    const headers = { Authorization: "Token new" };
+    expect((await ask(ports, { path: "/once/", headers })).status).toBe(200);
+  });
+
+  it("keeps what it knows and says so when a configuration cannot be read", async () => {
+    const { site, ports, lines, start } = await startSite();
+    await start();
+    site.putConfiguration({ routes: [{ name: 1 }] });
+    await waitFor(() => lines.some(({ event }) => event === "configuration_unreadable"));
+    expect((await ask(ports, { path: "/once/" })).status).toBe(200);
+  });
+
+  it.each(["silent", "busy", "many", "reset"] as const)(
+    "accepts no key any more while the store is %s, and takes up again when it hears",
+    async (mode) => {
+      const { site, ports, start } = await startSite();
+      await start();
+      site.store.setMode(mode);
+      await waitFor(async () => (await ask(ports, { path: "/once/" })).status === 503);
+      expect(
+        (await ask(ports, { path: "/open/", headers: { Authorization: "" } })).status,
+      ).toBe(200);
+      site.store.setMode("up");
+      await waitFor(async () => (await ask(ports, { path: "/once/" })).status === 200);
+    },
+  );
+
+  it("reads whole again when the store has forgotten its history, and takes no stale read", async () => {
+    const { site, ports, lines, start } = await startSite();
+    await start();
+    site.putConfiguration({ version: 5 });
+    await waitFor(() => lines.some(({ version }) => version === 5));
+    site.putConfiguration({ version: 7, tenants: [{ name: "w", apiKeys: ["new"] }] });
+    site.store.giveStaleReads(2);
+    site.store.compact();
+    await waitFor(() => lines.some(({ version }) => version === 7));
+    expect((await ask(ports, { path: "/once/" })).status).toBe(401);
+  });
+
+  it("gives a leaving server no new work, whether its entry says so or is gone", async () => {
+    const { site, ports, lines, start } = await startSite(0, 3);
+    await start();
+    site.announceLeaving(site.services[0]!);
+    site.store.drop("servers", site.services[1]!.id);
+    await waitFor(
+      () => lines.filter(({ event }) => event === "server_leaving").length === 2,
+    );
+    for (let i = 0; i < 8; i += 1) await ask(ports, { path: "/once/" });
+    expect(site.services.map((service) => service.listReceived().length)).toEqual([
+      0, 0, 8,
+    ]);
+  });
+
+  it("streams a generation's events, each once and in order", async () => {
+    const { ports, start } = await startSite(2, 0);
+    await start();
+    const answer = await ask(ports, {
+      path: "/draft/",
+      id: "g1",
+      headers: makeGeneration(800, 30),
+    });
+    expect(answer).toMatchObject({
+      status: 200,
+      body: formatStream("g1", 30),
+      isWhole: true,
+    });
+  });
+
+  it("brings a run over to another engine when its own leaves: one answer, nothing missing or twice", async () => {
+    const { site, ports, lines, start } = await startSite(3, 0);
+    await start();
+    let hasLeft = false;
+    const answer = await ask(ports, {
+      path: "/draft/",
+      id: "g2",
+      headers: makeGeneration(800, 200),
+      onData: () => {
+        if (hasLeft) return;
+        hasLeft = true;
+        site.announceLeaving(site.engines.find((engine) => engine.countRunning() === 1)!);
+      },
+    });
+    expect(answer).toMatchObject({
+      status: 200,
+      body: formatStream("g2", 200),
+      isWhole: true,
+    });
+    expect(lines.filter(({ event }) => event === "continued")).toHaveLength(1);
+    expect(site.engines.flatMap((engine) => engine.listStarted())).toEqual(["g2"]);
+  });
+
+  it("goes on elsewhere with a stream that may be resumed, behind its last whole event", async () => {
+    const { site, ports, start } = await startSite(2, 0);
+    await start();
+    let hasCrashed = false;
+    const answer = await ask(ports, {
+      path: "/verdict/",
+      id: "g3",
+      headers: makeGeneration(400, 150),
+      onData: () => {
+        if (hasCrashed) return;
+        hasCrashed = true;
+        site.engines.find((engine) => engine.countRunning() === 1)!.crash();
+      },
+    });
+    expect(answer).toMatchObject({
+      status: 200,
+      body: formatStream("g3", 150),
+      isWhole: true,
+    });
+  });
+
+  it("never lets a stream look whole whose engine died without notice", async () => {
+    const { site, ports, lines, start } = await startSite(2, 0);
+    await start();
+    let hasCrashed = false;
+    const answer = await ask(ports, {
+      path: "/draft/",
+      id: "g4",
+      headers: makeGeneration(400, 150),
+      onData: () => {
+        if (hasCrashed) return;
+        hasCrashed = true;
+        site.engines.find((engine) => engine.countRunning() === 1)!.crash();
+      },
+    });
+    expect(answer.isWhole).toBe(false);
+    expect(formatStream("g4", 150).startsWith(answer.body)).toBe(true);
+    expect(answer.body.endsWith("\n\n")).toBe(true);
+    expect(lines.some(({ event }) => event === "stream_lost")).toBe(true);
+  });
+
+  it("stops in order: not ready at once, serves what it has, says that each connection ends", async () => {
+    const { site, box, ports, lines, start } = await startSite(0, 1, 1.5);
+    await start();
+    const askReady = () =>
+      new Promise<number>((resolve) => {
+        const outgoing = openRequest({
+          host: "127.0.0.1",
+          port: ports.ready,
+          path: "/ready",
+          agent: false,
+        });
+        outgoing.on("response", (incoming) => {
+          incoming.resume();
+          resolve(incoming.statusCode ?? 0);
+        });
+        outgoing.on("error", () => resolve(0));
+        outgoing.end();
+      });
+    expect(await askReady()).toBe(200);
+    site.services[0]!.setFaults([]);
+    const stopped = box.stop();
+    expect(await askReady()).toBe(503);
+    const answer = await ask(ports, { path: "/once/" });
+    expect(answer.status).toBe(200);
+    expect(answer.headers.connection).toBe("close");
+    await stopped;
+    expect(lines.at(-1)).toMatchObject({ event: "stopped" });
+    expect(site.store.listKeys("stairgauge-boxes")).toEqual([]);
+  });
+
+  it("finds another box through the store and tells it what it has placed", async () => {
+    const { site, lines, start } = await startSite(1, 0);
+    await start();
+    const second = await startBox(site.store.address, "box-2");
+    const hasBoth = (told: readonly Line[]) =>
+      told.some(({ event, boxes }) => event === "peers" && boxes === 2);
+    await waitFor(() => hasBoth(lines) && hasBoth(second.lines));
+    expect(site.store.listKeys("stairgauge-boxes").toSorted()).toEqual([
+      "box-1",
+      "box-2",
+    ]);
+  });
+
+  it("joins the other boxes although the answers to its writes are lost", async () => {
+    const site = await startUsersSite({ engines: 0, services: 0 });
+    closers.push(site.close);
+    site.store.loseAnswers(1);
+    const { lines } = await startBox(site.store.address);
+    await waitFor(() =>
+      lines.some(({ event, boxes }) => event === "peers" && boxes === 1),
+    );
+    await waitFor(() => lines.some(({ event }) => event === "membership"));
+  });
+});
--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -52,9 +52,17 @@
 } from "./observers.js";
 import { stopInOrder } from "./stopInOrder.js";
 
+/** Ports that a started box listens on. */
+export type BoxPorts = Readonly<{
+  clients: number;
+  ready: number;
+  metrics: number;
+  peers: number;
+}>;
+
 /** A box that can be started and stopped. */
 export type Box = Readonly<{
-  start: () => Promise<void>;
+  start: () => Promise<BoxPorts>;
   /** Takes itself out, serves what it has, and resolves when the process may end. */
   stop: () => Promise<void>;
   applySettings: (settings: BoxSettings) => void;
@@ -78,10 +86,13 @@
 };
 
 const listen = (server: Server, address: string) =>
-  new Promise<void>((resolve, reject) => {
+  new Promise<number>((resolve, reject) => {
     const { host, port } = splitAddress(address);
     server.once("error", reject);
-    server.listen({ host, port }, resolve);
+    server.listen({ host, port }, () => {
+      const bound = server.address();
+      resolve(typeof bound === "object" && bound ? bound.port : port);
+    });
   });
 
 /** Creates a box from its settings. */
@@ -115,12 +126,12 @@
       log.writeDecision("peer_lost", { peer: box });
     },
   });
-  const peerAddress = splitAddress(settings.listen.peers);
+  let peerAddress = splitAddress(settings.listen.peers);
   const membership = createMembership({
     clock,
     writer: createStoreWriter(settings.store.address),
     table: BOX_TABLE,
-    own: { box: own, address: peerAddress },
+    getOwn: () => ({ box: own, address: peerAddress }),
     limit: settings.store.patienceMs as Ms,
     onPeers: (peers) => {
       links.setPeers(peers);
@@ -278,16 +289,21 @@
 
   return {
     start: async () => {
+      const clients = splitAddress(settings.listen.clients);
+      const peers = await peerServer.listen(peerAddress);
+      peerAddress = { ...peerAddress, port: peers };
+      const ports = {
+        peers,
+        clients: await clientServer.listen(clients.host, clients.port),
+        ready: await listen(readyServer, settings.listen.ready),
+        metrics: await listen(metricsServer, settings.listen.metrics),
+      };
       configurationFollower.start();
       serverFollower.start();
       memberFollower.start();
       membership.join();
-      const clients = splitAddress(settings.listen.clients);
-      await clientServer.listen(clients.host, clients.port);
-      await listen(readyServer, settings.listen.ready);
-      await peerServer.listen(peerAddress);
-      await listen(metricsServer, settings.listen.metrics);
-      log.writeNotice("started", { listen: settings.listen });
+      log.writeNotice("started", { ports });
+      return ports;
     },
     stop: async () => {
       if (isStopping) return;
@@ -300,8 +316,14 @@
         grace: (settings.bounds.stopSeconds * 1000) as Ms,
       });
       await membership.leave();
+      for (const follower of [configurationFollower, serverFollower, memberFollower])
+        follower.stop();
+      reports.stop();
       links.close();
       peerServer.close();
+      clientServer.close();
+      readyServer.close();
+      metricsServer.close();
       log.writeNotice("stopped", { open: forwarder.countOpen() });
     },
     applySettings: (changed) => {
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -70,9 +70,17 @@
     "stores",
     "engines",
     "rollout",
+    // The other end of the users' platform speaks its wire.
+    "platform",
   ],
 };
 
+/** Words of the users' platform; they stand in its folder, in the stand-in of its other end, and nowhere else. */
+const WIRE_WORDS =
+  "^(Request-Id|Deadline-Ms|Prompt-Prefix|Token-Usage|Length-Hint|Expect-Instance|Expect-Version|Pin-Ms|Kv-[A-Za-z]+|Not-Executed|Response-Signature|Instance-Id|/(rows|kv|hold|blob)-[a-z]+.*|/report|draining|non_idempotent|idempotent|streaming)$";
+const WIRE_FIELDS =
+  "^(targetLatencyMs|maxAttempts|authExempt|streamResume|gap_aim_ms|kvCapacity|kvTokenBytes|kvUsed|kvTotal|leaves_ms|nextPageToken|targetVersion|sinceRev|expectedRev|warmupLeftMs|apiKeys|routeType)$";
+
 const directionRules = Object.entries(ALLOWED_IMPORTS).map(([name, allowed]) => ({
   files: [`packages/${name}/src/**/*.ts`],
   ignores: ["**/*.test.ts"],
@@ -157,9 +165,49 @@
       ],
     },
   },
+  {
+    files: ["packages/*/src/**/*.ts", "apps/*/src/**/*.ts"],
+    ignores: ["**/*.test.ts", "packages/standins/src/usersPlatform/**"],
+    rules: {
+      "no-restricted-syntax": [
+        "error",
+        { selector: "ClassDeclaration", message: "use a factory function" },
+        { selector: "FunctionDeclaration", message: "use an arrow function" },
+        { selector: "TSEnumDeclaration", message: "use a union" },
+        {
+          selector: `Literal[value=/${WIRE_WORDS.replaceAll("/", "\\/")}/]`,
+          message: "a word of the users' platform belongs into platform/",
+        },
+        {
+          selector: `Identifier[name=/${WIRE_FIELDS}/]`,
+          message: "a field of the users' platform belongs into platform/",
+        },
+      ],
+    },
+  },
   {
     files: ["**/*.test.ts"],
     rules: { "max-lines": "off", "@typescript-eslint/require-await": "off" },
   },
+  {
+    files: [
+      "apps/daemon/src/**/*.ts",
+      "apps/cli/src/**/*.ts",
+      "packages/{measure,hunt,testkit}/src/**/*.ts",
+    ],
+    rules: {
+      "no-restricted-imports": [
+        "error",
+        {
+          patterns: [
+            {
+              regex: "^@stairgauge/platform$",
+              message: "only apps/box wires the users' platform",
+            },
+          ],
+        },
+      ],
+    },
+  },
   ...directionRules,
 );
--- /dev/null
+++ b/packages/directory/src/serverDirectory.test.ts
@@ -0,0 +1,73 @@
+import { describe, expect, it } from "vitest";
+import type { DataHallName, Ms, ServiceName } from "@stairgauge/common";
+import {
+  createServerDirectory,
+  type DirectoryEvent,
+  type ServerEntry,
+  type ServerId,
+} from "./index.js";
+
+const service = "s" as ServiceName;
+const makeEntry = (id: string, isLeaving = false): ServerEntry => ({
+  id: id as ServerId,
+  service,
+  address: { host: "10.0.0.1", port: 80 },
+  dataHall: "h" as DataHallName,
+  slots: 4,
+  isLeaving,
+  warmUpLeft: 0 as Ms,
+});
+
+const setUp = () => {
+  const events: string[] = [];
+  const directory = createServerDirectory({
+    memory: 1_000 as Ms,
+    onEvent: (event: DirectoryEvent) =>
+      events.push(
+        `${event.kind} ${event.server.entry.id} ${event.server.leaving?.reason}`,
+      ),
+  });
+  const listReady = () => directory.listReady(service).map(({ entry }) => entry.id);
+  return { directory, events, listReady };
+};
+const toMs = (time: number) => time as Ms;
+
+describe("createServerDirectory", () => {
+  it("gives no new work to a server that says it leaves, is gone, or whose address is reused", () => {
+    const { directory, listReady } = setUp();
+    for (const id of ["a", "b", "c", "d"]) directory.put(makeEntry(id), toMs(0));
+    directory.put(makeEntry("a", true), toMs(1));
+    directory.replaceAll([makeEntry("a", true), makeEntry("c"), makeEntry("d")], toMs(2));
+    directory.mark("c" as ServerId, "address_reused", toMs(3));
+    expect(listReady()).toEqual(["d"]);
+  });
+
+  it("does not take a leaving mark back when an older entry comes again", () => {
+    const { directory, listReady } = setUp();
+    directory.put(makeEntry("a", true), toMs(0));
+    directory.put(makeEntry("a"), toMs(1));
+    expect(listReady()).toEqual([]);
+  });
+
+  it("takes a server back whose entry had lapsed and is there again", () => {
+    const { directory, listReady, events } = setUp();
+    directory.put(makeEntry("a"), toMs(0));
+    directory.replaceAll([], toMs(1));
+    directory.put(makeEntry("a"), toMs(2));
+    expect(listReady()).toEqual(["a"]);
+    expect(events).toEqual([
+      "joined a undefined",
+      "leaving a entry_gone",
+      "joined a undefined",
+    ]);
+  });
+
+  it("remembers a server that left until its runs had time to move", () => {
+    const { directory } = setUp();
+    directory.put(makeEntry("a", true), toMs(0));
+    directory.dropForgotten(toMs(1_000));
+    expect(directory.find("a" as ServerId)).toBeDefined();
+    directory.dropForgotten(toMs(1_001));
+    expect(directory.find("a" as ServerId)).toBeUndefined();
+  });
+});
--- a/packages/forwarding/src/clientServer.ts
+++ b/packages/forwarding/src/clientServer.ts
@@ -30,10 +30,8 @@
 export type ClientServer = Readonly<{
   listen: (host: string, port: number) => Promise<number>;
   applyLimits: (limits: ClientLimits) => void;
-  /** Takes no new connections; open ones stay until their answers are through. */
-  stopListening: () => void;
-  /** Ends what is left. */
-  destroy: () => void;
+  /** Ends all connections. */
+  close: () => void;
 }>;
 
 const measureHead = (incoming: IncomingMessage): number =>
@@ -99,9 +97,9 @@
       server.headersTimeout = limits.headerTime;
       server.keepAliveTimeout = limits.idleTime + IDLE_MARGIN_MS;
     },
-    stopListening: () => {
+    close: () => {
       server.close();
+      server.closeAllConnections();
     },
-    destroy: () => server.closeAllConnections(),
   };
 };
--- /dev/null
+++ b/packages/forwarding/src/decideNext.test.ts
@@ -0,0 +1,120 @@
+import { describe, expect, it } from "vitest";
+import type { Ms, ServiceName } from "@stairgauge/common";
+import type { Route, RouteName } from "@stairgauge/routing";
+import { decideNext, judgeAttempt, type AttemptEnd } from "./decideNext.js";
+import type { AnswerHead, ClientRequestId } from "./types.js";
+
+const id = "r1" as ClientRequestId;
+
+const makeHead = (changes: Partial<AnswerHead>): AnswerHead => ({
+  status: 200,
+  requestId: id,
+  isSigned: true,
+  isNotRun: false,
+  isOtherServer: false,
+  isClosing: false,
+  isEncoded: false,
+  contentLength: 2,
+  isUnframed: false,
+  isEventStream: false,
+  passedOn: [],
+  ...changes,
+});
+
+const makeRoute = (kind: Route["kind"], isResumable = false): Route => ({
+  name: "r" as RouteName,
+  host: "a.example",
+  pathPrefix: "/",
+  kind,
+  isResumable,
+  isKeyless: true,
+  answerLimit: 100 as Ms,
+  firstAnswerAim: 10 as Ms,
+  pauseAim: undefined,
+  maxServers: 2,
+  tier: 0,
+  shares: [{ service: "s" as ServiceName, weight: 1 }],
+});
+
+const makeAnswered = (changes: Partial<AnswerHead>): AttemptEnd => ({
+  kind: "answered",
+  head: makeHead(changes),
+});
+const makeFailed = (kind: "unreachable" | "broken" | "malformed"): AttemptEnd => ({
+  kind: "failed",
+  failure: { kind, detail: "" },
+});
+
+const ENDS = {
+  success: makeAnswered({}),
+  unsigned: makeAnswered({ isSigned: false }),
+  encoded: makeAnswered({ isEncoded: true }),
+  crossed: makeAnswered({ requestId: "another" as ClientRequestId }),
+  "crossed promise": makeAnswered({
+    status: 503,
+    isNotRun: true,
+    requestId: "another" as ClientRequestId,
+  }),
+  full: makeAnswered({ status: 503, isNotRun: true, isSigned: false }),
+  "bare 503": makeAnswered({ status: 503, isSigned: false }),
+  "bare 429": makeAnswered({ status: 429, isSigned: false }),
+  "other server": makeAnswered({ status: 421, isOtherServer: true, isSigned: false }),
+  error: makeAnswered({ status: 500 }),
+  "not found": makeAnswered({ status: 404 }),
+  unreachable: makeFailed("unreachable"),
+  broken: makeFailed("broken"),
+  malformed: makeFailed("malformed"),
+} as const;
+
+const step = (
+  name: keyof typeof ENDS,
+  route: Route,
+  canRetry: boolean,
+  ranBefore = false,
+) =>
+  decideNext({
+    end: ENDS[name],
+    verdict: judgeAttempt(ENDS[name], id),
+    route,
+    mayHaveRunBefore: ranBefore,
+    canRetry,
+  }).kind;
+
+describe("decideNext", () => {
+  it.each([
+    ["success", "pass_on", "pass_on"],
+    ["unsigned", "answer_unknown", "retry"],
+    ["encoded", "answer_unknown", "retry"],
+    ["crossed", "answer_unknown", "retry"],
+    ["crossed promise", "answer_unknown", "retry"],
+    ["full", "retry", "retry"],
+    ["bare 503", "answer_unknown", "retry"],
+    ["bare 429", "answer_unknown", "retry"],
+    ["other server", "retry", "retry"],
+    ["error", "pass_on", "retry"],
+    ["not found", "pass_on", "pass_on"],
+    ["unreachable", "retry", "retry"],
+    ["broken", "answer_unknown", "retry"],
+    ["malformed", "answer_unknown", "retry"],
+  ] as const)("after %s: once %s, repeatable %s", (name, once, repeatable) => {
+    expect(step(name, makeRoute("once"), true)).toBe(once);
+    expect(step(name, makeRoute("stream"), true)).toBe(once);
+    expect(step(name, makeRoute("repeatable"), true)).toBe(repeatable);
+    expect(step(name, makeRoute("stream", true), true)).toBe(repeatable);
+  });
+
+  it.each([
+    ["full", "pass_on"],
+    ["other server", "answer_not_run"],
+    ["unreachable", "answer_not_run"],
+    ["broken", "answer_unknown"],
+    ["error", "pass_on"],
+  ] as const)("after %s with no other server: %s", (name, expected) => {
+    expect(step(name, makeRoute("once"), false)).toBe(expected);
+  });
+
+  it("promises nothing about a request of which an earlier attempt may have run", () => {
+    expect(step("full", makeRoute("once"), false, true)).toBe("answer_unknown");
+    expect(step("unreachable", makeRoute("once"), false, true)).toBe("answer_unknown");
+  });
+});
--- /dev/null
+++ b/packages/migration/src/runMover.test.ts
@@ -0,0 +1,183 @@
+import { describe, expect, it } from "vitest";
+import {
+  advanceSettled,
+  createVirtualClock,
+  Ok,
+  type DataHallName,
+  type Ms,
+  type ServiceName,
+} from "@stairgauge/common";
+import type { BackendServer, ServerId } from "@stairgauge/directory";
+import type { ActiveRun, ClientRequestId } from "@stairgauge/forwarding";
+import { createRunMover, type CopyAnswer, type CopyRequest } from "./index.js";
+
+const makeServer = (id: string): BackendServer => ({
+  entry: {
+    id: id as ServerId,
+    service: "s" as ServiceName,
+    address: { host: `host-${id}`, port: 80 },
+    dataHall: "h" as DataHallName,
+    slots: 4,
+    isLeaving: false,
+    warmUpLeft: 0 as Ms,
+  },
+  leaving: undefined,
+});
+
+const EMPTY_REPORT = {
+  isLeaving: true,
+  leavesIn: undefined,
+  waiting: 0,
+  firstWaitingTokens: 0,
+  running: 0,
+  memoryUsed: 0,
+  memoryTotal: 1,
+  runs: [],
+} as const;
+
+/** A run at `old` with two targets; `answers` are given to copy calls in turn, each after 100 ms. */
+const setUp = (
+  answers: readonly CopyAnswer[],
+  changes: { isResumable?: boolean } = {},
+) => {
+  const clock = createVirtualClock();
+  const servers = new Map(["old", "new", "other"].map((id) => [id, makeServer(id)]));
+  const old = servers.get("old")!;
+  const script = [...answers];
+  const calls: CopyRequest[] = [];
+  const told: string[] = [];
+  let reserved = 0;
+  const run: ActiveRun = {
+    id: "r1" as ClientRequestId,
+    route: { isResumable: changes.isResumable ?? false } as ActiveRun["route"],
+    startedAt: 0 as Ms,
+    getServer: () => old,
+    hasBegun: () => true,
+    getEventsMade: () => 10,
+    getTokens: () => 3_000,
+    getTokensLeft: () => 500,
+    cutOver: () => undefined,
+  };
+  const mover = createRunMover({
+    clock,
+    actions: {
+      readReport: () => Promise.resolve(Ok(EMPTY_REPORT)),
+      copyRun: (request) => {
+        calls.push(request);
+        const answer = script.shift() ?? { kind: "no_answer", detail: "silent" };
+        return new Promise((resolve) => {
+          clock.setTimer(100 as Ms, () => resolve(answer));
+        });
+      },
+      dropCopy: () => Promise.resolve(),
+    },
+    findServer: (id) => servers.get(id),
+    listRunsAt: () => [run],
+    isLeaving: (server) => server.entry.id === "old",
+    makePlan: () =>
+      Promise.resolve({
+        planRun: () => ({ copyAt: 0 as Ms, targets: ["new", "other"] as ServerId[] }),
+      }),
+    reserve: () => {
+      reserved += 1;
+      return () => {
+        reserved -= 1;
+      };
+    },
+    onDecision: (_run, { kind }) => told.push(kind),
+  });
+  const advance = (duration: number) => advanceSettled(clock, duration as Ms);
+  return { mover, run, old, calls, told, advance, getReserved: () => reserved };
+};
+
+const makeCopied = (handle: string): CopyAnswer => ({
+  kind: "copied",
+  handle,
+  eventsMade: 10,
+});
+
+describe("createRunMover", () => {
+  it("copies a run while it goes on, stops it, and goes on from the copy at once", async () => {
+    const { mover, run, old, calls, advance, getReserved } = setUp([
+      makeCopied("h"),
+      makeCopied("h"),
+    ]);
+    mover.onServerLeaving(old);
+    await advance(100);
+    expect(calls.map(({ isLast, target }) => [target.host, isLast])).toEqual([
+      ["host-new", false],
+      ["host-new", true],
+    ]);
+    const found = await mover.recover(run, "stopped");
+    expect(found).toMatchObject({
+      server: { entry: { id: "new" } },
+      memory: { source: { host: "host-old" }, handle: "h" },
+    });
+    expect(getReserved()).toBe(1);
+    mover.onFinished(run);
+    expect(getReserved()).toBe(0);
+  });
+
+  it("tries the next target when one has no room", async () => {
+    const refused: CopyAnswer = { kind: "no_room", handle: undefined };
+    const { mover, run, old, advance } = setUp([
+      refused,
+      makeCopied("h2"),
+      makeCopied("h2"),
+    ]);
+    mover.onServerLeaving(old);
+    await advance(200);
+    expect(await mover.recover(run, "stopped")).toMatchObject({
+      server: { entry: { id: "other" } },
+    });
+  });
+
+  it("goes on from the copy when the engine dies before the run was stopped", async () => {
+    const lost: CopyAnswer = { kind: "no_answer", detail: "reset" };
+    const { mover, run, old, told, advance } = setUp([makeCopied("h"), lost]);
+    mover.onServerLeaving(old);
+    await advance(250);
+    expect(await mover.recover(run, "reset")).toMatchObject({ memory: { handle: "h" } });
+    expect(told).toContain("goes_on_from_copy");
+  });
+
+  it("loses a run whose engine dies before its copy is there, and says so", async () => {
+    const { mover, run, old, told, advance } = setUp([
+      { kind: "no_answer", detail: "reset" },
+    ]);
+    mover.onServerLeaving(old);
+    await advance(50);
+    expect(await mover.recover(run, "reset")).toBeUndefined();
+    expect(told.at(-1)).toBe("not_recovered");
+  });
+
+  it("goes back to the source when the target refuses the copy after all", async () => {
+    const { mover, run, old, advance } = setUp([makeCopied("h"), makeCopied("h")]);
+    mover.onServerLeaving(old);
+    await advance(250);
+    await mover.recover(run, "stopped");
+    mover.onContinued(run, { kind: "refused", status: 503 });
+    const again = [
+      await mover.recover(run, "refused"),
+      await mover.recover(run, "refused"),
+    ];
+    expect(again.map((found) => found?.server.entry.id)).toContain("old");
+    expect(await mover.recover(run, "refused")).toBeUndefined();
+  });
+
+  it("moves a run that begins at an engine which already leaves", async () => {
+    const { mover, run, calls, advance } = setUp([makeCopied("h"), makeCopied("h")]);
+    mover.onBegun(run);
+    await advance(100);
+    expect(calls).toHaveLength(2);
+  });
+
+  it("moves no memory for a stream that a new run may go on with", async () => {
+    const { mover, old, calls, advance } = setUp([makeCopied("h")], {
+      isResumable: true,
+    });
+    mover.onServerLeaving(old);
+    await advance(200);
+    expect(calls).toEqual([]);
+  });
+});
--- a/packages/migration/src/runMover.ts
+++ b/packages/migration/src/runMover.ts
@@ -196,6 +196,12 @@
     return copy;
   };
 
+  const takeStopped = (move: Move) => {
+    const { stopping } = move;
+    move.stopping = undefined;
+    return stopping;
+  };
+
   const takeSource = (run: ActiveRun, move: Move, detail: string) => {
     const { source } = move;
     move.source = undefined;
@@ -212,7 +218,7 @@
     if (!move) return undefined;
     return (
       takeCopy(run, move, detail) ??
-      (await move.stopping) ??
+      (await takeStopped(move)) ??
       takeSource(run, move, detail)
     );
   };
--- a/packages/peers/src/membership.ts
+++ b/packages/peers/src/membership.ts
@@ -9,7 +9,8 @@
   clock: Clock;
   writer: StoreWriter;
   table: string;
-  own: Peer;
+  /** This box, once it listens for others. */
+  getOwn: () => Peer;
   /** How long a write may take. */
   limit: Ms;
   onPeers: (peers: readonly Peer[]) => void;
@@ -31,20 +32,28 @@
 
 /** Creates the membership of one box. */
 export const createMembership = (options: MembershipOptions): Membership => {
-  const { clock, writer, table, own, limit, onPeers, onFailure } = options;
-  const value = encodeMember(own);
+  const { clock, writer, table, getOwn, limit, onPeers, onFailure } = options;
   let isListed = false;
   let isLeaving = false;
 
-  const isSame = (peer: Peer) =>
-    peer.box === own.box &&
-    peer.address.host === own.address.host &&
-    peer.address.port === own.address.port;
+  const isSame = (peer: Peer) => {
+    const { box, address } = getOwn();
+    return (
+      peer.box === box &&
+      peer.address.host === address.host &&
+      peer.address.port === address.port
+    );
+  };
 
   const join = async () => {
     if (isListed || isLeaving) return;
-    const signal = AbortSignal.timeout(limit);
-    const written = await writer.putRow({ table, key: own.box, value, signal });
+    const own = getOwn();
+    const written = await writer.putRow({
+      table,
+      key: own.box,
+      value: encodeMember(own),
+      signal: AbortSignal.timeout(limit),
+    });
     if (written.err) onFailure(written.val);
     clock.setTimer(JOIN_PAUSE_MS, () => void join());
   };
@@ -63,7 +72,7 @@
     leave: async () => {
       isLeaving = true;
       const signal = AbortSignal.timeout(limit);
-      const dropped = await writer.dropRow({ table, key: own.box, signal });
+      const dropped = await writer.dropRow({ table, key: getOwn().box, signal });
       if (dropped.err) onFailure(dropped.val);
     },
   };
--- /dev/null
+++ b/packages/peers/src/peers.test.ts
@@ -0,0 +1,174 @@
+import { afterEach, describe, expect, it } from "vitest";
+import {
+  createSeededRandom,
+  createSystemClock,
+  Ok,
+  type BoxName,
+  type Ms,
+} from "@stairgauge/common";
+import type { ServerId } from "@stairgauge/directory";
+import { createLoadBook, type PlacedRun } from "@stairgauge/placement";
+import {
+  createMembership,
+  createPeerLinks,
+  createPeerServer,
+  createRunTeller,
+  type Peer,
+  type RunUpdate,
+} from "./index.js";
+import { decodeUpdate, encodeUpdate } from "./updateCodec.js";
+
+const makeRun = (id: string): PlacedRun => ({
+  id,
+  placedAt: 0 as Ms,
+  promptTokens: 3_000,
+  expectedOut: 200,
+  hasBegun: false,
+  isMovable: true,
+});
+
+const closers: (() => void)[] = [];
+afterEach(() => {
+  for (const close of closers.splice(0)) close();
+});
+
+/** Waits for the condition; the test's own time limit ends it. */
+const waitFor = async (isMet: () => boolean) => {
+  while (!isMet()) await new Promise((resolve) => setTimeout(resolve, 5));
+};
+
+const openListener = async () => {
+  const book = createLoadBook();
+  const lost: string[] = [];
+  const server = createPeerServer({
+    onUpdate: (update) => {
+      if (update.isWhole) book.dropPeer(update.box);
+      for (const placed of update.put) book.putPeerRun(update.box, placed);
+      for (const { server: at, id } of update.drop)
+        book.removePeerRun(update.box, at, id);
+    },
+    onPeerLost: (box) => {
+      lost.push(box);
+      book.dropPeer(box);
+    },
+  });
+  const port = await server.listen({ host: "127.0.0.1", port: 0 });
+  closers.push(server.close);
+  return {
+    book,
+    lost,
+    peer: { box: "b" as BoxName, address: { host: "127.0.0.1", port } },
+  };
+};
+
+const openTeller = () => {
+  const clock = createSystemClock();
+  const own = "a" as BoxName;
+  const book = createLoadBook((change) => teller.takeChange(change));
+  const teller = createRunTeller({
+    clock,
+    own,
+    book,
+    send: (update) => links.tell(update),
+  });
+  const links = createPeerLinks({
+    clock,
+    random: createSeededRandom(1),
+    own,
+    makeWhole: teller.makeWhole,
+  });
+  closers.push(links.close);
+  return { book, links };
+};
+
+const server = "e1" as ServerId;
+
+describe("boxes that tell each other their runs", () => {
+  it("tells what is there when a link comes up, then each change, and is forgotten when it closes", async () => {
+    const there = await openListener();
+    const here = openTeller();
+    here.book.addRun(server, makeRun("before"));
+    here.links.setPeers([there.peer, { ...there.peer, box: "a" as BoxName }]);
+    expect(here.links.count()).toBe(1);
+    await waitFor(() => there.book.listPeerRuns(server).length === 1);
+    here.book.addRun(server, makeRun("after"));
+    await waitFor(() => there.book.listPeerRuns(server).length === 2);
+    here.book.removeRun(server, "before");
+    here.book.markBegun(server, "after");
+    await waitFor(() => there.book.listPeerRuns(server).some((run) => run.hasBegun));
+    expect(there.book.listPeerRuns(server).map(({ id }) => id)).toEqual(["after"]);
+    here.links.close();
+    await waitFor(() => there.lost.length === 1);
+    expect(there.book.listPeerRuns(server)).toEqual([]);
+  });
+
+  it("keeps only the last change of a run that changes twice before it is told", async () => {
+    const there = await openListener();
+    const here = openTeller();
+    here.links.setPeers([there.peer]);
+    here.book.addRun(server, makeRun("short"));
+    here.book.removeRun(server, "short");
+    here.book.addRun(server, makeRun("stays"));
+    await waitFor(() => there.book.listPeerRuns(server).length > 0);
+    expect(there.book.listPeerRuns(server).map(({ id }) => id)).toEqual(["stays"]);
+  });
+});
+
+describe("updateCodec", () => {
+  it("brings an update across unchanged", () => {
+    const update: RunUpdate = {
+      box: "a" as BoxName,
+      isWhole: true,
+      put: [{ server, run: makeRun("r") }],
+      drop: [{ server, id: "q" }],
+    };
+    expect(decodeUpdate(encodeUpdate(update))).toEqual(update);
+  });
+
+  it.each(["", "{", "[]", '{"box":"a"}'])("refuses %j", (text) => {
+    expect(() => decodeUpdate(Buffer.from(text))).toThrow();
+  });
+});
+
+describe("createMembership", () => {
+  const own: Peer = { box: "a" as BoxName, address: { host: "10.0.0.1", port: 7 } };
+  const toRow = (box: string, address: unknown) => ({
+    key: box,
+    value: Buffer.from(JSON.stringify(address)),
+    revision: 1,
+  });
+
+  it("puts its row, tells who is there, and names a row that cannot be read", async () => {
+    const written: string[] = [];
+    const peers: string[][] = [];
+    const failures: unknown[] = [];
+    const membership = createMembership({
+      clock: createSystemClock(),
+      writer: {
+        putRow: ({ key }) => {
+          written.push(`put ${key}`);
+          return Promise.resolve(Ok(undefined));
+        },
+        dropRow: ({ key }) => {
+          written.push(`drop ${key}`);
+          return Promise.resolve(Ok(undefined));
+        },
+      },
+      table: "boxes",
+      getOwn: () => own,
+      limit: 100 as Ms,
+      onPeers: (members) => peers.push(members.map(({ box }) => box)),
+      onFailure: (failure) => failures.push(failure),
+    });
+    membership.join();
+    membership.sink.onWhole(
+      [toRow("a", own.address), toRow("b", { host: "10.0.0.2", port: 7 }), toRow("c", 4)],
+      0 as Ms,
+    );
+    membership.sink.onChanges([{ kind: "gone", key: "b" }], 1 as Ms);
+    await membership.leave();
+    expect(written).toEqual(["put a", "drop a"]);
+    expect(peers).toEqual([["a", "b"], ["a"]]);
+    expect(failures).toEqual([{ kind: "unreadable_member", key: "c" }]);
+  });
+});
--- /dev/null
+++ b/packages/placement/src/chooseServer.test.ts
@@ -0,0 +1,126 @@
+import { describe, expect, it } from "vitest";
+import {
+  createSeededRandom,
+  type DataHallName,
+  type Ms,
+  type ServiceName,
+} from "@stairgauge/common";
+import type { BackendServer, ServerId } from "@stairgauge/directory";
+import {
+  chooseServer,
+  createLoadBook,
+  type EngineReport,
+  type PlacedRun,
+} from "./index.js";
+
+const makeServer = (id: string, hall = "h"): BackendServer => ({
+  entry: {
+    id: id as ServerId,
+    service: "s" as ServiceName,
+    address: { host: "10.0.0.1", port: 80 },
+    dataHall: hall as DataHallName,
+    slots: 6,
+    isLeaving: false,
+    warmUpLeft: 0 as Ms,
+  },
+  leaving: undefined,
+});
+
+const makeRun = (id: string, changes: Partial<PlacedRun> = {}): PlacedRun => ({
+  id,
+  placedAt: 0 as Ms,
+  promptTokens: 3_000,
+  expectedOut: 200,
+  hasBegun: true,
+  isMovable: true,
+  ...changes,
+});
+
+const makeReport = (changes: Partial<EngineReport> = {}): EngineReport => ({
+  isLeaving: false,
+  leavesIn: undefined,
+  waiting: 0,
+  firstWaitingTokens: 0,
+  running: 0,
+  memoryUsed: 0,
+  memoryTotal: 34_000,
+  runs: [],
+  ...changes,
+});
+
+const GENERATION = { tokens: { prompt: 2_000, expectedOut: 100, isMovable: true } };
+const a = makeServer("a");
+const b = makeServer("b");
+
+const choose = (
+  book: ReturnType<typeof createLoadBook>,
+  demand = GENERATION as Parameters<typeof chooseServer>[0]["demand"],
+  candidates = [a, b],
+) => {
+  const decision = chooseServer({
+    candidates,
+    demand,
+    book,
+    ownHall: "h" as DataHallName,
+    now: 1_000 as Ms,
+    random: createSeededRandom(4),
+  });
+  return decision.kind === "placed" ? decision.server.entry.id : decision.kind;
+};
+
+describe("chooseServer for generations", () => {
+  it("avoids an engine that another box has just filled, before any report shows it", () => {
+    const book = createLoadBook();
+    for (const id of ["1", "2", "3"])
+      book.putPeerRun("box", { server: a.entry.id, run: makeRun(id) });
+    expect(choose(book)).toBe("b");
+  });
+
+  it("avoids prompts that wait to be read more than memory that is merely taken", () => {
+    const book = createLoadBook();
+    book.addRun(a.entry.id, makeRun("1", { hasBegun: false, promptTokens: 3_000 }));
+    book.addRun(b.entry.id, makeRun("2", { promptTokens: 5_500 }));
+    expect(choose(book)).toBe("b");
+  });
+
+  it("counts a run once that both a box and the engine tell of", () => {
+    const book = createLoadBook();
+    const runs = [{ id: "1", tokensInMemory: 3_000, eventsMade: 3 }];
+    book.addRun(a.entry.id, makeRun("1"));
+    book.putReport(a.entry.id, makeReport({ runs }), 900 as Ms);
+    book.putReport(
+      b.entry.id,
+      makeReport({ runs: [{ id: "9", tokensInMemory: 6_500, eventsMade: 1 }] }),
+      900 as Ms,
+    );
+    expect(choose(book)).toBe("a");
+  });
+
+  it("counts the prompts of other boxes that waited when the report was made", () => {
+    const book = createLoadBook();
+    book.putReport(
+      a.entry.id,
+      makeReport({ waiting: 4, firstWaitingTokens: 2_000 }),
+      900 as Ms,
+    );
+    book.putReport(b.entry.id, makeReport(), 900 as Ms);
+    expect(choose(book)).toBe("b");
+  });
+
+  it("has nobody to choose when there is none", () => {
+    expect(choose(createLoadBook(), GENERATION, [])).toBe("no_server");
+  });
+});
+
+describe("chooseServer for plain requests", () => {
+  const plain = { tokens: undefined };
+
+  it("takes the least busy, the own data hall first", () => {
+    const far = makeServer("far", "other");
+    const book = createLoadBook();
+    expect(choose(book, plain, [far, a])).toBe("a");
+    book.addOpen(a.entry.id);
+    book.addOpen(a.entry.id);
+    expect(choose(book, plain, [far, a])).toBe("far");
+  });
+});
--- /dev/null
+++ b/packages/routing/src/routing.test.ts
@@ -0,0 +1,143 @@
+import { describe, expect, it } from "vitest";
+import type { Ms, ServiceName, WorkspaceName } from "@stairgauge/common";
+import {
+  computeTimeLimit,
+  createConfigurationKeeper,
+  decideAccess,
+  indexConfiguration,
+  type ConfigurationVersion,
+  type FleetConfiguration,
+  type Route,
+  type RouteName,
+} from "./index.js";
+
+const makeRoute = (pathPrefix: string, changes: Partial<Route> = {}): Route => ({
+  name: `route ${pathPrefix}` as RouteName,
+  host: "a.example",
+  pathPrefix,
+  kind: "once",
+  isResumable: false,
+  isKeyless: false,
+  answerLimit: 600 as Ms,
+  firstAnswerAim: 100 as Ms,
+  pauseAim: undefined,
+  maxServers: 1,
+  tier: 1,
+  shares: [{ service: "s" as ServiceName, weight: 1 }],
+  ...changes,
+});
+
+const makeConfiguration = (
+  version: number,
+  changes: Partial<FleetConfiguration> = {},
+): FleetConfiguration => ({
+  version: version as ConfigurationVersion,
+  routes: [
+    makeRoute("/a/"),
+    makeRoute("/a/b/"),
+    makeRoute("/open/", { isKeyless: true }),
+  ],
+  services: [],
+  limits: {
+    headerBytes: 16_384,
+    bodyBytes: 4_096,
+    headerTime: 3_000 as Ms,
+    idleTime: 15_000 as Ms,
+  },
+  workspaces: [{ name: "w" as WorkspaceName, keys: ["k1", "k2"], tier: undefined }],
+  ...changes,
+});
+
+const toMs = (time: number) => time as Ms;
+const makeKeeper = () =>
+  createConfigurationKeeper({ denyWithin: toMs(2_000), acceptWithin: toMs(4_700) });
+
+describe("indexConfiguration", () => {
+  const index = indexConfiguration(makeConfiguration(1));
+
+  it.each([
+    ["/a/x", "/a/"],
+    ["/a/b/x?q=/a/", "/a/b/"],
+    ["/a/b", "/a/"],
+    ["/a/b/", "/a/b/"],
+  ])("routes %s by the longest prefix", (path, prefix) => {
+    expect(index.findRoute("A.example:80", path)?.pathPrefix).toBe(prefix);
+  });
+
+  it.each([
+    ["a.example", "/"],
+    ["a.example", "/ab/"],
+    ["b.example", "/a/"],
+    ["a.example", "/x?/a/"],
+  ])("finds no route for %s%s", (host, path) => {
+    expect(index.findRoute(host, path)).toBeUndefined();
+  });
+});
+
+describe("createConfigurationKeeper", () => {
+  it("never goes back to an older version, and an older one confirms nothing", () => {
+    const keeper = makeKeeper();
+    expect(keeper.adopt(makeConfiguration(7), toMs(100)).kind).toBe("adopted");
+    expect(keeper.adopt(makeConfiguration(6), toMs(900))).toEqual({
+      kind: "older",
+      version: 6,
+      inForce: 7,
+    });
+    expect(keeper.getIndex()?.configuration.version).toBe(7);
+    expect(keeper.getAge(toMs(1_000))).toBe(900);
+    expect(keeper.adopt(makeConfiguration(7), toMs(950)).kind).toBe("known");
+    expect(keeper.getAge(toMs(1_000))).toBe(50);
+  });
+
+  it("ages from what was last confirmed, and never gets younger by an older answer", () => {
+    const keeper = makeKeeper();
+    expect(keeper.getStanding(toMs(0))).toBe("unknown");
+    keeper.adopt(makeConfiguration(1), toMs(0));
+    keeper.confirm(toMs(-500));
+    expect(keeper.getStanding(toMs(2_000))).toBe("current");
+    expect(keeper.getStanding(toMs(2_001))).toBe("ageing");
+    expect(keeper.getStanding(toMs(4_701))).toBe("expired");
+    keeper.confirm(toMs(4_000));
+    expect(keeper.getStanding(toMs(4_701))).toBe("current");
+  });
+});
+
+describe("decideAccess", () => {
+  const index = indexConfiguration(makeConfiguration(1));
+  const ask = (path: string, key?: string) => ({ host: "a.example", path, key });
+
+  it("answers that it knows nothing, never that something is not there", () => {
+    expect(decideAccess(undefined, "unknown", ask("/a/", "k1"))).toEqual({
+      kind: "refused",
+      reason: "no_configuration",
+    });
+  });
+
+  it.each([
+    ["/a/", "k1", "current", "admitted"],
+    ["/a/", "k1", "ageing", "admitted"],
+    ["/a/", "k1", "expired", "knowledge_too_old"],
+    ["/open/", undefined, "expired", "admitted"],
+    ["/a/", undefined, "current", "key_missing"],
+    ["/a/", "new", "current", "key_unknown"],
+    ["/a/", "new", "ageing", "knowledge_too_old"],
+    ["/new/", "k1", "current", "no_such_route"],
+    ["/new/", "k1", "ageing", "knowledge_too_old"],
+  ] as const)("%s with key %s while %s: %s", (path, key, standing, expected) => {
+    const decision = decideAccess(index, standing, ask(path, key));
+    expect(decision.kind === "admitted" ? "admitted" : decision.reason).toBe(expected);
+  });
+
+  it("gives the workspace that holds the key", () => {
+    const decision = decideAccess(index, "current", ask("/a/", "k2"));
+    expect(decision).toMatchObject({ kind: "admitted", workspace: { name: "w" } });
+  });
+});
+
+describe("computeTimeLimit", () => {
+  it("holds a request no longer than its route or its client allows", () => {
+    expect(computeTimeLimit(makeRoute("/a/"), toMs(200))).toBe(200);
+    expect(computeTimeLimit(makeRoute("/a/"), toMs(9_000))).toBe(600);
+    expect(computeTimeLimit(makeRoute("/a/"), undefined)).toBe(600);
+  });
+});
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -23,3 +23,13 @@
 } from "./exampleSite.js";
 export type { ExampleAddresses, SignedBundle } from "./exampleSite.js";
 export { generateToken } from "./syntheticText.js";
+export {
+  SITE_HOST,
+  SITE_KEY,
+  SITE_WORKSPACE,
+  startUsersSite,
+} from "./usersPlatform/usersSite.js";
+export type { UsersSite, UsersSiteSize } from "./usersPlatform/usersSite.js";
+export { formatEngineEvent } from "./usersPlatform/usersEngine.js";
+export { formatServiceBody } from "./usersPlatform/usersService.js";
+export type { ServiceFault } from "./usersPlatform/usersService.js";
