fix: a stopping box refuses what it cannot end, so that its client finds another one at once

Ruled out: closing rested connections (a close may cross a request); waiting longer (the grace is the platform's). Change: after SIGTERM a request is refused, not run, when it would probably not end in time, later when it might not; the client is told to come back in 20 ms, over another connection.

--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -308,12 +308,13 @@
     stop: async () => {
       if (isStopping) return;
       isStopping = true;
-      forwarder.announceStop();
+      const grace = (settings.bounds.stopSeconds * 1000) as Ms;
+      forwarder.announceStop((clock.monotonic() + grace) as Ms);
       log.writeNotice("stopping", { open: forwarder.countOpen(), runs: runs.count() });
       await stopInOrder({
         clock,
         countOpen: forwarder.countOpen,
-        grace: (settings.bounds.stopSeconds * 1000) as Ms,
+        grace,
       });
       await membership.leave();
       for (const follower of [configurationFollower, serverFollower, memberFollower])
--- a/packages/forwarding/src/createForwarder.ts
+++ b/packages/forwarding/src/createForwarder.ts
@@ -10,6 +10,7 @@
 import { createClientAnswer, type ClientAnswer } from "./clientAnswer.js";
 import { dispatchCall, type DispatchedCall } from "./dispatchCall.js";
 import type { ForwarderDeps } from "./forwarderTypes.js";
+import { fitsBeforeStop } from "./fitsBeforeStop.js";
 import { readRequestBody } from "./readRequestBody.js";
 import type { RequestHead } from "./types.js";
 
@@ -19,6 +20,9 @@
 /** Bound on the bodies that are held at once; beyond it requests are refused, not run. */
 const MOST_HELD_BYTES = 32 * 1024 * 1024;
 
+/** Another box takes the request at once: the client only has to open a connection. */
+const OTHER_BOX_AFTER_MS = 20 as Ms;
+
 const STATUS_OF_REFUSAL: Readonly<Record<AccessRefusal, number>> = {
   no_configuration: 503,
   knowledge_too_old: 503,
@@ -30,15 +34,18 @@
 /** Handles the requests of one box. */
 export type Forwarder = Readonly<{
   handle: (incoming: IncomingMessage, response: ServerResponse) => void;
-  /** Every further answer is the last of its connection. */
-  announceStop: () => void;
+  /**
+   * Every further answer is the last of its connection, and what would not be through by `endsAt` is
+   * refused: its client finds another box at once.
+   */
+  announceStop: (endsAt: Ms) => void;
   countOpen: () => number;
 }>;
 
 /** Creates the forwarder. */
 export const createForwarder = (deps: ForwarderDeps): Forwarder => {
   const { clock, codec, configuration, random, observer } = deps;
-  let isStopping = false;
+  let stop: Readonly<{ announcedAt: Ms; endsAt: Ms }> | undefined;
   let open = 0;
   let heldBytes = 0;
 
@@ -54,11 +61,17 @@
 
   const refuse = (
     context: Readonly<{ head: RequestHead; answer: ClientAnswer; receivedAt: Ms }>,
-    refusal: Readonly<{ status: number; reason: string; isLast: boolean }>,
+    refusal: Readonly<{
+      status: number;
+      reason: string;
+      isLast: boolean;
+      retryAfter?: Ms;
+    }>,
   ) => {
     const { head, answer, receivedAt } = context;
     const { status, reason, isLast } = refusal;
-    const retryAfter = status === 503 ? deps.retryAfter : undefined;
+    const pause = refusal.retryAfter ?? deps.retryAfter;
+    const retryAfter = status === 503 ? pause : undefined;
     const since = (clock.monotonic() - receivedAt) as Ms;
     observer.onDecision(head, { kind: "refused", reason, status, retryAfter }, since);
     const headers = codec.encodeOwnAnswer(head, { status, retryAfter, isLast });
@@ -73,7 +86,7 @@
       headers: incoming.rawHeaders,
     });
     let isLast = false;
-    const answer = createClientAnswer(response, () => isStopping || isLast);
+    const answer = createClientAnswer(response, () => stop !== undefined || isLast);
     const context = { head, answer, receivedAt };
     let call: DispatchedCall | undefined;
     let held = 0;
@@ -110,9 +123,18 @@
         refuse(context, { status: 503, reason: "too many bodies held", isLast: false });
         return;
       }
+      const { route, workspace } = access;
+      if (stop && !fitsBeforeStop({ ...stop, now, head, route })) {
+        refuse(context, {
+          status: 503,
+          reason: "box is stopping",
+          isLast: true,
+          retryAfter: OTHER_BOX_AFTER_MS,
+        });
+        return;
+      }
       held = body.length;
       heldBytes += held;
-      const { route, workspace } = access;
       call = dispatchCall(deps, {
         head,
         body,
@@ -139,8 +161,8 @@
 
   return {
     handle,
-    announceStop: () => {
-      isStopping = true;
+    announceStop: (endsAt) => {
+      stop = { announcedAt: clock.monotonic(), endsAt };
     },
     countOpen: () => open,
   };
