perf: cheaper event splitting; a benchmark of forwarding against a bare pass-through

Cause: the id of the last event was found by a pattern over a text copy of each chunk. Ruled out: nothing else was profiled. Change: ids and event ends are found in the bytes; bench:forward measures a box against a pass-through.

--- a/packages/forwarding/src/eventSplitter.ts
+++ b/packages/forwarding/src/eventSplitter.ts
@@ -20,28 +20,61 @@
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
-const ID_FIELD = /^id:\s?(.*?)\r?$/gm;
+const SPACE = 0x20;
+const BLANK_LINE = Buffer.from("\n\n");
+const ID_FIELD = Buffer.from("id:");
+const ID_LINE = Buffer.from("\nid:");
 
-const findLastId = (events: string): string | undefined => {
-  let last: string | undefined;
-  for (const match of events.matchAll(ID_FIELD)) last = match[1];
-  return last;
+/** Where the value of the last id field begins, or -1. */
+const findLastIdStart = (events: Buffer): number => {
+  const at = events.lastIndexOf(ID_LINE);
+  if (at >= 0) return at + ID_LINE.length;
+  const isFirst = events.subarray(0, ID_FIELD.length).equals(ID_FIELD);
+  return isFirst ? ID_FIELD.length : -1;
 };
 
-/** Index behind each blank line that ends an event. */
-const listEventEnds = (bytes: Buffer): readonly number[] => {
-  const ends: number[] = [];
+const findLastId = (events: Buffer): string | undefined => {
+  const found = findLastIdStart(events);
+  if (found < 0) return undefined;
+  const start = events[found] === SPACE ? found + 1 : found;
+  const lineEnd = events.indexOf(LINE_FEED, start);
+  const end = events[lineEnd - 1] === CARRIAGE_RETURN ? lineEnd - 1 : lineEnd;
+  return events.toString("latin1", start, end);
+};
+
+/** How many events the bytes complete, and the index behind the last of them. */
+type EventEnds = Readonly<{ count: number; end: number }>;
+
+const findPlainEnds = (bytes: Buffer): EventEnds => {
+  let count = 0;
+  let end = 0;
+  for (let at = bytes.indexOf(BLANK_LINE); at >= 0; at = bytes.indexOf(BLANK_LINE, end)) {
+    count += 1;
+    end = at + BLANK_LINE.length;
+  }
+  return { count, end };
+};
+
+/** Lines may end with a carriage return as well, each in its own way. */
+const findMixedEnds = (bytes: Buffer): EventEnds => {
+  let count = 0;
+  let end = 0;
   for (
     let at = bytes.indexOf(LINE_FEED);
     at >= 0;
     at = bytes.indexOf(LINE_FEED, at + 1)
   ) {
     const next = bytes[at + 1] === CARRIAGE_RETURN ? at + 2 : at + 1;
-    if (bytes[next] === LINE_FEED) ends.push(next + 1);
+    if (bytes[next] !== LINE_FEED) continue;
+    count += 1;
+    end = next + 1;
   }
-  return ends;
+  return { count, end };
 };
 
+const findEventEnds = (bytes: Buffer): EventEnds =>
+  bytes.includes(CARRIAGE_RETURN) ? findMixedEnds(bytes) : findPlainEnds(bytes);
+
 /** Creates a splitter at the start of a stream. */
 export const createEventSplitter = (): EventSplitter => {
   let rest: Buffer = Buffer.alloc(0);
@@ -50,16 +83,15 @@
   return {
     push: (chunk) => {
       const bytes = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
-      const ends = listEventEnds(bytes);
-      const end = ends.at(-1);
-      if (end === undefined) {
+      const { count, end } = findEventEnds(bytes);
+      if (count === 0) {
         rest = bytes;
         return undefined;
       }
       const whole = bytes.subarray(0, end);
       rest = bytes.subarray(end);
-      lastEventId = findLastId(whole.toString("latin1")) ?? lastEventId;
-      return { bytes: whole, events: ends.length };
+      lastEventId = findLastId(whole) ?? lastEventId;
+      return { bytes: whole, events: count };
     },
     getLastEventId: () => lastEventId,
     takeRest: () => {
--- /dev/null
+++ b/packages/measure/src/relayBench/eventSourceMain.ts
@@ -0,0 +1,6 @@
+/** The event source of the forwarding benchmark, as a process of its own. */
+import { startUsersEventSource } from "@stairgauge/standins";
+
+const [, , gapMs = "100"] = process.argv;
+const { address } = await startUsersEventSource(Number(gapMs));
+process.stdout.write(`source on ${address}\n`);
--- a/packages/standins/src/usersPlatform/usersSite.ts
+++ b/packages/standins/src/usersPlatform/usersSite.ts
@@ -14,6 +14,8 @@
   services: readonly UsersService[];
   /** Puts a configuration with the changes given; the version rises by itself unless named. */
   putConfiguration: (changes?: Readonly<Record<string, unknown>>) => void;
+  /** Adds an engine that runs elsewhere. */
+  putEngine: (id: string, address: string) => void;
   /** The server's entry says that it leaves. */
   announceLeaving: (server: UsersEngine | UsersService) => void;
   close: () => void;
@@ -114,8 +116,11 @@
   );
   let version = 0;
 
-  const putEntry = (server: UsersEngine | UsersService, state: string) => {
-    const isEngine = engines.some(({ id }) => id === server.id);
+  const putEntry = (
+    server: Readonly<{ id: string; address: string }>,
+    state: string,
+    isEngine = engines.some(({ id }) => id === server.id),
+  ) => {
     store.put(TABLE.servers, server.id, {
       service: isEngine ? ENGINE_SERVICE : PLAIN_SERVICE,
       address: server.address,
@@ -138,6 +143,7 @@
       const configuration = { ...CONFIGURATION, version, ...changes };
       store.put(TABLE.operator, CONFIGURATION_KEY, configuration);
     },
+    putEngine: (id, address) => putEntry({ id, address }, "ready", true),
     announceLeaving: (server) => {
       if ("setLeaving" in server) server.setLeaving();
       putEntry(server, STATE_LEAVING);
