--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -15,6 +15,7 @@
   createServerSink,
 } from "@stairgauge/fleet";
 import {
+  computeSlackShare,
   createActiveRuns,
   createClientServer,
   createForwarder,
@@ -99,6 +100,7 @@
 export const createBox = ({ settings: first, clock, log }: BoxOptions): Box => {
   let settings = first;
   let isStopping = false;
+  let mostBoxesSeen = 0;
   const random = createSystemRandom();
   const metrics = createBoxMetrics();
   const keeper = createConfigurationKeeper({
@@ -134,6 +136,7 @@
     getOwn: () => ({ box: own, address: peerAddress }),
     limit: settings.store.patienceMs as Ms,
     onPeers: (peers) => {
+      mostBoxesSeen = Math.max(mostBoxesSeen, peers.length);
       links.setPeers(peers);
       log.writeNotice("peers", { boxes: peers.length });
     },
@@ -203,7 +206,7 @@
   });
   const budget = createRetryBudget(() => ({
     ratio: settings.retries.ratio,
-    slack: settings.retries.slack / settings.retries.boxes,
+    slack: computeSlackShare(settings.retries.slack, mostBoxesSeen),
     window: (settings.retries.windowSeconds * 1000) as Ms,
   }));
   const forwarder = createForwarder({
--- a/packages/fleet/src/createPlacer.ts
+++ b/packages/fleet/src/createPlacer.ts
@@ -8,6 +8,7 @@
   type LoadBook,
   type MoveTarget,
 } from "@stairgauge/placement";
+import { createSuspects } from "./suspects.js";
 
 /** What placing needs. */
 export type PlacerOptions = Readonly<{
@@ -44,6 +45,7 @@
 export const createPlacer = (options: PlacerOptions): FleetPlacer => {
   const { clock, random, ownHall, directory, book, onClosingAnnounced } = options;
   const mintId = createPlacementIds();
+  const suspects = createSuspects();
 
   return {
     choose: (service, demand, except) => {
@@ -51,7 +53,7 @@
       const untried = ready.filter((server) => !except.has(server.entry.id));
       const now = clock.monotonic();
       const decision = chooseServer({
-        candidates: untried,
+        candidates: suspects.passOver(untried, now),
         demand,
         book,
         ownHall,
@@ -86,6 +88,7 @@
     isLeaving: (server) => isLeaving(directory, server),
     onAddressReused: (server) =>
       directory.mark(server.entry.id, "address_reused", clock.monotonic()),
+    onUnreachable: (server) => suspects.add(server.entry.id, clock.monotonic()),
     onConnectionClosing: onClosingAnnounced,
     onRunBegun: (server, head) => {
       if (head.id !== undefined) book.markBegun(server.entry.id, head.id);
--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -298,7 +298,10 @@
     const verdict = judgeAttempt(end, head.id);
     const wasSent = attempt.exchange?.isSent() ?? false;
     if (wasSent) attemptsSent += 1;
-    else unreached += 1;
+    else {
+      unreached += 1;
+      placer.onUnreachable(server);
+    }
     if (end.kind === "answered" && end.head.isOtherServer) placer.onAddressReused(server);
     dropAttempt();
     const step = decideNext({
--- a/packages/forwarding/src/forwarderTypes.ts
+++ b/packages/forwarding/src/forwarderTypes.ts
@@ -71,6 +71,8 @@
   isLeaving: (server: BackendServer) => boolean;
   /** The server's address belongs to another one now. */
   onAddressReused: (server: BackendServer) => void;
+  /** No connection came up: the server may be dead, though its entry still stands. */
+  onUnreachable: (server: BackendServer) => void;
   /** An answer announced the end of its connection, which a leaving server does. */
   onConnectionClosing: (server: BackendServer) => void;
 }>;
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -22,3 +22,4 @@
 export type { Forwarder } from "./createForwarder.js";
 export { createRetryBudget } from "./retryBudget.js";
 export type { RetryBudget, RetryBudgetLimits } from "./retryBudget.js";
+export { computeSlackShare } from "./computeSlackShare.js";
--- a/packages/settings/src/boxSettings.ts
+++ b/packages/settings/src/boxSettings.ts
@@ -41,13 +41,11 @@
     ratio: z.number().nonnegative(),
     slack: z.number().nonnegative(),
     windowSeconds: z.number().positive(),
-    /** Boxes that share the slack. More than there are is safe, fewer is not. */
-    boxes: z.int().positive().default(16),
   }),
   engines: z
     .strictObject({
-      /** How often an engine is asked for its report. */
-      reportIntervalMs: ms.default(1_000),
+      /** How often an engine is asked for its report; boxes tell each other the rest. */
+      reportIntervalMs: ms.default(2_000),
       reportLimitMs: ms.default(500),
     })
     .prefault({}),
