fix: a copy that its run did not need is freed

Cause: reading the diff: dropCopy was never called; a copy whose run ended by itself took memory until it lapsed. Change: it is dropped when its move ends.

--- a/packages/migration/src/runMover.test.ts
+++ b/packages/migration/src/runMover.test.ts
@@ -46,6 +46,7 @@
   const script = [...answers];
   const calls: CopyRequest[] = [];
   const told: string[] = [];
+  const dropped: string[] = [];
   let reserved = 0;
   const run: ActiveRun = {
     id: "r1" as ClientRequestId,
@@ -69,7 +70,10 @@
           clock.setTimer(100 as Ms, () => resolve(answer));
         });
       },
-      dropCopy: () => Promise.resolve(),
+      dropCopy: (_engine, handle) => {
+        dropped.push(handle);
+        return Promise.resolve();
+      },
     },
     findServer: (id) => servers.get(id),
     listRunsAt: () => [run],
@@ -87,7 +91,7 @@
     onDecision: (_run, { kind }) => told.push(kind),
   });
   const advance = (duration: number) => advanceSettled(clock, duration as Ms);
-  return { mover, run, old, calls, told, advance, getReserved: () => reserved };
+  return { mover, run, old, calls, told, dropped, advance, getReserved: () => reserved };
 };
 
 const makeCopied = (handle: string): CopyAnswer => ({
@@ -165,6 +169,21 @@
     expect(await mover.recover(run, "refused")).toBeUndefined();
   });
 
+  it("frees a copy that its run did not need, and no other", async () => {
+    const { mover, run, old, dropped, advance } = setUp([makeCopied("h")]);
+    mover.onServerLeaving(old);
+    await advance(100);
+    mover.onFinished(run);
+    expect(dropped).toEqual(["h"]);
+    const moved = setUp([makeCopied("h"), makeCopied("h")]);
+    moved.mover.onServerLeaving(moved.old);
+    await moved.advance(250);
+    await moved.mover.recover(moved.run, "stopped");
+    moved.mover.onContinued(moved.run, { kind: "goes_on" });
+    moved.mover.onFinished(moved.run);
+    expect(moved.dropped).toEqual([]);
+  });
+
   it("moves a run that begins at an engine which already leaves", async () => {
     const { mover, run, calls, advance } = setUp([makeCopied("h"), makeCopied("h")]);
     mover.onBegun(run);
--- a/packages/migration/src/runMover.ts
+++ b/packages/migration/src/runMover.ts
@@ -79,8 +79,13 @@
   const plans = new Map<ServerId, Promise<EvacuationPlan>>();
 
   const endMove = (run: ActiveRun) => {
-    moves.get(run)?.release();
+    const move = moves.get(run);
+    if (!move) return;
     moves.delete(run);
+    move.release();
+    // A copy that nobody will go on from takes memory at its target until it lapses.
+    if (move.copy)
+      void actions.dropCopy(move.copy.memory.source, move.copy.memory.handle);
   };
   const isCurrent = (run: ActiveRun, move: Move) => moves.get(run) === move;
 
