--- a/apps/box/src/box.test.ts
+++ b/apps/box/src/box.test.ts
@@ -269,6 +269,53 @@
     expect(answer.status).toBe(413);
   });
 
+  it("takes a body in chunks, and one whose client waits to be told to go on", async () => {
+    const { site, ports, start } = await startSite();
+    await start();
+    const headers = { "Transfer-Encoding": "chunked" };
+    expect((await ask(ports, { path: "/once/", headers, body: "chunks" })).status).toBe(
+      200,
+    );
+    const waiting = { Expect: "100-continue", "Content-Length": "5" };
+    expect((await ask(ports, { path: "/once/", headers: waiting })).status).toBe(200);
+    const received = site.services[0]!.listReceived();
+    expect(received.map(({ body }) => body)).toEqual(["chunks", "hello"]);
+    for (const { headers: sent } of received) {
+      expect(sent).not.toContain("Expect");
+      expect(sent).not.toContain("Transfer-Encoding");
+    }
+  });
+
+  it("runs a request inside another's body as no request of its own", async () => {
+    const { site, ports, start } = await startSite();
+    await start();
+    const body = `GET /open/ HTTP/1.1\r\nHost: ${SITE_HOST}\r\n\r\n`;
+    expect((await ask(ports, { path: "/once/", body })).status).toBe(200);
+    expect(site.services[0]!.listReceived().map(({ target }) => target)).toEqual([
+      "/once/",
+    ]);
+  });
+
+  it("answers pipelined requests each with its own answer, in order", async () => {
+    const { ports, start } = await startSite(0, 2);
+    await start();
+    const socket = connect(ports.clients, "127.0.0.1");
+    let text = "";
+    socket.on("data", (chunk: Buffer) => {
+      text += chunk.toString();
+    });
+    const ids = ["p1", "p2", "p3"];
+    for (const id of ids)
+      socket.write(
+        `GET /once/ HTTP/1.1\r\nHost: ${SITE_HOST}\r\nRequest-Id: ${id}\r\nAuthorization: Token ${SITE_KEY}\r\n\r\n`,
+      );
+    await waitFor(() => text.match(/answer of/g)?.length === ids.length);
+    socket.destroy();
+    expect(
+      [...text.matchAll(/answer of page-\d to (p\d)/g)].map((match) => match[1]),
+    ).toEqual(ids);
+  });
+
   it.each([
     ["two lengths", "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"],
     [
--- /dev/null
+++ b/packages/settings/src/boxSettings.test.ts
@@ -0,0 +1,39 @@
+import { describe, expect, it } from "vitest";
+import { parseBoxSettings } from "./index.js";
+
+const SOUND = `
+box: edge-1
+dataHall: brest
+listen: { clients: "10.1.0.1:80", ready: "10.1.0.1:81", metrics: "10.1.0.1:82", peers: "10.1.0.1:83" }
+store: { address: "10.2.0.1:80" }
+bounds: { configurationMs: 2000, keyRemovalMs: 5000, leavingMs: 2000, stopSeconds: 8 }
+retries: { ratio: 0.2, slack: 54, windowSeconds: 10 }
+`;
+
+describe("parseBoxSettings", () => {
+  it("fills in what is not given", () => {
+    const parsed = parseBoxSettings(SOUND);
+    expect(parsed.ok && parsed.val).toMatchObject({
+      store: { configurationWaitMs: 1_300 },
+      engines: { reportIntervalMs: 2_000 },
+      log: { level: "info", linesPerSecond: 200 },
+    });
+  });
+
+  it.each([
+    ["retries: {", "retries: { extra: 1,", "retries.extra"],
+    ['"10.1.0.1:80"', '"edge-1:80"', "listen.clients"],
+    ["stopSeconds: 8", "stopSeconds: -8", "bounds.stopSeconds"],
+    ["box: edge-1", "", "box"],
+  ])("names the path of a fault (%s)", (from, to, path) => {
+    const parsed = parseBoxSettings(SOUND.replace(from, to));
+    expect(parsed.err && parsed.val).toMatchObject({
+      kind: "invalid_settings",
+      faults: [{ path }],
+    });
+  });
+
+  it("says that a file is no YAML", () => {
+    expect(parseBoxSettings("box: [").val).toMatchObject({ kind: "not_yaml" });
+  });
+});
