refactor: one piece for what stood twice; dead code out

Never called or read: a run's cutOver and startedAt, a placement's time, the setting bounds.leavingMs, an order of moves that the plan replaces, and a flag that the codec ignored. Ruled out: merging the two relay benchmarks (they measure different things of the target). The log line out_of_time now says what the answer beside it says.

--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -5,6 +5,7 @@
   type BoxName,
   type Clock,
   type DataHallName,
+  toHostAndPort,
   type Ms,
 } from "@stairgauge/common";
 import { createServerDirectory, type BackendServer } from "@stairgauge/directory";
@@ -23,6 +24,7 @@
 } from "@stairgauge/forwarding";
 import { createRunMover, listRunsToMove, planEvacuation } from "@stairgauge/migration";
 import {
+  applyUpdate,
   createMembership,
   createPeerLinks,
   createPeerServer,
@@ -81,14 +83,9 @@
 /** How long a server that left is remembered, for runs that are still being moved from it. */
 const LEFT_MEMORY_MS = 30_000 as Ms;
 
-const splitAddress = (text: string) => {
-  const at = text.lastIndexOf(":");
-  return { host: text.slice(0, at), port: Number(text.slice(at + 1)) };
-};
-
 const listen = (server: Server, address: string) =>
   new Promise<number>((resolve, reject) => {
-    const { host, port } = splitAddress(address);
+    const { host, port } = toHostAndPort(address);
     server.once("error", reject);
     server.listen({ host, port }, () => {
       const bound = server.address();
@@ -117,18 +114,13 @@
   });
   const links = createPeerLinks({ clock, random, own, makeWhole: teller.makeWhole });
   const peerServer = createPeerServer({
-    onUpdate: (update) => {
-      if (update.isWhole) book.dropPeer(update.box);
-      for (const placed of update.put) book.putPeerRun(update.box, placed);
-      for (const { server, id } of update.drop)
-        book.removePeerRun(update.box, server, id);
-    },
+    onUpdate: (update) => applyUpdate(book, update),
     onPeerLost: (box) => {
       book.dropPeer(box);
       log.writeDecision("peer_lost", { peer: box });
     },
   });
-  let peerAddress = splitAddress(settings.listen.peers);
+  let peerAddress = toHostAndPort(settings.listen.peers);
   const membership = createMembership({
     clock,
     writer: createStoreWriter(settings.store.address),
@@ -292,7 +284,7 @@
 
   return {
     start: async () => {
-      const clients = splitAddress(settings.listen.clients);
+      const clients = toHostAndPort(settings.listen.clients);
       const peers = await peerServer.listen(peerAddress);
       peerAddress = { ...peerAddress, port: peers };
       const ports = {
--- a/apps/daemon/src/createDaemon.ts
+++ b/apps/daemon/src/createDaemon.ts
@@ -3,6 +3,7 @@
 import {
   createSystemClock,
   createSystemRandom,
+  toHostAndPort,
   type Ms,
   type Timer,
 } from "@stairgauge/common";
@@ -19,7 +20,6 @@
 import type { Settings } from "@stairgauge/settings";
 import { createMetrics, type Logger } from "@stairgauge/telemetry";
 import { createOperatorsServer } from "./operatorsServer.js";
-import { toHostAndPort } from "./toHostAndPort.js";
 
 /** Ports that a started daemon listens on. */
 export type DaemonPorts = Readonly<{ callers: number; operators: number }>;
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,5 +1,7 @@
 /** Ids, units, time, randomness and results for every other package. */
 export * from "./types.js";
+export { toHostAndPort } from "./toHostAndPort.js";
+export type { HostAndPort } from "./toHostAndPort.js";
 export { assertNever } from "./assertNever.js";
 export { Err, Ok } from "./result.js";
 export type { Result } from "./result.js";
--- a/packages/directory/src/types.ts
+++ b/packages/directory/src/types.ts
@@ -1,11 +1,17 @@
 /** Backend servers as a box knows them. */
-import type { Brand, DataHallName, Ms, ServiceName } from "@stairgauge/common";
+import type {
+  Brand,
+  DataHallName,
+  HostAndPort,
+  Ms,
+  ServiceName,
+} from "@stairgauge/common";
 
 /** Identity of one start of a backend server; a restart has another. */
 export type ServerId = Brand<string, "ServerId">;
 
 /** Where a server listens, by IP number. */
-export type ServerAddress = Readonly<{ host: string; port: number }>;
+export type ServerAddress = HostAndPort;
 
 /** What a server's own entry says. */
 export type ServerEntry = Readonly<{
--- a/packages/fleet/src/createPlacer.ts
+++ b/packages/fleet/src/createPlacer.ts
@@ -71,7 +71,6 @@
       if (demand.tokens)
         book.addRun(id, {
           id: runId,
-          placedAt: clock.monotonic(),
           promptTokens: demand.tokens.prompt,
           expectedOut: demand.tokens.expectedOut,
           hasBegun: false,
@@ -113,7 +112,6 @@
       const runId = `${run.id}-moving`;
       book.addRun(id, {
         id: runId,
-        placedAt: clock.monotonic(),
         promptTokens: run.getTokens(),
         expectedOut: run.getTokensLeft(),
         hasBegun: true,
--- a/packages/forwarding/src/activeRuns.ts
+++ b/packages/forwarding/src/activeRuns.ts
@@ -1,5 +1,4 @@
 /** Streams that this box relays, by request and by the server that makes them. */
-import type { Ms } from "@stairgauge/common";
 import type { BackendServer, ServerId } from "@stairgauge/directory";
 import type { Route } from "@stairgauge/routing";
 import type { ClientRequestId, RunMemory } from "./types.js";
@@ -8,7 +7,6 @@
 export type ActiveRun = Readonly<{
   id: ClientRequestId;
   route: Route;
-  startedAt: Ms;
   getServer: () => BackendServer;
   /** Whether its first event has come. */
   hasBegun: () => boolean;
@@ -17,8 +15,6 @@
   getTokens: () => number;
   /** Tokens that are expected to come yet, by the client's guess. */
   getTokensLeft: () => number;
-  /** Gives its server up at once; it goes on where `recover` says. */
-  cutOver: () => void;
 }>;
 
 /** Where a stream goes on whose server ended it. */
--- a/packages/forwarding/src/createForwarder.ts
+++ b/packages/forwarding/src/createForwarder.ts
@@ -7,12 +7,12 @@
   type AccessRefusal,
   type Route,
 } from "@stairgauge/routing";
-import { createClientAnswer, type ClientAnswer } from "./clientAnswer.js";
+import { createClientAnswer } from "./clientAnswer.js";
 import { dispatchCall, type DispatchedCall } from "./dispatchCall.js";
 import type { ForwarderDeps } from "./forwarderTypes.js";
 import { fitsBeforeStop } from "./fitsBeforeStop.js";
 import { readRequestBody } from "./readRequestBody.js";
-import type { RequestHead } from "./types.js";
+import { sendOwnAnswer } from "./sendOwnAnswer.js";
 
 /** Bound on a body while no configuration is known. */
 const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
@@ -44,7 +44,7 @@
 
 /** Creates the forwarder. */
 export const createForwarder = (deps: ForwarderDeps): Forwarder => {
-  const { clock, codec, configuration, random, observer } = deps;
+  const { clock, codec, configuration, random } = deps;
   let stop: Readonly<{ announcedAt: Ms; endsAt: Ms }> | undefined;
   let open = 0;
   let heldBytes = 0;
@@ -59,25 +59,6 @@
     return route.shares.at(-1)!.service;
   };
 
-  const refuse = (
-    context: Readonly<{ head: RequestHead; answer: ClientAnswer; receivedAt: Ms }>,
-    refusal: Readonly<{
-      status: number;
-      reason: string;
-      isLast: boolean;
-      retryAfter?: Ms;
-    }>,
-  ) => {
-    const { head, answer, receivedAt } = context;
-    const { status, reason, isLast } = refusal;
-    const pause = refusal.retryAfter ?? deps.retryAfter;
-    const retryAfter = status === 503 ? pause : undefined;
-    const since = (clock.monotonic() - receivedAt) as Ms;
-    observer.onDecision(head, { kind: "refused", reason, status, retryAfter }, since);
-    const headers = codec.encodeOwnAnswer(head, { status, retryAfter, isLast });
-    answer.sendWhole({ status, headers }, Buffer.from(JSON.stringify({ error: reason })));
-  };
-
   const handle = (incoming: IncomingMessage, response: ServerResponse) => {
     const receivedAt = clock.monotonic();
     const head = codec.decodeRequest({
@@ -87,7 +68,14 @@
     });
     let isLast = false;
     const answer = createClientAnswer(response, () => stop !== undefined || isLast);
-    const context = { head, answer, receivedAt };
+    const refuse = (status: number, reason: string, pause = deps.retryAfter) => {
+      const retryAfter = status === 503 ? pause : undefined;
+      sendOwnAnswer(deps, { head, answer, receivedAt }, { status, reason, retryAfter });
+    };
+    const refuseLongBody = () => {
+      isLast = true;
+      refuse(413, "body too long");
+    };
     let call: DispatchedCall | undefined;
     let held = 0;
     let hasLeft = false;
@@ -102,8 +90,7 @@
     const limit =
       configuration.getIndex()?.configuration.limits.bodyBytes ?? DEFAULT_BODY_BYTES;
     if ((head.contentLength ?? 0) > limit) {
-      isLast = true;
-      refuse(context, { status: 413, reason: "body too long", isLast });
+      refuseLongBody();
       return;
     }
 
@@ -115,22 +102,16 @@
         { host: head.host, path: head.target, key: head.key },
       );
       if (access.kind === "refused") {
-        const status = STATUS_OF_REFUSAL[access.reason];
-        refuse(context, { status, reason: access.reason, isLast: false });
+        refuse(STATUS_OF_REFUSAL[access.reason], access.reason);
         return;
       }
       if (heldBytes + body.length > MOST_HELD_BYTES) {
-        refuse(context, { status: 503, reason: "too many bodies held", isLast: false });
+        refuse(503, "too many bodies held");
         return;
       }
       const { route, workspace } = access;
       if (stop && !fitsBeforeStop({ ...stop, now, head, route })) {
-        refuse(context, {
-          status: 503,
-          reason: "box is stopping",
-          isLast: true,
-          retryAfter: OTHER_BOX_AFTER_MS,
-        });
+        refuse(503, "box is stopping", OTHER_BOX_AFTER_MS);
         return;
       }
       held = body.length;
@@ -154,8 +135,7 @@
         return;
       }
       if (read.val.kind === "client_left") return;
-      isLast = true;
-      refuse(context, { status: 413, reason: "body too long", isLast });
+      refuseLongBody();
     });
   };
 
--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -13,6 +13,7 @@
   ForwarderDeps,
 } from "./forwarderTypes.js";
 import { openExchange, type Exchange } from "./openExchange.js";
+import { sendOwnAnswer } from "./sendOwnAnswer.js";
 import { createStreamRelay } from "./streamRelay.js";
 import type { AnswerHead, DispatchTerms, ExchangeFailure } from "./types.js";
 
@@ -83,9 +84,7 @@
   const answerOwn = (status: number, reason: string, canComeBack: boolean) => {
     if (isOver) return;
     const retryAfter = canComeBack ? deps.retryAfter : undefined;
-    tell({ kind: "refused", reason, status, retryAfter });
-    const headers = codec.encodeOwnAnswer(head, { status, retryAfter, isLast: false });
-    answer.sendWhole({ status, headers }, Buffer.from(JSON.stringify({ error: reason })));
+    sendOwnAnswer(deps, request, { status, reason, retryAfter });
     finish();
   };
   const answerNotRun = (reason: string) => answerOwn(503, reason, true);
@@ -98,13 +97,14 @@
   };
   const endOutOfTime = () => {
     if (isOver) return;
-    tell({ kind: "out_of_time", mayHaveRun: mayHaveRun || current !== undefined });
-    if (answer.hasBegun()) {
+    const hasBegun = answer.hasBegun();
+    const mayRunStill = mayHaveRun || hasBegun || (current?.exchange?.isSent() ?? false);
+    tell({ kind: "out_of_time", mayHaveRun: mayRunStill });
+    if (hasBegun) {
       answer.break();
       finish();
       return;
     }
-    const mayRunStill = mayHaveRun || (current?.exchange?.isSent() ?? false);
     if (mayRunStill) answerOwn(504, "no answer within the time allowed", false);
     else answerNotRun("not sent to a server within the time allowed");
   };
@@ -122,7 +122,6 @@
     return {
       id: head.id!,
       route,
-      startedAt: receivedAt,
       getServer: () => {
         server = current?.server ?? server;
         return server;
@@ -131,12 +130,6 @@
       getEventsMade: relay.getEvents,
       getTokens: () => (demand.tokens?.prompt ?? 0) + getMade(),
       getTokensLeft: () => Math.max(0, (demand.tokens?.expectedOut ?? 0) - getMade()),
-      cutOver: () => {
-        const attempt = current;
-        if (!attempt || isOver) return;
-        attempt.exchange?.cancel();
-        void continueElsewhere(attempt, "given up for another server");
-      },
     };
   };
 
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -81,8 +81,6 @@
   status: number;
   /** When to come back; given only where the request has not run. */
   retryAfter: Ms | undefined;
-  /** The connection ends with this answer. */
-  isLast: boolean;
 }>;
 
 /** Translates heads between the wire and the types above; it decides nothing. */
--- a/packages/migration/src/planEvacuation.test.ts
+++ b/packages/migration/src/planEvacuation.test.ts
@@ -7,7 +7,6 @@
 
 const makePlaced = (id: string, changes: Partial<PlacedRun> = {}): PlacedRun => ({
   id,
-  placedAt: 0 as Ms,
   promptTokens: 3_000,
   expectedOut: 900,
   hasBegun: true,
--- a/packages/migration/src/runMover.test.ts
+++ b/packages/migration/src/runMover.test.ts
@@ -51,13 +51,11 @@
   const run: ActiveRun = {
     id: "r1" as ClientRequestId,
     route: { isResumable: changes.isResumable ?? false } as ActiveRun["route"],
-    startedAt: 0 as Ms,
     getServer: () => old,
     hasBegun: () => true,
     getEventsMade: () => 10,
     getTokens: () => 3_000,
     getTokensLeft: () => 500,
-    cutOver: () => undefined,
   };
   const mover = createRunMover({
     clock,
--- a/packages/migration/src/runMover.ts
+++ b/packages/migration/src/runMover.ts
@@ -3,8 +3,8 @@
  *
  * Each run is copied while it goes on, then stopped, and goes on at once from its copy: what the copy
  * lacks is read anew there, which takes less time than the rest would wait for the link. An engine that ends
- * before leaves a copy from which the run goes on all the same. The stream itself is switched by the forwarder, which asks `recover` where a run goes on once its
- * server has ended the stream.
+ * before leaves a copy from which the run goes on all the same. The stream itself is switched by the
+ * forwarder, which asks `recover` where a run goes on once its server has ended the stream.
  */
 import type { Clock, Ms } from "@stairgauge/common";
 import type { BackendServer, ServerAddress, ServerId } from "@stairgauge/directory";
@@ -232,10 +232,7 @@
     onServerLeaving: (server) => {
       const begun = listRunsAt(server).filter((run) => run.hasBegun());
       if (begun.length > 0) void getPlan(server);
-      const longestFirst = begun.toSorted(
-        (a, b) => b.getTokensLeft() - a.getTokensLeft(),
-      );
-      for (const run of longestFirst) void startMove(run, server);
+      for (const run of begun) void startMove(run, server);
     },
     onServerForgotten: (server) => void plans.delete(server.entry.id),
     onBegun: (run) => {
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -1,5 +1,6 @@
 /** Boxes that tell each other what they have placed where. */
 export type * from "./types.js";
+export { applyUpdate } from "./applyUpdate.js";
 export { createMembership } from "./membership.js";
 export type { Membership, MembershipOptions } from "./membership.js";
 export { createPeerLinks } from "./peerLinks.js";
--- a/packages/peers/src/peers.test.ts
+++ b/packages/peers/src/peers.test.ts
@@ -9,6 +9,7 @@
 import type { ServerId } from "@stairgauge/directory";
 import { createLoadBook, type PlacedRun } from "@stairgauge/placement";
 import {
+  applyUpdate,
   createMembership,
   createPeerLinks,
   createPeerServer,
@@ -20,7 +21,6 @@
 
 const makeRun = (id: string): PlacedRun => ({
   id,
-  placedAt: 0 as Ms,
   promptTokens: 3_000,
   expectedOut: 200,
   hasBegun: false,
@@ -41,12 +41,7 @@
   const book = createLoadBook();
   const lost: string[] = [];
   const server = createPeerServer({
-    onUpdate: (update) => {
-      if (update.isWhole) book.dropPeer(update.box);
-      for (const placed of update.put) book.putPeerRun(update.box, placed);
-      for (const { server: at, id } of update.drop)
-        book.removePeerRun(update.box, at, id);
-    },
+    onUpdate: (update) => applyUpdate(book, update),
     onPeerLost: (box) => {
       lost.push(box);
       book.dropPeer(box);
--- a/packages/peers/src/updateCodec.ts
+++ b/packages/peers/src/updateCodec.ts
@@ -1,5 +1,5 @@
 /** Updates as bytes, and back; what another box sends is checked like any input. */
-import type { BoxName, Ms } from "@stairgauge/common";
+import type { BoxName } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
 import { z } from "zod";
 import type { RunUpdate } from "./types.js";
@@ -48,7 +48,6 @@
       server: server as ServerId,
       run: {
         id,
-        placedAt: 0 as Ms,
         promptTokens: prompt,
         expectedOut: out,
         hasBegun: begun,
--- a/packages/placement/src/chooseServer.test.ts
+++ b/packages/placement/src/chooseServer.test.ts
@@ -28,7 +28,6 @@
 
 const makeRun = (id: string, changes: Partial<PlacedRun> = {}): PlacedRun => ({
   id,
-  placedAt: 0 as Ms,
   promptTokens: 3_000,
   expectedOut: 200,
   hasBegun: true,
--- a/packages/placement/src/loadBook.ts
+++ b/packages/placement/src/loadBook.ts
@@ -6,7 +6,6 @@
 /** A run that this box has placed. */
 export type PlacedRun = Readonly<{
   id: string;
-  placedAt: Ms;
   promptTokens: number;
   /** Tokens that it is expected to make in all. */
   expectedOut: number;
--- a/packages/placement/src/types.ts
+++ b/packages/placement/src/types.ts
@@ -1,5 +1,5 @@
 /** What placement knows of servers and requests. */
-import type { BackendServer, ServerId } from "@stairgauge/directory";
+import type { BackendServer } from "@stairgauge/directory";
 import type { Ms } from "@stairgauge/common";
 
 /** A run that an engine reports. */
@@ -54,6 +54,3 @@
     }
   | { kind: "no_server"; known: number }
 >;
-
-/** One placement under way at a server. */
-export type OpenPlacement = Readonly<{ id: string; server: ServerId }>;
--- a/packages/settings/src/boxSettings.ts
+++ b/packages/settings/src/boxSettings.ts
@@ -32,8 +32,6 @@
     configurationMs: ms,
     /** A key that was taken away is refused within this time. */
     keyRemovalMs: ms,
-    /** A leaving server gets no new work after this time. */
-    leavingMs: ms,
     /** Time between the order to stop and the end of the process. */
     stopSeconds: z.number().positive(),
   }),
