fix: a box told to stop twice keeps serving what it has

Cause (read in the diff): a second stop resolved at once, and the process ends when a stop resolves: a repeated SIGTERM, or a SIGINT after it, cut all streams. Ruled out: ignoring the signal in the program's main (the promise is the box's). Change: all calls of stop wait for the same end; that a box stops follows from that promise. Before: the new test fails (the second call ends first).

--- a/apps/box/src/box.test.ts
+++ b/apps/box/src/box.test.ts
@@ -518,6 +518,20 @@
     expect(site.store.listKeys("stairgauge-boxes")).toEqual([]);
   });
 
+  it("keeps serving what it has when it is told to stop a second time", async () => {
+    const { site, box, ports, start } = await startSite(0, 1, 2.5);
+    await start();
+    site.services[0]!.setFaults(["silent"]);
+    const answer = ask(ports, { path: "/short/" });
+    await waitFor(() => site.services[0]!.countSilent() === 1);
+    const ended: string[] = [];
+    const first = box.stop().then(() => ended.push("first"));
+    const second = box.stop().then(() => ended.push("second"));
+    expect((await answer).status).toBe(504);
+    expect(ended).toEqual([]);
+    await Promise.all([first, second]);
+  });
+
   it("finds another box through the store and tells it what it has placed", async () => {
     const { site, lines, start } = await startSite(1, 0);
     await start();
--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -66,7 +66,10 @@
 /** A box that can be started and stopped. */
 export type Box = Readonly<{
   start: () => Promise<BoxPorts>;
-  /** Takes itself out, serves what it has, and resolves when the process may end. */
+  /**
+   * Takes itself out, serves what it has, and resolves when the process may end; called again, it
+   * waits for the same end.
+   */
   stop: () => Promise<void>;
   applySettings: (settings: BoxSettings) => void;
 }>;
@@ -96,7 +99,7 @@
 /** Creates a box from its settings. */
 export const createBox = ({ settings: first, clock, log }: BoxOptions): Box => {
   let settings = first;
-  let isStopping = false;
+  let stopped: Promise<void> | undefined;
   let mostBoxesSeen = 0;
   const random = createSystemRandom();
   const metrics = createBoxMetrics();
@@ -262,7 +265,7 @@
 
   const isReady = () => {
     const standing = keeper.getStanding(clock.monotonic());
-    return !isStopping && (standing === "current" || standing === "ageing");
+    return stopped === undefined && (standing === "current" || standing === "ageing");
   };
   const memberFollower = createTableFollower({
     ...shared,
@@ -282,6 +285,27 @@
     });
   });
 
+  const stopOnce = async () => {
+    const grace = (settings.bounds.stopSeconds * 1000) as Ms;
+    forwarder.announceStop((clock.monotonic() + grace) as Ms);
+    log.writeNotice("stopping", { open: forwarder.countOpen(), runs: runs.count() });
+    await stopInOrder({
+      clock,
+      countOpen: forwarder.countOpen,
+      grace,
+    });
+    await membership.leave();
+    for (const follower of [configurationFollower, serverFollower, memberFollower])
+      follower.stop();
+    reports.stop();
+    links.close();
+    peerServer.close();
+    clientServer.close();
+    readyServer.close();
+    metricsServer.close();
+    log.writeNotice("stopped", { open: forwarder.countOpen() });
+  };
+
   return {
     start: async () => {
       const clients = toHostAndPort(settings.listen.clients);
@@ -300,27 +324,9 @@
       log.writeNotice("started", { ports });
       return ports;
     },
-    stop: async () => {
-      if (isStopping) return;
-      isStopping = true;
-      const grace = (settings.bounds.stopSeconds * 1000) as Ms;
-      forwarder.announceStop((clock.monotonic() + grace) as Ms);
-      log.writeNotice("stopping", { open: forwarder.countOpen(), runs: runs.count() });
-      await stopInOrder({
-        clock,
-        countOpen: forwarder.countOpen,
-        grace,
-      });
-      await membership.leave();
-      for (const follower of [configurationFollower, serverFollower, memberFollower])
-        follower.stop();
-      reports.stop();
-      links.close();
-      peerServer.close();
-      clientServer.close();
-      readyServer.close();
-      metricsServer.close();
-      log.writeNotice("stopped", { open: forwarder.countOpen() });
+    stop: () => {
+      stopped ??= stopOnce();
+      return stopped;
     },
     applySettings: (changed) => {
       settings = changed;
