fix: an entry that lapsed while the store was away is waited for before its server counts as gone

Ruled out: waiting in the directory (it knows nothing of the store), and a wait without a bound of its own: what a box has heard of a leaving server binds it, so a missing entry is borne for at most the bound on new work less 250 ms. Change: fleet/lapsedEntries keeps missing entries for 2 s from the store's return; a new setting bounds.leavingMs carries the bound. An entry that cannot be read no longer counts as missing. replaceAll of the directory had no other caller and is gone; its tests mark the same servers.

--- a/apps/box/src/box.test.ts
+++ b/apps/box/src/box.test.ts
@@ -29,7 +29,7 @@
 dataHall: hall-a
 listen: { clients: "127.0.0.1:0", ready: "127.0.0.1:0", metrics: "127.0.0.1:0", peers: "127.0.0.1:0" }
 store: { address: "${store}", configurationWaitMs: 200, patienceMs: 200, firstPauseMs: 20, mostPauseMs: 50 }
-bounds: { configurationMs: 600, keyRemovalMs: 1300, stopSeconds: ${stopSeconds} }
+bounds: { configurationMs: 600, keyRemovalMs: 1300, leavingMs: 2000, stopSeconds: ${stopSeconds} }
 retries: { ratio: 0.2, slack: 160, windowSeconds: 10 }
 engines: { reportIntervalMs: 50 }`;
 
--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -242,6 +242,7 @@
       clock,
       directory,
       decode: decodeServerEntry,
+      leavingWithin: settings.bounds.leavingMs as Ms,
       onEvent: (event) => log.writeWarning("server_list", event),
     }),
   });
--- a/apps/box/src/watchSettings.test.ts
+++ b/apps/box/src/watchSettings.test.ts
@@ -10,7 +10,7 @@
 dataHall: brest
 listen: { clients: "10.1.0.1:80", ready: "10.1.0.1:81", metrics: "10.1.0.1:82", peers: "10.1.0.1:83" }
 store: { address: "10.2.0.1:80" }
-bounds: { configurationMs: 2000, keyRemovalMs: 5000, stopSeconds: 8 }
+bounds: { configurationMs: 2000, keyRemovalMs: 5000, leavingMs: 2000, stopSeconds: 8 }
 retries: { ratio: 0.2, slack: ${slack}, windowSeconds: 10 }
 `;
 
--- a/packages/directory/src/serverDirectory.test.ts
+++ b/packages/directory/src/serverDirectory.test.ts
@@ -37,7 +37,7 @@
     const { directory, listReady } = setUp();
     for (const id of ["a", "b", "c", "d"]) directory.put(makeEntry(id), toMs(0));
     directory.put(makeEntry("a", true), toMs(1));
-    directory.replaceAll([makeEntry("a", true), makeEntry("c"), makeEntry("d")], toMs(2));
+    directory.mark("b" as ServerId, "entry_gone", toMs(2));
     directory.mark("c" as ServerId, "address_reused", toMs(3));
     expect(listReady()).toEqual(["d"]);
   });
@@ -52,7 +52,7 @@
   it("takes a server back whose entry had lapsed and is there again", () => {
     const { directory, listReady, events } = setUp();
     directory.put(makeEntry("a"), toMs(0));
-    directory.replaceAll([], toMs(1));
+    directory.mark("a" as ServerId, "entry_gone", toMs(1));
     directory.put(makeEntry("a"), toMs(2));
     expect(listReady()).toEqual(["a"]);
     expect(events).toEqual([
--- a/packages/directory/src/serverDirectory.ts
+++ b/packages/directory/src/serverDirectory.ts
@@ -20,8 +20,6 @@
 export type ServerDirectory = Readonly<{
   /** Takes one server's entry. */
   put: (entry: ServerEntry, now: Ms) => void;
-  /** Takes the whole list: servers that it lacks are gone. */
-  replaceAll: (entries: readonly ServerEntry[], now: Ms) => void;
   /** Marks a server that gets no new work; a mark is never taken back. */
   mark: (id: ServerId, reason: LeavingReason, now: Ms) => void;
   find: (id: ServerId) => BackendServer | undefined;
@@ -58,11 +56,6 @@
 
   return {
     put,
-    replaceAll: (entries, now) => {
-      const listed = new Set(entries.map((entry) => entry.id));
-      for (const id of servers.keys()) if (!listed.has(id)) mark(id, "entry_gone", now);
-      for (const entry of entries) put(entry, now);
-    },
     mark,
     find: (id) => servers.get(id),
     listReady: (service) =>
--- /dev/null
+++ b/packages/fleet/src/followServers.test.ts
@@ -0,0 +1,113 @@
+import { beforeEach, describe, expect, it } from "vitest";
+import {
+  createVirtualClock,
+  Ok,
+  type DataHallName,
+  type Ms,
+  type ServiceName,
+  type VirtualClock,
+} from "@stairgauge/common";
+import {
+  createServerDirectory,
+  type ServerDirectory,
+  type ServerEntry,
+  type ServerId,
+} from "@stairgauge/directory";
+import type { FollowerSink, StoredRow } from "@stairgauge/storefeed";
+import { createServerSink } from "./followServers.js";
+
+const SERVICE = "writers" as ServiceName;
+const decode = (id: string, value: Buffer) =>
+  Ok({
+    id: id as ServerId,
+    service: SERVICE,
+    address: { host: "10.0.0.1", port: 80 },
+    dataHall: "h" as DataHallName,
+    slots: 6,
+    isLeaving: value.toString() === "leaving",
+    warmUpLeft: 0 as Ms,
+  } satisfies ServerEntry);
+const toRow = (key: string, text = "ready"): StoredRow => ({
+  key,
+  value: Buffer.from(text),
+  revision: 1,
+});
+
+describe("the list of servers around an outage of the store", () => {
+  let clock: VirtualClock;
+  let directory: ServerDirectory;
+  let sink: FollowerSink;
+  let left: string[];
+
+  beforeEach(() => {
+    clock = createVirtualClock();
+    left = [];
+    directory = createServerDirectory({
+      memory: 30_000 as Ms,
+      onEvent: (event) => {
+        if (event.kind === "leaving") left.push(event.server.entry.id);
+      },
+    });
+    sink = createServerSink({
+      clock,
+      directory,
+      decode,
+      leavingWithin: 2_000 as Ms,
+      onEvent: () => undefined,
+    });
+    sink.onWhole([toRow("a"), toRow("b")], clock.monotonic());
+  });
+
+  const loseAndRegain = () => {
+    sink.onFailure({ kind: "timed_out" }, 1);
+    clock.advance(5_000 as Ms);
+    sink.onRegained();
+  };
+  const listReady = () => directory.listReady(SERVICE).map(({ entry }) => entry.id);
+
+  it("keeps an entry that lapsed meanwhile for servers that put it back", () => {
+    loseAndRegain();
+    sink.onWhole([toRow("a")], clock.monotonic());
+    expect(listReady()).toEqual(["a", "b"]);
+    clock.advance(1_500 as Ms);
+    sink.onChanges([{ kind: "put", row: toRow("b") }], clock.monotonic());
+    clock.advance(10_000 as Ms);
+    expect(listReady()).toEqual(["a", "b"]);
+    expect(left).toEqual([]);
+  });
+
+  it("takes one that is still missing as gone, before the bound on new work", () => {
+    loseAndRegain();
+    sink.onChanges([{ kind: "gone", key: "b" }], clock.monotonic());
+    clock.advance(1_700 as Ms);
+    expect(listReady()).toEqual(["a", "b"]);
+    clock.advance(290 as Ms);
+    expect(left).toEqual(["b"]);
+  });
+
+  it("is not made to wait longer by a second outage", () => {
+    loseAndRegain();
+    sink.onWhole([toRow("a")], clock.monotonic());
+    sink.onFailure({ kind: "timed_out" }, 1);
+    clock.advance(1_000 as Ms);
+    sink.onRegained();
+    sink.onWhole([toRow("a")], clock.monotonic());
+    clock.advance(990 as Ms);
+    expect(left).toEqual(["b"]);
+  });
+
+  it("hears at once of a server that says it leaves", () => {
+    loseAndRegain();
+    sink.onChanges([{ kind: "put", row: toRow("b", "leaving") }], clock.monotonic());
+    expect(left).toEqual(["b"]);
+  });
+
+  it("takes a missing entry as gone at once when the store was not away, or is back for long", () => {
+    sink.onChanges([{ kind: "gone", key: "a" }], clock.monotonic());
+    expect(left).toEqual(["a"]);
+    loseAndRegain();
+    clock.advance(2_000 as Ms);
+    sink.onWhole([], clock.monotonic());
+    expect(left).toEqual(["a", "b"]);
+  });
+});
--- a/packages/fleet/src/followServers.ts
+++ b/packages/fleet/src/followServers.ts
@@ -1,7 +1,14 @@
 /** Keeps the directory of backend servers by following their table. */
-import type { Clock, Result } from "@stairgauge/common";
+import type { Clock, Ms, Result } from "@stairgauge/common";
 import type { ServerDirectory, ServerEntry, ServerId } from "@stairgauge/directory";
 import type { FollowerSink, StoredRow, StoreFailure } from "@stairgauge/storefeed";
+import { createLapsedEntries } from "./lapsedEntries.js";
+
+/** Living servers put a lapsed entry back about this long after the store's return; from the users' pages. */
+const RETURN_WITHIN_MS = 2_000 as Ms;
+
+/** Time that the mark itself takes to act, below the bound on new work for a server that left. */
+const LEAVING_MARGIN_MS = 250;
 
 /** What is told while following. */
 export type ServerListEvent = Readonly<
@@ -15,12 +22,21 @@
   clock: Clock;
   directory: ServerDirectory;
   decode: (id: string, value: Buffer) => Result<ServerEntry, unknown>;
+  /** A server that left gets no new work later than this after the box heard of it. */
+  leavingWithin: Ms;
   onEvent: (event: ServerListEvent) => void;
 }>;
 
 /** Creates the sink for a follower of the servers' table. */
 export const createServerSink = (options: ServerSinkOptions): FollowerSink => {
-  const { clock, directory, decode, onEvent } = options;
+  const { clock, directory, decode, leavingWithin, onEvent } = options;
+  const markGone = (id: ServerId) => directory.mark(id, "entry_gone", clock.monotonic());
+  const lapsed = createLapsedEntries({
+    clock,
+    returnWithin: RETURN_WITHIN_MS,
+    bearFor: Math.max(0, leavingWithin - LEAVING_MARGIN_MS) as Ms,
+    onGone: markGone,
+  });
 
   const decodeRow = (row: StoredRow): ServerEntry | undefined => {
     const decoded = decode(row.key, row.value);
@@ -29,26 +45,36 @@
     return undefined;
   };
 
+  const putRow = (row: StoredRow) => {
+    const entry = decodeRow(row);
+    if (!entry) return;
+    lapsed.drop(entry.id);
+    directory.put(entry, clock.monotonic());
+  };
+  const takeMissing = (id: ServerId) => {
+    if (!lapsed.take(id)) markGone(id);
+  };
+
   return {
     onWhole: (rows) => {
-      const entries = rows.map(decodeRow).filter((entry) => entry !== undefined);
-      directory.replaceAll(entries, clock.monotonic());
+      const listed = new Set(rows.map((row) => row.key));
+      for (const { entry } of directory.list())
+        if (!listed.has(entry.id)) takeMissing(entry.id);
+      for (const row of rows) putRow(row);
     },
     onChanges: (changes) => {
-      const now = clock.monotonic();
       for (const change of changes) {
-        if (change.kind === "gone") {
-          directory.mark(change.key as ServerId, "entry_gone", now);
-          continue;
-        }
-        const entry = decodeRow(change.row);
-        if (entry) directory.put(entry, now);
+        if (change.kind === "gone") takeMissing(change.key as ServerId);
+        else putRow(change.row);
       }
-      directory.dropForgotten(now);
+      directory.dropForgotten(clock.monotonic());
     },
     onFailure: (failure, failuresInARow) => {
       if (failuresInARow === 1) onEvent({ kind: "store_lost", failure });
     },
-    onRegained: () => onEvent({ kind: "store_regained" }),
+    onRegained: () => {
+      lapsed.onStoreBack();
+      onEvent({ kind: "store_regained" });
+    },
   };
 };
--- a/packages/measure/src/benchForwardMain.ts
+++ b/packages/measure/src/benchForwardMain.ts
@@ -29,7 +29,7 @@
 dataHall: hall-a
 listen: { clients: "127.0.0.1:0", ready: "127.0.0.1:0", metrics: "127.0.0.1:0", peers: "127.0.0.1:0" }
 store: { address: "${store}" }
-bounds: { configurationMs: 2000, keyRemovalMs: 5000, stopSeconds: 8 }
+bounds: { configurationMs: 2000, keyRemovalMs: 5000, leavingMs: 2000, stopSeconds: 8 }
 retries: { ratio: 0.2, slack: 54, windowSeconds: 10 }
 `;
 
--- a/packages/settings/src/boxSettings.ts
+++ b/packages/settings/src/boxSettings.ts
@@ -32,6 +32,8 @@
     configurationMs: ms,
     /** A key that was taken away is refused within this time. */
     keyRemovalMs: ms,
+    /** A server that left gets no new work later than this after a box heard of it. */
+    leavingMs: ms,
     /** Time between the order to stop and the end of the process. */
     stopSeconds: z.number().positive(),
   }),
