feat: a box keeps to its part of a server's connections, to its descriptors and its memory; the stand-in site by hand

Cause: three points of the whole path were open: connections to one server were not counted against the limit that all boxes share; nothing bounded clients' connections below the descriptors; the bound on held bodies had no test; and the stand-in of the users' platform had no command. Ruled out: counting connections through the store (calls that grow with boxes x servers) and kept connections (a surplus answer takes the next one's place, docs/design/users-platform.md). The shared part of apps/box's tests is a file of its own now (box.testkit.ts), with no test changed; the lint's exception for words of the wire in tests names it.

--- a/apps/box/src/box.test.ts
+++ b/apps/box/src/box.test.ts
@@ -1,9 +1,7 @@
 /** One box, whole, before the stand-in of the users' platform, on loopback. */
-import { request as openRequest, type IncomingMessage } from "node:http";
+import { request as openRequest } from "node:http";
 import { connect } from "node:net";
-import { afterEach, describe, expect, it } from "vitest";
-import { createSystemClock } from "@stairgauge/common";
-import { parseBoxSettings } from "@stairgauge/settings";
+import { describe, expect, it } from "vitest";
 import {
   formatEngineEvent,
   formatServiceBody,
@@ -13,128 +11,15 @@
   startUsersSite,
   type ServiceFault,
 } from "@stairgauge/standins";
-import { createBox, type BoxPorts } from "./createBox.js";
-
-const closers: (() => unknown)[] = [];
-afterEach(async () => {
-  for (const close of closers.splice(0).reverse()) await close();
-});
-
-const waitFor = async (isMet: () => boolean | Promise<boolean>) => {
-  while (!(await isMet())) await new Promise((resolve) => setTimeout(resolve, 5));
-};
-
-const formatSettings = (box: string, store: string, stopSeconds: number) => `
-box: ${box}
-dataHall: hall-a
-listen: { clients: "127.0.0.1:0", ready: "127.0.0.1:0", metrics: "127.0.0.1:0", peers: "127.0.0.1:0" }
-store: { address: "${store}", configurationWaitMs: 200, patienceMs: 200, firstPauseMs: 20, mostPauseMs: 50 }
-bounds: { configurationMs: 600, keyRemovalMs: 1300, leavingMs: 2000, stopSeconds: ${stopSeconds} }
-retries: { ratio: 0.2, slack: 160, windowSeconds: 10 }
-engines: { reportIntervalMs: 50 }`;
-
-/** Long enough for the end of a test, which has no open requests. */
-const SHORT_STOP_SECONDS = 0.3;
-
-type Line = Readonly<Record<string, unknown>>;
-
-const startBox = async (
-  store: string,
-  name = "box-1",
-  stopSeconds = SHORT_STOP_SECONDS,
-) => {
-  const settings = parseBoxSettings(formatSettings(name, store, stopSeconds));
-  if (settings.err) throw new TypeError(JSON.stringify(settings.val));
-  const lines: Line[] = [];
-  const write = (event: string, fields: Line) => lines.push({ event, ...fields });
-  const log = {
-    writeDecision: write,
-    writeNotice: write,
-    writeWarning: write,
-    flush: () => undefined,
-  };
-  const box = createBox({ settings: settings.val, clock: createSystemClock(), log });
-  const ports = await box.start();
-  closers.push(box.stop);
-  return { box, ports, lines };
-};
-
-const startSite = async (engines = 0, services = 1, stopSeconds = SHORT_STOP_SECONDS) => {
-  const site = await startUsersSite({ engines, services });
-  closers.push(site.close);
-  const { box, ports, lines } = await startBox(site.store.address, "box-1", stopSeconds);
-  const start = async () => {
-    site.putConfiguration();
-    await waitFor(() => lines.some(({ event }) => event === "configuration_adopted"));
-    await waitFor(
-      () =>
-        lines.filter(({ event }) => event === "server_joined").length >=
-        engines + services,
-    );
-  };
-  return { site, box, ports, lines, start };
-};
-
-type Answer = Readonly<{
-  status: number;
-  headers: IncomingMessage["headers"];
-  body: string;
-  isWhole: boolean;
-}>;
-
-let nextId = 0;
-
-type Ask = Readonly<{
-  path: string;
-  method?: string;
-  id?: string;
-  headers?: Readonly<Record<string, string>>;
-  body?: string;
-  onData?: (body: string) => void;
-}>;
-
-const ask = (ports: BoxPorts, { path, method, id, headers, body, onData }: Ask) =>
-  new Promise<Answer>((resolve) => {
-    const outgoing = openRequest({
-      host: "127.0.0.1",
-      port: ports.clients,
-      path,
-      method: method ?? "POST",
-      agent: false,
-      headers: {
-        Host: SITE_HOST,
-        "Request-Id": id ?? `r${(nextId += 1)}`,
-        "Deadline-Ms": "5000",
-        Authorization: `Token ${SITE_KEY}`,
-        ...headers,
-      },
-    });
-    const lost = { status: 0, headers: {}, body: "", isWhole: false };
-    outgoing.on("error", () => resolve(lost));
-    outgoing.on("response", (incoming) => {
-      let text = "";
-      const finish = () =>
-        resolve({
-          status: incoming.statusCode ?? 0,
-          headers: incoming.headers,
-          body: text,
-          isWhole: incoming.complete,
-        });
-      incoming.on("data", (chunk: Buffer) => {
-        text += chunk.toString();
-        onData?.(text);
-      });
-      incoming.on("error", () => undefined);
-      incoming.on("close", finish);
-    });
-    outgoing.end(body ?? "hello");
-  });
-
-const makeGeneration = (tokens: number, out: number) => ({
-  Model: "m",
-  "Token-Usage": `${tokens},${out}`,
-  "Length-Hint": String(out * 4),
-});
+import {
+  ask,
+  closers,
+  makeGeneration,
+  startBox,
+  startSite,
+  waitFor,
+  type Line,
+} from "./box.testkit.js";
 
 const formatStream = (id: string, events: number) =>
   Array.from({ length: events }, (_, i) => formatEngineEvent(id, i)).join("");
@@ -486,7 +371,9 @@
   });
 
   it("stops in order: not ready at once, serves what it has, says that each connection ends", async () => {
-    const { site, box, ports, lines, start } = await startSite(0, 1, 2.5);
+    const { site, box, ports, lines, start } = await startSite(0, 1, {
+      stopSeconds: 2.5,
+    });
     await start();
     const askReady = () =>
       new Promise<number>((resolve) => {
@@ -519,7 +406,7 @@
   });
 
   it("keeps serving what it has when it is told to stop a second time", async () => {
-    const { site, box, ports, start } = await startSite(0, 1, 2.5);
+    const { site, box, ports, start } = await startSite(0, 1, { stopSeconds: 2.5 });
     await start();
     site.services[0]!.setFaults(["silent"]);
     const answer = ask(ports, { path: "/short/" });
--- /dev/null
+++ b/apps/box/src/box.testkit.ts
@@ -0,0 +1,156 @@
+/** A box, whole, before the stand-in of the users' platform, on loopback: what its tests share. */
+import { request as openRequest, type IncomingMessage } from "node:http";
+import { afterEach } from "vitest";
+import { createSystemClock } from "@stairgauge/common";
+import { parseBoxSettings } from "@stairgauge/settings";
+import {
+  SITE_HOST,
+  SITE_KEY,
+  startUsersSite,
+  type UsersSite,
+} from "@stairgauge/standins";
+import { createBox, type Box, type BoxPorts } from "./createBox.js";
+
+/** Ends of what a test started, run after it in reverse. */
+export const closers: (() => unknown)[] = [];
+afterEach(async () => {
+  for (const close of closers.splice(0).reverse()) await close();
+});
+
+export const waitFor = async (isMet: () => boolean | Promise<boolean>) => {
+  while (!(await isMet())) await new Promise((resolve) => setTimeout(resolve, 5));
+};
+
+/** Changes of a box's settings. */
+export type BoxChanges = Readonly<{
+  stopSeconds?: number;
+  /** Further settings, as lines of the file. */
+  more?: string;
+}>;
+
+const formatSettings = (box: string, store: string, changes: BoxChanges) => `
+box: ${box}
+dataHall: hall-a
+listen: { clients: "127.0.0.1:0", ready: "127.0.0.1:0", metrics: "127.0.0.1:0", peers: "127.0.0.1:0" }
+store: { address: "${store}", configurationWaitMs: 200, patienceMs: 200, firstPauseMs: 20, mostPauseMs: 50 }
+bounds: { configurationMs: 600, keyRemovalMs: 1300, leavingMs: 2000, stopSeconds: ${changes.stopSeconds ?? SHORT_STOP_SECONDS} }
+retries: { ratio: 0.2, slack: 160, windowSeconds: 10 }
+engines: { reportIntervalMs: 50 }
+${changes.more ?? ""}`;
+
+/** Long enough for the end of a test, which has no open requests. */
+export const SHORT_STOP_SECONDS = 0.3;
+
+export type Line = Readonly<Record<string, unknown>>;
+
+export const startBox = async (
+  store: string,
+  name = "box-1",
+  changes: BoxChanges = {},
+) => {
+  const settings = parseBoxSettings(formatSettings(name, store, changes));
+  if (settings.err) throw new TypeError(JSON.stringify(settings.val));
+  const lines: Line[] = [];
+  const write = (event: string, fields: Line) => lines.push({ event, ...fields });
+  const log = {
+    writeDecision: write,
+    writeNotice: write,
+    writeWarning: write,
+    flush: () => undefined,
+  };
+  const box = createBox({ settings: settings.val, clock: createSystemClock(), log });
+  const ports = await box.start();
+  closers.push(box.stop);
+  return { box, ports, lines };
+};
+
+/** A site and one box before it. */
+export type BoxedSite = Readonly<{
+  site: UsersSite;
+  box: Box;
+  ports: BoxPorts;
+  lines: readonly Line[];
+  start: () => Promise<void>;
+}>;
+
+/** Starts a site with one box; its own `start` configures the site and waits until the box knows it. */
+export const startSite = async (
+  engines = 0,
+  services = 1,
+  changes: BoxChanges = {},
+): Promise<BoxedSite> => {
+  const site = await startUsersSite({ engines, services });
+  closers.push(site.close);
+  const { box, ports, lines } = await startBox(site.store.address, "box-1", changes);
+  const start = async () => {
+    site.putConfiguration();
+    await waitFor(() => lines.some(({ event }) => event === "configuration_adopted"));
+    await waitFor(
+      () =>
+        lines.filter(({ event }) => event === "server_joined").length >=
+        engines + services,
+    );
+  };
+  return { site, box, ports, lines, start };
+};
+
+export type Answer = Readonly<{
+  status: number;
+  headers: IncomingMessage["headers"];
+  body: string;
+  isWhole: boolean;
+}>;
+
+let nextId = 0;
+
+export type Ask = Readonly<{
+  path: string;
+  method?: string;
+  id?: string;
+  headers?: Readonly<Record<string, string>>;
+  body?: string;
+  onData?: (body: string) => void;
+}>;
+
+export const ask = (ports: BoxPorts, { path, method, id, headers, body, onData }: Ask) =>
+  new Promise<Answer>((resolve) => {
+    const outgoing = openRequest({
+      host: "127.0.0.1",
+      port: ports.clients,
+      path,
+      method: method ?? "POST",
+      agent: false,
+      headers: {
+        Host: SITE_HOST,
+        "Request-Id": id ?? `r${(nextId += 1)}`,
+        "Deadline-Ms": "5000",
+        Authorization: `Token ${SITE_KEY}`,
+        ...headers,
+      },
+    });
+    const lost = { status: 0, headers: {}, body: "", isWhole: false };
+    outgoing.on("error", () => resolve(lost));
+    outgoing.on("response", (incoming) => {
+      let text = "";
+      const finish = () =>
+        resolve({
+          status: incoming.statusCode ?? 0,
+          headers: incoming.headers,
+          body: text,
+          isWhole: incoming.complete,
+        });
+      incoming.on("data", (chunk: Buffer) => {
+        text += chunk.toString();
+        onData?.(text);
+      });
+      incoming.on("error", () => undefined);
+      incoming.on("close", finish);
+    });
+    outgoing.end(body ?? "hello");
+  });
+
+export const makeGeneration = (tokens: number, out: number) => ({
+  Model: "m",
+  "Token-Usage": `${tokens},${out}`,
+  "Length-Hint": String(out * 4),
+});
--- /dev/null
+++ b/apps/box/src/boxLimits.test.ts
@@ -0,0 +1,87 @@
+/** A box near its limits: descriptors, memory, and the connections that a server takes. */
+import { connect, type Socket } from "node:net";
+import { describe, expect, it } from "vitest";
+import { parseBoxSettings } from "@stairgauge/settings";
+import { formatBoxSettings } from "@stairgauge/standins";
+import { ask, closers, startSite, waitFor } from "./box.testkit.js";
+
+const openClient = (port: number) => {
+  const socket = connect({ host: "127.0.0.1", port });
+  socket.on("error", () => undefined);
+  closers.push(() => socket.destroy());
+  return socket;
+};
+const isEnded = (socket: Socket) => socket.closed || socket.readableEnded;
+
+describe("a box near its limits", () => {
+  it("closes a connection beyond those its descriptors allow, unread, and serves the others", async () => {
+    const { ports, lines, start } = await startSite(0, 1, {
+      more: "limits: { descriptors: 400 }",
+    });
+    await start();
+    const sockets = Array.from({ length: 16 }, () => openClient(ports.clients));
+    await waitFor(() => sockets.every((socket) => socket.readyState === "open"));
+    const refused = openClient(ports.clients);
+    refused.resume();
+    await waitFor(() => isEnded(refused));
+    expect(lines).toContainEqual({ event: "client_fault", code: "too_many_connections" });
+    expect(sockets.filter(isEnded)).toEqual([]);
+    sockets[0]!.destroy();
+    const answers: number[] = [];
+    await waitFor(async () => {
+      answers.push((await ask(ports, { path: "/once/x" })).status);
+      return answers.at(-1) === 200;
+    });
+  });
+
+  it("refuses what it cannot hold as not run, and takes it once others have left", async () => {
+    const { site, ports, start } = await startSite(0, 1, {
+      more: "clients: { heldMb: 0.001 }",
+    });
+    await start();
+    const [service] = site.services;
+    service!.setFaults(["silent"]);
+    const held = ask(ports, { path: "/short/x", body: "x".repeat(600) });
+    await waitFor(() => service!.countSilent() === 1);
+    const refused = await ask(ports, { path: "/once/x", body: "x".repeat(600) });
+    expect(refused.status).toBe(503);
+    expect(refused.headers["retry-after"]).toBeDefined();
+    expect(service!.listReceived()).toHaveLength(1);
+    await held;
+    const taken = await ask(ports, { path: "/once/x", body: "x".repeat(600) });
+    expect(taken.status).toBe(200);
+  });
+
+  it("keeps to its part of the connections that a server takes", async () => {
+    const { site, ports, lines, start } = await startSite(0, 1, { stopSeconds: 1 });
+    await start();
+    await waitFor(() =>
+      lines.some(({ event, boxes }) => event === "peers" && boxes === 1),
+    );
+    site.limitConnections(5);
+    await waitFor(
+      () => lines.filter(({ event }) => event === "configuration_adopted").length === 2,
+    );
+    const [service] = site.services;
+    service!.setFaults(["silent", "silent", "silent"]);
+    const held = [1, 2, 3].map(() => ask(ports, { path: "/short/x" }));
+    await waitFor(() => service!.countSilent() === 3);
+    expect((await ask(ports, { path: "/once/x" })).status).toBe(503);
+    expect(service!.listReceived()).toHaveLength(3);
+    await Promise.all(held);
+    expect((await ask(ports, { path: "/once/x" })).status).toBe(200);
+  });
+});
+
+describe("formatBoxSettings", () => {
+  it("gives settings that a box takes", () => {
+    const parsed = parseBoxSettings(
+      formatBoxSettings({
+        name: "box-1",
+        storeAddress: "127.0.0.1:9000",
+        firstPort: 8100,
+      }),
+    );
+    expect(parsed.ok && parsed.val.listen.peers).toBe("127.0.0.1:8103");
+  });
+});
--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -16,6 +16,7 @@
   createServerSink,
 } from "@stairgauge/fleet";
 import {
+  computeClientConnections,
   computeSlackShare,
   createActiveRuns,
   createClientServer,
@@ -30,7 +31,7 @@
   createPeerServer,
   createRunTeller,
 } from "@stairgauge/peers";
-import { createLoadBook } from "@stairgauge/placement";
+import { computeConnectionShare, createLoadBook } from "@stairgauge/placement";
 import {
   BOX_TABLE,
   CONFIGURATION_KEY,
@@ -81,6 +82,7 @@
   log: DecisionLog;
 }>;
 
+const BYTES_PER_MB = 1024 * 1024;
 /** Keys are refused this long before the bound, so that a slow turn of the loop breaks nothing. */
 const KEY_MARGIN_MS = 300;
 /** How long a server that left is remembered, for runs that are still being moved from it. */
@@ -175,6 +177,11 @@
     ownHall: settings.dataHall as DataHallName,
     directory,
     book,
+    getConnectionShare: (service) =>
+      computeConnectionShare(
+        keeper.getIndex()?.findService(service)?.maxConnections,
+        mostBoxesSeen,
+      ),
     onClosingAnnounced: (server) => {
       if (!server.leaving && isEngineService(server.entry.service))
         void reports.ask(server);
@@ -216,9 +223,11 @@
     observer: observeForwarding({ log, metrics, keeper, clock }),
     retryAfter: settings.clients.retryAfterMs as Ms,
     connectLimit: settings.clients.connectLimitMs as Ms,
+    mostHeldBytes: settings.clients.heldMb * BYTES_PER_MB,
   });
   const clientServer = createClientServer({
     handle: forwarder.handle,
+    mostConnections: computeClientConnections(settings.limits.descriptors),
     onClientFault: (code) => log.writeDecision("client_fault", { code }),
   });
 
--- a/apps/daemon/src/standinsMain.ts
+++ b/apps/daemon/src/standinsMain.ts
@@ -12,6 +12,8 @@
   string,
   subcommands,
 } from "cmd-ts";
+import { mkdirSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
 import { createSystemClock, type Clock } from "@stairgauge/common";
 import type { HttpRoute } from "@stairgauge/http";
 import {
@@ -23,7 +25,11 @@
   createServiceRoutes,
   createStandinServer,
   EXAMPLE_ENGINE,
+  formatBoxSettings,
   seedExampleBundle,
+  SITE_HOST,
+  SITE_KEY,
+  startUsersSite,
 } from "@stairgauge/standins";
 
 const LOOPBACK = "127.0.0.1";
@@ -102,7 +108,43 @@
   },
 });
 
+/** Ports between the first one of a box and the next box's. */
+const PORTS_EACH = 10;
+
+const users = command({
+  name: "users",
+  description:
+    "the users' platform: store, engines, plain servers, and settings for boxes",
+  args: {
+    engines: option({ type: number, long: "engines", defaultValue: () => 3 }),
+    services: option({ type: number, long: "services", defaultValue: () => 2 }),
+    boxes: option({ type: number, long: "boxes", defaultValue: () => 2 }),
+    firstPort: option({ type: number, long: "first-port", defaultValue: () => 8100 }),
+    folder: option({ type: string, long: "folder", defaultValue: () => "target" }),
+  },
+  handler: async ({ engines, services, boxes, firstPort, folder }) => {
+    const site = await startUsersSite({ engines, services });
+    site.putConfiguration();
+    mkdirSync(folder, { recursive: true });
+    for (let index = 0; index < boxes; index += 1) {
+      const name = `box-${index + 1}`;
+      const path = join(folder, `${name}.yaml`);
+      const settings = formatBoxSettings({
+        name,
+        storeAddress: site.store.address,
+        firstPort: firstPort + index * PORTS_EACH,
+      });
+      writeFileSync(path, settings);
+      process.stdout.write(`settings of ${name}: ${path}\n`);
+    }
+    process.stdout.write(`users' site for Host: ${SITE_HOST}, Token ${SITE_KEY}\n`);
+    const stop = () => process.exit(0);
+    process.on("SIGTERM", stop);
+    process.on("SIGINT", stop);
+  },
+});
+
 await run(
-  binary(subcommands({ name: "standins", cmds: { engine, service, platform } })),
+  binary(subcommands({ name: "standins", cmds: { engine, service, platform, users } })),
   process.argv,
 );
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -167,7 +167,11 @@
   },
   {
     files: ["packages/*/src/**/*.ts", "apps/*/src/**/*.ts"],
-    ignores: ["**/*.test.ts", "packages/standins/src/usersPlatform/**"],
+    ignores: [
+      "**/*.test.ts",
+      "apps/box/src/box.testkit.ts",
+      "packages/standins/src/usersPlatform/**",
+    ],
     rules: {
       "no-restricted-syntax": [
         "error",
--- a/packages/fleet/src/createPlacer.ts
+++ b/packages/fleet/src/createPlacer.ts
@@ -1,5 +1,5 @@
 /** Places requests by the directory and the load book, and keeps the book. */
-import type { Clock, DataHallName, Random } from "@stairgauge/common";
+import type { Clock, DataHallName, Random, ServiceName } from "@stairgauge/common";
 import type { BackendServer, ServerDirectory } from "@stairgauge/directory";
 import type { ActiveRun, Placer } from "@stairgauge/forwarding";
 import {
@@ -17,6 +17,8 @@
   ownHall: DataHallName;
   directory: ServerDirectory;
   book: LoadBook;
+  /** This box's part of the connections that one server of a service takes from all callers. */
+  getConnectionShare: (service: ServiceName) => number;
   onClosingAnnounced: (server: BackendServer) => void;
 }>;
 
@@ -43,14 +45,17 @@
 
 /** Creates the placer. */
 export const createPlacer = (options: PlacerOptions): FleetPlacer => {
-  const { clock, random, ownHall, directory, book, onClosingAnnounced } = options;
+  const { clock, random, ownHall, directory, book } = options;
   const mintId = createPlacementIds();
   const suspects = createSuspects();
 
   return {
     choose: (service, demand, except) => {
       const ready = directory.listReady(service);
-      const untried = ready.filter((server) => !except.has(server.entry.id));
+      const share = options.getConnectionShare(service);
+      const untried = ready.filter(
+        ({ entry }) => !except.has(entry.id) && book.countOpen(entry.id) < share,
+      );
       const now = clock.monotonic();
       const decision = chooseServer({
         candidates: suspects.passOver(untried, now),
@@ -88,7 +93,7 @@
     onAddressReused: (server) =>
       directory.mark(server.entry.id, "address_reused", clock.monotonic()),
     onUnreachable: (server) => suspects.add(server.entry.id, clock.monotonic()),
-    onConnectionClosing: onClosingAnnounced,
+    onConnectionClosing: options.onClosingAnnounced,
     onRunBegun: (server, head) => {
       if (head.id !== undefined) book.markBegun(server.entry.id, head.id);
     },
--- a/packages/forwarding/src/clientServer.ts
+++ b/packages/forwarding/src/clientServer.ts
@@ -22,6 +22,8 @@
 /** Where and what to serve. */
 export type ClientServerOptions = Readonly<{
   handle: (incoming: IncomingMessage, response: ServerResponse) => void;
+  /** Connections taken at once; one beyond them is closed unread. */
+  mostConnections: number;
   /** A client sent bytes that are no request. */
   onClientFault: (code: string) => void;
 }>;
@@ -76,6 +78,8 @@
   );
   server.headersTimeout = DEFAULT_HEADER_MS;
   server.requestTimeout = 0;
+  server.maxConnections = options.mostConnections;
+  server.on("drop", () => options.onClientFault("too_many_connections"));
   server.keepAliveTimeout = DEFAULT_IDLE_MS + IDLE_MARGIN_MS;
   server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
     const code = error.code ?? "unknown";
--- a/packages/forwarding/src/createForwarder.ts
+++ b/packages/forwarding/src/createForwarder.ts
@@ -17,9 +17,6 @@
 /** Bound on a body while no configuration is known. */
 const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
 
-/** Bound on the bodies that are held at once; beyond it requests are refused, not run. */
-const MOST_HELD_BYTES = 32 * 1024 * 1024;
-
 /** Another box takes the request at once: the client only has to open a connection. */
 const OTHER_BOX_AFTER_MS = 20 as Ms;
 
@@ -105,7 +102,7 @@
         refuse(STATUS_OF_REFUSAL[access.reason], access.reason);
         return;
       }
-      if (heldBytes + body.length > MOST_HELD_BYTES) {
+      if (heldBytes + body.length > deps.mostHeldBytes) {
         refuse(503, "too many bodies held");
         return;
       }
--- a/packages/forwarding/src/forwarderTypes.ts
+++ b/packages/forwarding/src/forwarderTypes.ts
@@ -92,6 +92,8 @@
   retryAfter: Ms;
   /** How long a connection to a server may take to come up. */
   connectLimit: Ms;
+  /** Bytes of bodies that are held at once; beyond it requests are refused, not run. */
+  mostHeldBytes: number;
 }>;
 
 /** A request that was let in. */
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -22,4 +22,5 @@
 export type { Forwarder } from "./createForwarder.js";
 export { createRetryBudget } from "./retryBudget.js";
 export type { RetryBudget, RetryBudgetLimits } from "./retryBudget.js";
+export { computeClientConnections } from "./computeClientConnections.js";
 export { computeSlackShare } from "./computeSlackShare.js";
--- a/packages/settings/src/boxSettings.ts
+++ b/packages/settings/src/boxSettings.ts
@@ -42,6 +42,12 @@
     slack: z.number().nonnegative(),
     windowSeconds: z.number().positive(),
   }),
+  limits: z
+    .strictObject({
+      /** Files and sockets that the process may have open. */
+      descriptors: z.int().positive().default(4_096),
+    })
+    .prefault({}),
   engines: z
     .strictObject({
       /** How often an engine is asked for its report; boxes tell each other the rest. */
@@ -55,6 +61,8 @@
       retryAfterMs: ms.default(400),
       /** How long a connection to a server may take to come up. */
       connectLimitMs: ms.default(250),
+      /** Bodies that are held at once; beyond them a request is refused, not run. */
+      heldMb: z.number().positive().default(32),
     })
     .prefault({}),
   log: z
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -30,6 +30,7 @@
   startUsersSite,
 } from "./usersPlatform/usersSite.js";
 export type { UsersSite, UsersSiteSize } from "./usersPlatform/usersSite.js";
+export { formatBoxSettings } from "./usersPlatform/formatBoxSettings.js";
 export { startUsersEventSource } from "./usersPlatform/usersEventSource.js";
 export { formatEngineEvent } from "./usersPlatform/usersEngine.js";
 export { formatServiceBody } from "./usersPlatform/usersService.js";
--- a/packages/standins/src/usersPlatform/usersSite.ts
+++ b/packages/standins/src/usersPlatform/usersSite.ts
@@ -14,6 +14,8 @@
   services: readonly UsersService[];
   /** Puts a configuration with the changes given; the version rises by itself unless named. */
   putConfiguration: (changes?: Readonly<Record<string, unknown>>) => void;
+  /** Puts a configuration in which each server takes this many connections. */
+  limitConnections: (limit: number) => void;
   /** Adds an engine that runs elsewhere. */
   putEngine: (id: string, address: string) => void;
   /** The server's entry says that it leaves. */
@@ -134,15 +136,21 @@
   };
   for (const server of [...engines, ...services]) putEntry(server, "ready");
 
+  const putConfiguration: UsersSite["putConfiguration"] = (changes = {}) => {
+    version += 1;
+    const configuration = { ...CONFIGURATION, version, ...changes };
+    store.put(TABLE.operator, CONFIGURATION_KEY, configuration);
+  };
+
   return {
     store,
     engines,
     services,
-    putConfiguration: (changes = {}) => {
-      version += 1;
-      const configuration = { ...CONFIGURATION, version, ...changes };
-      store.put(TABLE.operator, CONFIGURATION_KEY, configuration);
-    },
+    putConfiguration,
+    limitConnections: (maxConnections) =>
+      putConfiguration({
+        services: CONFIGURATION.services.map((spec) => ({ ...spec, maxConnections })),
+      }),
     putEngine: (id, address) => putEntry({ id, address }, "ready", true),
     announceLeaving: (server) => {
       if ("setLeaving" in server) server.setLeaving();
