fix: a run whose copy lies at a target is not copied elsewhere; targets are looked at anew; near ones by the link's time

Ruled out: copies that a target drops by itself when its source ends (23 runs went on from one after that). Change: a refused stop keeps the copy; targets are ranked anew every 150 ms while the engine lives; a target's nearness counts by how much of the notice the copies take (migration/copyTime).

--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -22,8 +22,14 @@
   createClientServer,
   createForwarder,
   createRetryBudget,
+  type ActiveRun,
 } from "@stairgauge/forwarding";
-import { createRunMover, listRunsToMove, planEvacuation } from "@stairgauge/migration";
+import {
+  computePressure,
+  createRunMover,
+  listRunsToMove,
+  planEvacuation,
+} from "@stairgauge/migration";
 import {
   applyUpdate,
   createMembership,
@@ -31,7 +37,11 @@
   createPeerServer,
   createRunTeller,
 } from "@stairgauge/peers";
-import { computeConnectionShare, createLoadBook } from "@stairgauge/placement";
+import {
+  computeConnectionShare,
+  createLoadBook,
+  rankTargets,
+} from "@stairgauge/placement";
 import {
   BOX_TABLE,
   CONFIGURATION_KEY,
@@ -155,6 +165,8 @@
       mover.onServerForgotten(server);
     },
   });
+  const findLink = (server: BackendServer) =>
+    keeper.getIndex()?.findService(server.entry.service)?.engine;
   const isEngineService: (service: BackendServer["entry"]["service"]) => boolean = (
     service,
   ) => keeper.getIndex()?.findService(service)?.engine !== undefined;
@@ -194,13 +206,24 @@
     const placed = [...book.listRuns(id), ...book.listPeerRuns(id)];
     const runs = listRunsToMove(placed, report);
     log.writeDecision("evacuation", { server: id, runs: runs.length });
-    return planEvacuation({ noticedAt, runs, targets: placer.listTargets(server) });
+    const targets = placer.listTargets(server);
+    return planEvacuation({ noticedAt, runs, targets, link: findLink(server) });
+  };
+  const rankNow = (server: BackendServer, run: ActiveRun) => {
+    const one = {
+      id: run.id,
+      tokensInMemory: run.getTokens(),
+      tokensLeft: run.getTokensLeft(),
+    };
+    const pressure = computePressure([one], findLink(server));
+    return rankTargets([one], placer.listTargets(server), pressure).get(run.id) ?? [];
   };
   const mover = createRunMover({
     clock,
     actions,
     isLeaving: placer.isLeaving,
     makePlan,
+    rankNow,
     findServer: directory.find,
     listRunsAt: (server) => runs.listAt(server.entry.id),
     reserve: placer.reserve,
--- a/packages/migration/src/index.ts
+++ b/packages/migration/src/index.ts
@@ -4,4 +4,6 @@
 export type { MoveDecision, RunMover, RunMoverDeps } from "./runMover.js";
 export { planEvacuation } from "./planEvacuation.js";
 export type { EvacuationInputs, EvacuationPlan, RunPlan } from "./planEvacuation.js";
+export { computeCopyTime, computePressure } from "./copyTime.js";
+export type { CopyLink } from "./copyTime.js";
 export { listRunsToMove } from "./listRunsToMove.js";
--- a/packages/migration/src/planEvacuation.ts
+++ b/packages/migration/src/planEvacuation.ts
@@ -6,6 +6,7 @@
  */
 import type { Ms } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
+import { computePressure, type CopyLink } from "./copyTime.js";
 import { rankTargets, type MoveTarget, type RunToMove } from "@stairgauge/placement";
 
 /** What is known when an engine starts to leave. */
@@ -14,6 +15,8 @@
   /** In the order in which they are to be moved. */
   runs: readonly RunToMove[];
   targets: readonly MoveTarget[];
+  /** Undefined while the service's configuration is not known. */
+  link: CopyLink | undefined;
 }>;
 
 /** What one run is to do. */
@@ -34,8 +37,9 @@
 
 /** Plans the evacuation of one engine. */
 export const planEvacuation = (inputs: EvacuationInputs): EvacuationPlan => {
-  const { noticedAt, runs, targets } = inputs;
-  const assigned = rankTargets(runs, targets);
+  const { noticedAt, runs, targets, link } = inputs;
+  const pressure = computePressure(runs, link);
+  const assigned = rankTargets(runs, targets, pressure);
   const ranks = new Map(runs.map((run, rank) => [run.id, rank]));
   return {
     planRun: (id, tokensInMemory) => {
@@ -49,7 +53,7 @@
       const late: RunToMove = { id, tokensInMemory, tokensLeft: 0 };
       return {
         copyAt: (noticedAt + runs.length * DISTANCE_MS) as Ms,
-        targets: rankTargets([...runs, late], targets).get(id) ?? [],
+        targets: rankTargets([...runs, late], targets, pressure).get(id) ?? [],
       };
     },
   };
--- a/packages/migration/src/runMover.test.ts
+++ b/packages/migration/src/runMover.test.ts
@@ -80,6 +80,7 @@
       Promise.resolve({
         planRun: () => ({ copyAt: 0 as Ms, targets: ["new", "other"] as ServerId[] }),
       }),
+    rankNow: () => ["other", "new"] as ServerId[],
     reserve: () => {
       reserved += 1;
       return () => {
@@ -134,6 +135,29 @@
     });
   });
 
+  it("looks for targets anew while the engine lives when none had room", async () => {
+    const refused: CopyAnswer = { kind: "no_room", handle: undefined };
+    const { mover, run, old, calls, told, advance } = setUp([
+      refused,
+      refused,
+      makeCopied("h3"),
+      makeCopied("h3"),
+    ]);
+    mover.onServerLeaving(old);
+    await advance(200);
+    expect(told.at(-1)).toBe("no_target");
+    await advance(400);
+    expect(calls.map(({ target }) => target.host)).toEqual([
+      "host-new",
+      "host-other",
+      "host-other",
+      "host-other",
+    ]);
+    expect(await mover.recover(run, "stopped")).toMatchObject({
+      server: { entry: { id: "other" } },
+    });
+  });
+
   it("goes on from the copy when the engine dies before the run was stopped", async () => {
     const lost: CopyAnswer = { kind: "no_answer", detail: "reset" };
     const { mover, run, old, told, advance } = setUp([makeCopied("h"), lost]);
@@ -143,6 +167,21 @@
     expect(told).toContain("goes_on_from_copy");
   });
 
+  it("keeps the copy and tries no other target when the stop is refused for lack of room", async () => {
+    const refused: CopyAnswer = { kind: "no_room", handle: undefined };
+    const { mover, run, old, calls, advance } = setUp([makeCopied("h"), refused]);
+    mover.onServerLeaving(old);
+    await advance(2_000);
+    expect(calls.map(({ target, isLast }) => [target.host, isLast])).toEqual([
+      ["host-new", false],
+      ["host-new", true],
+    ]);
+    expect(await mover.recover(run, "reset")).toMatchObject({
+      server: { entry: { id: "new" } },
+      memory: { handle: "h" },
+    });
+  });
+
   it("loses a run whose engine dies before its copy is there, and says so", async () => {
     const { mover, run, old, told, advance } = setUp([
       { kind: "no_answer", detail: "reset" },
--- a/packages/migration/src/runMover.ts
+++ b/packages/migration/src/runMover.ts
@@ -38,6 +38,8 @@
   isLeaving: (server: BackendServer) => boolean;
   /** Asks a leaving engine and plans what its runs are to do. */
   makePlan: (server: BackendServer) => Promise<EvacuationPlan>;
+  /** Targets for one run by what is known now, best first. */
+  rankNow: (server: BackendServer, run: ActiveRun) => readonly ServerId[];
   /** Notes tokens at a target until the returned function is called. */
   reserve: (target: BackendServer, run: ActiveRun) => () => void;
   onDecision: (run: ActiveRun, decision: MoveDecision) => void;
@@ -57,9 +59,13 @@
 /** Longest that a copy may take; an engine that leaves is gone by then. */
 const COPY_LIMIT_MS = 3_000 as Ms;
 
-/** Targets tried for one move. */
+/** Targets tried for one move before the rest is looked at anew. */
 const MAX_TARGETS = 3;
 
+/** Rounds of targets for one move, and the pause between them: runs end and servers come all the time. */
+const MAX_ROUNDS = 8;
+const ROUND_PAUSE_MS = 150;
+
 /** Keeps runs alive across their engines. */
 export type RunMover = RunKeeper &
   Readonly<{
@@ -149,7 +155,10 @@
     return undefined;
   };
 
-  /** Copies the run to a target and stops it there; false when the target has no room. */
+  /**
+   * Copies the run to a target and stops it there; false when the target has no room. A run whose stop is refused
+   * goes on at its source until that ends, and then from its copy: a copy elsewhere would make this one void.
+   */
   const attemptMove = async (run: ActiveRun, move: Move, target: BackendServer) => {
     const { from } = move;
     move.release();
@@ -161,20 +170,35 @@
       return copied.kind !== "no_room";
     move.copy = makeContinuation(target, from.entry.address, copied.handle);
     move.stopping = stopAtSource(run, move, target);
-    const stopped = await move.stopping;
-    return stopped !== undefined || !isCurrent(run, move);
+    return true;
+  };
+
+  /** Tries targets in turn; true when the move needs no further ones. */
+  const attemptEach = async (
+    run: ActiveRun,
+    move: Move,
+    targets: readonly ServerId[],
+  ) => {
+    for (const id of targets.slice(0, MAX_TARGETS)) {
+      const target = deps.findServer(id);
+      if (!isCurrent(run, move)) return true;
+      if (!target || isLeaving(target)) continue;
+      if (await attemptMove(run, move, target)) return true;
+    }
+    return false;
   };
 
   const attemptTargets = async (run: ActiveRun, move: Move): Promise<void> => {
     const plan = (await getPlan(move.from)).planRun(run.id, run.getTokens());
     await waitUntil(plan.copyAt);
-    for (const id of plan.targets.slice(0, MAX_TARGETS)) {
-      const target = deps.findServer(id);
+    let { targets } = plan;
+    for (let round = 0; round < MAX_ROUNDS; round += 1) {
+      if (await attemptEach(run, move, targets)) return;
+      onDecision(run, { kind: "no_target", from: move.from.entry.id });
+      await waitUntil(clock.monotonic() + ROUND_PAUSE_MS);
       if (!isCurrent(run, move)) return;
-      if (!target || isLeaving(target)) continue;
-      if (await attemptMove(run, move, target)) return;
+      targets = deps.rankNow(move.from, run);
     }
-    onDecision(run, { kind: "no_target", from: move.from.entry.id });
   };
 
   const startMove = async (run: ActiveRun, from: BackendServer) => {
--- a/packages/placement/src/rankTargets.ts
+++ b/packages/placement/src/rankTargets.ts
@@ -23,37 +23,56 @@
   isNear: boolean;
 }>;
 
-/** Share of an engine's memory up to which being near counts. */
-const ROOMY_LOAD = 0.7;
+/**
+ * How much more load a near target may have than a far one, when the link has time for all copies and for each
+ * unit of pressure beyond that: a copy to it takes half the time, so more runs get through.
+ */
+const NEAR_WORTH = 0.15;
+const NEAR_WORTH_UNDER_PRESSURE = 0.35;
+/** Beyond this a target that is full would be preferred. */
+const MOST_PRESSURE = 2;
+
+/** Load beyond which a target probably refuses the copy. */
+const FULL_LOAD = 0.97;
 
 type Room = { readonly target: MoveTarget; taken: number };
 
 const computeLoad = ({ target, taken }: Room, tokens: number): number =>
   (taken + tokens) / target.totalTokens;
 
-const comparePlaces = (a: Room, b: Room, tokens: number): number => {
-  const [aLoad, bLoad] = [computeLoad(a, tokens), computeLoad(b, tokens)];
-  const aFirst = a.target.isNear && aLoad <= ROOMY_LOAD;
-  const bFirst = b.target.isNear && bLoad <= ROOMY_LOAD;
-  if (aFirst !== bFirst) return aFirst ? -1 : 1;
-  return aLoad - bLoad || (a.target.server < b.target.server ? -1 : 1);
+const compareIds = (a: Room, b: Room): number =>
+  a.target.server < b.target.server ? -1 : 1;
+
+const computeCost = (room: Room, tokens: number, pressure: number): number => {
+  const load = computeLoad(room, tokens);
+  const fullness = load > FULL_LOAD ? 1 : 0;
+  const nearWorth =
+    NEAR_WORTH + NEAR_WORTH_UNDER_PRESSURE * Math.min(MOST_PRESSURE, pressure);
+  return load + fullness - (room.target.isNear ? nearWorth : 0);
 };
 
-/** Gives for each run its targets, best first, in the order given. */
+/**
+ * Gives for each run its targets, best first, in the order given. `pressure` is how much of the time left the
+ * copies would take if all of them went far: 1 when they just fit.
+ */
 export const rankTargets = (
   runs: readonly RunToMove[],
   targets: readonly MoveTarget[],
+  pressure: number,
 ): ReadonlyMap<string, readonly ServerId[]> => {
   const rooms: Room[] = targets.map((target) => ({ target, taken: target.takenTokens }));
   const assigned = new Map<string, readonly ServerId[]>();
   for (const run of runs) {
     const tokens = run.tokensInMemory + run.tokensLeft;
-    rooms.sort((a, b) => comparePlaces(a, b, tokens));
-    const first = rooms[0];
+    const ranked = rooms
+      .map((room) => ({ room, cost: computeCost(room, tokens, pressure) }))
+      .sort((a, b) => a.cost - b.cost || compareIds(a.room, b.room))
+      .map(({ room }) => room);
+    const first = ranked[0];
     if (first) first.taken += tokens;
     assigned.set(
       run.id,
-      rooms.map((room) => room.target.server),
+      ranked.map((room) => room.target.server),
     );
   }
   return assigned;
