--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -11,6 +11,7 @@
 import { createServerDirectory, type BackendServer } from "@stairgauge/directory";
 import {
   createConfigurationSink,
+  createExposureJudge,
   createPlacer,
   createReportPoller,
   createServerSink,
@@ -27,6 +28,7 @@
 import {
   computePressure,
   createRunMover,
+  createStandbyKeeper,
   listRunsToMove,
   planEvacuation,
 } from "@stairgauge/migration";
@@ -98,6 +100,14 @@
 /** How long a server that left is remembered, for runs that are still being moved from it. */
 const LEFT_MEMORY_MS = 30_000 as Ms;
 
+/** Older knowledge than this comes of a store that does not answer: in touch it is at most 1.3 s old. */
+const OUT_OF_TOUCH_MS = 1_500;
+
+const toToldLeaving = ({ entry, leaving }: BackendServer) => ({
+  server: entry.id,
+  isEntryGone: leaving?.reason === "entry_gone",
+});
+
 const listen = (server: Server, address: string) =>
   new Promise<number>((resolve, reject) => {
     const { host, port } = toHostAndPort(address);
@@ -120,16 +130,34 @@
     acceptWithin: (settings.bounds.keyRemovalMs - KEY_MARGIN_MS) as Ms,
   });
   const own = settings.box as BoxName;
+  const isOutOfTouch = () => keeper.getAge(clock.monotonic()) > OUT_OF_TOUCH_MS;
   const book = createLoadBook((change) => teller.takeChange(change));
   const teller = createRunTeller({
     clock,
     own,
     book,
     send: (update) => links.tell(update),
+    sendToSome: (update) => links.tellSome(update),
+    listLeaving: () =>
+      directory
+        .list()
+        .filter(({ leaving }) => leaving !== undefined)
+        .map(toToldLeaving),
   });
   const links = createPeerLinks({ clock, random, own, makeWhole: teller.makeWhole });
   const peerServer = createPeerServer({
-    onUpdate: (update) => applyUpdate(book, update),
+    onUpdate: (update) =>
+      applyUpdate(
+        {
+          book,
+          onLeaving: ({ server, isEntryGone }) => {
+            // A box that the store reaches sees itself whether an entry is gone.
+            if (isEntryGone && !isOutOfTouch()) return;
+            directory.mark(server, "told_by_box", clock.monotonic());
+          },
+        },
+        update,
+      ),
     onPeerLost: (box) => {
       book.dropPeer(box);
       log.writeDecision("peer_lost", { peer: box });
@@ -159,7 +187,10 @@
       observeServers({ log, metrics }, directory, event);
       const { server } = event;
       if (event.kind === "joined") reports.add(server);
-      if (event.kind === "leaving") mover.onServerLeaving(server);
+      if (event.kind === "leaving") {
+        mover.onServerLeaving(server);
+        teller.tellLeaving(toToldLeaving(server));
+      }
       if (event.kind !== "forgotten") return;
       book.drop(server.entry.id);
       mover.onServerForgotten(server);
@@ -218,12 +249,37 @@
     const pressure = computePressure([one], findLink(server));
     return rankTargets([one], placer.listTargets(server), pressure).get(run.id) ?? [];
   };
+  const exposure = createExposureJudge({
+    directory,
+    book,
+    listTargets: placer.listTargets,
+    findTraits: findLink,
+  });
+  const standbys = createStandbyKeeper({
+    clock,
+    actions,
+    ...exposure,
+    isLeaving: placer.isLeaving,
+    listRuns: () =>
+      runs
+        .list()
+        .filter(
+          (run) =>
+            run.hasBegun() &&
+            !run.route.isResumable &&
+            !placer.isLeaving(run.getServer()),
+        ),
+    reserve: placer.reserve,
+    onDecision: observeMoves({ log, metrics }),
+  });
   const mover = createRunMover({
     clock,
     actions,
     isLeaving: placer.isLeaving,
     makePlan,
     rankNow,
+    takeStandby: standbys.take,
+    dropStandby: standbys.drop,
     findServer: directory.find,
     listRunsAt: (server) => runs.listAt(server.entry.id),
     reserve: placer.reserve,
@@ -331,6 +387,7 @@
     for (const follower of [configurationFollower, serverFollower, memberFollower])
       follower.stop();
     reports.stop();
+    standbys.stop();
     links.close();
     peerServer.close();
     clientServer.close();
@@ -354,6 +411,7 @@
       serverFollower.start();
       memberFollower.start();
       membership.join();
+      standbys.start();
       log.writeNotice("started", { ports });
       return ports;
     },
--- a/apps/box/src/observers.ts
+++ b/apps/box/src/observers.ts
@@ -2,8 +2,8 @@
 import type { Clock } from "@stairgauge/common";
 import type { DirectoryEvent, ServerDirectory } from "@stairgauge/directory";
 import type { ConfigurationEvent } from "@stairgauge/fleet";
-import type { ForwardDecision, ForwardObserver } from "@stairgauge/forwarding";
-import type { RunMoverDeps } from "@stairgauge/migration";
+import type { ActiveRun, ForwardDecision, ForwardObserver } from "@stairgauge/forwarding";
+import type { MoveDecision, StandbyDecision } from "@stairgauge/migration";
 import type { ConfigurationKeeper } from "@stairgauge/routing";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
 
@@ -43,8 +43,8 @@
 
 /** Observes moves of runs. */
 export const observeMoves =
-  ({ log, metrics }: Sinks): RunMoverDeps["onDecision"] =>
-  (run, decision) => {
+  ({ log, metrics }: Sinks) =>
+  (run: ActiveRun, decision: MoveDecision | StandbyDecision): void => {
     const { kind, ...inputs } = decision;
     metrics.moves.inc({ kind });
     log.writeDecision(kind, { request: run.id, events: run.getEventsMade(), ...inputs });
--- a/packages/directory/src/serverDirectory.ts
+++ b/packages/directory/src/serverDirectory.ts
@@ -45,8 +45,10 @@
 
   const put = (entry: ServerEntry, now: Ms) => {
     const known = servers.get(entry.id);
-    // An entry that came back after an outage of the store lives on under the same identity.
-    const hasReturned = known?.leaving?.reason === "entry_gone";
+    // An entry that came back after an outage of the store lives on under the same identity, and what the
+    // store says of a server goes before what another box said.
+    const reason = known?.leaving?.reason;
+    const hasReturned = reason === "entry_gone" || reason === "told_by_box";
     const leaving = hasReturned ? undefined : known?.leaving;
     const server: BackendServer = { entry, leaving };
     servers.set(entry.id, server);
--- a/packages/directory/src/types.ts
+++ b/packages/directory/src/types.ts
@@ -28,7 +28,7 @@
 
 /** Why a server gets no new work. */
 export type LeavingReason =
-  "entry_says_leaving" | "entry_gone" | "report" | "address_reused";
+  "entry_says_leaving" | "entry_gone" | "report" | "address_reused" | "told_by_box";
 
 /** A server and what the box believes of it. */
 export type BackendServer = Readonly<{
--- a/packages/fleet/src/createPlacer.ts
+++ b/packages/fleet/src/createPlacer.ts
@@ -5,6 +5,7 @@
 import {
   chooseServer,
   estimateEngineLoad,
+  toCopyId,
   type LoadBook,
   type MoveTarget,
 } from "@stairgauge/placement";
@@ -114,7 +115,7 @@
     },
     reserve: (target, run) => {
       const { id } = target.entry;
-      const runId = `${run.id}-moving`;
+      const runId = toCopyId(run.id);
       book.addRun(id, {
         id: runId,
         promptTokens: run.getTokens(),
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -5,5 +5,7 @@
 export type { ServerListEvent } from "./followServers.js";
 export { createPlacer } from "./createPlacer.js";
 export type { FleetPlacer, PlacerOptions } from "./createPlacer.js";
+export { createExposureJudge } from "./judgeExposure.js";
+export type { ExposureJudge, ExposureJudgeOptions } from "./judgeExposure.js";
 export { createReportPoller } from "./pollReports.js";
 export type { ReportPoller, ReportPollerOptions } from "./pollReports.js";
--- a/packages/forwarding/src/activeRuns.ts
+++ b/packages/forwarding/src/activeRuns.ts
@@ -41,6 +41,7 @@
 export type ActiveRuns = Readonly<{
   add: (run: ActiveRun) => void;
   remove: (run: ActiveRun) => void;
+  list: () => readonly ActiveRun[];
   listAt: (server: ServerId) => readonly ActiveRun[];
   count: () => number;
 }>;
@@ -51,6 +52,7 @@
   return {
     add: (run) => void runs.add(run),
     remove: (run) => void runs.delete(run),
+    list: () => [...runs],
     listAt: (server) => [...runs].filter((run) => run.getServer().entry.id === server),
     count: () => runs.size,
   };
--- a/packages/migration/src/runMover.test.ts
+++ b/packages/migration/src/runMover.test.ts
@@ -80,6 +80,8 @@
       Promise.resolve({
         planRun: () => ({ copyAt: 0 as Ms, targets: ["new", "other"] as ServerId[] }),
       }),
+    takeStandby: () => Promise.resolve(undefined),
+    dropStandby: () => undefined,
     rankNow: () => ["other", "new"] as ServerId[],
     reserve: () => {
       reserved += 1;
--- a/packages/migration/src/runMover.ts
+++ b/packages/migration/src/runMover.ts
@@ -15,13 +15,14 @@
   RunKeeper,
 } from "@stairgauge/forwarding";
 import type { EvacuationPlan } from "./planEvacuation.js";
+import type { Standby } from "./standbyKeeper.js";
 import type { CopyAnswer, EngineActions } from "./types.js";
 
 /** A step of a move; each is logged as one line. */
 export type MoveDecision = Readonly<
   | { kind: "move_begun"; from: string; to: string; tokens: number }
-  | { kind: "copied"; from: string; to: string; took: Ms }
-  | { kind: "stopped"; from: string; to: string; took: Ms }
+  | { kind: "copied"; from: string; to: string; took: Ms; handle: string }
+  | { kind: "stopped"; from: string; to: string; took: Ms; handle: string }
   | { kind: "copy_failed"; from: string; to: string; detail: string }
   | { kind: "no_target"; from: string }
   | { kind: "goes_on_from_copy"; from: string; to: string; detail: string }
@@ -40,6 +41,9 @@
   makePlan: (server: BackendServer) => Promise<EvacuationPlan>;
   /** Targets for one run by what is known now, best first. */
   rankNow: (server: BackendServer, run: ActiveRun) => readonly ServerId[];
+  /** A copy of the run that was kept in case its engine goes. */
+  takeStandby: (run: ActiveRun) => Promise<Standby | undefined>;
+  dropStandby: (run: ActiveRun) => void;
   /** Notes tokens at a target until the returned function is called. */
   reserve: (target: BackendServer, run: ActiveRun) => () => void;
   onDecision: (run: ActiveRun, decision: MoveDecision) => void;
@@ -59,6 +63,9 @@
 /** Longest that a copy may take; an engine that leaves is gone by then. */
 const COPY_LIMIT_MS = 3_000 as Ms;
 
+/** Longest that an engine which broke a stream off is waited for, to be sure that the run has stopped there. */
+const STOP_LIMIT_MS = 250 as Ms;
+
 /** Targets tried for one move before the rest is looked at anew. */
 const MAX_TARGETS = 3;
 
@@ -84,15 +91,18 @@
   const moves = new Map<ActiveRun, Move>();
   const plans = new Map<ServerId, Promise<EvacuationPlan>>();
 
-  const endMove = (run: ActiveRun) => {
-    const move = moves.get(run);
-    if (!move) return;
-    moves.delete(run);
+  const dropMove = (move: Move) => {
     move.release();
     // A copy that nobody will go on from takes memory at its target until it lapses.
     if (move.copy)
       void actions.dropCopy(move.copy.memory.source, move.copy.memory.handle);
   };
+  const endMove = (run: ActiveRun) => {
+    const move = moves.get(run);
+    if (!move) return;
+    moves.delete(run);
+    dropMove(move);
+  };
   const isCurrent = (run: ActiveRun, move: Move) => moves.get(run) === move;
 
   const getPlan = (server: BackendServer): Promise<EvacuationPlan> => {
@@ -111,21 +121,31 @@
 
   const copyOnce = async (
     run: ActiveRun,
-    request: Readonly<{ from: BackendServer; target: BackendServer; isLast: boolean }>,
+    request: Readonly<{
+      from: BackendServer;
+      target: BackendServer;
+      isLast: boolean;
+      limit?: Ms;
+    }>,
   ): Promise<CopyAnswer> => {
-    const { from, target, isLast } = request;
+    const { from, target, isLast, limit = COPY_LIMIT_MS } = request;
     const begunAt = clock.monotonic();
     const answer = await actions.copyRun({
       source: from.entry.address,
       target: target.entry.address,
       id: run.id,
       isLast,
-      limit: COPY_LIMIT_MS,
+      limit,
     });
     const took = (clock.monotonic() - begunAt) as Ms;
     const names = { from: from.entry.id, to: target.entry.id };
     if (answer.kind === "copied")
-      onDecision(run, { kind: isLast ? "stopped" : "copied", ...names, took });
+      onDecision(run, {
+        kind: isLast ? "stopped" : "copied",
+        ...names,
+        took,
+        handle: answer.handle,
+      });
     else
       onDecision(run, { kind: "copy_failed", ...names, detail: describeAnswer(answer) });
     return answer;
@@ -141,10 +161,11 @@
     run: ActiveRun,
     move: Move,
     target: BackendServer,
+    limit: Ms = COPY_LIMIT_MS,
   ): Promise<RunContinuation | undefined> => {
     const { from } = move;
     const { address } = from.entry;
-    const answer = await copyOnce(run, { from, target, isLast: true });
+    const answer = await copyOnce(run, { from, target, isLast: true, limit });
     if (answer.kind === "copied") {
       move.source = makeContinuation(from, address, answer.handle);
       return makeContinuation(target, address, answer.handle);
@@ -166,8 +187,13 @@
     const names = { from: from.entry.id, to: target.entry.id };
     onDecision(run, { kind: "move_begun", ...names, tokens: run.getTokens() });
     const copied = await copyOnce(run, { from, target, isLast: false });
-    if (!isCurrent(run, move) || copied.kind !== "copied")
-      return copied.kind !== "no_room";
+    if (copied.kind !== "copied")
+      return copied.kind !== "no_room" && copied.kind !== "under_way";
+    if (!isCurrent(run, move)) {
+      // The run ended meanwhile: its copy would take memory until it lapses.
+      void actions.dropCopy(from.entry.address, copied.handle);
+      return true;
+    }
     move.copy = makeContinuation(target, from.entry.address, copied.handle);
     move.stopping = stopAtSource(run, move, target);
     return true;
@@ -188,9 +214,22 @@
     return false;
   };
 
+  /** Brings a copy that is there already up to date, and stops the run. */
+  const stopAtCopy = async (run: ActiveRun, move: Move, target: BackendServer) => {
+    const { from } = move;
+    await copyOnce(run, { from, target, isLast: false });
+    if (isCurrent(run, move) && move.copy)
+      move.stopping = stopAtSource(run, move, target);
+  };
+
   const attemptTargets = async (run: ActiveRun, move: Move): Promise<void> => {
     const plan = (await getPlan(move.from)).planRun(run.id, run.getTokens());
     await waitUntil(plan.copyAt);
+    if (!isCurrent(run, move)) return;
+    if (move.copy) {
+      await stopAtCopy(run, move, move.copy.server);
+      return;
+    }
     let { targets } = plan;
     for (let round = 0; round < MAX_ROUNDS; round += 1) {
       if (await attemptEach(run, move, targets)) return;
@@ -201,9 +240,8 @@
     }
   };
 
-  const startMove = async (run: ActiveRun, from: BackendServer) => {
-    // A stream that a new run may go on with needs no memory moved.
-    if (run.route.isResumable || moves.has(run)) return;
+  /** Begins the move of a run, from the copy that was kept of it if there is one. */
+  const createMove = async (run: ActiveRun, from: BackendServer): Promise<Move> => {
     const move: Move = {
       from,
       release: () => undefined,
@@ -212,7 +250,24 @@
       source: undefined,
     };
     moves.set(run, move);
-    await attemptTargets(run, move);
+    const standby = await deps.takeStandby(run);
+    if (!standby) return move;
+    move.release = standby.release;
+    move.copy = standby.copy;
+    if (!isCurrent(run, move)) dropMove(move);
+    return move;
+  };
+
+  const startMove = async (run: ActiveRun, from: BackendServer) => {
+    // A stream that a new run may go on with needs no memory moved.
+    if (run.route.isResumable || moves.has(run)) return;
+    await attemptTargets(run, await createMove(run, from));
+  };
+
+  /** An engine that gave no notice may have lost only its connection: the run must not go on in two places. */
+  const confirmStopped = async (run: ActiveRun, move: Move) => {
+    if (!move.copy || move.stopping || isLeaving(move.from)) return;
+    await stopAtSource(run, move, move.copy.server, STOP_LIMIT_MS);
   };
 
   const takeCopy = (run: ActiveRun, move: Move, detail: string) => {
@@ -243,8 +298,8 @@
     run: ActiveRun,
     detail: string,
   ): Promise<RunContinuation | undefined> => {
-    const move = moves.get(run);
-    if (!move) return undefined;
+    const move = moves.get(run) ?? (await createMove(run, run.getServer()));
+    await confirmStopped(run, move);
     return (
       takeCopy(run, move, detail) ??
       (await takeStopped(move)) ??
@@ -275,6 +330,9 @@
       const server = run.getServer();
       if (isLeaving(server)) void startMove(run, server);
     },
-    onFinished: endMove,
+    onFinished: (run) => {
+      endMove(run);
+      deps.dropStandby(run);
+    },
   };
 };
--- a/packages/peers/src/applyUpdate.ts
+++ b/packages/peers/src/applyUpdate.ts
@@ -1,11 +1,19 @@
-/** Takes what another box tells of its runs into the load book. */
+/** Takes what another box tells into what this one knows. */
 import type { LoadBook } from "@stairgauge/placement";
-import type { RunUpdate } from "./types.js";
+import type { RunUpdate, ToldLeaving } from "./types.js";
 
-/** Applies an update; a whole one replaces all that the box told before. */
-export const applyUpdate = (book: LoadBook, update: RunUpdate): void => {
-  const { box, isWhole, put, drop } = update;
+/** Where an update goes. */
+export type UpdateSinks = Readonly<{
+  book: LoadBook;
+  onLeaving: (told: ToldLeaving) => void;
+}>;
+
+/** Applies an update; a whole one replaces all runs that the box told before. */
+export const applyUpdate = (sinks: UpdateSinks, update: RunUpdate): void => {
+  const { book, onLeaving } = sinks;
+  const { box, isWhole, put, drop, leaving } = update;
   if (isWhole) book.dropPeer(box);
   for (const placed of put) book.putPeerRun(box, placed);
   for (const { server, id } of drop) book.removePeerRun(box, server, id);
+  for (const told of leaving) onLeaving(told);
 };
--- a/packages/peers/src/peerLinks.ts
+++ b/packages/peers/src/peerLinks.ts
@@ -19,6 +19,8 @@
   setPeers: (peers: readonly Peer[]) => void;
   /** Hands an update to all links that are up. */
   tell: (update: RunUpdate) => void;
+  /** Tells a few boxes chosen at random, so that what all pass on costs no more than a few calls a box. */
+  tellSome: (update: RunUpdate) => void;
   count: () => number;
   close: () => void;
 }>;
@@ -47,6 +49,9 @@
 /** Updates that may wait for a slow peer before its link is opened anew. */
 const MOST_BUFFERED_BYTES = 256 * 1024;
 
+/** Boxes that one box passes a thing on to: with 3 each, all but one in a thousand hear it. */
+const FAN_OUT = 3;
+
 /** Creates the links; there are none until peers are set. */
 export const createPeerLinks = (options: PeerLinksOptions): PeerLinks => {
   const { clock, random, own, makeWhole } = options;
@@ -86,6 +91,19 @@
     stream.write(makeWhole());
   };
 
+  const chooseSome = (all: Link[]): readonly Link[] => {
+    const chosen: Link[] = [];
+    while (all.length > 0 && chosen.length < FAN_OUT)
+      chosen.push(...all.splice(random.nextInt(0, all.length - 1), 1));
+    return chosen;
+  };
+
+  const write = ({ stream }: Link, update: RunUpdate) => {
+    if (!stream) return;
+    if (stream.writableLength > MOST_BUFFERED_BYTES) stream.cancel();
+    else stream.write(update);
+  };
+
   const openLink = (peer: Peer) => {
     const { host, port } = peer.address;
     const client = new Client(
@@ -122,11 +140,10 @@
       for (const peer of wanted.values()) if (!links.has(peer.box)) openLink(peer);
     },
     tell: (update) => {
-      for (const { stream } of links.values()) {
-        if (!stream) continue;
-        if (stream.writableLength > MOST_BUFFERED_BYTES) stream.cancel();
-        else stream.write(update);
-      }
+      for (const link of links.values()) write(link, update);
+    },
+    tellSome: (update) => {
+      for (const link of chooseSome([...links.values()])) write(link, update);
     },
     count: () => links.size,
     close: () => {
--- a/packages/peers/src/peers.test.ts
+++ b/packages/peers/src/peers.test.ts
@@ -16,6 +16,7 @@
   createRunTeller,
   type Peer,
   type RunUpdate,
+  type ToldLeaving,
 } from "./index.js";
 import { decodeUpdate, encodeUpdate } from "./updateCodec.js";
 
@@ -40,8 +41,10 @@
 const openListener = async () => {
   const book = createLoadBook();
   const lost: string[] = [];
+  const leaving: ToldLeaving[] = [];
   const server = createPeerServer({
-    onUpdate: (update) => applyUpdate(book, update),
+    onUpdate: (update) =>
+      applyUpdate({ book, onLeaving: (told) => leaving.push(told) }, update),
     onPeerLost: (box) => {
       lost.push(box);
       book.dropPeer(box);
@@ -52,6 +55,7 @@
   return {
     book,
     lost,
+    leaving,
     peer: { box: "b" as BoxName, address: { host: "127.0.0.1", port } },
   };
 };
@@ -59,12 +63,15 @@
 const openTeller = () => {
   const clock = createSystemClock();
   const own = "a" as BoxName;
+  const leaving: ToldLeaving[] = [];
   const book = createLoadBook((change) => teller.takeChange(change));
   const teller = createRunTeller({
     clock,
     own,
     book,
     send: (update) => links.tell(update),
+    sendToSome: (update) => links.tellSome(update),
+    listLeaving: () => leaving,
   });
   const links = createPeerLinks({
     clock,
@@ -73,7 +80,7 @@
     makeWhole: teller.makeWhole,
   });
   closers.push(links.close);
-  return { book, links };
+  return { book, links, teller, leaving };
 };
 
 const server = "e1" as ServerId;
@@ -109,6 +116,43 @@
   });
 });
 
+describe("boxes that tell each other of servers that leave", () => {
+  const told = { server, isEntryGone: false };
+
+  it("tells a new link what left before, and then each that leaves", async () => {
+    const there = await openListener();
+    const here = openTeller();
+    here.leaving.push(told);
+    here.links.setPeers([there.peer]);
+    await waitFor(() => there.leaving.length === 1);
+    const next = { server: "e2" as ServerId, isEntryGone: true };
+    here.teller.tellLeaving(next);
+    await waitFor(() => there.leaving.length === 2);
+    expect(there.leaving).toEqual([told, next]);
+  });
+
+  it("tells three boxes of many, none twice", async () => {
+    const listeners = await Promise.all([1, 2, 3, 4, 5, 6].map(openListener));
+    const here = openTeller();
+    here.links.setPeers(
+      listeners.map(({ peer }, i) => ({ ...peer, box: `b${i}` as BoxName })),
+    );
+    const run = makeRun("r");
+    here.book.addRun(server, run);
+    await waitFor(() =>
+      listeners.every(({ book }) => book.listPeerRuns(server).length === 1),
+    );
+    here.teller.tellLeaving(told);
+    here.book.removeRun(server, run.id);
+    await waitFor(() =>
+      listeners.every(({ book }) => book.listPeerRuns(server).length === 0),
+    );
+    expect(listeners.map(({ leaving }) => leaving.length).toSorted()).toEqual([
+      0, 0, 0, 1, 1, 1,
+    ]);
+  });
+});
+
 describe("updateCodec", () => {
   it("brings an update across unchanged", () => {
     const update: RunUpdate = {
@@ -116,6 +160,7 @@
       isWhole: true,
       put: [{ server, run: makeRun("r") }],
       drop: [{ server, id: "q" }],
+      leaving: [{ server, isEntryGone: true }],
     };
     expect(decodeUpdate(encodeUpdate(update))).toEqual(update);
   });
--- a/packages/peers/src/runTeller.ts
+++ b/packages/peers/src/runTeller.ts
@@ -1,7 +1,7 @@
 /** Collects changes of this box's runs and tells them together. */
 import type { BoxName, Clock, Ms } from "@stairgauge/common";
 import type { LoadBook, RunChange } from "@stairgauge/placement";
-import type { RunUpdate } from "./types.js";
+import type { RunUpdate, ToldLeaving } from "./types.js";
 
 /** Changes within this time go out together; a placement by another box should see them. */
 const GATHER_MS = 3 as Ms;
@@ -12,17 +12,23 @@
   own: BoxName;
   book: LoadBook;
   send: (update: RunUpdate) => void;
+  /** Sends to a few boxes, which pass it on. */
+  sendToSome: (update: RunUpdate) => void;
+  /** Servers that left lately. */
+  listLeaving: () => readonly ToldLeaving[];
 }>;
 
 /** Tells the runs of one box. */
 export type RunTeller = Readonly<{
   takeChange: (change: RunChange) => void;
   makeWhole: () => RunUpdate;
+  /** A server gets no new work: boxes that the store does not reach hear it from others. */
+  tellLeaving: (told: ToldLeaving) => void;
 }>;
 
 /** Creates the teller. */
 export const createRunTeller = (options: RunTellerOptions): RunTeller => {
-  const { clock, own, book, send } = options;
+  const { clock, own, book, send, sendToSome, listLeaving } = options;
   let pending: RunChange[] = [];
 
   const sendPending = () => {
@@ -35,6 +41,7 @@
     send({
       box: own,
       isWhole: false,
+      leaving: [],
       put: kept.flatMap(({ server, run }) => (run ? [{ server, run }] : [])),
       drop: kept.flatMap(({ server, id, run }) => (run ? [] : [{ server, id }])),
     });
@@ -45,6 +52,14 @@
       pending.push(change);
       if (pending.length === 1) clock.setTimer(GATHER_MS, sendPending);
     },
-    makeWhole: () => ({ box: own, isWhole: true, put: book.listAllRuns(), drop: [] }),
+    makeWhole: () => ({
+      box: own,
+      isWhole: true,
+      put: book.listAllRuns(),
+      drop: [],
+      leaving: listLeaving(),
+    }),
+    tellLeaving: (told) =>
+      sendToSome({ box: own, isWhole: false, put: [], drop: [], leaving: [told] }),
   };
 };
--- a/packages/peers/src/updateCodec.ts
+++ b/packages/peers/src/updateCodec.ts
@@ -18,6 +18,7 @@
   whole: z.boolean(),
   put: z.array(putSchema),
   drop: z.array(z.object({ server: z.string(), id: z.string() })),
+  leaving: z.array(z.object({ server: z.string(), gone: z.boolean() })).default([]),
 });
 
 /** Encodes an update. */
@@ -35,6 +36,10 @@
         movable: run.isMovable,
       })),
       drop: update.drop,
+      leaving: update.leaving.map(({ server, isEntryGone }) => ({
+        server,
+        gone: isEntryGone,
+      })),
     }),
   );
 
@@ -55,5 +60,9 @@
       },
     })),
     drop: update.drop.map(({ server, id }) => ({ server: server as ServerId, id })),
+    leaving: update.leaving.map(({ server, gone }) => ({
+      server: server as ServerId,
+      isEntryGone: gone,
+    })),
   };
 };
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -2,6 +2,7 @@
 export type * from "./types.js";
 export { createLoadBook } from "./loadBook.js";
 export type { KeptReport, LoadBook, PlacedAt, PlacedRun, RunChange } from "./loadBook.js";
+export { findCopiedRun, toCopyId } from "./copyId.js";
 export { computeConnectionShare } from "./computeConnectionShare.js";
 export { chooseServer, estimateEngineLoad } from "./chooseServer.js";
 export type { ChoiceInputs, EngineLoad } from "./chooseServer.js";
