--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -398,17 +398,17 @@
 
   return {
     start: async () => {
+      // What a client needs comes first: after a loss of all boxes each of them is waited for.
+      configurationFollower.start();
+      serverFollower.start();
       const clients = toHostAndPort(settings.listen.clients);
-      const peers = await peerServer.listen(peerAddress);
-      peerAddress = { ...peerAddress, port: peers };
       const ports = {
-        peers,
         clients: await clientServer.listen(clients.host, clients.port),
         ready: await listen(readyServer, settings.listen.ready),
+        peers: await peerServer.listen(peerAddress),
         metrics: await listen(metricsServer, settings.listen.metrics),
       };
-      configurationFollower.start();
-      serverFollower.start();
+      peerAddress = { ...peerAddress, port: ports.peers };
       memberFollower.start();
       membership.join();
       standbys.start();
--- a/apps/box/src/main.ts
+++ b/apps/box/src/main.ts
@@ -39,34 +39,44 @@
   return exitWith(EXIT_USAGE, `settings ${path}\n${formatSettingsFailure(parsed.val)}`);
 };
 
-const path = findPath();
-const settings = readSettings(path);
-const clock = createSystemClock();
-const log = createDecisionLog({
-  level: settings.log.level,
-  clock,
-  linesPerSecond: settings.log.linesPerSecond,
-  base: { box: settings.box },
-});
-const box = createBox({ settings, clock, log });
-const endProcess = (code: number) => {
-  log.flush();
-  process.exit(code);
-};
+/** How the process was started; it is told at the start. */
+export type StartFacts = Readonly<{
+  /** Whether the machine code that the build kept was used. */
+  keptCode: "used" | "refused" | "absent";
+}>;
 
-process.on("SIGTERM", () => void box.stop().then(() => endProcess(0)));
-process.on("SIGINT", () => void box.stop().then(() => endProcess(0)));
-watchSettings({ path, clock, log, onChanged: box.applySettings });
-process.on("uncaughtException", (error) => {
-  log.writeWarning("unexpected_error", { error: error.stack ?? error.message });
-});
-process.on("unhandledRejection", (error) => {
-  log.writeWarning("unexpected_error", { error: String(error) });
-});
+/** Runs a box until a signal ends it. */
+export const runBox = async (facts: StartFacts): Promise<void> => {
+  const path = findPath();
+  const settings = readSettings(path);
+  const clock = createSystemClock();
+  const log = createDecisionLog({
+    level: settings.log.level,
+    clock,
+    linesPerSecond: settings.log.linesPerSecond,
+    base: { box: settings.box },
+  });
+  const box = createBox({ settings, clock, log });
+  const endProcess = (code: number) => {
+    log.flush();
+    process.exit(code);
+  };
 
-try {
-  await box.start();
-} catch (error) {
-  log.flush();
-  exitWith(EXIT_FAILED, error instanceof Error ? error.message : "cannot listen");
-}
+  process.on("SIGTERM", () => void box.stop().then(() => endProcess(0)));
+  process.on("SIGINT", () => void box.stop().then(() => endProcess(0)));
+  watchSettings({ path, clock, log, onChanged: box.applySettings });
+  process.on("uncaughtException", (error) => {
+    log.writeWarning("unexpected_error", { error: error.stack ?? error.message });
+  });
+  process.on("unhandledRejection", (error) => {
+    log.writeWarning("unexpected_error", { error: String(error) });
+  });
+  log.writeNotice("starting", facts);
+
+  try {
+    await box.start();
+  } catch (error) {
+    log.flush();
+    exitWith(EXIT_FAILED, error instanceof Error ? error.message : "cannot listen");
+  }
+};
