--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -23,6 +23,7 @@
   createClientServer,
   createForwarder,
   createRetryBudget,
+  createWaitingRoom,
   type ActiveRun,
 } from "@stairgauge/forwarding";
 import {
@@ -298,6 +299,7 @@
     placer,
     budget,
     runs,
+    waitingRoom: createWaitingRoom(clock),
     runKeeper: mover,
     observer: observeForwarding({ log, metrics, keeper, clock }),
     retryAfter: settings.clients.retryAfterMs as Ms,
--- /dev/null
+++ b/packages/fleet/src/judgeExposure.test.ts
@@ -0,0 +1,119 @@
+import { beforeEach, describe, expect, it } from "vitest";
+import type { DataHallName, Ms, ServiceName } from "@stairgauge/common";
+import {
+  createServerDirectory,
+  type ServerDirectory,
+  type ServerId,
+} from "@stairgauge/directory";
+import type { ActiveRun, ClientRequestId } from "@stairgauge/forwarding";
+import {
+  createLoadBook,
+  toCopyId,
+  type LoadBook,
+  type MoveTarget,
+} from "@stairgauge/placement";
+import type { EngineTraits } from "@stairgauge/routing";
+import { createExposureJudge } from "./judgeExposure.js";
+
+const ENGINE = "engine" as ServerId;
+const OTHER = "other" as ServerId;
+const TRAITS: EngineTraits = {
+  slots: 48,
+  memoryTokens: 34_000,
+  bytesPerToken: 131_072,
+  linkMbps: 19_000,
+  canMove: true,
+  canBackUp: true,
+  copyLife: 5_000 as Ms,
+};
+
+const makePlaced = (id: string, promptTokens: number) => ({
+  id,
+  promptTokens,
+  expectedOut: 900,
+  hasBegun: true,
+  isMovable: true,
+});
+
+describe("createExposureJudge", () => {
+  let directory: ServerDirectory;
+  let book: LoadBook;
+  let targets: MoveTarget[];
+  let traits: EngineTraits | undefined;
+
+  const makeRun = (id: string, tokens = 3_500): ActiveRun => ({
+    id: id as ClientRequestId,
+    route: { isResumable: false } as ActiveRun["route"],
+    getServer: () => directory.find(ENGINE)!,
+    hasBegun: () => true,
+    getEventsMade: () => 10,
+    getTokens: () => tokens,
+    getTokensLeft: () => 500,
+  });
+  const judge = () =>
+    createExposureJudge({
+      directory,
+      book,
+      listTargets: () => targets,
+      findTraits: () => traits,
+    });
+
+  beforeEach(() => {
+    directory = createServerDirectory({
+      memory: 1_000 as Ms,
+      onEvent: () => undefined,
+    });
+    for (const id of [ENGINE, OTHER])
+      directory.put(
+        {
+          id,
+          service: "s" as ServiceName,
+          address: { host: "10.0.0.1", port: 80 },
+          dataHall: "h" as DataHallName,
+          slots: 48,
+          isLeaving: false,
+          warmUpLeft: 0 as Ms,
+        },
+        0 as Ms,
+      );
+    book = createLoadBook();
+    traits = TRAITS;
+    targets = [
+      { server: OTHER, takenTokens: 10_000, totalTokens: 34_000, isNear: false },
+    ];
+    for (const [id, tokens] of [
+      ["a", 3_000],
+      ["b", 3_200],
+      ["c", 3_400],
+    ] as const)
+      book.addRun(ENGINE, makePlaced(id, tokens));
+    book.putPeerRun("box-2", { server: ENGINE, run: makePlaced("d", 3_600) });
+  });
+
+  it("counts the runs of all boxes: the last of four in moving order is exposed", () => {
+    expect(judge().isExposed(makeRun("d"))).toBe(true);
+    expect(judge().isExposed(makeRun("a"))).toBe(false);
+  });
+
+  it("leaves out runs that have a copy elsewhere, but not the run asked about", () => {
+    book.addRun(OTHER, makePlaced(toCopyId("a"), 3_000));
+    expect(judge().isExposed(makeRun("d"))).toBe(false);
+    book.addRun(OTHER, makePlaced(toCopyId("d"), 3_600));
+    book.removeRun(OTHER, toCopyId("a"));
+    expect(judge().isExposed(makeRun("d"))).toBe(true);
+  });
+
+  it("exposes nobody where engines do not move runs, or nothing is known of them", () => {
+    traits = { ...TRAITS, canMove: false };
+    expect(judge().isExposed(makeRun("d"))).toBe(false);
+    traits = undefined;
+    expect(judge().isExposed(makeRun("d"))).toBe(false);
+    expect(judge().getCopyLife(makeRun("d"))).toBe(5_000);
+  });
+
+  it("finds an engine with memory to spare, and none when the copy would crowd it", () => {
+    expect(judge().findTarget(makeRun("d"))?.entry.id).toBe(OTHER);
+    targets = [{ server: OTHER, takenTokens: 19_000, totalTokens: 34_000, isNear: true }];
+    expect(judge().findTarget(makeRun("d"))).toBeUndefined();
+  });
+});
--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -4,6 +4,7 @@
  */
 import type { Ms, Timer } from "@stairgauge/common";
 import type { BackendServer, ServerId } from "@stairgauge/directory";
+import type { PlacementDecision } from "@stairgauge/placement";
 import type { ActiveRun, RunContinuation } from "./activeRuns.js";
 import { computeDemand, TOKENS_PER_EVENT } from "./computeDemand.js";
 import { decideNext, judgeAttempt, mayRepeat, type AttemptEnd } from "./decideNext.js";
@@ -23,9 +24,17 @@
 /** An answer longer than this is passed on as it comes, since it cannot be held. */
 const HELD_ANSWER_BYTES = 512 * 1024;
 
+/** Share of an engine's memory that may be spoken for, outputs to come included, before newcomers wait. */
+const FULL_MEMORY = 0.95;
+
+/** Share of the time to the first answer that a request may wait for room: the rest is for its prompt. */
+const WAIT_SHARE = 0.4;
+
 /** Continuations of one run after which it counts as lost. */
 const MAX_CONTINUATIONS = 12;
 
+type PlacedDecision = Extract<PlacementDecision, { kind: "placed" }>;
+
 /** A call that can be told that its client has left. */
 export type DispatchedCall = Readonly<{ clientLeft: () => void }>;
 
@@ -72,9 +81,11 @@
     current?.release();
     current = undefined;
   };
+  let leaveRoom = () => {};
   const finish = () => {
     if (isOver) return;
     isOver = true;
+    leaveRoom();
     limitTimer.cancel();
     dropAttempt();
     if (!run) return;
@@ -341,11 +352,43 @@
   const attemptNext = () => {
     if (isOver) return;
     const decision = placer.choose(service, demand, tried);
-    if (decision.kind === "no_server") {
-      if (mayHaveRun && !mayRepeat(route)) answerUnknown("no server is left");
-      else answerNotRun("no server is known that may take it");
+    if (decision.kind === "placed") {
+      sendTo(decision);
+      return;
+    }
+    if (mayHaveRun && !mayRepeat(route)) answerUnknown("no server is left");
+    else answerNotRun("no server is known that may take it");
+  };
+
+  /** Places the request for the first time, at once or when an engine has room for it. */
+  const attemptFirst = () => {
+    const decision = placer.choose(service, demand, tried);
+    const memoryAfter = (decision.kind === "placed" && decision.memoryAfter) || 0;
+    const tier = workspace?.tier ?? route.tier;
+    const { waitingRoom } = deps;
+    if (
+      memoryAfter <= FULL_MEMORY &&
+      !(demand.tokens && waitingRoom.hasAhead(service, tier))
+    ) {
+      attemptNext();
       return;
     }
+    tell({ kind: "waits", memoryAfter, waiting: waitingRoom.count() });
+    leaveRoom = waitingRoom.add({
+      service,
+      tier,
+      until: (receivedAt + route.firstAnswerAim * WAIT_SHARE) as Ms,
+      attempt: () => {
+        const found = placer.choose(service, demand, tried);
+        const fits = found.kind === "placed" && (found.memoryAfter ?? 0) <= FULL_MEMORY;
+        if (fits) sendTo(found);
+        return fits;
+      },
+      placeAnyway: attemptNext,
+    });
+  };
+
+  const sendTo = (decision: PlacedDecision) => {
     const { server, reason, load, reportAge, candidates } = decision;
     tried.add(server.entry.id);
     const attempt = attemptsSent + 1;
@@ -415,7 +458,7 @@
   };
 
   budget.recordRequest(service, receivedAt);
-  attemptNext();
+  attemptFirst();
 
   return {
     clientLeft: () => {
--- a/packages/forwarding/src/forwarderTypes.ts
+++ b/packages/forwarding/src/forwarderTypes.ts
@@ -10,6 +10,7 @@
 } from "@stairgauge/routing";
 import type { ActiveRun, ActiveRuns, RunKeeper } from "./activeRuns.js";
 import type { ClientAnswer } from "./clientAnswer.js";
+import type { WaitingRoom } from "./waitingRoom.js";
 import type { RetryBudget } from "./retryBudget.js";
 import type { HeadCodec, RequestHead } from "./types.js";
 
@@ -32,6 +33,8 @@
       reportAge: Ms | undefined;
       candidates: number;
     }
+  /** Every engine is full: it waits at the box for room. */
+  | { kind: "waits"; memoryAfter: number; waiting: number }
   | { kind: "retry"; server: ServerId; reason: string; detail: string }
   | { kind: "continued"; from: ServerId; to: ServerId; events: number }
   | { kind: "continuation_refused"; to: ServerId; detail: string }
@@ -86,6 +89,7 @@
   placer: Placer;
   budget: RetryBudget;
   runs: ActiveRuns;
+  waitingRoom: WaitingRoom;
   runKeeper: RunKeeper;
   observer: ForwardObserver;
   /** When a refused client should come back. */
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -23,4 +23,6 @@
 export { createRetryBudget } from "./retryBudget.js";
 export type { RetryBudget, RetryBudgetLimits } from "./retryBudget.js";
 export { computeClientConnections } from "./computeClientConnections.js";
+export { createWaitingRoom } from "./waitingRoom.js";
+export type { Waiting, WaitingRoom } from "./waitingRoom.js";
 export { computeSlackShare } from "./computeSlackShare.js";
--- /dev/null
+++ b/packages/forwarding/src/waitingRoom.test.ts
@@ -0,0 +1,102 @@
+import { beforeEach, describe, expect, it } from "vitest";
+import {
+  createVirtualClock,
+  type Ms,
+  type ServiceName,
+  type VirtualClock,
+} from "@stairgauge/common";
+import { createWaitingRoom, type WaitingRoom } from "./waitingRoom.js";
+
+const WRITERS = "writers" as ServiceName;
+
+describe("createWaitingRoom", () => {
+  let clock: VirtualClock;
+  let room: WaitingRoom;
+  let free: number;
+  let placed: string[];
+
+  beforeEach(() => {
+    clock = createVirtualClock();
+    room = createWaitingRoom(clock);
+    free = 0;
+    placed = [];
+  });
+
+  const add = (
+    name: string,
+    tier = 1,
+    changes: { service?: string; wait?: number } = {},
+  ) =>
+    room.add({
+      service: (changes.service ?? WRITERS) as ServiceName,
+      tier,
+      until: (clock.monotonic() + (changes.wait ?? 1_000)) as Ms,
+      attempt: () => {
+        if (free === 0) return false;
+        free -= 1;
+        placed.push(name);
+        return true;
+      },
+      placeAnyway: () => placed.push(`${name} anyway`),
+    });
+  const advance = (duration: number) => clock.advance(duration as Ms);
+
+  it("places by rank, and by arrival within a rank, as room comes", () => {
+    add("first");
+    add("second");
+    add("urgent", 0);
+    advance(100);
+    expect(placed).toEqual([]);
+    free = 2;
+    advance(30);
+    expect(placed).toEqual(["urgent", "first"]);
+    free = 1;
+    advance(30);
+    expect(placed).toEqual(["urgent", "first", "second"]);
+    expect(room.count()).toBe(0);
+  });
+
+  it("places each when its time is up, whether there is room or not", () => {
+    add("first", 1, { wait: 200 });
+    add("second", 1, { wait: 400 });
+    advance(240);
+    expect(placed).toEqual(["first anyway"]);
+    advance(200);
+    expect(placed).toEqual(["first anyway", "second anyway"]);
+  });
+
+  it("tells a newcomer whom it would pass", () => {
+    add("first", 1);
+    expect(room.hasAhead(WRITERS, 1)).toBe(true);
+    expect(room.hasAhead(WRITERS, 0)).toBe(false);
+    expect(room.hasAhead("others" as ServiceName, 5)).toBe(false);
+  });
+
+  it("lets one go that has left, and sets no timer for nobody", () => {
+    const leave = add("first");
+    leave();
+    free = 1;
+    advance(100);
+    expect(placed).toEqual([]);
+    expect(clock.getNextAt()).toBeUndefined();
+  });
+
+  it("keeps the services apart", () => {
+    const others = "others" as ServiceName;
+    let hasRoom = false;
+    room.add({
+      service: others,
+      tier: 0,
+      until: 1_000 as Ms,
+      attempt: () => hasRoom,
+      placeAnyway: () => placed.push("other"),
+    });
+    add("mine", 5);
+    free = 1;
+    advance(30);
+    expect(placed).toEqual(["mine"]);
+    hasRoom = true;
+    advance(30);
+    expect(room.count()).toBe(0);
+  });
+});
--- /dev/null
+++ b/packages/migration/src/standbyKeeper.test.ts
@@ -0,0 +1,186 @@
+import { beforeEach, describe, expect, it } from "vitest";
+import {
+  advanceSettled,
+  createVirtualClock,
+  type DataHallName,
+  type Ms,
+  type ServiceName,
+  type VirtualClock,
+} from "@stairgauge/common";
+import type { BackendServer, ServerId } from "@stairgauge/directory";
+import type { ActiveRun, ClientRequestId } from "@stairgauge/forwarding";
+import { createStandbyKeeper, type CopyAnswer, type StandbyKeeper } from "./index.js";
+
+const makeServer = (id: string): BackendServer => ({
+  entry: {
+    id: id as ServerId,
+    service: "s" as ServiceName,
+    address: { host: `host-${id}`, port: 80 },
+    dataHall: "h" as DataHallName,
+    slots: 4,
+    isLeaving: false,
+    warmUpLeft: 0 as Ms,
+  },
+  leaving: undefined,
+});
+
+const SOURCE = makeServer("source");
+const TARGET = makeServer("target");
+const COPY_TIME_MS = 100;
+
+const makeRun = (id: string): ActiveRun => ({
+  id: id as ClientRequestId,
+  route: { isResumable: false } as ActiveRun["route"],
+  getServer: () => SOURCE,
+  hasBegun: () => true,
+  getEventsMade: () => 10,
+  getTokens: () => 3_000,
+  getTokensLeft: () => 500,
+});
+
+describe("createStandbyKeeper", () => {
+  let clock: VirtualClock;
+  let keeper: StandbyKeeper;
+  let runs: ActiveRun[];
+  let isExposed: boolean;
+  let leaving: Set<BackendServer>;
+  let answers: CopyAnswer[];
+  let copied: string[];
+  let dropped: string[];
+  let reserved: number;
+  let told: string[];
+  const run = makeRun("r1");
+
+  beforeEach(() => {
+    clock = createVirtualClock();
+    runs = [run];
+    isExposed = true;
+    leaving = new Set();
+    answers = [];
+    copied = [];
+    dropped = [];
+    reserved = 0;
+    told = [];
+    keeper = createStandbyKeeper({
+      clock,
+      actions: {
+        copyRun: ({ id, isLast }) => {
+          copied.push(`${id}${isLast ? " last" : ""}`);
+          const answer = answers.shift() ?? {
+            kind: "copied",
+            handle: `h-${id}`,
+            eventsMade: 10,
+          };
+          return new Promise((resolve) => {
+            clock.setTimer(COPY_TIME_MS as Ms, () => resolve(answer));
+          });
+        },
+        dropCopy: (_engine, handle) => {
+          dropped.push(handle);
+          return Promise.resolve();
+        },
+      },
+      listRuns: () => runs,
+      isExposed: () => isExposed,
+      isLeaving: (server) => leaving.has(server),
+      findTarget: () => TARGET,
+      reserve: () => {
+        reserved += 1;
+        return () => {
+          reserved -= 1;
+        };
+      },
+      getCopyLife: () => 5_000 as Ms,
+      onDecision: (_run, { kind }) => told.push(kind),
+    });
+    keeper.start();
+  });
+
+  const advance = (duration: number) => advanceSettled(clock, duration as Ms);
+
+  it("copies an exposed run once, without stopping it, and hands the copy over", async () => {
+    await advance(1_000);
+    expect(copied).toEqual(["r1"]);
+    expect(reserved).toBe(1);
+    const standby = await keeper.take(run);
+    expect(standby?.copy).toEqual({
+      server: TARGET,
+      memory: { source: SOURCE.entry.address, handle: "h-r1" },
+    });
+    standby?.release();
+    expect(reserved).toBe(0);
+    expect(await keeper.take(run)).toBeUndefined();
+  });
+
+  it("copies no run that the link would carry", async () => {
+    isExposed = false;
+    await advance(2_000);
+    expect(copied).toEqual([]);
+  });
+
+  it("brings a copy up to date before its engine drops it, as long as it is needed", async () => {
+    await advance(4_500);
+    expect(copied).toEqual(["r1", "r1"]);
+    isExposed = false;
+    await advance(4_000);
+    expect(copied).toHaveLength(2);
+    expect(dropped).toEqual(["h-r1"]);
+    expect(reserved).toBe(0);
+  });
+
+  it("frees a copy whose run has ended", async () => {
+    await advance(1_000);
+    keeper.drop(run);
+    expect(dropped).toEqual(["h-r1"]);
+    expect(reserved).toBe(0);
+  });
+
+  it("frees a copy whose run ended while it was made", async () => {
+    await advance(450);
+    runs = [];
+    await advance(100);
+    expect(dropped).toEqual(["h-r1"]);
+    expect(await keeper.take(run)).toBeUndefined();
+  });
+
+  it("waits for a copy under way when its run has to move", async () => {
+    await advance(450);
+    runs = [];
+    const taken = keeper.take(run);
+    await advance(100);
+    expect((await taken)?.copy.memory.handle).toBe("h-r1");
+    expect(dropped).toEqual([]);
+  });
+
+  it("gives no copy whose own engine goes, and makes another", async () => {
+    await advance(1_000);
+    leaving.add(TARGET);
+    expect(await keeper.take(run)).toBeUndefined();
+    expect(dropped).toEqual(["h-r1"]);
+    expect(told).toContain("standby_dropped");
+  });
+
+  it("gives the room back when the target has none, and tries again later", async () => {
+    answers = [{ kind: "no_room", handle: undefined }];
+    await advance(550);
+    expect(reserved).toBe(0);
+    expect(told).toEqual(["standby_begun", "standby_failed"]);
+    await advance(1_000);
+    expect(reserved).toBe(1);
+  });
+
+  it("gives a copy up that could not be brought up to date for its whole life", async () => {
+    await advance(1_000);
+    answers = Array.from({ length: 20 }, () => ({ kind: "no_answer", detail: "silent" }));
+    await advance(6_000);
+    expect(dropped).toContain("h-r1");
+  });
+
+  it("makes one copy at a time", async () => {
+    runs = [run, makeRun("r2"), makeRun("r3")];
+    await advance(450);
+    expect(copied).toEqual(["r1"]);
+    await advance(100);
+    expect(copied).toEqual(["r1", "r2"]);
+  });
+});
--- a/packages/placement/src/chooseServer.ts
+++ b/packages/placement/src/chooseServer.ts
@@ -99,6 +99,7 @@
 type Scored = Readonly<{
   server: BackendServer;
   load: number;
+  memoryAfter: number | undefined;
   reportAge: Ms | undefined;
 }>;
 
@@ -109,15 +110,22 @@
   return {
     server,
     load: (open + 1) / Math.max(1, entry.slots) + way,
+    memoryAfter: undefined,
     reportAge: undefined,
   };
 };
 
 const scoreEngine = (server: BackendServer, inputs: ChoiceInputs): Scored => {
-  const { book, now, random } = inputs;
+  const { book, now, random, demand } = inputs;
+  const needed = (demand.tokens?.prompt ?? 0) + (demand.tokens?.expectedOut ?? 0);
   const { taken, backlog, total, reportAge } = estimateEngineLoad(server, book, now);
   const jitter = random.nextFloat() * LOAD_JITTER;
-  return { server, load: (taken + BACKLOG_WEIGHT * backlog) / total + jitter, reportAge };
+  return {
+    server,
+    load: (taken + BACKLOG_WEIGHT * backlog) / total + jitter,
+    memoryAfter: (taken + needed) / total,
+    reportAge,
+  };
 };
 
 const pickLeast = (scored: readonly Scored[], random: Random): Scored | undefined => {
--- a/packages/placement/src/rankTargets.ts
+++ b/packages/placement/src/rankTargets.ts
@@ -32,6 +32,9 @@
 /** Beyond this a target that is full would be preferred. */
 const MOST_PRESSURE = 2;
 
+/** Load up to which nearness counts: beyond it the runs that are there already would pay for it. */
+const CROWDED_LOAD = 0.85;
+
 /** Load beyond which a target probably refuses the copy. */
 const FULL_LOAD = 0.97;
 
@@ -46,9 +49,10 @@
 const computeCost = (room: Room, tokens: number, pressure: number): number => {
   const load = computeLoad(room, tokens);
   const fullness = load > FULL_LOAD ? 1 : 0;
+  if (!room.target.isNear || load > CROWDED_LOAD) return load + fullness;
   const nearWorth =
     NEAR_WORTH + NEAR_WORTH_UNDER_PRESSURE * Math.min(MOST_PRESSURE, pressure);
-  return load + fullness - (room.target.isNear ? nearWorth : 0);
+  return load + fullness - nearWorth;
 };
 
 /**
--- a/packages/placement/src/types.ts
+++ b/packages/placement/src/types.ts
@@ -48,6 +48,8 @@
       reason: PlacementReason;
       /** Load that the choice saw at the server chosen: requests a slot, or share of memory taken. */
       load: number;
+      /** Share of the engine's memory that would be spoken for with the request; none for plain servers. */
+      memoryAfter: number | undefined;
       /** Age of the report that the load rests on. */
       reportAge: Ms | undefined;
       candidates: number;
