feat: generations wait at the box while every engine is full; a silent server is left where the request may run again

And a server that takes a request and says nothing was waited for until the route's time, or the client's patience, was over. Change: forwarding/waitingRoom and placeWithRoom: by rank, then by arrival, at most 0.4 of the time to the first answer. forwarding/watchSilence: 2.5 times the aim for plain requests; for generations that may be resumed once the aim, if the engine does not answer for its report either; the repeat is taken from the budget or not made. dispatchCall and createBox are split by topic (buildExchangeRequest, createActiveRun, planMoves).

--- a/apps/box/src/box.test.ts
+++ b/apps/box/src/box.test.ts
@@ -350,6 +350,56 @@
     });
   });
 
+  it("asks another server when one is silent, where the request may run again", async () => {
+    const { site, ports, lines, start } = await startSite(0, 2);
+    await start();
+    for (const service of site.services) service.setFaults(["silent"]);
+    const answer = ask(ports, { path: "/again/x" });
+    await waitFor(() => site.services.some((service) => service.countSilent() === 1));
+    for (const service of site.services)
+      if (service.countSilent() === 0) service.setFaults([]);
+    expect((await answer).status).toBe(200);
+    expect(lines.filter(({ reason }) => reason === "silent")).toHaveLength(1);
+  });
+
+  it("waits for a silent server when the request may run once only", async () => {
+    const { site, ports, lines, start } = await startSite(0, 2);
+    await start();
+    for (const service of site.services) service.setFaults(["silent"]);
+    const answer = await ask(ports, {
+      path: "/once/x",
+      headers: { "Deadline-Ms": "900" },
+    });
+    expect(answer.status).toBe(504);
+    expect(site.services.flatMap((service) => service.listReceived())).toHaveLength(1);
+    expect(lines.filter(({ event }) => event === "retry")).toEqual([]);
+  });
+
+  it("runs streams that may be resumed elsewhere when their engine has fallen silent", async () => {
+    const { site, ports, lines, start } = await startSite(2, 0);
+    await start();
+    site.engines[0]!.freeze();
+    const answers = await Promise.all(
+      [1, 2, 3, 4].map((index) =>
+        ask(ports, {
+          path: "/verdict/x",
+          id: `r-${index}`,
+          headers: makeGeneration(500, 8),
+        }),
+      ),
+    );
+    expect(answers.map(({ status, isWhole }) => [status, isWhole])).toEqual(
+      Array.from({ length: 4 }, () => [200, true]),
+    );
+    expect(lines.some(({ reason }) => reason === "silent")).toBe(true);
+    expect(site.engines[1]!.listStarted().toSorted()).toEqual([
+      "r-1",
+      "r-2",
+      "r-3",
+      "r-4",
+    ]);
+  });
+
   it("never lets a stream look whole whose engine died without notice", async () => {
     const { site, ports, lines, start } = await startSite(2, 0);
     await start();
--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -12,6 +12,7 @@
 import {
   createConfigurationSink,
   createExposureJudge,
+  createMovePlanner,
   createPlacer,
   createReportPoller,
   createServerSink,
@@ -24,15 +25,8 @@
   createForwarder,
   createRetryBudget,
   createWaitingRoom,
-  type ActiveRun,
 } from "@stairgauge/forwarding";
-import {
-  computePressure,
-  createRunMover,
-  createStandbyKeeper,
-  listRunsToMove,
-  planEvacuation,
-} from "@stairgauge/migration";
+import { createRunMover, createStandbyKeeper } from "@stairgauge/migration";
 import {
   applyUpdate,
   createMembership,
@@ -40,11 +34,7 @@
   createPeerServer,
   createRunTeller,
 } from "@stairgauge/peers";
-import {
-  computeConnectionShare,
-  createLoadBook,
-  rankTargets,
-} from "@stairgauge/placement";
+import { computeConnectionShare, createLoadBook } from "@stairgauge/placement";
 import {
   BOX_TABLE,
   CONFIGURATION_KEY,
@@ -226,30 +216,21 @@
         keeper.getIndex()?.findService(service)?.maxConnections,
         mostBoxesSeen,
       ),
+    isAlive: async (server) => (await reports.ask(server)) !== undefined,
     onClosingAnnounced: (server) => {
       if (!server.leaving && isEngineService(server.entry.service))
         void reports.ask(server);
     },
   });
-  const makePlan = async (server: BackendServer) => {
-    const noticedAt = clock.monotonic();
-    const report = await reports.ask(server);
-    const { id } = server.entry;
-    const placed = [...book.listRuns(id), ...book.listPeerRuns(id)];
-    const runs = listRunsToMove(placed, report);
-    log.writeDecision("evacuation", { server: id, runs: runs.length });
-    const targets = placer.listTargets(server);
-    return planEvacuation({ noticedAt, runs, targets, link: findLink(server) });
-  };
-  const rankNow = (server: BackendServer, run: ActiveRun) => {
-    const one = {
-      id: run.id,
-      tokensInMemory: run.getTokens(),
-      tokensLeft: run.getTokensLeft(),
-    };
-    const pressure = computePressure([one], findLink(server));
-    return rankTargets([one], placer.listTargets(server), pressure).get(run.id) ?? [];
-  };
+  const planner = createMovePlanner({
+    clock,
+    book,
+    reports,
+    listTargets: placer.listTargets,
+    findLink,
+    onPlanned: (server, count) =>
+      log.writeDecision("evacuation", { server: server.entry.id, runs: count }),
+  });
   const exposure = createExposureJudge({
     directory,
     book,
@@ -277,8 +258,7 @@
     clock,
     actions,
     isLeaving: placer.isLeaving,
-    makePlan,
-    rankNow,
+    ...planner,
     takeStandby: standbys.take,
     dropStandby: standbys.drop,
     findServer: directory.find,
--- a/packages/fleet/src/createPlacer.ts
+++ b/packages/fleet/src/createPlacer.ts
@@ -21,6 +21,7 @@
   /** This box's part of the connections that one server of a service takes from all callers. */
   getConnectionShare: (service: ServiceName) => number;
   onClosingAnnounced: (server: BackendServer) => void;
+  isAlive: (server: BackendServer) => Promise<boolean>;
 }>;
 
 /** Places requests, and finds targets for runs that move. */
@@ -91,6 +92,11 @@
       };
     },
     isLeaving: (server) => isLeaving(directory, server),
+    isAlive: async (server) => {
+      const answers = await options.isAlive(server);
+      if (!answers) suspects.add(server.entry.id, clock.monotonic());
+      return answers;
+    },
     onAddressReused: (server) =>
       directory.mark(server.entry.id, "address_reused", clock.monotonic()),
     onUnreachable: (server) => suspects.add(server.entry.id, clock.monotonic()),
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -7,5 +7,7 @@
 export type { FleetPlacer, PlacerOptions } from "./createPlacer.js";
 export { createExposureJudge } from "./judgeExposure.js";
 export type { ExposureJudge, ExposureJudgeOptions } from "./judgeExposure.js";
+export { createMovePlanner } from "./planMoves.js";
+export type { MovePlanner, MovePlannerOptions } from "./planMoves.js";
 export { createReportPoller } from "./pollReports.js";
 export type { ReportPoller, ReportPollerOptions } from "./pollReports.js";
--- a/packages/forwarding/src/activeRuns.ts
+++ b/packages/forwarding/src/activeRuns.ts
@@ -1,6 +1,9 @@
 /** Streams that this box relays, by request and by the server that makes them. */
 import type { BackendServer, ServerId } from "@stairgauge/directory";
+import type { Demand } from "@stairgauge/placement";
 import type { Route } from "@stairgauge/routing";
+import { TOKENS_PER_EVENT } from "./computeDemand.js";
+import type { StreamRelay } from "./streamRelay.js";
 import type { ClientRequestId, RunMemory } from "./types.js";
 
 /** One stream under way. */
@@ -46,6 +49,36 @@
   count: () => number;
 }>;
 
+/** What a stream under way is made of. */
+export type ActiveRunParts = Readonly<{
+  id: ClientRequestId;
+  route: Route;
+  demand: Demand;
+  relay: Pick<StreamRelay, "hasBegun" | "getEvents">;
+  /** The server that makes it now; none while it is between two. */
+  findServer: () => BackendServer | undefined;
+  first: BackendServer;
+}>;
+
+/** Creates the view of a stream that those who move it have. */
+export const createActiveRun = (parts: ActiveRunParts): ActiveRun => {
+  const { id, route, demand, relay, findServer, first } = parts;
+  let server = first;
+  const getMade = () => relay.getEvents() * TOKENS_PER_EVENT;
+  return {
+    id,
+    route,
+    getServer: () => {
+      server = findServer() ?? server;
+      return server;
+    },
+    hasBegun: relay.hasBegun,
+    getEventsMade: relay.getEvents,
+    getTokens: () => (demand.tokens?.prompt ?? 0) + getMade(),
+    getTokensLeft: () => Math.max(0, (demand.tokens?.expectedOut ?? 0) - getMade()),
+  };
+};
+
 /** Creates an empty collection. */
 export const createActiveRuns = (): ActiveRuns => {
   const runs = new Set<ActiveRun>();
--- a/packages/forwarding/src/decideNext.ts
+++ b/packages/forwarding/src/decideNext.ts
@@ -1,6 +1,11 @@
 /** What follows an attempt at a server: the answer is passed on, another server is tried, or the system answers itself. Pure. */
 import type { Route } from "@stairgauge/routing";
-import type { AnswerHead, ClientRequestId, ExchangeFailure } from "./types.js";
+import type {
+  AnswerHead,
+  ClientRequestId,
+  ExchangeFailure,
+  RequestHead,
+} from "./types.js";
 
 /** How one attempt ended before anything of it went to the client. */
 export type AttemptEnd = Readonly<
@@ -54,6 +59,20 @@
   return head.status >= 500 ? "ran_and_failed" : "final";
 };
 
+/** Says how an attempt ended, for logs and reasons. */
+export const describeEnd = (end: AttemptEnd): string =>
+  end.kind === "answered" ? `status ${end.head.status}` : end.failure.detail;
+
+/** Whether an answer is the stream that the request asked for, passed on event by event. */
+export const isStreamOf = (
+  { head, route }: Readonly<{ head: RequestHead; route: Route }>,
+  answer: AnswerHead,
+): boolean =>
+  route.kind === "stream" &&
+  answer.isEventStream &&
+  answer.status === 200 &&
+  judgeAttempt({ kind: "answered", head: answer }, head.id) === "final";
+
 /** What the next step depends on beside the verdict. */
 export type StepInputs = Readonly<{
   end: AttemptEnd;
--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -5,18 +5,29 @@
 import type { Ms, Timer } from "@stairgauge/common";
 import type { BackendServer, ServerId } from "@stairgauge/directory";
 import type { PlacementDecision } from "@stairgauge/placement";
-import type { ActiveRun, RunContinuation } from "./activeRuns.js";
-import { computeDemand, TOKENS_PER_EVENT } from "./computeDemand.js";
-import { decideNext, judgeAttempt, mayRepeat, type AttemptEnd } from "./decideNext.js";
+import { createActiveRun, type ActiveRun, type RunContinuation } from "./activeRuns.js";
+import { createAttempt, type Attempt } from "./attempt.js";
+import { buildExchangeRequest } from "./buildExchangeRequest.js";
+import { computeDemand } from "./computeDemand.js";
+import {
+  decideNext,
+  describeEnd,
+  isStreamOf,
+  judgeAttempt,
+  mayRepeat,
+  type AttemptEnd,
+} from "./decideNext.js";
 import type {
   AdmittedRequest,
   ForwardDecision,
   ForwarderDeps,
 } from "./forwarderTypes.js";
-import { openExchange, type Exchange } from "./openExchange.js";
+import { openExchange } from "./openExchange.js";
+import { placeWithRoom } from "./placeWithRoom.js";
 import { sendOwnAnswer } from "./sendOwnAnswer.js";
 import { createStreamRelay } from "./streamRelay.js";
 import type { AnswerHead, DispatchTerms, ExchangeFailure } from "./types.js";
+import { watchSilence } from "./watchSilence.js";
 
 /** Attempts that never reached a server before the request is given up. */
 const MAX_UNREACHED = 3;
@@ -24,12 +35,6 @@
 /** An answer longer than this is passed on as it comes, since it cannot be held. */
 const HELD_ANSWER_BYTES = 512 * 1024;
 
-/** Share of an engine's memory that may be spoken for, outputs to come included, before newcomers wait. */
-const FULL_MEMORY = 0.95;
-
-/** Share of the time to the first answer that a request may wait for room: the rest is for its prompt. */
-const WAIT_SHARE = 0.4;
-
 /** Continuations of one run after which it counts as lost. */
 const MAX_CONTINUATIONS = 12;
 
@@ -38,30 +43,13 @@
 /** A call that can be told that its client has left. */
 export type DispatchedCall = Readonly<{ clientLeft: () => void }>;
 
-type Attempt = {
-  readonly server: BackendServer;
-  exchange: Exchange | undefined;
-  head: AnswerHead | undefined;
-  reason: string;
-  isStream: boolean;
-  readonly chunks: Buffer[];
-  held: number;
-  readonly release: () => void;
-};
-
-const canStream = (request: AdmittedRequest, head: AnswerHead): boolean =>
-  request.route.kind === "stream" &&
-  head.isEventStream &&
-  judgeAttempt({ kind: "answered", head }, request.head.id) === "final" &&
-  head.status === 200;
-
 /** Dispatches a request; it always ends in one final answer, or with the client gone. */
 export const dispatchCall = (
   deps: ForwarderDeps,
   request: AdmittedRequest,
 ): DispatchedCall => {
   const { clock, codec, placer, budget, runs, runKeeper, observer } = deps;
-  const { head, body, route, workspace, service, answer, receivedAt, endsAt } = request;
+  const { head, route, service, answer, receivedAt, endsAt } = request;
   const demand = computeDemand(request);
   const tried = new Set<ServerId>();
   let attemptsSent = 0;
@@ -78,6 +66,7 @@
 
   const dropAttempt = () => {
     current?.exchange?.cancel();
+    current?.silence?.cancel();
     current?.release();
     current = undefined;
   };
@@ -127,60 +116,32 @@
   });
   answer.onDrain(() => current?.exchange?.resume());
 
-  const createRun = (): ActiveRun => {
-    let server = current!.server;
-    const getMade = () => relay.getEvents() * TOKENS_PER_EVENT;
-    return {
-      id: head.id!,
-      route,
-      getServer: () => {
-        server = current?.server ?? server;
-        return server;
-      },
-      hasBegun: relay.hasBegun,
-      getEventsMade: relay.getEvents,
-      getTokens: () => (demand.tokens?.prompt ?? 0) + getMade(),
-      getTokensLeft: () => Math.max(0, (demand.tokens?.expectedOut ?? 0) - getMade()),
-    };
-  };
-
   const startRun = () => {
     if (run || head.id === undefined) return;
-    run = createRun();
+    run = createActiveRun({
+      id: head.id,
+      route,
+      demand,
+      relay,
+      findServer: () => current?.server,
+      first: current!.server,
+    });
     runs.add(run);
   };
 
-  const openAt = (server: BackendServer, terms: Partial<DispatchTerms>): Attempt => {
-    const attempt: Attempt = {
-      server,
-      exchange: undefined,
-      head: undefined,
-      reason: "",
-      isStream: false,
-      chunks: [],
-      held: 0,
-      release: placer.place(server, head, demand),
-    };
+  const openAt = (
+    server: BackendServer,
+    continuation?: DispatchTerms["continuation"],
+  ): Attempt => {
+    const attempt = createAttempt(server, placer.place(server, head, demand));
     current = attempt;
-    const headers = codec.encodeDispatch(head, {
-      server: server.entry.id,
-      timeLeft: Math.max(0, endsAt - getNow()) as Ms,
-      workspace: workspace?.name,
-      bodyLength:
-        body.length > 0 || head.contentLength !== undefined ? body.length : undefined,
-      enginePriority: demand.tokens && (workspace?.tier ?? route.tier),
-      continuation: undefined,
-      ...terms,
+    const exchangeRequest = buildExchangeRequest(deps, clock, request, {
+      server,
+      demand,
+      continuation,
     });
-    const exchangeRequest = {
-      address: server.entry.address,
-      method: head.method,
-      target: head.target,
-      headers,
-      body,
-      connectLimit: deps.connectLimit,
-    };
     const isCurrent = () => current === attempt && !isOver;
+    if (!continuation) attempt.silence = watchAttempt(attempt);
     attempt.exchange = openExchange(clock, exchangeRequest, {
       onHead: (status, raw, reason) => {
         if (isCurrent()) takeHead(attempt, codec.decodeAnswer(status, raw), reason);
@@ -198,10 +159,38 @@
     return attempt;
   };
 
+  /** The first attempt of a request that may run again is given up for another server's. */
+  const watchAttempt = (attempt: Attempt) => {
+    if (!mayRepeat(route)) return undefined;
+    return watchSilence({
+      clock,
+      aim: route.firstAnswerAim,
+      isGeneration: demand.tokens !== undefined,
+      isAlive: () => placer.isAlive(attempt.server),
+      onSilent: () => leaveSilent(attempt),
+    });
+  };
+  const leaveSilent = (attempt: Attempt) => {
+    if (current !== attempt || isOver) return;
+    const wasSent = attempt.exchange?.isSent() ?? false;
+    if (wasSent) attemptsSent += 1;
+    const mayGo = canRetryNow() && (attemptsSent === 0 || budget.take(service, getNow()));
+    if (!mayGo) {
+      if (wasSent) attemptsSent -= 1;
+      return;
+    }
+    mayHaveRun ||= wasSent;
+    const { id } = attempt.server.entry;
+    tell({ kind: "retry", server: id, reason: "silent", detail: "no answer" });
+    dropAttempt();
+    attemptNext();
+  };
+
   const takeHead = (attempt: Attempt, answerHead: AnswerHead, reason: string) => {
+    attempt.silence?.cancel();
     attempt.head = answerHead;
     attempt.reason = reason;
-    attempt.isStream = canStream(request, answerHead);
+    attempt.isStream = isStreamOf(request, answerHead);
     if (answerHead.isClosing) placer.onConnectionClosing(attempt.server);
     if (!attempt.isStream) return;
     relay.takeHead(answerHead.passedOn, reason);
@@ -290,9 +279,6 @@
     return placer.choose(service, demand, tried).kind === "placed";
   };
 
-  const describeEnd = (end: AttemptEnd) =>
-    end.kind === "answered" ? `status ${end.head.status}` : end.failure.detail;
-
   const conclude = (attempt: Attempt, end: AttemptEnd) => {
     if (continuations > 0) {
       refuseContinuation(attempt, end);
@@ -349,9 +335,9 @@
     finish();
   };
 
-  const attemptNext = () => {
+  const chooseNext = () => placer.choose(service, demand, tried);
+  const attemptNext = (decision = chooseNext()) => {
     if (isOver) return;
-    const decision = placer.choose(service, demand, tried);
     if (decision.kind === "placed") {
       sendTo(decision);
       return;
@@ -360,34 +346,6 @@
     else answerNotRun("no server is known that may take it");
   };
 
-  /** Places the request for the first time, at once or when an engine has room for it. */
-  const attemptFirst = () => {
-    const decision = placer.choose(service, demand, tried);
-    const memoryAfter = (decision.kind === "placed" && decision.memoryAfter) || 0;
-    const tier = workspace?.tier ?? route.tier;
-    const { waitingRoom } = deps;
-    if (
-      memoryAfter <= FULL_MEMORY &&
-      !(demand.tokens && waitingRoom.hasAhead(service, tier))
-    ) {
-      attemptNext();
-      return;
-    }
-    tell({ kind: "waits", memoryAfter, waiting: waitingRoom.count() });
-    leaveRoom = waitingRoom.add({
-      service,
-      tier,
-      until: (receivedAt + route.firstAnswerAim * WAIT_SHARE) as Ms,
-      attempt: () => {
-        const found = placer.choose(service, demand, tried);
-        const fits = found.kind === "placed" && (found.memoryAfter ?? 0) <= FULL_MEMORY;
-        if (fits) sendTo(found);
-        return fits;
-      },
-      placeAnyway: attemptNext,
-    });
-  };
-
   const sendTo = (decision: PlacedDecision) => {
     const { server, reason, load, reportAge, candidates } = decision;
     tried.add(server.entry.id);
@@ -401,7 +359,7 @@
       reportAge,
       candidates,
     });
-    openAt(server, {});
+    openAt(server);
   };
 
   /** The run's server has ended its stream: the same run goes on elsewhere, or a new one where that is allowed. */
@@ -427,7 +385,7 @@
     const { server, memory } = continuation;
     const events = relay.getEvents();
     tell({ kind: "continued", from: from.entry.id, to: server.entry.id, events });
-    openAt(server, { continuation: { lastEventId: relay.getLastEventId(), memory } });
+    openAt(server, { lastEventId: relay.getLastEventId(), memory });
   };
 
   /** Where the route allows it, a new run of another server goes on after the last whole event. */
@@ -438,9 +396,7 @@
     if (decision.kind === "no_server") return false;
     attemptsSent += 1;
     tried.add(decision.server.entry.id);
-    openAt(decision.server, {
-      continuation: { lastEventId: relay.getLastEventId(), memory: undefined },
-    });
+    openAt(decision.server, { lastEventId: relay.getLastEventId(), memory: undefined });
     return true;
   };
 
@@ -458,7 +414,11 @@
   };
 
   budget.recordRequest(service, receivedAt);
-  attemptFirst();
+  leaveRoom = placeWithRoom(deps, request, {
+    choose: chooseNext,
+    place: attemptNext,
+    tell,
+  });
 
   return {
     clientLeft: () => {
--- a/packages/forwarding/src/forwarderTypes.ts
+++ b/packages/forwarding/src/forwarderTypes.ts
@@ -76,6 +76,8 @@
   onAddressReused: (server: BackendServer) => void;
   /** No connection came up: the server may be dead, though its entry still stands. */
   onUnreachable: (server: BackendServer) => void;
+  /** Whether a server answers anything at all, asked now. */
+  isAlive: (server: BackendServer) => Promise<boolean>;
   /** An answer announced the end of its connection, which a leaving server does. */
   onConnectionClosing: (server: BackendServer) => void;
 }>;
--- a/packages/standins/src/usersPlatform/usersEngine.ts
+++ b/packages/standins/src/usersPlatform/usersEngine.ts
@@ -22,6 +22,8 @@
     /** Ends at once, as a reclaimed engine does: every stream breaks off, in the middle of an event. */
     crash: () => void;
     setLeaving: () => void;
+    /** Takes connections and says nothing any more, as behind a link that is cut. */
+    freeze: () => void;
     countRunning: () => number;
     /** Ids of requests that began to run here, each start once. */
     listStarted: () => readonly string[];
@@ -58,6 +60,7 @@
     const started: string[] = [];
     const reports: { at: number; body: unknown }[] = [];
     let isLeaving = false;
+    let isFrozen = false;
     let isOver = false;
 
     const countTokens = (run: Run) => run.promptTokens + run.made * TOKENS_PER_EVENT;
@@ -185,6 +188,7 @@
     };
 
     const handle = (incoming: IncomingMessage, response: ServerResponse) => {
+      if (isFrozen) return;
       const path = incoming.url ?? "/";
       if (path === SERVER_PATH.report)
         sendJson(response, 200, reports[0]?.body ?? makeReport());
@@ -211,6 +215,10 @@
       setLeaving: () => {
         isLeaving = true;
       },
+      freeze: () => {
+        isFrozen = true;
+        clearInterval(timer);
+      },
       countRunning: () => runs.size,
       listStarted: () => started,
     };
