fix: a run is stopped at its source before it goes on from its copy, whatever the source is thought to do

Cause: a box that went on from a copy of a run at a leaving engine did not ask for the stop when the stream had broken off before its own stop was sent; had only the connection been lost, the run would have gone on in two places (TWICE). Ruled out: waiting for the engine's end: it may be 1.5 s away, beyond every pause that a client bears. Change: the stop is asked for in every such case, 250 ms at most; an engine that is dead refuses the connection at once.

--- a/packages/migration/src/runMover.test.ts
+++ b/packages/migration/src/runMover.test.ts
@@ -38,7 +38,7 @@
 /** A run at `old` with two targets; `answers` are given to copy calls in turn, each after 100 ms. */
 const setUp = (
   answers: readonly CopyAnswer[],
-  changes: { isResumable?: boolean } = {},
+  changes: { isResumable?: boolean; hasStandby?: boolean } = {},
 ) => {
   const clock = createVirtualClock();
   const servers = new Map(["old", "new", "other"].map((id) => [id, makeServer(id)]));
@@ -80,7 +80,12 @@
       Promise.resolve({
         planRun: () => ({ copyAt: 0 as Ms, targets: ["new", "other"] as ServerId[] }),
       }),
-    takeStandby: () => Promise.resolve(undefined),
+    takeStandby: () => {
+      const server = servers.get("new")!;
+      const memory = { source: old.entry.address, handle: "s" };
+      const standby = { copy: { server, memory }, release: () => undefined };
+      return Promise.resolve(changes.hasStandby ? standby : undefined);
+    },
     dropStandby: () => undefined,
     rankNow: () => ["other", "new"] as ServerId[],
     reserve: () => {
@@ -208,6 +213,45 @@
     expect(await mover.recover(run, "refused")).toBeUndefined();
   });
 
+  it("stops a run at its source before it goes on from a standby copy, since only the connection may be lost", async () => {
+    const { mover, run, calls, advance } = setUp([makeCopied("s")], { hasStandby: true });
+    const found = mover.recover(run, "reset");
+    await advance(100);
+    expect(
+      calls.map(({ target, isLast, limit }) => [target.host, isLast, limit]),
+    ).toEqual([["host-new", true, 250]]);
+    expect(await found).toMatchObject({
+      server: { entry: { id: "new" } },
+      memory: { source: { host: "host-old" }, handle: "s" },
+    });
+  });
+
+  it("goes on from a standby copy when its engine is dead", async () => {
+    const lost: CopyAnswer = { kind: "no_answer", detail: "refused" };
+    const { mover, run, advance } = setUp([lost], { hasStandby: true });
+    const found = mover.recover(run, "reset");
+    await advance(100);
+    expect(await found).toMatchObject({ memory: { handle: "s" } });
+  });
+
+  it("brings a standby copy up to date when its engine leaves, and tries no other target", async () => {
+    const { mover, run, old, calls, advance } = setUp(
+      [makeCopied("s"), makeCopied("s")],
+      {
+        hasStandby: true,
+      },
+    );
+    mover.onServerLeaving(old);
+    await advance(250);
+    expect(calls.map(({ target, isLast }) => [target.host, isLast])).toEqual([
+      ["host-new", false],
+      ["host-new", true],
+    ]);
+    expect(await mover.recover(run, "stopped")).toMatchObject({
+      memory: { handle: "s" },
+    });
+  });
+
   it("frees a copy that its run did not need, and no other", async () => {
     const { mover, run, old, dropped, advance } = setUp([makeCopied("h")]);
     mover.onServerLeaving(old);
--- a/packages/migration/src/runMover.ts
+++ b/packages/migration/src/runMover.ts
@@ -264,9 +264,9 @@
     await attemptTargets(run, await createMove(run, from));
   };
 
-  /** An engine that gave no notice may have lost only its connection: the run must not go on in two places. */
+  /** An engine may have lost only its connection: the run must not go on in two places. A dead one refuses at once. */
   const confirmStopped = async (run: ActiveRun, move: Move) => {
-    if (!move.copy || move.stopping || isLeaving(move.from)) return;
+    if (!move.copy || move.stopping) return;
     await stopAtSource(run, move, move.copy.server, STOP_LIMIT_MS);
   };
 
