fix: keys that a box knows go on being accepted while the store is away, where their removal is not strict

Ruled out: the bound on keys itself is right where removal is strict; it stays as it was, and is the default. Change: a setting `bounds.isKeyRemovalStrict`. Where it is false, knowledge never expires: known keys are accepted, unknown keys and routes get 503 as before, since they may be new.

--- a/apps/box/src/box.test.ts
+++ b/apps/box/src/box.test.ts
@@ -265,6 +265,29 @@
     },
   );
 
+  it.each(["silent", "busy", "reset"] as const)(
+    "goes on with the keys it knows while the store is %s, where their removal is not strict",
+    async (mode) => {
+      const { site, ports, lines, start } = await startSite(0, 1, {
+        isKeyRemovalStrict: false,
+      });
+      await start();
+      site.store.setMode(mode);
+      const statuses = new Set<number>();
+      const isPastStrictBound = () => Number(lines.at(-1)?.["versionAgeMs"] ?? 0) > 1_300;
+      await waitFor(async () => {
+        statuses.add((await ask(ports, { path: "/once/" })).status);
+        return isPastStrictBound();
+      });
+      expect([...statuses]).toEqual([200]);
+      const unknownKey = { Authorization: "Token another" };
+      expect((await ask(ports, { path: "/once/", headers: unknownKey })).status).toBe(
+        503,
+      );
+      expect((await fetch(`http://127.0.0.1:${ports.ready}/ready`)).status).toBe(200);
+    },
+  );
+
   it("reads whole again when the store has forgotten its history, and takes no stale read", async () => {
     const { site, ports, lines, start } = await startSite();
     await start();
--- a/apps/box/src/box.testkit.ts
+++ b/apps/box/src/box.testkit.ts
@@ -24,6 +24,8 @@
 /** Changes of a box's settings. */
 export type BoxChanges = Readonly<{
   stopSeconds?: number;
+  /** Whether keys are refused once their removal may have been missed. */
+  isKeyRemovalStrict?: boolean;
   /** Further settings, as lines of the file. */
   more?: string;
 }>;
@@ -33,7 +35,7 @@
 dataHall: hall-a
 listen: { clients: "127.0.0.1:0", ready: "127.0.0.1:0", metrics: "127.0.0.1:0", peers: "127.0.0.1:0" }
 store: { address: "${store}", configurationWaitMs: 200, patienceMs: 200, firstPauseMs: 20, mostPauseMs: 50 }
-bounds: { configurationMs: 600, keyRemovalMs: 1300, leavingMs: 2000, stopSeconds: ${changes.stopSeconds ?? SHORT_STOP_SECONDS} }
+bounds: { configurationMs: 600, keyRemovalMs: 1300, isKeyRemovalStrict: ${changes.isKeyRemovalStrict ?? true}, leavingMs: 2000, stopSeconds: ${changes.stopSeconds ?? SHORT_STOP_SECONDS} }
 retries: { ratio: 0.2, slack: 160, windowSeconds: 10 }
 engines: { reportIntervalMs: 50 }
 ${changes.more ?? ""}`;
--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -94,6 +94,10 @@
 /** Older knowledge than this comes of a store that does not answer: in touch it is at most 1.3 s old. */
 const OUT_OF_TOUCH_MS = 1_500;
 
+/** How old knowledge may be by which keys are accepted. */
+const computeAcceptWithin = (bounds: BoxSettings["bounds"]): Ms =>
+  (bounds.isKeyRemovalStrict ? bounds.keyRemovalMs - KEY_MARGIN_MS : Infinity) as Ms;
+
 const toToldLeaving = ({ entry, leaving }: BackendServer) => ({
   server: entry.id,
   isEntryGone: leaving?.reason === "entry_gone",
@@ -118,7 +122,7 @@
   const metrics = createBoxMetrics();
   const keeper = createConfigurationKeeper({
     denyWithin: settings.bounds.configurationMs as Ms,
-    acceptWithin: (settings.bounds.keyRemovalMs - KEY_MARGIN_MS) as Ms,
+    acceptWithin: computeAcceptWithin(settings.bounds),
   });
   const own = settings.box as BoxName;
   const isOutOfTouch = () => keeper.getAge(clock.monotonic()) > OUT_OF_TOUCH_MS;
--- a/packages/settings/src/boxSettings.test.ts
+++ b/packages/settings/src/boxSettings.test.ts
@@ -20,6 +20,19 @@
     });
   });
 
+  it.each([
+    ["keyRemovalMs: 5000", true],
+    ["keyRemovalMs: 5000, isKeyRemovalStrict: ", true],
+    ["keyRemovalMs: 5000, isKeyRemovalStrict: true", true],
+    ["keyRemovalMs: 5000, isKeyRemovalStrict: false", false],
+  ])(
+    "takes the removal of keys as strict unless told otherwise (%s)",
+    (text, expected) => {
+      const parsed = parseBoxSettings(SOUND.replace("keyRemovalMs: 5000", text));
+      expect(parsed.ok && parsed.val.bounds.isKeyRemovalStrict).toBe(expected);
+    },
+  );
+
   it.each([
     ["retries: {", "retries: { extra: 1,", "retries.extra"],
     ['"10.1.0.1:80"', '"edge-1:80"', "listen.clients"],
--- a/packages/settings/src/boxSettings.ts
+++ b/packages/settings/src/boxSettings.ts
@@ -32,6 +32,14 @@
     configurationMs: ms,
     /** A key that was taken away is refused within this time. */
     keyRemovalMs: ms,
+    /**
+     * Whether that bound holds while the store is out of reach too; then a box accepts no key once it may be over.
+     * Otherwise callers go on being served with what the box knows. A platform without keys leaves it empty.
+     */
+    isKeyRemovalStrict: z
+      .boolean()
+      .nullish()
+      .transform((given) => given ?? true),
     /** A server that left gets no new work later than this after a box heard of it. */
     leavingMs: ms,
     /** Time between the order to stop and the end of the process. */
