feat: explain and losses: from boxes' logs to the cause of what each request met

Cause: the causes of failed requests had to be put together by hand from raw lines; which requests, when and why could not be counted. Change: a package `diagnosis` (lines, chronicle of all boxes on one time, one cause a request, picture by vega) and two commands. Lines gained the route, the time of day, the aims of an answer; reasons of refusals became a closed set; a killed box loses 0.1 s of lines, not 0.5 s.

--- a/apps/box/src/observers.ts
+++ b/apps/box/src/observers.ts
@@ -19,23 +19,43 @@
   "client_left",
 ]);
 
+/** Ends whose time is judged by the aims of the route. */
+const AIMED_ENDS: ReadonlySet<ForwardDecision["kind"]> = new Set([
+  "answered",
+  "stream_ended",
+]);
+
+/** Three digits behind the point tell a load apart; a time is told in whole microseconds at most. */
+const roundNumbers = (inputs: object): Readonly<Record<string, unknown>> =>
+  Object.fromEntries(
+    Object.entries(inputs).map(([name, value]: [string, unknown]) => [
+      name,
+      typeof value === "number" ? Math.round(value * 1000) / 1000 : value,
+    ]),
+  );
+
 /** Observes decisions about requests. */
 export const observeForwarding = (
   options: Sinks & Readonly<{ keeper: ConfigurationKeeper; clock: Clock }>,
 ): ForwardObserver => {
   const { log, metrics, keeper, clock } = options;
   return {
-    onDecision: (head, decision, sinceReceived) => {
+    onDecision: ({ head, route, sinceReceived }, decision) => {
       const { kind, ...inputs } = decision;
       metrics.decisions.inc({ kind });
       if (ENDS.has(kind))
         metrics.answerSeconds.observe({ end: kind }, sinceReceived / MS_PER_S);
       log.writeDecision(kind, {
         request: head.id,
+        route: route?.name,
         afterMs: Math.round(sinceReceived),
         version: keeper.getIndex()?.configuration.version,
         versionAgeMs: Math.round(keeper.getAge(clock.monotonic())),
-        ...inputs,
+        ...roundNumbers(inputs),
+        ...(AIMED_ENDS.has(kind) && {
+          aimMs: route?.firstAnswerAim,
+          pauseAimMs: route?.pauseAim,
+        }),
       });
     },
   };
--- a/apps/cli/src/failures.ts
+++ b/apps/cli/src/failures.ts
@@ -1,5 +1,6 @@
 /** Every failure as a sentence that says what to do, and its exit code. */
 import { assertNever } from "@stairgauge/common";
+import type { FaultCounts } from "@stairgauge/diagnosis";
 import type { OperatorFailure } from "@stairgauge/rollout";
 import {
   EXIT_FAILED,
@@ -15,6 +16,10 @@
   | { kind: "unreadable_file"; path: string; detail: string }
   | { kind: "wrong_settings"; path: string; detail: string }
   | { kind: "no_bundle" }
+  | { kind: "no_log_lines"; faults: FaultCounts }
+  | { kind: "unknown_request"; request: string }
+  | { kind: "wrong_worth"; text: string }
+  | { kind: "unwritable_file"; path: string; detail: string }
 >;
 
 /** A failure as it is shown. */
@@ -84,6 +89,22 @@
         EXIT_FAILED,
         "No bundle has been rolled out yet; propose, approve and roll out one.",
       );
+    case "no_log_lines": {
+      const { no_object, broken_object, foreign_object } = failure.faults;
+      return show(
+        EXIT_FAILED,
+        `The files hold no line of a box: ${no_object} lines without JSON, ${broken_object} broken, ${foreign_object} of something else.`,
+      );
+    }
+    case "unknown_request":
+      return show(
+        EXIT_FAILED,
+        `No line names ${failure.request}: it reached no box, or its box ended before the line was written.`,
+      );
+    case "wrong_worth":
+      return show(EXIT_USAGE, `${failure.text} is not ROUTE=NUMBER.`);
+    case "unwritable_file":
+      return show(EXIT_USAGE, `${failure.path} cannot be written: ${failure.detail}.`);
     default:
       return assertNever(failure);
   }
--- a/apps/cli/src/main.ts
+++ b/apps/cli/src/main.ts
@@ -4,8 +4,12 @@
 import {
   command,
   flag,
+  multioption,
+  array,
   option,
+  optional,
   positional,
+  restPositionals,
   runSafely,
   string,
   subcommands,
@@ -24,6 +28,7 @@
 import { createOperatorKey, createWorkspaceKey } from "./createKeys.js";
 import { EXIT_OK, EXIT_USAGE } from "./exitCodes.js";
 import { readText, withSite } from "./openSite.js";
+import { explainLogs, sumUpLosses } from "./diagnose.js";
 import { printResult, renderTable, type Row } from "./output.js";
 import { readBoxes } from "./readBoxes.js";
 import { sumUpDecisions } from "./sumUpDecisions.js";
@@ -161,10 +166,65 @@
   },
 });
 
+const logs = restPositionals({
+  type: string,
+  displayName: "LOGS",
+  description: "log files of boxes, or - for standard input",
+});
+
+const explain = command({
+  name: "explain",
+  description:
+    "tells one request's way through a box and the cause of its end, from the boxes' logs",
+  examples: [
+    {
+      description: "the request r-17 in all logs of a folder",
+      command: "explain r-17 logs/*.log",
+    },
+  ],
+  args: {
+    request: positional({ type: string, displayName: "REQUEST-ID" }),
+    logs,
+    json,
+  },
+  handler: async (args) => printResult(await explainLogs(args.request, args.logs), args),
+});
+
+const losses = command({
+  name: "losses",
+  description: "sums up all requests of the boxes' logs by route and cause",
+  examples: [
+    {
+      description: "a table, and a picture by the second",
+      command: "losses logs/*.log --plot losses.svg",
+    },
+  ],
+  args: {
+    logs,
+    plot: option({
+      type: optional(string),
+      long: "plot",
+      description: "SVG file to draw what was not served in time into",
+    }),
+    asked: option({
+      type: optional(string),
+      long: "asked",
+      description: "file of the ids that callers sent, one a line",
+    }),
+    worth: multioption({
+      type: array(string),
+      long: "worth",
+      description: "ROUTE=NUMBER, what a request of the route is worth (1 otherwise)",
+    }),
+    json,
+  },
+  handler: async (args) => printResult(await sumUpLosses(args), args),
+});
+
 const app = subcommands({
   name: "stairgauge",
   version: VERSION,
-  cmds: { bundle, keys, boxes, decisions },
+  cmds: { bundle, keys, boxes, decisions, explain, losses },
 });
 
 const result = await runSafely(app, process.argv.slice(2));
@@ -173,5 +233,6 @@
   (into === "stdout" ? process.stdout : process.stderr).write(`${message}\n`);
   process.exitCode = exitCode === 0 ? EXIT_OK : EXIT_USAGE;
 } else {
-  await (result.value.value as Readonly<{ value: unknown }>).value;
+  // NOTE: help has printed itself and hands back nothing to wait for.
+  await (result.value.value as Readonly<{ value: unknown }> | undefined)?.value;
 }
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -35,6 +35,7 @@
   routing: ["common"],
   directory: ["common"],
   storefeed: ["common"],
+  diagnosis: ["common"],
   placement: ["common", "directory"],
   forwarding: ["common", "routing", "directory", "placement"],
   migration: ["common", "directory", "forwarding", "placement"],
--- a/packages/forwarding/src/createForwarder.ts
+++ b/packages/forwarding/src/createForwarder.ts
@@ -9,7 +9,7 @@
 } from "@stairgauge/routing";
 import { createClientAnswer } from "./clientAnswer.js";
 import { dispatchCall, type DispatchedCall } from "./dispatchCall.js";
-import type { ForwarderDeps } from "./forwarderTypes.js";
+import type { ForwarderDeps, RefusalReason } from "./forwarderTypes.js";
 import { fitsBeforeStop } from "./fitsBeforeStop.js";
 import { readRequestBody } from "./readRequestBody.js";
 import { sendOwnAnswer } from "./sendOwnAnswer.js";
@@ -65,13 +65,20 @@
     });
     let isLast = false;
     const answer = createClientAnswer(response, () => stop !== undefined || isLast);
-    const refuse = (status: number, reason: string, pause = deps.retryAfter) => {
+    let route: Route | undefined;
+    const refuse = (status: number, reason: RefusalReason, pause = deps.retryAfter) => {
       const retryAfter = status === 503 ? pause : undefined;
-      sendOwnAnswer(deps, { head, answer, receivedAt }, { status, reason, retryAfter });
+      const own = { status, reason, retryAfter };
+      sendOwnAnswer(deps, { head, route, answer, receivedAt }, own);
+    };
+    const tellClientLeft = () => {
+      const sinceReceived = (clock.monotonic() - receivedAt) as Ms;
+      const subject = { head, route: undefined, sinceReceived };
+      deps.observer.onDecision(subject, { kind: "client_left", events: 0 });
     };
     const refuseLongBody = () => {
       isLast = true;
-      refuse(413, "body too long");
+      refuse(413, "body_too_long");
     };
     let call: DispatchedCall | undefined;
     let held = 0;
@@ -98,17 +105,18 @@
         configuration.getStanding(now),
         { host: head.host, path: head.target, key: head.key },
       );
+      route = access.route;
       if (access.kind === "refused") {
         refuse(STATUS_OF_REFUSAL[access.reason], access.reason);
         return;
       }
       if (heldBytes + body.length > deps.mostHeldBytes) {
-        refuse(503, "too many bodies held");
+        refuse(503, "too_many_bodies_held");
         return;
       }
-      const { route, workspace } = access;
-      if (stop && !fitsBeforeStop({ ...stop, now, head, route })) {
-        refuse(503, "box is stopping", OTHER_BOX_AFTER_MS);
+      const { workspace } = access;
+      if (stop && !fitsBeforeStop({ ...stop, now, head, route: access.route })) {
+        refuse(503, "box_is_stopping", OTHER_BOX_AFTER_MS);
         return;
       }
       held = body.length;
@@ -116,22 +124,28 @@
       call = dispatchCall(deps, {
         head,
         body,
-        route,
+        route: access.route,
         workspace,
-        service: pickService(route),
+        service: pickService(access.route),
         receivedAt,
-        endsAt: (receivedAt + computeTimeLimit(route, head.patience)) as Ms,
+        endsAt: (receivedAt + computeTimeLimit(access.route, head.patience)) as Ms,
         answer,
       });
     };
 
     void readRequestBody(incoming, limit).then((read) => {
-      if (hasLeft) return;
+      if (hasLeft) {
+        tellClientLeft();
+        return;
+      }
       if (read.ok) {
         admit(read.val);
         return;
       }
-      if (read.val.kind === "client_left") return;
+      if (read.val.kind === "client_left") {
+        tellClientLeft();
+        return;
+      }
       refuseLongBody();
     });
   };
--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -21,10 +21,11 @@
   AdmittedRequest,
   ForwardDecision,
   ForwarderDeps,
+  RefusalReason,
 } from "./forwarderTypes.js";
 import { openExchange } from "./openExchange.js";
 import { placeWithRoom } from "./placeWithRoom.js";
-import { sendOwnAnswer } from "./sendOwnAnswer.js";
+import { sendOwnAnswer, type ReasonedAnswer } from "./sendOwnAnswer.js";
 import { createStreamRelay } from "./streamRelay.js";
 import type { AnswerHead, DispatchTerms, ExchangeFailure } from "./types.js";
 import { watchSilence } from "./watchSilence.js";
@@ -62,7 +63,10 @@
 
   const getNow = () => clock.monotonic();
   const tell = (decision: ForwardDecision) =>
-    observer.onDecision(head, decision, (getNow() - receivedAt) as Ms);
+    observer.onDecision(
+      { head, route, sinceReceived: (getNow() - receivedAt) as Ms },
+      decision,
+    );
 
   const dropAttempt = () => {
     current?.exchange?.cancel();
@@ -81,14 +85,15 @@
     runs.remove(run);
     runKeeper.onFinished(run);
   };
-  const answerOwn = (status: number, reason: string, canComeBack: boolean) => {
+  const answerOwn = (own: ReasonedAnswer) => {
     if (isOver) return;
-    const retryAfter = canComeBack ? deps.retryAfter : undefined;
-    sendOwnAnswer(deps, request, { status, reason, retryAfter });
+    sendOwnAnswer(deps, request, own);
     finish();
   };
-  const answerNotRun = (reason: string) => answerOwn(503, reason, true);
-  const answerUnknown = (reason: string) => answerOwn(502, reason, false);
+  const answerNotRun = (reason: RefusalReason, detail?: string) =>
+    answerOwn({ status: 503, reason, detail, retryAfter: deps.retryAfter });
+  const answerUnknown = (reason: RefusalReason, detail?: string) =>
+    answerOwn({ status: 502, reason, detail, retryAfter: undefined });
   const loseStream = (server: BackendServer, detail: string) => {
     const events = relay.getEvents();
     tell({ kind: "stream_lost", server: server.entry.id, events, detail });
@@ -105,8 +110,9 @@
       finish();
       return;
     }
-    if (mayRunStill) answerOwn(504, "no answer within the time allowed", false);
-    else answerNotRun("not sent to a server within the time allowed");
+    if (mayRunStill)
+      answerOwn({ status: 504, reason: "out_of_time", retryAfter: undefined });
+    else answerNotRun("out_of_time_unsent");
   };
   const limitTimer: Timer = clock.setTimer((endsAt - getNow()) as Ms, endOutOfTime);
 
@@ -316,10 +322,10 @@
         attemptNext();
         return;
       case "answer_not_run":
-        answerNotRun(`no server ran it (${describeEnd(end)})`);
+        answerNotRun("no_server_ran_it", describeEnd(end));
         return;
       case "answer_unknown":
-        answerUnknown(`the server's answer was lost (${describeEnd(end)})`);
+        answerUnknown("answer_lost", describeEnd(end));
         return;
     }
   };
@@ -342,8 +348,8 @@
       sendTo(decision);
       return;
     }
-    if (mayHaveRun && !mayRepeat(route)) answerUnknown("no server is left");
-    else answerNotRun("no server is known that may take it");
+    if (mayHaveRun && !mayRepeat(route)) answerUnknown("no_server_left");
+    else answerNotRun("no_server_known");
   };
 
   const sendTo = (decision: PlacedDecision) => {
--- a/packages/forwarding/src/forwarderTypes.ts
+++ b/packages/forwarding/src/forwarderTypes.ts
@@ -3,6 +3,7 @@
 import type { BackendServer, ServerId } from "@stairgauge/directory";
 import type { Demand, PlacementDecision } from "@stairgauge/placement";
 import type {
+  AccessRefusal,
   ConfigurationIndex,
   Route,
   Standing,
@@ -21,9 +22,31 @@
   getAge: (now: Ms) => Ms;
 }>;
 
+/** Why the system itself ends a request. */
+export type RefusalReason =
+  | AccessRefusal
+  | "body_too_long"
+  | "too_many_bodies_held"
+  | "box_is_stopping"
+  /** Every server that was asked says that it did not run the request. */
+  | "no_server_ran_it"
+  | "no_server_known"
+  /** A server may have run it, and no other is left to ask. */
+  | "no_server_left"
+  | "answer_lost"
+  | "out_of_time_unsent"
+  | "out_of_time";
+
 /** A decision that touches a request; each is logged as one line. */
 export type ForwardDecision = Readonly<
-  | { kind: "refused"; reason: string; status: number; retryAfter: Ms | undefined }
+  | {
+      kind: "refused";
+      reason: RefusalReason;
+      /** What the last server did, where one was asked. */
+      detail: string | undefined;
+      status: number;
+      retryAfter: Ms | undefined;
+    }
   | {
       kind: "placed";
       server: ServerId;
@@ -56,7 +79,15 @@
 
 /** Where decisions are told. */
 export type ForwardObserver = Readonly<{
-  onDecision: (head: RequestHead, decision: ForwardDecision, sinceReceived: Ms) => void;
+  onDecision: (subject: DecisionSubject, decision: ForwardDecision) => void;
+}>;
+
+/** The request that a decision is about. */
+export type DecisionSubject = Readonly<{
+  head: RequestHead;
+  /** Absent while no route is found for it. */
+  route: Route | undefined;
+  sinceReceived: Ms;
 }>;
 
 /** How placements are made and kept. */
--- a/packages/routing/src/decideAccess.ts
+++ b/packages/routing/src/decideAccess.ts
@@ -24,14 +24,19 @@
 /** The decision. */
 export type AccessDecision = Readonly<
   | { kind: "admitted"; route: Route; workspace: WorkspaceSpec | undefined }
-  | { kind: "refused"; reason: AccessRefusal }
+  /** The route is given where one was found. */
+  | { kind: "refused"; reason: AccessRefusal; route?: Route }
 >;
 
-const refuse = (reason: AccessRefusal): AccessDecision => ({ kind: "refused", reason });
+const refuse = (reason: AccessRefusal, route?: Route): AccessDecision => ({
+  kind: "refused",
+  reason,
+  ...(route && { route }),
+});
 
 /** Denials need fresh knowledge: a route or key that is unknown here may be a new one. */
-const deny = (standing: Standing, reason: AccessRefusal): AccessDecision =>
-  refuse(standing === "current" ? reason : "knowledge_too_old");
+const deny = (standing: Standing, reason: AccessRefusal, route?: Route): AccessDecision =>
+  refuse(standing === "current" ? reason : "knowledge_too_old", route);
 
 /** Decides by the configuration in force and by how lately it was confirmed. */
 export const decideAccess = (
@@ -44,10 +49,10 @@
   if (!route) return deny(standing, "no_such_route");
   if (!index.hasKeys || route.isKeyless)
     return { kind: "admitted", route, workspace: undefined };
-  if (request.key === undefined) return refuse("key_missing");
-  if (standing === "expired") return refuse("knowledge_too_old");
+  if (request.key === undefined) return refuse("key_missing", route);
+  if (standing === "expired") return refuse("knowledge_too_old", route);
   const workspace = index.findWorkspace(request.key);
-  if (!workspace) return deny(standing, "key_unknown");
+  if (!workspace) return deny(standing, "key_unknown", route);
   return { kind: "admitted", route, workspace };
 };
 
--- a/packages/telemetry/src/decisionLog.ts
+++ b/packages/telemetry/src/decisionLog.ts
@@ -26,8 +26,11 @@
 /** Bytes that may wait for a reader of the log; beyond them lines are lost and counted. */
 const MOST_BUFFERED_BYTES = 512 * 1024;
 const SECOND_MS = 1000;
-/** Lines are written together, at most this long after they came. */
-const FLUSH_INTERVAL_MS = 500 as Ms;
+/**
+ * Lines are written together, at most this long after they came: what a killed box had not written is lost, and with it
+ * the cause of what its callers met.
+ */
+const FLUSH_INTERVAL_MS = 100 as Ms;
 const WRITE_TOGETHER_BYTES = 4096;
 
 /** Creates the log; it writes JSON lines. */
@@ -47,7 +50,8 @@
     {
       level: options.level,
       base: options.base,
-      timestamp: () => `,"at":${Math.round(clock.monotonic())}`,
+      timestamp: () =>
+        `,"at":${Math.round(clock.monotonic())},"time":${Math.round(clock.now())}`,
       messageKey: "event",
     },
     destination,
