--- a/apps/cli/src/main.test.ts
+++ b/apps/cli/src/main.test.ts
@@ -1,5 +1,5 @@
 /** The command line as a process, before the stand-in platform and a box. */
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -120,4 +120,74 @@
     expect(output).toMatch(/^placed +least_busy +2 +2 +7 +7$/m);
     expect(output).toMatch(/^refused +queue_full +1 +1/m);
   });
+
+  describe("on the logs of boxes", () => {
+    beforeAll(() => {
+      const lines = [
+        { box: "a", at: 0, time: 500, event: "starting" },
+        { box: "a", at: 5, time: 505, request: "r1", route: "draft", event: "placed" },
+        {
+          box: "a",
+          at: 9,
+          time: 509,
+          request: "r2",
+          event: "refused",
+          reason: "no_room",
+        },
+        { box: "a", at: 900, time: 1_400, event: "starting" },
+      ].map((line) => JSON.stringify(line));
+      writeFileSync(toPath("a.log"), [...lines, '{"box":"a","at":9'].join("\n"));
+    });
+
+    it("explains one request, and says which id it does not know", async () => {
+      const known = await runMain(["explain", "r1", toPath("a.log")]);
+      expect(known).toMatchObject({ code: 0 });
+      expect(known.output).toContain("r1 at a: box ended");
+      expect(known.output).toContain("warning: 1 lines are cut off or broken");
+      const unknown = await runMain(["explain", "r9", toPath("a.log")]);
+      expect(unknown).toMatchObject({ code: 1 });
+      expect(unknown.output).toContain("No line names r9");
+    });
+
+    it("sums losses up, with what callers sent, what routes are worth, and a picture", async () => {
+      writeFileSync(toPath("asked"), "r1\nr2\nr3\n");
+      const args = ["--asked", toPath("asked"), "--worth", "draft=130"];
+      const plot = ["--plot", toPath("losses.svg")];
+      const { code, output } = await runMain([
+        "losses",
+        toPath("a.log"),
+        ...args,
+        ...plot,
+      ]);
+      expect(code).toBe(0);
+      expect(output).toMatch(/^draft +box ended +1 +100.0 +130/m);
+      expect(output).toMatch(/^\(none\) +refused: no_room +1 +50.0 +1 /m);
+      expect(output).toMatch(/^\(none\) +never reached +1/m);
+      expect(output).toContain("3 requests");
+      expect(readFileSync(toPath("losses.svg"), "utf8")).toContain("<svg");
+    });
+
+    it.each([
+      [["losses", "--worth", "draft=many"], 2, "ROUTE=NUMBER"],
+      [["losses", "--asked", "/none"], 2, "cannot be read"],
+      [["losses", "--plot", "/none/a.svg"], 2, "cannot be written"],
+    ])("%j exits with %i", async (args, code, text) => {
+      const ended = await runMain([...args, toPath("a.log")]);
+      expect(ended).toMatchObject({ code });
+      expect(ended.output).toContain(text);
+    });
+
+    it("says that a file is no box's log, or is not there", async () => {
+      const foreign = await runMain(["losses", toPath("asked")]);
+      expect(foreign).toMatchObject({ code: 1 });
+      expect(foreign.output).toContain("3 lines without JSON");
+      expect(await runMain(["explain", "r1", "/none"])).toMatchObject({ code: 2 });
+    });
+
+    it.each(["explain", "losses"])("%s shows its help and an example", async (name) => {
+      const { code, output } = await runMain([name, "--help"]);
+      expect(code).toBe(0);
+      expect(output).toContain("EXAMPLES");
+    });
+  });
 });
--- a/packages/diagnosis/src/judgeCause.ts
+++ b/packages/diagnosis/src/judgeCause.ts
@@ -145,9 +145,9 @@
     case "refused":
       return `refused: ${cause.reason}`;
     case "server_failed":
-      return `server failed: ${cause.how}`;
+      return `server failed: ${cause.how.replaceAll("_", " ")}`;
     case "engine_ended":
-      return `engine ended: ${cause.progress}`;
+      return `engine ended: ${cause.progress.replaceAll("_", " ")}`;
     case "served":
     case "out_of_time":
     case "box_ended":
