fix: only what may be sent again takes from the budget of repeats

Ruled out: the bound itself; route limits (other requests of the same route were repeated). Change: the budget is asked only where a repeat would follow. Tests failed first (a unit and a whole box with a small budget).

--- a/apps/box/src/box.test.ts
+++ b/apps/box/src/box.test.ts
@@ -109,6 +109,19 @@
     expect([repeated.status, repeated.isWhole]).toEqual([again, true]);
   });
 
+  it("keeps the budget of repeats for requests that failed", async () => {
+    const { site, ports, lines, start } = await startSite(0, 2, { retrySlack: 8 });
+    await start();
+    await waitFor(() =>
+      lines.some(({ event, boxes }) => event === "peers" && boxes === 1),
+    );
+    for (let i = 0; i < 40; i += 1) await ask(ports, { path: "/again/" });
+    for (const service of site.services) service.setFaults(["error"]);
+    const answers = [];
+    for (let i = 0; i < 2; i += 1) answers.push(await ask(ports, { path: "/again/" }));
+    expect(answers.map(({ status }) => status)).toContain(200);
+  });
+
   it("sends a request that may run once to one server only", async () => {
     const { site, ports, start } = await startSite(0, 2);
     await start();
--- a/apps/box/src/box.testkit.ts
+++ b/apps/box/src/box.testkit.ts
@@ -26,6 +26,8 @@
   stopSeconds?: number;
   /** Whether keys are refused once their removal may have been missed. */
   isKeyRemovalStrict?: boolean;
+  /** Repeats that all boxes may make in a window; their share of the requests is then none. */
+  retrySlack?: number;
   /** Further settings, as lines of the file. */
   more?: string;
 }>;
@@ -36,7 +38,7 @@
 listen: { clients: "127.0.0.1:0", ready: "127.0.0.1:0", metrics: "127.0.0.1:0", peers: "127.0.0.1:0" }
 store: { address: "${store}", configurationWaitMs: 200, patienceMs: 200, firstPauseMs: 20, mostPauseMs: 50 }
 bounds: { configurationMs: 600, keyRemovalMs: 1300, isKeyRemovalStrict: ${changes.isKeyRemovalStrict ?? true}, leavingMs: 2000, stopSeconds: ${changes.stopSeconds ?? SHORT_STOP_SECONDS} }
-retries: { ratio: 0.2, slack: 160, windowSeconds: 10 }
+retries: { ratio: ${changes.retrySlack === undefined ? 0.2 : 0}, slack: ${changes.retrySlack ?? 160}, windowSeconds: 10 }
 engines: { reportIntervalMs: 50 }
 ${changes.more ?? ""}`;
 
--- a/packages/forwarding/src/decideNext.test.ts
+++ b/packages/forwarding/src/decideNext.test.ts
@@ -1,4 +1,4 @@
-import { describe, expect, it } from "vitest";
+import { describe, expect, it, vi } from "vitest";
 import type { Ms, ServiceName } from "@stairgauge/common";
 import type { Route, RouteName } from "@stairgauge/routing";
 import { decideNext, judgeAttempt, type AttemptEnd } from "./decideNext.js";
@@ -77,7 +77,7 @@
     verdict: judgeAttempt(ENDS[name], id),
     route,
     mayHaveRunBefore: ranBefore,
-    canRetry,
+    takeRetry: () => canRetry,
   }).kind;
 
 describe("decideNext", () => {
@@ -113,6 +113,22 @@
     expect(step(name, makeRoute("once"), false)).toBe(expected);
   });
 
+  it.each([
+    ["success", "repeatable"],
+    ["not found", "repeatable"],
+    ["success", "once"],
+    ["error", "once"],
+    ["broken", "once"],
+    ["broken", "stream"],
+  ] as const)("takes nothing from the budget after %s on a route %s", (name, kind) => {
+    const takeRetry = vi.fn(() => true);
+    const end = ENDS[name];
+    const verdict = judgeAttempt(end, id);
+    const route = makeRoute(kind);
+    decideNext({ end, verdict, route, mayHaveRunBefore: false, takeRetry });
+    expect(takeRetry).not.toHaveBeenCalled();
+  });
+
   it("promises nothing about a request of which an earlier attempt may have run", () => {
     expect(step("full", makeRoute("once"), false, true)).toBe("answer_unknown");
     expect(step("unreachable", makeRoute("once"), false, true)).toBe("answer_unknown");
--- a/packages/forwarding/src/decideNext.ts
+++ b/packages/forwarding/src/decideNext.ts
@@ -80,8 +80,8 @@
   route: Route;
   /** An attempt before this one may have run. */
   mayHaveRunBefore: boolean;
-  /** Another server is there, and attempts, time and budget allow it. */
-  canRetry: boolean;
+  /** Whether another server is there, and attempts, time and budget allow it; a yes takes from the budget. */
+  takeRetry: () => boolean;
 }>;
 
 /** Whether a request of the route may run again after one that may have run. */
@@ -97,18 +97,18 @@
 
 /** Decides the next step. */
 export const decideNext = (inputs: StepInputs): NextStep => {
-  const { verdict, route, canRetry } = inputs;
+  const { verdict, route, takeRetry } = inputs;
   switch (verdict) {
     case "final":
       return { kind: "pass_on" };
     case "not_run":
-      return canRetry ? { kind: "retry", reason: verdict } : answerForUnserved(inputs);
+      return takeRetry() ? { kind: "retry", reason: verdict } : answerForUnserved(inputs);
     case "may_have_run":
-      return canRetry && mayRepeat(route)
+      return mayRepeat(route) && takeRetry()
         ? { kind: "retry", reason: verdict }
         : { kind: "answer_unknown" };
     case "ran_and_failed":
-      return canRetry && mayRepeat(route)
+      return mayRepeat(route) && takeRetry()
         ? { kind: "retry", reason: verdict }
         : { kind: "pass_on" };
   }
--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -180,8 +180,7 @@
     if (current !== attempt || isOver) return;
     const wasSent = attempt.exchange?.isSent() ?? false;
     if (wasSent) attemptsSent += 1;
-    const mayGo = canRetryNow() && (attemptsSent === 0 || budget.take(service, getNow()));
-    if (!mayGo) {
+    if (!takeRetry()) {
       if (wasSent) attemptsSent -= 1;
       return;
     }
@@ -285,6 +284,10 @@
     return placer.choose(service, demand, tried).kind === "placed";
   };
 
+  /** What never reached a server is no repeat. */
+  const takeRetry = (): boolean =>
+    canRetryNow() && (attemptsSent === 0 || budget.take(service, getNow()));
+
   const conclude = (attempt: Attempt, end: AttemptEnd) => {
     if (continuations > 0) {
       refuseContinuation(attempt, end);
@@ -305,7 +308,7 @@
       verdict,
       route,
       mayHaveRunBefore: mayHaveRun,
-      canRetry: canRetryNow() && (attemptsSent === 0 || budget.take(service, getNow())),
+      takeRetry,
     });
     if (verdict === "may_have_run" || verdict === "ran_and_failed") mayHaveRun = true;
     switch (step.kind) {
