feat: a few boxes hear the store and hand on what they hear, with its age

Ruled out: longer waits (the age of the configuration is bound), pushing without an echo (cannot bound its own time under way), a lease (not to be had when needed). Change: two boxes named by rendezvous hashing hold the calls; others ask them by gRPC, with the age carried on the asker's own steady clock.

--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -40,17 +40,15 @@
   CONFIGURATION_KEY,
   createEngineActions,
   createHeadCodec,
-  createStoreReader,
   createStoreWriter,
   decodeConfiguration,
   decodeServerEntry,
   READY_PATH,
-  TABLE,
 } from "@stairgauge/platform";
 import { createConfigurationKeeper } from "@stairgauge/routing";
 import type { BoxSettings } from "@stairgauge/settings";
-import { createRevisionMark, createTableFollower } from "@stairgauge/storefeed";
 import { createBoxMetrics, type DecisionLog } from "@stairgauge/telemetry";
+import { computeTiming, createKnowledge } from "./createKnowledge.js";
 import {
   observeConfiguration,
   observeForwarding,
@@ -91,8 +89,11 @@
 /** How long a server that left is remembered, for runs that are still being moved from it. */
 const LEFT_MEMORY_MS = 30_000 as Ms;
 
-/** Older knowledge than this comes of a store that does not answer: in touch it is at most 1.3 s old. */
-const OUT_OF_TOUCH_MS = 1_500;
+/**
+ * Knowledge older than this many waits for news comes of a store that does not answer: in touch it is at most one wait old
+ * when it is confirmed, two where another box hands it on, and is confirmed again a wait later.
+ */
+const OUT_OF_TOUCH_WAITS = 3.2;
 
 /** How old knowledge may be by which keys are accepted. */
 const computeAcceptWithin = (bounds: BoxSettings["bounds"]): Ms =>
@@ -125,7 +126,8 @@
     acceptWithin: computeAcceptWithin(settings.bounds),
   });
   const own = settings.box as BoxName;
-  const isOutOfTouch = () => keeper.getAge(clock.monotonic()) > OUT_OF_TOUCH_MS;
+  const outOfTouchAge = computeTiming(settings).wait * OUT_OF_TOUCH_WAITS;
+  const isOutOfTouch = () => keeper.getAge(clock.monotonic()) > outOfTouchAge;
   const book = createLoadBook((change) => teller.takeChange(change));
   const teller = createRunTeller({
     clock,
@@ -157,6 +159,7 @@
       book.dropPeer(box);
       log.writeDecision("peer_lost", { peer: box });
     },
+    answerTable: (question) => knowledge.answer(question),
   });
   let peerAddress = toHostAndPort(settings.listen.peers);
   const membership = createMembership({
@@ -174,7 +177,6 @@
   });
   const runs = createActiveRuns();
   const actions = createEngineActions();
-  const reader = createStoreReader(settings.store.address);
 
   const directory = createServerDirectory({
     memory: LEFT_MEMORY_MS,
@@ -296,58 +298,38 @@
     onClientFault: (code) => log.writeDecision("client_fault", { code }),
   });
 
-  const revisions = createRevisionMark();
-  const shared = {
-    reader,
+  const knowledge = createKnowledge({
+    settings,
     clock,
     random,
-    patience: settings.store.patienceMs as Ms,
-    retryPause: {
-      first: settings.store.firstPauseMs as Ms,
-      most: settings.store.mostPauseMs as Ms,
+    log,
+    links,
+    sinks: {
+      servers: createServerSink({
+        clock,
+        directory,
+        decode: decodeServerEntry,
+        leavingWithin: settings.bounds.leavingMs as Ms,
+        onEvent: (event) => log.writeWarning("server_list", event),
+      }),
+      configuration: createConfigurationSink({
+        key: CONFIGURATION_KEY,
+        keeper,
+        decode: decodeConfiguration,
+        onEvent: (event) => {
+          observeConfiguration({ log, metrics }, event);
+          if (event.kind === "adopted")
+            clientServer.applyLimits(event.configuration.limits);
+        },
+      }),
+      boxes: membership.sink,
     },
-    revisions,
-  };
-  const serverFollower = createTableFollower({
-    ...shared,
-    table: TABLE.servers,
-    wait: settings.store.serversWaitMs as Ms,
-    sink: createServerSink({
-      clock,
-      directory,
-      decode: decodeServerEntry,
-      leavingWithin: settings.bounds.leavingMs as Ms,
-      onEvent: (event) => log.writeWarning("server_list", event),
-    }),
-  });
-  const configurationFollower = createTableFollower({
-    ...shared,
-    table: TABLE.operator,
-    wait: settings.store.configurationWaitMs as Ms,
-    sink: createConfigurationSink({
-      key: CONFIGURATION_KEY,
-      keeper,
-      decode: decodeConfiguration,
-      onEvent: (event) => {
-        observeConfiguration({ log, metrics }, event);
-        if (event.kind === "adopted")
-          clientServer.applyLimits(event.configuration.limits);
-        // A store that is lost for one table is lost for both: the longer call would notice late.
-        if (event.kind === "store_lost") serverFollower.reread();
-      },
-    }),
   });
 
   const isReady = () => {
     const standing = keeper.getStanding(clock.monotonic());
     return stopped === undefined && (standing === "current" || standing === "ageing");
   };
-  const memberFollower = createTableFollower({
-    ...shared,
-    table: BOX_TABLE,
-    wait: settings.store.boxesWaitMs as Ms,
-    sink: membership.sink,
-  });
   const readyServer = createServer((incoming, response) => {
     const isAsked = incoming.url === READY_PATH;
     response.writeHead(isAsked ? (isReady() ? 200 : 503) : 404, ["Content-Length", "0"]);
@@ -370,8 +352,7 @@
       grace,
     });
     await membership.leave();
-    for (const follower of [configurationFollower, serverFollower, memberFollower])
-      follower.stop();
+    knowledge.stop();
     reports.stop();
     standbys.stop();
     links.close();
@@ -385,8 +366,7 @@
   return {
     start: async () => {
       // What a client needs comes first: after a loss of all boxes each of them is waited for.
-      configurationFollower.start();
-      serverFollower.start();
+      knowledge.start();
       const clients = toHostAndPort(settings.listen.clients);
       const ports = {
         clients: await clientServer.listen(clients.host, clients.port),
@@ -395,7 +375,7 @@
         metrics: await listen(metricsServer, settings.listen.metrics),
       };
       peerAddress = { ...peerAddress, port: ports.peers };
-      memberFollower.start();
+      knowledge.startBoxes();
       membership.join();
       standbys.start();
       log.writeNotice("started", { ports });
--- /dev/null
+++ b/apps/box/src/createKnowledge.ts
@@ -0,0 +1,138 @@
+/** What a box knows of configuration, servers and boxes: followed through the store or a box that hears it, and handed on. */
+import type { BoxName, Clock, Ms, Random } from "@stairgauge/common";
+import {
+  answerTable,
+  createSharedReader,
+  type PeerLinks,
+  type TableAnswer,
+  type TableQuestion,
+} from "@stairgauge/peers";
+import { BOX_TABLE, createStoreReader, TABLE } from "@stairgauge/platform";
+import type { BoxSettings } from "@stairgauge/settings";
+import {
+  createRevisionMark,
+  createTableFollower,
+  createTableMirror,
+  type FollowerSink,
+  type TableFollower,
+} from "@stairgauge/storefeed";
+import type { DecisionLog } from "@stairgauge/telemetry";
+
+/** Who takes what is read. */
+export type KnowledgeSinks = Readonly<{
+  configuration: FollowerSink;
+  servers: FollowerSink;
+  boxes: FollowerSink;
+}>;
+
+/** What following needs. */
+export type KnowledgeOptions = Readonly<{
+  settings: BoxSettings;
+  clock: Clock;
+  random: Random;
+  log: DecisionLog;
+  links: Pick<PeerLinks, "ask" | "listUp">;
+  sinks: KnowledgeSinks;
+}>;
+
+/** The followed tables of one box. */
+export type Knowledge = Readonly<{
+  /** Configuration and servers, which clients wait for. */
+  start: () => void;
+  /** The list of boxes, once this one listens for others. */
+  startBoxes: () => void;
+  stop: () => void;
+  /** Answers another box by what this one knows. */
+  answer: (question: TableQuestion) => Promise<TableAnswer>;
+}>;
+
+/**
+ * Share of the bound on a configuration that one call waits for news. A change has to come through also when the box that
+ * is asked has frozen or is cut off: 1.5 such waits until it is given up, and the store asked in its stead.
+ */
+const WAIT_SHARE = 0.25;
+
+/** Waits of a box that asks another, in waits of that other: its news and its confirmations come in between. */
+const RELAYED_WAITS = 1.5;
+
+/** Knowledge handed on is at most two waits old while its box hears the store; beyond it the box has lost the store. */
+const MOST_WAITS_OLD = 2;
+
+/** Share of the same bound for what an answer takes beyond its wait. */
+const SLACK_SHARE = 0.1;
+const PATIENCE_SHARE = 0.2;
+
+type Timing = Readonly<{ wait: Ms; mostAge: Ms; patience: Ms }>;
+
+/** Derives how boxes ask and answer each other from the bound on a configuration. */
+export const computeTiming = ({ store, bounds }: BoxSettings): Timing => {
+  const bound = bounds.configurationMs;
+  const wait = store.configurationWaitMs ?? bound * WAIT_SHARE;
+  return {
+    wait: wait as Ms,
+    mostAge: (wait * MOST_WAITS_OLD + bound * SLACK_SHARE) as Ms,
+    patience: (bound * PATIENCE_SHARE) as Ms,
+  };
+};
+
+/** Creates the followers; nothing is asked before `start`. */
+export const createKnowledge = (options: KnowledgeOptions): Knowledge => {
+  const { settings, clock, random, log, links, sinks } = options;
+  const { store } = settings;
+  const { wait, mostAge, patience } = computeTiming(settings);
+  const mirrors = new Map(
+    [TABLE.operator, TABLE.servers, BOX_TABLE].map((table) => [
+      table,
+      createTableMirror(clock),
+    ]),
+  );
+  const reader = createSharedReader({
+    clock,
+    own: settings.box as BoxName,
+    store: createStoreReader(store.address),
+    links,
+    hearers: store.hearers,
+    mostAge,
+    relayedWaits: RELAYED_WAITS,
+    patience,
+    onDistrust: (box, reason) =>
+      log.writeDecision("box_not_asked", { peer: box, reason }),
+  });
+  const revisions = createRevisionMark();
+  const follow = (table: string, tableWait: number, sink: FollowerSink) =>
+    createTableFollower({
+      reader,
+      clock,
+      random,
+      patience: store.patienceMs as Ms,
+      retryPause: { first: store.firstPauseMs as Ms, most: store.mostPauseMs as Ms },
+      revisions,
+      table,
+      wait: tableWait as Ms,
+      sink: mirrors.get(table)!.observe(sink),
+    });
+
+  const servers = follow(TABLE.servers, store.serversWaitMs, sinks.servers);
+  const boxes = follow(BOX_TABLE, store.boxesWaitMs, sinks.boxes);
+  const configuration = follow(TABLE.operator, wait, {
+    ...sinks.configuration,
+    // A store that is lost for one table is lost for both: the longer call would notice late.
+    onFailure: (failure, failuresInARow) => {
+      sinks.configuration.onFailure(failure, failuresInARow);
+      if (failuresInARow === 1) servers.reread();
+    },
+  });
+  const followers: readonly TableFollower[] = [configuration, servers, boxes];
+
+  return {
+    start: () => {
+      configuration.start();
+      servers.start();
+    },
+    startBoxes: boxes.start,
+    stop: () => {
+      for (const follower of followers) follower.stop();
+    },
+    answer: (question) => answerTable(mirrors, question, mostAge),
+  };
+};
--- a/packages/fleet/src/followServers.test.ts
+++ b/packages/fleet/src/followServers.test.ts
@@ -33,6 +33,8 @@
   revision: 1,
 });
 
+const REVISION = 1;
+
 describe("the list of servers around an outage of the store", () => {
   let clock: VirtualClock;
   let directory: ServerDirectory;
@@ -55,7 +57,7 @@
       leavingWithin: 2_000 as Ms,
       onEvent: () => undefined,
     });
-    sink.onWhole([toRow("a"), toRow("b")], clock.monotonic());
+    sink.onWhole([toRow("a"), toRow("b")], clock.monotonic(), REVISION);
   });
 
   const loseAndRegain = () => {
@@ -67,10 +69,10 @@
 
   it("keeps an entry that lapsed meanwhile for servers that put it back", () => {
     loseAndRegain();
-    sink.onWhole([toRow("a")], clock.monotonic());
+    sink.onWhole([toRow("a")], clock.monotonic(), REVISION);
     expect(listReady()).toEqual(["a", "b"]);
     clock.advance(1_500 as Ms);
-    sink.onChanges([{ kind: "put", row: toRow("b") }], clock.monotonic());
+    sink.onChanges([{ kind: "put", row: toRow("b") }], clock.monotonic(), REVISION);
     clock.advance(10_000 as Ms);
     expect(listReady()).toEqual(["a", "b"]);
     expect(left).toEqual([]);
@@ -78,7 +80,7 @@
 
   it("takes one that is still missing as gone, before the bound on new work", () => {
     loseAndRegain();
-    sink.onChanges([{ kind: "gone", key: "b" }], clock.monotonic());
+    sink.onChanges([{ kind: "gone", key: "b" }], clock.monotonic(), REVISION);
     clock.advance(1_700 as Ms);
     expect(listReady()).toEqual(["a", "b"]);
     clock.advance(290 as Ms);
@@ -87,27 +89,31 @@
 
   it("is not made to wait longer by a second outage", () => {
     loseAndRegain();
-    sink.onWhole([toRow("a")], clock.monotonic());
+    sink.onWhole([toRow("a")], clock.monotonic(), REVISION);
     sink.onFailure({ kind: "timed_out" }, 1);
     clock.advance(1_000 as Ms);
     sink.onRegained();
-    sink.onWhole([toRow("a")], clock.monotonic());
+    sink.onWhole([toRow("a")], clock.monotonic(), REVISION);
     clock.advance(990 as Ms);
     expect(left).toEqual(["b"]);
   });
 
   it("hears at once of a server that says it leaves", () => {
     loseAndRegain();
-    sink.onChanges([{ kind: "put", row: toRow("b", "leaving") }], clock.monotonic());
+    sink.onChanges(
+      [{ kind: "put", row: toRow("b", "leaving") }],
+      clock.monotonic(),
+      REVISION,
+    );
     expect(left).toEqual(["b"]);
   });
 
   it("takes a missing entry as gone at once when the store was not away, or is back for long", () => {
-    sink.onChanges([{ kind: "gone", key: "a" }], clock.monotonic());
+    sink.onChanges([{ kind: "gone", key: "a" }], clock.monotonic(), REVISION);
     expect(left).toEqual(["a"]);
     loseAndRegain();
     clock.advance(2_000 as Ms);
-    sink.onWhole([], clock.monotonic());
+    sink.onWhole([], clock.monotonic(), REVISION);
     expect(left).toEqual(["a", "b"]);
   });
 });
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -1,6 +1,9 @@
 /** Boxes that tell each other what they have placed where. */
 export type * from "./types.js";
 export { applyUpdate } from "./applyUpdate.js";
+export { answerTable } from "./answerTable.js";
+export { createSharedReader } from "./sharedReader.js";
+export type { DistrustReason, SharedReaderOptions } from "./sharedReader.js";
 export { createMembership } from "./membership.js";
 export type { Membership, MembershipOptions } from "./membership.js";
 export { createPeerLinks } from "./peerLinks.js";
--- a/packages/peers/src/peerLinks.ts
+++ b/packages/peers/src/peerLinks.ts
@@ -1,8 +1,22 @@
 /** Tells this box's runs to every other box, over one stream each. */
-import { Client, credentials, type ClientWritableStream } from "@grpc/grpc-js";
-import type { BoxName, Clock, Ms, Random, Timer } from "@stairgauge/common";
+import {
+  Client,
+  connectivityState,
+  credentials,
+  type ClientWritableStream,
+} from "@grpc/grpc-js";
+import {
+  Err,
+  Ok,
+  type BoxName,
+  type Clock,
+  type Ms,
+  type Random,
+  type Result,
+  type Timer,
+} from "@stairgauge/common";
 import { peerService } from "./service.js";
-import type { Peer, RunUpdate } from "./types.js";
+import type { AskFailure, Peer, RunUpdate, TableAnswer, TableQuestion } from "./types.js";
 
 /** What the links need. */
 export type PeerLinksOptions = Readonly<{
@@ -21,6 +35,14 @@
   tell: (update: RunUpdate) => void;
   /** Tells a few boxes chosen at random, so that what all pass on costs no more than a few calls a box. */
   tellSome: (update: RunUpdate) => void;
+  /** Asks one box for a table; gives up when the signal says so. */
+  ask: (
+    box: BoxName,
+    question: TableQuestion,
+    signal: AbortSignal,
+  ) => Promise<Result<TableAnswer, AskFailure>>;
+  /** Boxes whose link stands. */
+  listUp: () => readonly BoxName[];
   count: () => number;
   close: () => void;
 }>;
@@ -104,6 +126,24 @@
     else stream.write(update);
   };
 
+  const isUp = ({ client }: Link) =>
+    client.getChannel().getConnectivityState(false) === connectivityState.READY;
+
+  const askBox = ({ client }: Link, question: TableQuestion, signal: AbortSignal) =>
+    new Promise<Result<TableAnswer, AskFailure>>((resolve) => {
+      const call = client.makeUnaryRequest(
+        peerService.askTable.path,
+        peerService.askTable.requestSerialize,
+        peerService.askTable.responseDeserialize,
+        question,
+        (error, answer) => {
+          if (answer) resolve(Ok(answer));
+          else resolve(Err({ kind: "failed", detail: error?.details ?? "no answer" }));
+        },
+      );
+      signal.addEventListener("abort", () => call.cancel(), { once: true });
+    });
+
   const openLink = (peer: Peer) => {
     const { host, port } = peer.address;
     const client = new Client(
@@ -145,6 +185,11 @@
     tellSome: (update) => {
       for (const link of chooseSome([...links.values()])) write(link, update);
     },
+    ask: async (box, question, signal) => {
+      const link = links.get(box);
+      return link ? askBox(link, question, signal) : Err({ kind: "no_link" });
+    },
+    listUp: () => [...links.values()].filter(isUp).map(({ peer }) => peer.box),
     count: () => links.size,
     close: () => {
       for (const link of links.values()) closeLink(link);
--- a/packages/peers/src/peerServer.ts
+++ b/packages/peers/src/peerServer.ts
@@ -1,15 +1,24 @@
 /** Takes the updates of other boxes. */
-import { Server, ServerCredentials, type ServerReadableStream } from "@grpc/grpc-js";
+import {
+  Server,
+  ServerCredentials,
+  status,
+  type sendUnaryData,
+  type ServerReadableStream,
+  type ServerUnaryCall,
+} from "@grpc/grpc-js";
 import type { BoxName } from "@stairgauge/common";
 import type { ServerAddress } from "@stairgauge/directory";
 import { peerService } from "./service.js";
-import type { RunUpdate } from "./types.js";
+import type { RunUpdate, TableAnswer, TableQuestion } from "./types.js";
 
 /** What is done with updates. */
 export type PeerServerOptions = Readonly<{
   onUpdate: (update: RunUpdate) => void;
   /** A box's stream has ended: what it told is no longer kept up. */
   onPeerLost: (box: BoxName) => void;
+  /** Another box asks for a table. */
+  answerTable: (question: TableQuestion) => Promise<TableAnswer>;
 }>;
 
 /** The listener for other boxes. */
@@ -42,7 +51,16 @@
     stream.on("end", loseBox);
     stream.on("cancelled", loseBox);
   };
-  server.addService(peerService, { tellRuns: handleStream });
+  const handleQuestion = (
+    call: ServerUnaryCall<TableQuestion, TableAnswer>,
+    send: sendUnaryData<TableAnswer>,
+  ) => {
+    options.answerTable(call.request).then(
+      (answer) => send(null, answer),
+      (error: unknown) => send({ code: status.INTERNAL, details: String(error) }),
+    );
+  };
+  server.addService(peerService, { tellRuns: handleStream, askTable: handleQuestion });
 
   return {
     listen: ({ host, port }) =>
--- a/packages/peers/src/peers.test.ts
+++ b/packages/peers/src/peers.test.ts
@@ -1,3 +1,4 @@
+import fc from "fast-check";
 import { afterEach, describe, expect, it } from "vitest";
 import {
   createSeededRandom,
@@ -7,8 +8,10 @@
   type Ms,
 } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
+import { createTableMirror, type TableMirror } from "@stairgauge/storefeed";
 import { createLoadBook, type PlacedRun } from "@stairgauge/placement";
 import {
+  answerTable,
   applyUpdate,
   createMembership,
   createPeerLinks,
@@ -16,8 +19,10 @@
   createRunTeller,
   type Peer,
   type RunUpdate,
+  type TableQuestion,
   type ToldLeaving,
 } from "./index.js";
+import { decodeAnswer, decodeQuestion, encodeAnswer } from "./tableCodec.js";
 import { decodeUpdate, encodeUpdate } from "./updateCodec.js";
 
 const makeRun = (id: string): PlacedRun => ({
@@ -28,6 +33,8 @@
   isMovable: true,
 });
 
+const MOST_AGE = 1_000 as Ms;
+
 const closers: (() => void)[] = [];
 afterEach(() => {
   for (const close of closers.splice(0)) close();
@@ -42,6 +49,7 @@
   const book = createLoadBook();
   const lost: string[] = [];
   const leaving: ToldLeaving[] = [];
+  const mirrors = new Map<string, TableMirror>();
   const server = createPeerServer({
     onUpdate: (update) =>
       applyUpdate({ book, onLeaving: (told) => leaving.push(told) }, update),
@@ -49,6 +57,7 @@
       lost.push(box);
       book.dropPeer(box);
     },
+    answerTable: (question) => answerTable(mirrors, question, MOST_AGE),
   });
   const port = await server.listen({ host: "127.0.0.1", port: 0 });
   closers.push(server.close);
@@ -56,6 +65,7 @@
     book,
     lost,
     leaving,
+    mirrors,
     peer: { box: "b" as BoxName, address: { host: "127.0.0.1", port } },
   };
 };
@@ -153,6 +163,128 @@
   });
 });
 
+describe("boxes that ask each other for a table", () => {
+  const row = { key: "k", value: Buffer.from([0, 200]), revision: 4 };
+  const ignore = () => undefined;
+  const NOBODY = {
+    onWhole: ignore,
+    onChanges: ignore,
+    onFailure: ignore,
+    onRegained: ignore,
+  };
+  const { signal } = new AbortController();
+
+  it("answers whole tables and news with their age, and says what it does not know", async () => {
+    const there = await openListener();
+    const here = openTeller();
+    here.links.setPeers([there.peer]);
+    await waitFor(() => here.links.listUp().length === 1);
+    const ask = (question: TableQuestion) =>
+      here.links.ask(there.peer.box, question, signal);
+    const whole = { kind: "whole", table: "t" } as const;
+    expect((await ask(whole)).val).toEqual({ kind: "not_known" });
+    const clock = createSystemClock();
+    const mirror = createTableMirror(clock);
+    there.mirrors.set("t", mirror);
+    expect((await ask(whole)).val).toEqual({ kind: "not_known" });
+    const sink = mirror.observe(NOBODY);
+    sink.onWhole([row], (clock.monotonic() - 50) as Ms, 7);
+    const read = await ask(whole);
+    expect(read.val).toMatchObject({ kind: "whole", rows: [row], revision: 7 });
+    expect(read.ok && read.val.kind === "whole" && read.val.age).toBeGreaterThanOrEqual(
+      50,
+    );
+    const news = ask({ kind: "changes", table: "t", since: 7, wait: 60_000 as Ms });
+    sink.onChanges([{ kind: "gone", key: "k" }], clock.monotonic(), 9);
+    expect((await news).val).toMatchObject({
+      kind: "changes",
+      changes: [{ kind: "gone", key: "k" }],
+      revision: 9,
+    });
+    const behind = { kind: "changes", table: "t", since: 3, wait: 0 as Ms } as const;
+    expect((await ask(behind)).val).toEqual({ kind: "history_gone" });
+  });
+
+  it("says that there is no link, that a call failed, and that it was given up", async () => {
+    const here = openTeller();
+    const question = { kind: "whole", table: "t" } as const;
+    const nobody = "nobody" as BoxName;
+    expect((await here.links.ask(nobody, question, signal)).val).toEqual({
+      kind: "no_link",
+    });
+    const there = await openListener();
+    here.links.setPeers([there.peer]);
+    await waitFor(() => here.links.listUp().length === 1);
+    const mirror = createTableMirror(createSystemClock());
+    there.mirrors.set("t", mirror);
+    mirror.observe(NOBODY).onWhole([], createSystemClock().monotonic(), 1);
+    const call = new AbortController();
+    const waiting = here.links.ask(
+      there.peer.box,
+      { kind: "changes", table: "t", since: 1, wait: 60_000 as Ms },
+      call.signal,
+    );
+    call.abort();
+    expect((await waiting).val).toMatchObject({ kind: "failed" });
+  });
+});
+
+describe("tableCodec", () => {
+  const KEY = fc.string({ maxLength: 20 });
+  const REVISION = fc.nat();
+  const ROW = fc.record({
+    key: KEY,
+    value: fc.uint8Array({ maxLength: 40 }).map((bytes) => Buffer.from(bytes)),
+    revision: REVISION,
+  });
+  const CHANGE = fc.oneof(
+    ROW.map((row) => ({ kind: "put", row }) as const),
+    KEY.map((key) => ({ kind: "gone", key }) as const),
+  );
+  const AGE = fc.nat().map((age) => age as Ms);
+  const ANSWER = fc.oneof(
+    fc.record({
+      kind: fc.constant("whole" as const),
+      rows: fc.array(ROW, { maxLength: 4 }),
+      revision: REVISION,
+      age: AGE,
+    }),
+    fc.record({
+      kind: fc.constant("changes" as const),
+      changes: fc.array(CHANGE, { maxLength: 4 }),
+      revision: REVISION,
+      age: AGE,
+    }),
+    fc.constantFrom({ kind: "not_known" as const }, { kind: "history_gone" as const }),
+  );
+
+  it("brings every answer across unchanged (property)", () => {
+    fc.assert(
+      fc.property(ANSWER, (answer) => {
+        expect(decodeAnswer(encodeAnswer(answer))).toEqual(answer);
+      }),
+      { seed: 3, numRuns: 300 },
+    );
+  });
+
+  it.each([
+    "",
+    "[]",
+    '{"kind":"all"}',
+    '{"kind":"changes","table":"t","since":-1,"wait":0}',
+  ])("refuses the question %j", (text) => {
+    expect(() => decodeQuestion(Buffer.from(text))).toThrow();
+  });
+
+  it.each([
+    "{",
+    '{"kind":"whole","rows":[],"revision":1}',
+    '{"kind":"whole","rows":[{}]}',
+  ])("refuses the answer %j", (text) => {
+    expect(() => decodeAnswer(Buffer.from(text))).toThrow();
+  });
+});
+
 describe("updateCodec", () => {
   it("brings an update across unchanged", () => {
     const update: RunUpdate = {
@@ -204,8 +336,9 @@
     membership.sink.onWhole(
       [toRow("a", own.address), toRow("b", { host: "10.0.0.2", port: 7 }), toRow("c", 4)],
       0 as Ms,
+      1,
     );
-    membership.sink.onChanges([{ kind: "gone", key: "b" }], 1 as Ms);
+    membership.sink.onChanges([{ kind: "gone", key: "b" }], 1 as Ms, 1);
     await membership.leave();
     expect(written).toEqual(["put a", "drop a"]);
     expect(peers).toEqual([["a", "b"], ["a"]]);
--- a/packages/peers/src/service.ts
+++ b/packages/peers/src/service.ts
@@ -1,9 +1,15 @@
-/** The one call between boxes: a stream of updates, which nobody answers but by ending it. */
+/** The calls between boxes: a stream of updates, which nobody answers but by ending it, and questions for tables. */
 import type { ServiceDefinition } from "@grpc/grpc-js";
+import {
+  decodeAnswer,
+  decodeQuestion,
+  encodeAnswer,
+  encodeQuestion,
+} from "./tableCodec.js";
+import type { RunUpdate, TableAnswer, TableQuestion } from "./types.js";
 import { decodeUpdate, encodeUpdate } from "./updateCodec.js";
-import type { RunUpdate } from "./types.js";
 
-/** The call's definition, shared by both ends. */
+/** The calls' definition, shared by both ends. */
 export const peerService = {
   tellRuns: {
     path: "/stairgauge.Peers/TellRuns",
@@ -14,4 +20,13 @@
     responseSerialize: () => Buffer.alloc(0),
     responseDeserialize: () => undefined,
   },
+  askTable: {
+    path: "/stairgauge.Peers/AskTable",
+    requestStream: false,
+    responseStream: false,
+    requestSerialize: (question: TableQuestion) => encodeQuestion(question),
+    requestDeserialize: (bytes: Buffer) => decodeQuestion(bytes),
+    responseSerialize: (answer: TableAnswer) => encodeAnswer(answer),
+    responseDeserialize: (bytes: Buffer) => decodeAnswer(bytes),
+  },
 } as const satisfies ServiceDefinition;
--- /dev/null
+++ b/packages/peers/src/sharedReader.ts
@@ -0,0 +1,140 @@
+/**
+ * Reads tables from a box that hears the store, so that calls to the store do not grow with the boxes; from the store
+ * itself while this box is one that hears it, knows none, or finds what it is told too old.
+ */
+import {
+  Err,
+  Ok,
+  type BoxName,
+  type Clock,
+  type Ms,
+  type Result,
+} from "@stairgauge/common";
+import type {
+  ChangesRequest,
+  StoreFailure,
+  StoreReader,
+  TableChanges,
+  TableSnapshot,
+  WholeRequest,
+} from "@stairgauge/storefeed";
+import type { PeerLinks } from "./peerLinks.js";
+import { rankForAsker, rankHearers } from "./rankHearers.js";
+import type { TableAnswer, TableQuestion } from "./types.js";
+
+/** Why a box is not asked for a while. */
+export type DistrustReason = "no_answer" | "too_old";
+
+/** What reading through other boxes needs. */
+export type SharedReaderOptions = Readonly<{
+  clock: Clock;
+  own: BoxName;
+  store: StoreReader;
+  links: Pick<PeerLinks, "ask" | "listUp">;
+  /** How many boxes hear the store. */
+  hearers: number;
+  /** Knowledge that a box tells is of no use when it is older. */
+  mostAge: Ms;
+  /** How many times longer than the store a box is asked to wait for news: its own confirmations come in between. */
+  relayedWaits: number;
+  /** How much longer than asked a box may take to answer. */
+  patience: Ms;
+  onDistrust: (box: BoxName, reason: DistrustReason) => void;
+}>;
+
+/** How long a box that did not answer, or knew too little, is passed over. */
+const DISTRUST_MS = 3_000;
+
+/** A caller that was let down by a box wants to know what is there now, not what comes. */
+const AT_ONCE_MS = 0 as Ms;
+
+const isGone = (answer: TableAnswer) => answer.kind === "history_gone";
+
+/** Creates the reader. */
+export const createSharedReader = (options: SharedReaderOptions): StoreReader => {
+  const { clock, own, store, links, patience, mostAge } = options;
+  const distrustedUntil = new Map<BoxName, number>();
+  const asked = new Map<BoxName, Set<AbortController>>();
+
+  const isTrusted = (box: BoxName) =>
+    (distrustedUntil.get(box) ?? -Infinity) <= clock.monotonic();
+
+  /** The box to ask; none when this one has to hear the store itself. */
+  const chooseBox = (): BoxName | undefined => {
+    const hearers = rankHearers([own, ...links.listUp()], options.hearers);
+    if (hearers.includes(own)) return undefined;
+    return rankForAsker(hearers, own).find(isTrusted);
+  };
+
+  /** All that waits for the box goes on elsewhere: what fails one call fails the others, only later. */
+  const passOver = (box: BoxName, reason: DistrustReason) => {
+    if (!isTrusted(box)) return;
+    distrustedUntil.set(box, clock.monotonic() + DISTRUST_MS);
+    options.onDistrust(box, reason);
+    for (const call of asked.get(box) ?? []) call.abort();
+  };
+
+  const askWithin = async (
+    box: BoxName,
+    question: TableQuestion,
+    outer: AbortSignal,
+  ): Promise<TableAnswer | undefined> => {
+    const call = new AbortController();
+    const abort = () => call.abort();
+    const wait = question.kind === "changes" ? question.wait : 0;
+    const timer = clock.setTimer((wait + patience) as Ms, () =>
+      passOver(box, "no_answer"),
+    );
+    const calls = asked.get(box) ?? new Set();
+    asked.set(box, calls.add(call));
+    outer.addEventListener("abort", abort, { once: true });
+    const answered = await links.ask(box, question, call.signal);
+    outer.removeEventListener("abort", abort);
+    calls.delete(call);
+    timer.cancel();
+    if (answered.ok) return answered.val;
+    if (!outer.aborted) passOver(box, "no_answer");
+    return undefined;
+  };
+
+  /** What the chosen box tells, if that is of use. */
+  const askBox = async (
+    question: TableQuestion,
+    signal: AbortSignal,
+  ): Promise<TableAnswer | undefined> => {
+    const box = chooseBox();
+    if (box === undefined) return undefined;
+    const answer = await askWithin(box, question, signal);
+    if (!answer) return undefined;
+    const isOld = "age" in answer ? answer.age > mostAge : answer.kind === "not_known";
+    if (isOld) passOver(box, "too_old");
+    return isOld ? undefined : answer;
+  };
+
+  const readTable = async (
+    request: WholeRequest,
+  ): Promise<Result<TableSnapshot, StoreFailure>> => {
+    const { table, atLeast, signal } = request;
+    const answer = await askBox({ kind: "whole", table }, signal);
+    if (answer?.kind !== "whole" || answer.revision < atLeast)
+      return store.readTable(request);
+    const { rows, revision, age } = answer;
+    return Ok({ rows, revision, source: { kind: "box", age } });
+  };
+
+  const awaitChanges = async (
+    request: ChangesRequest,
+  ): Promise<Result<TableChanges, StoreFailure>> => {
+    const { table, since, wait, signal } = request;
+    if (chooseBox() === undefined) return store.awaitChanges(request);
+    const relayedWait = (wait * options.relayedWaits) as Ms;
+    const question = { kind: "changes", table, since, wait: relayedWait } as const;
+    const answer = await askBox(question, signal);
+    if (!answer) return store.awaitChanges({ ...request, wait: AT_ONCE_MS });
+    if (isGone(answer) || answer.kind !== "changes") return Err({ kind: "history_gone" });
+    const { changes, revision, age } = answer;
+    return Ok({ changes, revision, source: { kind: "box", age } });
+  };
+
+  return { readTable, awaitChanges };
+};
--- a/packages/peers/src/types.ts
+++ b/packages/peers/src/types.ts
@@ -1,8 +1,9 @@
 /**
- * What boxes tell each other: the runs that each has placed, and servers that leave. It is advice; no promise
- * rests on it.
+ * What boxes tell each other. Runs that each has placed and servers that leave are advice; no promise rests on them.
+ * Tables of the store are handed on with their age, by which promises are kept.
  */
-import type { BoxName } from "@stairgauge/common";
+import type { BoxName, Ms } from "@stairgauge/common";
+import type { RowChange, StoredRow } from "@stairgauge/storefeed";
 import type { ServerAddress, ServerId } from "@stairgauge/directory";
 import type { PlacedRun } from "@stairgauge/placement";
 
@@ -22,3 +23,22 @@
   /** Servers that get no new work, as far as the box knows. */
   leaving: readonly ToldLeaving[];
 }>;
+
+/** What one box asks another of a table: all of it, or its changes as soon as there is news. */
+export type TableQuestion = Readonly<
+  | { kind: "whole"; table: string }
+  | { kind: "changes"; table: string; since: number; wait: Ms }
+>;
+
+/** The answer; `age` is how long ago it was true at the store, at most. */
+export type TableAnswer = Readonly<
+  | { kind: "whole"; rows: readonly StoredRow[]; revision: number; age: Ms }
+  | { kind: "changes"; changes: readonly RowChange[]; revision: number; age: Ms }
+  | { kind: "not_known" }
+  | { kind: "history_gone" }
+>;
+
+/** Why another box gave no answer. */
+export type AskFailure = Readonly<
+  { kind: "no_link" } | { kind: "failed"; detail: string }
+>;
--- a/packages/settings/src/boxSettings.ts
+++ b/packages/settings/src/boxSettings.ts
@@ -18,8 +18,10 @@
   }),
   store: z.strictObject({
     address,
-    /** How long the store holds a call without news; each call has its price. */
-    configurationWaitMs: ms.default(1_300),
+    /** Boxes that hold calls to the store and hand on what they hear; one may be lost without a gap. */
+    hearers: z.int().positive().default(2),
+    /** How long a call for the configuration waits for news; a quarter of the bound on configurations otherwise. */
+    configurationWaitMs: ms.optional(),
     serversWaitMs: ms.default(10_000),
     boxesWaitMs: ms.default(15_000),
     /** How much longer an answer may take before it counts as lost. */
--- a/packages/storefeed/src/index.ts
+++ b/packages/storefeed/src/index.ts
@@ -1,6 +1,8 @@
 /** Following tables of the platform's store. */
 export type * from "./types.js";
 export { createRevisionMark, createTableFollower } from "./tableFollower.js";
+export { createTableMirror } from "./tableMirror.js";
+export type { MirrorFailure, TableMirror } from "./tableMirror.js";
 export type {
   FollowerOptions,
   FollowerSink,
--- a/packages/storefeed/src/tableFollower.test.ts
+++ b/packages/storefeed/src/tableFollower.test.ts
@@ -24,6 +24,8 @@
   | { silence: "whole" | "changes" }
 >;
 
+const source = { kind: "store" } as const;
+
 const makeRow = (key: string, revision: number) => ({
   key,
   value: Buffer.from(`${revision}`),
@@ -41,7 +43,7 @@
       signal.addEventListener("abort", () => resolve(Err({ kind: "timed_out" })));
     });
   const reader: StoreReader = {
-    readTable: (_table, signal) => {
+    readTable: ({ signal }) => {
       calls.push("whole");
       const step = script.shift();
       if (!step) return waitForAbort(signal);
@@ -82,9 +84,12 @@
 describe("createTableFollower", () => {
   it("reads whole, then follows; an answer counts from when it was asked for", async () => {
     const { clock, follower, told, calls } = setUp([
-      { whole: Ok({ rows: [makeRow("a", 5)], revision: 7 }) },
-      { changes: Ok({ changes: [], revision: 9 }) },
-      { changes: Ok({ changes: [{ kind: "gone", key: "a" }], revision: 10 }), after: 40 },
+      { whole: Ok({ rows: [makeRow("a", 5)], revision: 7, source }) },
+      { changes: Ok({ changes: [], revision: 9, source }) },
+      {
+        changes: Ok({ changes: [{ kind: "gone", key: "a" }], revision: 10, source }),
+        after: 40,
+      },
     ]);
     follower.start();
     await advanceSettled(clock, 1_100 as Ms);
@@ -99,9 +104,9 @@
 
   it("reads whole again when the history is gone, without a pause", async () => {
     const { clock, follower, told } = setUp([
-      { whole: Ok({ rows: [], revision: 1 }) },
+      { whole: Ok({ rows: [], revision: 1, source }) },
       { changes: Err({ kind: "history_gone" }), after: 10 },
-      { whole: Ok({ rows: [makeRow("b", 2)], revision: 2 }) },
+      { whole: Ok({ rows: [makeRow("b", 2)], revision: 2, source }) },
     ]);
     follower.start();
     await advanceSettled(clock, 20 as Ms);
@@ -111,10 +116,10 @@
 
   it("does not take a whole read that is older than what the store has shown", async () => {
     const { clock, follower, told } = setUp([
-      { whole: Ok({ rows: [], revision: 9 }) },
+      { whole: Ok({ rows: [], revision: 9, source }) },
       { changes: Err({ kind: "history_gone" }), after: 10 },
-      { whole: Ok({ rows: [makeRow("old", 3)], revision: 4 }) },
-      { whole: Ok({ rows: [makeRow("new", 9)], revision: 9 }) },
+      { whole: Ok({ rows: [makeRow("old", 3)], revision: 4, source }) },
+      { whole: Ok({ rows: [makeRow("new", 9)], revision: 9, source }) },
     ]);
     follower.start();
     await advanceSettled(clock, 300 as Ms);
@@ -124,10 +129,10 @@
 
   it("gives a silent store up, says so once a failure, and takes up again", async () => {
     const { clock, follower, told } = setUp([
-      { whole: Ok({ rows: [], revision: 1 }) },
+      { whole: Ok({ rows: [], revision: 1, source }) },
       { silence: "changes" },
       { whole: Err({ kind: "refused", status: 503 }) },
-      { whole: Ok({ rows: [], revision: 1 }) },
+      { whole: Ok({ rows: [], revision: 1, source }) },
     ]);
     follower.start();
     await advanceSettled(clock, 2_500 as Ms);
--- a/packages/storefeed/src/tableFollower.ts
+++ b/packages/storefeed/src/tableFollower.ts
@@ -1,11 +1,18 @@
 /** Follows one table of the store: reads it whole, then waits for its changes, again after each failure. */
 import type { Clock, Ms, Random } from "@stairgauge/common";
-import type { RowChange, StoredRow, StoreFailure, StoreReader } from "./types.js";
+import type {
+  AnswerSource,
+  RowChange,
+  StoredRow,
+  StoreFailure,
+  StoreReader,
+  TableSnapshot,
+} from "./types.js";
 
-/** What a follower tells; every call names the time at which it was true at the store. */
+/** When what a follower tells was true at the store: at this time or later, and at which revision. */
 export type FollowerSink = Readonly<{
-  onWhole: (rows: readonly StoredRow[], asOf: Ms) => void;
-  onChanges: (changes: readonly RowChange[], asOf: Ms) => void;
+  onWhole: (rows: readonly StoredRow[], asOf: Ms, revision: number) => void;
+  onChanges: (changes: readonly RowChange[], asOf: Ms, revision: number) => void;
   onFailure: (failure: StoreFailure, failuresInARow: number) => void;
   /** The store answers again after failures. */
   onRegained: () => void;
@@ -64,6 +71,7 @@
   let isStopped = false;
   let failures = 0;
   let staleReads = 0;
+  let tableRevision = 0;
   let pause: number = retryPause.first;
   let abort = new AbortController();
 
@@ -101,25 +109,36 @@
     failures = 0;
   };
 
+  /** No later than the truth, however long the answer was under way: from the asking back by what its source says. */
+  const computeAsOf = (sentAt: Ms, source: AnswerSource): Ms =>
+    (source.kind === "store" ? sentAt : sentAt - source.age) as Ms;
+
+  /** The store's answers show the newest revision of all tables; another box tells that of the one table. */
+  const isStale = ({ revision, source }: TableSnapshot, newestBefore: number) =>
+    revision < (source.kind === "store" ? newestBefore : tableRevision);
+
   /** Reads the table whole; undefined after a failure or a stale answer. */
   const readWhole = async (): Promise<number | undefined> => {
     const sentAt = clock.monotonic();
     const newestBefore = revisions.get();
-    const read = await callWithin(patience, (signal) => reader.readTable(table, signal));
+    const read = await callWithin(patience, (signal) =>
+      reader.readTable({ table, atLeast: tableRevision, signal }),
+    );
     if (isStopped) return undefined;
     if (read.err) {
       await recordFailure(read.val);
       return undefined;
     }
-    const { rows, revision } = read.val;
-    if (revision < newestBefore && staleReads < STALE_READS_BORNE) {
+    const { rows, revision, source } = read.val;
+    if (isStale(read.val, newestBefore) && staleReads < STALE_READS_BORNE) {
       staleReads += 1;
       await waitFor(retryPause.first);
       return undefined;
     }
     staleReads = 0;
     recordAnswer(revision);
-    sink.onWhole(rows, sentAt);
+    tableRevision = revision;
+    sink.onWhole(rows, computeAsOf(sentAt, source), revision);
     return revision;
   };
 
@@ -135,10 +154,12 @@
       await recordFailure(read.val);
       return undefined;
     }
-    const { changes, revision } = read.val;
-    recordAnswer(revision);
-    sink.onChanges(changes, sentAt);
-    return Math.max(since, revision);
+    const { changes, source } = read.val;
+    recordAnswer(read.val.revision);
+    const revision = Math.max(since, read.val.revision);
+    tableRevision = revision;
+    sink.onChanges(changes, computeAsOf(sentAt, source), revision);
+    return revision;
   };
 
   const run = async () => {
--- /dev/null
+++ b/packages/storefeed/src/tableMirror.ts
@@ -0,0 +1,134 @@
+/** What a box knows of one table, kept so that it can be handed on to other boxes with its age. */
+import { Err, Ok, type Clock, type Ms, type Result } from "@stairgauge/common";
+import type { FollowerSink } from "./tableFollower.js";
+import type {
+  ChangesRequest,
+  RelayedSource,
+  RowChange,
+  StoredRow,
+  TableChanges,
+  TableSnapshot,
+} from "./types.js";
+
+/** Why a box cannot answer for a table. */
+export type MirrorFailure = Readonly<
+  /** It has not read the table yet. */
+  | { kind: "not_known" }
+  /** It no longer keeps the changes since that revision. */
+  | { kind: "history_gone" }
+>;
+
+type Relayed<T> = T & Readonly<{ source: RelayedSource }>;
+
+/** A table as one box knows it. */
+export type TableMirror = Readonly<{
+  /** Follows along before the sink given. */
+  observe: (inner: FollowerSink) => FollowerSink;
+  readWhole: () => Result<Relayed<TableSnapshot>, MirrorFailure>;
+  /** As the store does, from what this box knows; it answers sooner when that gets older than `mostAge`. */
+  awaitChanges: (
+    request: Pick<ChangesRequest, "since" | "wait"> & Readonly<{ mostAge: Ms }>,
+  ) => Promise<Result<Relayed<TableChanges>, MirrorFailure>>;
+}>;
+
+/** Changes kept; a box that is further behind reads the table whole. */
+const MOST_CHANGES = 200;
+
+type KeptChange = Readonly<{ change: RowChange; revision: number }>;
+
+/** Creates a mirror that knows nothing yet. */
+export const createTableMirror = (clock: Clock): TableMirror => {
+  const rows = new Map<string, StoredRow>();
+  let changes: KeptChange[] = [];
+  let revision: number | undefined;
+  /** Changes since this revision are all kept. */
+  let keptSince = 0;
+  let confirmedAt = -Infinity;
+  const waiting = new Set<() => void>();
+
+  const getSource = (): RelayedSource => ({
+    kind: "box",
+    age: (clock.monotonic() - confirmedAt) as Ms,
+  });
+  const endWaits = () => {
+    for (const endWait of [...waiting]) endWait();
+  };
+  const confirm = (asOf: Ms) => {
+    confirmedAt = Math.max(confirmedAt, asOf);
+  };
+
+  const takeWhole = (all: readonly StoredRow[], asOf: Ms, at: number) => {
+    rows.clear();
+    for (const row of all) rows.set(row.key, row);
+    changes = [];
+    revision = at;
+    keptSince = at;
+    confirm(asOf);
+    endWaits();
+  };
+  const takeChange = (change: RowChange, at: number) => {
+    if (change.kind === "put") rows.set(change.row.key, change.row);
+    else rows.delete(change.key);
+    changes.push({ change, revision: at });
+  };
+  const dropOldest = () => {
+    while (changes.length > MOST_CHANGES) keptSince = changes.shift()!.revision;
+  };
+  const takeChanges = (news: readonly RowChange[], asOf: Ms, at: number) => {
+    for (const change of news) takeChange(change, at);
+    dropOldest();
+    revision = at;
+    confirm(asOf);
+    endWaits();
+  };
+
+  const listSince = (since: number): readonly RowChange[] =>
+    changes.filter((kept) => kept.revision > since).map(({ change }) => change);
+
+  const answerChanges = (since: number): Result<Relayed<TableChanges>, MirrorFailure> => {
+    if (revision === undefined) return Err({ kind: "not_known" });
+    if (since < keptSince) return Err({ kind: "history_gone" });
+    return Ok({
+      changes: listSince(since),
+      revision: Math.max(since, revision),
+      source: getSource(),
+    });
+  };
+
+  /** Whoever waits is answered when the store has confirmed what is known, too: the age told is then the least. */
+  const waitForNews = (duration: Ms) =>
+    new Promise<void>((resolve) => {
+      const endWait = () => {
+        waiting.delete(endWait);
+        timer.cancel();
+        resolve();
+      };
+      const timer = clock.setTimer(duration, endWait);
+      waiting.add(endWait);
+    });
+
+  return {
+    observe: (inner) => ({
+      ...inner,
+      onWhole: (all, asOf, at) => {
+        takeWhole(all, asOf, at);
+        inner.onWhole(all, asOf, at);
+      },
+      onChanges: (news, asOf, at) => {
+        takeChanges(news, asOf, at);
+        inner.onChanges(news, asOf, at);
+      },
+    }),
+    readWhole: () =>
+      revision === undefined
+        ? Err({ kind: "not_known" })
+        : Ok({ rows: [...rows.values()], revision, source: getSource() }),
+    awaitChanges: async ({ since, wait, mostAge }) => {
+      const now = answerChanges(since);
+      if (now.err || now.val.changes.length > 0) return now;
+      const left = Math.min(wait, mostAge - getSource().age);
+      if (left > 0) await waitForNews(left as Ms);
+      return answerChanges(since);
+    },
+  };
+};
--- a/packages/storefeed/src/types.ts
+++ b/packages/storefeed/src/types.ts
@@ -9,11 +9,28 @@
   { kind: "put"; row: StoredRow } | { kind: "gone"; key: string }
 >;
 
+/**
+ * Who answered. The store's answer was true at some moment after it was asked. What another box hands on was true at the
+ * store at most `age` before it answered.
+ */
+export type AnswerSource = Readonly<{ kind: "store" } | { kind: "box"; age: Ms }>;
+
 /** The whole of a table at one moment. */
-export type TableSnapshot = Readonly<{ rows: readonly StoredRow[]; revision: number }>;
+export type TableSnapshot = Readonly<{
+  rows: readonly StoredRow[];
+  revision: number;
+  source: AnswerSource;
+}>;
 
 /** Changes since an earlier revision, in order; none when the wait ended without one. */
-export type TableChanges = Readonly<{ changes: readonly RowChange[]; revision: number }>;
+export type TableChanges = Readonly<{
+  changes: readonly RowChange[];
+  revision: number;
+  source: AnswerSource;
+}>;
+
+/** What another box hands on. */
+export type RelayedSource = Extract<AnswerSource, { kind: "box" }>;
 
 /** Why the store gave no answer that can be used. */
 export type StoreFailure = Readonly<
@@ -25,16 +42,27 @@
   | { kind: "history_gone" }
 >;
 
+/** A call for a whole table. */
+export type WholeRequest = Readonly<{
+  table: string;
+  /** Revision of the table that the caller knows; an older answer is of no use to it. */
+  atLeast: number;
+  signal: AbortSignal;
+}>;
+
+/** A call that waits for changes. */
+export type ChangesRequest = Readonly<{
+  table: string;
+  since: number;
+  wait: Ms;
+  signal: AbortSignal;
+}>;
+
 /** Reading calls of the store. */
 export type StoreReader = Readonly<{
-  readTable: (
-    table: string,
-    signal: AbortSignal,
-  ) => Promise<Result<TableSnapshot, StoreFailure>>;
+  readTable: (request: WholeRequest) => Promise<Result<TableSnapshot, StoreFailure>>;
   /** Answers as soon as there is a change, or after `wait` without one. */
-  awaitChanges: (
-    request: Readonly<{ table: string; since: number; wait: Ms; signal: AbortSignal }>,
-  ) => Promise<Result<TableChanges, StoreFailure>>;
+  awaitChanges: (request: ChangesRequest) => Promise<Result<TableChanges, StoreFailure>>;
 }>;
 
 /** Why a write is not known to be done. */
