--- a/packages/peers/src/peers.test.ts
+++ b/packages/peers/src/peers.test.ts
@@ -165,12 +165,12 @@
 
 describe("boxes that ask each other for a table", () => {
   const row = { key: "k", value: Buffer.from([0, 200]), revision: 4 };
-  const ignore = () => undefined;
+  const takeNothing = () => undefined;
   const NOBODY = {
-    onWhole: ignore,
-    onChanges: ignore,
-    onFailure: ignore,
-    onRegained: ignore,
+    onWhole: takeNothing,
+    onChanges: takeNothing,
+    onFailure: takeNothing,
+    onRegained: takeNothing,
   };
   const { signal } = new AbortController();
 
--- /dev/null
+++ b/packages/peers/src/sharedKnowledge.test.ts
@@ -0,0 +1,111 @@
+/** What boxes know through each other: never younger than it is, and in time also when those that hear the store fail. */
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import type { BoxName } from "@stairgauge/common";
+import { rankForAsker, rankHearers } from "./rankHearers.js";
+import { BOUND_MS, createWorld, type Trouble } from "./sharedKnowledge.testkit.js";
+
+const BOXES = 5;
+const END_MS = 9_000;
+const TIME = fc.integer({ min: 0, max: END_MS });
+
+const TROUBLE: fc.Arbitrary<Trouble> = fc
+  .record({
+    kind: fc.constantFrom(
+      "frozen" as const,
+      "cut_from_store" as const,
+      "slow_links" as const,
+      "gone" as const,
+    ),
+    box: fc.nat(BOXES - 1),
+    from: TIME,
+    duration: fc.integer({ min: 1, max: 4_000 }),
+  })
+  .map(({ duration, ...rest }) => ({ ...rest, until: rest.from + duration }));
+
+const names = Array.from({ length: 40 }, (_, i) => `box-${i}` as BoxName);
+
+describe("rankHearers", () => {
+  it("names the same boxes whatever the order in which they are known", () => {
+    expect(rankHearers(names.toReversed(), 3)).toEqual(rankHearers(names, 3));
+    expect(rankHearers(names, 3)).toHaveLength(3);
+    expect(rankHearers(names.slice(0, 1), 3)).toEqual(names.slice(0, 1));
+  });
+
+  it("keeps the others when one goes", () => {
+    const [first, ...rest] = rankHearers(names, 3);
+    const left = names.filter((name) => name !== first);
+    expect(rankHearers(left, 3).slice(0, 2)).toEqual(rest);
+  });
+
+  it("spreads those who ask over those who hear", () => {
+    const hearers = rankHearers(names, 2);
+    const firsts = names.map((name) => rankForAsker(hearers, name)[0]);
+    for (const hearer of hearers)
+      expect(firsts.filter((first) => first === hearer).length).toBeGreaterThan(8);
+  });
+});
+
+describe("boxes that hear the store through others", () => {
+  it("never hold what they know for younger than it is (property)", async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.nat(),
+        fc.array(TIME, { maxLength: 6 }),
+        fc.array(TROUBLE, { maxLength: 4 }),
+        async (seed, times, troubles) => {
+          const changes = times.toSorted((a, b) => a - b);
+          const world = createWorld({ seed, boxes: BOXES, changes, troubles });
+          world.start();
+          await world.runUntil(END_MS);
+          world.stop();
+          for (const { asOf, known, at } of world.claims) {
+            expect(asOf).toBeLessThanOrEqual(at);
+            expect(known).toBeGreaterThanOrEqual(world.countChangesAt(asOf));
+          }
+        },
+      ),
+      { seed: 11, numRuns: 60 },
+    );
+  }, 120_000);
+
+  it("hear a change within the bound while others are frozen, cut off, slow or gone (property)", async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.nat(),
+        fc.integer({ min: 3_000, max: 6_000 }),
+        fc.array(TROUBLE, { maxLength: 3 }),
+        async (seed, changedAt, troubles) => {
+          const world = createWorld({
+            seed,
+            boxes: BOXES,
+            changes: [100, changedAt],
+            troubles,
+          });
+          world.start();
+          await world.runUntil(changedAt + BOUND_MS);
+          world.stop();
+          const troubled = new Set(troubles.map(({ box }) => box));
+          const late = world.knownBy
+            .map((known, box) => ({ known, box }))
+            .filter(({ known, box }) => known < 2 && !troubled.has(box));
+          expect(late).toEqual([]);
+        },
+      ),
+      { seed: 12, numRuns: 120 },
+    );
+  }, 120_000);
+
+  it("leave the calls to the store to two of them", async () => {
+    const world = createWorld({ seed: 5, boxes: 12, changes: [50], troubles: [] });
+    world.start();
+    await world.runUntil(2_000);
+    const before = [...world.storeCalls];
+    await world.runUntil(12_000);
+    world.stop();
+    const calls = world.storeCalls.map((count, box) => count - before[box]!);
+    expect(calls.filter((count) => count > 0)).toHaveLength(2);
+    expect(calls.reduce((sum, count) => sum + count, 0)).toBeLessThanOrEqual(42);
+    expect(Math.min(...world.knownBy)).toBe(1);
+  });
+});
--- /dev/null
+++ b/packages/peers/src/sharedKnowledge.testkit.ts
@@ -0,0 +1,244 @@
+/** A small world for tests of shared knowledge: a store, boxes with clocks of their own, and links, on one virtual time. */
+import {
+  createSeededRandom,
+  createVirtualClock,
+  Err,
+  Ok,
+  type BoxName,
+  type Clock,
+  type Ms,
+  type Random,
+} from "@stairgauge/common";
+import {
+  createRevisionMark,
+  createTableFollower,
+  createTableMirror,
+  type FollowerSink,
+  type RowChange,
+  type StoredRow,
+  type StoreReader,
+} from "@stairgauge/storefeed";
+import { answerTable, createSharedReader } from "./index.js";
+import type { AskFailure, TableAnswer } from "./types.js";
+
+export const TABLE = "operator";
+export const BOUND_MS = 2_000;
+const WAIT_MS = 500 as Ms;
+const MOST_AGE_MS = 1_200 as Ms;
+const PATIENCE_MS = 400 as Ms;
+const KEY = "config";
+
+/** What can be wrong with one box, and from when to when on the world's time. */
+export type Trouble = Readonly<{
+  kind: "frozen" | "cut_from_store" | "slow_links" | "gone";
+  box: number;
+  from: number;
+  until: number;
+}>;
+
+export type WorldOptions = Readonly<{
+  seed: number;
+  boxes: number;
+  /** Times at which the operator changes the row. */
+  changes: readonly number[];
+  troubles: readonly Trouble[];
+}>;
+
+/** One moment at which a box said how fresh what it knows is. */
+export type Claim = Readonly<{
+  box: number;
+  at: number;
+  /** On the world's time. */
+  asOf: number;
+  /** How many changes it knows. */
+  known: number;
+}>;
+
+const toValue = (count: number): Buffer => Buffer.from(String(count));
+const fromRow = (row: StoredRow | undefined): number =>
+  Number(row?.value.toString() ?? 0);
+
+export const createWorld = ({ seed, boxes, changes, troubles }: WorldOptions) => {
+  const world = createVirtualClock();
+  const random: Random = createSeededRandom(seed);
+  const claims: Claim[] = [];
+  const storeCalls: number[] = Array.from({ length: boxes }, () => 0);
+  const knownBy: number[] = Array.from({ length: boxes }, () => 0);
+
+  const hasTrouble = (box: number, kind: Trouble["kind"]) =>
+    troubles.some(
+      (one) =>
+        one.box === box &&
+        one.kind === kind &&
+        world.now() >= one.from &&
+        world.now() < one.until,
+    );
+
+  let count = 0;
+  const waiting = new Set<() => void>();
+  const makeRow = (): StoredRow => ({ key: KEY, value: toValue(count), revision: count });
+  for (const at of changes)
+    world.setTimer(at as Ms, () => {
+      count += 1;
+      for (const end of [...waiting]) end();
+    });
+
+  const isDown = (box: number) => hasTrouble(box, "frozen") || hasTrouble(box, "gone");
+
+  /** What a frozen process would have done, it does when it wakes. */
+  const runAt = (box: number, work: () => void): void => {
+    if (hasTrouble(box, "gone")) return;
+    if (isDown(box)) world.setTimer(10 as Ms, () => runAt(box, work));
+    else work();
+  };
+  const makeClock = (box: number, offset: number): Clock => ({
+    now: () => (world.now() + offset) as Ms,
+    monotonic: () => (world.now() + offset) as Ms,
+    setTimer: (delay, fire) => world.setTimer(delay, () => runAt(box, fire)),
+  });
+
+  const drawDelay = (...ends: readonly number[]): Ms => {
+    const isSlow = ends.some((box) => hasTrouble(box, "slow_links"));
+    return random.nextInt(1, isSlow ? 1_500 : 5) as Ms;
+  };
+  const passTo = (box: number, delay: Ms, work: () => void) => {
+    world.setTimer(delay, () => runAt(box, work));
+  };
+
+  const makeStore = (box: number): StoreReader => {
+    const call = <T>(signal: AbortSignal, answer: (send: (value: T) => void) => void) =>
+      new Promise<T | undefined>((resolve) => {
+        storeCalls[box]! += 1;
+        signal.addEventListener("abort", () => resolve(undefined));
+        if (hasTrouble(box, "cut_from_store")) return;
+        world.setTimer(drawDelay(), () =>
+          answer((value) => {
+            if (hasTrouble(box, "cut_from_store")) return;
+            passTo(box, drawDelay(), () => resolve(value));
+          }),
+        );
+      });
+    return {
+      readTable: async ({ signal }) => {
+        const read = await call<readonly [StoredRow[], number]>(signal, (send) =>
+          send([count > 0 ? [makeRow()] : [], count]),
+        );
+        if (!read) return Err({ kind: "timed_out" });
+        return Ok({ rows: read[0], revision: read[1], source: { kind: "store" } });
+      },
+      awaitChanges: async ({ since, wait, signal }) => {
+        const read = await call<readonly [RowChange[], number]>(signal, (send) => {
+          const answer = () => {
+            waiting.delete(answer);
+            timer.cancel();
+            send([count > since ? [{ kind: "put", row: makeRow() }] : [], count]);
+          };
+          const timer = world.setTimer(wait, answer);
+          if (count > since) answer();
+          else waiting.add(answer);
+        });
+        if (!read) return Err({ kind: "timed_out" });
+        return Ok({ changes: read[0], revision: read[1], source: { kind: "store" } });
+      },
+    };
+  };
+
+  const toName = (box: number) => `box-${box}` as BoxName;
+  const names = Array.from({ length: boxes }, (_, box) => toName(box));
+  const mirrors = Array.from({ length: boxes }, (_, box) => box).map((box) => {
+    const offset = 1_000_000 * box;
+    const clock = makeClock(box, offset);
+    const mirror = createTableMirror(clock);
+    const claim = (known: number, asOf: Ms) => {
+      knownBy[box] = known;
+      claims.push({ box, at: world.now(), asOf: asOf - offset, known });
+    };
+    const sink: FollowerSink = {
+      onWhole: (rows, asOf) => claim(fromRow(rows[0]), asOf),
+      onChanges: (news, asOf) => {
+        const last = news.at(-1);
+        claim(last?.kind === "put" ? fromRow(last.row) : knownBy[box]!, asOf);
+      },
+      onFailure: () => undefined,
+      onRegained: () => undefined,
+    };
+    return { box, clock, mirror, sink: mirror.observe(sink) };
+  });
+
+  const ask = (from: number, to: number) =>
+    new Promise<void>((resolve) => passTo(to, drawDelay(from, to), resolve));
+
+  const followers = mirrors.map(({ box, clock, sink }) => {
+    const reader = createSharedReader({
+      clock,
+      own: toName(box),
+      store: makeStore(box),
+      links: {
+        listUp: () => names.filter((name) => name !== toName(box)),
+        ask: (name, question, signal) =>
+          new Promise((resolve) => {
+            const to = names.indexOf(name);
+            const fail = (detail: string) => {
+              const failure: AskFailure = { kind: "failed", detail };
+              resolve(Err(failure));
+            };
+            signal.addEventListener("abort", () => fail("given up"));
+            const answerAt = async () => {
+              await ask(box, to);
+              const answer: TableAnswer = await answerTable(
+                new Map([[TABLE, mirrors[to]!.mirror]]),
+                question,
+                MOST_AGE_MS,
+              );
+              passTo(box, drawDelay(box, to), () => resolve(Ok(answer)));
+            };
+            void answerAt();
+          }),
+      },
+      hearers: 2,
+      mostAge: MOST_AGE_MS,
+      relayedWaits: 1.5,
+      patience: PATIENCE_MS,
+      onDistrust: () => undefined,
+    });
+    return createTableFollower({
+      table: TABLE,
+      reader,
+      clock,
+      random,
+      wait: WAIT_MS,
+      patience: 1_000 as Ms,
+      retryPause: { first: 100 as Ms, most: 500 as Ms },
+      revisions: createRevisionMark(),
+      sink,
+    });
+  });
+
+  /** Lets the world go on until the time given. */
+  const runUntil = async (end: number): Promise<void> => {
+    for (
+      let next = world.getNextAt();
+      next !== undefined && next <= end;
+      next = world.getNextAt()
+    ) {
+      world.step();
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    world.advance((end - world.now()) as Ms);
+  };
+
+  return {
+    start: () => {
+      for (const follower of followers) follower.start();
+    },
+    stop: () => {
+      for (const follower of followers) follower.stop();
+    },
+    runUntil,
+    claims,
+    storeCalls,
+    knownBy,
+    countChangesAt: (time: number) => changes.filter((at) => at <= time).length,
+    hasTrouble,
+  };
+};
