--- a/packages/peers/src/sharedKnowledge.testkit.ts
+++ b/packages/peers/src/sharedKnowledge.testkit.ts
@@ -110,6 +110,10 @@
       new Promise<T | undefined>((resolve) => {
         storeCalls[box]! += 1;
         signal.addEventListener("abort", () => resolve(undefined));
+        if (signal.aborted) {
+          resolve(undefined);
+          return;
+        }
         if (hasTrouble(box, "cut_from_store")) return;
         world.setTimer(computeDelay(), () =>
           answer((value) => {
