fix: whether a box hears the store is told by its silence, not by the age of a table that seldom changes

Ruled out: links that were not up; a wrong ranking (all boxes asked the same two). Change: an answer tells how long its box has heard nothing of the store, beside its age.

--- a/apps/box/src/createKnowledge.ts
+++ b/apps/box/src/createKnowledge.ts
@@ -62,7 +62,7 @@
 const SLACK_SHARE = 0.1;
 const PATIENCE_SHARE = 0.2;
 
-type Timing = Readonly<{ wait: Ms; mostAge: Ms; patience: Ms }>;
+type Timing = Readonly<{ wait: Ms; mostSilence: Ms; patience: Ms }>;
 
 /** Derives how boxes ask and answer each other from the bound on a configuration. */
 export const computeTiming = ({ store, bounds }: BoxSettings): Timing => {
@@ -70,7 +70,7 @@
   const wait = store.configurationWaitMs ?? bound * WAIT_SHARE;
   return {
     wait: wait as Ms,
-    mostAge: (wait * MOST_WAITS_OLD + bound * SLACK_SHARE) as Ms,
+    mostSilence: (wait * MOST_WAITS_OLD + bound * SLACK_SHARE) as Ms,
     patience: (bound * PATIENCE_SHARE) as Ms,
   };
 };
@@ -79,7 +79,7 @@
 export const createKnowledge = (options: KnowledgeOptions): Knowledge => {
   const { settings, clock, random, log, links, sinks } = options;
   const { store } = settings;
-  const { wait, mostAge, patience } = computeTiming(settings);
+  const { wait, mostSilence, patience } = computeTiming(settings);
   const mirrors = new Map(
     [TABLE.operator, TABLE.servers, BOX_TABLE].map((table) => [
       table,
@@ -92,7 +92,7 @@
     store: createStoreReader(store.address),
     links,
     hearers: store.hearers,
-    mostAge,
+    mostSilence,
     relayedWaits: RELAYED_WAITS,
     patience,
     onDistrust: (box, reason) =>
@@ -133,6 +133,6 @@
     stop: () => {
       for (const follower of followers) follower.stop();
     },
-    answer: (question) => answerTable(mirrors, question, mostAge),
+    answer: (question) => answerTable(mirrors, question, mostSilence),
   };
 };
--- a/packages/peers/src/answerTable.ts
+++ b/packages/peers/src/answerTable.ts
@@ -3,11 +3,15 @@
 import type { TableMirror } from "@stairgauge/storefeed";
 import type { TableAnswer, TableQuestion } from "./types.js";
 
-/** Answers from the mirror of the table; a waiting question sooner when that gets older than `mostAge`. */
+/** How long ago the store confirmed anything: a table that hardly changes is confirmed seldom, and yet heard. */
+const computeSilence = (mirrors: ReadonlyMap<string, TableMirror>): Ms =>
+  Math.min(...[...mirrors.values()].map((mirror) => mirror.getAge())) as Ms;
+
+/** Answers from the mirror of the table; a waiting question sooner when the store is silent for longer than `mostSilence`. */
 export const answerTable = async (
   mirrors: ReadonlyMap<string, TableMirror>,
   question: TableQuestion,
-  mostAge: Ms,
+  mostSilence: Ms,
 ): Promise<TableAnswer> => {
   const mirror = mirrors.get(question.table);
   if (!mirror) return { kind: "not_known" };
@@ -15,11 +19,13 @@
     const read = mirror.readWhole();
     if (read.err) return read.val;
     const { rows, revision, source } = read.val;
-    return { kind: "whole", rows, revision, age: source.age };
+    const silence = computeSilence(mirrors);
+    return { kind: "whole", rows, revision, age: source.age, silence };
   }
-  const { since, wait } = question;
-  const read = await mirror.awaitChanges({ since, wait, mostAge });
+  const wait = Math.min(question.wait, mostSilence - computeSilence(mirrors)) as Ms;
+  const read = await mirror.awaitChanges({ since: question.since, wait });
   if (read.err) return read.val;
   const { changes, revision, source } = read.val;
-  return { kind: "changes", changes, revision, age: source.age };
+  const silence = computeSilence(mirrors);
+  return { kind: "changes", changes, revision, age: source.age, silence };
 };
--- a/packages/peers/src/peers.test.ts
+++ b/packages/peers/src/peers.test.ts
@@ -248,12 +248,14 @@
       rows: fc.array(ROW, { maxLength: 4 }),
       revision: REVISION,
       age: AGE,
+      silence: AGE,
     }),
     fc.record({
       kind: fc.constant("changes" as const),
       changes: fc.array(CHANGE, { maxLength: 4 }),
       revision: REVISION,
       age: AGE,
+      silence: AGE,
     }),
     fc.constantFrom({ kind: "not_known" as const }, { kind: "history_gone" as const }),
   );
--- a/packages/peers/src/sharedKnowledge.testkit.ts
+++ b/packages/peers/src/sharedKnowledge.testkit.ts
@@ -24,7 +24,7 @@
 export const TABLE = "operator";
 export const BOUND_MS = 2_000;
 const WAIT_MS = 500 as Ms;
-const MOST_AGE_MS = 1_200 as Ms;
+const MOST_SILENCE_MS = 1_200 as Ms;
 const PATIENCE_MS = 400 as Ms;
 const KEY = "config";
 
@@ -192,7 +192,7 @@
               const answer: TableAnswer = await answerTable(
                 new Map([[TABLE, mirrors[to]!.mirror]]),
                 question,
-                MOST_AGE_MS,
+                MOST_SILENCE_MS,
               );
               passTo(box, computeDelay(box, to), () => resolve(Ok(answer)));
             };
@@ -200,7 +200,7 @@
           }),
       },
       hearers: 2,
-      mostAge: MOST_AGE_MS,
+      mostSilence: MOST_SILENCE_MS,
       relayedWaits: 1.5,
       patience: PATIENCE_MS,
       onDistrust: () => undefined,
--- a/packages/peers/src/sharedReader.ts
+++ b/packages/peers/src/sharedReader.ts
@@ -23,7 +23,7 @@
 import type { TableAnswer, TableQuestion } from "./types.js";
 
 /** Why a box is not asked for a while. */
-export type DistrustReason = "no_answer" | "too_old";
+export type DistrustReason = "no_answer" | "lost_the_store";
 
 /** What reading through other boxes needs. */
 export type SharedReaderOptions = Readonly<{
@@ -33,8 +33,8 @@
   links: Pick<PeerLinks, "ask" | "listUp">;
   /** How many boxes hear the store. */
   hearers: number;
-  /** Knowledge that a box tells is of no use when it is older. */
-  mostAge: Ms;
+  /** A box that has not heard the store for longer has lost it, and is of no use. */
+  mostSilence: Ms;
   /** How many times longer than the store a box is asked to wait for news: its own confirmations come in between. */
   relayedWaits: number;
   /** How much longer than asked a box may take to answer. */
@@ -52,7 +52,7 @@
 
 /** Creates the reader. */
 export const createSharedReader = (options: SharedReaderOptions): StoreReader => {
-  const { clock, own, store, links, patience, mostAge } = options;
+  const { clock, own, store, links, patience, mostSilence } = options;
   const distrustedUntil = new Map<BoxName, number>();
   const asked = new Map<BoxName, Set<AbortController>>();
 
@@ -106,9 +106,10 @@
     if (box === undefined) return undefined;
     const answer = await askWithin(box, question, signal);
     if (!answer) return undefined;
-    const isOld = "age" in answer ? answer.age > mostAge : answer.kind === "not_known";
-    if (isOld) passOver(box, "too_old");
-    return isOld ? undefined : answer;
+    const hasLost =
+      "silence" in answer ? answer.silence > mostSilence : answer.kind === "not_known";
+    if (hasLost) passOver(box, "lost_the_store");
+    return hasLost ? undefined : answer;
   };
 
   const readTable = async (
--- a/packages/peers/src/tableCodec.ts
+++ b/packages/peers/src/tableCodec.ts
@@ -21,11 +21,16 @@
 });
 const changeSchema = z.union([rowSchema, z.object({ gone: z.string() })]);
 const revision = z.number().nonnegative();
-const age = z.number().nonnegative();
+const ages = { age: z.number().nonnegative(), silence: z.number().nonnegative() };
 
 const answerSchema = z.discriminatedUnion("kind", [
-  z.object({ kind: z.literal("whole"), rows: z.array(rowSchema), revision, age }),
-  z.object({ kind: z.literal("changes"), changes: z.array(changeSchema), revision, age }),
+  z.object({ kind: z.literal("whole"), rows: z.array(rowSchema), revision, ...ages }),
+  z.object({
+    kind: z.literal("changes"),
+    changes: z.array(changeSchema),
+    revision,
+    ...ages,
+  }),
   z.object({ kind: z.literal("not_known") }),
   z.object({ kind: z.literal("history_gone") }),
 ]);
@@ -47,6 +52,11 @@
     ? { kind: "gone", key: change.gone }
     : { kind: "put", row: fromWireRow(change) };
 
+const decodeAges = ({ age, silence }: Readonly<{ age: number; silence: number }>) => ({
+  age: age as Ms,
+  silence: silence as Ms,
+});
+
 const encode = (value: unknown): Buffer => Buffer.from(JSON.stringify(value));
 const parse = (bytes: Buffer): unknown => JSON.parse(bytes.toString("utf8"));
 
@@ -79,12 +89,16 @@
   const answer = answerSchema.parse(parse(bytes));
   switch (answer.kind) {
     case "whole":
-      return { ...answer, rows: answer.rows.map(fromWireRow), age: answer.age as Ms };
+      return {
+        ...answer,
+        ...decodeAges(answer),
+        rows: answer.rows.map(fromWireRow),
+      };
     case "changes":
       return {
         ...answer,
+        ...decodeAges(answer),
         changes: answer.changes.map(fromWireChange),
-        age: answer.age as Ms,
       };
     case "not_known":
     case "history_gone":
--- a/packages/peers/src/types.ts
+++ b/packages/peers/src/types.ts
@@ -30,10 +30,17 @@
   | { kind: "changes"; table: string; since: number; wait: Ms }
 >;
 
-/** The answer; `age` is how long ago it was true at the store, at most. */
+type AnswerAges = Readonly<{
+  /** How long ago the answer was true at the store, at most. */
+  age: Ms;
+  /** How long ago the box that answers heard the store at all, at most. */
+  silence: Ms;
+}>;
+
+/** The answer. */
 export type TableAnswer = Readonly<
-  | { kind: "whole"; rows: readonly StoredRow[]; revision: number; age: Ms }
-  | { kind: "changes"; changes: readonly RowChange[]; revision: number; age: Ms }
+  | ({ kind: "whole"; rows: readonly StoredRow[]; revision: number } & AnswerAges)
+  | ({ kind: "changes"; changes: readonly RowChange[]; revision: number } & AnswerAges)
   | { kind: "not_known" }
   | { kind: "history_gone" }
 >;
--- a/packages/storefeed/src/tableMirror.ts
+++ b/packages/storefeed/src/tableMirror.ts
@@ -24,10 +24,12 @@
 export type TableMirror = Readonly<{
   /** Follows along before the sink given. */
   observe: (inner: FollowerSink) => FollowerSink;
+  /** How long ago what it holds was true at the store, at most. */
+  getAge: () => Ms;
   readWhole: () => Result<Relayed<TableSnapshot>, MirrorFailure>;
-  /** As the store does, from what this box knows; it answers sooner when that gets older than `mostAge`. */
+  /** As the store does, from what this box knows. */
   awaitChanges: (
-    request: Pick<ChangesRequest, "since" | "wait"> & Readonly<{ mostAge: Ms }>,
+    request: Pick<ChangesRequest, "since" | "wait">,
   ) => Promise<Result<Relayed<TableChanges>, MirrorFailure>>;
 }>;
 
@@ -119,15 +121,15 @@
         inner.onChanges(news, asOf, at);
       },
     }),
+    getAge: () => getSource().age,
     readWhole: () =>
       revision === undefined
         ? Err({ kind: "not_known" })
         : Ok({ rows: [...rows.values()], revision, source: getSource() }),
-    awaitChanges: async ({ since, wait, mostAge }) => {
+    awaitChanges: async ({ since, wait }) => {
       const now = answerChanges(since);
       if (now.err || now.val.changes.length > 0) return now;
-      const left = Math.min(wait, mostAge - getSource().age);
-      if (left > 0) await waitForNews(left as Ms);
+      if (wait > 0) await waitForNews(wait);
       return answerChanges(since);
     },
   };
