feat: two boxes ask each engine for its report and tell the rest; a box that the store turns away hears through any other

Ruled out: asking less often everywhere (reports would be older at small sites, for nothing). Change: two boxes an engine, by the same hashing, each half as often; they tell the rest over the stream of updates.

--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -8,7 +8,11 @@
   toHostAndPort,
   type Ms,
 } from "@stairgauge/common";
-import { createServerDirectory, type BackendServer } from "@stairgauge/directory";
+import {
+  createServerDirectory,
+  type BackendServer,
+  type ServerId,
+} from "@stairgauge/directory";
 import {
   createConfigurationSink,
   createExposureJudge,
@@ -33,8 +37,13 @@
   createPeerLinks,
   createPeerServer,
   createRunTeller,
+  createWatchShares,
 } from "@stairgauge/peers";
-import { computeConnectionShare, createLoadBook } from "@stairgauge/placement";
+import {
+  computeConnectionShare,
+  createLoadBook,
+  type EngineReport,
+} from "@stairgauge/placement";
 import {
   BOX_TABLE,
   CONFIGURATION_KEY,
@@ -142,6 +151,9 @@
         .map(toToldLeaving),
   });
   const links = createPeerLinks({ clock, random, own, makeWhole: teller.makeWhole });
+  const markReported = (server: ServerId, report: EngineReport) => {
+    if (report.isLeaving) directory.mark(server, "report", clock.monotonic());
+  };
   const peerServer = createPeerServer({
     onUpdate: (update) =>
       applyUpdate(
@@ -152,6 +164,11 @@
             if (isEntryGone && !isOutOfTouch()) return;
             directory.mark(server, "told_by_box", clock.monotonic());
           },
+          onReport: ({ server, report }) => {
+            if (!directory.find(server)) return;
+            book.putReport(server, report, clock.monotonic());
+            markReported(server, report);
+          },
         },
         update,
       ),
@@ -207,9 +224,9 @@
     interval: settings.engines.reportIntervalMs as Ms,
     limit: settings.engines.reportLimitMs as Ms,
     isEngineService,
-    onReport: (server, report) => {
-      if (report.isLeaving) directory.mark(server.entry.id, "report", clock.monotonic());
-    },
+    shares: createWatchShares(own, links),
+    onReport: (server, report) => markReported(server.entry.id, report),
+    onPolled: (server, report) => teller.takeReport({ server: server.entry.id, report }),
   });
   const placer = createPlacer({
     clock,
--- a/packages/fleet/src/pollReports.ts
+++ b/packages/fleet/src/pollReports.ts
@@ -1,4 +1,4 @@
-/** Asks engines for their reports, each at its own pace, so that no two boxes ask in step. */
+/** Asks engines for their reports, each at its own pace; boxes share the engines out, and tell each other what they hear. */
 import type { Clock, Ms, Random, ServiceName } from "@stairgauge/common";
 import type { BackendServer, ServerDirectory, ServerId } from "@stairgauge/directory";
 import type { EngineActions } from "@stairgauge/migration";
@@ -11,10 +11,21 @@
   directory: ServerDirectory;
   book: LoadBook;
   actions: EngineActions;
+  /** How often an engine is asked by all boxes together. */
   interval: Ms;
   limit: Ms;
+  shares: WatchSharing;
   isEngineService: (service: ServiceName) => boolean;
+  /** Any report that this box has asked for. */
   onReport: (server: BackendServer, report: EngineReport) => void;
+  /** A report that it has asked for on behalf of all boxes. */
+  onPolled: (server: BackendServer, report: EngineReport) => void;
+}>;
+
+/** How the boxes share the engines out. */
+export type WatchSharing = Readonly<{
+  isWatcher: (server: ServerId) => boolean;
+  countWatchers: () => number;
 }>;
 
 /** Polls the engines that it is told of. */
@@ -27,7 +38,7 @@
 
 /** Creates the poller. */
 export const createReportPoller = (options: ReportPollerOptions): ReportPoller => {
-  const { clock, random, directory, book, actions, interval, limit } = options;
+  const { clock, random, directory, book, actions, interval, limit, shares } = options;
   const polled = new Set<ServerId>();
   let isStopped = false;
 
@@ -40,7 +51,7 @@
   };
 
   const schedule = (id: ServerId) => {
-    const pause = interval * (0.75 + random.nextFloat() / 2);
+    const pause = interval * shares.countWatchers() * (0.75 + random.nextFloat() / 2);
     clock.setTimer(pause as Ms, () => void poll(id));
   };
 
@@ -50,7 +61,10 @@
       polled.delete(id);
       return;
     }
-    if (options.isEngineService(server.entry.service)) await ask(server);
+    if (options.isEngineService(server.entry.service) && shares.isWatcher(id)) {
+      const report = await ask(server);
+      if (report) options.onPolled(server, report);
+    }
     schedule(id);
   };
 
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -10,5 +10,7 @@
 export type { PeerLinks, PeerLinksOptions } from "./peerLinks.js";
 export { createPeerServer } from "./peerServer.js";
 export type { PeerServer, PeerServerOptions } from "./peerServer.js";
+export { createWatchShares } from "./watchShares.js";
+export type { WatchShares } from "./watchShares.js";
 export { createRunTeller } from "./runTeller.js";
 export type { RunTeller, RunTellerOptions } from "./runTeller.js";
--- a/packages/peers/src/peers.test.ts
+++ b/packages/peers/src/peers.test.ts
@@ -9,7 +9,7 @@
 } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
 import { createTableMirror, type TableMirror } from "@stairgauge/storefeed";
-import { createLoadBook, type PlacedRun } from "@stairgauge/placement";
+import { createLoadBook, type EngineReport, type PlacedRun } from "@stairgauge/placement";
 import {
   answerTable,
   applyUpdate,
@@ -17,10 +17,12 @@
   createPeerLinks,
   createPeerServer,
   createRunTeller,
+  createWatchShares,
   type Peer,
   type RunUpdate,
   type TableQuestion,
   type ToldLeaving,
+  type ToldReport,
 } from "./index.js";
 import { decodeAnswer, decodeQuestion, encodeAnswer } from "./tableCodec.js";
 import { decodeUpdate, encodeUpdate } from "./updateCodec.js";
@@ -49,10 +51,18 @@
   const book = createLoadBook();
   const lost: string[] = [];
   const leaving: ToldLeaving[] = [];
+  const reports: ToldReport[] = [];
   const mirrors = new Map<string, TableMirror>();
   const server = createPeerServer({
     onUpdate: (update) =>
-      applyUpdate({ book, onLeaving: (told) => leaving.push(told) }, update),
+      applyUpdate(
+        {
+          book,
+          onLeaving: (told) => leaving.push(told),
+          onReport: (told) => reports.push(told),
+        },
+        update,
+      ),
     onPeerLost: (box) => {
       lost.push(box);
       book.dropPeer(box);
@@ -65,6 +75,7 @@
     book,
     lost,
     leaving,
+    reports,
     mirrors,
     peer: { box: "b" as BoxName, address: { host: "127.0.0.1", port } },
   };
@@ -163,6 +174,55 @@
   });
 });
 
+const REPORT: EngineReport = {
+  isLeaving: true,
+  leavesIn: 2_000 as Ms,
+  waiting: 1,
+  firstWaitingTokens: 3_000,
+  running: 2,
+  memoryUsed: 9_000,
+  memoryTotal: 34_000,
+  runs: [{ id: "r1", tokensInMemory: 3_100, eventsMade: 4 }],
+};
+
+describe("boxes that share out the engines' reports", () => {
+  it("tell all others what an engine reported to one of them, also without a change of runs", async () => {
+    const there = await openListener();
+    const here = openTeller();
+    here.links.setPeers([there.peer]);
+    here.teller.takeReport({ server, report: REPORT });
+    await waitFor(() => there.reports.length === 1);
+    expect(there.reports).toEqual([{ server, report: REPORT }]);
+  });
+
+  it("ask each engine from two boxes, from one that is alone, and from others when a watcher goes", () => {
+    const boxes = ["a", "b", "c", "d", "e"].map((name) => name as BoxName);
+    const engines = Array.from({ length: 30 }, (_, i) => `engine-${i}` as ServerId);
+    const listWatchers = (members: readonly BoxName[], engine: ServerId) =>
+      members.filter((own) => {
+        const listUp = () => members.filter((name) => name !== own);
+        return createWatchShares(own, { listUp }).isWatcher(engine);
+      });
+    for (const engine of engines) {
+      const watchers = listWatchers(boxes, engine);
+      expect(watchers).toHaveLength(2);
+      const left = boxes.filter((name) => name !== watchers[0]);
+      expect(listWatchers(left, engine)).toContain(watchers[1]);
+      expect(listWatchers(left, engine)).toHaveLength(2);
+      expect(listWatchers(boxes.slice(0, 1), engine)).toHaveLength(1);
+    }
+    const own = boxes[0]!;
+    let up = boxes.slice(1);
+    const shares = createWatchShares(own, { listUp: () => up });
+    expect(shares.countWatchers()).toBe(2);
+    const before = engines.filter(shares.isWatcher).length;
+    up = [];
+    expect(shares.countWatchers()).toBe(1);
+    expect(before).toBeLessThan(engines.length);
+    expect(engines.every(shares.isWatcher)).toBe(true);
+  });
+});
+
 describe("boxes that ask each other for a table", () => {
   const row = { key: "k", value: Buffer.from([0, 200]), revision: 4 };
   const takeNothing = () => undefined;
@@ -295,6 +355,10 @@
       put: [{ server, run: makeRun("r") }],
       drop: [{ server, id: "q" }],
       leaving: [{ server, isEntryGone: true }],
+      reports: [
+        { server, report: REPORT },
+        { server, report: { ...REPORT, leavesIn: undefined } },
+      ],
     };
     expect(decodeUpdate(encodeUpdate(update))).toEqual(update);
   });
--- a/packages/peers/src/rankHearers.ts
+++ b/packages/peers/src/rankHearers.ts
@@ -8,7 +8,8 @@
 const hashToNumber = (text: string): number =>
   createHash("sha1").update(text).digest().readUInt32BE(0);
 
-const rankByHash = (boxes: readonly BoxName[], salt: string): readonly BoxName[] =>
+/** Ranks boxes by a hash with the salt given: as good as drawn by lot, and drawn alike everywhere. */
+export const rankByHash = (boxes: readonly BoxName[], salt: string): readonly BoxName[] =>
   [...new Set(boxes)]
     .map((box) => ({ box, weight: hashToNumber(`${salt} ${box}`) }))
     .sort((a, b) => b.weight - a.weight || (a.box < b.box ? -1 : 1))
--- a/packages/peers/src/runTeller.ts
+++ b/packages/peers/src/runTeller.ts
@@ -1,7 +1,7 @@
 /** Collects changes of this box's runs and tells them together. */
 import type { BoxName, Clock, Ms } from "@stairgauge/common";
 import type { LoadBook, RunChange } from "@stairgauge/placement";
-import type { RunUpdate, ToldLeaving } from "./types.js";
+import type { RunUpdate, ToldLeaving, ToldReport } from "./types.js";
 
 /** Changes within this time go out together; a placement by another box should see them. */
 const GATHER_MS = 3 as Ms;
@@ -21,6 +21,8 @@
 /** Tells the runs of one box. */
 export type RunTeller = Readonly<{
   takeChange: (change: RunChange) => void;
+  /** An engine has reported to this box. */
+  takeReport: (told: ToldReport) => void;
   makeWhole: () => RunUpdate;
   /** A server gets no new work: boxes that the store does not reach hear it from others. */
   tellLeaving: (told: ToldLeaving) => void;
@@ -30,10 +32,20 @@
 export const createRunTeller = (options: RunTellerOptions): RunTeller => {
   const { clock, own, book, send, sendToSome, listLeaving } = options;
   let pending: RunChange[] = [];
+  let reports: ToldReport[] = [];
+  let isScheduled = false;
 
+  const schedule = () => {
+    if (isScheduled) return;
+    isScheduled = true;
+    clock.setTimer(GATHER_MS, sendPending);
+  };
   const sendPending = () => {
     const changes = pending;
+    const toldReports = reports;
+    isScheduled = false;
     pending = [];
+    reports = [];
     const last = new Map(
       changes.map((change) => [`${change.server} ${change.id}`, change]),
     );
@@ -42,6 +54,7 @@
       box: own,
       isWhole: false,
       leaving: [],
+      reports: toldReports,
       put: kept.flatMap(({ server, run }) => (run ? [{ server, run }] : [])),
       drop: kept.flatMap(({ server, id, run }) => (run ? [] : [{ server, id }])),
     });
@@ -50,7 +63,11 @@
   return {
     takeChange: (change) => {
       pending.push(change);
-      if (pending.length === 1) clock.setTimer(GATHER_MS, sendPending);
+      schedule();
+    },
+    takeReport: (told) => {
+      reports.push(told);
+      schedule();
     },
     makeWhole: () => ({
       box: own,
@@ -58,8 +75,16 @@
       put: book.listAllRuns(),
       drop: [],
       leaving: listLeaving(),
+      reports: [],
     }),
     tellLeaving: (told) =>
-      sendToSome({ box: own, isWhole: false, put: [], drop: [], leaving: [told] }),
+      sendToSome({
+        box: own,
+        isWhole: false,
+        put: [],
+        drop: [],
+        leaving: [told],
+        reports: [],
+      }),
   };
 };
--- a/packages/peers/src/sharedKnowledge.test.ts
+++ b/packages/peers/src/sharedKnowledge.test.ts
@@ -100,6 +100,26 @@
     );
   }, 120_000);
 
+  it("hear it through others also when the store turns away just them", async () => {
+    await fc.assert(
+      fc.asyncProperty(fc.nat(), fc.nat(BOXES - 1), async (seed, box) => {
+        const cut: Trouble = { kind: "cut_from_store", box, from: 1_000, until: END_MS };
+        const changes = [100, 4_000, 5_500, 7_000];
+        const world = createWorld({ seed, boxes: BOXES, changes, troubles: [cut] });
+        world.start();
+        await world.runUntil(END_MS);
+        world.stop();
+        expect(world.knownBy[box]).toBe(changes.length);
+        const heard = changes.map((at, i) => {
+          const first = world.claims.find((one) => one.box === box && one.known > i);
+          return first!.at - at;
+        });
+        expect(Math.max(...heard)).toBeLessThanOrEqual(BOUND_MS);
+      }),
+      { seed: 13, numRuns: 40 },
+    );
+  });
+
   it("leave the calls to the store to two of them", async () => {
     const world = createWorld({ seed: 5, boxes: 12, changes: [50], troubles: [] });
     world.start();
--- a/packages/peers/src/sharedReader.ts
+++ b/packages/peers/src/sharedReader.ts
@@ -42,28 +42,43 @@
   onDistrust: (box: BoxName, reason: DistrustReason) => void;
 }>;
 
-/** How long a box that did not answer, or knew too little, is passed over. */
+/** How long a box that did not answer or knew too little is passed over, and the store when it failed. */
 const DISTRUST_MS = 3_000;
 
 /** A caller that was let down by a box wants to know what is there now, not what comes. */
 const AT_ONCE_MS = 0 as Ms;
 
-const isGone = (answer: TableAnswer) => answer.kind === "history_gone";
-
 /** Creates the reader. */
 export const createSharedReader = (options: SharedReaderOptions): StoreReader => {
   const { clock, own, store, links, patience, mostSilence } = options;
   const distrustedUntil = new Map<BoxName, number>();
   const asked = new Map<BoxName, Set<AbortController>>();
+  let storeLostUntil = -Infinity;
 
   const isTrusted = (box: BoxName) =>
     (distrustedUntil.get(box) ?? -Infinity) <= clock.monotonic();
+  const hasStore = () => storeLostUntil <= clock.monotonic();
+
+  /** Whom to ask: those who hear the store, or anybody while this box itself has lost it. */
+  const listCandidates = (): readonly BoxName[] => {
+    const up = links.listUp();
+    const hearers = rankHearers([own, ...up], options.hearers);
+    if (hasStore()) return hearers.includes(own) ? [] : rankForAsker(hearers, own);
+    const others = up.filter((box) => !hearers.includes(box));
+    return [...hearers.filter((box) => box !== own), ...rankForAsker(others, own)];
+  };
+
+  /** The box to ask; none when this one has to ask the store itself. */
+  const chooseBox = (): BoxName | undefined => listCandidates().find(isTrusted);
 
-  /** The box to ask; none when this one has to hear the store itself. */
-  const chooseBox = (): BoxName | undefined => {
-    const hearers = rankHearers([own, ...links.listUp()], options.hearers);
-    if (hearers.includes(own)) return undefined;
-    return rankForAsker(hearers, own).find(isTrusted);
+  /** What the store answered; after a failure other boxes are asked for a while. */
+  const recordStore = async <T>(
+    call: Promise<Result<T, StoreFailure>>,
+  ): Promise<Result<T, StoreFailure>> => {
+    const read = await call;
+    const hasAnswered = read.ok || read.val.kind === "history_gone";
+    storeLostUntil = hasAnswered ? -Infinity : clock.monotonic() + DISTRUST_MS;
+    return read;
   };
 
   /** All that waits for the box goes on elsewhere: what fails one call fails the others, only later. */
@@ -118,7 +133,7 @@
     const { table, atLeast, signal } = request;
     const answer = await askBox({ kind: "whole", table }, signal);
     if (answer?.kind !== "whole" || answer.revision < atLeast)
-      return store.readTable(request);
+      return recordStore(store.readTable(request));
     const { rows, revision, age } = answer;
     return Ok({ rows, revision, source: { kind: "box", age } });
   };
@@ -127,12 +142,12 @@
     request: ChangesRequest,
   ): Promise<Result<TableChanges, StoreFailure>> => {
     const { table, since, wait, signal } = request;
-    if (chooseBox() === undefined) return store.awaitChanges(request);
+    if (chooseBox() === undefined) return recordStore(store.awaitChanges(request));
     const relayedWait = (wait * options.relayedWaits) as Ms;
     const question = { kind: "changes", table, since, wait: relayedWait } as const;
     const answer = await askBox(question, signal);
-    if (!answer) return store.awaitChanges({ ...request, wait: AT_ONCE_MS });
-    if (isGone(answer) || answer.kind !== "changes") return Err({ kind: "history_gone" });
+    if (!answer) return recordStore(store.awaitChanges({ ...request, wait: AT_ONCE_MS }));
+    if (answer.kind !== "changes") return Err({ kind: "history_gone" });
     const { changes, revision, age } = answer;
     return Ok({ changes, revision, source: { kind: "box", age } });
   };
--- a/packages/peers/src/types.ts
+++ b/packages/peers/src/types.ts
@@ -5,7 +5,7 @@
 import type { BoxName, Ms } from "@stairgauge/common";
 import type { RowChange, StoredRow } from "@stairgauge/storefeed";
 import type { ServerAddress, ServerId } from "@stairgauge/directory";
-import type { PlacedRun } from "@stairgauge/placement";
+import type { EngineReport, PlacedRun } from "@stairgauge/placement";
 
 /** A box that takes part. */
 export type Peer = Readonly<{ box: BoxName; address: ServerAddress }>;
@@ -13,6 +13,9 @@
 /** A server that leaves, and whether the box knows it only from the entry that is gone. */
 export type ToldLeaving = Readonly<{ server: ServerId; isEntryGone: boolean }>;
 
+/** A report that a box has just had from an engine. */
+export type ToldReport = Readonly<{ server: ServerId; report: EngineReport }>;
+
 /** Changes of one box's runs, or all of them. */
 export type RunUpdate = Readonly<{
   box: BoxName;
@@ -22,6 +25,8 @@
   drop: readonly Readonly<{ server: ServerId; id: string }>[];
   /** Servers that get no new work, as far as the box knows. */
   leaving: readonly ToldLeaving[];
+  /** Reports that came since the last update. */
+  reports: readonly ToldReport[];
 }>;
 
 /** What one box asks another of a table: all of it, or its changes as soon as there is news. */
--- a/packages/peers/src/updateCodec.ts
+++ b/packages/peers/src/updateCodec.ts
@@ -1,8 +1,8 @@
 /** Updates as bytes, and back; what another box sends is checked like any input. */
-import type { BoxName } from "@stairgauge/common";
+import type { BoxName, Ms } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
 import { z } from "zod";
-import type { RunUpdate } from "./types.js";
+import type { RunUpdate, ToldReport } from "./types.js";
 
 const putSchema = z.object({
   server: z.string(),
@@ -13,12 +13,57 @@
   movable: z.boolean(),
 });
 
+const runSchema = z.tuple([z.string(), z.number(), z.number()]);
+
+const reportSchema = z.object({
+  server: z.string(),
+  leaving: z.boolean(),
+  leavesIn: z.number().optional(),
+  waiting: z.number(),
+  firstWaiting: z.number(),
+  running: z.number(),
+  used: z.number(),
+  total: z.number(),
+  runs: z.array(runSchema),
+});
+
 const updateSchema = z.object({
   box: z.string().min(1),
   whole: z.boolean(),
   put: z.array(putSchema),
   drop: z.array(z.object({ server: z.string(), id: z.string() })),
   leaving: z.array(z.object({ server: z.string(), gone: z.boolean() })).default([]),
+  reports: z.array(reportSchema).default([]),
+});
+
+const encodeReport = ({ server, report }: ToldReport): z.infer<typeof reportSchema> => ({
+  server,
+  leaving: report.isLeaving,
+  ...(report.leavesIn !== undefined && { leavesIn: report.leavesIn }),
+  waiting: report.waiting,
+  firstWaiting: report.firstWaitingTokens,
+  running: report.running,
+  used: report.memoryUsed,
+  total: report.memoryTotal,
+  runs: report.runs.map((run) => [run.id, run.tokensInMemory, run.eventsMade]),
+});
+
+const decodeReport = (told: z.infer<typeof reportSchema>): ToldReport => ({
+  server: told.server as ServerId,
+  report: {
+    isLeaving: told.leaving,
+    leavesIn: told.leavesIn as Ms | undefined,
+    waiting: told.waiting,
+    firstWaitingTokens: told.firstWaiting,
+    running: told.running,
+    memoryUsed: told.used,
+    memoryTotal: told.total,
+    runs: told.runs.map(([id, tokensInMemory, eventsMade]) => ({
+      id,
+      tokensInMemory,
+      eventsMade,
+    })),
+  },
 });
 
 /** Encodes an update. */
@@ -40,6 +85,7 @@
         server,
         gone: isEntryGone,
       })),
+      ...(update.reports.length > 0 && { reports: update.reports.map(encodeReport) }),
     }),
   );
 
@@ -64,5 +110,6 @@
       server: server as ServerId,
       isEntryGone: gone,
     })),
+    reports: update.reports.map(decodeReport),
   };
 };
--- /dev/null
+++ b/packages/peers/src/watchShares.ts
@@ -0,0 +1,49 @@
+/**
+ * Which boxes ask an engine for its report. Two of them, so that a frozen one leaves no gap; they tell the rest, and the
+ * calls at an engine do not grow with the boxes.
+ */
+import type { BoxName } from "@stairgauge/common";
+import type { ServerId } from "@stairgauge/directory";
+import type { PeerLinks } from "./peerLinks.js";
+import { rankByHash } from "./rankHearers.js";
+
+/** Boxes that watch one engine. */
+const WATCHERS = 2;
+
+/** What this box watches. */
+export type WatchShares = Readonly<{
+  isWatcher: (server: ServerId) => boolean;
+  /** How many boxes watch each engine; alone, a box watches them all by itself. */
+  countWatchers: () => number;
+}>;
+
+/** Shares engines out among the boxes whose links stand. */
+export const createWatchShares = (
+  own: BoxName,
+  links: Pick<PeerLinks, "listUp">,
+): WatchShares => {
+  let members: readonly BoxName[] = [own];
+  let known = new Map<ServerId, boolean>();
+
+  const updateMembers = () => {
+    const now = [own, ...links.listUp()].sort();
+    if (now.join() === members.join()) return;
+    members = now;
+    known = new Map();
+  };
+
+  return {
+    isWatcher: (server) => {
+      updateMembers();
+      const isKnown = known.get(server);
+      if (isKnown !== undefined) return isKnown;
+      const isOurs = rankByHash(members, server).slice(0, WATCHERS).includes(own);
+      known.set(server, isOurs);
+      return isOurs;
+    },
+    countWatchers: () => {
+      updateMembers();
+      return Math.min(WATCHERS, members.length);
+    },
+  };
+};
--- a/packages/settings/src/boxSettings.test.ts
+++ b/packages/settings/src/boxSettings.test.ts
@@ -14,7 +14,7 @@
   it("fills in what is not given", () => {
     const parsed = parseBoxSettings(SOUND);
     expect(parsed.ok && parsed.val).toMatchObject({
-      store: { configurationWaitMs: 1_300 },
+      store: { hearers: 2, serversWaitMs: 10_000 },
       engines: { reportIntervalMs: 2_000 },
       log: { level: "info", linesPerSecond: 200 },
     });
