feat: a box that starts while the store is away takes what other boxes know, with its age

Cause: a box killed while the store was away knew nothing until it came back: first configuration 5 to 9 s after its start. Ruled out: keeping anything on the box (it has no disk). Change: addresses of others from the settings; a box that knows nothing asks the store first, after 250 ms all boxes it can reach, and takes what is old with its age.

--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -359,6 +359,11 @@
     });
   });
 
+  const listSeeds = () =>
+    settings.seeds
+      .map(toHostAndPort)
+      .filter(({ host, port }) => host !== peerAddress.host || port !== peerAddress.port);
+
   const stopOnce = async () => {
     const grace = (settings.bounds.stopSeconds * 1000) as Ms;
     forwarder.announceStop((clock.monotonic() + grace) as Ms);
@@ -392,6 +397,7 @@
         metrics: await listen(metricsServer, settings.listen.metrics),
       };
       peerAddress = { ...peerAddress, port: ports.peers };
+      links.setSeeds(listSeeds());
       knowledge.startBoxes();
       membership.join();
       standbys.start();
--- a/packages/peers/src/peerLinks.ts
+++ b/packages/peers/src/peerLinks.ts
@@ -15,6 +15,7 @@
   type Result,
   type Timer,
 } from "@stairgauge/common";
+import type { ServerAddress } from "@stairgauge/directory";
 import { peerService } from "./service.js";
 import type { AskFailure, Peer, RunUpdate, TableAnswer, TableQuestion } from "./types.js";
 
@@ -29,6 +30,8 @@
 
 /** The links of one box. */
 export type PeerLinks = Readonly<{
+  /** Links to boxes known by address only, until the list of boxes names others. */
+  setSeeds: (addresses: readonly ServerAddress[]) => void;
   /** Takes the list of all boxes; links to those that are gone are closed. */
   setPeers: (peers: readonly Peer[]) => void;
   /** Hands an update to all links that are up. */
@@ -166,11 +169,20 @@
     link.peer.address.host !== peer.address.host ||
     link.peer.address.port !== peer.address.port;
 
+  const toSeed = (address: ServerAddress): Peer => ({
+    box: `seed ${address.host}:${address.port}` as BoxName,
+    address,
+  });
+
   return {
+    setSeeds: (addresses) => {
+      for (const peer of addresses.map(toSeed)) if (!links.has(peer.box)) openLink(peer);
+    },
     setPeers: (peers) => {
-      const wanted = new Map(
-        peers.filter((peer) => peer.box !== own).map((peer) => [peer.box, peer]),
-      );
+      const others = peers.filter((peer) => peer.box !== own);
+      // An empty list is that of a store that has just begun: the seeds stay.
+      if (peers.length === 0) return;
+      const wanted = new Map(others.map((peer) => [peer.box, peer]));
       for (const [box, link] of links) {
         const peer = wanted.get(box);
         if (peer && !hasMoved(link, peer)) continue;
--- a/packages/peers/src/peers.test.ts
+++ b/packages/peers/src/peers.test.ts
@@ -185,6 +185,20 @@
   runs: [{ id: "r1", tokensInMemory: 3_100, eventsMade: 4 }],
 };
 
+describe("boxes known by address only", () => {
+  it("are asked until the list of boxes names others", async () => {
+    const there = await openListener();
+    const here = openTeller();
+    here.links.setSeeds([there.peer.address]);
+    await waitFor(() => here.links.listUp().length === 1);
+    here.links.setPeers([]);
+    expect(here.links.count()).toBe(1);
+    here.links.setPeers([there.peer]);
+    await waitFor(() => here.links.listUp().includes(there.peer.box));
+    expect(here.links.count()).toBe(1);
+  });
+});
+
 describe("boxes that share out the engines' reports", () => {
   it("tell all others what an engine reported to one of them, also without a change of runs", async () => {
     const there = await openListener();
--- a/packages/peers/src/sharedKnowledge.test.ts
+++ b/packages/peers/src/sharedKnowledge.test.ts
@@ -120,6 +120,26 @@
     );
   });
 
+  it("know at their start what the others know while the store is away, for as old as it is", async () => {
+    const changes = [100, 1_900];
+    const troubles = Array.from({ length: BOXES }, (_, box) => ({
+      kind: "cut_from_store" as const,
+      box,
+      from: 2_000,
+      until: END_MS,
+    }));
+    const world = createWorld({ seed: 7, boxes: BOXES, changes, troubles });
+    const late = BOXES - 1;
+    for (let box = 0; box < late; box += 1) world.startOne(box);
+    await world.runUntil(5_000);
+    world.startOne(late);
+    await world.runUntil(6_800);
+    world.stop();
+    expect(world.knownBy[late]).toBe(2);
+    for (const { asOf } of world.claims.filter(({ box }) => box === late))
+      expect(asOf).toBeLessThanOrEqual(2_005);
+  });
+
   it("leave the calls to the store to two of them", async () => {
     const world = createWorld({ seed: 5, boxes: 12, changes: [50], troubles: [] });
     world.start();
--- a/packages/peers/src/sharedKnowledge.testkit.ts
+++ b/packages/peers/src/sharedKnowledge.testkit.ts
@@ -235,6 +235,7 @@
     start: () => {
       for (const follower of followers) follower.start();
     },
+    startOne: (box: number) => followers[box]!.start(),
     stop: () => {
       for (const follower of followers) follower.stop();
     },
--- a/packages/peers/src/sharedReader.ts
+++ b/packages/peers/src/sharedReader.ts
@@ -45,6 +45,9 @@
 /** How long a box that did not answer or knew too little is passed over, and the store when it failed. */
 const DISTRUST_MS = 3_000;
 
+/** How long the store comes before other boxes for one that knows nothing yet; it answers in some 20 ms when it is well. */
+const STORE_FIRST_MS = 250 as Ms;
+
 /** A caller that was let down by a box wants to know what is there now, not what comes. */
 const AT_ONCE_MS = 0 as Ms;
 
@@ -81,11 +84,12 @@
     return read;
   };
 
-  /** All that waits for the box goes on elsewhere: what fails one call fails the others, only later. */
   const passOver = (box: BoxName, reason: DistrustReason) => {
     if (!isTrusted(box)) return;
     distrustedUntil.set(box, clock.monotonic() + DISTRUST_MS);
     options.onDistrust(box, reason);
+    if (reason === "lost_the_store") return;
+    // What fails one call fails the others, only later: all that waits for the box goes on elsewhere.
     for (const call of asked.get(box) ?? []) call.abort();
   };
 
@@ -112,6 +116,9 @@
     return undefined;
   };
 
+  const hasLostStore = (answer: TableAnswer) =>
+    "silence" in answer ? answer.silence > mostSilence : answer.kind === "not_known";
+
   /** What the chosen box tells, if that is of use. */
   const askBox = async (
     question: TableQuestion,
@@ -120,22 +127,64 @@
     const box = chooseBox();
     if (box === undefined) return undefined;
     const answer = await askWithin(box, question, signal);
-    if (!answer) return undefined;
-    const hasLost =
-      "silence" in answer ? answer.silence > mostSilence : answer.kind === "not_known";
-    if (hasLost) passOver(box, "lost_the_store");
-    return hasLost ? undefined : answer;
+    if (!answer || !hasLostStore(answer)) return answer;
+    passOver(box, "lost_the_store");
+    return undefined;
+  };
+
+  /** What any box knows, however old. */
+  const askAll = async (
+    question: TableQuestion,
+    signal: AbortSignal,
+  ): Promise<TableAnswer | undefined> => {
+    for (const box of rankForAsker(links.listUp(), own).filter(isTrusted)) {
+      if (signal.aborted) return undefined;
+      const answer = await askWithin(box, question, signal);
+      if (answer && answer.kind !== "not_known") return answer;
+    }
+    return undefined;
+  };
+
+  const toSnapshot = (
+    answer: TableAnswer | undefined,
+    atLeast: number,
+  ): TableSnapshot | undefined => {
+    if (answer?.kind !== "whole" || answer.revision < atLeast) return undefined;
+    const { rows, revision, age } = answer;
+    return { rows, revision, source: { kind: "box", age } };
+  };
+
+  const waitFor = (duration: Ms) =>
+    new Promise<undefined>((resolve) => {
+      clock.setTimer(duration, () => resolve(undefined));
+    });
+
+  /**
+   * A box that knows nothing is better off with what is old than with nothing: its age goes with it. The store comes first;
+   * when it is silent, what others know serves callers a second sooner.
+   */
+  const readFirst = async (
+    request: WholeRequest,
+  ): Promise<Result<TableSnapshot, StoreFailure>> => {
+    const { table, atLeast, signal } = request;
+    const storeCall = new AbortController();
+    const outer = AbortSignal.any([signal, storeCall.signal]);
+    const fromStore = recordStore(store.readTable({ ...request, signal: outer }));
+    const early = await Promise.race([fromStore, waitFor(STORE_FIRST_MS)]);
+    if (early?.ok) return early;
+    const told = toSnapshot(await askAll({ kind: "whole", table }, signal), atLeast);
+    if (!told) return fromStore;
+    storeCall.abort();
+    return Ok(told);
   };
 
   const readTable = async (
     request: WholeRequest,
   ): Promise<Result<TableSnapshot, StoreFailure>> => {
     const { table, atLeast, signal } = request;
-    const answer = await askBox({ kind: "whole", table }, signal);
-    if (answer?.kind !== "whole" || answer.revision < atLeast)
-      return recordStore(store.readTable(request));
-    const { rows, revision, age } = answer;
-    return Ok({ rows, revision, source: { kind: "box", age } });
+    if (atLeast === 0) return readFirst(request);
+    const told = toSnapshot(await askBox({ kind: "whole", table }, signal), atLeast);
+    return told ? Ok(told) : recordStore(store.readTable(request));
   };
 
   const awaitChanges = async (
--- a/packages/settings/src/boxSettings.ts
+++ b/packages/settings/src/boxSettings.ts
@@ -16,6 +16,11 @@
     metrics: address,
     peers: address,
   }),
+  /** Boxes to ask at a start while the store is away; they may be stale or down. */
+  seeds: z
+    .array(address)
+    .nullish()
+    .transform((given) => given ?? []),
   store: z.strictObject({
     address,
     /** Boxes that hold calls to the store and hand on what they hear; one may be lost without a gap. */
