perf: news of boxes gather for half a second: fewer calls when all start together

Cause: boxes that start together put their rows in one after the other, and each change ended the held call of every box. Ruled out: the configuration's calls (two boxes hold those). Change: half a second between an answer with changes and the next call for the list of boxes.

--- a/apps/box/src/createKnowledge.ts
+++ b/apps/box/src/createKnowledge.ts
@@ -62,6 +62,9 @@
 const SLACK_SHARE = 0.1;
 const PATIENCE_SHARE = 0.2;
 
+/** Boxes that start together put their rows in one after the other: at 66 boxes each would make some 15 calls for them. */
+const GATHER_BOXES_MS = 500 as Ms;
+
 type Timing = Readonly<{ wait: Ms; mostSilence: Ms; patience: Ms }>;
 
 /** Derives how boxes ask and answer each other from the bound on a configuration. */
@@ -99,7 +102,7 @@
       log.writeDecision("box_not_asked", { peer: box, reason }),
   });
   const revisions = createRevisionMark();
-  const follow = (table: string, tableWait: number, sink: FollowerSink) =>
+  const follow = (table: string, tableWait: number, sink: FollowerSink, gather = 0) =>
     createTableFollower({
       reader,
       clock,
@@ -109,11 +112,12 @@
       revisions,
       table,
       wait: tableWait as Ms,
+      gather: gather as Ms,
       sink: mirrors.get(table)!.observe(sink),
     });
 
   const servers = follow(TABLE.servers, store.serversWaitMs, sinks.servers);
-  const boxes = follow(BOX_TABLE, store.boxesWaitMs, sinks.boxes);
+  const boxes = follow(BOX_TABLE, store.boxesWaitMs, sinks.boxes, GATHER_BOXES_MS);
   const configuration = follow(TABLE.operator, wait, {
     ...sinks.configuration,
     // A store that is lost for one table is lost for both: the longer call would notice late.
--- a/packages/peers/src/sharedKnowledge.testkit.ts
+++ b/packages/peers/src/sharedKnowledge.testkit.ts
@@ -211,6 +211,7 @@
       clock,
       random,
       wait: WAIT_MS,
+      gather: 0 as Ms,
       patience: 1_000 as Ms,
       retryPause: { first: 100 as Ms, most: 500 as Ms },
       revisions: createRevisionMark(),
--- a/packages/storefeed/src/tableFollower.test.ts
+++ b/packages/storefeed/src/tableFollower.test.ts
@@ -33,7 +33,7 @@
 });
 
 /** Plays one answer after another; a call that does not fit the script fails the test. */
-const setUp = (steps: readonly Step[]) => {
+const setUp = (steps: readonly Step[], gather = 0) => {
   const clock = createVirtualClock();
   const told: string[] = [];
   const calls: string[] = [];
@@ -67,6 +67,7 @@
     clock,
     random: createSeededRandom(1),
     wait: 1_000 as Ms,
+    gather: gather as Ms,
     patience: 500 as Ms,
     retryPause: { first: 100 as Ms, most: 400 as Ms },
     revisions: createRevisionMark(),
@@ -102,6 +103,26 @@
     expect(calls.slice(0, 3)).toEqual(["whole", "changes since 7", "changes since 9"]);
   });
 
+  it("lets changes gather where that is asked for, and loses no time without one", async () => {
+    const { clock, follower, calls } = setUp(
+      [
+        { whole: Ok({ rows: [], revision: 1, source }) },
+        {
+          changes: Ok({ changes: [{ kind: "gone", key: "a" }], revision: 2, source }),
+          after: 10,
+        },
+        { changes: Ok({ changes: [], revision: 5, source }), after: 10 },
+      ],
+      300,
+    );
+    follower.start();
+    await advanceSettled(clock, 300 as Ms);
+    expect(calls).toEqual(["whole", "changes since 1"]);
+    await advanceSettled(clock, 25 as Ms);
+    expect(calls.slice(2)).toEqual(["changes since 2", "changes since 5"]);
+    follower.stop();
+  });
+
   it("reads whole again when the history is gone, without a pause", async () => {
     const { clock, follower, told } = setUp([
       { whole: Ok({ rows: [], revision: 1, source }) },
--- a/packages/storefeed/src/tableFollower.ts
+++ b/packages/storefeed/src/tableFollower.ts
@@ -26,6 +26,8 @@
   random: Random;
   /** How long the store holds a call without a change. */
   wait: Ms;
+  /** How long to let changes gather before the next call, once one has come; 0 where each matters at once. */
+  gather: Ms;
   /** How much longer than that an answer may take before it counts as lost. */
   patience: Ms;
   /** First pause after a failure; it doubles up to the second. */
@@ -66,8 +68,8 @@
 
 /** Creates a follower. */
 export const createTableFollower = (options: FollowerOptions): TableFollower => {
-  const { table, reader, clock, random, wait, patience, retryPause, revisions, sink } =
-    options;
+  const { table, reader, clock, random, wait, gather, patience } = options;
+  const { retryPause, revisions, sink } = options;
   let isStopped = false;
   let failures = 0;
   let staleReads = 0;
@@ -159,6 +161,7 @@
     const revision = Math.max(since, read.val.revision);
     tableRevision = revision;
     sink.onChanges(changes, computeAsOf(sentAt, source), revision);
+    if (changes.length > 0 && gather > 0) await waitFor(gather);
     return revision;
   };
 
