fix: a box's silence is told by the table whose age a promise bounds

Cause: silence was the least age of any table, so that news of servers hid a configuration that was no longer confirmed. Change: silence is the age of the configuration. Test failed first.

--- a/apps/box/src/createKnowledge.ts
+++ b/apps/box/src/createKnowledge.ts
@@ -83,12 +83,12 @@
   const { settings, clock, random, log, links, sinks } = options;
   const { store } = settings;
   const { wait, mostSilence, patience } = computeTiming(settings);
-  const mirrors = new Map(
-    [TABLE.operator, TABLE.servers, BOX_TABLE].map((table) => [
-      table,
-      createTableMirror(clock),
-    ]),
-  );
+  const pulse = createTableMirror(clock);
+  const mirrors = new Map([
+    [TABLE.operator, pulse],
+    [TABLE.servers, createTableMirror(clock)],
+    [BOX_TABLE, createTableMirror(clock)],
+  ]);
   const reader = createSharedReader({
     clock,
     own: settings.box as BoxName,
@@ -137,6 +137,6 @@
     stop: () => {
       for (const follower of followers) follower.stop();
     },
-    answer: (question) => answerTable(mirrors, question, mostSilence),
+    answer: (question) => answerTable({ mirrors, pulse, mostSilence }, question),
   };
 };
--- a/packages/peers/src/answerTable.ts
+++ b/packages/peers/src/answerTable.ts
@@ -3,29 +3,37 @@
 import type { TableMirror } from "@stairgauge/storefeed";
 import type { TableAnswer, TableQuestion } from "./types.js";
 
-/** How long ago the store confirmed anything: a table that hardly changes is confirmed seldom, and yet heard. */
-const computeSilence = (mirrors: ReadonlyMap<string, TableMirror>): Ms =>
-  Math.min(...[...mirrors.values()].map((mirror) => mirror.getAge())) as Ms;
+/** What a box answers from. */
+export type AnswerSources = Readonly<{
+  mirrors: ReadonlyMap<string, TableMirror>;
+  /**
+   * The table that the store confirms most often, and whose age is bound by a promise: how long ago it was confirmed is how
+   * long the store is silent. Others hardly change, are confirmed seldom, and prove nothing of this one when they are.
+   */
+  pulse: TableMirror;
+  /** A waiting question is answered sooner when the store is silent for longer. */
+  mostSilence: Ms;
+}>;
 
-/** Answers from the mirror of the table; a waiting question sooner when the store is silent for longer than `mostSilence`. */
+/** Answers from the mirror of the table. */
 export const answerTable = async (
-  mirrors: ReadonlyMap<string, TableMirror>,
+  { mirrors, pulse, mostSilence }: AnswerSources,
   question: TableQuestion,
-  mostSilence: Ms,
 ): Promise<TableAnswer> => {
   const mirror = mirrors.get(question.table);
-  if (!mirror) return { kind: "not_known" };
+  // A box that has heard nothing yet has no age to tell.
+  if (!mirror || pulse.readWhole().err) return { kind: "not_known" };
   if (question.kind === "whole") {
     const read = mirror.readWhole();
     if (read.err) return read.val;
     const { rows, revision, source } = read.val;
-    const silence = computeSilence(mirrors);
+    const silence = pulse.getAge();
     return { kind: "whole", rows, revision, age: source.age, silence };
   }
-  const wait = Math.min(question.wait, mostSilence - computeSilence(mirrors)) as Ms;
+  const wait = Math.min(question.wait, mostSilence - pulse.getAge()) as Ms;
   const read = await mirror.awaitChanges({ since: question.since, wait });
   if (read.err) return read.val;
   const { changes, revision, source } = read.val;
-  const silence = computeSilence(mirrors);
+  const silence = pulse.getAge();
   return { kind: "changes", changes, revision, age: source.age, silence };
 };
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -1,6 +1,7 @@
 /** Boxes that tell each other what they have placed where. */
 export type * from "./types.js";
 export { applyUpdate } from "./applyUpdate.js";
+export type { AnswerSources } from "./answerTable.js";
 export { answerTable } from "./answerTable.js";
 export { createSharedReader } from "./sharedReader.js";
 export type { DistrustReason, SharedReaderOptions } from "./sharedReader.js";
--- a/packages/peers/src/peers.test.ts
+++ b/packages/peers/src/peers.test.ts
@@ -3,6 +3,7 @@
 import {
   createSeededRandom,
   createSystemClock,
+  createVirtualClock,
   Ok,
   type BoxName,
   type Ms,
@@ -35,7 +36,7 @@
   isMovable: true,
 });
 
-const MOST_AGE = 1_000 as Ms;
+const MOST_SILENCE = 1_000 as Ms;
 
 const closers: (() => void)[] = [];
 afterEach(() => {
@@ -53,6 +54,7 @@
   const leaving: ToldLeaving[] = [];
   const reports: ToldReport[] = [];
   const mirrors = new Map<string, TableMirror>();
+  const pulse = createTableMirror(createSystemClock());
   const server = createPeerServer({
     onUpdate: (update) =>
       applyUpdate(
@@ -67,7 +69,8 @@
       lost.push(box);
       book.dropPeer(box);
     },
-    answerTable: (question) => answerTable(mirrors, question, MOST_AGE),
+    answerTable: (question) =>
+      answerTable({ mirrors, pulse, mostSilence: MOST_SILENCE }, question),
   });
   const port = await server.listen({ host: "127.0.0.1", port: 0 });
   closers.push(server.close);
@@ -77,6 +80,7 @@
     leaving,
     reports,
     mirrors,
+    pulse,
     peer: { box: "b" as BoxName, address: { host: "127.0.0.1", port } },
   };
 };
@@ -262,6 +266,7 @@
     there.mirrors.set("t", mirror);
     expect((await ask(whole)).val).toEqual({ kind: "not_known" });
     const sink = mirror.observe(NOBODY);
+    there.pulse.observe(NOBODY).onWhole([], clock.monotonic(), 1);
     sink.onWhole([row], (clock.monotonic() - 50) as Ms, 7);
     const read = await ask(whole);
     expect(read.val).toMatchObject({ kind: "whole", rows: [row], revision: 7 });
@@ -279,6 +284,28 @@
     expect((await ask(behind)).val).toEqual({ kind: "history_gone" });
   });
 
+  it("tells how long the store is silent by the table that it confirms most, whatever the others say", async () => {
+    const clock = createVirtualClock();
+    clock.advance(10_000 as Ms);
+    const pulse = createTableMirror(clock);
+    const other = createTableMirror(clock);
+    pulse.observe(NOBODY).onWhole([], 7_000 as Ms, 1);
+    other.observe(NOBODY).onWhole([], 9_900 as Ms, 1);
+    const sources = {
+      mirrors: new Map([
+        ["pulse", pulse],
+        ["other", other],
+      ]),
+      pulse,
+      mostSilence: MOST_SILENCE,
+    };
+    const whole = await answerTable(sources, { kind: "whole", table: "other" });
+    expect(whole).toMatchObject({ age: 100, silence: 3_000 });
+    const question = { kind: "changes", table: "other", since: 1 } as const;
+    const news = await answerTable(sources, { ...question, wait: 60_000 as Ms });
+    expect(news).toMatchObject({ changes: [], age: 100, silence: 3_000 });
+  });
+
   it("says that there is no link, that a call failed, and that it was given up", async () => {
     const here = openTeller();
     const question = { kind: "whole", table: "t" } as const;
@@ -291,7 +318,9 @@
     await waitFor(() => here.links.listUp().length === 1);
     const mirror = createTableMirror(createSystemClock());
     there.mirrors.set("t", mirror);
-    mirror.observe(NOBODY).onWhole([], createSystemClock().monotonic(), 1);
+    const now = createSystemClock().monotonic();
+    mirror.observe(NOBODY).onWhole([], now, 1);
+    there.pulse.observe(NOBODY).onWhole([], now, 1);
     const call = new AbortController();
     const waiting = here.links.ask(
       there.peer.box,
--- a/packages/peers/src/sharedKnowledge.testkit.ts
+++ b/packages/peers/src/sharedKnowledge.testkit.ts
@@ -190,9 +190,12 @@
             const answerAt = async () => {
               await ask(box, to);
               const answer: TableAnswer = await answerTable(
-                new Map([[TABLE, mirrors[to]!.mirror]]),
+                {
+                  mirrors: new Map([[TABLE, mirrors[to]!.mirror]]),
+                  pulse: mirrors[to]!.mirror,
+                  mostSilence: MOST_SILENCE_MS,
+                },
                 question,
-                MOST_SILENCE_MS,
               );
               passTo(box, computeDelay(box, to), () => resolve(Ok(answer)));
             };
