fix: strong boxes hear the store for the others, and none waits for a box while its configuration grows too old

In its logs dozens of boxes held a configuration of 3.5 to 5 s at the same moment; all asked one box, which stands behind a link of 7 Mbit/s: a configuration to 39 boxes takes over a second, each call was answered within its time, and changes in a row added up. Ruled out: a hearer cut off (answers came); the store (others heard it meanwhile); a wrong age (each claim was true, only old).

--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -57,7 +57,7 @@
 import { createConfigurationKeeper } from "@stairgauge/routing";
 import type { BoxSettings } from "@stairgauge/settings";
 import { createBoxMetrics, type DecisionLog } from "@stairgauge/telemetry";
-import { computeTiming, createKnowledge } from "./createKnowledge.js";
+import { computeCapacity, computeTiming, createKnowledge } from "./createKnowledge.js";
 import {
   observeConfiguration,
   observeForwarding,
@@ -183,7 +183,11 @@
     clock,
     writer: createStoreWriter(settings.store.address),
     table: BOX_TABLE,
-    getOwn: () => ({ box: own, address: peerAddress }),
+    getOwn: () => ({
+      box: own,
+      address: peerAddress,
+      capacity: computeCapacity(settings),
+    }),
     limit: settings.store.patienceMs as Ms,
     onPeers: (peers) => {
       mostBoxesSeen = Math.max(mostBoxesSeen, peers.length);
--- a/apps/box/src/createKnowledge.ts
+++ b/apps/box/src/createKnowledge.ts
@@ -50,7 +50,10 @@
  * Share of the bound on a configuration that one call waits for news. A change has to come through also when the box that
  * is asked has frozen or is cut off: 1.5 such waits until it is given up, and the store asked in its stead.
  */
-const WAIT_SHARE = 0.25;
+const WAIT_SHARE = 0.2;
+
+/** Share of the bound beyond which a box asks the store itself, whatever keeps the box that it has asked. */
+const GUARD_SHARE = 0.75;
 
 /** Waits of a box that asks another, in waits of that other: its news and its confirmations come in between. */
 const RELAYED_WAITS = 1.5;
@@ -65,7 +68,7 @@
 /** Boxes that start together put their rows in one after the other: at 66 boxes each would make some 15 calls for them. */
 const GATHER_BOXES_MS = 500 as Ms;
 
-type Timing = Readonly<{ wait: Ms; mostSilence: Ms; patience: Ms }>;
+type Timing = Readonly<{ wait: Ms; mostSilence: Ms; patience: Ms; guardAge: Ms }>;
 
 /** Derives how boxes ask and answer each other from the bound on a configuration. */
 export const computeTiming = ({ store, bounds }: BoxSettings): Timing => {
@@ -75,14 +78,19 @@
     wait: wait as Ms,
     mostSilence: (wait * MOST_WAITS_OLD + bound * SLACK_SHARE) as Ms,
     patience: (bound * PATIENCE_SHARE) as Ms,
+    guardAge: (bound * GUARD_SHARE) as Ms,
   };
 };
 
+/** What a box can hand on: a configuration goes to dozens of others over its link, and each answer takes processor time. */
+export const computeCapacity = ({ limits }: BoxSettings): number =>
+  limits.linkMbps * limits.cores;
+
 /** Creates the followers; nothing is asked before `start`. */
 export const createKnowledge = (options: KnowledgeOptions): Knowledge => {
   const { settings, clock, random, log, links, sinks } = options;
   const { store } = settings;
-  const { wait, mostSilence, patience } = computeTiming(settings);
+  const { wait, mostSilence, patience, guardAge } = computeTiming(settings);
   const pulse = createTableMirror(clock);
   const mirrors = new Map([
     [TABLE.operator, pulse],
@@ -91,12 +99,13 @@
   ]);
   const reader = createSharedReader({
     clock,
-    own: settings.box as BoxName,
+    own: { box: settings.box as BoxName, capacity: computeCapacity(settings) },
     store: createStoreReader(store.address),
     links,
     hearers: store.hearers,
     mostSilence,
     relayedWaits: RELAYED_WAITS,
+    guard: { table: TABLE.operator, age: guardAge },
     patience,
     onDistrust: (box, reason) =>
       log.writeDecision("box_not_asked", { peer: box, reason }),
--- a/packages/peers/src/memberSink.ts
+++ b/packages/peers/src/memberSink.ts
@@ -4,20 +4,26 @@
 import { z } from "zod";
 import type { Peer } from "./types.js";
 
-const memberSchema = z.object({ host: z.string(), port: z.number().int().positive() });
+const memberSchema = z.object({
+  host: z.string(),
+  port: z.number().int().positive(),
+  capacity: z.number().positive().default(1),
+});
 
 /** Why a row names no box. */
 export type MemberFailure = Readonly<{ kind: "unreadable_member"; key: string }>;
 
 /** Encodes a box's own row. */
-export const encodeMember = ({ address }: Peer): Buffer =>
-  Buffer.from(JSON.stringify({ host: address.host, port: address.port }));
+export const encodeMember = ({ address, capacity }: Peer): Buffer =>
+  Buffer.from(JSON.stringify({ host: address.host, port: address.port, capacity }));
 
 /** Decodes another box's row. */
 export const decodeMember = (key: string, value: Buffer): Result<Peer, MemberFailure> => {
   try {
-    const address = memberSchema.parse(JSON.parse(value.toString("utf8")));
-    return Ok({ box: key as BoxName, address });
+    const { capacity, ...address } = memberSchema.parse(
+      JSON.parse(value.toString("utf8")),
+    );
+    return Ok({ box: key as BoxName, address, capacity });
   } catch {
     return Err({ kind: "unreadable_member", key });
   }
--- a/packages/peers/src/peerLinks.ts
+++ b/packages/peers/src/peerLinks.ts
@@ -17,7 +17,14 @@
 } from "@stairgauge/common";
 import type { ServerAddress } from "@stairgauge/directory";
 import { peerService } from "./service.js";
-import type { AskFailure, Peer, RunUpdate, TableAnswer, TableQuestion } from "./types.js";
+import type {
+  AskFailure,
+  Member,
+  Peer,
+  RunUpdate,
+  TableAnswer,
+  TableQuestion,
+} from "./types.js";
 
 /** What the links need. */
 export type PeerLinksOptions = Readonly<{
@@ -45,7 +52,7 @@
     signal: AbortSignal,
   ) => Promise<Result<TableAnswer, AskFailure>>;
   /** Boxes whose link stands. */
-  listUp: () => readonly BoxName[];
+  listUp: () => readonly Member[];
   count: () => number;
   close: () => void;
 }>;
@@ -172,6 +179,7 @@
   const toSeed = (address: ServerAddress): Peer => ({
     box: `seed ${address.host}:${address.port}` as BoxName,
     address,
+    capacity: 1,
   });
 
   return {
@@ -201,7 +209,7 @@
       const link = links.get(box);
       return link ? askBox(link, question, signal) : Err({ kind: "no_link" });
     },
-    listUp: () => [...links.values()].filter(isUp).map(({ peer }) => peer.box),
+    listUp: () => [...links.values()].filter(isUp).map(({ peer }) => peer),
     count: () => links.size,
     close: () => {
       for (const link of links.values()) closeLink(link);
--- a/packages/peers/src/rankHearers.ts
+++ b/packages/peers/src/rankHearers.ts
@@ -4,6 +4,7 @@
  */
 import { createHash } from "node:crypto";
 import type { BoxName } from "@stairgauge/common";
+import type { Member } from "./types.js";
 
 const hashToNumber = (text: string): number =>
   createHash("sha1").update(text).digest().readUInt32BE(0);
@@ -15,11 +16,32 @@
     .sort((a, b) => b.weight - a.weight || (a.box < b.box ? -1 : 1))
     .map(({ box }) => box);
 
-/** Names the boxes that hear the store, at most `count`. */
+/**
+ * Share of the strongest box's capacity from which a box may hear for others. Behind a link of 7 Mbit/s a configuration of
+ * 30 kB took over a second to reach 39 boxes, and three in a row came three seconds late.
+ */
+const STRONG_SHARE = 0.5;
+
+/** Boxes that ask one hearer: a configuration of 30 kB goes to all of them within 0.1 s over 100 Mbit/s. */
+const MOST_ASKERS = 40;
+
+/** Names the boxes that hear the store: at least `least`, and more where there are many to tell; the strong ones first. */
 export const rankHearers = (
-  members: readonly BoxName[],
-  count: number,
-): readonly BoxName[] => rankByHash(members, "hears").slice(0, count);
+  members: readonly Member[],
+  least: number,
+): readonly BoxName[] => {
+  const most = Math.max(...members.map(({ capacity }) => capacity));
+  const isStrong = ({ capacity }: Member) => capacity >= most * STRONG_SHARE;
+  const rank = (some: readonly Member[]) =>
+    rankByHash(
+      some.map(({ box }) => box),
+      "hears",
+    );
+  const strong = rank(members.filter(isStrong));
+  const weak = rank(members.filter((member) => !isStrong(member)));
+  const count = Math.max(least, Math.ceil(members.length / MOST_ASKERS));
+  return [...strong, ...weak].slice(0, count);
+};
 
 /** Puts hearers in the order in which one box asks them; boxes that ask are spread over them. */
 export const rankForAsker = (
--- a/packages/peers/src/sharedReader.ts
+++ b/packages/peers/src/sharedReader.ts
@@ -20,7 +20,7 @@
 } from "@stairgauge/storefeed";
 import type { PeerLinks } from "./peerLinks.js";
 import { rankForAsker, rankHearers } from "./rankHearers.js";
-import type { TableAnswer, TableQuestion } from "./types.js";
+import type { Member, TableAnswer, TableQuestion } from "./types.js";
 
 /** Why a box is not asked for a while. */
 export type DistrustReason = "no_answer" | "lost_the_store";
@@ -28,7 +28,7 @@
 /** What reading through other boxes needs. */
 export type SharedReaderOptions = Readonly<{
   clock: Clock;
-  own: BoxName;
+  own: Member;
   store: StoreReader;
   links: Pick<PeerLinks, "ask" | "listUp">;
   /** How many boxes hear the store. */
@@ -37,6 +37,8 @@
   mostSilence: Ms;
   /** How many times longer than the store a box is asked to wait for news: its own confirmations come in between. */
   relayedWaits: number;
+  /** The table whose age a promise bounds, and the age at which the store itself is asked whatever a box may yet say. */
+  guard: Readonly<{ table: string; age: Ms }>;
   /** How much longer than asked a box may take to answer. */
   patience: Ms;
   onDistrust: (box: BoxName, reason: DistrustReason) => void;
@@ -57,6 +59,7 @@
   const distrustedUntil = new Map<BoxName, number>();
   const asked = new Map<BoxName, Set<AbortController>>();
   let storeLostUntil = -Infinity;
+  let guardedAsOf = -Infinity;
 
   const isTrusted = (box: BoxName) =>
     (distrustedUntil.get(box) ?? -Infinity) <= clock.monotonic();
@@ -66,11 +69,19 @@
   const listCandidates = (): readonly BoxName[] => {
     const up = links.listUp();
     const hearers = rankHearers([own, ...up], options.hearers);
-    if (hasStore()) return hearers.includes(own) ? [] : rankForAsker(hearers, own);
-    const others = up.filter((box) => !hearers.includes(box));
-    return [...hearers.filter((box) => box !== own), ...rankForAsker(others, own)];
+    if (hasStore())
+      return hearers.includes(own.box) ? [] : rankForAsker(hearers, own.box);
+    const others = up.map(({ box }) => box).filter((box) => !hearers.includes(box));
+    const otherHearers = hearers.filter((box) => box !== own.box);
+    return [...otherHearers, ...rankForAsker(others, own.box)];
   };
 
+  const listUpForSelf = () =>
+    rankForAsker(
+      links.listUp().map(({ box }) => box),
+      own.box,
+    );
+
   /** The box to ask; none when this one has to ask the store itself. */
   const chooseBox = (): BoxName | undefined => listCandidates().find(isTrusted);
 
@@ -93,6 +104,19 @@
     for (const call of asked.get(box) ?? []) call.abort();
   };
 
+  /** How long a box may take: less when what this one knows grows too old meanwhile, as behind a slow link. */
+  const computePatience = (question: TableQuestion): Ms => {
+    if (question.kind === "whole") return patience;
+    const usual = question.wait + patience;
+    if (question.table !== options.guard.table) return usual as Ms;
+    const left = guardedAsOf + options.guard.age - clock.monotonic();
+    return Math.max(0, Math.min(usual, left)) as Ms;
+  };
+
+  const recordGuarded = (table: string, asOf: number) => {
+    if (table === options.guard.table) guardedAsOf = Math.max(guardedAsOf, asOf);
+  };
+
   const askWithin = async (
     box: BoxName,
     question: TableQuestion,
@@ -100,8 +124,7 @@
   ): Promise<TableAnswer | undefined> => {
     const call = new AbortController();
     const abort = () => call.abort();
-    const wait = question.kind === "changes" ? question.wait : 0;
-    const timer = clock.setTimer((wait + patience) as Ms, () =>
+    const timer = clock.setTimer(computePatience(question), () =>
       passOver(box, "no_answer"),
     );
     const calls = asked.get(box) ?? new Set();
@@ -137,7 +160,7 @@
     question: TableQuestion,
     signal: AbortSignal,
   ): Promise<TableAnswer | undefined> => {
-    for (const box of rankForAsker(links.listUp(), own).filter(isTrusted)) {
+    for (const box of listUpForSelf().filter(isTrusted)) {
       if (signal.aborted) return undefined;
       const answer = await askWithin(box, question, signal);
       if (answer && answer.kind !== "not_known") return answer;
@@ -178,7 +201,7 @@
     return Ok(told);
   };
 
-  const readTable = async (
+  const readWhole = async (
     request: WholeRequest,
   ): Promise<Result<TableSnapshot, StoreFailure>> => {
     const { table, atLeast, signal } = request;
@@ -187,7 +210,7 @@
     return told ? Ok(told) : recordStore(store.readTable(request));
   };
 
-  const awaitChanges = async (
+  const readChanges = async (
     request: ChangesRequest,
   ): Promise<Result<TableChanges, StoreFailure>> => {
     const { table, since, wait, signal } = request;
@@ -201,5 +224,21 @@
     return Ok({ changes, revision, source: { kind: "box", age } });
   };
 
-  return { readTable, awaitChanges };
+  const watchAge = async <T extends TableSnapshot | TableChanges>(
+    table: string,
+    read: Promise<Result<T, StoreFailure>>,
+  ): Promise<Result<T, StoreFailure>> => {
+    const sentAt = clock.monotonic();
+    const answered = await read;
+    if (answered.ok) {
+      const { source } = answered.val;
+      recordGuarded(table, sentAt - (source.kind === "box" ? source.age : 0));
+    }
+    return answered;
+  };
+
+  return {
+    readTable: (request) => watchAge(request.table, readWhole(request)),
+    awaitChanges: (request) => watchAge(request.table, readChanges(request)),
+  };
 };
--- a/packages/peers/src/types.ts
+++ b/packages/peers/src/types.ts
@@ -7,8 +7,11 @@
 import type { ServerAddress, ServerId } from "@stairgauge/directory";
 import type { EngineReport, PlacedRun } from "@stairgauge/placement";
 
-/** A box that takes part. */
-export type Peer = Readonly<{ box: BoxName; address: ServerAddress }>;
+/** A box, and how much it can hand on to others beside its own work, in proportion to what others can. */
+export type Member = Readonly<{ box: BoxName; capacity: number }>;
+
+/** A box that takes part, and where it listens. */
+export type Peer = Member & Readonly<{ address: ServerAddress }>;
 
 /** A server that leaves, and whether the box knows it only from the entry that is gone. */
 export type ToldLeaving = Readonly<{ server: ServerId; isEntryGone: boolean }>;
--- a/packages/peers/src/watchShares.ts
+++ b/packages/peers/src/watchShares.ts
@@ -26,7 +26,7 @@
   let known = new Map<ServerId, boolean>();
 
   const updateMembers = () => {
-    const now = [own, ...links.listUp()].sort();
+    const now = [own, ...links.listUp().map(({ box }) => box)].sort();
     if (now.join() === members.join()) return;
     members = now;
     known = new Map();
--- a/packages/settings/src/boxSettings.ts
+++ b/packages/settings/src/boxSettings.ts
@@ -5,6 +5,11 @@
 
 const address = z.string().regex(ADDRESS_PATTERN, "expected IP:PORT by IP number");
 const ms = z.number().positive();
+const capacity = z
+  .number()
+  .positive()
+  .nullish()
+  .transform((given) => given ?? 1);
 
 /** Schema of the file; every figure that is not given has a default with its reason beside it. */
 export const boxSettingsSchema = z.strictObject({
@@ -25,7 +30,7 @@
     address,
     /** Boxes that hold calls to the store and hand on what they hear; one may be lost without a gap. */
     hearers: z.int().positive().default(2),
-    /** How long a call for the configuration waits for news; a quarter of the bound on configurations otherwise. */
+    /** How long a call for the configuration waits for news; a fifth of the bound on configurations otherwise. */
     configurationWaitMs: ms.optional(),
     serversWaitMs: ms.default(10_000),
     boxesWaitMs: ms.default(15_000),
@@ -61,6 +66,9 @@
     .strictObject({
       /** Files and sockets that the process may have open. */
       descriptors: z.int().positive().default(4_096),
+      /** The box's own link, and its part of a core: stronger boxes hand on more of what all need to know. */
+      linkMbps: capacity,
+      cores: capacity,
     })
     .prefault({}),
   engines: z
