--- a/packages/diagnosis/src/diagnosis.test.ts
+++ b/packages/diagnosis/src/diagnosis.test.ts
@@ -64,24 +64,27 @@
     }
     return box;
   };
-  const placed = (afterMs: number) => ["placed", { server: "s1", afterMs }] as const;
+  const makePlaced = (afterMs: number) => ["placed", { server: "s1", afterMs }] as const;
 
   it.each<[string, readonly (readonly [string, Fields])[]]>([
-    ["served", [placed(0), ["answered", { status: 200, afterMs: 90, aimMs: 100 }]]],
+    ["served", [makePlaced(0), ["answered", { status: 200, afterMs: 90, aimMs: 100 }]]],
     [
       "served",
-      [placed(0), ["stream_ended", { firstEventAfter: 900, longestPause: 90, ...AIMS }]],
+      [
+        makePlaced(0),
+        ["stream_ended", { firstEventAfter: 900, longestPause: 90, ...AIMS }],
+      ],
     ],
     [
       "late: server",
-      [placed(0), ["answered", { status: 200, afterMs: 190, aimMs: 100 }]],
+      [makePlaced(0), ["answered", { status: 200, afterMs: 190, aimMs: 100 }]],
     ],
     [
       "late: repeat",
       [
-        placed(0),
+        makePlaced(0),
         ["retry", { reason: "silent" }],
-        placed(80),
+        makePlaced(80),
         ["answered", { status: 200, afterMs: 190, aimMs: 100 }],
       ],
     ],
@@ -89,7 +92,7 @@
       "late: waiting",
       [
         ["waits", { afterMs: 0 }],
-        placed(720),
+        makePlaced(720),
         ["stream_ended", { firstEventAfter: 2_300, longestPause: 90, ...AIMS }],
       ],
     ],
@@ -97,43 +100,51 @@
       "late: prompt",
       [
         ["waits", { afterMs: 0 }],
-        placed(100),
+        makePlaced(100),
         ["stream_ended", { firstEventAfter: 2_300, longestPause: 90, ...AIMS }],
       ],
     ],
     [
       "late: pause",
-      [placed(0), ["stream_ended", { firstEventAfter: 900, longestPause: 181, ...AIMS }]],
+      [
+        makePlaced(0),
+        ["stream_ended", { firstEventAfter: 900, longestPause: 181, ...AIMS }],
+      ],
     ],
     [
       "refused: knowledge_too_old",
       [["refused", { reason: "knowledge_too_old", status: 503 }]],
     ],
-    ["server failed: own failure", [placed(0), ["answered", { status: 500 }]]],
+    ["server failed: own failure", [makePlaced(0), ["answered", { status: 500 }]]],
     [
       "server failed: answer lost",
-      [placed(0), ["refused", { reason: "answer_lost", status: 502 }]],
+      [makePlaced(0), ["refused", { reason: "answer_lost", status: 502 }]],
     ],
     [
       "out of time",
       [
-        placed(0),
+        makePlaced(0),
         ["out_of_time", {}],
         ["refused", { reason: "out_of_time", status: 504 }],
       ],
     ],
-    ["out of time", [placed(0), ["out_of_time", { mayHaveRun: true }]]],
-    ["client left", [placed(0), ["client_left", { events: 3 }]]],
-    ["engine ended: unannounced", [placed(0), ["stream_lost", { server: "s1" }]]],
+    ["out of time", [makePlaced(0), ["out_of_time", { mayHaveRun: true }]]],
+    ["client left", [makePlaced(0), ["client_left", { events: 3 }]]],
+    ["engine ended: unannounced", [makePlaced(0), ["stream_lost", { server: "s1" }]]],
     [
       "engine ended: before copy",
-      [placed(0), ["move_begun", {}], ["stream_lost", { server: "s1" }]],
+      [makePlaced(0), ["move_begun", {}], ["stream_lost", { server: "s1" }]],
     ],
     [
       "engine ended: after copy",
-      [placed(0), ["move_begun", {}], ["copied", {}], ["stream_lost", { server: "s1" }]],
+      [
+        makePlaced(0),
+        ["move_begun", {}],
+        ["copied", {}],
+        ["stream_lost", { server: "s1" }],
+      ],
     ],
-    ["still open", [placed(0)]],
+    ["still open", [makePlaced(0)]],
   ])("%s", (expected, steps) => {
     expect(findCause(parseAll(tell(...steps)))).toBe(expected);
   });
