--- a/packages/diagnosis/src/diagnosis.test.ts
+++ b/packages/diagnosis/src/diagnosis.test.ts
@@ -310,6 +310,23 @@
   });
 });
 
+describe("renderLossPlot with many routes", () => {
+  it("gives the worst a row each, and the rest one together", async () => {
+    const box = makeBox("a");
+    for (let route = 0; route < 9; route += 1)
+      for (let i = 0; i <= route; i += 1)
+        box.write("answered", {
+          request: `r${route}-${i}`,
+          route: `route-${route}`,
+          status: 500,
+        });
+    const svg = await renderLossPlot(collectAccounts(buildChronicle(parseAll(box))));
+    expect(svg).toContain(">route-8<");
+    expect(svg).toContain(">(other routes)<");
+    expect(svg).not.toContain(">route-0<");
+  });
+});
+
 describe("readLogs", () => {
   let folder: string;
   beforeAll(() => {
--- a/packages/diagnosis/src/plotLosses.ts
+++ b/packages/diagnosis/src/plotLosses.ts
@@ -7,6 +7,10 @@
 const WIDTH_PX = 900;
 const ROW_HEIGHT_PX = 110;
 
+/** Rows of the picture; routes beyond the worst share the last one. */
+const MOST_ROWS = 6;
+const OTHER_ROUTES = "(other routes)";
+
 type Point = Readonly<{ route: string; cause: string; second: number }>;
 
 const toPoint = ({ route, cause, second }: RequestAccount): Point => ({
@@ -15,6 +19,22 @@
   second,
 });
 
+/** Names the routes that lost most, worst first. */
+const rankRoutes = (points: readonly Point[]): readonly string[] => {
+  const counts = new Map<string, number>();
+  for (const { route } of points) counts.set(route, (counts.get(route) ?? 0) + 1);
+  return [...counts].sort(([, a], [, b]) => b - a).map(([route]) => route);
+};
+
+const groupOthers = (points: readonly Point[]): readonly Point[] => {
+  const ranked = rankRoutes(points);
+  if (ranked.length <= MOST_ROWS) return points;
+  const shown = new Set(ranked.slice(0, MOST_ROWS - 1));
+  return points.map((point) =>
+    shown.has(point.route) ? point : { ...point, route: OTHER_ROUTES },
+  );
+};
+
 const buildSpec = (points: readonly Point[]): TopLevelSpec => ({
   $schema: "https://vega.github.io/schema/vega-lite/v6.json",
   title: {
@@ -23,7 +43,14 @@
     anchor: "start",
   },
   data: { values: [...points] },
-  facet: { row: { field: "route", type: "nominal", title: "route" } },
+  facet: {
+    row: {
+      field: "route",
+      type: "nominal",
+      title: "route",
+      sort: [...rankRoutes(points)],
+    },
+  },
   spec: {
     width: WIDTH_PX,
     height: ROW_HEIGHT_PX,
@@ -48,7 +75,8 @@
   accounts: readonly RequestAccount[],
 ): Promise<string> => {
   const points = accounts.filter(({ cause }) => cause.kind !== "served").map(toPoint);
-  const view = new View(parse(compile(buildSpec(points)).spec), { renderer: "none" });
+  const spec = compile(buildSpec(groupOthers(points))).spec;
+  const view = new View(parse(spec), { renderer: "none" });
   const svg = await view.toSVG();
   view.finalize();
   return svg;
--- a/packages/peers/src/sharedReader.ts
+++ b/packages/peers/src/sharedReader.ts
@@ -85,13 +85,20 @@
   /** The box to ask; none when this one has to ask the store itself. */
   const chooseBox = (): BoxName | undefined => listCandidates().find(isTrusted);
 
+  const recordGuarded = (table: string, asOf: number) => {
+    if (table === options.guard.table) guardedAsOf = Math.max(guardedAsOf, asOf);
+  };
+
   /** What the store answered; after a failure other boxes are asked for a while. */
   const recordStore = async <T>(
+    table: string,
     call: Promise<Result<T, StoreFailure>>,
   ): Promise<Result<T, StoreFailure>> => {
+    const sentAt = clock.monotonic();
     const read = await call;
     const hasAnswered = read.ok || read.val.kind === "history_gone";
     storeLostUntil = hasAnswered ? -Infinity : clock.monotonic() + DISTRUST_MS;
+    if (read.ok) recordGuarded(table, sentAt);
     return read;
   };
 
@@ -113,10 +120,6 @@
     return Math.max(0, Math.min(usual, left)) as Ms;
   };
 
-  const recordGuarded = (table: string, asOf: number) => {
-    if (table === options.guard.table) guardedAsOf = Math.max(guardedAsOf, asOf);
-  };
-
   const askWithin = async (
     box: BoxName,
     question: TableQuestion,
@@ -124,6 +127,7 @@
   ): Promise<TableAnswer | undefined> => {
     const call = new AbortController();
     const abort = () => call.abort();
+    const sentAt = clock.monotonic();
     const timer = clock.setTimer(computePatience(question), () =>
       passOver(box, "no_answer"),
     );
@@ -134,7 +138,10 @@
     outer.removeEventListener("abort", abort);
     calls.delete(call);
     timer.cancel();
-    if (answered.ok) return answered.val;
+    if (answered.ok) {
+      if ("age" in answered.val) recordGuarded(question.table, sentAt - answered.val.age);
+      return answered.val;
+    }
     if (!outer.aborted) passOver(box, "no_answer");
     return undefined;
   };
@@ -192,7 +199,7 @@
     const { table, atLeast, signal } = request;
     const storeCall = new AbortController();
     const outer = AbortSignal.any([signal, storeCall.signal]);
-    const fromStore = recordStore(store.readTable({ ...request, signal: outer }));
+    const fromStore = recordStore(table, store.readTable({ ...request, signal: outer }));
     const early = await Promise.race([fromStore, waitFor(STORE_FIRST_MS)]);
     if (early?.ok) return early;
     const told = toSnapshot(await askAll({ kind: "whole", table }, signal), atLeast);
@@ -201,44 +208,29 @@
     return Ok(told);
   };
 
-  const readWhole = async (
+  const readTable = async (
     request: WholeRequest,
   ): Promise<Result<TableSnapshot, StoreFailure>> => {
     const { table, atLeast, signal } = request;
     if (atLeast === 0) return readFirst(request);
     const told = toSnapshot(await askBox({ kind: "whole", table }, signal), atLeast);
-    return told ? Ok(told) : recordStore(store.readTable(request));
+    return told ? Ok(told) : recordStore(table, store.readTable(request));
   };
 
-  const readChanges = async (
+  const awaitChanges = async (
     request: ChangesRequest,
   ): Promise<Result<TableChanges, StoreFailure>> => {
     const { table, since, wait, signal } = request;
-    if (chooseBox() === undefined) return recordStore(store.awaitChanges(request));
+    if (chooseBox() === undefined) return recordStore(table, store.awaitChanges(request));
     const relayedWait = (wait * options.relayedWaits) as Ms;
     const question = { kind: "changes", table, since, wait: relayedWait } as const;
     const answer = await askBox(question, signal);
-    if (!answer) return recordStore(store.awaitChanges({ ...request, wait: AT_ONCE_MS }));
+    if (!answer)
+      return recordStore(table, store.awaitChanges({ ...request, wait: AT_ONCE_MS }));
     if (answer.kind !== "changes") return Err({ kind: "history_gone" });
     const { changes, revision, age } = answer;
     return Ok({ changes, revision, source: { kind: "box", age } });
   };
 
-  const watchAge = async <T extends TableSnapshot | TableChanges>(
-    table: string,
-    read: Promise<Result<T, StoreFailure>>,
-  ): Promise<Result<T, StoreFailure>> => {
-    const sentAt = clock.monotonic();
-    const answered = await read;
-    if (answered.ok) {
-      const { source } = answered.val;
-      recordGuarded(table, sentAt - (source.kind === "box" ? source.age : 0));
-    }
-    return answered;
-  };
-
-  return {
-    readTable: (request) => watchAge(request.table, readWhole(request)),
-    awaitChanges: (request) => watchAge(request.table, readChanges(request)),
-  };
+  return { readTable, awaitChanges };
 };
