--- a/packages/diagnosis/src/plotLosses.ts
+++ b/packages/diagnosis/src/plotLosses.ts
@@ -6,6 +6,8 @@
 
 const WIDTH_PX = 900;
 const ROW_HEIGHT_PX = 110;
+/** Room for the longest name of a cause. */
+const LABEL_PX = 320;
 
 /** Rows of the picture; routes beyond the worst share the last one. */
 const MOST_ROWS = 6;
@@ -56,7 +58,13 @@
     height: ROW_HEIGHT_PX,
     mark: { type: "bar", tooltip: true },
     encoding: {
-      x: { field: "second", type: "quantitative", bin: { step: 1 }, title: "second" },
+      x: {
+        field: "second",
+        type: "quantitative",
+        bin: { step: 1 },
+        title: "second",
+        axis: { format: "d" },
+      },
       y: { aggregate: "count", type: "quantitative", title: "requests" },
       color: {
         field: "cause",
@@ -67,7 +75,11 @@
     },
   },
   resolve: { scale: { y: "independent" } },
-  config: { font: "sans-serif", view: { stroke: "#ddd" } },
+  config: {
+    font: "sans-serif",
+    view: { stroke: "#ddd" },
+    legend: { labelLimit: LABEL_PX },
+  },
 });
 
 /** Renders an SVG of all requests but those served in time. */
