--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -1,5 +1,4 @@
 /** Wires one box together. */
-import { createServer, type Server } from "node:http";
 import {
   createSystemRandom,
   type BoxName,
@@ -52,7 +51,6 @@
   createStoreWriter,
   decodeConfiguration,
   decodeServerEntry,
-  READY_PATH,
 } from "@stairgauge/platform";
 import { createConfigurationKeeper } from "@stairgauge/routing";
 import type { BoxSettings } from "@stairgauge/settings";
@@ -64,6 +62,7 @@
   observeMoves,
   observeServers,
 } from "./observers.js";
+import { createMetricsServer, createReadyServer, listenOn } from "./smallServers.js";
 import { stopInOrder } from "./stopInOrder.js";
 
 /** Ports that a started box listens on. */
@@ -113,16 +112,6 @@
   isEntryGone: leaving?.reason === "entry_gone",
 });
 
-const listen = (server: Server, address: string) =>
-  new Promise<number>((resolve, reject) => {
-    const { host, port } = toHostAndPort(address);
-    server.once("error", reject);
-    server.listen({ host, port }, () => {
-      const bound = server.address();
-      resolve(typeof bound === "object" && bound ? bound.port : port);
-    });
-  });
-
 /** Creates a box from its settings. */
 export const createBox = ({ settings: first, clock, log }: BoxOptions): Box => {
   let settings = first;
@@ -351,17 +340,8 @@
     const standing = keeper.getStanding(clock.monotonic());
     return stopped === undefined && (standing === "current" || standing === "ageing");
   };
-  const readyServer = createServer((incoming, response) => {
-    const isAsked = incoming.url === READY_PATH;
-    response.writeHead(isAsked ? (isReady() ? 200 : 503) : 404, ["Content-Length", "0"]);
-    response.end();
-  });
-  const metricsServer = createServer((_incoming, response) => {
-    void metrics.registry.metrics().then((text) => {
-      response.writeHead(200, ["Content-Type", metrics.registry.contentType]);
-      response.end(text);
-    });
-  });
+  const readyServer = createReadyServer(isReady);
+  const metricsServer = createMetricsServer(metrics);
 
   const listSeeds = () =>
     settings.seeds
@@ -396,9 +376,9 @@
       const clients = toHostAndPort(settings.listen.clients);
       const ports = {
         clients: await clientServer.listen(clients.host, clients.port),
-        ready: await listen(readyServer, settings.listen.ready),
+        ready: await listenOn(readyServer, settings.listen.ready),
         peers: await peerServer.listen(peerAddress),
-        metrics: await listen(metricsServer, settings.listen.metrics),
+        metrics: await listenOn(metricsServer, settings.listen.metrics),
       };
       peerAddress = { ...peerAddress, port: ports.peers };
       links.setSeeds(listSeeds());
--- a/packages/diagnosis/src/accountRequests.ts
+++ b/packages/diagnosis/src/accountRequests.ts
@@ -1,4 +1,5 @@
 /** Gives every request one cause, and sums them up. Pure. */
+import { groupBy } from "./groupBy.js";
 import { describeCause, judgeCause } from "./judgeCause.js";
 import type { Chronicle, RequestAccount, RequestStory } from "./types.js";
 
@@ -56,41 +57,27 @@
   return counts;
 };
 
-const groupAccounts = (
-  accounts: readonly RequestAccount[],
-  toKey: (account: RequestAccount) => string,
-) => {
-  const groups = new Map<string, RequestAccount[]>();
-  for (const account of accounts) {
-    const key = toKey(account);
-    groups.set(key, [...(groups.get(key) ?? []), account]);
-  }
-  return groups;
-};
-
 /** Counts by route and cause, what is worth most first. */
 export const countLosses = (
   accounts: readonly RequestAccount[],
   worthOfRoute: ReadonlyMap<string, number> = new Map(),
 ): readonly LossCount[] => {
-  const byRoute = groupAccounts(accounts, ({ route }) => route);
+  const byRoute = groupBy(accounts, ({ route }) => route);
   const counts = [...byRoute].flatMap(([route, ofRoute]) =>
-    [...groupAccounts(ofRoute, ({ cause }) => describeCause(cause))].map(
-      ([cause, own]) => {
-        const [worstSecond, inWorstSecond] = [...countBySecond(own)].reduce((a, b) =>
-          b[1] > a[1] ? b : a,
-        );
-        return {
-          route,
-          cause,
-          requests: own.length,
-          share: own.length / ofRoute.length,
-          worth: own.length * (worthOfRoute.get(route) ?? 1),
-          worstSecond,
-          inWorstSecond,
-        };
-      },
-    ),
+    [...groupBy(ofRoute, ({ cause }) => describeCause(cause))].map(([cause, own]) => {
+      const [worstSecond, inWorstSecond] = [...countBySecond(own)].reduce((a, b) =>
+        b[1] > a[1] ? b : a,
+      );
+      return {
+        route,
+        cause,
+        requests: own.length,
+        share: own.length / ofRoute.length,
+        worth: own.length * (worthOfRoute.get(route) ?? 1),
+        worstSecond,
+        inWorstSecond,
+      };
+    }),
   );
   return counts.sort((a, b) => b.worth - a.worth);
 };
--- a/packages/diagnosis/src/buildChronicle.ts
+++ b/packages/diagnosis/src/buildChronicle.ts
@@ -1,21 +1,11 @@
 /** Puts lines of many boxes in order: runs of processes, one time for all, and the story of each request. */
 import type { Ms } from "@stairgauge/common";
+import { groupBy } from "./groupBy.js";
 import type { BoxRun, Chronicle, LogLine, RequestStory, TimedLine } from "./types.js";
 
 const START_EVENT = "starting";
 const STOP_EVENT = "stopped";
 
-const groupBy = <T>(items: readonly T[], toKey: (item: T) => string) => {
-  const groups = new Map<string, T[]>();
-  for (const item of items) {
-    const key = toKey(item);
-    const group = groups.get(key);
-    if (group) group.push(item);
-    else groups.set(key, [item]);
-  }
-  return groups;
-};
-
 /** Splits one box's lines where its process started anew. */
 const splitRuns = (lines: readonly LogLine[]): readonly (readonly LogLine[])[] => {
   const runs: LogLine[][] = [];
--- /dev/null
+++ b/packages/diagnosis/src/groupBy.ts
@@ -0,0 +1,14 @@
+/** Groups items under a key, in the order in which they come. */
+export const groupBy = <T>(
+  items: readonly T[],
+  toKey: (item: T) => string,
+): ReadonlyMap<string, readonly T[]> => {
+  const groups = new Map<string, T[]>();
+  for (const item of items) {
+    const key = toKey(item);
+    const group = groups.get(key);
+    if (group) group.push(item);
+    else groups.set(key, [item]);
+  }
+  return groups;
+};
