feat: boxes that cannot see each other's placements yet do not all choose the one empty engine

Cause: at 66 boxes all 18 first answers that were late by their prompt followed three to nine placements at one engine within 50 ms, mostly a new and empty one: boxes chose it without seeing each other's choice. Ruled out: memory (none waited for room), slow engines (others on the same were in time). Change: loads count as equal within what others may be placing unseen, which is learned from what they tell.

--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -41,6 +41,7 @@
 import {
   computeConnectionShare,
   createLoadBook,
+  createRivalRate,
   type EngineReport,
 } from "@stairgauge/placement";
 import {
@@ -140,11 +141,14 @@
         .map(toToldLeaving),
   });
   const links = createPeerLinks({ clock, random, own, makeWhole: teller.makeWhole });
+  const rivals = createRivalRate();
   const markReported = (server: ServerId, report: EngineReport) => {
     if (report.isLeaving) directory.mark(server, "report", clock.monotonic());
   };
   const peerServer = createPeerServer({
-    onUpdate: (update) =>
+    onUpdate: (update) => {
+      const started = update.isWhole ? [] : update.put.filter(({ run }) => !run.hasBegun);
+      rivals.record(started.length, clock.monotonic());
       applyUpdate(
         {
           book,
@@ -160,7 +164,8 @@
           },
         },
         update,
-      ),
+      );
+    },
     onPeerLost: (box) => {
       book.dropPeer(box);
       log.writeDecision("peer_lost", { peer: box });
@@ -227,6 +232,7 @@
     ownHall: settings.dataHall as DataHallName,
     directory,
     book,
+    rivals,
     getConnectionShare: (service) =>
       computeConnectionShare(
         keeper.getIndex()?.findService(service)?.maxConnections,
--- a/packages/fleet/src/createPlacer.ts
+++ b/packages/fleet/src/createPlacer.ts
@@ -8,6 +8,7 @@
   toCopyId,
   type LoadBook,
   type MoveTarget,
+  type RivalRate,
 } from "@stairgauge/placement";
 import { createSuspects } from "./suspects.js";
 
@@ -20,6 +21,7 @@
   book: LoadBook;
   /** This box's part of the connections that one server of a service takes from all callers. */
   getConnectionShare: (service: ServiceName) => number;
+  rivals: Pick<RivalRate, "estimate">;
   onClosingAnnounced: (server: BackendServer) => void;
   isAlive: (server: BackendServer) => Promise<boolean>;
 }>;
@@ -64,6 +66,7 @@
         demand,
         book,
         ownHall,
+        rivals: options.rivals.estimate(now),
         now,
         random,
       });
--- a/packages/placement/src/chooseServer.test.ts
+++ b/packages/placement/src/chooseServer.test.ts
@@ -55,14 +55,16 @@
   book: ReturnType<typeof createLoadBook>,
   demand = GENERATION as Parameters<typeof chooseServer>[0]["demand"],
   candidates = [a, b],
+  { rivals = 0, random = createSeededRandom(4) } = {},
 ) => {
   const decision = chooseServer({
     candidates,
     demand,
     book,
     ownHall: "h" as DataHallName,
+    rivals,
     now: 1_000 as Ms,
-    random: createSeededRandom(4),
+    random,
   });
   return decision.kind === "placed" ? decision.server.entry.id : decision.kind;
 };
@@ -106,6 +108,22 @@
     expect(choose(book)).toBe("b");
   });
 
+  it("does not send all boxes to the one engine that is empty, as far as they cannot see each other", () => {
+    const engines = ["new", "1", "2", "3", "4", "5"].map((id) => makeServer(id));
+    const book = createLoadBook();
+    for (const { entry } of engines.slice(1))
+      for (const run of ["x", "y"]) book.addRun(entry.id, makeRun(`${entry.id} ${run}`));
+    const random = createSeededRandom(9);
+    const countNew = (rivals: number) =>
+      Array.from({ length: 200 }, () =>
+        choose(book, GENERATION, engines, { rivals, random }),
+      ).filter((id) => id === "new").length;
+    expect(countNew(0)).toBe(200);
+    expect(countNew(0.3)).toBe(200);
+    expect(countNew(2)).toBeLessThan(120);
+    expect(countNew(2)).toBeGreaterThan(50);
+  });
+
   it("has nobody to choose when there is none", () => {
     expect(choose(createLoadBook(), GENERATION, [])).toBe("no_server");
   });
--- a/packages/placement/src/chooseServer.ts
+++ b/packages/placement/src/chooseServer.ts
@@ -19,6 +19,8 @@
   demand: Demand;
   book: LoadBook;
   ownHall: DataHallName;
+  /** Placements of other boxes that this one does not see yet, as expected. */
+  rivals: number;
   now: Ms;
   random: Random;
 }>;
@@ -46,7 +48,10 @@
 const BACKLOG_WEIGHT = 2;
 
 /** Loads closer together than this are as good as equal, given how old reports are. */
-const LOAD_JITTER = 0.06;
+const LEAST_JITTER = 0.06;
+
+/** A draw lies half its range above the least in the mean: the range is twice the load that is to be made up for. */
+const RIVAL_SPREAD = 2;
 
 const sumRuns = (runs: readonly PlacedRun[]): number =>
   runs.reduce((sum, run) => sum + run.promptTokens + run.expectedOut, 0);
@@ -116,10 +121,15 @@
 };
 
 const scoreEngine = (server: BackendServer, inputs: ChoiceInputs): Scored => {
-  const { book, now, random, demand } = inputs;
-  const needed = (demand.tokens?.prompt ?? 0) + (demand.tokens?.expectedOut ?? 0);
+  const { book, now, random, demand, rivals } = inputs;
+  const prompt = demand.tokens?.prompt ?? 0;
+  const needed = prompt + (demand.tokens?.expectedOut ?? 0);
   const { taken, backlog, total, reportAge } = estimateEngineLoad(server, book, now);
-  const jitter = random.nextFloat() * LOAD_JITTER;
+  // Boxes that see the same engine as the emptiest would all choose it. What each of them adds, times how many may be choosing
+  // now, is the difference of load by which none can tell which engine will be emptier.
+  const added = (needed + BACKLOG_WEIGHT * prompt) / total;
+  const jitter =
+    random.nextFloat() * Math.max(LEAST_JITTER, RIVAL_SPREAD * rivals * added);
   return {
     server,
     load: (taken + BACKLOG_WEIGHT * backlog) / total + jitter,
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -6,5 +6,7 @@
 export { computeConnectionShare } from "./computeConnectionShare.js";
 export { chooseServer, estimateEngineLoad } from "./chooseServer.js";
 export type { ChoiceInputs, EngineLoad } from "./chooseServer.js";
+export { createRivalRate } from "./rivalRate.js";
+export type { RivalRate } from "./rivalRate.js";
 export { rankTargets } from "./rankTargets.js";
 export type { MoveTarget, RunToMove } from "./rankTargets.js";
