refactor: one choice of a box a call, one wait on a clock, updates and answers built in one place

Ruled out: one timer for all engines' ticks (it would change when each is asked). No behaviour, bound or test is changed.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -11,6 +11,7 @@
 export type { VirtualClock } from "./virtualClock.js";
 export { createSeededRandom, createSystemRandom } from "./random.js";
 export type { Random } from "./random.js";
+export { waitFor } from "./waitFor.js";
 export { advanceSettled } from "./advanceSettled.js";
 export { createPoller } from "./poller.js";
 export type { Poller } from "./poller.js";
--- /dev/null
+++ b/packages/common/src/waitFor.ts
@@ -0,0 +1,9 @@
+/** Lets time pass on a clock. */
+import type { Clock } from "./clock.js";
+import type { Ms } from "./types.js";
+
+/** Resolves to nothing once `duration` milliseconds have passed. */
+export const waitFor = (clock: Clock, duration: Ms): Promise<undefined> =>
+  new Promise((resolve) => {
+    clock.setTimer(duration, () => resolve(undefined));
+  });
--- a/packages/diagnosis/src/buildChronicle.ts
+++ b/packages/diagnosis/src/buildChronicle.ts
@@ -61,7 +61,6 @@
   });
   const all = runs.flatMap((run) => run.lines);
   return {
-    runs: runs.map(({ run }) => run),
     stories: runs.flatMap(buildStories),
     happenings: all
       .filter(({ request }) => request === undefined)
--- a/packages/diagnosis/src/plotLosses.ts
+++ b/packages/diagnosis/src/plotLosses.ts
@@ -1,6 +1,7 @@
 /** Draws what was lost, second by second, as a picture. */
 import { parse, View } from "vega";
 import { compile, type TopLevelSpec } from "vega-lite";
+import { groupBy } from "./groupBy.js";
 import { describeCause } from "./judgeCause.js";
 import type { RequestAccount } from "./types.js";
 
@@ -22,11 +23,10 @@
 });
 
 /** Names the routes that lost most, worst first. */
-const rankRoutes = (points: readonly Point[]): readonly string[] => {
-  const counts = new Map<string, number>();
-  for (const { route } of points) counts.set(route, (counts.get(route) ?? 0) + 1);
-  return [...counts].sort(([, a], [, b]) => b - a).map(([route]) => route);
-};
+const rankRoutes = (points: readonly Point[]): readonly string[] =>
+  [...groupBy(points, ({ route }) => route)]
+    .sort(([, a], [, b]) => b.length - a.length)
+    .map(([route]) => route);
 
 const groupOthers = (points: readonly Point[]): readonly Point[] => {
   const ranked = rankRoutes(points);
--- a/packages/diagnosis/src/types.ts
+++ b/packages/diagnosis/src/types.ts
@@ -47,7 +47,6 @@
 
 /** All lines, in order. */
 export type Chronicle = Readonly<{
-  runs: readonly BoxRun[];
   stories: readonly RequestStory[];
   /** Lines that are about no request. */
   happenings: readonly TimedLine[];
--- a/packages/orders/src/orderSender.ts
+++ b/packages/orders/src/orderSender.ts
@@ -1,5 +1,5 @@
 /** Sends orders to an engine under its lease. */
-import { Err, type Clock, type Ms, type Result } from "@stairgauge/common";
+import { Err, waitFor, type Clock, type Ms, type Result } from "@stairgauge/common";
 import type { EngineAddress, EngineClient, EngineOrder } from "@stairgauge/engines";
 import type { LinkFailure } from "@stairgauge/outcomes";
 import { ORDER_LIFE_MS } from "./constants.js";
@@ -33,16 +33,11 @@
 }): OrderSender => {
   const { lease, engines, clock } = options;
 
-  const wait = (delay: Ms) =>
-    new Promise<void>((resolve) => {
-      clock.setTimer(delay, resolve);
-    });
-
   const send = async (order: OrderContent): Promise<Result<void, OrderFailure>> => {
     const acquired = await lease.acquire();
     if (acquired.err) return Err({ kind: "no_lease", failure: acquired.val });
     const quiet = (acquired.val.quietUntil - clock.monotonic()) as Ms;
-    if (!options.checksOrders && quiet > 0) await wait(quiet);
+    if (!options.checksOrders && quiet > 0) await waitFor(clock, quiet);
     // NOTE: looked at last, on the monotonic clock: a process that was paused sends nothing.
     const usable = lease.getUsable();
     if (!usable) return Err({ kind: "lease_lapsed" });
--- a/packages/peers/src/runTeller.ts
+++ b/packages/peers/src/runTeller.ts
@@ -35,6 +35,16 @@
   let reports: ToldReport[] = [];
   let isScheduled = false;
 
+  const buildUpdate = (told: Partial<RunUpdate>): RunUpdate => ({
+    box: own,
+    isWhole: false,
+    put: [],
+    drop: [],
+    leaving: [],
+    reports: [],
+    ...told,
+  });
+
   const schedule = () => {
     if (isScheduled) return;
     isScheduled = true;
@@ -50,14 +60,13 @@
       changes.map((change) => [`${change.server} ${change.id}`, change]),
     );
     const kept = [...last.values()];
-    send({
-      box: own,
-      isWhole: false,
-      leaving: [],
-      reports: toldReports,
-      put: kept.flatMap(({ server, run }) => (run ? [{ server, run }] : [])),
-      drop: kept.flatMap(({ server, id, run }) => (run ? [] : [{ server, id }])),
-    });
+    send(
+      buildUpdate({
+        reports: toldReports,
+        put: kept.flatMap(({ server, run }) => (run ? [{ server, run }] : [])),
+        drop: kept.flatMap(({ server, id, run }) => (run ? [] : [{ server, id }])),
+      }),
+    );
   };
 
   return {
@@ -69,22 +78,8 @@
       reports.push(told);
       schedule();
     },
-    makeWhole: () => ({
-      box: own,
-      isWhole: true,
-      put: book.listAllRuns(),
-      drop: [],
-      leaving: listLeaving(),
-      reports: [],
-    }),
-    tellLeaving: (told) =>
-      sendToSome({
-        box: own,
-        isWhole: false,
-        put: [],
-        drop: [],
-        leaving: [told],
-        reports: [],
-      }),
+    makeWhole: () =>
+      buildUpdate({ isWhole: true, put: book.listAllRuns(), leaving: listLeaving() }),
+    tellLeaving: (told) => sendToSome(buildUpdate({ leaving: [told] })),
   };
 };
--- a/packages/peers/src/sharedReader.ts
+++ b/packages/peers/src/sharedReader.ts
@@ -5,6 +5,7 @@
 import {
   Err,
   Ok,
+  waitFor,
   type BoxName,
   type Clock,
   type Ms,
@@ -149,13 +150,12 @@
   const hasLostStore = (answer: TableAnswer) =>
     "silence" in answer ? answer.silence > mostSilence : answer.kind === "not_known";
 
-  /** What the chosen box tells, if that is of use. */
+  /** What the box tells, if that is of use. */
   const askBox = async (
+    box: BoxName,
     question: TableQuestion,
     signal: AbortSignal,
   ): Promise<TableAnswer | undefined> => {
-    const box = chooseBox();
-    if (box === undefined) return undefined;
     const answer = await askWithin(box, question, signal);
     if (!answer || !hasLostStore(answer)) return answer;
     passOver(box, "lost_the_store");
@@ -184,11 +184,6 @@
     return { rows, revision, source: { kind: "box", age } };
   };
 
-  const waitFor = (duration: Ms) =>
-    new Promise<undefined>((resolve) => {
-      clock.setTimer(duration, () => resolve(undefined));
-    });
-
   /**
    * A box that knows nothing is better off with what is old than with nothing: its age goes with it. The store comes first;
    * when it is silent, what others know serves callers a second sooner.
@@ -200,7 +195,7 @@
     const storeCall = new AbortController();
     const outer = AbortSignal.any([signal, storeCall.signal]);
     const fromStore = recordStore(table, store.readTable({ ...request, signal: outer }));
-    const early = await Promise.race([fromStore, waitFor(STORE_FIRST_MS)]);
+    const early = await Promise.race([fromStore, waitFor(clock, STORE_FIRST_MS)]);
     if (early?.ok) return early;
     const told = toSnapshot(await askAll({ kind: "whole", table }, signal), atLeast);
     if (!told) return fromStore;
@@ -213,7 +208,10 @@
   ): Promise<Result<TableSnapshot, StoreFailure>> => {
     const { table, atLeast, signal } = request;
     if (atLeast === 0) return readFirst(request);
-    const told = toSnapshot(await askBox({ kind: "whole", table }, signal), atLeast);
+    const box = chooseBox();
+    const answer =
+      box === undefined ? undefined : await askBox(box, { kind: "whole", table }, signal);
+    const told = toSnapshot(answer, atLeast);
     return told ? Ok(told) : recordStore(table, store.readTable(request));
   };
 
@@ -221,10 +219,11 @@
     request: ChangesRequest,
   ): Promise<Result<TableChanges, StoreFailure>> => {
     const { table, since, wait, signal } = request;
-    if (chooseBox() === undefined) return recordStore(table, store.awaitChanges(request));
+    const box = chooseBox();
+    if (box === undefined) return recordStore(table, store.awaitChanges(request));
     const relayedWait = (wait * options.relayedWaits) as Ms;
     const question = { kind: "changes", table, since, wait: relayedWait } as const;
-    const answer = await askBox(question, signal);
+    const answer = await askBox(box, question, signal);
     if (!answer)
       return recordStore(table, store.awaitChanges({ ...request, wait: AT_ONCE_MS }));
     if (answer.kind !== "changes") return Err({ kind: "history_gone" });
--- a/packages/peers/src/watchShares.ts
+++ b/packages/peers/src/watchShares.ts
@@ -22,13 +22,14 @@
   own: BoxName,
   links: Pick<PeerLinks, "listUp">,
 ): WatchShares => {
-  let members: readonly BoxName[] = [own];
+  let members: ReadonlySet<BoxName> = new Set([own]);
   let known = new Map<ServerId, boolean>();
 
   const updateMembers = () => {
-    const now = [own, ...links.listUp().map(({ box }) => box)].sort();
-    if (now.join() === members.join()) return;
-    members = now;
+    const up = links.listUp();
+    const hasAll = up.every(({ box }) => members.has(box));
+    if (hasAll && up.length + 1 === members.size) return;
+    members = new Set([own, ...up.map(({ box }) => box)]);
     known = new Map();
   };
 
@@ -37,13 +38,15 @@
       updateMembers();
       const isKnown = known.get(server);
       if (isKnown !== undefined) return isKnown;
-      const isOurs = rankByHash(members, server).slice(0, WATCHERS).includes(own);
+      const isOurs = rankByHash([...members], server)
+        .slice(0, WATCHERS)
+        .includes(own);
       known.set(server, isOurs);
       return isOurs;
     },
     countWatchers: () => {
       updateMembers();
-      return Math.min(WATCHERS, members.length);
+      return Math.min(WATCHERS, members.size);
     },
   };
 };
--- a/packages/standins/src/platformRoutes.ts
+++ b/packages/standins/src/platformRoutes.ts
@@ -1,6 +1,6 @@
 /** The stand-in platform over HTTP. */
 import { z } from "zod";
-import type { Clock, Ms } from "@stairgauge/common";
+import { waitFor, type Clock, type Ms } from "@stairgauge/common";
 import { readBody, sendJson, type HttpExchange, type HttpRoute } from "@stairgauge/http";
 import { writesSchema } from "@stairgauge/stores";
 import type { PlatformModel } from "./platformModel.js";
@@ -34,11 +34,6 @@
 ): readonly HttpRoute[] => {
   const pacer = createWritePacer(clock);
 
-  const wait = (delay: Ms) =>
-    new Promise<void>((resolve) => {
-      clock.setTimer(delay, resolve);
-    });
-
   /** Serves a call as the platform's mode would have it. */
   const withMode =
     (kind: "read" | "write", serve: (exchange: HttpExchange) => Promise<unknown>) =>
@@ -48,9 +43,9 @@
         sendJson(exchange.response, 503, { error: "down" });
         return;
       }
-      if (mode.delayMs > 0) await wait(mode.delayMs as Ms);
+      if (mode.delayMs > 0) await waitFor(clock, mode.delayMs as Ms);
       if (kind === "write" && mode.writesPerSecond > 0) {
-        await wait(pacer.reserve(mode.writesPerSecond));
+        await waitFor(clock, pacer.reserve(mode.writesPerSecond));
       }
       const answer = await serve(exchange);
       if (kind === "write" && model.takeLostAnswer()) {
--- a/packages/storefeed/src/tableFollower.ts
+++ b/packages/storefeed/src/tableFollower.ts
@@ -1,5 +1,5 @@
 /** Follows one table of the store: reads it whole, then waits for its changes, again after each failure. */
-import type { Clock, Ms, Random } from "@stairgauge/common";
+import { waitFor, type Clock, type Ms, type Random } from "@stairgauge/common";
 import type {
   AnswerSource,
   RowChange,
@@ -91,17 +91,12 @@
     }
   };
 
-  const waitFor = (duration: Ms) =>
-    new Promise<void>((resolve) => {
-      clock.setTimer(duration, resolve);
-    });
-
   const recordFailure = async (failure: StoreFailure) => {
     failures += 1;
     sink.onFailure(failure, failures);
     const jittered = pause * (0.5 + random.nextFloat());
     pause = Math.min(retryPause.most, pause * BACKOFF_FACTOR);
-    await waitFor(jittered as Ms);
+    await waitFor(clock, jittered as Ms);
   };
 
   const recordAnswer = (revision: number) => {
@@ -134,7 +129,7 @@
     const { rows, revision, source } = read.val;
     if (isStale(read.val, newestBefore) && staleReads < STALE_READS_BORNE) {
       staleReads += 1;
-      await waitFor(retryPause.first);
+      await waitFor(clock, retryPause.first);
       return undefined;
     }
     staleReads = 0;
@@ -161,7 +156,7 @@
     const revision = Math.max(since, read.val.revision);
     tableRevision = revision;
     sink.onChanges(changes, computeAsOf(sentAt, source), revision);
-    if (changes.length > 0 && gather > 0) await waitFor(gather);
+    if (changes.length > 0 && gather > 0) await waitFor(clock, gather);
     return revision;
   };
 
