feat: boxes are linked to a few hubs, not to each other

Change: up to 12 boxes nothing changes. Beyond, all are linked to the same few hubs, which are named by the hashing that names the hearers of the store, the strong ones first; each box can be one, and where one cannot be reached the next in the order is linked to beside it. 16 links at most. Hubs ask the engines and tell each other; a hub tells the boxes with runs at a server that it leaves. A link whose calls bring no answer is opened anew: a connection may have gone silent for good. What the store says of servers is no longer passed on from box to box: it comes with the table. Ruled out: telling reports to all boxes (8,000 messages a second at 195). Proof: hubs.test.ts (links and hubs of 6 to 1,000 boxes, any of them lost).

--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -37,6 +37,7 @@
   createPeerServer,
   createRunTeller,
   createWatchShares,
+  type ToldLeaving,
 } from "@stairgauge/peers";
 import {
   computeConnectionShare,
@@ -134,6 +135,12 @@
   const outOfTouchAge = computeTiming(settings).wait * OUT_OF_TOUCH_WAITS;
   const isOutOfTouch = () => keeper.getAge(clock.monotonic()) > outOfTouchAge;
   const book = createLoadBook((change) => teller.takeChange(change));
+  /** A server that leaves, by the word of another box. */
+  const takeLeaving = ({ server, isEntryGone }: ToldLeaving) => {
+    // A box that the store reaches sees itself whether an entry is gone.
+    if (isEntryGone && !isOutOfTouch()) return;
+    directory.mark(server, "told_by_box", clock.monotonic());
+  };
   const teller = createRunTeller({
     clock,
     own,
@@ -146,7 +153,13 @@
         .filter(({ leaving }) => leaving !== undefined)
         .map(toToldLeaving),
   });
-  const links = createPeerLinks({ clock, random, own, makeWhole: teller.makeWhole });
+  const links = createPeerLinks({
+    clock,
+    random,
+    own: { box: own, capacity: computeCapacity(settings) },
+    makeWhole: teller.makeWhole,
+    onNotice: ({ leaving }) => leaving.forEach(takeLeaving),
+  });
   const rivals = createRivalRate();
   const markReported = (server: ServerId, report: EngineReport) => {
     if (report.isLeaving) directory.mark(server, "report", clock.monotonic());
@@ -158,11 +171,7 @@
       applyUpdate(
         {
           book,
-          onLeaving: ({ server, isEntryGone }) => {
-            // A box that the store reaches sees itself whether an entry is gone.
-            if (isEntryGone && !isOutOfTouch()) return;
-            directory.mark(server, "told_by_box", clock.monotonic());
-          },
+          onLeaving: takeLeaving,
           onReport: ({ server, report }) => {
             if (!directory.find(server)) return;
             book.putReport(server, report, clock.monotonic());
@@ -192,13 +201,22 @@
     onPeers: (peers) => {
       mostBoxesSeen = Math.max(mostBoxesSeen, peers.length);
       links.setPeers(peers);
-      log.writeNotice("peers", { boxes: peers.length });
+      log.writeNotice("peers", { boxes: peers.length, links: links.count() });
     },
     onFailure: (failure) => log.writeWarning("membership", { failure }),
   });
   const runs = createActiveRuns();
   const actions = createEngineActions();
 
+  /** What the store says reaches each box by its table; what an engine or a box said, by the hubs. */
+  const tellLeaving = (server: BackendServer) => {
+    const reason = server.leaving?.reason;
+    if (reason === "entry_says_leaving" || reason === "entry_gone") return;
+    const told = toToldLeaving(server);
+    teller.tellLeaving(told);
+    const boxes = book.listPeersAt(server.entry.id) as BoxName[];
+    peerServer.notify(boxes, { leaving: [told] });
+  };
   const directory = createServerDirectory({
     memory: LEFT_MEMORY_MS,
     onEvent: (event) => {
@@ -207,7 +225,7 @@
       if (event.kind === "joined") reports.add(server);
       if (event.kind === "leaving") {
         mover.onServerLeaving(server);
-        teller.tellLeaving(toToldLeaving(server));
+        tellLeaving(server);
       }
       if (event.kind !== "forgotten") return;
       book.drop(server.entry.id);
--- /dev/null
+++ b/packages/peers/src/hubs.test.ts
@@ -0,0 +1,99 @@
+/** Links that do not grow with the boxes, and the same hubs for all, whoever is out of reach. */
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import type { BoxName } from "@stairgauge/common";
+import { chooseLinks, countHubs, listHubs, MOST_LINKS } from "./hubs.js";
+import { rankCarriers } from "./rankHearers.js";
+import type { Member } from "./types.js";
+
+const makeMembers = (count: number): readonly Member[] =>
+  Array.from({ length: count }, (_, i) => ({
+    box: `box-${i}` as BoxName,
+    capacity: i % 3 === 0 ? 7 : 100 + (i % 5) * 20,
+  }));
+
+const isNone = () => false;
+
+/** Links of every box when those named cannot be reached by anybody. */
+const chooseAllLinks = (members: readonly Member[], lost: ReadonlySet<BoxName>) => {
+  const ranked = rankCarriers(members);
+  const isFailing = (box: BoxName) => lost.has(box);
+  return members.map(({ box }) =>
+    chooseLinks({ own: box, ranked, isFailing, isAvoided: isNone }),
+  );
+};
+
+describe("countHubs", () => {
+  it.each([
+    [1, 1],
+    [6, 6],
+    [12, 12],
+    [13, 4],
+    [66, 4],
+    [195, 5],
+    [473, 12],
+    [1_000, 16],
+  ])("of %i boxes makes %i hubs", (boxes, hubs) => {
+    expect(countHubs(boxes)).toBe(hubs);
+  });
+});
+
+describe("chooseLinks", () => {
+  it("links every box to every other where they are few", () => {
+    for (const links of chooseAllLinks(makeMembers(6), new Set()))
+      expect(links).toHaveLength(5);
+  });
+
+  it.each([66, 195, 473, 1_000])(
+    "links each of %i boxes to the same few hubs, none of them weak, and to nobody else",
+    (count) => {
+      const members = makeMembers(count);
+      const linked = chooseAllLinks(members, new Set());
+      const hubs = new Set(linked.flat());
+      expect(hubs.size).toBe(countHubs(count));
+      expect(Math.max(...linked.map((links) => links.length))).toBeLessThanOrEqual(
+        MOST_LINKS,
+      );
+      for (const { box, capacity } of members)
+        if (hubs.has(box)) expect(capacity).toBeGreaterThan(7);
+    },
+  );
+
+  it("leaves every box that lives in reach of the same hubs when others are lost (property)", () => {
+    const members = makeMembers(66);
+    const boxes = members.map(({ box }) => box);
+    fc.assert(
+      fc.property(fc.subarray(boxes, { maxLength: 40 }), (gone) => {
+        const lost = new Set(gone);
+        const ranked = rankCarriers(members);
+        const living = members.filter(({ box }) => !lost.has(box));
+        // Far down the order more links are needed than a box may hold: those it avoids make room.
+        const isAvoided = (box: BoxName) => lost.has(box);
+        const views = living.map((own) => {
+          const links = chooseLinks({
+            own: own.box,
+            ranked,
+            isFailing: isNone,
+            isAvoided,
+          });
+          expect(links.length).toBeLessThanOrEqual(MOST_LINKS);
+          const reached = living.filter(({ box }) => links.includes(box));
+          return listHubs([own, ...reached], members.length).join();
+        });
+        const hubs = rankCarriers(living).slice(0, countHubs(members.length)).join();
+        expect(new Set(views)).toEqual(new Set([hubs]));
+      }),
+      { seed: 5, numRuns: 100 },
+    );
+  });
+
+  it("keeps a failing link and takes the next box beside it", () => {
+    const members = makeMembers(66);
+    const ranked = rankCarriers(members);
+    const own = ranked.at(-1)!;
+    const [first] = ranked;
+    const isFailing = (box: BoxName) => box === first;
+    const links = chooseLinks({ own, ranked, isFailing, isAvoided: isNone });
+    expect(links).toEqual(ranked.slice(0, 5));
+  });
+});
--- a/packages/peers/src/peerLinks.ts
+++ b/packages/peers/src/peerLinks.ts
@@ -1,9 +1,9 @@
-/** Tells this box's runs to every other box, over one stream each. */
+/** The links of one box to others: to all of them where they are few, to the hubs where there are many. */
 import {
   Client,
   connectivityState,
   credentials,
-  type ClientWritableStream,
+  type ClientDuplexStream,
 } from "@grpc/grpc-js";
 import {
   Err,
@@ -16,9 +16,12 @@
   type Timer,
 } from "@stairgauge/common";
 import type { ServerAddress } from "@stairgauge/directory";
+import { chooseLinks, listHubs, MOST_LINKS } from "./hubs.js";
+import { rankCarriers } from "./rankHearers.js";
 import { peerService } from "./service.js";
 import type {
   AskFailure,
+  HubNotice,
   Member,
   Peer,
   RunUpdate,
@@ -30,9 +33,11 @@
 export type PeerLinksOptions = Readonly<{
   clock: Clock;
   random: Random;
-  own: BoxName;
+  own: Member;
   /** The whole state, for a link that has just come up. */
   makeWhole: () => RunUpdate;
+  /** A hub has told this box something. */
+  onNotice: (notice: HubNotice) => void;
 }>;
 
 /** The links of one box. */
@@ -51,8 +56,15 @@
     question: TableQuestion,
     signal: AbortSignal,
   ) => Promise<Result<TableAnswer, AskFailure>>;
+  /** Opens the link to a box anew: its connection no longer brings answers. */
+  renew: (box: BoxName) => void;
   /** Boxes whose link stands. */
   listUp: () => readonly Member[];
+  /** The hubs as this box sees them, which may be one itself; alone, it is. */
+  listHubs: () => readonly BoxName[];
+  isHub: () => boolean;
+  /** All boxes known, this one included. */
+  countBoxes: () => number;
   count: () => number;
   close: () => void;
 }>;
@@ -60,9 +72,11 @@
 type Link = {
   readonly peer: Peer;
   readonly client: Client;
-  stream: ClientWritableStream<RunUpdate> | undefined;
+  stream: ClientDuplexStream<RunUpdate, HubNotice> | undefined;
   retry: Timer | undefined;
   pause: number;
+  /** Since when it has not been up; undefined while it is. */
+  downSince: number | undefined;
 };
 
 /** Pauses between tries at a box that cannot be reached. */
@@ -84,12 +98,28 @@
 /** Boxes that one box passes a thing on to: with 3 each, all but one in a thousand hear it. */
 const FAN_OUT = 3;
 
+/** How often links are looked through for those that have failed. */
+const REVIEW_MS = 500 as Ms;
+
+/** A link that has been down this long is failing: a box that starts anew is back in about a second. */
+const FAILING_AFTER_MS = 1_000;
+
+/** With all links taken, a box that has been out of reach this long is not tried for a while, so that others get its place. */
+const AVOIDED_AFTER_MS = 6_000;
+const AVOIDED_MS = 15_000;
+
 /** Creates the links; there are none until peers are set. */
 export const createPeerLinks = (options: PeerLinksOptions): PeerLinks => {
-  const { clock, random, own, makeWhole } = options;
+  const { clock, random, own, makeWhole, onNotice } = options;
   const links = new Map<BoxName, Link>();
+  const avoidedUntil = new Map<BoxName, number>();
+  let peersByBox: ReadonlyMap<BoxName, Peer> = new Map();
+  let ranked: readonly BoxName[] = [];
+  let reviewTimer: Timer | undefined;
+  let isClosed = false;
 
   const closeLink = (link: Link) => {
+    links.delete(link.peer.box);
     link.retry?.cancel();
     link.stream?.cancel();
     link.stream = undefined;
@@ -105,21 +135,22 @@
   };
 
   const openStream = (link: Link) => {
-    const stream = link.client.makeClientStreamRequest(
+    const stream = link.client.makeBidiStreamRequest(
       peerService.tellRuns.path,
       peerService.tellRuns.requestSerialize,
       peerService.tellRuns.responseDeserialize,
-      () => {
-        if (link.stream !== stream) return;
-        link.stream = undefined;
-        scheduleRetry(link);
-      },
     );
     link.stream = stream;
     stream.on("metadata", () => {
       link.pause = FIRST_PAUSE_MS;
     });
+    stream.on("data", onNotice);
     stream.on("error", () => undefined);
+    stream.on("status", () => {
+      if (link.stream !== stream) return;
+      link.stream = undefined;
+      scheduleRetry(link);
+    });
     stream.write(makeWhole());
   };
 
@@ -167,6 +198,7 @@
       stream: undefined,
       retry: undefined,
       pause: FIRST_PAUSE_MS,
+      downSince: clock.monotonic(),
     };
     links.set(peer.box, link);
     openStream(link);
@@ -182,22 +214,68 @@
     capacity: 1,
   });
 
+  const isDownFor = (box: BoxName, duration: number): boolean => {
+    const downSince = links.get(box)?.downSince;
+    return downSince !== undefined && clock.monotonic() - downSince > duration;
+  };
+
+  const listUp = () => [...links.values()].filter(isUp).map(({ peer }) => peer);
+
+  const recordStates = () => {
+    const now = clock.monotonic();
+    for (const link of links.values())
+      link.downSince = isUp(link) ? undefined : (link.downSince ?? now);
+    // With no link up it is this box that is out of reach.
+    if (links.size < MOST_LINKS || listUp().length === 0) return;
+    const lost = [...links.keys()].filter((box) => isDownFor(box, AVOIDED_AFTER_MS));
+    for (const box of lost) avoidedUntil.set(box, now + AVOIDED_MS);
+  };
+
+  const isAvoided = (box: BoxName) =>
+    (avoidedUntil.get(box) ?? -Infinity) > clock.monotonic();
+
+  /** Opens the links that are wanted and closes the others. */
+  const setLinks = () => {
+    const chosen = new Set(
+      chooseLinks({
+        own: own.box,
+        ranked,
+        isFailing: (box) => isDownFor(box, FAILING_AFTER_MS),
+        isAvoided,
+      }),
+    );
+    for (const [box, link] of links) {
+      const peer = peersByBox.get(box);
+      if (!peer || !chosen.has(box) || hasMoved(link, peer)) closeLink(link);
+    }
+    for (const box of chosen) {
+      const peer = peersByBox.get(box);
+      if (peer && !links.has(box)) openLink(peer);
+    }
+  };
+
+  const lookAtLinks = () => {
+    if (isClosed) return;
+    recordStates();
+    setLinks();
+    reviewTimer = clock.setTimer(REVIEW_MS, lookAtLinks);
+  };
+
+  const countBoxes = () => Math.max(1, ranked.length);
+  const listHubsNow = () => listHubs([own, ...listUp()], countBoxes());
+
   return {
     setSeeds: (addresses) => {
       for (const peer of addresses.map(toSeed)) if (!links.has(peer.box)) openLink(peer);
     },
     setPeers: (peers) => {
-      const others = peers.filter((peer) => peer.box !== own);
       // An empty list is that of a store that has just begun: the seeds stay.
       if (peers.length === 0) return;
-      const wanted = new Map(others.map((peer) => [peer.box, peer]));
-      for (const [box, link] of links) {
-        const peer = wanted.get(box);
-        if (peer && !hasMoved(link, peer)) continue;
-        links.delete(box);
-        closeLink(link);
-      }
-      for (const peer of wanted.values()) if (!links.has(peer.box)) openLink(peer);
+      peersByBox = new Map(peers.map((peer) => [peer.box, peer]));
+      const others = peers.filter(({ box }) => box !== own.box);
+      ranked = rankCarriers([own, ...others]);
+      setLinks();
+      if (!reviewTimer) lookAtLinks();
     },
     tell: (update) => {
       for (const link of links.values()) write(link, update);
@@ -209,11 +287,21 @@
       const link = links.get(box);
       return link ? askBox(link, question, signal) : Err({ kind: "no_link" });
     },
-    listUp: () => [...links.values()].filter(isUp).map(({ peer }) => peer),
+    renew: (box) => {
+      const link = links.get(box);
+      if (!link) return;
+      closeLink(link);
+      openLink(link.peer);
+    },
+    listUp,
+    listHubs: listHubsNow,
+    isHub: () => listHubsNow().includes(own.box),
+    countBoxes,
     count: () => links.size,
     close: () => {
-      for (const link of links.values()) closeLink(link);
-      links.clear();
+      isClosed = true;
+      reviewTimer?.cancel();
+      for (const link of [...links.values()]) closeLink(link);
     },
   };
 };
--- a/packages/peers/src/peerServer.ts
+++ b/packages/peers/src/peerServer.ts
@@ -1,16 +1,17 @@
 /** Takes the updates of other boxes. */
 import {
+  Metadata,
   Server,
   ServerCredentials,
   status,
   type sendUnaryData,
-  type ServerReadableStream,
+  type ServerDuplexStream,
   type ServerUnaryCall,
 } from "@grpc/grpc-js";
 import type { BoxName } from "@stairgauge/common";
 import type { ServerAddress } from "@stairgauge/directory";
 import { peerService } from "./service.js";
-import type { RunUpdate, TableAnswer, TableQuestion } from "./types.js";
+import type { HubNotice, RunUpdate, TableAnswer, TableQuestion } from "./types.js";
 
 /** What is done with updates. */
 export type PeerServerOptions = Readonly<{
@@ -24,24 +25,34 @@
 /** The listener for other boxes. */
 export type PeerServer = Readonly<{
   listen: (address: ServerAddress) => Promise<number>;
+  /** Tells the boxes named, as far as their streams stand. */
+  notify: (boxes: readonly BoxName[], notice: HubNotice) => void;
   close: () => void;
 }>;
 
-type UpdateStream = ServerReadableStream<RunUpdate, undefined>;
+type UpdateStream = ServerDuplexStream<RunUpdate, HubNotice>;
+
+/** A box whose link is half open is found, and what it told forgotten, as soon as it finds so itself. */
+const SERVER_OPTIONS = {
+  "grpc.keepalive_time_ms": 5_000,
+  "grpc.keepalive_timeout_ms": 1_500,
+} as const;
 
 /** Creates the listener. */
 export const createPeerServer = (options: PeerServerOptions): PeerServer => {
-  const server = new Server({ "grpc.keepalive_time_ms": 5_000 });
+  const server = new Server(SERVER_OPTIONS);
   /** The stream that counts for a box: a box that came back opens another. */
   const streams = new Map<BoxName, UpdateStream>();
 
   const handleStream = (stream: UpdateStream) => {
     let box: BoxName | undefined;
     const loseBox = () => {
+      stream.end();
       if (box === undefined || streams.get(box) !== stream) return;
       streams.delete(box);
       options.onPeerLost(box);
     };
+    stream.sendMetadata(new Metadata());
     stream.on("data", (update: RunUpdate) => {
       box = update.box;
       streams.set(box, stream);
@@ -74,6 +85,9 @@
           },
         );
       }),
+    notify: (boxes, notice) => {
+      for (const box of boxes) streams.get(box)?.write(notice);
+    },
     close: () => server.forceShutdown(),
   };
 };
--- a/packages/peers/src/peers.test.ts
+++ b/packages/peers/src/peers.test.ts
@@ -19,6 +19,7 @@
   createPeerServer,
   createRunTeller,
   createWatchShares,
+  type HubNotice,
   type Peer,
   type RunUpdate,
   type TableQuestion,
@@ -90,6 +91,7 @@
   const clock = createSystemClock();
   const own = "a" as BoxName;
   const leaving: ToldLeaving[] = [];
+  const notices: HubNotice[] = [];
   const book = createLoadBook((change) => teller.takeChange(change));
   const teller = createRunTeller({
     clock,
@@ -102,11 +104,12 @@
   const links = createPeerLinks({
     clock,
     random: createSeededRandom(1),
-    own,
+    own: toEqualMember(own),
     makeWhole: teller.makeWhole,
+    onNotice: (notice) => notices.push(notice),
   });
   closers.push(links.close);
-  return { book, links, teller, leaving };
+  return { book, links, teller, leaving, notices };
 };
 
 const server = "e1" as ServerId;
@@ -219,8 +222,7 @@
     const engines = Array.from({ length: 30 }, (_, i) => `engine-${i}` as ServerId);
     const listWatchers = (members: readonly BoxName[], engine: ServerId) =>
       members.filter((own) => {
-        const listUp = () => members.filter((name) => name !== own).map(toEqualMember);
-        return createWatchShares(own, { listUp }).isWatcher(engine);
+        return createWatchShares(own, { listHubs: () => members }).isWatcher(engine);
       });
     for (const engine of engines) {
       const watchers = listWatchers(boxes, engine);
@@ -231,11 +233,13 @@
       expect(listWatchers(boxes.slice(0, 1), engine)).toHaveLength(1);
     }
     const own = boxes[0]!;
-    let up = boxes.slice(1);
-    const shares = createWatchShares(own, { listUp: () => up.map(toEqualMember) });
+    let hubs = boxes;
+    const shares = createWatchShares(own, { listHubs: () => hubs });
     expect(shares.countWatchers()).toBe(2);
     const before = engines.filter(shares.isWatcher).length;
-    up = [];
+    hubs = boxes.slice(1);
+    expect(engines.some(shares.isWatcher)).toBe(false);
+    hubs = [own];
     expect(shares.countWatchers()).toBe(1);
     expect(before).toBeLessThan(engines.length);
     expect(engines.every(shares.isWatcher)).toBe(true);
--- a/packages/peers/src/rankHearers.ts
+++ b/packages/peers/src/rankHearers.ts
@@ -25,11 +25,8 @@
 /** Boxes that ask one hearer: a configuration of 30 kB goes to all of them within 0.1 s over 100 Mbit/s. */
 const MOST_ASKERS = 40;
 
-/** Names the boxes that hear the store: at least `least`, and more where there are many to tell; the strong ones first. */
-export const rankHearers = (
-  members: readonly Member[],
-  least: number,
-): readonly BoxName[] => {
+/** Puts boxes in the order in which they carry what all need to know: the strong ones first, by lot among equals. */
+export const rankCarriers = (members: readonly Member[]): readonly BoxName[] => {
   const most = Math.max(...members.map(({ capacity }) => capacity));
   const isStrong = ({ capacity }: Member) => capacity >= most * STRONG_SHARE;
   const rank = (some: readonly Member[]) =>
@@ -39,10 +36,20 @@
     );
   const strong = rank(members.filter(isStrong));
   const weak = rank(members.filter((member) => !isStrong(member)));
-  const count = Math.max(least, Math.ceil(members.length / MOST_ASKERS));
-  return [...strong, ...weak].slice(0, count);
+  return [...strong, ...weak];
 };
 
+/** How many boxes hear the store: at least `least`, and more where there are many to tell. */
+export const countHearers = (boxes: number, least: number): number =>
+  Math.max(least, Math.ceil(boxes / MOST_ASKERS));
+
+/** Names the boxes that hear the store, of those that a box is linked to and itself; `boxes` are all there are. */
+export const rankHearers = (
+  members: readonly Member[],
+  least: number,
+  boxes = members.length,
+): readonly BoxName[] => rankCarriers(members).slice(0, countHearers(boxes, least));
+
 /** Puts hearers in the order in which one box asks them; boxes that ask are spread over them. */
 export const rankForAsker = (
   hearers: readonly BoxName[],
--- a/packages/peers/src/service.ts
+++ b/packages/peers/src/service.ts
@@ -1,4 +1,4 @@
-/** The calls between boxes: a stream of updates, which nobody answers but by ending it, and questions for tables. */
+/** The calls between boxes: a stream of updates, by which a hub sends notices back, and questions for tables. */
 import type { ServiceDefinition } from "@grpc/grpc-js";
 import {
   decodeAnswer,
@@ -6,19 +6,19 @@
   encodeAnswer,
   encodeQuestion,
 } from "./tableCodec.js";
-import type { RunUpdate, TableAnswer, TableQuestion } from "./types.js";
-import { decodeUpdate, encodeUpdate } from "./updateCodec.js";
+import type { HubNotice, RunUpdate, TableAnswer, TableQuestion } from "./types.js";
+import { decodeNotice, decodeUpdate, encodeNotice, encodeUpdate } from "./updateCodec.js";
 
 /** The calls' definition, shared by both ends. */
 export const peerService = {
   tellRuns: {
     path: "/stairgauge.Peers/TellRuns",
     requestStream: true,
-    responseStream: false,
+    responseStream: true,
     requestSerialize: (update: RunUpdate) => encodeUpdate(update),
     requestDeserialize: (bytes: Buffer) => decodeUpdate(bytes),
-    responseSerialize: () => Buffer.alloc(0),
-    responseDeserialize: () => undefined,
+    responseSerialize: (notice: HubNotice) => encodeNotice(notice),
+    responseDeserialize: (bytes: Buffer) => decodeNotice(bytes),
   },
   askTable: {
     path: "/stairgauge.Peers/AskTable",
--- a/packages/peers/src/sharedKnowledge.testkit.ts
+++ b/packages/peers/src/sharedKnowledge.testkit.ts
@@ -185,6 +185,8 @@
       own: { box: toName(box), capacity: 1 },
       store: makeStore(box),
       links: {
+        countBoxes: () => names.length,
+        renew: () => undefined,
         listUp: () => names.filter((name) => name !== toName(box)).map(toEqualMember),
         ask: (name, question, signal) =>
           new Promise((resolve) => {
--- a/packages/peers/src/sharedReader.ts
+++ b/packages/peers/src/sharedReader.ts
@@ -31,7 +31,7 @@
   clock: Clock;
   own: Member;
   store: StoreReader;
-  links: Pick<PeerLinks, "ask" | "listUp">;
+  links: Pick<PeerLinks, "ask" | "listUp" | "countBoxes" | "renew">;
   /** How many boxes hear the store. */
   hearers: number;
   /** A box that has not heard the store for longer has lost it, and is of no use. */
@@ -69,7 +69,7 @@
   /** Whom to ask: those who hear the store, or anybody while this box itself has lost it. */
   const listCandidates = (): readonly BoxName[] => {
     const up = links.listUp();
-    const hearers = rankHearers([own, ...up], options.hearers);
+    const hearers = rankHearers([own, ...up], options.hearers, links.countBoxes());
     if (hasStore())
       return hearers.includes(own.box) ? [] : rankForAsker(hearers, own.box);
     const others = up.map(({ box }) => box).filter((box) => !hearers.includes(box));
@@ -108,6 +108,8 @@
     distrustedUntil.set(box, clock.monotonic() + DISTRUST_MS);
     options.onDistrust(box, reason);
     if (reason === "lost_the_store") return;
+    // A connection that has gone silent stays so, while a new one may work.
+    links.renew(box);
     // What fails one call fails the others, only later: all that waits for the box goes on elsewhere.
     for (const call of asked.get(box) ?? []) call.abort();
   };
--- a/packages/peers/src/types.ts
+++ b/packages/peers/src/types.ts
@@ -32,6 +32,9 @@
   reports: readonly ToldReport[];
 }>;
 
+/** What a hub tells a box that has runs at a server. */
+export type HubNotice = Readonly<{ leaving: readonly ToldLeaving[] }>;
+
 /** What one box asks another of a table: all of it, or its changes as soon as there is news. */
 export type TableQuestion = Readonly<
   | { kind: "whole"; table: string }
--- a/packages/peers/src/updateCodec.ts
+++ b/packages/peers/src/updateCodec.ts
@@ -2,7 +2,7 @@
 import type { BoxName, Ms } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
 import { z } from "zod";
-import type { RunUpdate, ToldReport } from "./types.js";
+import type { HubNotice, RunUpdate, ToldLeaving, ToldReport } from "./types.js";
 
 const putSchema = z.object({
   server: z.string(),
@@ -27,12 +27,16 @@
   runs: z.array(runSchema),
 });
 
+const leavingSchema = z.array(z.object({ server: z.string(), gone: z.boolean() }));
+
+const noticeSchema = z.object({ leaving: leavingSchema });
+
 const updateSchema = z.object({
   box: z.string().min(1),
   whole: z.boolean(),
   put: z.array(putSchema),
   drop: z.array(z.object({ server: z.string(), id: z.string() })),
-  leaving: z.array(z.object({ server: z.string(), gone: z.boolean() })).default([]),
+  leaving: leavingSchema.default([]),
   reports: z.array(reportSchema).default([]),
 });
 
@@ -66,6 +70,22 @@
   },
 });
 
+const encodeLeaving = (leaving: readonly ToldLeaving[]): z.infer<typeof leavingSchema> =>
+  leaving.map(({ server, isEntryGone }) => ({ server, gone: isEntryGone }));
+
+const decodeLeaving = (leaving: z.infer<typeof leavingSchema>): readonly ToldLeaving[] =>
+  leaving.map(({ server, gone }) => ({ server: server as ServerId, isEntryGone: gone }));
+
+/** Encodes a notice. */
+export const encodeNotice = ({ leaving }: HubNotice): Buffer =>
+  Buffer.from(JSON.stringify({ leaving: encodeLeaving(leaving) }));
+
+/** Decodes a notice; throws on bytes that are none, as the transport expects of a decoder. */
+export const decodeNotice = (bytes: Buffer): HubNotice => {
+  const { leaving } = noticeSchema.parse(JSON.parse(bytes.toString("utf8")));
+  return { leaving: decodeLeaving(leaving) };
+};
+
 /** Encodes an update. */
 export const encodeUpdate = (update: RunUpdate): Buffer =>
   Buffer.from(
@@ -81,10 +101,7 @@
         movable: run.isMovable,
       })),
       drop: update.drop,
-      leaving: update.leaving.map(({ server, isEntryGone }) => ({
-        server,
-        gone: isEntryGone,
-      })),
+      leaving: encodeLeaving(update.leaving),
       ...(update.reports.length > 0 && { reports: update.reports.map(encodeReport) }),
     }),
   );
@@ -106,10 +123,7 @@
       },
     })),
     drop: update.drop.map(({ server, id }) => ({ server: server as ServerId, id })),
-    leaving: update.leaving.map(({ server, gone }) => ({
-      server: server as ServerId,
-      isEntryGone: gone,
-    })),
+    leaving: decodeLeaving(update.leaving),
     reports: update.reports.map(decodeReport),
   };
 };
--- a/packages/peers/src/watchShares.ts
+++ b/packages/peers/src/watchShares.ts
@@ -1,6 +1,6 @@
 /**
- * Which boxes ask an engine for its report. Two of them, so that a frozen one leaves no gap; they tell the rest, and the
- * calls at an engine do not grow with the boxes.
+ * Which boxes ask an engine for its report. Two of the hubs, so that a frozen one leaves no gap; they tell the other hubs, and
+ * the calls at an engine do not grow with the boxes.
  */
 import type { BoxName } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
@@ -17,19 +17,18 @@
   countWatchers: () => number;
 }>;
 
-/** Shares engines out among the boxes whose links stand. */
+/** Shares engines out among the hubs. */
 export const createWatchShares = (
   own: BoxName,
-  links: Pick<PeerLinks, "listUp">,
+  links: Pick<PeerLinks, "listHubs">,
 ): WatchShares => {
   let members: ReadonlySet<BoxName> = new Set([own]);
   let known = new Map<ServerId, boolean>();
 
   const updateMembers = () => {
-    const up = links.listUp();
-    const hasAll = up.every(({ box }) => members.has(box));
-    if (hasAll && up.length + 1 === members.size) return;
-    members = new Set([own, ...up.map(({ box }) => box)]);
+    const hubs = links.listHubs();
+    if (hubs.length === members.size && hubs.every((box) => members.has(box))) return;
+    members = new Set(hubs);
     known = new Map();
   };
 
--- a/packages/placement/src/loadBook.ts
+++ b/packages/placement/src/loadBook.ts
@@ -45,6 +45,8 @@
   /** Forgets all that a box told. */
   dropPeer: (peer: string) => void;
   listPeerRuns: (server: ServerId) => readonly PlacedRun[];
+  /** Boxes that have told of runs at a server. */
+  listPeersAt: (server: ServerId) => readonly string[];
   putReport: (server: ServerId, report: EngineReport, at: Ms) => void;
   findReport: (server: ServerId) => KeptReport | undefined;
   /** Forgets a server. */
@@ -114,6 +116,8 @@
     dropPeer: (peer) => void peers.delete(peer),
     listPeerRuns: (server) =>
       [...peers.values()].flatMap((told) => [...(told.get(server)?.values() ?? [])]),
+    listPeersAt: (server) =>
+      [...peers].filter(([, told]) => told.has(server)).map(([peer]) => peer),
     putReport: (server, report, at) => void reports.set(server, { report, at }),
     findReport: (server) => reports.get(server),
     drop: (server) => {
