feat: a hub says where generations go, keeps them waiting in one order, and plans evacuations once

Cause: without the mesh a box sees next to nothing of what others place. Change: a box that is no hub asks the first hub where a generation goes. The hub notes the place at once, so that the next who asks sees it; while every engine is full the request waits there, in the order of tier and arrival over all boxes. Boxes with runs at a leaving engine ask the same hub, which asks the engine once, and assign from the same facts. A hub that does not answer in 150 ms is passed over for 3 s; the box then decides by what it knows. No promise rests on a hub. Ruled out: digests from hubs to all boxes ten times a second (2,000 messages a second at 195 boxes for a view 100 ms old).

--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -7,15 +7,12 @@
   toHostAndPort,
   type Ms,
 } from "@stairgauge/common";
-import {
-  createServerDirectory,
-  type BackendServer,
-  type ServerId,
-} from "@stairgauge/directory";
+import { createServerDirectory, type BackendServer } from "@stairgauge/directory";
 import {
   createConfigurationSink,
   createExposureJudge,
   createMovePlanner,
+  createPlaceHub,
   createPlacer,
   createReportPoller,
   createServerSink,
@@ -31,19 +28,16 @@
 } from "@stairgauge/forwarding";
 import { createRunMover, createStandbyKeeper } from "@stairgauge/migration";
 import {
-  applyUpdate,
   createMembership,
   createPeerLinks,
   createPeerServer,
   createRunTeller,
   createWatchShares,
-  type ToldLeaving,
 } from "@stairgauge/peers";
 import {
   computeConnectionShare,
   createLoadBook,
   createRivalRate,
-  type EngineReport,
 } from "@stairgauge/placement";
 import {
   BOX_TABLE,
@@ -57,6 +51,7 @@
 import { createConfigurationKeeper } from "@stairgauge/routing";
 import type { BoxSettings } from "@stairgauge/settings";
 import { createBoxMetrics, type DecisionLog } from "@stairgauge/telemetry";
+import { answerMoves, createHubs, toPlaceAnswer } from "./askHubs.js";
 import { computeCapacity, computeTiming, createKnowledge } from "./createKnowledge.js";
 import {
   observeConfiguration,
@@ -66,6 +61,7 @@
 } from "./observers.js";
 import { createMetricsServer, createReadyServer, listenOn } from "./smallServers.js";
 import { stopInOrder } from "./stopInOrder.js";
+import { createUpdateTaker, toToldLeaving } from "./takeUpdates.js";
 
 /** Ports that a started box listens on. */
 export type BoxPorts = Readonly<{
@@ -115,11 +111,6 @@
 const computeAcceptWithin = (bounds: BoxSettings["bounds"]): Ms =>
   (bounds.isKeyRemovalStrict ? bounds.keyRemovalMs - KEY_MARGIN_MS : Infinity) as Ms;
 
-const toToldLeaving = ({ entry, leaving }: BackendServer) => ({
-  server: entry.id,
-  isEntryGone: leaving?.reason === "entry_gone",
-});
-
 /** Creates a box from its settings. */
 export const createBox = ({ settings: first, clock, log }: BoxOptions): Box => {
   let settings = first;
@@ -135,12 +126,14 @@
   const outOfTouchAge = computeTiming(settings).wait * OUT_OF_TOUCH_WAITS;
   const isOutOfTouch = () => keeper.getAge(clock.monotonic()) > outOfTouchAge;
   const book = createLoadBook((change) => teller.takeChange(change));
-  /** A server that leaves, by the word of another box. */
-  const takeLeaving = ({ server, isEntryGone }: ToldLeaving) => {
-    // A box that the store reaches sees itself whether an entry is gone.
-    if (isEntryGone && !isOutOfTouch()) return;
-    directory.mark(server, "told_by_box", clock.monotonic());
-  };
+  const rivals = createRivalRate();
+  const updates = createUpdateTaker({
+    clock,
+    book,
+    rivals,
+    getDirectory: () => directory,
+    isOutOfTouch,
+  });
   const teller = createRunTeller({
     clock,
     own,
@@ -158,35 +151,27 @@
     random,
     own: { box: own, capacity: computeCapacity(settings) },
     makeWhole: teller.makeWhole,
-    onNotice: ({ leaving }) => leaving.forEach(takeLeaving),
+    onNotice: ({ leaving }) => leaving.forEach(updates.takeLeaving),
   });
-  const rivals = createRivalRate();
-  const markReported = (server: ServerId, report: EngineReport) => {
-    if (report.isLeaving) directory.mark(server, "report", clock.monotonic());
-  };
   const peerServer = createPeerServer({
-    onUpdate: (update) => {
-      const started = update.isWhole ? [] : update.put.filter(({ run }) => !run.hasBegun);
-      rivals.record(started.length, clock.monotonic());
-      applyUpdate(
-        {
-          book,
-          onLeaving: takeLeaving,
-          onReport: ({ server, report }) => {
-            if (!directory.find(server)) return;
-            book.putReport(server, report, clock.monotonic());
-            markReported(server, report);
-          },
-        },
-        update,
-      );
-    },
+    onUpdate: updates.takeUpdate,
     onPeerLost: (box) => {
       book.dropPeer(box);
       log.writeDecision("peer_lost", { peer: box });
     },
     answerTable: (question) => knowledge.answer(question),
+    answerPlace: async (question, signal) =>
+      toPlaceAnswer(await placeHub.answer(question, signal)),
+    answerMoves: (question) => answerMoves(directory, planner, question),
+  });
+  const hubs = createHubs({
+    clock,
+    own,
+    links,
+    findServer: (id) => directory.find(id),
+    onPassedOver: (hub) => log.writeDecision("hub_passed_over", { peer: hub }),
   });
+  const waitingRoom = createWaitingRoom(clock);
   let peerAddress = toHostAndPort(settings.listen.peers);
   const membership = createMembership({
     clock,
@@ -249,7 +234,7 @@
     limit: settings.engines.reportLimitMs as Ms,
     isEngineService,
     shares: createWatchShares(own, links),
-    onReport: (server, report) => markReported(server.entry.id, report),
+    onReport: (server, report) => updates.markReported(server.entry.id, report),
     onPolled: (server, report) => teller.takeReport({ server: server.entry.id, report }),
   });
   const placer = createPlacer({
@@ -270,12 +255,14 @@
         void reports.ask(server);
     },
   });
+  const placeHub = createPlaceHub({ clock, book, placer, waitingRoom });
   const planner = createMovePlanner({
     clock,
     book,
     reports,
     listTargets: placer.listTargets,
     findLink,
+    askForFacts: hubs.askForFacts,
     onPlanned: (server, count) =>
       log.writeDecision("evacuation", { server: server.entry.id, runs: count }),
   });
@@ -327,7 +314,8 @@
     placer,
     budget,
     runs,
-    waitingRoom: createWaitingRoom(clock),
+    waitingRoom,
+    adviser: hubs.adviser,
     runKeeper: mover,
     observer: observeForwarding({ log, metrics, keeper, clock }),
     retryAfter: settings.clients.retryAfterMs as Ms,
--- /dev/null
+++ b/apps/box/src/takeUpdates.ts
@@ -0,0 +1,61 @@
+/** Takes what other boxes tell of their runs, of engines' reports, and of servers that leave. */
+import type { Clock } from "@stairgauge/common";
+import type { BackendServer, ServerDirectory, ServerId } from "@stairgauge/directory";
+import { applyUpdate, type RunUpdate, type ToldLeaving } from "@stairgauge/peers";
+import type { EngineReport, LoadBook, PlacedAt, RivalRate } from "@stairgauge/placement";
+
+/** Where it goes. */
+export type UpdateTakerOptions = Readonly<{
+  clock: Clock;
+  book: LoadBook;
+  rivals: RivalRate;
+  getDirectory: () => ServerDirectory;
+  /** The store does not reach this box. */
+  isOutOfTouch: () => boolean;
+}>;
+
+/** Takes updates. */
+export type UpdateTaker = Readonly<{
+  takeUpdate: (update: RunUpdate) => void;
+  takeLeaving: (told: ToldLeaving) => void;
+  /** A report, from the engine itself or by another box. */
+  markReported: (server: ServerId, report: EngineReport) => void;
+}>;
+
+/** Puts a server that leaves into the words of an update. */
+export const toToldLeaving = ({ entry, leaving }: BackendServer): ToldLeaving => ({
+  server: entry.id,
+  isEntryGone: leaving?.reason === "entry_gone",
+});
+
+/** Creates the taker. */
+export const createUpdateTaker = (options: UpdateTakerOptions): UpdateTaker => {
+  const { clock, book, rivals, getDirectory, isOutOfTouch } = options;
+
+  const markReported = (server: ServerId, report: EngineReport) => {
+    if (report.isLeaving) getDirectory().mark(server, "report", clock.monotonic());
+  };
+  const takeLeaving = ({ server, isEntryGone }: ToldLeaving) => {
+    // A box that the store reaches sees itself whether an entry is gone.
+    if (isEntryGone && !isOutOfTouch()) return;
+    getDirectory().mark(server, "told_by_box", clock.monotonic());
+  };
+  /** Another box has placed a run, and not where this one said: that was seen. */
+  const isNews = ({ server, run }: PlacedAt) =>
+    !run.hasBegun && !book.listPeerRuns(server).some(({ id }) => id === run.id);
+
+  return {
+    markReported,
+    takeLeaving,
+    takeUpdate: (update) => {
+      const started = update.isWhole ? [] : update.put.filter(isNews);
+      rivals.record(started.length, clock.monotonic());
+      const onReport = ({ server, report }: RunUpdate["reports"][number]) => {
+        if (!getDirectory().find(server)) return;
+        book.putReport(server, report, clock.monotonic());
+        markReported(server, report);
+      };
+      applyUpdate({ book, onLeaving: takeLeaving, onReport }, update);
+    },
+  };
+};
--- /dev/null
+++ b/packages/fleet/src/adviseOthers.test.ts
@@ -0,0 +1,159 @@
+/** A hub's advice: the load is generations that many boxes place at once, none of which sees the others'. */
+import { describe, expect, it } from "vitest";
+import {
+  advanceSettled,
+  createSeededRandom,
+  createVirtualClock,
+  type DataHallName,
+  type Ms,
+  type ServiceName,
+} from "@stairgauge/common";
+import { createServerDirectory, type ServerId } from "@stairgauge/directory";
+import { createWaitingRoom, type AdviceRequest } from "@stairgauge/forwarding";
+import { createLoadBook, createRivalRate } from "@stairgauge/placement";
+import { createPlaceHub, createPlacer, type AskedPlace } from "./index.js";
+
+const SERVICE = "writers" as ServiceName;
+const PROMPT = 3_000;
+const OUT = 1_000;
+
+const makeAsked = (
+  box: string,
+  id: string,
+  urgency: AdviceRequest["urgency"] = { kind: "if_room" },
+  tier = 1,
+): AskedPlace => ({
+  box,
+  run: {
+    id,
+    promptTokens: PROMPT,
+    expectedOut: OUT,
+    hasBegun: false,
+    isMovable: true,
+  },
+  service: SERVICE,
+  tier,
+  except: [],
+  urgency,
+});
+
+/** A hub before some engines of 34,000 tokens. */
+const setUp = (engines: number) => {
+  const clock = createVirtualClock();
+  const random = createSeededRandom(3);
+  const directory = createServerDirectory({
+    memory: 1_000 as Ms,
+    onEvent: () => undefined,
+  });
+  for (let i = 0; i < engines; i += 1)
+    directory.put(
+      {
+        id: `e${i}` as ServerId,
+        service: SERVICE,
+        address: { host: "10.0.0.1", port: 80 + i },
+        dataHall: "h" as DataHallName,
+        slots: 24,
+        isLeaving: false,
+        warmUpLeft: 0 as Ms,
+      },
+      0 as Ms,
+    );
+  const book = createLoadBook();
+  const placer = createPlacer({
+    clock,
+    random,
+    ownHall: "h" as DataHallName,
+    directory,
+    book,
+    rivals: createRivalRate(),
+    getConnectionShare: () => Infinity,
+    isAlive: () => Promise.resolve(true),
+    onClosingAnnounced: () => undefined,
+  });
+  const waitingRoom = createWaitingRoom(clock);
+  const hub = createPlaceHub({ clock, book, placer, waitingRoom });
+  const { signal } = new AbortController();
+  const ask = (asked: AskedPlace, by = signal) => hub.answer(asked, by);
+  const takeAllRoom = async () => {
+    for (let i = 0; i < engines * 8; i += 1) {
+      const asked = makeAsked("filler", `f${i}`, { kind: "at_once" });
+      const placed = await ask(asked);
+      // The box tells that it took the place.
+      if (placed.kind === "placed")
+        book.putPeerRun("filler", {
+          server: placed.server.entry.id,
+          run: { ...asked.run },
+        });
+    }
+  };
+  const countAt = (id: string) => book.listPeerRuns(id as ServerId).length;
+  const advance = (duration: number) => advanceSettled(clock, duration as Ms);
+  return { book, ask, takeAllRoom, countAt, advance };
+};
+
+describe("createPlaceHub", () => {
+  it("sends forty boxes that ask at the same moment to forty engines", async () => {
+    const { ask, countAt } = setUp(40);
+    const asked = Array.from({ length: 40 }, (_, i) => makeAsked(`box-${i}`, `r${i}`));
+    await Promise.all(asked.map((one) => ask(one)));
+    const counts = Array.from({ length: 40 }, (_, i) => countAt(`e${i}`));
+    expect(counts).toEqual(counts.map(() => 1));
+  });
+
+  it("forgets a place that was not taken, and keeps one that was", async () => {
+    const { book, ask, advance, countAt } = setUp(1);
+    await ask(makeAsked("gone", "a"));
+    const taken = makeAsked("there", "b");
+    await ask(taken);
+    book.putPeerRun("there", { server: "e0" as ServerId, run: { ...taken.run } });
+    expect(countAt("e0")).toBe(2);
+    await advance(600);
+    expect(book.listPeerRuns("e0" as ServerId).map(({ id }) => id)).toEqual(["b"]);
+  });
+
+  it("says that there is no room, and places at once all the same where that is asked", async () => {
+    const { ask, takeAllRoom } = setUp(3);
+    await takeAllRoom();
+    const full = await ask(makeAsked("box", "r"));
+    expect(full.kind).toBe("no_room");
+    expect(full.kind === "no_room" && full.memoryAfter).toBeGreaterThan(0.95);
+    const again = await ask(makeAsked("box", "r", { kind: "at_once" }));
+    expect(again.kind).toBe("placed");
+  });
+
+  it("gives room to the more urgent of two boxes' requests, whichever came first, and each its turn", async () => {
+    const { book, ask, takeAllRoom, advance } = setUp(2);
+    await takeAllRoom();
+    const order: string[] = [];
+    const wait = { kind: "within", wait: 700 as Ms } as const;
+    void ask(makeAsked("one", "late", wait, 2)).then(() => order.push("late"));
+    void ask(makeAsked("two", "urgent", wait, 0)).then(() => order.push("urgent"));
+    await advance(100);
+    expect(order).toEqual([]);
+    book.removePeerRun(
+      "filler",
+      "e0" as ServerId,
+      book.listPeerRuns("e0" as ServerId)[0]!.id,
+    );
+    await advance(60);
+    expect(order).toEqual(["urgent"]);
+    expect((await ask(makeAsked("three", "new", { kind: "if_room" }, 2))).kind).toBe(
+      "no_room",
+    );
+    await advance(700);
+    expect(order).toEqual(["urgent", "late"]);
+  });
+
+  it("gives no place to a request whose client has left", async () => {
+    const { book, ask, takeAllRoom, countAt, advance } = setUp(1);
+    await takeAllRoom();
+    const before = countAt("e0");
+    const left = new AbortController();
+    const wait = { kind: "within", wait: 500 as Ms } as const;
+    void ask(makeAsked("box", "r", wait), left.signal);
+    left.abort();
+    await advance(2_000);
+    expect(countAt("e0")).toBe(before);
+    expect(book.listPeersAt("e0" as ServerId)).toEqual(["filler"]);
+  });
+});
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -8,6 +8,13 @@
 export { createExposureJudge } from "./judgeExposure.js";
 export type { ExposureJudge, ExposureJudgeOptions } from "./judgeExposure.js";
 export { createMovePlanner } from "./planMoves.js";
-export type { MovePlanner, MovePlannerOptions } from "./planMoves.js";
+export type { MoveFacts, MovePlanner, MovePlannerOptions } from "./planMoves.js";
 export { createReportPoller } from "./pollReports.js";
 export type { ReportPoller, ReportPollerOptions } from "./pollReports.js";
+export { createPlaceHub } from "./adviseOthers.js";
+export type {
+  AskedPlace,
+  GivenAdvice,
+  PlaceHub,
+  PlaceHubOptions,
+} from "./adviseOthers.js";
--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -24,9 +24,10 @@
   RefusalReason,
 } from "./forwarderTypes.js";
 import { openExchange } from "./openExchange.js";
-import { placeWithRoom } from "./placeWithRoom.js";
+import { placeAgain, placeByAdvice, type PlaceableRequest } from "./placeByAdvice.js";
+import { computePlacingTerms } from "./placeWithRoom.js";
 import { sendOwnAnswer, type ReasonedAnswer } from "./sendOwnAnswer.js";
-import { createStreamRelay } from "./streamRelay.js";
+import { createStreamRelay, describeStreamEnd } from "./streamRelay.js";
 import type { AnswerHead, DispatchTerms, ExchangeFailure } from "./types.js";
 import { watchSilence } from "./watchSilence.js";
 
@@ -237,17 +238,9 @@
         void continueElsewhere(attempt, "connection ended without an end of the stream");
         return;
       }
-      const { id } = attempt.server.entry;
-      const { firstEventAt, longestPause, longestPauseAt } = relay.getPace();
-      tell({
-        kind: "stream_ended",
-        server: id,
-        events: relay.getEvents(),
-        firstEventAfter: ((firstEventAt ?? getNow()) - receivedAt) as Ms,
-        longestPause,
-        longestPauseAfter: ((longestPauseAt ?? getNow()) - receivedAt) as Ms,
-        continuations,
-      });
+      const server = attempt.server.entry.id;
+      const pace = describeStreamEnd(relay, { receivedAt, now: getNow() });
+      tell({ ...pace, server, continuations });
       relay.finish();
       finish();
       return;
@@ -345,17 +338,24 @@
   };
 
   const chooseNext = () => placer.choose(service, demand, tried);
-  const attemptNext = (decision = chooseNext()) => {
+  const placeable: PlaceableRequest = {
+    id: head.id,
+    demand,
+    terms: computePlacingTerms(request),
+    except: tried,
+  };
+  const attemptNext = () => {
     if (isOver) return;
-    if (decision.kind === "placed") {
-      sendTo(decision);
-      return;
-    }
-    if (mayHaveRun && !mayRepeat(route)) answerUnknown("no_server_left");
+    leaveRoom = placeAgain(deps, placeable, { choose: chooseNext, place: takePlace });
+  };
+  const takePlace = (decision: PlacementDecision, by?: string) => {
+    if (isOver) return;
+    if (decision.kind === "placed") sendTo(decision, by);
+    else if (mayHaveRun && !mayRepeat(route)) answerUnknown("no_server_left");
     else answerNotRun("no_server_known");
   };
 
-  const sendTo = (decision: PlacedDecision) => {
+  const sendTo = (decision: PlacedDecision, by?: string) => {
     const { server, reason, load, reportAge, candidates } = decision;
     tried.add(server.entry.id);
     const attempt = attemptsSent + 1;
@@ -367,6 +367,7 @@
       load,
       reportAge,
       candidates,
+      by,
     });
     openAt(server);
   };
@@ -423,9 +424,9 @@
   };
 
   budget.recordRequest(service, receivedAt);
-  leaveRoom = placeWithRoom(deps, request, {
+  leaveRoom = placeByAdvice(deps, placeable, {
     choose: chooseNext,
-    place: attemptNext,
+    place: takePlace,
     tell,
   });
 
--- a/packages/forwarding/src/forwarderTypes.ts
+++ b/packages/forwarding/src/forwarderTypes.ts
@@ -11,6 +11,7 @@
 } from "@stairgauge/routing";
 import type { ActiveRun, ActiveRuns, RunKeeper } from "./activeRuns.js";
 import type { ClientAnswer } from "./clientAnswer.js";
+import type { PlaceAdviser } from "./placeByAdvice.js";
 import type { WaitingRoom } from "./waitingRoom.js";
 import type { RetryBudget } from "./retryBudget.js";
 import type { HeadCodec, RequestHead } from "./types.js";
@@ -55,9 +56,11 @@
       load: number;
       reportAge: Ms | undefined;
       candidates: number;
+      /** The box that made the choice, where this one asked another. */
+      by: string | undefined;
     }
-  /** Every engine is full: it waits at the box for room. */
-  | { kind: "waits"; memoryAfter: number; waiting: number }
+  /** Every engine is full: it waits for room, at this box beside others or at the one that was asked. */
+  | { kind: "waits"; memoryAfter: number; waiting: number | undefined }
   | { kind: "retry"; server: ServerId; reason: string; detail: string }
   | { kind: "continued"; from: ServerId; to: ServerId; events: number }
   | { kind: "continuation_refused"; to: ServerId; detail: string }
@@ -123,6 +126,7 @@
   budget: RetryBudget;
   runs: ActiveRuns;
   waitingRoom: WaitingRoom;
+  adviser: PlaceAdviser;
   runKeeper: RunKeeper;
   observer: ForwardObserver;
   /** When a refused client should come back. */
--- a/packages/forwarding/src/placeWithRoom.test.ts
+++ b/packages/forwarding/src/placeWithRoom.test.ts
@@ -3,7 +3,7 @@
 import type { BackendServer } from "@stairgauge/directory";
 import type { PlacementDecision } from "@stairgauge/placement";
 import type { Route } from "@stairgauge/routing";
-import { placeWithRoom } from "./placeWithRoom.js";
+import { computePlacingTerms, placeWithRoom } from "./placeWithRoom.js";
 import { createWaitingRoom } from "./waitingRoom.js";
 
 const makePlaced = (memoryAfter: number | undefined): PlacementDecision => ({
@@ -27,7 +27,7 @@
     route: { tier: 1, firstAnswerAim: 1_000 as Ms } as Route,
     receivedAt: 0 as Ms,
   };
-  const leave = placeWithRoom(room, request, {
+  const leave = placeWithRoom(room, computePlacingTerms(request), {
     choose: () => decision,
     place: (chosen) => placed.push(chosen),
     tell: ({ kind }) => told.push(kind),
--- a/packages/forwarding/src/placeWithRoom.ts
+++ b/packages/forwarding/src/placeWithRoom.ts
@@ -1,11 +1,12 @@
 /** A request's first placement: at once, or when an engine has room for it. */
-import type { Ms } from "@stairgauge/common";
+import type { Ms, ServiceName } from "@stairgauge/common";
 import type { PlacementDecision } from "@stairgauge/placement";
 import type {
   AdmittedRequest,
   ForwardDecision,
   ForwarderDeps,
 } from "./forwarderTypes.js";
+import type { WaitingRoom } from "./waitingRoom.js";
 
 /** Share of an engine's memory that may be spoken for, outputs to come included, before newcomers wait. */
 const FULL_MEMORY = 0.95;
@@ -21,30 +22,59 @@
   tell: (decision: ForwardDecision) => void;
 }>;
 
+/** On what terms a generation is placed. */
+export type PlacingTerms = Readonly<{
+  service: ServiceName;
+  /** Rank, 0 first. */
+  tier: number;
+  /** Time at which it is placed wherever there is least to wait. */
+  until: Ms;
+}>;
+
+/** Derives the terms of a request. */
+export const computePlacingTerms = ({
+  service,
+  workspace,
+  route,
+  receivedAt,
+}: Pick<
+  AdmittedRequest,
+  "service" | "workspace" | "route" | "receivedAt"
+>): PlacingTerms => ({
+  service,
+  tier: workspace?.tier ?? route.tier,
+  until: (receivedAt + route.firstAnswerAim * WAIT_SHARE) as Ms,
+});
+
 const getMemoryAfter = (decision: PlacementDecision): number =>
   decision.kind === "placed" ? (decision.memoryAfter ?? 0) : 0;
 
+/** Whether a request may go where a choice says, or has to wait. */
+export const hasRoomFor = (
+  waitingRoom: WaitingRoom,
+  { service, tier }: Pick<PlacingTerms, "service" | "tier">,
+  decision: PlacementDecision,
+): boolean => {
+  const isGeneration = decision.kind === "placed" && decision.memoryAfter !== undefined;
+  const hasAhead = isGeneration && waitingRoom.hasAhead(service, tier);
+  return getMemoryAfter(decision) <= FULL_MEMORY && !hasAhead;
+};
+
 /** Places the request, or lets it wait; the function returned takes it out of the waiting room. */
 export const placeWithRoom = (
   { waitingRoom }: Pick<ForwarderDeps, "waitingRoom">,
-  request: Pick<AdmittedRequest, "service" | "workspace" | "route" | "receivedAt">,
+  terms: PlacingTerms,
   { choose, place, tell }: PlacingSteps,
 ): (() => void) => {
-  const { service, workspace, route, receivedAt } = request;
-  const tier = workspace?.tier ?? route.tier;
   const decision = choose();
-  const memoryAfter = getMemoryAfter(decision);
-  const isGeneration = decision.kind === "placed" && decision.memoryAfter !== undefined;
-  const hasAhead = isGeneration && waitingRoom.hasAhead(service, tier);
-  if (memoryAfter <= FULL_MEMORY && !hasAhead) {
+  if (hasRoomFor(waitingRoom, terms, decision)) {
     place(decision);
     return () => undefined;
   }
+  const memoryAfter = getMemoryAfter(decision);
   tell({ kind: "waits", memoryAfter, waiting: waitingRoom.count() });
   return waitingRoom.add({
-    service,
-    tier,
-    until: (receivedAt + route.firstAnswerAim * WAIT_SHARE) as Ms,
+    ...terms,
     attempt: () => {
       const found = choose();
       const fits = getMemoryAfter(found) <= FULL_MEMORY;
--- a/packages/forwarding/src/streamRelay.ts
+++ b/packages/forwarding/src/streamRelay.ts
@@ -89,3 +89,18 @@
     getPace: () => ({ firstEventAt, longestPause, longestPauseAt }),
   };
 };
+
+/** Describes a whole stream by its pace, in times since its request was received. */
+export const describeStreamEnd = (
+  relay: Pick<StreamRelay, "getEvents" | "getPace">,
+  { receivedAt, now }: Readonly<{ receivedAt: Ms; now: Ms }>,
+) => {
+  const { firstEventAt, longestPause, longestPauseAt } = relay.getPace();
+  return {
+    kind: "stream_ended",
+    events: relay.getEvents(),
+    firstEventAfter: ((firstEventAt ?? now) - receivedAt) as Ms,
+    longestPause,
+    longestPauseAfter: ((longestPauseAt ?? now) - receivedAt) as Ms,
+  } as const;
+};
--- a/packages/migration/src/runMover.test.ts
+++ b/packages/migration/src/runMover.test.ts
@@ -87,7 +87,7 @@
       return Promise.resolve(changes.hasStandby ? standby : undefined);
     },
     dropStandby: () => undefined,
-    rankNow: () => ["other", "new"] as ServerId[],
+    rankNow: () => Promise.resolve(["other", "new"] as ServerId[]),
     reserve: () => {
       reserved += 1;
       return () => {
--- a/packages/migration/src/runMover.ts
+++ b/packages/migration/src/runMover.ts
@@ -40,7 +40,7 @@
   /** Asks a leaving engine and plans what its runs are to do. */
   makePlan: (server: BackendServer) => Promise<EvacuationPlan>;
   /** Targets for one run by what is known now, best first. */
-  rankNow: (server: BackendServer, run: ActiveRun) => readonly ServerId[];
+  rankNow: (server: BackendServer, run: ActiveRun) => Promise<readonly ServerId[]>;
   /** A copy of the run that was kept in case its engine goes. */
   takeStandby: (run: ActiveRun) => Promise<Standby | undefined>;
   dropStandby: (run: ActiveRun) => void;
@@ -236,7 +236,8 @@
       onDecision(run, { kind: "no_target", from: move.from.entry.id });
       await waitUntil(clock.monotonic() + ROUND_PAUSE_MS);
       if (!isCurrent(run, move)) return;
-      targets = deps.rankNow(move.from, run);
+      targets = await deps.rankNow(move.from, run);
+      if (!isCurrent(run, move)) return;
     }
   };
 
--- /dev/null
+++ b/packages/peers/src/adviceCodec.ts
@@ -0,0 +1,98 @@
+/** Questions to hubs and their answers as bytes, and back; what another box sends is checked like any input. */
+import type { BoxName, Ms, ServiceName } from "@stairgauge/common";
+import type { ServerId } from "@stairgauge/directory";
+import { z } from "zod";
+import type { MovesAnswer, MovesQuestion, PlaceAnswer, PlaceQuestion } from "./types.js";
+import { fromWireRun, runSchema, toWireRun } from "./updateCodec.js";
+
+const serverId = z.string().transform((id) => id as ServerId);
+const count = z.number().nonnegative();
+const ms = count.transform((value) => value as Ms);
+
+const placeQuestionSchema = z.object({
+  box: z.string().min(1),
+  run: runSchema,
+  service: z.string(),
+  tier: z.number(),
+  except: z.array(serverId),
+  urgency: z.discriminatedUnion("kind", [
+    z.object({ kind: z.literal("at_once") }),
+    z.object({ kind: z.literal("if_room") }),
+    z.object({ kind: z.literal("within"), wait: ms }),
+  ]),
+});
+
+const placeAnswerSchema = z.discriminatedUnion("kind", [
+  z.object({
+    kind: z.literal("placed"),
+    server: serverId,
+    reason: z.enum(["only_one", "least_busy", "most_free_memory"]),
+    load: z.number(),
+    memoryAfter: z.number().optional(),
+    reportAge: ms.optional(),
+    candidates: count,
+  }),
+  z.object({ kind: z.literal("no_room"), memoryAfter: z.number() }),
+  z.object({ kind: z.literal("no_server"), known: count }),
+]);
+
+const movesQuestionSchema = z.object({ server: serverId, isFresh: z.boolean() });
+
+const movesAnswerSchema = z.discriminatedUnion("kind", [
+  z.object({
+    kind: z.literal("moves"),
+    runs: z.array(z.object({ id: z.string(), tokensInMemory: count, tokensLeft: count })),
+    targets: z.array(
+      z.object({
+        server: serverId,
+        takenTokens: count,
+        totalTokens: z.number().positive(),
+        isNear: z.boolean(),
+      }),
+    ),
+  }),
+  z.object({ kind: z.literal("not_known") }),
+]);
+
+const encode = (value: unknown): Buffer => Buffer.from(JSON.stringify(value));
+const parse = (bytes: Buffer): unknown => JSON.parse(bytes.toString("utf8"));
+
+/** Encodes a question for a place. */
+export const encodePlaceQuestion = (question: PlaceQuestion): Buffer =>
+  encode({ ...question, run: toWireRun(question.run) });
+
+/** Decodes a question for a place; throws on bytes that are none, as the transport expects of a decoder. */
+export const decodePlaceQuestion = (bytes: Buffer): PlaceQuestion => {
+  const { box, run, service, ...rest } = placeQuestionSchema.parse(parse(bytes));
+  return {
+    ...rest,
+    box: box as BoxName,
+    run: fromWireRun(run),
+    service: service as ServiceName,
+  };
+};
+
+/** Encodes a hub's choice. */
+export const encodePlaceAnswer = (answer: PlaceAnswer): Buffer => encode(answer);
+
+/** Decodes a hub's choice; throws on bytes that are none. */
+export const decodePlaceAnswer = (bytes: Buffer): PlaceAnswer => {
+  const answer = placeAnswerSchema.parse(parse(bytes));
+  if (answer.kind !== "placed") return answer;
+  const { memoryAfter, reportAge, ...rest } = answer;
+  return { ...rest, memoryAfter, reportAge };
+};
+
+/** Encodes a question for moves. */
+export const encodeMovesQuestion = (question: MovesQuestion): Buffer => encode(question);
+
+/** Decodes a question for moves; throws on bytes that are none. */
+export const decodeMovesQuestion = (bytes: Buffer): MovesQuestion =>
+  movesQuestionSchema.parse(parse(bytes));
+
+/** Encodes what leaves an engine and where to. */
+export const encodeMovesAnswer = (answer: MovesAnswer): Buffer => encode(answer);
+
+/** Decodes what leaves an engine and where to; throws on bytes that are none. */
+export const decodeMovesAnswer = (bytes: Buffer): MovesAnswer =>
+  movesAnswerSchema.parse(parse(bytes));
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -15,3 +15,5 @@
 export type { WatchShares } from "./watchShares.js";
 export { createRunTeller } from "./runTeller.js";
 export type { RunTeller, RunTellerOptions } from "./runTeller.js";
+export { createHubAsker } from "./hubAsker.js";
+export type { HubAsker, HubAskerOptions } from "./hubAsker.js";
--- a/packages/peers/src/peerLinks.ts
+++ b/packages/peers/src/peerLinks.ts
@@ -23,7 +23,11 @@
   AskFailure,
   HubNotice,
   Member,
+  MovesAnswer,
+  MovesQuestion,
   Peer,
+  PlaceAnswer,
+  PlaceQuestion,
   RunUpdate,
   TableAnswer,
   TableQuestion,
@@ -51,11 +55,9 @@
   /** Tells a few boxes chosen at random, so that what all pass on costs no more than a few calls a box. */
   tellSome: (update: RunUpdate) => void;
   /** Asks one box for a table; gives up when the signal says so. */
-  ask: (
-    box: BoxName,
-    question: TableQuestion,
-    signal: AbortSignal,
-  ) => Promise<Result<TableAnswer, AskFailure>>;
+  ask: Asking<TableQuestion, TableAnswer>;
+  askPlace: Asking<PlaceQuestion, PlaceAnswer>;
+  askMoves: Asking<MovesQuestion, MovesAnswer>;
   /** Opens the link to a box anew: its connection no longer brings answers. */
   renew: (box: BoxName) => void;
   /** Boxes whose link stands. */
@@ -69,6 +71,20 @@
   close: () => void;
 }>;
 
+/** A call to one box. */
+export type Asking<Question, Answer> = (
+  box: BoxName,
+  question: Question,
+  signal: AbortSignal,
+) => Promise<Result<Answer, AskFailure>>;
+
+/** How one kind of question goes over the wire. */
+type Method<Question, Answer> = Readonly<{
+  path: string;
+  requestSerialize: (question: Question) => Buffer;
+  responseDeserialize: (bytes: Buffer) => Answer;
+}>;
+
 type Link = {
   readonly peer: Peer;
   readonly client: Client;
@@ -170,20 +186,27 @@
   const isUp = ({ client }: Link) =>
     client.getChannel().getConnectivityState(false) === connectivityState.READY;
 
-  const askBox = ({ client }: Link, question: TableQuestion, signal: AbortSignal) =>
-    new Promise<Result<TableAnswer, AskFailure>>((resolve) => {
-      const call = client.makeUnaryRequest(
-        peerService.askTable.path,
-        peerService.askTable.requestSerialize,
-        peerService.askTable.responseDeserialize,
-        question,
-        (error, answer) => {
-          if (answer) resolve(Ok(answer));
-          else resolve(Err({ kind: "failed", detail: error?.details ?? "no answer" }));
-        },
-      );
-      signal.addEventListener("abort", () => call.cancel(), { once: true });
-    });
+  const createAsking =
+    <Question, Answer>(method: Method<Question, Answer>): Asking<Question, Answer> =>
+    (box, question, signal) =>
+      new Promise((resolve) => {
+        const link = links.get(box);
+        if (!link) {
+          resolve(Err({ kind: "no_link" }));
+          return;
+        }
+        const call = link.client.makeUnaryRequest(
+          method.path,
+          method.requestSerialize,
+          method.responseDeserialize,
+          question,
+          (error, answer) => {
+            if (answer) resolve(Ok(answer));
+            else resolve(Err({ kind: "failed", detail: error?.details ?? "no answer" }));
+          },
+        );
+        signal.addEventListener("abort", () => call.cancel(), { once: true });
+      });
 
   const openLink = (peer: Peer) => {
     const { host, port } = peer.address;
@@ -283,10 +306,9 @@
     tellSome: (update) => {
       for (const link of chooseSome([...links.values()])) write(link, update);
     },
-    ask: async (box, question, signal) => {
-      const link = links.get(box);
-      return link ? askBox(link, question, signal) : Err({ kind: "no_link" });
-    },
+    ask: createAsking(peerService.askTable),
+    askPlace: createAsking(peerService.askPlace),
+    askMoves: createAsking(peerService.askMoves),
     renew: (box) => {
       const link = links.get(box);
       if (!link) return;
--- a/packages/peers/src/peerServer.ts
+++ b/packages/peers/src/peerServer.ts
@@ -11,7 +11,16 @@
 import type { BoxName } from "@stairgauge/common";
 import type { ServerAddress } from "@stairgauge/directory";
 import { peerService } from "./service.js";
-import type { HubNotice, RunUpdate, TableAnswer, TableQuestion } from "./types.js";
+import type {
+  HubNotice,
+  MovesAnswer,
+  MovesQuestion,
+  PlaceAnswer,
+  PlaceQuestion,
+  RunUpdate,
+  TableAnswer,
+  TableQuestion,
+} from "./types.js";
 
 /** What is done with updates. */
 export type PeerServerOptions = Readonly<{
@@ -19,9 +28,18 @@
   /** A box's stream has ended: what it told is no longer kept up. */
   onPeerLost: (box: BoxName) => void;
   /** Another box asks for a table. */
-  answerTable: (question: TableQuestion) => Promise<TableAnswer>;
+  answerTable: Answerer<TableQuestion, TableAnswer>;
+  /** Another box asks where a run should go; it has left when the signal says so. */
+  answerPlace: Answerer<PlaceQuestion, PlaceAnswer>;
+  /** Another box asks for what leaves an engine and where to. */
+  answerMoves: Answerer<MovesQuestion, MovesAnswer>;
 }>;
 
+type Answerer<Question, Answer> = (
+  question: Question,
+  signal: AbortSignal,
+) => Promise<Answer>;
+
 /** The listener for other boxes. */
 export type PeerServer = Readonly<{
   listen: (address: ServerAddress) => Promise<number>;
@@ -62,16 +80,22 @@
     stream.on("end", loseBox);
     stream.on("cancelled", loseBox);
   };
-  const handleQuestion = (
-    call: ServerUnaryCall<TableQuestion, TableAnswer>,
-    send: sendUnaryData<TableAnswer>,
-  ) => {
-    options.answerTable(call.request).then(
-      (answer) => send(null, answer),
-      (error: unknown) => send({ code: status.INTERNAL, details: String(error) }),
-    );
-  };
-  server.addService(peerService, { tellRuns: handleStream, askTable: handleQuestion });
+  const handleBy =
+    <Question, Answer>(answerQuestion: Answerer<Question, Answer>) =>
+    (call: ServerUnaryCall<Question, Answer>, send: sendUnaryData<Answer>) => {
+      const left = new AbortController();
+      call.on("cancelled", () => left.abort());
+      answerQuestion(call.request, left.signal).then(
+        (answer) => send(null, answer),
+        (error: unknown) => send({ code: status.INTERNAL, details: String(error) }),
+      );
+    };
+  server.addService(peerService, {
+    tellRuns: handleStream,
+    askTable: handleBy(options.answerTable),
+    askPlace: handleBy(options.answerPlace),
+    askMoves: handleBy(options.answerMoves),
+  });
 
   return {
     listen: ({ host, port }) =>
--- a/packages/peers/src/peers.test.ts
+++ b/packages/peers/src/peers.test.ts
@@ -7,6 +7,7 @@
   Ok,
   type BoxName,
   type Ms,
+  type ServiceName,
 } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
 import { createTableMirror, type TableMirror } from "@stairgauge/storefeed";
@@ -20,7 +21,9 @@
   createRunTeller,
   createWatchShares,
   type HubNotice,
+  type MovesAnswer,
   type Peer,
+  type PlaceQuestion,
   type RunUpdate,
   type TableQuestion,
   type ToldLeaving,
@@ -38,6 +41,14 @@
   isMovable: true,
 });
 
+const MOVES: MovesAnswer = {
+  kind: "moves",
+  runs: [{ id: "r", tokensInMemory: 3_000, tokensLeft: 200 }],
+  targets: [
+    { server: "e2" as ServerId, takenTokens: 5, totalTokens: 34_000, isNear: true },
+  ],
+};
+
 const MOST_SILENCE = 1_000 as Ms;
 
 const closers: (() => void)[] = [];
@@ -55,6 +66,8 @@
   const lost: string[] = [];
   const leaving: ToldLeaving[] = [];
   const reports: ToldReport[] = [];
+  const places: PlaceQuestion[] = [];
+  const withdrawn: string[] = [];
   const mirrors = new Map<string, TableMirror>();
   const pulse = createTableMirror(createSystemClock());
   const server = createPeerServer({
@@ -73,14 +86,24 @@
     },
     answerTable: (question) =>
       answerTable({ mirrors, pulse, mostSilence: MOST_SILENCE }, question),
+    answerPlace: (question, signal) => {
+      places.push(question);
+      signal.addEventListener("abort", () => withdrawn.push(question.run.id));
+      if (question.urgency.kind === "within") return new Promise(() => undefined);
+      return Promise.resolve({ kind: "no_room", memoryAfter: 1.2 } as const);
+    },
+    answerMoves: () => Promise.resolve(MOVES),
   });
   const port = await server.listen({ host: "127.0.0.1", port: 0 });
   closers.push(server.close);
   return {
     book,
     lost,
+    notify: server.notify,
     leaving,
     reports,
+    places,
+    withdrawn,
     mirrors,
     pulse,
     peer: { box: "b" as BoxName, address: { host: "127.0.0.1", port }, capacity: 1 },
@@ -182,6 +205,56 @@
   });
 });
 
+describe("boxes that ask a hub", () => {
+  const makeQuestion = (urgency: PlaceQuestion["urgency"]): PlaceQuestion => ({
+    box: "a" as BoxName,
+    run: makeRun("r"),
+    service: "s" as ServiceName,
+    tier: 1,
+    except: [server],
+    urgency,
+  });
+
+  it("hear what it says of a place and of moves", async () => {
+    const there = await openListener();
+    const here = openTeller();
+    here.links.setPeers([there.peer]);
+    const { signal } = new AbortController();
+    const asked = makeQuestion({ kind: "if_room" });
+    const place = await here.links.askPlace(there.peer.box, asked, signal);
+    expect(place.val).toEqual({ kind: "no_room", memoryAfter: 1.2 });
+    expect(there.places).toEqual([asked]);
+    const moves = { server, isFresh: true };
+    const told = await here.links.askMoves(there.peer.box, moves, signal);
+    expect(told.val).toEqual(MOVES);
+  });
+
+  it("take a request back that waits there when its client has left", async () => {
+    const there = await openListener();
+    const here = openTeller();
+    here.links.setPeers([there.peer]);
+    const left = new AbortController();
+    const asked = makeQuestion({ kind: "within", wait: 60_000 as Ms });
+    const waiting = here.links.askPlace(there.peer.box, asked, left.signal);
+    await waitFor(() => there.places.length === 1);
+    left.abort();
+    expect((await waiting).val).toMatchObject({ kind: "failed" });
+    await waitFor(() => there.withdrawn.length === 1);
+  });
+
+  it("are told by it of a server that leaves", async () => {
+    const there = await openListener();
+    const here = openTeller();
+    here.book.addRun(server, makeRun("r"));
+    here.links.setPeers([there.peer]);
+    await waitFor(() => there.book.listPeersAt(server).length === 1);
+    const notice = { leaving: [{ server, isEntryGone: false }] };
+    there.notify(there.book.listPeersAt(server) as BoxName[], notice);
+    await waitFor(() => here.notices.length === 1);
+    expect(here.notices).toEqual([notice]);
+  });
+});
+
 const REPORT: EngineReport = {
   isLeaving: true,
   leavesIn: 2_000 as Ms,
--- a/packages/peers/src/service.ts
+++ b/packages/peers/src/service.ts
@@ -1,12 +1,31 @@
-/** The calls between boxes: a stream of updates, by which a hub sends notices back, and questions for tables. */
+/** The calls between boxes: a stream of updates, by which a hub sends notices back, and questions that are answered once. */
 import type { ServiceDefinition } from "@grpc/grpc-js";
+import {
+  decodeMovesAnswer,
+  decodeMovesQuestion,
+  decodePlaceAnswer,
+  decodePlaceQuestion,
+  encodeMovesAnswer,
+  encodeMovesQuestion,
+  encodePlaceAnswer,
+  encodePlaceQuestion,
+} from "./adviceCodec.js";
 import {
   decodeAnswer,
   decodeQuestion,
   encodeAnswer,
   encodeQuestion,
 } from "./tableCodec.js";
-import type { HubNotice, RunUpdate, TableAnswer, TableQuestion } from "./types.js";
+import type {
+  HubNotice,
+  MovesAnswer,
+  MovesQuestion,
+  PlaceAnswer,
+  PlaceQuestion,
+  RunUpdate,
+  TableAnswer,
+  TableQuestion,
+} from "./types.js";
 import { decodeNotice, decodeUpdate, encodeNotice, encodeUpdate } from "./updateCodec.js";
 
 /** The calls' definition, shared by both ends. */
@@ -29,4 +48,22 @@
     responseSerialize: (answer: TableAnswer) => encodeAnswer(answer),
     responseDeserialize: (bytes: Buffer) => decodeAnswer(bytes),
   },
+  askPlace: {
+    path: "/stairgauge.Peers/AskPlace",
+    requestStream: false,
+    responseStream: false,
+    requestSerialize: (question: PlaceQuestion) => encodePlaceQuestion(question),
+    requestDeserialize: (bytes: Buffer) => decodePlaceQuestion(bytes),
+    responseSerialize: (answer: PlaceAnswer) => encodePlaceAnswer(answer),
+    responseDeserialize: (bytes: Buffer) => decodePlaceAnswer(bytes),
+  },
+  askMoves: {
+    path: "/stairgauge.Peers/AskMoves",
+    requestStream: false,
+    responseStream: false,
+    requestSerialize: (question: MovesQuestion) => encodeMovesQuestion(question),
+    requestDeserialize: (bytes: Buffer) => decodeMovesQuestion(bytes),
+    responseSerialize: (answer: MovesAnswer) => encodeMovesAnswer(answer),
+    responseDeserialize: (bytes: Buffer) => decodeMovesAnswer(bytes),
+  },
 } as const satisfies ServiceDefinition;
--- a/packages/peers/src/types.ts
+++ b/packages/peers/src/types.ts
@@ -2,10 +2,16 @@
  * What boxes tell each other. Runs that each has placed and servers that leave are advice; no promise rests on them.
  * Tables of the store are handed on with their age, by which promises are kept.
  */
-import type { BoxName, Ms } from "@stairgauge/common";
+import type { BoxName, Ms, ServiceName } from "@stairgauge/common";
 import type { RowChange, StoredRow } from "@stairgauge/storefeed";
 import type { ServerAddress, ServerId } from "@stairgauge/directory";
-import type { EngineReport, PlacedRun } from "@stairgauge/placement";
+import type {
+  EngineReport,
+  MoveTarget,
+  PlacedRun,
+  PlacementReason,
+  RunToMove,
+} from "@stairgauge/placement";
 
 /** A box, and how much it can hand on to others beside its own work, in proportion to what others can. */
 export type Member = Readonly<{ box: BoxName; capacity: number }>;
@@ -56,6 +62,56 @@
   | { kind: "history_gone" }
 >;
 
+/** How a hub is to answer when every engine is full. */
+export type PlaceUrgency = Readonly<
+  /** With the one where there is least to wait. */
+  | { kind: "at_once" }
+  /** By saying so. */
+  | { kind: "if_room" }
+  /** When there is room, at the latest after `wait` with the one where there is least to wait. */
+  | { kind: "within"; wait: Ms }
+>;
+
+/** Where a run should go; hubs see what all boxes have placed. */
+export type PlaceQuestion = Readonly<{
+  box: BoxName;
+  run: PlacedRun;
+  service: ServiceName;
+  /** Rank, 0 first. */
+  tier: number;
+  /** Servers that have been tried. */
+  except: readonly ServerId[];
+  urgency: PlaceUrgency;
+}>;
+
+/** The hub's choice, with the figures that made it. */
+export type PlaceAnswer = Readonly<
+  | {
+      kind: "placed";
+      server: ServerId;
+      reason: PlacementReason;
+      load: number;
+      memoryAfter: number | undefined;
+      reportAge: Ms | undefined;
+      candidates: number;
+    }
+  | { kind: "no_room"; memoryAfter: number }
+  | { kind: "no_server"; known: number }
+>;
+
+/** What leaves an engine and where to: all boxes with runs there ask the same hub, and plan alike. */
+export type MovesQuestion = Readonly<{
+  server: ServerId;
+  /** As things are now, not as they were when the engine began to leave. */
+  isFresh: boolean;
+}>;
+
+/** The answer. */
+export type MovesAnswer = Readonly<
+  | { kind: "moves"; runs: readonly RunToMove[]; targets: readonly MoveTarget[] }
+  | { kind: "not_known" }
+>;
+
 /** Why another box gave no answer. */
 export type AskFailure = Readonly<
   { kind: "no_link" } | { kind: "failed"; detail: string }
--- a/packages/peers/src/updateCodec.ts
+++ b/packages/peers/src/updateCodec.ts
@@ -1,11 +1,12 @@
 /** Updates as bytes, and back; what another box sends is checked like any input. */
 import type { BoxName, Ms } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
+import type { PlacedRun } from "@stairgauge/placement";
 import { z } from "zod";
 import type { HubNotice, RunUpdate, ToldLeaving, ToldReport } from "./types.js";
 
-const putSchema = z.object({
-  server: z.string(),
+/** A placed run on the wire. */
+export const runSchema = z.object({
   id: z.string(),
   prompt: z.number().nonnegative(),
   out: z.number().nonnegative(),
@@ -13,7 +14,29 @@
   movable: z.boolean(),
 });
 
-const runSchema = z.tuple([z.string(), z.number(), z.number()]);
+type WireRun = z.infer<typeof runSchema>;
+
+/** Puts a run into the form that it has on the wire. */
+export const toWireRun = (run: PlacedRun): WireRun => ({
+  id: run.id,
+  prompt: run.promptTokens,
+  out: run.expectedOut,
+  begun: run.hasBegun,
+  movable: run.isMovable,
+});
+
+/** Takes a run from the form that it has on the wire. */
+export const fromWireRun = ({ id, prompt, out, begun, movable }: WireRun): PlacedRun => ({
+  id,
+  promptTokens: prompt,
+  expectedOut: out,
+  hasBegun: begun,
+  isMovable: movable,
+});
+
+const putSchema = runSchema.extend({ server: z.string() });
+
+const reportedRunSchema = z.tuple([z.string(), z.number(), z.number()]);
 
 const reportSchema = z.object({
   server: z.string(),
@@ -24,7 +47,7 @@
   running: z.number(),
   used: z.number(),
   total: z.number(),
-  runs: z.array(runSchema),
+  runs: z.array(reportedRunSchema),
 });
 
 const leavingSchema = z.array(z.object({ server: z.string(), gone: z.boolean() }));
@@ -92,14 +115,7 @@
     JSON.stringify({
       box: update.box,
       whole: update.isWhole,
-      put: update.put.map(({ server, run }) => ({
-        server,
-        id: run.id,
-        prompt: run.promptTokens,
-        out: run.expectedOut,
-        begun: run.hasBegun,
-        movable: run.isMovable,
-      })),
+      put: update.put.map(({ server, run }) => ({ server, ...toWireRun(run) })),
       drop: update.drop,
       leaving: encodeLeaving(update.leaving),
       ...(update.reports.length > 0 && { reports: update.reports.map(encodeReport) }),
@@ -112,15 +128,9 @@
   return {
     box: update.box as BoxName,
     isWhole: update.whole,
-    put: update.put.map(({ server, id, prompt, out, begun, movable }) => ({
+    put: update.put.map(({ server, ...run }) => ({
       server: server as ServerId,
-      run: {
-        id,
-        promptTokens: prompt,
-        expectedOut: out,
-        hasBegun: begun,
-        isMovable: movable,
-      },
+      run: fromWireRun(run),
     })),
     drop: update.drop.map(({ server, id }) => ({ server: server as ServerId, id })),
     leaving: decodeLeaving(update.leaving),
