feat: metrics of what boxes say to each other, by call and direction

Cause: links, messages and bytes between boxes were bounded by reckoning only. Change: stairgauge_peer_messages_total, stairgauge_peer_bytes_total (call, direction) and stairgauge_peer_links. Proof: peers.test.ts counts the messages of an exchange at its receiver.

--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -57,6 +57,7 @@
   observeConfiguration,
   observeForwarding,
   observeMoves,
+  observePeers,
   observeServers,
 } from "./observers.js";
 import { createMetricsServer, createReadyServer, listenOn } from "./smallServers.js";
@@ -152,8 +153,10 @@
     own: { box: own, capacity: computeCapacity(settings) },
     makeWhole: teller.makeWhole,
     onNotice: ({ leaving }) => leaving.forEach(updates.takeLeaving),
+    onMessage: observePeers({ metrics }),
   });
   const peerServer = createPeerServer({
+    onMessage: observePeers({ metrics }),
     onUpdate: updates.takeUpdate,
     onPeerLost: (box) => {
       book.dropPeer(box);
@@ -186,6 +189,7 @@
     onPeers: (peers) => {
       mostBoxesSeen = Math.max(mostBoxesSeen, peers.length);
       links.setPeers(peers);
+      metrics.peerLinks.set(links.count());
       log.writeNotice("peers", { boxes: peers.length, links: links.count() });
     },
     onFailure: (failure) => log.writeWarning("membership", { failure }),
--- a/apps/box/src/observers.ts
+++ b/apps/box/src/observers.ts
@@ -4,6 +4,7 @@
 import type { ConfigurationEvent } from "@stairgauge/fleet";
 import type { ActiveRun, ForwardDecision, ForwardObserver } from "@stairgauge/forwarding";
 import type { MoveDecision, StandbyDecision } from "@stairgauge/migration";
+import type { PeerMessage } from "@stairgauge/peers";
 import type { ConfigurationKeeper } from "@stairgauge/routing";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
 
@@ -115,3 +116,11 @@
       log.writeWarning(`configuration_${event.kind}`, event);
   }
 };
+
+/** Counts what boxes say to each other. */
+export const observePeers =
+  ({ metrics }: Pick<Sinks, "metrics">) =>
+  ({ call, direction, bytes }: PeerMessage): void => {
+    metrics.peerMessages.inc({ call, direction });
+    metrics.peerBytes.inc({ call, direction }, bytes);
+  };
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -17,3 +17,4 @@
 export type { RunTeller, RunTellerOptions } from "./runTeller.js";
 export { createHubAsker } from "./hubAsker.js";
 export type { HubAsker, HubAskerOptions } from "./hubAsker.js";
+export type { PeerMessage } from "./service.js";
--- a/packages/peers/src/peerLinks.ts
+++ b/packages/peers/src/peerLinks.ts
@@ -18,7 +18,7 @@
 import type { ServerAddress } from "@stairgauge/directory";
 import { chooseLinks, listHubs, MOST_LINKS } from "./hubs.js";
 import { rankCarriers } from "./rankHearers.js";
-import { peerService } from "./service.js";
+import { createPeerService, type PeerMessage } from "./service.js";
 import type {
   AskFailure,
   HubNotice,
@@ -42,6 +42,7 @@
   makeWhole: () => RunUpdate;
   /** A hub has told this box something. */
   onNotice: (notice: HubNotice) => void;
+  onMessage: (message: PeerMessage) => void;
 }>;
 
 /** The links of one box. */
@@ -129,6 +130,7 @@
 /** Creates the links; there are none until peers are set. */
 export const createPeerLinks = (options: PeerLinksOptions): PeerLinks => {
   const { clock, random, own, makeWhole, onNotice } = options;
+  const peerService = createPeerService(options.onMessage);
   const links = new Map<BoxName, Link>();
   const avoidedUntil = new Map<BoxName, number>();
   let peersByBox: ReadonlyMap<BoxName, Peer> = new Map();
--- a/packages/peers/src/peerServer.ts
+++ b/packages/peers/src/peerServer.ts
@@ -10,7 +10,7 @@
 } from "@grpc/grpc-js";
 import type { BoxName } from "@stairgauge/common";
 import type { ServerAddress } from "@stairgauge/directory";
-import { peerService } from "./service.js";
+import { createPeerService, type PeerMessage } from "./service.js";
 import type {
   HubNotice,
   MovesAnswer,
@@ -33,6 +33,7 @@
   answerPlace: Answerer<PlaceQuestion, PlaceAnswer>;
   /** Another box asks for what leaves an engine and where to. */
   answerMoves: Answerer<MovesQuestion, MovesAnswer>;
+  onMessage: (message: PeerMessage) => void;
 }>;
 
 type Answerer<Question, Answer> = (
@@ -90,7 +91,7 @@
         (error: unknown) => send({ code: status.INTERNAL, details: String(error) }),
       );
     };
-  server.addService(peerService, {
+  server.addService(createPeerService(options.onMessage), {
     tellRuns: handleStream,
     askTable: handleBy(options.answerTable),
     askPlace: handleBy(options.answerPlace),
--- a/packages/peers/src/peers.test.ts
+++ b/packages/peers/src/peers.test.ts
@@ -25,6 +25,7 @@
   type HubNotice,
   type MovesAnswer,
   type Peer,
+  type PeerMessage,
   type PlaceQuestion,
   type RunUpdate,
   type TableQuestion,
@@ -70,6 +71,7 @@
   const reports: ToldReport[] = [];
   const places: PlaceQuestion[] = [];
   const withdrawn: string[] = [];
+  const messages: PeerMessage[] = [];
   const mirrors = new Map<string, TableMirror>();
   const pulse = createTableMirror(createSystemClock());
   const server = createPeerServer({
@@ -95,6 +97,7 @@
       return Promise.resolve({ kind: "no_room", memoryAfter: 1.2 } as const);
     },
     answerMoves: () => Promise.resolve(MOVES),
+    onMessage: (message) => messages.push(message),
   });
   const port = await server.listen({ host: "127.0.0.1", port: 0 });
   closers.push(server.close);
@@ -106,6 +109,7 @@
     reports,
     places,
     withdrawn,
+    messages,
     mirrors,
     pulse,
     peer: { box: "b" as BoxName, address: { host: "127.0.0.1", port }, capacity: 1 },
@@ -132,6 +136,7 @@
     own: toEqualMember(own),
     makeWhole: teller.makeWhole,
     onNotice: (notice) => notices.push(notice),
+    onMessage: () => undefined,
   });
   closers.push(links.close);
   return { book, links, teller, leaving, notices };
@@ -229,6 +234,15 @@
     const moves = { server, isFresh: true };
     const told = await here.links.askMoves(there.peer.box, moves, signal);
     expect(told.val).toEqual(MOVES);
+    const calls = there.messages.map(({ call, direction }) => `${call} ${direction}`);
+    expect(calls.toSorted()).toEqual([
+      "ask_moves received",
+      "ask_moves sent",
+      "ask_place received",
+      "ask_place sent",
+      "tell_runs received",
+    ]);
+    expect(Math.min(...there.messages.map(({ bytes }) => bytes))).toBeGreaterThan(10);
   });
 
   it("take a request back that waits there when its client has left", async () => {
--- a/packages/peers/src/service.ts
+++ b/packages/peers/src/service.ts
@@ -28,8 +28,24 @@
 } from "./types.js";
 import { decodeNotice, decodeUpdate, encodeNotice, encodeUpdate } from "./updateCodec.js";
 
-/** The calls' definition, shared by both ends. */
-export const peerService = {
+/** A message between boxes, as it goes over the wire. */
+export type PeerMessage = Readonly<{
+  call: "tell_runs" | "ask_table" | "ask_place" | "ask_moves";
+  direction: "sent" | "received";
+  bytes: number;
+}>;
+
+type Method<Question, Answer> = Readonly<{
+  path: string;
+  requestStream: boolean;
+  responseStream: boolean;
+  requestSerialize: (question: Question) => Buffer;
+  requestDeserialize: (bytes: Buffer) => Question;
+  responseSerialize: (answer: Answer) => Buffer;
+  responseDeserialize: (bytes: Buffer) => Answer;
+}>;
+
+const DEFINITION = {
   tellRuns: {
     path: "/stairgauge.Peers/TellRuns",
     requestStream: true,
@@ -67,3 +83,36 @@
     responseDeserialize: (bytes: Buffer) => decodeMovesAnswer(bytes),
   },
 } as const satisfies ServiceDefinition;
+
+/** The calls' definition, for either end; each message is told with its size. */
+export const createPeerService = (onMessage: (message: PeerMessage) => void) => {
+  const observeSent =
+    <T>(call: PeerMessage["call"], serialize: (value: T) => Buffer) =>
+    (value: T): Buffer => {
+      const bytes = serialize(value);
+      onMessage({ call, direction: "sent", bytes: bytes.length });
+      return bytes;
+    };
+  const observeReceived =
+    <T>(call: PeerMessage["call"], deserialize: (bytes: Buffer) => T) =>
+    (bytes: Buffer): T => {
+      onMessage({ call, direction: "received", bytes: bytes.length });
+      return deserialize(bytes);
+    };
+  const observe = <Question, Answer>(
+    call: PeerMessage["call"],
+    method: Method<Question, Answer>,
+  ): Method<Question, Answer> => ({
+    ...method,
+    requestSerialize: observeSent(call, method.requestSerialize),
+    requestDeserialize: observeReceived(call, method.requestDeserialize),
+    responseSerialize: observeSent(call, method.responseSerialize),
+    responseDeserialize: observeReceived(call, method.responseDeserialize),
+  });
+  return {
+    tellRuns: observe("tell_runs", DEFINITION.tellRuns),
+    askTable: observe("ask_table", DEFINITION.askTable),
+    askPlace: observe("ask_place", DEFINITION.askPlace),
+    askMoves: observe("ask_moves", DEFINITION.askMoves),
+  };
+};
--- a/packages/telemetry/src/boxMetrics.ts
+++ b/packages/telemetry/src/boxMetrics.ts
@@ -40,6 +40,23 @@
       help: "Backend servers that get new work",
       registers,
     }),
+    peerMessages: new Counter({
+      name: "stairgauge_peer_messages_total",
+      help: "Messages between boxes, by call and direction",
+      labelNames: ["call", "direction"],
+      registers,
+    }),
+    peerBytes: new Counter({
+      name: "stairgauge_peer_bytes_total",
+      help: "Bytes of messages between boxes, by call and direction",
+      labelNames: ["call", "direction"],
+      registers,
+    }),
+    peerLinks: new Gauge({
+      name: "stairgauge_peer_links",
+      help: "Links that the box holds to others",
+      registers,
+    }),
     answerSeconds: new Histogram({
       name: "stairgauge_answer_seconds",
       help: "Time from a request to the end of its answer",
