fix: when those that hear the store have lost it, one of the next boxes hears it for all

Cause: found by a test at 66 boxes with links to hubs: with the two hearers turned away by the store, 64 boxes asked it themselves every 3 s, and at 473 as many; a store that turns a third of the boxes away does that to two hearers one time in eight. Change: a box whose hearers say that they have lost the store asks up to three carriers behind them, each only those before it in the order, so that none ask in a circle; and it goes on to the next at once where it asked the store in between.

--- a/packages/peers/src/sharedKnowledge.test.ts
+++ b/packages/peers/src/sharedKnowledge.test.ts
@@ -3,6 +3,7 @@
 import { describe, expect, it } from "vitest";
 import type { BoxName } from "@stairgauge/common";
 import { countHearers, rankCarriers, rankForAsker, rankHearers } from "./rankHearers.js";
+import { SECOND_LINE } from "./sharedReader.js";
 import {
   BOUND_MS,
   createWorld,
@@ -246,6 +247,37 @@
     );
   }, 120_000);
 
+  it("leave the store to one of the next carriers when it turns away those that hear it", async () => {
+    const hearing = rankCarriers(all.map(toEqualMember))
+      .slice(0, countHearers(boxes, 2))
+      .map((name) => all.indexOf(name));
+    const troubles = hearing.map((box) => ({
+      kind: "cut_from_store" as const,
+      box,
+      from: 2_000,
+      until: 20_000,
+    }));
+    const changes = [1_000, 9_000];
+    const world = createWorld({
+      seed: 2,
+      boxes,
+      changes,
+      troubles,
+      hubLinksUpAt: 300,
+    });
+    world.start();
+    await world.runUntil(6_000);
+    const before = [...world.storeCalls];
+    await world.runUntil(11_000);
+    world.stop();
+    const late = all.filter((_, box) => world.knownBy[box]! < 2);
+    expect(late).toEqual([]);
+    const asking = world.storeCalls.filter(
+      (calls, box) => calls - before[box]! > 3 && !hearing.includes(box),
+    );
+    expect(asking.length).toBeLessThanOrEqual(SECOND_LINE);
+  }, 60_000);
+
   it("ask the store once at the start, and then only the few that hear it", async () => {
     const changes = [1_000, 2_500];
     const world = createWorld({
--- a/packages/peers/src/sharedReader.ts
+++ b/packages/peers/src/sharedReader.ts
@@ -20,7 +20,7 @@
   WholeRequest,
 } from "@stairgauge/storefeed";
 import type { PeerLinks } from "./peerLinks.js";
-import { rankForAsker, rankHearers } from "./rankHearers.js";
+import { rankCarriers, rankForAsker, rankHearers } from "./rankHearers.js";
 import type { Member, TableAnswer, TableQuestion } from "./types.js";
 
 /** Why a box is not asked for a while. */
@@ -51,6 +51,12 @@
 /** How long the store comes before other boxes for one that knows nothing yet; it answers in some 20 ms when it is well. */
 const STORE_FIRST_MS = 250 as Ms;
 
+/**
+ * Boxes behind those that hear the store that are asked when all of these have lost it: the first of them that reaches the
+ * store hears it for the rest, where otherwise each box of a site would.
+ */
+export const SECOND_LINE = 3;
+
 /** How long a link that is about to stand is waited for: less than after which it counts as failing. */
 const LINK_MS = 800;
 const LINK_LOOK_MS = 50 as Ms;
@@ -73,15 +79,26 @@
   const listHearers = () =>
     rankHearers([own, ...links.listReachable()], options.hearers, links.countBoxes());
 
+  /** Boxes that stand in for those who hear the store; each asks only those before it, so that none asks in a circle. */
+  const listSecondLine = (hearers: readonly BoxName[]): readonly BoxName[] => {
+    const ranked = rankCarriers([own, ...links.listReachable()]);
+    const before = ranked.slice(0, ranked.indexOf(own.box));
+    return before.filter((box) => !hearers.includes(box)).slice(0, SECOND_LINE);
+  };
+
   /** Whom to ask: those who hear the store, or anybody while this box itself has lost it. */
   const listCandidates = (): readonly BoxName[] => {
     const hearers = listHearers();
     const up = links.listUp().map(({ box }) => box);
-    const otherHearers = hearers.filter((box) => up.includes(box));
-    if (hasStore())
-      return hearers.includes(own.box) ? [] : rankForAsker(otherHearers, own.box);
-    const others = up.filter((box) => !hearers.includes(box));
-    return [...otherHearers, ...rankForAsker(others, own.box)];
+    const listIfUp = (boxes: readonly BoxName[]) =>
+      boxes.filter((box) => up.includes(box));
+    const hearing = listIfUp(hearers);
+    if (!hasStore()) {
+      const others = up.filter((box) => !hearers.includes(box));
+      return [...hearing, ...rankForAsker(others, own.box)];
+    }
+    if (hearers.includes(own.box)) return [];
+    return [...rankForAsker(hearing, own.box), ...listIfUp(listSecondLine(hearers))];
   };
 
   /** Others hear the store, and their links are about to stand, as when a box has just read who there is. */
@@ -183,15 +200,28 @@
   const hasLostStore = (answer: TableAnswer) =>
     "silence" in answer ? answer.silence > mostSilence : answer.kind === "not_known";
 
-  /** What the box tells, if that is of use. */
+  /** What the box tells, if that is of use; none when it did not answer in time. */
   const askBox = async (
     box: BoxName,
     question: TableQuestion,
     signal: AbortSignal,
-  ): Promise<TableAnswer | undefined> => {
+  ): Promise<TableAnswer | "lost_the_store" | undefined> => {
     const answer = await askWithin(box, question, signal);
     if (!answer || !hasLostStore(answer)) return answer;
     passOver(box, "lost_the_store");
+    return "lost_the_store";
+  };
+
+  /** What the first box tells that has not lost the store; a box that has says so at once. */
+  const askInTurn = async (
+    first: BoxName | undefined,
+    question: TableQuestion,
+    signal: AbortSignal,
+  ): Promise<TableAnswer | undefined> => {
+    for (let box = first; box !== undefined; box = chooseBox()) {
+      const answer = await askBox(box, question, signal);
+      if (answer !== "lost_the_store") return answer;
+    }
     return undefined;
   };
 
@@ -241,9 +271,7 @@
   ): Promise<Result<TableSnapshot, StoreFailure>> => {
     const { table, atLeast, signal } = request;
     if (atLeast === 0) return readFirst(request);
-    const box = chooseBox();
-    const answer =
-      box === undefined ? undefined : await askBox(box, { kind: "whole", table }, signal);
+    const answer = await askInTurn(chooseBox(), { kind: "whole", table }, signal);
     const told = toSnapshot(answer, atLeast);
     return told ? Ok(told) : recordStore(table, store.readTable(request));
   };
@@ -256,7 +284,7 @@
     if (box === undefined) return recordStore(table, store.awaitChanges(request));
     const relayedWait = (wait * options.relayedWaits) as Ms;
     const question = { kind: "changes", table, since, wait: relayedWait } as const;
-    const answer = await askBox(box, question, signal);
+    const answer = await askInTurn(box, question, signal);
     if (!answer)
       return recordStore(table, store.awaitChanges({ ...request, wait: AT_ONCE_MS }));
     if (answer.kind !== "changes") return Err({ kind: "history_gone" });
