fix: the loss of a box that hears the store sends nobody to the store

Change: a call that ends at once is put to the next box; only one that was silent, which has cost time, goes to the store. All calls to a box end the same way with the first. A link is opened anew for silence only. Bound and age hold with boxes closed, too.

--- a/packages/peers/src/sharedKnowledge.test.ts
+++ b/packages/peers/src/sharedKnowledge.test.ts
@@ -219,7 +219,7 @@
       .map((times) => times.toSorted((a, b) => a - b)),
     troubles: fc.array(
       fc.record({
-        kind: fc.constantFrom("frozen" as const, "gone" as const),
+        kind: fc.constantFrom("frozen" as const, "gone" as const, "closed" as const),
         box: fc.constantFrom(...carriers),
         from: fc.integer({ min: 500, max: 5_000 }),
         until: fc.constant(20_000),
@@ -278,6 +278,28 @@
     expect(asking.length).toBeLessThanOrEqual(SECOND_LINE);
   }, 60_000);
 
+  it("go on with another that hears the store when one of them is stopped", async () => {
+    const [first] = carriers;
+    const troubles = [
+      { kind: "closed" as const, box: first!, from: 3_000, until: 20_000 },
+    ];
+    const world = createWorld({
+      seed: 3,
+      boxes,
+      changes: [1_000, 4_500],
+      troubles,
+      hubLinksUpAt: 300,
+    });
+    world.start();
+    await world.runUntil(2_900);
+    const before = [...world.storeCalls];
+    await world.runUntil(6_500);
+    world.stop();
+    expect(all.filter((_, box) => box !== first && world.knownBy[box]! < 2)).toEqual([]);
+    const asking = world.storeCalls.filter((calls, box) => calls > before[box]!);
+    expect(asking.length).toBe(countHearers(boxes, 2));
+  }, 60_000);
+
   it("ask the store once at the start, and then only the few that hear it", async () => {
     const changes = [1_000, 2_500];
     const world = createWorld({
--- a/packages/peers/src/sharedKnowledge.testkit.ts
+++ b/packages/peers/src/sharedKnowledge.testkit.ts
@@ -39,7 +39,8 @@
 
 /** What can be wrong with one box, and from when to when on the world's time. */
 export type Trouble = Readonly<{
-  kind: "frozen" | "cut_from_store" | "slow_links" | "narrow_link" | "gone";
+  /** `gone` says nothing; `closed` ends its connections, as a process that stops or is killed does. */
+  kind: "frozen" | "cut_from_store" | "slow_links" | "narrow_link" | "gone" | "closed";
   box: number;
   from: number;
   until: number;
@@ -95,11 +96,12 @@
       for (const end of [...waiting]) end();
     });
 
-  const isDown = (box: number) => hasTrouble(box, "frozen") || hasTrouble(box, "gone");
+  const isEnded = (box: number) => hasTrouble(box, "gone") || hasTrouble(box, "closed");
+  const isDown = (box: number) => hasTrouble(box, "frozen") || isEnded(box);
 
   /** What a frozen process would have done, it does when it wakes. */
   const runAt = (box: number, work: () => void): void => {
-    if (hasTrouble(box, "gone")) return;
+    if (isEnded(box)) return;
     if (isDown(box)) world.setTimer(10 as Ms, () => runAt(box, work));
     else work();
   };
@@ -182,7 +184,7 @@
   });
 
   const ranked = rankCarriers(names.map(toEqualMember));
-  const isGone = (name: BoxName) => hasTrouble(names.indexOf(name), "gone");
+  const isGone = (name: BoxName) => isEnded(names.indexOf(name));
   const listLinked = (own: BoxName): readonly BoxName[] =>
     hubLinksUpAt === undefined
       ? names.filter((name) => name !== own)
@@ -211,6 +213,11 @@
               resolve(Err(failure));
             };
             signal.addEventListener("abort", () => fail("given up"));
+            for (const { kind, box: closed, from } of troubles)
+              if (kind === "closed" && closed === to)
+                world.setTimer(Math.max(1, from - world.now()) as Ms, () =>
+                  runAt(box, () => fail("closed")),
+                );
             const answerAt = async () => {
               await ask(box, to);
               const answer: TableAnswer = await answerTable(
--- /dev/null
+++ b/packages/peers/src/sharedReader.test.ts
@@ -0,0 +1,107 @@
+/** One box that is stopped, with calls for several tables waiting at it. */
+import { describe, expect, it } from "vitest";
+import {
+  advanceSettled,
+  createVirtualClock,
+  Err,
+  Ok,
+  type BoxName,
+  type Ms,
+} from "@stairgauge/common";
+import type { StoreReader } from "@stairgauge/storefeed";
+import { rankForAsker, rankHearers } from "./rankHearers.js";
+import { createSharedReader } from "./sharedReader.js";
+import { toEqualMember } from "./sharedKnowledge.testkit.js";
+import type { TableAnswer } from "./types.js";
+
+const members = Array.from({ length: 20 }, (_, i) =>
+  toEqualMember(`box-${i}` as BoxName),
+);
+const hearers = rankHearers(members, 2);
+const own = members.find(({ box }) => !hearers.includes(box))!;
+const [first, second] = rankForAsker(hearers, own.box);
+
+const setUp = () => {
+  const clock = createVirtualClock();
+  const ends = new Map<string, () => void>();
+  const asked: string[] = [];
+  const stored: string[] = [];
+  const renewed: BoxName[] = [];
+  const callStore = (table: string) => {
+    stored.push(table);
+    return Promise.resolve(Err({ kind: "timed_out" } as const));
+  };
+  const store: StoreReader = {
+    readTable: ({ table }) => callStore(table),
+    awaitChanges: ({ table }) => callStore(table),
+  };
+  const others = members.filter(({ box }) => box !== own.box);
+  const reader = createSharedReader({
+    clock,
+    own,
+    store,
+    links: {
+      ask: (box, question, signal) => {
+        asked.push(`${question.table} ${box}`);
+        if (box !== first) {
+          const answer: TableAnswer = {
+            kind: "changes",
+            changes: [],
+            revision: 5,
+            age: 1 as Ms,
+            silence: 1 as Ms,
+          };
+          return Promise.resolve(Ok(answer));
+        }
+        return new Promise((resolve) => {
+          const end = () => resolve(Err({ kind: "failed", detail: "ended" }));
+          ends.set(question.table, end);
+          signal.addEventListener("abort", end);
+        });
+      },
+      renew: (box) => renewed.push(box),
+      listUp: () => others,
+      listReachable: () => others,
+      countBoxes: () => members.length,
+    },
+    hearers: 2,
+    mostSilence: 1_000 as Ms,
+    relayedWaits: 1.5,
+    guard: { table: "guarded", age: 1_500 as Ms },
+    patience: 400 as Ms,
+    onDistrust: () => undefined,
+  });
+  const { signal } = new AbortController();
+  const follow = (table: string) =>
+    reader.awaitChanges({ table, since: 4, wait: 400 as Ms, signal });
+  const advance = (duration: number) => advanceSettled(clock, duration as Ms);
+  return { follow, ends, asked, stored, renewed, advance };
+};
+
+describe("createSharedReader", () => {
+  it("takes all calls from a box that closes to the next, and none to the store", async () => {
+    const { follow, ends, asked, stored, renewed, advance } = setUp();
+    const reads = ["servers", "boxes"].map(follow);
+    await advance(1);
+    ends.get("servers")!();
+    expect((await Promise.all(reads)).map(({ ok }) => ok)).toEqual([true, true]);
+    expect(asked).toEqual([
+      `servers ${first}`,
+      `boxes ${first}`,
+      `servers ${second}`,
+      `boxes ${second}`,
+    ]);
+    expect(stored).toEqual([]);
+    expect(renewed).toEqual([]);
+  });
+
+  it("asks the store when a box has been silent, and opens the link to it anew", async () => {
+    const { follow, asked, stored, renewed, advance } = setUp();
+    const reads = ["servers", "boxes"].map(follow);
+    await advance(1_100);
+    expect((await Promise.all(reads)).map(({ ok }) => ok)).toEqual([false, false]);
+    expect(asked).toHaveLength(2);
+    expect(stored.toSorted()).toEqual(["boxes", "servers"]);
+    expect(renewed).toEqual([first]);
+  });
+});
--- a/packages/peers/src/sharedReader.ts
+++ b/packages/peers/src/sharedReader.ts
@@ -64,6 +64,9 @@
 /** A caller that was let down by a box wants to know what is there now, not what comes. */
 const AT_ONCE_MS = 0 as Ms;
 
+/** Why asking a box brought nothing. */
+type AskEnd = "silent" | "unreachable" | "lost_the_store";
+
 /** Creates the reader. */
 export const createSharedReader = (options: SharedReaderOptions): StoreReader => {
   const { clock, own, store, links, patience, mostSilence } = options;
@@ -155,11 +158,14 @@
     if (!isTrusted(box)) return;
     distrustedUntil.set(box, clock.monotonic() + DISTRUST_MS);
     options.onDistrust(box, reason);
-    if (reason === "lost_the_store") return;
+  };
+
+  /** What ends one call to a box ends the others, only later: all that waits for the box goes on elsewhere. */
+  const endCalls = (box: BoxName, end: "silent" | "unreachable") => {
+    passOver(box, "no_answer");
     // A connection that has gone silent stays so, while a new one may work.
-    links.renew(box);
-    // What fails one call fails the others, only later: all that waits for the box goes on elsewhere.
-    for (const call of asked.get(box) ?? []) call.abort();
+    if (end === "silent") links.renew(box);
+    for (const call of asked.get(box) ?? []) call.abort(end);
   };
 
   /** How long a box may take: less when what this one knows grows too old meanwhile, as behind a slow link. */
@@ -175,12 +181,12 @@
     box: BoxName,
     question: TableQuestion,
     outer: AbortSignal,
-  ): Promise<TableAnswer | undefined> => {
+  ): Promise<TableAnswer | AskEnd> => {
     const call = new AbortController();
     const abort = () => call.abort();
     const sentAt = clock.monotonic();
     const timer = clock.setTimer(computePatience(question), () =>
-      passOver(box, "no_answer"),
+      endCalls(box, "silent"),
     );
     const calls = asked.get(box) ?? new Set();
     asked.set(box, calls.add(call));
@@ -193,26 +199,31 @@
       if ("age" in answered.val) recordGuarded(question.table, sentAt - answered.val.age);
       return answered.val;
     }
-    if (!outer.aborted) passOver(box, "no_answer");
-    return undefined;
+    if (call.signal.aborted)
+      return call.signal.reason === "unreachable" ? "unreachable" : "silent";
+    endCalls(box, "unreachable");
+    return "unreachable";
   };
 
   const hasLostStore = (answer: TableAnswer) =>
     "silence" in answer ? answer.silence > mostSilence : answer.kind === "not_known";
 
-  /** What the box tells, if that is of use; none when it did not answer in time. */
+  /** What the box tells, if that is of use. */
   const askBox = async (
     box: BoxName,
     question: TableQuestion,
     signal: AbortSignal,
-  ): Promise<TableAnswer | "lost_the_store" | undefined> => {
+  ): Promise<TableAnswer | AskEnd> => {
     const answer = await askWithin(box, question, signal);
-    if (!answer || !hasLostStore(answer)) return answer;
+    if (typeof answer === "string" || !hasLostStore(answer)) return answer;
     passOver(box, "lost_the_store");
     return "lost_the_store";
   };
 
-  /** What the first box tells that has not lost the store; a box that has says so at once. */
+  /**
+   * What the first box tells that is there and has not lost the store: the others say so at once. Without, the loss of one that hears
+   * the store had every box that asked it call the store for each table. A silent one has taken the time of others.
+   */
   const askInTurn = async (
     first: BoxName | undefined,
     question: TableQuestion,
@@ -220,7 +231,8 @@
   ): Promise<TableAnswer | undefined> => {
     for (let box = first; box !== undefined; box = chooseBox()) {
       const answer = await askBox(box, question, signal);
-      if (answer !== "lost_the_store") return answer;
+      if (typeof answer !== "string") return answer;
+      if (answer === "silent") return undefined;
     }
     return undefined;
   };
@@ -233,7 +245,7 @@
     for (const box of listUpForSelf().filter(isTrusted)) {
       if (signal.aborted) return undefined;
       const answer = await askWithin(box, question, signal);
-      if (answer && answer.kind !== "not_known") return answer;
+      if (typeof answer !== "string" && answer.kind !== "not_known") return answer;
     }
     return undefined;
   };
