fix: a silent box is not taken for a store that is lost

Cause: read in the code: a follower gave its call up after its wait and 1 s, whoever was asked. With a bound of 4 s a box is given 1.5 waits and 0.8 s, 2.0 s, more than the 1.8 s of the call: a frozen hearer made all who asked it believe that the store was lost, and not the box, and the wait for a link at a start came on top. Change: the reader bounds its calls to the store itself; the follower waits for a silent box and then the store; the time that a link took goes off the wait. Proof: sharedReader.test.ts, where nobody gives the call up from outside; it does not end without the bound.

--- a/apps/box/src/createKnowledge.ts
+++ b/apps/box/src/createKnowledge.ts
@@ -68,7 +68,14 @@
 /** Boxes that start together put their rows in one after the other: at 66 boxes each would make some 15 calls for them. */
 const GATHER_BOXES_MS = 500 as Ms;
 
-type Timing = Readonly<{ wait: Ms; mostSilence: Ms; patience: Ms; guardAge: Ms }>;
+type Timing = Readonly<{
+  wait: Ms;
+  mostSilence: Ms;
+  patience: Ms;
+  guardAge: Ms;
+  /** How much longer than its wait a call may take that asks a silent box first and then the store. */
+  computeWholePatience: (tableWait: number) => Ms;
+}>;
 
 /** Derives how boxes ask and answer each other from the bound on a configuration. */
 export const computeTiming = ({ store, bounds }: BoxSettings): Timing => {
@@ -79,6 +86,8 @@
     mostSilence: (wait * MOST_WAITS_OLD + bound * SLACK_SHARE) as Ms,
     patience: (bound * PATIENCE_SHARE) as Ms,
     guardAge: (bound * GUARD_SHARE) as Ms,
+    computeWholePatience: (tableWait) =>
+      (tableWait * (RELAYED_WAITS - 1) + bound * PATIENCE_SHARE + store.patienceMs) as Ms,
   };
 };
 
@@ -90,7 +99,8 @@
 export const createKnowledge = (options: KnowledgeOptions): Knowledge => {
   const { settings, clock, random, log, links, sinks } = options;
   const { store } = settings;
-  const { wait, mostSilence, patience, guardAge } = computeTiming(settings);
+  const { wait, mostSilence, patience, guardAge, computeWholePatience } =
+    computeTiming(settings);
   const pulse = createTableMirror(clock);
   const mirrors = new Map([
     [TABLE.operator, pulse],
@@ -107,6 +117,7 @@
     relayedWaits: RELAYED_WAITS,
     guard: { table: TABLE.operator, age: guardAge },
     patience,
+    storePatience: store.patienceMs as Ms,
     onDistrust: (box, reason) =>
       log.writeDecision("box_not_asked", { peer: box, reason }),
   });
@@ -116,7 +127,7 @@
       reader,
       clock,
       random,
-      patience: store.patienceMs as Ms,
+      patience: computeWholePatience(tableWait),
       retryPause: { first: store.firstPauseMs as Ms, most: store.mostPauseMs as Ms },
       revisions,
       table,
--- a/packages/peers/src/sharedReader.ts
+++ b/packages/peers/src/sharedReader.ts
@@ -42,6 +42,8 @@
   guard: Readonly<{ table: string; age: Ms }>;
   /** How much longer than asked a box may take to answer. */
   patience: Ms;
+  /** The same for the store; the caller of the reader waits for both, one after the other. */
+  storePatience: Ms;
   onDistrust: (box: BoxName, reason: DistrustReason) => void;
 }>;
 
@@ -141,13 +143,18 @@
     if (table === options.guard.table) guardedAsOf = Math.max(guardedAsOf, asOf);
   };
 
-  /** What the store answered; after a failure other boxes are asked for a while. */
-  const recordStore = async <T>(
-    table: string,
-    call: Promise<Result<T, StoreFailure>>,
+  /** Calls the store for as long as it may take; after a failure other boxes are asked for a while. */
+  const callStore = async <T>(
+    request: Readonly<{ table: string; signal: AbortSignal; wait?: Ms }>,
+    call: (signal: AbortSignal) => Promise<Result<T, StoreFailure>>,
   ): Promise<Result<T, StoreFailure>> => {
+    const { table, signal, wait = 0 } = request;
+    const within = new AbortController();
+    const limit = (wait + options.storePatience) as Ms;
+    const timer = clock.setTimer(limit, () => within.abort());
     const sentAt = clock.monotonic();
-    const read = await call;
+    const read = await call(AbortSignal.any([signal, within.signal]));
+    timer.cancel();
     const hasAnswered = read.ok || read.val.kind === "history_gone";
     storeLostUntil = hasAnswered ? -Infinity : clock.monotonic() + DISTRUST_MS;
     if (read.ok) recordGuarded(table, sentAt);
@@ -269,7 +276,9 @@
     const { table, atLeast, signal } = request;
     const storeCall = new AbortController();
     const outer = AbortSignal.any([signal, storeCall.signal]);
-    const fromStore = recordStore(table, store.readTable({ ...request, signal: outer }));
+    const fromStore = callStore({ table, signal: outer }, (limited) =>
+      store.readTable({ ...request, signal: limited }),
+    );
     const early = await Promise.race([fromStore, waitFor(clock, STORE_FIRST_MS)]);
     if (early?.ok) return early;
     const told = toSnapshot(await askAll({ kind: "whole", table }, signal), atLeast);
@@ -285,20 +294,28 @@
     if (atLeast === 0) return readFirst(request);
     const answer = await askInTurn(chooseBox(), { kind: "whole", table }, signal);
     const told = toSnapshot(answer, atLeast);
-    return told ? Ok(told) : recordStore(table, store.readTable(request));
+    if (told) return Ok(told);
+    return callStore({ table, signal }, (limited) =>
+      store.readTable({ ...request, signal: limited }),
+    );
   };
 
   const awaitChanges = async (
     request: ChangesRequest,
   ): Promise<Result<TableChanges, StoreFailure>> => {
     const { table, since, wait, signal } = request;
+    const awaitAtStore = (storeWait: Ms) =>
+      callStore({ table, signal, wait: storeWait }, (limited) =>
+        store.awaitChanges({ ...request, wait: storeWait, signal: limited }),
+      );
+    const askedAt = clock.monotonic();
     const box = await awaitLink(signal);
-    if (box === undefined) return recordStore(table, store.awaitChanges(request));
-    const relayedWait = (wait * options.relayedWaits) as Ms;
+    if (box === undefined) return awaitAtStore(wait);
+    const left = wait * options.relayedWaits - (clock.monotonic() - askedAt);
+    const relayedWait = Math.max(0, left) as Ms;
     const question = { kind: "changes", table, since, wait: relayedWait } as const;
     const answer = await askInTurn(box, question, signal);
-    if (!answer)
-      return recordStore(table, store.awaitChanges({ ...request, wait: AT_ONCE_MS }));
+    if (!answer) return awaitAtStore(AT_ONCE_MS);
     if (answer.kind !== "changes") return Err({ kind: "history_gone" });
     const { changes, revision, age } = answer;
     return Ok({ changes, revision, source: { kind: "box", age } });
