feat: a server that breaks requests off before it answers is passed over, by all boxes

Load pattern: an engine that resets what it is sent looks the emptiest of all and draws the fleet's generations. Only servers that could not be reached were passed over. Change: a request broken off before its answer passes its server over for 0.5 s, twice as long each time until it answers, 8 s at most; told to the hubs at once, which place by it; a run that begins there ends it. With half of the servers or more under suspicion nothing is held against them: it is the box's own connections that break.

--- a/apps/box/src/box.test.ts
+++ b/apps/box/src/box.test.ts
@@ -122,6 +122,18 @@
     expect(answers.map(({ status }) => status)).toContain(200);
   });
 
+  it("passes over a server that breaks off what it is sent, and says so", async () => {
+    const { site, ports, lines, start } = await startSite(0, 2);
+    await start();
+    const [broken] = site.services;
+    broken!.setFaults(Array.from({ length: 20 }, () => "no_answer" as const));
+    for (let i = 0; i < 20; i += 1) await ask(ports, { path: "/once/" });
+    // Half a second after the first, a second after the next: about ten without.
+    expect(broken!.listReceived().length).toBeLessThanOrEqual(3);
+    const told = lines.filter(({ event }) => event === "server_broke_off");
+    expect(told.length).toBe(broken!.listReceived().length);
+  });
+
   it("sends a request that may run once to one server only", async () => {
     const { site, ports, start } = await startSite(0, 2);
     await start();
--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -133,6 +133,7 @@
     book,
     rivals,
     getDirectory: () => directory,
+    getPlacer: () => placer,
     isOutOfTouch,
   });
   const teller = createRunTeller({
@@ -254,6 +255,10 @@
         mostBoxesSeen,
       ),
     isAlive: async (server) => (await reports.ask(server)) !== undefined,
+    onBroken: (server) => {
+      teller.tellBroken(server);
+      log.writeDecision("server_broke_off", { server });
+    },
     onClosingAnnounced: (server) => {
       if (!server.leaving && isEngineService(server.entry.service))
         void reports.ask(server);
--- a/apps/box/src/takeUpdates.ts
+++ b/apps/box/src/takeUpdates.ts
@@ -1,6 +1,7 @@
 /** Takes what other boxes tell of their runs, of engines' reports, and of servers that leave. */
 import type { Clock } from "@stairgauge/common";
 import type { BackendServer, ServerDirectory, ServerId } from "@stairgauge/directory";
+import type { FleetPlacer } from "@stairgauge/fleet";
 import { applyUpdate, type RunUpdate, type ToldLeaving } from "@stairgauge/peers";
 import type { EngineReport, LoadBook, PlacedAt, RivalRate } from "@stairgauge/placement";
 
@@ -10,6 +11,7 @@
   book: LoadBook;
   rivals: RivalRate;
   getDirectory: () => ServerDirectory;
+  getPlacer: () => Pick<FleetPlacer, "takeBroken" | "takeAnswered">;
   /** The store does not reach this box. */
   isOutOfTouch: () => boolean;
 }>;
@@ -55,7 +57,9 @@
         book.putReport(server, report, clock.monotonic());
         markReported(server, report);
       };
-      applyUpdate({ book, onLeaving: takeLeaving, onReport }, update);
+      const { takeBroken: onBroken, takeAnswered: onAnswered } = options.getPlacer();
+      const sinks = { book, onLeaving: takeLeaving, onReport, onBroken, onAnswered };
+      applyUpdate(sinks, update);
     },
   };
 };
--- a/packages/fleet/src/adviseOthers.test.ts
+++ b/packages/fleet/src/adviseOthers.test.ts
@@ -69,6 +69,7 @@
     getConnectionShare: () => Infinity,
     isAlive: () => Promise.resolve(true),
     onClosingAnnounced: () => undefined,
+    onBroken: () => undefined,
   });
   const waitingRoom = createWaitingRoom(clock);
   const hub = createPlaceHub({ clock, book, placer, waitingRoom });
@@ -88,7 +89,7 @@
   };
   const countAt = (id: string) => book.listPeerRuns(id as ServerId).length;
   const advance = (duration: number) => advanceSettled(clock, duration as Ms);
-  return { book, ask, takeAllRoom, countAt, advance };
+  return { clock, book, placer, ask, takeAllRoom, countAt, advance };
 };
 
 describe("createPlaceHub", () => {
@@ -100,6 +101,31 @@
     expect(counts).toEqual(counts.map(() => 1));
   });
 
+  it("does not go on sending to an engine that resets what it gets, though it looks the emptiest", async () => {
+    const { clock, book, placer, ask, advance } = setUp(40);
+    const [gap, answerTime, duration] = [26, 40, 7_000];
+    // 192 of 269 go there when nobody tells.
+    let lost = 0;
+    for (let i = 0; i < duration / gap; i += 1) {
+      const asked = makeAsked(`box-${i % 195}`, `r${i}`);
+      const placed = await ask(asked);
+      if (placed.kind !== "placed") continue;
+      const { id } = placed.server.entry;
+      const told = { server: id, run: { ...asked.run } };
+      book.putPeerRun(asked.box, told);
+      if (id === "e7") {
+        lost += 1;
+        clock.setTimer(answerTime as Ms, () => {
+          book.removePeerRun(asked.box, id, asked.run.id);
+          placer.takeBroken(id);
+        });
+      }
+      await advance(gap);
+    }
+    expect(lost).toBeLessThanOrEqual(8);
+    expect(lost).toBeGreaterThan(0);
+  });
+
   it("forgets a place that was not taken, and keeps one that was", async () => {
     const { book, ask, advance, countAt } = setUp(1);
     await ask(makeAsked("gone", "a"));
--- a/packages/fleet/src/createPlacer.ts
+++ b/packages/fleet/src/createPlacer.ts
@@ -1,6 +1,6 @@
 /** Places requests by the directory and the load book, and keeps the book. */
 import type { Clock, DataHallName, Random, ServiceName } from "@stairgauge/common";
-import type { BackendServer, ServerDirectory } from "@stairgauge/directory";
+import type { BackendServer, ServerDirectory, ServerId } from "@stairgauge/directory";
 import type { ActiveRun, Placer } from "@stairgauge/forwarding";
 import {
   chooseServer,
@@ -23,6 +23,8 @@
   getConnectionShare: (service: ServiceName) => number;
   rivals: Pick<RivalRate, "estimate">;
   onClosingAnnounced: (server: BackendServer) => void;
+  /** A server broke a request of this box off before it answered. */
+  onBroken: (server: ServerId) => void;
   isAlive: (server: BackendServer) => Promise<boolean>;
 }>;
 
@@ -33,6 +35,9 @@
     listTargets: (source: BackendServer) => readonly MoveTarget[];
     /** Notes a run at its target while it is being copied there. */
     reserve: (target: BackendServer, run: ActiveRun) => () => void;
+    /** Another box tells that a server breaks requests off, or that it has answered one. */
+    takeBroken: (server: ServerId) => void;
+    takeAnswered: (server: ServerId) => void;
   }>;
 
 /** Id under which placements without an id of the client's are kept. */
@@ -103,6 +108,13 @@
     onAddressReused: (server) =>
       directory.mark(server.entry.id, "address_reused", clock.monotonic()),
     onUnreachable: (server) => suspects.add(server.entry.id, clock.monotonic()),
+    onBroken: ({ entry }) => {
+      suspects.addBreak(entry.id, clock.monotonic());
+      options.onBroken(entry.id);
+    },
+    onAnswered: ({ entry }) => suspects.removeBreaks(entry.id),
+    takeBroken: (server) => suspects.addBreak(server, clock.monotonic()),
+    takeAnswered: suspects.removeBreaks,
     onConnectionClosing: options.onClosingAnnounced,
     onRunBegun: (server, head) => {
       if (head.id !== undefined) book.markBegun(server.entry.id, head.id);
--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -195,6 +195,7 @@
   const takeHead = (attempt: Attempt, answerHead: AnswerHead, reason: string) => {
     attempt.silence?.cancel();
     attempt.head = answerHead;
+    placer.onAnswered(attempt.server);
     attempt.reason = reason;
     attempt.isStream = isStreamOf(request, answerHead);
     if (answerHead.isClosing) placer.onConnectionClosing(attempt.server);
@@ -290,10 +291,9 @@
     const verdict = judgeAttempt(end, head.id);
     const wasSent = attempt.exchange?.isSent() ?? false;
     if (wasSent) attemptsSent += 1;
-    else {
-      unreached += 1;
-      placer.onUnreachable(server);
-    }
+    else unreached += 1;
+    if (!wasSent) placer.onUnreachable(server);
+    else if (end.kind === "failed" && !attempt.head) placer.onBroken(server);
     if (end.kind === "answered" && end.head.isOtherServer) placer.onAddressReused(server);
     dropAttempt();
     const step = decideNext({
--- a/packages/forwarding/src/forwarderTypes.ts
+++ b/packages/forwarding/src/forwarderTypes.ts
@@ -110,6 +110,10 @@
   onAddressReused: (server: BackendServer) => void;
   /** No connection came up: the server may be dead, though its entry still stands. */
   onUnreachable: (server: BackendServer) => void;
+  /** The server broke off a request that it was sent, before it answered. */
+  onBroken: (server: BackendServer) => void;
+  /** The server has begun to answer a request. */
+  onAnswered: (server: BackendServer) => void;
   /** Whether a server answers anything at all, asked now. */
   isAlive: (server: BackendServer) => Promise<boolean>;
   /** An answer announced the end of its connection, which a leaving server does. */
--- a/packages/peers/src/applyUpdate.ts
+++ b/packages/peers/src/applyUpdate.ts
@@ -1,4 +1,5 @@
 /** Takes what another box tells into what this one knows. */
+import type { ServerId } from "@stairgauge/directory";
 import type { LoadBook } from "@stairgauge/placement";
 import type { RunUpdate, ToldLeaving, ToldReport } from "./types.js";
 
@@ -7,14 +8,21 @@
   book: LoadBook;
   onLeaving: (told: ToldLeaving) => void;
   onReport: (told: ToldReport) => void;
+  onBroken: (server: ServerId) => void;
+  /** A run of the box has begun at the server. */
+  onAnswered: (server: ServerId) => void;
 }>;
 
 /** Applies an update; a whole one replaces all runs that the box told before. */
 export const applyUpdate = (sinks: UpdateSinks, update: RunUpdate): void => {
-  const { book, onLeaving, onReport } = sinks;
-  const { box, isWhole, put, drop, leaving, reports } = update;
+  const { book, onLeaving, onReport, onBroken, onAnswered } = sinks;
+  const { box, isWhole, put, drop, leaving, reports, broken } = update;
   if (isWhole) book.dropPeer(box);
   for (const placed of put) book.putPeerRun(box, placed);
+  // What is told whole may have begun long ago.
+  const begun = isWhole ? [] : put.filter(({ run }) => run.hasBegun);
+  for (const { server } of begun) onAnswered(server);
+  for (const server of broken) onBroken(server);
   for (const { server, id } of drop) book.removePeerRun(box, server, id);
   for (const told of leaving) onLeaving(told);
   for (const told of reports) onReport(told);
--- a/packages/peers/src/peers.test.ts
+++ b/packages/peers/src/peers.test.ts
@@ -69,6 +69,7 @@
   const lost: string[] = [];
   const leaving: ToldLeaving[] = [];
   const reports: ToldReport[] = [];
+  const outcomes: string[] = [];
   const places: PlaceQuestion[] = [];
   const withdrawn: string[] = [];
   const messages: PeerMessage[] = [];
@@ -81,6 +82,8 @@
           book,
           onLeaving: (told) => leaving.push(told),
           onReport: (told) => reports.push(told),
+          onBroken: (broken) => outcomes.push(`broken ${broken}`),
+          onAnswered: (answered) => outcomes.push(`answered ${answered}`),
         },
         update,
       ),
@@ -107,6 +110,7 @@
     notify: server.notify,
     leaving,
     reports,
+    outcomes,
     places,
     withdrawn,
     messages,
@@ -258,6 +262,18 @@
     await waitFor(() => there.withdrawn.length === 1);
   });
 
+  it("tell it of a server that breaks requests off, and that it answers again", async () => {
+    const there = await openListener();
+    const here = openTeller();
+    here.links.setPeers([there.peer]);
+    await waitFor(() => here.links.listUp().length === 1);
+    here.teller.tellBroken(server);
+    here.book.addRun(server, makeRun("r"));
+    here.book.markBegun(server, "r");
+    await waitFor(() => there.outcomes.length === 2);
+    expect(there.outcomes).toEqual([`broken ${server}`, `answered ${server}`]);
+  });
+
   it("are told by it of a server that leaves", async () => {
     const there = await openListener();
     const here = openTeller();
@@ -584,6 +600,7 @@
         { server, report: REPORT },
         { server, report: { ...REPORT, leavesIn: undefined } },
       ],
+      broken: [server],
     };
     expect(decodeUpdate(encodeUpdate(update))).toEqual(update);
   });
--- a/packages/peers/src/runTeller.ts
+++ b/packages/peers/src/runTeller.ts
@@ -1,5 +1,6 @@
 /** Collects changes of this box's runs and tells them together. */
 import type { BoxName, Clock, Ms } from "@stairgauge/common";
+import type { ServerId } from "@stairgauge/directory";
 import type { LoadBook, RunChange } from "@stairgauge/placement";
 import type { RunUpdate, ToldLeaving, ToldReport } from "./types.js";
 
@@ -26,6 +27,8 @@
   makeWhole: () => RunUpdate;
   /** A server gets no new work: boxes that the store does not reach hear it from others. */
   tellLeaving: (told: ToldLeaving) => void;
+  /** A server broke a request off: told at once, since whoever places next would choose it. */
+  tellBroken: (server: ServerId) => void;
 }>;
 
 /** Creates the teller. */
@@ -42,6 +45,7 @@
     drop: [],
     leaving: [],
     reports: [],
+    broken: [],
     ...told,
   });
 
@@ -80,6 +84,7 @@
     },
     makeWhole: () =>
       buildUpdate({ isWhole: true, put: book.listAllRuns(), leaving: listLeaving() }),
+    tellBroken: (server) => send(buildUpdate({ broken: [server] })),
     tellLeaving: (told) => sendToSome(buildUpdate({ leaving: [told] })),
   };
 };
--- a/packages/peers/src/types.ts
+++ b/packages/peers/src/types.ts
@@ -36,6 +36,8 @@
   leaving: readonly ToldLeaving[];
   /** Reports that came since the last update. */
   reports: readonly ToldReport[];
+  /** Servers that broke requests of the box off before they answered. */
+  broken: readonly ServerId[];
 }>;
 
 /** What a hub tells a box that has runs at a server. */
--- a/packages/peers/src/updateCodec.ts
+++ b/packages/peers/src/updateCodec.ts
@@ -61,6 +61,7 @@
   drop: z.array(z.object({ server: z.string(), id: z.string() })),
   leaving: leavingSchema.default([]),
   reports: z.array(reportSchema).default([]),
+  broken: z.array(z.string()).default([]),
 });
 
 const encodeReport = ({ server, report }: ToldReport): z.infer<typeof reportSchema> => ({
@@ -118,6 +119,7 @@
       put: update.put.map(({ server, run }) => ({ server, ...toWireRun(run) })),
       drop: update.drop,
       leaving: encodeLeaving(update.leaving),
+      ...(update.broken.length > 0 && { broken: update.broken }),
       ...(update.reports.length > 0 && { reports: update.reports.map(encodeReport) }),
     }),
   );
@@ -135,5 +137,6 @@
     drop: update.drop.map(({ server, id }) => ({ server: server as ServerId, id })),
     leaving: decodeLeaving(update.leaving),
     reports: update.reports.map(decodeReport),
+    broken: update.broken.map((server) => server as ServerId),
   };
 };
