--- a/packages/fleet/src/adviseOthers.ts
+++ b/packages/fleet/src/adviseOthers.ts
@@ -4,7 +4,6 @@
 import {
   hasRoomFor,
   placeWithRoom,
-  type AdviceRequest,
   type Placer,
   type WaitingRoom,
 } from "@stairgauge/forwarding";
@@ -13,6 +12,7 @@
   LoadBook,
   PlacedRun,
   PlacementDecision,
+  PlaceUrgency,
 } from "@stairgauge/placement";
 
 /** What another box asks. */
@@ -22,7 +22,7 @@
   service: ServiceName;
   tier: number;
   except: readonly ServerId[];
-  urgency: AdviceRequest["urgency"];
+  urgency: PlaceUrgency;
 }>;
 
 /** What it is told. */
--- a/packages/forwarding/src/placeByAdvice.ts
+++ b/packages/forwarding/src/placeByAdvice.ts
@@ -5,7 +5,7 @@
  */
 import type { Ms, ServiceName } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
-import type { Demand, PlacementDecision } from "@stairgauge/placement";
+import type { Demand, PlacementDecision, PlaceUrgency } from "@stairgauge/placement";
 import type { ForwarderDeps } from "./forwarderTypes.js";
 import { placeWithRoom, type PlacingSteps, type PlacingTerms } from "./placeWithRoom.js";
 import type { ClientRequestId } from "./types.js";
@@ -18,9 +18,7 @@
   tokens: NonNullable<Demand["tokens"]>;
   except: ReadonlySet<ServerId>;
   /** What the one who is asked does while every engine is full. */
-  urgency: Readonly<
-    { kind: "at_once" } | { kind: "if_room" } | { kind: "within"; wait: Ms }
-  >;
+  urgency: PlaceUrgency;
 }>;
 
 /** What is answered. */
--- a/packages/peers/src/types.ts
+++ b/packages/peers/src/types.ts
@@ -10,6 +10,7 @@
   MoveTarget,
   PlacedRun,
   PlacementReason,
+  PlaceUrgency,
   RunToMove,
 } from "@stairgauge/placement";
 
@@ -64,16 +65,6 @@
   | { kind: "history_gone" }
 >;
 
-/** How a hub is to answer when every engine is full. */
-export type PlaceUrgency = Readonly<
-  /** With the one where there is least to wait. */
-  | { kind: "at_once" }
-  /** By saying so. */
-  | { kind: "if_room" }
-  /** When there is room, at the latest after `wait` with the one where there is least to wait. */
-  | { kind: "within"; wait: Ms }
->;
-
 /** Where a run should go; hubs see what all boxes have placed. */
 export type PlaceQuestion = Readonly<{
   box: BoxName;
--- a/packages/placement/src/types.ts
+++ b/packages/placement/src/types.ts
@@ -56,3 +56,13 @@
     }
   | { kind: "no_server"; known: number }
 >;
+
+/** How whoever places a generation for another box is to answer while every engine is full. */
+export type PlaceUrgency = Readonly<
+  /** With the one where there is least to wait. */
+  | { kind: "at_once" }
+  /** By saying so. */
+  | { kind: "if_room" }
+  /** When there is room, at the latest after `wait` with the one where there is least to wait. */
+  | { kind: "within"; wait: Ms }
+>;
