--- a/packages/peers/src/peerLinks.ts
+++ b/packages/peers/src/peerLinks.ts
@@ -1,10 +1,4 @@
 /** The links of one box to others: to all of them where they are few, to the hubs where there are many. */
-import {
-  Client,
-  connectivityState,
-  credentials,
-  type ClientDuplexStream,
-} from "@grpc/grpc-js";
 import {
   Err,
   Ok,
@@ -17,6 +11,7 @@
 } from "@stairgauge/common";
 import type { ServerAddress } from "@stairgauge/directory";
 import { chooseLinks, listHubs, MOST_LINKS } from "./hubs.js";
+import { openPeerLink, type PeerLink } from "./peerLink.js";
 import { rankCarriers } from "./rankHearers.js";
 import { createPeerService, type PeerMessage } from "./service.js";
 import type {
@@ -88,32 +83,11 @@
   responseDeserialize: (bytes: Buffer) => Answer;
 }>;
 
-type Link = {
-  readonly peer: Peer;
-  readonly client: Client;
-  stream: ClientDuplexStream<RunUpdate, HubNotice> | undefined;
-  retry: Timer | undefined;
-  pause: number;
+type Link = PeerLink & {
   /** Since when it has not been up; undefined while it is. */
   downSince: number | undefined;
 };
 
-/** Pauses between tries at a box that cannot be reached. */
-const FIRST_PAUSE_MS = 300;
-const MOST_PAUSE_MS = 5_000;
-
-/** A link is probed this often when nothing is said, so that a half-open one is found. */
-const LINK_OPTIONS = {
-  "grpc.keepalive_time_ms": 5_000,
-  "grpc.keepalive_timeout_ms": 1_500,
-  "grpc.initial_reconnect_backoff_ms": 200,
-  "grpc.max_reconnect_backoff_ms": 2_000,
-  "grpc.enable_retries": 0,
-} as const;
-
-/** Updates that may wait for a slow peer before its link is opened anew. */
-const MOST_BUFFERED_BYTES = 256 * 1024;
-
 /** Boxes that one box passes a thing on to: with 3 each, all but one in a thousand hear it. */
 const FAN_OUT = 3;
 
@@ -133,7 +107,8 @@
 /** Creates the links; there are none until peers are set. */
 export const createPeerLinks = (options: PeerLinksOptions): PeerLinks => {
   const { clock, random, own, makeWhole, onNotice } = options;
-  const peerService = createPeerService(options.onMessage);
+  const service = createPeerService(options.onMessage);
+  const linkOptions = { clock, random, service, makeWhole, onNotice };
   const links = new Map<BoxName, Link>();
   const avoidedUntil = new Map<BoxName, number>();
   let peersByBox: ReadonlyMap<BoxName, Peer> = new Map();
@@ -147,38 +122,7 @@
 
   const closeLink = (link: Link) => {
     links.delete(link.peer.box);
-    link.retry?.cancel();
-    link.stream?.cancel();
-    link.stream = undefined;
-    link.client.close();
-  };
-
-  const scheduleRetry = (link: Link) => {
-    if (links.get(link.peer.box) !== link) return;
-    link.retry?.cancel();
-    const pause = link.pause * (0.5 + random.nextFloat());
-    link.pause = Math.min(MOST_PAUSE_MS, link.pause * 2);
-    link.retry = clock.setTimer(pause as Ms, () => openStream(link));
-  };
-
-  const openStream = (link: Link) => {
-    const stream = link.client.makeBidiStreamRequest(
-      peerService.tellRuns.path,
-      peerService.tellRuns.requestSerialize,
-      peerService.tellRuns.responseDeserialize,
-    );
-    link.stream = stream;
-    stream.on("metadata", () => {
-      link.pause = FIRST_PAUSE_MS;
-    });
-    stream.on("data", onNotice);
-    stream.on("error", () => undefined);
-    stream.on("status", () => {
-      if (link.stream !== stream) return;
-      link.stream = undefined;
-      scheduleRetry(link);
-    });
-    stream.write(makeWhole());
+    link.close();
   };
 
   const chooseSome = (all: Link[]): readonly Link[] => {
@@ -188,15 +132,6 @@
     return chosen;
   };
 
-  const write = ({ stream }: Link, update: RunUpdate) => {
-    if (!stream) return;
-    if (stream.writableLength > MOST_BUFFERED_BYTES) stream.cancel();
-    else stream.write(update);
-  };
-
-  const isUp = ({ client }: Link) =>
-    client.getChannel().getConnectivityState(false) === connectivityState.READY;
-
   const createAsking =
     <Question, Answer>(method: Method<Question, Answer>): Asking<Question, Answer> =>
     (box, question, signal) =>
@@ -220,22 +155,8 @@
       });
 
   const openLink = (peer: Peer) => {
-    const { host, port } = peer.address;
-    const client = new Client(
-      `${host}:${port}`,
-      credentials.createInsecure(),
-      LINK_OPTIONS,
-    );
-    const link: Link = {
-      peer,
-      client,
-      stream: undefined,
-      retry: undefined,
-      pause: FIRST_PAUSE_MS,
-      downSince: clock.monotonic(),
-    };
-    links.set(peer.box, link);
-    openStream(link);
+    const link = openPeerLink(peer, linkOptions);
+    links.set(peer.box, { ...link, downSince: clock.monotonic() });
   };
 
   const hasMoved = (link: Link, peer: Peer) =>
@@ -253,12 +174,13 @@
     return downSince !== undefined && clock.monotonic() - downSince > duration;
   };
 
-  const listUp = () => [...links.values()].filter(isUp).map(({ peer }) => peer);
+  const listUp = () =>
+    [...links.values()].filter((link) => link.isUp()).map(({ peer }) => peer);
 
   const recordStates = () => {
     const now = clock.monotonic();
     for (const link of links.values())
-      link.downSince = isUp(link) ? undefined : (link.downSince ?? now);
+      link.downSince = link.isUp() ? undefined : (link.downSince ?? now);
     // With no link up it is this box that is out of reach.
     if (links.size < MOST_LINKS || listUp().length === 0) return;
     const lost = [...links.keys()].filter((box) => isDownFor(box, AVOIDED_AFTER_MS));
@@ -297,7 +219,7 @@
 
   const listReachable = () =>
     [...links.values()]
-      .filter((link) => isUp(link) || !isDownFor(link.peer.box, FAILING_AFTER_MS))
+      .filter((link) => link.isUp() || !isDownFor(link.peer.box, FAILING_AFTER_MS))
       .map(({ peer }) => peer);
   const countBoxes = () => Math.max(1, ranked.length);
   const findHubs = (): readonly BoxName[] => {
@@ -322,14 +244,14 @@
       if (!reviewTimer) lookAtLinks();
     },
     tell: (update) => {
-      for (const link of links.values()) write(link, update);
+      for (const link of links.values()) link.write(update);
     },
     tellSome: (update) => {
-      for (const link of chooseSome([...links.values()])) write(link, update);
+      for (const link of chooseSome([...links.values()])) link.write(update);
     },
-    ask: createAsking(peerService.askTable),
-    askPlace: createAsking(peerService.askPlace),
-    askMoves: createAsking(peerService.askMoves),
+    ask: createAsking(service.askTable),
+    askPlace: createAsking(service.askPlace),
+    askMoves: createAsking(service.askMoves),
     renew: (box) => {
       const link = links.get(box);
       if (!link) return;
--- a/packages/peers/src/service.ts
+++ b/packages/peers/src/service.ts
@@ -116,3 +116,6 @@
     askMoves: observe("ask_moves", DEFINITION.askMoves),
   };
 };
+
+/** The definition as either end holds it. */
+export type PeerService = ReturnType<typeof createPeerService>;
