--- /dev/null
+++ b/.ci/judge.js
@@ -0,0 +1,56 @@
+// Passes over just the failing tests that KNOWN-RED.txt names, and prints them; any other failure stands.
+// Usage: node .ci/judge.js REPORT.json LOG STATUS, with the runner's report, output and exit status.
+// A line of the list: TEST | CAUSE | ISSUE, three at most.
+import { existsSync, readFileSync } from "node:fs";
+
+const MOST_LINES = 3;
+const LIST = "KNOWN-RED.txt";
+
+const [, , reportPath, logPath, status] = process.argv;
+const report = JSON.parse(readFileSync(reportPath, "utf8"));
+const lines = existsSync(LIST)
+  ? readFileSync(LIST, "utf8")
+      .split("\n")
+      .filter((line) => line.trim() !== "")
+  : [];
+const known = new Map(lines.map((line) => [line.split(" | ")[0].trim(), line]));
+
+const files = report.testResults;
+const cases = files.flatMap((file) => file.assertionResults);
+const names = new Set(cases.map((test) => test.fullName));
+const failed = cases
+  .filter((test) => test.status === "failed")
+  .map((test) => test.fullName);
+const unknown = failed.filter((name) => !known.has(name));
+const passing = [...known.keys()].filter((name) => !failed.includes(name));
+const unread = files.filter(
+  (file) => file.status === "failed" && file.assertionResults.length === 0,
+);
+
+for (const name of failed)
+  if (known.has(name)) console.log(`known red: ${known.get(name)}`);
+for (const name of unknown) console.log(`failed: ${name}`);
+for (const file of unread) console.log(`failed to load: ${file.name}`);
+for (const name of passing)
+  console.log(
+    `${names.has(name) ? "listed as red, but passes" : "listed as red, but is no test"}: ${name}`,
+  );
+if (lines.length > MOST_LINES)
+  console.log(`${LIST} has ${lines.length} lines, ${MOST_LINES} at most`);
+
+// The runner fails without a failed test when an error was caught by none.
+const isUncaught =
+  readFileSync(logPath, "utf8").includes("Unhandled Error") ||
+  (status !== "0" && failed.length === 0 && unread.length === 0);
+if (isUncaught) console.log("an error that no test caught");
+
+const passed = cases.filter((test) => test.status === "passed").length;
+console.log(`${passed} passed, ${failed.length} failed`);
+const isSound =
+  cases.length > 0 &&
+  !isUncaught &&
+  unknown.length === 0 &&
+  unread.length === 0 &&
+  passing.length === 0 &&
+  lines.length <= MOST_LINES;
+process.exit(isSound ? 0 : 1);
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -35,3 +35,13 @@
 export { formatEngineEvent } from "./usersPlatform/usersEngine.js";
 export { formatServiceBody } from "./usersPlatform/usersService.js";
 export type { ServiceFault } from "./usersPlatform/usersService.js";
+export {
+  createScriptedEngines,
+  formatStreamHead,
+} from "./usersPlatform/scriptedEngines.js";
+export type {
+  EngineScript,
+  ScriptedCall,
+  ScriptedEngine,
+  ScriptedEngines,
+} from "./usersPlatform/scriptedEngines.js";
--- /dev/null
+++ b/packages/standins/src/usersPlatform/scriptedEngines.ts
@@ -0,0 +1,116 @@
+/**
+ * Stand-ins of model engines whose answers are written byte by byte: each generation that is sent to any of
+ * them takes the next script, and its end is the script's own, as the kernel would send it.
+ */
+import { createServer, type Socket } from "node:net";
+import type { AddressInfo } from "node:net";
+import { HEADER, SERVER_PATH } from "@stairgauge/platform";
+
+/** A generation as an engine received it, and the connection to answer on. */
+export type ScriptedCall = Readonly<{
+  socket: Socket;
+  requestId: string;
+  /** The event behind which it is to go on, if any. */
+  lastEventId: string | undefined;
+  /** Ends the engine: nothing listens at its address any more. */
+  leaveAddress: () => void;
+}>;
+
+/** What an engine does with one generation. */
+export type EngineScript = (call: ScriptedCall) => void;
+
+/** An engine. */
+export type ScriptedEngine = Readonly<{ id: string; address: string; close: () => void }>;
+
+/** Engines and what they were sent. */
+export type ScriptedEngines = Readonly<{
+  start: (id: string) => Promise<ScriptedEngine>;
+  /** Generations in the order in which they came. */
+  listCalls: () => readonly ScriptedCall[];
+}>;
+
+const HEAD_END = "\r\n\r\n";
+const LOOPBACK = "127.0.0.1";
+const REPORT = JSON.stringify({
+  stage: "dual",
+  state: "ready",
+  models: [],
+  busy: false,
+  sequence: 1,
+  waiting: 0,
+  running: 0,
+  kvUsed: 0,
+  kvTotal: 34_000,
+  handles: 0,
+  runs: [],
+});
+
+const findHeader = (head: string, name: string): string | undefined =>
+  head
+    .split("\r\n")
+    .find((line) => line.toLowerCase().startsWith(`${name.toLowerCase()}:`))
+    ?.slice(name.length + 1)
+    .trim();
+
+const sendReport = (socket: Socket) => {
+  const length = Buffer.byteLength(REPORT);
+  const head = `HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: ${length}`;
+  socket.write(`${head}${HEAD_END}${REPORT}`);
+};
+
+/** Head of a stream's answer; `framing` is one more header line, or none for an answer that ends with its connection. */
+export const formatStreamHead = (requestId: string, framing?: string): string =>
+  [
+    "HTTP/1.1 200 OK",
+    "Content-Type: text/event-stream",
+    `${HEADER.requestId}: ${requestId}`,
+    `${HEADER.signature}: signature`,
+    ...(framing === undefined ? [] : [framing]),
+  ].join("\r\n") + HEAD_END;
+
+/** Creates engines that share their scripts; a generation beyond the last script is reset. */
+export const createScriptedEngines = (
+  scripts: readonly EngineScript[],
+): ScriptedEngines => {
+  const calls: ScriptedCall[] = [];
+
+  const takeRequest = (socket: Socket, head: string, leaveAddress: () => void) => {
+    if (head.startsWith(`GET ${SERVER_PATH.report}`)) {
+      sendReport(socket);
+      return;
+    }
+    const call = {
+      socket,
+      requestId: findHeader(head, HEADER.requestId) ?? "",
+      lastEventId: findHeader(head, HEADER.lastEventId),
+      leaveAddress,
+    };
+    const runScript = scripts[calls.length];
+    calls.push(call);
+    if (runScript) runScript(call);
+    else socket.resetAndDestroy();
+  };
+
+  const start = async (id: string): Promise<ScriptedEngine> => {
+    const server = createServer({ allowHalfOpen: true }, (socket) => {
+      let text = "";
+      socket.on("error", () => undefined);
+      socket.on("end", () => socket.end());
+      socket.on("data", (chunk: Buffer) => {
+        text += chunk.toString("latin1");
+        const end = text.indexOf(HEAD_END);
+        if (end < 0) return;
+        const head = text.slice(0, end);
+        const length = Number(findHeader(head, "Content-Length") ?? 0);
+        if (text.length < end + HEAD_END.length + length) return;
+        text = "";
+        takeRequest(socket, head, () => server.close());
+      });
+    });
+    await new Promise<void>((resolve) => server.listen(0, LOOPBACK, resolve));
+    const { port } = server.address() as AddressInfo;
+    return { id, address: `${LOOPBACK}:${port}`, close: () => server.close() };
+  };
+
+  return { start, listCalls: () => calls };
+};
