feat: a box's lines tell how each stream's bytes ended

Cause: `stream_ended` and `stream_lost` said neither how the answer was framed, nor how its connection ended, nor what was left over, and a new run of another server wrote no line, so that the ways to a mixed event could not be told apart.

Change: `stream_ended`, `stream_lost`, `retry`, `continued`, `continuation_refused` and the new `resumed` carry framing, closed, lastEventId, bytesLeft, continuations, serverStanding and standingAgeMs, built by one pure function; `client_left` and `out_of_time` carry the framing of what was open, and `out_of_time` its events. `stairgauge_stream_ends_total{framing,end}` counts streams. What is done with an attempt is as it was.

--- a/apps/box/src/observers.ts
+++ b/apps/box/src/observers.ts
@@ -26,6 +26,24 @@
   "stream_ended",
 ]);
 
+/** How a decision ends a stream: whole, lost, or left by its client; undefined for one that ends none. */
+const judgeStreamEnd = (decision: ForwardDecision) => {
+  switch (decision.kind) {
+    case "stream_ended":
+      return { framing: decision.framing, end: "whole" } as const;
+    case "stream_lost":
+      return { framing: decision.framing, end: "lost" } as const;
+    case "out_of_time":
+    case "client_left": {
+      if (decision.events === 0) return undefined;
+      const end = decision.kind === "client_left" ? "left" : "lost";
+      return { framing: decision.framing, end } as const;
+    }
+    default:
+      return undefined;
+  }
+};
+
 /** Three digits behind the point tell a load apart; a time is told in whole microseconds at most. */
 const roundNumbers = (inputs: object): Readonly<Record<string, unknown>> =>
   Object.fromEntries(
@@ -44,6 +62,12 @@
     onDecision: ({ head, route, sinceReceived }, decision) => {
       const { kind, ...inputs } = decision;
       metrics.decisions.inc({ kind });
+      const streamEnd = judgeStreamEnd(decision);
+      if (streamEnd)
+        metrics.streamEnds.inc({
+          framing: streamEnd.framing ?? "none",
+          end: streamEnd.end,
+        });
       if (ENDS.has(kind))
         metrics.answerSeconds.observe({ end: kind }, sinceReceived / MS_PER_S);
       log.writeDecision(kind, {
--- a/apps/box/src/streamEnds.test.ts
+++ b/apps/box/src/streamEnds.test.ts
@@ -17,7 +17,14 @@
   startUsersSite,
   type EngineScript,
 } from "@stairgauge/standins";
-import { ask, closers, makeGeneration, startBox, waitFor } from "./box.testkit.js";
+import {
+  ask,
+  closers,
+  makeGeneration,
+  startBox,
+  waitFor,
+  type Line,
+} from "./box.testkit.js";
 
 const REQUEST = "r";
 const CHUNKED = "Transfer-Encoding: chunked";
@@ -86,7 +93,7 @@
   const { ports, lines, engines } = await startScriptedSite(scripts);
   const headers = makeGeneration(400, EVENT_COUNT);
   const answer = await ask(ports, { path, id: REQUEST, headers });
-  return { answer, lines, engines };
+  return { answer, lines, engines, ports };
 };
 
 describe("the end of a stream", () => {
@@ -127,3 +134,79 @@
     }
   });
 });
+
+describe("the lines about the end of a stream", () => {
+  const cut = getEvent(1).slice(0, 7);
+  const findLine = (lines: readonly Line[], event: string) =>
+    lines.find((line) => line["event"] === event && line["request"] === REQUEST);
+
+  it.each([
+    ["chunks", "by_framing", sendChunked(WHOLE)],
+    ["connection", "in_order", sendUnframed(WHOLE)],
+  ])(
+    "say of a whole one by %s that it was closed %s",
+    async (framing, closed, script) => {
+      const { lines } = await askFor("/verdict/", [script]);
+      expect(findLine(lines, "stream_ended")).toMatchObject({
+        framing,
+        closed,
+        lastEventId: String(EVENT_COUNT - 1),
+        bytesLeft: 0,
+        continuations: 0,
+        serverStanding: "ready",
+      });
+    },
+  );
+
+  it("tell where a new run goes on, and what the first one left", async () => {
+    const { lines } = await askFor("/verdict/", [
+      sendAndReset(getEvent(0) + cut),
+      sendAsked,
+    ]);
+    const resumed = findLine(lines, "resumed");
+    expect(resumed).toMatchObject({
+      events: 1,
+      framing: "chunks",
+      lastEventId: "0",
+      bytesLeft: cut.length,
+      continuations: 0,
+      serverStanding: "ready",
+    });
+    expect([resumed?.["from"], resumed?.["to"]].sort()).toEqual(["engine-a", "engine-b"]);
+    expect(findLine(lines, "stream_ended")).toMatchObject({
+      server: resumed?.["to"],
+      bytesLeft: 0,
+      continuations: 1,
+    });
+  });
+
+  it("tell what an attempt left that came to no whole event", async () => {
+    const { lines } = await askFor("/verdict/", [sendAndReset(cut), sendAsked]);
+    expect(findLine(lines, "retry")).toMatchObject({
+      framing: "chunks",
+      lastEventId: undefined,
+      bytesLeft: cut.length,
+    });
+  });
+
+  it("tell of a lost one, and metrics count it apart from a whole one", async () => {
+    const { lines, ports } = await askFor("/verdict/", [
+      sendAndReset(getEvent(0) + cut),
+      sendAndReset(cut),
+    ]);
+    expect(findLine(lines, "stream_lost")).toMatchObject({
+      events: 1,
+      framing: "chunks",
+      lastEventId: "0",
+      bytesLeft: cut.length,
+      continuations: 1,
+    });
+    const answer = await fetch(`http://127.0.0.1:${ports.metrics}/metrics`);
+    const counted = (await answer.text())
+      .split("\n")
+      .filter((line) => line.startsWith("stairgauge_stream_ends_total{"));
+    expect(counted).toEqual([
+      'stairgauge_stream_ends_total{framing="chunks",end="lost"} 1',
+    ]);
+  });
+});
--- a/packages/fleet/src/createPlacer.ts
+++ b/packages/fleet/src/createPlacer.ts
@@ -10,6 +10,7 @@
   type MoveTarget,
   type RivalRate,
 } from "@stairgauge/placement";
+import { judgeStanding } from "./judgeStanding.js";
 import { createSuspects } from "./suspects.js";
 
 /** What placing needs. */
@@ -100,6 +101,8 @@
       };
     },
     isLeaving: (server) => isLeaving(directory, server),
+    getStanding: ({ entry }) =>
+      judgeStanding({ directory, book }, entry.id, clock.monotonic()),
     isAlive: async (server) => {
       const answers = await options.isAlive(server);
       if (!answers) suspects.add(server.entry.id, clock.monotonic());
--- /dev/null
+++ b/packages/fleet/src/judgeStanding.test.ts
@@ -0,0 +1,74 @@
+import { describe, expect, it } from "vitest";
+import type { DataHallName, Ms, ServiceName } from "@stairgauge/common";
+import {
+  createServerDirectory,
+  type LeavingReason,
+  type ServerId,
+} from "@stairgauge/directory";
+import { createLoadBook } from "@stairgauge/placement";
+import { judgeStanding } from "./judgeStanding.js";
+
+const SERVER = "a" as ServerId;
+
+const makeSources = (reason?: LeavingReason) => {
+  const directory = createServerDirectory({
+    memory: 1_000 as Ms,
+    onEvent: () => undefined,
+  });
+  const book = createLoadBook();
+  const entry = {
+    id: SERVER,
+    service: "s" as ServiceName,
+    address: { host: "10.0.0.1", port: 80 },
+    dataHall: "h" as DataHallName,
+    slots: 6,
+    isLeaving: false,
+    warmUpLeft: 0 as Ms,
+  };
+  directory.put(entry, 0 as Ms);
+  if (reason) directory.mark(SERVER, reason, 100 as Ms);
+  return { directory, book };
+};
+
+describe("judgeStanding", () => {
+  it.each<[string, LeavingReason]>([
+    ["leaving", "entry_says_leaving"],
+    ["leaving", "report"],
+    ["leaving", "told_by_box"],
+    ["gone", "entry_gone"],
+    ["gone", "address_reused"],
+  ])("says %s since the mark %s", (kind, reason) => {
+    const standing = judgeStanding(makeSources(reason), SERVER, 350 as Ms);
+    expect(standing).toEqual({ kind, age: 250 });
+  });
+
+  it("says gone, without an age, of a server that is forgotten", () => {
+    const { directory, book } = makeSources("report");
+    directory.dropForgotten(1_200 as Ms);
+    expect(judgeStanding({ directory, book }, SERVER, 1_300 as Ms)).toEqual({
+      kind: "gone",
+      age: undefined,
+    });
+  });
+
+  it("gives the age of the last report of a server that is ready", () => {
+    const { directory, book } = makeSources();
+    const ready = { directory, book };
+    expect(judgeStanding(ready, SERVER, 50 as Ms)).toEqual({
+      kind: "ready",
+      age: undefined,
+    });
+    const report = {
+      isLeaving: false,
+      leavesIn: undefined,
+      waiting: 0,
+      firstWaitingTokens: 0,
+      running: 0,
+      memoryUsed: 0,
+      memoryTotal: 1,
+      runs: [],
+    };
+    book.putReport(SERVER, report, 40 as Ms);
+    expect(judgeStanding(ready, SERVER, 70 as Ms)).toEqual({ kind: "ready", age: 30 });
+  });
+});
--- a/packages/forwarding/src/createForwarder.ts
+++ b/packages/forwarding/src/createForwarder.ts
@@ -74,7 +74,11 @@
     const tellClientLeft = () => {
       const sinceReceived = (clock.monotonic() - receivedAt) as Ms;
       const subject = { head, route: undefined, sinceReceived };
-      deps.observer.onDecision(subject, { kind: "client_left", events: 0 });
+      deps.observer.onDecision(subject, {
+        kind: "client_left",
+        events: 0,
+        framing: undefined,
+      });
     };
     const refuseLongBody = () => {
       isLast = true;
--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -9,6 +9,11 @@
 import { createAttempt, type Attempt } from "./attempt.js";
 import { buildExchangeRequest } from "./buildExchangeRequest.js";
 import { computeDemand } from "./computeDemand.js";
+import {
+  createDispatchReports,
+  type LeftServer,
+  type PlacedDecision,
+} from "./createDispatchReports.js";
 import {
   decideNext,
   describeEnd,
@@ -17,17 +22,12 @@
   mayRepeat,
   type AttemptEnd,
 } from "./decideNext.js";
-import type {
-  AdmittedRequest,
-  ForwardDecision,
-  ForwarderDeps,
-  RefusalReason,
-} from "./forwarderTypes.js";
+import type { AdmittedRequest, ForwarderDeps, RefusalReason } from "./forwarderTypes.js";
 import { openExchange } from "./openExchange.js";
 import { placeAgain, placeByAdvice, type PlaceableRequest } from "./placeByAdvice.js";
 import { computePlacingTerms } from "./placeWithRoom.js";
 import { sendOwnAnswer, type ReasonedAnswer } from "./sendOwnAnswer.js";
-import { createStreamRelay, describeStreamEnd } from "./streamRelay.js";
+import { createStreamRelay } from "./streamRelay.js";
 import type { AnswerHead, DispatchTerms, ExchangeFailure } from "./types.js";
 import { watchSilence } from "./watchSilence.js";
 
@@ -40,8 +40,6 @@
 /** Continuations of one run after which it counts as lost. */
 const MAX_CONTINUATIONS = 12;
 
-type PlacedDecision = Extract<PlacementDecision, { kind: "placed" }>;
-
 /** A call that can be told that its client has left. */
 export type DispatchedCall = Readonly<{ clientLeft: () => void }>;
 
@@ -50,7 +48,7 @@
   deps: ForwarderDeps,
   request: AdmittedRequest,
 ): DispatchedCall => {
-  const { clock, codec, placer, budget, runs, runKeeper, observer } = deps;
+  const { clock, codec, placer, budget, runs, runKeeper } = deps;
   const { head, route, service, answer, receivedAt, endsAt } = request;
   const demand = computeDemand(request);
   const tried = new Set<ServerId>();
@@ -63,11 +61,6 @@
   let run: ActiveRun | undefined;
 
   const getNow = () => clock.monotonic();
-  const tell = (decision: ForwardDecision) =>
-    observer.onDecision(
-      { head, route, sinceReceived: (getNow() - receivedAt) as Ms },
-      decision,
-    );
 
   const dropAttempt = () => {
     current?.exchange?.cancel();
@@ -95,9 +88,8 @@
     answerOwn({ status: 503, reason, detail, retryAfter: deps.retryAfter });
   const answerUnknown = (reason: RefusalReason, detail?: string) =>
     answerOwn({ status: 502, reason, detail, retryAfter: undefined });
-  const loseStream = (server: BackendServer, detail: string) => {
-    const events = relay.getEvents();
-    tell({ kind: "stream_lost", server: server.entry.id, events, detail });
+  const loseStream = (left: LeftServer, detail: string) => {
+    reports.tellStreamLost(left, detail);
     answer.break();
     finish();
   };
@@ -105,7 +97,7 @@
     if (isOver) return;
     const hasBegun = answer.hasBegun();
     const mayRunStill = mayHaveRun || hasBegun || (current?.exchange?.isSent() ?? false);
-    tell({ kind: "out_of_time", mayHaveRun: mayRunStill });
+    reports.tellOutOfTime(current, mayRunStill);
     if (hasBegun) {
       answer.break();
       finish();
@@ -121,6 +113,12 @@
     if (current) placer.onRunBegun(current.server, head);
     if (run) runKeeper.onBegun(run);
   });
+  const reports = createDispatchReports({
+    deps,
+    request,
+    relay,
+    countContinuations: () => continuations,
+  });
   answer.onDrain(() => current?.exchange?.resume());
 
   const startRun = () => {
@@ -186,8 +184,8 @@
       return;
     }
     mayHaveRun ||= wasSent;
-    const { id } = attempt.server.entry;
-    tell({ kind: "retry", server: id, reason: "silent", detail: "no answer" });
+    const ended = reports.describeBytes(attempt, { kind: "left_open" });
+    reports.tellRetry(attempt, "silent", "no answer", ended);
     dropAttempt();
     attemptNext();
   };
@@ -233,42 +231,40 @@
   };
 
   const takeEnd = (attempt: Attempt) => {
+    const end: AttemptEnd = { kind: "answered", head: attempt.head! };
     if (attempt.isStream) {
       // A body that ends with its connection cannot tell an end from a stop that was asked for.
       if (attempt.head!.isUnframed && run && placer.isLeaving(attempt.server)) {
-        void continueElsewhere(attempt, "connection ended without an end of the stream");
+        const detail = "connection ended without an end of the stream";
+        void continueElsewhere(attempt, end, detail);
         return;
       }
-      const server = attempt.server.entry.id;
-      const pace = describeStreamEnd(relay, { receivedAt, now: getNow() });
-      tell({ ...pace, server, continuations });
+      reports.tellStreamEnded(attempt, end);
       relay.finish();
       finish();
       return;
     }
     if (answer.hasBegun() && !relay.hasBegun()) {
       answer.end();
-      tell({
-        kind: "answered",
-        server: attempt.server.entry.id,
-        status: attempt.head!.status,
-      });
+      reports.tellAnswered(attempt);
       finish();
       return;
     }
-    conclude(attempt, { kind: "answered", head: attempt.head! });
+    conclude(attempt, end);
   };
 
   const takeFailure = (attempt: Attempt, failure: ExchangeFailure) => {
+    const end: AttemptEnd = { kind: "failed", failure };
     if (attempt.isStream && relay.hasBegun()) {
-      void continueElsewhere(attempt, failure.detail);
+      void continueElsewhere(attempt, end);
       return;
     }
     if (answer.hasBegun() && !relay.hasBegun()) {
-      loseStream(attempt.server, failure.detail);
+      const ended = reports.describeBytes(attempt, end);
+      loseStream({ from: attempt.server, ended }, failure.detail);
       return;
     }
-    conclude(attempt, { kind: "failed", failure });
+    conclude(attempt, end);
   };
 
   const canRetryNow = (): boolean => {
@@ -288,6 +284,7 @@
       return;
     }
     const { server } = attempt;
+    const ended = reports.describeBytes(attempt, end);
     const verdict = judgeAttempt(end, head.id);
     const wasSent = attempt.exchange?.isSent() ?? false;
     if (wasSent) attemptsSent += 1;
@@ -309,12 +306,7 @@
         passAnswerOn(attempt);
         return;
       case "retry":
-        tell({
-          kind: "retry",
-          server: server.entry.id,
-          reason: step.reason,
-          detail: describeEnd(end),
-        });
+        reports.tellRetry(attempt, step.reason, describeEnd(end), ended);
         attemptNext();
         return;
       case "answer_not_run":
@@ -329,7 +321,7 @@
   const passAnswerOn = (attempt: Attempt) => {
     const answerHead = attempt.head!;
     const { status, passedOn } = answerHead;
-    tell({ kind: "answered", server: attempt.server.entry.id, status });
+    reports.tellAnswered(attempt);
     answer.sendWhole(
       { status, reason: attempt.reason, headers: passedOn },
       Buffer.concat(attempt.chunks),
@@ -356,25 +348,19 @@
   };
 
   const sendTo = (decision: PlacedDecision, by?: string) => {
-    const { server, reason, load, reportAge, candidates } = decision;
-    tried.add(server.entry.id);
-    const attempt = attemptsSent + 1;
-    tell({
-      kind: "placed",
-      server: server.entry.id,
-      attempt,
-      reason,
-      load,
-      reportAge,
-      candidates,
-      by,
-    });
-    openAt(server);
+    tried.add(decision.server.entry.id);
+    reports.tellPlaced(decision, attemptsSent + 1, by);
+    openAt(decision.server);
   };
 
   /** The run's server has ended its stream: the same run goes on elsewhere, or a new one where that is allowed. */
-  const continueElsewhere = async (attempt: Attempt, detail: string) => {
-    const { server } = attempt;
+  const continueElsewhere = async (
+    attempt: Attempt,
+    end: AttemptEnd,
+    detail = describeEnd(end),
+  ) => {
+    const ended = reports.describeBytes(attempt, end);
+    const left: LeftServer = { from: attempt.server, ended };
     relay.dropRest();
     dropAttempt();
     if (continuations === 0) attemptsSent += 1;
@@ -385,55 +371,53 @@
         : undefined;
     if (isOver) return;
     if (continuation) {
-      continueRun(server, continuation);
+      continueRun(left, continuation);
       return;
     }
-    if (!resumeAnew()) loseStream(server, detail);
+    if (!resumeAnew(left)) loseStream(left, detail);
   };
 
-  const continueRun = (from: BackendServer, continuation: RunContinuation) => {
-    const { server, memory } = continuation;
-    const events = relay.getEvents();
-    tell({ kind: "continued", from: from.entry.id, to: server.entry.id, events });
+  const continueRun = (left: LeftServer, { server, memory }: RunContinuation) => {
+    reports.tellGoesOn("continued", left, server);
     openAt(server, { lastEventId: relay.getLastEventId(), memory });
   };
 
   /** Where the route allows it, a new run of another server goes on after the last whole event. */
-  const resumeAnew = (): boolean => {
+  const resumeAnew = (left: LeftServer): boolean => {
     if (!route.isResumable || attemptsSent >= route.maxServers) return false;
     if (!budget.take(service, getNow())) return false;
     const decision = placer.choose(service, demand, tried);
     if (decision.kind === "no_server") return false;
     attemptsSent += 1;
     tried.add(decision.server.entry.id);
+    reports.tellGoesOn("resumed", left, decision.server);
     openAt(decision.server, { lastEventId: relay.getLastEventId(), memory: undefined });
     return true;
   };
 
   const refuseContinuation = (attempt: Attempt, end: AttemptEnd) => {
-    const detail = describeEnd(end);
-    tell({ kind: "continuation_refused", to: attempt.server.entry.id, detail });
+    reports.tellContinuationRefused(attempt, end);
     if (run) {
       const outcome =
         end.kind === "answered"
           ? ({ kind: "refused", status: end.head.status } as const)
-          : ({ kind: "broken", detail } as const);
+          : ({ kind: "broken", detail: describeEnd(end) } as const);
       runKeeper.onContinued(run, outcome);
     }
-    void continueElsewhere(attempt, detail);
+    void continueElsewhere(attempt, end);
   };
 
   budget.recordRequest(service, receivedAt);
   leaveRoom = placeByAdvice(deps, placeable, {
     choose: chooseNext,
     place: takePlace,
-    tell,
+    tell: reports.tell,
   });
 
   return {
     clientLeft: () => {
       if (isOver) return;
-      tell({ kind: "client_left", events: relay.getEvents() });
+      reports.tellClientLeft(current);
       answer.break();
       finish();
     },
--- a/packages/forwarding/src/eventSplitter.ts
+++ b/packages/forwarding/src/eventSplitter.ts
@@ -13,6 +13,8 @@
   push: (chunk: Buffer) => EventBatch | undefined;
   /** Id of the last whole event that has one. */
   getLastEventId: () => string | undefined;
+  /** How many bytes of an event are held whose end has not come. */
+  countRest: () => number;
   /** Bytes of an event whose end has not come. */
   takeRest: () => Buffer;
   dropRest: () => void;
@@ -94,6 +96,7 @@
       return { bytes: whole, events: count };
     },
     getLastEventId: () => lastEventId,
+    countRest: () => rest.length,
     takeRest: () => {
       const taken = rest;
       rest = Buffer.alloc(0);
--- a/packages/forwarding/src/forwarderTypes.ts
+++ b/packages/forwarding/src/forwarderTypes.ts
@@ -11,6 +11,7 @@
 } from "@stairgauge/routing";
 import type { ActiveRun, ActiveRuns, RunKeeper } from "./activeRuns.js";
 import type { ClientAnswer } from "./clientAnswer.js";
+import type { BytesEnd, Framing, ServerStanding } from "./describeBytesEnd.js";
 import type { PlaceAdviser } from "./placeByAdvice.js";
 import type { WaitingRoom } from "./waitingRoom.js";
 import type { RetryBudget } from "./retryBudget.js";
@@ -61,11 +62,14 @@
     }
   /** Every engine is full: it waits for room, at this box beside others or at the one that was asked. */
   | { kind: "waits"; memoryAfter: number; waiting: number | undefined }
-  | { kind: "retry"; server: ServerId; reason: string; detail: string }
-  | { kind: "continued"; from: ServerId; to: ServerId; events: number }
-  | { kind: "continuation_refused"; to: ServerId; detail: string }
+  | (BytesEnd & { kind: "retry"; server: ServerId; reason: string; detail: string })
+  /** The same run goes on at another server. */
+  | (BytesEnd & { kind: "continued"; from: ServerId; to: ServerId; events: number })
+  /** A new run of another server goes on after the last whole event. */
+  | (BytesEnd & { kind: "resumed"; from: ServerId; to: ServerId; events: number })
+  | (BytesEnd & { kind: "continuation_refused"; to: ServerId; detail: string })
   | { kind: "answered"; server: ServerId; status: number }
-  | {
+  | (BytesEnd & {
       kind: "stream_ended";
       server: ServerId;
       events: number;
@@ -73,11 +77,16 @@
       longestPause: Ms;
       /** Time from the request to the end of the longest pause. */
       longestPauseAfter: Ms;
-      continuations: number;
+    })
+  | (BytesEnd & { kind: "stream_lost"; server: ServerId; events: number; detail: string })
+  /** The framing is that of the answer that was open. */
+  | { kind: "client_left"; events: number; framing: Framing | undefined }
+  | {
+      kind: "out_of_time";
+      mayHaveRun: boolean;
+      events: number;
+      framing: Framing | undefined;
     }
-  | { kind: "stream_lost"; server: ServerId; events: number; detail: string }
-  | { kind: "client_left"; events: number }
-  | { kind: "out_of_time"; mayHaveRun: boolean }
 >;
 
 /** Where decisions are told. */
@@ -106,6 +115,8 @@
   onRunBegun: (server: BackendServer, head: RequestHead) => void;
   /** Whether a server gets no new work, as known now. */
   isLeaving: (server: BackendServer) => boolean;
+  /** What is known of a server now. */
+  getStanding: (server: BackendServer) => ServerStanding;
   /** The server's address belongs to another one now. */
   onAddressReused: (server: BackendServer) => void;
   /** No connection came up: the server may be dead, though its entry still stands. */
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -8,6 +8,7 @@
   ForwardObserver,
   Placer,
 } from "./forwarderTypes.js";
+export type { Framing, ServerStanding } from "./describeBytesEnd.js";
 export { createActiveRuns } from "./activeRuns.js";
 export type {
   ActiveRun,
--- a/packages/forwarding/src/streamRelay.ts
+++ b/packages/forwarding/src/streamRelay.ts
@@ -17,6 +17,8 @@
   hasBegun: () => boolean;
   getEvents: () => number;
   getLastEventId: () => string | undefined;
+  /** Bytes of an event whose end has not come. */
+  countBytesLeft: () => number;
   getPace: () => StreamPace;
 }>;
 
@@ -86,6 +88,7 @@
     hasBegun: () => events > 0,
     getEvents: () => events,
     getLastEventId: splitter.getLastEventId,
+    countBytesLeft: splitter.countRest,
     getPace: () => ({ firstEventAt, longestPause, longestPauseAt }),
   };
 };
--- a/packages/telemetry/src/boxMetrics.ts
+++ b/packages/telemetry/src/boxMetrics.ts
@@ -18,6 +18,12 @@
       labelNames: ["kind"],
       registers,
     }),
+    streamEnds: new Counter({
+      name: "stairgauge_stream_ends_total",
+      help: "Streams that ended, by how their last answer was framed (none: it had no head) and how they ended",
+      labelNames: ["framing", "end"],
+      registers,
+    }),
     moves: new Counter({
       name: "stairgauge_moves_total",
       help: "Steps of moving runs between engines, by kind",
