fix: nothing a server sent reaches a client's answer before it is proven to belong there

Cause, one class in five places: the state of the client's answer was shared by all attempts, and the end of a connection was taken for the end of an answer. (1) An answer with neither length nor chunks counted as whole wherever its connection ended in order, also within an event; the kernel ends it so for a process that was killed. (2) The splitter outlived its attempt, so that the next one's first event was put behind what the first had left. (3) Whatever the server of a continuation sent was written into the answer that had begun, a refusal's body too. (4) A server that went on at another event than the one asked for was passed on. (5) The head of an attempt that came to no event went out with the events of the next one's, signature included.

Ruled out: framing alone (an end behind a whole event looks the same by its bytes); asking another server behind every unframed end (a second run for each sound one).

Change: the body of an attempt's answer is held, passed on, or a leg of the stream, and takes one of these ways only (answerSink). Each leg has a splitter of its own and its first event must follow what the client has (checkJoin). The end of a connection proves nothing by itself (judgeEnd): within an event it is a cut; behind one, and for plain answers, the server's address is asked whether its process still listens, for one connection each. A stream without ids is not continued. eventSplitter.test: what dropped the rest is now taken out of the splitter and compared, since nothing drops it any more.

--- a/apps/box/src/streamEnds.test.ts
+++ b/apps/box/src/streamEnds.test.ts
@@ -109,6 +109,43 @@
       "0",
     ]);
   });
+
+  it("is not the end of a connection within an event: a stream that cannot go on is broken off", async () => {
+    const cut = getEvent(0) + getEvent(1).slice(0, 7);
+    const { answer } = await askFor("/draft/", [sendUnframed(cut, true)]);
+    expect(answer).toMatchObject({ body: getEvent(0), isWhole: false });
+  });
+
+  it("is not the end of a connection within the first event", async () => {
+    const { answer } = await askFor("/verdict/", [
+      sendUnframed(getEvent(0).slice(0, 9), true),
+      sendAsked,
+    ]);
+    expect(answer).toMatchObject({ status: 200, body: WHOLE, isWhole: true });
+  });
+
+  it("is not the end of a connection behind a whole event whose server's process is gone", async () => {
+    const { answer, engines } = await askFor("/verdict/", [
+      sendUnframed(getEvents(0, 2), true),
+      sendAsked,
+    ]);
+    expect(answer).toMatchObject({ status: 200, body: WHOLE, isWhole: true });
+    expect(engines.listCalls().map(({ lastEventId }) => lastEventId)).toEqual([
+      undefined,
+      "1",
+    ]);
+  });
+
+  it("is broken off where a stream that cannot go on lost its server's process", async () => {
+    const { answer } = await askFor("/draft/", [sendUnframed(getEvents(0, 2), true)]);
+    expect(answer).toMatchObject({ body: getEvents(0, 2), isWhole: false });
+  });
+
+  it("is the end of a connection whose server's process is still there", async () => {
+    const { answer, engines } = await askFor("/verdict/", [sendUnframed(WHOLE)]);
+    expect(answer).toMatchObject({ status: 200, body: WHOLE, isWhole: true });
+    expect(engines.listCalls()).toHaveLength(1);
+  });
 });
 
 describe("events of two servers", () => {
@@ -133,6 +170,31 @@
       expect(answer).toMatchObject({ body: getEvent(0), isWhole: false });
     }
   });
+
+  it.each([0, 3])(
+    "never meet when the second one begins at event %i instead of the next",
+    async (first) => {
+      const { answer } = await askFor("/verdict/", [
+        sendAndReset(getEvents(0, 2)),
+        sendChunked(getEvents(first, EVENT_COUNT)),
+      ]);
+      expect(answer).toMatchObject({ body: getEvents(0, 2), isWhole: false });
+    },
+  );
+
+  it("carry the signature of the one whose events go out", async () => {
+    const { answer } = await askFor("/verdict/", [
+      ({ socket }) => {
+        socket.write(
+          formatStreamHead(REQUEST, CHUNKED).replace("signature", "lost"),
+          () => setTimeout(() => socket.resetAndDestroy(), 20),
+        );
+      },
+      sendAsked,
+    ]);
+    expect(answer).toMatchObject({ body: WHOLE, isWhole: true });
+    expect(answer.headers["response-signature"]).toBe("signature");
+  });
 });
 
 describe("the lines about the end of a stream", () => {
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -2,18 +2,27 @@
 import type { Timer } from "@stairgauge/common";
 import type { BackendServer } from "@stairgauge/directory";
 import type { Exchange } from "./openExchange.js";
+import type { StreamLeg } from "./streamRelay.js";
 import type { AnswerHead } from "./types.js";
 
+/** Where the body of an attempt's answer goes; nothing of it reaches the client by another way. */
+export type AttemptBody = Readonly<
+  /** It is held back until it is whole; `parts` grows. */
+  | { kind: "held"; parts: Buffer[] }
+  /** It is too long to be held and goes out as it comes. */
+  | { kind: "passed_on" }
+  /** Whole events go out. */
+  | { kind: "stream"; leg: StreamLeg }
+>;
+
 /** The attempt's state; only the dispatch that made it changes it. */
 export type Attempt = {
   readonly server: BackendServer;
   exchange: Exchange | undefined;
   head: AnswerHead | undefined;
   reason: string;
-  isStream: boolean;
-  /** The part of an answer that is held back until it is whole. */
-  readonly chunks: Buffer[];
-  held: number;
+  body: AttemptBody;
+  heldBytes: number;
   /** Gives its place at the server back. */
   readonly release: () => void;
   /** Runs until the server answers. */
@@ -26,9 +35,12 @@
   exchange: undefined,
   head: undefined,
   reason: "",
-  isStream: false,
-  chunks: [],
-  held: 0,
+  body: { kind: "held", parts: [] },
+  heldBytes: 0,
   release,
   silence: undefined,
 });
+
+/** Bytes of an event that the attempt's server has begun and not ended. */
+export const countBytesLeft = ({ body }: Attempt): number =>
+  body.kind === "stream" ? body.leg.countBytesLeft() : 0;
--- a/packages/forwarding/src/createDispatchReports.ts
+++ b/packages/forwarding/src/createDispatchReports.ts
@@ -2,7 +2,7 @@
 import type { Ms } from "@stairgauge/common";
 import type { BackendServer } from "@stairgauge/directory";
 import type { PlacementDecision } from "@stairgauge/placement";
-import type { Attempt } from "./attempt.js";
+import { countBytesLeft, type Attempt } from "./attempt.js";
 import { describeEnd, type AttemptEnd } from "./decideNext.js";
 import {
   deriveFraming,
@@ -50,7 +50,10 @@
     describeBytesEnd({
       head: attempt.head,
       closing,
-      relay,
+      relay: {
+        getLastEventId: relay.getLastEventId,
+        countBytesLeft: () => countBytesLeft(attempt),
+      },
       continuations: countContinuations(),
       standing: placer.getStanding(attempt.server),
     });
--- a/packages/forwarding/src/describeBytesEnd.ts
+++ b/packages/forwarding/src/describeBytesEnd.ts
@@ -1,7 +1,7 @@
 /** Says how the bytes of one attempt ended, and what its box held of the stream and knew of the server then. Pure. */
 import type { Ms } from "@stairgauge/common";
 import { describeEnd, type AttemptEnd } from "./decideNext.js";
-import type { StreamRelay } from "./streamRelay.js";
+import type { StreamLeg, StreamRelay } from "./streamRelay.js";
 import type { AnswerHead } from "./types.js";
 
 /** How a server's answer says where it ends. */
@@ -39,7 +39,7 @@
 export type BytesEndInputs = Readonly<{
   head: AnswerHead | undefined;
   closing: BytesClosing;
-  relay: Pick<StreamRelay, "getLastEventId" | "countBytesLeft">;
+  relay: Pick<StreamRelay, "getLastEventId"> & Pick<StreamLeg, "countBytesLeft">;
   continuations: number;
   standing: ServerStanding;
 }>;
--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -2,10 +2,11 @@
  * Brings one admitted request to its end: chooses a server, sends it, judges what comes back, and goes
  * on with another attempt, another server for the same run, or the final answer.
  */
-import type { Ms, Timer } from "@stairgauge/common";
+import { assertNever, type Ms, type Timer } from "@stairgauge/common";
 import type { BackendServer, ServerId } from "@stairgauge/directory";
 import type { PlacementDecision } from "@stairgauge/placement";
 import { createActiveRun, type ActiveRun, type RunContinuation } from "./activeRuns.js";
+import { createAnswerSink } from "./answerSink.js";
 import { createAttempt, type Attempt } from "./attempt.js";
 import { buildExchangeRequest } from "./buildExchangeRequest.js";
 import { computeDemand } from "./computeDemand.js";
@@ -17,7 +18,6 @@
 import {
   decideNext,
   describeEnd,
-  isStreamOf,
   judgeAttempt,
   mayRepeat,
   type AttemptEnd,
@@ -34,9 +34,6 @@
 /** Attempts that never reached a server before the request is given up. */
 const MAX_UNREACHED = 3;
 
-/** An answer longer than this is passed on as it comes, since it cannot be held. */
-const HELD_ANSWER_BYTES = 512 * 1024;
-
 /** Continuations of one run after which it counts as lost. */
 const MAX_CONTINUATIONS = 12;
 
@@ -109,9 +106,14 @@
   };
   const limitTimer: Timer = clock.setTimer((endsAt - getNow()) as Ms, endOutOfTime);
 
-  const relay = createStreamRelay(clock, answer, () => {
-    if (current) placer.onRunBegun(current.server, head);
-    if (run) runKeeper.onBegun(run);
+  const relay = createStreamRelay({
+    clock,
+    answer,
+    askedBehind: head.lastEventId,
+    onFirstEvent: () => {
+      if (current) placer.onRunBegun(current.server, head);
+      if (run) runKeeper.onBegun(run);
+    },
   });
   const reports = createDispatchReports({
     deps,
@@ -145,22 +147,28 @@
       demand,
       continuation,
     });
-    const isCurrent = () => current === attempt && !isOver;
     if (!continuation) attempt.silence = watchAttempt(attempt);
-    attempt.exchange = openExchange(clock, exchangeRequest, {
-      onHead: (status, raw, reason) => {
-        if (isCurrent()) takeHead(attempt, codec.decodeAnswer(status, raw), reason);
-      },
-      onData: (chunk) => {
-        if (isCurrent()) takeData(attempt, chunk);
-      },
-      onEnd: () => {
-        if (isCurrent()) takeEnd(attempt);
-      },
-      onFailure: (failure) => {
-        if (isCurrent()) takeFailure(attempt, failure);
+    const sink = createAnswerSink({
+      clock,
+      codec,
+      request,
+      relay,
+      attempt,
+      isLeaving: () => placer.isLeaving(server),
+      connectLimit: deps.connectLimit,
+      listener: {
+        isCurrent: () => current === attempt && !isOver,
+        onHead: (answerHead) => takeHead(attempt, answerHead),
+        onStreamBegun: () => takeStreamBegun(attempt),
+        onPassingOn: () => {
+          mayHaveRun = true;
+        },
+        onWhole: () => endWhole(attempt),
+        onFailure: (failure) => takeFailure(attempt, failure),
+        onNoStream: () => conclude(attempt, { kind: "answered", head: attempt.head! }),
       },
     });
+    attempt.exchange = openExchange(clock, exchangeRequest, sink);
     return attempt;
   };
 
@@ -190,15 +198,12 @@
     attemptNext();
   };
 
-  const takeHead = (attempt: Attempt, answerHead: AnswerHead, reason: string) => {
+  const takeHead = (attempt: Attempt, answerHead: AnswerHead) => {
     attempt.silence?.cancel();
-    attempt.head = answerHead;
     placer.onAnswered(attempt.server);
-    attempt.reason = reason;
-    attempt.isStream = isStreamOf(request, answerHead);
     if (answerHead.isClosing) placer.onConnectionClosing(attempt.server);
-    if (!attempt.isStream) return;
-    relay.takeHead(answerHead.passedOn, reason);
+  };
+  const takeStreamBegun = (attempt: Attempt) => {
     if (continuations > 0 && run) {
       placer.onRunBegun(attempt.server, head);
       runKeeper.onContinued(run, { kind: "goes_on" });
@@ -206,65 +211,47 @@
     startRun();
   };
 
-  const takeData = (attempt: Attempt, chunk: Buffer) => {
-    if (attempt.isStream) {
-      if (relay.push(chunk)) attempt.exchange?.pause();
-      return;
-    }
-    if (answer.hasBegun()) {
-      if (!answer.write(chunk)) attempt.exchange?.pause();
-      return;
-    }
-    attempt.chunks.push(chunk);
-    attempt.held += chunk.length;
-    if (attempt.held > HELD_ANSWER_BYTES) startPassingOn(attempt);
-  };
-
-  const startPassingOn = (attempt: Attempt) => {
-    const answerHead = attempt.head!;
-    if (judgeAttempt({ kind: "answered", head: answerHead }, head.id) !== "final") return;
-    mayHaveRun = true;
-    const { status, passedOn } = answerHead;
-    answer.begin({ status, reason: attempt.reason, headers: passedOn });
-    if (!answer.write(Buffer.concat(attempt.chunks))) attempt.exchange?.pause();
-    attempt.chunks.length = 0;
-  };
-
-  const takeEnd = (attempt: Attempt) => {
+  const endWhole = (attempt: Attempt) => {
+    const { body } = attempt;
     const end: AttemptEnd = { kind: "answered", head: attempt.head! };
-    if (attempt.isStream) {
-      // A body that ends with its connection cannot tell an end from a stop that was asked for.
-      if (attempt.head!.isUnframed && run && placer.isLeaving(attempt.server)) {
-        const detail = "connection ended without an end of the stream";
-        void continueElsewhere(attempt, end, detail);
+    switch (body.kind) {
+      case "held":
+        conclude(attempt, end);
         return;
-      }
-      reports.tellStreamEnded(attempt, end);
-      relay.finish();
-      finish();
-      return;
-    }
-    if (answer.hasBegun() && !relay.hasBegun()) {
-      answer.end();
-      reports.tellAnswered(attempt);
-      finish();
-      return;
+      case "passed_on":
+        answer.end();
+        reports.tellAnswered(attempt);
+        finish();
+        return;
+      case "stream":
+        reports.tellStreamEnded(attempt, end);
+        body.leg.finish();
+        finish();
+        return;
+      default:
+        assertNever(body);
     }
-    conclude(attempt, end);
   };
 
   const takeFailure = (attempt: Attempt, failure: ExchangeFailure) => {
     const end: AttemptEnd = { kind: "failed", failure };
-    if (attempt.isStream && relay.hasBegun()) {
-      void continueElsewhere(attempt, end);
-      return;
-    }
-    if (answer.hasBegun() && !relay.hasBegun()) {
-      const ended = reports.describeBytes(attempt, end);
-      loseStream({ from: attempt.server, ended }, failure.detail);
-      return;
+    const { body } = attempt;
+    switch (body.kind) {
+      case "held":
+        conclude(attempt, end);
+        return;
+      case "passed_on": {
+        const ended = reports.describeBytes(attempt, end);
+        loseStream({ from: attempt.server, ended }, failure.detail);
+        return;
+      }
+      case "stream":
+        if (relay.hasBegun()) void continueElsewhere(attempt, end);
+        else conclude(attempt, end);
+        return;
+      default:
+        assertNever(body);
     }
-    conclude(attempt, end);
   };
 
   const canRetryNow = (): boolean => {
@@ -324,7 +311,7 @@
     reports.tellAnswered(attempt);
     answer.sendWhole(
       { status, reason: attempt.reason, headers: passedOn },
-      Buffer.concat(attempt.chunks),
+      Buffer.concat(attempt.body.kind === "held" ? attempt.body.parts : []),
     );
     finish();
   };
@@ -354,15 +341,16 @@
   };
 
   /** The run's server has ended its stream: the same run goes on elsewhere, or a new one where that is allowed. */
-  const continueElsewhere = async (
-    attempt: Attempt,
-    end: AttemptEnd,
-    detail = describeEnd(end),
-  ) => {
+  const continueElsewhere = async (attempt: Attempt, end: AttemptEnd) => {
     const ended = reports.describeBytes(attempt, end);
     const left: LeftServer = { from: attempt.server, ended };
-    relay.dropRest();
+    const detail = describeEnd(end);
     dropAttempt();
+    // Without an id nobody can be asked for what comes next.
+    if (relay.hasBegun() && relay.getLastEventId() === undefined) {
+      loseStream(left, detail);
+      return;
+    }
     if (continuations === 0) attemptsSent += 1;
     continuations += 1;
     const continuation =
--- a/packages/forwarding/src/eventSplitter.test.ts
+++ b/packages/forwarding/src/eventSplitter.test.ts
@@ -57,10 +57,12 @@
     },
   );
 
-  it("holds an event back that was cut in the middle, and drops it when told", () => {
+  it("holds an event back that was cut in the middle, and holds it no more once it is taken", () => {
     const splitter = createEventSplitter();
     expect(splitter.push(Buffer.from("id: 1\ndata: a\n\nid: 2\nda"))?.events).toBe(1);
-    splitter.dropRest();
+    expect(splitter.countRest()).toBe(8);
+    expect(splitter.takeRest().toString()).toBe("id: 2\nda");
+    expect(splitter.countRest()).toBe(0);
     expect(splitter.push(Buffer.from("id: 2\ndata: b\n\n"))?.bytes.toString()).toBe(
       "id: 2\ndata: b\n\n",
     );
--- a/packages/forwarding/src/eventSplitter.ts
+++ b/packages/forwarding/src/eventSplitter.ts
@@ -4,8 +4,13 @@
  * Bytes are never changed: what is passed on is exactly what came, later by the rest of one event.
  */
 
-/** A run of whole events, and the id of the last of them that has one. */
-export type EventBatch = Readonly<{ bytes: Buffer; events: number }>;
+/** Whole events, and the ids of the first and the last of them that have one. */
+export type EventBatch = Readonly<{
+  bytes: Buffer;
+  events: number;
+  firstId: string | undefined;
+  lastId: string | undefined;
+}>;
 
 /** Takes bytes as they come and gives whole events. */
 export type EventSplitter = Readonly<{
@@ -13,11 +18,10 @@
   push: (chunk: Buffer) => EventBatch | undefined;
   /** Id of the last whole event that has one. */
   getLastEventId: () => string | undefined;
-  /** How many bytes of an event are held whose end has not come. */
+  /** How many bytes of an event whose end has not come are held. */
   countRest: () => number;
-  /** Bytes of an event whose end has not come. */
+  /** Hands those bytes out; none are held afterwards. */
   takeRest: () => Buffer;
-  dropRest: () => void;
 }>;
 
 const LINE_FEED = 0x0a;
@@ -27,16 +31,24 @@
 const ID_FIELD = Buffer.from("id:");
 const ID_LINE = Buffer.from("\nid:");
 
+const isFirstLineId = (events: Buffer): boolean =>
+  events.subarray(0, ID_FIELD.length).equals(ID_FIELD);
+
+/** Where the value of the first id field begins, or -1. */
+const findFirstIdStart = (events: Buffer): number => {
+  if (isFirstLineId(events)) return ID_FIELD.length;
+  const at = events.indexOf(ID_LINE);
+  return at >= 0 ? at + ID_LINE.length : -1;
+};
+
 /** Where the value of the last id field begins, or -1. */
 const findLastIdStart = (events: Buffer): number => {
   const at = events.lastIndexOf(ID_LINE);
   if (at >= 0) return at + ID_LINE.length;
-  const isFirst = events.subarray(0, ID_FIELD.length).equals(ID_FIELD);
-  return isFirst ? ID_FIELD.length : -1;
+  return isFirstLineId(events) ? ID_FIELD.length : -1;
 };
 
-const findLastId = (events: Buffer): string | undefined => {
-  const found = findLastIdStart(events);
+const readId = (events: Buffer, found: number): string | undefined => {
   if (found < 0) return undefined;
   const start = events[found] === SPACE ? found + 1 : found;
   const lineEnd = events.indexOf(LINE_FEED, start);
@@ -92,8 +104,10 @@
       }
       const whole = bytes.subarray(0, end);
       rest = bytes.subarray(end);
-      lastEventId = findLastId(whole) ?? lastEventId;
-      return { bytes: whole, events: count };
+      const lastId = readId(whole, findLastIdStart(whole));
+      lastEventId = lastId ?? lastEventId;
+      const firstId = readId(whole, findFirstIdStart(whole));
+      return { bytes: whole, events: count, firstId, lastId };
     },
     getLastEventId: () => lastEventId,
     countRest: () => rest.length,
@@ -102,8 +116,5 @@
       rest = Buffer.alloc(0);
       return taken;
     },
-    dropRest: () => {
-      rest = Buffer.alloc(0);
-    },
   };
 };
--- /dev/null
+++ b/packages/forwarding/src/judgeEnd.test.ts
@@ -0,0 +1,49 @@
+import { describe, expect, it } from "vitest";
+import { judgeEnd, judgeEndBy, type EndedAnswer } from "./judgeEnd.js";
+
+const makeEnded = (changes: Partial<EndedAnswer>): EndedAnswer => ({
+  framing: "connection",
+  isStream: true,
+  bytesLeft: 0,
+  isLeaving: false,
+  ...changes,
+});
+
+describe("judgeEnd", () => {
+  it.each(["length", "chunks"] as const)(
+    "takes an end by its %s for whole",
+    (framing) => {
+      for (const bytesLeft of [0, 7])
+        for (const isLeaving of [false, true])
+          expect(judgeEnd(makeEnded({ framing, bytesLeft, isLeaving }))).toEqual({
+            kind: "whole",
+          });
+    },
+  );
+
+  it("never takes the end of a connection for whole by itself", () => {
+    for (const isStream of [false, true])
+      for (const bytesLeft of [0, 7])
+        for (const isLeaving of [false, true])
+          expect(judgeEnd(makeEnded({ isStream, bytesLeft, isLeaving })).kind).not.toBe(
+            "whole",
+          );
+  });
+
+  it("knows a stream that ends within an event, or at a server that leaves, for cut", () => {
+    expect(judgeEnd(makeEnded({ bytesLeft: 1 })).kind).toBe("cut");
+    expect(judgeEnd(makeEnded({ isLeaving: true })).kind).toBe("cut");
+    expect(judgeEnd(makeEnded({})).kind).toBe("unproven");
+    expect(judgeEnd(makeEnded({ isStream: false, isLeaving: true })).kind).toBe(
+      "unproven",
+    );
+  });
+});
+
+describe("judgeEndBy", () => {
+  it("takes an answer for whole only if its server's process is still there", () => {
+    expect(judgeEndBy("listens")).toEqual({ kind: "whole" });
+    expect(judgeEndBy("refuses").kind).toBe("cut");
+    expect(judgeEndBy("silent").kind).toBe("cut");
+  });
+});
--- /dev/null
+++ b/packages/forwarding/src/streamRelay.test.ts
@@ -0,0 +1,82 @@
+import { describe, expect, it } from "vitest";
+import { createSystemClock } from "@stairgauge/common";
+import type { ClientAnswer, WholeHead } from "./clientAnswer.js";
+import { createStreamRelay } from "./streamRelay.js";
+
+const makeRelay = (askedBehind?: string) => {
+  const heads: WholeHead[] = [];
+  let sent = "";
+  let isEnded = false;
+  const answer: ClientAnswer = {
+    hasBegun: () => heads.length > 0,
+    isOver: () => isEnded,
+    sendWhole: () => undefined,
+    begin: (head) => void heads.push(head),
+    write: (bytes) => {
+      sent += bytes.toString();
+      return true;
+    },
+    end: () => {
+      isEnded = true;
+    },
+    break: () => undefined,
+    onDrain: () => undefined,
+  };
+  const relay = createStreamRelay({
+    clock: createSystemClock(),
+    answer,
+    askedBehind,
+    onFirstEvent: () => undefined,
+  });
+  return { relay, heads, getSent: () => sent, isEnded: () => isEnded };
+};
+
+const makeEvent = (id: number, by: string) => `id: ${id}\ndata: ${by}\n\n`;
+
+describe("createStreamRelay", () => {
+  it("drops what a leg leaves behind when the next one begins", () => {
+    const { relay, getSent } = makeRelay();
+    relay.beginLeg([], "").push(Buffer.from(`${makeEvent(0, "a")}id: 1\nda`));
+    const next = relay.beginLeg([], "");
+    expect(next.countBytesLeft()).toBe(0);
+    next.push(Buffer.from(makeEvent(1, "b")));
+    expect(getSent()).toBe(makeEvent(0, "a") + makeEvent(1, "b"));
+  });
+
+  it("takes nothing more from a leg once another has begun, nor its end", () => {
+    const { relay, getSent, isEnded } = makeRelay();
+    const first = relay.beginLeg([], "");
+    first.push(Buffer.from(makeEvent(0, "a")));
+    relay.beginLeg([], "");
+    expect(first.push(Buffer.from(makeEvent(1, "a")))).toEqual({ kind: "held" });
+    first.finish();
+    expect(getSent()).toBe(makeEvent(0, "a"));
+    expect(isEnded()).toBe(false);
+  });
+
+  it("sends the head of the server whose event goes out first, and no other", () => {
+    const { relay, heads } = makeRelay();
+    relay.beginLeg(["Signature", "a"], "").push(Buffer.from("id: 0\nda"));
+    relay.beginLeg(["Signature", "b"], "").push(Buffer.from(makeEvent(0, "b")));
+    relay.beginLeg(["Signature", "c"], "").push(Buffer.from(makeEvent(1, "c")));
+    expect(heads.map(({ headers }) => headers)).toEqual([["Signature", "b"]]);
+  });
+
+  it.each([0, 1, 3])("passes nothing on of a leg that begins at %i behind 1", (first) => {
+    const { relay, getSent } = makeRelay();
+    relay.beginLeg([], "").push(Buffer.from(makeEvent(0, "a") + makeEvent(1, "a")));
+    const leg = relay.beginLeg([], "");
+    const step = { kind: "does_not_follow", eventId: String(first), behind: "1" };
+    expect(leg.push(Buffer.from(makeEvent(first, "b")))).toEqual(step);
+    expect(leg.push(Buffer.from(makeEvent(2, "b")))).toEqual({ kind: "held" });
+    expect(getSent()).toBe(makeEvent(0, "a") + makeEvent(1, "a"));
+  });
+
+  it("passes nothing on of a first leg that overlooks what the client asked behind", () => {
+    const { relay, getSent, heads } = makeRelay("4");
+    relay.beginLeg([], "").push(Buffer.from(makeEvent(0, "a")));
+    expect([getSent(), heads]).toEqual(["", []]);
+    relay.beginLeg([], "").push(Buffer.from(makeEvent(5, "b")));
+    expect(getSent()).toBe(makeEvent(5, "b"));
+  });
+});
--- a/packages/forwarding/src/streamRelay.ts
+++ b/packages/forwarding/src/streamRelay.ts
@@ -1,27 +1,57 @@
-/** Passes the events of a run on to its client, whole events only, from whichever server makes them. */
+/**
+ * Passes the events of a run on to its client, whole events only, from whichever server makes them.
+ *
+ * Each server's part is a leg with a splitter of its own: what one server leaves behind never stands before another's events.
+ */
 import type { Clock, Ms } from "@stairgauge/common";
+import { mayFollow } from "./checkJoin.js";
 import type { ClientAnswer } from "./clientAnswer.js";
-import { createEventSplitter } from "./eventSplitter.js";
+import { createEventSplitter, type EventBatch } from "./eventSplitter.js";
 import type { RawHeaders } from "./types.js";
 
+/** What became of a chunk. */
+export type LegStep = Readonly<
+  /** It completes no event, or the leg is no longer the stream's. */
+  | { kind: "held" }
+  /** Whole events were passed on; the client may read slower than they come. */
+  | { kind: "passed_on"; isClientSlow: boolean }
+  /** The leg's first event does not follow what the client has: nothing of it was passed on. */
+  | {
+      kind: "does_not_follow";
+      eventId: string | undefined;
+      /** The event that the leg was to go on behind. */
+      behind: string | undefined;
+    }
+>;
+
+/** The part of a stream that one server makes. */
+export type StreamLeg = Readonly<{
+  push: (chunk: Buffer) => LegStep;
+  /** Bytes of an event whose end has not come. */
+  countBytesLeft: () => number;
+  /** The leg has ended whole, and the stream with it. */
+  finish: () => void;
+}>;
+
 /** The relay of one stream. */
 export type StreamRelay = Readonly<{
-  /** Takes the first server's head; it goes out with the first event. */
-  takeHead: (headers: RawHeaders, reason: string) => void;
-  /** Passes on what the chunk completes; true when the server should be paused. */
-  push: (chunk: Buffer) => boolean;
-  /** The stream has ended whole. */
-  finish: () => void;
-  /** Drops the part of an event that a server left behind. */
-  dropRest: () => void;
+  /** Begins a server's part; its head goes out with the first event, unless another's has gone out before. */
+  beginLeg: (headers: RawHeaders, reason: string) => StreamLeg;
   hasBegun: () => boolean;
   getEvents: () => number;
   getLastEventId: () => string | undefined;
-  /** Bytes of an event whose end has not come. */
-  countBytesLeft: () => number;
   getPace: () => StreamPace;
 }>;
 
+/** What a relay needs. */
+export type StreamRelayOptions = Readonly<{
+  clock: Clock;
+  answer: ClientAnswer;
+  /** The event behind which the client itself asked to go on, if any. */
+  askedBehind: string | undefined;
+  onFirstEvent: () => void;
+}>;
+
 /** How a stream came, as its client sees it. */
 export type StreamPace = Readonly<{
   firstEventAt: Ms | undefined;
@@ -31,16 +61,13 @@
 
 const STREAM_STATUS = 200;
 
-/** Creates a relay before its first head. */
-export const createStreamRelay = (
-  clock: Clock,
-  answer: ClientAnswer,
-  onFirstEvent: () => void,
-): StreamRelay => {
-  const splitter = createEventSplitter();
-  let headers: RawHeaders | undefined;
-  let reason = "";
+/** Creates a relay before its first leg. */
+export const createStreamRelay = (options: StreamRelayOptions): StreamRelay => {
+  const { clock, answer, askedBehind, onFirstEvent } = options;
+  let current: StreamLeg | undefined;
   let events = 0;
+  let firstId: string | undefined;
+  let lastId: string | undefined;
   let firstEventAt: Ms | undefined;
   let lastEventAt: Ms | undefined;
   let longestPause = 0 as Ms;
@@ -55,40 +82,58 @@
     longestPause = pause;
     longestPauseAt = now;
   };
+  const recordEvents = (batch: EventBatch) => {
+    events += batch.events;
+    firstId ??= batch.firstId;
+    lastId = batch.lastId ?? lastId;
+    recordPace();
+  };
+  const passOn = (batch: EventBatch): LegStep => {
+    const isFirst = events === 0;
+    recordEvents(batch);
+    const mayGoOn = answer.write(batch.bytes);
+    if (isFirst) onFirstEvent();
+    return { kind: "passed_on", isClientSlow: !mayGoOn };
+  };
 
-  const begin = () => {
-    if (answer.hasBegun()) return;
-    answer.begin({ status: STREAM_STATUS, reason, headers: headers ?? [] });
+  const beginLeg = (headers: RawHeaders, reason: string): StreamLeg => {
+    const splitter = createEventSplitter();
+    let isJoined = false;
+    const begin = () => {
+      if (!answer.hasBegun()) answer.begin({ status: STREAM_STATUS, reason, headers });
+    };
+    const leg: StreamLeg = {
+      push: (chunk) => {
+        const batch = current === leg ? splitter.push(chunk) : undefined;
+        if (!batch) return { kind: "held" };
+        const soFar = { events, firstId, lastId: lastId ?? askedBehind };
+        isJoined ||= mayFollow(soFar, batch.firstId);
+        if (!isJoined) {
+          current = undefined;
+          const { firstId: eventId } = batch;
+          return { kind: "does_not_follow", eventId, behind: soFar.lastId };
+        }
+        begin();
+        return passOn(batch);
+      },
+      countBytesLeft: splitter.countRest,
+      finish: () => {
+        if (current !== leg) return;
+        begin();
+        const rest = splitter.takeRest();
+        if (rest.length > 0) answer.write(rest);
+        answer.end();
+      },
+    };
+    current = leg;
+    return leg;
   };
 
   return {
-    takeHead: (first, firstReason) => {
-      if (headers) return;
-      headers = first;
-      reason = firstReason;
-    },
-    push: (chunk) => {
-      const batch = splitter.push(chunk);
-      if (!batch) return false;
-      const isFirst = events === 0;
-      events += batch.events;
-      recordPace();
-      begin();
-      const mayGoOn = answer.write(batch.bytes);
-      if (isFirst) onFirstEvent();
-      return !mayGoOn;
-    },
-    finish: () => {
-      begin();
-      const rest = splitter.takeRest();
-      if (rest.length > 0) answer.write(rest);
-      answer.end();
-    },
-    dropRest: splitter.dropRest,
+    beginLeg,
     hasBegun: () => events > 0,
     getEvents: () => events,
-    getLastEventId: splitter.getLastEventId,
-    countBytesLeft: splitter.countRest,
+    getLastEventId: () => lastId,
     getPace: () => ({ firstEventAt, longestPause, longestPauseAt }),
   };
 };
