feat: explain names a stream whose end stood within an event

Cause: a stream that ended as complete within an event was counted as served or late.

Change: `stream_ended` with bytes of an event left is "engine ended: within an event", before lateness; a lost stream keeps its cause by its move, with what was left among its inputs.

--- a/packages/diagnosis/src/diagnosis.test.ts
+++ b/packages/diagnosis/src/diagnosis.test.ts
@@ -144,6 +144,37 @@
         ["stream_lost", { server: "s1" }],
       ],
     ],
+    [
+      "engine ended: within an event",
+      [
+        makePlaced(0),
+        [
+          "stream_ended",
+          {
+            firstEventAfter: 2_900,
+            longestPause: 0,
+            closed: "in_order",
+            bytesLeft: 7,
+            ...AIMS,
+          },
+        ],
+      ],
+    ],
+    [
+      "engine ended: unannounced",
+      [makePlaced(0), ["stream_lost", { server: "s1", bytesLeft: 7 }]],
+    ],
+    [
+      "served",
+      [
+        makePlaced(0),
+        ["resumed", { from: "s1", to: "s2", bytesLeft: 7 }],
+        [
+          "stream_ended",
+          { firstEventAfter: 900, longestPause: 90, bytesLeft: 0, ...AIMS },
+        ],
+      ],
+    ],
     ["still open", [makePlaced(0)]],
   ])("%s", (expected, steps) => {
     expect(findCause(parseAll(tell(...steps)))).toBe(expected);
@@ -298,6 +329,49 @@
   });
 });
 
+describe("explainRequest of a stream that went on elsewhere", () => {
+  it("tells how each server's bytes ended, and what its box met of both", () => {
+    const first = {
+      framing: "connection",
+      closed: "ECONNRESET",
+      lastEventId: "0",
+      bytesLeft: 7,
+      continuations: 0,
+      serverStanding: "leaving",
+      standingAgeMs: 40,
+    };
+    const second = {
+      ...first,
+      closed: "in_order",
+      lastEventId: "3",
+      bytesLeft: 0,
+      continuations: 1,
+    };
+    const box = makeBox("a");
+    box.about("r", "placed", { server: "s1" });
+    box.pass(5);
+    box.write("server_leaving", { server: "s1" });
+    box.pass(40);
+    box.about("r", "resumed", { from: "s1", to: "s2", events: 1, ...first });
+    box.pass(5);
+    box.write("server_leaving", { server: "s2" });
+    box.pass(30);
+    box.about("r", "stream_ended", { server: "s2", ...second });
+    const [explained] = explainRequest(buildChronicle(parseAll(box)), "r");
+    const { cause, steps } = explained!;
+    expect(describeCause(cause)).toBe("served");
+    expect(steps.map(({ event, afterMs }) => [event, afterMs])).toEqual([
+      ["placed", 0],
+      ["server_leaving", 5],
+      ["resumed", 45],
+      ["server_leaving", 50],
+      ["stream_ended", 80],
+    ]);
+    expect(steps[2]!.inputs).toMatchObject(first);
+    expect(steps[4]!.inputs).toMatchObject(second);
+  });
+});
+
 describe("renderLossPlot", () => {
   it("draws each cause that took something, and none that did not", async () => {
     const box = makeBox("a");
--- a/packages/diagnosis/src/judgeCause.ts
+++ b/packages/diagnosis/src/judgeCause.ts
@@ -42,6 +42,7 @@
 };
 
 const judgeWholeStream = (story: RequestStory, end: TimedLine): Cause => {
+  if ((getNumber(end, "bytesLeft") ?? 0) > 0) return { kind: "ended_within_event" };
   const firstAfter = getNumber(end, "firstEventAfter") ?? 0;
   const excess = firstAfter - (getNumber(end, "aimMs") ?? Infinity);
   if (excess > 0) return { kind: "late", by: judgeDelay(story, excess, "prompt") };
@@ -148,6 +149,8 @@
       return `server failed: ${cause.how.replaceAll("_", " ")}`;
     case "engine_ended":
       return `engine ended: ${cause.progress.replaceAll("_", " ")}`;
+    case "ended_within_event":
+      return "engine ended: within an event";
     case "served":
     case "out_of_time":
     case "box_ended":
--- a/packages/diagnosis/src/types.ts
+++ b/packages/diagnosis/src/types.ts
@@ -77,6 +77,8 @@
   | { kind: "server_failed"; how: "own_failure" | "answer_lost" }
   | { kind: "out_of_time" }
   | { kind: "engine_ended"; progress: MoveProgress }
+  /** The box took the stream for whole though bytes of an event were left whose end had not come. */
+  | { kind: "ended_within_event" }
   /** The box ended with the request open. */
   | { kind: "box_ended" }
   | { kind: "client_left" }
