fix: what ended an answer is told by the exchange, not guessed from its head

Cause: whether a connection ended an answer was derived from the headers. An answer without a body (204, 304, to HEAD) has neither a length nor chunks either, and would have had its server asked; a refusal's body proves nothing that its head doesn't say. Change: openExchange says whether the message was complete when its connection ended; answers whose head alone decides are not asked for. Ruled out: the end of the message as the response object tells it, which a client that reads slowly puts off beyond the connection's end.

--- a/packages/forwarding/src/answerSink.ts
+++ b/packages/forwarding/src/answerSink.ts
@@ -6,10 +6,9 @@
 import { askListener } from "./askListener.js";
 import { countBytesLeft, type Attempt } from "./attempt.js";
 import { isStreamOf, judgeAttempt } from "./decideNext.js";
-import { deriveFraming } from "./describeBytesEnd.js";
 import type { AdmittedRequest } from "./forwarderTypes.js";
 import { judgeEnd, judgeEndBy, type EndProof } from "./judgeEnd.js";
-import type { ExchangeSink } from "./openExchange.js";
+import type { EndedBy, ExchangeSink } from "./openExchange.js";
 import type { LegStep, StreamRelay } from "./streamRelay.js";
 import type { AnswerHead, ExchangeFailure, HeadCodec } from "./types.js";
 
@@ -116,9 +115,15 @@
     }
   };
 
-  const takeEnd = () => {
+  /** A refusal, and an answer that is no use, are judged by their head. */
+  const isBodyNeeded = (answerHead: AnswerHead): boolean => {
+    const verdict = judgeAttempt({ kind: "answered", head: answerHead }, head.id);
+    return verdict === "final" || verdict === "ran_and_failed";
+  };
+  const takeEnd = (endedBy: EndedBy) => {
     const proof = judgeEnd({
-      framing: deriveFraming(attempt.head!),
+      endedBy,
+      isBodyNeeded: isBodyNeeded(attempt.head!),
       isStream: attempt.body.kind === "stream",
       bytesLeft: countBytesLeft(attempt),
       isLeaving: options.isLeaving(),
--- a/packages/forwarding/src/openExchange.ts
+++ b/packages/forwarding/src/openExchange.ts
@@ -24,12 +24,15 @@
   connectLimit: Ms;
 }>;
 
+/** What ended an answer: its own framing, or its connection, closed in order while the answer could have gone on. */
+export type EndedBy = "framing" | "connection";
+
 /** What happens during an exchange; after `onEnd` or `onFailure` nothing more comes. */
 export type ExchangeSink = Readonly<{
   onHead: (status: number, headers: RawHeaders, reason: string) => void;
   onData: (chunk: Buffer) => void;
-  /** The answer came whole. */
-  onEnd: () => void;
+  /** The answer has ended without an error; what that proves depends on what ended it. */
+  onEnd: (endedBy: EndedBy) => void;
   onFailure: (failure: ExchangeFailure) => void;
 }>;
 
@@ -45,9 +48,6 @@
 
 const EMPTY_LINE = "\r\n";
 
-const isUnframed = ({ headers }: IncomingMessage): boolean =>
-  headers["content-length"] === undefined && headers["transfer-encoding"] === undefined;
-
 const getCode = (error: unknown): string => {
   const code = (error as { readonly code?: unknown } | null)?.code;
   if (typeof code === "string") return code;
@@ -64,6 +64,7 @@
   let isConnected = false;
   let isOver = false;
   let answer: IncomingMessage | undefined;
+  let endedBy: EndedBy = "framing";
   const { host, port } = address;
   const socket = connect({ host, port, noDelay: true, allowHalfOpen: true });
 
@@ -101,10 +102,11 @@
     maxHeaderSize: ANSWER_HEAD_BYTES,
   });
   // NOTE: the runtime reports a reset that arrives with the last bytes as an end in order. Only a
-  // write tells them apart, and only an answer that ends with its connection needs to know; the
-  // empty line is one that servers skip between requests.
+  // write tells them apart, and only an answer that has not ended before needs to know; the empty
+  // line is one that servers skip between requests.
   socket.prependListener("end", () => {
-    if (!answer || !isUnframed(answer)) return;
+    if (!answer || answer.complete) return;
+    endedBy = "connection";
     socket.write(EMPTY_LINE, (error) => {
       if (error) fail(toFailure(error));
     });
@@ -125,7 +127,7 @@
       setImmediate(() => {
         if (!finish()) return;
         socket.destroy();
-        sink.onEnd();
+        sink.onEnd(endedBy);
       });
     });
     incoming.on("error", (error) => fail(toFailure(error)));
