--- a/packages/forwarding/src/eventSplitter.test.ts
+++ b/packages/forwarding/src/eventSplitter.test.ts
@@ -33,6 +33,31 @@
         separator.repeat(2),
     }));
 
+/** A line and how it ends. */
+type Line = Readonly<{ text: string; end: string }>;
+
+const lineEnd = fc.constantFrom("\n", "\r\n");
+/** Lines of which some name an id, and some only seem to. */
+const anyLine = fc.oneof(
+  fc.constantFrom("versions: 3", "data: id: 5", ": id: 6", "data", " id: 7", "idle: 8"),
+  fc.stringMatching(/^data: ?[a-zäé ]{0,6}$/),
+  fc.stringMatching(/^id:[ ]{0,2}[a-z0-9-]{0,4}$/),
+);
+/** Lines of one event; the last, empty one ends it. */
+const mixedEvent: fc.Arbitrary<readonly Line[]> = fc
+  .tuple(
+    fc.array(fc.record({ text: anyLine, end: lineEnd }), { minLength: 1, maxLength: 4 }),
+    lineEnd,
+  )
+  .map(([lines, end]) => [...lines, { text: "", end }]);
+const formatMixed = (lines: readonly Line[]) =>
+  lines.map(({ text, end }) => text + end).join("");
+const findId = (lines: readonly Line[]) =>
+  lines
+    .findLast(({ text }) => text.startsWith("id:"))
+    ?.text.slice("id:".length)
+    .replace(/^ /, "");
+
 describe("createEventSplitter", () => {
   it.each(["\n", "\r\n"])(
     "passes whole events on, however they are cut (%j)",
@@ -57,6 +82,57 @@
     },
   );
 
+  it("finds ends and the last id whatever the lines are and however each of them ends", () => {
+    fc.assert(
+      fc.property(
+        fc.array(mixedEvent, { maxLength: 5 }),
+        mixedEvent,
+        fc.nat(200),
+        fc.array(fc.nat(300), { maxLength: 40 }),
+        (events, next, cut, cuts) => {
+          const whole = events.map(formatMixed).join("");
+          const following = formatMixed(next);
+          const rest = following.slice(0, cut % following.length);
+          const split = splitAll(whole + rest, cuts);
+          expect(split.passed).toBe(whole);
+          expect(split.events).toBe(events.length);
+          expect(split.splitter.getLastEventId()).toBe(findId(events.flat()));
+          expect(split.splitter.takeRest().toString()).toBe(rest);
+        },
+      ),
+      { seed: 2, numRuns: 1_000 },
+    );
+  });
+
+  it("keeps the last id over what is dropped, and begins the next event anew", () => {
+    fc.assert(
+      fc.property(
+        fc.array(mixedEvent, { maxLength: 3 }),
+        mixedEvent,
+        fc.nat(200),
+        fc.array(mixedEvent, { maxLength: 3 }),
+        fc.array(fc.nat(300), { maxLength: 20 }),
+        (first, broken, cut, second, cuts) => {
+          const left = formatMixed(broken);
+          const whole = first.map(formatMixed).join("");
+          const { splitter, passed } = splitAll(
+            whole + left.slice(0, cut % left.length),
+            cuts,
+          );
+          expect(passed).toBe(whole);
+          expect(splitter.getLastEventId()).toBe(findId(first.flat()));
+          splitter.dropRest();
+          expect(splitter.takeRest()).toHaveLength(0);
+          const further = second.map(formatMixed).join("");
+          const batch = splitter.push(Buffer.from(further));
+          expect(batch?.bytes.toString() ?? "").toBe(further);
+          expect(splitter.getLastEventId()).toBe(findId([...first, ...second].flat()));
+        },
+      ),
+      { seed: 3, numRuns: 500 },
+    );
+  });
+
   it("holds an event back that was cut in the middle, and drops it when told", () => {
     const splitter = createEventSplitter();
     expect(splitter.push(Buffer.from("id: 1\ndata: a\n\nid: 2\nda"))?.events).toBe(1);
--- a/packages/standins/src/usersPlatform/usersSite.ts
+++ b/packages/standins/src/usersPlatform/usersSite.ts
@@ -16,6 +16,8 @@
   putConfiguration: (changes?: Readonly<Record<string, unknown>>) => void;
   /** Puts a configuration in which each server takes this many connections. */
   limitConnections: (limit: number) => void;
+  /** Puts a configuration in which each request may be sent to this many servers. */
+  allowServers: (count: number) => void;
   /** Adds an engine that runs elsewhere. */
   putEngine: (id: string, address: string) => void;
   /** The server's entry says that it leaves. */
@@ -151,6 +153,8 @@
       putConfiguration({
         services: CONFIGURATION.services.map((spec) => ({ ...spec, maxConnections })),
       }),
+    allowServers: (maxAttempts) =>
+      putConfiguration({ routes: ROUTES.map((route) => ({ ...route, maxAttempts })) }),
     putEngine: (id, address) => putEntry({ id, address }, "ready", true),
     announceLeaving: (server) => {
       if ("setLeaving" in server) server.setLeaving();
