--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -109,7 +109,7 @@
   const relay = createStreamRelay({
     clock,
     answer,
-    askedBehind: head.lastEventId,
+    askedBehind: route.isResumable ? head.lastEventId : undefined,
     onFirstEvent: () => {
       if (current) placer.onRunBegun(current.server, head);
       if (run) runKeeper.onBegun(run);
@@ -346,8 +346,7 @@
     const left: LeftServer = { from: attempt.server, ended };
     const detail = describeEnd(end);
     dropAttempt();
-    // Without an id nobody can be asked for what comes next.
-    if (relay.hasBegun() && relay.getLastEventId() === undefined) {
+    if (!relay.canGoOn()) {
       loseStream(left, detail);
       return;
     }
--- a/packages/forwarding/src/eventSplitter.test.ts
+++ b/packages/forwarding/src/eventSplitter.test.ts
@@ -33,6 +33,31 @@
         separator.repeat(2),
     }));
 
+/** A line and how it ends. */
+type Line = Readonly<{ text: string; end: string }>;
+
+const lineEnd = fc.constantFrom("\n", "\r\n");
+/** Lines of which some name an id, and some only seem to. */
+const anyLine = fc.oneof(
+  fc.constantFrom("versions: 3", "data: id: 5", ": id: 6", "data", " id: 7", "idle: 8"),
+  fc.stringMatching(/^data: ?[a-zäé ]{0,6}$/),
+  fc.stringMatching(/^id:[ ]{0,2}[a-z0-9-]{0,4}$/),
+);
+/** Lines of one event; the last, empty one ends it. */
+const mixedEvent: fc.Arbitrary<readonly Line[]> = fc
+  .tuple(
+    fc.array(fc.record({ text: anyLine, end: lineEnd }), { minLength: 1, maxLength: 4 }),
+    lineEnd,
+  )
+  .map(([lines, end]) => [...lines, { text: "", end }]);
+const formatMixed = (lines: readonly Line[]) =>
+  lines.map(({ text, end }) => text + end).join("");
+const findId = (lines: readonly Line[]) =>
+  lines
+    .findLast(({ text }) => text.startsWith("id:"))
+    ?.text.slice("id:".length)
+    .replace(/^ /, "");
+
 describe("createEventSplitter", () => {
   it.each(["\n", "\r\n"])(
     "passes whole events on, however they are cut (%j)",
@@ -57,6 +82,57 @@
     },
   );
 
+  it("finds ends and the last id whatever the lines are and however each of them ends", () => {
+    fc.assert(
+      fc.property(
+        fc.array(mixedEvent, { maxLength: 5 }),
+        mixedEvent,
+        fc.nat(200),
+        fc.array(fc.nat(300), { maxLength: 40 }),
+        (events, next, cut, cuts) => {
+          const whole = events.map(formatMixed).join("");
+          const following = formatMixed(next);
+          const rest = following.slice(0, cut % following.length);
+          const split = splitAll(whole + rest, cuts);
+          expect(split.passed).toBe(whole);
+          expect(split.events).toBe(events.length);
+          expect(split.splitter.getLastEventId()).toBe(findId(events.flat()));
+          expect(split.splitter.takeRest().toString()).toBe(rest);
+        },
+      ),
+      { seed: 2, numRuns: 1_000 },
+    );
+  });
+
+  it("keeps the last id over what is dropped, and begins the next event anew", () => {
+    fc.assert(
+      fc.property(
+        fc.array(mixedEvent, { maxLength: 3 }),
+        mixedEvent,
+        fc.nat(200),
+        fc.array(mixedEvent, { maxLength: 3 }),
+        fc.array(fc.nat(300), { maxLength: 20 }),
+        (first, broken, cut, second, cuts) => {
+          const left = formatMixed(broken);
+          const whole = first.map(formatMixed).join("");
+          const { splitter, passed } = splitAll(
+            whole + left.slice(0, cut % left.length),
+            cuts,
+          );
+          expect(passed).toBe(whole);
+          expect(splitter.getLastEventId()).toBe(findId(first.flat()));
+          expect(splitter.takeRest().toString()).toBe(left.slice(0, cut % left.length));
+          expect(splitter.takeRest()).toHaveLength(0);
+          const further = second.map(formatMixed).join("");
+          const batch = splitter.push(Buffer.from(further));
+          expect(batch?.bytes.toString() ?? "").toBe(further);
+          expect(splitter.getLastEventId()).toBe(findId([...first, ...second].flat()));
+        },
+      ),
+      { seed: 3, numRuns: 500 },
+    );
+  });
+
   it("holds an event back that was cut in the middle, and holds it no more once it is taken", () => {
     const splitter = createEventSplitter();
     expect(splitter.push(Buffer.from("id: 1\ndata: a\n\nid: 2\nda"))?.events).toBe(1);
@@ -69,3 +145,52 @@
     expect(splitter.getLastEventId()).toBe("2");
   });
 });
+
+/**
+ * The format lets a line end with a carriage return alone; such an event was held back until the answer ended, and an id
+ * in such a line was not seen, or took the next line into it. Blank lines beyond the one that ends an event counted as
+ * events or lay there as a rest by how the bytes were cut, so an end in order looked like one within an event.
+ */
+describe("an event that ends in a rarer way", () => {
+  it.each([
+    ["id: 1\rdata: a\r\r", "1"],
+    ["id: 1\r\ndata: a\r\n\rid: 2\r\ndata: b\n\r\n", "2"],
+    ["data: a\rid: 1\n\n", "1"],
+    ["id: 1\rdata: a\n\n", "1"],
+  ])("is passed on, with its id: %j", (text, id) => {
+    // A carriage return at the very end may be the first half of a line end.
+    const { passed, splitter } = splitAll(`${text}: next`, []);
+    expect(passed).toBe(text);
+    expect(splitter.getLastEventId()).toBe(id);
+  });
+
+  it("counts the same however the blank lines behind it are cut", () => {
+    const blank = fc.array(lineEnd, { maxLength: 3 }).map((ends) => ends.join(""));
+    fc.assert(
+      fc.property(
+        fc.array(fc.tuple(mixedEvent.map(formatMixed), blank), { maxLength: 3 }),
+        fc.array(fc.nat(100)),
+        (pieces, cuts) => {
+          const text = pieces.flat().join("");
+          const split = splitAll(text, cuts);
+          const whole = splitAll(text, []);
+          expect(split.events).toBe(whole.events);
+          expect(split.splitter.takeRest()).toEqual(whole.splitter.takeRest());
+        },
+      ),
+      { seed: 4, numRuns: 500 },
+    );
+  });
+
+  it.each([
+    ["data: a\r\n\r", "data: a\r\n\r".length],
+    ["data: a\r\r", 0],
+    ["data: a\n\n\n\r\n", 0],
+    ["data: a\n\n\ndata", 5],
+    ["data: a\n", 8],
+  ])("leaves bytes of an event when nothing follows %j: %i", (text, left) => {
+    const splitter = createEventSplitter();
+    splitter.push(Buffer.from(text));
+    expect(splitter.countRest()).toBe(left);
+  });
+});
--- a/packages/forwarding/src/streamRelay.ts
+++ b/packages/forwarding/src/streamRelay.ts
@@ -4,7 +4,7 @@
  * Each server's part is a leg with a splitter of its own: what one server leaves behind never stands before another's events.
  */
 import type { Clock, Ms } from "@stairgauge/common";
-import { mayFollow } from "./checkJoin.js";
+import { addId, canName, checkJoin, createIdSequence } from "./checkJoin.js";
 import type { ClientAnswer } from "./clientAnswer.js";
 import { createEventSplitter, type EventBatch } from "./eventSplitter.js";
 import type { RawHeaders } from "./types.js";
@@ -39,7 +39,10 @@
   beginLeg: (headers: RawHeaders, reason: string) => StreamLeg;
   hasBegun: () => boolean;
   getEvents: () => number;
+  /** Id of the last event that was passed on, if it has one. */
   getLastEventId: () => string | undefined;
+  /** Whether another server can be told where to go on. */
+  canGoOn: () => boolean;
   getPace: () => StreamPace;
 }>;
 
@@ -66,8 +69,7 @@
   const { clock, answer, askedBehind, onFirstEvent } = options;
   let current: StreamLeg | undefined;
   let events = 0;
-  let firstId: string | undefined;
-  let lastId: string | undefined;
+  let sequence = createIdSequence(askedBehind);
   let firstEventAt: Ms | undefined;
   let lastEventAt: Ms | undefined;
   let longestPause = 0 as Ms;
@@ -84,8 +86,7 @@
   };
   const recordEvents = (batch: EventBatch) => {
     events += batch.events;
-    firstId ??= batch.firstId;
-    lastId = batch.lastId ?? lastId;
+    sequence = batch.ids.reduce(addId, sequence);
     recordPace();
   };
   const passOn = (batch: EventBatch): LegStep => {
@@ -106,12 +107,14 @@
       push: (chunk) => {
         const batch = current === leg ? splitter.push(chunk) : undefined;
         if (!batch) return { kind: "held" };
-        const soFar = { events, firstId, lastId: lastId ?? askedBehind };
-        isJoined ||= mayFollow(soFar, batch.firstId);
         if (!isJoined) {
-          current = undefined;
-          const { firstId: eventId } = batch;
-          return { kind: "does_not_follow", eventId, behind: soFar.lastId };
+          const verdict = checkJoin(sequence, batch.ids[0]);
+          if (verdict === "repeats" || verdict === "skips") {
+            current = undefined;
+            const [eventId] = batch.ids;
+            return { kind: "does_not_follow", eventId, behind: sequence.last };
+          }
+          isJoined = true;
         }
         begin();
         return passOn(batch);
@@ -133,7 +136,8 @@
     beginLeg,
     hasBegun: () => events > 0,
     getEvents: () => events,
-    getLastEventId: () => lastId,
+    getLastEventId: () => (events > 0 ? sequence.last : undefined),
+    canGoOn: () => canName(sequence),
     getPace: () => ({ firstEventAt, longestPause, longestPauseAt }),
   };
 };
