feat(standins): an engine of the users' platform that is a process of its own

The stand-in's engines live in the process of the test, so nothing could kill, stop or replace one as a machine does, and a crash was always a reset. `standins users-engine` is a bare engine whose streams are held where their request's query asks (framing, place, way of ending); SIGKILL, SIGTERM and SIGSTOP act on it as on any process, SIGUSR2 ends what it holds, SIGHUP gives its address to the next one. Reading raw requests is shared with the scripted engines.

--- a/apps/daemon/src/standinsMain.ts
+++ b/apps/daemon/src/standinsMain.ts
@@ -30,6 +30,7 @@
   SITE_HOST,
   SITE_KEY,
   startUsersSite,
+  startWireEngine,
 } from "@stairgauge/standins";
 
 const LOOPBACK = "127.0.0.1";
@@ -144,7 +145,37 @@
   },
 });
 
+const usersEngine = command({
+  name: "users-engine",
+  description:
+    "a bare engine of the users' platform; SIGUSR2 lets held streams go, SIGHUP leaves the address",
+  args: {
+    port,
+    id: option({ type: string, long: "id", defaultValue: () => "engine" }),
+    holds: flag({ long: "holds", description: "new streams, where their requests ask" }),
+  },
+  handler: async (args) => {
+    const onHeld = (request: string) => process.stdout.write(`held ${request}\n`);
+    const { address, releaseHeld, leaveAddress } = await startWireEngine({
+      ...args,
+      onHeld,
+    });
+    process.on("SIGUSR2", releaseHeld);
+    process.on("SIGHUP", () => {
+      leaveAddress();
+      process.stdout.write("left its address\n");
+    });
+    process.on("SIGTERM", () => process.exit(0));
+    process.stdout.write(`engine on ${address}\n`);
+  },
+});
+
 await run(
-  binary(subcommands({ name: "standins", cmds: { engine, service, platform, users } })),
+  binary(
+    subcommands({
+      name: "standins",
+      cmds: { engine, service, platform, users, "users-engine": usersEngine },
+    }),
+  ),
   process.argv,
 );
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -45,3 +45,5 @@
   ScriptedEngine,
   ScriptedEngines,
 } from "./usersPlatform/scriptedEngines.js";
+export { formatWireAsk, startWireEngine } from "./usersPlatform/wireEngine.js";
+export type { WireAsk } from "./usersPlatform/wireEngine.js";
--- a/packages/standins/src/usersPlatform/loopback.ts
+++ b/packages/standins/src/usersPlatform/loopback.ts
@@ -1,6 +1,7 @@
 /** Small helpers of the stand-ins: a listener on loopback, whole bodies, JSON answers. */
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import { Server as HttpServer } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { AddressInfo, Server } from "node:net";
 
 /** A server that listens on loopback. */
 export type Listening = Readonly<{
@@ -11,15 +12,18 @@
 
 const LOOPBACK = "127.0.0.1";
 
-/** Listens on any free port. */
-export const listenOnLoopback = async (server: Server): Promise<Listening> => {
-  await new Promise<void>((resolve) => server.listen(0, LOOPBACK, resolve));
+/** Listens on a port, any free one unless it is named. */
+export const listenOnLoopback = async (
+  server: Server,
+  atPort = 0,
+): Promise<Listening> => {
+  await new Promise<void>((resolve) => server.listen(atPort, LOOPBACK, resolve));
   const { port } = server.address() as AddressInfo;
   return {
     address: `${LOOPBACK}:${port}`,
     close: () => {
       server.close();
-      server.closeAllConnections();
+      if (server instanceof HttpServer) server.closeAllConnections();
     },
   };
 };
--- a/packages/standins/src/usersPlatform/scriptedEngines.ts
+++ b/packages/standins/src/usersPlatform/scriptedEngines.ts
@@ -5,6 +5,13 @@
 import { createServer, type Socket } from "node:net";
 import type { AddressInfo } from "node:net";
 import { HEADER, SERVER_PATH } from "@stairgauge/platform";
+import {
+  findHeader,
+  HEAD_END,
+  IDLE_REPORT,
+  readWireRequests,
+  sendWireJson,
+} from "./wireRequests.js";
 
 /** A generation as an engine received it, and the connection to answer on. */
 export type ScriptedCall = Readonly<{
@@ -29,34 +36,7 @@
   listCalls: () => readonly ScriptedCall[];
 }>;
 
-const HEAD_END = "\r\n\r\n";
 const LOOPBACK = "127.0.0.1";
-const REPORT = JSON.stringify({
-  stage: "dual",
-  state: "ready",
-  models: [],
-  busy: false,
-  sequence: 1,
-  waiting: 0,
-  running: 0,
-  kvUsed: 0,
-  kvTotal: 34_000,
-  handles: 0,
-  runs: [],
-});
-
-const findHeader = (head: string, name: string): string | undefined =>
-  head
-    .split("\r\n")
-    .find((line) => line.toLowerCase().startsWith(`${name.toLowerCase()}:`))
-    ?.slice(name.length + 1)
-    .trim();
-
-const sendReport = (socket: Socket) => {
-  const length = Buffer.byteLength(REPORT);
-  const head = `HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: ${length}`;
-  socket.write(`${head}${HEAD_END}${REPORT}`);
-};
 
 /** Head of a stream's answer; `framing` is one more header line, or none for an answer that ends with its connection. */
 export const formatStreamHead = (requestId: string, framing?: string): string =>
@@ -76,7 +56,7 @@
 
   const takeRequest = (socket: Socket, head: string, leaveAddress: () => void) => {
     if (head.startsWith(`GET ${SERVER_PATH.report}`)) {
-      sendReport(socket);
+      sendWireJson(socket, IDLE_REPORT);
       return;
     }
     const call = {
@@ -93,19 +73,7 @@
 
   const start = async (id: string): Promise<ScriptedEngine> => {
     const server = createServer({ allowHalfOpen: true }, (socket) => {
-      let text = "";
-      socket.on("error", () => undefined);
-      socket.on("end", () => socket.end());
-      socket.on("data", (chunk: Buffer) => {
-        text += chunk.toString("latin1");
-        const end = text.indexOf(HEAD_END);
-        if (end < 0) return;
-        const head = text.slice(0, end);
-        const length = Number(findHeader(head, "Content-Length") ?? 0);
-        if (text.length < end + HEAD_END.length + length) return;
-        text = "";
-        takeRequest(socket, head, () => server.close());
-      });
+      readWireRequests(socket, (head) => takeRequest(socket, head, () => server.close()));
     });
     await new Promise<void>((resolve) => server.listen(0, LOOPBACK, resolve));
     const { port } = server.address() as AddressInfo;
--- a/packages/standins/src/usersPlatform/usersSite.ts
+++ b/packages/standins/src/usersPlatform/usersSite.ts
@@ -16,8 +16,10 @@
   putConfiguration: (changes?: Readonly<Record<string, unknown>>) => void;
   /** Puts a configuration in which each server takes this many connections. */
   limitConnections: (limit: number) => void;
-  /** Adds an engine that runs elsewhere. */
-  putEngine: (id: string, address: string) => void;
+  /** Adds an engine that runs elsewhere, or changes its entry. */
+  putEngine: (id: string, address: string, state?: "ready" | "leaving") => void;
+  /** Adds a plain server that runs elsewhere. */
+  putService: (id: string, address: string) => void;
   /** The server's entry says that it leaves. */
   announceLeaving: (server: UsersEngine | UsersService) => void;
   close: () => void;
@@ -151,7 +153,9 @@
       putConfiguration({
         services: CONFIGURATION.services.map((spec) => ({ ...spec, maxConnections })),
       }),
-    putEngine: (id, address) => putEntry({ id, address }, "ready", true),
+    putEngine: (id, address, state) =>
+      putEntry({ id, address }, state === "leaving" ? STATE_LEAVING : "ready", true),
+    putService: (id, address) => putEntry({ id, address }, "ready", false),
     announceLeaving: (server) => {
       if ("setLeaving" in server) server.setLeaving();
       putEntry(server, STATE_LEAVING);
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,7 +1,7 @@
 /** Help for tests: sites of separate processes, and a small caller. */
 export { spawnProcess } from "./spawnProcess.js";
 export type { SpawnedProcess } from "./spawnProcess.js";
-export { createBoxBefore, createProcessSite } from "./processSite.js";
+export { createBoxBefore, createProcessSite, spawnStandin } from "./processSite.js";
 export type {
   BoxProcess,
   ProcessSite,
--- a/packages/testkit/src/processSite.ts
+++ b/packages/testkit/src/processSite.ts
@@ -47,12 +47,16 @@
   destroy: () => Promise<void>;
 }>;
 
-const spawnStandin = async (args: readonly string[]): Promise<StandinProcess> => {
+/** Starts a stand-in as a process of its own, on any free port unless it is named. */
+export const spawnStandin = async (
+  args: readonly string[],
+  port = 0,
+): Promise<StandinProcess> => {
   const process = spawnProcess([
     join(APP_FOLDER, "standinsMain.js"),
     ...args,
     "--port",
-    "0",
+    String(port),
   ]);
   const [, address = ""] = await process.waitForLine(ADDRESS_LINE);
   return { process, address };
