--- a/apps/box/src/box.testkit.ts
+++ b/apps/box/src/box.testkit.ts
@@ -113,10 +113,15 @@
   id?: string;
   headers?: Readonly<Record<string, string>>;
   body?: string;
+  /** How long the client waits. */
+  deadlineMs?: number;
   onData?: (body: string) => void;
 }>;
 
-export const ask = (ports: BoxPorts, { path, method, id, headers, body, onData }: Ask) =>
+export const ask = (
+  ports: BoxPorts,
+  { path, method, id, headers, body, deadlineMs = 5_000, onData }: Ask,
+) =>
   new Promise<Answer>((resolve) => {
     const outgoing = openRequest({
       host: "127.0.0.1",
@@ -127,7 +132,7 @@
       headers: {
         Host: SITE_HOST,
         "Request-Id": id ?? `r${(nextId += 1)}`,
-        "Deadline-Ms": "5000",
+        "Deadline-Ms": String(deadlineMs),
         Authorization: `Token ${SITE_KEY}`,
         ...headers,
       },
