--- a/apps/box/src/endsOfStreams.test.ts
+++ b/apps/box/src/endsOfStreams.test.ts
@@ -337,3 +337,13 @@
     expect(await askWho(held.address)).toBe("engine-new");
   });
 });
+
+// An engine's process was killed, and its kernel closed the connections in order. An answer that has no length and no chunks
+// ends like that when it is whole, too: the box passed on what had come, the part of an event with it, as complete. Where the
+// first event had not come whole, the request ran again, and that part stood before the first event of the next server.
+describe("an answer that ends", () => {
+  it.each(Object.entries(OPEN))("%s, is not whole", (_, isChosen) => {
+    const faults = Object.keys(FATES).flatMap((name) => listFaults(name, isChosen));
+    expect(faults).toEqual([]);
+  });
+});
