--- a/packages/forwarding/src/answerSink.ts
+++ b/packages/forwarding/src/answerSink.ts
@@ -2,8 +2,8 @@
  * Takes the answer of one attempt: holds it, passes it on, or hands its events to the stream's relay, and says how it ended.
  * The client's answer is written to from here for this attempt's bytes only.
  */
-import { assertNever, type Clock, type Ms } from "@stairgauge/common";
-import { askListener } from "./askListener.js";
+import { assertNever } from "@stairgauge/common";
+import type { ServerSign } from "./askServer.js";
 import { countBytesLeft, type Attempt } from "./attempt.js";
 import { isStreamOf, judgeAttempt } from "./decideNext.js";
 import type { AdmittedRequest } from "./forwarderTypes.js";
@@ -32,20 +32,19 @@
 
 /** What taking an answer needs. */
 export type AnswerSinkOptions = Readonly<{
-  clock: Clock;
   codec: HeadCodec;
   request: AdmittedRequest;
   relay: StreamRelay;
   attempt: Attempt;
   isLeaving: () => boolean;
-  /** How long a connection to a server may take to come up. */
-  connectLimit: Ms;
+  /** Asks whether the server is still there; undefined where it cannot be asked. */
+  askServer: () => Promise<ServerSign | undefined>;
   listener: AttemptListener;
 }>;
 
 /** Creates the sink of an attempt's exchange. */
 export const createAnswerSink = (options: AnswerSinkOptions): ExchangeSink => {
-  const { clock, codec, request, relay, attempt, listener } = options;
+  const { codec, request, relay, attempt, listener } = options;
   const { head, answer } = request;
 
   const applyPace = (isClientSlow: boolean) => {
@@ -146,8 +145,7 @@
     }
   };
   const confirmEnd = async () => {
-    const { address } = attempt.server.entry;
-    const sign = await askListener(clock, address, options.connectLimit);
+    const sign = await options.askServer();
     if (listener.isCurrent()) takeProof(judgeEndBy(sign));
   };
 
--- a/packages/forwarding/src/decideNext.test.ts
+++ b/packages/forwarding/src/decideNext.test.ts
@@ -12,6 +12,7 @@
   isSigned: true,
   isNotRun: false,
   isOtherServer: false,
+  server: undefined,
   isClosing: false,
   isEncoded: false,
   contentLength: 2,
--- a/packages/forwarding/src/describeBytesEnd.test.ts
+++ b/packages/forwarding/src/describeBytesEnd.test.ts
@@ -14,6 +14,7 @@
   isSigned: true,
   isNotRun: false,
   isOtherServer: false,
+  server: undefined,
   isClosing: false,
   isEncoded: false,
   contentLength: undefined,
--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -7,6 +7,7 @@
 import type { PlacementDecision } from "@stairgauge/placement";
 import { createActiveRun, type ActiveRun, type RunContinuation } from "./activeRuns.js";
 import { createAnswerSink } from "./answerSink.js";
+import { askServer } from "./askServer.js";
 import { createAttempt, type Attempt } from "./attempt.js";
 import { buildExchangeRequest } from "./buildExchangeRequest.js";
 import { computeDemand } from "./computeDemand.js";
@@ -149,13 +150,12 @@
     });
     if (!continuation) attempt.silence = watchAttempt(attempt);
     const sink = createAnswerSink({
-      clock,
       codec,
       request,
       relay,
       attempt,
       isLeaving: () => placer.isLeaving(server),
-      connectLimit: deps.connectLimit,
+      askServer: () => askAgain(server),
       listener: {
         isCurrent: () => current === attempt && !isOver,
         onHead: (answerHead) => takeHead(attempt, answerHead),
@@ -172,6 +172,13 @@
     return attempt;
   };
 
+  const askAgain = async ({ entry }: BackendServer) => {
+    const { connectLimit, configuration } = deps;
+    const healthPath = configuration.getIndex()?.findService(service)?.healthPath;
+    if (healthPath === undefined) return undefined;
+    return await askServer({ clock, codec, entry, healthPath, connectLimit });
+  };
+
   /** The first attempt of a request that may run again is given up for another server's. */
   const watchAttempt = (attempt: Attempt) => {
     if (!mayRepeat(route)) return undefined;
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -66,6 +66,8 @@
   isOtherServer: boolean;
   /** The server will close the connection; one that is leaving says so. */
   isClosing: boolean;
+  /** The server that says that it answers, where it says so. */
+  server: ServerId | undefined;
   /** The body is encoded, so it is not the server's body. */
   isEncoded: boolean;
   /** Length of the body, when the head gives it. */
@@ -89,6 +91,10 @@
     request: Readonly<{ method: string; target: string; headers: RawHeaders }>,
   ) => RequestHead;
   encodeDispatch: (head: RequestHead, terms: DispatchTerms) => string[];
+  /** Headers of a call that asks a server whether it is well; any other server there says so. */
+  encodeHealthCall: (
+    server: Readonly<{ id: ServerId; address: ServerAddress }>,
+  ) => string[];
   decodeAnswer: (status: number, headers: RawHeaders) => AnswerHead;
   encodeOwnAnswer: (head: RequestHead, answer: OwnAnswer) => string[];
 }>;
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -60,6 +60,8 @@
   name: ServiceName;
   /** Connections that one server takes from all callers together. */
   maxConnections: number;
+  /** Where a server says whether it is well, and which one it is. */
+  healthPath: string | undefined;
   /** Present when its servers are model engines. */
   engine: EngineTraits | undefined;
 }>;
--- a/packages/standins/src/usersPlatform/usersEngine.ts
+++ b/packages/standins/src/usersPlatform/usersEngine.ts
@@ -4,7 +4,13 @@
  */
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import { HEADER, SERVER_PATH, STATE_LEAVING } from "@stairgauge/platform";
-import { listenOnLoopback, readWhole, sendJson, type Listening } from "./loopback.js";
+import {
+  HEALTH_PATH,
+  listenOnLoopback,
+  readWhole,
+  sendJson,
+  type Listening,
+} from "./loopback.js";
 
 /** Sizes and times; the users' engines take longer. */
 export type UsersEngineTraits = Readonly<{
@@ -192,6 +198,8 @@
       const path = incoming.url ?? "/";
       if (path === SERVER_PATH.report)
         sendJson(response, 200, reports[0]?.body ?? makeReport());
+      else if (path === HEALTH_PATH)
+        sendJson(response, 200, {}, { [HEADER.instance]: id });
       else if (path === SERVER_PATH.move) void copyRun(incoming, response);
       else if (path.startsWith(SERVER_PATH.handle)) sendJson(response, 200, {});
       else void readWhole(incoming).then(() => startRun(incoming, response));
--- a/packages/standins/src/usersPlatform/usersService.ts
+++ b/packages/standins/src/usersPlatform/usersService.ts
@@ -1,7 +1,13 @@
 /** A stand-in of the users' plain servers, with the faults that they may have, one chosen for each request. */
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import { HEADER } from "@stairgauge/platform";
-import { listenOnLoopback, readWhole, type Listening } from "./loopback.js";
+import {
+  HEALTH_PATH,
+  listenOnLoopback,
+  readWhole,
+  type Listening,
+  sendJson,
+} from "./loopback.js";
 
 /** How a server answers a request. */
 export type ServiceFault =
@@ -115,7 +121,7 @@
         sendStatus(response, 503, own);
         return;
       case "other_server":
-        sendStatus(response, 421, { "Instance-Id": "i-another" });
+        sendStatus(response, 421, { [HEADER.instance]: "i-another" });
         return;
       case "unsigned":
         response.writeHead(200, { ...own, "Content-Length": "2" });
@@ -162,6 +168,10 @@
   };
 
   const handle = async (incoming: IncomingMessage, response: ServerResponse) => {
+    if (incoming.url === HEALTH_PATH) {
+      sendJson(response, 200, {}, { [HEADER.instance]: id });
+      return;
+    }
     const request = String(incoming.headers[HEADER.requestId.toLowerCase()]);
     const fault = faults.shift() ?? "none";
     const recordRequest = (body: string) =>
--- a/packages/standins/src/usersPlatform/usersSite.ts
+++ b/packages/standins/src/usersPlatform/usersSite.ts
@@ -1,5 +1,6 @@
 /** A small site on the users' platform: a store, engines, plain servers, and the operator's configuration. */
 import { CONFIGURATION_KEY, STATE_LEAVING, TABLE } from "@stairgauge/platform";
+import { HEALTH_PATH } from "./loopback.js";
 import { createUsersEngines, type UsersEngine } from "./usersEngine.js";
 import { startUsersService, type UsersService } from "./usersService.js";
 import { startUsersStore, type UsersStore } from "./usersStore.js";
@@ -18,8 +19,10 @@
   limitConnections: (limit: number) => void;
   /** Puts a configuration in which each request may be sent to this many servers. */
   allowServers: (count: number) => void;
-  /** Adds an engine that runs elsewhere. */
-  putEngine: (id: string, address: string) => void;
+  /** Adds an engine that runs elsewhere, or changes its entry. */
+  putEngine: (id: string, address: string, state?: "ready" | "leaving") => void;
+  /** Adds a plain server that runs elsewhere. */
+  putService: (id: string, address: string) => void;
   /** The server's entry says that it leaves. */
   announceLeaving: (server: UsersEngine | UsersService) => void;
   close: () => void;
@@ -85,7 +88,7 @@
   services: [
     {
       name: ENGINE_SERVICE,
-      healthPath: "/healthz",
+      healthPath: HEALTH_PATH,
       maxConnections: 300,
       engine: {
         slots: 48,
@@ -97,7 +100,7 @@
         handleS: 5,
       },
     },
-    { name: PLAIN_SERVICE, healthPath: "/healthz", maxConnections: 100 },
+    { name: PLAIN_SERVICE, healthPath: HEALTH_PATH, maxConnections: 100 },
   ],
   limits: {
     maxHeaderBytes: 16_384,
@@ -155,7 +158,9 @@
       }),
     allowServers: (maxAttempts) =>
       putConfiguration({ routes: ROUTES.map((route) => ({ ...route, maxAttempts })) }),
-    putEngine: (id, address) => putEntry({ id, address }, "ready", true),
+    putEngine: (id, address, state) =>
+      putEntry({ id, address }, state === "leaving" ? STATE_LEAVING : "ready", true),
+    putService: (id, address) => putEntry({ id, address }, "ready", false),
     announceLeaving: (server) => {
       if ("setLeaving" in server) server.setLeaving();
       putEntry(server, STATE_LEAVING);
