--- a/apps/box/src/scripted.testkit.ts
+++ b/apps/box/src/scripted.testkit.ts
@@ -1,11 +1,51 @@
 /** A box before servers whose answers are written byte by byte. */
 import {
   createScriptedEngines,
+  formatEngineEvent,
+  formatStreamHead,
   startUsersSite,
   type EngineScript,
 } from "@stairgauge/standins";
-import { closers, startBox, waitFor } from "./box.testkit.js";
+import {
+  ask,
+  closers,
+  makeGeneration,
+  startBox,
+  waitFor,
+  type Ask,
+} from "./box.testkit.js";
+
+export const REQUEST = "r";
+export const EVENT_COUNT = 4;
+const CHUNKED = "Transfer-Encoding: chunked";
+const LAST_CHUNK = "0\r\n\r\n";
+
+export const getEvents = (from: number, to: number) =>
+  Array.from({ length: to - from }, (_, at) =>
+    formatEngineEvent(REQUEST, from + at),
+  ).join("");
+export const WHOLE = getEvents(0, EVENT_COUNT);
+/** One whole event and the begin of the next. */
+export const CUT = getEvents(0, 1) + getEvents(1, 2).slice(0, 7);
+
+const formatChunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
 
+/** Events in chunks, with the last chunk behind them. */
+export const sendChunks =
+  (...texts: readonly string[]): EngineScript =>
+  ({ socket, requestId }) => {
+    const head = formatStreamHead(requestId, CHUNKED);
+    socket.write(head + texts.map(formatChunk).join("") + LAST_CHUNK);
+  };
+/** The connection is reset once what was written has been read. */
+export const sendAndReset =
+  (text: string): EngineScript =>
+  ({ socket, requestId }) => {
+    const head = formatStreamHead(requestId, CHUNKED);
+    socket.write(head + formatChunk(text), () =>
+      setTimeout(() => socket.resetAndDestroy(), 20),
+    );
+  };
 /** An answer without a length or chunks, whose process ends right behind it. */
 export const sendAndLeave =
   (status: string, body: string, more = ""): EngineScript =>
@@ -43,3 +83,23 @@
   );
   return { ports, lines, listCalls: engines.listCalls };
 };
+
+/** Asks for a stream. */
+export const askStream = async (
+  path: string,
+  scripts: readonly EngineScript[],
+  more: Readonly<Record<string, string>> = {},
+) => {
+  const { ports } = await startScriptedSite(scripts, "writers");
+  const headers = { ...makeGeneration(400, EVENT_COUNT), ...more };
+  return ask(ports, { path, id: REQUEST, headers });
+};
+
+/** Asks a plain service. */
+export const askPlain = async (
+  changes: Partial<Ask>,
+  scripts: readonly EngineScript[],
+) => {
+  const { ports } = await startScriptedSite(scripts, "pages");
+  return ask(ports, { path: "/once/", id: REQUEST, ...changes });
+};
