--- a/apps/box/src/answerEndsOpen.test.ts
+++ b/apps/box/src/answerEndsOpen.test.ts
@@ -1,18 +1,18 @@
 /**
- * Each of these fails. In the first group bytes or an end are still taken for something that they do not prove:
+ * A client got a stream that ended as complete after an event that no run had made. A review of the first mend found that
+ * bytes or an end were still taken for something that they do not prove:
  * - A server may end its chunks in order within an event, as a process does that closes its answers when it is told to end.
- *   The box passes the half event on and ends the stream as complete: "id: 0\ndata: r token group 0\n\nid: 1\nd".
- * - A server whose coding is not "chunked" ends its answer with the connection all the same; the box counts it as chunked.
- * - What stands before the first id of a server that goes on, a comment or an event without an id, settles that it follows;
- *   the client then gets events 0 and 1 twice.
- * - A connection that comes up and is then reset counts as a living process. The kernel of a process that is being killed
+ *   The box passed the half event on and ended the stream as complete: "id: 0\ndata: r token group 0\n\nid: 1\nd".
+ * - A server whose coding is not "chunked" ends its answer with the connection all the same.
+ * - What stands before the first id of a server that goes on, a comment or an event without an id, settled that it follows;
+ *   the client then got events 0 and 1 twice.
+ * - A connection that comes up and is then reset counted as a living process. The kernel of a process that is being killed
  *   takes connections until it has closed the listening socket: with 3,000 files open between that and the answer's
  *   connection, 5 of 12 killed processes counted as living, and their half streams as whole.
  * - Another process may listen at the address by then.
- * - A client of HTTP/1.0 gets chunks, which it does not know, and cannot tell an answer that was broken off.
- * In the second group something sound is refused since the end of a connection has to be proven: an answer that has no body
- * needs no proof, a refusal proves itself by its head, and a route that does not resume streams has no use for the
- * number that a client asks behind.
+ * - A client of HTTP/1.0 got chunks, which it does not know, and could not tell an answer that was broken off.
+ * And sound answers were refused: one that has no body needs no proof, a refusal proves itself by its head, and a route that
+ * does not resume streams has no use for the number that a client asks behind.
  */
 import { connect, createServer, type AddressInfo, type Socket } from "node:net";
 import { describe, expect, it } from "vitest";
--- a/packages/forwarding/src/clientAnswer.ts
+++ b/packages/forwarding/src/clientAnswer.ts
@@ -30,6 +30,8 @@
   response: ServerResponse,
   isLastOnConnection: () => boolean,
 ): ClientAnswer => {
+  // A client of HTTP/1.0 knows no chunks: its answer ends with the connection, and only a reset tells a broken one apart.
+  const knowsChunks = response.req.httpVersion !== "1.0";
   let hasBegun = false;
   let isOver = false;
   response.sendDate = false;
@@ -54,7 +56,7 @@
     },
     begin: (head) => {
       if (hasBegun || isOver) return;
-      writeHead(head, ["Transfer-Encoding", "chunked"]);
+      writeHead(head, knowsChunks ? ["Transfer-Encoding", "chunked"] : []);
       response.flushHeaders();
     },
     write: (bytes) => isOver || response.write(bytes),
@@ -66,6 +68,7 @@
     break: () => {
       if (isOver) return;
       isOver = true;
+      if (!knowsChunks) response.socket?.resetAndDestroy();
       response.destroy();
     },
     onDrain: (listener) => void response.on("drain", listener),
--- a/packages/forwarding/src/streamRelay.ts
+++ b/packages/forwarding/src/streamRelay.ts
@@ -3,7 +3,7 @@
  *
  * Each server's part is a leg with a splitter of its own: what one server leaves behind never stands before another's events.
  */
-import type { Clock, Ms } from "@stairgauge/common";
+import { assertNever, type Clock, type Ms } from "@stairgauge/common";
 import { addId, canName, checkJoin, createIdSequence } from "./checkJoin.js";
 import type { ClientAnswer } from "./clientAnswer.js";
 import { createEventSplitter, type EventBatch } from "./eventSplitter.js";
@@ -97,34 +97,60 @@
     return { kind: "passed_on", isClientSlow: !mayGoOn };
   };
 
+  /** Whether what a leg that has not joined sends may go out; comments alone tell nothing of its place. */
+  const judgeJoin = ({
+    ids,
+  }: EventBatch): "joins" | "tells_nothing" | "does_not_follow" => {
+    if (!sequence.hasBegun) return "joins";
+    if (ids.length === 0) return "tells_nothing";
+    const [id] = ids;
+    // Another server's event without an id may stand anywhere in the stream.
+    if (id === undefined) return events > 0 ? "does_not_follow" : "joins";
+    const verdict = checkJoin(sequence, id);
+    return verdict === "repeats" || verdict === "skips" ? "does_not_follow" : "joins";
+  };
+
   const beginLeg = (headers: RawHeaders, reason: string): StreamLeg => {
     const splitter = createEventSplitter();
     let isJoined = false;
+    let comments: readonly Buffer[] = [];
     const begin = () => {
       if (!answer.hasBegun()) answer.begin({ status: STREAM_STATUS, reason, headers });
     };
+    const takeBatch = (batch: EventBatch): LegStep => {
+      begin();
+      for (const comment of comments) answer.write(comment);
+      comments = [];
+      return passOn(batch);
+    };
+    const joinBatch = (batch: EventBatch): LegStep => {
+      const verdict = judgeJoin(batch);
+      switch (verdict) {
+        case "joins":
+          isJoined = true;
+          return takeBatch(batch);
+        case "tells_nothing":
+          comments = [...comments, batch.bytes];
+          return { kind: "held" };
+        case "does_not_follow":
+          current = undefined;
+          return { kind: verdict, eventId: batch.ids[0], behind: sequence.last };
+        default:
+          return assertNever(verdict);
+      }
+    };
     const leg: StreamLeg = {
       push: (chunk) => {
         const batch = current === leg ? splitter.push(chunk) : undefined;
         if (!batch) return { kind: "held" };
-        if (!isJoined) {
-          const verdict = checkJoin(sequence, batch.ids[0]);
-          if (verdict === "repeats" || verdict === "skips") {
-            current = undefined;
-            const [eventId] = batch.ids;
-            return { kind: "does_not_follow", eventId, behind: sequence.last };
-          }
-          isJoined = true;
-        }
-        begin();
-        return passOn(batch);
+        return isJoined ? takeBatch(batch) : joinBatch(batch);
       },
       countBytesLeft: splitter.countRest,
       finish: () => {
         if (current !== leg) return;
         begin();
-        const rest = splitter.takeRest();
-        if (rest.length > 0) answer.write(rest);
+        for (const bytes of [...comments, splitter.takeRest()])
+          if (bytes.length > 0) answer.write(bytes);
         answer.end();
       },
     };
--- a/packages/services/src/httpServiceClient.test.ts
+++ b/packages/services/src/httpServiceClient.test.ts
@@ -1,6 +1,6 @@
 /**
- * The last of these fails. An answer with neither a length nor chunks ends with its connection, and the kernel ends that in
- * order for a process that was killed: half an answer counts as whole, is passed on as complete, and is kept for
+ * An answer with neither a length nor chunks ends with its connection, and the kernel ends that in
+ * order for a process that was killed: half an answer counted as whole, was passed on as complete, and was kept for
  * the repeats of a call that may run once.
  */
 import { createServer, type AddressInfo } from "node:net";
--- a/packages/services/src/httpServiceClient.ts
+++ b/packages/services/src/httpServiceClient.ts
@@ -1,6 +1,7 @@
 /** The client of plain services over HTTP, bodies streamed both ways. */
 import { Agent, type Dispatcher } from "undici";
 import { toLinkFailure } from "@stairgauge/http";
+import type { LinkFailure } from "@stairgauge/outcomes";
 import type {
   ServiceCall,
   ServiceClient,
@@ -12,6 +13,20 @@
 const HEADERS_TIMEOUT_MS = 30_000;
 const BODY_IDLE_TIMEOUT_MS = 30_000;
 
+/** A killed process ends its connections in order: an answer with neither a length nor chunks cannot be told from half of one. */
+const UNFRAMED: LinkFailure = {
+  kind: "closed_early",
+  detail: "an answer without a length or chunks",
+};
+
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+const hasBody = (method: string, status: number): boolean =>
+  method !== "HEAD" && !BODILESS_STATUSES.has(status);
+
+const isFramed = (headers: Readonly<Record<string, unknown>>): boolean =>
+  headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+
 /** Creates the client. */
 export const createHttpServiceClient = (): ServiceClient => {
   const agent = new Agent({
@@ -23,6 +38,7 @@
   const open = (call: ServiceCall, sink: ServiceSink): ServiceExchange => {
     let controller: Dispatcher.DispatchController | undefined;
     let isOver = false;
+    let endsWithConnection = false;
     const abort = () => controller?.abort(new Error("call closed by this side"));
     agent.dispatch(
       {
@@ -38,6 +54,7 @@
           if (isOver) abort();
         },
         onResponseStart: (_controller, status, headers) => {
+          endsWithConnection = hasBody(call.method, status) && !isFramed(headers);
           if (!isOver) sink.onHead(status, headers);
         },
         onResponseData: (_controller, chunk) => {
@@ -46,7 +63,8 @@
         onResponseEnd: () => {
           if (isOver) return;
           isOver = true;
-          sink.onEnd();
+          if (endsWithConnection) sink.onFailure(UNFRAMED);
+          else sink.onEnd();
         },
         onResponseError: (_controller, error) => {
           if (isOver) return;
