--- a/apps/box/src/box.testkit.ts
+++ b/apps/box/src/box.testkit.ts
@@ -32,12 +32,15 @@
   more?: string;
 }>;
 
+/** How long a box may still accept a key that was taken away. */
+export const KEY_REMOVAL_MS = 1300;
+
 const formatSettings = (box: string, store: string, changes: BoxChanges) => `
 box: ${box}
 dataHall: hall-a
 listen: { clients: "127.0.0.1:0", ready: "127.0.0.1:0", metrics: "127.0.0.1:0", peers: "127.0.0.1:0" }
 store: { address: "${store}", configurationWaitMs: 200, patienceMs: 200, firstPauseMs: 20, mostPauseMs: 50 }
-bounds: { configurationMs: 600, keyRemovalMs: 1300, isKeyRemovalStrict: ${changes.isKeyRemovalStrict ?? true}, leavingMs: 2000, stopSeconds: ${changes.stopSeconds ?? SHORT_STOP_SECONDS} }
+bounds: { configurationMs: 600, keyRemovalMs: ${KEY_REMOVAL_MS}, isKeyRemovalStrict: ${changes.isKeyRemovalStrict ?? true}, leavingMs: 2000, stopSeconds: ${changes.stopSeconds ?? SHORT_STOP_SECONDS} }
 retries: { ratio: ${changes.retrySlack === undefined ? 0.2 : 0}, slack: ${changes.retrySlack ?? 160}, windowSeconds: 10 }
 engines: { reportIntervalMs: 50 }
 ${changes.more ?? ""}`;
