--- a/apps/box/src/scripted.testkit.ts
+++ b/apps/box/src/scripted.testkit.ts
@@ -17,13 +17,12 @@
 
 export const REQUEST = "r";
 export const EVENT_COUNT = 4;
-const CHUNKED = "Transfer-Encoding: chunked";
+export const CHUNKED = "Transfer-Encoding: chunked";
 const LAST_CHUNK = "0\r\n\r\n";
 
+export const getEvent = (index: number) => formatEngineEvent(REQUEST, index);
 export const getEvents = (from: number, to: number) =>
-  Array.from({ length: to - from }, (_, at) =>
-    formatEngineEvent(REQUEST, from + at),
-  ).join("");
+  Array.from({ length: to - from }, (_, at) => getEvent(from + at)).join("");
 export const WHOLE = getEvents(0, EVENT_COUNT);
 /** One whole event and the begin of the next. */
 export const CUT = getEvents(0, 1) + getEvents(1, 2).slice(0, 7);
@@ -37,15 +36,34 @@
     const head = formatStreamHead(requestId, CHUNKED);
     socket.write(head + texts.map(formatChunk).join("") + LAST_CHUNK);
   };
+/** Serves what is asked for: the events behind the one that is named. */
+export const sendAsked: EngineScript = (call) => {
+  const from = call.lastEventId === undefined ? 0 : Number(call.lastEventId) + 1;
+  sendChunks(getEvents(from, EVENT_COUNT))(call);
+};
 /** The connection is reset once what was written has been read. */
 export const sendAndReset =
-  (text: string): EngineScript =>
+  (text: string, signature = "signature"): EngineScript =>
   ({ socket, requestId }) => {
-    const head = formatStreamHead(requestId, CHUNKED);
-    socket.write(head + formatChunk(text), () =>
+    const head = formatStreamHead(requestId, CHUNKED).replace("signature", signature);
+    socket.write(head + (text === "" ? "" : formatChunk(text)), () =>
       setTimeout(() => socket.resetAndDestroy(), 20),
     );
   };
+/** A stream that ends with its connection, closed in order as the kernel does for a process that was killed. */
+export const sendUnframed =
+  (text: string, isKilled = false): EngineScript =>
+  ({ socket, requestId, leaveAddress }) => {
+    if (isKilled) leaveAddress();
+    socket.end(formatStreamHead(requestId) + text);
+  };
+/** An answer that is no stream. */
+export const refuse =
+  (status: string, body: string): EngineScript =>
+  ({ socket, requestId }) => {
+    const head = `HTTP/1.1 ${status}\r\nRequest-Id: ${requestId}\r\nContent-Length: ${body.length}\r\n\r\n`;
+    socket.write(head + body);
+  };
 /** An answer without a length or chunks, whose process ends right behind it. */
 export const sendAndLeave =
   (status: string, body: string, more = ""): EngineScript =>
@@ -63,7 +81,7 @@
   const site = await startUsersSite({ engines: 0, services: 0 });
   closers.push(site.close);
   const engines = createScriptedEngines(scripts);
-  for (const id of ["server-a", "server-b"]) {
+  for (const id of ["engine-a", "engine-b"]) {
     const { address, close } = await engines.start(id);
     closers.push(close);
     site.store.put("servers", id, {
@@ -84,17 +102,23 @@
   return { ports, lines, listCalls: engines.listCalls };
 };
 
-/** Asks for a stream. */
-export const askStream = async (
+/** Asks for a stream; gives what the client got beside what the box wrote and asked. */
+export const askThrough = async (
   path: string,
   scripts: readonly EngineScript[],
   more: Readonly<Record<string, string>> = {},
 ) => {
-  const { ports } = await startScriptedSite(scripts, "writers");
+  const { ports, lines, listCalls } = await startScriptedSite(scripts, "writers");
   const headers = { ...makeGeneration(400, EVENT_COUNT), ...more };
-  return ask(ports, { path, id: REQUEST, headers });
+  const answer = await ask(ports, { path, id: REQUEST, headers });
+  const asked = listCalls().map(({ lastEventId }) => lastEventId);
+  return { answer, asked, lines, ports };
 };
 
+/** Asks for a stream. */
+export const askStream = async (...args: Parameters<typeof askThrough>) =>
+  (await askThrough(...args)).answer;
+
 /** Asks a plain service. */
 export const askPlain = async (
   changes: Partial<Ask>,
--- a/apps/box/src/streamEnds.test.ts
+++ b/apps/box/src/streamEnds.test.ts
@@ -10,114 +10,42 @@
  * "id: 0\ndata: r token group 0\n\nout of order".
  */
 import { describe, expect, it } from "vitest";
+import { formatStreamHead } from "@stairgauge/standins";
+import type { Line } from "./box.testkit.js";
 import {
-  createScriptedEngines,
-  formatEngineEvent,
-  formatStreamHead,
-  startUsersSite,
-  type EngineScript,
-} from "@stairgauge/standins";
-import {
-  ask,
-  closers,
-  makeGeneration,
-  startBox,
-  waitFor,
-  type Line,
-} from "./box.testkit.js";
-
-const REQUEST = "r";
-const CHUNKED = "Transfer-Encoding: chunked";
-const EVENT_COUNT = 4;
-
-const getEvent = (index: number) => formatEngineEvent(REQUEST, index);
-const getEvents = (from: number, to: number) =>
-  Array.from({ length: to - from }, (_, at) => getEvent(from + at)).join("");
-const WHOLE = getEvents(0, EVENT_COUNT);
-
-const formatChunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
-const LAST_CHUNK = "0\r\n\r\n";
-
-/** An answer that ends with its connection, closed in order as the kernel does for a process that was killed. */
-const sendUnframed =
-  (text: string, isKilled = false): EngineScript =>
-  ({ socket, requestId, leaveAddress }) => {
-    if (isKilled) leaveAddress();
-    socket.end(formatStreamHead(requestId) + text);
-  };
-const sendChunked =
-  (text: string): EngineScript =>
-  ({ socket, requestId }) => {
-    const head = formatStreamHead(requestId, CHUNKED);
-    socket.write(head + formatChunk(text) + LAST_CHUNK);
-  };
-/** The connection is reset once what was written has been read. */
-const sendAndReset =
-  (text: string): EngineScript =>
-  ({ socket, requestId }) => {
-    const head = formatStreamHead(requestId, CHUNKED);
-    socket.write(head + formatChunk(text), () =>
-      setTimeout(() => socket.resetAndDestroy(), 20),
-    );
-  };
-const refuse =
-  (status: string, body: string): EngineScript =>
-  ({ socket, requestId }) => {
-    const head = `HTTP/1.1 ${status}\r\nRequest-Id: ${requestId}\r\nContent-Length: ${body.length}\r\n\r\n`;
-    socket.write(head + body);
-  };
-/** Serves what is asked for: the events behind the one that is named. */
-const sendAsked: EngineScript = (call) => {
-  const from = call.lastEventId === undefined ? 0 : Number(call.lastEventId) + 1;
-  sendChunked(getEvents(from, EVENT_COUNT))(call);
-};
-
-const startScriptedSite = async (scripts: readonly EngineScript[]) => {
-  const site = await startUsersSite({ engines: 0, services: 0 });
-  closers.push(site.close);
-  const engines = createScriptedEngines(scripts);
-  for (const id of ["engine-a", "engine-b"]) {
-    const engine = await engines.start(id);
-    closers.push(engine.close);
-    site.putEngine(id, engine.address);
-  }
-  const { ports, lines } = await startBox(site.store.address);
-  site.putConfiguration();
-  await waitFor(
-    () => lines.filter(({ event }) => event === "server_joined").length === 2,
-  );
-  return { ports, lines, engines };
-};
-
-const askFor = async (path: string, scripts: readonly EngineScript[]) => {
-  const { ports, lines, engines } = await startScriptedSite(scripts);
-  const headers = makeGeneration(400, EVENT_COUNT);
-  const answer = await ask(ports, { path, id: REQUEST, headers });
-  return { answer, lines, engines, ports };
-};
+  askThrough,
+  CHUNKED,
+  EVENT_COUNT,
+  getEvent,
+  getEvents,
+  refuse,
+  REQUEST,
+  sendAndReset,
+  sendAsked,
+  sendChunks,
+  sendUnframed,
+  WHOLE,
+} from "./scripted.testkit.js";
 
 describe("the end of a stream", () => {
   it("is not the end of a connection within an event: the stream goes on elsewhere", async () => {
     const cut = getEvent(0) + getEvent(1).slice(0, 7);
-    const { answer, engines } = await askFor("/verdict/", [
+    const { answer, asked } = await askThrough("/verdict/", [
       sendUnframed(cut, true),
       sendAsked,
     ]);
     expect(answer).toMatchObject({ status: 200, body: WHOLE, isWhole: true });
-    expect(engines.listCalls().map(({ lastEventId }) => lastEventId)).toEqual([
-      undefined,
-      "0",
-    ]);
+    expect(asked).toEqual([undefined, "0"]);
   });
 
   it("is not the end of a connection within an event: a stream that cannot go on is broken off", async () => {
     const cut = getEvent(0) + getEvent(1).slice(0, 7);
-    const { answer } = await askFor("/draft/", [sendUnframed(cut, true)]);
+    const { answer } = await askThrough("/draft/", [sendUnframed(cut, true)]);
     expect(answer).toMatchObject({ body: getEvent(0), isWhole: false });
   });
 
   it("is not the end of a connection within the first event", async () => {
-    const { answer } = await askFor("/verdict/", [
+    const { answer } = await askThrough("/verdict/", [
       sendUnframed(getEvent(0).slice(0, 9), true),
       sendAsked,
     ]);
@@ -125,32 +53,29 @@
   });
 
   it("is not the end of a connection behind a whole event whose server's process is gone", async () => {
-    const { answer, engines } = await askFor("/verdict/", [
+    const { answer, asked } = await askThrough("/verdict/", [
       sendUnframed(getEvents(0, 2), true),
       sendAsked,
     ]);
     expect(answer).toMatchObject({ status: 200, body: WHOLE, isWhole: true });
-    expect(engines.listCalls().map(({ lastEventId }) => lastEventId)).toEqual([
-      undefined,
-      "1",
-    ]);
+    expect(asked).toEqual([undefined, "1"]);
   });
 
   it("is broken off where a stream that cannot go on lost its server's process", async () => {
-    const { answer } = await askFor("/draft/", [sendUnframed(getEvents(0, 2), true)]);
+    const { answer } = await askThrough("/draft/", [sendUnframed(getEvents(0, 2), true)]);
     expect(answer).toMatchObject({ body: getEvents(0, 2), isWhole: false });
   });
 
   it("is the end of a connection whose server's process is still there", async () => {
-    const { answer, engines } = await askFor("/verdict/", [sendUnframed(WHOLE)]);
+    const { answer, asked } = await askThrough("/verdict/", [sendUnframed(WHOLE)]);
     expect(answer).toMatchObject({ status: 200, body: WHOLE, isWhole: true });
-    expect(engines.listCalls()).toHaveLength(1);
+    expect(asked).toHaveLength(1);
   });
 });
 
 describe("events of two servers", () => {
   it("never meet when the first one broke off within its first event", async () => {
-    const { answer } = await askFor("/verdict/", [
+    const { answer } = await askThrough("/verdict/", [
       sendAndReset(getEvent(0).slice(0, 9)),
       sendAsked,
     ]);
@@ -163,7 +88,7 @@
       ["503 Service Unavailable", '{"reason":"full"}\n\n'],
       ["200 OK", "no stream"],
     ] as const) {
-      const { answer } = await askFor("/verdict/", [
+      const { answer } = await askThrough("/verdict/", [
         sendAndReset(getEvent(0)),
         refuse(status, body),
       ]);
@@ -174,16 +99,16 @@
   it.each([0, 3])(
     "never meet when the second one begins at event %i instead of the next",
     async (first) => {
-      const { answer } = await askFor("/verdict/", [
+      const { answer } = await askThrough("/verdict/", [
         sendAndReset(getEvents(0, 2)),
-        sendChunked(getEvents(first, EVENT_COUNT)),
+        sendChunks(getEvents(first, EVENT_COUNT)),
       ]);
       expect(answer).toMatchObject({ body: getEvents(0, 2), isWhole: false });
     },
   );
 
   it("carry the signature of the one whose events go out", async () => {
-    const { answer } = await askFor("/verdict/", [
+    const { answer } = await askThrough("/verdict/", [
       ({ socket }) => {
         socket.write(
           formatStreamHead(REQUEST, CHUNKED).replace("signature", "lost"),
@@ -203,12 +128,12 @@
     lines.find((line) => line["event"] === event && line["request"] === REQUEST);
 
   it.each([
-    ["chunks", "by_framing", sendChunked(WHOLE)],
+    ["chunks", "by_framing", sendChunks(WHOLE)],
     ["connection", "in_order", sendUnframed(WHOLE)],
   ])(
     "say of a whole one by %s that it was closed %s",
     async (framing, closed, script) => {
-      const { lines } = await askFor("/verdict/", [script]);
+      const { lines } = await askThrough("/verdict/", [script]);
       expect(findLine(lines, "stream_ended")).toMatchObject({
         framing,
         closed,
@@ -221,7 +146,7 @@
   );
 
   it("tell where a new run goes on, and what the first one left", async () => {
-    const { lines } = await askFor("/verdict/", [
+    const { lines } = await askThrough("/verdict/", [
       sendAndReset(getEvent(0) + cut),
       sendAsked,
     ]);
@@ -243,7 +168,7 @@
   });
 
   it("tell what an attempt left that came to no whole event", async () => {
-    const { lines } = await askFor("/verdict/", [sendAndReset(cut), sendAsked]);
+    const { lines } = await askThrough("/verdict/", [sendAndReset(cut), sendAsked]);
     expect(findLine(lines, "retry")).toMatchObject({
       framing: "chunks",
       lastEventId: undefined,
@@ -252,7 +177,7 @@
   });
 
   it("tell of a lost one, and metrics count it apart from a whole one", async () => {
-    const { lines, ports } = await askFor("/verdict/", [
+    const { lines, ports } = await askThrough("/verdict/", [
       sendAndReset(getEvent(0) + cut),
       sendAndReset(cut),
     ]);
