--- a/packages/forwarding/src/eventSplitter.ts
+++ b/packages/forwarding/src/eventSplitter.ts
@@ -28,28 +28,28 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const SPACE = 0x20;
-const BLANK_LINE = Buffer.from("\n\n");
-const ID_FIELD = Buffer.from("id:");
-const ID_LINE = Buffer.from("\nid:");
-const DATA_FIELD = Buffer.from("data");
-const DATA_LINE = Buffer.from("\ndata");
+const BLANK_LINE = "\n\n";
+const ID_FIELD = "id:";
+const DATA_FIELD = "data";
+const FIRST_OF_ID = ID_FIELD.charCodeAt(0);
+const FIRST_OF_DATA = DATA_FIELD.charCodeAt(0);
 
 /** The ends of the events that the bytes complete, each the index behind its last byte. */
 type EventEnds = readonly number[];
 
-const passLineFeeds = (bytes: Buffer, from: number): number => {
+const passLineFeeds = (text: string, from: number): number => {
   let at = from;
-  while (bytes[at] === LINE_FEED) at += 1;
+  while (text.charCodeAt(at) === LINE_FEED) at += 1;
   return at;
 };
 
-const findPlainEnds = (bytes: Buffer): EventEnds => {
+const findPlainEnds = (text: string): EventEnds => {
   const ends: number[] = [];
-  let at = bytes.indexOf(BLANK_LINE, passLineFeeds(bytes, 0));
+  let at = text.indexOf(BLANK_LINE, passLineFeeds(text, 0));
   while (at >= 0) {
     const end = at + BLANK_LINE.length;
     ends.push(end);
-    at = bytes.indexOf(BLANK_LINE, passLineFeeds(bytes, end));
+    at = text.indexOf(BLANK_LINE, passLineFeeds(text, end));
   }
   return ends;
 };
@@ -82,46 +82,54 @@
   return ends;
 };
 
-const findEventEnds = (bytes: Buffer, isAll: boolean): EventEnds =>
-  bytes.includes(CARRIAGE_RETURN) ? findMixedEnds(bytes, isAll) : findPlainEnds(bytes);
+/** What the fields of one event say. */
+type EventFields = { id: string | undefined; hasData: boolean };
 
-const isFirstField = (event: Buffer, field: Buffer): boolean =>
-  event.subarray(0, field.length).equals(field);
-
-/** The value that begins at `found`, up to the end of its line. */
-const readValue = (event: Buffer, found: number): string => {
-  const start = event[found] === SPACE ? found + 1 : found;
-  return event.toString("latin1", start, event.indexOf(LINE_FEED, start));
+const readPlainLine = (text: string, start: number, end: number, into: EventFields) => {
+  const first = text.charCodeAt(start);
+  if (first === FIRST_OF_DATA) into.hasData ||= text.startsWith(DATA_FIELD, start);
+  if (first !== FIRST_OF_ID || !text.startsWith(ID_FIELD, start)) return;
+  const value = start + ID_FIELD.length;
+  into.id = text.slice(text.charCodeAt(value) === SPACE ? value + 1 : value, end);
 };
 
-/** Id of one event, its last if it has several. */
-const findPlainId = (event: Buffer): string | undefined => {
-  const at = event.lastIndexOf(ID_LINE);
-  if (at >= 0) return readValue(event, at + ID_LINE.length);
-  return isFirstField(event, ID_FIELD) ? readValue(event, ID_FIELD.length) : undefined;
+/** The last id counts where an event has several. */
+const readPlainFields = (text: string, start: number, end: number): EventFields => {
+  const fields: EventFields = { id: undefined, hasData: false };
+  for (let at = start; at < end;) {
+    const lineEnd = text.indexOf("\n", at);
+    readPlainLine(text, at, lineEnd, fields);
+    at = lineEnd + 1;
+  }
+  return fields;
 };
 
 const MIXED_ID_LINE = /(?<=^|[\r\n])id: ?([^\r\n]*)/g;
+const MIXED_DATA_LINE = /(?<=^|[\r\n])data/;
 
-const findMixedId = (event: Buffer): string | undefined =>
-  [...event.toString("latin1").matchAll(MIXED_ID_LINE)].at(-1)?.[1];
-
-const findId = (event: Buffer): string | undefined =>
-  event.includes(CARRIAGE_RETURN) ? findMixedId(event) : findPlainId(event);
+const readMixedFields = (text: string, start: number, end: number): EventFields => {
+  const event = text.slice(start, end);
+  const id = [...event.matchAll(MIXED_ID_LINE)].at(-1)?.[1];
+  return { id, hasData: MIXED_DATA_LINE.test(event) };
+};
 
-const MIXED_DATA_LINE = /(?<=^|[\r\n])data/;
+const listIds = (text: string, ends: EventEnds): readonly (string | undefined)[] => {
+  const readFields = text.includes("\r") ? readMixedFields : readPlainFields;
+  const ids: (string | undefined)[] = [];
+  let start = 0;
+  for (const end of ends) {
+    const { id, hasData } = readFields(text, start, end);
+    if (id !== undefined || hasData) ids.push(id);
+    start = end;
+  }
+  return ids;
+};
 
-const hasData = (event: Buffer): boolean =>
-  event.includes(CARRIAGE_RETURN)
-    ? MIXED_DATA_LINE.test(event.toString("latin1"))
-    : isFirstField(event, DATA_FIELD) || event.includes(DATA_LINE);
+/** One byte of the stream is one character of the text. */
+const toText = (bytes: Buffer): string => bytes.toString("latin1");
 
-const listIds = (bytes: Buffer, ends: EventEnds): readonly (string | undefined)[] =>
-  ends.flatMap((end, index) => {
-    const event = bytes.subarray(ends[index - 1] ?? 0, end);
-    const id = findId(event);
-    return id !== undefined || hasData(event) ? [id] : [];
-  });
+const findEventEnds = (bytes: Buffer, text: string, isAll: boolean): EventEnds =>
+  text.includes("\r") ? findMixedEnds(bytes, isAll) : findPlainEnds(text);
 
 const FULL_LINE_END = Buffer.from("\r\n");
 
@@ -131,7 +139,7 @@
  */
 const countLeft = (rest: Buffer): number => {
   const isAll = !rest.includes(FULL_LINE_END);
-  const left = rest.subarray(findEventEnds(rest, isAll).at(-1) ?? 0);
+  const left = rest.subarray(findEventEnds(rest, toText(rest), isAll).at(-1) ?? 0);
   return left.every(isLineEnd) ? 0 : left.length;
 };
 
@@ -143,14 +151,15 @@
   return {
     push: (chunk) => {
       const bytes = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
-      const ends = findEventEnds(bytes, false);
+      const text = toText(bytes);
+      const ends = findEventEnds(bytes, text, false);
       const end = ends.at(-1);
       if (end === undefined) {
         rest = bytes;
         return undefined;
       }
       rest = bytes.subarray(end);
-      const ids = listIds(bytes, ends);
+      const ids = listIds(text, ends);
       lastEventId = ids.findLast((id) => id !== undefined) ?? lastEventId;
       return { bytes: bytes.subarray(0, end), events: ends.length, ids };
     },
