--- a/packages/services/src/httpServiceClient.test.ts
+++ b/packages/services/src/httpServiceClient.test.ts
@@ -2,6 +2,7 @@
  * An answer with neither a length nor chunks ends with its connection, and the kernel ends that in
  * order for a process that was killed: half an answer counted as whole, was passed on as complete, and was kept for
  * the repeats of a call that may run once.
+ * An answer whose coding is not "chunked" ends with its connection all the same, and half of one still counts as whole.
  */
 import { createServer, type AddressInfo } from "node:net";
 import { afterEach, describe, expect, it } from "vitest";
@@ -44,6 +45,11 @@
     ["a length", "Content-Length: 9\r\n", "half"],
     ["chunks", "Transfer-Encoding: chunked\r\n", "4\r\nhalf\r\n"],
     ["neither, its server's process gone", "", "half"],
+    [
+      "a coding other than chunks, its server's process gone",
+      "Transfer-Encoding: gzip\r\n",
+      "half",
+    ],
   ])("has failed, with %s", async (_framing, framing, half) => {
     expect(await callCutOff(framing, half)).toBe("failed");
   });
