--- a/apps/box/src/answerProofs.test.ts
+++ b/apps/box/src/answerProofs.test.ts
@@ -1,6 +1,6 @@
 /**
- * A client got a stream that ended as complete after an event that no run had made. A review of the first mend found that
- * bytes or an end were still taken for something that they do not prove:
+ * A client got a stream that ended as complete after an event that no run had made. Where each
+ * server's part of a stream was kept apart already, bytes or an end were still taken for something that they do not prove:
  * - A server may end its chunks in order within an event, as a process does that closes its answers when it is told to end.
  *   The box passed the half event on and ended the stream as complete: "id: 0\ndata: r token group 0\n\nid: 1\nd".
  * - A server whose coding is not "chunked" ends its answer with the connection all the same.
--- a/packages/forwarding/src/answerSink.ts
+++ b/packages/forwarding/src/answerSink.ts
@@ -5,7 +5,7 @@
 import { assertNever } from "@stairgauge/common";
 import type { ServerSign } from "./askServer.js";
 import { countBytesLeft, type Attempt } from "./attempt.js";
-import { isStreamOf, judgeAttempt } from "./decideNext.js";
+import { isBodyNeeded, isStreamOf, judgeAttempt } from "./decideNext.js";
 import type { AdmittedRequest } from "./forwarderTypes.js";
 import { judgeEnd, judgeEndBy, type EndProof } from "./judgeEnd.js";
 import type { EndedBy, ExchangeSink } from "./openExchange.js";
@@ -103,6 +103,9 @@
       case "passed_on":
         applyPace(step.isClientSlow);
         return;
+      case "too_long":
+        listener.onFailure({ kind: "malformed", detail: "an event too long to hold" });
+        return;
       case "does_not_follow":
         listener.onFailure({
           kind: "malformed",
@@ -114,15 +117,11 @@
     }
   };
 
-  /** A refusal, and an answer that is no use, are judged by their head. */
-  const isBodyNeeded = (answerHead: AnswerHead): boolean => {
-    const verdict = judgeAttempt({ kind: "answered", head: answerHead }, head.id);
-    return verdict === "final" || verdict === "ran_and_failed";
-  };
   const takeEnd = (endedBy: EndedBy) => {
+    attempt.endedBy = endedBy;
     const proof = judgeEnd({
       endedBy,
-      isBodyNeeded: isBodyNeeded(attempt.head!),
+      isBodyNeeded: isBodyNeeded(attempt.head!, head.id),
       isStream: attempt.body.kind === "stream",
       bytesLeft: countBytesLeft(attempt),
       isLeaving: options.isLeaving(),
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -1,7 +1,7 @@
 /** One attempt of a request at one server, as far as it has come. */
 import type { Timer } from "@stairgauge/common";
 import type { BackendServer } from "@stairgauge/directory";
-import type { Exchange } from "./openExchange.js";
+import type { EndedBy, Exchange } from "./openExchange.js";
 import type { StreamLeg } from "./streamRelay.js";
 import type { AnswerHead } from "./types.js";
 
@@ -21,6 +21,8 @@
   exchange: Exchange | undefined;
   head: AnswerHead | undefined;
   reason: string;
+  /** What ended the answer, once it has ended without an error. */
+  endedBy: EndedBy | undefined;
   body: AttemptBody;
   heldBytes: number;
   /** Gives its place at the server back. */
@@ -35,6 +37,7 @@
   exchange: undefined,
   head: undefined,
   reason: "",
+  endedBy: undefined,
   body: { kind: "held", parts: [] },
   heldBytes: 0,
   release,
--- a/packages/forwarding/src/createDispatchReports.ts
+++ b/packages/forwarding/src/createDispatchReports.ts
@@ -49,6 +49,7 @@
   const describeBytes = (attempt: Attempt, closing: BytesClosing): BytesEnd =>
     describeBytesEnd({
       head: attempt.head,
+      endedBy: attempt.endedBy,
       closing,
       relay: {
         getLastEventId: relay.getLastEventId,
--- a/packages/forwarding/src/decideNext.ts
+++ b/packages/forwarding/src/decideNext.ts
@@ -9,7 +9,13 @@
 
 /** How one attempt ended before anything of it went to the client. */
 export type AttemptEnd = Readonly<
-  { kind: "answered"; head: AnswerHead } | { kind: "failed"; failure: ExchangeFailure }
+  | {
+      kind: "answered";
+      head: AnswerHead;
+      /** The head alone was judged: its body may be cut, and is not to be passed on. */
+      isBodyUnproven?: boolean;
+    }
+  | { kind: "failed"; failure: ExchangeFailure }
 >;
 
 /** What an attempt's end says of the request. */
@@ -59,6 +65,15 @@
   return head.status >= 500 ? "ran_and_failed" : "final";
 };
 
+/** Whether what follows rests on the body: a refusal, and an answer that is no use, are judged by their head. */
+export const isBodyNeeded = (
+  head: AnswerHead,
+  id: ClientRequestId | undefined,
+): boolean => {
+  const verdict = judgeAttempt({ kind: "answered", head }, id);
+  return verdict === "final" || verdict === "ran_and_failed";
+};
+
 /** Says how an attempt ended, for logs and reasons. */
 export const describeEnd = (end: AttemptEnd): string =>
   end.kind === "answered" ? `status ${end.head.status}` : end.failure.detail;
@@ -91,7 +106,8 @@
 const answerForUnserved = (inputs: StepInputs): NextStep => {
   const { end, route, mayHaveRunBefore } = inputs;
   if (mayHaveRunBefore && !mayRepeat(route)) return { kind: "answer_unknown" };
-  const isServersOwn = end.kind === "answered" && !end.head.isOtherServer;
+  const isServersOwn =
+    end.kind === "answered" && !end.head.isOtherServer && !end.isBodyUnproven;
   return isServersOwn ? { kind: "pass_on" } : { kind: "answer_not_run" };
 };
 
--- a/packages/forwarding/src/describeBytesEnd.test.ts
+++ b/packages/forwarding/src/describeBytesEnd.test.ts
@@ -30,6 +30,7 @@
   splitter.push(Buffer.from("id: 4\ndata: a\n\nid: 5\nda"));
   return {
     head: makeHead(),
+    endedBy: "framing",
     closing: { kind: "answered", head: makeHead() },
     relay: {
       getLastEventId: splitter.getLastEventId,
@@ -67,7 +68,14 @@
   });
 
   it.each<[string, Partial<BytesEndInputs>]>([
-    ["in_order", { head: UNFRAMED, closing: { kind: "answered", head: UNFRAMED } }],
+    [
+      "in_order",
+      {
+        head: UNFRAMED,
+        endedBy: "connection",
+        closing: { kind: "answered", head: UNFRAMED },
+      },
+    ],
     [
       "ECONNRESET",
       { closing: { kind: "failed", failure: { kind: "broken", detail: "ECONNRESET" } } },
@@ -77,6 +85,14 @@
     expect(describeBytesEnd(makeInputs(changes)).closed).toBe(closed);
   });
 
+  it("says of an answer that ended with its head that it had no body", () => {
+    const closing = { kind: "answered", head: UNFRAMED } as const;
+    expect(describeBytesEnd(makeInputs({ head: UNFRAMED, closing }))).toMatchObject({
+      framing: "none",
+      closed: "by_framing",
+    });
+  });
+
   it("has no framing where no head came", () => {
     const { framing } = describeBytesEnd(makeInputs({ head: undefined }));
     expect(framing).toBeUndefined();
--- a/packages/forwarding/src/describeBytesEnd.ts
+++ b/packages/forwarding/src/describeBytesEnd.ts
@@ -1,11 +1,12 @@
 /** Says how the bytes of one attempt ended, and what its box held of the stream and knew of the server then. Pure. */
 import type { Ms } from "@stairgauge/common";
 import { describeEnd, type AttemptEnd } from "./decideNext.js";
+import type { EndedBy } from "./openExchange.js";
 import type { StreamLeg, StreamRelay } from "./streamRelay.js";
 import type { AnswerHead } from "./types.js";
 
-/** How a server's answer says where it ends. */
-export type Framing = "length" | "chunks" | "connection";
+/** How a server's answer says where it ends; `none`: it has no body, and ends with its head. */
+export type Framing = "length" | "chunks" | "connection" | "none";
 
 /** What a box knows of a server. */
 export type ServerStanding = Readonly<{
@@ -22,7 +23,7 @@
 export type BytesEnd = Readonly<{
   /** Undefined when no head came. */
   framing: Framing | undefined;
-  /** `by_framing`, `in_order` for a connection that ended an answer without framing, `left_open`, or the failure's detail. */
+  /** `by_framing`, `in_order` for a connection that ended the answer, `left_open`, or the failure's detail. */
   closed: string;
   /** Id of the last whole event of the stream that has one. */
   lastEventId: string | undefined;
@@ -38,37 +39,40 @@
 /** What the description is made of. */
 export type BytesEndInputs = Readonly<{
   head: AnswerHead | undefined;
+  /** Undefined while the answer has not ended without an error. */
+  endedBy: EndedBy | undefined;
   closing: BytesClosing;
   relay: Pick<StreamRelay, "getLastEventId"> & Pick<StreamLeg, "countBytesLeft">;
   continuations: number;
   standing: ServerStanding;
 }>;
 
-/** Derives the framing from what the head says of its body. */
+/** Derives the framing from what the head says of its body, and from what ended that. */
 export const deriveFraming = (
   head: Pick<AnswerHead, "contentLength" | "isUnframed">,
+  endedBy?: EndedBy,
 ): Framing => {
-  if (head.isUnframed) return "connection";
+  if (head.isUnframed) return endedBy === "framing" ? "none" : "connection";
   return head.contentLength === undefined ? "chunks" : "length";
 };
 
-const describeClosing = (closing: BytesClosing): string => {
+const describeClosing = (closing: BytesClosing, endedBy: EndedBy | undefined): string => {
   switch (closing.kind) {
     case "left_open":
       return closing.kind;
     case "failed":
       return describeEnd(closing);
     case "answered":
-      return closing.head.isUnframed ? "in_order" : "by_framing";
+      return endedBy === "connection" ? "in_order" : "by_framing";
   }
 };
 
 /** Describes the end of an attempt's bytes; to be asked before what is left of them is dropped. */
 export const describeBytesEnd = (inputs: BytesEndInputs): BytesEnd => {
-  const { head, closing, relay, continuations, standing } = inputs;
+  const { head, endedBy, closing, relay, continuations, standing } = inputs;
   return {
-    framing: head && deriveFraming(head),
-    closed: describeClosing(closing),
+    framing: head && deriveFraming(head, endedBy),
+    closed: describeClosing(closing, endedBy),
     lastEventId: relay.getLastEventId(),
     bytesLeft: relay.countBytesLeft(),
     continuations,
--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -19,6 +19,7 @@
 import {
   decideNext,
   describeEnd,
+  isBodyNeeded,
   judgeAttempt,
   mayRepeat,
   type AttemptEnd,
@@ -218,12 +219,16 @@
     startRun();
   };
 
+  /** Nobody was asked whether the body is whole: it ended with its connection, and its head says enough. */
+  const isBodyUnproven = ({ endedBy, head: answerHead }: Attempt): boolean =>
+    endedBy === "connection" && !isBodyNeeded(answerHead!, head.id);
+
   const endWhole = (attempt: Attempt) => {
     const { body } = attempt;
-    const end: AttemptEnd = { kind: "answered", head: attempt.head! };
+    const end = { kind: "answered", head: attempt.head! } as const;
     switch (body.kind) {
       case "held":
-        conclude(attempt, end);
+        conclude(attempt, { ...end, isBodyUnproven: isBodyUnproven(attempt) });
         return;
       case "passed_on":
         answer.end();
--- a/packages/forwarding/src/eventSplitter.ts
+++ b/packages/forwarding/src/eventSplitter.ts
@@ -21,6 +21,8 @@
   getLastEventId: () => string | undefined;
   /** How many bytes of an event whose end has not come are held, if nothing follows them. */
   countRest: () => number;
+  /** How many bytes are held in all. */
+  countHeld: () => number;
   /** Hands those bytes out; none are held afterwards. */
   takeRest: () => Buffer;
 }>;
@@ -165,6 +167,7 @@
     },
     getLastEventId: () => lastEventId,
     countRest: () => countLeft(rest),
+    countHeld: () => rest.length,
     takeRest: () => {
       const taken = rest;
       rest = Buffer.alloc(0);
--- a/packages/forwarding/src/openExchange.ts
+++ b/packages/forwarding/src/openExchange.ts
@@ -63,6 +63,8 @@
   const { address, method, target, headers, body, connectLimit } = exchange;
   let isConnected = false;
   let isOver = false;
+  /** The answer has come whole as far as its bytes tell; what its connection does later says nothing of it. */
+  let isProven = false;
   let answer: IncomingMessage | undefined;
   let endedBy: EndedBy = "framing";
   const { host, port } = address;
@@ -75,6 +77,7 @@
     return true;
   };
   const fail = (failure: ExchangeFailure) => {
+    if (isProven || (answer?.complete && endedBy === "framing")) return;
     if (!finish()) return;
     socket.destroy();
     sink.onFailure(failure);
@@ -110,6 +113,9 @@
     socket.write(EMPTY_LINE, (error) => {
       if (error) fail(toFailure(error));
     });
+    setImmediate(() => {
+      isProven = answer?.complete ?? false;
+    });
   });
   outgoing.on("error", (error) => fail(toFailure(error)));
   outgoing.on("close", () =>
--- a/packages/forwarding/src/streamRelay.test.ts
+++ b/packages/forwarding/src/streamRelay.test.ts
@@ -79,4 +79,26 @@
     relay.beginLeg([], "").push(Buffer.from(makeEvent(5, "b")));
     expect(getSent()).toBe(makeEvent(5, "b"));
   });
+
+  it("gives up a leg whose event never ends, and what it holds of it", () => {
+    const { relay, getSent } = makeRelay();
+    const leg = relay.beginLeg([], "");
+    leg.push(Buffer.from(makeEvent(0, "a")));
+    const part = Buffer.alloc(64 * 1024, "x");
+    const steps = Array.from({ length: 10 }, () => leg.push(part).kind);
+    expect(steps).toContain("too_long");
+    expect(steps.at(-1)).toBe("held");
+    relay.beginLeg([], "").push(Buffer.from(makeEvent(1, "b")));
+    expect(getSent()).toBe(makeEvent(0, "a") + makeEvent(1, "b"));
+  });
+
+  it("holds comments of a leg back until its first event has joined", () => {
+    const { relay, getSent } = makeRelay();
+    relay.beginLeg([], "").push(Buffer.from(makeEvent(0, "a")));
+    const leg = relay.beginLeg([], "");
+    expect(leg.push(Buffer.from(": here\n\n"))).toEqual({ kind: "held" });
+    expect(getSent()).toBe(makeEvent(0, "a"));
+    leg.push(Buffer.from(makeEvent(1, "b")));
+    expect(getSent()).toBe(`${makeEvent(0, "a")}: here\n\n${makeEvent(1, "b")}`);
+  });
 });
--- a/packages/forwarding/src/streamRelay.ts
+++ b/packages/forwarding/src/streamRelay.ts
@@ -15,6 +15,8 @@
   | { kind: "held" }
   /** Whole events were passed on; the client may read slower than they come. */
   | { kind: "passed_on"; isClientSlow: boolean }
+  /** An event is longer than what may be held of it. */
+  | { kind: "too_long" }
   /** The leg's first event does not follow what the client has: nothing of it was passed on. */
   | {
       kind: "does_not_follow";
@@ -64,6 +66,12 @@
 
 const STREAM_STATUS = 200;
 
+/** An event that is longer is no event: a server that never ends one would fill the box's memory. */
+const LONGEST_EVENT_BYTES = 512 * 1024;
+
+/** Comments that wait for the first event of a leg. */
+const MOST_HELD_COMMENTS = 16;
+
 /** Creates a relay before its first leg. */
 export const createStreamRelay = (options: StreamRelayOptions): StreamRelay => {
   const { clock, answer, askedBehind, onFirstEvent } = options;
@@ -113,14 +121,13 @@
   const beginLeg = (headers: RawHeaders, reason: string): StreamLeg => {
     const splitter = createEventSplitter();
     let isJoined = false;
-    let comments: readonly Buffer[] = [];
+    const comments: Buffer[] = [];
     const begin = () => {
       if (!answer.hasBegun()) answer.begin({ status: STREAM_STATUS, reason, headers });
     };
     const takeBatch = (batch: EventBatch): LegStep => {
       begin();
-      for (const comment of comments) answer.write(comment);
-      comments = [];
+      for (const comment of comments.splice(0)) answer.write(comment);
       return passOn(batch);
     };
     const joinBatch = (batch: EventBatch): LegStep => {
@@ -130,7 +137,8 @@
           isJoined = true;
           return takeBatch(batch);
         case "tells_nothing":
-          comments = [...comments, batch.bytes];
+          // They may be dropped where there are too many: they are no events.
+          if (comments.length < MOST_HELD_COMMENTS) comments.push(batch.bytes);
           return { kind: "held" };
         case "does_not_follow":
           current = undefined;
@@ -141,7 +149,12 @@
     };
     const leg: StreamLeg = {
       push: (chunk) => {
-        const batch = current === leg ? splitter.push(chunk) : undefined;
+        if (current !== leg) return { kind: "held" };
+        const batch = splitter.push(chunk);
+        if (splitter.countHeld() > LONGEST_EVENT_BYTES) {
+          current = undefined;
+          return { kind: "too_long" };
+        }
         if (!batch) return { kind: "held" };
         return isJoined ? takeBatch(batch) : joinBatch(batch);
       },
--- a/packages/services/src/httpServiceClient.ts
+++ b/packages/services/src/httpServiceClient.ts
@@ -24,8 +24,14 @@
 const hasBody = (method: string, status: number): boolean =>
   method !== "HEAD" && !BODILESS_STATUSES.has(status);
 
-const isFramed = (headers: Readonly<Record<string, unknown>>): boolean =>
-  headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+/** Chunks say where a body ends only as its last coding. */
+const isFramed = (
+  headers: Readonly<Record<string, string | readonly string[] | undefined>>,
+): boolean => {
+  if (headers["content-length"] !== undefined) return true;
+  const codings = [headers["transfer-encoding"] ?? ""].flat().join(",");
+  return codings.split(",").at(-1)?.trim().toLowerCase() === "chunked";
+};
 
 /** Creates the client. */
 export const createHttpServiceClient = (): ServiceClient => {
