test: boxes are asked once they know a configuration and their servers, whichever came first

Change: one wait for both in box.testkit, used by all kits; boxes whose tests are about the ends of streams keep known keys (not strict), so that their knowledge's age on a busy machine decides nothing.

--- a/apps/box/src/answerProofs.test.ts
+++ b/apps/box/src/answerProofs.test.ts
@@ -23,7 +23,14 @@
   startUsersSite,
   type EngineScript,
 } from "@stairgauge/standins";
-import { ask, closers, makeGeneration, startBox, waitFor } from "./box.testkit.js";
+import {
+  ask,
+  closers,
+  KEEPS_KEYS,
+  makeGeneration,
+  startBox,
+  waitUntilKnown,
+} from "./box.testkit.js";
 import {
   askPlain,
   askStream,
@@ -118,9 +125,9 @@
     const site = await startUsersSite({ engines: 0, services: 0 });
     closers.push(site.close);
     site.putEngine("engine-a", await startDyingEngine());
-    const { ports, lines } = await startBox(site.store.address);
+    const { ports, lines } = await startBox(site.store.address, "box-1", KEEPS_KEYS);
     site.putConfiguration();
-    await waitFor(() => lines.some(({ event }) => event === "server_joined"));
+    await waitUntilKnown(lines, 1);
     const headers = makeGeneration(400, EVENT_COUNT);
     const answer = await ask(ports, { path: "/draft/", id: REQUEST, headers });
     expect(answer).toMatchObject({ body: TWO, isWhole: false });
--- a/apps/box/src/box.testkit.ts
+++ b/apps/box/src/box.testkit.ts
@@ -71,6 +71,17 @@
   return { box, ports, lines };
 };
 
+/** Waits until a box knows a configuration and so many servers: each of them may come first. */
+export const waitUntilKnown = async (lines: readonly Line[], servers: number) => {
+  await waitFor(() => lines.some(({ event }) => event === "configuration_adopted"));
+  await waitFor(
+    () => lines.filter(({ event }) => event === "server_joined").length >= servers,
+  );
+};
+
+/** Changes of a box whose test is about something else than what it may know for how long on a busy machine. */
+export const KEEPS_KEYS: BoxChanges = { isKeyRemovalStrict: false };
+
 /** A site and one box before it. */
 export type BoxedSite = Readonly<{
   site: UsersSite;
@@ -91,12 +102,7 @@
   const { box, ports, lines } = await startBox(site.store.address, "box-1", changes);
   const start = async () => {
     site.putConfiguration();
-    await waitFor(() => lines.some(({ event }) => event === "configuration_adopted"));
-    await waitFor(
-      () =>
-        lines.filter(({ event }) => event === "server_joined").length >=
-        engines + services,
-    );
+    await waitUntilKnown(lines, engines + services);
   };
   return { site, box, ports, lines, start };
 };
--- a/apps/box/src/joins.testkit.ts
+++ b/apps/box/src/joins.testkit.ts
@@ -11,7 +11,8 @@
   closers,
   makeGeneration,
   startBox,
-  waitFor,
+  KEEPS_KEYS,
+  waitUntilKnown,
   type Answer,
 } from "./box.testkit.js";
 
@@ -208,12 +209,11 @@
     site.putEngine(engine.id, engine.address);
   }
   const { ports, lines } = await startBox(site.store.address, "box-1", {
+    ...KEEPS_KEYS,
     retrySlack: MOST_CALLS,
   });
   site.allowServers(MOST_SERVERS);
-  await waitFor(
-    () => lines.filter(({ event }) => event === "server_joined").length === ENGINES,
-  );
+  await waitUntilKnown(lines, ENGINES);
   let next = 0;
   const runScript = async (script: Script): Promise<Outcome> => {
     next += 1;
--- a/apps/box/src/joinsInSeries.test.ts
+++ b/apps/box/src/joinsInSeries.test.ts
@@ -7,6 +7,7 @@
 import { formatEngineEvent, type UsersSite } from "@stairgauge/standins";
 import {
   ask,
+  KEEPS_KEYS,
   makeGeneration,
   startSite,
   waitFor,
@@ -35,7 +36,10 @@
 };
 
 const startEngines = async (engines: number): Promise<BoxedSite> => {
-  const started = await startSite(engines, 0, { retrySlack: MOST_REPEATS });
+  const started = await startSite(engines, 0, {
+    ...KEEPS_KEYS,
+    retrySlack: MOST_REPEATS,
+  });
   await started.start();
   started.site.allowServers(MOST_SERVERS);
   await waitFor(
@@ -212,7 +216,7 @@
   });
 
   it("break a stream off behind a whole event when no further server may be asked", async () => {
-    const started = await startSite(4, 0);
+    const started = await startSite(4, 0, KEEPS_KEYS);
     await started.start();
     const gone = new Set<Engine>();
     const endOne = () => {
--- a/apps/box/src/scripted.testkit.ts
+++ b/apps/box/src/scripted.testkit.ts
@@ -11,7 +11,8 @@
   closers,
   makeGeneration,
   startBox,
-  waitFor,
+  waitUntilKnown,
+  KEEPS_KEYS,
   type Ask,
 } from "./box.testkit.js";
 
@@ -94,11 +95,9 @@
       sequence: 1,
     });
   }
-  const { ports, lines } = await startBox(site.store.address);
+  const { ports, lines } = await startBox(site.store.address, "box-1", KEEPS_KEYS);
   site.putConfiguration();
-  await waitFor(
-    () => lines.filter(({ event }) => event === "server_joined").length === 2,
-  );
+  await waitUntilKnown(lines, 2);
   return { ports, lines, listCalls: engines.listCalls };
 };
 
--- a/apps/box/src/wireEngines.testkit.ts
+++ b/apps/box/src/wireEngines.testkit.ts
@@ -11,8 +11,9 @@
   ask,
   closers,
   makeGeneration,
+  KEEPS_KEYS,
   startBox,
-  waitFor,
+  waitUntilKnown,
   type Answer,
   type Line,
 } from "./box.testkit.js";
@@ -83,9 +84,6 @@
   idleTimeoutMs: 15_000,
 };
 
-const waitForServers = (lines: readonly Line[], count: number) =>
-  waitFor(() => lines.filter(({ event }) => event === "server_joined").length >= count);
-
 /** Puts a server in the list as what the requests want. */
 const putServer = (
   site: UsersSite,
@@ -104,12 +102,11 @@
   const isPlain = asks.some(({ kind }) => kind.startsWith("plain"));
   const site = await startUsersSite({ engines: 0, services: 0 });
   closers.push(site.close);
-  const { ports, lines } = await startBox(site.store.address);
+  const { ports, lines } = await startBox(site.store.address, "box-1", KEEPS_KEYS);
   site.putConfiguration({ limits: LIMITS });
   const [held, other] = await spawning;
   putServer(site, { id: HELD_ENGINE, address: held.address, isPlain });
-  await waitForServers(lines, 1);
-  await waitFor(() => lines.some(({ event }) => event === "configuration_adopted"));
+  await waitUntilKnown(lines, 1);
   const streams = asks.map((one) => ({
     ...one,
     answer: ask(ports, {
@@ -122,6 +119,6 @@
   }));
   for (const { id } of asks) await held.process.waitForLine(new RegExp(`^held ${id}$`));
   putServer(site, { id: OTHER_ENGINE, address: other.address, isPlain });
-  await waitForServers(lines, 2);
+  await waitUntilKnown(lines, 2);
   return { site, lines, held, streams };
 };
