--- a/apps/box/src/joinsInSeries.test.ts
+++ b/apps/box/src/joinsInSeries.test.ts
@@ -95,22 +95,24 @@
   if (mishap === "freezes") engine.freeze();
 };
 
+/** Has something befall the busiest engine that nothing has befallen yet; false while there is none. */
+const applyToBusiest = (site: UsersSite, gone: Set<Engine>, mishap: Mishap): boolean => {
+  const engine = findBusy(site, gone);
+  if (!engine) return false;
+  gone.add(engine);
+  applyMishap(site, engine, mishap);
+  return true;
+};
+
 describe("joins in series", () => {
   it("bring a run over as often as its engines leave", async () => {
     const started = await startEngines(5);
     const gone = new Set<Engine>();
-    const leave = () => {
-      const engine = findBusy(started.site, gone);
-      if (!engine) return false;
-      gone.add(engine);
-      started.site.announceLeaving(engine);
-      return true;
-    };
     const answer = await askStream(started, {
       path: "/draft/",
       id: "s1",
       at: [5, 45, 85],
-      act: leave,
+      act: () => applyToBusiest(started.site, gone, "leaves"),
     });
     expect(answer).toMatchObject({ body: formatStream("s1", EVENTS), isWhole: true });
     expect(gone.size).toBe(3);
@@ -198,18 +200,11 @@
   it("resume a stream behind its last event as often as its engines crash", async () => {
     const started = await startEngines(5);
     const gone = new Set<Engine>();
-    const endOne = () => {
-      const engine = findBusy(started.site, gone);
-      if (!engine) return false;
-      gone.add(engine);
-      engine.crash();
-      return true;
-    };
     const answer = await askStream(started, {
       path: "/verdict/",
       id: "s4",
       at: [5, 45, 85],
-      act: endOne,
+      act: () => applyToBusiest(started.site, gone, "crashes"),
     });
     expect(gone.size).toBe(3);
     expect(answer).toMatchObject({ body: formatStream("s4", EVENTS), isWhole: true });
@@ -219,18 +214,11 @@
     const started = await startSite(4, 0, KEEPS_KEYS);
     await started.start();
     const gone = new Set<Engine>();
-    const endOne = () => {
-      const engine = findBusy(started.site, gone);
-      if (!engine) return false;
-      gone.add(engine);
-      engine.crash();
-      return true;
-    };
     const answer = await askStream(started, {
       path: "/verdict/",
       id: "s5",
       at: [5, 45],
-      act: endOne,
+      act: () => applyToBusiest(started.site, gone, "crashes"),
     });
     expect(isSound("s5", answer)).toBe(true);
     expect(answer).toMatchObject({ status: 200, isWhole: false });
