feat: nothing new goes to a data hall that operators have closed

Ruled out: knowledge coming too late; the rows lie in the table of the configuration, whose age is proved. Change: the follower of that table keeps the closed halls; the directory gives none of their servers new work; hubs' advice, targets of moves, standby copies and runs that go on are held against it at the box that sends; where no open hall serves a request, it is refused at once as not run (data_halls_closed).

--- a/apps/box/src/askHubs.ts
+++ b/apps/box/src/askHubs.ts
@@ -18,6 +18,8 @@
   own: BoxName;
   links: Pick<PeerLinks, "isHub" | "listHubs" | "listUp" | "askPlace" | "askMoves">;
   findServer: (id: ServerId) => BackendServer | undefined;
+  /** Whether this box itself may send anything new to a server, whatever a hub says. */
+  mayTakeWork: (server: BackendServer) => boolean;
   onPassedOver: (hub: BoxName) => void;
 }>;
 
@@ -61,7 +63,7 @@
     if (answer.kind === "no_room") return answer;
     if (answer.kind === "no_server") return { kind: "decided", decision: answer, by };
     const server = findServer(answer.server);
-    if (!server || server.leaving) return undefined;
+    if (!server || !options.mayTakeWork(server)) return undefined;
     return { kind: "decided", decision: { ...answer, server }, by };
   };
 
--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -9,13 +9,11 @@
 } from "@stairgauge/common";
 import { createServerDirectory, type BackendServer } from "@stairgauge/directory";
 import {
-  createConfigurationSink,
   createExposureJudge,
   createMovePlanner,
   createPlaceHub,
   createPlacer,
   createReportPoller,
-  createServerSink,
 } from "@stairgauge/fleet";
 import {
   computeClientConnections,
@@ -41,20 +39,17 @@
 } from "@stairgauge/placement";
 import {
   BOX_TABLE,
-  CONFIGURATION_KEY,
   createEngineActions,
   createHeadCodec,
   createStoreWriter,
-  decodeConfiguration,
-  decodeServerEntry,
 } from "@stairgauge/platform";
 import { createConfigurationKeeper } from "@stairgauge/routing";
 import type { BoxSettings } from "@stairgauge/settings";
 import { createBoxMetrics, type DecisionLog } from "@stairgauge/telemetry";
 import { answerMoves, createHubs, toPlaceAnswer } from "./askHubs.js";
 import { computeCapacity, computeTiming, createKnowledge } from "./createKnowledge.js";
+import { createSinks } from "./createSinks.js";
 import {
-  observeConfiguration,
   observeForwarding,
   observeMoves,
   observePeers,
@@ -173,6 +168,7 @@
     own,
     links,
     findServer: (id) => directory.find(id),
+    mayTakeWork: (server) => placer.mayTakeWork(server),
     onPassedOver: (hub) => log.writeDecision("hub_passed_over", { peer: hub }),
   });
   const waitingRoom = createWaitingRoom(clock);
@@ -285,7 +281,7 @@
     clock,
     actions,
     ...exposure,
-    isLeaving: placer.isLeaving,
+    mayTakeWork: placer.mayTakeWork,
     listRuns: () =>
       runs
         .list()
@@ -302,6 +298,8 @@
     clock,
     actions,
     isLeaving: placer.isLeaving,
+    mayTakeWork: placer.mayTakeWork,
+    isHallClosed: placer.isHallClosed,
     ...planner,
     takeStandby: standbys.take,
     dropStandby: standbys.drop,
@@ -344,22 +342,14 @@
     log,
     links,
     sinks: {
-      servers: createServerSink({
+      ...createSinks({
         clock,
+        log,
+        metrics,
         directory,
-        decode: decodeServerEntry,
-        leavingWithin: settings.bounds.leavingMs as Ms,
-        onEvent: (event) => log.writeWarning("server_list", event),
-      }),
-      configuration: createConfigurationSink({
-        key: CONFIGURATION_KEY,
         keeper,
-        decode: decodeConfiguration,
-        onEvent: (event) => {
-          observeConfiguration({ log, metrics }, event);
-          if (event.kind === "adopted")
-            clientServer.applyLimits(event.configuration.limits);
-        },
+        leavingWithin: settings.bounds.leavingMs as Ms,
+        onLimits: clientServer.applyLimits,
       }),
       boxes: membership.sink,
     },
--- /dev/null
+++ b/apps/box/src/createSinks.ts
@@ -0,0 +1,69 @@
+/** Where the tables that a box follows go: into its directory of servers, its configuration, and the halls that are closed. */
+import type { Clock, DataHallName, Ms } from "@stairgauge/common";
+import type { ServerDirectory } from "@stairgauge/directory";
+import {
+  createClosedHallsSink,
+  createConfigurationSink,
+  createServerSink,
+  withRowSink,
+  type HallEvent,
+} from "@stairgauge/fleet";
+import {
+  CONFIGURATION_KEY,
+  decodeClosedHall,
+  decodeConfiguration,
+  decodeServerEntry,
+} from "@stairgauge/platform";
+import type { ClientLimits, ConfigurationKeeper } from "@stairgauge/routing";
+import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
+import type { KnowledgeSinks } from "./createKnowledge.js";
+import { observeConfiguration } from "./observers.js";
+
+/** What the sinks fill, and who is told. */
+export type SinksOptions = Readonly<{
+  clock: Clock;
+  log: DecisionLog;
+  metrics: BoxMetrics;
+  directory: ServerDirectory;
+  keeper: ConfigurationKeeper;
+  /** A server that left gets no new work later than this after the box heard of it. */
+  leavingWithin: Ms;
+  /** A configuration with other bounds on clients is in force. */
+  onLimits: (limits: ClientLimits) => void;
+}>;
+
+/** Creates the sinks of the tables that the platform and its operators write. */
+export const createSinks = (options: SinksOptions): Omit<KnowledgeSinks, "boxes"> => {
+  const { clock, log, metrics, directory, keeper, leavingWithin, onLimits } = options;
+
+  const setClosedHalls = (
+    closed: ReadonlySet<DataHallName>,
+    events: readonly HallEvent[],
+  ) => {
+    directory.setClosedHalls(closed);
+    for (const { kind, hall } of events) log.writeDecision(`hall_${kind}`, { hall });
+  };
+  const configuration = createConfigurationSink({
+    key: CONFIGURATION_KEY,
+    keeper,
+    decode: decodeConfiguration,
+    onEvent: (event) => {
+      observeConfiguration({ log, metrics }, event);
+      if (event.kind === "adopted") onLimits(event.configuration.limits);
+    },
+  });
+
+  return {
+    servers: createServerSink({
+      clock,
+      directory,
+      decode: decodeServerEntry,
+      leavingWithin,
+      onEvent: (event) => log.writeWarning("server_list", event),
+    }),
+    configuration: withRowSink(
+      configuration,
+      createClosedHallsSink({ decodeKey: decodeClosedHall, onChange: setClosedHalls }),
+    ),
+  };
+};
--- a/packages/directory/src/serverDirectory.test.ts
+++ b/packages/directory/src/serverDirectory.test.ts
@@ -62,6 +62,27 @@
     ]);
   });
 
+  it("gives no new work to a server in a closed data hall until that is opened again", () => {
+    const { directory, listReady } = setUp();
+    directory.put(makeEntry("a"), toMs(0));
+    const hall = makeEntry("a").dataHall;
+    directory.setClosedHalls(new Set([hall]));
+    directory.put(makeEntry("b"), toMs(1));
+    expect(listReady()).toEqual([]);
+    expect(directory.mayTakeWork("a" as ServerId)).toBe(false);
+    expect(directory.listStaying(service)).toHaveLength(2);
+    directory.setClosedHalls(new Set());
+    expect(listReady()).toEqual(["a", "b"]);
+    expect(directory.mayTakeWork("a" as ServerId)).toBe(true);
+  });
+
+  it("sends nothing to a server that it does not know or that leaves", () => {
+    const { directory } = setUp();
+    directory.put(makeEntry("a", true), toMs(0));
+    expect(directory.mayTakeWork("a" as ServerId)).toBe(false);
+    expect(directory.mayTakeWork("unknown" as ServerId)).toBe(false);
+  });
+
   it("remembers a server that left until its runs had time to move", () => {
     const { directory } = setUp();
     directory.put(makeEntry("a", true), toMs(0));
--- a/packages/directory/src/serverDirectory.ts
+++ b/packages/directory/src/serverDirectory.ts
@@ -1,5 +1,5 @@
 /** The list of backend servers, changed through entries and marks only. */
-import type { Ms, ServiceName } from "@stairgauge/common";
+import type { DataHallName, Ms, ServiceName } from "@stairgauge/common";
 import type { BackendServer, LeavingReason, ServerEntry, ServerId } from "./types.js";
 
 /** A change that others act on. */
@@ -23,8 +23,15 @@
   /** Marks a server that gets no new work; a mark is never taken back. */
   mark: (id: ServerId, reason: LeavingReason, now: Ms) => void;
   find: (id: ServerId) => BackendServer | undefined;
+  /** Replaces the data halls whose servers get no new work until they are opened again. */
+  setClosedHalls: (halls: ReadonlySet<DataHallName>) => void;
+  isHallClosed: (hall: DataHallName) => boolean;
+  /** Whether a server is known, stays, and stands in an open data hall. */
+  mayTakeWork: (id: ServerId) => boolean;
   /** Servers of a service that may get new work. */
   listReady: (service: ServiceName) => readonly BackendServer[];
+  /** Servers of a service that stay, in closed data halls too. */
+  listStaying: (service: ServiceName) => readonly BackendServer[];
   list: () => readonly BackendServer[];
   /** Forgets servers that left long ago. */
   dropForgotten: (now: Ms) => void;
@@ -34,6 +41,13 @@
 export const createServerDirectory = (options: DirectoryOptions): ServerDirectory => {
   const { memory, onEvent } = options;
   const servers = new Map<ServerId, BackendServer>();
+  let closedHalls: ReadonlySet<DataHallName> = new Set();
+
+  const isOpen = ({ entry }: BackendServer) => !closedHalls.has(entry.dataHall);
+  const listStaying = (service: ServiceName) =>
+    [...servers.values()].filter(
+      (server) => server.entry.service === service && !server.leaving,
+    );
 
   const mark = (id: ServerId, reason: LeavingReason, now: Ms) => {
     const server = servers.get(id);
@@ -60,10 +74,16 @@
     put,
     mark,
     find: (id) => servers.get(id),
-    listReady: (service) =>
-      [...servers.values()].filter(
-        (server) => server.entry.service === service && !server.leaving,
-      ),
+    setClosedHalls: (halls) => {
+      closedHalls = halls;
+    },
+    isHallClosed: (hall) => closedHalls.has(hall),
+    mayTakeWork: (id) => {
+      const server = servers.get(id);
+      return server !== undefined && !server.leaving && isOpen(server);
+    },
+    listReady: (service) => listStaying(service).filter(isOpen),
+    listStaying,
     list: () => [...servers.values()],
     dropForgotten: (now) => {
       for (const [id, server] of servers) {
--- a/packages/fleet/src/createPlacer.ts
+++ b/packages/fleet/src/createPlacer.ts
@@ -8,6 +8,7 @@
   toCopyId,
   type LoadBook,
   type MoveTarget,
+  type NoServerReason,
   type RivalRate,
 } from "@stairgauge/placement";
 import { judgeStanding } from "./judgeStanding.js";
@@ -32,6 +33,10 @@
 /** Places requests, and finds targets for runs that move. */
 export type FleetPlacer = Placer &
   Readonly<{
+    /** Whether a server may be sent anything new, as known now. */
+    mayTakeWork: (server: BackendServer) => boolean;
+    /** Whether a server's data hall is closed to new work, its stopped runs included. */
+    isHallClosed: (server: BackendServer) => boolean;
     /** Engines that may take runs of the one given. */
     listTargets: (source: BackendServer) => readonly MoveTarget[];
     /** Notes a run at its target while it is being copied there. */
@@ -53,6 +58,17 @@
   return !known || known.leaving !== undefined;
 };
 
+/** Says why none of a service's servers was a candidate. */
+const explainNoServer = (
+  directory: ServerDirectory,
+  service: ServiceName,
+): Readonly<{ reason: NoServerReason; known: number }> => {
+  const known = directory.listReady(service).length;
+  if (known > 0) return { reason: "none_left", known };
+  const isStaying = directory.listStaying(service).length > 0;
+  return { reason: isStaying ? "halls_closed" : "none_known", known };
+};
+
 /** Creates the placer. */
 export const createPlacer = (options: PlacerOptions): FleetPlacer => {
   const { clock, random, ownHall, directory, book } = options;
@@ -77,7 +93,7 @@
         random,
       });
       return decision.kind === "no_server"
-        ? { ...decision, known: ready.length }
+        ? { ...decision, ...explainNoServer(directory, service) }
         : decision;
     },
     place: (server, head, demand) => {
@@ -101,6 +117,8 @@
       };
     },
     isLeaving: (server) => isLeaving(directory, server),
+    mayTakeWork: ({ entry }) => directory.mayTakeWork(entry.id),
+    isHallClosed: ({ entry }) => directory.isHallClosed(entry.dataHall),
     getStanding: ({ entry }) =>
       judgeStanding({ directory, book }, entry.id, clock.monotonic()),
     isAlive: async (server) => {
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,6 +1,8 @@
 /** What one box knows of the fleet: configuration, servers and their load, each kept by following its source. */
 export { createConfigurationSink } from "./followConfiguration.js";
 export type { ConfigurationEvent } from "./followConfiguration.js";
+export { createClosedHallsSink, withRowSink } from "./followClosedHalls.js";
+export type { HallEvent } from "./followClosedHalls.js";
 export { createServerSink } from "./followServers.js";
 export type { ServerListEvent } from "./followServers.js";
 export { createPlacer } from "./createPlacer.js";
--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -4,7 +4,7 @@
  */
 import { assertNever, type Ms, type Timer } from "@stairgauge/common";
 import type { BackendServer, ServerId } from "@stairgauge/directory";
-import type { PlacementDecision } from "@stairgauge/placement";
+import type { NoServerReason, PlacementDecision } from "@stairgauge/placement";
 import { createActiveRun, type ActiveRun, type RunContinuation } from "./activeRuns.js";
 import { createAnswerSink } from "./answerSink.js";
 import { askServer } from "./askServer.js";
@@ -39,6 +39,12 @@
 /** Continuations of one run after which it counts as lost. */
 const MAX_CONTINUATIONS = 12;
 
+const REFUSAL_OF_NO_SERVER: Readonly<Record<NoServerReason, RefusalReason>> = {
+  none_known: "no_server_known",
+  halls_closed: "data_halls_closed",
+  none_left: "no_server_known",
+};
+
 /** A call that can be told that its client has left. */
 export type DispatchedCall = Readonly<{ clientLeft: () => void }>;
 
@@ -343,7 +349,7 @@
     if (isOver) return;
     if (decision.kind === "placed") sendTo(decision, by);
     else if (mayHaveRun && !mayRepeat(route)) answerUnknown("no_server_left");
-    else answerNotRun("no_server_known");
+    else answerNotRun(REFUSAL_OF_NO_SERVER[decision.reason]);
   };
 
   const sendTo = (decision: PlacedDecision, by?: string) => {
--- a/packages/forwarding/src/forwarderTypes.ts
+++ b/packages/forwarding/src/forwarderTypes.ts
@@ -33,6 +33,8 @@
   /** Every server that was asked says that it did not run the request. */
   | "no_server_ran_it"
   | "no_server_known"
+  /** All servers that stay stand in data halls that operators have closed to new work. */
+  | "data_halls_closed"
   /** A server may have run it, and no other is left to ask. */
   | "no_server_left"
   | "answer_lost"
--- a/packages/forwarding/src/placeWithRoom.test.ts
+++ b/packages/forwarding/src/placeWithRoom.test.ts
@@ -50,7 +50,7 @@
   });
 
   it("hands on at once that there is no server", () => {
-    const none = { kind: "no_server", known: 0 } as const;
+    const none = { kind: "no_server", reason: "none_known", known: 0 } as const;
     expect(setUp(none).placed).toEqual([none]);
   });
 
--- a/packages/migration/src/runMover.test.ts
+++ b/packages/migration/src/runMover.test.ts
@@ -47,6 +47,8 @@
   const calls: CopyRequest[] = [];
   const told: string[] = [];
   const dropped: string[] = [];
+  /** Servers whose data hall is closed to new work. */
+  const closed = new Set<string>();
   let reserved = 0;
   const run: ActiveRun = {
     id: "r1" as ClientRequestId,
@@ -76,6 +78,8 @@
     findServer: (id) => servers.get(id),
     listRunsAt: () => [run],
     isLeaving: (server) => server.entry.id === "old",
+    mayTakeWork: ({ entry }) => entry.id !== "old" && !closed.has(entry.id),
+    isHallClosed: ({ entry }) => closed.has(entry.id),
     makePlan: () =>
       Promise.resolve({
         planRun: () => ({ copyAt: 0 as Ms, targets: ["new", "other"] as ServerId[] }),
@@ -97,7 +101,8 @@
     onDecision: (_run, { kind }) => told.push(kind),
   });
   const advance = (duration: number) => advanceSettled(clock, duration as Ms);
-  return { mover, run, old, calls, told, dropped, advance, getReserved: () => reserved };
+  const getReserved = () => reserved;
+  return { mover, run, old, calls, told, dropped, closed, advance, getReserved };
 };
 
 const makeCopied = (handle: string): CopyAnswer => ({
@@ -267,6 +272,33 @@
     expect(moved.dropped).toEqual([]);
   });
 
+  it("moves no run to an engine whose data hall is closed to new work", async () => {
+    const { mover, run, old, calls, closed, advance } = setUp([
+      makeCopied("h"),
+      makeCopied("h"),
+    ]);
+    closed.add("new");
+    mover.onServerLeaving(old);
+    await advance(250);
+    expect(calls.map(({ target }) => target.host)).toEqual(["host-other", "host-other"]);
+    expect(await mover.recover(run, "stopped")).toMatchObject({
+      server: { entry: { id: "other" } },
+    });
+  });
+
+  it("goes on neither from a copy nor at the source once their data halls are closed", async () => {
+    const { mover, run, old, told, closed, advance } = setUp([
+      makeCopied("h"),
+      makeCopied("h"),
+    ]);
+    mover.onServerLeaving(old);
+    await advance(250);
+    closed.add("new");
+    closed.add("old");
+    expect(await mover.recover(run, "stopped")).toBeUndefined();
+    expect(told.at(-1)).toBe("not_recovered");
+  });
+
   it("moves a run that begins at an engine which already leaves", async () => {
     const { mover, run, calls, advance } = setUp([makeCopied("h"), makeCopied("h")]);
     mover.onBegun(run);
--- a/packages/migration/src/runMover.ts
+++ b/packages/migration/src/runMover.ts
@@ -37,6 +37,10 @@
   findServer: (id: ServerId) => BackendServer | undefined;
   listRunsAt: (server: BackendServer) => readonly ActiveRun[];
   isLeaving: (server: BackendServer) => boolean;
+  /** Whether a server may be sent anything new. */
+  mayTakeWork: (server: BackendServer) => boolean;
+  /** Whether a server's data hall is closed to new work: a run that was stopped there cannot go on there either. */
+  isHallClosed: (server: BackendServer) => boolean;
   /** Asks a leaving engine and plans what its runs are to do. */
   makePlan: (server: BackendServer) => Promise<EvacuationPlan>;
   /** Targets for one run by what is known now, best first. */
@@ -208,7 +212,7 @@
     for (const id of targets.slice(0, MAX_TARGETS)) {
       const target = deps.findServer(id);
       if (!isCurrent(run, move)) return true;
-      if (!target || isLeaving(target)) continue;
+      if (!target || !deps.mayTakeWork(target)) continue;
       if (await attemptMove(run, move, target)) return true;
     }
     return false;
@@ -295,6 +299,9 @@
     return source;
   };
 
+  const dropIfClosed = (continuation: RunContinuation | undefined) =>
+    continuation && deps.isHallClosed(continuation.server) ? undefined : continuation;
+
   const findContinuation = async (
     run: ActiveRun,
     detail: string,
@@ -302,9 +309,9 @@
     const move = moves.get(run) ?? (await createMove(run, run.getServer()));
     await confirmStopped(run, move);
     return (
-      takeCopy(run, move, detail) ??
-      (await takeStopped(move)) ??
-      takeSource(run, move, detail)
+      dropIfClosed(takeCopy(run, move, detail)) ??
+      dropIfClosed(await takeStopped(move)) ??
+      dropIfClosed(takeSource(run, move, detail))
     );
   };
 
--- a/packages/migration/src/standbyKeeper.test.ts
+++ b/packages/migration/src/standbyKeeper.test.ts
@@ -82,7 +82,7 @@
       },
       listRuns: () => runs,
       isExposed: () => isExposed,
-      isLeaving: (server) => leaving.has(server),
+      mayTakeWork: (server) => !leaving.has(server),
       findTarget: () => TARGET,
       reserve: () => {
         reserved += 1;
--- a/packages/migration/src/standbyKeeper.ts
+++ b/packages/migration/src/standbyKeeper.ts
@@ -23,7 +23,8 @@
   listRuns: () => readonly ActiveRun[];
   /** Whether its engine's link would come too late for the run, were there no copy of it. */
   isExposed: (run: ActiveRun) => boolean;
-  isLeaving: (server: BackendServer) => boolean;
+  /** Whether a server may be sent anything new. */
+  mayTakeWork: (server: BackendServer) => boolean;
   /** An engine with memory to spare for a copy. */
   findTarget: (run: ActiveRun) => BackendServer | undefined;
   reserve: (target: BackendServer, run: ActiveRun) => () => void;
@@ -78,11 +79,11 @@
     void actions.dropCopy(copy.memory.source, copy.memory.handle);
   };
 
-  /** A copy at an engine that goes itself is worth nothing. */
+  /** A copy at an engine that goes itself, or whose data hall is closed to new work, is worth nothing. */
   const findKept = (run: ActiveRun): Kept | undefined => {
     const standby = kept.get(run);
-    if (!standby || !deps.isLeaving(standby.copy.server)) return standby;
-    release(run, "its target goes");
+    if (!standby || deps.mayTakeWork(standby.copy.server)) return standby;
+    release(run, "its target gets no new work");
     return undefined;
   };
 
--- a/packages/peers/src/adviceCodec.ts
+++ b/packages/peers/src/adviceCodec.ts
@@ -33,7 +33,11 @@
     candidates: count,
   }),
   z.object({ kind: z.literal("no_room"), memoryAfter: z.number() }),
-  z.object({ kind: z.literal("no_server"), known: count }),
+  z.object({
+    kind: z.literal("no_server"),
+    reason: z.enum(["none_known", "halls_closed", "none_left"]),
+    known: count,
+  }),
 ]);
 
 const movesQuestionSchema = z.object({ server: serverId, isFresh: z.boolean() });
--- a/packages/peers/src/types.ts
+++ b/packages/peers/src/types.ts
@@ -8,6 +8,7 @@
 import type {
   EngineReport,
   MoveTarget,
+  NoServerReason,
   PlacedRun,
   PlacementReason,
   RunToMove,
@@ -78,7 +79,7 @@
       candidates: number;
     }
   | { kind: "no_room"; memoryAfter: number }
-  | { kind: "no_server"; known: number }
+  | { kind: "no_server"; reason: NoServerReason; known: number }
 >;
 
 /** What leaves an engine and where to: all boxes with runs there ask the same hub, and plan alike. */
--- a/packages/placement/src/chooseServer.ts
+++ b/packages/placement/src/chooseServer.ts
@@ -159,7 +159,7 @@
     isEngine ? scoreEngine(server, inputs) : scorePlain(server, inputs),
   );
   const chosen = pickLeast(scored, random);
-  if (!chosen) return { kind: "no_server", known: 0 };
+  if (!chosen) return { kind: "no_server", reason: "none_left", known: 0 };
   const reason = isEngine ? "most_free_memory" : "least_busy";
   return {
     kind: "placed",
--- a/packages/placement/src/types.ts
+++ b/packages/placement/src/types.ts
@@ -41,6 +41,15 @@
 /** Why a server was chosen. */
 export type PlacementReason = "only_one" | "least_busy" | "most_free_memory";
 
+/** Why no server takes a request now. */
+export type NoServerReason =
+  /** None of the service is known that stays. */
+  | "none_known"
+  /** Those that stay stand in data halls that are closed to new work. */
+  | "halls_closed"
+  /** All others were tried, or hold as many connections as this box may open. */
+  | "none_left";
+
 /** A choice, with the figures that made it. */
 export type PlacementDecision = Readonly<
   | {
@@ -55,7 +64,7 @@
       reportAge: Ms | undefined;
       candidates: number;
     }
-  | { kind: "no_server"; known: number }
+  | { kind: "no_server"; reason: NoServerReason; known: number }
 >;
 
 /** How whoever places a generation for another box is to answer while every engine is full. */
--- a/packages/standins/src/usersPlatform/usersSite.ts
+++ b/packages/standins/src/usersPlatform/usersSite.ts
@@ -1,5 +1,10 @@
 /** A small site on the users' platform: a store, engines, plain servers, and the operator's configuration. */
-import { CONFIGURATION_KEY, STATE_LEAVING, TABLE } from "@stairgauge/platform";
+import {
+  CLOSED_HALL_PREFIX,
+  CONFIGURATION_KEY,
+  STATE_LEAVING,
+  TABLE,
+} from "@stairgauge/platform";
 import { HEALTH_PATH } from "./loopback.js";
 import { createUsersEngines, type UsersEngine } from "./usersEngine.js";
 import { startUsersService, type UsersService } from "./usersService.js";
@@ -23,6 +28,11 @@
   putEngine: (id: string, address: string, state?: "ready" | "leaving") => void;
   /** Adds a plain server that runs elsewhere. */
   putService: (id: string, address: string) => void;
+  /** Puts a server into another data hall. */
+  putHall: (server: UsersEngine | UsersService, hall: string) => void;
+  /** Closes a data hall to new work, and opens it again. */
+  closeHall: (hall: string) => void;
+  openHall: (hall: string) => void;
   /** The server's entry says that it leaves. */
   announceLeaving: (server: UsersEngine | UsersService) => void;
   close: () => void;
@@ -37,7 +47,9 @@
 
 const ENGINE_SERVICE = "writers";
 const PLAIN_SERVICE = "pages";
-const DATA_HALL = "hall-a";
+
+/** The data hall of all servers until they are put into another one. */
+export const SITE_HALL = "hall-a";
 
 /** Traits that let a generation of some hundred events run within a second. */
 const ENGINE_TRAITS = {
@@ -127,11 +139,12 @@
     server: Readonly<{ id: string; address: string }>,
     state: string,
     isEngine = engines.some(({ id }) => id === server.id),
+    hall = SITE_HALL,
   ) => {
     store.put(TABLE.servers, server.id, {
       service: isEngine ? ENGINE_SERVICE : PLAIN_SERVICE,
       address: server.address,
-      zone: DATA_HALL,
+      zone: hall,
       version: "v1",
       slots: isEngine ? 48 : 6,
       state,
@@ -161,6 +174,15 @@
     putEngine: (id, address, state) =>
       putEntry({ id, address }, state === "leaving" ? STATE_LEAVING : "ready", true),
     putService: (id, address) => putEntry({ id, address }, "ready", false),
+    putHall: (server, hall) =>
+      putEntry(
+        server,
+        "ready",
+        engines.some(({ id }) => id === server.id),
+        hall,
+      ),
+    closeHall: (hall) => store.put(TABLE.operator, CLOSED_HALL_PREFIX + hall, {}),
+    openHall: (hall) => store.drop(TABLE.operator, CLOSED_HALL_PREFIX + hall),
     announceLeaving: (server) => {
       if ("setLeaving" in server) server.setLeaving();
       putEntry(server, STATE_LEAVING);
