feat: a cold server gets from all boxes together what it is allowed, and what it bears is used

Ruled out: grants asked of one box for each request (a hub that wakes up, or two hubs that both think themselves first, give the bound twice); the servers' own refusals (they do not refuse); equal shares alone (64 boxes have half a request a second each). Change: what starts, comes back, is opened again or says so counts as cold; boxes divide the bound by the list that all order alike: the box that places for others takes 0.7 of it, the next 0.7 of the rest and so on, what is left goes to all equally. A larger part counts 3 s after the list changed. Places that come too late are void. Moves and copies pass cold servers by.

--- a/apps/box/src/askHubs.ts
+++ b/apps/box/src/askHubs.ts
@@ -33,7 +33,7 @@
 }>;
 
 /** An answer takes some 5 ms; the time to a first event is 1.5 s or more, of which a hub that is gone may cost this. */
-const PLACE_LIMIT_MS = 150;
+export const PLACE_LIMIT_MS = 150;
 
 /** The hub asks the leaving engine first. */
 const MOVES_LIMIT_MS = 300 as Ms;
--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -8,13 +8,7 @@
   type Ms,
 } from "@stairgauge/common";
 import { createServerDirectory, type BackendServer } from "@stairgauge/directory";
-import {
-  createExposureJudge,
-  createMovePlanner,
-  createPlaceHub,
-  createPlacer,
-  createReportPoller,
-} from "@stairgauge/fleet";
+import { createPlaceHub, createPlacer, createReportPoller } from "@stairgauge/fleet";
 import {
   computeClientConnections,
   computeSlackShare,
@@ -24,7 +18,6 @@
   createRetryBudget,
   createWaitingRoom,
 } from "@stairgauge/forwarding";
-import { createRunMover, createStandbyKeeper } from "@stairgauge/migration";
 import {
   createMembership,
   createPeerLinks,
@@ -47,14 +40,11 @@
 import type { BoxSettings } from "@stairgauge/settings";
 import { createBoxMetrics, type DecisionLog } from "@stairgauge/telemetry";
 import { answerMoves, createHubs, toPlaceAnswer } from "./askHubs.js";
+import { createColdServers } from "./createColdServers.js";
 import { computeCapacity, computeTiming, createKnowledge } from "./createKnowledge.js";
+import { createMoves } from "./createMoves.js";
 import { createSinks } from "./createSinks.js";
-import {
-  observeForwarding,
-  observeMoves,
-  observePeers,
-  observeServers,
-} from "./observers.js";
+import { observeForwarding, observePeers, observeServers } from "./observers.js";
 import { createMetricsServer, createReadyServer, listenOn } from "./smallServers.js";
 import { stopInOrder } from "./stopInOrder.js";
 import { createUpdateTaker, toToldLeaving } from "./takeUpdates.js";
@@ -163,6 +153,13 @@
       toPlaceAnswer(await placeHub.answer(question, signal)),
     answerMoves: (question) => answerMoves(directory, planner, question),
   });
+  const cold = createColdServers({
+    settings,
+    clock,
+    keeper,
+    getDirectory: () => directory,
+    countBoxes: () => links.countBoxes(),
+  });
   const hubs = createHubs({
     clock,
     own,
@@ -186,6 +183,8 @@
     onPeers: (peers) => {
       mostBoxesSeen = Math.max(mostBoxesSeen, peers.length);
       links.setPeers(peers);
+      const place = links.findPlace();
+      if (place) cold.limits.setPlace(place);
       metrics.peerLinks.set(links.count());
       log.writeNotice("peers", { boxes: peers.length, links: links.count() });
     },
@@ -208,17 +207,24 @@
     onEvent: (event) => {
       observeServers({ log, metrics }, directory, event);
       const { server } = event;
-      if (event.kind === "joined") reports.add(server);
+      if (event.kind === "joined") {
+        cold.spells.onJoined(server);
+        reports.add(server);
+      }
+      if (event.kind === "joined" || event.kind === "changed")
+        cold.spells.onEntry(server);
       if (event.kind === "leaving") {
         mover.onServerLeaving(server);
         tellLeaving(server);
       }
       if (event.kind !== "forgotten") return;
       book.drop(server.entry.id);
+      cold.spells.forget(server.entry.id);
+      cold.limits.forget(server.entry.id);
       mover.onServerForgotten(server);
     },
   });
-  const findLink = (server: BackendServer) =>
+  const findTraits = (server: BackendServer) =>
     keeper.getIndex()?.findService(server.entry.service)?.engine;
   const isEngineService: (service: BackendServer["entry"]["service"]) => boolean = (
     service,
@@ -245,6 +251,8 @@
     directory,
     book,
     rivals,
+    cold: cold.limits,
+    spells: cold.spells,
     getConnectionShare: (service) =>
       computeConnectionShare(
         keeper.getIndex()?.findService(service)?.maxConnections,
@@ -260,53 +268,25 @@
         void reports.ask(server);
     },
   });
-  const placeHub = createPlaceHub({ clock, book, placer, waitingRoom });
-  const planner = createMovePlanner({
+  const placeHub = createPlaceHub({
     clock,
     book,
-    reports,
-    listTargets: placer.listTargets,
-    findLink,
-    askForFacts: hubs.askForFacts,
-    onPlanned: (server, count) =>
-      log.writeDecision("evacuation", { server: server.entry.id, runs: count }),
-  });
-  const exposure = createExposureJudge({
-    directory,
-    book,
-    listTargets: placer.listTargets,
-    findTraits: findLink,
-  });
-  const standbys = createStandbyKeeper({
-    clock,
-    actions,
-    ...exposure,
-    mayTakeWork: placer.mayTakeWork,
-    listRuns: () =>
-      runs
-        .list()
-        .filter(
-          (run) =>
-            run.hasBegun() &&
-            !run.route.isResumable &&
-            !placer.isLeaving(run.getServer()),
-        ),
-    reserve: placer.reserve,
-    onDecision: observeMoves({ log, metrics }),
+    placer,
+    cold: cold.limits,
+    waitingRoom,
   });
-  const mover = createRunMover({
+  const { planner, standbys, mover } = createMoves({
     clock,
+    log,
+    metrics,
     actions,
-    isLeaving: placer.isLeaving,
-    mayTakeWork: placer.mayTakeWork,
-    isHallClosed: placer.isHallClosed,
-    ...planner,
-    takeStandby: standbys.take,
-    dropStandby: standbys.drop,
-    findServer: directory.find,
-    listRunsAt: (server) => runs.listAt(server.entry.id),
-    reserve: placer.reserve,
-    onDecision: observeMoves({ log, metrics }),
+    directory,
+    book,
+    reports,
+    placer,
+    runs,
+    findTraits,
+    askForFacts: hubs.askForFacts,
   });
   const budget = createRetryBudget(() => ({
     ratio: settings.retries.ratio,
@@ -348,6 +328,7 @@
         metrics,
         directory,
         keeper,
+        spells: cold.spells,
         leavingWithin: settings.bounds.leavingMs as Ms,
         onLimits: clientServer.applyLimits,
       }),
--- /dev/null
+++ b/apps/box/src/createColdServers.ts
@@ -0,0 +1,48 @@
+/** What a box knows of servers that have just started, and what it may send them. */
+import type { Clock, Ms, ServiceName } from "@stairgauge/common";
+import type { ServerDirectory } from "@stairgauge/directory";
+import {
+  createColdLimits,
+  createColdSpells,
+  type ColdLimits,
+  type ColdSpells,
+} from "@stairgauge/fleet";
+import { hasHubs } from "@stairgauge/peers";
+import type { ConfigurationKeeper } from "@stairgauge/routing";
+import type { BoxSettings } from "@stairgauge/settings";
+import { PLACE_LIMIT_MS } from "./askHubs.js";
+
+/** What it is made of. */
+export type ColdServersOptions = Readonly<{
+  settings: Pick<BoxSettings, "bounds" | "clients">;
+  clock: Clock;
+  keeper: ConfigurationKeeper;
+  getDirectory: () => Pick<ServerDirectory, "list">;
+  countBoxes: () => number;
+}>;
+
+/** The servers that may be cold, and this box's limits at them. */
+export type ColdServers = Readonly<{ spells: ColdSpells; limits: ColdLimits }>;
+
+/** Creates both; they know of no server yet. */
+export const createColdServers = (options: ColdServersOptions): ColdServers => {
+  const { settings, clock, keeper, getDirectory, countBoxes } = options;
+  const { coldOverage, coldSlack } = settings.bounds;
+  const findService = (service: ServiceName) => keeper.getIndex()?.findService(service);
+  const findWarmUp = (service: ServiceName) => findService(service)?.warmUp;
+  const spells = createColdSpells({
+    clock,
+    findWarmUp,
+    listServers: () => getDirectory().list(),
+  });
+  const limits = createColdLimits({
+    clock,
+    spells,
+    findWarmUp,
+    bound: { overage: coldOverage, slack: coldSlack },
+    sendWithin: (PLACE_LIMIT_MS + settings.clients.connectLimitMs) as Ms,
+    isPlacedByHubs: (service) =>
+      hasHubs(countBoxes()) && findService(service)?.engine !== undefined,
+  });
+  return { spells, limits };
+};
--- /dev/null
+++ b/apps/box/src/createMoves.ts
@@ -0,0 +1,94 @@
+/** Wires together what keeps the runs of one box alive when their engines leave: plans, standby copies and moves. */
+import type { Clock } from "@stairgauge/common";
+import type { BackendServer, ServerDirectory } from "@stairgauge/directory";
+import {
+  createExposureJudge,
+  createMovePlanner,
+  type FleetPlacer,
+  type MovePlanner,
+  type MovePlannerOptions,
+  type ReportPoller,
+} from "@stairgauge/fleet";
+import type { ActiveRuns } from "@stairgauge/forwarding";
+import {
+  createRunMover,
+  createStandbyKeeper,
+  type EngineActions,
+  type RunMover,
+  type StandbyKeeper,
+} from "@stairgauge/migration";
+import type { LoadBook } from "@stairgauge/placement";
+import type { EngineTraits } from "@stairgauge/routing";
+import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
+import { observeMoves } from "./observers.js";
+
+/** What moving needs of the rest of a box. */
+export type MovesOptions = Readonly<{
+  clock: Clock;
+  log: DecisionLog;
+  metrics: BoxMetrics;
+  actions: EngineActions;
+  directory: ServerDirectory;
+  book: LoadBook;
+  reports: Pick<ReportPoller, "ask">;
+  placer: FleetPlacer;
+  runs: ActiveRuns;
+  findTraits: (server: BackendServer) => EngineTraits | undefined;
+  askForFacts: MovePlannerOptions["askForFacts"];
+}>;
+
+/** The parts that the rest of a box calls. */
+export type Moves = Readonly<{
+  planner: MovePlanner;
+  standbys: StandbyKeeper;
+  mover: RunMover;
+}>;
+
+/** Creates the parts; nothing moves before a server leaves. */
+export const createMoves = (options: MovesOptions): Moves => {
+  const { clock, log, metrics, actions, directory, book, placer, runs } = options;
+  const { listTargets, isLeaving, mayTakeWork, isHallClosed, reserve } = placer;
+  const { findTraits } = options;
+  const onDecision = observeMoves({ log, metrics });
+
+  const planner = createMovePlanner({
+    clock,
+    book,
+    reports: options.reports,
+    listTargets,
+    findLink: findTraits,
+    askForFacts: options.askForFacts,
+    onPlanned: (server, count) =>
+      log.writeDecision("evacuation", { server: server.entry.id, runs: count }),
+  });
+  const standbys = createStandbyKeeper({
+    clock,
+    actions,
+    ...createExposureJudge({ directory, book, listTargets, findTraits }),
+    mayTakeWork,
+    listRuns: () =>
+      runs
+        .list()
+        .filter(
+          (run) =>
+            run.hasBegun() && !run.route.isResumable && !isLeaving(run.getServer()),
+        ),
+    reserve,
+    onDecision,
+  });
+  const mover = createRunMover({
+    clock,
+    actions,
+    isLeaving,
+    mayTakeWork,
+    isHallClosed,
+    ...planner,
+    takeStandby: standbys.take,
+    dropStandby: standbys.drop,
+    findServer: directory.find,
+    listRunsAt: (server) => runs.listAt(server.entry.id),
+    reserve,
+    onDecision,
+  });
+  return { planner, standbys, mover };
+};
--- a/apps/box/src/createSinks.ts
+++ b/apps/box/src/createSinks.ts
@@ -6,6 +6,7 @@
   createConfigurationSink,
   createServerSink,
   withRowSink,
+  type ColdSpells,
   type HallEvent,
 } from "@stairgauge/fleet";
 import {
@@ -26,6 +27,7 @@
   metrics: BoxMetrics;
   directory: ServerDirectory;
   keeper: ConfigurationKeeper;
+  spells: Pick<ColdSpells, "onHallOpened" | "onListRead">;
   /** A server that left gets no new work later than this after the box heard of it. */
   leavingWithin: Ms;
   /** A configuration with other bounds on clients is in force. */
@@ -34,14 +36,18 @@
 
 /** Creates the sinks of the tables that the platform and its operators write. */
 export const createSinks = (options: SinksOptions): Omit<KnowledgeSinks, "boxes"> => {
-  const { clock, log, metrics, directory, keeper, leavingWithin, onLimits } = options;
+  const { clock, log, metrics, directory, keeper, spells, leavingWithin, onLimits } =
+    options;
 
   const setClosedHalls = (
     closed: ReadonlySet<DataHallName>,
     events: readonly HallEvent[],
   ) => {
     directory.setClosedHalls(closed);
-    for (const { kind, hall } of events) log.writeDecision(`hall_${kind}`, { hall });
+    for (const { kind, hall } of events) {
+      if (kind === "opened") spells.onHallOpened(hall);
+      log.writeDecision(`hall_${kind}`, { hall });
+    }
   };
   const configuration = createConfigurationSink({
     key: CONFIGURATION_KEY,
@@ -59,6 +65,7 @@
       directory,
       decode: decodeServerEntry,
       leavingWithin,
+      onListRead: spells.onListRead,
       onEvent: (event) => log.writeWarning("server_list", event),
     }),
     configuration: withRowSink(
--- a/packages/directory/src/serverDirectory.ts
+++ b/packages/directory/src/serverDirectory.ts
@@ -5,6 +5,8 @@
 /** A change that others act on. */
 export type DirectoryEvent = Readonly<
   | { kind: "joined"; server: BackendServer }
+  /** A known server's entry says something else than before. */
+  | { kind: "changed"; server: BackendServer }
   | { kind: "leaving"; server: BackendServer }
   | { kind: "forgotten"; server: BackendServer }
 >;
@@ -37,6 +39,15 @@
   dropForgotten: (now: Ms) => void;
 }>;
 
+const isSameEntry = (a: ServerEntry, b: ServerEntry): boolean =>
+  a.service === b.service &&
+  a.address.host === b.address.host &&
+  a.address.port === b.address.port &&
+  a.dataHall === b.dataHall &&
+  a.slots === b.slots &&
+  a.isLeaving === b.isLeaving &&
+  a.warmUpLeft === b.warmUpLeft;
+
 /** Creates an empty directory. */
 export const createServerDirectory = (options: DirectoryOptions): ServerDirectory => {
   const { memory, onEvent } = options;
@@ -67,6 +78,7 @@
     const server: BackendServer = { entry, leaving };
     servers.set(entry.id, server);
     if (!known || hasReturned) onEvent({ kind: "joined", server });
+    else if (!isSameEntry(known.entry, entry)) onEvent({ kind: "changed", server });
     if (entry.isLeaving) mark(entry.id, "entry_says_leaving", now);
   };
 
--- a/packages/fleet/src/adviseOthers.test.ts
+++ b/packages/fleet/src/adviseOthers.test.ts
@@ -16,7 +16,13 @@
   createRivalRate,
   type PlaceQuestion,
 } from "@stairgauge/placement";
-import { createPlaceHub, createPlacer } from "./index.js";
+import type { WarmUp } from "@stairgauge/routing";
+import {
+  createColdLimits,
+  createColdSpells,
+  createPlaceHub,
+  createPlacer,
+} from "./index.js";
 
 const SERVICE = "writers" as ServiceName;
 const PROMPT = 3_000;
@@ -43,7 +49,7 @@
 });
 
 /** A hub before some engines of 34,000 tokens. */
-const setUp = (engines: number) => {
+const setUp = (engines: number, warmUp?: WarmUp) => {
   const clock = createVirtualClock();
   const random = createSeededRandom(3);
   const directory = createServerDirectory({
@@ -64,6 +70,19 @@
       0 as Ms,
     );
   const book = createLoadBook();
+  const spells = createColdSpells({
+    clock,
+    findWarmUp: () => warmUp,
+    listServers: directory.list,
+  });
+  const cold = createColdLimits({
+    clock,
+    spells,
+    findWarmUp: () => warmUp,
+    bound: { overage: 1.5, slack: 5 },
+    sendWithin: 400 as Ms,
+    isPlacedByHubs: () => true,
+  });
   const placer = createPlacer({
     clock,
     random,
@@ -71,13 +90,15 @@
     directory,
     book,
     rivals: createRivalRate(),
+    cold,
+    spells,
     getConnectionShare: () => Infinity,
     isAlive: () => Promise.resolve(true),
     onClosingAnnounced: () => undefined,
     onBroken: () => undefined,
   });
   const waitingRoom = createWaitingRoom(clock);
-  const hub = createPlaceHub({ clock, book, placer, waitingRoom });
+  const hub = createPlaceHub({ clock, book, placer, cold, waitingRoom });
   const { signal } = new AbortController();
   const ask = (asked: PlaceQuestion, by = signal) => hub.answer(asked, by);
   const takeAllRoom = async () => {
@@ -98,6 +119,18 @@
 };
 
 describe("createPlaceHub", () => {
+  it("keeps a part of a cold engine's bound for itself also where nobody has said yet that it is cold", async () => {
+    const { ask, countAt } = setUp(1, { duration: 1_000 as Ms, perSecond: 2 });
+    const asked = Array.from({ length: 12 }, (_, i) =>
+      makeAsked(`box-${i}`, `r${i}`, { kind: "at_once" }),
+    );
+    const told = await Promise.all(asked.map((one) => ask(one)));
+    // 0.7 of 2 x 1.5 + 5.
+    expect(countAt("e0")).toBe(5);
+    expect(told.filter(({ kind }) => kind === "no_server")).toHaveLength(7);
+    expect(told.at(-1)).toMatchObject({ kind: "no_server", reason: "servers_cold" });
+  });
+
   it("sends forty boxes that ask at the same moment to forty engines", async () => {
     const { ask, countAt } = setUp(40);
     const asked = Array.from({ length: 40 }, (_, i) => makeAsked(`box-${i}`, `r${i}`));
--- a/packages/fleet/src/adviseOthers.ts
+++ b/packages/fleet/src/adviseOthers.ts
@@ -15,6 +15,8 @@
   PlaceQuestion,
 } from "@stairgauge/placement";
 
+import type { ColdLimits } from "./coldLimits.js";
+
 /** What it is told. */
 export type GivenAdvice =
   PlacementDecision | Readonly<{ kind: "no_room"; memoryAfter: number }>;
@@ -24,6 +26,7 @@
   clock: Clock;
   book: LoadBook;
   placer: Pick<Placer, "choose">;
+  cold: Pick<ColdLimits, "record">;
   waitingRoom: WaitingRoom;
 }>;
 
@@ -38,10 +41,11 @@
 
 /** Creates the adviser. */
 export const createPlaceHub = (options: PlaceHubOptions): PlaceHub => {
-  const { clock, book, placer, waitingRoom } = options;
+  const { clock, book, placer, cold, waitingRoom } = options;
 
   /** Notes the run as the box would tell it, so that the next who asks sees it; its own word then replaces this one. */
   const reservePlace = (box: string, server: ServerId, run: PlacedRun) => {
+    cold.record(server);
     book.putPeerRun(box, { server, run });
     clock.setTimer(CONFIRM_MS, () => {
       if (book.listPeerRuns(server).includes(run))
--- a/packages/fleet/src/createPlacer.ts
+++ b/packages/fleet/src/createPlacer.ts
@@ -11,6 +11,8 @@
   type NoServerReason,
   type RivalRate,
 } from "@stairgauge/placement";
+import type { ColdLimits } from "./coldLimits.js";
+import type { ColdSpells } from "./coldSpells.js";
 import { judgeStanding } from "./judgeStanding.js";
 import { createSuspects } from "./suspects.js";
 
@@ -24,6 +26,8 @@
   /** This box's part of the connections that one server of a service takes from all callers. */
   getConnectionShare: (service: ServiceName) => number;
   rivals: Pick<RivalRate, "estimate">;
+  cold: Pick<ColdLimits, "mayTake" | "record">;
+  spells: Pick<ColdSpells, "mayBeCold" | "onUnreachable">;
   onClosingAnnounced: (server: BackendServer) => void;
   /** A server broke a request of this box off before it answered. */
   onBroken: (server: ServerId) => void;
@@ -62,18 +66,22 @@
 const explainNoServer = (
   directory: ServerDirectory,
   service: ServiceName,
-): Readonly<{ reason: NoServerReason; known: number }> => {
-  const known = directory.listReady(service).length;
-  if (known > 0) return { reason: "none_left", known };
-  const isStaying = directory.listStaying(service).length > 0;
-  return { reason: isStaying ? "halls_closed" : "none_known", known };
+  candidates: Readonly<{ ready: number; untried: number }>,
+): NoServerReason => {
+  if (candidates.untried > 0) return "servers_cold";
+  if (candidates.ready > 0) return "none_left";
+  return directory.listStaying(service).length > 0 ? "halls_closed" : "none_known";
 };
 
 /** Creates the placer. */
 export const createPlacer = (options: PlacerOptions): FleetPlacer => {
-  const { clock, random, ownHall, directory, book } = options;
+  const { clock, random, ownHall, directory, book, cold, spells } = options;
   const mintId = createPlacementIds();
   const suspects = createSuspects();
+  const markUnreachable = ({ entry }: BackendServer) => {
+    suspects.add(entry.id, clock.monotonic());
+    spells.onUnreachable(entry.id);
+  };
 
   return {
     choose: (service, demand, except) => {
@@ -84,7 +92,10 @@
       );
       const now = clock.monotonic();
       const decision = chooseServer({
-        candidates: suspects.passOver(untried, now),
+        candidates: suspects.passOver(
+          untried.filter(({ entry }) => cold.mayTake(entry.id, service)),
+          now,
+        ),
         demand,
         book,
         ownHall,
@@ -92,14 +103,16 @@
         now,
         random,
       });
-      return decision.kind === "no_server"
-        ? { ...decision, ...explainNoServer(directory, service) }
-        : decision;
+      if (decision.kind === "placed") return decision;
+      const counts = { ready: ready.length, untried: untried.length };
+      const reason = explainNoServer(directory, service, counts);
+      return { kind: "no_server", reason, known: ready.length };
     },
     place: (server, head, demand) => {
       const { id } = server.entry;
       const runId = head.id ?? mintId();
       book.addOpen(id);
+      cold.record(id);
       if (demand.tokens)
         book.addRun(id, {
           id: runId,
@@ -123,12 +136,12 @@
       judgeStanding({ directory, book }, entry.id, clock.monotonic()),
     isAlive: async (server) => {
       const answers = await options.isAlive(server);
-      if (!answers) suspects.add(server.entry.id, clock.monotonic());
+      if (!answers) markUnreachable(server);
       return answers;
     },
     onAddressReused: (server) =>
       directory.mark(server.entry.id, "address_reused", clock.monotonic()),
-    onUnreachable: (server) => suspects.add(server.entry.id, clock.monotonic()),
+    onUnreachable: markUnreachable,
     onBroken: ({ entry }) => {
       suspects.addBreak(entry.id, clock.monotonic());
       options.onBroken(entry.id);
@@ -144,7 +157,10 @@
       const now = clock.monotonic();
       return directory
         .listReady(source.entry.service)
-        .filter((server) => server.entry.id !== source.entry.id)
+        .filter(
+          // What a cold server bears goes to newcomers, which cannot have been placed elsewhere before.
+          ({ entry }) => entry.id !== source.entry.id && !spells.mayBeCold(entry.id),
+        )
         .map((server) => {
           const { taken, total } = estimateEngineLoad(server, book, now);
           return {
--- a/packages/fleet/src/followServers.test.ts
+++ b/packages/fleet/src/followServers.test.ts
@@ -55,6 +55,7 @@
       directory,
       decode,
       leavingWithin: 2_000 as Ms,
+      onListRead: () => undefined,
       onEvent: () => undefined,
     });
     sink.onWhole([toRow("a"), toRow("b")], clock.monotonic(), REVISION);
--- a/packages/fleet/src/followServers.ts
+++ b/packages/fleet/src/followServers.ts
@@ -24,6 +24,8 @@
   decode: (id: string, value: Buffer) => Result<ServerEntry, unknown>;
   /** A server that left gets no new work later than this after the box heard of it. */
   leavingWithin: Ms;
+  /** The whole list has been taken in. */
+  onListRead: () => void;
   onEvent: (event: ServerListEvent) => void;
 }>;
 
@@ -61,6 +63,7 @@
       for (const { entry } of directory.list())
         if (!listed.has(entry.id)) takeMissing(entry.id);
       for (const row of rows) putRow(row);
+      options.onListRead();
     },
     onChanges: (changes) => {
       for (const change of changes) {
--- a/packages/forwarding/src/forwarderTypes.ts
+++ b/packages/forwarding/src/forwarderTypes.ts
@@ -35,6 +35,8 @@
   | "no_server_known"
   /** All servers that stay stand in data halls that operators have closed to new work. */
   | "data_halls_closed"
+  /** The servers left have just started, and have had what they bear. */
+  | "servers_cold"
   /** A server may have run it, and no other is left to ask. */
   | "no_server_left"
   | "answer_lost"
--- a/packages/forwarding/src/placeWithRoom.ts
+++ b/packages/forwarding/src/placeWithRoom.ts
@@ -46,6 +46,12 @@
   until: (receivedAt + route.firstAnswerAim * WAIT_SHARE) as Ms,
 });
 
+/** Whether waiting helps: an engine has room soon, or a cold server may get more. */
+const mayPlace = (decision: PlacementDecision): boolean =>
+  decision.kind === "placed"
+    ? getMemoryAfter(decision) <= FULL_MEMORY
+    : decision.reason !== "servers_cold";
+
 const getMemoryAfter = (decision: PlacementDecision): number =>
   decision.kind === "placed" ? (decision.memoryAfter ?? 0) : 0;
 
@@ -57,7 +63,7 @@
 ): boolean => {
   const isGeneration = decision.kind === "placed" && decision.memoryAfter !== undefined;
   const hasAhead = isGeneration && waitingRoom.hasAhead(service, tier);
-  return getMemoryAfter(decision) <= FULL_MEMORY && !hasAhead;
+  return mayPlace(decision) && !hasAhead;
 };
 
 /** Places the request, or lets it wait; the function returned takes it out of the waiting room. */
@@ -77,7 +83,7 @@
     ...terms,
     attempt: () => {
       const found = choose();
-      const fits = getMemoryAfter(found) <= FULL_MEMORY;
+      const fits = mayPlace(found);
       if (fits) place(found);
       return fits;
     },
--- a/packages/peers/src/adviceCodec.ts
+++ b/packages/peers/src/adviceCodec.ts
@@ -35,7 +35,7 @@
   z.object({ kind: z.literal("no_room"), memoryAfter: z.number() }),
   z.object({
     kind: z.literal("no_server"),
-    reason: z.enum(["none_known", "halls_closed", "none_left"]),
+    reason: z.enum(["none_known", "halls_closed", "servers_cold", "none_left"]),
     known: count,
   }),
 ]);
--- a/packages/peers/src/hubAsker.ts
+++ b/packages/peers/src/hubAsker.ts
@@ -57,10 +57,13 @@
       const hub = findHub();
       if (hub === undefined) return undefined;
       const within = new AbortController();
+      const askedAt = clock.monotonic();
       const timer = clock.setTimer(limit, () => within.abort());
       const read = await call(hub, question, AbortSignal.any([signal, within.signal]));
       timer.cancel();
-      if (read.ok) return { answer: read.val, by: hub };
+      // A process that was held up finds an answer that is too old to act on: its part of a bound is others' by now.
+      const isLate = clock.monotonic() - askedAt > limit;
+      if (read.ok && !isLate) return { answer: read.val, by: hub };
       if (signal.aborted || !isTrusted(hub)) return undefined;
       passedOverUntil.set(hub, clock.monotonic() + PASSED_OVER_MS);
       onPassedOver(hub);
--- a/packages/peers/src/hubs.ts
+++ b/packages/peers/src/hubs.ts
@@ -19,9 +19,12 @@
 /** Links that a box holds to others, whatever the size; a session takes some 70 kB at either end. */
 export const MOST_LINKS = 16;
 
+/** Whether a site of so many boxes has hubs that place generations for the others. */
+export const hasHubs = (boxes: number): boolean => boxes > MESH_BOXES;
+
 /** How many hubs a site of so many boxes has. */
 export const countHubs = (boxes: number): number => {
-  if (boxes <= MESH_BOXES) return boxes;
+  if (!hasHubs(boxes)) return boxes;
   return Math.min(MOST_LINKS, Math.max(LEAST_HUBS, Math.ceil(boxes / BOXES_PER_HUB)));
 };
 
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -15,6 +15,7 @@
 export type { WatchShares } from "./watchShares.js";
 export { createRunTeller } from "./runTeller.js";
 export type { RunTeller, RunTellerOptions } from "./runTeller.js";
+export { hasHubs } from "./hubs.js";
 export { createHubAsker } from "./hubAsker.js";
 export type { HubAsker, HubAskerOptions } from "./hubAsker.js";
 export type { PeerMessage } from "./service.js";
--- a/packages/peers/src/peerLinks.ts
+++ b/packages/peers/src/peerLinks.ts
@@ -63,6 +63,8 @@
   /** The hubs as this box sees them, which may be one itself; alone, it is. */
   listHubs: () => readonly BoxName[];
   isHub: () => boolean;
+  /** This box's place in the list of all boxes, which all of them order alike; undefined before the list is read. */
+  findPlace: () => Readonly<{ rank: number; boxes: number }> | undefined;
   /** All boxes known, this one included. */
   countBoxes: () => number;
   count: () => number;
@@ -262,6 +264,10 @@
     listReachable,
     listHubs: findHubs,
     isHub: () => findHubs().includes(own.box),
+    findPlace: () =>
+      ranked.length === 0
+        ? undefined
+        : { rank: ranked.indexOf(own.box), boxes: ranked.length },
     countBoxes,
     count: () => links.size,
     close: () => {
--- a/packages/placement/src/types.ts
+++ b/packages/placement/src/types.ts
@@ -47,6 +47,8 @@
   | "none_known"
   /** Those that stay stand in data halls that are closed to new work. */
   | "halls_closed"
+  /** Those left may be cold, and have had what a cold server may get. */
+  | "servers_cold"
   /** All others were tried, or hold as many connections as this box may open. */
   | "none_left";
 
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -55,6 +55,14 @@
   copyLife: Ms;
 }>;
 
+/** How the servers of a service warm up after a start. */
+export type WarmUp = Readonly<{
+  /** How long a server stays cold. */
+  duration: Ms;
+  /** Requests a second that it bears meanwhile, from all callers together. */
+  perSecond: number;
+}>;
+
 /** One service. */
 export type ServiceSpec = Readonly<{
   name: ServiceName;
@@ -62,6 +70,8 @@
   maxConnections: number;
   /** Where a server says whether it is well, and which one it is. */
   healthPath: string | undefined;
+  /** Absent where servers bear all that they can from their start on. */
+  warmUp: WarmUp | undefined;
   /** Present when its servers are model engines. */
   engine: EngineTraits | undefined;
 }>;
--- a/packages/settings/src/boxSettings.ts
+++ b/packages/settings/src/boxSettings.ts
@@ -54,6 +54,20 @@
       .transform((given) => given ?? true),
     /** A server that left gets no new work later than this after a box heard of it. */
     leavingMs: ms,
+    /**
+     * What a server that has just started may get from all boxes together in a second: what its service says that it bears, times
+     * `coldOverage`, and `coldSlack`. A platform without such a bound leaves them empty.
+     */
+    coldOverage: z
+      .number()
+      .min(1)
+      .nullish()
+      .transform((given) => given ?? 1),
+    coldSlack: z
+      .number()
+      .nonnegative()
+      .nullish()
+      .transform((given) => given ?? 0),
     /** Time between the order to stop and the end of the process. */
     stopSeconds: z.number().positive(),
   }),
