feat: a server that starts again under its name is another server; odd entries name none

Cause: a server may start again under its id and knows nothing of before. Runs, placements, reports, copies, suspects and the proof of an end were bound to the id alone; a killed server that was back within a second spoke for the stream that it had cut. Ruled out: a start beside the id in each of these places (a dozen maps, each to be kept in step). Change: the adapter makes the id of a server from its name and its start, so that whatever is bound to a server is bound to one start; health answers and reports of another start are none of the server asked. An entry that lacks a field, has one of another type or an unknown state names no server to use: nothing new goes there, what runs there runs on, one line a change.

--- a/apps/box/src/wireEngines.testkit.ts
+++ b/apps/box/src/wireEngines.testkit.ts
@@ -4,6 +4,7 @@
   formatWireAsk,
   startUsersSite,
   type UsersSite,
+  type WireBirthPlace,
   type WireAsk,
 } from "@stairgauge/standins";
 import { spawnStandin, type StandinProcess } from "@stairgauge/testkit";
@@ -87,16 +88,40 @@
 /** Puts a server in the list as what the requests want. */
 const putServer = (
   site: UsersSite,
-  { id, address, isPlain }: Readonly<{ id: string; address: string; isPlain: boolean }>,
-) => (isPlain ? site.putService(id, address) : site.putEngine(id, address));
+  {
+    id,
+    address,
+    isPlain,
+    born,
+  }: Readonly<{
+    id: string;
+    address: string;
+    isPlain: boolean;
+    born?: number | undefined;
+  }>,
+) =>
+  isPlain ? site.putService(id, address) : site.putEngine(id, address, "ready", born);
+
+/** When an engine started, in Unix milliseconds, and where it says so. */
+export type EngineBirth = Readonly<{ at: number; saidIn: WireBirthPlace }>;
+
+/** What may be different about a box before held streams. */
+export type HeldChanges = Readonly<{
+  deadlineMs?: number | undefined;
+  birth?: EngineBirth | undefined;
+}>;
+
+/** Gives the arguments by which an engine process is told its start. */
+export const formatBirth = (birth: EngineBirth | undefined): readonly string[] =>
+  birth ? ["--born", String(birth.at), "--born-in", birth.saidIn] : [];
 
 /** Has all answers held at one server, then lets the box know the other one. */
 export const startHeldStreams = async (
   asks: readonly HeldAsk[],
-  deadlineMs = 10_000,
+  { deadlineMs = 10_000, birth }: HeldChanges = {},
 ): Promise<HeldSite> => {
   const spawning = Promise.all([
-    spawnEngine(HELD_ENGINE, ["--holds"]),
+    spawnEngine(HELD_ENGINE, ["--holds", ...formatBirth(birth)]),
     spawnEngine(OTHER_ENGINE),
   ]);
   const isPlain = asks.some(({ kind }) => kind.startsWith("plain"));
@@ -105,7 +130,7 @@
   const { ports, lines } = await startBox(site.store.address, "box-1", KEEPS_KEYS);
   site.putConfiguration({ limits: LIMITS });
   const [held, other] = await spawning;
-  putServer(site, { id: HELD_ENGINE, address: held.address, isPlain });
+  putServer(site, { id: HELD_ENGINE, address: held.address, isPlain, born: birth?.at });
   await waitUntilKnown(lines, 1);
   const streams = asks.map((one) => ({
     ...one,
--- a/apps/daemon/src/standinsMain.ts
+++ b/apps/daemon/src/standinsMain.ts
@@ -7,6 +7,8 @@
   multioption,
   array,
   number,
+  oneOf,
+  optional,
   option,
   run,
   string,
@@ -31,6 +33,7 @@
   SITE_KEY,
   startUsersSite,
   startWireEngine,
+  type WireBirthPlace,
 } from "@stairgauge/standins";
 
 const LOOPBACK = "127.0.0.1";
@@ -153,11 +156,23 @@
     port,
     id: option({ type: string, long: "id", defaultValue: () => "engine" }),
     holds: flag({ long: "holds", description: "new streams, where their requests ask" }),
+    born: option({
+      type: optional(number),
+      long: "born",
+      description: "its start, in Unix milliseconds",
+    }),
+    bornIn: option({
+      type: oneOf<WireBirthPlace>(["header", "body", "report"]),
+      long: "born-in",
+      description: "where it says so",
+      defaultValue: () => "body" as const,
+    }),
   },
-  handler: async (args) => {
+  handler: async ({ born, bornIn, ...args }) => {
     const onHeld = (request: string) => process.stdout.write(`held ${request}\n`);
     const { address, releaseHeld, leaveAddress } = await startWireEngine({
       ...args,
+      birth: born === undefined ? undefined : { at: born, saidIn: bornIn },
       onHeld,
     });
     process.on("SIGUSR2", releaseHeld);
--- a/packages/directory/src/serverDirectory.test.ts
+++ b/packages/directory/src/serverDirectory.test.ts
@@ -5,11 +5,14 @@
   type DirectoryEvent,
   type ServerEntry,
   type ServerId,
+  type ServerName,
 } from "./index.js";
 
 const service = "s" as ServiceName;
 const makeEntry = (id: string, isLeaving = false): ServerEntry => ({
   id: id as ServerId,
+  name: id as ServerName,
+  startedAt: undefined,
   service,
   address: { host: "10.0.0.1", port: 80 },
   dataHall: "h" as DataHallName,
@@ -83,6 +86,54 @@
     expect(directory.mayTakeWork("unknown" as ServerId)).toBe(false);
   });
 
+  const makeStart = (startedAt: number | undefined): ServerEntry => ({
+    ...makeEntry("a"),
+    id: `a@${startedAt}` as ServerId,
+    startedAt: startedAt as Ms | undefined,
+  });
+
+  it("takes a server that has started again under its name for another one, and the one before for gone", () => {
+    const { directory, events, listReady } = setUp();
+    directory.put(makeStart(1_000), toMs(0));
+    directory.put(makeStart(2_000), toMs(1));
+    expect(listReady()).toEqual(["a@2000"]);
+    expect(events).toEqual([
+      "joined a@1000 undefined",
+      "leaving a@1000 started_again",
+      "joined a@2000 undefined",
+    ]);
+  });
+
+  it("takes nothing from an entry that an earlier start has written", () => {
+    const { directory, listReady } = setUp();
+    directory.put(makeStart(2_000), toMs(0));
+    directory.put(makeStart(1_000), toMs(1));
+    expect(listReady()).toEqual(["a@2000"]);
+    directory.put({ ...makeStart(1_000), isLeaving: true }, toMs(2));
+    expect(listReady()).toEqual(["a@2000"]);
+  });
+
+  it("takes the newest entry where one of two starts says no time", () => {
+    const { directory, listReady } = setUp();
+    directory.put(makeStart(undefined), toMs(0));
+    directory.put(makeStart(2_000), toMs(1));
+    expect(listReady()).toEqual(["a@2000"]);
+  });
+
+  it("gives no new work to a server whose entry cannot be used, without calling it gone, until one can", () => {
+    const { directory, events, listReady } = setUp();
+    directory.put(makeEntry("a"), toMs(0));
+    directory.put(makeEntry("b"), toMs(0));
+    for (let i = 0; i < 3; i += 1) directory.markUnusable("a" as ServerName);
+    directory.markUnusable("unknown" as ServerName);
+    expect(listReady()).toEqual(["b"]);
+    expect(directory.mayTakeWork("a" as ServerId)).toBe(false);
+    expect(directory.find("a" as ServerId)?.leaving).toBeUndefined();
+    expect(events.slice(2)).toEqual(["unusable a undefined"]);
+    directory.put(makeEntry("a"), toMs(1));
+    expect(listReady()).toEqual(["a", "b"]);
+  });
+
   it("remembers a server that left until its runs had time to move", () => {
     const { directory } = setUp();
     directory.put(makeEntry("a", true), toMs(0));
--- a/packages/directory/src/serverDirectory.ts
+++ b/packages/directory/src/serverDirectory.ts
@@ -1,6 +1,12 @@
 /** The list of backend servers, changed through entries and marks only. */
 import type { DataHallName, Ms, ServiceName } from "@stairgauge/common";
-import type { BackendServer, LeavingReason, ServerEntry, ServerId } from "./types.js";
+import type {
+  BackendServer,
+  LeavingReason,
+  ServerEntry,
+  ServerId,
+  ServerName,
+} from "./types.js";
 
 /** A change that others act on. */
 export type DirectoryEvent = Readonly<
@@ -8,6 +14,8 @@
   /** A known server's entry says something else than before. */
   | { kind: "changed"; server: BackendServer }
   | { kind: "leaving"; server: BackendServer }
+  /** Its entry cannot be used: no new work goes there, and what runs there runs on. */
+  | { kind: "unusable"; server: BackendServer }
   | { kind: "forgotten"; server: BackendServer }
 >;
 
@@ -20,11 +28,15 @@
 
 /** The servers that a box knows. */
 export type ServerDirectory = Readonly<{
-  /** Takes one server's entry. */
+  /** Takes one server's entry; an entry of an earlier start than the one known says nothing. */
   put: (entry: ServerEntry, now: Ms) => void;
+  /** What is listed under the name can't be used as an entry: until one can, no new work goes there. */
+  markUnusable: (name: ServerName) => void;
   /** Marks a server that gets no new work; a mark is never taken back. */
   mark: (id: ServerId, reason: LeavingReason, now: Ms) => void;
   find: (id: ServerId) => BackendServer | undefined;
+  /** All starts that are known under a name. */
+  listStarts: (name: ServerName) => readonly BackendServer[];
   /** Replaces the data halls whose servers get no new work until they are opened again. */
   setClosedHalls: (halls: ReadonlySet<DataHallName>) => void;
   isHallClosed: (hall: DataHallName) => boolean;
@@ -48,17 +60,28 @@
   a.isLeaving === b.isLeaving &&
   a.warmUpLeft === b.warmUpLeft;
 
+/** Whether an entry was written by a start before the other one; without a time of both nobody can tell. */
+const isEarlier = (entry: ServerEntry, other: ServerEntry): boolean =>
+  entry.startedAt !== undefined &&
+  other.startedAt !== undefined &&
+  entry.startedAt < other.startedAt;
+
 /** Creates an empty directory. */
 export const createServerDirectory = (options: DirectoryOptions): ServerDirectory => {
   const { memory, onEvent } = options;
   const servers = new Map<ServerId, BackendServer>();
+  const unusable = new Set<ServerName>();
   let closedHalls: ReadonlySet<DataHallName> = new Set();
 
   const isOpen = ({ entry }: BackendServer) => !closedHalls.has(entry.dataHall);
+  const isUsable = ({ entry, leaving }: BackendServer) =>
+    !leaving && !unusable.has(entry.name);
   const listStaying = (service: ServiceName) =>
     [...servers.values()].filter(
-      (server) => server.entry.service === service && !server.leaving,
+      (server) => server.entry.service === service && isUsable(server),
     );
+  const listStarts = (name: ServerName) =>
+    [...servers.values()].filter(({ entry }) => entry.name === name);
 
   const mark = (id: ServerId, reason: LeavingReason, now: Ms) => {
     const server = servers.get(id);
@@ -69,6 +92,10 @@
   };
 
   const put = (entry: ServerEntry, now: Ms) => {
+    const others = listStarts(entry.name).filter((one) => one.entry.id !== entry.id);
+    if (others.some((other) => isEarlier(entry, other.entry))) return;
+    unusable.delete(entry.name);
+    for (const other of others) mark(other.entry.id, "started_again", now);
     const known = servers.get(entry.id);
     // An entry that came back after an outage of the store lives on under the same identity, and what the
     // store says of a server goes before what another box said.
@@ -85,14 +112,22 @@
   return {
     put,
     mark,
+    markUnusable: (name) => {
+      if (unusable.has(name)) return;
+      const starts = listStarts(name).filter(({ leaving }) => !leaving);
+      if (starts.length === 0) return;
+      unusable.add(name);
+      for (const server of starts) onEvent({ kind: "unusable", server });
+    },
     find: (id) => servers.get(id),
+    listStarts,
     setClosedHalls: (halls) => {
       closedHalls = halls;
     },
     isHallClosed: (hall) => closedHalls.has(hall),
     mayTakeWork: (id) => {
       const server = servers.get(id);
-      return server !== undefined && !server.leaving && isOpen(server);
+      return server !== undefined && isUsable(server) && isOpen(server);
     },
     listReady: (service) => listStaying(service).filter(isOpen),
     listStaying,
@@ -101,6 +136,8 @@
       for (const [id, server] of servers) {
         if (!server.leaving || now - server.leaving.since <= memory) continue;
         servers.delete(id);
+        if (listStarts(server.entry.name).length === 0)
+          unusable.delete(server.entry.name);
         onEvent({ kind: "forgotten", server });
       }
     },
--- a/packages/directory/src/types.ts
+++ b/packages/directory/src/types.ts
@@ -7,15 +7,21 @@
   ServiceName,
 } from "@stairgauge/common";
 
-/** Identity of one start of a backend server; a restart has another. */
+/** Identity of one start of a backend server; a restart has another, under the same name or a new one. */
 export type ServerId = Brand<string, "ServerId">;
 
+/** Name under which a server is listed, and by which it knows itself. */
+export type ServerName = Brand<string, "ServerName">;
+
 /** Where a server listens, by IP number. */
 export type ServerAddress = HostAndPort;
 
 /** What a server's own entry says. */
 export type ServerEntry = Readonly<{
   id: ServerId;
+  name: ServerName;
+  /** Time of day of its start, as it says itself; a server that started earlier under the same name is gone. */
+  startedAt: Ms | undefined;
   service: ServiceName;
   address: ServerAddress;
   dataHall: DataHallName;
@@ -28,7 +34,13 @@
 
 /** Why a server gets no new work. */
 export type LeavingReason =
-  "entry_says_leaving" | "entry_gone" | "report" | "address_reused" | "told_by_box";
+  | "entry_says_leaving"
+  | "entry_gone"
+  | "report"
+  | "address_reused"
+  | "told_by_box"
+  /** A server that started later says that it has its name. */
+  | "started_again";
 
 /** A server and what the box believes of it. */
 export type BackendServer = Readonly<{
--- a/packages/fleet/src/adviseOthers.test.ts
+++ b/packages/fleet/src/adviseOthers.test.ts
@@ -9,7 +9,11 @@
   type Ms,
   type ServiceName,
 } from "@stairgauge/common";
-import { createServerDirectory, type ServerId } from "@stairgauge/directory";
+import {
+  createServerDirectory,
+  type ServerId,
+  type ServerName,
+} from "@stairgauge/directory";
 import { createWaitingRoom, type AdviceRequest } from "@stairgauge/forwarding";
 import {
   createLoadBook,
@@ -60,6 +64,8 @@
     directory.put(
       {
         id: `e${i}` as ServerId,
+        name: `e${i}` as ServerName,
+        startedAt: undefined,
         service: SERVICE,
         address: { host: "10.0.0.1", port: 80 + i },
         dataHall: "h" as DataHallName,
--- a/packages/fleet/src/coldSpells.test.ts
+++ b/packages/fleet/src/coldSpells.test.ts
@@ -6,12 +6,14 @@
   type Ms,
   type ServiceName,
 } from "@stairgauge/common";
-import type { BackendServer, ServerId } from "@stairgauge/directory";
+import type { BackendServer, ServerId, ServerName } from "@stairgauge/directory";
 import { createColdSpells } from "./coldSpells.js";
 
 const makeServer = (id: string, hall = "a", warmUpLeft = 0): BackendServer => ({
   entry: {
     id: id as ServerId,
+    name: id as ServerName,
+    startedAt: undefined,
     service: "writers" as ServiceName,
     address: { host: "10.0.0.1", port: 80 },
     dataHall: hall as DataHallName,
--- a/packages/fleet/src/createPlacer.ts
+++ b/packages/fleet/src/createPlacer.ts
@@ -27,7 +27,7 @@
   getConnectionShare: (service: ServiceName) => number;
   rivals: Pick<RivalRate, "estimate">;
   cold: Pick<ColdLimits, "mayTake" | "record">;
-  spells: Pick<ColdSpells, "mayBeCold" | "onUnreachable">;
+  spells: Pick<ColdSpells, "mayBeCold" | "onEntry" | "onUnreachable">;
   onClosingAnnounced: (server: BackendServer) => void;
   /** A server broke a request of this box off before it answered. */
   onBroken: (server: ServerId) => void;
@@ -149,6 +149,8 @@
     onAnswered: ({ entry }) => suspects.removeBreaks(entry.id),
     takeBroken: (server) => suspects.addBreak(server, clock.monotonic()),
     takeAnswered: suspects.removeBreaks,
+    onWarmUpTold: ({ entry }, warmUpLeft) =>
+      spells.onEntry({ entry: { ...entry, warmUpLeft }, leaving: undefined }),
     onConnectionClosing: options.onClosingAnnounced,
     onRunBegun: (server, head) => {
       if (head.id !== undefined) book.markBegun(server.entry.id, head.id);
--- a/packages/fleet/src/followServers.ts
+++ b/packages/fleet/src/followServers.ts
@@ -1,6 +1,11 @@
 /** Keeps the directory of backend servers by following their table. */
 import type { Clock, Ms, Result } from "@stairgauge/common";
-import type { ServerDirectory, ServerEntry, ServerId } from "@stairgauge/directory";
+import type {
+  ServerDirectory,
+  ServerEntry,
+  ServerId,
+  ServerName,
+} from "@stairgauge/directory";
 import type { FollowerSink, StoredRow, StoreFailure } from "@stairgauge/storefeed";
 import { createLapsedEntries } from "./lapsedEntries.js";
 
@@ -40,10 +45,21 @@
     onGone: markGone,
   });
 
+  /** Revisions of the rows that cannot be used, so that each change of one is told once. */
+  const unreadable = new Map<string, number>();
+  const tellUnreadable = ({ key, revision }: StoredRow, failure: unknown) => {
+    if (unreadable.get(key) === revision) return;
+    unreadable.set(key, revision);
+    onEvent({ kind: "unreadable", server: key, failure });
+  };
   const decodeRow = (row: StoredRow): ServerEntry | undefined => {
     const decoded = decode(row.key, row.value);
-    if (decoded.ok) return decoded.val;
-    onEvent({ kind: "unreadable", server: row.key, failure: decoded.val });
+    if (decoded.ok) {
+      unreadable.delete(row.key);
+      return decoded.val;
+    }
+    tellUnreadable(row, decoded.val);
+    directory.markUnusable(row.key as ServerName);
     return undefined;
   };
 
@@ -56,18 +72,24 @@
   const takeMissing = (id: ServerId) => {
     if (!lapsed.take(id)) markGone(id);
   };
+  const takeGoneRow = (key: string) => {
+    unreadable.delete(key);
+    for (const { entry } of directory.listStarts(key as ServerName))
+      takeMissing(entry.id);
+  };
 
   return {
     onWhole: (rows) => {
       const listed = new Set(rows.map((row) => row.key));
+      for (const key of unreadable.keys()) if (!listed.has(key)) unreadable.delete(key);
       for (const { entry } of directory.list())
-        if (!listed.has(entry.id)) takeMissing(entry.id);
+        if (!listed.has(entry.name)) takeMissing(entry.id);
       for (const row of rows) putRow(row);
       options.onListRead();
     },
     onChanges: (changes) => {
       for (const change of changes) {
-        if (change.kind === "gone") takeMissing(change.key as ServerId);
+        if (change.kind === "gone") takeGoneRow(change.key);
         else putRow(change.row);
       }
       directory.dropForgotten(clock.monotonic());
--- a/packages/fleet/src/judgeExposure.test.ts
+++ b/packages/fleet/src/judgeExposure.test.ts
@@ -4,6 +4,7 @@
   createServerDirectory,
   type ServerDirectory,
   type ServerId,
+  type ServerName,
 } from "@stairgauge/directory";
 import type { ActiveRun, ClientRequestId } from "@stairgauge/forwarding";
 import {
@@ -67,6 +68,8 @@
       directory.put(
         {
           id,
+          name: `name-${id}` as ServerName,
+          startedAt: undefined,
           service: "s" as ServiceName,
           address: { host: "10.0.0.1", port: 80 },
           dataHall: "h" as DataHallName,
--- a/packages/fleet/src/judgeStanding.test.ts
+++ b/packages/fleet/src/judgeStanding.test.ts
@@ -4,6 +4,7 @@
   createServerDirectory,
   type LeavingReason,
   type ServerId,
+  type ServerName,
 } from "@stairgauge/directory";
 import { createLoadBook } from "@stairgauge/placement";
 import { judgeStanding } from "./judgeStanding.js";
@@ -18,6 +19,8 @@
   const book = createLoadBook();
   const entry = {
     id: SERVER,
+    name: "server" as ServerName,
+    startedAt: undefined,
     service: "s" as ServiceName,
     address: { host: "10.0.0.1", port: 80 },
     dataHall: "h" as DataHallName,
@@ -37,6 +40,7 @@
     ["leaving", "told_by_box"],
     ["gone", "entry_gone"],
     ["gone", "address_reused"],
+    ["gone", "started_again"],
   ])("says %s since the mark %s", (kind, reason) => {
     const standing = judgeStanding(makeSources(reason), SERVER, 350 as Ms);
     expect(standing).toEqual({ kind, age: 250 });
@@ -59,6 +63,7 @@
       age: undefined,
     });
     const report = {
+      startedAt: undefined,
       isLeaving: false,
       leavesIn: undefined,
       waiting: 0,
--- a/packages/fleet/src/judgeStanding.ts
+++ b/packages/fleet/src/judgeStanding.ts
@@ -14,6 +14,7 @@
 const GONE_REASONS: ReadonlySet<LeavingReason> = new Set([
   "entry_gone",
   "address_reused",
+  "started_again",
 ]);
 
 /** Judges by the mark of a server that leaves, and by the last report of one that does not. */
--- a/packages/fleet/src/pollReports.ts
+++ b/packages/fleet/src/pollReports.ts
@@ -43,6 +43,12 @@
 const LEAST_PAUSE = 0.75;
 const PAUSE_RANGE = 0.5;
 
+/** An engine that has started again under its name and address knows nothing of what ran there before. */
+const isOtherStart = ({ entry }: BackendServer, { startedAt }: EngineReport): boolean =>
+  entry.startedAt !== undefined &&
+  startedAt !== undefined &&
+  startedAt !== entry.startedAt;
+
 /** Creates the poller. */
 export const createReportPoller = (options: ReportPollerOptions): ReportPoller => {
   const { clock, random, directory, book, actions, getInterval, limit, shares } = options;
@@ -53,6 +59,10 @@
   const ask = async (server: BackendServer) => {
     const read = await actions.readReport(server.entry.address, limit);
     if (read.err) return undefined;
+    if (isOtherStart(server, read.val)) {
+      directory.mark(server.entry.id, "started_again", clock.monotonic());
+      return undefined;
+    }
     book.putReport(server.entry.id, read.val, clock.monotonic());
     options.onReport(server, read.val);
     return read.val;
--- a/packages/fleet/src/suspects.test.ts
+++ b/packages/fleet/src/suspects.test.ts
@@ -1,11 +1,13 @@
 import { describe, expect, it } from "vitest";
 import type { DataHallName, Ms, ServiceName } from "@stairgauge/common";
-import type { BackendServer, ServerId } from "@stairgauge/directory";
+import type { BackendServer, ServerId, ServerName } from "@stairgauge/directory";
 import { createSuspects } from "./suspects.js";
 
 const makeServer = (id: string): BackendServer => ({
   entry: {
     id: id as ServerId,
+    name: id as ServerName,
+    startedAt: undefined,
     service: "s" as ServiceName,
     address: { host: "10.0.0.1", port: 80 },
     dataHall: "h" as DataHallName,
--- a/packages/forwarding/src/askServer.ts
+++ b/packages/forwarding/src/askServer.ts
@@ -6,38 +6,64 @@
 
 /** What was heard: an answer of the server itself, or whatever says less. */
 export type ServerSign = Readonly<
-  { kind: "present" } | { kind: "absent"; detail: string }
+  | {
+      kind: "present";
+      /** Its start, where it says so. */
+      startedAt: Ms | undefined;
+      /** How much longer it stays cold, where it says so. */
+      warmUpLeft: Ms | undefined;
+    }
+  | { kind: "absent"; detail: string }
 >;
 
 /** Longest that an answer is waited for: a health path waits for a slot like a request, at most as long as the slowest ones take. */
 const ANSWER_LIMIT_MS = 1_000 as Ms;
 
+/** Bytes of an answer's body that are read; what a server says of itself comes first. */
+const MOST_BODY_BYTES = 4_096;
+
 /** Whom to ask, and how. */
 export type ServerQuestion = Readonly<{
   clock: Clock;
-  codec: Pick<HeadCodec, "encodeHealthCall" | "decodeAnswer">;
-  entry: Pick<ServerEntry, "id" | "address">;
+  codec: Pick<HeadCodec, "encodeHealthCall" | "decodeAnswer" | "decodeHealthBody">;
+  entry: Pick<ServerEntry, "name" | "address" | "startedAt">;
   healthPath: string;
   /** How long a connection may take to come up. */
   connectLimit: Ms;
 }>;
 
-const judgeAnswer = (id: ServerEntry["id"], answer: AnswerHead): ServerSign => {
-  const isOther = answer.server !== undefined && answer.server !== id;
+/** Makes the sign of a server that is not there. */
+export const makeAbsent = (detail: string): ServerSign => ({ kind: "absent", detail });
+
+/** A server that has started again answers by the same name, and knows nothing of what ran there before. */
+const judgeAnswer = (
+  entry: ServerQuestion["entry"],
+  answer: AnswerHead,
+  startedAt: Ms | undefined,
+): ServerSign => {
+  const isOther = answer.server !== undefined && answer.server !== entry.name;
   if (answer.isOtherServer || isOther)
-    return { kind: "absent", detail: "another server has its address" };
-  return { kind: "present" };
+    return makeAbsent("another server has its address");
+  const isTold = startedAt !== undefined && entry.startedAt !== undefined;
+  if (isTold && startedAt !== entry.startedAt) return makeAbsent("it has started again");
+  return { kind: "present", startedAt, warmUpLeft: answer.warmUpLeft };
 };
 
-/** Resolves with what is heard first. */
+/** Resolves with what is heard first; a body that does not end in time leaves it at the head. */
 export const askServer = (question: ServerQuestion): Promise<ServerSign> =>
   new Promise((resolve) => {
     const { clock, codec, entry, healthPath, connectLimit } = question;
+    let answer: AnswerHead | undefined;
+    let body = Buffer.alloc(0);
     const finish = (sign: ServerSign) => {
       timer.cancel();
       exchange.cancel();
       resolve(sign);
     };
+    const judgeHeard = (heard: AnswerHead) =>
+      judgeAnswer(entry, heard, heard.startedAt ?? codec.decodeHealthBody(body));
+    const finishBy = (detail: string) =>
+      finish(answer ? judgeHeard(answer) : makeAbsent(detail));
     const exchange = openExchange(
       clock,
       {
@@ -49,14 +75,18 @@
         connectLimit,
       },
       {
-        onHead: (status, raw) =>
-          finish(judgeAnswer(entry.id, codec.decodeAnswer(status, raw))),
-        onData: () => undefined,
-        onEnd: () => undefined,
-        onFailure: ({ detail }) => finish({ kind: "absent", detail }),
+        onHead: (status, raw) => {
+          answer = codec.decodeAnswer(status, raw);
+          const isEnough = answer.isOtherServer || answer.startedAt !== undefined;
+          if (isEnough || entry.startedAt === undefined) finish(judgeHeard(answer));
+        },
+        onData: (chunk) => {
+          body = Buffer.concat([body, chunk]);
+          if (body.length > MOST_BODY_BYTES) finishBy("an answer too long");
+        },
+        onEnd: () => finishBy("no answer"),
+        onFailure: ({ detail }) => finishBy(detail),
       },
     );
-    const timer = clock.setTimer(ANSWER_LIMIT_MS, () =>
-      finish({ kind: "absent", detail: "no answer in time" }),
-    );
+    const timer = clock.setTimer(ANSWER_LIMIT_MS, () => finishBy("no answer in time"));
   });
--- a/packages/forwarding/src/buildExchangeRequest.ts
+++ b/packages/forwarding/src/buildExchangeRequest.ts
@@ -24,7 +24,7 @@
   const { head, body, route, workspace, endsAt } = request;
   const hasBody = body.length > 0 || head.contentLength !== undefined;
   const headers = codec.encodeDispatch(head, {
-    server: server.entry.id,
+    server: server.entry.name,
     timeLeft: Math.max(0, endsAt - clock.monotonic()) as Ms,
     workspace: workspace?.name,
     bodyLength: hasBody ? body.length : undefined,
--- a/packages/forwarding/src/decideNext.test.ts
+++ b/packages/forwarding/src/decideNext.test.ts
@@ -13,6 +13,8 @@
   isNotRun: false,
   isOtherServer: false,
   server: undefined,
+  startedAt: undefined,
+  warmUpLeft: undefined,
   isClosing: false,
   isEncoded: false,
   contentLength: 2,
--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -7,7 +7,7 @@
 import type { NoServerReason, PlacementDecision } from "@stairgauge/placement";
 import { createActiveRun, type ActiveRun, type RunContinuation } from "./activeRuns.js";
 import { createAnswerSink } from "./answerSink.js";
-import { askServer } from "./askServer.js";
+import { askServer, makeAbsent, type ServerSign } from "./askServer.js";
 import { createAttempt, type Attempt } from "./attempt.js";
 import { buildExchangeRequest } from "./buildExchangeRequest.js";
 import { computeDemand } from "./computeDemand.js";
@@ -180,11 +180,20 @@
     return attempt;
   };
 
-  const askAgain = async ({ entry }: BackendServer) => {
+  const askAgain = async (server: BackendServer): Promise<ServerSign | undefined> => {
+    const { entry } = server;
     const { connectLimit, configuration } = deps;
     const healthPath = configuration.getIndex()?.findService(service)?.healthPath;
     if (healthPath === undefined) return undefined;
-    return await askServer({ clock, codec, entry, healthPath, connectLimit });
+    const sign = await askServer({ clock, codec, entry, healthPath, connectLimit });
+    if (sign.kind === "absent") return sign;
+    if (sign.warmUpLeft !== undefined) placer.onWarmUpTold(server, sign.warmUpLeft);
+    const isStartUnsaid = sign.startedAt === undefined && entry.startedAt !== undefined;
+    if (!isStartUnsaid || demand.tokens === undefined) return sign;
+    // An engine's report tells its start where its health answer does not.
+    return (await placer.isAlive(server))
+      ? sign
+      : makeAbsent("its report is not its own");
   };
 
   /** The first attempt of a request that may run again is given up for another server's. */
--- a/packages/forwarding/src/forwarderTypes.ts
+++ b/packages/forwarding/src/forwarderTypes.ts
@@ -131,6 +131,8 @@
   onAnswered: (server: BackendServer) => void;
   /** Whether a server answers anything at all, asked now. */
   isAlive: (server: BackendServer) => Promise<boolean>;
+  /** The server says that it is cold for so long yet. */
+  onWarmUpTold: (server: BackendServer, left: Ms) => void;
   /** An answer announced the end of its connection, which a leaving server does. */
   onConnectionClosing: (server: BackendServer) => void;
 }>;
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -1,6 +1,6 @@
 /** What forwarding hands around: requests as clients sent them, answers as servers gave them. */
 import type { Brand, Ms, WorkspaceName } from "@stairgauge/common";
-import type { ServerAddress, ServerId } from "@stairgauge/directory";
+import type { ServerAddress, ServerName } from "@stairgauge/directory";
 
 /** Identity of one try of a client, chosen by the client. */
 export type ClientRequestId = Brand<string, "ClientRequestId">;
@@ -41,7 +41,7 @@
 
 /** What the system says to a server beside the client's own headers. */
 export type DispatchTerms = Readonly<{
-  server: ServerId;
+  server: ServerName;
   timeLeft: Ms;
   workspace: WorkspaceName | undefined;
   bodyLength: number | undefined;
@@ -66,8 +66,10 @@
   isOtherServer: boolean;
   /** The server will close the connection; one that is leaving says so. */
   isClosing: boolean;
-  /** The server that says that it answers, where it says so. */
-  server: ServerId | undefined;
+  /** The server that says that it answers, where it says so; its start and how long it stays cold, the same. */
+  server: ServerName | undefined;
+  startedAt: Ms | undefined;
+  warmUpLeft: Ms | undefined;
   /** The body is encoded, so it is not the server's body. */
   isEncoded: boolean;
   /** Length of the body, when the head gives it. */
@@ -93,8 +95,10 @@
   encodeDispatch: (head: RequestHead, terms: DispatchTerms) => string[];
   /** Headers of a call that asks a server whether it is well; any other server there says so. */
   encodeHealthCall: (
-    server: Readonly<{ id: ServerId; address: ServerAddress }>,
+    server: Readonly<{ name: ServerName; address: ServerAddress }>,
   ) => string[];
+  /** The server's start, where the body of its health answer tells it. */
+  decodeHealthBody: (body: Buffer) => Ms | undefined;
   decodeAnswer: (status: number, headers: RawHeaders) => AnswerHead;
   encodeOwnAnswer: (head: RequestHead, answer: OwnAnswer) => string[];
 }>;
--- a/packages/migration/src/planEvacuation.test.ts
+++ b/packages/migration/src/planEvacuation.test.ts
@@ -54,6 +54,7 @@
 
   it("takes sizes from the engine's report where it knows the run", () => {
     const report = {
+      startedAt: undefined,
       isLeaving: true,
       leavesIn: undefined,
       waiting: 0,
--- a/packages/migration/src/runMover.test.ts
+++ b/packages/migration/src/runMover.test.ts
@@ -7,13 +7,15 @@
   type Ms,
   type ServiceName,
 } from "@stairgauge/common";
-import type { BackendServer, ServerId } from "@stairgauge/directory";
+import type { BackendServer, ServerId, ServerName } from "@stairgauge/directory";
 import type { ActiveRun, ClientRequestId } from "@stairgauge/forwarding";
 import { createRunMover, type CopyAnswer, type CopyRequest } from "./index.js";
 
 const makeServer = (id: string): BackendServer => ({
   entry: {
     id: id as ServerId,
+    name: id as ServerName,
+    startedAt: undefined,
     service: "s" as ServiceName,
     address: { host: `host-${id}`, port: 80 },
     dataHall: "h" as DataHallName,
@@ -25,6 +27,7 @@
 });
 
 const EMPTY_REPORT = {
+  startedAt: undefined,
   isLeaving: true,
   leavesIn: undefined,
   waiting: 0,
--- a/packages/migration/src/standbyKeeper.test.ts
+++ b/packages/migration/src/standbyKeeper.test.ts
@@ -7,13 +7,15 @@
   type ServiceName,
   type VirtualClock,
 } from "@stairgauge/common";
-import type { BackendServer, ServerId } from "@stairgauge/directory";
+import type { BackendServer, ServerId, ServerName } from "@stairgauge/directory";
 import type { ActiveRun, ClientRequestId } from "@stairgauge/forwarding";
 import { createStandbyKeeper, type CopyAnswer, type StandbyKeeper } from "./index.js";
 
 const makeServer = (id: string): BackendServer => ({
   entry: {
     id: id as ServerId,
+    name: id as ServerName,
+    startedAt: undefined,
     service: "s" as ServiceName,
     address: { host: `host-${id}`, port: 80 },
     dataHall: "h" as DataHallName,
--- a/packages/peers/src/peers.test.ts
+++ b/packages/peers/src/peers.test.ts
@@ -288,6 +288,7 @@
 });
 
 const REPORT: EngineReport = {
+  startedAt: undefined,
   isLeaving: true,
   leavesIn: 2_000 as Ms,
   waiting: 1,
--- a/packages/peers/src/updateCodec.ts
+++ b/packages/peers/src/updateCodec.ts
@@ -79,6 +79,8 @@
 const decodeReport = (told: z.infer<typeof reportSchema>): ToldReport => ({
   server: told.server as ServerId,
   report: {
+    // The id that it is told under names the start.
+    startedAt: undefined,
     isLeaving: told.leaving,
     leavesIn: told.leavesIn as Ms | undefined,
     waiting: told.waiting,
--- a/packages/placement/src/chooseServer.test.ts
+++ b/packages/placement/src/chooseServer.test.ts
@@ -5,7 +5,7 @@
   type Ms,
   type ServiceName,
 } from "@stairgauge/common";
-import type { BackendServer, ServerId } from "@stairgauge/directory";
+import type { BackendServer, ServerId, ServerName } from "@stairgauge/directory";
 import {
   chooseServer,
   createLoadBook,
@@ -16,6 +16,8 @@
 const makeServer = (id: string, hall = "h"): BackendServer => ({
   entry: {
     id: id as ServerId,
+    name: id as ServerName,
+    startedAt: undefined,
     service: "s" as ServiceName,
     address: { host: "10.0.0.1", port: 80 },
     dataHall: hall as DataHallName,
@@ -36,6 +38,7 @@
 });
 
 const makeReport = (changes: Partial<EngineReport> = {}): EngineReport => ({
+  startedAt: undefined,
   isLeaving: false,
   leavesIn: undefined,
   waiting: 0,
--- a/packages/placement/src/types.ts
+++ b/packages/placement/src/types.ts
@@ -13,6 +13,8 @@
 
 /** An engine's own account of itself, some hundred milliseconds old when it arrives. */
 export type EngineReport = Readonly<{
+  /** Time of day of the engine's start, where it says so. */
+  startedAt: Ms | undefined;
   isLeaving: boolean;
   /** Time until it goes, if it knows. */
   leavesIn: Ms | undefined;
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -46,4 +46,4 @@
   ScriptedEngines,
 } from "./usersPlatform/scriptedEngines.js";
 export { formatWireAsk, startWireEngine } from "./usersPlatform/wireEngine.js";
-export type { WireAsk } from "./usersPlatform/wireEngine.js";
+export type { WireAsk, WireBirthPlace } from "./usersPlatform/wireEngine.js";
