feat: boxes of each data hall carry in turn, so that the loss of a hall leaves hubs and a box that hears the store

Cause: the boxes that hear the store, and the hubs, are drawn by lot; at 15 of 100 sites drawn both that hear it stood in one hall. Change: a box's row names its data hall; the order of carriers takes the halls in turn, strong boxes before weak ones as before. A row with an address that cannot be called names no box.

--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -109,6 +109,11 @@
     acceptWithin: computeAcceptWithin(settings.bounds),
   });
   const own = settings.box as BoxName;
+  const member = {
+    box: own,
+    capacity: computeCapacity(settings),
+    dataHall: settings.dataHall as DataHallName,
+  };
   const outOfTouchAge = computeTiming(settings).wait * OUT_OF_TOUCH_WAITS;
   const isOutOfTouch = () => keeper.getAge(clock.monotonic()) > outOfTouchAge;
   const book = createLoadBook((change) => teller.takeChange(change));
@@ -136,7 +141,7 @@
   const links = createPeerLinks({
     clock,
     random,
-    own: { box: own, capacity: computeCapacity(settings) },
+    own: member,
     makeWhole: teller.makeWhole,
     onNotice: ({ leaving }) => leaving.forEach(updates.takeLeaving),
     onMessage: observePeers({ metrics }),
@@ -175,9 +180,8 @@
     writer: createStoreWriter(settings.store.address),
     table: BOX_TABLE,
     getOwn: () => ({
-      box: own,
       address: peerAddress,
-      capacity: computeCapacity(settings),
+      ...member,
     }),
     limit: settings.store.patienceMs as Ms,
     onPeers: (peers) => {
--- a/apps/box/src/createKnowledge.ts
+++ b/apps/box/src/createKnowledge.ts
@@ -1,5 +1,5 @@
 /** What a box knows of configuration, servers and boxes: followed through the store or a box that hears it, and handed on. */
-import type { BoxName, Clock, Ms, Random } from "@stairgauge/common";
+import type { BoxName, Clock, DataHallName, Ms, Random } from "@stairgauge/common";
 import {
   answerTable,
   createSharedReader,
@@ -109,7 +109,11 @@
   ]);
   const reader = createSharedReader({
     clock,
-    own: { box: settings.box as BoxName, capacity: computeCapacity(settings) },
+    own: {
+      box: settings.box as BoxName,
+      capacity: computeCapacity(settings),
+      dataHall: settings.dataHall as DataHallName,
+    },
     store: createStoreReader(store.address),
     links,
     hearers: store.hearers,
--- a/packages/peers/src/hubs.test.ts
+++ b/packages/peers/src/hubs.test.ts
@@ -1,7 +1,7 @@
 /** Links that do not grow with the boxes, and the same hubs for all, whoever is out of reach. */
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
-import type { BoxName } from "@stairgauge/common";
+import type { BoxName, DataHallName } from "@stairgauge/common";
 import { chooseLinks, countHubs, listHubs, MOST_LINKS } from "./hubs.js";
 import { rankCarriers } from "./rankHearers.js";
 import type { Member } from "./types.js";
@@ -38,6 +38,50 @@
   });
 });
 
+describe("rankCarriers", () => {
+  const HALLS = ["a", "b", "c", "d"] as const;
+  const placeInHalls = (members: readonly Member[], names: readonly string[]) =>
+    members.map((member, i) => ({
+      ...member,
+      dataHall: names[Math.floor(i / 3) % names.length] as DataHallName,
+    }));
+
+  it("takes a box of each data hall first, so that the loss of a hall leaves hubs and boxes that hear the store (property)", () => {
+    fc.assert(
+      fc.property(
+        fc.integer({ min: 13, max: 300 }),
+        fc.integer({ min: 2, max: 4 }),
+        (count, halls) => {
+          const members = placeInHalls(makeMembers(count), HALLS.slice(0, halls));
+          const hallOf = new Map(members.map(({ box, dataHall }) => [box, dataHall]));
+          const first = rankCarriers(members).slice(0, halls);
+          expect(new Set(first.map((box) => hallOf.get(box))).size).toBe(halls);
+        },
+      ),
+      { seed: 6, numRuns: 100 },
+    );
+  });
+
+  it("orders all boxes alike whatever the order in which they are listed", () => {
+    const members = placeInHalls(makeMembers(64), HALLS);
+    expect(rankCarriers(members.toReversed())).toEqual(rankCarriers(members));
+  });
+
+  it("puts no weak box before a strong one for the sake of its data hall", () => {
+    const weakHall = makeMembers(12).map((member, i) => ({
+      ...member,
+      capacity: i < 4 ? 7 : 100,
+      dataHall: (i < 4 ? "weak" : "strong") as DataHallName,
+    }));
+    const weak = new Set(weakHall.slice(0, 4).map(({ box }) => box));
+    expect(
+      rankCarriers(weakHall)
+        .slice(0, 8)
+        .some((box) => weak.has(box)),
+    ).toBe(false);
+  });
+});
+
 describe("chooseLinks", () => {
   it("links every box to every other where they are few", () => {
     for (const links of chooseAllLinks(makeMembers(6), new Set()))
--- a/packages/peers/src/memberSink.ts
+++ b/packages/peers/src/memberSink.ts
@@ -1,29 +1,41 @@
 /** The boxes that take part, from their rows in the platform's store. */
-import { Err, Ok, type BoxName, type Result } from "@stairgauge/common";
+import {
+  Err,
+  Ok,
+  type BoxName,
+  type DataHallName,
+  type Result,
+} from "@stairgauge/common";
 import type { FollowerSink, StoredRow } from "@stairgauge/storefeed";
 import { z } from "zod";
 import type { Peer } from "./types.js";
 
+const MOST_PORT = 65_535;
+
 const memberSchema = z.object({
-  host: z.string(),
-  port: z.number().int().positive(),
+  host: z.ipv4(),
+  port: z.int().positive().max(MOST_PORT),
   capacity: z.number().positive().default(1),
+  hall: z.string().optional(),
 });
 
 /** Why a row names no box. */
 export type MemberFailure = Readonly<{ kind: "unreadable_member"; key: string }>;
 
 /** Encodes a box's own row. */
-export const encodeMember = ({ address, capacity }: Peer): Buffer =>
-  Buffer.from(JSON.stringify({ host: address.host, port: address.port, capacity }));
+export const encodeMember = ({ address, capacity, dataHall }: Peer): Buffer =>
+  Buffer.from(
+    JSON.stringify({ host: address.host, port: address.port, capacity, hall: dataHall }),
+  );
 
 /** Decodes another box's row. */
 export const decodeMember = (key: string, value: Buffer): Result<Peer, MemberFailure> => {
   try {
-    const { capacity, ...address } = memberSchema.parse(
+    const { capacity, hall, ...address } = memberSchema.parse(
       JSON.parse(value.toString("utf8")),
     );
-    return Ok({ box: key as BoxName, address, capacity });
+    const dataHall = hall as DataHallName | undefined;
+    return Ok({ box: key as BoxName, address, capacity, dataHall });
   } catch {
     return Err({ kind: "unreadable_member", key });
   }
--- a/packages/peers/src/rankHearers.ts
+++ b/packages/peers/src/rankHearers.ts
@@ -3,7 +3,7 @@
  * them alike without talk, and the loss of a box moves its part to the next. Pure.
  */
 import { createHash } from "node:crypto";
-import type { BoxName } from "@stairgauge/common";
+import type { BoxName, DataHallName } from "@stairgauge/common";
 import type { Member } from "./types.js";
 
 const hashToNumber = (text: string): number =>
@@ -28,15 +28,36 @@
  */
 const MOST_ASKERS = 100;
 
-/** Puts boxes in the order in which they carry what all need to know: the strong ones first, by lot among equals. */
+/**
+ * Takes from each data hall in turn, keeping the order within it, so that the loss of a hall leaves a box that hears the store: by lot
+ * alone both stood in one hall at 15 of 100 sites drawn with eight strong boxes in four halls.
+ */
+const takeHallsInTurn = (
+  boxes: readonly BoxName[],
+  members: readonly Member[],
+): readonly BoxName[] => {
+  const hallOf = new Map(members.map(({ box, dataHall }) => [box, dataHall]));
+  const taken = new Map<DataHallName | undefined, number>();
+  const turns = boxes.map((box) => {
+    const hall = hallOf.get(box);
+    const turn = taken.get(hall) ?? 0;
+    taken.set(hall, turn + 1);
+    return { box, turn };
+  });
+  return turns.sort((a, b) => a.turn - b.turn).map(({ box }) => box);
+};
+
+/**
+ * Puts boxes in the order in which they carry what all need to know: the strong ones first, those of each data hall in turn, by lot
+ * among equals.
+ */
 export const rankCarriers = (members: readonly Member[]): readonly BoxName[] => {
   const most = Math.max(...members.map(({ capacity }) => capacity));
   const isStrong = ({ capacity }: Member) => capacity >= most * STRONG_SHARE;
-  const rank = (some: readonly Member[]) =>
-    rankByHash(
-      some.map(({ box }) => box),
-      "hears",
-    );
+  const rank = (some: readonly Member[]) => {
+    const boxes = some.map(({ box }) => box);
+    return takeHallsInTurn(rankByHash(boxes, "hears"), some);
+  };
   const strong = rank(members.filter(isStrong));
   const weak = rank(members.filter((member) => !isStrong(member)));
   return [...strong, ...weak];
--- a/packages/peers/src/types.ts
+++ b/packages/peers/src/types.ts
@@ -2,7 +2,7 @@
  * What boxes tell each other. Runs that each has placed and servers that leave are advice; no promise rests on them.
  * Tables of the store are handed on with their age, by which promises are kept.
  */
-import type { BoxName, Ms } from "@stairgauge/common";
+import type { BoxName, DataHallName, Ms } from "@stairgauge/common";
 import type { RowChange, StoredRow } from "@stairgauge/storefeed";
 import type { ServerAddress, ServerId } from "@stairgauge/directory";
 import type {
@@ -16,8 +16,13 @@
 
 export type { PlaceQuestion } from "@stairgauge/placement";
 
-/** A box, and how much it can hand on to others beside its own work, in proportion to what others can. */
-export type Member = Readonly<{ box: BoxName; capacity: number }>;
+/** A box, where it stands, and how much it can hand on to others beside its own work, in proportion to what others can. */
+export type Member = Readonly<{
+  box: BoxName;
+  capacity: number;
+  /** Absent for a box that is known by its address only. */
+  dataHall?: DataHallName | undefined;
+}>;
 
 /** A box that takes part, and where it listens. */
 export type Peer = Member & Readonly<{ address: ServerAddress }>;
