feat: requests whose route or workspace is bound to regions go to servers of these only

Change: the configuration's regions travel with a request's demand, in questions to hubs and in runs that move; the settings name the region of each data hall; a hall without one is in none. Bodies go to no other box anyway.

--- a/apps/box/src/askHubs.ts
+++ b/apps/box/src/askHubs.ts
@@ -42,7 +42,7 @@
   ((urgency.kind === "within" ? urgency.wait : 0) + PLACE_LIMIT_MS) as Ms;
 
 const buildQuestion = (own: BoxName, request: AdviceRequest): PlaceQuestion => {
-  const { id, service, tier, tokens, except, urgency } = request;
+  const { id, service, tier, tokens, regions, except, urgency } = request;
   const run = {
     id,
     promptTokens: tokens.prompt,
@@ -50,7 +50,7 @@
     isMovable: tokens.isMovable,
     hasBegun: false,
   };
-  return { box: own, run, service, tier, except: [...except], urgency };
+  return { box: own, run, service, tier, regions, except: [...except], urgency };
 };
 
 /** Creates what asks the hubs. */
--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -6,6 +6,7 @@
   type DataHallName,
   toHostAndPort,
   type Ms,
+  type RegionName,
 } from "@stairgauge/common";
 import { createServerDirectory, type BackendServer } from "@stairgauge/directory";
 import { createPlaceHub, createPlacer, createReportPoller } from "@stairgauge/fleet";
@@ -252,6 +253,7 @@
     clock,
     random,
     ownHall: settings.dataHall as DataHallName,
+    findRegion: (hall) => settings.regions[hall] as RegionName | undefined,
     directory,
     book,
     rivals,
--- a/apps/box/src/createMoves.ts
+++ b/apps/box/src/createMoves.ts
@@ -9,7 +9,7 @@
   type MovePlannerOptions,
   type ReportPoller,
 } from "@stairgauge/fleet";
-import type { ActiveRuns } from "@stairgauge/forwarding";
+import type { ActiveRun, ActiveRuns } from "@stairgauge/forwarding";
 import {
   createRunMover,
   createStandbyKeeper,
@@ -47,8 +47,10 @@
 /** Creates the parts; nothing moves before a server leaves. */
 export const createMoves = (options: MovesOptions): Moves => {
   const { clock, log, metrics, actions, directory, book, placer, runs } = options;
-  const { listTargets, isLeaving, mayTakeWork, isHallClosed, reserve } = placer;
+  const { listTargets, isLeaving, isHallClosed, reserve } = placer;
   const { findTraits } = options;
+  const mayTake = (server: BackendServer, run: ActiveRun) =>
+    placer.mayTakeWork(server) && placer.isInRegions(server, run.regions);
   const onDecision = observeMoves({ log, metrics });
 
   const planner = createMovePlanner({
@@ -64,8 +66,8 @@
   const standbys = createStandbyKeeper({
     clock,
     actions,
-    ...createExposureJudge({ directory, book, listTargets, findTraits }),
-    mayTakeWork,
+    ...createExposureJudge({ directory, book, listTargets, findTraits, mayTake }),
+    mayTake,
     listRuns: () =>
       runs
         .list()
@@ -80,7 +82,7 @@
     clock,
     actions,
     isLeaving,
-    mayTakeWork,
+    mayTake,
     isHallClosed,
     ...planner,
     takeStandby: standbys.take,
--- /dev/null
+++ b/apps/box/src/homes.test.ts
@@ -0,0 +1,50 @@
+/**
+ * Routes and workspaces may be bound to regions; nothing read it. A request of one that is bound goes to servers of these regions only, to none
+ * where they have none, and what is bound to nothing goes anywhere.
+ */
+import { describe, expect, it } from "vitest";
+import { ask, makeGeneration, startSite, waitFor, type Line } from "./box.testkit.js";
+
+const REGIONS = 'regions: { hall-a: "north", hall-b: "south" }';
+
+const startTwoRegions = async () => {
+  const started = await startSite(2, 2, { more: REGIONS });
+  const { site } = started;
+  for (const servers of [site.engines, site.services])
+    site.putHall(servers[1]!, "hall-b");
+  await started.start();
+  return started;
+};
+
+const awaitVersion = (lines: readonly Line[], version: number) =>
+  waitFor(() =>
+    lines.some(
+      (line) => line.event === "configuration_adopted" && line.version === version,
+    ),
+  );
+
+describe("requests that are bound to regions", () => {
+  it.each(["routes", "workspace"] as const)("by %s go to no other", async (who) => {
+    const { site, ports, lines } = await startTwoRegions();
+    site.keepToRegions(who, ["south"]);
+    await awaitVersion(lines, 2);
+    for (let i = 0; i < 8; i += 1) {
+      expect((await ask(ports, { path: "/once/" })).status).toBe(200);
+      const headers = makeGeneration(300, 4);
+      expect((await ask(ports, { path: "/draft/1", headers })).status).toBe(200);
+    }
+    expect(site.services[0]!.listReceived()).toEqual([]);
+    expect(site.services[1]!.listReceived()).toHaveLength(8);
+    expect(site.engines[0]!.listStarted()).toEqual([]);
+    expect(site.engines[1]!.listStarted()).toHaveLength(8);
+  });
+
+  it("are refused as not run where these regions have no server", async () => {
+    const { site, ports, lines } = await startTwoRegions();
+    site.keepToRegions("routes", ["west"]);
+    await awaitVersion(lines, 2);
+    const answer = await ask(ports, { path: "/once/" });
+    expect(answer.status).toBe(503);
+    expect(answer.body).toContain("no_server_in_regions");
+  });
+});
--- a/packages/common/src/types.ts
+++ b/packages/common/src/types.ts
@@ -23,6 +23,9 @@
 /** Name of a data hall. */
 export type DataHallName = Brand<string, "DataHallName">;
 
+/** Name of a region, which holds some data halls. */
+export type RegionName = Brand<string, "RegionName">;
+
 /** Name of an entry box, from its settings. */
 export type BoxName = Brand<string, "BoxName">;
 
--- a/packages/fleet/src/adviseOthers.test.ts
+++ b/packages/fleet/src/adviseOthers.test.ts
@@ -7,6 +7,7 @@
   type BoxName,
   type DataHallName,
   type Ms,
+  type RegionName,
   type ServiceName,
 } from "@stairgauge/common";
 import {
@@ -93,6 +94,7 @@
     clock,
     random,
     ownHall: "h" as DataHallName,
+    findRegion: (hall) => `region of ${hall}` as RegionName,
     directory,
     book,
     rivals: createRivalRate(),
@@ -170,6 +172,17 @@
     expect(lost).toBeGreaterThan(0);
   });
 
+  it("keeps a run within the regions that its route and workspace allow, and says why it finds no server there", async () => {
+    const { ask } = setUp(3);
+    const askWithin = (id: string, region: string) =>
+      ask({ ...makeAsked("box", id), regions: [region as RegionName] });
+    expect(await askWithin("a", "region of h")).toMatchObject({ kind: "placed" });
+    expect(await askWithin("b", "elsewhere")).toMatchObject({
+      kind: "no_server",
+      reason: "none_in_regions",
+    });
+  });
+
   it("forgets a place that was not taken, and keeps one that was", async () => {
     const { book, ask, advance, countAt } = setUp(1);
     await ask(makeAsked("gone", "a"));
--- a/packages/fleet/src/adviseOthers.ts
+++ b/packages/fleet/src/adviseOthers.ts
@@ -53,9 +53,15 @@
     });
   };
 
-  const choose = ({ service, run, except }: PlaceQuestion): PlacementDecision => {
+  const choose = ({
+    service,
+    run,
+    except,
+    regions,
+  }: PlaceQuestion): PlacementDecision => {
     const { promptTokens, expectedOut, isMovable } = run;
-    const demand: Demand = { tokens: { prompt: promptTokens, expectedOut, isMovable } };
+    const tokens = { prompt: promptTokens, expectedOut, isMovable };
+    const demand: Demand = { regions, tokens };
     return placer.choose(service, demand, new Set(except));
   };
 
--- a/packages/fleet/src/createPlacer.ts
+++ b/packages/fleet/src/createPlacer.ts
@@ -1,5 +1,11 @@
 /** Places requests by the directory and the load book, and keeps the book. */
-import type { Clock, DataHallName, Random, ServiceName } from "@stairgauge/common";
+import type {
+  Clock,
+  DataHallName,
+  Random,
+  RegionName,
+  ServiceName,
+} from "@stairgauge/common";
 import type { BackendServer, ServerDirectory, ServerId } from "@stairgauge/directory";
 import type { ActiveRun, Placer } from "@stairgauge/forwarding";
 import {
@@ -21,6 +27,7 @@
   clock: Clock;
   random: Random;
   ownHall: DataHallName;
+  findRegion: (hall: DataHallName) => RegionName | undefined;
   directory: ServerDirectory;
   book: LoadBook;
   /** This box's part of the connections that one server of a service takes from all callers. */
@@ -39,6 +46,11 @@
   Readonly<{
     /** Whether a server may be sent anything new, as known now. */
     mayTakeWork: (server: BackendServer) => boolean;
+    /** Whether a server stands in one of the regions; in any where none are given. */
+    isInRegions: (
+      server: BackendServer,
+      regions: readonly RegionName[] | undefined,
+    ) => boolean;
     /** Whether a server's data hall is closed to new work, its stopped runs included. */
     isHallClosed: (server: BackendServer) => boolean;
     /** Engines that may take runs of the one given. */
@@ -64,13 +76,13 @@
 
 /** Says why none of a service's servers was a candidate. */
 const explainNoServer = (
-  directory: ServerDirectory,
-  service: ServiceName,
   candidates: Readonly<{ ready: number; untried: number }>,
+  known: Readonly<{ staying: number; inRegions: number }>,
 ): NoServerReason => {
   if (candidates.untried > 0) return "servers_cold";
   if (candidates.ready > 0) return "none_left";
-  return directory.listStaying(service).length > 0 ? "halls_closed" : "none_known";
+  if (known.inRegions > 0) return "halls_closed";
+  return known.staying > 0 ? "none_in_regions" : "none_known";
 };
 
 /** Creates the placer. */
@@ -78,6 +90,12 @@
   const { clock, random, ownHall, directory, book, cold, spells } = options;
   const mintId = createPlacementIds();
   const suspects = createSuspects();
+  /** A data hall whose region nobody has told is in none of those given. */
+  const isInRegions: FleetPlacer["isInRegions"] = ({ entry }, regions) => {
+    if (!regions) return true;
+    const region = options.findRegion(entry.dataHall);
+    return region !== undefined && regions.includes(region);
+  };
   const markUnreachable = ({ entry }: BackendServer) => {
     suspects.add(entry.id, clock.monotonic());
     spells.onUnreachable(entry.id);
@@ -85,7 +103,9 @@
 
   return {
     choose: (service, demand, except) => {
-      const ready = directory.listReady(service);
+      const ready = directory
+        .listReady(service)
+        .filter((server) => isInRegions(server, demand.regions));
       const share = options.getConnectionShare(service);
       const untried = ready.filter(
         ({ entry }) => !except.has(entry.id) && book.countOpen(entry.id) < share,
@@ -105,7 +125,11 @@
       });
       if (decision.kind === "placed") return decision;
       const counts = { ready: ready.length, untried: untried.length };
-      const reason = explainNoServer(directory, service, counts);
+      const staying = directory.listStaying(service);
+      const reason = explainNoServer(counts, {
+        staying: staying.length,
+        inRegions: staying.filter((server) => isInRegions(server, demand.regions)).length,
+      });
       return { kind: "no_server", reason, known: ready.length };
     },
     place: (server, head, demand) => {
@@ -131,6 +155,7 @@
     },
     isLeaving: (server) => isLeaving(directory, server),
     mayTakeWork: ({ entry }) => directory.mayTakeWork(entry.id),
+    isInRegions,
     isHallClosed: ({ entry }) => directory.isHallClosed(entry.dataHall),
     getStanding: ({ entry }) =>
       judgeStanding({ directory, book }, entry.id, clock.monotonic()),
--- a/packages/fleet/src/judgeExposure.test.ts
+++ b/packages/fleet/src/judgeExposure.test.ts
@@ -51,12 +51,15 @@
     getTokens: () => tokens,
     getTokensLeft: () => 500,
   });
+  /** Servers that may not be sent the run. */
+  const closed = new Set<ServerId>();
   const judge = () =>
     createExposureJudge({
       directory,
       book,
       listTargets: () => targets,
       findTraits: () => traits,
+      mayTake: ({ entry }) => !closed.has(entry.id),
     });
 
   beforeEach(() => {
@@ -116,6 +119,9 @@
 
   it("finds an engine with memory to spare, and none when the copy would crowd it", () => {
     expect(judge().findTarget(makeRun("d"))?.entry.id).toBe(OTHER);
+    closed.add(OTHER);
+    expect(judge().findTarget(makeRun("d"))).toBeUndefined();
+    closed.clear();
     targets = [{ server: OTHER, takenTokens: 19_000, totalTokens: 34_000, isNear: true }];
     expect(judge().findTarget(makeRun("d"))).toBeUndefined();
   });
--- a/packages/fleet/src/judgeExposure.ts
+++ b/packages/fleet/src/judgeExposure.ts
@@ -27,6 +27,8 @@
   book: LoadBook;
   listTargets: (source: BackendServer) => readonly MoveTarget[];
   findTraits: (server: BackendServer) => EngineTraits | undefined;
+  /** Whether a server may be sent the run, were it new. */
+  mayTake: (server: BackendServer, run: ActiveRun) => boolean;
 }>;
 
 /** Judges runs by what this box and its peers have placed. */
@@ -72,9 +74,13 @@
     findTarget: (run) => {
       const one = toRunToMove(run);
       const needed = one.tokensInMemory + one.tokensLeft;
+      const isOpen = (id: ServerId) => {
+        const server = directory.find(id);
+        return server !== undefined && options.mayTake(server, run);
+      };
       const roomy = listTargets(run.getServer()).filter(
-        ({ takenTokens, totalTokens }) =>
-          (takenTokens + needed) / totalTokens <= STANDBY_LOAD,
+        ({ server, takenTokens, totalTokens }) =>
+          (takenTokens + needed) / totalTokens <= STANDBY_LOAD && isOpen(server),
       );
       const [best] = rankTargets([one], roomy, 0).get(run.id) ?? [];
       return best === undefined ? undefined : directory.find(best);
--- a/packages/forwarding/src/activeRuns.ts
+++ b/packages/forwarding/src/activeRuns.ts
@@ -1,4 +1,5 @@
 /** Streams that this box relays, by request and by the server that makes them. */
+import type { RegionName } from "@stairgauge/common";
 import type { BackendServer, ServerId } from "@stairgauge/directory";
 import type { Demand } from "@stairgauge/placement";
 import type { Route } from "@stairgauge/routing";
@@ -10,6 +11,8 @@
 export type ActiveRun = Readonly<{
   id: ClientRequestId;
   route: Route;
+  /** Regions whose servers alone may go on with it; all where absent. */
+  regions?: readonly RegionName[] | undefined;
   getServer: () => BackendServer;
   /** Whether its first event has come. */
   hasBegun: () => boolean;
@@ -68,6 +71,7 @@
   return {
     id,
     route,
+    regions: demand.regions,
     getServer: () => {
       server = findServer() ?? server;
       return server;
--- a/packages/forwarding/src/computeDemand.ts
+++ b/packages/forwarding/src/computeDemand.ts
@@ -1,5 +1,7 @@
 /** What a request needs of a server, by what its client declares. Pure. */
+import type { RegionName } from "@stairgauge/common";
 import type { Demand } from "@stairgauge/placement";
+import type { Route } from "@stairgauge/routing";
 import { mayRepeat } from "./decideNext.js";
 import type { AdmittedRequest } from "./forwarderTypes.js";
 
@@ -9,15 +11,28 @@
 /** Tokens expected of a generation whose client gives no guess: a short answer. */
 const DEFAULT_EXPECTED_TOKENS = 64;
 
+/** Regions that both lists allow; all where neither is given. */
+const computeRegions = (
+  { regions: ofRoute }: Pick<Route, "regions">,
+  ofWorkspace: readonly RegionName[] | undefined,
+): readonly RegionName[] | undefined => {
+  if (!ofRoute || !ofWorkspace) return ofRoute ?? ofWorkspace;
+  return ofRoute.filter((region) => ofWorkspace.includes(region));
+};
+
 /** Computes the demand; only a generation with declared tokens needs memory. */
 export const computeDemand = ({
   head,
   route,
-}: Pick<AdmittedRequest, "head" | "route">): Demand => {
-  if (route.kind !== "stream" || !head.usage) return { tokens: undefined };
+  workspace,
+}: Pick<AdmittedRequest, "head" | "route"> &
+  Partial<Pick<AdmittedRequest, "workspace">>): Demand => {
+  const regions = computeRegions(route, workspace?.regions);
+  if (route.kind !== "stream" || !head.usage) return { regions, tokens: undefined };
   const { prompt, mostOut } = head.usage;
   const guess = head.lengthGuess ?? DEFAULT_EXPECTED_TOKENS;
   return {
+    regions,
     tokens: {
       prompt,
       expectedOut: Math.min(guess, mostOut || guess),
--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -41,6 +41,7 @@
 
 const REFUSAL_OF_NO_SERVER: Readonly<Record<NoServerReason, RefusalReason>> = {
   none_known: "no_server_known",
+  none_in_regions: "no_server_in_regions",
   halls_closed: "data_halls_closed",
   servers_cold: "servers_cold",
   none_left: "no_server_known",
--- a/packages/forwarding/src/forwarderTypes.ts
+++ b/packages/forwarding/src/forwarderTypes.ts
@@ -33,6 +33,8 @@
   /** Every server that was asked says that it did not run the request. */
   | "no_server_ran_it"
   | "no_server_known"
+  /** All servers that stay stand in regions that the request must not go to. */
+  | "no_server_in_regions"
   /** All servers that stay stand in data halls that operators have closed to new work. */
   | "data_halls_closed"
   /** The servers left have just started, and have had what they bear. */
--- a/packages/forwarding/src/placeByAdvice.ts
+++ b/packages/forwarding/src/placeByAdvice.ts
@@ -16,6 +16,7 @@
   service: ServiceName;
   tier: number;
   tokens: NonNullable<Demand["tokens"]>;
+  regions?: Demand["regions"];
   except: ReadonlySet<ServerId>;
   /** What the one who is asked does while every engine is full. */
   urgency: PlaceUrgency;
@@ -53,10 +54,10 @@
   request: PlaceableRequest,
 ): Omit<AdviceRequest, "urgency"> | undefined => {
   const { id, demand, terms, except } = request;
-  const { tokens } = demand;
+  const { tokens, regions } = demand;
   if (id === undefined || tokens === undefined) return undefined;
   const { service, tier } = terms;
-  return { id, service, tier, tokens, except };
+  return { id, service, tier, tokens, regions, except };
 };
 
 /** Places a request for the first time; the function returned takes it back while it waits. */
--- a/packages/migration/src/runMover.test.ts
+++ b/packages/migration/src/runMover.test.ts
@@ -81,7 +81,7 @@
     findServer: (id) => servers.get(id),
     listRunsAt: () => [run],
     isLeaving: (server) => server.entry.id === "old",
-    mayTakeWork: ({ entry }) => entry.id !== "old" && !closed.has(entry.id),
+    mayTake: ({ entry }) => entry.id !== "old" && !closed.has(entry.id),
     isHallClosed: ({ entry }) => closed.has(entry.id),
     makePlan: () =>
       Promise.resolve({
--- a/packages/migration/src/runMover.ts
+++ b/packages/migration/src/runMover.ts
@@ -37,8 +37,8 @@
   findServer: (id: ServerId) => BackendServer | undefined;
   listRunsAt: (server: BackendServer) => readonly ActiveRun[];
   isLeaving: (server: BackendServer) => boolean;
-  /** Whether a server may be sent anything new. */
-  mayTakeWork: (server: BackendServer) => boolean;
+  /** Whether a server may be sent the run, were it new. */
+  mayTake: (server: BackendServer, run: ActiveRun) => boolean;
   /** Whether a server's data hall is closed to new work: a run that was stopped there cannot go on there either. */
   isHallClosed: (server: BackendServer) => boolean;
   /** Asks a leaving engine and plans what its runs are to do. */
@@ -203,16 +203,22 @@
     return true;
   };
 
+  const isOpenTo = (
+    run: ActiveRun,
+    target: BackendServer | undefined,
+  ): target is BackendServer => target !== undefined && deps.mayTake(target, run);
+
   /** Tries targets in turn; true when the move needs no further ones. */
   const attemptEach = async (
     run: ActiveRun,
     move: Move,
     targets: readonly ServerId[],
   ) => {
-    for (const id of targets.slice(0, MAX_TARGETS)) {
+    const open = targets.filter((id) => isOpenTo(run, deps.findServer(id)));
+    for (const id of open.slice(0, MAX_TARGETS)) {
       const target = deps.findServer(id);
       if (!isCurrent(run, move)) return true;
-      if (!target || !deps.mayTakeWork(target)) continue;
+      if (!isOpenTo(run, target)) continue;
       if (await attemptMove(run, move, target)) return true;
     }
     return false;
--- a/packages/migration/src/standbyKeeper.test.ts
+++ b/packages/migration/src/standbyKeeper.test.ts
@@ -84,7 +84,7 @@
       },
       listRuns: () => runs,
       isExposed: () => isExposed,
-      mayTakeWork: (server) => !leaving.has(server),
+      mayTake: (server) => !leaving.has(server),
       findTarget: () => TARGET,
       reserve: () => {
         reserved += 1;
--- a/packages/migration/src/standbyKeeper.ts
+++ b/packages/migration/src/standbyKeeper.ts
@@ -23,8 +23,8 @@
   listRuns: () => readonly ActiveRun[];
   /** Whether its engine's link would come too late for the run, were there no copy of it. */
   isExposed: (run: ActiveRun) => boolean;
-  /** Whether a server may be sent anything new. */
-  mayTakeWork: (server: BackendServer) => boolean;
+  /** Whether a server may be sent the run, were it new. */
+  mayTake: (server: BackendServer, run: ActiveRun) => boolean;
   /** An engine with memory to spare for a copy. */
   findTarget: (run: ActiveRun) => BackendServer | undefined;
   reserve: (target: BackendServer, run: ActiveRun) => () => void;
@@ -82,7 +82,7 @@
   /** A copy at an engine that goes itself, or whose data hall is closed to new work, is worth nothing. */
   const findKept = (run: ActiveRun): Kept | undefined => {
     const standby = kept.get(run);
-    if (!standby || deps.mayTakeWork(standby.copy.server)) return standby;
+    if (!standby || deps.mayTake(standby.copy.server, run)) return standby;
     release(run, "its target gets no new work");
     return undefined;
   };
--- a/packages/peers/src/adviceCodec.ts
+++ b/packages/peers/src/adviceCodec.ts
@@ -1,5 +1,5 @@
 /** Questions to hubs and their answers as bytes, and back; what another box sends is checked like any input. */
-import type { BoxName, Ms, ServiceName } from "@stairgauge/common";
+import type { BoxName, Ms, RegionName, ServiceName } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
 import { z } from "zod";
 import type { MovesAnswer, MovesQuestion, PlaceAnswer, PlaceQuestion } from "./types.js";
@@ -15,6 +15,7 @@
   service: z.string(),
   tier: z.number(),
   except: z.array(serverId),
+  regions: z.array(z.string().transform((name) => name as RegionName)).optional(),
   urgency: z.discriminatedUnion("kind", [
     z.object({ kind: z.literal("at_once") }),
     z.object({ kind: z.literal("if_room") }),
@@ -35,7 +36,13 @@
   z.object({ kind: z.literal("no_room"), memoryAfter: z.number() }),
   z.object({
     kind: z.literal("no_server"),
-    reason: z.enum(["none_known", "halls_closed", "servers_cold", "none_left"]),
+    reason: z.enum([
+      "none_known",
+      "none_in_regions",
+      "halls_closed",
+      "servers_cold",
+      "none_left",
+    ]),
     known: count,
   }),
 ]);
--- a/packages/placement/src/types.ts
+++ b/packages/placement/src/types.ts
@@ -1,6 +1,6 @@
 /** What placement knows of servers and requests. */
 import type { BackendServer, ServerId } from "@stairgauge/directory";
-import type { BoxName, Ms, ServiceName } from "@stairgauge/common";
+import type { BoxName, Ms, RegionName, ServiceName } from "@stairgauge/common";
 import type { PlacedRun } from "./loadBook.js";
 
 /** A run that an engine reports. */
@@ -29,6 +29,8 @@
 
 /** What a request needs of a server. */
 export type Demand = Readonly<{
+  /** Regions whose servers alone may serve it; all where absent. */
+  regions?: readonly RegionName[] | undefined;
   /** Tokens of memory that a generation takes at least and may take; none for plain requests. */
   tokens:
     | Readonly<{
@@ -47,6 +49,8 @@
 export type NoServerReason =
   /** None of the service is known that stays. */
   | "none_known"
+  /** Those that stay stand in regions that the request must not leave for. */
+  | "none_in_regions"
   /** Those that stay stand in data halls that are closed to new work. */
   | "halls_closed"
   /** Those left may be cold, and have had what a cold server may get. */
@@ -90,5 +94,7 @@
   tier: number;
   /** Servers that have been tried. */
   except: readonly ServerId[];
+  /** Regions whose servers alone may serve it; all where absent. */
+  regions?: readonly RegionName[] | undefined;
   urgency: PlaceUrgency;
 }>;
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -1,5 +1,11 @@
 /** What the operators' configuration says, in the product's own words. */
-import type { Brand, Ms, ServiceName, WorkspaceName } from "@stairgauge/common";
+import type {
+  Brand,
+  Ms,
+  RegionName,
+  ServiceName,
+  WorkspaceName,
+} from "@stairgauge/common";
 
 /** Name of a route, as the configuration gives it. */
 export type RouteName = Brand<string, "RouteName">;
@@ -40,6 +46,8 @@
   maxServers: number;
   /** Rank of the route, 0 first. */
   tier: number;
+  /** Regions whose servers alone may get its requests; all where absent. */
+  regions?: readonly RegionName[] | undefined;
   shares: readonly ServiceShare[];
 }>;
 
@@ -82,6 +90,8 @@
   keys: readonly string[];
   /** Goes before the route's rank when given. */
   tier: number | undefined;
+  /** Regions whose servers alone may get its requests, of those that the route allows; all where absent. */
+  regions?: readonly RegionName[] | undefined;
 }>;
 
 /** Bounds on what a client may send and how long it may take. */
--- a/packages/settings/src/boxSettings.ts
+++ b/packages/settings/src/boxSettings.ts
@@ -15,6 +15,11 @@
 export const boxSettingsSchema = z.strictObject({
   box: z.string().min(1),
   dataHall: z.string().min(1),
+  /** The region of each data hall; routes and workspaces may be bound to some. */
+  regions: z
+    .record(z.string(), z.string())
+    .nullish()
+    .transform((given) => given ?? {}),
   listen: z.strictObject({
     clients: address,
     ready: address,
--- a/packages/standins/src/usersPlatform/usersSite.ts
+++ b/packages/standins/src/usersPlatform/usersSite.ts
@@ -24,6 +24,8 @@
   limitConnections: (limit: number) => void;
   /** Puts a configuration in which each request may be sent to this many servers. */
   allowServers: (count: number) => void;
+  /** Puts a configuration in which all routes, or the workspace, keep to the regions named. */
+  keepToRegions: (who: "routes" | "workspace", regions: readonly string[]) => void;
   /** Adds an engine that runs elsewhere, or changes its entry. */
   putEngine: (
     id: string,
@@ -179,6 +181,14 @@
       }),
     allowServers: (maxAttempts) =>
       putConfiguration({ routes: ROUTES.map((route) => ({ ...route, maxAttempts })) }),
+    keepToRegions: (who, allowedRegions) =>
+      putConfiguration(
+        who === "routes"
+          ? { routes: ROUTES.map((route) => ({ ...route, allowedRegions })) }
+          : {
+              tenants: CONFIGURATION.tenants.map((one) => ({ ...one, allowedRegions })),
+            },
+      ),
     putEngine: (id, address, state, born) =>
       putEntry({ id, address }, state === "leaving" ? STATE_LEAVING : "ready", true, {
         born,
