perf: engines are chosen by short queues of prompts; the way stands in the settings beside the one before

Ruled out on the patterns: waiting longer or shorter (0.2 to 0.8 of the aim), letting more in (0.95 to 2 of the memory), powers of the memory taken (2 to 8), weights beyond 5, other jitter: all within the spread of weight 4 or worse. Change: ways of choosing are descriptors in a registry, chosen by policy.engineChoice; short_queue (weight 4) is the default. A model of crowded engines with four patterns of load drives the real choice and waiting room on a virtual clock.

--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -30,6 +30,7 @@
   computeConnectionShare,
   createLoadBook,
   createRivalRate,
+  ENGINE_WAYS,
 } from "@stairgauge/placement";
 import {
   BOX_TABLE,
@@ -253,6 +254,7 @@
     clock,
     random,
     ownHall: settings.dataHall as DataHallName,
+    way: ENGINE_WAYS[settings.policy.engineChoice],
     findRegion: (hall) => settings.regions[hall] as RegionName | undefined,
     directory,
     book,
@@ -391,7 +393,7 @@
       knowledge.startBoxes();
       membership.join();
       standbys.start();
-      log.writeNotice("started", { ports });
+      log.writeNotice("started", { ports, policy: settings.policy });
       return ports;
     },
     stop: () => {
--- a/packages/fleet/src/adviseOthers.test.ts
+++ b/packages/fleet/src/adviseOthers.test.ts
@@ -19,6 +19,7 @@
 import {
   createLoadBook,
   createRivalRate,
+  ENGINE_WAYS,
   type PlaceQuestion,
 } from "@stairgauge/placement";
 import type { WarmUp } from "@stairgauge/routing";
@@ -94,6 +95,7 @@
     clock,
     random,
     ownHall: "h" as DataHallName,
+    way: ENGINE_WAYS.short_queue,
     findRegion: (hall) => `region of ${hall}` as RegionName,
     directory,
     book,
--- a/packages/fleet/src/createPlacer.ts
+++ b/packages/fleet/src/createPlacer.ts
@@ -11,6 +11,7 @@
 import {
   chooseServer,
   estimateEngineLoad,
+  type EngineWay,
   toCopyId,
   type LoadBook,
   type MoveTarget,
@@ -27,6 +28,8 @@
   clock: Clock;
   random: Random;
   ownHall: DataHallName;
+  /** How the engine for a generation is chosen. */
+  way: EngineWay;
   findRegion: (hall: DataHallName) => RegionName | undefined;
   directory: ServerDirectory;
   book: LoadBook;
@@ -119,6 +122,7 @@
         demand,
         book,
         ownHall,
+        way: options.way,
         rivals: options.rivals.estimate(now),
         now,
         random,
--- /dev/null
+++ b/packages/measure/src/crowded/patterns.ts
@@ -0,0 +1,114 @@
+/** Patterns of load; figures in tokens and ms. */
+import type { LoadKind, LoadPattern } from "./fleet.js";
+
+/** Long streams with widely spread lengths beside many short answers to long prompts, on engines whose memory they fill. */
+export const SHIFTED_MIX: LoadPattern = {
+  name: "wide lengths on small engines",
+  durationMs: 34_000,
+  engines: 50,
+  traits: {
+    slots: 24,
+    memory: 21_864,
+    stepMs: 7,
+    stepMsPerRun: 0.12,
+    prefillPerMs: 14,
+    chunk: 112,
+  },
+  slowness: [1, 1, 1.3],
+  kinds: [
+    {
+      name: "draft",
+      perSecond: 23.7,
+      prompt: { mean: 3_079, spread: 0.35, most: 6_000 },
+      out: { mean: 748, spread: 1.344, most: 1_768 },
+      guessSpread: 1.2,
+      tiers: [0, 1, 1, 2],
+      aimMs: 1_806,
+      mostPauseMs: 180,
+      worth: 130,
+      worthLate: 20,
+      isResumable: false,
+    },
+    {
+      name: "verdict",
+      perSecond: 45.9,
+      prompt: { mean: 2_550, spread: 0.6, most: 6_000 },
+      out: { mean: 9, spread: 1.424, most: 32 },
+      guessSpread: 1.2,
+      tiers: [0, 1, 1, 2],
+      aimMs: 1_504,
+      mostPauseMs: 180,
+      worth: 17,
+      worthLate: 2.5,
+      isResumable: true,
+    },
+  ],
+  swing: { share: 0.27, periodMs: 11_000 },
+  reclaims: { everyMs: 3_300, share: 0.17, noticeMs: 1_800, backMs: 3_000 },
+};
+
+const withLoad = (
+  pattern: LoadPattern,
+  changes: Partial<LoadPattern>,
+  [draft, verdict]: readonly [Partial<LoadKind>, Partial<LoadKind>],
+): LoadPattern => ({
+  ...pattern,
+  ...changes,
+  kinds: [
+    { ...pattern.kinds[0]!, ...draft },
+    { ...pattern.kinds[1]!, ...verdict },
+  ],
+});
+
+/** The same work before lengths spread so widely, on fewer engines with more memory. */
+export const EVEN_MIX: LoadPattern = withLoad(
+  SHIFTED_MIX,
+  {
+    name: "even lengths on forty engines",
+    engines: 40,
+    traits: { ...SHIFTED_MIX.traits, memory: 33_652 },
+    slowness: [1],
+    swing: { share: 0.15, periodMs: 11_000 },
+  },
+  [
+    {
+      perSecond: 19.2,
+      out: { mean: 944, spread: 0.84, most: 2_400 },
+      worth: 93,
+      worthLate: 14,
+    },
+    {
+      perSecond: 21.5,
+      out: { mean: 16, spread: 0.89, most: 60 },
+      worth: 9.9,
+      worthLate: 1.5,
+    },
+  ],
+);
+
+/** A small site: six engines of many places, one of which is taken away at a time. */
+export const SMALL_SITE: LoadPattern = withLoad(
+  EVEN_MIX,
+  {
+    name: "six engines",
+    engines: 6,
+    traits: { ...SHIFTED_MIX.traits, slots: 48, memory: 34_414 },
+    reclaims: { everyMs: 3_300, share: 0.17, noticeMs: 1_800, backMs: 3_000 },
+  },
+  [{ perSecond: 2.4 }, { perSecond: 3.4 }],
+);
+
+/** Many times the users' requests at once for three seconds, as twice the swing. */
+export const BURSTS: LoadPattern = {
+  ...SHIFTED_MIX,
+  name: "a swing of more than half",
+  swing: { share: 0.6, periodMs: 8_000 },
+};
+
+/** All patterns, the hardest one first. */
+export const PATTERNS: readonly LoadPattern[] = [
+  SHIFTED_MIX,
+  BURSTS,
+  EVEN_MIX,
+  SMALL_SITE,
+];
--- /dev/null
+++ b/packages/measure/src/patternsMain.ts
@@ -0,0 +1,41 @@
+/** Plays the patterns of load with two ways of choosing engines, and prints how they differ. */
+import { ENGINE_WAYS, type EngineWayName } from "@stairgauge/placement";
+import { command, number, oneOf, option, run } from "cmd-ts";
+import { compareWays } from "./crowded/compareWays.js";
+import { PATTERNS } from "./crowded/patterns.js";
+
+const NAMES = Object.keys(ENGINE_WAYS) as EngineWayName[];
+
+const toText = (value: number): string => value.toFixed(3);
+
+const main = command({
+  name: "patterns",
+  description:
+    "compares two ways of choosing engines on all patterns, the same seeds for both",
+  args: {
+    first: option({
+      type: oneOf(NAMES),
+      long: "first",
+      defaultValue: () => "free_memory" as const,
+    }),
+    second: option({
+      type: oneOf(NAMES),
+      long: "second",
+      defaultValue: () => "short_queue" as const,
+    }),
+    seeds: option({ type: number, long: "seeds", defaultValue: () => 12 }),
+  },
+  handler: ({ first, second, seeds }) => {
+    const list = Array.from({ length: seeds }, (_, i) => i + 1);
+    for (const pattern of PATTERNS) {
+      const told = compareWays(pattern, [first, second], list);
+      process.stdout.write(
+        `${told.pattern}: ${first} ${toText(told.first.share)} (worst windows ${toText(told.first.worstShare)}), ` +
+          `${second} ${toText(told.second.share)} (${toText(told.second.worstShare)}); gain ${toText(told.gain)} ` +
+          `± ${toText(told.gainSpread)}, in worst windows ${toText(told.worstGain)} ± ${toText(told.worstGainSpread)}\n`,
+      );
+    }
+  },
+});
+
+await run(main, process.argv.slice(2));
--- a/packages/placement/src/chooseServer.test.ts
+++ b/packages/placement/src/chooseServer.test.ts
@@ -7,6 +7,7 @@
 } from "@stairgauge/common";
 import type { BackendServer, ServerId, ServerName } from "@stairgauge/directory";
 import {
+  ENGINE_WAYS,
   chooseServer,
   createLoadBook,
   type EngineReport,
@@ -65,6 +66,7 @@
     demand,
     book,
     ownHall: "h" as DataHallName,
+    way: ENGINE_WAYS.short_queue,
     rivals,
     now: 1_000 as Ms,
     random,
@@ -73,6 +75,20 @@
 };
 
 describe("chooseServer for generations", () => {
+  it("sends a newcomer past a prompt that waits to be read to an engine with less memory free", () => {
+    const book = createLoadBook();
+    const [soon, later] = [a.entry.id, b.entry.id];
+    const run = { expectedOut: 0, isMovable: true };
+    book.addRun(soon, { ...run, id: "r1", promptTokens: 17_000, hasBegun: true });
+    book.addRun(later, { ...run, id: "r2", promptTokens: 5_000, hasBegun: false });
+    for (const id of [soon, later]) book.putReport(id, makeReport(), 1_000 as Ms);
+    // By memory alone, even with what waits counted three times, the other one is emptier: 15,000 of 34,000 tokens.
+    for (let seed = 0; seed < 20; seed += 1)
+      expect(choose(book, GENERATION, [a, b], { random: createSeededRandom(seed) })).toBe(
+        soon,
+      );
+  });
+
   it("avoids an engine that another box has just filled, before any report shows it", () => {
     const book = createLoadBook();
     for (const id of ["1", "2", "3"])
--- a/packages/placement/src/chooseServer.ts
+++ b/packages/placement/src/chooseServer.ts
@@ -1,6 +1,7 @@
 /** Chooses the server that takes a request. Pure, but for the randomness handed in. */
 import type { DataHallName, Ms, Random } from "@stairgauge/common";
 import type { BackendServer } from "@stairgauge/directory";
+import type { EngineWay } from "./engineWays.js";
 import type { KeptReport, LoadBook, PlacedRun } from "./loadBook.js";
 import type { Demand, PlacementDecision } from "./types.js";
 
@@ -19,6 +20,7 @@
   demand: Demand;
   book: LoadBook;
   ownHall: DataHallName;
+  way: EngineWay;
   /** Placements of other boxes that this one does not see yet, as expected. */
   rivals: number;
   now: Ms;
@@ -44,9 +46,6 @@
 /** Prompt of a waiting request whose size the report does not tell; mean of the users' sites. */
 const ASSUMED_PROMPT_TOKENS = 2_600;
 
-/** A token that waits to be read delays the next request; a token in memory only takes room. */
-const BACKLOG_WEIGHT = 2;
-
 /** Loads closer together than this are as good as equal, given how old reports are. */
 const LEAST_JITTER = 0.06;
 
@@ -127,19 +126,20 @@
 };
 
 const scoreEngine = (server: BackendServer, inputs: ChoiceInputs): Scored => {
-  const { book, now, random, demand, rivals } = inputs;
+  const { book, now, random, demand, rivals, way } = inputs;
+  const { backlogWeight } = way;
   const prompt = demand.tokens?.prompt ?? 0;
   const needed = prompt + (demand.tokens?.expectedOut ?? 0);
   const { taken, backlog, total, reportAge } = estimateEngineLoad(server, book, now);
   // Boxes that see the same engine as the emptiest would all choose it. What each of them adds, times how many may be choosing
   // now, is the difference of load by which none can tell which engine will be emptier.
-  const added = (needed + BACKLOG_WEIGHT * prompt) / total;
+  const added = (needed + backlogWeight * prompt) / total;
   const expected = Math.max(0, rivals - IGNORED_RIVALS);
   const jitter =
     random.nextFloat() * Math.max(LEAST_JITTER, RIVAL_SPREAD * expected * added);
   return {
     server,
-    load: (taken + BACKLOG_WEIGHT * backlog) / total + jitter,
+    load: (taken + backlogWeight * backlog) / total + jitter,
     memoryAfter: (taken + needed) / total,
     reportAge,
   };
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -10,6 +10,8 @@
 export { computeConnectionShare } from "./computeConnectionShare.js";
 export { chooseServer, estimateEngineLoad } from "./chooseServer.js";
 export type { ChoiceInputs, EngineLoad } from "./chooseServer.js";
+export { ENGINE_WAYS } from "./engineWays.js";
+export type { EngineWay, EngineWayName } from "./engineWays.js";
 export { createRivalRate } from "./rivalRate.js";
 export type { RivalRate } from "./rivalRate.js";
 export { rankTargets } from "./rankTargets.js";
--- a/packages/settings/src/boxSettings.ts
+++ b/packages/settings/src/boxSettings.ts
@@ -97,6 +97,12 @@
       reportLimitMs: ms.default(500),
     })
     .prefault({}),
+  /** Ways of deciding, by name; docs/operators/box-settings.md says what each is for. */
+  policy: z
+    .strictObject({
+      engineChoice: z.enum(["free_memory", "short_queue"]).default("short_queue"),
+    })
+    .prefault({}),
   clients: z
     .strictObject({
       /** When a refused client should come back. */
