--- a/apps/box/src/createColdServers.ts
+++ b/apps/box/src/createColdServers.ts
@@ -29,7 +29,8 @@
   const { settings, clock, keeper, getDirectory, countBoxes } = options;
   const { coldOverage, coldSlack } = settings.bounds;
   const findService = (service: ServiceName) => keeper.getIndex()?.findService(service);
-  const findWarmUp = (service: ServiceName) => findService(service)?.warmUp;
+  const findWarmUp = (service: ServiceName) =>
+    coldOverage === undefined ? undefined : findService(service)?.warmUp;
   const spells = createColdSpells({
     clock,
     findWarmUp,
@@ -39,7 +40,7 @@
     clock,
     spells,
     findWarmUp,
-    bound: { overage: coldOverage, slack: coldSlack },
+    bound: { overage: coldOverage ?? 1, slack: coldSlack },
     sendWithin: (PLACE_LIMIT_MS + settings.clients.connectLimitMs) as Ms,
     isPlacedByHubs: (service) =>
       hasHubs(countBoxes()) && findService(service)?.engine !== undefined,
--- a/packages/fleet/src/coldSpells.test.ts
+++ b/packages/fleet/src/coldSpells.test.ts
@@ -114,6 +114,7 @@
     });
     spells.onListRead();
     spells.onJoined(makeServer("e"));
+    spells.onEntry(makeServer("e", "a", 5_000));
     spells.onUnreachable("e" as ServerId);
     expect(spells.mayBeCold("e" as ServerId)).toBe(false);
   });
--- a/packages/fleet/src/coldSpells.ts
+++ b/packages/fleet/src/coldSpells.ts
@@ -56,7 +56,8 @@
     },
     onEntry: ({ entry }) => {
       servedBy.set(entry.id, entry.service);
-      if (entry.warmUpLeft > 0) markCold(entry.id, entry.warmUpLeft);
+      if (entry.warmUpLeft > 0 && findWarmUp(entry.service))
+        markCold(entry.id, entry.warmUpLeft);
     },
     onUnreachable: (id) => {
       const service = servedBy.get(id);
--- a/packages/settings/src/boxSettings.ts
+++ b/packages/settings/src/boxSettings.ts
@@ -61,13 +61,13 @@
     leavingMs: ms,
     /**
      * What a server that has just started may get from all boxes together in a second: what its service says that it bears, times
-     * `coldOverage`, and `coldSlack`. A platform without such a bound leaves them empty.
+     * `coldOverage`, and `coldSlack`. A platform without such a bound leaves them empty, and nothing is kept back then.
      */
     coldOverage: z
       .number()
       .min(1)
       .nullish()
-      .transform((given) => given ?? 1),
+      .transform((given) => given ?? undefined),
     coldSlack: z
       .number()
       .nonnegative()
