--- /dev/null
+++ b/packages/peers/src/memberSink.test.ts
@@ -0,0 +1,50 @@
+/** Rows of the boxes' table: any process may write one, and a row that names no box that can be called must cost nothing but itself. */
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import type { BoxName, DataHallName } from "@stairgauge/common";
+import { decodeMember, encodeMember } from "./memberSink.js";
+import type { Peer } from "./types.js";
+
+const PEER: Peer = {
+  box: "box-1" as BoxName,
+  address: { host: "10.0.0.1", port: 8_180 },
+  capacity: 94.5,
+  dataHall: "hall-a" as DataHallName,
+};
+const encode = (value: unknown) => Buffer.from(JSON.stringify(value));
+
+describe("decodeMember", () => {
+  it("gives back what a box wrote of itself", () => {
+    expect(decodeMember("box-1", encodeMember(PEER)).unwrap()).toEqual(PEER);
+  });
+
+  it.each([
+    { host: "host", port: 80 },
+    { host: "10.0.0.256", port: 80 },
+    { host: "10.0.0.1", port: 0 },
+    { host: "10.0.0.1", port: 70_000 },
+    { host: "10.0.0.1", port: 80, capacity: 0 },
+    { host: "10.0.0.1", port: 80, hall: 7 },
+    { port: 80 },
+    [],
+  ])("finds no box in %j", (value) => {
+    expect(decodeMember("box-1", encode(value)).err).toBe(true);
+  });
+
+  it("gives a typed failure for any other bytes, and never throws (property)", () => {
+    fc.assert(
+      fc.property(
+        fc.oneof(
+          fc.uint8Array().map((part) => Buffer.from(part)),
+          fc.jsonValue().map(encode),
+        ),
+        (bytes) => {
+          const decoded = decodeMember("box-1", bytes);
+          if (decoded.err) expect(decoded.val.kind).toBe("unreadable_member");
+          else expect(decoded.val.address.port).toBeLessThanOrEqual(65_535);
+        },
+      ),
+      { seed: 9, numRuns: 300 },
+    );
+  });
+});
