--- a/apps/box/src/box.testkit.ts
+++ b/apps/box/src/box.testkit.ts
@@ -172,3 +172,17 @@
   "Token-Usage": `${tokens},${out}`,
   "Length-Hint": String(out * 4),
 });
+
+/** Asks for a stream of two hundred tokens, and resolves once it has begun, with the promise of its whole answer. */
+export const beginDraft = async (ports: BoxPorts) => {
+  let hasBegun = false;
+  const answered = ask(ports, {
+    path: "/draft/1",
+    headers: makeGeneration(300, 200),
+    onData: () => {
+      hasBegun = true;
+    },
+  });
+  await waitFor(() => hasBegun);
+  return { answered };
+};
--- a/apps/box/src/closedHalls.test.ts
+++ b/apps/box/src/closedHalls.test.ts
@@ -4,7 +4,14 @@
  * open halls only, what runs in a closed hall runs on, and what no open hall can serve is refused at once as not run.
  */
 import { describe, expect, it } from "vitest";
-import { ask, makeGeneration, startSite, waitFor, type Line } from "./box.testkit.js";
+import {
+  ask,
+  beginDraft,
+  makeGeneration,
+  startSite,
+  waitFor,
+  type Line,
+} from "./box.testkit.js";
 
 const CLOSED = "hall-b";
 
@@ -61,15 +68,7 @@
     const { site, ports, lines, start } = await startSite(1, 0);
     site.putHall(site.engines[0]!, CLOSED);
     await start();
-    let hasBegun = false;
-    const answered = ask(ports, {
-      path: "/draft/1",
-      headers: makeGeneration(300, 200),
-      onData: () => {
-        hasBegun = true;
-      },
-    });
-    await waitFor(() => hasBegun);
+    const { answered } = await beginDraft(ports);
     site.closeHall(CLOSED);
     await awaitHall(lines, "hall_closed");
     expect(await answered).toMatchObject({ status: 200, isWhole: true });
--- a/apps/box/src/oddEntries.test.ts
+++ b/apps/box/src/oddEntries.test.ts
@@ -4,7 +4,7 @@
  * no server to use: what it hides gets no new work, what runs there runs on, and all others hold.
  */
 import { describe, expect, it } from "vitest";
-import { ask, makeGeneration, startSite, waitFor, type Line } from "./box.testkit.js";
+import { ask, beginDraft, startSite, waitFor, type Line } from "./box.testkit.js";
 
 const SOUND = {
   service: "pages",
@@ -58,15 +58,7 @@
   it("leaves a stream be that runs at its server", async () => {
     const { site, ports, lines, start } = await startSite(1, 0);
     await start();
-    let hasBegun = false;
-    const answered = ask(ports, {
-      path: "/draft/1",
-      headers: makeGeneration(300, 200),
-      onData: () => {
-        hasBegun = true;
-      },
-    });
-    await waitFor(() => hasBegun);
+    const { answered } = await beginDraft(ports);
     site.putOddEntry(site.engines[0]!.id, { ...SOUND, state: 7 });
     await waitFor(() => lines.some(isUnusable));
     expect(await answered).toMatchObject({ status: 200, isWhole: true });
--- a/packages/measure/src/crowded/compareWays.ts
+++ b/packages/measure/src/crowded/compareWays.ts
@@ -1,7 +1,8 @@
 /** Compares ways of choosing engines on the same patterns and seeds. Pure. */
 import { ENGINE_WAYS, type EngineWayName } from "@stairgauge/placement";
 import { mean, standardDeviation } from "simple-statistics";
-import { runPattern, type LoadOutcome, type LoadPattern } from "./fleet.js";
+import { runPattern } from "./fleet.js";
+import type { LoadOutcome, LoadPattern } from "./types.js";
 
 /** How two ways differ on one pattern; shares of the worth that was asked for. */
 export type WayDifference = Readonly<{
--- a/packages/measure/src/crowded/fleet.ts
+++ b/packages/measure/src/crowded/fleet.ts
@@ -4,7 +4,6 @@
   createVirtualClock,
   type DataHallName,
   type Ms,
-  type Random,
   type ServiceName,
 } from "@stairgauge/common";
 import type { BackendServer, ServerId, ServerName } from "@stairgauge/directory";
@@ -16,84 +15,14 @@
   type EngineWay,
   type PlacementDecision,
 } from "@stairgauge/placement";
-import {
-  createModelEngine,
-  type EngineTraits,
-  type ModelEngine,
-  type ModelRun,
-} from "./engine.js";
-
-/** One kind of generation. */
-export type LoadKind = Readonly<{
-  name: string;
-  perSecond: number;
-  prompt: Readonly<{ mean: number; spread: number; most: number }>;
-  out: Readonly<{ mean: number; spread: number; most: number }>;
-  /** Spread of the client's guess at the tokens that come out. */
-  guessSpread: number;
-  /** Ranks, 0 first: a workspace's own goes before that of the route, so that each kind has all of them. */
-  tiers: readonly number[];
-  aimMs: number;
-  mostPauseMs: number;
-  worth: number;
-  worthLate: number;
-  /** Another engine may begin it anew. */
-  isResumable: boolean;
-}>;
-
-/** A pattern of load. */
-export type LoadPattern = Readonly<{
-  name: string;
-  durationMs: number;
-  engines: number;
-  traits: Omit<EngineTraits, "slowness">;
-  /** Factors on the time of each step, dealt out in turn. */
-  slowness: readonly number[];
-  kinds: readonly LoadKind[];
-  /** How far the traffic swings around its mean, and over which time. */
-  swing: Readonly<{ share: number; periodMs: number }>;
-  /** Engines that are taken away at short notice, and come back later. */
-  reclaims: Readonly<{
-    everyMs: number;
-    share: number;
-    noticeMs: number;
-    backMs: number;
-  }>;
-}>;
-
-/** What became of the generations of one kind. */
-export type KindOutcome = Readonly<{
-  name: string;
-  asked: number;
-  inTime: number;
-  /** Worth earned of the worth asked for. */
-  share: number;
-  firstP50: number;
-  firstP99: number;
-  preemptions: number;
-}>;
-
-/** What became of all. */
-export type LoadOutcome = Readonly<{
-  share: number;
-  /** The worst two windows of two seconds. */
-  worstShare: number;
-  kinds: readonly KindOutcome[];
-}>;
+import { createModelEngine, type ModelEngine, type ModelRun } from "./engine.js";
+import { sampleRun } from "./sampleRun.js";
+import { sumUp } from "./sumUp.js";
+import type { LoadKind, LoadOutcome, LoadPattern, PlayedRun } from "./types.js";
 
 const HALL = "hall" as DataHallName;
 const SERVICE = "writers" as ServiceName;
 const MOVE_MS = 400;
-const WINDOW_MS = 2_000;
-const OUT_WEIGHT = 10;
-const MOST_WORTH = 4;
-
-const sampleNormal = (random: Random): number =>
-  Math.sqrt(-2 * Math.log(1 - random.nextFloat())) *
-  Math.cos(2 * Math.PI * random.nextFloat());
-
-const sampleLogNormal = (random: Random, mean: number, spread: number): number =>
-  mean * Math.exp(spread * sampleNormal(random) - (spread * spread) / 2);
 
 const toServer = (id: string): BackendServer => ({
   entry: {
@@ -110,8 +39,6 @@
   leaving: undefined,
 });
 
-type Placed = { readonly run: ModelRun; engine: string | undefined; isEnded: boolean };
-
 /** Plays a pattern once, by a way of choosing engines. */
 export const runPattern = (
   pattern: LoadPattern,
@@ -127,7 +54,7 @@
     Readonly<{ engine: ModelEngine; server: BackendServer }>
   >();
   const leaving = new Set<string>();
-  const all = new Map<string, Placed>();
+  const all = new Map<string, PlayedRun>();
   let nextEngine = 0;
   const getNow = () => clock.monotonic();
 
@@ -186,7 +113,7 @@
       now: getNow(),
       random,
     });
-  const addAt = (id: string, placed: Placed, readTokens = 0) => {
+  const addAt = (id: string, placed: PlayedRun, readTokens = 0) => {
     const { run } = placed;
     placed.engine = id;
     book.addRun(id as ServerId, {
@@ -198,7 +125,7 @@
     });
     engines.get(id)!.engine.add(run, readTokens);
   };
-  const place = (placed: Placed, aimMs: number) =>
+  const place = (placed: PlayedRun, aimMs: number) =>
     placeWithRoom(
       { waitingRoom },
       { service: SERVICE, tier: placed.run.tier, until: (getNow() + aimMs * 0.4) as Ms },
@@ -212,38 +139,8 @@
     );
 
   const beginRun = (kind: LoadKind) => {
-    const out = Math.max(
-      1,
-      Math.min(
-        kind.out.most,
-        Math.round(sampleLogNormal(random, kind.out.mean, kind.out.spread)),
-      ),
-    );
-    const prompt = Math.max(
-      100,
-      Math.min(
-        kind.prompt.most,
-        Math.round(sampleLogNormal(random, kind.prompt.mean, kind.prompt.spread)),
-      ),
-    );
-    const run: ModelRun = {
-      id: `r${all.size}`,
-      kind: kind.name,
-      prompt,
-      out,
-      guess: Math.round(
-        Math.min(kind.out.most, out * Math.exp(kind.guessSpread * sampleNormal(random))),
-      ),
-      tier: kind.tiers[random.nextInt(0, kind.tiers.length - 1)]!,
-      aimMs: kind.aimMs,
-      arrivedAt: getNow(),
-      made: 0,
-      firstAt: undefined,
-      lastAt: getNow(),
-      longestPause: 0,
-      preemptions: 0,
-    };
-    const placed: Placed = { run, engine: undefined, isEnded: false };
+    const run = sampleRun(random, kind, { id: `r${all.size}`, now: getNow() });
+    const placed: PlayedRun = { run, engine: undefined, isEnded: false };
     all.set(run.id, placed);
     place(placed, kind.aimMs);
   };
@@ -310,54 +207,3 @@
   clock.advance((pattern.durationMs + 12_000) as Ms);
   return sumUp(pattern, [...all.values()]);
 };
-
-const computeSize = ({ prompt, out }: ModelRun) => prompt + OUT_WEIGHT * out;
-
-const sumUp = (pattern: LoadPattern, placed: readonly Placed[]): LoadOutcome => {
-  let [asked, earned] = [0, 0];
-  const windows = new Map<number, [number, number]>();
-  const kinds = pattern.kinds.map((kind): KindOutcome => {
-    const own = placed.filter(({ run }) => run.kind === kind.name);
-    const meanSize = own.reduce((sum, { run }) => sum + computeSize(run), 0) / own.length;
-    let [askedHere, earnedHere, inTime, preemptions] = [0, 0, 0, 0];
-    const firsts: number[] = [];
-    for (const { run, isEnded } of own) {
-      const factor = Math.min(MOST_WORTH, 0.3 + (0.7 * computeSize(run)) / meanSize);
-      const first = (run.firstAt ?? Infinity) - run.arrivedAt;
-      // What runs on beyond the play counts by what has come so far.
-      const isServed = isEnded || run.firstAt !== undefined;
-      const isOnTime =
-        isServed && first <= kind.aimMs && run.longestPause <= kind.mostPauseMs;
-      const credit = isOnTime ? kind.worth : isServed ? kind.worthLate : 0;
-      firsts.push(first);
-      askedHere += kind.worth * factor;
-      earnedHere += credit * factor;
-      if (isOnTime) inTime += 1;
-      preemptions += run.preemptions;
-      const window = Math.floor(run.arrivedAt / WINDOW_MS);
-      const [a, e] = windows.get(window) ?? [0, 0];
-      windows.set(window, [a + kind.worth * factor, e + credit * factor]);
-    }
-    asked += askedHere;
-    earned += earnedHere;
-    firsts.sort((a, b) => a - b);
-    return {
-      name: kind.name,
-      asked: own.length,
-      inTime,
-      share: earnedHere / askedHere,
-      firstP50: firsts[Math.floor(firsts.length / 2)] ?? 0,
-      firstP99: firsts[Math.floor(firsts.length * 0.99)] ?? 0,
-      preemptions,
-    };
-  });
-  const worst = [...windows.values()]
-    .map(([a, e]) => e / a)
-    .sort((a, b) => a - b)
-    .slice(0, 2);
-  return {
-    share: earned / asked,
-    worstShare: worst.reduce((sum, one) => sum + one, 0) / worst.length,
-    kinds,
-  };
-};
--- a/packages/measure/src/crowded/patterns.ts
+++ b/packages/measure/src/crowded/patterns.ts
@@ -1,5 +1,5 @@
 /** Patterns of load; figures in tokens and ms. */
-import type { LoadKind, LoadPattern } from "./fleet.js";
+import type { LoadKind, LoadPattern } from "./types.js";
 
 /** Long streams with widely spread lengths beside many short answers to long prompts, on engines whose memory they fill. */
 export const SHIFTED_MIX: LoadPattern = {
--- /dev/null
+++ b/packages/measure/src/crowded/sampleRun.ts
@@ -0,0 +1,46 @@
+/** Draws one generation of a kind. */
+import type { Random } from "@stairgauge/common";
+import type { ModelRun } from "./engine.js";
+import type { LoadKind } from "./types.js";
+
+const sampleNormal = (random: Random): number =>
+  Math.sqrt(-2 * Math.log(1 - random.nextFloat())) *
+  Math.cos(2 * Math.PI * random.nextFloat());
+
+const sampleLogNormal = (random: Random, mean: number, spread: number): number =>
+  mean * Math.exp(spread * sampleNormal(random) - (spread * spread) / 2);
+
+const LEAST_PROMPT = 100;
+
+const sampleTokens = (
+  random: Random,
+  { mean, spread, most }: LoadKind["out"],
+  least: number,
+): number =>
+  Math.max(least, Math.min(most, Math.round(sampleLogNormal(random, mean, spread))));
+
+/** Draws its lengths, its client's guess and its tier. */
+export const sampleRun = (
+  random: Random,
+  kind: LoadKind,
+  { id, now }: Readonly<{ id: string; now: number }>,
+): ModelRun => {
+  const out = sampleTokens(random, kind.out, 1);
+  const prompt = sampleTokens(random, kind.prompt, LEAST_PROMPT);
+  const error = Math.exp(kind.guessSpread * sampleNormal(random));
+  return {
+    id,
+    kind: kind.name,
+    prompt,
+    out,
+    guess: Math.round(Math.min(kind.out.most, out * error)),
+    tier: kind.tiers[random.nextInt(0, kind.tiers.length - 1)]!,
+    aimMs: kind.aimMs,
+    arrivedAt: now,
+    made: 0,
+    firstAt: undefined,
+    lastAt: now,
+    longestPause: 0,
+    preemptions: 0,
+  };
+};
