--- a/apps/box/src/scripted.testkit.ts
+++ b/apps/box/src/scripted.testkit.ts
@@ -92,6 +92,7 @@
       version: "v1",
       slots: 6,
       state: "ready",
+      warmupLeftMs: 0,
       sequence: 1,
     });
   }
