--- a/apps/box/src/scripted.testkit.ts
+++ b/apps/box/src/scripted.testkit.ts
@@ -85,16 +85,8 @@
   for (const id of ["engine-a", "engine-b"]) {
     const { address, close } = await engines.start(id);
     closers.push(close);
-    site.store.put("servers", id, {
-      service,
-      address,
-      zone: "hall-a",
-      version: "v1",
-      slots: 6,
-      state: "ready",
-      warmupLeftMs: 0,
-      sequence: 1,
-    });
+    if (service === "writers") site.putEngine(id, address);
+    else site.putService(id, address);
   }
   const { ports, lines } = await startBox(site.store.address, "box-1", KEEPS_KEYS);
   site.putConfiguration();
