refactor: cold spells keep no second list of who serves what; the model waits by the product's own terms

Cause: read once more as a newcomer. Cold spells kept a map from servers to services that every caller has in hand, and a server was made up to tell how long it stays cold; the model of crowded engines repeated the share of the aim that a generation waits; some of its fields and figures were read by nobody. Change: cold spells take entries; the model calls computePlacingTerms, whose inputs are narrowed to what it reads; what is unused goes. Behaviour, bounds and assertions are as they were; calls in tests name entries in place of ids.

--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -214,11 +214,11 @@
       observeServers({ log, metrics }, directory, event);
       const { server } = event;
       if (event.kind === "joined") {
-        cold.spells.onJoined(server);
+        cold.spells.onJoined(server.entry);
         reports.add(server);
       }
       if (event.kind === "joined" || event.kind === "changed")
-        cold.spells.onEntry(server);
+        cold.spells.onEntry(server.entry);
       if (event.kind === "leaving") {
         mover.onServerLeaving(server);
         tellLeaving(server);
--- a/packages/fleet/src/adviseOthers.ts
+++ b/packages/fleet/src/adviseOthers.ts
@@ -14,7 +14,6 @@
   PlacementDecision,
   PlaceQuestion,
 } from "@stairgauge/placement";
-
 import type { ColdLimits } from "./coldLimits.js";
 
 /** What it is told. */
--- a/packages/fleet/src/coldSpells.test.ts
+++ b/packages/fleet/src/coldSpells.test.ts
@@ -35,8 +35,8 @@
   });
   const join = (server: BackendServer) => {
     servers.push(server);
-    spells.onJoined(server);
-    spells.onEntry(server);
+    spells.onJoined(server.entry);
+    spells.onEntry(server.entry);
   };
   const isCold = (id: string) => spells.mayBeCold(id as ServerId);
   return {
@@ -75,7 +75,7 @@
     const { spells, join, isCold, advance } = setUp();
     join(makeServer("e"));
     spells.onListRead();
-    spells.onEntry(makeServer("e", "a", 5_000));
+    spells.onEntry(makeServer("e", "a", 5_000).entry);
     advance(4_999);
     expect(isCold("e")).toBe(true);
     advance(1);
@@ -95,12 +95,12 @@
     const { spells, join, isCold, advance } = setUp();
     join(makeServer("e"));
     spells.onListRead();
-    spells.onUnreachable("e" as ServerId);
+    spells.onUnreachable(makeServer("e").entry);
     advance(1_999);
     expect(isCold("e")).toBe(true);
     advance(1);
     expect(isCold("e")).toBe(false);
-    spells.onUnreachable("e" as ServerId);
+    spells.onUnreachable(makeServer("e").entry);
     spells.forget("e" as ServerId);
     expect(isCold("e")).toBe(false);
   });
@@ -113,9 +113,9 @@
       listServers: () => [],
     });
     spells.onListRead();
-    spells.onJoined(makeServer("e"));
-    spells.onEntry(makeServer("e", "a", 5_000));
-    spells.onUnreachable("e" as ServerId);
+    spells.onJoined(makeServer("e").entry);
+    spells.onEntry(makeServer("e", "a", 5_000).entry);
+    spells.onUnreachable(makeServer("e").entry);
     expect(spells.mayBeCold("e" as ServerId)).toBe(false);
   });
 });
--- a/packages/fleet/src/coldSpells.ts
+++ b/packages/fleet/src/coldSpells.ts
@@ -3,7 +3,7 @@
  * milliseconds late, so whatever has just started or come back counts as cold until it has had the time to warm up.
  */
 import type { Clock, DataHallName, ServiceName } from "@stairgauge/common";
-import type { BackendServer, ServerId } from "@stairgauge/directory";
+import type { BackendServer, ServerEntry, ServerId } from "@stairgauge/directory";
 import type { WarmUp } from "@stairgauge/routing";
 
 /** What judging needs. */
@@ -18,11 +18,11 @@
 export type ColdSpells = Readonly<{
   mayBeCold: (server: ServerId) => boolean;
   /** A server has come, or its entry is back. */
-  onJoined: (server: BackendServer) => void;
+  onJoined: (entry: ServerEntry) => void;
   /** The server's own entry was read. */
-  onEntry: (server: BackendServer) => void;
+  onEntry: (entry: ServerEntry) => void;
   /** No connection came up, or it did not answer: it may be back any moment, and is cold then. */
-  onUnreachable: (server: ServerId) => void;
+  onUnreachable: (entry: ServerEntry) => void;
   onHallOpened: (hall: DataHallName) => void;
   /** The list of servers has been read: whoever comes from now on has just started. */
   onListRead: () => void;
@@ -36,43 +36,34 @@
 export const createColdSpells = (options: ColdSpellsOptions): ColdSpells => {
   const { clock, findWarmUp, listServers } = options;
   const coldUntil = new Map<ServerId, number>();
-  const servedBy = new Map<ServerId, ServiceName>();
   let isListRead = false;
 
   const markCold = (id: ServerId, duration: number) => {
     const until = clock.monotonic() + duration;
     coldUntil.set(id, Math.max(until, coldUntil.get(id) ?? -Infinity));
   };
-  const markByWarmUp = (id: ServerId, service: ServiceName, away = 0) => {
+  const markByWarmUp = ({ id, service }: ServerEntry, away = 0) => {
     const warmUp = findWarmUp(service);
     if (warmUp) markCold(id, away + warmUp.duration);
   };
 
   return {
     mayBeCold: (id) => (coldUntil.get(id) ?? -Infinity) > clock.monotonic(),
-    onJoined: ({ entry }) => {
-      servedBy.set(entry.id, entry.service);
-      if (isListRead) markByWarmUp(entry.id, entry.service);
+    onJoined: (entry) => {
+      if (isListRead) markByWarmUp(entry);
     },
-    onEntry: ({ entry }) => {
-      servedBy.set(entry.id, entry.service);
+    onEntry: (entry) => {
       if (entry.warmUpLeft > 0 && findWarmUp(entry.service))
         markCold(entry.id, entry.warmUpLeft);
     },
-    onUnreachable: (id) => {
-      const service = servedBy.get(id);
-      if (service !== undefined) markByWarmUp(id, service, AWAY_MS);
-    },
+    onUnreachable: (entry) => markByWarmUp(entry, AWAY_MS),
     onHallOpened: (hall) => {
       for (const { entry } of listServers())
-        if (entry.dataHall === hall) markByWarmUp(entry.id, entry.service);
+        if (entry.dataHall === hall) markByWarmUp(entry);
     },
     onListRead: () => {
       isListRead = true;
     },
-    forget: (id) => {
-      coldUntil.delete(id);
-      servedBy.delete(id);
-    },
+    forget: (id) => void coldUntil.delete(id),
   };
 };
--- a/packages/fleet/src/createPlacer.ts
+++ b/packages/fleet/src/createPlacer.ts
@@ -101,7 +101,7 @@
   };
   const markUnreachable = ({ entry }: BackendServer) => {
     suspects.add(entry.id, clock.monotonic());
-    spells.onUnreachable(entry.id);
+    spells.onUnreachable(entry);
   };
 
   return {
@@ -178,8 +178,7 @@
     onAnswered: ({ entry }) => suspects.removeBreaks(entry.id),
     takeBroken: (server) => suspects.addBreak(server, clock.monotonic()),
     takeAnswered: suspects.removeBreaks,
-    onWarmUpTold: ({ entry }, warmUpLeft) =>
-      spells.onEntry({ entry: { ...entry, warmUpLeft }, leaving: undefined }),
+    onWarmUpTold: ({ entry }, warmUpLeft) => spells.onEntry({ ...entry, warmUpLeft }),
     onConnectionClosing: options.onClosingAnnounced,
     onRunBegun: (server, head) => {
       if (head.id !== undefined) book.markBegun(server.entry.id, head.id);
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -24,7 +24,7 @@
 export { createRetryBudget } from "./retryBudget.js";
 export type { RetryBudget, RetryBudgetLimits } from "./retryBudget.js";
 export { computeClientConnections } from "./computeClientConnections.js";
-export { hasRoomFor, placeWithRoom } from "./placeWithRoom.js";
+export { computePlacingTerms, hasRoomFor, placeWithRoom } from "./placeWithRoom.js";
 export type { PlacingTerms } from "./placeWithRoom.js";
 export type { Advice, AdviceRequest, PlaceAdviser } from "./placeByAdvice.js";
 export { createWaitingRoom } from "./waitingRoom.js";
--- a/packages/forwarding/src/placeWithRoom.ts
+++ b/packages/forwarding/src/placeWithRoom.ts
@@ -1,6 +1,7 @@
 /** A request's first placement: at once, or when an engine has room for it. */
 import type { Ms, ServiceName } from "@stairgauge/common";
 import type { PlacementDecision } from "@stairgauge/placement";
+import type { Route, WorkspaceSpec } from "@stairgauge/routing";
 import type {
   AdmittedRequest,
   ForwardDecision,
@@ -31,16 +32,20 @@
   until: Ms;
 }>;
 
+/** What the terms follow from. */
+export type TermsInputs = Pick<AdmittedRequest, "service" | "receivedAt"> &
+  Readonly<{
+    workspace: Pick<WorkspaceSpec, "tier"> | undefined;
+    route: Pick<Route, "tier" | "firstAnswerAim">;
+  }>;
+
 /** Derives the terms of a request. */
 export const computePlacingTerms = ({
   service,
   workspace,
   route,
   receivedAt,
-}: Pick<
-  AdmittedRequest,
-  "service" | "workspace" | "route" | "receivedAt"
->): PlacingTerms => ({
+}: TermsInputs): PlacingTerms => ({
   service,
   tier: workspace?.tier ?? route.tier,
   until: (receivedAt + route.firstAnswerAim * WAIT_SHARE) as Ms,
--- a/packages/measure/src/crowded/compareWays.test.ts
+++ b/packages/measure/src/crowded/compareWays.test.ts
@@ -45,7 +45,6 @@
     out,
     guess: out,
     tier,
-    aimMs: 1_000,
     arrivedAt: 0,
     made: 0,
     firstAt: undefined,
--- a/packages/measure/src/crowded/engine.ts
+++ b/packages/measure/src/crowded/engine.ts
@@ -26,7 +26,6 @@
   readonly guess: number;
   /** Rank, 0 first. */
   readonly tier: number;
-  readonly aimMs: number;
   readonly arrivedAt: number;
   made: number;
   firstAt: number | undefined;
@@ -47,10 +46,7 @@
   /** Does one step if there is work; gives the time at which the next one may begin. */
   step: (now: number) => number;
   list: () => readonly ModelRun[];
-  countWaiting: () => number;
   getUsed: () => number;
-  /** Tokens of prompts that wait to be read. */
-  getBacklog: () => number;
 }>;
 
 /** How often an idle engine looks for work. */
@@ -132,8 +128,6 @@
       return end;
     },
     list: () => [...running, ...waiting].map(({ run }) => run),
-    countWaiting: () => waiting.length,
     getUsed,
-    getBacklog: () => [...running, ...waiting].reduce((sum, { left }) => sum + left, 0),
   };
 };
--- a/packages/measure/src/crowded/fleet.ts
+++ b/packages/measure/src/crowded/fleet.ts
@@ -7,7 +7,11 @@
   type ServiceName,
 } from "@stairgauge/common";
 import type { BackendServer, ServerId, ServerName } from "@stairgauge/directory";
-import { createWaitingRoom, placeWithRoom } from "@stairgauge/forwarding";
+import {
+  computePlacingTerms,
+  createWaitingRoom,
+  placeWithRoom,
+} from "@stairgauge/forwarding";
 import {
   chooseServer,
   createLoadBook,
@@ -128,7 +132,12 @@
   const place = (placed: PlayedRun, aimMs: number) =>
     placeWithRoom(
       { waitingRoom },
-      { service: SERVICE, tier: placed.run.tier, until: (getNow() + aimMs * 0.4) as Ms },
+      computePlacingTerms({
+        service: SERVICE,
+        workspace: undefined,
+        route: { tier: placed.run.tier, firstAnswerAim: aimMs as Ms },
+        receivedAt: getNow(),
+      }),
       {
         choose: () => choose(placed.run),
         place: (decision) => {
--- a/packages/measure/src/crowded/patterns.ts
+++ b/packages/measure/src/crowded/patterns.ts
@@ -27,7 +27,6 @@
       mostPauseMs: 180,
       worth: 130,
       worthLate: 20,
-      isResumable: false,
     },
     {
       name: "verdict",
@@ -40,7 +39,6 @@
       mostPauseMs: 180,
       worth: 17,
       worthLate: 2.5,
-      isResumable: true,
     },
   ],
   swing: { share: 0.27, periodMs: 11_000 },
--- a/packages/measure/src/crowded/sampleRun.ts
+++ b/packages/measure/src/crowded/sampleRun.ts
@@ -35,7 +35,6 @@
     out,
     guess: Math.round(Math.min(kind.out.most, out * error)),
     tier: kind.tiers[random.nextInt(0, kind.tiers.length - 1)]!,
-    aimMs: kind.aimMs,
     arrivedAt: now,
     made: 0,
     firstAt: undefined,
--- a/packages/measure/src/crowded/types.ts
+++ b/packages/measure/src/crowded/types.ts
@@ -15,8 +15,6 @@
   mostPauseMs: number;
   worth: number;
   worthLate: number;
-  /** Another engine may begin it anew. */
-  isResumable: boolean;
 }>;
 
 /** A pattern of load. */
