feat: a line says what became of a server that broke a request off, and names the request across its tries

Cause: the lines could not tell which tries are the same request, whether a server ended or only a connection broke, or how many requests were aboard. Change: the digest of path, caller and body; a server that breaks a request off is asked once at its health path (it ended, lives, left as planned, not known); line server_broke. No decision rests on it yet. The question to a server moved out of the dispatch. Ruled out: taking a reset as an end (links are cut and connections reset in bulk under servers that live).

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -37,7 +37,8 @@
   storefeed: ["common"],
   diagnosis: ["common"],
   placement: ["common", "directory"],
-  forwarding: ["common", "routing", "directory", "placement"],
+  crashes: ["common", "directory"],
+  forwarding: ["common", "crashes", "routing", "directory", "placement"],
   migration: ["common", "directory", "forwarding", "placement"],
   peers: ["common", "directory", "placement", "storefeed"],
   fleet: [
--- /dev/null
+++ b/packages/crashes/src/hashRequest.test.ts
@@ -0,0 +1,34 @@
+import { describe, expect, it } from "vitest";
+import { hashRequest, type RequestContent } from "./index.js";
+
+const REQUEST: RequestContent = {
+  host: "site.example",
+  target: "/verdict/1?a=b",
+  caller: "workspace",
+  body: Buffer.from("text"),
+};
+
+describe("hashRequest", () => {
+  it("is the same for a request that comes again, whatever else it carries", () => {
+    const again = { ...REQUEST, body: Buffer.from("text") };
+    expect(hashRequest(again)).toBe(hashRequest(REQUEST));
+    expect(hashRequest(REQUEST)).toMatch(/^[0-9a-f]{32}$/);
+  });
+
+  it.each<[string, Partial<RequestContent>]>([
+    ["host", { host: "other.example" }],
+    ["path", { target: "/verdict/2?a=b" }],
+    ["query", { target: "/verdict/1?a=c" }],
+    ["caller", { caller: "other" }],
+    ["lack of a caller", { caller: undefined }],
+    ["body", { body: Buffer.from("texts") }],
+  ])("tells requests apart by their %s", (_, change) => {
+    expect(hashRequest({ ...REQUEST, ...change })).not.toBe(hashRequest(REQUEST));
+  });
+
+  it("keeps the parts apart where they touch", () => {
+    const head = { ...REQUEST, caller: "w", body: Buffer.from('"]x') };
+    const moved = { ...REQUEST, caller: 'w"]', body: Buffer.from("x") };
+    expect(hashRequest(head)).not.toBe(hashRequest(moved));
+  });
+});
--- a/packages/fleet/src/createPlacer.ts
+++ b/packages/fleet/src/createPlacer.ts
@@ -157,6 +157,8 @@
         book.removeRun(id, runId);
       };
     },
+    countAboard: ({ entry }) =>
+      book.countOpen(entry.id) + book.listPeerRuns(entry.id).length,
     isLeaving: (server) => isLeaving(directory, server),
     mayTakeWork: ({ entry }) => directory.mayTakeWork(entry.id),
     isInRegions,
--- a/packages/forwarding/src/askServer.test.ts
+++ b/packages/forwarding/src/askServer.test.ts
@@ -77,7 +77,10 @@
     ["200 OK", "server-2"],
     ["421 Misdirected Request", ASKED],
   ])("hears another server at its address by %s of %s", async (status, server) => {
-    expect(await askOne(sendAnswer(status, server))).toMatchObject({ kind: "absent" });
+    expect(await askOne(sendAnswer(status, server))).toMatchObject({
+      kind: "absent",
+      cause: "ended",
+    });
   });
 
   it.each([
@@ -105,13 +108,17 @@
 
   it("takes a connection that is taken and reset for no answer", async () => {
     const sign = await askOne((socket) => void socket.resetAndDestroy());
-    expect(sign).toEqual({ kind: "absent", detail: "ECONNRESET" });
+    expect(sign).toEqual({ kind: "absent", cause: "not_heard", detail: "ECONNRESET" });
   });
 
   it("hears that nobody listens any more", async () => {
     const { address, close } = await listen(() => undefined);
     await close();
-    expect(await ask(address)).toEqual({ kind: "absent", detail: "ECONNREFUSED" });
+    expect(await ask(address)).toEqual({
+      kind: "absent",
+      cause: "ended",
+      detail: "ECONNREFUSED",
+    });
   });
 
   it("gives up after its limit", async () => {
@@ -124,6 +131,9 @@
     };
     const { address, close } = await listen(() => undefined);
     closers.push(close);
-    expect(await ask(address, clock)).toMatchObject({ kind: "absent" });
+    expect(await ask(address, clock)).toMatchObject({
+      kind: "absent",
+      cause: "not_heard",
+    });
   });
 });
--- a/packages/forwarding/src/askServer.ts
+++ b/packages/forwarding/src/askServer.ts
@@ -13,9 +13,12 @@
       /** How much longer it stays cold, where it says so. */
       warmUpLeft: Ms | undefined;
     }
-  | { kind: "absent"; detail: string }
+  | { kind: "absent"; cause: AbsenceCause; detail: string }
 >;
 
+/** Why a server is taken as absent: it has ended, as something at its address shows, or nothing was heard of it. */
+export type AbsenceCause = "ended" | "not_heard";
+
 /** Longest that an answer is waited for: a health path waits for a slot like a request, at most as long as the slowest ones take. */
 const ANSWER_LIMIT_MS = 1_000 as Ms;
 
@@ -32,8 +35,15 @@
   connectLimit: Ms;
 }>;
 
+/** Error of a connection to a machine on which nothing listens at the address. */
+const REFUSED_CODE = "ECONNREFUSED";
+
 /** Makes the sign of a server that is not there. */
-export const makeAbsent = (detail: string): ServerSign => ({ kind: "absent", detail });
+export const makeAbsent = (detail: string, cause: AbsenceCause): ServerSign => ({
+  kind: "absent",
+  cause,
+  detail,
+});
 
 /** A server that has started again answers by the same name, and knows nothing of what ran there before. */
 const judgeAnswer = (
@@ -43,9 +53,10 @@
 ): ServerSign => {
   const isOther = answer.server !== undefined && answer.server !== entry.name;
   if (answer.isOtherServer || isOther)
-    return makeAbsent("another server has its address");
+    return makeAbsent("another server has its address", "ended");
   const isTold = startedAt !== undefined && entry.startedAt !== undefined;
-  if (isTold && startedAt !== entry.startedAt) return makeAbsent("it has started again");
+  if (isTold && startedAt !== entry.startedAt)
+    return makeAbsent("it has started again", "ended");
   return { kind: "present", startedAt, warmUpLeft: answer.warmUpLeft };
 };
 
@@ -62,8 +73,10 @@
     };
     const judgeHeard = (heard: AnswerHead) =>
       judgeAnswer(entry, heard, heard.startedAt ?? codec.decodeHealthBody(body));
-    const finishBy = (detail: string) =>
-      finish(answer ? judgeHeard(answer) : makeAbsent(detail));
+    const finishBy = (detail: string) => {
+      const cause = detail === REFUSED_CODE ? "ended" : "not_heard";
+      finish(answer ? judgeHeard(answer) : makeAbsent(detail, cause));
+    };
     const exchange = openExchange(
       clock,
       {
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -1,5 +1,5 @@
 /** One attempt of a request at one server, as far as it has come. */
-import type { Timer } from "@stairgauge/common";
+import type { Ms, Timer } from "@stairgauge/common";
 import type { BackendServer } from "@stairgauge/directory";
 import type { EndedBy, Exchange } from "./openExchange.js";
 import type { StreamLeg } from "./streamRelay.js";
@@ -20,6 +20,8 @@
   readonly server: BackendServer;
   exchange: Exchange | undefined;
   head: AnswerHead | undefined;
+  /** When the head came. */
+  answeredAt: Ms | undefined;
   reason: string;
   /** What ended the answer, once it has ended without an error. */
   endedBy: EndedBy | undefined;
@@ -36,6 +38,7 @@
   server,
   exchange: undefined,
   head: undefined,
+  answeredAt: undefined,
   reason: "",
   endedBy: undefined,
   body: { kind: "held", parts: [] },
--- a/packages/forwarding/src/createDispatchReports.ts
+++ b/packages/forwarding/src/createDispatchReports.ts
@@ -23,6 +23,8 @@
 /** A server that a stream has left, and how its bytes ended there. */
 export type LeftServer = Readonly<{ from: BackendServer; ended: BytesEnd }>;
 
+type ServerBroke = Extract<ForwardDecision, { kind: "server_broke" }>;
+
 /** What the reports are made of. */
 export type DispatchReportParts = Readonly<{
   deps: Pick<ForwarderDeps, "clock" | "placer" | "observer">;
@@ -82,6 +84,8 @@
       const ended = describeBytes(attempt, end);
       tell({ kind: "continuation_refused", to: id, detail, ...ended });
     },
+    tellBroke: (server: BackendServer, broke: Omit<ServerBroke, "kind" | "server">) =>
+      tell({ kind: "server_broke", server: server.entry.id, ...broke }),
     tellAnswered: ({ server, head: answerHead }: Attempt) =>
       tell({ kind: "answered", server: server.entry.id, status: answerHead!.status }),
     tellStreamEnded: (attempt: Attempt, end: AttemptEnd) => {
--- a/packages/forwarding/src/createForwarder.ts
+++ b/packages/forwarding/src/createForwarder.ts
@@ -8,11 +8,13 @@
   type Route,
 } from "@stairgauge/routing";
 import { createClientAnswer } from "./clientAnswer.js";
+import { createServerAsker } from "./createServerAsker.js";
 import { dispatchCall, type DispatchedCall } from "./dispatchCall.js";
-import type { ForwarderDeps, RefusalReason } from "./forwarderTypes.js";
+import type { DispatchDeps, ForwarderDeps, RefusalReason } from "./forwarderTypes.js";
 import { fitsBeforeStop } from "./fitsBeforeStop.js";
 import { readRequestBody } from "./readRequestBody.js";
 import { sendOwnAnswer } from "./sendOwnAnswer.js";
+import { createServerEnds } from "./serverEnds.js";
 
 /** Bound on a body while no configuration is known. */
 const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
@@ -41,7 +43,14 @@
 
 /** Creates the forwarder. */
 export const createForwarder = (deps: ForwarderDeps): Forwarder => {
-  const { clock, codec, configuration, random } = deps;
+  const { clock, codec, configuration, placer, random } = deps;
+  const askServer = createServerAsker(deps);
+  const serverEnds = createServerEnds({
+    clock,
+    ask: askServer,
+    isLeaving: placer.isLeaving,
+  });
+  const dispatchDeps: DispatchDeps = { ...deps, askServer, serverEnds };
   let stop: Readonly<{ announcedAt: Ms; endsAt: Ms }> | undefined;
   let open = 0;
   let heldBytes = 0;
@@ -125,7 +134,7 @@
       }
       held = body.length;
       heldBytes += held;
-      call = dispatchCall(deps, {
+      call = dispatchCall(dispatchDeps, {
         head,
         body,
         route: access.route,
--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -7,7 +7,7 @@
 import type { NoServerReason, PlacementDecision } from "@stairgauge/placement";
 import { createActiveRun, type ActiveRun, type RunContinuation } from "./activeRuns.js";
 import { createAnswerSink } from "./answerSink.js";
-import { askServer, makeAbsent, type ServerSign } from "./askServer.js";
+import { createDigest } from "./createDigest.js";
 import { createAttempt, type Attempt } from "./attempt.js";
 import { buildExchangeRequest } from "./buildExchangeRequest.js";
 import { computeDemand } from "./computeDemand.js";
@@ -24,7 +24,7 @@
   mayRepeat,
   type AttemptEnd,
 } from "./decideNext.js";
-import type { AdmittedRequest, ForwarderDeps, RefusalReason } from "./forwarderTypes.js";
+import type { AdmittedRequest, DispatchDeps, RefusalReason } from "./forwarderTypes.js";
 import { openExchange } from "./openExchange.js";
 import { placeAgain, placeByAdvice, type PlaceableRequest } from "./placeByAdvice.js";
 import { computePlacingTerms } from "./placeWithRoom.js";
@@ -52,7 +52,7 @@
 
 /** Dispatches a request; it always ends in one final answer, or with the client gone. */
 export const dispatchCall = (
-  deps: ForwarderDeps,
+  deps: DispatchDeps,
   request: AdmittedRequest,
 ): DispatchedCall => {
   const { clock, codec, placer, budget, runs, runKeeper } = deps;
@@ -68,6 +68,7 @@
   let run: ActiveRun | undefined;
 
   const getNow = () => clock.monotonic();
+  const getDigest = createDigest(request);
 
   const dropAttempt = () => {
     current?.exchange?.cancel();
@@ -164,7 +165,7 @@
       relay,
       attempt,
       isLeaving: () => placer.isLeaving(server),
-      askServer: () => askAgain(server),
+      askServer: () => deps.askServer(server),
       listener: {
         isCurrent: () => current === attempt && !isOver,
         onHead: (answerHead) => takeHead(attempt, answerHead),
@@ -181,22 +182,6 @@
     return attempt;
   };
 
-  const askAgain = async (server: BackendServer): Promise<ServerSign | undefined> => {
-    const { entry } = server;
-    const { connectLimit, configuration } = deps;
-    const healthPath = configuration.getIndex()?.findService(service)?.healthPath;
-    if (healthPath === undefined) return undefined;
-    const sign = await askServer({ clock, codec, entry, healthPath, connectLimit });
-    if (sign.kind === "absent") return sign;
-    if (sign.warmUpLeft !== undefined) placer.onWarmUpTold(server, sign.warmUpLeft);
-    const isStartUnsaid = sign.startedAt === undefined && entry.startedAt !== undefined;
-    if (!isStartUnsaid || demand.tokens === undefined) return sign;
-    // An engine's report tells its start where its health answer does not.
-    return (await placer.isAlive(server))
-      ? sign
-      : makeAbsent("its report is not its own");
-  };
-
   /** The first attempt of a request that may run again is given up for another server's. */
   const watchAttempt = (attempt: Attempt) => {
     if (!mayRepeat(route)) return undefined;
@@ -225,6 +210,7 @@
 
   const takeHead = (attempt: Attempt, answerHead: AnswerHead) => {
     attempt.silence?.cancel();
+    attempt.answeredAt = getNow();
     placer.onAnswered(attempt.server);
     if (answerHead.isClosing) placer.onConnectionClosing(attempt.server);
   };
@@ -262,8 +248,16 @@
     }
   };
 
+  const tellBroke = async ({ server, answeredAt }: Attempt) => {
+    const ranFor = answeredAt === undefined ? undefined : ((getNow() - answeredAt) as Ms);
+    const aboard = placer.countAboard(server);
+    const end = await deps.serverEnds.judge(server);
+    reports.tellBroke(server, { ...end, digest: getDigest(), ranFor, aboard });
+  };
+
   const takeFailure = (attempt: Attempt, failure: ExchangeFailure) => {
     const end: AttemptEnd = { kind: "failed", failure };
+    if (failure.kind === "broken") void tellBroke(attempt);
     const { body } = attempt;
     switch (body.kind) {
       case "held":
--- a/packages/forwarding/src/forwarderTypes.ts
+++ b/packages/forwarding/src/forwarderTypes.ts
@@ -1,5 +1,6 @@
 /** What the forwarder needs of the rest of the system. */
 import type { Clock, Ms, Random, ServiceName } from "@stairgauge/common";
+import type { RequestDigest } from "@stairgauge/crashes";
 import type { BackendServer, ServerId } from "@stairgauge/directory";
 import type { Demand, PlacementDecision } from "@stairgauge/placement";
 import type {
@@ -15,6 +16,8 @@
 import type { PlaceAdviser } from "./placeByAdvice.js";
 import type { WaitingRoom } from "./waitingRoom.js";
 import type { RetryBudget } from "./retryBudget.js";
+import type { ServerAsker } from "./createServerAsker.js";
+import type { ServerEnd, ServerEnds } from "./serverEnds.js";
 import type { HeadCodec, RequestHead } from "./types.js";
 
 /** What is known when a request comes. */
@@ -74,6 +77,16 @@
   /** A new run of another server goes on after the last whole event. */
   | (BytesEnd & { kind: "resumed"; from: ServerId; to: ServerId; events: number })
   | (BytesEnd & { kind: "continuation_refused"; to: ServerId; detail: string })
+  /** The server broke the request off; what became of it was found out afterwards. */
+  | (ServerEnd & {
+      kind: "server_broke";
+      server: ServerId;
+      digest: RequestDigest;
+      /** Time since the server began to answer it; none where it had not. */
+      ranFor: Ms | undefined;
+      /** Requests at the server when it broke, this one included, as far as this box knows. */
+      aboard: number;
+    })
   | { kind: "answered"; server: ServerId; status: number }
   | (BytesEnd & {
       kind: "stream_ended";
@@ -119,6 +132,8 @@
   place: (server: BackendServer, head: RequestHead, demand: Demand) => () => void;
   /** A run's first event has come from the server. */
   onRunBegun: (server: BackendServer, head: RequestHead) => void;
+  /** Requests at a server, as far as this box knows. */
+  countAboard: (server: BackendServer) => number;
   /** Whether a server gets no new work, as known now. */
   isLeaving: (server: BackendServer) => boolean;
   /** What is known of a server now. */
@@ -160,6 +175,10 @@
   mostHeldBytes: number;
 }>;
 
+/** What each dispatch needs: the forwarder's collaborators, and what all its dispatches share. */
+export type DispatchDeps = ForwarderDeps &
+  Readonly<{ askServer: ServerAsker; serverEnds: ServerEnds }>;
+
 /** A request that was let in. */
 export type AdmittedRequest = Readonly<{
   head: RequestHead;
--- a/packages/forwarding/src/judgeEnd.test.ts
+++ b/packages/forwarding/src/judgeEnd.test.ts
@@ -52,7 +52,8 @@
     } as const;
     expect(judgeEndBy(present)).toEqual({ kind: "whole" });
     expect(judgeEndBy(undefined)).toEqual({ kind: "whole" });
-    expect(judgeEndBy({ kind: "absent", detail: "ECONNREFUSED" })).toEqual({
+    const absent = { kind: "absent", cause: "ended", detail: "ECONNREFUSED" } as const;
+    expect(judgeEndBy(absent)).toEqual({
       kind: "cut",
       detail: "connection ended, and its server is not known to live: ECONNREFUSED",
     });
