--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -45,5 +45,7 @@
   ScriptedEngine,
   ScriptedEngines,
 } from "./usersPlatform/scriptedEngines.js";
+export { CRASHING_BODY, startCrashingServers } from "./usersPlatform/crashingServers.js";
+export type { CrashingKind, CrashingServers } from "./usersPlatform/crashingServers.js";
 export { formatWireAsk, startWireEngine } from "./usersPlatform/wireEngine.js";
 export type { WireAsk, WireBirthPlace } from "./usersPlatform/wireEngine.js";
--- /dev/null
+++ b/packages/standins/src/usersPlatform/crashingServers.ts
@@ -0,0 +1,160 @@
+/**
+ * Stand-ins of backend servers that a request can crash: one whose body says so ends the server soon after it begins to run,
+ * with all connections reset; the server is back a little later, at its address, as another start of the same name.
+ */
+import { createServer, type Server, type Socket } from "node:net";
+import { HEADER, SERVER_PATH } from "@stairgauge/platform";
+import { HEALTH_PATH, listenOnLoopback } from "./loopback.js";
+import { formatStreamHead } from "./scriptedEngines.js";
+import { formatEngineEvent } from "./usersEngine.js";
+import {
+  findHeader,
+  HEAD_END,
+  IDLE_REPORT,
+  readWireRequests,
+  sendWireJson,
+} from "./wireRequests.js";
+
+/** A body that holds this ends the server that runs it. */
+export const CRASHING_BODY = "ends its server";
+
+/** Time from the begin of such a request to the end of its server, and from that to the next start. */
+const ENDS_AFTER_MS = 30;
+const BACK_AFTER_MS = 300;
+
+/** Time that a sound plain request takes, and events of a sound stream. */
+const PLAIN_MS = 20;
+const SOUND_EVENTS = 4;
+
+/** Start that the first of all starts comes after, in Unix milliseconds. */
+const FIRST_BORN = 1_700_000_000_000;
+
+/** What the servers are. */
+export type CrashingKind = "engine" | "plain";
+
+/** How a fleet of such servers is listed. */
+export type CrashingServersOptions = Readonly<{
+  kind: CrashingKind;
+  count: number;
+  /** Puts a server's entry; called again at each start. */
+  putEntry: (id: string, address: string, born: number) => void;
+}>;
+
+/** The servers, and what was done to them. */
+export type CrashingServers = Readonly<{
+  /** Requests that end servers, as many as have reached one. */
+  countArrivals: () => number;
+  /** Ends of servers. */
+  countEnds: () => number;
+  /** Resets all connections to all servers, which live on. */
+  resetConnections: () => void;
+  close: () => void;
+}>;
+
+const formatChunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
+const CHUNKED = "Transfer-Encoding: chunked";
+
+const sendPlain = (socket: Socket, request: string) => {
+  const body = `answer to ${request}`;
+  const head = [
+    "HTTP/1.1 200 OK",
+    `${HEADER.requestId}: ${request}`,
+    `${HEADER.signature}: signature`,
+    `Content-Length: ${body.length}`,
+  ];
+  setTimeout(() => socket.write(head.join("\r\n") + HEAD_END + body), PLAIN_MS);
+};
+const sendEvents = (socket: Socket, request: string, to: number, from = 0) => {
+  socket.write(formatStreamHead(request, CHUNKED));
+  for (let at = from; at < to; at += 1)
+    socket.write(formatChunk(formatEngineEvent(request, at)));
+};
+const sendStream = (socket: Socket, request: string, from: number) => {
+  sendEvents(socket, request, SOUND_EVENTS, from);
+  socket.write("0\r\n\r\n");
+};
+
+/** Starts the servers. */
+export const startCrashingServers = async (
+  options: CrashingServersOptions,
+): Promise<CrashingServers> => {
+  const { kind, count, putEntry } = options;
+  const isEngine = kind === "engine";
+  const closers: (() => void)[] = [];
+  const resetters: (() => void)[] = [];
+  let arrivals = 0;
+  let ends = 0;
+  let isClosed = false;
+
+  const startServer = async (id: string) => {
+    const sockets = new Set<Socket>();
+    let born = FIRST_BORN;
+    let port = 0;
+    let listener: Server | undefined;
+
+    const closeAll = () => {
+      for (const socket of sockets) socket.resetAndDestroy();
+    };
+    const endServer = () => {
+      if (!listener) return;
+      listener.close();
+      listener = undefined;
+      ends += 1;
+      closeAll();
+      setTimeout(() => void listen(), BACK_AFTER_MS);
+    };
+    const startCrash = (socket: Socket, request: string) => {
+      arrivals += 1;
+      if (isEngine) sendEvents(socket, request, 1);
+      setTimeout(endServer, ENDS_AFTER_MS);
+    };
+    const takeRequest = (socket: Socket, head: string, body: string) => {
+      const request = findHeader(head, HEADER.requestId) ?? "";
+      if (head.startsWith(`GET ${SERVER_PATH.report}`))
+        sendWireJson(socket, { ...IDLE_REPORT, born });
+      else if (head.startsWith(`GET ${HEALTH_PATH}`))
+        sendWireJson(socket, {}, "200 OK", [
+          `${HEADER.instance}: ${id}`,
+          `${HEADER.born}: ${born}`,
+        ]);
+      else if (body.includes(CRASHING_BODY)) startCrash(socket, request);
+      else if (isEngine)
+        sendStream(
+          socket,
+          request,
+          Number(findHeader(head, HEADER.lastEventId) ?? -1) + 1,
+        );
+      else sendPlain(socket, request);
+    };
+    const listen = async () => {
+      if (isClosed) return;
+      const started = createServer({ allowHalfOpen: true }, (socket) => {
+        sockets.add(socket);
+        socket.once("close", () => sockets.delete(socket));
+        readWireRequests(socket, (head, body) => takeRequest(socket, head, body));
+      });
+      const { address } = await listenOnLoopback(started, port);
+      port = Number(address.split(":")[1]);
+      born += 1;
+      listener = started;
+      putEntry(id, address, born);
+    };
+    closers.push(() => {
+      listener?.close();
+      closeAll();
+    });
+    resetters.push(closeAll);
+    await listen();
+  };
+  await Promise.all(Array.from({ length: count }, (_, i) => startServer(`${kind}-${i}`)));
+
+  return {
+    countArrivals: () => arrivals,
+    countEnds: () => ends,
+    resetConnections: () => resetters.forEach((reset) => reset()),
+    close: () => {
+      isClosed = true;
+      for (const close of closers) close();
+    },
+  };
+};
--- a/packages/standins/src/usersPlatform/usersSite.ts
+++ b/packages/standins/src/usersPlatform/usersSite.ts
@@ -36,7 +36,7 @@
   /** Puts anything where a server's entry stands. */
   putOddEntry: (id: string, entry: unknown) => void;
   /** Adds a plain server that runs elsewhere. */
-  putService: (id: string, address: string) => void;
+  putService: (id: string, address: string, born?: number) => void;
   /** Puts a server into another data hall. */
   putHall: (server: UsersEngine | UsersService, hall: string) => void;
   /** Closes a data hall to new work, and opens it again. */
@@ -194,7 +194,8 @@
         born,
       }),
     putOddEntry: (id, entry) => store.put(TABLE.servers, id, entry),
-    putService: (id, address) => putEntry({ id, address }, "ready", false),
+    putService: (id, address, born) =>
+      putEntry({ id, address }, "ready", false, { born }),
     putHall: (server, hall) => putEntry(server, "ready", undefined, { hall }),
     closeHall: (hall) => store.put(TABLE.operator, CLOSED_HALL_PREFIX + hall, {}),
     openHall: (hall) => store.drop(TABLE.operator, CLOSED_HALL_PREFIX + hall),
