--- a/apps/box/src/crashingRequests.test.ts
+++ b/apps/box/src/crashingRequests.test.ts
@@ -9,13 +9,19 @@
  *   {"request":"3b16","server":"i-62b5","attempt":2,"reason":"most_free_memory","event":"placed"}
  */
 import { describe, expect, it } from "vitest";
+import { waitFor } from "./box.testkit.js";
 import {
   ARRIVALS_ALLOWED,
   COUNTED_TRIES,
+  MOST_ENDS,
   startCrashSite,
+  waitMs,
   type CrashCase,
 } from "./crashingRequests.testkit.js";
 
+/** Resets of all connections, one after the other. */
+const RESETS = 5;
+
 describe("a request that ends each server it is sent to", () => {
   it.each<[string, CrashCase]>([
     ["a plain one, by 3 boxes", { path: "/again/", kind: "plain", boxes: 3 }],
@@ -28,6 +34,36 @@
     expect(served).toBe(COUNTED_TRIES);
   });
 
+  it.each<[string, CrashCase]>([
+    ["a plain one that may run once", { path: "/once/", kind: "plain", boxes: 3 }],
+    ["a stream that may not go on", { path: "/draft/", kind: "engine", boxes: 3 }],
+  ])("gets no answer of the system's own but 502 and 503: %s", async (_, crashCase) => {
+    const { fleet, servers, sendUntilKnown, countTries } =
+      await startCrashSite(crashCase);
+    await sendUntilKnown();
+    // Three that count, and tries that were under way when the third end was heard of.
+    expect(servers.countEnds()).toBeLessThanOrEqual(MOST_ENDS);
+    const { arrivals, served, crashing } = await countTries(fleet);
+    expect(arrivals).toBeLessThanOrEqual(ARRIVALS_ALLOWED);
+    expect(served).toBe(COUNTED_TRIES);
+    expect(new Set(crashing.map(({ status }) => status))).toEqual(new Set([503]));
+    const pauses = crashing.map(({ headers }) => Number(headers["retry-after"]));
+    expect(Math.min(...pauses)).toBeGreaterThan(3_000);
+  });
+
+  it("is kept from servers after all boxes have been started again", async () => {
+    const site = await startCrashSite({ path: "/again/", kind: "plain", boxes: 3 });
+    await site.sendUntilKnown();
+    await Promise.all(site.fleet.map(({ box }) => box.stop()));
+    const fleet = await Promise.all([site.start(), site.start()]);
+    await waitFor(() =>
+      fleet.every(({ lines }) => lines.some(({ event }) => event === "request_blocked")),
+    );
+    const { arrivals, served } = await site.countTries(fleet);
+    expect(arrivals).toBe(0);
+    expect(served).toBe(COUNTED_TRIES);
+  });
+
   it("is kept from servers by a box that starts after three have ended", async () => {
     const site = await startCrashSite({ path: "/again/", kind: "plain", boxes: 3 });
     await site.sendUntilKnown();
@@ -37,3 +73,27 @@
     expect(served).toBe(COUNTED_TRIES);
   });
 });
+
+describe("a request that is aboard by chance", () => {
+  it("is served on where connections are reset in bulk under servers that live", async () => {
+    const { servers, fleet, sendSound } = await startCrashSite({
+      path: "/again/",
+      kind: "plain",
+      boxes: 3,
+    });
+    for (let round = 0; round < RESETS; round += 1) {
+      const answered = fleet.map((box) => sendSound(box, 0));
+      await waitMs(5);
+      servers.resetConnections();
+      await Promise.all(answered);
+    }
+    const lines = fleet.flatMap((box) => box.lines);
+    const verdicts = lines
+      .filter(({ event }) => event === "server_broke")
+      .map(({ verdict }) => verdict);
+    expect(new Set(verdicts)).toEqual(new Set(["lives"]));
+    expect(lines.some(({ event }) => event === "request_blocked")).toBe(false);
+    const last = await Promise.all(fleet.map((box) => sendSound(box, 0)));
+    expect(last.map(({ status }) => status)).toEqual([200, 200, 200]);
+  });
+});
--- a/apps/box/src/crashingRequests.testkit.ts
+++ b/apps/box/src/crashingRequests.testkit.ts
@@ -25,6 +25,9 @@
 /** What may still reach servers once the bound has passed. */
 export const ARRIVALS_ALLOWED = 3;
 
+/** Three ends, and those of tries that were at servers when the third was heard of: the time from 30 ms to the end, at 100 ms a try. */
+export const MOST_ENDS = 6;
+
 /** Time between two tries, each at another box, and tries that are counted. */
 const TRY_PAUSE_MS = 100;
 export const COUNTED_TRIES = 20;
@@ -75,10 +78,12 @@
     body,
     ...(kind === "engine" && { headers: makeGeneration(300, 4) }),
   });
+  const sendSound = (box: FleetBox, name: number) =>
+    ask(box.ports, makeAsk(`sound ${name}`));
   /** Sends the request that ends servers, and a sound one beside it; waits for neither. */
   const sendBoth = (box: FleetBox, name: number) => ({
     crashing: ask(box.ports, makeAsk(CRASHING_BODY)),
-    sound: ask(box.ports, makeAsk(`sound ${name}`)),
+    sound: sendSound(box, name),
   });
   let tries = 0;
   /** Sends tries to the boxes in turn until enough have been sent. */
@@ -111,5 +116,5 @@
       crashing,
     };
   };
-  return { servers, fleet, start, sendUntilKnown, countTries };
+  return { servers, fleet, start, sendSound, sendUntilKnown, countTries };
 };
--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -42,6 +42,7 @@
 import type { BoxSettings } from "@stairgauge/settings";
 import { createBoxMetrics, type DecisionLog } from "@stairgauge/telemetry";
 import { answerMoves, createHubs, toPlaceAnswer } from "./askHubs.js";
+import { createCrashes } from "./createCrashes.js";
 import { createColdServers } from "./createColdServers.js";
 import { computeCapacity, computeTiming, createKnowledge } from "./createKnowledge.js";
 import { createMoves } from "./createMoves.js";
@@ -126,6 +127,7 @@
     rivals,
     getDirectory: () => directory,
     getPlacer: () => placer,
+    getGuard: () => crashes.guard,
     isOutOfTouch,
   });
   const teller = createRunTeller({
@@ -139,18 +141,23 @@
         .list()
         .filter(({ leaving }) => leaving !== undefined)
         .map(toToldLeaving),
+    listCrashes: () => crashes.guard.listAllNews(),
   });
   const links = createPeerLinks({
     clock,
     random,
     own: member,
     makeWhole: teller.makeWhole,
-    onNotice: ({ leaving }) => leaving.forEach(updates.takeLeaving),
+    onNotice: ({ leaving, crashes: news }) => {
+      leaving.forEach(updates.takeLeaving);
+      crashes.guard.takeNews(news);
+    },
     onMessage: observePeers({ metrics }),
   });
   const peerServer = createPeerServer({
     onMessage: observePeers({ metrics }),
     onUpdate: updates.takeUpdate,
+    makeGreeting: () => ({ leaving: [], crashes: crashes.guard.listSharedNews() }),
     onPeerLost: (box) => {
       book.dropPeer(box);
       log.writeDecision("peer_lost", { peer: box });
@@ -160,6 +167,16 @@
       toPlaceAnswer(await placeHub.answer(question, signal)),
     answerMoves: (question) => answerMoves(directory, planner, question),
   });
+  const crashes = createCrashes({
+    settings,
+    clock,
+    log,
+    metrics,
+    getLinks: () => links,
+    getTeller: () => teller,
+    getPeerServer: () => peerServer,
+    onBlocked: () => forwarder.stopBlocked(),
+  });
   const cold = createColdServers({
     settings,
     clock,
@@ -206,7 +223,10 @@
     const told = toToldLeaving(server);
     teller.tellLeaving(told);
     const boxes = book.listPeersAt(server.entry.id) as BoxName[];
-    peerServer.notify(boxes, { leaving: [told] });
+    peerServer.notify(boxes, {
+      leaving: [told],
+      crashes: { ends: [], served: [] },
+    });
   };
   const directory = createServerDirectory({
     memory: LEFT_MEMORY_MS,
@@ -312,6 +332,7 @@
     waitingRoom,
     adviser: hubs.adviser,
     runKeeper: mover,
+    guard: crashes.guard,
     observer: observeForwarding({ log, metrics, keeper, clock }),
     retryAfter: settings.clients.retryAfterMs as Ms,
     connectLimit: settings.clients.connectLimitMs as Ms,
@@ -341,6 +362,7 @@
         onLimits: clientServer.applyLimits,
       }),
       boxes: membership.sink,
+      blocked: crashes.list.sink,
     },
   });
 
@@ -367,6 +389,7 @@
     });
     await membership.leave();
     knowledge.stop();
+    crashes.list.stop();
     reports.stop();
     standbys.stop();
     links.close();
@@ -390,7 +413,8 @@
       };
       peerAddress = { ...peerAddress, port: ports.peers };
       links.setSeeds(listSeeds());
-      knowledge.startBoxes();
+      knowledge.startOwnLists();
+      crashes.list.start();
       membership.join();
       standbys.start();
       log.writeNotice("started", { ports, policy: settings.policy });
--- /dev/null
+++ b/apps/box/src/createCrashes.ts
@@ -0,0 +1,86 @@
+/** Wires together what a box knows of requests that end servers: its own evidence, that of other boxes, and the store's list. */
+import type { Clock, Ms } from "@stairgauge/common";
+import {
+  createBlockedList,
+  createRequestGuard,
+  type BlockedList,
+  type BlockedRequest,
+  type CrashNews,
+  type RequestGuard,
+} from "@stairgauge/crashes";
+import {
+  hasHubs,
+  type PeerLinks,
+  type PeerServer,
+  type RunTeller,
+} from "@stairgauge/peers";
+import { BLOCKED_TABLE, createStoreWriter } from "@stairgauge/platform";
+import type { BoxSettings } from "@stairgauge/settings";
+import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
+
+/** What it needs of the rest of a box. */
+export type CrashesOptions = Readonly<{
+  settings: BoxSettings;
+  clock: Clock;
+  log: DecisionLog;
+  metrics: BoxMetrics;
+  getLinks: () => Pick<PeerLinks, "countBoxes" | "isHub" | "findPlace">;
+  getTeller: () => Pick<RunTeller, "takeCrashes">;
+  getPeerServer: () => Pick<PeerServer, "notifyAll">;
+  /** A request goes to no server any more: tries of it that wait are to end. */
+  onBlocked: () => void;
+}>;
+
+/** The guard, and the list that outlasts the box. */
+export type Crashes = Readonly<{ guard: RequestGuard; list: BlockedList }>;
+
+const MS_PER_S = 1_000;
+
+/** Creates the parts; nothing is suspected. */
+export const createCrashes = (options: CrashesOptions): Crashes => {
+  const { settings, clock, log, metrics, getLinks } = options;
+  const { blockingEnds, memorySeconds } = settings.crashes;
+
+  /** Where boxes are linked to hubs only, a hub hands on what several have told it. */
+  const passOn = (crashes: CrashNews) => {
+    const links = getLinks();
+    if (hasHubs(links.countBoxes()) && links.isHub())
+      options.getPeerServer().notifyAll({ leaving: [], crashes });
+  };
+  const countBlocked = () => metrics.blockedRequests.set(guard.countBlocked());
+  const takeBlocked = (blocked: BlockedRequest) => {
+    const { digest, ends, left, isOwn } = blocked;
+    log.writeWarning("request_blocked", {
+      digest,
+      seenHere: isOwn,
+      leftMs: Math.round(left),
+      ends: ends.map(({ server, age }) => ({ server, ageMs: Math.round(age) })),
+    });
+    countBlocked();
+    if (isOwn) list.put(blocked);
+    options.onBlocked();
+  };
+
+  const guard: RequestGuard = createRequestGuard({
+    clock,
+    limits: { blockingEnds, memory: (memorySeconds * MS_PER_S) as Ms },
+    onOwnNews: (news) => options.getTeller().takeCrashes(news),
+    onSharedNews: passOn,
+    onBlocked: takeBlocked,
+    onReleased: (digest, isOwn) => {
+      log.writeNotice("request_released", { digest, servedHere: isOwn });
+      countBlocked();
+      list.drop(digest);
+    },
+  });
+  const list = createBlockedList({
+    clock,
+    writer: createStoreWriter(settings.store.address),
+    table: BLOCKED_TABLE,
+    limit: settings.store.patienceMs as Ms,
+    getGuard: () => guard,
+    isKeeper: () => getLinks().findPlace()?.rank === 0,
+    onFailure: (failure) => log.writeWarning("blocked_list", { failure }),
+  });
+  return { guard, list };
+};
--- a/apps/box/src/createKnowledge.ts
+++ b/apps/box/src/createKnowledge.ts
@@ -7,7 +7,7 @@
   type TableAnswer,
   type TableQuestion,
 } from "@stairgauge/peers";
-import { BOX_TABLE, createStoreReader, TABLE } from "@stairgauge/platform";
+import { BLOCKED_TABLE, BOX_TABLE, createStoreReader, TABLE } from "@stairgauge/platform";
 import type { BoxSettings } from "@stairgauge/settings";
 import {
   createRevisionMark,
@@ -23,6 +23,7 @@
   configuration: FollowerSink;
   servers: FollowerSink;
   boxes: FollowerSink;
+  blocked: FollowerSink;
 }>;
 
 /** What following needs. */
@@ -39,8 +40,8 @@
 export type Knowledge = Readonly<{
   /** Configuration and servers, which clients wait for. */
   start: () => void;
-  /** The list of boxes, once this one listens for others. */
-  startBoxes: () => void;
+  /** The lists that the boxes keep themselves, once this one listens for others. */
+  startOwnLists: () => void;
   stop: () => void;
   /** Answers another box by what this one knows. */
   answer: (question: TableQuestion) => Promise<TableAnswer>;
@@ -106,6 +107,7 @@
     [TABLE.operator, pulse],
     [TABLE.servers, createTableMirror(clock)],
     [BOX_TABLE, createTableMirror(clock)],
+    [BLOCKED_TABLE, createTableMirror(clock)],
   ]);
   const reader = createSharedReader({
     clock,
@@ -142,6 +144,7 @@
 
   const servers = follow(TABLE.servers, store.serversWaitMs, sinks.servers);
   const boxes = follow(BOX_TABLE, store.boxesWaitMs, sinks.boxes, GATHER_BOXES_MS);
+  const blocked = follow(BLOCKED_TABLE, store.blockedWaitMs, sinks.blocked);
   const configuration = follow(TABLE.operator, wait, {
     ...sinks.configuration,
     // A store that is lost for one table is lost for both: the longer call would notice late.
@@ -150,14 +153,17 @@
       if (failuresInARow === 1) servers.reread();
     },
   });
-  const followers: readonly TableFollower[] = [configuration, servers, boxes];
+  const followers: readonly TableFollower[] = [configuration, servers, boxes, blocked];
 
   return {
     start: () => {
       configuration.start();
       servers.start();
     },
-    startBoxes: boxes.start,
+    startOwnLists: () => {
+      boxes.start();
+      blocked.start();
+    },
     stop: () => {
       for (const follower of followers) follower.stop();
     },
--- a/apps/box/src/createSinks.ts
+++ b/apps/box/src/createSinks.ts
@@ -35,7 +35,9 @@
 }>;
 
 /** Creates the sinks of the tables that the platform and its operators write. */
-export const createSinks = (options: SinksOptions): Omit<KnowledgeSinks, "boxes"> => {
+export const createSinks = (
+  options: SinksOptions,
+): Omit<KnowledgeSinks, "boxes" | "blocked"> => {
   const { clock, log, metrics, directory, keeper, spells, leavingWithin, onLimits } =
     options;
 
--- a/apps/box/src/takeUpdates.ts
+++ b/apps/box/src/takeUpdates.ts
@@ -1,5 +1,6 @@
 /** Takes what other boxes tell of their runs, of engines' reports, and of servers that leave. */
 import type { Clock } from "@stairgauge/common";
+import type { RequestGuard } from "@stairgauge/crashes";
 import type { BackendServer, ServerDirectory, ServerId } from "@stairgauge/directory";
 import type { FleetPlacer } from "@stairgauge/fleet";
 import { applyUpdate, type RunUpdate, type ToldLeaving } from "@stairgauge/peers";
@@ -12,6 +13,7 @@
   rivals: RivalRate;
   getDirectory: () => ServerDirectory;
   getPlacer: () => Pick<FleetPlacer, "takeBroken" | "takeAnswered">;
+  getGuard: () => Pick<RequestGuard, "takeNews">;
   /** The store does not reach this box. */
   isOutOfTouch: () => boolean;
 }>;
@@ -58,7 +60,14 @@
         markReported(server, report);
       };
       const { takeBroken: onBroken, takeAnswered: onAnswered } = options.getPlacer();
-      const sinks = { book, onLeaving: takeLeaving, onReport, onBroken, onAnswered };
+      const sinks = {
+        book,
+        onLeaving: takeLeaving,
+        onReport,
+        onBroken,
+        onAnswered,
+        onCrashes: options.getGuard().takeNews,
+      };
       applyUpdate(sinks, update);
     },
   };
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -37,10 +37,10 @@
   storefeed: ["common"],
   diagnosis: ["common"],
   placement: ["common", "directory"],
-  crashes: ["common", "directory"],
+  crashes: ["common", "directory", "storefeed"],
   forwarding: ["common", "crashes", "routing", "directory", "placement"],
   migration: ["common", "directory", "forwarding", "placement"],
-  peers: ["common", "directory", "placement", "storefeed"],
+  peers: ["common", "crashes", "directory", "placement", "storefeed"],
   fleet: [
     "common",
     "directory",
--- /dev/null
+++ b/packages/crashes/src/endBook.test.ts
@@ -0,0 +1,90 @@
+import { describe, expect, it } from "vitest";
+import fc from "fast-check";
+import type { Ms } from "@stairgauge/common";
+import type { ServerId } from "@stairgauge/directory";
+import { createEndBook } from "./endBook.js";
+import type { RequestDigest, RequestEnd } from "./types.js";
+
+const LIMITS = { blockingEnds: 3, memory: 1_000 as Ms };
+const DIGEST = "d" as RequestDigest;
+
+const makeEnd = (server: string, at: number, digest = DIGEST): RequestEnd => ({
+  digest,
+  server: server as ServerId,
+  at: at as Ms,
+});
+
+describe("createEndBook", () => {
+  it("blocks a request at the third server that ends under it, until the first end is too old", () => {
+    const book = createEndBook(LIMITS);
+    expect(book.judge(DIGEST, 0 as Ms)).toEqual({ kind: "unsuspected" });
+    book.add(makeEnd("a", 0), 0 as Ms);
+    book.add(makeEnd("b", 100), 100 as Ms);
+    expect(book.judge(DIGEST, 100 as Ms)).toEqual({ kind: "suspected", ends: 2 });
+    book.add(makeEnd("c", 200), 200 as Ms);
+    expect(book.judge(DIGEST, 200 as Ms)).toEqual({
+      kind: "blocked",
+      ends: 3,
+      left: 800,
+    });
+    expect(book.judge(DIGEST, 1_000 as Ms)).toEqual({ kind: "suspected", ends: 2 });
+  });
+
+  it("counts a server once, and another start of it as another", () => {
+    const book = createEndBook(LIMITS);
+    expect(book.add(makeEnd("a 1", 0), 0 as Ms)).toBe(true);
+    expect(book.add(makeEnd("a 1", 1), 1 as Ms)).toBe(false);
+    expect(book.add(makeEnd("a 2", 2), 2 as Ms)).toBe(true);
+    expect(book.judge(DIGEST, 2 as Ms)).toEqual({ kind: "suspected", ends: 2 });
+  });
+
+  it("counts servers whose end is not known yet beside those that are known", () => {
+    const book = createEndBook(LIMITS);
+    book.add(makeEnd("a", 0), 0 as Ms);
+    const besides = new Set(["a", "b"] as ServerId[]);
+    expect(book.judge(DIGEST, 0 as Ms, besides)).toEqual({ kind: "suspected", ends: 2 });
+  });
+
+  it("forgets a request that is released, and what is told late of the time before", () => {
+    const book = createEndBook(LIMITS);
+    book.add(makeEnd("a", 0), 0 as Ms);
+    expect(book.release(DIGEST, 10 as Ms)).toBe(true);
+    expect(book.release(DIGEST, 11 as Ms)).toBe(false);
+    expect(book.add(makeEnd("b", 10), 20 as Ms)).toBe(false);
+    expect(book.add(makeEnd("c", 11), 20 as Ms)).toBe(true);
+  });
+
+  it("keeps what is blocked when thousands of others were aboard of servers that ended", () => {
+    const book = createEndBook(LIMITS);
+    for (const server of ["a", "b", "c"]) book.add(makeEnd(server, 0), 0 as Ms);
+    for (let i = 0; i < 10_000; i += 1)
+      book.add(makeEnd("d", 1, `other ${i}` as RequestDigest), 1 as Ms);
+    expect(book.listRequests().length).toBeLessThanOrEqual(4_096);
+    expect(book.judge(DIGEST, 1 as Ms).kind).toBe("blocked");
+  });
+
+  it("comes to the same in whatever order ends are told, also twice (property)", () => {
+    const endsOf = fc.array(
+      fc.record({
+        server: fc.integer({ min: 0, max: 5 }),
+        at: fc.integer({ max: 500, min: 0 }),
+      }),
+      { maxLength: 12 },
+    );
+    fc.assert(
+      fc.property(endsOf, fc.infiniteStream(fc.nat()), (told, order) => {
+        // A server has one end, at one time.
+        const ends = told.map(({ server }) => makeEnd(`s${server}`, server * 10));
+        const shuffled = [...ends, ...ends]
+          .map((end) => ({ end, place: order.next().value as number }))
+          .sort((a, b) => a.place - b.place);
+        const judge = (all: readonly RequestEnd[]) => {
+          const book = createEndBook(LIMITS);
+          for (const end of all) book.add(end, 500 as Ms);
+          return book.judge(DIGEST, 500 as Ms);
+        };
+        expect(judge(shuffled.map(({ end }) => end))).toEqual(judge(ends));
+      }),
+    );
+  });
+});
--- /dev/null
+++ b/packages/crashes/src/endBook.ts
@@ -0,0 +1,100 @@
+/** Which servers ended under which requests, in bounded memory. Pure but for the time handed in. */
+import type { Ms } from "@stairgauge/common";
+import type { ServerId } from "@stairgauge/directory";
+import type { RequestDigest, RequestEnd, RequestStanding } from "./types.js";
+
+/** From when on a request is kept from servers, and how long ends count. */
+export type EndLimits = Readonly<{
+  /** Servers that have to end under a request. */
+  blockingEnds: number;
+  /** How long an end counts. */
+  memory: Ms;
+}>;
+
+/** The book of one box. */
+export type EndBook = Readonly<{
+  /** Takes an end; false when it is known, too old, or happened before the request was released. */
+  add: (end: RequestEnd, now: Ms) => boolean;
+  /** Forgets the ends of a request, also those that are told late; false when none is known. */
+  release: (digest: RequestDigest, now: Ms) => boolean;
+  /** Judges by what is known; `besides` are servers whose end is not known yet. */
+  judge: (
+    digest: RequestDigest,
+    now: Ms,
+    besides?: ReadonlySet<ServerId>,
+  ) => RequestStanding;
+  listEnds: (digest: RequestDigest) => readonly RequestEnd[];
+  listRequests: () => readonly RequestDigest[];
+  isEmpty: () => boolean;
+}>;
+
+/** Requests that are kept: a full engine that ends puts some 50 into the book, each in less than 300 bytes. */
+const MOST_REQUESTS = 4_096;
+
+/** Ends of one request beyond which no further one changes anything. */
+const MOST_ENDS = 32;
+
+const UNSUSPECTED: RequestStanding = { kind: "unsuspected" };
+
+/** Creates an empty book. */
+export const createEndBook = ({ blockingEnds, memory }: EndLimits): EndBook => {
+  /** In the order in which they were last added to. */
+  const ends = new Map<RequestDigest, ReadonlyMap<ServerId, RequestEnd>>();
+  const releasedAt = new Map<RequestDigest, Ms>();
+
+  const listEnds = (digest: RequestDigest) => [...(ends.get(digest)?.values() ?? [])];
+  const listCounting = (digest: RequestDigest, now: Ms) =>
+    listEnds(digest).filter(({ at }) => now - at < memory);
+
+  const dropOldest = (kept: Map<RequestDigest, unknown>) => {
+    const [oldest] = kept.keys();
+    if (oldest !== undefined) kept.delete(oldest);
+  };
+  /** A request that was aboard once gives way before one that is blocked. */
+  const dropLeastSuspect = () => {
+    for (const [digest, known] of ends) {
+      if (known.size >= blockingEnds) continue;
+      ends.delete(digest);
+      return;
+    }
+    dropOldest(ends);
+  };
+
+  const add = (end: RequestEnd, now: Ms): boolean => {
+    const { digest, server, at } = end;
+    const known = ends.get(digest);
+    if (known?.has(server) || (known?.size ?? 0) >= MOST_ENDS) return false;
+    if (now - at >= memory || at <= (releasedAt.get(digest) ?? -Infinity)) return false;
+    ends.delete(digest);
+    ends.set(digest, new Map([...(known ?? []), [server, end]]));
+    if (ends.size > MOST_REQUESTS) dropLeastSuspect();
+    return true;
+  };
+
+  const judge: EndBook["judge"] = (digest, now, besides = new Set()) => {
+    const counting = listCounting(digest, now);
+    const unknown = [...besides].filter((id) => !ends.get(digest)?.has(id)).length;
+    const count = counting.length + unknown;
+    if (counting.length >= blockingEnds) {
+      const times = counting.map(({ at }) => at).sort((a, b) => b - a);
+      const left = (times[blockingEnds - 1]! + memory - now) as Ms;
+      return { kind: "blocked", ends: count, left };
+    }
+    return count > 0 ? { kind: "suspected", ends: count } : UNSUSPECTED;
+  };
+
+  return {
+    add,
+    release: (digest, now) => {
+      if (!ends.delete(digest)) return false;
+      releasedAt.delete(digest);
+      releasedAt.set(digest, now);
+      if (releasedAt.size > MOST_REQUESTS) dropOldest(releasedAt);
+      return true;
+    },
+    judge,
+    listEnds,
+    listRequests: () => [...ends.keys()],
+    isEmpty: () => ends.size === 0,
+  };
+};
--- a/packages/crashes/src/index.ts
+++ b/packages/crashes/src/index.ts
@@ -1,4 +1,15 @@
 /** Requests under which backend servers end: who is the same request, how often, and what follows. */
 export type * from "./types.js";
+export { ENDS_TO_STOP_REPEATS } from "./constants.js";
+export { createBlockedList } from "./blockedList.js";
+export type { BlockedList, BlockedListOptions } from "./blockedList.js";
 export { hashRequest } from "./hashRequest.js";
 export type { RequestContent } from "./hashRequest.js";
+export { mayHaveEnded } from "./mayHaveEnded.js";
+export type { BrokenRun } from "./mayHaveEnded.js";
+export { createRequestGuard } from "./requestGuard.js";
+export type {
+  BlockedRequest,
+  RequestGuard,
+  RequestGuardOptions,
+} from "./requestGuard.js";
--- /dev/null
+++ b/packages/crashes/src/requestGuard.ts
@@ -0,0 +1,143 @@
+/**
+ * Keeps requests that end servers from further ones. The ends of one request are seen by several boxes, so each tells its own and
+ * counts those of all. Evidence travels over the links between boxes; what is blocked is listed in the store as well, since boxes
+ * keep nothing and may all be restarted.
+ */
+import type { Clock, Ms } from "@stairgauge/common";
+import type { ServerId } from "@stairgauge/directory";
+import { SHARED_ENDS } from "./constants.js";
+import { createEndBook, type EndLimits } from "./endBook.js";
+import type {
+  CrashNews,
+  RequestDigest,
+  RequestEnd,
+  RequestStanding,
+  ToldEnd,
+} from "./types.js";
+
+/** A request that goes to no server from now on. */
+export type BlockedRequest = Readonly<{
+  digest: RequestDigest;
+  ends: readonly ToldEnd[];
+  left: Ms;
+  /** Whether this box saw the end that decided it. */
+  isOwn: boolean;
+}>;
+
+/** Who hears of changes. */
+export type RequestGuardOptions = Readonly<{
+  clock: Clock;
+  limits: EndLimits;
+  /** This box has seen an end, or a request served: other boxes are to hear it. */
+  onOwnNews: (news: CrashNews) => void;
+  /**
+   * What is known of some requests has changed, whoever said so: all that boxes which hear this one alone need. A single end
+   * is no news to them.
+   */
+  onSharedNews: (news: CrashNews) => void;
+  onBlocked: (blocked: BlockedRequest) => void;
+  /** A request is trusted again: a server has served it, or an operator says so. */
+  onReleased: (digest: RequestDigest, isOwn: boolean) => void;
+}>;
+
+/** An end that this box has seen, of a server that the request may have ended. */
+export type SeenEnd = Pick<RequestEnd, "digest" | "server">;
+
+/** The guard of one box. */
+export type RequestGuard = Readonly<{
+  /** Judges a request; its digest is asked for only where any request is suspected. */
+  judge: (
+    getDigest: () => RequestDigest,
+    besides?: ReadonlySet<ServerId>,
+  ) => RequestStanding;
+  /** A server has ended under a request of this box. */
+  recordEnd: (seen: SeenEnd) => void;
+  /** A server has served a request of this box to a good end. */
+  recordServed: (getDigest: () => RequestDigest) => void;
+  /** Another box, or the store, tells. */
+  takeNews: (news: CrashNews) => void;
+  /** An operator trusts a request again. */
+  release: (digest: RequestDigest) => void;
+  /** All that is known, for a box that counts the ends of all. */
+  listAllNews: () => CrashNews;
+  /** What is known of requests with several ends, for a box that counts its own alone. */
+  listSharedNews: () => CrashNews;
+  countBlocked: () => number;
+}>;
+
+/** Creates a guard that suspects nothing. */
+export const createRequestGuard = (options: RequestGuardOptions): RequestGuard => {
+  const { clock, limits, onOwnNews, onSharedNews, onBlocked, onReleased } = options;
+  const book = createEndBook(limits);
+  const getNow = () => clock.monotonic();
+  const isBlocked = (digest: RequestDigest) =>
+    book.judge(digest, getNow()).kind === "blocked";
+
+  const toTold = ({ digest, server, at }: RequestEnd): ToldEnd => ({
+    digest,
+    server,
+    age: Math.max(0, getNow() - at) as Ms,
+  });
+  const listTold = (digest: RequestDigest) => book.listEnds(digest).map(toTold);
+
+  const add = (end: RequestEnd, isOwn: boolean): boolean => {
+    const { digest } = end;
+    const wasBlocked = isBlocked(digest);
+    if (!book.add(end, getNow())) return false;
+    const standing = book.judge(digest, getNow());
+    if (!wasBlocked && standing.kind === "blocked")
+      onBlocked({ digest, ends: listTold(digest), left: standing.left, isOwn });
+    return true;
+  };
+  const release = (digest: RequestDigest, isOwn: boolean): boolean => {
+    const wasBlocked = isBlocked(digest);
+    if (!book.release(digest, getNow())) return false;
+    if (wasBlocked) onReleased(digest, isOwn);
+    return true;
+  };
+  const isShared = (digest: RequestDigest) => book.listEnds(digest).length >= SHARED_ENDS;
+  const listShared = (digests: Iterable<RequestDigest>) =>
+    [...digests].filter(isShared).flatMap(listTold);
+  const tellShared = (news: CrashNews) => {
+    if (news.ends.length + news.served.length > 0) onSharedNews(news);
+  };
+
+  return {
+    judge: (getDigest, besides) => {
+      const isKnown = !book.isEmpty() || (besides?.size ?? 0) > 0;
+      return isKnown
+        ? book.judge(getDigest(), getNow(), besides)
+        : { kind: "unsuspected" };
+    },
+    recordEnd: ({ digest, server }) => {
+      const end = { digest, server, at: getNow() };
+      if (!add(end, true)) return;
+      onOwnNews({ ends: [toTold(end)], served: [] });
+      tellShared({ ends: listShared([digest]), served: [] });
+    },
+    recordServed: (getDigest) => {
+      if (book.isEmpty()) return;
+      const digest = getDigest();
+      const wasShared = isShared(digest);
+      if (!release(digest, true)) return;
+      const news = { ends: [], served: [digest] };
+      onOwnNews(news);
+      if (wasShared) tellShared(news);
+    },
+    takeNews: ({ ends, served }) => {
+      const sharedBefore = new Set(served.filter(isShared));
+      const released = served.filter((digest) => release(digest, false));
+      const added = ends.filter(({ digest, server, age }) =>
+        add({ digest, server, at: (getNow() - age) as Ms }, false),
+      );
+      tellShared({
+        ends: listShared(new Set(added.map(({ digest }) => digest))),
+        served: released.filter((digest) => sharedBefore.has(digest)),
+      });
+    },
+    release: (digest) => void release(digest, false),
+    listAllNews: () => ({ ends: book.listRequests().flatMap(listTold), served: [] }),
+    listSharedNews: () => ({ ends: listShared(book.listRequests()), served: [] }),
+    countBlocked: () => book.listRequests().filter(isBlocked).length,
+  };
+};
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -1,6 +1,8 @@
 /** One attempt of a request at one server, as far as it has come. */
 import type { Ms, Timer } from "@stairgauge/common";
 import type { BackendServer } from "@stairgauge/directory";
+import type { Demand } from "@stairgauge/placement";
+import type { ClientAnswer } from "./clientAnswer.js";
 import type { EndedBy, Exchange } from "./openExchange.js";
 import type { StreamLeg } from "./streamRelay.js";
 import type { AnswerHead } from "./types.js";
@@ -22,6 +24,8 @@
   head: AnswerHead | undefined;
   /** When the head came. */
   answeredAt: Ms | undefined;
+  /** Events that the client had before. */
+  readonly eventsBefore: number;
   reason: string;
   /** What ended the answer, once it has ended without an error. */
   endedBy: EndedBy | undefined;
@@ -34,11 +38,16 @@
 };
 
 /** Creates an attempt that has not been sent. */
-export const createAttempt = (server: BackendServer, release: () => void): Attempt => ({
+export const createAttempt = ({
+  server,
+  eventsBefore,
+  release,
+}: Pick<Attempt, "server" | "eventsBefore" | "release">): Attempt => ({
   server,
   exchange: undefined,
   head: undefined,
   answeredAt: undefined,
+  eventsBefore,
   reason: "",
   endedBy: undefined,
   body: { kind: "held", parts: [] },
@@ -50,3 +59,19 @@
 /** Bytes of an event that the attempt's server has begun and not ended. */
 export const countBytesLeft = ({ body }: Attempt): number =>
   body.kind === "stream" ? body.leg.countBytesLeft() : 0;
+
+/** Sends the answer that was held back, as its server gave it. */
+export const sendHeldAnswer = (
+  answer: Pick<ClientAnswer, "sendWhole">,
+  { head, reason, body }: Attempt,
+): void => {
+  const { status, passedOn } = head!;
+  const parts = body.kind === "held" ? body.parts : [];
+  answer.sendWhole({ status, reason, headers: passedOn }, Buffer.concat(parts));
+};
+
+/** Whether its server works on the request: on a generation once it answers, on a plain request as soon as it is sent. */
+export const isAtWork = (
+  { head }: Pick<Attempt, "head">,
+  { tokens }: Pick<Demand, "tokens">,
+): boolean => head !== undefined || tokens === undefined;
--- a/packages/forwarding/src/createForwarder.ts
+++ b/packages/forwarding/src/createForwarder.ts
@@ -39,6 +39,8 @@
    */
   announceStop: (endsAt: Ms) => void;
   countOpen: () => number;
+  /** Ends the tries of requests that go to no server any more. */
+  stopBlocked: () => void;
 }>;
 
 /** Creates the forwarder. */
@@ -52,6 +54,7 @@
   });
   const dispatchDeps: DispatchDeps = { ...deps, askServer, serverEnds };
   let stop: Readonly<{ announcedAt: Ms; endsAt: Ms }> | undefined;
+  const calls = new Set<DispatchedCall>();
   let open = 0;
   let heldBytes = 0;
 
@@ -102,6 +105,7 @@
       heldBytes -= held;
       hasLeft = true;
       call?.clientLeft();
+      if (call) calls.delete(call);
     });
 
     const limit =
@@ -144,6 +148,7 @@
         endsAt: (receivedAt + computeTimeLimit(access.route, head.patience)) as Ms,
         answer,
       });
+      if (!hasLeft) calls.add(call);
     };
 
     void readRequestBody(incoming, limit).then((read) => {
@@ -169,5 +174,8 @@
       stop = { announcedAt: clock.monotonic(), endsAt };
     },
     countOpen: () => open,
+    stopBlocked: () => {
+      for (const one of [...calls]) one.stopIfBlocked();
+    },
   };
 };
--- a/packages/forwarding/src/decideNext.ts
+++ b/packages/forwarding/src/decideNext.ts
@@ -1,5 +1,7 @@
 /** What follows an attempt at a server: the answer is passed on, another server is tried, or the system answers itself. Pure. */
 import type { Route } from "@stairgauge/routing";
+import type { ContinuationOutcome } from "./activeRuns.js";
+import type { Attempt } from "./attempt.js";
 import type {
   AnswerHead,
   ClientRequestId,
@@ -65,6 +67,10 @@
   return head.status >= 500 ? "ran_and_failed" : "final";
 };
 
+/** Whether a server's answer, once whole, is the request's own and a success. */
+export const isServed = (head: AnswerHead, id: ClientRequestId | undefined): boolean =>
+  isSuccess(head.status) && judgeAttempt({ kind: "answered", head }, id) === "final";
+
 /** Whether what follows rests on the body: a refusal, and an answer that is no use, are judged by their head. */
 export const isBodyNeeded = (
   head: AnswerHead,
@@ -74,6 +80,18 @@
   return verdict === "final" || verdict === "ran_and_failed";
 };
 
+/** Nobody was asked whether the body is whole: it ended with its connection, and its head says enough. */
+export const isBodyUnproven = (
+  { endedBy, head }: Pick<Attempt, "endedBy" | "head">,
+  id: ClientRequestId | undefined,
+): boolean => endedBy === "connection" && !isBodyNeeded(head!, id);
+
+/** What the one who keeps runs alive is told of an attempt to go on with one that failed. */
+export const toOutcome = (end: AttemptEnd): ContinuationOutcome =>
+  end.kind === "answered"
+    ? { kind: "refused", status: end.head.status }
+    : { kind: "broken", detail: end.failure.detail };
+
 /** Says how an attempt ended, for logs and reasons. */
 export const describeEnd = (end: AttemptEnd): string =>
   end.kind === "answered" ? `status ${end.head.status}` : end.failure.detail;
--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -4,11 +4,10 @@
  */
 import { assertNever, type Ms, type Timer } from "@stairgauge/common";
 import type { BackendServer, ServerId } from "@stairgauge/directory";
-import type { NoServerReason, PlacementDecision } from "@stairgauge/placement";
+import type { PlacementDecision } from "@stairgauge/placement";
 import { createActiveRun, type ActiveRun, type RunContinuation } from "./activeRuns.js";
 import { createAnswerSink } from "./answerSink.js";
-import { createDigest } from "./createDigest.js";
-import { createAttempt, type Attempt } from "./attempt.js";
+import { createAttempt, isAtWork, sendHeldAnswer, type Attempt } from "./attempt.js";
 import { buildExchangeRequest } from "./buildExchangeRequest.js";
 import { computeDemand } from "./computeDemand.js";
 import {
@@ -19,16 +18,24 @@
 import {
   decideNext,
   describeEnd,
-  isBodyNeeded,
+  isBodyUnproven,
+  isServed,
   judgeAttempt,
   mayRepeat,
+  toOutcome,
   type AttemptEnd,
 } from "./decideNext.js";
 import type { AdmittedRequest, DispatchDeps, RefusalReason } from "./forwarderTypes.js";
+import { createCallGuard } from "./guardCall.js";
 import { openExchange } from "./openExchange.js";
 import { placeAgain, placeByAdvice, type PlaceableRequest } from "./placeByAdvice.js";
 import { computePlacingTerms } from "./placeWithRoom.js";
-import { sendOwnAnswer, type ReasonedAnswer } from "./sendOwnAnswer.js";
+import {
+  makeBlockedAnswer,
+  REFUSAL_OF_NO_SERVER,
+  sendOwnAnswer,
+  type ReasonedAnswer,
+} from "./sendOwnAnswer.js";
 import { createStreamRelay } from "./streamRelay.js";
 import type { AnswerHead, DispatchTerms, ExchangeFailure } from "./types.js";
 import { watchSilence } from "./watchSilence.js";
@@ -39,16 +46,12 @@
 /** Continuations of one run after which it counts as lost. */
 const MAX_CONTINUATIONS = 12;
 
-const REFUSAL_OF_NO_SERVER: Readonly<Record<NoServerReason, RefusalReason>> = {
-  none_known: "no_server_known",
-  none_in_regions: "no_server_in_regions",
-  halls_closed: "data_halls_closed",
-  servers_cold: "servers_cold",
-  none_left: "no_server_known",
-};
-
-/** A call that can be told that its client has left. */
-export type DispatchedCall = Readonly<{ clientLeft: () => void }>;
+/** A call that can be told of what happens elsewhere. */
+export type DispatchedCall = Readonly<{
+  clientLeft: () => void;
+  /** Ends the request if it goes to no server any more, and no server has begun to answer it. */
+  stopIfBlocked: () => void;
+}>;
 
 /** Dispatches a request; it always ends in one final answer, or with the client gone. */
 export const dispatchCall = (
@@ -68,7 +71,6 @@
   let run: ActiveRun | undefined;
 
   const getNow = () => clock.monotonic();
-  const getDigest = createDigest(request);
 
   const dropAttempt = () => {
     current?.exchange?.cancel();
@@ -132,6 +134,12 @@
     relay,
     countContinuations: () => continuations,
   });
+  const guard = createCallGuard({
+    deps,
+    request,
+    countEvents: relay.getEvents,
+    tellBroke: reports.tellBroke,
+  });
   answer.onDrain(() => current?.exchange?.resume());
 
   const startRun = () => {
@@ -151,7 +159,8 @@
     server: BackendServer,
     continuation?: DispatchTerms["continuation"],
   ): Attempt => {
-    const attempt = createAttempt(server, placer.place(server, head, demand));
+    const release = placer.place(server, head, demand);
+    const attempt = createAttempt({ server, eventsBefore: relay.getEvents(), release });
     current = attempt;
     const exchangeRequest = buildExchangeRequest(deps, clock, request, {
       server,
@@ -222,16 +231,13 @@
     startRun();
   };
 
-  /** Nobody was asked whether the body is whole: it ended with its connection, and its head says enough. */
-  const isBodyUnproven = ({ endedBy, head: answerHead }: Attempt): boolean =>
-    endedBy === "connection" && !isBodyNeeded(answerHead!, head.id);
-
   const endWhole = (attempt: Attempt) => {
     const { body } = attempt;
+    if (isServed(attempt.head!, head.id)) guard.onServed();
     const end = { kind: "answered", head: attempt.head! } as const;
     switch (body.kind) {
       case "held":
-        conclude(attempt, { ...end, isBodyUnproven: isBodyUnproven(attempt) });
+        conclude(attempt, { ...end, isBodyUnproven: isBodyUnproven(attempt, head.id) });
         return;
       case "passed_on":
         answer.end();
@@ -248,16 +254,9 @@
     }
   };
 
-  const tellBroke = async ({ server, answeredAt }: Attempt) => {
-    const ranFor = answeredAt === undefined ? undefined : ((getNow() - answeredAt) as Ms);
-    const aboard = placer.countAboard(server);
-    const end = await deps.serverEnds.judge(server);
-    reports.tellBroke(server, { ...end, digest: getDigest(), ranFor, aboard });
-  };
-
   const takeFailure = (attempt: Attempt, failure: ExchangeFailure) => {
     const end: AttemptEnd = { kind: "failed", failure };
-    if (failure.kind === "broken") void tellBroke(attempt);
+    if (failure.kind === "broken") guard.onBroken(attempt);
     const { body } = attempt;
     switch (body.kind) {
       case "held":
@@ -281,6 +280,7 @@
     if (unreached >= MAX_UNREACHED) return false;
     if (attemptsSent >= route.maxServers) return false;
     if (endsAt - getNow() <= 0) return false;
+    if (!guard.mayRepeat()) return false;
     return placer.choose(service, demand, tried).kind === "placed";
   };
 
@@ -329,13 +329,8 @@
   };
 
   const passAnswerOn = (attempt: Attempt) => {
-    const answerHead = attempt.head!;
-    const { status, passedOn } = answerHead;
     reports.tellAnswered(attempt);
-    answer.sendWhole(
-      { status, reason: attempt.reason, headers: passedOn },
-      Buffer.concat(attempt.body.kind === "held" ? attempt.body.parts : []),
-    );
+    sendHeldAnswer(answer, attempt);
     finish();
   };
 
@@ -351,12 +346,20 @@
     leaveRoom = placeAgain(deps, placeable, { choose: chooseNext, place: takePlace });
   };
   const takePlace = (decision: PlacementDecision, by?: string) => {
-    if (isOver) return;
+    if (isOver || endIfBlocked()) return;
     if (decision.kind === "placed") sendTo(decision, by);
     else if (mayHaveRun && !mayRepeat(route)) answerUnknown("no_server_left");
     else answerNotRun(REFUSAL_OF_NO_SERVER[decision.reason]);
   };
 
+  /** Refuses a request under which too many servers have ended, with the time until it may come again. */
+  const endIfBlocked = (): boolean => {
+    const left = guard.findBlock();
+    if (left === undefined || relay.hasBegun()) return false;
+    answerOwn(makeBlockedAnswer(left, mayHaveRun));
+    return true;
+  };
+
   const sendTo = (decision: PlacedDecision, by?: string) => {
     tried.add(decision.server.entry.id);
     reports.tellPlaced(decision, attemptsSent + 1, by);
@@ -369,10 +372,11 @@
     const left: LeftServer = { from: attempt.server, ended };
     const detail = describeEnd(end);
     dropAttempt();
-    if (!relay.canGoOn()) {
-      loseStream(left, detail);
+    if (!relay.canGoOn() || !(await guard.mayGoOn(attempt.server))) {
+      if (!isOver) loseStream(left, detail);
       return;
     }
+    if (isOver) return;
     if (continuations === 0) attemptsSent += 1;
     continuations += 1;
     const continuation =
@@ -380,7 +384,7 @@
         ? await runKeeper.recover(run, detail)
         : undefined;
     if (isOver) return;
-    if (continuation) {
+    if (continuation && guard.mayRepeat()) {
       continueRun(left, continuation);
       return;
     }
@@ -394,7 +398,8 @@
 
   /** Where the route allows it, a new run of another server goes on after the last whole event. */
   const resumeAnew = (left: LeftServer): boolean => {
-    if (!route.isResumable || attemptsSent >= route.maxServers) return false;
+    const mayRunAnew = route.isResumable && guard.mayRepeat();
+    if (!mayRunAnew || attemptsSent >= route.maxServers) return false;
     if (!budget.take(service, getNow())) return false;
     const decision = placer.choose(service, demand, tried);
     if (decision.kind === "no_server") return false;
@@ -407,22 +412,17 @@
 
   const refuseContinuation = (attempt: Attempt, end: AttemptEnd) => {
     reports.tellContinuationRefused(attempt, end);
-    if (run) {
-      const outcome =
-        end.kind === "answered"
-          ? ({ kind: "refused", status: end.head.status } as const)
-          : ({ kind: "broken", detail: describeEnd(end) } as const);
-      runKeeper.onContinued(run, outcome);
-    }
+    if (run) runKeeper.onContinued(run, toOutcome(end));
     void continueElsewhere(attempt, end);
   };
 
   budget.recordRequest(service, receivedAt);
-  leaveRoom = placeByAdvice(deps, placeable, {
-    choose: chooseNext,
-    place: takePlace,
-    tell: reports.tell,
-  });
+  if (!endIfBlocked())
+    leaveRoom = placeByAdvice(deps, placeable, {
+      choose: chooseNext,
+      place: takePlace,
+      tell: reports.tell,
+    });
 
   return {
     clientLeft: () => {
@@ -431,5 +431,10 @@
       answer.break();
       finish();
     },
+    stopIfBlocked: () => {
+      if (isOver || relay.hasBegun() || (current && isAtWork(current, demand))) return;
+      mayHaveRun ||= current?.exchange?.isSent() ?? false;
+      endIfBlocked();
+    },
   };
 };
--- a/packages/forwarding/src/forwarderTypes.ts
+++ b/packages/forwarding/src/forwarderTypes.ts
@@ -1,6 +1,6 @@
 /** What the forwarder needs of the rest of the system. */
 import type { Clock, Ms, Random, ServiceName } from "@stairgauge/common";
-import type { RequestDigest } from "@stairgauge/crashes";
+import type { BrokenRun, RequestDigest, RequestGuard } from "@stairgauge/crashes";
 import type { BackendServer, ServerId } from "@stairgauge/directory";
 import type { Demand, PlacementDecision } from "@stairgauge/placement";
 import type {
@@ -45,6 +45,8 @@
   /** A server may have run it, and no other is left to ask. */
   | "no_server_left"
   | "answer_lost"
+  /** Servers have ended under it, so it goes to none. */
+  | "servers_end_under_it"
   | "out_of_time_unsent"
   | "out_of_time";
 
@@ -78,15 +80,14 @@
   | (BytesEnd & { kind: "resumed"; from: ServerId; to: ServerId; events: number })
   | (BytesEnd & { kind: "continuation_refused"; to: ServerId; detail: string })
   /** The server broke the request off; what became of it was found out afterwards. */
-  | (ServerEnd & {
-      kind: "server_broke";
-      server: ServerId;
-      digest: RequestDigest;
-      /** Time since the server began to answer it; none where it had not. */
-      ranFor: Ms | undefined;
-      /** Requests at the server when it broke, this one included, as far as this box knows. */
-      aboard: number;
-    })
+  | (ServerEnd &
+      BrokenRun & {
+        kind: "server_broke";
+        server: ServerId;
+        digest: RequestDigest;
+        /** Requests at the server when it broke, this one included, as far as this box knows. */
+        aboard: number;
+      })
   | { kind: "answered"; server: ServerId; status: number }
   | (BytesEnd & {
       kind: "stream_ended";
@@ -166,6 +167,7 @@
   waitingRoom: WaitingRoom;
   adviser: PlaceAdviser;
   runKeeper: RunKeeper;
+  guard: Pick<RequestGuard, "judge" | "recordEnd" | "recordServed">;
   observer: ForwardObserver;
   /** When a refused client should come back. */
   retryAfter: Ms;
--- a/packages/peers/src/applyUpdate.ts
+++ b/packages/peers/src/applyUpdate.ts
@@ -1,4 +1,5 @@
 /** Takes what another box tells into what this one knows. */
+import type { CrashNews } from "@stairgauge/crashes";
 import type { ServerId } from "@stairgauge/directory";
 import type { LoadBook } from "@stairgauge/placement";
 import type { RunUpdate, ToldLeaving, ToldReport } from "./types.js";
@@ -11,11 +12,12 @@
   onBroken: (server: ServerId) => void;
   /** A run of the box has begun at the server. */
   onAnswered: (server: ServerId) => void;
+  onCrashes: (news: CrashNews) => void;
 }>;
 
 /** Applies an update; a whole one replaces all runs that the box told before. */
 export const applyUpdate = (sinks: UpdateSinks, update: RunUpdate): void => {
-  const { book, onLeaving, onReport, onBroken, onAnswered } = sinks;
+  const { book, onLeaving, onReport, onBroken, onAnswered, onCrashes } = sinks;
   const { box, isWhole, put, drop, leaving, reports, broken } = update;
   if (isWhole) book.dropPeer(box);
   for (const placed of put) book.putPeerRun(box, placed);
@@ -26,4 +28,5 @@
   for (const { server, id } of drop) book.removePeerRun(box, server, id);
   for (const told of leaving) onLeaving(told);
   for (const told of reports) onReport(told);
+  onCrashes(update.crashes);
 };
--- a/packages/peers/src/peerServer.ts
+++ b/packages/peers/src/peerServer.ts
@@ -25,6 +25,8 @@
 /** What is done with updates. */
 export type PeerServerOptions = Readonly<{
   onUpdate: (update: RunUpdate) => void;
+  /** What a box is told whose stream has just come up. */
+  makeGreeting: () => HubNotice;
   /** A box's stream has ended: what it told is no longer kept up. */
   onPeerLost: (box: BoxName) => void;
   /** Another box asks for a table. */
@@ -46,6 +48,8 @@
   listen: (address: ServerAddress) => Promise<number>;
   /** Tells the boxes named, as far as their streams stand. */
   notify: (boxes: readonly BoxName[], notice: HubNotice) => void;
+  /** Tells all boxes whose streams stand. */
+  notifyAll: (notice: HubNotice) => void;
   close: () => void;
 }>;
 
@@ -63,6 +67,11 @@
   /** The stream that counts for a box: a box that came back opens another. */
   const streams = new Map<BoxName, UpdateStream>();
 
+  const sendGreeting = (stream: UpdateStream) => {
+    const greeting = options.makeGreeting();
+    if (greeting.crashes.ends.length > 0) stream.write(greeting);
+  };
+
   const handleStream = (stream: UpdateStream) => {
     let box: BoxName | undefined;
     const loseBox = () => {
@@ -74,7 +83,9 @@
     stream.sendMetadata(new Metadata());
     stream.on("data", (update: RunUpdate) => {
       box = update.box;
+      const isNew = streams.get(box) !== stream;
       streams.set(box, stream);
+      if (isNew) sendGreeting(stream);
       options.onUpdate(update);
     });
     stream.on("error", loseBox);
@@ -113,6 +124,9 @@
     notify: (boxes, notice) => {
       for (const box of boxes) streams.get(box)?.write(notice);
     },
+    notifyAll: (notice) => {
+      for (const stream of streams.values()) stream.write(notice);
+    },
     close: () => server.forceShutdown(),
   };
 };
--- a/packages/peers/src/peers.test.ts
+++ b/packages/peers/src/peers.test.ts
@@ -11,6 +11,7 @@
   type Ms,
   type ServiceName,
 } from "@stairgauge/common";
+import type { CrashNews, RequestDigest } from "@stairgauge/crashes";
 import type { ServerId } from "@stairgauge/directory";
 import { createTableMirror, type TableMirror } from "@stairgauge/storefeed";
 import { createLoadBook, type EngineReport, type PlacedRun } from "@stairgauge/placement";
@@ -36,6 +37,14 @@
 import { decodeAnswer, decodeQuestion, encodeAnswer } from "./tableCodec.js";
 import { decodeUpdate, encodeUpdate } from "./updateCodec.js";
 
+const server = "e1" as ServerId;
+const NO_CRASHES: CrashNews = { ends: [], served: [] };
+const DIGEST = "0123456789abcdef0123456789abcdef" as RequestDigest;
+const KNOWN_CRASHES: CrashNews = {
+  ends: [{ digest: DIGEST, server, age: 40 as Ms }],
+  served: [],
+};
+
 const makeRun = (id: string): PlacedRun => ({
   id,
   promptTokens: 3_000,
@@ -64,7 +73,7 @@
   while (!isMet()) await new Promise((resolve) => setTimeout(resolve, 5));
 };
 
-const openListener = async () => {
+const openListener = async (greeting: CrashNews = NO_CRASHES) => {
   const book = createLoadBook();
   const lost: string[] = [];
   const leaving: ToldLeaving[] = [];
@@ -73,6 +82,7 @@
   const places: PlaceQuestion[] = [];
   const withdrawn: string[] = [];
   const messages: PeerMessage[] = [];
+  const crashes: CrashNews[] = [];
   const mirrors = new Map<string, TableMirror>();
   const pulse = createTableMirror(createSystemClock());
   const server = createPeerServer({
@@ -84,9 +94,11 @@
           onReport: (told) => reports.push(told),
           onBroken: (broken) => outcomes.push(`broken ${broken}`),
           onAnswered: (answered) => outcomes.push(`answered ${answered}`),
+          onCrashes: (news) => crashes.push(news),
         },
         update,
       ),
+    makeGreeting: () => ({ leaving: [], crashes: greeting }),
     onPeerLost: (box) => {
       lost.push(box);
       book.dropPeer(box);
@@ -108,6 +120,8 @@
     book,
     lost,
     notify: server.notify,
+    notifyAll: server.notifyAll,
+    crashes,
     leaving,
     reports,
     outcomes,
@@ -133,6 +147,7 @@
     send: (update) => links.tell(update),
     sendToSome: (update) => links.tellSome(update),
     listLeaving: () => leaving,
+    listCrashes: () => KNOWN_CRASHES,
   });
   const links = createPeerLinks({
     clock,
@@ -146,8 +161,6 @@
   return { book, links, teller, leaving, notices };
 };
 
-const server = "e1" as ServerId;
-
 describe("boxes that tell each other their runs", () => {
   it("tells what is there when a link comes up, then each change, and is forgotten when it closes", async () => {
     const there = await openListener();
@@ -195,7 +208,7 @@
   });
 
   it("tells three boxes of many, none twice", async () => {
-    const listeners = await Promise.all([1, 2, 3, 4, 5, 6].map(openListener));
+    const listeners = await Promise.all([1, 2, 3, 4, 5, 6].map(() => openListener()));
     const here = openTeller();
     here.links.setPeers(
       listeners.map(({ peer }, i) => ({ ...peer, box: `b${i}` as BoxName })),
@@ -280,11 +293,36 @@
     here.book.addRun(server, makeRun("r"));
     here.links.setPeers([there.peer]);
     await waitFor(() => there.book.listPeersAt(server).length === 1);
-    const notice = { leaving: [{ server, isEntryGone: false }] };
+    const notice = { leaving: [{ server, isEntryGone: false }], crashes: NO_CRASHES };
     there.notify(there.book.listPeersAt(server) as BoxName[], notice);
     await waitFor(() => here.notices.length === 1);
     expect(here.notices).toEqual([notice]);
   });
+
+  it("tell all they know of requests that end servers when a link comes up, and then what they see", async () => {
+    const there = await openListener();
+    const here = openTeller();
+    here.links.setPeers([there.peer]);
+    await waitFor(() => there.crashes.length === 1);
+    here.teller.takeCrashes({ ends: [], served: [DIGEST] });
+    here.teller.takeCrashes(KNOWN_CRASHES);
+    await waitFor(() => there.crashes.length === 2);
+    const both = { ends: KNOWN_CRASHES.ends, served: [DIGEST] };
+    expect(there.crashes).toEqual([KNOWN_CRASHES, both]);
+  });
+
+  it("are told of such requests as soon as their link is up, and of each change", async () => {
+    const there = await openListener(KNOWN_CRASHES);
+    const here = openTeller();
+    here.links.setPeers([there.peer]);
+    await waitFor(() => here.notices.length === 1);
+    there.notifyAll({ leaving: [], crashes: { ends: [], served: [DIGEST] } });
+    await waitFor(() => here.notices.length === 2);
+    expect(here.notices.map(({ crashes }) => crashes)).toEqual([
+      KNOWN_CRASHES,
+      { ends: [], served: [DIGEST] },
+    ]);
+  });
 });
 
 const REPORT: EngineReport = {
@@ -602,11 +640,18 @@
         { server, report: { ...REPORT, leavesIn: undefined } },
       ],
       broken: [server],
+      crashes: { ...KNOWN_CRASHES, served: [DIGEST] },
     };
     expect(decodeUpdate(encodeUpdate(update))).toEqual(update);
   });
 
-  it.each(["", "{", "[]", '{"box":"a"}'])("refuses %j", (text) => {
+  it.each([
+    "",
+    "{",
+    "[]",
+    '{"box":"a"}',
+    '{"box":"a","whole":true,"put":[],"drop":[],"crashes":{"ends":[],"served":["x"]}}',
+  ])("refuses %j", (text) => {
     expect(() => decodeUpdate(Buffer.from(text))).toThrow();
   });
 });
--- a/packages/peers/src/runTeller.ts
+++ b/packages/peers/src/runTeller.ts
@@ -1,5 +1,6 @@
 /** Collects changes of this box's runs and tells them together. */
 import type { BoxName, Clock, Ms } from "@stairgauge/common";
+import type { CrashNews } from "@stairgauge/crashes";
 import type { ServerId } from "@stairgauge/directory";
 import type { LoadBook, RunChange } from "@stairgauge/placement";
 import type { RunUpdate, ToldLeaving, ToldReport } from "./types.js";
@@ -17,8 +18,12 @@
   sendToSome: (update: RunUpdate) => void;
   /** Servers that left lately. */
   listLeaving: () => readonly ToldLeaving[];
+  /** All that is known of requests that end servers. */
+  listCrashes: () => CrashNews;
 }>;
 
+const NO_CRASHES: CrashNews = { ends: [], served: [] };
+
 /** Tells the runs of one box. */
 export type RunTeller = Readonly<{
   takeChange: (change: RunChange) => void;
@@ -29,13 +34,16 @@
   tellLeaving: (told: ToldLeaving) => void;
   /** A server broke a request off: told at once, since whoever places next would choose it. */
   tellBroken: (server: ServerId) => void;
+  /** Servers ended under requests of this box, or it served such a request. */
+  takeCrashes: (news: CrashNews) => void;
 }>;
 
 /** Creates the teller. */
 export const createRunTeller = (options: RunTellerOptions): RunTeller => {
-  const { clock, own, book, send, sendToSome, listLeaving } = options;
+  const { clock, own, book, send, sendToSome } = options;
   let pending: RunChange[] = [];
   let reports: ToldReport[] = [];
+  let crashes = NO_CRASHES;
   let isScheduled = false;
 
   const buildUpdate = (told: Partial<RunUpdate>): RunUpdate => ({
@@ -46,6 +54,7 @@
     leaving: [],
     reports: [],
     broken: [],
+    crashes: NO_CRASHES,
     ...told,
   });
 
@@ -57,9 +66,11 @@
   const sendPending = () => {
     const changes = pending;
     const toldReports = reports;
+    const toldCrashes = crashes;
     isScheduled = false;
     pending = [];
     reports = [];
+    crashes = NO_CRASHES;
     const last = new Map(
       changes.map((change) => [`${change.server} ${change.id}`, change]),
     );
@@ -67,6 +78,7 @@
     send(
       buildUpdate({
         reports: toldReports,
+        crashes: toldCrashes,
         put: kept.flatMap(({ server, run }) => (run ? [{ server, run }] : [])),
         drop: kept.flatMap(({ server, id, run }) => (run ? [] : [{ server, id }])),
       }),
@@ -83,7 +95,19 @@
       schedule();
     },
     makeWhole: () =>
-      buildUpdate({ isWhole: true, put: book.listAllRuns(), leaving: listLeaving() }),
+      buildUpdate({
+        isWhole: true,
+        put: book.listAllRuns(),
+        leaving: options.listLeaving(),
+        crashes: options.listCrashes(),
+      }),
+    takeCrashes: ({ ends, served }) => {
+      crashes = {
+        ends: [...crashes.ends, ...ends],
+        served: [...crashes.served, ...served],
+      };
+      schedule();
+    },
     tellBroken: (server) => send(buildUpdate({ broken: [server] })),
     tellLeaving: (told) => sendToSome(buildUpdate({ leaving: [told] })),
   };
--- a/packages/peers/src/types.ts
+++ b/packages/peers/src/types.ts
@@ -3,6 +3,7 @@
  * Tables of the store are handed on with their age, by which promises are kept.
  */
 import type { BoxName, DataHallName, Ms } from "@stairgauge/common";
+import type { CrashNews } from "@stairgauge/crashes";
 import type { RowChange, StoredRow } from "@stairgauge/storefeed";
 import type { ServerAddress, ServerId } from "@stairgauge/directory";
 import type {
@@ -46,10 +47,15 @@
   reports: readonly ToldReport[];
   /** Servers that broke requests of the box off before they answered. */
   broken: readonly ServerId[];
+  /** Requests under which servers ended, as the box has seen it, or all that it knows. */
+  crashes: CrashNews;
 }>;
 
-/** What a hub tells a box that has runs at a server. */
-export type HubNotice = Readonly<{ leaving: readonly ToldLeaving[] }>;
+/** What a box tells those that are linked to it: of servers at which they have runs, and of requests that end servers. */
+export type HubNotice = Readonly<{
+  leaving: readonly ToldLeaving[];
+  crashes: CrashNews;
+}>;
 
 /** What one box asks another of a table: all of it, or its changes as soon as there is news. */
 export type TableQuestion = Readonly<
--- a/packages/peers/src/updateCodec.ts
+++ b/packages/peers/src/updateCodec.ts
@@ -1,5 +1,6 @@
 /** Updates as bytes, and back; what another box sends is checked like any input. */
 import type { BoxName, Ms } from "@stairgauge/common";
+import type { CrashNews, RequestDigest } from "@stairgauge/crashes";
 import type { ServerId } from "@stairgauge/directory";
 import type { PlacedRun } from "@stairgauge/placement";
 import { z } from "zod";
@@ -52,7 +53,21 @@
 
 const leavingSchema = z.array(z.object({ server: z.string(), gone: z.boolean() }));
 
-const noticeSchema = z.object({ leaving: leavingSchema });
+const digestSchema = z.string().regex(/^[0-9a-f]{32}$/);
+
+const crashesSchema = z.object({
+  ends: z.array(
+    z.object({ digest: digestSchema, server: z.string(), age: z.number().nonnegative() }),
+  ),
+  served: z.array(digestSchema),
+});
+
+const NO_CRASHES = { ends: [], served: [] };
+
+const noticeSchema = z.object({
+  leaving: leavingSchema.default([]),
+  crashes: crashesSchema.default(NO_CRASHES),
+});
 
 const updateSchema = z.object({
   box: z.string().min(1),
@@ -62,6 +77,7 @@
   leaving: leavingSchema.default([]),
   reports: z.array(reportSchema).default([]),
   broken: z.array(z.string()).default([]),
+  crashes: crashesSchema.default(NO_CRASHES),
 });
 
 const encodeReport = ({ server, report }: ToldReport): z.infer<typeof reportSchema> => ({
@@ -102,14 +118,29 @@
 const decodeLeaving = (leaving: z.infer<typeof leavingSchema>): readonly ToldLeaving[] =>
   leaving.map(({ server, gone }) => ({ server: server as ServerId, isEntryGone: gone }));
 
+/** News of which there is none takes no bytes. */
+const encodeCrashes = (crashes: CrashNews) =>
+  crashes.ends.length + crashes.served.length > 0 ? { crashes } : {};
+
+const decodeCrashes = ({ ends, served }: z.infer<typeof crashesSchema>): CrashNews => ({
+  ends: ends.map(({ digest, server, age }) => ({
+    digest: digest as RequestDigest,
+    server: server as ServerId,
+    age: age as Ms,
+  })),
+  served: served.map((digest) => digest as RequestDigest),
+});
+
 /** Encodes a notice. */
-export const encodeNotice = ({ leaving }: HubNotice): Buffer =>
-  Buffer.from(JSON.stringify({ leaving: encodeLeaving(leaving) }));
+export const encodeNotice = ({ leaving, crashes }: HubNotice): Buffer =>
+  Buffer.from(
+    JSON.stringify({ leaving: encodeLeaving(leaving), ...encodeCrashes(crashes) }),
+  );
 
 /** Decodes a notice; throws on bytes that are none, as the transport expects of a decoder. */
 export const decodeNotice = (bytes: Buffer): HubNotice => {
-  const { leaving } = noticeSchema.parse(JSON.parse(bytes.toString("utf8")));
-  return { leaving: decodeLeaving(leaving) };
+  const { leaving, crashes } = noticeSchema.parse(JSON.parse(bytes.toString("utf8")));
+  return { leaving: decodeLeaving(leaving), crashes: decodeCrashes(crashes) };
 };
 
 /** Encodes an update. */
@@ -122,6 +153,7 @@
       drop: update.drop,
       leaving: encodeLeaving(update.leaving),
       ...(update.broken.length > 0 && { broken: update.broken }),
+      ...encodeCrashes(update.crashes),
       ...(update.reports.length > 0 && { reports: update.reports.map(encodeReport) }),
     }),
   );
@@ -140,5 +172,6 @@
     leaving: decodeLeaving(update.leaving),
     reports: update.reports.map(decodeReport),
     broken: update.broken.map((server) => server as ServerId),
+    crashes: decodeCrashes(update.crashes),
   };
 };
--- a/packages/settings/src/boxSettings.ts
+++ b/packages/settings/src/boxSettings.ts
@@ -39,6 +39,7 @@
     configurationWaitMs: ms.optional(),
     serversWaitMs: ms.default(10_000),
     boxesWaitMs: ms.default(15_000),
+    blockedWaitMs: ms.default(30_000),
     /** How much longer an answer may take before it counts as lost. */
     patienceMs: ms.default(1_000),
     firstPauseMs: ms.default(100),
@@ -81,6 +82,15 @@
     slack: z.number().nonnegative(),
     windowSeconds: z.number().positive(),
   }),
+  /** Requests under which servers end. */
+  crashes: z
+    .strictObject({
+      /** Servers that have to end under a request before it is kept from all others. */
+      blockingEnds: z.int().min(2).default(3),
+      /** How long an end counts, and so how long a request is kept from servers unless an operator releases it. */
+      memorySeconds: z.number().positive().default(3_600),
+    })
+    .prefault({}),
   limits: z
     .strictObject({
       /** Files and sockets that the process may have open. */
--- a/packages/telemetry/src/boxMetrics.ts
+++ b/packages/telemetry/src/boxMetrics.ts
@@ -46,6 +46,11 @@
       help: "Backend servers that get new work",
       registers,
     }),
+    blockedRequests: new Gauge({
+      name: "stairgauge_blocked_requests",
+      help: "Requests that are kept from servers, since servers ended under them",
+      registers,
+    }),
     peerMessages: new Counter({
       name: "stairgauge_peer_messages_total",
       help: "Messages between boxes, by call and direction",
