fix: what a box knows is as old as it is after its machine was suspended

Cause: the steady clock stands still while a machine is suspended, so keys, configuration, the lists of servers, halls and boxes, places from hubs and standby copies all looked younger than they are; a box that hears the store would have handed them on to others as fresh. Time of day alone can't tell a suspension from a clock that is set. Change: one clock in common that counts every gain of the time of day beyond the steady clock as time that passed unseen, and no loss; ages that prove something are judged by it. Pacing, budgets and spells of cold servers stay with the steady clock, which errs to their safe side. Line clock_gap. Tests: the whole box (fails with the wiring taken out: a key is accepted, 200 for 503), mirrors, hubs' places, and the clock by injected sources.

--- a/apps/box/src/box.testkit.ts
+++ b/apps/box/src/box.testkit.ts
@@ -1,7 +1,7 @@
 /** A box, whole, before the stand-in of the users' platform, on loopback: what its tests share. */
 import { request as openRequest, type IncomingMessage } from "node:http";
 import { afterEach } from "vitest";
-import { createSystemClock } from "@stairgauge/common";
+import { createSystemClock, type Clock } from "@stairgauge/common";
 import { parseBoxSettings } from "@stairgauge/settings";
 import {
   SITE_HOST,
@@ -54,6 +54,7 @@
   store: string,
   name = "box-1",
   changes: BoxChanges = {},
+  clock: Clock = createSystemClock(),
 ) => {
   const settings = parseBoxSettings(formatSettings(name, store, changes));
   if (settings.err) throw new TypeError(JSON.stringify(settings.val));
@@ -65,7 +66,7 @@
     writeWarning: write,
     flush: () => undefined,
   };
-  const box = createBox({ settings: settings.val, clock: createSystemClock(), log });
+  const box = createBox({ settings: settings.val, clock, log });
   const ports = await box.start();
   closers.push(box.stop);
   return { box, ports, lines };
--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -4,6 +4,7 @@
   type BoxName,
   type Clock,
   type DataHallName,
+  toAgingClock,
   toHostAndPort,
   type Ms,
   type RegionName,
@@ -51,6 +52,7 @@
 import { createMetricsServer, createReadyServer, listenOn } from "./smallServers.js";
 import { stopInOrder } from "./stopInOrder.js";
 import { createUpdateTaker, toToldLeaving } from "./takeUpdates.js";
+import { createConfigurationView } from "./viewConfiguration.js";
 
 /** Ports that a started box listens on. */
 export type BoxPorts = Readonly<{
@@ -111,6 +113,8 @@
     denyWithin: settings.bounds.configurationMs as Ms,
     acceptWithin: computeAcceptWithin(settings.bounds),
   });
+  const agingClock = toAgingClock(clock);
+  const configuration = createConfigurationView(keeper, agingClock);
   const own = settings.box as BoxName;
   const member = {
     box: own,
@@ -118,7 +122,7 @@
     dataHall: settings.dataHall as DataHallName,
   };
   const outOfTouchAge = computeTiming(settings).wait * OUT_OF_TOUCH_WAITS;
-  const isOutOfTouch = () => keeper.getAge(clock.monotonic()) > outOfTouchAge;
+  const isOutOfTouch = () => configuration.getAge() > outOfTouchAge;
   const book = createLoadBook((change) => teller.takeChange(change));
   const rivals = createRivalRate();
   const updates = createUpdateTaker({
@@ -185,7 +189,7 @@
     countBoxes: () => links.countBoxes(),
   });
   const hubs = createHubs({
-    clock,
+    clock: agingClock,
     own,
     links,
     findServer: (id) => directory.find(id),
@@ -325,7 +329,7 @@
     clock,
     random,
     codec: createHeadCodec(),
-    configuration: keeper,
+    configuration,
     placer,
     budget,
     runs,
@@ -333,7 +337,7 @@
     adviser: hubs.adviser,
     runKeeper: mover,
     guard: crashes.guard,
-    observer: observeForwarding({ log, metrics, keeper, clock }),
+    observer: observeForwarding({ log, metrics, configuration }),
     retryAfter: settings.clients.retryAfterMs as Ms,
     connectLimit: settings.clients.connectLimitMs as Ms,
     mostHeldBytes: settings.clients.heldMb * BYTES_PER_MB,
@@ -346,7 +350,7 @@
 
   const knowledge = createKnowledge({
     settings,
-    clock,
+    clock: agingClock,
     random,
     log,
     links,
@@ -367,7 +371,7 @@
   });
 
   const isReady = () => {
-    const standing = keeper.getStanding(clock.monotonic());
+    const standing = configuration.getStanding();
     return stopped === undefined && (standing === "current" || standing === "ageing");
   };
   const readyServer = createReadyServer(isReady);
--- a/apps/box/src/createMoves.ts
+++ b/apps/box/src/createMoves.ts
@@ -1,5 +1,5 @@
 /** Wires together what keeps the runs of one box alive when their engines leave: plans, standby copies and moves. */
-import type { Clock } from "@stairgauge/common";
+import { toAgingClock, type Clock } from "@stairgauge/common";
 import type { BackendServer, ServerDirectory } from "@stairgauge/directory";
 import {
   createExposureJudge,
@@ -64,7 +64,7 @@
       log.writeDecision("evacuation", { server: server.entry.id, runs: count }),
   });
   const standbys = createStandbyKeeper({
-    clock,
+    clock: toAgingClock(clock),
     actions,
     ...createExposureJudge({ directory, book, listTargets, findTraits, mayTake }),
     mayTake,
--- a/apps/box/src/main.ts
+++ b/apps/box/src/main.ts
@@ -1,6 +1,6 @@
 /** `stairgauged` on a platform that keeps configuration and server list: one box, alike everywhere. */
 import { readFileSync } from "node:fs";
-import { createSystemClock } from "@stairgauge/common";
+import { createSystemClock, type Clock } from "@stairgauge/common";
 import {
   formatSettingsFailure,
   parseBoxSettings,
@@ -49,7 +49,9 @@
 export const runBox = async (facts: StartFacts): Promise<void> => {
   const path = findPath();
   const settings = readSettings(path);
-  const clock = createSystemClock();
+  const clock: Clock = createSystemClock((duration) =>
+    log.writeWarning("clock_gap", { gapMs: Math.round(duration) }),
+  );
   const log = createDecisionLog({
     level: settings.log.level,
     clock,
--- a/apps/box/src/observers.ts
+++ b/apps/box/src/observers.ts
@@ -1,11 +1,14 @@
 /** Log lines and metrics of what a box decides and believes. */
-import type { Clock } from "@stairgauge/common";
 import type { DirectoryEvent, ServerDirectory } from "@stairgauge/directory";
 import type { ConfigurationEvent } from "@stairgauge/fleet";
-import type { ActiveRun, ForwardDecision, ForwardObserver } from "@stairgauge/forwarding";
+import type {
+  ActiveRun,
+  ConfigurationView,
+  ForwardDecision,
+  ForwardObserver,
+} from "@stairgauge/forwarding";
 import type { MoveDecision, StandbyDecision } from "@stairgauge/migration";
 import type { PeerMessage } from "@stairgauge/peers";
-import type { ConfigurationKeeper } from "@stairgauge/routing";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
 
 type Sinks = Readonly<{ log: DecisionLog; metrics: BoxMetrics }>;
@@ -55,9 +58,9 @@
 
 /** Observes decisions about requests. */
 export const observeForwarding = (
-  options: Sinks & Readonly<{ keeper: ConfigurationKeeper; clock: Clock }>,
+  options: Sinks & Readonly<{ configuration: ConfigurationView }>,
 ): ForwardObserver => {
-  const { log, metrics, keeper, clock } = options;
+  const { log, metrics, configuration } = options;
   return {
     onDecision: ({ head, route, sinceReceived }, decision) => {
       const { kind, ...inputs } = decision;
@@ -74,8 +77,8 @@
         request: head.id,
         route: route?.name,
         afterMs: Math.round(sinceReceived),
-        version: keeper.getIndex()?.configuration.version,
-        versionAgeMs: Math.round(keeper.getAge(clock.monotonic())),
+        version: configuration.getIndex()?.configuration.version,
+        versionAgeMs: Math.round(configuration.getAge()),
         ...roundNumbers(inputs),
         ...(AIMED_ENDS.has(kind) && {
           aimMs: route?.firstAnswerAim,
--- /dev/null
+++ b/apps/box/src/viewConfiguration.ts
@@ -0,0 +1,14 @@
+/** The configuration as those see it who decide by how old it is. */
+import type { Clock } from "@stairgauge/common";
+import type { ConfigurationView } from "@stairgauge/forwarding";
+import type { ConfigurationKeeper } from "@stairgauge/routing";
+
+/** Creates the view; the clock is the one by which the configuration was confirmed. */
+export const createConfigurationView = (
+  keeper: ConfigurationKeeper,
+  clock: Clock,
+): ConfigurationView => ({
+  getIndex: keeper.getIndex,
+  getStanding: () => keeper.getStanding(clock.monotonic()),
+  getAge: () => keeper.getAge(clock.monotonic()),
+});
--- a/packages/common/src/virtualClock.ts
+++ b/packages/common/src/virtualClock.ts
@@ -95,6 +95,7 @@
   return {
     now: () => time as Ms,
     monotonic: () => time as Ms,
+    boottime: () => time as Ms,
     setTimer: (delay, fire) => {
       const own = order++;
       let isPending = true;
--- a/packages/forwarding/src/forwarderTypes.ts
+++ b/packages/forwarding/src/forwarderTypes.ts
@@ -23,8 +23,8 @@
 /** What is known when a request comes. */
 export type ConfigurationView = Readonly<{
   getIndex: () => ConfigurationIndex | undefined;
-  getStanding: (now: Ms) => Standing;
-  getAge: (now: Ms) => Ms;
+  getStanding: () => Standing;
+  getAge: () => Ms;
 }>;
 
 /** Why the system itself ends a request. */
--- a/packages/peers/src/sharedKnowledge.testkit.ts
+++ b/packages/peers/src/sharedKnowledge.testkit.ts
@@ -108,6 +108,7 @@
   const makeClock = (box: number, offset: number): Clock => ({
     now: () => (world.now() + offset) as Ms,
     monotonic: () => (world.now() + offset) as Ms,
+    boottime: () => (world.now() + offset) as Ms,
     setTimer: (delay, fire) => world.setTimer(delay, () => runAt(box, fire)),
   });
 
