feat: lines say when a server names a limit, changes it and no longer names it

Cause: of what a server says of itself in the head of an answer, boxes read its start, its cold spell and the end of its connection. Whether one of them ever saw a limit, which server named it and when, could not be told from lines or metrics, so H1 (nobody takes it in), H2 (each keeps it as if alone) and H3 (known too late) looked the same.

Change: the header is decoded in platform/ into a sign (none, a decimal number, anything else); the new package limits keeps what servers have named; lines server_limit_named, _changed, _lifted, _run_out, _unreadable. Read from answers to requests, health answers, reports, and answers to copies and moves. Nothing is decided by it yet.

--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -9,7 +9,7 @@
   type Ms,
   type RegionName,
 } from "@stairgauge/common";
-import { createServerDirectory, type BackendServer } from "@stairgauge/directory";
+import type { BackendServer } from "@stairgauge/directory";
 import { createPlaceHub, createPlacer, createReportPoller } from "@stairgauge/fleet";
 import {
   computeClientConnections,
@@ -45,10 +45,12 @@
 import { answerMoves, createHubs, toPlaceAnswer } from "./askHubs.js";
 import { createCrashes } from "./createCrashes.js";
 import { createColdServers } from "./createColdServers.js";
+import { createDirectory } from "./createDirectory.js";
 import { computeCapacity, computeTiming, createKnowledge } from "./createKnowledge.js";
+import { createLimits } from "./createLimits.js";
 import { createMoves } from "./createMoves.js";
 import { createSinks } from "./createSinks.js";
-import { observeForwarding, observePeers, observeServers } from "./observers.js";
+import { observeForwarding, observePeers } from "./observers.js";
 import { createMetricsServer, createReadyServer, listenOn } from "./smallServers.js";
 import { stopInOrder } from "./stopInOrder.js";
 import { createUpdateTaker, toToldLeaving } from "./takeUpdates.js";
@@ -83,8 +85,6 @@
 const BYTES_PER_MB = 1024 * 1024;
 /** Keys are refused this long before the bound, so that a slow turn of the loop breaks nothing. */
 const KEY_MARGIN_MS = 300;
-/** How long a server that left is remembered, for runs that are still being moved from it. */
-const LEFT_MEMORY_MS = 30_000 as Ms;
 
 /**
  * Knowledge older than this many waits for news comes of a store that does not answer: in touch it is at most one wait old
@@ -188,6 +188,7 @@
     getDirectory: () => directory,
     countBoxes: () => links.countBoxes(),
   });
+  const limits = createLimits({ clock, log, getDirectory: () => directory });
   const hubs = createHubs({
     clock: agingClock,
     own,
@@ -218,41 +219,18 @@
     onFailure: (failure) => log.writeWarning("membership", { failure }),
   });
   const runs = createActiveRuns();
-  const actions = createEngineActions();
+  const actions = createEngineActions({ onLimitSign: limits.takeEngineSign });
 
-  /** What the store says reaches each box by its table; what an engine or a box said, by the hubs. */
-  const tellLeaving = (server: BackendServer) => {
-    const reason = server.leaving?.reason;
-    if (reason === "entry_says_leaving" || reason === "entry_gone") return;
-    const told = toToldLeaving(server);
-    teller.tellLeaving(told);
-    const boxes = book.listPeersAt(server.entry.id) as BoxName[];
-    peerServer.notify(boxes, {
-      leaving: [told],
-      crashes: { ends: [], served: [] },
-    });
-  };
-  const directory = createServerDirectory({
-    memory: LEFT_MEMORY_MS,
-    onEvent: (event) => {
-      observeServers({ log, metrics }, directory, event);
-      const { server } = event;
-      if (event.kind === "joined") {
-        cold.spells.onJoined(server.entry);
-        reports.add(server);
-      }
-      if (event.kind === "joined" || event.kind === "changed")
-        cold.spells.onEntry(server.entry);
-      if (event.kind === "leaving") {
-        mover.onServerLeaving(server);
-        tellLeaving(server);
-      }
-      if (event.kind !== "forgotten") return;
-      book.drop(server.entry.id);
-      cold.spells.forget(server.entry.id);
-      cold.limits.forget(server.entry.id);
-      mover.onServerForgotten(server);
-    },
+  const directory = createDirectory({
+    log,
+    metrics,
+    book,
+    cold,
+    limits,
+    teller,
+    peerServer,
+    getReports: () => reports,
+    getMover: () => mover,
   });
   const findTraits = (server: BackendServer) =>
     keeper.getIndex()?.findService(server.entry.service)?.engine;
@@ -285,6 +263,7 @@
     rivals,
     cold: cold.limits,
     spells: cold.spells,
+    limits: limits.book,
     getConnectionShare: (service) =>
       computeConnectionShare(
         keeper.getIndex()?.findService(service)?.maxConnections,
--- a/apps/box/src/observers.ts
+++ b/apps/box/src/observers.ts
@@ -7,6 +7,7 @@
   ForwardDecision,
   ForwardObserver,
 } from "@stairgauge/forwarding";
+import type { LimitEvent } from "@stairgauge/limits";
 import type { MoveDecision, StandbyDecision } from "@stairgauge/migration";
 import type { PeerMessage } from "@stairgauge/peers";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
@@ -115,6 +116,14 @@
   });
 };
 
+/** Observes limits that servers name. */
+export const observeLimits =
+  ({ log }: Pick<Sinks, "log">) =>
+  (event: LimitEvent): void => {
+    const { kind, ...fields } = event;
+    log.writeNotice(`server_limit_${kind}`, roundNumbers(fields));
+  };
+
 /** Observes the configuration in force. */
 export const observeConfiguration = (
   { log, metrics }: Sinks,
--- a/packages/fleet/src/adviseOthers.test.ts
+++ b/packages/fleet/src/adviseOthers.test.ts
@@ -102,6 +102,7 @@
     rivals: createRivalRate(),
     cold,
     spells,
+    limits: { takeSign: () => undefined },
     getConnectionShare: () => Infinity,
     isAlive: () => Promise.resolve(true),
     onClosingAnnounced: () => undefined,
--- a/packages/fleet/src/createPlacer.ts
+++ b/packages/fleet/src/createPlacer.ts
@@ -8,6 +8,7 @@
 } from "@stairgauge/common";
 import type { BackendServer, ServerDirectory, ServerId } from "@stairgauge/directory";
 import type { ActiveRun, Placer } from "@stairgauge/forwarding";
+import type { LimitBook } from "@stairgauge/limits";
 import {
   chooseServer,
   estimateEngineLoad,
@@ -38,6 +39,7 @@
   rivals: Pick<RivalRate, "estimate">;
   cold: Pick<ColdLimits, "mayTake" | "record">;
   spells: Pick<ColdSpells, "mayBeCold" | "onEntry" | "onUnreachable">;
+  limits: Pick<LimitBook, "takeSign">;
   onClosingAnnounced: (server: BackendServer) => void;
   /** A server broke a request of this box off before it answered. */
   onBroken: (server: ServerId) => void;
@@ -181,6 +183,8 @@
     takeBroken: (server) => suspects.addBreak(server, clock.monotonic()),
     takeAnswered: suspects.removeBreaks,
     onWarmUpTold: ({ entry }, warmUpLeft) => spells.onEntry({ ...entry, warmUpLeft }),
+    onLimitSign: ({ entry }, sign, sentAgo) =>
+      options.limits.takeSign(entry.id, sign, sentAgo),
     onConnectionClosing: options.onClosingAnnounced,
     onRunBegun: (server, head) => {
       if (head.id !== undefined) book.markBegun(server.entry.id, head.id);
--- a/packages/forwarding/src/askServer.ts
+++ b/packages/forwarding/src/askServer.ts
@@ -1,6 +1,7 @@
 /** Asks a server whether it is still there, by its health path: another process at its address says who it is. */
 import type { Clock, Ms } from "@stairgauge/common";
 import type { ServerEntry } from "@stairgauge/directory";
+import type { LimitSign } from "@stairgauge/limits";
 import { openExchange } from "./openExchange.js";
 import type { AnswerHead, HeadCodec } from "./types.js";
 
@@ -12,6 +13,8 @@
       startedAt: Ms | undefined;
       /** How much longer it stays cold, where it says so. */
       warmUpLeft: Ms | undefined;
+      /** What it says of the requests that it takes. */
+      limit: LimitSign;
     }
   | { kind: "absent"; cause: AbsenceCause; detail: string }
 >;
@@ -57,7 +60,8 @@
   const isTold = startedAt !== undefined && entry.startedAt !== undefined;
   if (isTold && startedAt !== entry.startedAt)
     return makeAbsent("it has started again", "ended");
-  return { kind: "present", startedAt, warmUpLeft: answer.warmUpLeft };
+  const { warmUpLeft, limit } = answer;
+  return { kind: "present", startedAt, warmUpLeft, limit };
 };
 
 /** Resolves with what is heard first; a body that does not end in time leaves it at the head. */
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -20,6 +20,7 @@
 /** The attempt's state; only the dispatch that made it changes it. */
 export type Attempt = {
   readonly server: BackendServer;
+  readonly openedAt: Ms;
   exchange: Exchange | undefined;
   head: AnswerHead | undefined;
   /** When the head came. */
@@ -40,10 +41,12 @@
 /** Creates an attempt that has not been sent. */
 export const createAttempt = ({
   server,
+  openedAt,
   eventsBefore,
   release,
-}: Pick<Attempt, "server" | "eventsBefore" | "release">): Attempt => ({
+}: Pick<Attempt, "server" | "openedAt" | "eventsBefore" | "release">): Attempt => ({
   server,
+  openedAt,
   exchange: undefined,
   head: undefined,
   answeredAt: undefined,
--- a/packages/forwarding/src/createServerAsker.ts
+++ b/packages/forwarding/src/createServerAsker.ts
@@ -23,6 +23,7 @@
     const { healthPath } = service;
     const sign = await askServer({ clock, codec, entry, healthPath, connectLimit });
     if (sign.kind === "absent") return sign;
+    placer.onLimitSign(server, sign.limit, undefined);
     if (sign.warmUpLeft !== undefined) placer.onWarmUpTold(server, sign.warmUpLeft);
     const isStartUnsaid = sign.startedAt === undefined && entry.startedAt !== undefined;
     if (!isStartUnsaid || !service.engine) return sign;
--- a/packages/forwarding/src/decideNext.test.ts
+++ b/packages/forwarding/src/decideNext.test.ts
@@ -15,6 +15,7 @@
   server: undefined,
   startedAt: undefined,
   warmUpLeft: undefined,
+  limit: { kind: "unnamed" },
   isClosing: false,
   isEncoded: false,
   contentLength: 2,
--- a/packages/forwarding/src/describeBytesEnd.test.ts
+++ b/packages/forwarding/src/describeBytesEnd.test.ts
@@ -17,6 +17,7 @@
   server: undefined,
   startedAt: undefined,
   warmUpLeft: undefined,
+  limit: { kind: "unnamed" },
   isClosing: false,
   isEncoded: false,
   contentLength: undefined,
--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -25,17 +25,13 @@
   toOutcome,
   type AttemptEnd,
 } from "./decideNext.js";
-import type { AdmittedRequest, DispatchDeps, RefusalReason } from "./forwarderTypes.js";
+import { createOwnAnswers } from "./createOwnAnswers.js";
+import type { AdmittedRequest, DispatchDeps } from "./forwarderTypes.js";
 import { createCallGuard } from "./guardCall.js";
 import { openExchange } from "./openExchange.js";
+import { recordServerSigns } from "./recordServerSigns.js";
 import { placeAgain, placeByAdvice, type PlaceableRequest } from "./placeByAdvice.js";
 import { computePlacingTerms } from "./placeWithRoom.js";
-import {
-  makeBlockedAnswer,
-  REFUSAL_OF_NO_SERVER,
-  sendOwnAnswer,
-  type ReasonedAnswer,
-} from "./sendOwnAnswer.js";
 import { createStreamRelay } from "./streamRelay.js";
 import type { AnswerHead, DispatchTerms, ExchangeFailure } from "./types.js";
 import { watchSilence } from "./watchSilence.js";
@@ -89,15 +85,7 @@
     runs.remove(run);
     runKeeper.onFinished(run);
   };
-  const answerOwn = (own: ReasonedAnswer) => {
-    if (isOver) return;
-    sendOwnAnswer(deps, request, own);
-    finish();
-  };
-  const answerNotRun = (reason: RefusalReason, detail?: string) =>
-    answerOwn({ status: 503, reason, detail, retryAfter: deps.retryAfter });
-  const answerUnknown = (reason: RefusalReason, detail?: string) =>
-    answerOwn({ status: 502, reason, detail, retryAfter: undefined });
+  const own = createOwnAnswers({ deps, request, isOver: () => isOver, finish });
   const loseStream = (left: LeftServer, detail: string) => {
     reports.tellStreamLost(left, detail);
     answer.break();
@@ -113,9 +101,8 @@
       finish();
       return;
     }
-    if (mayRunStill)
-      answerOwn({ status: 504, reason: "out_of_time", retryAfter: undefined });
-    else answerNotRun("out_of_time_unsent");
+    if (mayRunStill) own.answerOutOfTime();
+    else own.answerNotRun("out_of_time_unsent");
   };
   const limitTimer: Timer = clock.setTimer((endsAt - getNow()) as Ms, endOutOfTime);
 
@@ -160,7 +147,12 @@
     continuation?: DispatchTerms["continuation"],
   ): Attempt => {
     const release = placer.place(server, head, demand);
-    const attempt = createAttempt({ server, eventsBefore: relay.getEvents(), release });
+    const attempt = createAttempt({
+      server,
+      openedAt: getNow(),
+      eventsBefore: relay.getEvents(),
+      release,
+    });
     current = attempt;
     const exchangeRequest = buildExchangeRequest(deps, clock, request, {
       server,
@@ -220,8 +212,7 @@
   const takeHead = (attempt: Attempt, answerHead: AnswerHead) => {
     attempt.silence?.cancel();
     attempt.answeredAt = getNow();
-    placer.onAnswered(attempt.server);
-    if (answerHead.isClosing) placer.onConnectionClosing(attempt.server);
+    recordServerSigns(placer, attempt, answerHead);
   };
   const takeStreamBegun = (attempt: Attempt) => {
     if (continuations > 0 && run) {
@@ -320,10 +311,10 @@
         attemptNext();
         return;
       case "answer_not_run":
-        answerNotRun("no_server_ran_it", describeEnd(end));
+        own.answerNotRun("no_server_ran_it", describeEnd(end));
         return;
       case "answer_unknown":
-        answerUnknown("answer_lost", describeEnd(end));
+        own.answerUnknown("answer_lost", describeEnd(end));
         return;
     }
   };
@@ -348,15 +339,15 @@
   const takePlace = (decision: PlacementDecision, by?: string) => {
     if (isOver || endIfBlocked()) return;
     if (decision.kind === "placed") sendTo(decision, by);
-    else if (mayHaveRun && !mayRepeat(route)) answerUnknown("no_server_left");
-    else answerNotRun(REFUSAL_OF_NO_SERVER[decision.reason]);
+    else if (mayHaveRun && !mayRepeat(route)) own.answerUnknown("no_server_left");
+    else own.answerNoServer(decision);
   };
 
   /** Refuses a request under which too many servers have ended, with the time until it may come again. */
   const endIfBlocked = (): boolean => {
     const left = guard.findBlock();
     if (left === undefined || relay.hasBegun()) return false;
-    answerOwn(makeBlockedAnswer(left, mayHaveRun));
+    own.answerBlocked(left, mayHaveRun);
     return true;
   };
 
--- a/packages/forwarding/src/forwarderTypes.ts
+++ b/packages/forwarding/src/forwarderTypes.ts
@@ -2,6 +2,7 @@
 import type { Clock, Ms, Random, ServiceName } from "@stairgauge/common";
 import type { BrokenRun, RequestDigest, RequestGuard } from "@stairgauge/crashes";
 import type { BackendServer, ServerId } from "@stairgauge/directory";
+import type { LimitSign } from "@stairgauge/limits";
 import type { Demand, PlacementDecision } from "@stairgauge/placement";
 import type {
   AccessRefusal,
@@ -151,6 +152,8 @@
   isAlive: (server: BackendServer) => Promise<boolean>;
   /** The server says that it is cold for so long yet. */
   onWarmUpTold: (server: BackendServer, left: Ms) => void;
+  /** What an answer says of the server's limit; `sentAgo` as the book of limits takes it. */
+  onLimitSign: (server: BackendServer, sign: LimitSign, sentAgo: Ms | undefined) => void;
   /** An answer announced the end of its connection, which a leaving server does. */
   onConnectionClosing: (server: BackendServer) => void;
 }>;
--- a/packages/forwarding/src/guardCall.test.ts
+++ b/packages/forwarding/src/guardCall.test.ts
@@ -46,6 +46,7 @@
     const release = () => undefined;
     const attempt = createAttempt({
       server: makeServer(id),
+      openedAt: clock.monotonic(),
       eventsBefore: events,
       release,
     });
--- a/packages/forwarding/src/judgeEnd.test.ts
+++ b/packages/forwarding/src/judgeEnd.test.ts
@@ -49,6 +49,7 @@
       kind: "present",
       startedAt: undefined,
       warmUpLeft: undefined,
+      limit: { kind: "unnamed" },
     } as const;
     expect(judgeEndBy(present)).toEqual({ kind: "whole" });
     expect(judgeEndBy(undefined)).toEqual({ kind: "whole" });
--- a/packages/forwarding/src/serverEnds.test.ts
+++ b/packages/forwarding/src/serverEnds.test.ts
@@ -9,6 +9,7 @@
   kind: "present",
   startedAt: undefined,
   warmUpLeft: undefined,
+  limit: { kind: "unnamed" },
 };
 const REFUSED = makeAbsent("ECONNREFUSED", "ended");
 const SILENT = makeAbsent("no answer in time", "not_heard");
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -1,6 +1,7 @@
 /** What forwarding hands around: requests as clients sent them, answers as servers gave them. */
 import type { Brand, Ms, WorkspaceName } from "@stairgauge/common";
 import type { ServerAddress, ServerName } from "@stairgauge/directory";
+import type { LimitSign } from "@stairgauge/limits";
 
 /** Identity of one try of a client, chosen by the client. */
 export type ClientRequestId = Brand<string, "ClientRequestId">;
@@ -70,6 +71,8 @@
   server: ServerName | undefined;
   startedAt: Ms | undefined;
   warmUpLeft: Ms | undefined;
+  /** What the server says of the requests that it takes. */
+  limit: LimitSign;
   /** The body is encoded, so it is not the server's body. */
   isEncoded: boolean;
   /** Length of the body, when the head gives it. */
