--- /dev/null
+++ b/apps/box/src/serverLimits.test.ts
@@ -0,0 +1,36 @@
+/**
+ * Two of four plain servers named in their answers how many requests a second they take from all boxes together, 1.7 and 1.9. No
+ * box read it: 3 s later one had got 23 requests in 4 s where 15 are allowed, 13 of them from one box that stands beside it, all of
+ * them first tries. Boxes wrote `placed` and `answered` lines as before and after; none named a limit.
+ *
+ *   {"box":"edge-rennes-b-1","request":"4aff","server":"i-8d15","afterMs":32,"status":200,"event":"answered"}
+ *   {"box":"edge-rennes-b-2","request":"3787","server":"i-8d15","afterMs":21,"status":200,"event":"answered"}
+ */
+import { describe, expect, it } from "vitest";
+import {
+  computeAllowed,
+  CONTACT_MS,
+  countMostFromTold,
+  startLimitedSite,
+  type LimitCase,
+} from "./serverLimits.testkit.js";
+
+/** Time through which windows are counted. */
+const COUNTED_MS = 6_000;
+
+/** What is asked of the server in need. */
+const PER_SECOND = 1.7;
+
+describe("a server that names a limit", () => {
+  it.each<[string, LimitCase]>([
+    ["plain, 3 boxes", { path: "/once/", kind: "plain", boxes: 3, perSecond: 60 }],
+    ["plain, 14 boxes", { path: "/again/", kind: "plain", boxes: 14, perSecond: 60 }],
+    ["streams, 7 boxes", { path: "/draft/", kind: "engine", boxes: 7, perSecond: 60 }],
+  ])("gets no more than it allows: %s", async (_, limitCase) => {
+    const { servers, setNaming, sendFor } = await startLimitedSite(limitCase);
+    setNaming(() => String(PER_SECOND), 0);
+    await sendFor(CONTACT_MS + COUNTED_MS);
+    const most = countMostFromTold(servers.listArrivals(0));
+    expect(most).toBeLessThanOrEqual(computeAllowed(PER_SECOND));
+  });
+});
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -47,5 +47,12 @@
 } from "./usersPlatform/scriptedEngines.js";
 export { CRASHING_BODY, startCrashingServers } from "./usersPlatform/crashingServers.js";
 export type { CrashingKind, CrashingServers } from "./usersPlatform/crashingServers.js";
+export { startLimitedServers } from "./usersPlatform/limitedServers.js";
+export type {
+  LimitedArrival,
+  LimitedKind,
+  LimitedServers,
+  LimitNaming,
+} from "./usersPlatform/limitedServers.js";
 export { formatWireAsk, startWireEngine } from "./usersPlatform/wireEngine.js";
 export type { WireAsk, WireBirthPlace } from "./usersPlatform/wireEngine.js";
--- a/packages/standins/src/usersPlatform/crashingServers.ts
+++ b/packages/standins/src/usersPlatform/crashingServers.ts
@@ -5,11 +5,9 @@
 import { createServer, type Server, type Socket } from "node:net";
 import { HEADER, SERVER_PATH } from "@stairgauge/platform";
 import { HEALTH_PATH, listenOnLoopback } from "./loopback.js";
-import { formatStreamHead } from "./scriptedEngines.js";
-import { formatEngineEvent } from "./usersEngine.js";
+import { sendPlainAnswer, sendStreamEvents, sendWholeStream } from "./soundAnswers.js";
 import {
   findHeader,
-  HEAD_END,
   IDLE_REPORT,
   readWireRequests,
   sendWireJson,
@@ -22,9 +20,8 @@
 const ENDS_AFTER_MS = 30;
 const BACK_AFTER_MS = 300;
 
-/** Time that a sound plain request takes, and events of a sound stream. */
+/** Time that a sound plain request takes. */
 const PLAIN_MS = 20;
-const SOUND_EVENTS = 4;
 
 /** Start that the first of all starts comes after, in Unix milliseconds. */
 const FIRST_BORN = 1_700_000_000_000;
@@ -51,29 +48,6 @@
   close: () => void;
 }>;
 
-const formatChunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
-const CHUNKED = "Transfer-Encoding: chunked";
-
-const sendPlain = (socket: Socket, request: string) => {
-  const body = `answer to ${request}`;
-  const head = [
-    "HTTP/1.1 200 OK",
-    `${HEADER.requestId}: ${request}`,
-    `${HEADER.signature}: signature`,
-    `Content-Length: ${body.length}`,
-  ];
-  setTimeout(() => socket.write(head.join("\r\n") + HEAD_END + body), PLAIN_MS);
-};
-const sendEvents = (socket: Socket, request: string, to: number, from = 0) => {
-  socket.write(formatStreamHead(request, CHUNKED));
-  for (let at = from; at < to; at += 1)
-    socket.write(formatChunk(formatEngineEvent(request, at)));
-};
-const sendStream = (socket: Socket, request: string, from: number) => {
-  sendEvents(socket, request, SOUND_EVENTS, from);
-  socket.write("0\r\n\r\n");
-};
-
 /** Starts the servers. */
 export const startCrashingServers = async (
   options: CrashingServersOptions,
@@ -105,7 +79,7 @@
     };
     const startCrash = (socket: Socket, request: string) => {
       arrivals += 1;
-      if (isEngine) sendEvents(socket, request, 1);
+      if (isEngine) sendStreamEvents(socket, request, { from: 0, to: 1 });
       setTimeout(endServer, ENDS_AFTER_MS);
     };
     const takeRequest = (socket: Socket, head: string, body: string) => {
@@ -119,12 +93,12 @@
         ]);
       else if (body.includes(CRASHING_BODY)) startCrash(socket, request);
       else if (isEngine)
-        sendStream(
+        sendWholeStream(
           socket,
           request,
           Number(findHeader(head, HEADER.lastEventId) ?? -1) + 1,
         );
-      else sendPlain(socket, request);
+      else setTimeout(() => sendPlainAnswer(socket, request), PLAIN_MS);
     };
     const listen = async () => {
       if (isClosed) return;
--- /dev/null
+++ b/packages/standins/src/usersPlatform/soundAnswers.ts
@@ -0,0 +1,56 @@
+/** Sound answers of stand-ins that write them byte by byte. */
+import type { Socket } from "node:net";
+import { HEADER } from "@stairgauge/platform";
+import { formatStreamHead } from "./scriptedEngines.js";
+import { formatEngineEvent } from "./usersEngine.js";
+import { HEAD_END } from "./wireRequests.js";
+
+/** Events of a sound stream. */
+const SOUND_EVENTS = 4;
+
+const CHUNKED = "Transfer-Encoding: chunked";
+
+const formatChunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
+
+/** Which events of a stream are sent: from `from`, up to `to` without it. */
+export type EventRange = Readonly<{ from: number; to: number }>;
+
+/** Answers a plain request; `more` are whole header lines. */
+export const sendPlainAnswer = (
+  socket: Socket,
+  request: string,
+  more: readonly string[] = [],
+): void => {
+  const body = `answer to ${request}`;
+  const head = [
+    "HTTP/1.1 200 OK",
+    `${HEADER.requestId}: ${request}`,
+    `${HEADER.signature}: signature`,
+    `Content-Length: ${body.length}`,
+    ...more,
+  ];
+  socket.write(head.join("\r\n") + HEAD_END + body);
+};
+
+/** Begins a stream, which may go on. */
+export const sendStreamEvents = (
+  socket: Socket,
+  request: string,
+  { from, to }: EventRange,
+  more: readonly string[] = [],
+): void => {
+  socket.write(formatStreamHead(request, [CHUNKED, ...more].join("\r\n")));
+  for (let at = from; at < to; at += 1)
+    socket.write(formatChunk(formatEngineEvent(request, at)));
+};
+
+/** Sends a stream to its end. */
+export const sendWholeStream = (
+  socket: Socket,
+  request: string,
+  from: number,
+  more: readonly string[] = [],
+): void => {
+  sendStreamEvents(socket, request, { from, to: SOUND_EVENTS }, more);
+  socket.write("0\r\n\r\n");
+};
