--- a/apps/box/src/box.testkit.ts
+++ b/apps/box/src/box.testkit.ts
@@ -21,6 +21,9 @@
   while (!(await isMet())) await new Promise((resolve) => setTimeout(resolve, 5));
 };
 
+export const waitMs = (duration: number) =>
+  new Promise((resolve) => setTimeout(resolve, duration));
+
 /** Changes of a box's settings. */
 export type BoxChanges = Readonly<{
   stopSeconds?: number;
--- a/apps/box/src/crashingRequests.test.ts
+++ b/apps/box/src/crashingRequests.test.ts
@@ -15,7 +15,6 @@
   COUNTED_TRIES,
   MOST_ENDS,
   startCrashSite,
-  waitMs,
   type CrashCase,
 } from "./crashingRequests.testkit.js";
 
@@ -82,10 +81,8 @@
       boxes: 3,
     });
     for (let round = 0; round < RESETS; round += 1) {
-      const answered = fleet.map((box) => sendSound(box, 0));
-      await waitMs(5);
-      servers.resetConnections();
-      await Promise.all(answered);
+      servers.resetAfter(fleet.length);
+      await Promise.all(fleet.map((box) => sendSound(box, 0)));
     }
     const lines = fleet.flatMap((box) => box.lines);
     const verdicts = lines
--- a/apps/box/src/crashingRequests.testkit.ts
+++ b/apps/box/src/crashingRequests.testkit.ts
@@ -11,6 +11,7 @@
   makeGeneration,
   startBox,
   waitFor,
+  waitMs,
   waitUntilKnown,
   type Ask,
   type BoxChanges,
@@ -41,9 +42,6 @@
 /** What is asked for: a route of the site, and its kind of server. */
 export type CrashCase = Readonly<{ path: string; kind: CrashingKind; boxes: number }>;
 
-export const waitMs = (duration: number) =>
-  new Promise((resolve) => setTimeout(resolve, duration));
-
 /** Starts servers, and as many boxes as asked for, which know each other. */
 export const startCrashSite = async ({ path, kind, boxes }: CrashCase) => {
   const site = await startUsersSite({ engines: 0, services: 0 });
--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -8,6 +8,7 @@
   toHostAndPort,
   type Ms,
   type RegionName,
+  type ServiceName,
 } from "@stairgauge/common";
 import type { BackendServer } from "@stairgauge/directory";
 import { createPlaceHub, createPlacer, createReportPoller } from "@stairgauge/fleet";
@@ -20,15 +21,10 @@
   createRetryBudget,
   createWaitingRoom,
 } from "@stairgauge/forwarding";
-import {
-  createMembership,
-  createPeerLinks,
-  createPeerServer,
-  createRunTeller,
-  createWatchShares,
-} from "@stairgauge/peers";
+import { createMembership, createWatchShares, hasHubs } from "@stairgauge/peers";
 import {
   computeConnectionShare,
+  createFleetPlaces,
   createLoadBook,
   createRivalRate,
   ENGINE_WAYS,
@@ -47,13 +43,14 @@
 import { createColdServers } from "./createColdServers.js";
 import { createDirectory } from "./createDirectory.js";
 import { computeCapacity, computeTiming, createKnowledge } from "./createKnowledge.js";
-import { createLimits } from "./createLimits.js";
+import { createLimits, takeEngineSign } from "./createLimits.js";
 import { createMoves } from "./createMoves.js";
+import { createPeers } from "./createPeers.js";
 import { createSinks } from "./createSinks.js";
-import { observeForwarding, observePeers } from "./observers.js";
+import { observeForwarding } from "./observers.js";
 import { createMetricsServer, createReadyServer, listenOn } from "./smallServers.js";
 import { stopInOrder } from "./stopInOrder.js";
-import { createUpdateTaker, toToldLeaving } from "./takeUpdates.js";
+import { createUpdateTaker } from "./takeUpdates.js";
 import { createConfigurationView } from "./viewConfiguration.js";
 
 /** Ports that a started box listens on. */
@@ -123,6 +120,10 @@
   };
   const outOfTouchAge = computeTiming(settings).wait * OUT_OF_TOUCH_WAITS;
   const isOutOfTouch = () => configuration.getAge() > outOfTouchAge;
+  const isEngineService = (service: ServiceName) =>
+    keeper.getIndex()?.findService(service)?.engine !== undefined;
+  const isPlacedByHubs = (service: ServiceName) =>
+    hasHubs(links.countBoxes()) && isEngineService(service);
   const book = createLoadBook((change) => teller.takeChange(change));
   const rivals = createRivalRate();
   const updates = createUpdateTaker({
@@ -132,40 +133,20 @@
     getDirectory: () => directory,
     getPlacer: () => placer,
     getGuard: () => crashes.guard,
+    getLimits: () => limits,
     isOutOfTouch,
   });
-  const teller = createRunTeller({
-    clock,
-    own,
-    book,
-    send: (update) => links.tell(update),
-    sendToSome: (update) => links.tellSome(update),
-    listLeaving: () =>
-      directory
-        .list()
-        .filter(({ leaving }) => leaving !== undefined)
-        .map(toToldLeaving),
-    listCrashes: () => crashes.guard.listAllNews(),
-  });
-  const links = createPeerLinks({
+  const { teller, links, peerServer } = createPeers({
     clock,
     random,
-    own: member,
-    makeWhole: teller.makeWhole,
-    onNotice: ({ leaving, crashes: news }) => {
-      leaving.forEach(updates.takeLeaving);
-      crashes.guard.takeNews(news);
-    },
-    onMessage: observePeers({ metrics }),
-  });
-  const peerServer = createPeerServer({
-    onMessage: observePeers({ metrics }),
-    onUpdate: updates.takeUpdate,
-    makeGreeting: () => ({ leaving: [], crashes: crashes.guard.listSharedNews() }),
-    onPeerLost: (box) => {
-      book.dropPeer(box);
-      log.writeDecision("peer_lost", { peer: box });
-    },
+    log,
+    metrics,
+    member,
+    book,
+    updates,
+    getDirectory: () => directory,
+    getCrashes: () => crashes,
+    getLimits: () => limits,
     answerTable: (question) => knowledge.answer(question),
     answerPlace: async (question, signal) =>
       toPlaceAnswer(await placeHub.answer(question, signal)),
@@ -181,14 +162,26 @@
     getPeerServer: () => peerServer,
     onBlocked: () => forwarder.stopBlocked(),
   });
+  const places = createFleetPlaces(clock);
   const cold = createColdServers({
     settings,
     clock,
     keeper,
     getDirectory: () => directory,
-    countBoxes: () => links.countBoxes(),
+    places,
+    isPlacedByHubs,
+  });
+  const limits = createLimits({
+    clock,
+    log,
+    metrics,
+    places,
+    isPlacedByHubs,
+    getDirectory: () => directory,
+    getLinks: () => links,
+    getTeller: () => teller,
+    getPeerServer: () => peerServer,
   });
-  const limits = createLimits({ clock, log, getDirectory: () => directory });
   const hubs = createHubs({
     clock: agingClock,
     own,
@@ -212,14 +205,16 @@
       mostBoxesSeen = Math.max(mostBoxesSeen, peers.length);
       links.setPeers(peers);
       const place = links.findPlace();
-      if (place) cold.limits.setPlace(place);
+      if (place) places.setPlace(place);
       metrics.peerLinks.set(links.count());
       log.writeNotice("peers", { boxes: peers.length, links: links.count() });
     },
     onFailure: (failure) => log.writeWarning("membership", { failure }),
   });
   const runs = createActiveRuns();
-  const actions = createEngineActions({ onLimitSign: limits.takeEngineSign });
+  const actions = createEngineActions({
+    onLimitSign: (engine, sign) => takeEngineSign(directory, limits, engine, sign),
+  });
 
   const directory = createDirectory({
     log,
@@ -234,9 +229,6 @@
   });
   const findTraits = (server: BackendServer) =>
     keeper.getIndex()?.findService(server.entry.service)?.engine;
-  const isEngineService: (service: BackendServer["entry"]["service"]) => boolean = (
-    service,
-  ) => keeper.getIndex()?.findService(service)?.engine !== undefined;
   const reportInterval = settings.engines.reportIntervalMs as Ms;
   const urgentInterval = (reportInterval * URGENT_SHARE) as Ms;
   const reports = createReportPoller({
@@ -263,7 +255,7 @@
     rivals,
     cold: cold.limits,
     spells: cold.spells,
-    limits: limits.book,
+    limits,
     getConnectionShare: (service) =>
       computeConnectionShare(
         keeper.getIndex()?.findService(service)?.maxConnections,
@@ -283,7 +275,6 @@
     clock,
     book,
     placer,
-    cold: cold.limits,
     waitingRoom,
   });
   const { planner, standbys, mover } = createMoves({
--- a/apps/box/src/createColdServers.ts
+++ b/apps/box/src/createColdServers.ts
@@ -7,7 +7,7 @@
   type ColdLimits,
   type ColdSpells,
 } from "@stairgauge/fleet";
-import { hasHubs } from "@stairgauge/peers";
+import type { FleetPlaces } from "@stairgauge/placement";
 import type { ConfigurationKeeper } from "@stairgauge/routing";
 import type { BoxSettings } from "@stairgauge/settings";
 import { PLACE_LIMIT_MS } from "./askHubs.js";
@@ -18,7 +18,8 @@
   clock: Clock;
   keeper: ConfigurationKeeper;
   getDirectory: () => Pick<ServerDirectory, "list">;
-  countBoxes: () => number;
+  places: Pick<FleetPlaces, "computePart">;
+  isPlacedByHubs: (service: ServiceName) => boolean;
 }>;
 
 /** The servers that may be cold, and this box's limits at them. */
@@ -26,11 +27,12 @@
 
 /** Creates both; they know of no server yet. */
 export const createColdServers = (options: ColdServersOptions): ColdServers => {
-  const { settings, clock, keeper, getDirectory, countBoxes } = options;
+  const { settings, clock, keeper, getDirectory, places, isPlacedByHubs } = options;
   const { coldOverage, coldSlack } = settings.bounds;
-  const findService = (service: ServiceName) => keeper.getIndex()?.findService(service);
   const findWarmUp = (service: ServiceName) =>
-    coldOverage === undefined ? undefined : findService(service)?.warmUp;
+    coldOverage === undefined
+      ? undefined
+      : keeper.getIndex()?.findService(service)?.warmUp;
   const spells = createColdSpells({
     clock,
     findWarmUp,
@@ -38,12 +40,12 @@
   });
   const limits = createColdLimits({
     clock,
+    places,
     spells,
     findWarmUp,
     bound: { overage: coldOverage ?? 1, slack: coldSlack },
     sendWithin: (PLACE_LIMIT_MS + settings.clients.connectLimitMs) as Ms,
-    isPlacedByHubs: (service) =>
-      hasHubs(countBoxes()) && findService(service)?.engine !== undefined,
+    isPlacedByHubs,
   });
   return { spells, limits };
 };
--- a/apps/box/src/createCrashes.ts
+++ b/apps/box/src/createCrashes.ts
@@ -10,6 +10,7 @@
 } from "@stairgauge/crashes";
 import {
   hasHubs,
+  makeNotice,
   type PeerLinks,
   type PeerServer,
   type RunTeller,
@@ -45,7 +46,7 @@
   const passOn = (crashes: CrashNews) => {
     const links = getLinks();
     if (hasHubs(links.countBoxes()) && links.isHub())
-      options.getPeerServer().notifyAll({ leaving: [], crashes });
+      options.getPeerServer().notifyAll(makeNotice({ crashes }));
   };
   const countBlocked = () => metrics.blockedRequests.set(guard.countBlocked());
   const takeBlocked = (blocked: BlockedRequest) => {
--- a/apps/box/src/createDirectory.ts
+++ b/apps/box/src/createDirectory.ts
@@ -7,12 +7,12 @@
   type ServerDirectory,
 } from "@stairgauge/directory";
 import type { ReportPoller } from "@stairgauge/fleet";
+import type { ServerLimits } from "@stairgauge/limits";
 import type { RunMover } from "@stairgauge/migration";
-import type { PeerServer, RunTeller } from "@stairgauge/peers";
+import { makeNotice, type PeerServer, type RunTeller } from "@stairgauge/peers";
 import type { LoadBook } from "@stairgauge/placement";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
 import type { ColdServers } from "./createColdServers.js";
-import type { Limits } from "./createLimits.js";
 import { observeServers } from "./observers.js";
 import { toToldLeaving } from "./takeUpdates.js";
 
@@ -22,7 +22,7 @@
   metrics: BoxMetrics;
   book: LoadBook;
   cold: ColdServers;
-  limits: Pick<Limits, "book">;
+  limits: Pick<ServerLimits, "forget">;
   teller: Pick<RunTeller, "tellLeaving">;
   peerServer: Pick<PeerServer, "notify">;
   getReports: () => Pick<ReportPoller, "add">;
@@ -43,14 +43,14 @@
     const told = toToldLeaving(server);
     teller.tellLeaving(told);
     const boxes = book.listPeersAt(server.entry.id) as BoxName[];
-    peerServer.notify(boxes, { leaving: [told], crashes: { ends: [], served: [] } });
+    peerServer.notify(boxes, makeNotice({ leaving: [told] }));
   };
   const dropForgotten = (server: BackendServer) => {
     const { id } = server.entry;
     book.drop(id);
     cold.spells.forget(id);
     cold.limits.forget(id);
-    limits.book.forget(id);
+    limits.forget(id);
     parts.getMover().onServerForgotten(server);
   };
   const onEvent = (event: DirectoryEvent) => {
--- a/apps/box/src/createMoves.ts
+++ b/apps/box/src/createMoves.ts
@@ -50,7 +50,7 @@
   const { listTargets, isLeaving, isHallClosed, reserve } = placer;
   const { findTraits } = options;
   const mayTake = (server: BackendServer, run: ActiveRun) =>
-    placer.mayTakeWork(server) && placer.isInRegions(server, run.regions);
+    placer.mayTakeRuns(server) && placer.isInRegions(server, run.regions);
   const onDecision = observeMoves({ log, metrics });
 
   const planner = createMovePlanner({
--- /dev/null
+++ b/apps/box/src/createPeers.ts
@@ -0,0 +1,96 @@
+/** Wires together what a box says to others and hears from them: its links, its listener, and what it tells over both. */
+import type { Clock, Random } from "@stairgauge/common";
+import type { ServerDirectory } from "@stairgauge/directory";
+import type { ServerLimits } from "@stairgauge/limits";
+import {
+  createPeerLinks,
+  createPeerServer,
+  createRunTeller,
+  makeNotice,
+  type HubNotice,
+  type Member,
+  type PeerLinks,
+  type PeerServer,
+  type PeerServerOptions,
+  type RunTeller,
+} from "@stairgauge/peers";
+import type { LoadBook } from "@stairgauge/placement";
+import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
+import type { Crashes } from "./createCrashes.js";
+import { observePeers } from "./observers.js";
+import { toToldLeaving, type UpdateTaker } from "./takeUpdates.js";
+
+/** What they need of the rest of a box. */
+export type PeersOptions = Readonly<{
+  clock: Clock;
+  random: Random;
+  log: DecisionLog;
+  metrics: BoxMetrics;
+  member: Member;
+  book: LoadBook;
+  updates: Pick<UpdateTaker, "takeUpdate" | "takeLeaving">;
+  getDirectory: () => Pick<ServerDirectory, "list">;
+  getCrashes: () => Pick<Crashes, "guard">;
+  getLimits: () => Pick<ServerLimits, "listNews" | "takeNews">;
+}> &
+  Pick<PeerServerOptions, "answerTable" | "answerPlace" | "answerMoves">;
+
+/** The parts that the rest of a box calls. */
+export type Peers = Readonly<{
+  teller: RunTeller;
+  links: PeerLinks;
+  peerServer: PeerServer;
+}>;
+
+/** Creates the parts; nobody is linked to and nothing is listened at. */
+export const createPeers = (options: PeersOptions): Peers => {
+  const { clock, random, log, metrics, member, book, updates } = options;
+  const { getDirectory, getCrashes, getLimits } = options;
+  const { answerTable, answerPlace, answerMoves } = options;
+  const onMessage = observePeers({ metrics });
+
+  const takeNotice = (notice: HubNotice, by: Member["box"]) => {
+    notice.leaving.forEach(updates.takeLeaving);
+    getCrashes().guard.takeNews(notice.crashes);
+    getLimits().takeNews(notice.limits, by);
+  };
+  const teller = createRunTeller({
+    clock,
+    own: member.box,
+    book,
+    send: (update) => links.tell(update),
+    sendToSome: (update) => links.tellSome(update),
+    listLeaving: () =>
+      getDirectory()
+        .list()
+        .filter(({ leaving }) => leaving !== undefined)
+        .map(toToldLeaving),
+    listCrashes: () => getCrashes().guard.listAllNews(),
+    listLimits: () => getLimits().listNews(),
+  });
+  const links = createPeerLinks({
+    clock,
+    random,
+    own: member,
+    makeWhole: teller.makeWhole,
+    onNotice: takeNotice,
+    onMessage,
+  });
+  const peerServer = createPeerServer({
+    onMessage,
+    onUpdate: updates.takeUpdate,
+    makeGreeting: () =>
+      makeNotice({
+        crashes: getCrashes().guard.listSharedNews(),
+        limits: getLimits().listNews(),
+      }),
+    onPeerLost: (box) => {
+      book.dropPeer(box);
+      log.writeDecision("peer_lost", { peer: box });
+    },
+    answerTable,
+    answerPlace,
+    answerMoves,
+  });
+  return { teller, links, peerServer };
+};
--- a/apps/box/src/observers.ts
+++ b/apps/box/src/observers.ts
@@ -7,7 +7,7 @@
   ForwardDecision,
   ForwardObserver,
 } from "@stairgauge/forwarding";
-import type { LimitEvent } from "@stairgauge/limits";
+import type { LimitEvent, ToldLimit } from "@stairgauge/limits";
 import type { MoveDecision, StandbyDecision } from "@stairgauge/migration";
 import type { PeerMessage } from "@stairgauge/peers";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
@@ -66,6 +66,7 @@
     onDecision: ({ head, route, sinceReceived }, decision) => {
       const { kind, ...inputs } = decision;
       metrics.decisions.inc({ kind });
+      if (decision.kind === "placed" && decision.limited) metrics.limitedSent.inc();
       const streamEnd = judgeStreamEnd(decision);
       if (streamEnd)
         metrics.streamEnds.inc({
@@ -118,9 +119,16 @@
 
 /** Observes limits that servers name. */
 export const observeLimits =
-  ({ log }: Pick<Sinks, "log">) =>
+  ({
+    log,
+    metrics,
+    listLimits,
+  }: Sinks & Readonly<{ listLimits: () => readonly ToldLimit[] }>) =>
   (event: LimitEvent): void => {
     const { kind, ...fields } = event;
+    const limits = listLimits();
+    metrics.limitedServers.set(limits.length);
+    metrics.limitedPerSecond.set(limits.reduce((sum, one) => sum + one.perSecond, 0));
     log.writeNotice(`server_limit_${kind}`, roundNumbers(fields));
   };
 
--- a/apps/box/src/serverLimits.testkit.ts
+++ b/apps/box/src/serverLimits.testkit.ts
@@ -12,6 +12,7 @@
   makeGeneration,
   startBox,
   waitFor,
+  waitMs,
   waitUntilKnown,
   type Answer,
   type BoxChanges,
@@ -52,9 +53,6 @@
   answer: Promise<Answer>;
 }>;
 
-export const waitMs = (duration: number) =>
-  new Promise((resolve) => setTimeout(resolve, duration));
-
 /** Which box sent a request stands in its id. */
 const formatRequestId = (box: number, sequence: number) => `${box}-${sequence}`;
 const findSender = ({ request }: LimitedArrival) => Number(request.split("-")[0]);
--- a/apps/box/src/takeUpdates.ts
+++ b/apps/box/src/takeUpdates.ts
@@ -3,6 +3,7 @@
 import type { RequestGuard } from "@stairgauge/crashes";
 import type { BackendServer, ServerDirectory, ServerId } from "@stairgauge/directory";
 import type { FleetPlacer } from "@stairgauge/fleet";
+import type { ServerLimits } from "@stairgauge/limits";
 import { applyUpdate, type RunUpdate, type ToldLeaving } from "@stairgauge/peers";
 import type { EngineReport, LoadBook, PlacedAt, RivalRate } from "@stairgauge/placement";
 
@@ -14,6 +15,7 @@
   getDirectory: () => ServerDirectory;
   getPlacer: () => Pick<FleetPlacer, "takeBroken" | "takeAnswered">;
   getGuard: () => Pick<RequestGuard, "takeNews">;
+  getLimits: () => Pick<ServerLimits, "takeNews">;
   /** The store does not reach this box. */
   isOutOfTouch: () => boolean;
 }>;
@@ -67,6 +69,7 @@
         onBroken,
         onAnswered,
         onCrashes: options.getGuard().takeNews,
+        onLimits: options.getLimits().takeNews,
       };
       applyUpdate(sinks, update);
     },
--- a/packages/crashes/src/constants.ts
+++ b/packages/crashes/src/constants.ts
@@ -1,5 +1,6 @@
 /** Figures of requests under which servers end. */
 import type { Ms } from "@stairgauge/common";
+import type { CrashNews } from "./types.js";
 
 /**
  * A server that has carried a request for longer, or has made more events of it, did not end by beginning to run it: those that a
@@ -16,3 +17,6 @@
  * engine has dozens aboard.
  */
 export const SHARED_ENDS = 2;
+
+/** News of which there is none. */
+export const NO_CRASH_NEWS: CrashNews = { ends: [], served: [] };
--- a/packages/fleet/src/adviseOthers.test.ts
+++ b/packages/fleet/src/adviseOthers.test.ts
@@ -16,7 +16,9 @@
   type ServerName,
 } from "@stairgauge/directory";
 import { createWaitingRoom, type AdviceRequest } from "@stairgauge/forwarding";
+import { createServerLimits } from "@stairgauge/limits";
 import {
+  createFleetPlaces,
   createLoadBook,
   createRivalRate,
   ENGINE_WAYS,
@@ -83,8 +85,10 @@
     findWarmUp: () => warmUp,
     listServers: directory.list,
   });
+  const places = createFleetPlaces(clock);
   const cold = createColdLimits({
     clock,
+    places,
     spells,
     findWarmUp: () => warmUp,
     bound: { overage: 1.5, slack: 5 },
@@ -102,14 +106,23 @@
     rivals: createRivalRate(),
     cold,
     spells,
-    limits: { takeSign: () => undefined },
+    limits: createServerLimits({
+      clock,
+      agingClock: clock,
+      places,
+      isPlacedByHubs: () => true,
+      isListed: () => true,
+      onOwnNews: () => undefined,
+      onSharedNews: () => undefined,
+      onEvent: () => undefined,
+    }),
     getConnectionShare: () => Infinity,
     isAlive: () => Promise.resolve(true),
     onClosingAnnounced: () => undefined,
     onBroken: () => undefined,
   });
   const waitingRoom = createWaitingRoom(clock);
-  const hub = createPlaceHub({ clock, book, placer, cold, waitingRoom });
+  const hub = createPlaceHub({ clock, book, placer, waitingRoom });
   const { signal } = new AbortController();
   const ask = (asked: PlaceQuestion, by = signal) => hub.answer(asked, by);
   const takeAllRoom = async () => {
--- a/packages/fleet/src/adviseOthers.ts
+++ b/packages/fleet/src/adviseOthers.ts
@@ -1,20 +1,14 @@
 /** Advice of a hub to other boxes: where a run goes, by what all have placed, and when, while every engine is full. */
 import type { Clock, Ms } from "@stairgauge/common";
-import type { ServerId } from "@stairgauge/directory";
-import {
-  hasRoomFor,
-  placeWithRoom,
-  type Placer,
-  type WaitingRoom,
-} from "@stairgauge/forwarding";
+import type { BackendServer } from "@stairgauge/directory";
+import { hasRoomFor, placeWithRoom, type WaitingRoom } from "@stairgauge/forwarding";
 import type {
   Demand,
   LoadBook,
-  PlacedRun,
   PlacementDecision,
   PlaceQuestion,
 } from "@stairgauge/placement";
-import type { ColdLimits } from "./coldLimits.js";
+import type { FleetPlacer } from "./createPlacer.js";
 
 /** What it is told. */
 export type GivenAdvice =
@@ -24,8 +18,7 @@
 export type PlaceHubOptions = Readonly<{
   clock: Clock;
   book: LoadBook;
-  placer: Pick<Placer, "choose">;
-  cold: Pick<ColdLimits, "record">;
+  placer: Pick<FleetPlacer, "choose" | "recordArrival" | "recordSend">;
   waitingRoom: WaitingRoom;
 }>;
 
@@ -40,11 +33,13 @@
 
 /** Creates the adviser. */
 export const createPlaceHub = (options: PlaceHubOptions): PlaceHub => {
-  const { clock, book, placer, cold, waitingRoom } = options;
+  const { clock, book, placer, waitingRoom } = options;
 
   /** Notes the run as the box would tell it, so that the next who asks sees it; its own word then replaces this one. */
-  const reservePlace = (box: string, server: ServerId, run: PlacedRun) => {
-    cold.record(server);
+  const reservePlace = ({ box, run: told, tier }: PlaceQuestion, at: BackendServer) => {
+    const run = { ...told };
+    const server = at.entry.id;
+    placer.recordSend(at, tier);
     book.putPeerRun(box, { server, run });
     clock.setTimer(CONFIRM_MS, () => {
       if (book.listPeerRuns(server).includes(run))
@@ -55,18 +50,18 @@
   const choose = ({
     service,
     run,
+    tier,
     except,
     regions,
   }: PlaceQuestion): PlacementDecision => {
     const { promptTokens, expectedOut, isMovable } = run;
     const tokens = { prompt: promptTokens, expectedOut, isMovable };
-    const demand: Demand = { regions, tokens };
+    const demand: Demand = { tier, regions, tokens };
     return placer.choose(service, demand, new Set(except));
   };
 
   const placeFor = (asked: PlaceQuestion, decision: PlacementDecision) => {
-    if (decision.kind === "placed")
-      reservePlace(asked.box, decision.server.entry.id, { ...asked.run });
+    if (decision.kind === "placed") reservePlace(asked, decision.server);
     return decision;
   };
 
@@ -88,7 +83,8 @@
 
   return {
     answer: async (asked, signal) => {
-      const { urgency } = asked;
+      const { service, tier, urgency } = asked;
+      if (urgency.kind === "if_room") placer.recordArrival(service, tier);
       if (urgency.kind === "within") return awaitRoom(asked, urgency.wait, signal);
       const decision = choose(asked);
       const isGiven =
--- a/packages/fleet/src/coldLimits.test.ts
+++ b/packages/fleet/src/coldLimits.test.ts
@@ -14,6 +14,7 @@
   type VirtualClock,
 } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
+import { createFleetPlaces } from "@stairgauge/placement";
 import { createColdLimits, type ColdLimits } from "./coldLimits.js";
 
 const SERVER = "e0" as ServerId;
@@ -30,9 +31,11 @@
 type FleetSize = Readonly<{ boxes: number; isPlacedByHubs: boolean }>;
 
 const createFleet = (clock: VirtualClock, { boxes, isPlacedByHubs }: FleetSize) => {
-  const limits = Array.from({ length: boxes }, () =>
+  const places = Array.from({ length: boxes }, () => createFleetPlaces(clock));
+  const limits = places.map((one) =>
     createColdLimits({
       clock,
+      places: one,
       bound: BOUND,
       sendWithin: (PLACE_MS + CONNECT_MS) as Ms,
       spells: { mayBeCold: () => true },
@@ -40,8 +43,8 @@
       isPlacedByHubs: () => isPlacedByHubs,
     }),
   );
-  const setPlaces = () => limits.forEach((one, rank) => one.setPlace({ rank, boxes }));
-  return { limits, setPlaces };
+  const setPlaces = () => places.forEach((one, rank) => one.setPlace({ rank, boxes }));
+  return { limits, places, setPlaces };
 };
 
 const takePlace = (limits: ColdLimits): boolean => {
@@ -190,19 +193,19 @@
 describe("a box whose place in the list changes", () => {
   const setUp = () => {
     const clock = createVirtualClock();
-    const { limits } = createFleet(clock, { boxes: 1, isPlacedByHubs: true });
+    const { limits, places } = createFleet(clock, { boxes: 1, isPlacedByHubs: true });
     const countTaken = () => {
       let taken = 0;
       while (takePlace(limits[0]!)) taken += 1;
       return taken;
     };
-    return { clock, limits: limits[0]!, countTaken };
+    return { clock, places: places[0]!, countTaken };
   };
 
   it("sends nothing to a cold server before its first place is settled", () => {
-    const { clock, limits, countTaken } = setUp();
+    const { clock, places, countTaken } = setUp();
     expect(countTaken()).toBe(0);
-    limits.setPlace({ rank: 0, boxes: 64 });
+    places.setPlace({ rank: 0, boxes: 64 });
     clock.advance((SETTLED_MS - 1) as Ms);
     expect(countTaken()).toBe(0);
     clock.advance(1 as Ms);
@@ -210,15 +213,15 @@
   });
 
   it("takes a larger part only once all have heard of the change, and a smaller one at once", () => {
-    const { clock, limits, countTaken } = setUp();
-    limits.setPlace({ rank: 1, boxes: 64 });
+    const { clock, places, countTaken } = setUp();
+    places.setPlace({ rank: 1, boxes: 64 });
     clock.advance(SETTLED_MS as Ms);
-    limits.setPlace({ rank: 0, boxes: 63 });
+    places.setPlace({ rank: 0, boxes: 63 });
     expect(countTaken()).toBe(7);
     clock.advance(SETTLED_MS as Ms);
     expect(countTaken()).toBe(24);
     clock.advance(SETTLED_MS as Ms);
-    limits.setPlace({ rank: 1, boxes: 64 });
+    places.setPlace({ rank: 1, boxes: 64 });
     expect(countTaken()).toBe(7);
   });
 
@@ -226,6 +229,7 @@
     const clock = createVirtualClock();
     const limits = createColdLimits({
       clock,
+      places: createFleetPlaces(clock),
       bound: BOUND,
       sendWithin: 400 as Ms,
       spells: { mayBeCold: () => false },
@@ -238,8 +242,10 @@
   });
 
   it("limits nothing where servers bear all that they can from their start on", () => {
+    const clock = createVirtualClock();
     const limits = createColdLimits({
-      clock: createVirtualClock(),
+      clock,
+      places: createFleetPlaces(clock),
       bound: BOUND,
       sendWithin: 400 as Ms,
       spells: { mayBeCold: () => true },
--- a/packages/fleet/src/createPlacer.ts
+++ b/packages/fleet/src/createPlacer.ts
@@ -8,15 +8,18 @@
 } from "@stairgauge/common";
 import type { BackendServer, ServerDirectory, ServerId } from "@stairgauge/directory";
 import type { ActiveRun, Placer } from "@stairgauge/forwarding";
-import type { LimitBook } from "@stairgauge/limits";
+import type { ServerLimits } from "@stairgauge/limits";
 import {
   chooseServer,
   estimateEngineLoad,
+  type Demand,
   type EngineWay,
   toCopyId,
   type LoadBook,
   type MoveTarget,
   type NoServerReason,
+  type PlacementDecision,
+  type PlacementLimit,
   type RivalRate,
 } from "@stairgauge/placement";
 import type { ColdLimits } from "./coldLimits.js";
@@ -24,6 +27,12 @@
 import { judgeStanding } from "./judgeStanding.js";
 import { createSuspects } from "./suspects.js";
 
+/** What placing asks of the limits that servers name. */
+export type PlacingLimits = Pick<
+  ServerLimits,
+  "findAllowance" | "isLimited" | "recordArrival" | "recordSent" | "sift" | "takeSign"
+>;
+
 /** What placing needs. */
 export type PlacerOptions = Readonly<{
   clock: Clock;
@@ -39,7 +48,7 @@
   rivals: Pick<RivalRate, "estimate">;
   cold: Pick<ColdLimits, "mayTake" | "record">;
   spells: Pick<ColdSpells, "mayBeCold" | "onEntry" | "onUnreachable">;
-  limits: Pick<LimitBook, "takeSign">;
+  limits: PlacingLimits;
   onClosingAnnounced: (server: BackendServer) => void;
   /** A server broke a request of this box off before it answered. */
   onBroken: (server: ServerId) => void;
@@ -51,6 +60,10 @@
   Readonly<{
     /** Whether a server may be sent anything new, as known now. */
     mayTakeWork: (server: BackendServer) => boolean;
+    /** Whether a server may be sent a run that has begun elsewhere: one in need takes few requests, and newcomers go first. */
+    mayTakeRuns: (server: BackendServer) => boolean;
+    /** Notes a request that another box sends to a server by this one's advice. */
+    recordSend: (server: BackendServer, tier: number) => void;
     /** Whether a server stands in one of the regions; in any where none are given. */
     isInRegions: (
       server: BackendServer,
@@ -81,9 +94,10 @@
 
 /** Says why none of a service's servers was a candidate. */
 const explainNoServer = (
-  candidates: Readonly<{ ready: number; untried: number }>,
+  candidates: Readonly<{ ready: number; untried: number; warm: number }>,
   known: Readonly<{ staying: number; inRegions: number }>,
 ): NoServerReason => {
+  if (candidates.warm > 0) return "servers_limited";
   if (candidates.untried > 0) return "servers_cold";
   if (candidates.ready > 0) return "none_left";
   if (known.inRegions > 0) return "halls_closed";
@@ -92,7 +106,7 @@
 
 /** Creates the placer. */
 export const createPlacer = (options: PlacerOptions): FleetPlacer => {
-  const { clock, random, ownHall, directory, book, cold, spells } = options;
+  const { clock, random, ownHall, directory, book, cold, spells, limits } = options;
   const mintId = createPlacementIds();
   const suspects = createSuspects();
   /** A data hall whose region nobody has told is in none of those given. */
@@ -106,21 +120,55 @@
     spells.onUnreachable(entry);
   };
 
+  /** The servers that a request may go to, by what is left of them after each reason against one. */
+  const listCandidates = (
+    service: ServiceName,
+    demand: Demand,
+    except: ReadonlySet<ServerId>,
+  ) => {
+    const ready = directory
+      .listReady(service)
+      .filter((server) => isInRegions(server, demand.regions));
+    const share = options.getConnectionShare(service);
+    const untried = ready.filter(
+      ({ entry }) => !except.has(entry.id) && book.countOpen(entry.id) < share,
+    );
+    const warm = untried.filter(({ entry }) => cold.mayTake(entry.id, service));
+    const sifted = limits.sift({ service, tier: demand.tier }, warm);
+    return { ready, untried, warm, sifted };
+  };
+  const toPlacementLimit = ({ entry }: BackendServer): PlacementLimit | undefined => {
+    const allowance = limits.findAllowance(entry);
+    if (!allowance) return undefined;
+    const { perSecond, part, used } = allowance;
+    return { perSecond, part, used };
+  };
+  const refuseAll = (
+    service: ServiceName,
+    { regions }: Demand,
+    candidates: ReturnType<typeof listCandidates>,
+  ): PlacementDecision => {
+    const { ready, untried, warm, sifted } = candidates;
+    const counts = { ready: ready.length, untried: untried.length, warm: warm.length };
+    const staying = directory.listStaying(service);
+    const reason = explainNoServer(counts, {
+      staying: staying.length,
+      inRegions: staying.filter((server) => isInRegions(server, regions)).length,
+    });
+    const { retryAfter } = sifted;
+    return { kind: "no_server", reason, known: ready.length, retryAfter };
+  };
+  const recordSend = ({ entry }: BackendServer, tier: number) => {
+    cold.record(entry.id);
+    limits.recordSent(entry, tier);
+  };
+
   return {
     choose: (service, demand, except) => {
-      const ready = directory
-        .listReady(service)
-        .filter((server) => isInRegions(server, demand.regions));
-      const share = options.getConnectionShare(service);
-      const untried = ready.filter(
-        ({ entry }) => !except.has(entry.id) && book.countOpen(entry.id) < share,
-      );
+      const candidates = listCandidates(service, demand, except);
       const now = clock.monotonic();
       const decision = chooseServer({
-        candidates: suspects.passOver(
-          untried.filter(({ entry }) => cold.mayTake(entry.id, service)),
-          now,
-        ),
+        candidates: suspects.passOver(candidates.sifted.open, now),
         demand,
         book,
         ownHall,
@@ -129,20 +177,18 @@
         now,
         random,
       });
-      if (decision.kind === "placed") return decision;
-      const counts = { ready: ready.length, untried: untried.length };
-      const staying = directory.listStaying(service);
-      const reason = explainNoServer(counts, {
-        staying: staying.length,
-        inRegions: staying.filter((server) => isInRegions(server, demand.regions)).length,
-      });
-      return { kind: "no_server", reason, known: ready.length };
+      return decision.kind === "placed"
+        ? { ...decision, limited: toPlacementLimit(decision.server) }
+        : refuseAll(service, demand, candidates);
     },
+    recordArrival: (service, tier) => limits.recordArrival({ service, tier }),
+    recordSend,
+    recordAsk: ({ entry }) => limits.recordSent(entry, undefined),
     place: (server, head, demand) => {
       const { id } = server.entry;
       const runId = head.id ?? mintId();
       book.addOpen(id);
-      cold.record(id);
+      recordSend(server, demand.tier);
       if (demand.tokens)
         book.addRun(id, {
           id: runId,
@@ -163,6 +209,8 @@
       book.countOpen(entry.id) + book.listPeerRuns(entry.id).length,
     isLeaving: (server) => isLeaving(directory, server),
     mayTakeWork: ({ entry }) => directory.mayTakeWork(entry.id),
+    mayTakeRuns: ({ entry }) =>
+      directory.mayTakeWork(entry.id) && !limits.isLimited(entry.id),
     isInRegions,
     isHallClosed: ({ entry }) => directory.isHallClosed(entry.dataHall),
     getStanding: ({ entry }) =>
@@ -183,8 +231,7 @@
     takeBroken: (server) => suspects.addBreak(server, clock.monotonic()),
     takeAnswered: suspects.removeBreaks,
     onWarmUpTold: ({ entry }, warmUpLeft) => spells.onEntry({ ...entry, warmUpLeft }),
-    onLimitSign: ({ entry }, sign, sentAgo) =>
-      options.limits.takeSign(entry.id, sign, sentAgo),
+    onLimitSign: ({ entry }, sign, sentAgo) => limits.takeSign(entry.id, sign, sentAgo),
     onConnectionClosing: options.onClosingAnnounced,
     onRunBegun: (server, head) => {
       if (head.id !== undefined) book.markBegun(server.entry.id, head.id);
@@ -194,8 +241,11 @@
       return directory
         .listReady(source.entry.service)
         .filter(
-          // What a cold server bears goes to newcomers, which cannot have been placed elsewhere before.
-          ({ entry }) => entry.id !== source.entry.id && !spells.mayBeCold(entry.id),
+          // What a cold server bears, or one in need takes, goes to newcomers, which cannot have been placed elsewhere before.
+          ({ entry }) =>
+            entry.id !== source.entry.id &&
+            !spells.mayBeCold(entry.id) &&
+            !limits.isLimited(entry.id),
         )
         .map((server) => {
           const { taken, total } = estimateEngineLoad(server, book, now);
--- a/packages/forwarding/src/computeDemand.ts
+++ b/packages/forwarding/src/computeDemand.ts
@@ -28,10 +28,12 @@
 }: Pick<AdmittedRequest, "head" | "route"> &
   Partial<Pick<AdmittedRequest, "workspace">>): Demand => {
   const regions = computeRegions(route, workspace?.regions);
-  if (route.kind !== "stream" || !head.usage) return { regions, tokens: undefined };
+  const tier = workspace?.tier ?? route.tier;
+  if (route.kind !== "stream" || !head.usage) return { tier, regions, tokens: undefined };
   const { prompt, mostOut } = head.usage;
   const guess = head.lengthGuess ?? DEFAULT_EXPECTED_TOKENS;
   return {
+    tier,
     regions,
     tokens: {
       prompt,
--- a/packages/forwarding/src/createDispatchReports.ts
+++ b/packages/forwarding/src/createDispatchReports.ts
@@ -65,9 +65,10 @@
     tell,
     describeBytes,
     tellPlaced: (decision: PlacedDecision, attempt: number, by: string | undefined) => {
-      const { kind, server, reason, load, reportAge, candidates } = decision;
+      const { kind, server, reason, load, reportAge, candidates, limited } = decision;
       const { id } = server.entry;
-      tell({ kind, server: id, attempt, reason, load, reportAge, candidates, by });
+      const seen = { load, reportAge, candidates, limited };
+      tell({ kind, server: id, attempt, reason, ...seen, by });
     },
     tellRetry: (attempt: Attempt, reason: string, detail: string, ended: BytesEnd) => {
       const { id } = attempt.server.entry;
--- a/packages/forwarding/src/createOwnAnswers.ts
+++ b/packages/forwarding/src/createOwnAnswers.ts
@@ -40,8 +40,13 @@
       answerOwn({ status: 502, reason, detail, retryAfter: undefined }),
     answerOutOfTime: () =>
       answerOwn({ status: 504, reason: "out_of_time", retryAfter: undefined }),
-    answerNoServer: ({ reason }: NoServerDecision) =>
-      answerNotRun(REFUSAL_OF_NO_SERVER[reason]),
+    /** It has not run; where it is known when a server takes it, it may come back then. */
+    answerNoServer: ({ reason, retryAfter = deps.retryAfter }: NoServerDecision) =>
+      answerOwn({
+        status: 503,
+        reason: REFUSAL_OF_NO_SERVER[reason],
+        retryAfter: Math.max(retryAfter, deps.retryAfter) as Ms,
+      }),
     /** It goes to no server for so long. */
     answerBlocked: (left: Ms, mayHaveRun: boolean) =>
       answerOwn(makeBlockedAnswer(left, mayHaveRun)),
--- a/packages/forwarding/src/createServerAsker.ts
+++ b/packages/forwarding/src/createServerAsker.ts
@@ -21,6 +21,7 @@
     const service = configuration.getIndex()?.findService(entry.service);
     if (service?.healthPath === undefined) return undefined;
     const { healthPath } = service;
+    placer.recordAsk(server);
     const sign = await askServer({ clock, codec, entry, healthPath, connectLimit });
     if (sign.kind === "absent") return sign;
     placer.onLimitSign(server, sign.limit, undefined);
--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -408,6 +408,7 @@
   };
 
   budget.recordRequest(service, receivedAt);
+  placer.recordArrival(service, demand.tier);
   if (!endIfBlocked())
     leaveRoom = placeByAdvice(deps, placeable, {
       choose: chooseNext,
--- a/packages/forwarding/src/forwarderTypes.ts
+++ b/packages/forwarding/src/forwarderTypes.ts
@@ -3,7 +3,7 @@
 import type { BrokenRun, RequestDigest, RequestGuard } from "@stairgauge/crashes";
 import type { BackendServer, ServerId } from "@stairgauge/directory";
 import type { LimitSign } from "@stairgauge/limits";
-import type { Demand, PlacementDecision } from "@stairgauge/placement";
+import type { Demand, PlacementDecision, PlacementLimit } from "@stairgauge/placement";
 import type {
   AccessRefusal,
   ConfigurationIndex,
@@ -43,6 +43,8 @@
   | "data_halls_closed"
   /** The servers left have just started, and have had what they bear. */
   | "servers_cold"
+  /** The servers left have named how many requests they take, and have had them. */
+  | "servers_limited"
   /** A server may have run it, and no other is left to ask. */
   | "no_server_left"
   | "answer_lost"
@@ -69,6 +71,7 @@
       load: number;
       reportAge: Ms | undefined;
       candidates: number;
+      limited: PlacementLimit | undefined;
       /** The box that made the choice, where this one asked another. */
       by: string | undefined;
     }
@@ -130,6 +133,8 @@
     demand: Demand,
     except: ReadonlySet<ServerId>,
   ) => PlacementDecision;
+  /** A request has been let in; it may then be placed any number of times, or never. */
+  recordArrival: (service: ServiceName, tier: number) => void;
   /** Notes a request at a server until the returned function is called. */
   place: (server: BackendServer, head: RequestHead, demand: Demand) => () => void;
   /** A run's first event has come from the server. */
@@ -148,6 +153,8 @@
   onBroken: (server: BackendServer) => void;
   /** The server has begun to answer a request. */
   onAnswered: (server: BackendServer) => void;
+  /** The server is asked whether it is there, which takes a place there like a request. */
+  recordAsk: (server: BackendServer) => void;
   /** Whether a server answers anything at all, asked now. */
   isAlive: (server: BackendServer) => Promise<boolean>;
   /** The server says that it is cold for so long yet. */
--- a/packages/forwarding/src/placeByAdvice.test.ts
+++ b/packages/forwarding/src/placeByAdvice.test.ts
@@ -44,7 +44,7 @@
   const told: string[] = [];
   const request: PlaceableRequest = {
     id: "r" as ClientRequestId,
-    demand: { tokens: TOKENS },
+    demand: { tier: 1, tokens: TOKENS },
     terms: { service: "writers" as ServiceName, tier: 1, until: 400 as Ms },
     except: new Set(),
     ...changes,
@@ -95,7 +95,10 @@
     placeByAdvice(silent.deps, silent.request, silent.steps);
     await silent.advance(10);
     expect(silent.placed).toEqual([[OWN]].map(([one]) => [one, undefined]));
-    for (const changes of [{ isNeeded: false }, { demand: { tokens: undefined } }]) {
+    for (const changes of [
+      { isNeeded: false },
+      { demand: { tier: 1, tokens: undefined } },
+    ]) {
       const { deps, request, steps, placed, asked } = setUp([DECIDED], changes);
       placeByAdvice(deps, request, steps);
       expect(placed).toEqual([[OWN, undefined]]);
--- a/packages/forwarding/src/sendOwnAnswer.ts
+++ b/packages/forwarding/src/sendOwnAnswer.ts
@@ -15,6 +15,7 @@
   none_in_regions: "no_server_in_regions",
   halls_closed: "data_halls_closed",
   servers_cold: "servers_cold",
+  servers_limited: "servers_limited",
   none_left: "no_server_known",
 };
 
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -1,4 +1,11 @@
 /** Limits that backend servers in need name in their answers, and what boxes that know one send. */
 export type * from "./types.js";
-export { createLimitBook } from "./limitBook.js";
-export type { LimitBook, LimitBookOptions } from "./limitBook.js";
+export { NO_LIMIT_NEWS } from "./constants.js";
+export { createServerLimits } from "./serverLimits.js";
+export type {
+  Allowance,
+  LimitedDemand,
+  ServerLimits,
+  ServerLimitsOptions,
+  SiftedServers,
+} from "./serverLimits.js";
--- a/packages/limits/src/limitBook.test.ts
+++ b/packages/limits/src/limitBook.test.ts
@@ -1,10 +1,12 @@
 import { describe, expect, it } from "vitest";
-import { createVirtualClock, type Ms } from "@stairgauge/common";
+import { createVirtualClock, type BoxName, type Ms } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
 import { createLimitBook } from "./limitBook.js";
-import type { LimitEvent, LimitSign } from "./types.js";
+import type { LimitEvent, LimitNews, LimitSign, ToldLimit } from "./types.js";
 
 const SERVER = "page-0@1" as ServerId;
+const UNLISTED = "page-9@1" as ServerId;
+const OTHER = "box-2" as BoxName;
 const UNNAMED: LimitSign = { kind: "unnamed" };
 const makeNamed = (perSecond: number): LimitSign => ({ kind: "named", perSecond });
 const AT_ONCE = 0 as Ms;
@@ -12,9 +14,17 @@
 const createBook = () => {
   const clock = createVirtualClock();
   const events: LimitEvent[] = [];
-  const book = createLimitBook({ clock, onEvent: (event) => events.push(event) });
+  const own: LimitNews[] = [];
+  const shared: LimitNews[] = [];
+  const book = createLimitBook({
+    clock,
+    isListed: (server) => server !== UNLISTED,
+    onOwnNews: (news) => own.push(news),
+    onSharedNews: (news) => shared.push(news),
+    onEvent: (event) => events.push(event),
+  });
   const listKinds = () => events.map(({ kind }) => kind);
-  return { clock, book, events, listKinds };
+  return { clock, book, events, listKinds, own, shared };
 };
 
 describe("the book of limits", () => {
@@ -104,3 +114,102 @@
     expect(book.find(SERVER)).toBeUndefined();
   });
 });
+
+const makeTold = (changes: Partial<ToldLimit> = {}): LimitNews => ({
+  named: [
+    {
+      server: SERVER,
+      perSecond: 1.7,
+      knownFor: 800 as Ms,
+      age: 100 as Ms,
+      ...changes,
+    },
+  ],
+  lifted: [],
+});
+const makeLift = (age: number): LimitNews => ({
+  named: [],
+  lifted: [{ server: SERVER, age: age as Ms }],
+});
+
+describe("limits that other boxes tell", () => {
+  it("are known as long as the box that tells them has known them", () => {
+    const { clock, book, events } = createBook();
+    clock.advance(5_000 as Ms);
+    book.takeNews(makeTold(), OTHER);
+    expect(book.find(SERVER)).toEqual({ perSecond: 1.7, knownFor: 800, age: 100 });
+    expect(events).toEqual([
+      { kind: "named", server: SERVER, perSecond: 1.7, age: 100, by: OTHER },
+    ]);
+  });
+
+  it("are not kept of servers that are not listed", () => {
+    const { book } = createBook();
+    book.takeNews(makeTold({ server: UNLISTED }), OTHER);
+    expect(book.isEmpty()).toBe(true);
+  });
+
+  it("give way to what was heard later, in whichever order it is told", () => {
+    const { clock, book } = createBook();
+    clock.advance(5_000 as Ms);
+    book.takeNews(makeTold({ perSecond: 0.4, age: 10 as Ms }), OTHER);
+    book.takeNews(makeTold({ perSecond: 1.7, age: 900 as Ms }), OTHER);
+    expect(book.find(SERVER)?.perSecond).toBe(0.4);
+    expect(book.find(SERVER)?.age).toBe(10);
+  });
+
+  it("are handed on when they are news, and each second while they are heard again", () => {
+    const { clock, book, own, shared } = createBook();
+    for (let i = 0; i < 20; i += 1) {
+      book.takeSign(SERVER, makeNamed(1.7), AT_ONCE);
+      clock.advance(200 as Ms);
+    }
+    expect(own).toHaveLength(4);
+    expect(shared).toHaveLength(4);
+    book.takeNews(makeTold({ age: 0 as Ms }), OTHER);
+    expect(own).toHaveLength(4);
+    expect(shared).toHaveLength(5);
+  });
+
+  it("end their way where nothing is news: two boxes that hand each other everything on fall silent", () => {
+    const one = createBook();
+    const two = createBook();
+    one.clock.advance(100 as Ms);
+    two.clock.advance(100 as Ms);
+    one.book.takeSign(SERVER, makeNamed(1.7), AT_ONCE);
+    for (let round = 0; round < 10; round += 1) {
+      for (const news of one.shared.splice(0)) two.book.takeNews(news, OTHER);
+      for (const news of two.shared.splice(0)) one.book.takeNews(news, OTHER);
+    }
+    expect(one.shared).toEqual([]);
+    expect(two.book.find(SERVER)?.perSecond).toBe(1.7);
+  });
+
+  it("are lifted by what another box has heard after the last answer with the limit, and by nothing before", () => {
+    const { clock, book, events, shared } = createBook();
+    book.takeSign(SERVER, makeNamed(1.7), AT_ONCE);
+    clock.advance(2_500 as Ms);
+    book.takeNews(makeLift(600), OTHER);
+    expect(book.find(SERVER)).toBeDefined();
+    book.takeNews(makeLift(400), OTHER);
+    expect(book.find(SERVER)).toBeUndefined();
+    expect(events.at(-1)).toEqual({
+      kind: "lifted",
+      server: SERVER,
+      age: 2_500,
+      by: OTHER,
+    });
+    expect(shared.at(-1)).toEqual(makeLift(400));
+  });
+
+  it("do not come back by what was heard before the lift and is told late", () => {
+    const { clock, book } = createBook();
+    book.takeSign(SERVER, makeNamed(1.7), AT_ONCE);
+    clock.advance(3_000 as Ms);
+    book.takeSign(SERVER, UNNAMED, 20 as Ms);
+    book.takeNews(makeTold({ age: 100 as Ms }), OTHER);
+    expect(book.find(SERVER)).toBeUndefined();
+    book.takeNews(makeTold({ age: 10 as Ms }), OTHER);
+    expect(book.find(SERVER)).toBeDefined();
+  });
+});
--- a/packages/limits/src/limitBook.ts
+++ b/packages/limits/src/limitBook.ts
@@ -1,16 +1,30 @@
 /**
- * Which servers have named a limit, by what they say in their answers. A limit holds from the first answer with it until an answer
- * proves that the server no longer names it. Pure but for the clock handed in.
+ * Which servers have named a limit, by what they say in their answers to this box and to others. A limit holds from the first answer
+ * with it until an answer proves that the server no longer names it: one to a request that was sent long enough after the last
+ * answer with the limit that any box is known to have had. Pure but for the clock handed in.
  */
 import type { BoxName, Clock, Ms } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
-import { HOLD_REQUESTS, LEAST_HOLD_MS, MEMORY_MS, MOST_HOLD_MS } from "./constants.js";
-import type { KnownLimit, LimitEvent, LimitSign } from "./types.js";
+import {
+  LEAST_HOLD_MS,
+  LEAST_MEMORY_MS,
+  MOST_HOLD_MS,
+  NO_LIMIT_NEWS,
+  RETELL_MS,
+  TELLING_REQUESTS,
+} from "./constants.js";
+import type { KnownLimit, LimitEvent, LimitNews, LimitSign, ToldLimit } from "./types.js";
 
 /** What a book is given. */
 export type LimitBookOptions = Readonly<{
   /** A clock by which ages are proved. */
-  clock: Clock;
+  clock: Pick<Clock, "monotonic">;
+  /** Whether a server is listed: of others nothing is kept. */
+  isListed: (server: ServerId) => boolean;
+  /** This box has heard something that others are to know. */
+  onOwnNews: (news: LimitNews) => void;
+  /** Something is news here, whoever said so: boxes that hear this one alone need it. */
+  onSharedNews: (news: LimitNews) => void;
   onEvent: (event: LimitEvent) => void;
 }>;
 
@@ -21,71 +35,142 @@
    * may name a limit and need not.
    */
   takeSign: (server: ServerId, sign: LimitSign, sentAgo: Ms | undefined) => void;
+  /** Another box tells. */
+  takeNews: (news: LimitNews, by: BoxName | undefined) => void;
   find: (server: ServerId) => KnownLimit | undefined;
+  isEmpty: () => boolean;
+  /** All that is known, for a box that is new to this one. */
+  listNews: () => LimitNews;
   forget: (server: ServerId) => void;
 }>;
 
-type Kept = Readonly<{ perSecond: number; firstAt: number; lastAt: number }>;
+type Kept = Readonly<{
+  perSecond: number;
+  firstAt: number;
+  lastAt: number;
+  /** The `lastAt` that was handed on last. */
+  sharedAt: number;
+}>;
+
+/** Something heard of a limit: when, and from whom. */
+type Heard = Readonly<{
+  server: ServerId;
+  at: number;
+  by: BoxName | "itself" | undefined;
+}>;
 
 const MS_PER_S = 1_000;
 
+const computeTellingTime = (perSecond: number): number =>
+  (TELLING_REQUESTS / perSecond) * MS_PER_S;
+
 /** Works out how long after the last answer with a limit an answer without it says nothing. */
-export const computeHold = (perSecond: number): Ms =>
-  Math.min(
-    MOST_HOLD_MS,
-    Math.max(LEAST_HOLD_MS, (HOLD_REQUESTS / perSecond) * MS_PER_S),
-  ) as Ms;
+const computeHold = (perSecond: number): number =>
+  Math.min(MOST_HOLD_MS, Math.max(LEAST_HOLD_MS, computeTellingTime(perSecond)));
+
+const computeMemory = (perSecond: number): number =>
+  Math.max(LEAST_MEMORY_MS, computeTellingTime(perSecond));
 
 /** Creates an empty book. */
-export const createLimitBook = ({ clock, onEvent }: LimitBookOptions): LimitBook => {
+export const createLimitBook = (options: LimitBookOptions): LimitBook => {
+  const { clock, isListed, onOwnNews, onSharedNews, onEvent } = options;
   const limits = new Map<ServerId, Kept>();
+  /** When requests were sent whose answers lifted a limit: what was heard before and is told late says nothing. */
+  const liftedAt = new Map<ServerId, number>();
   /** Servers whose last word was no limit, so that each is told once. */
   const unreadable = new Set<ServerId>();
 
+  const toBox = (by: Heard["by"]) => (by === "itself" ? undefined : by);
+  const tellNews = (news: LimitNews, by: Heard["by"]) => {
+    if (by === "itself") onOwnNews(news);
+    onSharedNews(news);
+  };
+
   const find = (server: ServerId): KnownLimit | undefined => {
     const kept = limits.get(server);
     if (!kept) return undefined;
     const now = clock.monotonic();
-    const age = (now - kept.lastAt) as Ms;
-    if (age < MEMORY_MS)
-      return { perSecond: kept.perSecond, knownFor: (now - kept.firstAt) as Ms, age };
+    const { perSecond } = kept;
+    const age = Math.max(0, now - kept.lastAt) as Ms;
+    if (age < computeMemory(perSecond))
+      return { perSecond, knownFor: (now - kept.firstAt) as Ms, age };
     limits.delete(server);
     onEvent({ kind: "run_out", server, age });
     return undefined;
   };
+  const makeTold = (server: ServerId): readonly ToldLimit[] => {
+    const known = find(server);
+    return known ? [{ server, ...known }] : [];
+  };
 
-  const recordNamed = (server: ServerId, perSecond: number, by: BoxName | undefined) => {
-    const now = clock.monotonic();
+  const recordNamed = (heard: Heard, perSecond: number, firstAt: number) => {
+    const { server, at, by } = heard;
+    if (at <= (liftedAt.get(server) ?? -Infinity)) return;
     const known = find(server);
-    const firstAt = limits.get(server)?.firstAt ?? now;
-    limits.set(server, { perSecond, firstAt, lastAt: now });
-    if (known?.perSecond === perSecond) return;
-    const kind = known ? "changed" : "named";
-    onEvent({ kind, server, perSecond, age: 0 as Ms, by });
+    const kept = limits.get(server);
+    const isNewest = !kept || at >= kept.lastAt;
+    const isChange = isNewest && known?.perSecond !== perSecond;
+    const isDue = isChange || at - (kept?.sharedAt ?? -Infinity) >= RETELL_MS;
+    limits.set(server, {
+      perSecond: isNewest ? perSecond : kept.perSecond,
+      firstAt: Math.min(firstAt, kept?.firstAt ?? Infinity),
+      lastAt: Math.max(at, kept?.lastAt ?? -Infinity),
+      sharedAt: isDue ? at : (kept?.sharedAt ?? -Infinity),
+    });
+    if (isChange) {
+      const age = (clock.monotonic() - at) as Ms;
+      const kind = known ? "changed" : "named";
+      onEvent({ kind, server, perSecond, age, by: toBox(by) });
+    }
+    if (isDue) tellNews({ named: makeTold(server), lifted: [] }, by);
   };
 
-  const attemptLift = (server: ServerId, sentAgo: Ms, by: BoxName | undefined) => {
+  const attemptLift = ({ server, at: sentAt, by }: Heard) => {
     const known = find(server);
-    if (!known || known.age - sentAgo < computeHold(known.perSecond)) return;
+    const kept = limits.get(server);
+    if (!known || !kept || sentAt - kept.lastAt < computeHold(known.perSecond)) return;
     limits.delete(server);
-    onEvent({ kind: "lifted", server, age: known.age, by });
+    liftedAt.set(server, sentAt);
+    onEvent({ kind: "lifted", server, age: known.age, by: toBox(by) });
+    const age = (clock.monotonic() - sentAt) as Ms;
+    tellNews({ named: [], lifted: [{ server, age }] }, by);
+  };
+
+  const takeUnreadable = (server: ServerId, text: string) => {
+    if (unreadable.has(server)) return;
+    unreadable.add(server);
+    onEvent({ kind: "unreadable", server, text });
   };
 
   return {
     takeSign: (server, sign, sentAgo) => {
+      const now = clock.monotonic();
       if (sign.kind === "unreadable") {
-        if (unreadable.has(server)) return;
-        unreadable.add(server);
-        onEvent({ kind: "unreadable", server, text: sign.text });
+        takeUnreadable(server, sign.text);
         return;
       }
       unreadable.delete(server);
-      if (sign.kind === "named") recordNamed(server, sign.perSecond, undefined);
-      else if (sentAgo !== undefined) attemptLift(server, sentAgo, undefined);
+      if (sign.kind === "named")
+        recordNamed({ server, at: now, by: "itself" }, sign.perSecond, now);
+      else if (sentAgo !== undefined)
+        attemptLift({ server, at: now - sentAgo, by: "itself" });
+    },
+    takeNews: ({ named, lifted }, by) => {
+      const now = clock.monotonic();
+      for (const { server, perSecond, knownFor, age } of named)
+        if (isListed(server))
+          recordNamed({ server, at: now - age, by }, perSecond, now - knownFor);
+      for (const { server, age } of lifted) attemptLift({ server, at: now - age, by });
     },
     find,
+    isEmpty: () => limits.size === 0,
+    listNews: () =>
+      limits.size === 0
+        ? NO_LIMIT_NEWS
+        : { named: [...limits.keys()].flatMap(makeTold), lifted: [] },
     forget: (server) => {
       limits.delete(server);
+      liftedAt.delete(server);
       unreadable.delete(server);
     },
   };
--- a/packages/limits/src/types.ts
+++ b/packages/limits/src/types.ts
@@ -19,6 +19,18 @@
   age: Ms;
 }>;
 
+/** A limit as one box tells it to another, whose steady clock is another one. */
+export type ToldLimit = KnownLimit & Readonly<{ server: ServerId }>;
+
+/** A server has answered without its limit; `age` is the time since the request was sent that it answered. */
+export type ToldLift = Readonly<{ server: ServerId; age: Ms }>;
+
+/** What one box tells others of limits. */
+export type LimitNews = Readonly<{
+  named: readonly ToldLimit[];
+  lifted: readonly ToldLift[];
+}>;
+
 /** A change of what a box believes; `by` is the box that said so, if it was another one. */
 export type LimitEvent = Readonly<
   | {
--- a/packages/peers/src/adviceCodec.ts
+++ b/packages/peers/src/adviceCodec.ts
@@ -32,6 +32,7 @@
     memoryAfter: z.number().optional(),
     reportAge: ms.optional(),
     candidates: count,
+    limited: z.object({ perSecond: z.number(), part: count, used: count }).optional(),
   }),
   z.object({ kind: z.literal("no_room"), memoryAfter: z.number() }),
   z.object({
@@ -41,9 +42,11 @@
       "none_in_regions",
       "halls_closed",
       "servers_cold",
+      "servers_limited",
       "none_left",
     ]),
     known: count,
+    retryAfter: ms.optional(),
   }),
 ]);
 
--- a/packages/peers/src/applyUpdate.ts
+++ b/packages/peers/src/applyUpdate.ts
@@ -1,6 +1,8 @@
 /** Takes what another box tells into what this one knows. */
+import type { BoxName } from "@stairgauge/common";
 import type { CrashNews } from "@stairgauge/crashes";
 import type { ServerId } from "@stairgauge/directory";
+import type { LimitNews } from "@stairgauge/limits";
 import type { LoadBook } from "@stairgauge/placement";
 import type { RunUpdate, ToldLeaving, ToldReport } from "./types.js";
 
@@ -13,6 +15,7 @@
   /** A run of the box has begun at the server. */
   onAnswered: (server: ServerId) => void;
   onCrashes: (news: CrashNews) => void;
+  onLimits: (news: LimitNews, by: BoxName) => void;
 }>;
 
 /** Applies an update; a whole one replaces all runs that the box told before. */
@@ -29,4 +32,5 @@
   for (const told of leaving) onLeaving(told);
   for (const told of reports) onReport(told);
   onCrashes(update.crashes);
+  sinks.onLimits(update.limits, box);
 };
--- /dev/null
+++ b/packages/peers/src/makeNotice.ts
@@ -0,0 +1,17 @@
+/** Makes what a box tells those that are linked to it. */
+import { NO_CRASH_NEWS } from "@stairgauge/crashes";
+import { NO_LIMIT_NEWS } from "@stairgauge/limits";
+import type { HubNotice } from "./types.js";
+
+/** Makes a notice of what is given and of nothing else. */
+export const makeNotice = (told: Partial<HubNotice>): HubNotice => ({
+  leaving: [],
+  crashes: NO_CRASH_NEWS,
+  limits: NO_LIMIT_NEWS,
+  ...told,
+});
+
+/** Whether there is anything in it. */
+export const hasNews = ({ leaving, crashes, limits }: HubNotice): boolean =>
+  leaving.length + crashes.ends.length + crashes.served.length > 0 ||
+  limits.named.length + limits.lifted.length > 0;
--- a/packages/peers/src/peerLink.ts
+++ b/packages/peers/src/peerLink.ts
@@ -5,7 +5,7 @@
   credentials,
   type ClientDuplexStream,
 } from "@grpc/grpc-js";
-import type { Clock, Ms, Random, Timer } from "@stairgauge/common";
+import type { BoxName, Clock, Ms, Random, Timer } from "@stairgauge/common";
 import type { PeerService } from "./service.js";
 import type { HubNotice, Peer, RunUpdate } from "./types.js";
 
@@ -16,7 +16,7 @@
   service: PeerService;
   /** The whole state, for a stream that has just been opened. */
   makeWhole: () => RunUpdate;
-  onNotice: (notice: HubNotice) => void;
+  onNotice: (notice: HubNotice, by: BoxName) => void;
 }>;
 
 /** A link. */
@@ -78,7 +78,7 @@
     opened.on("metadata", () => {
       pause = FIRST_PAUSE_MS;
     });
-    opened.on("data", onNotice);
+    opened.on("data", (notice: HubNotice) => onNotice(notice, peer.box));
     // Told again with the status, by which the stream is opened anew.
     opened.on("error", () => undefined);
     opened.on("status", () => {
--- a/packages/peers/src/peerLinks.ts
+++ b/packages/peers/src/peerLinks.ts
@@ -36,7 +36,7 @@
   /** The whole state, for a link that has just come up. */
   makeWhole: () => RunUpdate;
   /** A hub has told this box something. */
-  onNotice: (notice: HubNotice) => void;
+  onNotice: (notice: HubNotice, by: BoxName) => void;
   onMessage: (message: PeerMessage) => void;
 }>;
 
--- a/packages/peers/src/peerServer.ts
+++ b/packages/peers/src/peerServer.ts
@@ -10,6 +10,7 @@
 } from "@grpc/grpc-js";
 import type { BoxName } from "@stairgauge/common";
 import type { ServerAddress } from "@stairgauge/directory";
+import { hasNews } from "./makeNotice.js";
 import { createPeerService, type PeerMessage } from "./service.js";
 import type {
   HubNotice,
@@ -69,7 +70,7 @@
 
   const sendGreeting = (stream: UpdateStream) => {
     const greeting = options.makeGreeting();
-    if (greeting.crashes.ends.length > 0) stream.write(greeting);
+    if (hasNews(greeting)) stream.write(greeting);
   };
 
   const handleStream = (stream: UpdateStream) => {
--- a/packages/peers/src/peers.test.ts
+++ b/packages/peers/src/peers.test.ts
@@ -11,8 +11,9 @@
   type Ms,
   type ServiceName,
 } from "@stairgauge/common";
-import type { CrashNews, RequestDigest } from "@stairgauge/crashes";
+import { NO_CRASH_NEWS, type CrashNews, type RequestDigest } from "@stairgauge/crashes";
 import type { ServerId } from "@stairgauge/directory";
+import type { LimitNews } from "@stairgauge/limits";
 import { createTableMirror, type TableMirror } from "@stairgauge/storefeed";
 import { createLoadBook, type EngineReport, type PlacedRun } from "@stairgauge/placement";
 import {
@@ -23,6 +24,7 @@
   createPeerServer,
   createRunTeller,
   createWatchShares,
+  makeNotice,
   type HubNotice,
   type MovesAnswer,
   type Peer,
@@ -38,13 +40,17 @@
 import { decodeUpdate, encodeUpdate } from "./updateCodec.js";
 
 const server = "e1" as ServerId;
-const NO_CRASHES: CrashNews = { ends: [], served: [] };
 const DIGEST = "0123456789abcdef0123456789abcdef" as RequestDigest;
 const KNOWN_CRASHES: CrashNews = {
   ends: [{ digest: DIGEST, server, age: 40 as Ms }],
   served: [],
 };
 
+const KNOWN_LIMITS: LimitNews = {
+  named: [{ server, perSecond: 1.7, knownFor: 900 as Ms, age: 40 as Ms }],
+  lifted: [{ server: "e2" as ServerId, age: 25 as Ms }],
+};
+
 const makeRun = (id: string): PlacedRun => ({
   id,
   promptTokens: 3_000,
@@ -73,7 +79,7 @@
   while (!isMet()) await new Promise((resolve) => setTimeout(resolve, 5));
 };
 
-const openListener = async (greeting: CrashNews = NO_CRASHES) => {
+const openListener = async (greeting: CrashNews = NO_CRASH_NEWS) => {
   const book = createLoadBook();
   const lost: string[] = [];
   const leaving: ToldLeaving[] = [];
@@ -83,6 +89,7 @@
   const withdrawn: string[] = [];
   const messages: PeerMessage[] = [];
   const crashes: CrashNews[] = [];
+  const limits: Readonly<{ news: LimitNews; by: BoxName }>[] = [];
   const mirrors = new Map<string, TableMirror>();
   const pulse = createTableMirror(createSystemClock());
   const server = createPeerServer({
@@ -95,10 +102,11 @@
           onBroken: (broken) => outcomes.push(`broken ${broken}`),
           onAnswered: (answered) => outcomes.push(`answered ${answered}`),
           onCrashes: (news) => crashes.push(news),
+          onLimits: (news, by) => limits.push({ news, by }),
         },
         update,
       ),
-    makeGreeting: () => ({ leaving: [], crashes: greeting }),
+    makeGreeting: () => makeNotice({ crashes: greeting }),
     onPeerLost: (box) => {
       lost.push(box);
       book.dropPeer(box);
@@ -122,6 +130,7 @@
     notify: server.notify,
     notifyAll: server.notifyAll,
     crashes,
+    limits,
     leaving,
     reports,
     outcomes,
@@ -139,6 +148,7 @@
   const own = "a" as BoxName;
   const leaving: ToldLeaving[] = [];
   const notices: HubNotice[] = [];
+  const tellers: BoxName[] = [];
   const book = createLoadBook((change) => teller.takeChange(change));
   const teller = createRunTeller({
     clock,
@@ -148,17 +158,21 @@
     sendToSome: (update) => links.tellSome(update),
     listLeaving: () => leaving,
     listCrashes: () => KNOWN_CRASHES,
+    listLimits: () => KNOWN_LIMITS,
   });
   const links = createPeerLinks({
     clock,
     random: createSeededRandom(1),
     own: toEqualMember(own),
     makeWhole: teller.makeWhole,
-    onNotice: (notice) => notices.push(notice),
+    onNotice: (notice, by) => {
+      notices.push(notice);
+      tellers.push(by);
+    },
     onMessage: () => undefined,
   });
   closers.push(links.close);
-  return { book, links, teller, leaving, notices };
+  return { book, links, teller, leaving, notices, tellers };
 };
 
 describe("boxes that tell each other their runs", () => {
@@ -293,7 +307,7 @@
     here.book.addRun(server, makeRun("r"));
     here.links.setPeers([there.peer]);
     await waitFor(() => there.book.listPeersAt(server).length === 1);
-    const notice = { leaving: [{ server, isEntryGone: false }], crashes: NO_CRASHES };
+    const notice = makeNotice({ leaving: [{ server, isEntryGone: false }] });
     there.notify(there.book.listPeersAt(server) as BoxName[], notice);
     await waitFor(() => here.notices.length === 1);
     expect(here.notices).toEqual([notice]);
@@ -311,12 +325,39 @@
     expect(there.crashes).toEqual([KNOWN_CRASHES, both]);
   });
 
+  it("tell all limits they know when a link comes up, and then what they hear, together", async () => {
+    const there = await openListener();
+    const here = openTeller();
+    here.links.setPeers([there.peer]);
+    await waitFor(() => there.limits.length === 1);
+    const lift = { server, age: 20 as Ms };
+    here.teller.takeLimits({ named: [], lifted: [lift] });
+    here.teller.takeLimits(KNOWN_LIMITS);
+    await waitFor(() => there.limits.length === 2);
+    const both = { named: KNOWN_LIMITS.named, lifted: [lift, ...KNOWN_LIMITS.lifted] };
+    expect(there.limits).toEqual([
+      { news: KNOWN_LIMITS, by: "a" },
+      { news: both, by: "a" },
+    ]);
+  });
+
+  it("are told of limits by a hub, and by which", async () => {
+    const there = await openListener();
+    const here = openTeller();
+    here.links.setPeers([there.peer]);
+    await waitFor(() => there.limits.length === 1);
+    there.notifyAll(makeNotice({ limits: KNOWN_LIMITS }));
+    await waitFor(() => here.notices.length === 1);
+    expect(here.notices[0]!.limits).toEqual(KNOWN_LIMITS);
+    expect(here.tellers).toEqual(["b"]);
+  });
+
   it("are told of such requests as soon as their link is up, and of each change", async () => {
     const there = await openListener(KNOWN_CRASHES);
     const here = openTeller();
     here.links.setPeers([there.peer]);
     await waitFor(() => here.notices.length === 1);
-    there.notifyAll({ leaving: [], crashes: { ends: [], served: [DIGEST] } });
+    there.notifyAll(makeNotice({ crashes: { ends: [], served: [DIGEST] } }));
     await waitFor(() => here.notices.length === 2);
     expect(here.notices.map(({ crashes }) => crashes)).toEqual([
       KNOWN_CRASHES,
@@ -641,6 +682,7 @@
       ],
       broken: [server],
       crashes: { ...KNOWN_CRASHES, served: [DIGEST] },
+      limits: KNOWN_LIMITS,
     };
     expect(decodeUpdate(encodeUpdate(update))).toEqual(update);
   });
@@ -651,6 +693,8 @@
     "[]",
     '{"box":"a"}',
     '{"box":"a","whole":true,"put":[],"drop":[],"crashes":{"ends":[],"served":["x"]}}',
+    '{"box":"a","whole":true,"put":[],"drop":[],"limits":{"named":[],"lifted":[{"server":"s","age":-1}]}}',
+    '{"box":"a","whole":true,"put":[],"drop":[],"limits":{"named":[{"server":"s","perSecond":0,"knownFor":1,"age":1}],"lifted":[]}}',
   ])("refuses %j", (text) => {
     expect(() => decodeUpdate(Buffer.from(text))).toThrow();
   });
--- a/packages/peers/src/runTeller.ts
+++ b/packages/peers/src/runTeller.ts
@@ -1,7 +1,8 @@
 /** Collects changes of this box's runs and tells them together. */
 import type { BoxName, Clock, Ms } from "@stairgauge/common";
-import type { CrashNews } from "@stairgauge/crashes";
+import { NO_CRASH_NEWS, type CrashNews } from "@stairgauge/crashes";
 import type { ServerId } from "@stairgauge/directory";
+import { NO_LIMIT_NEWS, type LimitNews } from "@stairgauge/limits";
 import type { LoadBook, RunChange } from "@stairgauge/placement";
 import type { RunUpdate, ToldLeaving, ToldReport } from "./types.js";
 
@@ -20,10 +21,10 @@
   listLeaving: () => readonly ToldLeaving[];
   /** All that is known of requests that end servers. */
   listCrashes: () => CrashNews;
+  /** All that is known of limits that servers name. */
+  listLimits: () => LimitNews;
 }>;
 
-const NO_CRASHES: CrashNews = { ends: [], served: [] };
-
 /** Tells the runs of one box. */
 export type RunTeller = Readonly<{
   takeChange: (change: RunChange) => void;
@@ -36,6 +37,8 @@
   tellBroken: (server: ServerId) => void;
   /** Servers ended under requests of this box, or it served such a request. */
   takeCrashes: (news: CrashNews) => void;
+  /** Servers have told this box of their limits. */
+  takeLimits: (news: LimitNews) => void;
 }>;
 
 /** Creates the teller. */
@@ -43,7 +46,8 @@
   const { clock, own, book, send, sendToSome } = options;
   let pending: RunChange[] = [];
   let reports: ToldReport[] = [];
-  let crashes = NO_CRASHES;
+  let crashes = NO_CRASH_NEWS;
+  let limits = NO_LIMIT_NEWS;
   let isScheduled = false;
 
   const buildUpdate = (told: Partial<RunUpdate>): RunUpdate => ({
@@ -54,7 +58,8 @@
     leaving: [],
     reports: [],
     broken: [],
-    crashes: NO_CRASHES,
+    crashes: NO_CRASH_NEWS,
+    limits: NO_LIMIT_NEWS,
     ...told,
   });
 
@@ -67,10 +72,12 @@
     const changes = pending;
     const toldReports = reports;
     const toldCrashes = crashes;
+    const toldLimits = limits;
     isScheduled = false;
     pending = [];
     reports = [];
-    crashes = NO_CRASHES;
+    crashes = NO_CRASH_NEWS;
+    limits = NO_LIMIT_NEWS;
     const last = new Map(
       changes.map((change) => [`${change.server} ${change.id}`, change]),
     );
@@ -79,6 +86,7 @@
       buildUpdate({
         reports: toldReports,
         crashes: toldCrashes,
+        limits: toldLimits,
         put: kept.flatMap(({ server, run }) => (run ? [{ server, run }] : [])),
         drop: kept.flatMap(({ server, id, run }) => (run ? [] : [{ server, id }])),
       }),
@@ -100,6 +108,7 @@
         put: book.listAllRuns(),
         leaving: options.listLeaving(),
         crashes: options.listCrashes(),
+        limits: options.listLimits(),
       }),
     takeCrashes: ({ ends, served }) => {
       crashes = {
@@ -108,6 +117,13 @@
       };
       schedule();
     },
+    takeLimits: ({ named, lifted }) => {
+      limits = {
+        named: [...limits.named, ...named],
+        lifted: [...limits.lifted, ...lifted],
+      };
+      schedule();
+    },
     tellBroken: (server) => send(buildUpdate({ broken: [server] })),
     tellLeaving: (told) => sendToSome(buildUpdate({ leaving: [told] })),
   };
--- a/packages/peers/src/types.ts
+++ b/packages/peers/src/types.ts
@@ -4,6 +4,7 @@
  */
 import type { BoxName, DataHallName, Ms } from "@stairgauge/common";
 import type { CrashNews } from "@stairgauge/crashes";
+import type { LimitNews } from "@stairgauge/limits";
 import type { RowChange, StoredRow } from "@stairgauge/storefeed";
 import type { ServerAddress, ServerId } from "@stairgauge/directory";
 import type {
@@ -11,6 +12,7 @@
   MoveTarget,
   NoServerReason,
   PlacedRun,
+  PlacementLimit,
   PlacementReason,
   RunToMove,
 } from "@stairgauge/placement";
@@ -49,12 +51,15 @@
   broken: readonly ServerId[];
   /** Requests under which servers ended, as the box has seen it, or all that it knows. */
   crashes: CrashNews;
+  /** Limits that servers name, as the box has heard them, or all that it knows. */
+  limits: LimitNews;
 }>;
 
-/** What a box tells those that are linked to it: of servers at which they have runs, and of requests that end servers. */
+/** What a box tells those that are linked to it: of servers at which they have runs, requests that end servers, and limits. */
 export type HubNotice = Readonly<{
   leaving: readonly ToldLeaving[];
   crashes: CrashNews;
+  limits: LimitNews;
 }>;
 
 /** What one box asks another of a table: all of it, or its changes as soon as there is news. */
@@ -88,9 +93,15 @@
       memoryAfter: number | undefined;
       reportAge: Ms | undefined;
       candidates: number;
+      limited?: PlacementLimit | undefined;
     }
   | { kind: "no_room"; memoryAfter: number }
-  | { kind: "no_server"; reason: NoServerReason; known: number }
+  | {
+      kind: "no_server";
+      reason: NoServerReason;
+      known: number;
+      retryAfter?: Ms | undefined;
+    }
 >;
 
 /** What leaves an engine and where to: all boxes with runs there ask the same hub, and plan alike. */
--- a/packages/peers/src/updateCodec.ts
+++ b/packages/peers/src/updateCodec.ts
@@ -1,7 +1,8 @@
 /** Updates as bytes, and back; what another box sends is checked like any input. */
 import type { BoxName, Ms } from "@stairgauge/common";
-import type { CrashNews, RequestDigest } from "@stairgauge/crashes";
+import { NO_CRASH_NEWS, type CrashNews, type RequestDigest } from "@stairgauge/crashes";
 import type { ServerId } from "@stairgauge/directory";
+import { NO_LIMIT_NEWS, type LimitNews } from "@stairgauge/limits";
 import type { PlacedRun } from "@stairgauge/placement";
 import { z } from "zod";
 import type { HubNotice, RunUpdate, ToldLeaving, ToldReport } from "./types.js";
@@ -62,11 +63,22 @@
   served: z.array(digestSchema),
 });
 
-const NO_CRASHES = { ends: [], served: [] };
+const limitsSchema = z.object({
+  named: z.array(
+    z.object({
+      server: z.string(),
+      perSecond: z.number().positive(),
+      knownFor: z.number().nonnegative(),
+      age: z.number().nonnegative(),
+    }),
+  ),
+  lifted: z.array(z.object({ server: z.string(), age: z.number().nonnegative() })),
+});
 
 const noticeSchema = z.object({
   leaving: leavingSchema.default([]),
-  crashes: crashesSchema.default(NO_CRASHES),
+  crashes: crashesSchema.optional(),
+  limits: limitsSchema.optional(),
 });
 
 const updateSchema = z.object({
@@ -77,7 +89,8 @@
   leaving: leavingSchema.default([]),
   reports: z.array(reportSchema).default([]),
   broken: z.array(z.string()).default([]),
-  crashes: crashesSchema.default(NO_CRASHES),
+  crashes: crashesSchema.optional(),
+  limits: limitsSchema.optional(),
 });
 
 const encodeReport = ({ server, report }: ToldReport): z.infer<typeof reportSchema> => ({
@@ -122,25 +135,55 @@
 const encodeCrashes = (crashes: CrashNews) =>
   crashes.ends.length + crashes.served.length > 0 ? { crashes } : {};
 
-const decodeCrashes = ({ ends, served }: z.infer<typeof crashesSchema>): CrashNews => ({
-  ends: ends.map(({ digest, server, age }) => ({
-    digest: digest as RequestDigest,
-    server: server as ServerId,
-    age: age as Ms,
-  })),
-  served: served.map((digest) => digest as RequestDigest),
-});
+const decodeCrashes = (told: z.infer<typeof crashesSchema> | undefined): CrashNews =>
+  told === undefined
+    ? NO_CRASH_NEWS
+    : {
+        ends: told.ends.map(({ digest, server, age }) => ({
+          digest: digest as RequestDigest,
+          server: server as ServerId,
+          age: age as Ms,
+        })),
+        served: told.served.map((digest) => digest as RequestDigest),
+      };
+
+const encodeLimits = (limits: LimitNews) =>
+  limits.named.length + limits.lifted.length > 0 ? { limits } : {};
+
+const decodeLimits = (told: z.infer<typeof limitsSchema> | undefined): LimitNews =>
+  told === undefined
+    ? NO_LIMIT_NEWS
+    : {
+        named: told.named.map(({ server, perSecond, knownFor, age }) => ({
+          server: server as ServerId,
+          perSecond,
+          knownFor: knownFor as Ms,
+          age: age as Ms,
+        })),
+        lifted: told.lifted.map(({ server, age }) => ({
+          server: server as ServerId,
+          age: age as Ms,
+        })),
+      };
 
 /** Encodes a notice. */
-export const encodeNotice = ({ leaving, crashes }: HubNotice): Buffer =>
+export const encodeNotice = ({ leaving, crashes, limits }: HubNotice): Buffer =>
   Buffer.from(
-    JSON.stringify({ leaving: encodeLeaving(leaving), ...encodeCrashes(crashes) }),
+    JSON.stringify({
+      leaving: encodeLeaving(leaving),
+      ...encodeCrashes(crashes),
+      ...encodeLimits(limits),
+    }),
   );
 
 /** Decodes a notice; throws on bytes that are none, as the transport expects of a decoder. */
 export const decodeNotice = (bytes: Buffer): HubNotice => {
-  const { leaving, crashes } = noticeSchema.parse(JSON.parse(bytes.toString("utf8")));
-  return { leaving: decodeLeaving(leaving), crashes: decodeCrashes(crashes) };
+  const notice = noticeSchema.parse(JSON.parse(bytes.toString("utf8")));
+  return {
+    leaving: decodeLeaving(notice.leaving),
+    crashes: decodeCrashes(notice.crashes),
+    limits: decodeLimits(notice.limits),
+  };
 };
 
 /** Encodes an update. */
@@ -154,6 +197,7 @@
       leaving: encodeLeaving(update.leaving),
       ...(update.broken.length > 0 && { broken: update.broken }),
       ...encodeCrashes(update.crashes),
+      ...encodeLimits(update.limits),
       ...(update.reports.length > 0 && { reports: update.reports.map(encodeReport) }),
     }),
   );
@@ -173,5 +217,6 @@
     reports: update.reports.map(decodeReport),
     broken: update.broken.map((server) => server as ServerId),
     crashes: decodeCrashes(update.crashes),
+    limits: decodeLimits(update.limits),
   };
 };
--- a/packages/placement/src/chooseServer.ts
+++ b/packages/placement/src/chooseServer.ts
@@ -17,7 +17,7 @@
 /** What a choice is made from. */
 export type ChoiceInputs = Readonly<{
   candidates: readonly BackendServer[];
-  demand: Demand;
+  demand: Pick<Demand, "tokens">;
   book: LoadBook;
   ownHall: DataHallName;
   way: EngineWay;
--- a/packages/placement/src/computeColdShare.test.ts
+++ b/packages/placement/src/computeFleetShare.test.ts
@@ -5,14 +5,14 @@
 import { describe, expect, it } from "vitest";
 import fc from "fast-check";
 import type { ServerId } from "@stairgauge/directory";
-import { computeColdShare } from "./computeColdShare.js";
+import { computeFleetShare } from "./computeFleetShare.js";
 
 const sumShares = (bound: number, boxes: number, isPlacedByFirst: boolean, id: string) =>
   Array.from({ length: boxes }, (_, rank) =>
-    computeColdShare(bound, { rank, boxes, isPlacedByFirst }, id as ServerId),
+    computeFleetShare(bound, { rank, boxes, isPlacedByFirst }, id as ServerId),
   ).reduce((sum, share) => sum + share, 0);
 
-describe("computeColdShare", () => {
+describe("computeFleetShare", () => {
   it("gives all boxes together just the bound, whatever its size and theirs (property)", () => {
     fc.assert(
       fc.property(
@@ -35,7 +35,7 @@
   it("lets the first box, which places for the others, give nine tenths of what a cold server bears within the time to send", () => {
     const [perSecond, bound, secondsToSend] = [20, 35, 1.4];
     const part = { rank: 0, boxes: 64, isPlacedByFirst: true };
-    const share = computeColdShare(bound, part, "e" as ServerId);
+    const share = computeFleetShare(bound, part, "e" as ServerId);
     expect(share / secondsToSend).toBeGreaterThanOrEqual(0.8 * perSecond);
   });
 
@@ -43,7 +43,7 @@
     const listTakers = (id: string) =>
       Array.from({ length: 64 }, (_, rank) => rank).filter(
         (rank) =>
-          computeColdShare(
+          computeFleetShare(
             35,
             { rank, boxes: 64, isPlacedByFirst: false },
             id as ServerId,
--- a/packages/placement/src/computeColdShare.ts
+++ b/packages/placement/src/computeFleetShare.ts
@@ -1,7 +1,7 @@
 /**
- * How many requests one box may send to a server that may be cold, in any one second, so that all boxes together stay within
- * what the server is allowed. No box asks another for it: all know the same list of boxes, and the parts of that list add up
- * to the bound whichever of the boxes live, freeze, or disagree about who places for whom. Pure.
+ * One box's part of what all boxes together may do to a server: send it requests while it is cold, or as many as it names. No box asks
+ * another for it: all know the same list of boxes, and the parts of that list add up to the bound whichever of the boxes live,
+ * freeze, or disagree about who places for whom. Pure.
  */
 import type { ServerId } from "@stairgauge/directory";
 
@@ -52,8 +52,8 @@
   return all + (position < whole % boxes ? 1 : 0);
 };
 
-/** Works one box's part of the bound out; `bound` counts requests in any one second from all boxes together. */
-export const computeColdShare = (
+/** Works one box's part of the bound out, a whole number; `bound` counts what all boxes together may do in some span of time. */
+export const computeFleetShare = (
   bound: number,
   part: FleetPart,
   server: ServerId,
--- a/packages/placement/src/types.ts
+++ b/packages/placement/src/types.ts
@@ -29,6 +29,8 @@
 
 /** What a request needs of a server. */
 export type Demand = Readonly<{
+  /** Rank, 0 first. */
+  tier: number;
   /** Regions whose servers alone may serve it; all where absent. */
   regions?: readonly RegionName[] | undefined;
   /** Tokens of memory that a generation takes at least and may take; none for plain requests. */
@@ -55,9 +57,14 @@
   | "halls_closed"
   /** Those left may be cold, and have had what a cold server may get. */
   | "servers_cold"
+  /** Those left have named how many requests they take, and this box has sent its part. */
+  | "servers_limited"
   /** All others were tried, or hold as many connections as this box may open. */
   | "none_left";
 
+/** How many requests a second a server takes from all boxes, the chooser's part of them in a span, and what of it was sent. */
+export type PlacementLimit = Readonly<{ perSecond: number; part: number; used: number }>;
+
 /** A choice, with the figures that made it. */
 export type PlacementDecision = Readonly<
   | {
@@ -71,8 +78,16 @@
       /** Age of the report that the load rests on. */
       reportAge: Ms | undefined;
       candidates: number;
+      /** Set where the server has named how many requests it takes. */
+      limited?: PlacementLimit | undefined;
+    }
+  | {
+      kind: "no_server";
+      reason: NoServerReason;
+      known: number;
+      /** When one is expected to take the request, where that is known. */
+      retryAfter?: Ms | undefined;
     }
-  | { kind: "no_server"; reason: NoServerReason; known: number }
 >;
 
 /** How whoever places a generation for another box is to answer while every engine is full. */
--- a/packages/standins/src/usersPlatform/crashingServers.ts
+++ b/packages/standins/src/usersPlatform/crashingServers.ts
@@ -43,8 +43,8 @@
   countArrivals: () => number;
   /** Ends of servers. */
   countEnds: () => number;
-  /** Resets all connections to all servers, which live on. */
-  resetConnections: () => void;
+  /** Resets all connections to all servers, which live on, as soon as so many sound plain requests have come from now on. */
+  resetAfter: (requests: number) => void;
   close: () => void;
 }>;
 
@@ -59,6 +59,14 @@
   let arrivals = 0;
   let ends = 0;
   let isClosed = false;
+  /** Sound plain requests until all connections are reset. */
+  let resetIn = Infinity;
+  const countSound = () => {
+    resetIn -= 1;
+    if (resetIn > 0) return;
+    resetIn = Infinity;
+    resetters.forEach((reset) => reset());
+  };
 
   const startServer = async (id: string) => {
     const sockets = new Set<Socket>();
@@ -98,7 +106,10 @@
           request,
           Number(findHeader(head, HEADER.lastEventId) ?? -1) + 1,
         );
-      else setTimeout(() => sendPlainAnswer(socket, request), PLAIN_MS);
+      else {
+        setTimeout(() => sendPlainAnswer(socket, request), PLAIN_MS);
+        countSound();
+      }
     };
     const listen = async () => {
       if (isClosed) return;
@@ -125,7 +136,9 @@
   return {
     countArrivals: () => arrivals,
     countEnds: () => ends,
-    resetConnections: () => resetters.forEach((reset) => reset()),
+    resetAfter: (requests) => {
+      resetIn = requests;
+    },
     close: () => {
       isClosed = true;
       for (const close of closers) close();
--- a/packages/telemetry/src/boxMetrics.ts
+++ b/packages/telemetry/src/boxMetrics.ts
@@ -51,6 +51,21 @@
       help: "Requests that are kept from servers, since servers ended under them",
       registers,
     }),
+    limitedServers: new Gauge({
+      name: "stairgauge_limited_servers",
+      help: "Backend servers that have named how many requests they take",
+      registers,
+    }),
+    limitedPerSecond: new Gauge({
+      name: "stairgauge_limited_per_second",
+      help: "Requests a second that servers with a limit take from all boxes together",
+      registers,
+    }),
+    limitedSent: new Counter({
+      name: "stairgauge_limited_sent_total",
+      help: "Requests placed at servers that have named a limit",
+      registers,
+    }),
     peerMessages: new Counter({
       name: "stairgauge_peer_messages_total",
       help: "Messages between boxes, by call and direction",
