test: limits that begin under load, change, are named in some answers only, end, and of all servers at once; a limit ends by three answers

Cause: with a limit named in every third answer, one answer without it lifted it in a pause of 2 s, which boxes make once they have sent their parts (whole boxes, 3 at 60 requests a second: lines server_limit_lifted; the bound held). Change: a limit ends by three answers in a row without it and 2 s, or by one after 6 s; what is no number renews what is known.

--- a/apps/box/src/serverLimits.testkit.ts
+++ b/apps/box/src/serverLimits.testkit.ts
@@ -57,6 +57,14 @@
 const formatRequestId = (box: number, sequence: number) => `${box}-${sequence}`;
 const findSender = ({ request }: LimitedArrival) => Number(request.split("-")[0]);
 
+/** Gives the statuses of all answers. */
+export const collectAnswers = async (
+  sent: readonly SentRequest[],
+): Promise<ReadonlySet<number>> => {
+  const answers = await Promise.all(sent.map(({ answer }) => answer));
+  return new Set(answers.map(({ status }) => status));
+};
+
 /** When each box was first told a limit, by the server that took these requests. */
 const findToldAt = (arrivals: readonly LimitedArrival[]): ReadonlyMap<number, number> => {
   const toldAt = new Map<number, number>();
--- a/packages/limits/src/constants.ts
+++ b/packages/limits/src/constants.ts
@@ -3,11 +3,18 @@
 import type { LimitNews } from "./types.js";
 
 /**
- * An answer without a limit lifts it if its request was sent this long after the last answer with one, or as long as the server
- * takes for three requests: servers that name it in every second answer, and answers that overtake one another, lift nothing.
+ * Three answers in a row without a limit lift it, the last of them to a request that was sent this long after the last answer with
+ * one: servers that name it in every second answer, and answers that overtake one another, lift nothing.
  */
+export const TELLING_ANSWERS = 3;
 export const LEAST_HOLD_MS = 2_000 as Ms;
-export const MOST_HOLD_MS = 10_000 as Ms;
+
+/**
+ * A single answer without it lifts a limit if its request was sent this long after the last answer with one, or as long as the
+ * server takes for three requests: longer than all boxes together may be silent once they have sent their parts.
+ */
+export const LEAST_SINGLE_HOLD_MS = 6_000 as Ms;
+export const MOST_SINGLE_HOLD_MS = 10_000 as Ms;
 
 /**
  * A limit of which no box has heard for so long, or for as long as the server takes for three requests, is forgotten: whoever sends
@@ -15,9 +22,6 @@
  */
 export const LEAST_MEMORY_MS = 30_000 as Ms;
 
-/** Requests after which a server that still named its limit would have done so. */
-export const TELLING_REQUESTS = 3;
-
 /** A limit that is known is told again this often while servers go on naming it: boxes that send nothing there hear it so. */
 export const RETELL_MS = 1_000 as Ms;
 
--- a/packages/limits/src/limitBook.ts
+++ b/packages/limits/src/limitBook.ts
@@ -8,10 +8,11 @@
 import {
   LEAST_HOLD_MS,
   LEAST_MEMORY_MS,
-  MOST_HOLD_MS,
+  LEAST_SINGLE_HOLD_MS,
+  MOST_SINGLE_HOLD_MS,
   NO_LIMIT_NEWS,
   RETELL_MS,
-  TELLING_REQUESTS,
+  TELLING_ANSWERS,
 } from "./constants.js";
 import type { KnownLimit, LimitEvent, LimitNews, LimitSign, ToldLimit } from "./types.js";
 
@@ -50,6 +51,8 @@
   lastAt: number;
   /** The `lastAt` that was handed on last. */
   sharedAt: number;
+  /** Answers without it that this box has had since. */
+  unnamed: number;
 }>;
 
 /** Something heard of a limit: when, and from whom. */
@@ -62,11 +65,14 @@
 const MS_PER_S = 1_000;
 
 const computeTellingTime = (perSecond: number): number =>
-  (TELLING_REQUESTS / perSecond) * MS_PER_S;
+  (TELLING_ANSWERS / perSecond) * MS_PER_S;
 
-/** Works out how long after the last answer with a limit an answer without it says nothing. */
-const computeHold = (perSecond: number): number =>
-  Math.min(MOST_HOLD_MS, Math.max(LEAST_HOLD_MS, computeTellingTime(perSecond)));
+/** Works out how long after the last answer with a limit a single answer without it says nothing. */
+const computeSingleHold = (perSecond: number): number =>
+  Math.min(
+    MOST_SINGLE_HOLD_MS,
+    Math.max(LEAST_SINGLE_HOLD_MS, computeTellingTime(perSecond)),
+  );
 
 const computeMemory = (perSecond: number): number =>
   Math.max(LEAST_MEMORY_MS, computeTellingTime(perSecond));
@@ -116,6 +122,7 @@
       firstAt: Math.min(firstAt, kept?.firstAt ?? Infinity),
       lastAt: Math.max(at, kept?.lastAt ?? -Infinity),
       sharedAt: isDue ? at : (kept?.sharedAt ?? -Infinity),
+      unnamed: 0,
     });
     if (isChange) {
       const age = (clock.monotonic() - at) as Ms;
@@ -125,10 +132,27 @@
     if (isDue) tellNews({ named: makeTold(server), lifted: [] }, by);
   };
 
-  const attemptLift = ({ server, at: sentAt, by }: Heard) => {
-    const known = find(server);
-    const kept = limits.get(server);
-    if (!known || !kept || sentAt - kept.lastAt < computeHold(known.perSecond)) return;
+  /** A request that was sent so long after the last answer with the limit was answered without it. */
+  const isProof = ({ perSecond, unnamed }: Kept, sentAfter: number): boolean => {
+    const isRow = unnamed >= TELLING_ANSWERS;
+    return sentAfter >= (isRow ? LEAST_HOLD_MS : computeSingleHold(perSecond));
+  };
+  const takeUnnamed = (server: ServerId, sentAt: number) => {
+    const kept = find(server) && limits.get(server);
+    if (!kept || sentAt < kept.lastAt) return;
+    const counted = { ...kept, unnamed: kept.unnamed + 1 };
+    limits.set(server, counted);
+    if (isProof(counted, sentAt - kept.lastAt))
+      endLimit({ server, at: sentAt, by: "itself" });
+  };
+  /** Whoever tells it has the proof; it holds here if nothing was heard of the limit since. */
+  const takeLift = ({ server, at: sentAt, by }: Heard) => {
+    const kept = find(server) && limits.get(server);
+    if (kept && sentAt - kept.lastAt >= LEAST_HOLD_MS)
+      endLimit({ server, at: sentAt, by });
+  };
+  const endLimit = ({ server, at: sentAt, by }: Heard) => {
+    const known = find(server)!;
     limits.delete(server);
     liftedAt.set(server, sentAt);
     onEvent({ kind: "lifted", server, age: known.age, by: toBox(by) });
@@ -136,7 +160,11 @@
     tellNews({ named: [], lifted: [{ server, age }] }, by);
   };
 
+  /** The server goes on naming something: what is known holds on. */
   const takeUnreadable = (server: ServerId, text: string) => {
+    const known = find(server);
+    const now = clock.monotonic();
+    if (known) recordNamed({ server, at: now, by: "itself" }, known.perSecond, now);
     if (unreadable.has(server)) return;
     unreadable.add(server);
     onEvent({ kind: "unreadable", server, text });
@@ -144,23 +172,22 @@
 
   return {
     takeSign: (server, sign, sentAgo) => {
-      const now = clock.monotonic();
       if (sign.kind === "unreadable") {
         takeUnreadable(server, sign.text);
         return;
       }
+      const now = clock.monotonic();
       unreadable.delete(server);
       if (sign.kind === "named")
         recordNamed({ server, at: now, by: "itself" }, sign.perSecond, now);
-      else if (sentAgo !== undefined)
-        attemptLift({ server, at: now - sentAgo, by: "itself" });
+      else if (sentAgo !== undefined) takeUnnamed(server, now - sentAgo);
     },
     takeNews: ({ named, lifted }, by) => {
       const now = clock.monotonic();
       for (const { server, perSecond, knownFor, age } of named)
         if (isListed(server))
           recordNamed({ server, at: now - age, by }, perSecond, now - knownFor);
-      for (const { server, age } of lifted) attemptLift({ server, at: now - age, by });
+      for (const { server, age } of lifted) takeLift({ server, at: now - age, by });
     },
     find,
     isEmpty: () => limits.size === 0,
