fix: ends of servers that are too old leave the book of requests that end servers

From the first suspicion on every request was hashed, links told old ends for nothing, and a request that ends three servers an hour reached the bound of 32 ends after some ten hours and could not be blocked any more. Change: an end counts or is dropped, at each addition and when the book is asked whether it is empty.

--- a/apps/box/src/createCrashes.ts
+++ b/apps/box/src/createCrashes.ts
@@ -82,6 +82,7 @@
     getGuard: () => guard,
     isKeeper: () => getLinks().findPlace()?.rank === 0,
     onFailure: (failure) => log.writeWarning("blocked_list", { failure }),
+    onReview: countBlocked,
   });
   return { guard, list };
 };
--- a/packages/crashes/src/blockedList.test.ts
+++ b/packages/crashes/src/blockedList.test.ts
@@ -46,6 +46,7 @@
     getGuard: () => guard,
     isKeeper: () => isKeeper,
     onFailure: (failure) => failures.push(failure),
+    onReview: () => undefined,
   });
   const recordEnds = (servers: readonly string[]) =>
     servers.forEach((server) =>
@@ -147,4 +148,13 @@
       expect(box.judge()).toBe("unsuspected");
     },
   );
+
+  it("takes no request from a row whose key is no digest", () => {
+    const box = createBox();
+    box.recordEnds(["a", "b", "c"]);
+    const row = { ...box.makeRow(box.values.get(DIGEST)), key: "x" };
+    box.list.sink.onWhole([row], 0 as Ms, 1);
+    expect(box.failures).toEqual([{ kind: "unreadable_request", key: "x" }]);
+    expect(box.guard.judge(() => "x" as RequestDigest).kind).toBe("unsuspected");
+  });
 });
--- a/packages/crashes/src/blockedList.ts
+++ b/packages/crashes/src/blockedList.ts
@@ -20,6 +20,8 @@
   /** Whether it is this box that drops rows whose time has passed: one box does it for all. */
   isKeeper: () => boolean;
   onFailure: (failure: StoreWriteFailure | BlockedRowFailure) => void;
+  /** Blocks may have run out meanwhile. */
+  onReview: () => void;
 }>;
 
 /** One box's part in the list. */
@@ -75,6 +77,7 @@
   };
   const lookAtRows = () => {
     if (isStopped) return;
+    options.onReview();
     if (isKeeper()) for (const digest of rows.list()) void drop(digest);
     startReview();
   };
--- a/packages/crashes/src/blockedRows.ts
+++ b/packages/crashes/src/blockedRows.ts
@@ -3,8 +3,14 @@
 import type { ServerId } from "@stairgauge/directory";
 import type { FollowerSink, StoredRow } from "@stairgauge/storefeed";
 import { z } from "zod";
+import { REQUEST_DIGEST } from "./constants.js";
 import type { RequestDigest, ToldEnd } from "./types.js";
 
+const digestSchema = z
+  .string()
+  .regex(REQUEST_DIGEST)
+  .transform((text) => text as RequestDigest);
+
 const rowSchema = z.object({
   ends: z.array(z.object({ server: z.string(), at: z.number() })).max(64),
 });
@@ -24,10 +30,11 @@
   now: Ms,
 ): Result<readonly ToldEnd[], BlockedRowFailure> => {
   try {
+    const digest = digestSchema.parse(key);
     const { ends } = rowSchema.parse(JSON.parse(value.toString("utf8")));
     return Ok(
       ends.map(({ server, at }) => ({
-        digest: key as RequestDigest,
+        digest,
         server: server as ServerId,
         age: Math.max(0, now - at) as Ms,
       })),
@@ -60,8 +67,9 @@
   const listed = new Set<RequestDigest>();
 
   const put = (row: StoredRow) => {
-    listed.add(row.key as RequestDigest);
     const decoded = decodeBlockedRow(row, clock.now());
+    // A row that holds a request is listed even if its ends can't be read: its keeper drops it in time.
+    if (REQUEST_DIGEST.test(row.key)) listed.add(row.key as RequestDigest);
     if (decoded.ok) onListed(decoded.val);
     else onUnreadable(decoded.val);
   };
--- a/packages/crashes/src/constants.ts
+++ b/packages/crashes/src/constants.ts
@@ -20,3 +20,6 @@
 
 /** News of which there is none. */
 export const NO_CRASH_NEWS: CrashNews = { ends: [], served: [] };
+
+/** Form of a digest, wherever one comes from: 128 bits in hexadecimal digits. */
+export const REQUEST_DIGEST = /^[0-9a-f]{32}$/;
--- a/packages/crashes/src/endBook.test.ts
+++ b/packages/crashes/src/endBook.test.ts
@@ -54,6 +54,32 @@
     expect(book.add(makeEnd("c", 11), 20 as Ms)).toBe(true);
   });
 
+  /**
+   * Ends that were too old to count stayed in the book: it was never empty again, so every request was hashed, and a request that
+   * ended three servers an hour reached the bound on its ends after some ten hours, from when on it could not be blocked.
+   */
+  it("forgets ends that are too old, so that a request that ends servers for days is blocked each time", () => {
+    const book = createEndBook(LIMITS);
+    for (let round = 0; round < 50; round += 1) {
+      const now = (round * 2_000) as Ms;
+      for (const server of ["a", "b", "c"])
+        expect(book.add(makeEnd(`${server} ${round}`, now), now)).toBe(true);
+      expect(book.judge(DIGEST, now).kind).toBe("blocked");
+      expect(book.listEnds(DIGEST)).toHaveLength(3);
+    }
+  });
+
+  it("is empty again once all ends in it are too old", () => {
+    const book = createEndBook(LIMITS);
+    const other = "e" as RequestDigest;
+    book.add(makeEnd("a", 0), 0 as Ms);
+    book.add(makeEnd("a", 600, other), 600 as Ms);
+    expect(book.isEmpty(1_000 as Ms)).toBe(false);
+    expect(book.listRequests()).toEqual([other]);
+    expect(book.isEmpty(1_600 as Ms)).toBe(true);
+    expect(book.listRequests()).toEqual([]);
+  });
+
   it("keeps what is blocked when thousands of others were aboard of servers that ended", () => {
     const book = createEndBook(LIMITS);
     for (const server of ["a", "b", "c"]) book.add(makeEnd(server, 0), 0 as Ms);
--- a/packages/crashes/src/endBook.ts
+++ b/packages/crashes/src/endBook.ts
@@ -25,7 +25,8 @@
   ) => RequestStanding;
   listEnds: (digest: RequestDigest) => readonly RequestEnd[];
   listRequests: () => readonly RequestDigest[];
-  isEmpty: () => boolean;
+  /** Whether no end in it counts any more. */
+  isEmpty: (now: Ms) => boolean;
 }>;
 
 /** Requests that are kept: a full engine that ends puts some 50 into the book, each in less than 300 bytes. */
@@ -45,6 +46,13 @@
   const listEnds = (digest: RequestDigest) => [...(ends.get(digest)?.values() ?? [])];
   const listCounting = (digest: RequestDigest, now: Ms) =>
     listEnds(digest).filter(({ at }) => now - at < memory);
+  /** Drops requests of which no end counts any more; those behind the first that has one were added to later. */
+  const dropOutdated = (now: Ms) => {
+    for (const digest of ends.keys()) {
+      if (listCounting(digest, now).length > 0) return;
+      ends.delete(digest);
+    }
+  };
 
   const dropOldest = (kept: Map<RequestDigest, unknown>) => {
     const [oldest] = kept.keys();
@@ -62,11 +70,11 @@
 
   const add = (end: RequestEnd, now: Ms): boolean => {
     const { digest, server, at } = end;
-    const known = ends.get(digest);
-    if (known?.has(server) || (known?.size ?? 0) >= MOST_ENDS) return false;
+    const known = new Map(listCounting(digest, now).map((one) => [one.server, one]));
+    if (known.has(server) || known.size >= MOST_ENDS) return false;
     if (now - at >= memory || at <= (releasedAt.get(digest) ?? -Infinity)) return false;
     ends.delete(digest);
-    ends.set(digest, new Map([...(known ?? []), [server, end]]));
+    ends.set(digest, known.set(server, end));
     if (ends.size > MOST_REQUESTS) dropLeastSuspect();
     return true;
   };
@@ -95,6 +103,9 @@
     judge,
     listEnds,
     listRequests: () => [...ends.keys()],
-    isEmpty: () => ends.size === 0,
+    isEmpty: (now) => {
+      dropOutdated(now);
+      return ends.size === 0;
+    },
   };
 };
--- a/packages/crashes/src/requestGuard.ts
+++ b/packages/crashes/src/requestGuard.ts
@@ -104,7 +104,7 @@
 
   return {
     judge: (getDigest, besides) => {
-      const isKnown = !book.isEmpty() || (besides?.size ?? 0) > 0;
+      const isKnown = !book.isEmpty(getNow()) || (besides?.size ?? 0) > 0;
       return isKnown
         ? book.judge(getDigest(), getNow(), besides)
         : { kind: "unsuspected" };
@@ -116,7 +116,7 @@
       tellShared({ ends: listShared([digest]), served: [] });
     },
     recordServed: (getDigest) => {
-      if (book.isEmpty()) return;
+      if (book.isEmpty(getNow())) return;
       const digest = getDigest();
       const wasShared = isShared(digest);
       if (!release(digest, true)) return;
--- a/packages/peers/src/updateCodec.ts
+++ b/packages/peers/src/updateCodec.ts
@@ -1,6 +1,11 @@
 /** Updates as bytes, and back; what another box sends is checked like any input. */
 import type { BoxName, Ms } from "@stairgauge/common";
-import { NO_CRASH_NEWS, type CrashNews, type RequestDigest } from "@stairgauge/crashes";
+import {
+  NO_CRASH_NEWS,
+  REQUEST_DIGEST,
+  type CrashNews,
+  type RequestDigest,
+} from "@stairgauge/crashes";
 import type { ServerId } from "@stairgauge/directory";
 import { NO_LIMIT_NEWS, type LimitNews } from "@stairgauge/limits";
 import type { PlacedRun } from "@stairgauge/placement";
@@ -54,7 +59,7 @@
 
 const leavingSchema = z.array(z.object({ server: z.string(), gone: z.boolean() }));
 
-const digestSchema = z.string().regex(/^[0-9a-f]{32}$/);
+const digestSchema = z.string().regex(REQUEST_DIGEST);
 
 const crashesSchema = z.object({
   ends: z.array(
