fix: a limit that comes back after its end begins anew; what is no limit is told once a value

Cause (found in reading, each with a test that failed first): a box that had not heard of a limit's end told how long it had known it (7,300 ms where 320 are right), so that the careful first seconds were left out although boxes had sent freely between; and a server that names what is no number in every second answer had a line for each. Change: a limit is known no longer than since its last end; the last value told is kept.

--- a/packages/limits/src/limitBook.test.ts
+++ b/packages/limits/src/limitBook.test.ts
@@ -109,6 +109,15 @@
     expect(listKinds()).toEqual(["named", "unreadable"]);
   });
 
+  it("tells what is no limit once, however often another answer comes between, and again when it is another", () => {
+    const { book, listKinds } = createBook();
+    for (const text of ["NaN", "NaN", "-1", "-1"]) {
+      book.takeSign(SERVER, { kind: "unreadable", text }, AT_ONCE);
+      book.takeSign(SERVER, UNNAMED, AT_ONCE);
+    }
+    expect(listKinds()).toEqual(["unreadable", "unreadable"]);
+  });
+
   it("is not lifted by calls in whose answers a server need not name it", () => {
     const { clock, book } = createBook();
     book.takeSign(SERVER, makeNamed(1.7), undefined);
@@ -223,6 +232,16 @@
     expect(shared.at(-1)).toEqual(makeLift(400));
   });
 
+  it("begin anew where a server names one again after a lift, whatever a box tells that has not heard of the lift", () => {
+    const { clock, book } = createBook();
+    book.takeSign(SERVER, makeNamed(1.7), AT_ONCE);
+    clock.advance(7_000 as Ms);
+    book.takeSign(SERVER, UNNAMED, 20 as Ms);
+    clock.advance(300 as Ms);
+    book.takeNews(makeTold({ knownFor: 7_300 as Ms, age: 10 as Ms }), OTHER);
+    expect(book.find(SERVER)?.knownFor).toBeLessThanOrEqual(320);
+  });
+
   it("do not come back by what was heard before the lift and is told late", () => {
     const { clock, book } = createBook();
     book.takeSign(SERVER, makeNamed(1.7), AT_ONCE);
--- a/packages/limits/src/limitBook.ts
+++ b/packages/limits/src/limitBook.ts
@@ -37,7 +37,7 @@
    */
   takeSign: (server: ServerId, sign: LimitSign, sentAgo: Ms | undefined) => void;
   /** Another box tells. */
-  takeNews: (news: LimitNews, by: BoxName | undefined) => void;
+  takeNews: (news: LimitNews, by: BoxName) => void;
   find: (server: ServerId) => KnownLimit | undefined;
   isEmpty: () => boolean;
   /** All that is known, for a box that is new to this one. */
@@ -59,7 +59,7 @@
 type Heard = Readonly<{
   server: ServerId;
   at: number;
-  by: BoxName | "itself" | undefined;
+  by: BoxName | "itself";
 }>;
 
 const MS_PER_S = 1_000;
@@ -83,8 +83,8 @@
   const limits = new Map<ServerId, Kept>();
   /** When requests were sent whose answers lifted a limit: what was heard before and is told late says nothing. */
   const liftedAt = new Map<ServerId, number>();
-  /** Servers whose last word was no limit, so that each is told once. */
-  const unreadable = new Set<ServerId>();
+  /** What servers have named last that is no limit, so that each is told once. */
+  const unreadable = new Map<ServerId, string>();
 
   const toBox = (by: Heard["by"]) => (by === "itself" ? undefined : by);
   const tellNews = (news: LimitNews, by: Heard["by"]) => {
@@ -111,7 +111,8 @@
 
   const recordNamed = (heard: Heard, perSecond: number, firstAt: number) => {
     const { server, at, by } = heard;
-    if (at <= (liftedAt.get(server) ?? -Infinity)) return;
+    const endedAt = liftedAt.get(server) ?? -Infinity;
+    if (at <= endedAt) return;
     const known = find(server);
     const kept = limits.get(server);
     const isNewest = !kept || at >= kept.lastAt;
@@ -119,7 +120,8 @@
     const isDue = isChange || at - (kept?.sharedAt ?? -Infinity) >= RETELL_MS;
     limits.set(server, {
       perSecond: isNewest ? perSecond : kept.perSecond,
-      firstAt: Math.min(firstAt, kept?.firstAt ?? Infinity),
+      // A box that has not heard of the end tells how long it has known the limit before.
+      firstAt: Math.max(endedAt, Math.min(firstAt, kept?.firstAt ?? Infinity)),
       lastAt: Math.max(at, kept?.lastAt ?? -Infinity),
       sharedAt: isDue ? at : (kept?.sharedAt ?? -Infinity),
       unnamed: 0,
@@ -165,8 +167,8 @@
     const known = find(server);
     const now = clock.monotonic();
     if (known) recordNamed({ server, at: now, by: "itself" }, known.perSecond, now);
-    if (unreadable.has(server)) return;
-    unreadable.add(server);
+    if (unreadable.get(server) === text) return;
+    unreadable.set(server, text);
     onEvent({ kind: "unreadable", server, text });
   };
 
@@ -177,7 +179,6 @@
         return;
       }
       const now = clock.monotonic();
-      unreadable.delete(server);
       if (sign.kind === "named")
         recordNamed({ server, at: now, by: "itself" }, sign.perSecond, now);
       else if (sentAgo !== undefined) takeUnnamed(server, now - sentAgo);
