--- a/packages/limits/src/serverLimits.test.ts
+++ b/packages/limits/src/serverLimits.test.ts
@@ -60,6 +60,26 @@
     },
   );
 
+  it.each(SIZES)(
+    "stays within it when it had up to three times its usual load before it named it (property, %d boxes)",
+    (boxes) => {
+      fc.assert(
+        fc.property(
+          fc.integer({ min: 1, max: 1e6 }),
+          fc.double({ min: 0.5, max: 8, noNaN: true }),
+          fc.double({ min: 1, max: 3, noNaN: true }),
+          (seed, perSecond, press) => {
+            const asked = (press * perSecond) / TAKEN_SHARE;
+            const load = makeLoad({ boxes, perSecond, asked, seed });
+            const most = countMostFromTold(runLimitedFleet(load));
+            expect(most).toBeLessThanOrEqual(computeAllowed(perSecond));
+          },
+        ),
+        { seed: 42, numRuns: boxes > 100 ? 15 : 60 },
+      );
+    },
+  );
+
   it.each(SIZES)(
     "stays within it when ten times as many come once it is named (%d boxes)",
     (boxes) => {
