refactor: tests of fleets start their boxes in one place, tests of answers make their heads in one; a limit of a server that is gone leaves the gauge

Cause: starting several boxes that know each other stood in two testkits, the head of an answer in three tests; the gauge of limited servers stayed up after such a server was forgotten, since nobody told of that.

--- a/apps/box/src/crashingRequests.testkit.ts
+++ b/apps/box/src/crashingRequests.testkit.ts
@@ -5,17 +5,8 @@
   startUsersSite,
   type CrashingKind,
 } from "@stairgauge/standins";
-import {
-  ask,
-  closers,
-  makeGeneration,
-  startBox,
-  waitFor,
-  waitMs,
-  waitUntilKnown,
-  type Ask,
-  type BoxChanges,
-} from "./box.testkit.js";
+import { ask, closers, makeGeneration, waitMs, type Ask } from "./box.testkit.js";
+import { startFleet, type FleetBox } from "./fleet.testkit.js";
 
 /** The users' bound: boxes that have been in touch for so long know of the third end. */
 export const CONTACT_MS = 3_000;
@@ -35,10 +26,6 @@
 
 const SERVERS = 10;
 
-const SETTINGS: BoxChanges = { isKeyRemovalStrict: false };
-
-export type FleetBox = Awaited<ReturnType<typeof startBox>>;
-
 /** What is asked for: a route of the site, and its kind of server. */
 export type CrashCase = Readonly<{ path: string; kind: CrashingKind; boxes: number }>;
 
@@ -56,20 +43,8 @@
   });
   closers.push(servers.close);
   site.putConfiguration();
-  let started = 0;
-  const start = async () => {
-    started += 1;
-    const box = await startBox(site.store.address, `box-${started}`, SETTINGS);
-    await waitUntilKnown(box.lines, SERVERS);
-    return box;
-  };
-  const fleet = await Promise.all(Array.from({ length: boxes }, start));
-  await waitFor(() =>
-    fleet.every(({ lines }) => {
-      const told = lines.findLast(({ event }) => event === "peers");
-      return told?.["boxes"] === boxes && Number(told["links"]) > 0;
-    }),
-  );
+  const store = site.store.address;
+  const { fleet, start } = await startFleet({ store, boxes, servers: SERVERS });
 
   const makeAsk = (body: string): Ask => ({
     path,
--- a/apps/box/src/serverLimits.testkit.ts
+++ b/apps/box/src/serverLimits.testkit.ts
@@ -6,17 +6,8 @@
   type LimitedKind,
   type LimitNaming,
 } from "@stairgauge/standins";
-import {
-  ask,
-  closers,
-  makeGeneration,
-  startBox,
-  waitFor,
-  waitMs,
-  waitUntilKnown,
-  type Answer,
-  type BoxChanges,
-} from "./box.testkit.js";
+import { ask, closers, makeGeneration, waitMs, type Answer } from "./box.testkit.js";
+import { startFleet } from "./fleet.testkit.js";
 
 /** The users' bounds: from when on a limit binds, after the server first named it, and a box, after it was told. */
 export const CONTACT_MS = 3_000;
@@ -29,8 +20,6 @@
 
 const SERVERS = 4;
 
-const SETTINGS: BoxChanges = { isKeyRemovalStrict: false };
-
 /** Works out how many requests a server may get in the window. */
 export const computeAllowed = (perSecond: number): number =>
   Math.floor((perSecond * OVERAGE * WINDOW_MS) / 1_000 + SLACK);
@@ -44,8 +33,6 @@
   perSecond: number;
 }>;
 
-export type LimitedBox = Awaited<ReturnType<typeof startBox>>;
-
 /** A request that was sent, and what became of it. */
 export type SentRequest = Readonly<{
   box: number;
@@ -104,17 +91,8 @@
   });
   closers.push(servers.close);
   site.putConfiguration();
-  let started = 0;
-  const start = async () => {
-    started += 1;
-    const box = await startBox(site.store.address, `box-${started}`, SETTINGS);
-    await waitUntilKnown(box.lines, SERVERS);
-    return box;
-  };
-  const fleet: LimitedBox[] = await Promise.all(Array.from({ length: boxes }, start));
-  const countKnown = ({ lines }: LimitedBox) =>
-    lines.findLast(({ event }) => event === "peers")?.["boxes"];
-  await waitFor(() => fleet.every((box) => countKnown(box) === boxes));
+  const store = site.store.address;
+  const { fleet, start } = await startFleet({ store, boxes, servers: SERVERS });
 
   let sequence = 0;
   const send = (): SentRequest => {
--- /dev/null
+++ b/packages/forwarding/src/answerHead.testkit.ts
@@ -0,0 +1,22 @@
+/** A server's answer head as tests need one. */
+import type { AnswerHead } from "./types.js";
+
+/** Makes the head of a sound answer with a length, with the changes given. */
+export const makeAnswerHead = (changes: Partial<AnswerHead> = {}): AnswerHead => ({
+  status: 200,
+  requestId: undefined,
+  isSigned: true,
+  isNotRun: false,
+  isOtherServer: false,
+  server: undefined,
+  startedAt: undefined,
+  warmUpLeft: undefined,
+  limit: { kind: "unnamed" },
+  isClosing: false,
+  isEncoded: false,
+  contentLength: 2,
+  isUnframed: false,
+  isEventStream: false,
+  passedOn: [],
+  ...changes,
+});
--- a/packages/forwarding/src/decideNext.test.ts
+++ b/packages/forwarding/src/decideNext.test.ts
@@ -2,28 +2,13 @@
 import type { Ms, ServiceName } from "@stairgauge/common";
 import type { Route, RouteName } from "@stairgauge/routing";
 import { decideNext, judgeAttempt, type AttemptEnd } from "./decideNext.js";
+import { makeAnswerHead } from "./answerHead.testkit.js";
 import type { AnswerHead, ClientRequestId } from "./types.js";
 
 const id = "r1" as ClientRequestId;
 
-const makeHead = (changes: Partial<AnswerHead>): AnswerHead => ({
-  status: 200,
-  requestId: id,
-  isSigned: true,
-  isNotRun: false,
-  isOtherServer: false,
-  server: undefined,
-  startedAt: undefined,
-  warmUpLeft: undefined,
-  limit: { kind: "unnamed" },
-  isClosing: false,
-  isEncoded: false,
-  contentLength: 2,
-  isUnframed: false,
-  isEventStream: false,
-  passedOn: [],
-  ...changes,
-});
+const makeHead = (changes: Partial<AnswerHead>): AnswerHead =>
+  makeAnswerHead({ requestId: id, ...changes });
 
 const makeRoute = (kind: Route["kind"], isResumable = false): Route => ({
   name: "r" as RouteName,
--- a/packages/forwarding/src/describeBytesEnd.test.ts
+++ b/packages/forwarding/src/describeBytesEnd.test.ts
@@ -6,26 +6,11 @@
   type BytesEndInputs,
 } from "./describeBytesEnd.js";
 import { createEventSplitter } from "./eventSplitter.js";
+import { makeAnswerHead } from "./answerHead.testkit.js";
 import type { AnswerHead } from "./types.js";
 
-const makeHead = (changes: Partial<AnswerHead> = {}): AnswerHead => ({
-  status: 200,
-  requestId: undefined,
-  isSigned: true,
-  isNotRun: false,
-  isOtherServer: false,
-  server: undefined,
-  startedAt: undefined,
-  warmUpLeft: undefined,
-  limit: { kind: "unnamed" },
-  isClosing: false,
-  isEncoded: false,
-  contentLength: undefined,
-  isUnframed: false,
-  isEventStream: true,
-  passedOn: [],
-  ...changes,
-});
+const makeHead = (changes: Partial<AnswerHead> = {}): AnswerHead =>
+  makeAnswerHead({ contentLength: undefined, isEventStream: true, ...changes });
 const UNFRAMED = makeHead({ isUnframed: true });
 
 const makeInputs = (changes: Partial<BytesEndInputs> = {}): BytesEndInputs => {
--- a/packages/forwarding/src/recordServerSigns.test.ts
+++ b/packages/forwarding/src/recordServerSigns.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from "vitest";
 import type { Ms } from "@stairgauge/common";
 import type { LimitSign } from "@stairgauge/limits";
+import { makeAnswerHead } from "./answerHead.testkit.js";
 import { recordServerSigns } from "./recordServerSigns.js";
 import { makeServer } from "./server.testkit.js";
 import type { AnswerHead } from "./types.js";
@@ -8,24 +9,6 @@
 const SERVER = makeServer("page-1");
 const NAMED: LimitSign = { kind: "named", perSecond: 1.7 };
 
-const HEAD: AnswerHead = {
-  status: 200,
-  requestId: undefined,
-  isSigned: true,
-  isNotRun: false,
-  isOtherServer: false,
-  server: undefined,
-  startedAt: undefined,
-  warmUpLeft: undefined,
-  limit: NAMED,
-  isClosing: false,
-  isEncoded: false,
-  contentLength: 2,
-  isUnframed: false,
-  isEventStream: false,
-  passedOn: [],
-};
-
 const collectSigns = (changes: Partial<AnswerHead>) => {
   const told: unknown[] = [];
   const placer = {
@@ -35,7 +18,7 @@
       told.push({ sign, sentAgo }),
   };
   const attempt = { server: SERVER, openedAt: 100 as Ms, answeredAt: 130 as Ms };
-  recordServerSigns(placer, attempt, { ...HEAD, ...changes });
+  recordServerSigns(placer, attempt, makeAnswerHead({ limit: NAMED, ...changes }));
   return told;
 };
 
--- a/packages/limits/src/limitBook.test.ts
+++ b/packages/limits/src/limitBook.test.ts
@@ -141,11 +141,13 @@
   });
 
   it("knows nothing of another start of the server, nor of one that is forgotten", () => {
-    const { book } = createBook();
+    const { book, listKinds } = createBook();
     book.takeSign(SERVER, makeNamed(1.7), AT_ONCE);
     expect(book.find("page-0@2" as ServerId)).toBeUndefined();
     book.forget(SERVER);
+    book.forget(SERVER);
     expect(book.find(SERVER)).toBeUndefined();
+    expect(listKinds()).toEqual(["named", "dropped"]);
   });
 });
 
--- a/packages/limits/src/limitBook.ts
+++ b/packages/limits/src/limitBook.ts
@@ -197,7 +197,9 @@
         ? NO_LIMIT_NEWS
         : { named: [...limits.keys()].flatMap(makeTold), lifted: [] },
     forget: (server) => {
+      const known = find(server);
       limits.delete(server);
+      if (known) onEvent({ kind: "dropped", server, age: known.age });
       liftedAt.delete(server);
       unreadable.delete(server);
     },
--- a/packages/limits/src/types.ts
+++ b/packages/limits/src/types.ts
@@ -44,6 +44,8 @@
   | { kind: "lifted"; server: ServerId; age: Ms; by: BoxName | undefined }
   /** Nobody has heard of it for long. */
   | { kind: "run_out"; server: ServerId; age: Ms }
+  /** The server itself is gone. */
+  | { kind: "dropped"; server: ServerId; age: Ms }
   /** What the server names is no limit: what was known stays. */
   | { kind: "unreadable"; server: ServerId; text: string }
 >;
