fix: a stopping box serves what comes while it leaves the list of boxes

A request that came at 28.623 s reached its server at 28.628 s, ran to its end at 28.648 s, and was cut at 28.649 s. Change: after leaving the box waits again until nothing is open, or the grace is nearly over; what follows is one turn of the loop.

--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -360,8 +360,8 @@
       clock,
       countOpen: forwarder.countOpen,
       grace,
+      leave: membership.leave,
     });
-    await membership.leave();
     knowledge.stop();
     crashes.list.stop();
     reports.stop();
--- a/apps/box/src/stopInOrder.ts
+++ b/apps/box/src/stopInOrder.ts
@@ -7,19 +7,33 @@
 const END_MARGIN_MS = 250;
 const LOOK_INTERVAL_MS = 100 as Ms;
 
-/** Resolves when nothing is open any more, or shortly before `grace` ends. */
-export const stopInOrder = (
-  options: Readonly<{ clock: Clock; countOpen: () => number; grace: Ms }>,
-): Promise<void> => {
-  const { clock, countOpen, grace } = options;
+/** What stopping needs. */
+export type StopOptions = Readonly<{
+  clock: Clock;
+  countOpen: () => number;
+  grace: Ms;
+  /** Takes the box out of the list of boxes. */
+  leave: () => Promise<void>;
+}>;
+
+/** Leaves once nothing is open any more, and resolves when nothing has come meanwhile, or shortly before `grace` ends. */
+export const stopInOrder = async (options: StopOptions): Promise<void> => {
+  const { clock, countOpen, grace, leave } = options;
   const begunAt = clock.monotonic();
-  return new Promise((resolve) => {
-    const look = () => {
-      const passed = clock.monotonic() - begunAt;
-      const isServed = passed >= STILL_FOUND_MS && countOpen() === 0;
-      if (isServed || passed >= grace - END_MARGIN_MS) resolve();
-      else clock.setTimer(LOOK_INTERVAL_MS, look);
-    };
-    look();
-  });
+
+  const waitUntilServed = () =>
+    new Promise<void>((resolve) => {
+      const look = () => {
+        const passed = clock.monotonic() - begunAt;
+        const isServed = passed >= STILL_FOUND_MS && countOpen() === 0;
+        if (isServed || passed >= grace - END_MARGIN_MS) resolve();
+        else clock.setTimer(LOOK_INTERVAL_MS, look);
+      };
+      look();
+    });
+
+  await waitUntilServed();
+  await leave();
+  // A request that comes during that call would be cut off though its server runs it.
+  await waitUntilServed();
 };
