test: tests of many boxes may take their time; what hubs use of a limit is judged on a virtual clock

Change: that a server in need is not starved stays as a check of whole boxes, how much is used by hubs' places is asserted on a virtual clock (at least 0.65 of N at 14 to 473 boxes); 240 s for the two tests, their assertions as they were.

--- a/apps/box/src/box.testkit.ts
+++ b/apps/box/src/box.testkit.ts
@@ -21,6 +21,12 @@
   while (!(await isMet())) await new Promise((resolve) => setTimeout(resolve, 5));
 };
 
+/**
+ * Time that a test of more than a dozen boxes may take, in ms: on a machine with three times as much to do as it has processors, one of
+ * 8 s took 57 s, another of 5 s took 23 s.
+ */
+export const FULL_MACHINE_MS = 240_000;
+
 export const waitMs = (duration: number) =>
   new Promise((resolve) => setTimeout(resolve, duration));
 
--- a/packages/limits/src/serverLimits.test.ts
+++ b/packages/limits/src/serverLimits.test.ts
@@ -107,6 +107,23 @@
     },
   );
 
+  it.each([14, 64, 195, 473])(
+    "is 0.65 of what it takes or more where the first of %d boxes places for all, and within what the users allow",
+    (boxes) => {
+      const load = makeLoad({
+        boxes,
+        perSecond: 3,
+        asked: 15,
+        durationMs: 60_000,
+        isPlacedByFirst: true,
+      });
+      const arrivals = runLimitedFleet(load);
+      const rate = computeRate(arrivals, SETTLED_MS, 60_000);
+      expect(rate / 3).toBeGreaterThanOrEqual(0.65);
+      expect(countMostFromTold(arrivals)).toBeLessThanOrEqual(computeAllowed(3));
+    },
+  );
+
   it("is all that is asked for again once the server no longer names it", () => {
     const unnamedAt = 25_000;
     const load = makeLoad({ boxes: 64, asked: 20, durationMs: 60_000, unnamedAt });
