fix: nothing goes to a server that has just named a limit while the users' window holds what came before boxes knew

Cause: of the N + 2 requests that all boxes send in the first 4.1 s, some went after 2.4 s, and so came when the users count (from 3 s on) and their window of 4 s still held what had come until all boxes knew, 4 to 7 requests at 25 a second and 30 boxes. Change: the N + 2 go in the first 2.4 s, none from there to 4.1 s. Where all servers are in need, what is used in the first 4.1 s is the same N + 2, earlier.

--- a/packages/limits/src/constants.ts
+++ b/packages/limits/src/constants.ts
@@ -38,5 +38,11 @@
 export const ONSET_MS = 4_100 as Ms;
 export const ONSET_EXTRA = 2;
 
+/**
+ * From here to the end of that time nothing is sent: the users begin to count 3 s after the limit was named, and their window then
+ * holds all that came until boxes knew. What is sent before arrives before.
+ */
+export const QUIET_FROM_MS = 2_400 as Ms;
+
 /** News of which there is none. */
 export const NO_LIMIT_NEWS: LimitNews = { named: [], lifted: [] };
--- a/packages/limits/src/limitRoom.test.ts
+++ b/packages/limits/src/limitRoom.test.ts
@@ -33,6 +33,17 @@
   });
 });
 
+describe("computeQuota at the beginning", () => {
+  it("gives nothing from before the users begin to count until their window holds nothing of what came before", () => {
+    for (const knownFor of [2_400, 3_000, 4_099]) {
+      const quota = computeQuota({ perSecond: 3, knownFor: knownFor as Ms });
+      expect(quota.whole).toBe(0);
+    }
+    expect(computeQuota({ perSecond: 3, knownFor: 2_399 as Ms }).whole).toBe(5);
+    expect(computeQuota({ perSecond: 3, knownFor: 4_100 as Ms }).whole).toBe(15);
+  });
+});
+
 describe("what a box may send to a server with a limit", () => {
   const quota = { whole: 9, span: 5_000 as Ms };
   const setUp = () => {
--- a/packages/limits/src/limitRoom.ts
+++ b/packages/limits/src/limitRoom.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock, Ms } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
-import { ONSET_EXTRA, ONSET_MS, SPAN_SECONDS } from "./constants.js";
+import { ONSET_EXTRA, ONSET_MS, QUIET_FROM_MS, SPAN_SECONDS } from "./constants.js";
 import type { KnownLimit } from "./types.js";
 
 /** What all boxes together may send in any span. */
@@ -39,8 +39,13 @@
   perSecond,
   knownFor,
 }: Pick<KnownLimit, "perSecond" | "knownFor">): LimitQuota => {
-  if (knownFor < ONSET_MS)
-    return { whole: Math.floor(perSecond + ONSET_EXTRA), span: ONSET_MS };
+  if (knownFor < ONSET_MS) {
+    const isQuiet = knownFor >= QUIET_FROM_MS;
+    return {
+      whole: isQuiet ? 0 : Math.floor(perSecond + ONSET_EXTRA),
+      span: ONSET_MS,
+    };
+  }
   // In whole requests, over as long as the server takes for them: nothing is lost to rounding.
   const whole = Math.ceil(perSecond * SPAN_SECONDS);
   return { whole, span: ((whole / perSecond) * MS_PER_S) as Ms };
