refactor: what this change wrote twice stands once: handing on, repeated writes, lists of known limits, the rank, the users' count

Cause (found in reading the change again): the question whether a box hands on what it hears stood in createCrashes and createLimits; put and drop of the list of blocked requests were one loop with another write; the list of known limits was made in three places; the rank of a request was worked out in three; the users' way of counting a limit, with its five figures, stood in two testkits. Change: createPeers has passOn and isHandingOn, and its parts are handed over whole, so that getters go; writeWhile; listNews of some servers; computeTier, and the rank that a demand carries; limitRule beside the stand-in of servers in need. Rooms are dropped by the event that ends a limit, no longer by two ways. Keys of blocked rows are checked once. An update without limits, which is nearly every one, and an answer of a server without one no longer read the clock. Sound answers of stand-ins take one object. No behaviour meant to change; no expectation changed but for where arrivals get their box. 325 tests of the packages touched and those of whole boxes pass.

--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -43,7 +43,7 @@
 import { createColdServers } from "./createColdServers.js";
 import { createDirectory } from "./createDirectory.js";
 import { computeCapacity, computeTiming, createKnowledge } from "./createKnowledge.js";
-import { createLimits, takeEngineSign } from "./createLimits.js";
+import { createLimits } from "./createLimits.js";
 import { createMoves } from "./createMoves.js";
 import { createPeers } from "./createPeers.js";
 import { createSinks } from "./createSinks.js";
@@ -136,7 +136,7 @@
     getLimits: () => limits,
     isOutOfTouch,
   });
-  const { teller, links, peerServer } = createPeers({
+  const peers = createPeers({
     clock,
     random,
     log,
@@ -152,14 +152,13 @@
       toPlaceAnswer(await placeHub.answer(question, signal)),
     answerMoves: (question) => answerMoves(directory, planner, question),
   });
+  const { teller, links, peerServer } = peers;
   const crashes = createCrashes({
     settings,
     clock,
     log,
     metrics,
-    getLinks: () => links,
-    getTeller: () => teller,
-    getPeerServer: () => peerServer,
+    peers,
     onBlocked: () => forwarder.stopBlocked(),
   });
   const places = createFleetPlaces(clock);
@@ -171,16 +170,14 @@
     places,
     isPlacedByHubs,
   });
-  const limits = createLimits({
+  const { limits, takeEngineSign } = createLimits({
     clock,
     log,
     metrics,
     places,
     isPlacedByHubs,
+    peers,
     getDirectory: () => directory,
-    getLinks: () => links,
-    getTeller: () => teller,
-    getPeerServer: () => peerServer,
   });
   const hubs = createHubs({
     clock: agingClock,
@@ -212,9 +209,7 @@
     onFailure: (failure) => log.writeWarning("membership", { failure }),
   });
   const runs = createActiveRuns();
-  const actions = createEngineActions({
-    onLimitSign: (engine, sign) => takeEngineSign(directory, limits, engine, sign),
-  });
+  const actions = createEngineActions({ onLimitSign: takeEngineSign });
 
   const directory = createDirectory({
     log,
--- a/apps/box/src/createCrashes.ts
+++ b/apps/box/src/createCrashes.ts
@@ -5,19 +5,12 @@
   createRequestGuard,
   type BlockedList,
   type BlockedRequest,
-  type CrashNews,
   type RequestGuard,
 } from "@stairgauge/crashes";
-import {
-  hasHubs,
-  makeNotice,
-  type PeerLinks,
-  type PeerServer,
-  type RunTeller,
-} from "@stairgauge/peers";
 import { BLOCKED_TABLE, createStoreWriter } from "@stairgauge/platform";
 import type { BoxSettings } from "@stairgauge/settings";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
+import type { Peers } from "./createPeers.js";
 
 /** What it needs of the rest of a box. */
 export type CrashesOptions = Readonly<{
@@ -25,9 +18,7 @@
   clock: Clock;
   log: DecisionLog;
   metrics: BoxMetrics;
-  getLinks: () => Pick<PeerLinks, "countBoxes" | "isHub" | "findPlace">;
-  getTeller: () => Pick<RunTeller, "takeCrashes">;
-  getPeerServer: () => Pick<PeerServer, "notifyAll">;
+  peers: Pick<Peers, "links" | "teller" | "passOn">;
   /** A request goes to no server any more: tries of it that wait are to end. */
   onBlocked: () => void;
 }>;
@@ -39,15 +30,9 @@
 
 /** Creates the parts; nothing is suspected. */
 export const createCrashes = (options: CrashesOptions): Crashes => {
-  const { settings, clock, log, metrics, getLinks } = options;
+  const { settings, clock, log, metrics, peers } = options;
   const { blockingEnds, memorySeconds } = settings.crashes;
 
-  /** Where boxes are linked to hubs only, a hub hands on what several have told it. */
-  const passOn = (crashes: CrashNews) => {
-    const links = getLinks();
-    if (hasHubs(links.countBoxes()) && links.isHub())
-      options.getPeerServer().notifyAll(makeNotice({ crashes }));
-  };
   const countBlocked = () => metrics.blockedRequests.set(guard.countBlocked());
   const takeBlocked = (blocked: BlockedRequest) => {
     const { digest, ends, left, isOwn } = blocked;
@@ -65,8 +50,8 @@
   const guard: RequestGuard = createRequestGuard({
     clock,
     limits: { blockingEnds, memory: (memorySeconds * MS_PER_S) as Ms },
-    onOwnNews: (news) => options.getTeller().takeCrashes(news),
-    onSharedNews: passOn,
+    onOwnNews: peers.teller.takeCrashes,
+    onSharedNews: (crashes) => peers.passOn({ crashes }),
     onBlocked: takeBlocked,
     onReleased: (digest, isOwn) => {
       log.writeNotice("request_released", { digest, servedHere: isOwn });
@@ -80,7 +65,7 @@
     table: BLOCKED_TABLE,
     limit: settings.store.patienceMs as Ms,
     getGuard: () => guard,
-    isKeeper: () => getLinks().findPlace()?.rank === 0,
+    isKeeper: () => peers.links.findPlace()?.rank === 0,
     onFailure: (failure) => log.writeWarning("blocked_list", { failure }),
     onReview: countBlocked,
   });
--- a/apps/box/src/createLimits.ts
+++ b/apps/box/src/createLimits.ts
@@ -8,15 +8,9 @@
   type LimitSign,
   type ServerLimits,
 } from "@stairgauge/limits";
-import {
-  hasHubs,
-  makeNotice,
-  type PeerLinks,
-  type PeerServer,
-  type RunTeller,
-} from "@stairgauge/peers";
 import type { FleetPlaces } from "@stairgauge/placement";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
+import type { Peers } from "./createPeers.js";
 import { observeLimits } from "./observers.js";
 
 /** What it needs of the rest of a box. */
@@ -26,30 +20,30 @@
   metrics: BoxMetrics;
   places: Pick<FleetPlaces, "computePart">;
   isPlacedByHubs: (service: ServiceName) => boolean;
+  peers: Pick<Peers, "teller" | "isHandingOn" | "passOn">;
   getDirectory: () => Pick<ServerDirectory, "find" | "list">;
-  getLinks: () => Pick<PeerLinks, "countBoxes" | "isHub">;
-  getTeller: () => Pick<RunTeller, "takeLimits">;
-  getPeerServer: () => Pick<PeerServer, "notifyAll">;
 }>;
 
-/** Creates the limits; none is known. */
-export const createLimits = (options: LimitsOptions): ServerLimits => {
-  const { clock, log, metrics, places, isPlacedByHubs } = options;
-  const { getDirectory, getLinks, getTeller, getPeerServer } = options;
+/** The parts that the rest of a box calls. */
+export type Limits = Readonly<{
+  limits: ServerLimits;
+  /** An engine has answered a call that is no request; whoever leaves has no say any more. */
+  takeEngineSign: (address: ServerAddress, sign: LimitSign) => void;
+}>;
+
+/** Creates the parts; no limit is known. */
+export const createLimits = (options: LimitsOptions): Limits => {
+  const { clock, log, metrics, places, isPlacedByHubs, peers, getDirectory } = options;
 
-  const isHub = () => hasHubs(getLinks().countBoxes()) && getLinks().isHub();
-  const notifyAll = (news: LimitNews) =>
-    getPeerServer().notifyAll(makeNotice({ limits: news }));
+  const sendNews = (news: LimitNews) => peers.passOn({ limits: news });
   const takeRenewal = createRenewalGatherer({
     clock,
     getBook: () => limits,
-    send: notifyAll,
+    send: sendNews,
   });
-  /** Where boxes are linked to hubs only, a hub hands on what is news to it. */
   const passOn = (news: LimitNews, isRenewal: boolean) => {
-    if (!isHub()) return;
-    if (isRenewal) takeRenewal(news);
-    else notifyAll(news);
+    if (!isRenewal) sendNews(news);
+    else if (peers.isHandingOn()) takeRenewal(news);
   };
   const limits: ServerLimits = createServerLimits({
     clock,
@@ -57,7 +51,7 @@
     places,
     isPlacedByHubs,
     isListed: (server) => getDirectory().find(server) !== undefined,
-    onOwnNews: (news) => getTeller().takeLimits(news),
+    onOwnNews: peers.teller.takeLimits,
     onSharedNews: passOn,
     onEvent: observeLimits({
       log,
@@ -65,19 +59,17 @@
       listLimits: () => limits.listNews().named,
     }),
   });
-  return limits;
-};
 
-/** Takes what an engine names in its answer to a call that is no request; whoever leaves has no say any more. */
-export const takeEngineSign = (
-  directory: Pick<ServerDirectory, "list">,
-  limits: Pick<ServerLimits, "takeSign">,
-  { host, port }: ServerAddress,
-  sign: LimitSign,
-): void => {
-  const listed = directory
-    .list()
-    .filter(({ entry }) => entry.address.host === host && entry.address.port === port)
-    .filter(({ leaving }) => leaving === undefined);
-  for (const { entry } of listed) limits.takeSign(entry.id, sign, undefined);
+  const listStaying = ({ host, port }: ServerAddress) =>
+    getDirectory()
+      .list()
+      .filter(({ entry }) => entry.address.host === host && entry.address.port === port)
+      .filter(({ leaving }) => leaving === undefined);
+  return {
+    limits,
+    takeEngineSign: (address, sign) => {
+      for (const { entry } of listStaying(address))
+        limits.takeSign(entry.id, sign, undefined);
+    },
+  };
 };
--- a/apps/box/src/createPeers.ts
+++ b/apps/box/src/createPeers.ts
@@ -6,6 +6,7 @@
   createPeerLinks,
   createPeerServer,
   createRunTeller,
+  hasHubs,
   makeNotice,
   type HubNotice,
   type Member,
@@ -40,6 +41,10 @@
   teller: RunTeller;
   links: PeerLinks;
   peerServer: PeerServer;
+  /** Whether this box hands on what it hears: where boxes are linked to hubs only, a hub does. */
+  isHandingOn: () => boolean;
+  /** Hands it on to all boxes that are linked to this one, if this one does so. */
+  passOn: (told: Partial<HubNotice>) => void;
 }>;
 
 /** Creates the parts; nobody is linked to and nothing is listened at. */
@@ -92,5 +97,9 @@
     answerPlace,
     answerMoves,
   });
-  return { teller, links, peerServer };
+  const isHandingOn = () => hasHubs(links.countBoxes()) && links.isHub();
+  const passOn = (told: Partial<HubNotice>) => {
+    if (isHandingOn()) peerServer.notifyAll(makeNotice(told));
+  };
+  return { teller, links, peerServer, isHandingOn, passOn };
 };
--- a/apps/box/src/serverLimitChanges.test.ts
+++ b/apps/box/src/serverLimitChanges.test.ts
@@ -5,20 +5,25 @@
 import { describe, expect, it } from "vitest";
 import { waitMs } from "./box.testkit.js";
 import {
-  collectAnswers,
   computeAllowed,
-  CONTACT_MS,
   countMostFromTold,
+  LIMIT_CONTACT_MS,
+} from "@stairgauge/standins";
+import {
+  collectAnswers,
+  COUNTED_MS,
+  listCounted,
   REFUSED,
   startLimitedSite,
+  type LimitCase,
 } from "./serverLimits.testkit.js";
 
-/** Time through which windows are counted. */
-const COUNTED_MS = 6_000;
-
 /** What is asked of the server in need. */
 const PER_SECOND = 1.7;
 
+/** Three boxes that are asked for much more than one server in need takes. */
+const THREE_BOXES: LimitCase = { path: "/once/", kind: "plain", boxes: 3, perSecond: 60 };
+
 describe("a limit that changes", () => {
   it("gets no more than it allows where it had three times as much before it named it", async () => {
     const { servers, setNaming, sendFor } = await startLimitedSite({
@@ -29,39 +34,29 @@
     });
     const before = await sendFor(2_000);
     setNaming(() => String(PER_SECOND), 0);
-    const sent = await sendFor(CONTACT_MS + COUNTED_MS);
-    const most = countMostFromTold(servers.listArrivals(0));
+    const sent = await sendFor(LIMIT_CONTACT_MS + COUNTED_MS);
+    const most = countMostFromTold(listCounted(servers.listArrivals(0)));
     expect(most).toBeLessThanOrEqual(computeAllowed(PER_SECOND));
     expect(await collectAnswers([...before, ...sent])).not.toContain(REFUSED);
   });
 
   it("gets no more than it allows while a box starts anew beside the others", async () => {
-    const { servers, setNaming, sendFor, addBox } = await startLimitedSite({
-      path: "/once/",
-      kind: "plain",
-      boxes: 3,
-      perSecond: 60,
-    });
+    const { servers, setNaming, sendFor, addBox } = await startLimitedSite(THREE_BOXES);
     setNaming(() => String(PER_SECOND), 0);
-    await sendFor(CONTACT_MS + 1_000);
+    await sendFor(LIMIT_CONTACT_MS + 1_000);
     const { lines } = await addBox();
     await sendFor(COUNTED_MS);
-    const most = countMostFromTold(servers.listArrivals(0));
+    const most = countMostFromTold(listCounted(servers.listArrivals(0)));
     expect(most).toBeLessThanOrEqual(computeAllowed(PER_SECOND));
     const told = lines.find(({ event }) => event === "server_limit_named");
     expect(told).toMatchObject({ perSecond: PER_SECOND });
   });
 
   it("gets no more than it allows where it names it in every second answer, and what is no limit in others", async () => {
-    const { servers, fleet, setNaming, sendFor } = await startLimitedSite({
-      path: "/once/",
-      kind: "plain",
-      boxes: 3,
-      perSecond: 60,
-    });
+    const { servers, fleet, setNaming, sendFor } = await startLimitedSite(THREE_BOXES);
     setNaming((answer) => [String(PER_SECOND), undefined, "1.7, 1.9"][answer % 3], 0);
-    await sendFor(CONTACT_MS + COUNTED_MS);
-    const most = countMostFromTold(servers.listArrivals(0));
+    await sendFor(LIMIT_CONTACT_MS + COUNTED_MS);
+    const most = countMostFromTold(listCounted(servers.listArrivals(0)));
     expect(most).toBeLessThanOrEqual(computeAllowed(PER_SECOND));
     const lines = fleet.flatMap((box) => box.lines);
     expect(lines.some(({ event }) => event === "server_limit_unreadable")).toBe(true);
@@ -69,14 +64,9 @@
   });
 
   it("gets what comes again once it no longer names it, and all boxes say so", async () => {
-    const { servers, fleet, setNaming, sendFor } = await startLimitedSite({
-      path: "/once/",
-      kind: "plain",
-      boxes: 3,
-      perSecond: 60,
-    });
+    const { servers, fleet, setNaming, sendFor } = await startLimitedSite(THREE_BOXES);
     setNaming(() => "3", 0);
-    await sendFor(CONTACT_MS);
+    await sendFor(LIMIT_CONTACT_MS);
     setNaming(() => undefined, 0);
     await sendFor(4_000);
     const before = servers.listArrivals(0).length;
--- a/apps/box/src/serverLimits.test.ts
+++ b/apps/box/src/serverLimits.test.ts
@@ -8,18 +8,19 @@
  */
 import { describe, expect, it } from "vitest";
 import {
-  collectAnswers,
   computeAllowed,
-  CONTACT_MS,
   countMostFromTold,
+  LIMIT_CONTACT_MS,
+} from "@stairgauge/standins";
+import {
+  collectAnswers,
+  COUNTED_MS,
+  type LimitCase,
+  listCounted,
   REFUSED,
   startLimitedSite,
-  type LimitCase,
 } from "./serverLimits.testkit.js";
 
-/** Time through which windows are counted. */
-const COUNTED_MS = 6_000;
-
 describe("a server that names a limit", () => {
   it.each<[string, LimitCase, number]>([
     ["plain, 3 boxes", { path: "/once/", kind: "plain", boxes: 3, perSecond: 60 }, 1.7],
@@ -37,8 +38,8 @@
   ])("gets no more than it allows: %s", async (_, limitCase, perSecond) => {
     const { servers, setNaming, sendFor } = await startLimitedSite(limitCase);
     setNaming(() => String(perSecond), 0);
-    const sent = await sendFor(CONTACT_MS + COUNTED_MS);
-    const most = countMostFromTold(servers.listArrivals(0));
+    const sent = await sendFor(LIMIT_CONTACT_MS + COUNTED_MS);
+    const most = countMostFromTold(listCounted(servers.listArrivals(0)));
     expect(most).toBeLessThanOrEqual(computeAllowed(perSecond));
     // The others take the rest: nobody is refused.
     expect(await collectAnswers(sent)).not.toContain(REFUSED);
--- a/apps/box/src/serverLimits.testkit.ts
+++ b/apps/box/src/serverLimits.testkit.ts
@@ -2,6 +2,7 @@
 import {
   startLimitedServers,
   startUsersSite,
+  type CountedArrival,
   type LimitedArrival,
   type LimitedKind,
   type LimitNaming,
@@ -9,21 +10,8 @@
 import { ask, closers, makeGeneration, waitMs, type Answer } from "./box.testkit.js";
 import { startFleet } from "./fleet.testkit.js";
 
-/** The users' bounds: from when on a limit binds, after the server first named it, and a box, after it was told. */
-export const CONTACT_MS = 3_000;
-const TOLD_MS = 500;
-
-/** In any span of this length a server may get one and a half times what its limit allows, and some more. */
-const WINDOW_MS = 4_000;
-const OVERAGE = 1.5;
-const SLACK = 5;
-
 const SERVERS = 4;
 
-/** Works out how many requests a server may get in the window. */
-export const computeAllowed = (perSecond: number): number =>
-  Math.floor((perSecond * OVERAGE * WINDOW_MS) / 1_000 + SLACK);
-
 /** Status of a request that is refused, not run. A busy machine may also be late with one, which is something else. */
 export const REFUSED = 503;
 
@@ -47,6 +35,12 @@
 const formatRequestId = (box: number, sequence: number) => `${box}-${sequence}`;
 const findSender = ({ request }: LimitedArrival) => Number(request.split("-")[0]);
 
+/** The requests that a server got, with the boxes that sent them. */
+export const listCounted = (
+  arrivals: readonly LimitedArrival[],
+): readonly CountedArrival[] =>
+  arrivals.map((arrival) => ({ ...arrival, box: findSender(arrival) }));
+
 /** Gives the statuses of all answers. */
 export const collectAnswers = async (
   sent: readonly SentRequest[],
@@ -55,33 +49,8 @@
   return new Set(answers.map(({ status }) => status));
 };
 
-/** When each box was first told a limit, by the server that took these requests. */
-const findToldAt = (arrivals: readonly LimitedArrival[]): ReadonlyMap<number, number> => {
-  const toldAt = new Map<number, number>();
-  for (const arrival of arrivals.filter(({ isTold }) => isTold)) {
-    const box = findSender(arrival);
-    if (!toldAt.has(box)) toldAt.set(box, arrival.at);
-  }
-  return toldAt;
-};
-
-/**
- * Counts as the users do: the most requests in any window that ends later than the bound after the server first named its limit,
- * from boxes that it had told half a second before that end or earlier.
- */
-export const countMostFromTold = (arrivals: readonly LimitedArrival[]): number => {
-  const toldAt = findToldAt(arrivals);
-  const firstAt = Math.min(...toldAt.values());
-  const ends = arrivals.map(({ at }) => at).filter((at) => at >= firstAt + CONTACT_MS);
-  const counts = ends.map((end) => {
-    const isCounted = (arrival: LimitedArrival) =>
-      arrival.at > end - WINDOW_MS &&
-      arrival.at <= end &&
-      (toldAt.get(findSender(arrival)) ?? Infinity) <= end - TOLD_MS;
-    return arrivals.filter(isCounted).length;
-  });
-  return Math.max(0, ...counts);
-};
+/** Time through which windows are counted. */
+export const COUNTED_MS = 6_000;
 
 /** Starts four servers, and as many boxes as asked for, which know each other. */
 export const startLimitedSite = async ({ path, kind, boxes, perSecond }: LimitCase) => {
--- a/apps/box/src/serverLimitsOfAll.test.ts
+++ b/apps/box/src/serverLimitsOfAll.test.ts
@@ -4,16 +4,19 @@
  */
 import { describe, expect, it } from "vitest";
 import {
-  collectAnswers,
   computeAllowed,
-  CONTACT_MS,
   countMostFromTold,
+  LIMIT_CONTACT_MS,
+} from "@stairgauge/standins";
+import {
+  collectAnswers,
+  COUNTED_MS,
+  type LimitCase,
+  listCounted,
   REFUSED,
   startLimitedSite,
-  type LimitCase,
 } from "./serverLimits.testkit.js";
 
-const COUNTED_MS = 6_000;
 const PER_SECOND = 3;
 const ALL = [0, 1, 2, 3] as const;
 
@@ -31,11 +34,11 @@
     async (_, limitCase) => {
       const { servers, fleet, setNaming, sendFor } = await startLimitedSite(limitCase);
       setNaming(() => String(PER_SECOND), ...ALL);
-      const first = await sendFor(CONTACT_MS);
+      const first = await sendFor(LIMIT_CONTACT_MS);
       const sent = await sendFor(COUNTED_MS);
       for (const server of ALL) {
         const arrivals = servers.listArrivals(server);
-        expect(countMostFromTold(arrivals)).toBeLessThanOrEqual(
+        expect(countMostFromTold(listCounted(arrivals))).toBeLessThanOrEqual(
           computeAllowed(PER_SECOND),
         );
         const counted = arrivals.filter(({ at }) => at >= sent[0]!.sentAt);
--- a/packages/crashes/src/blockedList.ts
+++ b/packages/crashes/src/blockedList.ts
@@ -1,5 +1,5 @@
 /** Keeps the store's list of blocked requests: puts what this box has found out, and drops what no longer holds. */
-import type { Clock, Ms, Timer } from "@stairgauge/common";
+import type { Clock, Ms, Result, Timer } from "@stairgauge/common";
 import type { FollowerSink, StoreWriteFailure, StoreWriter } from "@stairgauge/storefeed";
 import {
   createBlockedRows,
@@ -36,6 +36,12 @@
   stop: () => void;
 }>;
 
+/** A write that is made again and again until the row is seen as it should be. */
+type PendingWrite = Readonly<{
+  isDue: () => boolean;
+  write: (signal: AbortSignal) => Promise<Result<void, StoreWriteFailure>>;
+}>;
+
 /** Pause before a write is made again, until the row is seen as it should be. */
 const RETRY_PAUSE_MS = 2_000 as Ms;
 
@@ -56,29 +62,29 @@
   const isBlocked = (digest: RequestDigest) =>
     getGuard().judge(() => digest).kind === "blocked";
 
-  const put = async (blocked: BlockedRequest): Promise<void> => {
-    const { digest, ends } = blocked;
-    if (isStopped || rows.has(digest) || !isBlocked(digest)) return;
-    const written = await writer.putRow({
-      table,
-      key: digest,
-      value: encodeBlockedRow(ends, clock.now()),
-      signal: AbortSignal.timeout(limit),
-    });
+  const writeWhile = async ({ isDue, write }: PendingWrite): Promise<void> => {
+    if (isStopped || !isDue()) return;
+    const written = await write(AbortSignal.timeout(limit));
     if (written.err) onFailure(written.val);
-    clock.setTimer(RETRY_PAUSE_MS, () => void put(blocked));
-  };
-  const drop = async (digest: RequestDigest): Promise<void> => {
-    if (isStopped || !rows.has(digest) || isBlocked(digest)) return;
-    const signal = AbortSignal.timeout(limit);
-    const dropped = await writer.dropRow({ table, key: digest, signal });
-    if (dropped.err) onFailure(dropped.val);
-    clock.setTimer(RETRY_PAUSE_MS, () => void drop(digest));
+    clock.setTimer(RETRY_PAUSE_MS, () => void writeWhile({ isDue, write }));
   };
+  const put = ({ digest, ends }: BlockedRequest) =>
+    void writeWhile({
+      isDue: () => !rows.has(digest) && isBlocked(digest),
+      write: (signal) => {
+        const value = encodeBlockedRow(ends, clock.now());
+        return writer.putRow({ table, key: digest, value, signal });
+      },
+    });
+  const drop = (digest: RequestDigest) =>
+    void writeWhile({
+      isDue: () => rows.has(digest) && !isBlocked(digest),
+      write: (signal) => writer.dropRow({ table, key: digest, signal }),
+    });
   const lookAtRows = () => {
     if (isStopped) return;
     options.onReview();
-    if (isKeeper()) for (const digest of rows.list()) void drop(digest);
+    if (isKeeper()) rows.list().forEach(drop);
     startReview();
   };
   const startReview = () => {
@@ -87,8 +93,8 @@
 
   return {
     sink: rows.sink,
-    put: (blocked) => void put(blocked),
-    drop: (digest) => void drop(digest),
+    put,
+    drop,
     start: startReview,
     stop: () => {
       isStopped = true;
--- a/packages/crashes/src/blockedRows.ts
+++ b/packages/crashes/src/blockedRows.ts
@@ -6,11 +6,6 @@
 import { REQUEST_DIGEST } from "./constants.js";
 import type { RequestDigest, ToldEnd } from "./types.js";
 
-const digestSchema = z
-  .string()
-  .regex(REQUEST_DIGEST)
-  .transform((text) => text as RequestDigest);
-
 const rowSchema = z.object({
   ends: z.array(z.object({ server: z.string(), at: z.number() })).max(64),
 });
@@ -24,17 +19,16 @@
     JSON.stringify({ ends: ends.map(({ server, age }) => ({ server, at: now - age })) }),
   );
 
-/** Decodes a row; a time of day that jumped makes no end younger than now. */
-export const decodeBlockedRow = (
+/** Decodes a row under the key of a request; a time of day that jumped makes no end younger than now. */
+const decodeBlockedRow = (
   { key, value }: Pick<StoredRow, "key" | "value">,
   now: Ms,
 ): Result<readonly ToldEnd[], BlockedRowFailure> => {
   try {
-    const digest = digestSchema.parse(key);
     const { ends } = rowSchema.parse(JSON.parse(value.toString("utf8")));
     return Ok(
       ends.map(({ server, at }) => ({
-        digest,
+        digest: key as RequestDigest,
         server: server as ServerId,
         age: Math.max(0, now - at) as Ms,
       })),
@@ -67,9 +61,13 @@
   const listed = new Set<RequestDigest>();
 
   const put = (row: StoredRow) => {
+    if (!REQUEST_DIGEST.test(row.key)) {
+      onUnreadable({ kind: "unreadable_request", key: row.key });
+      return;
+    }
+    // Listed even if its ends can't be read: its keeper drops it in time.
+    listed.add(row.key as RequestDigest);
     const decoded = decodeBlockedRow(row, clock.now());
-    // A row that holds a request is listed even if its ends can't be read: its keeper drops it in time.
-    if (REQUEST_DIGEST.test(row.key)) listed.add(row.key as RequestDigest);
     if (decoded.ok) onListed(decoded.val);
     else onUnreadable(decoded.val);
   };
--- a/packages/forwarding/src/buildExchangeRequest.ts
+++ b/packages/forwarding/src/buildExchangeRequest.ts
@@ -21,14 +21,14 @@
   request: AdmittedRequest,
   { server, demand, continuation }: AttemptTerms,
 ): ExchangeRequest => {
-  const { head, body, route, workspace, endsAt } = request;
+  const { head, body, workspace, endsAt } = request;
   const hasBody = body.length > 0 || head.contentLength !== undefined;
   const headers = codec.encodeDispatch(head, {
     server: server.entry.name,
     timeLeft: Math.max(0, endsAt - clock.monotonic()) as Ms,
     workspace: workspace?.name,
     bodyLength: hasBody ? body.length : undefined,
-    enginePriority: demand.tokens && (workspace?.tier ?? route.tier),
+    enginePriority: demand.tokens && demand.tier,
     continuation,
   });
   const { address } = server.entry;
--- a/packages/forwarding/src/placeWithRoom.ts
+++ b/packages/forwarding/src/placeWithRoom.ts
@@ -2,6 +2,7 @@
 import type { Ms, ServiceName } from "@stairgauge/common";
 import type { PlacementDecision } from "@stairgauge/placement";
 import type { Route, WorkspaceSpec } from "@stairgauge/routing";
+import { computeTier } from "./computeDemand.js";
 import type {
   AdmittedRequest,
   ForwardDecision,
@@ -47,7 +48,7 @@
   receivedAt,
 }: TermsInputs): PlacingTerms => ({
   service,
-  tier: workspace?.tier ?? route.tier,
+  tier: computeTier({ workspace, route }),
   until: (receivedAt + route.firstAnswerAim * WAIT_SHARE) as Ms,
 });
 
--- a/packages/limits/src/gatherRenewals.test.ts
+++ b/packages/limits/src/gatherRenewals.test.ts
@@ -13,7 +13,14 @@
   const sent: LimitNews[] = [];
   const takeRenewal = createRenewalGatherer({
     clock,
-    getBook: () => ({ find: (server) => (known.has(server) ? KNOWN : undefined) }),
+    getBook: () => ({
+      listNews: (servers = known) => ({
+        named: [...servers]
+          .filter((server) => known.has(server))
+          .map((server) => ({ server, ...KNOWN })),
+        lifted: [],
+      }),
+    }),
     send: (news) => sent.push(news),
   });
   const recordRenewal = (server: ServerId) =>
--- a/packages/limits/src/gatherRenewals.ts
+++ b/packages/limits/src/gatherRenewals.ts
@@ -10,7 +10,7 @@
 /** What gathering needs. */
 export type RenewalOptions = Readonly<{
   clock: Pick<Clock, "setTimer">;
-  getBook: () => Pick<LimitBook, "find">;
+  getBook: () => Pick<LimitBook, "listNews">;
   send: (news: LimitNews) => void;
 }>;
 
@@ -22,12 +22,9 @@
 
   const sendGathered = () => {
     timer = undefined;
-    const named = [...servers].flatMap((server) => {
-      const known = getBook().find(server);
-      return known ? [{ server, ...known }] : [];
-    });
+    const news = getBook().listNews(servers);
     servers.clear();
-    if (named.length > 0) send({ named, lifted: [] });
+    if (news.named.length > 0) send(news);
   };
 
   return (news: LimitNews): void => {
--- a/packages/limits/src/limitBook.ts
+++ b/packages/limits/src/limitBook.ts
@@ -3,7 +3,7 @@
  * with it until an answer proves that the server no longer names it: one to a request that was sent long enough after the last
  * answer with the limit that any box is known to have had. Pure but for the clock handed in.
  */
-import type { BoxName, Clock, Ms } from "@stairgauge/common";
+import { assertNever, type BoxName, type Clock, type Ms } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
 import {
   LEAST_HOLD_MS,
@@ -40,8 +40,8 @@
   takeNews: (news: LimitNews, by: BoxName) => void;
   find: (server: ServerId) => KnownLimit | undefined;
   isEmpty: () => boolean;
-  /** All that is known, for a box that is new to this one. */
-  listNews: () => LimitNews;
+  /** What is known of the servers given; of all, for a box that is new to this one. */
+  listNews: (servers?: Iterable<ServerId>) => LimitNews;
   forget: (server: ServerId) => void;
 }>;
 
@@ -104,9 +104,12 @@
     onEvent({ kind: "run_out", server, age });
     return undefined;
   };
-  const makeTold = (server: ServerId): readonly ToldLimit[] => {
-    const known = find(server);
-    return known ? [{ server, ...known }] : [];
+  const listNews: LimitBook["listNews"] = (servers = limits.keys()) => {
+    const named = [...servers].flatMap((server): readonly ToldLimit[] => {
+      const known = find(server);
+      return known ? [{ server, ...known }] : [];
+    });
+    return named.length > 0 ? { named, lifted: [] } : NO_LIMIT_NEWS;
   };
 
   const recordNamed = (heard: Heard, perSecond: number, firstAt: number) => {
@@ -131,7 +134,7 @@
       const kind = known ? "changed" : "named";
       onEvent({ kind, server, perSecond, age, by: toBox(by) });
     }
-    if (isDue) tellNews({ named: makeTold(server), lifted: [] }, by, !isChange);
+    if (isDue) tellNews(listNews([server]), by, !isChange);
   };
 
   /** A request that was sent so long after the last answer with the limit was answered without it. */
@@ -139,9 +142,11 @@
     const isRow = unnamed >= TELLING_ANSWERS;
     return sentAfter >= (isRow ? LEAST_HOLD_MS : computeSingleHold(perSecond));
   };
-  const takeUnnamed = (server: ServerId, sentAt: number) => {
+  const takeUnnamed = (server: ServerId, sentAgo: Ms) => {
     const kept = find(server) && limits.get(server);
-    if (!kept || sentAt < kept.lastAt) return;
+    if (!kept) return;
+    const sentAt = clock.monotonic() - sentAgo;
+    if (sentAt < kept.lastAt) return;
     const counted = { ...kept, unnamed: kept.unnamed + 1 };
     limits.set(server, counted);
     if (isProof(counted, sentAt - kept.lastAt))
@@ -162,11 +167,14 @@
     tellNews({ named: [], lifted: [{ server, age }] }, by);
   };
 
+  const takeNamed = (server: ServerId, perSecond: number) => {
+    const now = clock.monotonic();
+    recordNamed({ server, at: now, by: "itself" }, perSecond, now);
+  };
   /** The server goes on naming something: what is known holds on. */
   const takeUnreadable = (server: ServerId, text: string) => {
     const known = find(server);
-    const now = clock.monotonic();
-    if (known) recordNamed({ server, at: now, by: "itself" }, known.perSecond, now);
+    if (known) takeNamed(server, known.perSecond);
     if (unreadable.get(server) === text) return;
     unreadable.set(server, text);
     onEvent({ kind: "unreadable", server, text });
@@ -174,16 +182,23 @@
 
   return {
     takeSign: (server, sign, sentAgo) => {
-      if (sign.kind === "unreadable") {
-        takeUnreadable(server, sign.text);
-        return;
+      switch (sign.kind) {
+        case "named":
+          takeNamed(server, sign.perSecond);
+          return;
+        case "unnamed":
+          if (sentAgo !== undefined) takeUnnamed(server, sentAgo);
+          return;
+        case "unreadable":
+          takeUnreadable(server, sign.text);
+          return;
+        default:
+          assertNever(sign);
       }
-      const now = clock.monotonic();
-      if (sign.kind === "named")
-        recordNamed({ server, at: now, by: "itself" }, sign.perSecond, now);
-      else if (sentAgo !== undefined) takeUnnamed(server, now - sentAgo);
     },
     takeNews: ({ named, lifted }, by) => {
+      // Boxes tell each other of their runs all the time, and hardly ever of limits.
+      if (named.length + lifted.length === 0) return;
       const now = clock.monotonic();
       for (const { server, perSecond, knownFor, age } of named)
         if (isListed(server))
@@ -192,10 +207,7 @@
     },
     find,
     isEmpty: () => limits.size === 0,
-    listNews: () =>
-      limits.size === 0
-        ? NO_LIMIT_NEWS
-        : { named: [...limits.keys()].flatMap(makeTold), lifted: [] },
+    listNews,
     forget: (server) => {
       const known = find(server);
       limits.delete(server);
--- a/packages/limits/src/limitedFleet.testkit.ts
+++ b/packages/limits/src/limitedFleet.testkit.ts
@@ -165,29 +165,3 @@
 };
 
 const UNNAMED = { kind: "unnamed" } as const;
-
-/** The users' bounds: from when on the limit binds, how long a box may go on after it was told, and the window. */
-const CONTACT_MS = 3_000;
-const TOLD_MS = 500;
-const WINDOW_MS = 4_000;
-
-/** Counts the most requests in a window, from boxes told before, as the users do. */
-export const countMostFromTold = (arrivals: readonly FleetArrival[]): number => {
-  const sorted = arrivals.toSorted((a, b) => a.at - b.at);
-  const toldAt = new Map<number, number>();
-  for (const { box, at, isTold } of sorted)
-    if (isTold && !toldAt.has(box)) toldAt.set(box, at);
-  const firstAt = Math.min(...toldAt.values());
-  let from = 0;
-  return sorted.reduce((most, { at: end }, i) => {
-    while (sorted[from]!.at <= end - WINDOW_MS) from += 1;
-    if (end < firstAt + CONTACT_MS) return most;
-    const isCounted = ({ box }: FleetArrival) =>
-      (toldAt.get(box) ?? Infinity) <= end - TOLD_MS;
-    return Math.max(most, sorted.slice(from, i + 1).filter(isCounted).length);
-  }, 0);
-};
-
-/** Works out how many the server may get in a window. */
-export const computeAllowed = (perSecond: number): number =>
-  Math.floor((perSecond * 1.5 * WINDOW_MS) / 1_000 + 5);
--- a/packages/limits/src/serverLimits.test.ts
+++ b/packages/limits/src/serverLimits.test.ts
@@ -5,9 +5,8 @@
  */
 import { describe, expect, it } from "vitest";
 import fc from "fast-check";
+import { computeAllowed, countMostFromTold } from "@stairgauge/standins";
 import {
-  computeAllowed,
-  countMostFromTold,
   NAMED_AT,
   runLimitedFleet,
   type FleetArrival,
--- a/packages/limits/src/serverLimits.ts
+++ b/packages/limits/src/serverLimits.ts
@@ -4,6 +4,7 @@
 import type { FleetPlaces } from "@stairgauge/placement";
 import { createLimitBook, type LimitBook, type LimitBookOptions } from "./limitBook.js";
 import { computeQuota, createLimitRooms, type LimitRoom } from "./limitRoom.js";
+import type { LimitEvent } from "./types.js";
 import { createUrgentDemand } from "./urgentDemand.js";
 
 /** What the limits need. */
@@ -48,6 +49,13 @@
 
 const MS_PER_S = 1_000;
 
+/** Events after which a server has no limit any more. */
+const ENDINGS: ReadonlySet<LimitEvent["kind"]> = new Set([
+  "lifted",
+  "run_out",
+  "dropped",
+]);
+
 /** Creates the limits; none is known. */
 export const createServerLimits = (options: ServerLimitsOptions): ServerLimits => {
   const { clock, agingClock, places, isPlacedByHubs, onEvent } = options;
@@ -57,7 +65,7 @@
     ...options,
     clock: agingClock,
     onEvent: (event) => {
-      if (event.kind === "lifted" || event.kind === "run_out") rooms.forget(event.server);
+      if (ENDINGS.has(event.kind)) rooms.forget(event.server);
       onEvent(event);
     },
   });
@@ -112,9 +120,5 @@
       rooms.record(id, computeQuota(limit));
       if (tier !== undefined) urgent.recordSent(service, tier);
     },
-    forget: (server) => {
-      book.forget(server);
-      rooms.forget(server);
-    },
   };
 };
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -54,5 +54,11 @@
   LimitedServers,
   LimitNaming,
 } from "./usersPlatform/limitedServers.js";
+export {
+  computeAllowed,
+  countMostFromTold,
+  LIMIT_CONTACT_MS,
+} from "./usersPlatform/limitRule.js";
+export type { CountedArrival } from "./usersPlatform/limitRule.js";
 export { formatWireAsk, startWireEngine } from "./usersPlatform/wireEngine.js";
 export type { WireAsk, WireBirthPlace } from "./usersPlatform/wireEngine.js";
--- a/packages/standins/src/usersPlatform/crashingServers.ts
+++ b/packages/standins/src/usersPlatform/crashingServers.ts
@@ -87,7 +87,7 @@
     };
     const startCrash = (socket: Socket, request: string) => {
       arrivals += 1;
-      if (isEngine) sendStreamEvents(socket, request, { from: 0, to: 1 });
+      if (isEngine) sendStreamEvents({ socket, request }, { from: 0, to: 1 });
       setTimeout(endServer, ENDS_AFTER_MS);
     };
     const takeRequest = (socket: Socket, head: string, body: string) => {
@@ -102,12 +102,11 @@
       else if (body.includes(CRASHING_BODY)) startCrash(socket, request);
       else if (isEngine)
         sendWholeStream(
-          socket,
-          request,
+          { socket, request },
           Number(findHeader(head, HEADER.lastEventId) ?? -1) + 1,
         );
       else {
-        setTimeout(() => sendPlainAnswer(socket, request), PLAIN_MS);
+        setTimeout(() => sendPlainAnswer({ socket, request }), PLAIN_MS);
         countSound();
       }
     };
--- a/packages/standins/src/usersPlatform/limitedServers.ts
+++ b/packages/standins/src/usersPlatform/limitedServers.ts
@@ -53,11 +53,11 @@
   };
   const serve = (socket: Socket, head: string) => {
     const request = findHeader(head, HEADER.requestId) ?? "";
-    const lines = makeLimitLines();
-    arrivals.push({ request, at: performance.now(), isTold: lines.length > 0 });
+    const more = makeLimitLines();
+    arrivals.push({ request, at: performance.now(), isTold: more.length > 0 });
     const from = Number(findHeader(head, HEADER.lastEventId) ?? -1) + 1;
-    if (kind === "engine") sendWholeStream(socket, request, from, lines);
-    else setTimeout(() => sendPlainAnswer(socket, request, lines), PLAIN_MS);
+    if (kind === "engine") sendWholeStream({ socket, request, more }, from);
+    else setTimeout(() => sendPlainAnswer({ socket, request, more }), PLAIN_MS);
   };
   const takeRequest = (socket: Socket, head: string) => {
     if (head.startsWith(`GET ${SERVER_PATH.report}`)) sendWireJson(socket, IDLE_REPORT);
--- a/packages/standins/src/usersPlatform/soundAnswers.ts
+++ b/packages/standins/src/usersPlatform/soundAnswers.ts
@@ -15,12 +15,15 @@
 /** Which events of a stream are sent: from `from`, up to `to` without it. */
 export type EventRange = Readonly<{ from: number; to: number }>;
 
-/** Answers a plain request; `more` are whole header lines. */
-export const sendPlainAnswer = (
-  socket: Socket,
-  request: string,
-  more: readonly string[] = [],
-): void => {
+/** What is answered, and where; `more` are whole header lines. */
+export type SoundAnswer = Readonly<{
+  socket: Socket;
+  request: string;
+  more?: readonly string[];
+}>;
+
+/** Answers a plain request. */
+export const sendPlainAnswer = ({ socket, request, more = [] }: SoundAnswer): void => {
   const body = `answer to ${request}`;
   const head = [
     "HTTP/1.1 200 OK",
@@ -34,23 +37,16 @@
 
 /** Begins a stream, which may go on. */
 export const sendStreamEvents = (
-  socket: Socket,
-  request: string,
+  { socket, request, more = [] }: SoundAnswer,
   { from, to }: EventRange,
-  more: readonly string[] = [],
 ): void => {
   socket.write(formatStreamHead(request, [CHUNKED, ...more].join("\r\n")));
   for (let at = from; at < to; at += 1)
     socket.write(formatChunk(formatEngineEvent(request, at)));
 };
 
-/** Sends a stream to its end. */
-export const sendWholeStream = (
-  socket: Socket,
-  request: string,
-  from: number,
-  more: readonly string[] = [],
-): void => {
-  sendStreamEvents(socket, request, { from, to: SOUND_EVENTS }, more);
-  socket.write("0\r\n\r\n");
+/** Sends a stream to its end, from one of its events on. */
+export const sendWholeStream = (answer: SoundAnswer, from: number): void => {
+  sendStreamEvents(answer, { from, to: SOUND_EVENTS });
+  answer.socket.write("0\r\n\r\n");
 };
