refactor: what servers say of themselves is decoded in one place, and each sign has one taker

The signs of an answer are one type now (packages/signs), decoded by one function for requests, health answers, reports and copies; a sign without a taker doesn't compile. The placer and the room of limits no longer hear signs beside their own work. No change of behaviour but one: another server at the address no longer counts as a closing connection's owner.

--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -46,6 +46,7 @@
 import { createLimits } from "./createLimits.js";
 import { createMoves } from "./createMoves.js";
 import { createPeers } from "./createPeers.js";
+import { createSigns } from "./createSigns.js";
 import { createSinks } from "./createSinks.js";
 import { observeForwarding } from "./observers.js";
 import { createMetricsServer, createReadyServer, listenOn } from "./smallServers.js";
@@ -170,7 +171,7 @@
     places,
     isPlacedByHubs,
   });
-  const { limits, takeEngineSign } = createLimits({
+  const limits = createLimits({
     clock,
     log,
     metrics,
@@ -209,7 +210,16 @@
     onFailure: (failure) => log.writeWarning("membership", { failure }),
   });
   const runs = createActiveRuns();
-  const actions = createEngineActions({ onLimitSign: takeEngineSign });
+  const signs = createSigns({
+    listServers: () => directory.list(),
+    limits,
+    spells: cold.spells,
+    onClosingAnnounced: (server) => {
+      if (!server.leaving && isEngineService(server.entry.service))
+        void reports.ask(server);
+    },
+  });
+  const actions = createEngineActions({ onSigns: signs.takeFromEngine });
 
   const directory = createDirectory({
     log,
@@ -261,10 +271,6 @@
       teller.tellBroken(server);
       log.writeDecision("server_broke_off", { server });
     },
-    onClosingAnnounced: (server) => {
-      if (!server.leaving && isEngineService(server.entry.service))
-        void reports.ask(server);
-    },
   });
   const placeHub = createPlaceHub({
     clock,
@@ -302,6 +308,7 @@
     adviser: hubs.adviser,
     runKeeper: mover,
     guard: crashes.guard,
+    takeSigns: signs.take,
     observer: observeForwarding({ log, metrics, configuration }),
     retryAfter: settings.clients.retryAfterMs as Ms,
     connectLimit: settings.clients.connectLimitMs as Ms,
--- a/apps/box/src/createLimits.ts
+++ b/apps/box/src/createLimits.ts
@@ -1,11 +1,10 @@
 /** Wires together what a box knows of the limits that backend servers name: what it hears itself, and what other boxes tell. */
 import { toAgingClock, type Clock, type ServiceName } from "@stairgauge/common";
-import type { ServerAddress, ServerDirectory } from "@stairgauge/directory";
+import type { ServerDirectory } from "@stairgauge/directory";
 import {
   createRenewalGatherer,
   createServerLimits,
   type LimitNews,
-  type LimitSign,
   type ServerLimits,
 } from "@stairgauge/limits";
 import type { FleetPlaces } from "@stairgauge/placement";
@@ -21,18 +20,11 @@
   places: Pick<FleetPlaces, "computePart">;
   isPlacedByHubs: (service: ServiceName) => boolean;
   peers: Pick<Peers, "teller" | "isHandingOn" | "passOn">;
-  getDirectory: () => Pick<ServerDirectory, "find" | "list">;
+  getDirectory: () => Pick<ServerDirectory, "find">;
 }>;
 
-/** The parts that the rest of a box calls. */
-export type Limits = Readonly<{
-  limits: ServerLimits;
-  /** An engine has answered a call that is no request; whoever leaves has no say any more. */
-  takeEngineSign: (address: ServerAddress, sign: LimitSign) => void;
-}>;
-
-/** Creates the parts; no limit is known. */
-export const createLimits = (options: LimitsOptions): Limits => {
+/** Creates them; no limit is known. */
+export const createLimits = (options: LimitsOptions): ServerLimits => {
   const { clock, log, metrics, places, isPlacedByHubs, peers, getDirectory } = options;
 
   const sendNews = (news: LimitNews) => peers.passOn({ limits: news });
@@ -59,17 +51,5 @@
       listLimits: () => limits.listNews().named,
     }),
   });
-
-  const listStaying = ({ host, port }: ServerAddress) =>
-    getDirectory()
-      .list()
-      .filter(({ entry }) => entry.address.host === host && entry.address.port === port)
-      .filter(({ leaving }) => leaving === undefined);
-  return {
-    limits,
-    takeEngineSign: (address, sign) => {
-      for (const { entry } of listStaying(address))
-        limits.takeSign(entry.id, sign, undefined);
-    },
-  };
+  return limits;
 };
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -39,7 +39,8 @@
   placement: ["common", "directory"],
   crashes: ["common", "directory", "storefeed"],
   limits: ["common", "directory", "placement"],
-  forwarding: ["common", "crashes", "limits", "routing", "directory", "placement"],
+  signs: ["common", "directory", "limits"],
+  forwarding: ["common", "crashes", "routing", "directory", "placement", "signs"],
   migration: ["common", "directory", "forwarding", "placement"],
   peers: ["common", "crashes", "directory", "limits", "placement", "storefeed"],
   fleet: [
--- a/packages/fleet/src/adviseOthers.test.ts
+++ b/packages/fleet/src/adviseOthers.test.ts
@@ -118,7 +118,6 @@
     }),
     getConnectionShare: () => Infinity,
     isAlive: () => Promise.resolve(true),
-    onClosingAnnounced: () => undefined,
     onBroken: () => undefined,
   });
   const waitingRoom = createWaitingRoom(clock);
--- a/packages/fleet/src/createPlacer.ts
+++ b/packages/fleet/src/createPlacer.ts
@@ -30,7 +30,7 @@
 /** What placing asks of the limits that servers name. */
 export type PlacingLimits = Pick<
   ServerLimits,
-  "findAllowance" | "isLimited" | "recordArrival" | "recordSent" | "sift" | "takeSign"
+  "findAllowance" | "isLimited" | "recordArrival" | "recordSent" | "sift"
 >;
 
 /** What placing needs. */
@@ -47,9 +47,8 @@
   getConnectionShare: (service: ServiceName) => number;
   rivals: Pick<RivalRate, "estimate">;
   cold: Pick<ColdLimits, "mayTake" | "record">;
-  spells: Pick<ColdSpells, "mayBeCold" | "onEntry" | "onUnreachable">;
+  spells: Pick<ColdSpells, "mayBeCold" | "onUnreachable">;
   limits: PlacingLimits;
-  onClosingAnnounced: (server: BackendServer) => void;
   /** A server broke a request of this box off before it answered. */
   onBroken: (server: ServerId) => void;
   isAlive: (server: BackendServer) => Promise<boolean>;
@@ -230,9 +229,6 @@
     onAnswered: ({ entry }) => suspects.removeBreaks(entry.id),
     takeBroken: (server) => suspects.addBreak(server, clock.monotonic()),
     takeAnswered: suspects.removeBreaks,
-    onWarmUpTold: ({ entry }, warmUpLeft) => spells.onEntry({ ...entry, warmUpLeft }),
-    onLimitSign: ({ entry }, sign, sentAgo) => limits.takeSign(entry.id, sign, sentAgo),
-    onConnectionClosing: options.onClosingAnnounced,
     onRunBegun: (server, head) => {
       if (head.id !== undefined) book.markBegun(server.entry.id, head.id);
     },
--- a/packages/forwarding/src/answerHead.testkit.ts
+++ b/packages/forwarding/src/answerHead.testkit.ts
@@ -1,4 +1,5 @@
 /** A server's answer head as tests need one. */
+import { NO_SIGNS } from "@stairgauge/signs";
 import type { AnswerHead } from "./types.js";
 
 /** Makes the head of a sound answer with a length, with the changes given. */
@@ -10,9 +11,7 @@
   isOtherServer: false,
   server: undefined,
   startedAt: undefined,
-  warmUpLeft: undefined,
-  limit: { kind: "unnamed" },
-  isClosing: false,
+  signs: NO_SIGNS,
   isEncoded: false,
   contentLength: 2,
   isUnframed: false,
--- a/packages/forwarding/src/answerSink.ts
+++ b/packages/forwarding/src/answerSink.ts
@@ -3,7 +3,7 @@
  * The client's answer is written to from here for this attempt's bytes only.
  */
 import { assertNever } from "@stairgauge/common";
-import type { ServerSign } from "./askServer.js";
+import type { ServerPresence } from "./askServer.js";
 import { countBytesLeft, type Attempt } from "./attempt.js";
 import { isBodyNeeded, isStreamOf, judgeAttempt } from "./decideNext.js";
 import type { AdmittedRequest } from "./forwarderTypes.js";
@@ -38,7 +38,7 @@
   attempt: Attempt;
   isLeaving: () => boolean;
   /** Asks whether the server is still there; undefined where it cannot be asked. */
-  askServer: () => Promise<ServerSign | undefined>;
+  askServer: () => Promise<ServerPresence | undefined>;
   listener: AttemptListener;
 }>;
 
--- a/packages/forwarding/src/askServer.ts
+++ b/packages/forwarding/src/askServer.ts
@@ -1,20 +1,18 @@
 /** Asks a server whether it is still there, by its health path: another process at its address says who it is. */
 import type { Clock, Ms } from "@stairgauge/common";
 import type { ServerEntry } from "@stairgauge/directory";
-import type { LimitSign } from "@stairgauge/limits";
+import type { ServerSigns } from "@stairgauge/signs";
 import { openExchange } from "./openExchange.js";
 import type { AnswerHead, HeadCodec } from "./types.js";
 
 /** What was heard: an answer of the server itself, or whatever says less. */
-export type ServerSign = Readonly<
+export type ServerPresence = Readonly<
   | {
       kind: "present";
       /** Its start, where it says so. */
       startedAt: Ms | undefined;
-      /** How much longer it stays cold, where it says so. */
-      warmUpLeft: Ms | undefined;
-      /** What it says of the requests that it takes. */
-      limit: LimitSign;
+      /** What it says of itself. */
+      signs: ServerSigns;
     }
   | { kind: "absent"; cause: AbsenceCause; detail: string }
 >;
@@ -41,8 +39,8 @@
 /** Error of a connection to a machine on which nothing listens at the address. */
 const REFUSED_CODE = "ECONNREFUSED";
 
-/** Makes the sign of a server that is not there. */
-export const makeAbsent = (detail: string, cause: AbsenceCause): ServerSign => ({
+/** Makes what is heard of a server that is not there. */
+export const makeAbsent = (detail: string, cause: AbsenceCause): ServerPresence => ({
   kind: "absent",
   cause,
   detail,
@@ -53,27 +51,26 @@
   entry: ServerQuestion["entry"],
   answer: AnswerHead,
   startedAt: Ms | undefined,
-): ServerSign => {
+): ServerPresence => {
   const isOther = answer.server !== undefined && answer.server !== entry.name;
   if (answer.isOtherServer || isOther)
     return makeAbsent("another server has its address", "ended");
   const isTold = startedAt !== undefined && entry.startedAt !== undefined;
   if (isTold && startedAt !== entry.startedAt)
     return makeAbsent("it has started again", "ended");
-  const { warmUpLeft, limit } = answer;
-  return { kind: "present", startedAt, warmUpLeft, limit };
+  return { kind: "present", startedAt, signs: answer.signs };
 };
 
 /** Resolves with what is heard first; a body that does not end in time leaves it at the head. */
-export const askServer = (question: ServerQuestion): Promise<ServerSign> =>
+export const askServer = (question: ServerQuestion): Promise<ServerPresence> =>
   new Promise((resolve) => {
     const { clock, codec, entry, healthPath, connectLimit } = question;
     let answer: AnswerHead | undefined;
     let body = Buffer.alloc(0);
-    const finish = (sign: ServerSign) => {
+    const finish = (presence: ServerPresence) => {
       timer.cancel();
       exchange.cancel();
-      resolve(sign);
+      resolve(presence);
     };
     const judgeHeard = (heard: AnswerHead) =>
       judgeAnswer(entry, heard, heard.startedAt ?? codec.decodeHealthBody(body));
--- a/packages/forwarding/src/createServerAsker.ts
+++ b/packages/forwarding/src/createServerAsker.ts
@@ -1,15 +1,15 @@
 /** Asks a backend server whether the start of it that a box knows is still there. */
 import type { BackendServer } from "@stairgauge/directory";
-import { askServer, makeAbsent, type ServerSign } from "./askServer.js";
+import { askServer, makeAbsent, type ServerPresence } from "./askServer.js";
 import type { ForwarderDeps } from "./forwarderTypes.js";
 
 /** Resolves with what was heard; undefined for a server that has no health path to be asked at. */
-export type ServerAsker = (server: BackendServer) => Promise<ServerSign | undefined>;
+export type ServerAsker = (server: BackendServer) => Promise<ServerPresence | undefined>;
 
 /** What asking needs. */
 export type ServerAskerDeps = Pick<
   ForwarderDeps,
-  "clock" | "codec" | "configuration" | "connectLimit" | "placer"
+  "clock" | "codec" | "configuration" | "connectLimit" | "placer" | "takeSigns"
 >;
 
 /** Creates the asker. */
@@ -22,14 +22,13 @@
     if (service?.healthPath === undefined) return undefined;
     const { healthPath } = service;
     placer.recordAsk(server);
-    const sign = await askServer({ clock, codec, entry, healthPath, connectLimit });
-    if (sign.kind === "absent") return sign;
-    placer.onLimitSign(server, sign.limit, undefined);
-    if (sign.warmUpLeft !== undefined) placer.onWarmUpTold(server, sign.warmUpLeft);
-    const isStartUnsaid = sign.startedAt === undefined && entry.startedAt !== undefined;
-    if (!isStartUnsaid || !service.engine) return sign;
+    const heard = await askServer({ clock, codec, entry, healthPath, connectLimit });
+    if (heard.kind === "absent") return heard;
+    deps.takeSigns({ server, signs: heard.signs, source: { kind: "health" } });
+    const isStartUnsaid = heard.startedAt === undefined && entry.startedAt !== undefined;
+    if (!isStartUnsaid || !service.engine) return heard;
     // An engine's report tells its start where its health answer does not.
     return (await placer.isAlive(server))
-      ? sign
+      ? heard
       : makeAbsent("its report is not its own", "not_heard");
   };
--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -212,7 +212,7 @@
   const takeHead = (attempt: Attempt, answerHead: AnswerHead) => {
     attempt.silence?.cancel();
     attempt.answeredAt = getNow();
-    recordServerSigns(placer, attempt, answerHead);
+    recordServerSigns(deps, { ...attempt, request: head.id }, answerHead);
   };
   const takeStreamBegun = (attempt: Attempt) => {
     if (continuations > 0 && run) {
--- a/packages/forwarding/src/forwarderTypes.ts
+++ b/packages/forwarding/src/forwarderTypes.ts
@@ -2,7 +2,6 @@
 import type { Clock, Ms, Random, ServiceName } from "@stairgauge/common";
 import type { BrokenRun, RequestDigest, RequestGuard } from "@stairgauge/crashes";
 import type { BackendServer, ServerId } from "@stairgauge/directory";
-import type { LimitSign } from "@stairgauge/limits";
 import type { Demand, PlacementDecision, PlacementLimit } from "@stairgauge/placement";
 import type {
   AccessRefusal,
@@ -11,6 +10,7 @@
   Standing,
   WorkspaceSpec,
 } from "@stairgauge/routing";
+import type { HeardSigns } from "@stairgauge/signs";
 import type { ActiveRun, ActiveRuns, RunKeeper } from "./activeRuns.js";
 import type { ClientAnswer } from "./clientAnswer.js";
 import type { BytesEnd, Framing, ServerStanding } from "./describeBytesEnd.js";
@@ -157,12 +157,6 @@
   recordAsk: (server: BackendServer) => void;
   /** Whether a server answers anything at all, asked now. */
   isAlive: (server: BackendServer) => Promise<boolean>;
-  /** The server says that it is cold for so long yet. */
-  onWarmUpTold: (server: BackendServer, left: Ms) => void;
-  /** What an answer says of the server's limit; `sentAgo` as the book of limits takes it. */
-  onLimitSign: (server: BackendServer, sign: LimitSign, sentAgo: Ms | undefined) => void;
-  /** An answer announced the end of its connection, which a leaving server does. */
-  onConnectionClosing: (server: BackendServer) => void;
 }>;
 
 /** Collaborators of the forwarder. */
@@ -178,6 +172,8 @@
   adviser: PlaceAdviser;
   runKeeper: RunKeeper;
   guard: Pick<RequestGuard, "judge" | "recordEnd" | "recordServed">;
+  /** Takes what a server says of itself in an answer. */
+  takeSigns: (heard: HeardSigns) => void;
   observer: ForwardObserver;
   /** When a refused client should come back. */
   retryAfter: Ms;
--- a/packages/forwarding/src/judgeEnd.test.ts
+++ b/packages/forwarding/src/judgeEnd.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from "vitest";
+import { NO_SIGNS } from "@stairgauge/signs";
 import { judgeEnd, judgeEndBy, type EndedAnswer } from "./judgeEnd.js";
 
 const makeEnded = (changes: Partial<EndedAnswer>): EndedAnswer => ({
@@ -48,8 +49,7 @@
     const present = {
       kind: "present",
       startedAt: undefined,
-      warmUpLeft: undefined,
-      limit: { kind: "unnamed" },
+      signs: NO_SIGNS,
     } as const;
     expect(judgeEndBy(present)).toEqual({ kind: "whole" });
     expect(judgeEndBy(undefined)).toEqual({ kind: "whole" });
--- a/packages/forwarding/src/judgeEnd.ts
+++ b/packages/forwarding/src/judgeEnd.ts
@@ -3,7 +3,7 @@
  * the kernel closes it in order for a process that was killed, wherever that was in its answer. A stream that ends within an
  * event has lost the rest of it, whatever ended it. Pure.
  */
-import type { ServerSign } from "./askServer.js";
+import type { ServerPresence } from "./askServer.js";
 import type { EndedBy } from "./openExchange.js";
 
 /** An answer whose connection or framing has come to its end, without a reset. */
@@ -38,8 +38,8 @@
 };
 
 /** Judges an unproven end by what its server says right after it; a server that cannot be asked is taken at its word. */
-export const judgeEndBy = (sign: ServerSign | undefined): EndProof => {
-  if (!sign || sign.kind === "present") return { kind: "whole" };
-  const detail = `connection ended, and its server is not known to live: ${sign.detail}`;
+export const judgeEndBy = (presence: ServerPresence | undefined): EndProof => {
+  if (!presence || presence.kind === "present") return { kind: "whole" };
+  const detail = `connection ended, and its server is not known to live: ${presence.detail}`;
   return { kind: "cut", detail };
 };
--- a/packages/forwarding/src/recordServerSigns.ts
+++ b/packages/forwarding/src/recordServerSigns.ts
@@ -1,27 +1,25 @@
 /** Takes what a backend server says of itself in the head of an answer. */
 import type { Ms } from "@stairgauge/common";
 import type { Attempt } from "./attempt.js";
-import type { Placer } from "./forwarderTypes.js";
-import type { AnswerHead } from "./types.js";
+import type { ForwarderDeps, Placer } from "./forwarderTypes.js";
+import type { AnswerHead, ClientRequestId } from "./types.js";
 
 /** Who hears it. */
-export type SignListener = Pick<
-  Placer,
-  "onAnswered" | "onConnectionClosing" | "onLimitSign"
->;
+export type SignListener = Pick<ForwarderDeps, "takeSigns"> &
+  Readonly<{ placer: Pick<Placer, "onAnswered"> }>;
+
+/** The attempt that was answered, and the request that it is one of. */
+export type AnsweredAttempt = Pick<Attempt, "server" | "openedAt" | "answeredAt"> &
+  Readonly<{ request: ClientRequestId | undefined }>;
 
 /** Tells what the head of an attempt's answer says of the server; another one at its address says nothing of it. */
 export const recordServerSigns = (
-  placer: SignListener,
-  {
-    server,
-    openedAt,
-    answeredAt = openedAt,
-  }: Pick<Attempt, "server" | "openedAt" | "answeredAt">,
-  head: AnswerHead,
+  { placer, takeSigns }: SignListener,
+  { server, request, openedAt, answeredAt = openedAt }: AnsweredAttempt,
+  { isOtherServer, status, signs }: AnswerHead,
 ): void => {
   placer.onAnswered(server);
-  if (head.isClosing) placer.onConnectionClosing(server);
-  if (!head.isOtherServer)
-    placer.onLimitSign(server, head.limit, (answeredAt - openedAt) as Ms);
+  if (isOtherServer) return;
+  const sentAgo = (answeredAt - openedAt) as Ms;
+  takeSigns({ server, signs, source: { kind: "request", request, status, sentAgo } });
 };
--- a/packages/forwarding/src/serverEnds.test.ts
+++ b/packages/forwarding/src/serverEnds.test.ts
@@ -1,21 +1,21 @@
 import { describe, expect, it } from "vitest";
 import { advanceSettled, createVirtualClock, type Ms } from "@stairgauge/common";
-import { makeAbsent, type ServerSign } from "./askServer.js";
+import { NO_SIGNS } from "@stairgauge/signs";
+import { makeAbsent, type ServerPresence } from "./askServer.js";
 import { makeServer } from "./server.testkit.js";
 import { createServerEnds } from "./serverEnds.js";
 
 const SERVER = makeServer("engine-1");
-const PRESENT: ServerSign = {
+const PRESENT: ServerPresence = {
   kind: "present",
   startedAt: undefined,
-  warmUpLeft: undefined,
-  limit: { kind: "unnamed" },
+  signs: NO_SIGNS,
 };
 const REFUSED = makeAbsent("ECONNREFUSED", "ended");
 const SILENT = makeAbsent("no answer in time", "not_heard");
 
 const judge = async (
-  signs: readonly (ServerSign | undefined)[],
+  signs: readonly (ServerPresence | undefined)[],
   { isLeaving = false, times = 1 } = {},
 ) => {
   const clock = createVirtualClock();
@@ -32,7 +32,7 @@
 };
 
 describe("createServerEnds", () => {
-  it.each<[string, readonly (ServerSign | undefined)[], string, number]>([
+  it.each<[string, readonly (ServerPresence | undefined)[], string, number]>([
     ["nothing listens at its address", [REFUSED], "ended", 1],
     ["another start of it answers", [makeAbsent("again", "ended")], "ended", 1],
     ["it answers for itself", [PRESENT], "lives", 1],
--- a/packages/forwarding/src/serverEnds.ts
+++ b/packages/forwarding/src/serverEnds.ts
@@ -4,7 +4,7 @@
  */
 import { waitFor, type Clock, type Ms } from "@stairgauge/common";
 import type { BackendServer, ServerId } from "@stairgauge/directory";
-import type { ServerSign } from "./askServer.js";
+import type { ServerPresence } from "./askServer.js";
 import type { ServerAsker } from "./createServerAsker.js";
 
 /** What became of a server that broke a request off. */
@@ -45,10 +45,10 @@
 const LEFT: ServerEnd = { verdict: "left", detail: "it was leaving" };
 
 /** What one answer proves; undefined where the server is to be asked again. */
-const judgeSign = (sign: ServerSign | undefined): ServerEnd | undefined => {
-  if (!sign) return NOT_ASKED;
-  if (sign.kind === "present") return LIVES;
-  const { cause, detail } = sign;
+const judgePresence = (presence: ServerPresence | undefined): ServerEnd | undefined => {
+  if (!presence) return NOT_ASKED;
+  if (presence.kind === "present") return LIVES;
+  const { cause, detail } = presence;
   return cause === "ended" ? { verdict: "ended", detail } : undefined;
 };
 
@@ -61,10 +61,10 @@
     let detail = "";
     for (let asked = 0; asked < MOST_ASKED; asked += 1) {
       if (asked > 0) await waitFor(clock, ASK_PAUSE_MS);
-      const sign = await ask(server);
-      const end = judgeSign(sign);
+      const presence = await ask(server);
+      const end = judgePresence(presence);
       if (end) return end;
-      detail = sign?.kind === "absent" ? sign.detail : "";
+      detail = presence?.kind === "absent" ? presence.detail : "";
     }
     return { verdict: "not_known", detail };
   };
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -1,7 +1,7 @@
 /** What forwarding hands around: requests as clients sent them, answers as servers gave them. */
 import type { Brand, Ms, WorkspaceName } from "@stairgauge/common";
 import type { ServerAddress, ServerName } from "@stairgauge/directory";
-import type { LimitSign } from "@stairgauge/limits";
+import type { ServerSigns } from "@stairgauge/signs";
 
 /** Identity of one try of a client, chosen by the client. */
 export type ClientRequestId = Brand<string, "ClientRequestId">;
@@ -65,14 +65,11 @@
   isNotRun: boolean;
   /** Another server has the address now. */
   isOtherServer: boolean;
-  /** The server will close the connection; one that is leaving says so. */
-  isClosing: boolean;
-  /** The server that says that it answers, where it says so; its start and how long it stays cold, the same. */
+  /** The server that says that it answers, where it says so, and its start, the same. */
   server: ServerName | undefined;
   startedAt: Ms | undefined;
-  warmUpLeft: Ms | undefined;
-  /** What the server says of the requests that it takes. */
-  limit: LimitSign;
+  /** What the server says of itself. */
+  signs: ServerSigns;
   /** The body is encoded, so it is not the server's body. */
   isEncoded: boolean;
   /** Length of the body, when the head gives it. */
--- /dev/null
+++ b/packages/signs/src/constants.ts
@@ -0,0 +1,8 @@
+/** The signs of an answer that says nothing of its server. */
+import type { ServerSigns } from "./types.js";
+
+export const NO_SIGNS: ServerSigns = {
+  isClosing: false,
+  warmUpLeft: undefined,
+  limit: { kind: "unnamed" },
+};
--- /dev/null
+++ b/packages/signs/src/takeSigns.test.ts
@@ -0,0 +1,30 @@
+import { describe, expect, it } from "vitest";
+import type { Ms } from "@stairgauge/common";
+import type { BackendServer } from "@stairgauge/directory";
+import { NO_SIGNS, takeSigns, type ServerSigns, type SignTakers } from "./index.js";
+
+const SERVER = {} as BackendServer;
+const SOURCE = { kind: "health" } as const;
+
+describe("takeSigns", () => {
+  it("calls the taker of each sign once, with what the answer says", () => {
+    const taken: unknown[] = [];
+    const take =
+      (name: keyof ServerSigns) =>
+      (heard: object): void =>
+        void taken.push([name, heard]);
+    const takers: SignTakers = {
+      isClosing: take("isClosing"),
+      warmUpLeft: take("warmUpLeft"),
+      limit: take("limit"),
+    };
+    const signs = { ...NO_SIGNS, warmUpLeft: 30 as Ms };
+    takeSigns(takers, { server: SERVER, signs, source: SOURCE });
+    expect(taken).toEqual(
+      Object.entries(signs).map(([name, sign]) => [
+        name,
+        { server: SERVER, sign, source: SOURCE },
+      ]),
+    );
+  });
+});
--- /dev/null
+++ b/packages/signs/src/types.ts
@@ -0,0 +1,36 @@
+/** What backend servers say of themselves in the heads of their answers, as boxes hear it. */
+import type { Ms } from "@stairgauge/common";
+import type { BackendServer } from "@stairgauge/directory";
+import type { LimitSign } from "@stairgauge/limits";
+
+/** All signs of one answer, decoded once at the edge. */
+export type ServerSigns = Readonly<{
+  /** The server will close the connection; one that is leaving says so, and others now and then. */
+  isClosing: boolean;
+  /** How much longer the server stays cold, where it says so. */
+  warmUpLeft: Ms | undefined;
+  /** What the server says of the requests that it takes from all boxes. */
+  limit: LimitSign;
+}>;
+
+/** The kind of call whose answer carried the signs. */
+export type SignSource = Readonly<
+  /** A client's request; `sentAgo` is the time since it was sent. */
+  | { kind: "request"; request: string | undefined; status: number; sentAgo: Ms }
+  /** The server was asked whether it is there. */
+  | { kind: "health" }
+  /** An engine's report, or a call that copies a run. */
+  | { kind: "call" }
+>;
+
+/** One sign, who gave it, and where. */
+export type HeardSign<Sign> = Readonly<{
+  server: BackendServer;
+  sign: Sign;
+  source: SignSource;
+}>;
+
+/** Who takes each sign: one taker each, so that none is decoded for nobody. */
+export type SignTakers = {
+  readonly [Name in keyof ServerSigns]: (heard: HeardSign<ServerSigns[Name]>) => void;
+};
