fix: a server that says in an answer that it leaves gets nothing more, whatever its entry says

Cause: no part of a box read the word, and the directory took a server back that another box had told of as soon as its entry, written before, said ready again; so the word alone would not have held. Mend: the answer marks the server at once, at the box that has it and, over the links (hubs hand on, a box that links anew is greeted with it), at all others. A server's own word, heard here or elsewhere, is ended by another start of it only: an entry may be older than the word, also where it is put anew after the server was forgotten, comes before the box knows the server, or tells no start. What a box has concluded (entry missing, address reused) is still taken back by the entry. Why it holds: every way to a server (first tries, repeats, waiting tries, places of hubs, targets of copies and moves) asks the directory at its last step.

Line server_says_leaving with the answer that said so; server_sign_unreadable for anything but 1.

--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -210,28 +210,30 @@
     onFailure: (failure) => log.writeWarning("membership", { failure }),
   });
   const runs = createActiveRuns();
-  const signs = createSigns({
-    listServers: () => directory.list(),
-    limits,
-    spells: cold.spells,
-    onClosingAnnounced: (server) => {
-      if (!server.leaving && isEngineService(server.entry.service))
-        void reports.ask(server);
-    },
-  });
-  const actions = createEngineActions({ onSigns: signs.takeFromEngine });
-
   const directory = createDirectory({
     log,
     metrics,
     book,
     cold,
     limits,
-    teller,
-    peerServer,
+    peers,
+    isPlacedByHubs,
     getReports: () => reports,
     getMover: () => mover,
   });
+  const signs = createSigns({
+    clock,
+    log,
+    metrics,
+    directory,
+    limits,
+    spells: cold.spells,
+    onClosingAnnounced: (server) => {
+      if (!server.leaving && isEngineService(server.entry.service))
+        void reports.ask(server);
+    },
+  });
+  const actions = createEngineActions({ onSigns: signs.takeFromEngine });
   const findTraits = (server: BackendServer) =>
     keeper.getIndex()?.findService(server.entry.service)?.engine;
   const reportInterval = settings.engines.reportIntervalMs as Ms;
--- a/apps/box/src/createDirectory.ts
+++ b/apps/box/src/createDirectory.ts
@@ -1,9 +1,10 @@
 /** Creates a box's list of backend servers, and tells its parts what becomes of a server. */
-import type { BoxName, Ms } from "@stairgauge/common";
+import type { BoxName, Ms, ServiceName } from "@stairgauge/common";
 import {
   createServerDirectory,
   type BackendServer,
   type DirectoryEvent,
+  type LeavingReason,
   type ServerDirectory,
 } from "@stairgauge/directory";
 import type { ReportPoller } from "@stairgauge/fleet";
@@ -13,6 +14,7 @@
 import type { LoadBook } from "@stairgauge/placement";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
 import type { ColdServers } from "./createColdServers.js";
+import type { Peers } from "./createPeers.js";
 import { observeServers } from "./observers.js";
 import { toToldLeaving } from "./takeUpdates.js";
 
@@ -23,8 +25,12 @@
   book: LoadBook;
   cold: ColdServers;
   limits: Pick<ServerLimits, "forget">;
-  teller: Pick<RunTeller, "tellLeaving">;
-  peerServer: Pick<PeerServer, "notify">;
+  peers: Pick<Peers, "passOn"> &
+    Readonly<{
+      teller: Pick<RunTeller, "tellLeaving" | "tellOwnWord">;
+      peerServer: Pick<PeerServer, "notify">;
+    }>;
+  isPlacedByHubs: (service: ServiceName) => boolean;
   getReports: () => Pick<ReportPoller, "add">;
   getMover: () => Pick<RunMover, "onServerLeaving" | "onServerForgotten">;
 }>;
@@ -34,17 +40,29 @@
 
 /** Creates the list; no server is known. */
 export const createDirectory = (parts: DirectoryParts): ServerDirectory => {
-  const { log, metrics, book, cold, limits, teller, peerServer } = parts;
+  const { log, metrics, book, cold, limits, isPlacedByHubs } = parts;
+  const { teller, peerServer, passOn } = parts.peers;
 
-  /** What the store says reaches each box by its table; what an engine or a box said, by the hubs. */
-  const tellLeaving = (server: BackendServer) => {
-    const reason = server.leaving?.reason;
-    if (reason === "entry_says_leaving" || reason === "entry_gone") return;
-    const told = toToldLeaving(server);
+  /** Whoever chooses servers itself has to hear a server's own word, and the others that have runs there. */
+  const tellLeaving = (server: BackendServer, reason: LeavingReason) => {
+    const told = toToldLeaving(server, reason);
+    if (told.basis === "own_word" && !isPlacedByHubs(server.entry.service)) {
+      teller.tellOwnWord(told);
+      passOn({ leaving: [told] });
+      return;
+    }
     teller.tellLeaving(told);
     const boxes = book.listPeersAt(server.entry.id) as BoxName[];
     peerServer.notify(boxes, makeNotice({ leaving: [told] }));
   };
+  /** What the store says reaches each box by its table. */
+  const isToldByStore = (reason: LeavingReason) =>
+    reason === "entry_says_leaving" || reason === "entry_gone";
+  const takeLeaving = (server: BackendServer) => {
+    parts.getMover().onServerLeaving(server);
+    const reason = server.leaving?.reason;
+    if (reason && !isToldByStore(reason)) tellLeaving(server, reason);
+  };
   const dropForgotten = (server: BackendServer) => {
     const { id } = server.entry;
     book.drop(id);
@@ -66,8 +84,7 @@
         cold.spells.onEntry(server.entry);
         return;
       case "leaving":
-        parts.getMover().onServerLeaving(server);
-        tellLeaving(server);
+        takeLeaving(server);
         return;
       case "unusable":
         return;
--- a/apps/box/src/createPeers.ts
+++ b/apps/box/src/createPeers.ts
@@ -19,7 +19,7 @@
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
 import type { Crashes } from "./createCrashes.js";
 import { observePeers } from "./observers.js";
-import { toToldLeaving, type UpdateTaker } from "./takeUpdates.js";
+import { listToldLeaving, type UpdateTaker } from "./takeUpdates.js";
 
 /** What they need of the rest of a box. */
 export type PeersOptions = Readonly<{
@@ -65,11 +65,7 @@
     book,
     send: (update) => links.tell(update),
     sendToSome: (update) => links.tellSome(update),
-    listLeaving: () =>
-      getDirectory()
-        .list()
-        .filter(({ leaving }) => leaving !== undefined)
-        .map(toToldLeaving),
+    listLeaving: () => listToldLeaving(getDirectory()),
     listCrashes: () => getCrashes().guard.listAllNews(),
     listLimits: () => getLimits().listNews(),
   });
@@ -86,6 +82,10 @@
     onUpdate: updates.takeUpdate,
     makeGreeting: () =>
       makeNotice({
+        // A box that has just started knows the entries only, which may be older than the servers' word.
+        leaving: listToldLeaving(getDirectory()).filter(
+          ({ basis }) => basis === "own_word",
+        ),
         crashes: getCrashes().guard.listSharedNews(),
         limits: getLimits().listNews(),
       }),
--- /dev/null
+++ b/apps/box/src/createSigns.test.ts
@@ -0,0 +1,99 @@
+import { describe, expect, it } from "vitest";
+import { createVirtualClock, type DataHallName, type Ms } from "@stairgauge/common";
+import type { ServiceName } from "@stairgauge/common";
+import {
+  createServerDirectory,
+  type ServerEntry,
+  type ServerId,
+  type ServerName,
+} from "@stairgauge/directory";
+import { NO_SIGNS, type SignSource } from "@stairgauge/signs";
+import { createBoxMetrics } from "@stairgauge/telemetry";
+import { createSigns } from "./createSigns.js";
+
+const ENTRY: ServerEntry = {
+  id: "page-1" as ServerId,
+  name: "page-1" as ServerName,
+  startedAt: undefined,
+  service: "pages" as ServiceName,
+  address: { host: "127.0.0.1", port: 1 },
+  dataHall: "hall-a" as DataHallName,
+  slots: 4,
+  isLeaving: false,
+  warmUpLeft: 0 as Ms,
+};
+const SOURCE: SignSource = {
+  kind: "request",
+  request: "r",
+  status: 200,
+  sentAgo: 20 as Ms,
+};
+
+const setUp = () => {
+  const lines: object[] = [];
+  const write = (event: string, fields: object) => void lines.push({ event, ...fields });
+  const directory = createServerDirectory({
+    memory: 1_000 as Ms,
+    onEvent: () => undefined,
+  });
+  directory.put(ENTRY, 0 as Ms);
+  const signs = createSigns({
+    clock: createVirtualClock(),
+    log: {
+      writeDecision: write,
+      writeNotice: write,
+      writeWarning: write,
+      flush: () => undefined,
+    },
+    metrics: createBoxMetrics(),
+    directory,
+    limits: { takeSign: () => undefined },
+    spells: { onEntry: () => undefined },
+    onClosingAnnounced: ({ entry }) => write("closing", { server: entry.id }),
+  });
+  const server = directory.find(ENTRY.id)!;
+  return { signs, directory, server, lines };
+};
+
+describe("what becomes of a server's signs", () => {
+  it("marks a server that says that it leaves, and tells once by which answer", () => {
+    const { signs, directory, server, lines } = setUp();
+    const heard = {
+      server,
+      signs: { ...NO_SIGNS, leaving: { kind: "leaving" } as const },
+    };
+    signs.take({ ...heard, source: SOURCE });
+    signs.take({ ...heard, source: { kind: "health" } });
+    expect(directory.find(ENTRY.id)?.leaving?.reason).toBe("answer_says_leaving");
+    expect(lines).toEqual([
+      { event: "server_says_leaving", server: ENTRY.id, source: SOURCE },
+    ]);
+  });
+
+  it("changes nothing by a word that can't be read, and tells each once", () => {
+    const { signs, directory, server, lines } = setUp();
+    for (const text of ["0", "0", "true"]) {
+      const leaving = { kind: "unreadable", text } as const;
+      signs.take({ server, signs: { ...NO_SIGNS, leaving }, source: SOURCE });
+    }
+    expect(directory.find(ENTRY.id)?.leaving).toBeUndefined();
+    expect(lines).toEqual(
+      ["0", "true"].map((text) => ({
+        event: "server_sign_unreadable",
+        server: ENTRY.id,
+        sign: "leaving",
+        text,
+      })),
+    );
+  });
+
+  it("hears them in answers to an engine's calls by its address, and no end of a connection there", () => {
+    const { signs, directory, lines } = setUp();
+    const said = { ...NO_SIGNS, isClosing: true, leaving: { kind: "leaving" } as const };
+    signs.takeFromEngine({ host: "127.0.0.1", port: 2 }, said);
+    expect(directory.find(ENTRY.id)?.leaving).toBeUndefined();
+    signs.takeFromEngine(ENTRY.address, said);
+    expect(directory.find(ENTRY.id)?.leaving?.reason).toBe("answer_says_leaving");
+    expect(lines).not.toContainEqual({ event: "closing", server: ENTRY.id });
+  });
+});
--- a/apps/box/src/createSigns.ts
+++ b/apps/box/src/createSigns.ts
@@ -1,18 +1,31 @@
 /** Wires what backend servers say of themselves to the parts that act on it. */
-import type { BackendServer, ServerAddress } from "@stairgauge/directory";
+import { assertNever, type Clock } from "@stairgauge/common";
+import {
+  getLeavingBasis,
+  type BackendServer,
+  type ServerAddress,
+  type ServerDirectory,
+} from "@stairgauge/directory";
 import type { ColdSpells } from "@stairgauge/fleet";
 import type { ServerLimits } from "@stairgauge/limits";
 import {
   takeSigns,
   type HeardSign,
   type HeardSigns,
+  type LeavingSign,
   type ServerSigns,
   type SignTakers,
 } from "@stairgauge/signs";
 
+import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
+import { createUnreadableTeller } from "./tellUnreadable.js";
+
 /** Who takes the signs. */
 export type SignsOptions = Readonly<{
-  listServers: () => readonly BackendServer[];
+  clock: Pick<Clock, "monotonic">;
+  log: DecisionLog;
+  metrics: BoxMetrics;
+  directory: Pick<ServerDirectory, "find" | "list" | "mark">;
   limits: Pick<ServerLimits, "takeSign">;
   spells: Pick<ColdSpells, "onEntry">;
   /** A server that stays has announced the end of a connection, which one that leaves does. */
@@ -28,12 +41,37 @@
 
 /** Creates the takers' table. */
 export const createSigns = (options: SignsOptions): Signs => {
-  const { limits, spells, onClosingAnnounced } = options;
+  const { clock, log, metrics, directory, limits, spells, onClosingAnnounced } = options;
+  const tellUnreadable = createUnreadableTeller(log);
 
   const takeClosing = ({ server, sign: isClosing, source }: HeardSign<boolean>) => {
     // Health calls ask for the end of their connection themselves, and the answer to a report would have another one asked for.
     if (isClosing && source.kind === "request") onClosingAnnounced(server);
   };
+  const markLeaving = ({ server, source }: HeardSign<LeavingSign>) => {
+    const { id } = server.entry;
+    const known = directory.find(id)?.leaving?.reason;
+    if (known !== undefined && getLeavingBasis(known) === "own_word") return;
+    log.writeNotice("server_says_leaving", { server: id, source });
+    directory.mark(id, "answer_says_leaving", clock.monotonic());
+  };
+  const takeLeaving = (heard: HeardSign<LeavingSign>) => {
+    const { sign, server } = heard;
+    if (sign.kind !== "unsaid")
+      metrics.serverSigns.inc({ sign: "leaving", is: sign.kind });
+    switch (sign.kind) {
+      case "unsaid":
+        return;
+      case "leaving":
+        markLeaving(heard);
+        return;
+      case "unreadable":
+        tellUnreadable(server.entry.id, { sign: "leaving", text: sign.text });
+        return;
+      default:
+        assertNever(sign);
+    }
+  };
   const takers: SignTakers = {
     isClosing: takeClosing,
     warmUpLeft: ({ server, sign }) => {
@@ -43,11 +81,12 @@
       const sentAgo = source.kind === "request" ? source.sentAgo : undefined;
       limits.takeSign(server.entry.id, sign, sentAgo);
     },
+    leaving: takeLeaving,
   };
   const take = (heard: HeardSigns) => takeSigns(takers, heard);
   const listStaying = ({ host, port }: ServerAddress) =>
-    options
-      .listServers()
+    directory
+      .list()
       .filter(({ entry }) => entry.address.host === host && entry.address.port === port)
       .filter(({ leaving }) => leaving === undefined);
   return {
--- a/apps/box/src/takeUpdates.ts
+++ b/apps/box/src/takeUpdates.ts
@@ -1,7 +1,13 @@
 /** Takes what other boxes tell of their runs, of engines' reports, and of servers that leave. */
 import type { Clock } from "@stairgauge/common";
 import type { RequestGuard } from "@stairgauge/crashes";
-import type { BackendServer, ServerDirectory, ServerId } from "@stairgauge/directory";
+import {
+  getLeavingBasis,
+  type BackendServer,
+  type LeavingReason,
+  type ServerDirectory,
+  type ServerId,
+} from "@stairgauge/directory";
 import type { FleetPlacer } from "@stairgauge/fleet";
 import type { ServerLimits } from "@stairgauge/limits";
 import { applyUpdate, type RunUpdate, type ToldLeaving } from "@stairgauge/peers";
@@ -28,11 +34,21 @@
   markReported: (server: ServerId, report: EngineReport) => void;
 }>;
 
-/** Puts a server that leaves into the words of an update. */
-export const toToldLeaving = ({ entry, leaving }: BackendServer): ToldLeaving => ({
-  server: entry.id,
-  isEntryGone: leaving?.reason === "entry_gone",
-});
+/** Puts a server that leaves, for the reason given, into the words of an update. */
+export const toToldLeaving = (
+  { entry }: BackendServer,
+  reason: LeavingReason,
+): ToldLeaving => ({ server: entry.id, basis: getLeavingBasis(reason) });
+
+/** Lists all servers that leave. */
+export const listToldLeaving = (
+  directory: Pick<ServerDirectory, "list">,
+): readonly ToldLeaving[] =>
+  directory
+    .list()
+    .flatMap((server) =>
+      server.leaving ? [toToldLeaving(server, server.leaving.reason)] : [],
+    );
 
 /** Creates the taker. */
 export const createUpdateTaker = (options: UpdateTakerOptions): UpdateTaker => {
@@ -41,10 +57,11 @@
   const markReported = (server: ServerId, report: EngineReport) => {
     if (report.isLeaving) getDirectory().mark(server, "report", clock.monotonic());
   };
-  const takeLeaving = ({ server, isEntryGone }: ToldLeaving) => {
+  const takeLeaving = ({ server, basis }: ToldLeaving) => {
     // A box that the store reaches sees itself whether an entry is gone.
-    if (isEntryGone && !isOutOfTouch()) return;
-    getDirectory().mark(server, "told_by_box", clock.monotonic());
+    if (basis === "entry_gone" && !isOutOfTouch()) return;
+    const reason = basis === "own_word" ? "told_own_word" : "told_by_box";
+    getDirectory().mark(server, reason, clock.monotonic());
   };
   /** Another box has placed a run, and not where this one said: that was seen. */
   const isNews = ({ server, run }: PlacedAt) =>
--- a/packages/directory/src/serverDirectory.test.ts
+++ b/packages/directory/src/serverDirectory.test.ts
@@ -65,6 +65,69 @@
     ]);
   });
 
+  it.each(["answer_says_leaving", "told_own_word", "report"] as const)(
+    "gives no new work to a server by its own word, %s, however often its older entry comes, until it starts again",
+    (reason) => {
+      const { directory, listReady } = setUp();
+      const old = { ...makeEntry("a"), id: "a@1" as ServerId, startedAt: 1 as Ms };
+      directory.put(old, toMs(0));
+      directory.mark(old.id, reason, toMs(1));
+      directory.put(old, toMs(2));
+      directory.put({ ...old, slots: 8 }, toMs(3));
+      directory.mark(old.id, "entry_gone", toMs(4));
+      directory.put(old, toMs(5));
+      directory.dropForgotten(toMs(5_000));
+      expect(directory.find(old.id)).toBeUndefined();
+      directory.put(old, toMs(5_001));
+      expect(listReady()).toEqual([]);
+      // An entry that tells no start proves no new one.
+      directory.put(makeEntry("a"), toMs(5_002));
+      expect(listReady()).toEqual([]);
+      directory.put({ ...old, id: "a@2" as ServerId, startedAt: 2 as Ms }, toMs(5_003));
+      expect(listReady()).toEqual(["a@2"]);
+    },
+  );
+
+  it("takes a server's own word also where its entry was missing before, and tells it", () => {
+    const { directory, listReady, events } = setUp();
+    directory.put(makeEntry("a"), toMs(0));
+    directory.mark("a" as ServerId, "entry_gone", toMs(1));
+    directory.mark("a" as ServerId, "answer_says_leaving", toMs(2));
+    directory.mark("a" as ServerId, "told_own_word", toMs(3));
+    directory.put(makeEntry("a"), toMs(4));
+    expect(listReady()).toEqual([]);
+    expect(events).toEqual([
+      "joined a undefined",
+      "leaving a entry_gone",
+      "leaving a answer_says_leaving",
+    ]);
+  });
+
+  it("knows that a server leaves before it knows the server, where another box tells its own word", () => {
+    const { directory, listReady } = setUp();
+    directory.mark("a" as ServerId, "told_own_word", toMs(0));
+    directory.mark("b" as ServerId, "told_by_box", toMs(0));
+    directory.put(makeEntry("a"), toMs(1));
+    directory.put(makeEntry("b"), toMs(1));
+    expect(listReady()).toEqual(["b"]);
+  });
+
+  it("takes a server back of which another box concluded that it left", () => {
+    const { directory, listReady } = setUp();
+    directory.put(makeEntry("a"), toMs(0));
+    directory.mark("a" as ServerId, "told_by_box", toMs(1));
+    directory.put(makeEntry("a"), toMs(2));
+    expect(listReady()).toEqual(["a"]);
+  });
+
+  it("forgets the oldest of very many servers that left", () => {
+    const { directory, listReady } = setUp();
+    for (let i = 0; i < 5_000; i += 1)
+      directory.mark(`s${i}` as ServerId, "told_own_word", toMs(0));
+    for (const id of ["s0", "s4999"]) directory.put(makeEntry(id), toMs(1));
+    expect(listReady()).toEqual(["s0"]);
+  });
+
   it("gives no new work to a server in a closed data hall until that is opened again", () => {
     const { directory, listReady } = setUp();
     directory.put(makeEntry("a"), toMs(0));
--- a/packages/directory/src/serverDirectory.ts
+++ b/packages/directory/src/serverDirectory.ts
@@ -1,5 +1,6 @@
 /** The list of backend servers, changed through entries and marks only. */
 import type { DataHallName, Ms, ServiceName } from "@stairgauge/common";
+import { getLeavingBasis, isTakenBack } from "./leavingReasons.js";
 import type {
   BackendServer,
   LeavingReason,
@@ -21,7 +22,7 @@
 
 /** What a directory is given. */
 export type DirectoryOptions = Readonly<{
-  /** How long a leaving server is remembered, so that its runs can still be moved. */
+  /** How long a leaving server is leftBefore, so that its runs can still be moved. */
   memory: Ms;
   onEvent: (event: DirectoryEvent) => void;
 }>;
@@ -32,7 +33,7 @@
   put: (entry: ServerEntry, now: Ms) => void;
   /** What is listed under the name can't be used as an entry: until one can, no new work goes there. */
   markUnusable: (name: ServerName) => void;
-  /** Marks a server that gets no new work; a mark is never taken back. */
+  /** Marks a start of a server that gets no new work, known or not; the entry takes back only what it can disprove. */
   mark: (id: ServerId, reason: LeavingReason, now: Ms) => void;
   find: (id: ServerId) => BackendServer | undefined;
   /** All starts that are known under a name. */
@@ -51,6 +52,9 @@
   dropForgotten: (now: Ms) => void;
 }>;
 
+/** Starts that are no longer listed here, of which it is leftBefore that they leave. */
+const MOST_LEFT_BEFORE = 4_096;
+
 const isSameEntry = (a: ServerEntry, b: ServerEntry): boolean =>
   a.service === b.service &&
   a.address.host === b.address.host &&
@@ -66,11 +70,23 @@
   other.startedAt !== undefined &&
   entry.startedAt < other.startedAt;
 
+/** Whether an entry that tells no start may be of the start before, which says itself that it leaves. */
+const mayBeOfOneThatLeft = (
+  entry: ServerEntry,
+  { entry: other, leaving }: BackendServer,
+) =>
+  entry.startedAt === undefined &&
+  other.startedAt !== undefined &&
+  leaving !== undefined &&
+  getLeavingBasis(leaving.reason) === "own_word";
+
 /** Creates an empty directory. */
 export const createServerDirectory = (options: DirectoryOptions): ServerDirectory => {
   const { memory, onEvent } = options;
   const servers = new Map<ServerId, BackendServer>();
   const unusable = new Set<ServerName>();
+  /** Reasons that hold for starts whose entries may come (again): only another start ends them. */
+  const leftBefore = new Map<ServerId, LeavingReason>();
   let closedHalls: ReadonlySet<DataHallName> = new Set();
 
   const isOpen = ({ entry }: BackendServer) => !closedHalls.has(entry.dataHall);
@@ -83,9 +99,19 @@
   const listStarts = (name: ServerName) =>
     [...servers.values()].filter(({ entry }) => entry.name === name);
 
+  const recordLeft = (id: ServerId, reason: LeavingReason) => {
+    if (isTakenBack(reason)) return;
+    leftBefore.set(id, reason);
+    const [oldest] = leftBefore.keys();
+    if (leftBefore.size > MOST_LEFT_BEFORE) leftBefore.delete(oldest!);
+  };
+  /** What an entry takes back gives way to what it can't disprove. */
+  const isNews = (known: BackendServer["leaving"], reason: LeavingReason) =>
+    !known || (isTakenBack(known.reason) && !isTakenBack(reason));
   const mark = (id: ServerId, reason: LeavingReason, now: Ms) => {
     const server = servers.get(id);
-    if (!server || server.leaving) return;
+    if (!server) recordLeft(id, reason);
+    if (!server || !isNews(server.leaving, reason)) return;
     const marked = { ...server, leaving: { reason, since: now } };
     servers.set(id, marked);
     onEvent({ kind: "leaving", server: marked });
@@ -94,13 +120,19 @@
   const put = (entry: ServerEntry, now: Ms) => {
     const others = listStarts(entry.name).filter((one) => one.entry.id !== entry.id);
     if (others.some((other) => isEarlier(entry, other.entry))) return;
+    if (others.some((other) => mayBeOfOneThatLeft(entry, other))) return;
     unusable.delete(entry.name);
     for (const other of others) mark(other.entry.id, "started_again", now);
     const known = servers.get(entry.id);
-    // An entry that came back after an outage of the store lives on under the same identity, and what the
-    // store says of a server goes before what another box said.
+    const reasonBefore = leftBefore.get(entry.id);
+    if (!known && reasonBefore) {
+      servers.set(entry.id, { entry, leaving: { reason: reasonBefore, since: now } });
+      return;
+    }
+    // An entry that came back after an outage of the store lives on under the same identity, and what the store says of a server goes
+    // before what another box concluded. It may be older than the server's own word: a store that is away takes none.
     const reason = known?.leaving?.reason;
-    const hasReturned = reason === "entry_gone" || reason === "told_by_box";
+    const hasReturned = reason !== undefined && isTakenBack(reason);
     const leaving = hasReturned ? undefined : known?.leaving;
     const server: BackendServer = { entry, leaving };
     servers.set(entry.id, server);
@@ -136,6 +168,7 @@
       for (const [id, server] of servers) {
         if (!server.leaving || now - server.leaving.since <= memory) continue;
         servers.delete(id);
+        recordLeft(id, server.leaving.reason);
         if (listStarts(server.entry.name).length === 0)
           unusable.delete(server.entry.name);
         onEvent({ kind: "forgotten", server });
--- a/packages/directory/src/types.ts
+++ b/packages/directory/src/types.ts
@@ -37,7 +37,12 @@
   | "entry_says_leaving"
   | "entry_gone"
   | "report"
+  /** It says so in an answer to this box. */
+  | "answer_says_leaving"
+  /** It has said so to another box. */
+  | "told_own_word"
   | "address_reused"
+  /** Another box has found out, not by the server's own word. */
   | "told_by_box"
   /** A server that started later says that it has its name. */
   | "started_again";
--- a/packages/peers/src/peers.test.ts
+++ b/packages/peers/src/peers.test.ts
@@ -207,7 +207,7 @@
 });
 
 describe("boxes that tell each other of servers that leave", () => {
-  const told = { server, isEntryGone: false };
+  const told = { server, basis: "concluded" as const };
 
   it("tells a new link what left before, and then each that leaves", async () => {
     const there = await openListener();
@@ -215,7 +215,7 @@
     here.leaving.push(told);
     here.links.setPeers([there.peer]);
     await waitFor(() => there.leaving.length === 1);
-    const next = { server: "e2" as ServerId, isEntryGone: true };
+    const next = { server: "e2" as ServerId, basis: "entry_gone" as const };
     here.teller.tellLeaving(next);
     await waitFor(() => there.leaving.length === 2);
     expect(there.leaving).toEqual([told, next]);
@@ -307,7 +307,7 @@
     here.book.addRun(server, makeRun("r"));
     here.links.setPeers([there.peer]);
     await waitFor(() => there.book.listPeersAt(server).length === 1);
-    const notice = makeNotice({ leaving: [{ server, isEntryGone: false }] });
+    const notice = makeNotice({ leaving: [{ server, basis: "concluded" as const }] });
     there.notify(there.book.listPeersAt(server) as BoxName[], notice);
     await waitFor(() => here.notices.length === 1);
     expect(here.notices).toEqual([notice]);
@@ -675,7 +675,7 @@
       isWhole: true,
       put: [{ server, run: makeRun("r") }],
       drop: [{ server, id: "q" }],
-      leaving: [{ server, isEntryGone: true }],
+      leaving: [{ server, basis: "entry_gone" as const }],
       reports: [
         { server, report: REPORT },
         { server, report: { ...REPORT, leavesIn: undefined } },
--- a/packages/peers/src/runTeller.ts
+++ b/packages/peers/src/runTeller.ts
@@ -31,8 +31,10 @@
   /** An engine has reported to this box. */
   takeReport: (told: ToldReport) => void;
   makeWhole: () => RunUpdate;
-  /** A server gets no new work: boxes that the store does not reach hear it from others. */
+  /** A server gets no new work: a few boxes hear it, and pass it on. */
   tellLeaving: (told: ToldLeaving) => void;
+  /** A server says that it gets no new work: all that this box is linked to hear it at once. */
+  tellOwnWord: (told: ToldLeaving) => void;
   /** A server broke a request off: told at once, since whoever places next would choose it. */
   tellBroken: (server: ServerId) => void;
   /** Servers ended under requests of this box, or it served such a request. */
@@ -126,5 +128,6 @@
     },
     tellBroken: (server) => send(buildUpdate({ broken: [server] })),
     tellLeaving: (told) => sendToSome(buildUpdate({ leaving: [told] })),
+    tellOwnWord: (told) => send(buildUpdate({ leaving: [told] })),
   };
 };
--- a/packages/peers/src/types.ts
+++ b/packages/peers/src/types.ts
@@ -6,7 +6,7 @@
 import type { CrashNews } from "@stairgauge/crashes";
 import type { LimitNews } from "@stairgauge/limits";
 import type { RowChange, StoredRow } from "@stairgauge/storefeed";
-import type { ServerAddress, ServerId } from "@stairgauge/directory";
+import type { LeavingBasis, ServerAddress, ServerId } from "@stairgauge/directory";
 import type {
   EngineReport,
   MoveTarget,
@@ -30,8 +30,8 @@
 /** A box that takes part, and where it listens. */
 export type Peer = Member & Readonly<{ address: ServerAddress }>;
 
-/** A server that leaves, and whether the box knows it only from the entry that is gone. */
-export type ToldLeaving = Readonly<{ server: ServerId; isEntryGone: boolean }>;
+/** A server that leaves, and what the box that tells it rests on. */
+export type ToldLeaving = Readonly<{ server: ServerId; basis: LeavingBasis }>;
 
 /** A report that a box has just had from an engine. */
 export type ToldReport = Readonly<{ server: ServerId; report: EngineReport }>;
--- a/packages/peers/src/updateCodec.ts
+++ b/packages/peers/src/updateCodec.ts
@@ -6,7 +6,7 @@
   type CrashNews,
   type RequestDigest,
 } from "@stairgauge/crashes";
-import type { ServerId } from "@stairgauge/directory";
+import type { LeavingBasis, ServerId } from "@stairgauge/directory";
 import { NO_LIMIT_NEWS, type LimitNews } from "@stairgauge/limits";
 import type { PlacedRun } from "@stairgauge/placement";
 import { z } from "zod";
@@ -57,7 +57,15 @@
   runs: z.array(reportedRunSchema),
 });
 
-const leavingSchema = z.array(z.object({ server: z.string(), gone: z.boolean() }));
+const leavingSchema = z.array(
+  z.object({
+    server: z.string(),
+    /** Known from the entry that is gone only. */
+    gone: z.boolean(),
+    /** The server's own word; boxes of earlier versions don't tell. */
+    own: z.boolean().default(false),
+  }),
+);
 
 const digestSchema = z.string().regex(REQUEST_DIGEST);
 
@@ -130,11 +138,20 @@
   },
 });
 
-const encodeLeaving = (leaving: readonly ToldLeaving[]): z.infer<typeof leavingSchema> =>
-  leaving.map(({ server, isEntryGone }) => ({ server, gone: isEntryGone }));
+const encodeLeaving = (leaving: readonly ToldLeaving[]): z.input<typeof leavingSchema> =>
+  leaving.map(({ server, basis }) => ({
+    server,
+    gone: basis === "entry_gone",
+    ...(basis === "own_word" && { own: true }),
+  }));
+
+const toBasis = (told: Readonly<{ gone: boolean; own: boolean }>): LeavingBasis => {
+  if (told.own) return "own_word";
+  return told.gone ? "entry_gone" : "concluded";
+};
 
 const decodeLeaving = (leaving: z.infer<typeof leavingSchema>): readonly ToldLeaving[] =>
-  leaving.map(({ server, gone }) => ({ server: server as ServerId, isEntryGone: gone }));
+  leaving.map((told) => ({ server: told.server as ServerId, basis: toBasis(told) }));
 
 /** News of which there is none takes no bytes. */
 const encodeCrashes = (crashes: CrashNews) =>
--- a/packages/signs/src/constants.ts
+++ b/packages/signs/src/constants.ts
@@ -5,4 +5,5 @@
   isClosing: false,
   warmUpLeft: undefined,
   limit: { kind: "unnamed" },
+  leaving: { kind: "unsaid" },
 };
--- a/packages/signs/src/takeSigns.test.ts
+++ b/packages/signs/src/takeSigns.test.ts
@@ -17,6 +17,7 @@
       isClosing: take("isClosing"),
       warmUpLeft: take("warmUpLeft"),
       limit: take("limit"),
+      leaving: take("leaving"),
     };
     const signs = { ...NO_SIGNS, warmUpLeft: 30 as Ms };
     takeSigns(takers, { server: SERVER, signs, source: SOURCE });
--- a/packages/signs/src/types.ts
+++ b/packages/signs/src/types.ts
@@ -3,6 +3,11 @@
 import type { BackendServer } from "@stairgauge/directory";
 import type { LimitSign } from "@stairgauge/limits";
 
+/** Whether a server says that it leaves. */
+export type LeavingSign = Readonly<
+  { kind: "unsaid" } | { kind: "leaving" } | { kind: "unreadable"; text: string }
+>;
+
 /** All signs of one answer, decoded once at the edge. */
 export type ServerSigns = Readonly<{
   /** The server will close the connection; one that is leaving says so, and others now and then. */
@@ -11,6 +16,7 @@
   warmUpLeft: Ms | undefined;
   /** What the server says of the requests that it takes from all boxes. */
   limit: LimitSign;
+  leaving: LeavingSign;
 }>;
 
 /** The kind of call whose answer carried the signs. */
--- a/packages/telemetry/src/boxMetrics.ts
+++ b/packages/telemetry/src/boxMetrics.ts
@@ -51,6 +51,12 @@
       help: "Requests that are kept from servers, since servers ended under them",
       registers,
     }),
+    serverSigns: new Counter({
+      name: "stairgauge_server_signs_total",
+      help: "What servers said of themselves in answers, by what it was about and what it said",
+      labelNames: ["sign", "is"],
+      registers,
+    }),
     limitedServers: new Gauge({
       name: "stairgauge_limited_servers",
       help: "Backend servers that have named how many requests they take",
