--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -3,7 +3,7 @@
  * on with another attempt, another server for the same run, or the final answer.
  */
 import { assertNever, type Ms, type Timer } from "@stairgauge/common";
-import type { BackendServer, ServerId } from "@stairgauge/directory";
+import type { BackendServer } from "@stairgauge/directory";
 import type { PlacementDecision } from "@stairgauge/placement";
 import { createActiveRun, type ActiveRun, type RunContinuation } from "./activeRuns.js";
 import { createAnswerSink } from "./answerSink.js";
@@ -32,13 +32,11 @@
 import { recordServerSigns } from "./recordServerSigns.js";
 import { placeAgain, placeByAdvice, type PlaceableRequest } from "./placeByAdvice.js";
 import { computePlacingTerms } from "./placeWithRoom.js";
+import { createRequestTries } from "./requestTries.js";
 import { createStreamRelay } from "./streamRelay.js";
 import type { AnswerHead, DispatchTerms, ExchangeFailure } from "./types.js";
 import { watchSilence } from "./watchSilence.js";
 
-/** Attempts that never reached a server before the request is given up. */
-const MAX_UNREACHED = 3;
-
 /** Continuations of one run after which it counts as lost. */
 const MAX_CONTINUATIONS = 12;
 
@@ -57,9 +55,6 @@
   const { clock, codec, placer, budget, runs, runKeeper } = deps;
   const { head, route, service, answer, receivedAt, endsAt } = request;
   const demand = computeDemand(request);
-  const tried = new Set<ServerId>();
-  let attemptsSent = 0;
-  let unreached = 0;
   let continuations = 0;
   let mayHaveRun = false;
   let isOver = false;
@@ -127,6 +122,7 @@
     countEvents: relay.getEvents,
     tellBroke: reports.tellBroke,
   });
+  const tries = createRequestTries({ deps, request, demand, mayRepeat: guard.mayRepeat });
   answer.onDrain(() => current?.exchange?.resume());
 
   const startRun = () => {
@@ -197,11 +193,7 @@
   const leaveSilent = (attempt: Attempt) => {
     if (current !== attempt || isOver) return;
     const wasSent = attempt.exchange?.isSent() ?? false;
-    if (wasSent) attemptsSent += 1;
-    if (!takeRetry()) {
-      if (wasSent) attemptsSent -= 1;
-      return;
-    }
+    if (!tries.takeRetryInstead(wasSent)) return;
     mayHaveRun ||= wasSent;
     const ended = reports.describeBytes(attempt, { kind: "left_open" });
     reports.tellRetry(attempt, "silent", "no answer", ended);
@@ -267,18 +259,6 @@
     }
   };
 
-  const canRetryNow = (): boolean => {
-    if (unreached >= MAX_UNREACHED) return false;
-    if (attemptsSent >= route.maxServers) return false;
-    if (endsAt - getNow() <= 0) return false;
-    if (!guard.mayRepeat()) return false;
-    return placer.choose(service, demand, tried).kind === "placed";
-  };
-
-  /** What never reached a server is no repeat. */
-  const takeRetry = (): boolean =>
-    canRetryNow() && (attemptsSent === 0 || budget.take(service, getNow()));
-
   const conclude = (attempt: Attempt, end: AttemptEnd) => {
     if (continuations > 0) {
       refuseContinuation(attempt, end);
@@ -288,8 +268,7 @@
     const ended = reports.describeBytes(attempt, end);
     const verdict = judgeAttempt(end, head.id);
     const wasSent = attempt.exchange?.isSent() ?? false;
-    if (wasSent) attemptsSent += 1;
-    else unreached += 1;
+    tries.recordEnd(wasSent);
     if (!wasSent) placer.onUnreachable(server);
     else if (end.kind === "failed" && !attempt.head) placer.onBroken(server);
     if (end.kind === "answered" && end.head.isOtherServer) placer.onAddressReused(server);
@@ -299,7 +278,7 @@
       verdict,
       route,
       mayHaveRunBefore: mayHaveRun,
-      takeRetry,
+      takeRetry: tries.takeRetry,
     });
     if (verdict === "may_have_run" || verdict === "ran_and_failed") mayHaveRun = true;
     switch (step.kind) {
@@ -325,16 +304,15 @@
     finish();
   };
 
-  const chooseNext = () => placer.choose(service, demand, tried);
   const placeable: PlaceableRequest = {
     id: head.id,
     demand,
     terms: computePlacingTerms(request),
-    except: tried,
+    except: tries.tried,
   };
   const attemptNext = () => {
     if (isOver) return;
-    leaveRoom = placeAgain(deps, placeable, { choose: chooseNext, place: takePlace });
+    leaveRoom = placeAgain(deps, placeable, { choose: tries.choose, place: takePlace });
   };
   const takePlace = (decision: PlacementDecision, by?: string) => {
     if (isOver || endIfBlocked()) return;
@@ -352,8 +330,8 @@
   };
 
   const sendTo = (decision: PlacedDecision, by?: string) => {
-    tried.add(decision.server.entry.id);
-    reports.tellPlaced(decision, attemptsSent + 1, by);
+    tries.recordChosen(decision.server.entry.id);
+    reports.tellPlaced(decision, tries.countSent() + 1, by);
     openAt(decision.server);
   };
 
@@ -368,7 +346,7 @@
       return;
     }
     if (isOver) return;
-    if (continuations === 0) attemptsSent += 1;
+    if (continuations === 0) tries.recordEnd(true);
     continuations += 1;
     const continuation =
       run && continuations <= MAX_CONTINUATIONS
@@ -389,13 +367,8 @@
 
   /** Where the route allows it, a new run of another server goes on after the last whole event. */
   const resumeAnew = (left: LeftServer): boolean => {
-    const mayRunAnew = route.isResumable && guard.mayRepeat();
-    if (!mayRunAnew || attemptsSent >= route.maxServers) return false;
-    if (!budget.take(service, getNow())) return false;
-    const decision = placer.choose(service, demand, tried);
-    if (decision.kind === "no_server") return false;
-    attemptsSent += 1;
-    tried.add(decision.server.entry.id);
+    const decision = tries.takeRunAnew();
+    if (!decision) return false;
     reports.tellGoesOn("resumed", left, decision.server);
     openAt(decision.server, { lastEventId: relay.getLastEventId(), memory: undefined });
     return true;
@@ -411,7 +384,7 @@
   placer.recordArrival(service, demand.tier);
   if (!endIfBlocked())
     leaveRoom = placeByAdvice(deps, placeable, {
-      choose: chooseNext,
+      choose: tries.choose,
       place: takePlace,
       tell: reports.tell,
     });
