fix: a server that turns a box away and asks for rest gets nothing of that box meanwhile

What callers saw: 503 after 503 while other servers were free; the server got up to nine requests of one box in 3 s of rest, where two are allowed. Cause: nothing read the rest that a 503 asks for. A server that turns everything away has nothing open, so it looked the least busy and drew the requests that it had just refused; and its own time to come back was passed on to the client, which kept it from the servers that were free. Mend: each box keeps the rests it was asked for (packages/rests); a server that rests is none to choose for it. Rest is between one server and one box: no other box is told, a hub is asked to leave these servers out, and chooses for others without its own. Of the two requests that a rest bears one may be a run's continuation or the question whether the server is there, nothing else. Where all servers rest the request is refused at once, not run, with the time until one is back (servers_resting). Boxes come back spread over a quarter of the rest, each with one request and then with twice as many after each sound answer. A rest is cut at 10 minutes; dates, signs and texts are told once and change nothing. What a client is told with a 503 is worked out from where its request could go now. Why it holds: every choice asks the rests at its last step, and the property over drawn answers finds no rest with more than two requests.

--- a/apps/box/src/askHubs.ts
+++ b/apps/box/src/askHubs.ts
@@ -20,6 +20,8 @@
   findServer: (id: ServerId) => BackendServer | undefined;
   /** Whether this box itself may send anything new to a server, whatever a hub says. */
   mayTakeWork: (server: BackendServer) => boolean;
+  /** Servers that have turned this box away, and rest: no hub knows of it. */
+  listResting: () => readonly ServerId[];
   onPassedOver: (hub: BoxName) => void;
 }>;
 
@@ -41,8 +43,13 @@
 const computeLimit = ({ urgency }: AdviceRequest): Ms =>
   ((urgency.kind === "within" ? urgency.wait : 0) + PLACE_LIMIT_MS) as Ms;
 
-const buildQuestion = (own: BoxName, request: AdviceRequest): PlaceQuestion => {
-  const { id, service, tier, tokens, regions, except, urgency } = request;
+const buildQuestion = (
+  own: BoxName,
+  request: AdviceRequest,
+  resting: readonly ServerId[],
+): PlaceQuestion => {
+  const { id, service, tier, tokens, regions, urgency } = request;
+  const except = new Set([...request.except, ...resting]);
   const run = {
     id,
     promptTokens: tokens.prompt,
@@ -61,7 +68,11 @@
   /** A server that this box does not know yet is none that it could send to. */
   const toAdvice = (answer: PlaceAnswer, by: BoxName): Advice | undefined => {
     if (answer.kind === "no_room") return answer;
-    if (answer.kind === "no_server") return { kind: "decided", decision: answer, by };
+    if (answer.kind === "no_server") {
+      // The hub was told to leave out those that rest: why there is none, and until when, this box knows better.
+      if (options.listResting().length > 0) return undefined;
+      return { kind: "decided", decision: answer, by };
+    }
     const server = findServer(answer.server);
     if (!server || !options.mayTakeWork(server)) return undefined;
     return { kind: "decided", decision: { ...answer, server }, by };
@@ -73,7 +84,7 @@
       ask: async (request, signal) => {
         const told = await asker.ask({
           call: links.askPlace,
-          question: buildQuestion(own, request),
+          question: buildQuestion(own, request, options.listResting()),
           limit: computeLimit(request),
           signal,
         });
--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -35,6 +35,7 @@
   createHeadCodec,
   createStoreWriter,
 } from "@stairgauge/platform";
+import { createServerRests, type ServerRests } from "@stairgauge/rests";
 import { createConfigurationKeeper } from "@stairgauge/routing";
 import type { BoxSettings } from "@stairgauge/settings";
 import { createBoxMetrics, type DecisionLog } from "@stairgauge/telemetry";
@@ -48,7 +49,7 @@
 import { createPeers } from "./createPeers.js";
 import { createSigns } from "./createSigns.js";
 import { createSinks } from "./createSinks.js";
-import { observeForwarding } from "./observers.js";
+import { observeForwarding, observeRests } from "./observers.js";
 import { createMetricsServer, createReadyServer, listenOn } from "./smallServers.js";
 import { stopInOrder } from "./stopInOrder.js";
 import { createUpdateTaker } from "./takeUpdates.js";
@@ -180,12 +181,18 @@
     peers,
     getDirectory: () => directory,
   });
+  const rests: ServerRests = createServerRests({
+    clock,
+    random,
+    onEvent: observeRests({ log, metrics, listResting: () => rests.listResting() }),
+  });
   const hubs = createHubs({
     clock: agingClock,
     own,
     links,
     findServer: (id) => directory.find(id),
     mayTakeWork: (server) => placer.mayTakeWork(server),
+    listResting: rests.listResting,
     onPassedOver: (hub) => log.writeDecision("hub_passed_over", { peer: hub }),
   });
   const waitingRoom = createWaitingRoom(clock);
@@ -216,6 +223,7 @@
     book,
     cold,
     limits,
+    rests,
     peers,
     isPlacedByHubs,
     getReports: () => reports,
@@ -227,6 +235,7 @@
     metrics,
     directory,
     limits,
+    rests,
     spells: cold.spells,
     onClosingAnnounced: (server) => {
       if (!server.leaving && isEngineService(server.entry.service))
@@ -263,6 +272,7 @@
     cold: cold.limits,
     spells: cold.spells,
     limits,
+    rests,
     getConnectionShare: (service) =>
       computeConnectionShare(
         keeper.getIndex()?.findService(service)?.maxConnections,
--- a/apps/box/src/createDirectory.ts
+++ b/apps/box/src/createDirectory.ts
@@ -12,6 +12,7 @@
 import type { RunMover } from "@stairgauge/migration";
 import { makeNotice, type PeerServer, type RunTeller } from "@stairgauge/peers";
 import type { LoadBook } from "@stairgauge/placement";
+import type { ServerRests } from "@stairgauge/rests";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
 import type { ColdServers } from "./createColdServers.js";
 import type { Peers } from "./createPeers.js";
@@ -25,6 +26,7 @@
   book: LoadBook;
   cold: ColdServers;
   limits: Pick<ServerLimits, "forget">;
+  rests: Pick<ServerRests, "forget">;
   peers: Pick<Peers, "passOn"> &
     Readonly<{
       teller: Pick<RunTeller, "tellLeaving" | "tellOwnWord">;
@@ -40,7 +42,7 @@
 
 /** Creates the list; no server is known. */
 export const createDirectory = (parts: DirectoryParts): ServerDirectory => {
-  const { log, metrics, book, cold, limits, isPlacedByHubs } = parts;
+  const { log, metrics, book, cold, limits, rests, isPlacedByHubs } = parts;
   const { teller, peerServer, passOn } = parts.peers;
 
   /** Whoever chooses servers itself has to hear a server's own word, and the others that have runs there. */
@@ -69,6 +71,7 @@
     cold.spells.forget(id);
     cold.limits.forget(id);
     limits.forget(id);
+    rests.forget(id);
     parts.getMover().onServerForgotten(server);
   };
   const onEvent = (event: DirectoryEvent) => {
--- a/apps/box/src/createSigns.test.ts
+++ b/apps/box/src/createSigns.test.ts
@@ -31,6 +31,7 @@
 
 const setUp = () => {
   const lines: object[] = [];
+  const answered: object[] = [];
   const write = (event: string, fields: object) => void lines.push({ event, ...fields });
   const directory = createServerDirectory({
     memory: 1_000 as Ms,
@@ -48,11 +49,15 @@
     metrics: createBoxMetrics(),
     directory,
     limits: { takeSign: () => undefined },
+    rests: {
+      begin: (id, duration) => write("begin_rest", { server: id, duration }),
+      recordAnswer: (id, sentAgo) => void answered.push({ server: id, sentAgo }),
+    },
     spells: { onEntry: () => undefined },
     onClosingAnnounced: ({ entry }) => write("closing", { server: entry.id }),
   });
   const server = directory.find(ENTRY.id)!;
-  return { signs, directory, server, lines };
+  return { signs, directory, server, lines, answered };
 };
 
 describe("what becomes of a server's signs", () => {
@@ -87,6 +92,22 @@
     );
   });
 
+  it("begins the rest that a server asks for, and counts answers without one to requests alone", () => {
+    const { signs, server, lines, answered } = setUp();
+    const asked = { kind: "asked", duration: 3_000 as Ms } as const;
+    signs.take({ server, signs: { ...NO_SIGNS, rest: asked }, source: SOURCE });
+    signs.take({ server, signs: NO_SIGNS, source: { kind: "health" } });
+    expect(answered).toEqual([]);
+    signs.take({ server, signs: NO_SIGNS, source: SOURCE });
+    expect(answered).toEqual([{ server: ENTRY.id, sentAgo: 20 }]);
+    const unreadable = { kind: "unreadable", text: "soon" } as const;
+    signs.take({ server, signs: { ...NO_SIGNS, rest: unreadable }, source: SOURCE });
+    expect(lines).toEqual([
+      { event: "begin_rest", server: ENTRY.id, duration: 3_000 },
+      { event: "server_sign_unreadable", server: ENTRY.id, sign: "rest", text: "soon" },
+    ]);
+  });
+
   it("hears them in answers to an engine's calls by its address, and no end of a connection there", () => {
     const { signs, directory, lines } = setUp();
     const said = { ...NO_SIGNS, isClosing: true, leaving: { kind: "leaving" } as const };
--- a/apps/box/src/createSigns.ts
+++ b/apps/box/src/createSigns.ts
@@ -8,6 +8,7 @@
 } from "@stairgauge/directory";
 import type { ColdSpells } from "@stairgauge/fleet";
 import type { ServerLimits } from "@stairgauge/limits";
+import type { RestSign, ServerRests } from "@stairgauge/rests";
 import {
   takeSigns,
   type HeardSign,
@@ -27,6 +28,7 @@
   metrics: BoxMetrics;
   directory: Pick<ServerDirectory, "find" | "list" | "mark">;
   limits: Pick<ServerLimits, "takeSign">;
+  rests: Pick<ServerRests, "begin" | "recordAnswer">;
   spells: Pick<ColdSpells, "onEntry">;
   /** A server that stays has announced the end of a connection, which one that leaves does. */
   onClosingAnnounced: (server: BackendServer) => void;
@@ -41,7 +43,8 @@
 
 /** Creates the takers' table. */
 export const createSigns = (options: SignsOptions): Signs => {
-  const { clock, log, metrics, directory, limits, spells, onClosingAnnounced } = options;
+  const { clock, log, metrics, directory, limits, rests, spells, onClosingAnnounced } =
+    options;
   const tellUnreadable = createUnreadableTeller(log);
 
   const takeClosing = ({ server, sign: isClosing, source }: HeardSign<boolean>) => {
@@ -72,6 +75,24 @@
         assertNever(sign);
     }
   };
+  const takeRest = ({ server, sign, source }: HeardSign<RestSign>) => {
+    const { id } = server.entry;
+    if (sign.kind !== "not_asked")
+      metrics.serverSigns.inc({ sign: "rest", is: sign.kind });
+    switch (sign.kind) {
+      case "not_asked":
+        if (source.kind === "request") rests.recordAnswer(id, source.sentAgo);
+        return;
+      case "asked":
+        rests.begin(id, sign.duration);
+        return;
+      case "unreadable":
+        tellUnreadable(id, { sign: "rest", text: sign.text });
+        return;
+      default:
+        assertNever(sign);
+    }
+  };
   const takers: SignTakers = {
     isClosing: takeClosing,
     warmUpLeft: ({ server, sign }) => {
@@ -82,6 +103,7 @@
       limits.takeSign(server.entry.id, sign, sentAgo);
     },
     leaving: takeLeaving,
+    rest: takeRest,
   };
   const take = (heard: HeardSigns) => takeSigns(takers, heard);
   const listStaying = ({ host, port }: ServerAddress) =>
--- a/apps/box/src/observers.ts
+++ b/apps/box/src/observers.ts
@@ -1,5 +1,5 @@
 /** Log lines and metrics of what a box decides and believes. */
-import type { DirectoryEvent, ServerDirectory } from "@stairgauge/directory";
+import type { DirectoryEvent, ServerDirectory, ServerId } from "@stairgauge/directory";
 import type { ConfigurationEvent } from "@stairgauge/fleet";
 import type {
   ActiveRun,
@@ -10,6 +10,7 @@
 import type { LimitEvent, ToldLimit } from "@stairgauge/limits";
 import type { MoveDecision, StandbyDecision } from "@stairgauge/migration";
 import type { PeerMessage } from "@stairgauge/peers";
+import type { RestEvent } from "@stairgauge/rests";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
 
 type Sinks = Readonly<{ log: DecisionLog; metrics: BoxMetrics }>;
@@ -132,6 +133,19 @@
     log.writeNotice(`server_limit_${kind}`, roundNumbers(fields));
   };
 
+/** Observes rests that servers ask of this box. */
+export const observeRests =
+  ({
+    log,
+    metrics,
+    listResting,
+  }: Sinks & Readonly<{ listResting: () => readonly ServerId[] }>) =>
+  (event: RestEvent): void => {
+    const { kind, ...fields } = event;
+    metrics.restingServers.set(listResting().length);
+    log.writeNotice(`server_rest_${kind}`, roundNumbers(fields));
+  };
+
 /** Observes the configuration in force. */
 export const observeConfiguration = (
   { log, metrics }: Sinks,
--- a/apps/box/src/restingServers.test.ts
+++ b/apps/box/src/restingServers.test.ts
@@ -18,15 +18,24 @@
   startLimitedSite,
 } from "./serverLimits.testkit.js";
 
+const NOTHING = { lines: [], isRefusal: false };
 const askForRest =
   (seconds: number): SayingChoice =>
   () => ({ lines: [`Retry-After: ${seconds}`], isRefusal: true });
+const askInEverySecond =
+  (seconds: number): SayingChoice =>
+  (answer) =>
+    answer % 2 === 0 ? NOTHING : askForRest(seconds)(answer);
 
 const SENT_MS = 6_000;
+
+/** Boxes come back after 3 s spread over a quarter of it, and their clients over a second more. */
+const LATEST_SECONDS = 4.75;
 const ALL = [0, 1, 2, 3] as const;
 
 const PLAIN: LimitCase = { path: "/once/", kind: "plain", boxes: 3, perSecond: 60 };
 const REPEATABLE: LimitCase = { ...PLAIN, path: "/again/", boxes: 7 };
+const STREAMS: LimitCase = { ...PLAIN, path: "/draft/", kind: "engine", boxes: 7 };
 
 type RestCase = Readonly<{
   load: LimitCase;
@@ -36,7 +45,17 @@
 }>;
 
 describe("a server that turns a box away and asks for rest", () => {
-  it.each<[string, RestCase]>([["3 s, plain, 3 boxes", { load: PLAIN, seconds: 3 }]])(
+  it.each<[string, RestCase]>([
+    ["3 s, plain, 3 boxes", { load: PLAIN, seconds: 3 }],
+    ["3 s, may be repeated, 7 boxes", { load: REPEATABLE, seconds: 3 }],
+    [
+      "1.2 s in every second answer, plain",
+      { load: PLAIN, seconds: 1.2, choose: askInEverySecond },
+    ],
+    ["3 s, streams, 7 boxes", { load: STREAMS, seconds: 3 }],
+    ["3 s, streams, 14 boxes", { load: { ...STREAMS, boxes: 14 }, seconds: 3 }],
+    ["8 s, plain", { load: PLAIN, seconds: 8 }],
+  ])(
     "gets hardly anything of that box meanwhile, and the others serve: %s",
     async (_, { load, seconds, choose = askForRest, resting = [0] }) => {
       const { servers, sendFor, setSaying } = await startLimitedSite(load);
@@ -69,7 +88,7 @@
       expect(status).toBe(REFUSED);
       const retryAfter = Number(headers["retry-after"]);
       expect(retryAfter).toBeGreaterThan(0);
-      expect(retryAfter).toBeLessThanOrEqual(3.5);
+      expect(retryAfter).toBeLessThanOrEqual(LATEST_SECONDS);
     }
     const reasons = fleet
       .flatMap(({ lines }) => lines)
@@ -77,4 +96,23 @@
       .map(({ reason }) => reason);
     expect(reasons).toContain("servers_resting");
   });
+
+  it("serves again after it, one request of a box first", async () => {
+    const { servers, sendFor, setSaying } = await startLimitedSite(PLAIN);
+    setSaying((answer) => (answer === 0 ? askForRest(1)(answer) : NOTHING), 0);
+    const sent = await sendFor(4_000);
+    const arrivals = listCounted(servers.listArrivals(0));
+    const [{ box, at } = { box: 0, at: 0 }] = arrivals;
+    const returned = arrivals.filter((one) => one.box === box && one.at > at + 1_000);
+    expect(returned.length).toBeGreaterThan(1);
+    expect(await computeServed(sent)).toBeGreaterThan(0.98);
+  });
+
+  it("is not the one that says when a client comes back", async () => {
+    const { sendFor, setSaying } = await startLimitedSite({ ...PLAIN, perSecond: 20 });
+    setSaying(askForRest(30), 0);
+    const answers = await Promise.all((await sendFor(1_000)).map(({ answer }) => answer));
+    for (const { status, headers } of answers)
+      if (status === REFUSED) expect(Number(headers["retry-after"])).toBeLessThan(1);
+  });
 });
--- a/packages/fleet/src/adviseOthers.test.ts
+++ b/packages/fleet/src/adviseOthers.test.ts
@@ -24,6 +24,7 @@
   ENGINE_WAYS,
   type PlaceQuestion,
 } from "@stairgauge/placement";
+import { createServerRests } from "@stairgauge/rests";
 import type { WarmUp } from "@stairgauge/routing";
 import {
   createColdLimits,
@@ -106,6 +107,7 @@
     rivals: createRivalRate(),
     cold,
     spells,
+    rests: createServerRests({ clock, random, onEvent: () => undefined }),
     limits: createServerLimits({
       clock,
       agingClock: clock,
--- a/packages/fleet/src/adviseOthers.ts
+++ b/packages/fleet/src/adviseOthers.ts
@@ -18,7 +18,7 @@
 export type PlaceHubOptions = Readonly<{
   clock: Clock;
   book: LoadBook;
-  placer: Pick<FleetPlacer, "choose" | "recordArrival" | "recordSend">;
+  placer: Pick<FleetPlacer, "chooseForOther" | "recordArrival" | "recordSend">;
   waitingRoom: WaitingRoom;
 }>;
 
@@ -57,7 +57,7 @@
     const { promptTokens, expectedOut, isMovable } = run;
     const tokens = { prompt: promptTokens, expectedOut, isMovable };
     const demand: Demand = { tier, regions, tokens };
-    return placer.choose(service, demand, new Set(except));
+    return placer.chooseForOther(service, demand, new Set(except));
   };
 
   const placeFor = (asked: PlaceQuestion, decision: PlacementDecision) => {
--- a/packages/fleet/src/createPlacer.ts
+++ b/packages/fleet/src/createPlacer.ts
@@ -9,6 +9,7 @@
 import type { BackendServer, ServerDirectory, ServerId } from "@stairgauge/directory";
 import type { ActiveRun, Placer } from "@stairgauge/forwarding";
 import type { ServerLimits } from "@stairgauge/limits";
+import type { ServerRests } from "@stairgauge/rests";
 import {
   chooseServer,
   estimateEngineLoad,
@@ -33,6 +34,12 @@
   "findAllowance" | "isLimited" | "recordArrival" | "recordSent" | "sift"
 >;
 
+/** What placing asks of the rests that servers want of this box. */
+export type PlacingRests = Pick<
+  ServerRests,
+  "computeRetryAfter" | "isResting" | "mayTake" | "takeSpared"
+>;
+
 /** What placing needs. */
 export type PlacerOptions = Readonly<{
   clock: Clock;
@@ -49,6 +56,7 @@
   cold: Pick<ColdLimits, "mayTake" | "record">;
   spells: Pick<ColdSpells, "mayBeCold" | "onUnreachable">;
   limits: PlacingLimits;
+  rests: PlacingRests;
   /** A server broke a request of this box off before it answered. */
   onBroken: (server: ServerId) => void;
   isAlive: (server: BackendServer) => Promise<boolean>;
@@ -57,6 +65,8 @@
 /** Places requests, and finds targets for runs that move. */
 export type FleetPlacer = Placer &
   Readonly<{
+    /** Chooses for another box, of which no server that rests has turned this one away. */
+    chooseForOther: Placer["choose"];
     /** Whether a server may be sent anything new, as known now. */
     mayTakeWork: (server: BackendServer) => boolean;
     /** Whether a server may be sent a run that has begun elsewhere: one in need takes few requests, and newcomers go first. */
@@ -79,6 +89,16 @@
     takeAnswered: (server: ServerId) => void;
   }>;
 
+/** What is to be placed, and which servers it has tried. */
+type PlacementTerms = Readonly<{
+  service: ServiceName;
+  demand: Demand;
+  except: ReadonlySet<ServerId>;
+}>;
+
+/** Whose request is placed: this box's own, or one of another box that asks for advice. */
+type RequestOwner = "own" | "other";
+
 /** Id under which placements without an id of the client's are kept. */
 const createPlacementIds = () => {
   let next = 0;
@@ -93,10 +113,11 @@
 
 /** Says why none of a service's servers was a candidate. */
 const explainNoServer = (
-  candidates: Readonly<{ ready: number; untried: number; warm: number }>,
+  candidates: Readonly<{ ready: number; untried: number; warm: number; awake: number }>,
   known: Readonly<{ staying: number; inRegions: number }>,
 ): NoServerReason => {
-  if (candidates.warm > 0) return "servers_limited";
+  if (candidates.awake > 0) return "servers_limited";
+  if (candidates.warm > 0) return "servers_resting";
   if (candidates.untried > 0) return "servers_cold";
   if (candidates.ready > 0) return "none_left";
   if (known.inRegions > 0) return "halls_closed";
@@ -105,7 +126,8 @@
 
 /** Creates the placer. */
 export const createPlacer = (options: PlacerOptions): FleetPlacer => {
-  const { clock, random, ownHall, directory, book, cold, spells, limits } = options;
+  const { clock, random, ownHall, directory, book, cold, spells, limits, rests } =
+    options;
   const mintId = createPlacementIds();
   const suspects = createSuspects();
   /** A data hall whose region nobody has told is in none of those given. */
@@ -119,11 +141,13 @@
     spells.onUnreachable(entry);
   };
 
-  /** The servers that a request may go to, by what is left of them after each reason against one. */
+  const isAwake = ({ entry }: BackendServer) =>
+    rests.mayTake(entry.id, book.countOpen(entry.id));
+
+  /** The servers that a request of this box or of another may go to, by what is left of them after each reason against one. */
   const listCandidates = (
-    service: ServiceName,
-    demand: Demand,
-    except: ReadonlySet<ServerId>,
+    { service, demand, except }: PlacementTerms,
+    whose: RequestOwner,
   ) => {
     const ready = directory
       .listReady(service)
@@ -133,8 +157,9 @@
       ({ entry }) => !except.has(entry.id) && book.countOpen(entry.id) < share,
     );
     const warm = untried.filter(({ entry }) => cold.mayTake(entry.id, service));
-    const sifted = limits.sift({ service, tier: demand.tier }, warm);
-    return { ready, untried, warm, sifted };
+    const awake = whose === "own" ? warm.filter(isAwake) : warm;
+    const sifted = limits.sift({ service, tier: demand.tier }, awake);
+    return { ready, untried, warm, awake, sifted };
   };
   const toPlacementLimit = ({ entry }: BackendServer): PlacementLimit | undefined => {
     const allowance = limits.findAllowance(entry);
@@ -143,46 +168,65 @@
     return { perSecond, part, used };
   };
   const refuseAll = (
-    service: ServiceName,
-    { regions }: Demand,
+    { service, demand: { regions } }: PlacementTerms,
     candidates: ReturnType<typeof listCandidates>,
   ): PlacementDecision => {
-    const { ready, untried, warm, sifted } = candidates;
-    const counts = { ready: ready.length, untried: untried.length, warm: warm.length };
+    const { ready, untried, warm, awake, sifted } = candidates;
+    const counts = {
+      ready: ready.length,
+      untried: untried.length,
+      warm: warm.length,
+      awake: awake.length,
+    };
     const staying = directory.listStaying(service);
     const reason = explainNoServer(counts, {
       staying: staying.length,
       inRegions: staying.filter((server) => isInRegions(server, regions)).length,
     });
-    const { retryAfter } = sifted;
+    const retryAfter =
+      reason === "servers_resting"
+        ? rests.computeRetryAfter(warm.map(({ entry }) => entry.id))
+        : sifted.retryAfter;
     return { kind: "no_server", reason, known: ready.length, retryAfter };
   };
+  const chooseFor = (terms: PlacementTerms, whose: RequestOwner): PlacementDecision => {
+    const candidates = listCandidates(terms, whose);
+    const now = clock.monotonic();
+    const decision = chooseServer({
+      candidates: suspects.passOver(candidates.sifted.open, now),
+      demand: terms.demand,
+      book,
+      ownHall,
+      way: options.way,
+      rivals: options.rivals.estimate(now),
+      now,
+      random,
+    });
+    if (decision.kind === "no_server") return refuseAll(terms, candidates);
+    const resting = candidates.warm.length - candidates.awake.length;
+    return {
+      ...decision,
+      resting: resting > 0 ? resting : undefined,
+      limited: toPlacementLimit(decision.server),
+    };
+  };
   const recordSend = ({ entry }: BackendServer, tier: number) => {
     cold.record(entry.id);
     limits.recordSent(entry, tier);
   };
 
   return {
-    choose: (service, demand, except) => {
-      const candidates = listCandidates(service, demand, except);
-      const now = clock.monotonic();
-      const decision = chooseServer({
-        candidates: suspects.passOver(candidates.sifted.open, now),
-        demand,
-        book,
-        ownHall,
-        way: options.way,
-        rivals: options.rivals.estimate(now),
-        now,
-        random,
-      });
-      return decision.kind === "placed"
-        ? { ...decision, limited: toPlacementLimit(decision.server) }
-        : refuseAll(service, demand, candidates);
-    },
+    choose: (service, demand, except) => chooseFor({ service, demand, except }, "own"),
+    chooseForOther: (service, demand, except) =>
+      chooseFor({ service, demand, except }, "other"),
     recordArrival: (service, tier) => limits.recordArrival({ service, tier }),
     recordSend,
-    recordAsk: ({ entry }) => limits.recordSent(entry, undefined),
+    takeAsk: ({ entry }) => {
+      const isTaken = rests.takeSpared(entry.id);
+      if (isTaken) limits.recordSent(entry, undefined);
+      return isTaken;
+    },
+    takeContinuation: ({ entry }) => rests.takeSpared(entry.id),
     place: (server, head, demand) => {
       const { id } = server.entry;
       const runId = head.id ?? mintId();
@@ -207,9 +251,11 @@
     countAboard: ({ entry }) =>
       book.countOpen(entry.id) + book.listPeerRuns(entry.id).length,
     isLeaving: (server) => isLeaving(directory, server),
-    mayTakeWork: ({ entry }) => directory.mayTakeWork(entry.id),
+    mayTakeWork: (server) => directory.mayTakeWork(server.entry.id) && isAwake(server),
     mayTakeRuns: ({ entry }) =>
-      directory.mayTakeWork(entry.id) && !limits.isLimited(entry.id),
+      directory.mayTakeWork(entry.id) &&
+      !limits.isLimited(entry.id) &&
+      !rests.isResting(entry.id),
     isInRegions,
     isHallClosed: ({ entry }) => directory.isHallClosed(entry.dataHall),
     getStanding: ({ entry }) =>
@@ -241,7 +287,8 @@
           ({ entry }) =>
             entry.id !== source.entry.id &&
             !spells.mayBeCold(entry.id) &&
-            !limits.isLimited(entry.id),
+            !limits.isLimited(entry.id) &&
+            !rests.isResting(entry.id),
         )
         .map((server) => {
           const { taken, total } = estimateEngineLoad(server, book, now);
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -5,7 +5,7 @@
 import type { ClientAnswer } from "./clientAnswer.js";
 import type { EndedBy, Exchange } from "./openExchange.js";
 import type { StreamLeg } from "./streamRelay.js";
-import type { AnswerHead } from "./types.js";
+import type { AnswerHead, RawHeaders } from "./types.js";
 
 /** Where the body of an attempt's answer goes; nothing of it reaches the client by another way. */
 export type AttemptBody = Readonly<
@@ -63,14 +63,16 @@
 export const countBytesLeft = ({ body }: Attempt): number =>
   body.kind === "stream" ? body.leg.countBytesLeft() : 0;
 
-/** Sends the answer that was held back, as its server gave it. */
+/** Sends the answer that was held back, as its server gave it, with headers of the system's own. */
 export const sendHeldAnswer = (
   answer: Pick<ClientAnswer, "sendWhole">,
   { head, reason, body }: Attempt,
+  own: RawHeaders,
 ): void => {
   const { status, passedOn } = head!;
+  const headers = [...passedOn, ...own];
   const parts = body.kind === "held" ? body.parts : [];
-  answer.sendWhole({ status, reason, headers: passedOn }, Buffer.concat(parts));
+  answer.sendWhole({ status, reason, headers }, Buffer.concat(parts));
 };
 
 /** Whether its server works on the request: on a generation once it answers, on a plain request as soon as it is sent. */
--- a/packages/forwarding/src/createDispatchReports.ts
+++ b/packages/forwarding/src/createDispatchReports.ts
@@ -65,9 +65,10 @@
     tell,
     describeBytes,
     tellPlaced: (decision: PlacedDecision, attempt: number, by: string | undefined) => {
-      const { kind, server, reason, load, reportAge, candidates, limited } = decision;
+      const { kind, server, reason, load, reportAge, candidates, resting, limited } =
+        decision;
       const { id } = server.entry;
-      const seen = { load, reportAge, candidates, limited };
+      const seen = { load, reportAge, candidates, resting, limited };
       tell({ kind, server: id, attempt, reason, ...seen, by });
     },
     tellRetry: (attempt: Attempt, reason: string, detail: string, ended: BytesEnd) => {
--- a/packages/forwarding/src/createOwnAnswers.ts
+++ b/packages/forwarding/src/createOwnAnswers.ts
@@ -1,6 +1,7 @@
 /** Final answers of the system's own to one request; what comes after its end is dropped. */
 import type { Ms } from "@stairgauge/common";
 import type { PlacementDecision } from "@stairgauge/placement";
+import { computeRetryAfter } from "./computeRetryAfter.js";
 import type { AdmittedRequest, ForwarderDeps, RefusalReason } from "./forwarderTypes.js";
 import {
   makeBlockedAnswer,
@@ -41,11 +42,11 @@
     answerOutOfTime: () =>
       answerOwn({ status: 504, reason: "out_of_time", retryAfter: undefined }),
     /** It has not run; where it is known when a server takes it, it may come back then. */
-    answerNoServer: ({ reason, retryAfter = deps.retryAfter }: NoServerDecision) =>
+    answerNoServer: (decision: NoServerDecision) =>
       answerOwn({
         status: 503,
-        reason: REFUSAL_OF_NO_SERVER[reason],
-        retryAfter: Math.max(retryAfter, deps.retryAfter) as Ms,
+        reason: REFUSAL_OF_NO_SERVER[decision.reason],
+        retryAfter: computeRetryAfter(decision, deps.retryAfter),
       }),
     /** It goes to no server for so long. */
     answerBlocked: (left: Ms, mayHaveRun: boolean) =>
--- a/packages/forwarding/src/createServerAsker.ts
+++ b/packages/forwarding/src/createServerAsker.ts
@@ -21,7 +21,8 @@
     const service = configuration.getIndex()?.findService(entry.service);
     if (service?.healthPath === undefined) return undefined;
     const { healthPath } = service;
-    placer.recordAsk(server);
+    if (!placer.takeAsk(server))
+      return makeAbsent("it rests, and is not asked", "not_heard");
     const heard = await askServer({ clock, codec, entry, healthPath, connectLimit });
     if (heard.kind === "absent") return heard;
     deps.takeSigns({ server, signs: heard.signs, source: { kind: "health" } });
--- a/packages/forwarding/src/decideNext.ts
+++ b/packages/forwarding/src/decideNext.ts
@@ -67,6 +67,10 @@
   return head.status >= 500 ? "ran_and_failed" : "final";
 };
 
+/** Whether a server says that it had no room for the request: another may have some. */
+export const isTurnedAway = ({ status, isNotRun }: AnswerHead): boolean =>
+  status === 503 && isNotRun;
+
 /** Whether a server's answer, once whole, is the request's own and a success. */
 export const isServed = (head: AnswerHead, id: ClientRequestId | undefined): boolean =>
   isSuccess(head.status) && judgeAttempt({ kind: "answered", head }, id) === "final";
--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -3,13 +3,14 @@
  * on with another attempt, another server for the same run, or the final answer.
  */
 import { assertNever, type Ms, type Timer } from "@stairgauge/common";
-import type { BackendServer } from "@stairgauge/directory";
+import type { BackendServer, ServerId } from "@stairgauge/directory";
 import type { PlacementDecision } from "@stairgauge/placement";
 import { createActiveRun, type ActiveRun, type RunContinuation } from "./activeRuns.js";
 import { createAnswerSink } from "./answerSink.js";
 import { createAttempt, isAtWork, sendHeldAnswer, type Attempt } from "./attempt.js";
 import { buildExchangeRequest } from "./buildExchangeRequest.js";
 import { computeDemand } from "./computeDemand.js";
+import { computeRetryAfter } from "./computeRetryAfter.js";
 import {
   createDispatchReports,
   type LeftServer,
@@ -20,6 +21,7 @@
   describeEnd,
   isBodyUnproven,
   isServed,
+  isTurnedAway,
   judgeAttempt,
   mayRepeat,
   toOutcome,
@@ -34,12 +36,14 @@
 import { computePlacingTerms } from "./placeWithRoom.js";
 import { createRequestTries } from "./requestTries.js";
 import { createStreamRelay } from "./streamRelay.js";
-import type { AnswerHead, DispatchTerms, ExchangeFailure } from "./types.js";
+import type { AnswerHead, DispatchTerms, ExchangeFailure, RawHeaders } from "./types.js";
 import { watchSilence } from "./watchSilence.js";
 
 /** Continuations of one run after which it counts as lost. */
 const MAX_CONTINUATIONS = 12;
 
+const NONE_TRIED: ReadonlySet<ServerId> = new Set();
+
 /** A call that can be told of what happens elsewhere. */
 export type DispatchedCall = Readonly<{
   clientLeft: () => void;
@@ -300,9 +304,15 @@
 
   const passAnswerOn = (attempt: Attempt) => {
     reports.tellAnswered(attempt);
-    sendHeldAnswer(answer, attempt);
+    sendHeldAnswer(answer, attempt, encodeRetryAfter(attempt.head!));
     finish();
   };
+  /** A server's own time to come back is about itself: others may take the request sooner. */
+  const encodeRetryAfter = (answerHead: AnswerHead): RawHeaders => {
+    if (!isTurnedAway(answerHead)) return [];
+    const decision = placer.choose(service, demand, NONE_TRIED);
+    return codec.encodeRetryAfter(computeRetryAfter(decision, deps.retryAfter));
+  };
 
   const placeable: PlaceableRequest = {
     id: head.id,
@@ -353,7 +363,8 @@
         ? await runKeeper.recover(run, detail)
         : undefined;
     if (isOver) return;
-    if (continuation && guard.mayRepeat()) {
+    const mayGoOn = continuation && placer.takeContinuation(continuation.server);
+    if (mayGoOn && guard.mayRepeat()) {
       continueRun(left, continuation);
       return;
     }
--- a/packages/forwarding/src/forwarderTypes.ts
+++ b/packages/forwarding/src/forwarderTypes.ts
@@ -45,6 +45,8 @@
   | "servers_cold"
   /** The servers left have named how many requests they take, and have had them. */
   | "servers_limited"
+  /** The servers left have turned this box away, and rest. */
+  | "servers_resting"
   /** A server may have run it, and no other is left to ask. */
   | "no_server_left"
   | "answer_lost"
@@ -71,6 +73,7 @@
       load: number;
       reportAge: Ms | undefined;
       candidates: number;
+      resting: number | undefined;
       limited: PlacementLimit | undefined;
       /** The box that made the choice, where this one asked another. */
       by: string | undefined;
@@ -153,8 +156,10 @@
   onBroken: (server: BackendServer) => void;
   /** The server has begun to answer a request. */
   onAnswered: (server: BackendServer) => void;
-  /** The server is asked whether it is there, which takes a place there like a request. */
-  recordAsk: (server: BackendServer) => void;
+  /** Whether the server may be asked if it is there, which takes a place there like a request; a yes counts as one. */
+  takeAsk: (server: BackendServer) => boolean;
+  /** Whether a run that has begun may go on at a server now; a yes counts as a request there. */
+  takeContinuation: (server: BackendServer) => boolean;
   /** Whether a server answers anything at all, asked now. */
   isAlive: (server: BackendServer) => Promise<boolean>;
 }>;
--- a/packages/forwarding/src/sendOwnAnswer.ts
+++ b/packages/forwarding/src/sendOwnAnswer.ts
@@ -16,6 +16,7 @@
   halls_closed: "data_halls_closed",
   servers_cold: "servers_cold",
   servers_limited: "servers_limited",
+  servers_resting: "servers_resting",
   none_left: "no_server_known",
 };
 
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -77,6 +77,7 @@
   /** Neither a length nor chunks: the body ends with the connection. */
   isUnframed: boolean;
   isEventStream: boolean;
+  /** What a client gets of the headers; not the time for which the server wants rest, which is said to this box. */
   passedOn: RawHeaders;
 }>;
 
@@ -100,6 +101,8 @@
   /** The server's start, where the body of its health answer tells it. */
   decodeHealthBody: (body: Buffer) => Ms | undefined;
   decodeAnswer: (status: number, headers: RawHeaders) => AnswerHead;
+  /** Headers that tell a client when to come back. */
+  encodeRetryAfter: (pause: Ms) => RawHeaders;
   encodeOwnAnswer: (head: RequestHead, answer: OwnAnswer) => string[];
 }>;
 
--- a/packages/peers/src/adviceCodec.ts
+++ b/packages/peers/src/adviceCodec.ts
@@ -43,6 +43,7 @@
       "halls_closed",
       "servers_cold",
       "servers_limited",
+      "servers_resting",
       "none_left",
     ]),
     known: count,
--- a/packages/placement/src/types.ts
+++ b/packages/placement/src/types.ts
@@ -59,6 +59,8 @@
   | "servers_cold"
   /** Those left have named how many requests they take, and this box has sent its part. */
   | "servers_limited"
+  /** Those left have turned this box away, and rest. */
+  | "servers_resting"
   /** All others were tried, or hold as many connections as this box may open. */
   | "none_left";
 
@@ -78,6 +80,8 @@
       /** Age of the report that the load rests on. */
       reportAge: Ms | undefined;
       candidates: number;
+      /** Servers that were passed over since they rest; set where there are some. */
+      resting?: number | undefined;
       /** Set where the server has named how many requests it takes. */
       limited?: PlacementLimit | undefined;
     }
--- a/packages/signs/src/constants.ts
+++ b/packages/signs/src/constants.ts
@@ -6,4 +6,5 @@
   warmUpLeft: undefined,
   limit: { kind: "unnamed" },
   leaving: { kind: "unsaid" },
+  rest: { kind: "not_asked" },
 };
--- a/packages/signs/src/takeSigns.test.ts
+++ b/packages/signs/src/takeSigns.test.ts
@@ -18,6 +18,7 @@
       warmUpLeft: take("warmUpLeft"),
       limit: take("limit"),
       leaving: take("leaving"),
+      rest: take("rest"),
     };
     const signs = { ...NO_SIGNS, warmUpLeft: 30 as Ms };
     takeSigns(takers, { server: SERVER, signs, source: SOURCE });
--- a/packages/signs/src/types.ts
+++ b/packages/signs/src/types.ts
@@ -2,6 +2,7 @@
 import type { Ms } from "@stairgauge/common";
 import type { BackendServer } from "@stairgauge/directory";
 import type { LimitSign } from "@stairgauge/limits";
+import type { RestSign } from "@stairgauge/rests";
 
 /** Whether a server says that it leaves. */
 export type LeavingSign = Readonly<
@@ -17,6 +18,8 @@
   /** What the server says of the requests that it takes from all boxes. */
   limit: LimitSign;
   leaving: LeavingSign;
+  /** Whether the server wants nothing of this box for a while. */
+  rest: RestSign;
 }>;
 
 /** The kind of call whose answer carried the signs. */
--- a/packages/telemetry/src/boxMetrics.ts
+++ b/packages/telemetry/src/boxMetrics.ts
@@ -57,6 +57,11 @@
       labelNames: ["sign", "is"],
       registers,
     }),
+    restingServers: new Gauge({
+      name: "stairgauge_resting_servers",
+      help: "Backend servers that have turned this box away, and get nothing of it for a while",
+      registers,
+    }),
     limitedServers: new Gauge({
       name: "stairgauge_limited_servers",
       help: "Backend servers that have named how many requests they take",
