--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -11,7 +11,7 @@
   type ServiceName,
 } from "@stairgauge/common";
 import type { BackendServer } from "@stairgauge/directory";
-import { createPlaceHub, createPlacer, createReportPoller } from "@stairgauge/fleet";
+import { createPlaceHub, createPlacer } from "@stairgauge/fleet";
 import {
   computeClientConnections,
   computeSlackShare,
@@ -29,13 +29,7 @@
   createRivalRate,
   ENGINE_WAYS,
 } from "@stairgauge/placement";
-import {
-  BOX_TABLE,
-  createEngineActions,
-  createHeadCodec,
-  createStoreWriter,
-} from "@stairgauge/platform";
-import { createServerRests, type ServerRests } from "@stairgauge/rests";
+import { BOX_TABLE, createHeadCodec, createStoreWriter } from "@stairgauge/platform";
 import { createConfigurationKeeper } from "@stairgauge/routing";
 import type { BoxSettings } from "@stairgauge/settings";
 import { createBoxMetrics, type DecisionLog } from "@stairgauge/telemetry";
@@ -47,9 +41,10 @@
 import { createLimits } from "./createLimits.js";
 import { createMoves } from "./createMoves.js";
 import { createPeers } from "./createPeers.js";
+import { createReports } from "./createReports.js";
 import { createSigns } from "./createSigns.js";
 import { createSinks } from "./createSinks.js";
-import { observeForwarding, observeRests } from "./observers.js";
+import { observeForwarding } from "./observers.js";
 import { createMetricsServer, createReadyServer, listenOn } from "./smallServers.js";
 import { stopInOrder } from "./stopInOrder.js";
 import { createUpdateTaker } from "./takeUpdates.js";
@@ -91,12 +86,6 @@
  */
 const OUT_OF_TOUCH_WAITS = 3.2;
 
-/**
- * While the store is away only its report says that an engine leaves, two seconds before it does. Asked every 2 s by one
- * box or another, 12 streams of a day were lost to that; a box that is out of touch asks four times as often.
- */
-const URGENT_SHARE = 0.25;
-
 /** How old knowledge may be by which keys are accepted. */
 const computeAcceptWithin = (bounds: BoxSettings["bounds"]): Ms =>
   (bounds.isKeyRemovalStrict ? bounds.keyRemovalMs - KEY_MARGIN_MS : Infinity) as Ms;
@@ -181,11 +170,20 @@
     peers,
     getDirectory: () => directory,
   });
-  const rests: ServerRests = createServerRests({
+  const signs = createSigns({
     clock,
     random,
-    onEvent: observeRests({ log, metrics, listResting: () => rests.listResting() }),
+    log,
+    metrics,
+    getDirectory: () => directory,
+    limits,
+    spells: cold.spells,
+    onClosingAnnounced: (server) => {
+      if (!server.leaving && isEngineService(server.entry.service))
+        void reports.ask(server);
+    },
   });
+  const { rests, actions } = signs;
   const hubs = createHubs({
     clock: agingClock,
     own,
@@ -229,36 +227,20 @@
     getReports: () => reports,
     getMover: () => mover,
   });
-  const signs = createSigns({
-    clock,
-    log,
-    metrics,
-    directory,
-    limits,
-    rests,
-    spells: cold.spells,
-    onClosingAnnounced: (server) => {
-      if (!server.leaving && isEngineService(server.entry.service))
-        void reports.ask(server);
-    },
-  });
-  const actions = createEngineActions({ onSigns: signs.takeFromEngine });
   const findTraits = (server: BackendServer) =>
     keeper.getIndex()?.findService(server.entry.service)?.engine;
-  const reportInterval = settings.engines.reportIntervalMs as Ms;
-  const urgentInterval = (reportInterval * URGENT_SHARE) as Ms;
-  const reports = createReportPoller({
+  const reports = createReports({
+    settings,
     clock,
     random,
     directory,
     book,
     actions,
-    getInterval: () => (isOutOfTouch() ? urgentInterval : reportInterval),
-    limit: settings.engines.reportLimitMs as Ms,
+    isOutOfTouch,
     isEngineService,
     shares: createWatchShares(own, links),
-    onReport: (server, report) => updates.markReported(server.entry.id, report),
-    onPolled: (server, report) => teller.takeReport({ server: server.entry.id, report }),
+    updates,
+    teller,
   });
   const placer = createPlacer({
     clock,
--- a/apps/box/src/createSigns.test.ts
+++ b/apps/box/src/createSigns.test.ts
@@ -1,5 +1,12 @@
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
 import { describe, expect, it } from "vitest";
-import { createVirtualClock, type DataHallName, type Ms } from "@stairgauge/common";
+import {
+  createSeededRandom,
+  createVirtualClock,
+  type DataHallName,
+  type Ms,
+} from "@stairgauge/common";
 import type { ServiceName } from "@stairgauge/common";
 import {
   createServerDirectory,
@@ -31,15 +38,15 @@
 
 const setUp = () => {
   const lines: object[] = [];
-  const answered: object[] = [];
   const write = (event: string, fields: object) => void lines.push({ event, ...fields });
   const directory = createServerDirectory({
     memory: 1_000 as Ms,
     onEvent: () => undefined,
   });
   directory.put(ENTRY, 0 as Ms);
+  const clock = createVirtualClock();
   const signs = createSigns({
-    clock: createVirtualClock(),
+    clock,
     log: {
       writeDecision: write,
       writeNotice: write,
@@ -47,17 +54,14 @@
       flush: () => undefined,
     },
     metrics: createBoxMetrics(),
-    directory,
+    random: createSeededRandom(44),
+    getDirectory: () => directory,
     limits: { takeSign: () => undefined },
-    rests: {
-      begin: (id, duration) => write("begin_rest", { server: id, duration }),
-      recordAnswer: (id, sentAgo) => void answered.push({ server: id, sentAgo }),
-    },
     spells: { onEntry: () => undefined },
     onClosingAnnounced: ({ entry }) => write("closing", { server: entry.id }),
   });
   const server = directory.find(ENTRY.id)!;
-  return { signs, directory, server, lines, answered };
+  return { clock, signs, directory, server, lines };
 };
 
 describe("what becomes of a server's signs", () => {
@@ -92,28 +96,42 @@
     );
   });
 
-  it("begins the rest that a server asks for, and counts answers without one to requests alone", () => {
-    const { signs, server, lines, answered } = setUp();
+  it("begins the rest that a server asks for, and ends its return by answers to requests alone", () => {
+    const { clock, signs, server, lines } = setUp();
+    const { id } = ENTRY;
     const asked = { kind: "asked", duration: 3_000 as Ms } as const;
     signs.take({ server, signs: { ...NO_SIGNS, rest: asked }, source: SOURCE });
+    expect(signs.rests.mayTake(id, 0)).toBe(false);
+    clock.advance(4_000 as Ms);
     signs.take({ server, signs: NO_SIGNS, source: { kind: "health" } });
-    expect(answered).toEqual([]);
+    expect(signs.rests.mayTake(id, 1)).toBe(false);
     signs.take({ server, signs: NO_SIGNS, source: SOURCE });
-    expect(answered).toEqual([{ server: ENTRY.id, sentAgo: 20 }]);
+    expect(signs.rests.mayTake(id, 1)).toBe(true);
     const unreadable = { kind: "unreadable", text: "soon" } as const;
     signs.take({ server, signs: { ...NO_SIGNS, rest: unreadable }, source: SOURCE });
-    expect(lines).toEqual([
-      { event: "begin_rest", server: ENTRY.id, duration: 3_000 },
-      { event: "server_sign_unreadable", server: ENTRY.id, sign: "rest", text: "soon" },
+    expect(lines).toMatchObject([
+      { event: "server_rest_asked", server: id, duration: 3_000 },
+      { event: "server_rest_over", server: id },
+      { event: "server_sign_unreadable", server: id, sign: "rest", text: "soon" },
     ]);
   });
 
-  it("hears them in answers to an engine's calls by its address, and no end of a connection there", () => {
+  it("hears them in answers to an engine's calls by its address, and no end of a connection there", async () => {
     const { signs, directory, lines } = setUp();
-    const said = { ...NO_SIGNS, isClosing: true, leaving: { kind: "leaving" } as const };
-    signs.takeFromEngine({ host: "127.0.0.1", port: 2 }, said);
+    const engine = createServer((_, response) =>
+      response
+        .writeHead(200, { "Server-Leaving": "1", Connection: "close" })
+        .end(JSON.stringify({ waiting: 0, running: 0, kvUsed: 0, kvTotal: 1 })),
+    );
+    await new Promise<void>((resolve) => engine.listen(0, ENTRY.address.host, resolve));
+    const { port } = engine.address() as AddressInfo;
+    const address = { ...ENTRY.address, port };
+    const limit = 5_000 as Ms;
+    await signs.actions.readReport(address, limit);
     expect(directory.find(ENTRY.id)?.leaving).toBeUndefined();
-    signs.takeFromEngine(ENTRY.address, said);
+    directory.put({ ...ENTRY, address }, 1 as Ms);
+    await signs.actions.readReport(address, limit);
+    engine.close();
     expect(directory.find(ENTRY.id)?.leaving?.reason).toBe("answer_says_leaving");
     expect(lines).not.toContainEqual({ event: "closing", server: ENTRY.id });
   });
--- a/apps/box/src/createSigns.ts
+++ b/apps/box/src/createSigns.ts
@@ -1,5 +1,5 @@
 /** Wires what backend servers say of themselves to the parts that act on it. */
-import { assertNever, type Clock } from "@stairgauge/common";
+import { assertNever, type Clock, type Random } from "@stairgauge/common";
 import {
   getLeavingBasis,
   type BackendServer,
@@ -8,7 +8,9 @@
 } from "@stairgauge/directory";
 import type { ColdSpells } from "@stairgauge/fleet";
 import type { ServerLimits } from "@stairgauge/limits";
-import type { RestSign, ServerRests } from "@stairgauge/rests";
+import type { EngineActions } from "@stairgauge/migration";
+import { createEngineActions } from "@stairgauge/platform";
+import { createServerRests, type RestSign, type ServerRests } from "@stairgauge/rests";
 import {
   takeSigns,
   type HeardSign,
@@ -19,32 +21,40 @@
 } from "@stairgauge/signs";
 
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
+import { observeRests } from "./observers.js";
 import { createUnreadableTeller } from "./tellUnreadable.js";
 
 /** Who takes the signs. */
 export type SignsOptions = Readonly<{
   clock: Pick<Clock, "monotonic">;
+  random: Pick<Random, "nextFloat">;
   log: DecisionLog;
   metrics: BoxMetrics;
-  directory: Pick<ServerDirectory, "find" | "list" | "mark">;
+  getDirectory: () => Pick<ServerDirectory, "find" | "list" | "mark">;
   limits: Pick<ServerLimits, "takeSign">;
-  rests: Pick<ServerRests, "begin" | "recordAnswer">;
   spells: Pick<ColdSpells, "onEntry">;
   /** A server that stays has announced the end of a connection, which one that leaves does. */
   onClosingAnnounced: (server: BackendServer) => void;
 }>;
 
-/** Takes the signs of answers. */
+/** The parts that the rest of a box calls. */
 export type Signs = Readonly<{
+  /** Takes the signs of an answer to a request or a health call. */
   take: (heard: HeardSigns) => void;
-  /** An engine has answered a call that is no request; whoever leaves has no say any more. */
-  takeFromEngine: (address: ServerAddress, signs: ServerSigns) => void;
+  /** Calls on engines, whose answers carry signs, too; a server that leaves has no say there any more. */
+  actions: EngineActions;
+  rests: ServerRests;
 }>;
 
-/** Creates the takers' table. */
+/** Creates the parts; no server has said anything. */
 export const createSigns = (options: SignsOptions): Signs => {
-  const { clock, log, metrics, directory, limits, rests, spells, onClosingAnnounced } =
+  const { clock, log, metrics, getDirectory, limits, spells, onClosingAnnounced } =
     options;
+  const rests: ServerRests = createServerRests({
+    clock,
+    random: options.random,
+    onEvent: observeRests({ log, metrics, listResting: () => rests.listResting() }),
+  });
   const tellUnreadable = createUnreadableTeller(log);
 
   const takeClosing = ({ server, sign: isClosing, source }: HeardSign<boolean>) => {
@@ -53,10 +63,10 @@
   };
   const markLeaving = ({ server, source }: HeardSign<LeavingSign>) => {
     const { id } = server.entry;
-    const known = directory.find(id)?.leaving?.reason;
+    const known = getDirectory().find(id)?.leaving?.reason;
     if (known !== undefined && getLeavingBasis(known) === "own_word") return;
     log.writeNotice("server_says_leaving", { server: id, source });
-    directory.mark(id, "answer_says_leaving", clock.monotonic());
+    getDirectory().mark(id, "answer_says_leaving", clock.monotonic());
   };
   const takeLeaving = (heard: HeardSign<LeavingSign>) => {
     const { sign, server } = heard;
@@ -107,15 +117,13 @@
   };
   const take = (heard: HeardSigns) => takeSigns(takers, heard);
   const listStaying = ({ host, port }: ServerAddress) =>
-    directory
+    getDirectory()
       .list()
       .filter(({ entry }) => entry.address.host === host && entry.address.port === port)
       .filter(({ leaving }) => leaving === undefined);
-  return {
-    take,
-    takeFromEngine: (address, signs) => {
-      for (const server of listStaying(address))
-        take({ server, signs, source: { kind: "call" } });
-    },
+  const takeFromEngine = (address: ServerAddress, signs: ServerSigns) => {
+    for (const server of listStaying(address))
+      take({ server, signs, source: { kind: "call" } });
   };
+  return { take, actions: createEngineActions({ onSigns: takeFromEngine }), rests };
 };
--- /dev/null
+++ b/packages/forwarding/src/requestTries.test.ts
@@ -0,0 +1,106 @@
+/**
+ * A server refused plain requests, as not run, while three others were free. What may run once may go to one server, and the one that
+ * refused it counted as that one: 24 of 29 such requests were answered with its 503 after 3 ms.
+ *
+ *   {"box":"edge-brest-1","server":"i-a11b","afterMs":3,"status":503,"event":"answered"}
+ */
+import { describe, expect, it } from "vitest";
+import { createVirtualClock, type Ms, type ServiceName } from "@stairgauge/common";
+import type { ServerId } from "@stairgauge/directory";
+import type { Route } from "@stairgauge/routing";
+import { createRequestTries, judgeTry, type TryEnd } from "./requestTries.js";
+import { makeServer } from "./server.testkit.js";
+
+const SERVERS = ["a", "b", "c", "d", "e"].map(makeServer);
+
+const setUp = (route: Partial<Route>, { budget = Infinity, servers = SERVERS } = {}) => {
+  const clock = createVirtualClock();
+  let left = budget;
+  const choose = (_: unknown, __: unknown, except: ReadonlySet<ServerId>) => {
+    const server = servers.find(({ entry }) => !except.has(entry.id));
+    if (!server) return { kind: "no_server", reason: "none_left", known: 0 } as const;
+    return {
+      kind: "placed",
+      server,
+      reason: "least_busy",
+      load: 0,
+      memoryAfter: undefined,
+      reportAge: undefined,
+      candidates: 1,
+    } as const;
+  };
+  const tries = createRequestTries({
+    deps: {
+      clock,
+      placer: { choose } as never,
+      budget: { take: () => (left -= 1) >= 0 } as never,
+    },
+    request: {
+      route: { maxServers: 1, isResumable: false, ...route } as Route,
+      service: "pages" as ServiceName,
+      endsAt: 1_000 as Ms,
+    },
+    demand: { tier: 1, tokens: undefined },
+    mayRepeat: () => true,
+  });
+  /** Sends the request to one server after the other until no other may be asked; gives how many it was sent to. */
+  const sendUntilEnd = (ends: readonly TryEnd[]) => {
+    for (const [at, end] of ends.entries()) {
+      const decision = tries.choose();
+      if (decision.kind === "placed") tries.recordChosen(decision.server.entry.id);
+      tries.recordEnd(end);
+      if (!tries.takeRetry()) return at + 1;
+    }
+    return ends.length;
+  };
+  return { clock, tries, sendUntilEnd };
+};
+
+describe("the tries of a request that may run at one server", () => {
+  it("go on where a server proves that it did not run it, to three at most", () => {
+    const { sendUntilEnd } = setUp({});
+    expect(sendUntilEnd(Array<TryEnd>(5).fill("refused"))).toBe(3);
+  });
+
+  it("end at the first that may have run it", () => {
+    expect(setUp({}).sendUntilEnd(["may_have_run", "refused"])).toBe(1);
+    expect(setUp({}).sendUntilEnd(["refused", "may_have_run", "refused"])).toBe(2);
+  });
+
+  it("take from the budget of repeats what goes to a second server, and end with it", () => {
+    const ends = Array<TryEnd>(5).fill("refused");
+    expect(setUp({}, { budget: 1 }).sendUntilEnd(ends)).toBe(2);
+    expect(setUp({}, { budget: 0 }).sendUntilEnd(ends)).toBe(1);
+  });
+
+  it("take nothing from it after a server that was not reached", () => {
+    const { sendUntilEnd } = setUp({}, { budget: 0 });
+    expect(sendUntilEnd(["unreached", "unreached", "unreached"])).toBe(3);
+  });
+
+  it("end with the time, and with the servers", () => {
+    const late = setUp({});
+    late.clock.advance(1_000 as Ms);
+    expect(late.sendUntilEnd(["refused", "refused"])).toBe(1);
+    const few = setUp({}, { servers: SERVERS.slice(0, 1) });
+    expect(few.sendUntilEnd(["refused", "refused"])).toBe(1);
+  });
+});
+
+describe("the tries of a request that may run at two servers", () => {
+  it("count those that may have run it, beside those that refused it", () => {
+    const { sendUntilEnd } = setUp({ maxServers: 2 });
+    expect(sendUntilEnd(["refused", "may_have_run", "may_have_run", "refused"])).toBe(3);
+  });
+});
+
+describe("judgeTry", () => {
+  it.each([
+    [false, "not_run", "unreached"],
+    [true, "not_run", "refused"],
+    [true, "may_have_run", "may_have_run"],
+    [true, "ran_and_failed", "may_have_run"],
+  ] as const)("sent %s and %s is %s", (wasSent, verdict, end) => {
+    expect(judgeTry(wasSent, verdict)).toBe(end);
+  });
+});
