fix: a request that a resting or leaving server turns away goes on to another, also where it may run at one server only

Cause: the tries of a request counted a server that proves that it did not run it like one that may have. Mend: a server that turns a request away since it rests or leaves doesn't count towards the servers that may run it, to three such servers; each further one takes from the budget of repeats. Why it holds: the answer proves that the request did not run and says nothing of other servers; what may run once still runs at one server.

Not kept: the same for every refusal, as for want of room.

--- a/apps/box/src/restingServers.test.ts
+++ b/apps/box/src/restingServers.test.ts
@@ -54,6 +54,10 @@
     ],
     ["3 s, streams, 7 boxes", { load: STREAMS, seconds: 3 }],
     ["3 s, streams, 14 boxes", { load: { ...STREAMS, boxes: 14 }, seconds: 3 }],
+    [
+      "3 s, two of four, 14 boxes",
+      { load: { ...PLAIN, boxes: 14 }, seconds: 3, resting: [0, 1] },
+    ],
     ["8 s, plain", { load: PLAIN, seconds: 8 }],
   ])(
     "gets hardly anything of that box meanwhile, and the others serve: %s",
--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -34,7 +34,7 @@
 import { recordServerSigns } from "./recordServerSigns.js";
 import { placeAgain, placeByAdvice, type PlaceableRequest } from "./placeByAdvice.js";
 import { computePlacingTerms } from "./placeWithRoom.js";
-import { createRequestTries } from "./requestTries.js";
+import { createRequestTries, judgeTry } from "./requestTries.js";
 import { createStreamRelay } from "./streamRelay.js";
 import type { AnswerHead, DispatchTerms, ExchangeFailure, RawHeaders } from "./types.js";
 import { watchSilence } from "./watchSilence.js";
@@ -272,7 +272,7 @@
     const ended = reports.describeBytes(attempt, end);
     const verdict = judgeAttempt(end, head.id);
     const wasSent = attempt.exchange?.isSent() ?? false;
-    tries.recordEnd(wasSent);
+    tries.recordEnd(judgeTry(wasSent, verdict, attempt.head?.signs));
     if (!wasSent) placer.onUnreachable(server);
     else if (end.kind === "failed" && !attempt.head) placer.onBroken(server);
     if (end.kind === "answered" && end.head.isOtherServer) placer.onAddressReused(server);
@@ -356,7 +356,7 @@
       return;
     }
     if (isOver) return;
-    if (continuations === 0) tries.recordEnd(true);
+    if (continuations === 0) tries.recordEnd("counts");
     continuations += 1;
     const continuation =
       run && continuations <= MAX_CONTINUATIONS
--- a/packages/forwarding/src/requestTries.test.ts
+++ b/packages/forwarding/src/requestTries.test.ts
@@ -7,6 +7,7 @@
 import { describe, expect, it } from "vitest";
 import { createVirtualClock, type Ms, type ServiceName } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
+import { NO_SIGNS } from "@stairgauge/signs";
 import type { Route } from "@stairgauge/routing";
 import { createRequestTries, judgeTry, type TryEnd } from "./requestTries.js";
 import { makeServer } from "./server.testkit.js";
@@ -57,18 +58,18 @@
 };
 
 describe("the tries of a request that may run at one server", () => {
-  it("go on where a server proves that it did not run it, to three at most", () => {
+  it("go on where a server turned it away for reasons of its own, to three at most", () => {
     const { sendUntilEnd } = setUp({});
-    expect(sendUntilEnd(Array<TryEnd>(5).fill("refused"))).toBe(3);
+    expect(sendUntilEnd(Array<TryEnd>(5).fill("turned_away"))).toBe(3);
   });
 
-  it("end at the first that may have run it", () => {
-    expect(setUp({}).sendUntilEnd(["may_have_run", "refused"])).toBe(1);
-    expect(setUp({}).sendUntilEnd(["refused", "may_have_run", "refused"])).toBe(2);
+  it("end at the first that may have run it, or had no room", () => {
+    expect(setUp({}).sendUntilEnd(["counts", "turned_away"])).toBe(1);
+    expect(setUp({}).sendUntilEnd(["turned_away", "counts", "turned_away"])).toBe(2);
   });
 
   it("take from the budget of repeats what goes to a second server, and end with it", () => {
-    const ends = Array<TryEnd>(5).fill("refused");
+    const ends = Array<TryEnd>(5).fill("turned_away");
     expect(setUp({}, { budget: 1 }).sendUntilEnd(ends)).toBe(2);
     expect(setUp({}, { budget: 0 }).sendUntilEnd(ends)).toBe(1);
   });
@@ -81,26 +82,32 @@
   it("end with the time, and with the servers", () => {
     const late = setUp({});
     late.clock.advance(1_000 as Ms);
-    expect(late.sendUntilEnd(["refused", "refused"])).toBe(1);
+    expect(late.sendUntilEnd(["turned_away", "turned_away"])).toBe(1);
     const few = setUp({}, { servers: SERVERS.slice(0, 1) });
-    expect(few.sendUntilEnd(["refused", "refused"])).toBe(1);
+    expect(few.sendUntilEnd(["turned_away", "turned_away"])).toBe(1);
   });
 });
 
 describe("the tries of a request that may run at two servers", () => {
-  it("count those that may have run it, beside those that refused it", () => {
+  it("count those that may have run it, beside those that turned it away", () => {
     const { sendUntilEnd } = setUp({ maxServers: 2 });
-    expect(sendUntilEnd(["refused", "may_have_run", "may_have_run", "refused"])).toBe(3);
+    expect(sendUntilEnd(["turned_away", "counts", "counts", "turned_away"])).toBe(3);
   });
 });
 
 describe("judgeTry", () => {
+  const RESTS = { ...NO_SIGNS, rest: { kind: "asked", duration: 3_000 as Ms } } as const;
+  const LEAVES = { ...NO_SIGNS, leaving: { kind: "leaving" } } as const;
+
   it.each([
-    [false, "not_run", "unreached"],
-    [true, "not_run", "refused"],
-    [true, "may_have_run", "may_have_run"],
-    [true, "ran_and_failed", "may_have_run"],
-  ] as const)("sent %s and %s is %s", (wasSent, verdict, end) => {
-    expect(judgeTry(wasSent, verdict)).toBe(end);
+    ["not sent", false, "not_run", undefined, "unreached"],
+    ["not run by one that rests", true, "not_run", RESTS, "turned_away"],
+    ["not run by one that leaves", true, "not_run", LEAVES, "turned_away"],
+    ["not run by one without room", true, "not_run", NO_SIGNS, "counts"],
+    ["perhaps run by one that leaves", true, "may_have_run", LEAVES, "counts"],
+    ["run by one that leaves, and failed", true, "ran_and_failed", LEAVES, "counts"],
+    ["perhaps run, and nothing said", true, "may_have_run", undefined, "counts"],
+  ] as const)("%s", (_, wasSent, verdict, signs, end) => {
+    expect(judgeTry(wasSent, verdict, signs)).toBe(end);
   });
 });
--- a/packages/forwarding/src/requestTries.ts
+++ b/packages/forwarding/src/requestTries.ts
@@ -2,11 +2,36 @@
 import type { Ms } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
 import type { Demand, PlacementDecision } from "@stairgauge/placement";
+import { NO_SIGNS, type ServerSigns } from "@stairgauge/signs";
+import type { Verdict } from "./decideNext.js";
 import type { AdmittedRequest, ForwarderDeps } from "./forwarderTypes.js";
 
 /** Attempts that never reached a server before the request is given up. */
 const MAX_UNREACHED = 3;
 
+/** Servers that may turn a request away for reasons of their own before it is given up. */
+const MAX_TURNED_AWAY = 3;
+
+/** What an attempt's end says of the server that it went to. */
+export type TryEnd =
+  /** No connection came up. */
+  | "unreached"
+  /** It rests or leaves and did not run the request, which says nothing of the others. */
+  | "turned_away"
+  /** It may have run the request, or had no room for it: it was the one with the most. */
+  | "counts";
+
+/** Judges an attempt that has ended. */
+export const judgeTry = (
+  wasSent: boolean,
+  verdict: Verdict,
+  signs: ServerSigns = NO_SIGNS,
+): TryEnd => {
+  if (!wasSent) return "unreached";
+  const isOwnReason = signs.rest.kind === "asked" || signs.leaving.kind === "leaving";
+  return verdict === "not_run" && isOwnReason ? "turned_away" : "counts";
+};
+
 /** What counting needs. */
 export type RequestTriesParts = Readonly<{
   deps: Pick<ForwarderDeps, "budget" | "clock" | "placer">;
@@ -26,8 +51,8 @@
   choose: () => PlacementDecision;
   /** A server has been chosen. */
   recordChosen: (server: ServerId) => void;
-  /** An attempt has ended, or is given up; only one that was sent may have run. */
-  recordEnd: (wasSent: boolean) => void;
+  /** An attempt has ended, or is given up. */
+  recordEnd: (end: TryEnd) => void;
   /** Whether the request may be sent once more after what ended; a yes takes from the budget of repeats. */
   takeRetry: () => boolean;
   /** The same for an attempt that is still open, and counts only if it is given up. */
@@ -42,45 +67,47 @@
   const { budget, clock, placer } = deps;
   const { route, service, endsAt } = request;
   const tried = new Set<ServerId>();
-  let sent = 0;
-  let unreached = 0;
+  const ended: Record<TryEnd, number> = { unreached: 0, turned_away: 0, counts: 0 };
 
   const choose = () => placer.choose(service, demand, tried);
   const takeBudget = () => budget.take(service, clock.monotonic());
-  const recordEnd = (wasSent: boolean) => {
-    if (wasSent) sent += 1;
-    else unreached += 1;
+  const countSent = () => ended.turned_away + ended.counts;
+  const recordEnd = (end: TryEnd) => {
+    ended[end] += 1;
   };
 
   const canRetry = (): boolean => {
-    if (unreached >= MAX_UNREACHED) return false;
-    if (sent >= route.maxServers) return false;
+    if (ended.unreached >= MAX_UNREACHED) return false;
+    if (ended.turned_away >= MAX_TURNED_AWAY) return false;
+    // A server that turned it away leaves as many servers as before that may run it, and others may be free.
+    if (ended.counts >= route.maxServers) return false;
     if (((endsAt - clock.monotonic()) as Ms) <= 0) return false;
     if (!mayRepeat()) return false;
     return choose().kind === "placed";
   };
   /** What never reached a server is no repeat. */
-  const takeRetry = () => canRetry() && (sent === 0 || takeBudget());
+  const takeRetry = () => canRetry() && (countSent() === 0 || takeBudget());
 
   return {
     tried,
-    countSent: () => sent,
+    countSent,
     choose,
     recordChosen: (server) => void tried.add(server),
     recordEnd,
     takeRetry,
     takeRetryInstead: (wasSent) => {
-      if (wasSent) sent += 1;
+      if (wasSent) ended.counts += 1;
       const isTaken = takeRetry();
-      if (wasSent && !isTaken) sent -= 1;
+      if (wasSent && !isTaken) ended.counts -= 1;
       return isTaken;
     },
     takeRunAnew: () => {
-      const isAllowed = route.isResumable && mayRepeat() && sent < route.maxServers;
+      const hasLeft = ended.counts < route.maxServers;
+      const isAllowed = route.isResumable && mayRepeat() && hasLeft;
       if (!isAllowed || !takeBudget()) return undefined;
       const decision = choose();
       if (decision.kind === "no_server") return undefined;
-      sent += 1;
+      ended.counts += 1;
       tried.add(decision.server.entry.id);
       return decision;
     },
