--- a/packages/directory/src/leavingReasons.ts
+++ b/packages/directory/src/leavingReasons.ts
@@ -21,3 +21,12 @@
 /** Whether the server's entry, once it is there again, takes the mark back. */
 export const isTakenBack = (reason: LeavingReason): boolean =>
   reason === "entry_gone" || reason === "told_by_box";
+
+const computeFirmness = (reason: LeavingReason): number => {
+  if (isTakenBack(reason)) return 0;
+  return BASIS[reason] === "own_word" ? 2 : 1;
+};
+
+/** Whether a reason outlasts the one known. */
+export const isFirmer = (reason: LeavingReason, known: LeavingReason): boolean =>
+  computeFirmness(reason) > computeFirmness(known);
--- a/packages/directory/src/serverDirectory.test.ts
+++ b/packages/directory/src/serverDirectory.test.ts
@@ -112,6 +112,31 @@
     expect(listReady()).toEqual(["b"]);
   });
 
+  it.each(["entry_gone", "told_by_box", "address_reused"] as const)(
+    "puts a server's own word above %s",
+    (concluded) => {
+      const { directory, listReady } = setUp();
+      directory.put(makeEntry("a"), toMs(0));
+      directory.mark("a" as ServerId, concluded, toMs(1));
+      directory.mark("a" as ServerId, "answer_says_leaving", toMs(2));
+      directory.mark("a" as ServerId, concluded, toMs(3));
+      directory.dropForgotten(toMs(5_000));
+      directory.put(makeEntry("a"), toMs(5_001));
+      expect(listReady()).toEqual([]);
+    },
+  );
+
+  it("takes a server back by its entry that it had forgotten, if it only concluded that it left", () => {
+    const { directory, listReady } = setUp();
+    directory.put(makeEntry("a"), toMs(0));
+    directory.mark("a" as ServerId, "address_reused", toMs(1));
+    directory.put(makeEntry("a"), toMs(2));
+    expect(listReady()).toEqual([]);
+    directory.dropForgotten(toMs(5_000));
+    directory.put(makeEntry("a"), toMs(5_001));
+    expect(listReady()).toEqual(["a"]);
+  });
+
   it("takes a server back of which another box concluded that it left", () => {
     const { directory, listReady } = setUp();
     directory.put(makeEntry("a"), toMs(0));
--- a/packages/directory/src/serverDirectory.ts
+++ b/packages/directory/src/serverDirectory.ts
@@ -1,6 +1,6 @@
 /** The list of backend servers, changed through entries and marks only. */
 import type { DataHallName, Ms, ServiceName } from "@stairgauge/common";
-import { getLeavingBasis, isTakenBack } from "./leavingReasons.js";
+import { getLeavingBasis, isFirmer, isTakenBack } from "./leavingReasons.js";
 import type {
   BackendServer,
   LeavingReason,
@@ -85,7 +85,7 @@
   const { memory, onEvent } = options;
   const servers = new Map<ServerId, BackendServer>();
   const unusable = new Set<ServerName>();
-  /** Reasons that hold for starts whose entries may come (again): only another start ends them. */
+  /** Starts that are not listed here, by whose own word they leave: their entries may come (again). */
   const leftBefore = new Map<ServerId, LeavingReason>();
   let closedHalls: ReadonlySet<DataHallName> = new Set();
 
@@ -100,18 +100,15 @@
     [...servers.values()].filter(({ entry }) => entry.name === name);
 
   const recordLeft = (id: ServerId, reason: LeavingReason) => {
-    if (isTakenBack(reason)) return;
+    if (getLeavingBasis(reason) !== "own_word") return;
     leftBefore.set(id, reason);
     const [oldest] = leftBefore.keys();
     if (leftBefore.size > MOST_LEFT_BEFORE) leftBefore.delete(oldest!);
   };
-  /** What an entry takes back gives way to what it can't disprove. */
-  const isNews = (known: BackendServer["leaving"], reason: LeavingReason) =>
-    !known || (isTakenBack(known.reason) && !isTakenBack(reason));
   const mark = (id: ServerId, reason: LeavingReason, now: Ms) => {
     const server = servers.get(id);
     if (!server) recordLeft(id, reason);
-    if (!server || !isNews(server.leaving, reason)) return;
+    if (!server || (server.leaving && !isFirmer(reason, server.leaving.reason))) return;
     const marked = { ...server, leaving: { reason, since: now } };
     servers.set(id, marked);
     onEvent({ kind: "leaving", server: marked });
