--- a/apps/box/src/leavingServers.test.ts
+++ b/apps/box/src/leavingServers.test.ts
@@ -17,12 +17,12 @@
 import {
   collectAnswers,
   computeServed,
-  type LimitCase,
-  type LimitedSite,
+  type SignCase,
+  type SignSite,
   listWithSending,
   REFUSED,
-  startLimitedSite,
-} from "./serverLimits.testkit.js";
+  startSignSite,
+} from "./signSite.testkit.js";
 
 const LEAVING = { lines: ["Server-Leaving: 1"], isRefusal: false };
 const tellLeaving: SayingChoice = () => LEAVING;
@@ -42,18 +42,18 @@
 /** What the server's entry does meanwhile: it always says ready. */
 const ENTRY = {
   stays: () => undefined,
-  isRewritten: ({ servers }: LimitedSite) =>
+  isRewritten: ({ servers }: SignSite) =>
     void timers.push(setInterval(() => servers.putEntry(0), REWRITTEN_EACH_MS)),
-  isOutOfReach: ({ site }: LimitedSite) => site.store.setMode("silent"),
-  isReset: ({ site }: LimitedSite) => site.store.setMode("reset"),
+  isOutOfReach: ({ site }: SignSite) => site.store.setMode("silent"),
+  isReset: ({ site }: SignSite) => site.store.setMode("reset"),
 } as const;
 
-const PLAIN: LimitCase = { path: "/once/", kind: "plain", boxes: 3, perSecond: 60 };
-const REPEATABLE: LimitCase = { ...PLAIN, path: "/again/", boxes: 7 };
-const STREAMS: LimitCase = { ...PLAIN, path: "/draft/", kind: "engine", boxes: 7 };
+const PLAIN: SignCase = { path: "/once/", kind: "plain", boxes: 3, perSecond: 60 };
+const REPEATABLE: SignCase = { ...PLAIN, path: "/again/", boxes: 7 };
+const STREAMS: SignCase = { ...PLAIN, path: "/draft/", kind: "engine", boxes: 7 };
 
 describe("a server that says in its answers that it leaves", () => {
-  it.each<[string, LimitCase, keyof typeof ENTRY]>([
+  it.each<[string, SignCase, keyof typeof ENTRY]>([
     ["plain, 3 boxes", PLAIN, "stays"],
     ["plain, its entry is written again each second", PLAIN, "isRewritten"],
     ["plain, no word of the store", PLAIN, "isOutOfReach"],
@@ -67,8 +67,8 @@
     ],
   ])(
     "gets nothing more of a box that was told: %s",
-    async (_, limitCase, entry) => {
-      const site = await startLimitedSite(limitCase);
+    async (_, signCase, entry) => {
+      const site = await startSignSite(signCase);
       ENTRY[entry](site);
       site.setSaying(tellLeaving, 0);
       const sent = await site.sendFor(SENT_MS);
@@ -82,7 +82,7 @@
   );
 
   it("gets nothing more where it says so in refusals", async () => {
-    const site = await startLimitedSite(REPEATABLE);
+    const site = await startSignSite(REPEATABLE);
     site.setSaying(refuseAsLeaving, 0);
     const sent = await site.sendFor(SENT_MS);
     const arrivals = listWithSending(site.servers.listArrivals(0), sent);
@@ -91,7 +91,7 @@
   });
 
   it("is one of two that leave: both get nothing more", async () => {
-    const site = await startLimitedSite(REPEATABLE);
+    const site = await startSignSite(REPEATABLE);
     site.setSaying(tellLeaving, 0, 1);
     const sent = await site.sendFor(SENT_MS);
     for (const server of [0, 1]) {
@@ -102,7 +102,7 @@
   });
 
   it("may be the last: what can't be served is refused at once, not run, with the time to come back", async () => {
-    const site = await startLimitedSite(PLAIN);
+    const site = await startSignSite(PLAIN);
     site.setSaying(tellLeaving, 0, 1, 2, 3);
     const sent = await site.sendFor(SENT_MS);
     const reached = [0, 1, 2, 3].flatMap((server) => site.servers.listArrivals(server));
@@ -120,7 +120,7 @@
   it(
     "gets nothing more of any box, told by the server or by another one",
     async () => {
-      const site = await startLimitedSite({ ...PLAIN, boxes: 14 });
+      const site = await startSignSite({ ...PLAIN, boxes: 14 });
       site.setSaying(tellLeaving, 0);
       const sent = await site.sendFor(3_000);
       const arrivals = listWithSending(site.servers.listArrivals(0), sent);
@@ -132,7 +132,7 @@
   );
 
   it("stays known to a box that has let some time pass and reads its entry anew", async () => {
-    const site = await startLimitedSite(PLAIN);
+    const site = await startSignSite(PLAIN);
     site.setSaying(tellLeaving, 0);
     const before = await site.sendFor(500);
     await waitMs(LEAVING_MS);
--- a/apps/box/src/restingServers.test.ts
+++ b/apps/box/src/restingServers.test.ts
@@ -12,11 +12,11 @@
 import { FULL_MACHINE_MS } from "./box.testkit.js";
 import {
   computeServed,
-  type LimitCase,
+  type SignCase,
   listCounted,
   REFUSED,
-  startLimitedSite,
-} from "./serverLimits.testkit.js";
+  startSignSite,
+} from "./signSite.testkit.js";
 
 const NOTHING = { lines: [], isRefusal: false };
 const askForRest =
@@ -33,12 +33,12 @@
 const LATEST_SECONDS = 4.75;
 const ALL = [0, 1, 2, 3] as const;
 
-const PLAIN: LimitCase = { path: "/once/", kind: "plain", boxes: 3, perSecond: 60 };
-const REPEATABLE: LimitCase = { ...PLAIN, path: "/again/", boxes: 7 };
-const STREAMS: LimitCase = { ...PLAIN, path: "/draft/", kind: "engine", boxes: 7 };
+const PLAIN: SignCase = { path: "/once/", kind: "plain", boxes: 3, perSecond: 60 };
+const REPEATABLE: SignCase = { ...PLAIN, path: "/again/", boxes: 7 };
+const STREAMS: SignCase = { ...PLAIN, path: "/draft/", kind: "engine", boxes: 7 };
 
 type RestCase = Readonly<{
-  load: LimitCase;
+  load: SignCase;
   seconds: number;
   choose?: (seconds: number) => SayingChoice;
   resting?: readonly number[];
@@ -62,7 +62,7 @@
   ])(
     "gets hardly anything of that box meanwhile, and the others serve: %s",
     async (_, { load, seconds, choose = askForRest, resting = [0] }) => {
-      const { servers, sendFor, setSaying } = await startLimitedSite(load);
+      const { servers, sendFor, setSaying } = await startSignSite(load);
       setSaying(choose(seconds), ...resting);
       const sent = await sendFor(SENT_MS);
       for (const server of resting) {
@@ -76,7 +76,7 @@
   );
 
   it("may be one of four that all do: the rest is refused at once, not run, with the time until one takes a request", async () => {
-    const { servers, fleet, sendFor, setSaying } = await startLimitedSite(REPEATABLE);
+    const { servers, fleet, sendFor, setSaying } = await startSignSite(REPEATABLE);
     setSaying(askForRest(3), ...ALL);
     const sent = await sendFor(SENT_MS);
     for (const server of ALL) {
@@ -102,7 +102,7 @@
   });
 
   it("serves again after it, one request of a box first", async () => {
-    const { servers, sendFor, setSaying } = await startLimitedSite(PLAIN);
+    const { servers, sendFor, setSaying } = await startSignSite(PLAIN);
     setSaying((answer) => (answer === 0 ? askForRest(1)(answer) : NOTHING), 0);
     const sent = await sendFor(4_000);
     const arrivals = listCounted(servers.listArrivals(0));
@@ -113,7 +113,7 @@
   });
 
   it("is not the one that says when a client comes back", async () => {
-    const { sendFor, setSaying } = await startLimitedSite({ ...PLAIN, perSecond: 20 });
+    const { sendFor, setSaying } = await startSignSite({ ...PLAIN, perSecond: 20 });
     setSaying(askForRest(30), 0);
     const answers = await Promise.all((await sendFor(1_000)).map(({ answer }) => answer));
     for (const { status, headers } of answers)
--- a/apps/box/src/serverLimitChanges.test.ts
+++ b/apps/box/src/serverLimitChanges.test.ts
@@ -14,19 +14,19 @@
   COUNTED_MS,
   listCounted,
   REFUSED,
-  startLimitedSite,
-  type LimitCase,
-} from "./serverLimits.testkit.js";
+  startSignSite,
+  type SignCase,
+} from "./signSite.testkit.js";
 
 /** What is asked of the server in need. */
 const PER_SECOND = 1.7;
 
 /** Three boxes that are asked for much more than one server in need takes. */
-const THREE_BOXES: LimitCase = { path: "/once/", kind: "plain", boxes: 3, perSecond: 60 };
+const THREE_BOXES: SignCase = { path: "/once/", kind: "plain", boxes: 3, perSecond: 60 };
 
 describe("a limit that changes", () => {
   it("gets no more than it allows where it had three times as much before it named it", async () => {
-    const { servers, setNaming, sendFor } = await startLimitedSite({
+    const { servers, setNaming, sendFor } = await startSignSite({
       path: "/once/",
       kind: "plain",
       boxes: 7,
@@ -41,7 +41,7 @@
   });
 
   it("gets no more than it allows while a box starts anew beside the others", async () => {
-    const { servers, setNaming, sendFor, addBox } = await startLimitedSite(THREE_BOXES);
+    const { servers, setNaming, sendFor, addBox } = await startSignSite(THREE_BOXES);
     setNaming(() => String(PER_SECOND), 0);
     await sendFor(LIMIT_CONTACT_MS + 1_000);
     const { lines } = await addBox();
@@ -53,7 +53,7 @@
   });
 
   it("gets no more than it allows where it names it in every second answer, and what is no limit in others", async () => {
-    const { servers, fleet, setNaming, sendFor } = await startLimitedSite(THREE_BOXES);
+    const { servers, fleet, setNaming, sendFor } = await startSignSite(THREE_BOXES);
     setNaming((answer) => [String(PER_SECOND), undefined, "1.7, 1.9"][answer % 3], 0);
     await sendFor(LIMIT_CONTACT_MS + COUNTED_MS);
     const most = countMostFromTold(listCounted(servers.listArrivals(0)));
@@ -64,7 +64,7 @@
   });
 
   it("gets what comes again once it no longer names it, and all boxes say so", async () => {
-    const { servers, fleet, setNaming, sendFor } = await startLimitedSite(THREE_BOXES);
+    const { servers, fleet, setNaming, sendFor } = await startSignSite(THREE_BOXES);
     setNaming(() => "3", 0);
     await sendFor(LIMIT_CONTACT_MS);
     setNaming(() => undefined, 0);
--- a/apps/box/src/serverLimits.test.ts
+++ b/apps/box/src/serverLimits.test.ts
@@ -15,14 +15,14 @@
 import {
   collectAnswers,
   COUNTED_MS,
-  type LimitCase,
+  type SignCase,
   listCounted,
   REFUSED,
-  startLimitedSite,
-} from "./serverLimits.testkit.js";
+  startSignSite,
+} from "./signSite.testkit.js";
 
 describe("a server that names a limit", () => {
-  it.each<[string, LimitCase, number]>([
+  it.each<[string, SignCase, number]>([
     ["plain, 3 boxes", { path: "/once/", kind: "plain", boxes: 3, perSecond: 60 }, 1.7],
     ["plain, 7 boxes", { path: "/again/", kind: "plain", boxes: 7, perSecond: 60 }, 1.9],
     [
@@ -35,8 +35,8 @@
       { path: "/once/", kind: "plain", boxes: 30, perSecond: 100 },
       0.5,
     ],
-  ])("gets no more than it allows: %s", async (_, limitCase, perSecond) => {
-    const { servers, setNaming, sendFor } = await startLimitedSite(limitCase);
+  ])("gets no more than it allows: %s", async (_, signCase, perSecond) => {
+    const { servers, setNaming, sendFor } = await startSignSite(signCase);
     setNaming(() => String(perSecond), 0);
     const sent = await sendFor(LIMIT_CONTACT_MS + COUNTED_MS);
     const most = countMostFromTold(listCounted(servers.listArrivals(0)));
--- a/apps/box/src/serverLimitsOfAll.test.ts
+++ b/apps/box/src/serverLimitsOfAll.test.ts
@@ -11,17 +11,17 @@
 import {
   collectAnswers,
   COUNTED_MS,
-  type LimitCase,
+  type SignCase,
   listCounted,
   REFUSED,
-  startLimitedSite,
-} from "./serverLimits.testkit.js";
+  startSignSite,
+} from "./signSite.testkit.js";
 
 const PER_SECOND = 3;
 const ALL = [0, 1, 2, 3] as const;
 
 describe("servers that are all in need", () => {
-  it.each<[string, LimitCase]>([
+  it.each<[string, SignCase]>([
     ["plain, 7 boxes", { path: "/once/", kind: "plain", boxes: 7, perSecond: 60 }],
     ["streams, 7 boxes", { path: "/draft/", kind: "engine", boxes: 7, perSecond: 60 }],
     ["streams, 14 boxes", { path: "/draft/", kind: "engine", boxes: 14, perSecond: 60 }],
@@ -31,8 +31,8 @@
     ],
   ])(
     "get what their limits allow, and the rest is refused as not run: %s",
-    async (_, limitCase) => {
-      const { servers, fleet, setNaming, sendFor } = await startLimitedSite(limitCase);
+    async (_, signCase) => {
+      const { servers, fleet, setNaming, sendFor } = await startSignSite(signCase);
       setNaming(() => String(PER_SECOND), ...ALL);
       const first = await sendFor(LIMIT_CONTACT_MS);
       const sent = await sendFor(COUNTED_MS);
--- a/apps/box/src/serverLimits.testkit.ts
+++ b/apps/box/src/signSite.testkit.ts
@@ -1,12 +1,12 @@
 /** Boxes before servers that say something of themselves in their answers: what the tests of such servers share. */
 import {
-  startLimitedServers,
+  startSignServers,
   startUsersSite,
   type CountedArrival,
   type LeavingArrival,
-  type LimitedArrival,
-  type LimitedKind,
-  type LimitedServers,
+  type SignArrival,
+  type SignServerKind,
+  type SignServers,
   type LimitNaming,
   type SayingChoice,
   type UsersSite,
@@ -20,9 +20,9 @@
 export const REFUSED = 503;
 
 /** What is asked for, and how often. */
-export type LimitCase = Readonly<{
+export type SignCase = Readonly<{
   path: string;
-  kind: LimitedKind;
+  kind: SignServerKind;
   boxes: number;
   /** Requests a second, spread over the boxes. */
   perSecond: number;
@@ -38,17 +38,17 @@
 
 /** Which box sent a request stands in its id. */
 const formatRequestId = (box: number, sequence: number) => `${box}-${sequence}`;
-const findSender = ({ request }: LimitedArrival) => Number(request.split("-")[0]);
+const findSender = ({ request }: SignArrival) => Number(request.split("-")[0]);
 
 /** The requests that a server got, with the boxes that sent them. */
 export const listCounted = (
-  arrivals: readonly LimitedArrival[],
-): readonly (CountedArrival & LimitedArrival)[] =>
+  arrivals: readonly SignArrival[],
+): readonly (CountedArrival & SignArrival)[] =>
   arrivals.map((arrival) => ({ ...arrival, box: findSender(arrival) }));
 
 /** The same, with the times at which clients sent them. */
 export const listWithSending = (
-  arrivals: readonly LimitedArrival[],
+  arrivals: readonly SignArrival[],
   sent: readonly SentRequest[],
 ): readonly LeavingArrival[] => {
   const sentAt = new Map(sent.map((one) => [one.id, one.sentAt]));
@@ -76,9 +76,9 @@
 export const COUNTED_MS = 6_000;
 
 /** A site with its servers and boxes, and the hands of a test on them. */
-export type LimitedSite = Readonly<{
+export type SignSite = Readonly<{
   site: UsersSite;
-  servers: LimitedServers;
+  servers: SignServers;
   fleet: FleetBox[];
   /** Sends requests to the boxes in turn for so long, in ms. */
   sendFor: (duration: number) => Promise<readonly SentRequest[]>;
@@ -90,15 +90,15 @@
 }>;
 
 /** Starts four servers, and as many boxes as asked for, which know each other. */
-export const startLimitedSite = async ({
+export const startSignSite = async ({
   path,
   kind,
   boxes,
   perSecond,
-}: LimitCase): Promise<LimitedSite> => {
+}: SignCase): Promise<SignSite> => {
   const site = await startUsersSite({ engines: 0, services: 0 });
   closers.push(site.close);
-  const servers = await startLimitedServers({
+  const servers = await startSignServers({
     kind,
     count: SERVERS,
     putEntry: kind === "engine" ? site.putEngine : site.putService,
@@ -117,7 +117,7 @@
     const answer = ask(fleet[box]!.ports, { path: `${path}${id}`, id, headers });
     return { id, box, sentAt: performance.now(), answer };
   };
-  const sendFor: LimitedSite["sendFor"] = async (duration) => {
+  const sendFor: SignSite["sendFor"] = async (duration) => {
     const begunAt = performance.now();
     const sent: SentRequest[] = [];
     while (performance.now() < begunAt + duration) {
@@ -127,10 +127,10 @@
     }
     return sent;
   };
-  const setNaming: LimitedSite["setNaming"] = (naming, ...which) => {
+  const setNaming: SignSite["setNaming"] = (naming, ...which) => {
     for (const server of which) servers.setNaming(server, naming);
   };
-  const setSaying: LimitedSite["setSaying"] = (choose, ...which) => {
+  const setSaying: SignSite["setSaying"] = (choose, ...which) => {
     for (const server of which) servers.setSaying(server, choose);
   };
   const addBox = async () => {
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -49,15 +49,15 @@
 export type { CrashingKind, CrashingServers } from "./usersPlatform/crashingServers.js";
 export { countSentWhileLeaving, LEAVING_MS } from "./usersPlatform/leavingRule.js";
 export type { LeavingArrival } from "./usersPlatform/leavingRule.js";
-export { startLimitedServers } from "./usersPlatform/limitedServers.js";
+export { startSignServers } from "./usersPlatform/signServers.js";
 export type {
-  LimitedArrival,
-  LimitedKind,
-  LimitedServers,
+  SignArrival,
+  SignServerKind,
+  SignServers,
   LimitNaming,
   SayingChoice,
   ServerSaying,
-} from "./usersPlatform/limitedServers.js";
+} from "./usersPlatform/signServers.js";
 export {
   computeAllowed,
   countMostFromTold,
--- a/packages/standins/src/usersPlatform/limitedServers.ts
+++ b/packages/standins/src/usersPlatform/signServers.ts
@@ -23,17 +23,17 @@
 export type SayingChoice = (answer: number) => ServerSaying;
 
 /** What the servers are. */
-export type LimitedKind = "engine" | "plain";
+export type SignServerKind = "engine" | "plain";
 
 /** How the servers are listed. */
-export type LimitedServersOptions = Readonly<{
-  kind: LimitedKind;
+export type SignServersOptions = Readonly<{
+  kind: SignServerKind;
   count: number;
   putEntry: (id: string, address: string) => void;
 }>;
 
 /** A request as a server got it, in milliseconds of the process's steady clock. */
-export type LimitedArrival = Readonly<{
+export type SignArrival = Readonly<{
   request: string;
   at: number;
   /** The answer says something of the server. */
@@ -42,7 +42,7 @@
 }>;
 
 /** The servers, by the order in which they are listed. */
-export type LimitedServers = Readonly<{
+export type SignServers = Readonly<{
   /** From now on the server names this. */
   setNaming: (server: number, naming: LimitNaming) => void;
   /** From now on the server says this. */
@@ -50,7 +50,7 @@
   /** Writes the server's entry again, as it was. */
   putEntry: (server: number) => void;
   /** Requests, in the order in which they came. */
-  listArrivals: (server: number) => readonly LimitedArrival[];
+  listArrivals: (server: number) => readonly SignArrival[];
   close: () => void;
 }>;
 
@@ -67,8 +67,8 @@
 /** Time that a plain request takes. */
 const PLAIN_MS = 20;
 
-const startServer = async (id: string, { kind, putEntry }: LimitedServersOptions) => {
-  const arrivals: LimitedArrival[] = [];
+const startServer = async (id: string, { kind, putEntry }: SignServersOptions) => {
+  const arrivals: SignArrival[] = [];
   let choose: SayingChoice = () => NOTHING_SAID;
   let answers = 0;
 
@@ -108,9 +108,9 @@
 };
 
 /** Starts the servers; none is in need. */
-export const startLimitedServers = async (
-  options: LimitedServersOptions,
-): Promise<LimitedServers> => {
+export const startSignServers = async (
+  options: SignServersOptions,
+): Promise<SignServers> => {
   const ids = Array.from({ length: options.count }, (_, i) => `${options.kind}-${i}`);
   const servers = await Promise.all(ids.map((id) => startServer(id, options)));
   return {
