--- a/apps/box/src/leavingServers.test.ts
+++ b/apps/box/src/leavingServers.test.ts
@@ -13,7 +13,15 @@
   type LeavingArrival,
   type SayingChoice,
 } from "@stairgauge/standins";
-import { FULL_MACHINE_MS, waitMs } from "./box.testkit.js";
+import {
+  ask,
+  FULL_MACHINE_MS,
+  KEEPS_KEYS,
+  startBox,
+  waitFor,
+  waitMs,
+  waitUntilKnown,
+} from "./box.testkit.js";
 import {
   collectAnswers,
   computeServed,
@@ -131,6 +139,25 @@
     FULL_MACHINE_MS,
   );
 
+  it("gets nothing of a box that starts after it has said so, and reads its entry only", async () => {
+    const { site, servers, setSaying, sendFor } = await startSignSite(PLAIN);
+    setSaying(tellLeaving, 0);
+    await sendFor(500);
+    const known = servers.listArrivals(0).length;
+    expect(known).toBeGreaterThan(0);
+    const { ports, lines } = await startBox(site.store.address, "box-late", KEEPS_KEYS);
+    await waitUntilKnown(lines, 3);
+    await waitFor(() =>
+      lines.some(({ event, links }) => event === "peers" && links === 3),
+    );
+    await waitMs(HEARD_BY_ALL_MS);
+    const answers = await Promise.all(
+      Array.from({ length: 40 }, () => ask(ports, { path: "/once/late" })),
+    );
+    expect(new Set(answers.map(({ status }) => status))).toEqual(new Set([200]));
+    expect(servers.listArrivals(0)).toHaveLength(known);
+  });
+
   it("stays known to a box that has let some time pass and reads its entry anew", async () => {
     const site = await startSignSite(PLAIN);
     site.setSaying(tellLeaving, 0);
