--- a/apps/box/src/createSigns.ts
+++ b/apps/box/src/createSigns.ts
@@ -19,7 +19,6 @@
   type ServerSigns,
   type SignTakers,
 } from "@stairgauge/signs";
-
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
 import { observeRests } from "./observers.js";
 import { createUnreadableTeller } from "./tellUnreadable.js";
