--- a/packages/fleet/src/adviseOthers.test.ts
+++ b/packages/fleet/src/adviseOthers.test.ts
@@ -2,38 +2,17 @@
 import { describe, expect, it } from "vitest";
 import {
   advanceSettled,
-  createSeededRandom,
-  createVirtualClock,
   type BoxName,
-  type DataHallName,
   type Ms,
   type RegionName,
-  type ServiceName,
 } from "@stairgauge/common";
-import {
-  createServerDirectory,
-  type ServerId,
-  type ServerName,
-} from "@stairgauge/directory";
+import type { ServerId } from "@stairgauge/directory";
 import { createWaitingRoom, type AdviceRequest } from "@stairgauge/forwarding";
-import { createServerLimits } from "@stairgauge/limits";
-import {
-  createFleetPlaces,
-  createLoadBook,
-  createRivalRate,
-  ENGINE_WAYS,
-  type PlaceQuestion,
-} from "@stairgauge/placement";
-import { createServerRests } from "@stairgauge/rests";
+import type { PlaceQuestion } from "@stairgauge/placement";
 import type { WarmUp } from "@stairgauge/routing";
-import {
-  createColdLimits,
-  createColdSpells,
-  createPlaceHub,
-  createPlacer,
-} from "./index.js";
+import { createPlaceHub } from "./index.js";
+import { createTestPlacer, SERVICE } from "./placing.testkit.js";
 
-const SERVICE = "writers" as ServiceName;
 const PROMPT = 3_000;
 const OUT = 1_000;
 
@@ -59,69 +38,7 @@
 
 /** A hub before some engines of 34,000 tokens. */
 const setUp = (engines: number, warmUp?: WarmUp) => {
-  const clock = createVirtualClock();
-  const random = createSeededRandom(3);
-  const directory = createServerDirectory({
-    memory: 1_000 as Ms,
-    onEvent: () => undefined,
-  });
-  for (let i = 0; i < engines; i += 1)
-    directory.put(
-      {
-        id: `e${i}` as ServerId,
-        name: `e${i}` as ServerName,
-        startedAt: undefined,
-        service: SERVICE,
-        address: { host: "10.0.0.1", port: 80 + i },
-        dataHall: "h" as DataHallName,
-        slots: 24,
-        isLeaving: false,
-        warmUpLeft: 0 as Ms,
-      },
-      0 as Ms,
-    );
-  const book = createLoadBook();
-  const spells = createColdSpells({
-    clock,
-    findWarmUp: () => warmUp,
-    listServers: directory.list,
-  });
-  const places = createFleetPlaces(clock);
-  const cold = createColdLimits({
-    clock,
-    places,
-    spells,
-    findWarmUp: () => warmUp,
-    bound: { overage: 1.5, slack: 5 },
-    sendWithin: 400 as Ms,
-    isPlacedByHubs: () => true,
-  });
-  const placer = createPlacer({
-    clock,
-    random,
-    ownHall: "h" as DataHallName,
-    way: ENGINE_WAYS.short_queue,
-    findRegion: (hall) => `region of ${hall}` as RegionName,
-    directory,
-    book,
-    rivals: createRivalRate(),
-    cold,
-    spells,
-    rests: createServerRests({ clock, random, onEvent: () => undefined }),
-    limits: createServerLimits({
-      clock,
-      agingClock: clock,
-      places,
-      isPlacedByHubs: () => true,
-      isListed: () => true,
-      onOwnNews: () => undefined,
-      onSharedNews: () => undefined,
-      onEvent: () => undefined,
-    }),
-    getConnectionShare: () => Infinity,
-    isAlive: () => Promise.resolve(true),
-    onBroken: () => undefined,
-  });
+  const { clock, book, placer } = createTestPlacer(engines, warmUp);
   const waitingRoom = createWaitingRoom(clock);
   const hub = createPlaceHub({ clock, book, placer, waitingRoom });
   const { signal } = new AbortController();
--- /dev/null
+++ b/packages/fleet/src/placing.testkit.ts
@@ -0,0 +1,100 @@
+/** A placer before some servers, on a virtual clock, as tests of placing need one. */
+import {
+  createSeededRandom,
+  createVirtualClock,
+  type DataHallName,
+  type Ms,
+  type RegionName,
+  type ServiceName,
+} from "@stairgauge/common";
+import {
+  createServerDirectory,
+  type ServerId,
+  type ServerName,
+} from "@stairgauge/directory";
+import { createServerLimits } from "@stairgauge/limits";
+import {
+  createFleetPlaces,
+  createLoadBook,
+  createRivalRate,
+  ENGINE_WAYS,
+} from "@stairgauge/placement";
+import { createServerRests } from "@stairgauge/rests";
+import type { WarmUp } from "@stairgauge/routing";
+import { createColdLimits, createColdSpells, createPlacer } from "./index.js";
+
+export const SERVICE = "writers" as ServiceName;
+const HALL = "h" as DataHallName;
+
+/** Names a server of the service by its number. */
+export const toServerId = (index: number) => `e${index}` as ServerId;
+
+/** Creates the placer of a site with so many servers. */
+export const createTestPlacer = (servers: number, warmUp?: WarmUp) => {
+  const clock = createVirtualClock();
+  const random = createSeededRandom(3);
+  const directory = createServerDirectory({
+    memory: 1_000 as Ms,
+    onEvent: () => undefined,
+  });
+  for (let i = 0; i < servers; i += 1)
+    directory.put(
+      {
+        id: toServerId(i),
+        name: `e${i}` as ServerName,
+        startedAt: undefined,
+        service: SERVICE,
+        address: { host: "10.0.0.1", port: 80 + i },
+        dataHall: HALL,
+        slots: 24,
+        isLeaving: false,
+        warmUpLeft: 0 as Ms,
+      },
+      0 as Ms,
+    );
+  const book = createLoadBook();
+  const spells = createColdSpells({
+    clock,
+    findWarmUp: () => warmUp,
+    listServers: directory.list,
+  });
+  const places = createFleetPlaces(clock);
+  const cold = createColdLimits({
+    clock,
+    places,
+    spells,
+    findWarmUp: () => warmUp,
+    bound: { overage: 1.5, slack: 5 },
+    sendWithin: 400 as Ms,
+    isPlacedByHubs: () => true,
+  });
+  const rests = createServerRests({ clock, random, onEvent: () => undefined });
+  const limits = createServerLimits({
+    clock,
+    agingClock: clock,
+    places,
+    isPlacedByHubs: () => true,
+    isListed: () => true,
+    onOwnNews: () => undefined,
+    onSharedNews: () => undefined,
+    onEvent: () => undefined,
+  });
+  const placer = createPlacer({
+    clock,
+    random,
+    ownHall: HALL,
+    way: ENGINE_WAYS.short_queue,
+    findRegion: (hall) => `region of ${hall}` as RegionName,
+    directory,
+    book,
+    rivals: createRivalRate(),
+    cold,
+    spells,
+    rests,
+    limits,
+    getConnectionShare: () => Infinity,
+    isAlive: () => Promise.resolve(true),
+    onBroken: () => undefined,
+  });
+  return { clock, directory, book, rests, limits, placer };
+};
