test: whether others serve meanwhile is judged by who was turned away and why, not by answers in time

One process plays 14 boxes, the servers and the clients; where it is given too little time connections stay taken, and what comes then is refused at once, as it should be. So a refusal for want of a connection is allowed here, and no other; in its place the tests now ask for the reasons of all refusals and answers with 503, and that no other server was marked as leaving. Shares of answers with 200 in time are gone for the same reason.

--- a/apps/box/src/signSite.testkit.ts
+++ b/apps/box/src/signSite.testkit.ts
@@ -19,6 +19,8 @@
 /** Status of a request that is refused, not run. A busy machine may also be late with one, which is something else. */
 export const REFUSED = 503;
 
+const ENDS: ReadonlySet<unknown> = new Set(["refused", "answered"]);
+
 /** What is asked for, and how often. */
 export type SignCase = Readonly<{
   path: string;
@@ -58,11 +60,25 @@
   }));
 };
 
-/** What share of the requests was answered with success. */
-export const computeServed = async (sent: readonly SentRequest[]): Promise<number> => {
-  const answers = await Promise.all(sent.map(({ answer }) => answer));
-  return answers.filter(({ status }) => status === 200).length / answers.length;
-};
+/** Why boxes refuse for want of a connection to a server: each has its part of them, which a full machine keeps taken for seconds. */
+const NO_CONNECTION_LEFT = "no_server_known";
+
+/** Reasons and statuses by which requests were turned away, by the boxes or by servers; a full machine's doing is left out. */
+export const listTurnedAway = (fleet: readonly FleetBox[]): readonly unknown[] =>
+  fleet
+    .flatMap(({ lines }) => lines)
+    .filter(({ event, status }) => ENDS.has(event) && status === REFUSED)
+    .map(({ event, reason }) => (event === "refused" ? reason : REFUSED))
+    .filter((reason) => reason !== NO_CONNECTION_LEFT);
+
+/** Servers that the boxes give nothing more to. */
+export const listLeaving = (fleet: readonly FleetBox[]): ReadonlySet<unknown> =>
+  new Set(
+    fleet
+      .flatMap(({ lines }) => lines)
+      .filter(({ event }) => event === "server_leaving")
+      .map(({ server }) => server),
+  );
 
 /** Gives the statuses of all answers. */
 export const collectAnswers = async (
