refactor: a rest that holds is found in one place; tests take a box's lines by one log

Read in the whole change once more. createServerRests looked a rest up twice where one begins and judged in three places whether it still holds; findResting does it. The log that hands all lines to a test stood in box.testkit, watchSettings.test and createSigns.test; createLineLog serves all three. No change of behaviour; no assertion touched.

--- a/apps/box/src/box.testkit.ts
+++ b/apps/box/src/box.testkit.ts
@@ -10,6 +10,7 @@
   type UsersSite,
 } from "@stairgauge/standins";
 import { createBox, type Box, type BoxPorts } from "./createBox.js";
+import { createLineLog } from "./lineLog.testkit.js";
 
 /** Ends of what a test started, run after it in reverse. */
 export const closers: (() => unknown)[] = [];
@@ -68,13 +69,7 @@
   const settings = parseBoxSettings(formatSettings(name, store, changes));
   if (settings.err) throw new TypeError(JSON.stringify(settings.val));
   const lines: Line[] = [];
-  const write = (event: string, fields: Line) => lines.push({ event, ...fields });
-  const log = {
-    writeDecision: write,
-    writeNotice: write,
-    writeWarning: write,
-    flush: () => undefined,
-  };
+  const log = createLineLog((event, fields) => lines.push({ event, ...fields }));
   const box = createBox({ settings: settings.val, clock, log });
   const ports = await box.start();
   closers.push(box.stop);
--- a/apps/box/src/createSigns.test.ts
+++ b/apps/box/src/createSigns.test.ts
@@ -17,6 +17,7 @@
 import { NO_SIGNS, type SignSource } from "@stairgauge/signs";
 import { createBoxMetrics } from "@stairgauge/telemetry";
 import { createSigns } from "./createSigns.js";
+import { createLineLog } from "./lineLog.testkit.js";
 
 const ENTRY: ServerEntry = {
   id: "page-1" as ServerId,
@@ -47,12 +48,7 @@
   const clock = createVirtualClock();
   const signs = createSigns({
     clock,
-    log: {
-      writeDecision: write,
-      writeNotice: write,
-      writeWarning: write,
-      flush: () => undefined,
-    },
+    log: createLineLog(write),
     metrics: createBoxMetrics(),
     random: createSeededRandom(44),
     getDirectory: () => directory,
--- a/apps/box/src/watchSettings.test.ts
+++ b/apps/box/src/watchSettings.test.ts
@@ -3,6 +3,7 @@
 import { join } from "node:path";
 import { afterEach, describe, expect, it } from "vitest";
 import { createVirtualClock, type Ms } from "@stairgauge/common";
+import { createLineLog } from "./lineLog.testkit.js";
 import { watchSettings } from "./watchSettings.js";
 
 const makeText = (slack: number | string) => `
@@ -32,12 +33,7 @@
   watchSettings({
     path,
     clock,
-    log: {
-      writeDecision: write,
-      writeNotice: write,
-      writeWarning: write,
-      flush: () => undefined,
-    },
+    log: createLineLog(write),
     onChanged: ({ retries }) => slacks.push(retries.slack),
   });
   return { path, clock, slacks, events };
--- a/packages/rests/src/serverRests.ts
+++ b/packages/rests/src/serverRests.ts
@@ -60,14 +60,13 @@
 
   const begin: ServerRests["begin"] = (server, asked) => {
     const duration = Math.min(asked, MOST_REST_MS) as Ms;
-    const known = rests.get(server);
-    const wasResting = isResting(server);
+    const resting = findResting(server);
     const until = clock.monotonic() + duration + computeSpread(duration);
     // Each answer asks for a time of its own: a shorter one takes nothing from a longer one before it.
-    if (wasResting && known!.until >= until) return;
-    const spared = wasResting ? known!.spared : 0;
+    if (resting && resting.until >= until) return;
+    const spared = resting?.spared ?? 0;
     rests.set(server, { until, spared, isOver: false, mostOpen: FIRST_OPEN });
-    const kind = wasResting ? "prolonged" : "asked";
+    const kind = resting ? "prolonged" : "asked";
     onEvent({ kind, server, duration, until: until as Ms });
   };
 
@@ -79,7 +78,11 @@
     onEvent({ kind: "over", server });
     return over;
   };
-  const isResting = (server: ServerId) => findRest(server)?.isOver === false;
+  const findResting = (server: ServerId): Rest | undefined => {
+    const rest = findRest(server);
+    return rest?.isOver ? undefined : rest;
+  };
+  const isResting = (server: ServerId) => findResting(server) !== undefined;
 
   const recordAnswer: ServerRests["recordAnswer"] = (server, sentAgo) => {
     const rest = findRest(server);
@@ -106,10 +109,10 @@
     },
     isResting,
     takeSpared: (server) => {
-      const rest = findRest(server);
-      if (!rest || rest.isOver) return true;
-      if (rest.spared >= MOST_SPARED) return false;
-      rests.set(server, { ...rest, spared: rest.spared + 1 });
+      const resting = findResting(server);
+      if (!resting) return true;
+      if (resting.spared >= MOST_SPARED) return false;
+      rests.set(server, { ...resting, spared: resting.spared + 1 });
       return true;
     },
     listResting: () => [...rests.keys()].filter(isResting),
