--- a/apps/box/src/createKnowledge.ts
+++ b/apps/box/src/createKnowledge.ts
@@ -123,7 +123,10 @@
       capacity: computeCapacity(settings),
       dataHall: settings.dataHall as DataHallName,
     },
-    store: createStoreReader(store.address),
+    store: createStoreReader({
+      address: store.address,
+      onEraChange: (change) => log.writeNotice("store_era", change),
+    }),
     links,
     hearers: store.hearers,
     mostSilence,
@@ -153,6 +156,7 @@
       wait: tableWait as Ms,
       gather: 0 as Ms,
       sink: mirrors.get(table)!.observe(sink),
+      onStaleRead: (read) => log.writeDecision("stale_read", read),
       ...changes,
     });
 
--- a/packages/storefeed/src/index.ts
+++ b/packages/storefeed/src/index.ts
@@ -7,5 +7,6 @@
   FollowerOptions,
   FollowerSink,
   RevisionMark,
+  StaleRead,
   TableFollower,
 } from "./tableFollower.js";
--- a/packages/storefeed/src/tableFollower.test.ts
+++ b/packages/storefeed/src/tableFollower.test.ts
@@ -71,6 +71,7 @@
     patience: 500 as Ms,
     retryPause: { first: 100 as Ms, most: 400 as Ms },
     revisions: createRevisionMark(),
+    onStaleRead: () => undefined,
     sink: {
       onWhole: (rows, asOf) =>
         told.push(`whole ${rows.map((r) => r.key).join()} as of ${asOf}`),
--- a/packages/storefeed/src/tableFollower.ts
+++ b/packages/storefeed/src/tableFollower.ts
@@ -18,6 +18,15 @@
   onRegained: () => void;
 }>;
 
+/** A whole read that was not taken, since it is older than what the store has shown before. */
+export type StaleRead = Readonly<{
+  table: string;
+  by: AnswerSource["kind"];
+  revision: number;
+  newest: number;
+  inARow: number;
+}>;
+
 /** How a table is followed. */
 export type FollowerOptions = Readonly<{
   table: string;
@@ -35,6 +44,7 @@
   /** The newest revision that any answer of the store has shown to this process. */
   revisions: RevisionMark;
   sink: FollowerSink;
+  onStaleRead: (read: StaleRead) => void;
 }>;
 
 /** The newest revision seen; shared by all followers, since one counter numbers all tables. */
@@ -111,8 +121,18 @@
     (source.kind === "store" ? sentAt : sentAt - source.age) as Ms;
 
   /** The store's answers show the newest revision of all tables; another box tells that of the one table. */
-  const isStale = ({ revision, source }: TableSnapshot, newestBefore: number) =>
-    revision < (source.kind === "store" ? newestBefore : tableRevision);
+  const getNewest = ({ source }: TableSnapshot, newestBefore: number) =>
+    source.kind === "store" ? newestBefore : tableRevision;
+
+  /** Whether a whole read is to be made again instead. */
+  const isPassedOver = (read: TableSnapshot, newestBefore: number): boolean => {
+    const newest = getNewest(read, newestBefore);
+    if (read.revision >= newest || staleReads >= STALE_READS_BORNE) return false;
+    staleReads += 1;
+    const { revision, source } = read;
+    options.onStaleRead({ table, by: source.kind, revision, newest, inARow: staleReads });
+    return true;
+  };
 
   /** Reads the table whole; undefined after a failure or a stale answer. */
   const readWhole = async (): Promise<number | undefined> => {
@@ -127,8 +147,7 @@
       return undefined;
     }
     const { rows, revision, source } = read.val;
-    if (isStale(read.val, newestBefore) && staleReads < STALE_READS_BORNE) {
-      staleReads += 1;
+    if (isPassedOver(read.val, newestBefore)) {
       await waitFor(clock, retryPause.first);
       return undefined;
     }
