test: a server leaves, a key is taken away, after the store came back from a copy; failing

The stand-in of the store can be copied and restored: it cuts all connections, forgets, gives versions out again, answers 410 to a read from one that it doesn't have, and raises Store-Era. Whole boxes with the product's own pauses: with short ones the fault hides.

--- a/apps/box/src/box.testkit.ts
+++ b/apps/box/src/box.testkit.ts
@@ -38,6 +38,8 @@
   isKeyRemovalStrict?: boolean;
   /** Repeats that all boxes may make in a window; their share of the requests is then none. */
   retrySlack?: number;
+  /** How long a box waits before it reads a table of the store again. */
+  storePauses?: Readonly<{ firstMs: number; mostMs: number }>;
   /** Further settings, as lines of the file. */
   more?: string;
 }>;
@@ -45,11 +47,16 @@
 /** How long a box may still accept a key that was taken away. */
 export const KEY_REMOVAL_MS = 1300;
 
+const SHORT_PAUSES = { firstMs: 20, mostMs: 50 } as const;
+
+const formatStore = (address: string, { storePauses = SHORT_PAUSES }: BoxChanges) =>
+  `store: { address: "${address}", configurationWaitMs: 200, patienceMs: 200, firstPauseMs: ${storePauses.firstMs}, mostPauseMs: ${storePauses.mostMs} }`;
+
 const formatSettings = (box: string, store: string, changes: BoxChanges) => `
 box: ${box}
 dataHall: hall-a
 listen: { clients: "127.0.0.1:0", ready: "127.0.0.1:0", metrics: "127.0.0.1:0", peers: "127.0.0.1:0" }
-store: { address: "${store}", configurationWaitMs: 200, patienceMs: 200, firstPauseMs: 20, mostPauseMs: 50 }
+${formatStore(store, changes)}
 bounds: { configurationMs: 600, keyRemovalMs: ${KEY_REMOVAL_MS}, isKeyRemovalStrict: ${changes.isKeyRemovalStrict ?? true}, leavingMs: 2000, stopSeconds: ${changes.stopSeconds ?? SHORT_STOP_SECONDS} }
 retries: { ratio: ${changes.retrySlack === undefined ? 0.2 : 0}, slack: ${changes.retrySlack ?? 160}, windowSeconds: 10 }
 engines: { reportIntervalMs: 50 }
--- a/apps/box/src/fleet.testkit.ts
+++ b/apps/box/src/fleet.testkit.ts
@@ -10,17 +10,18 @@
   boxes: number;
   /** Servers that each of them has to know. */
   servers: number;
+  changes?: BoxChanges;
 }>;
 
 /** Keys are not what these tests are about: a busy machine may hold a box up for longer than its knowledge of them lasts. */
 const SETTINGS: BoxChanges = { isKeyRemovalStrict: false };
 
 /** Starts the boxes, and waits until they know each other; `start` adds one more. */
-export const startFleet = async ({ store, boxes, servers }: FleetOptions) => {
+export const startFleet = async ({ store, boxes, servers, changes }: FleetOptions) => {
   let started = 0;
   const start = async (): Promise<FleetBox> => {
     started += 1;
-    const box = await startBox(store, `box-${started}`, SETTINGS);
+    const box = await startBox(store, `box-${started}`, { ...SETTINGS, ...changes });
     await waitUntilKnown(box.lines, servers);
     return box;
   };
--- a/apps/box/src/signSite.testkit.ts
+++ b/apps/box/src/signSite.testkit.ts
@@ -11,7 +11,14 @@
   type SayingChoice,
   type UsersSite,
 } from "@stairgauge/standins";
-import { ask, closers, makeGeneration, waitMs, type Answer } from "./box.testkit.js";
+import {
+  ask,
+  closers,
+  makeGeneration,
+  waitMs,
+  type Answer,
+  type BoxChanges,
+} from "./box.testkit.js";
 import { startFleet, type FleetBox } from "./fleet.testkit.js";
 
 const SERVERS = 4;
@@ -28,6 +35,7 @@
   boxes: number;
   /** Requests a second, spread over the boxes. */
   perSecond: number;
+  changes?: BoxChanges;
 }>;
 
 /** A request that was sent, and what became of it. */
@@ -111,6 +119,7 @@
   kind,
   boxes,
   perSecond,
+  changes = {},
 }: SignCase): Promise<SignSite> => {
   const site = await startUsersSite({ engines: 0, services: 0 });
   closers.push(site.close);
@@ -122,7 +131,12 @@
   closers.push(servers.close);
   site.putConfiguration();
   const store = site.store.address;
-  const { fleet, start } = await startFleet({ store, boxes, servers: SERVERS });
+  const { fleet, start } = await startFleet({
+    store,
+    boxes,
+    servers: SERVERS,
+    changes,
+  });
 
   let sequence = 0;
   const send = (): SentRequest => {
--- a/packages/standins/src/usersPlatform/usersStore.ts
+++ b/packages/standins/src/usersPlatform/usersStore.ts
@@ -1,11 +1,19 @@
-/** A stand-in of the users' store: rows with one counter of revisions, a feed, and the faults that it may have. */
+/** A stand-in of the users' store: rows with one counter of versions, a feed, and the faults that it may have. */
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
-import { STORE_PATH } from "@stairgauge/platform";
+import { HEADER, STORE_PATH } from "@stairgauge/platform";
 import { listenOnLoopback, readWhole, sendJson, type Listening } from "./loopback.js";
 
 /** What the store does with calls. */
 export type StoreMode = "up" | "busy" | "many" | "silent" | "reset";
 
+type StoredRow = Readonly<{ key: string; value: string; ver: number; gone: boolean }>;
+
+/** The store as it was at one moment. */
+export type StoreCopy = Readonly<{
+  tables: ReadonlyMap<string, ReadonlyMap<string, StoredRow>>;
+  revision: number;
+}>;
+
 /** The store and its operator's hand. */
 export type UsersStore = Listening &
   Readonly<{
@@ -20,9 +28,15 @@
     giveStaleReads: (count: number) => void;
     listKeys: (table: string) => readonly string[];
     countCalls: () => number;
+    copy: () => StoreCopy;
+    /** Comes back from a copy: cuts all connections, forgets what came since, and gives its versions out again. */
+    restore: (copy: StoreCopy) => void;
+    /** Gives out so many versions for rows that nobody reads. */
+    spendVersions: (count: number) => void;
+    /** From now on answers tell this era; undefined: none. */
+    setEra: (era: string | undefined) => void;
   }>;
 
-type StoredRow = Readonly<{ key: string; value: string; ver: number; gone: boolean }>;
 type Waiting = Readonly<{ table: string; since: number; answer: () => void }>;
 
 const encodeValue = (value: unknown) =>
@@ -39,6 +53,8 @@
   let staleReads = 0;
   let previous: readonly StoredRow[] = [];
   let calls = 0;
+  let restores = 0;
+  let toldEra: string | undefined = String(restores);
 
   const getTable = (name: string) => {
     const table = tables.get(name) ?? new Map<string, StoredRow>();
@@ -83,7 +99,7 @@
   const awaitChanges = (response: ServerResponse, query: URLSearchParams) => {
     const table = query.get("table") ?? "";
     const since = Number(query.get("sinceRev"));
-    if (since < historyFrom) {
+    if (since < historyFrom || since > revision) {
       sendJson(response, 410, {});
       return;
     }
@@ -127,6 +143,7 @@
 
   const handle = (incoming: IncomingMessage, response: ServerResponse) => {
     calls += 1;
+    if (toldEra !== undefined) response.setHeader(HEADER.storeEra, toldEra);
     if (mode === "silent") return;
     if (mode === "reset") {
       incoming.socket.resetAndDestroy();
@@ -144,7 +161,8 @@
     else sendJson(response, 404, {});
   };
 
-  const listening = await listenOnLoopback(createServer(handle));
+  const server = createServer(handle);
+  const listening = await listenOnLoopback(server);
   return {
     ...listening,
     put: (table, key, value) => put(table, key, encodeValue(value)),
@@ -168,5 +186,25 @@
         .filter(({ gone }) => !gone)
         .map(({ key }) => key),
     countCalls: () => calls,
+    copy: () => ({
+      tables: new Map([...tables].map(([name, table]) => [name, new Map(table)])),
+      revision,
+    }),
+    restore: (copy) => {
+      tables.clear();
+      for (const [name, table] of copy.tables) tables.set(name, new Map(table));
+      revision = copy.revision;
+      historyFrom = 0;
+      restores += 1;
+      toldEra = String(restores);
+      waiting.clear();
+      server.closeAllConnections();
+    },
+    spendVersions: (count) => {
+      revision += count;
+    },
+    setEra: (era) => {
+      toldEra = era;
+    },
   };
 };
