--- a/apps/box/src/storeDrill.testkit.ts
+++ b/apps/box/src/storeDrill.testkit.ts
@@ -31,7 +31,7 @@
 export type LostWork = (site: UsersSite) => void;
 
 /** Plays a drill through to the store's return. */
-export const drillStore = async (
+export const runDrill = async (
   { site }: Pick<SignSite, "site">,
   drill: Drill = DRILL,
   doLostWork: LostWork = () => undefined,
--- a/apps/box/src/storeRestored.test.ts
+++ b/apps/box/src/storeRestored.test.ts
@@ -11,7 +11,7 @@
   type SignCase,
   type SignSite,
 } from "./signSite.testkit.js";
-import { DRILL, drillStore, OWN_PAUSES, type Drill } from "./storeDrill.testkit.js";
+import { DRILL, runDrill, OWN_PAUSES, type Drill } from "./storeDrill.testkit.js";
 
 const PLAIN: SignCase = {
   path: "/once/",
@@ -48,7 +48,7 @@
     "gets nothing later than the bound: %s",
     async (_, signCase, drill) => {
       const site = await startSignSite(signCase);
-      await drillStore(site, drill);
+      await runDrill(site, drill);
       await waitMs(SETTLED_MS);
       site.site.store.drop(TABLE.servers, LEFT_NAME);
       expect(await listLate(site, performance.now())).toEqual([]);
@@ -63,7 +63,7 @@
     "opens nothing later than the bound: %s",
     async (_, signCase, drill) => {
       const site = await startSignSite(signCase);
-      await drillStore(site, drill);
+      await runDrill(site, drill);
       await waitMs(SETTLED_MS);
       site.site.putConfiguration({ tenants: [] });
       await waitMs(LEAVING_MS);
