--- a/packages/peers/src/sharedKnowledge.testkit.ts
+++ b/packages/peers/src/sharedKnowledge.testkit.ts
@@ -255,7 +255,7 @@
       patience: 1_600 as Ms,
       retryPause: { first: 100 as Ms, most: 500 as Ms },
       revisions: createRevisionMark(),
-    onStaleRead: () => undefined,
+      onStaleRead: () => undefined,
       sink,
     });
   });
