--- a/apps/box/src/createKnowledge.ts
+++ b/apps/box/src/createKnowledge.ts
@@ -125,7 +125,7 @@
     },
     store: createStoreReader({
       address: store.address,
-      onEraChange: (change) => log.writeNotice("store_era", change),
+      onEraFault: (fault) => log.writeWarning("store_era_fault", fault),
     }),
     links,
     hearers: store.hearers,
@@ -138,6 +138,10 @@
       log.writeDecision("box_not_asked", { peer: box, reason }),
   });
   const revisions = createRevisionMark();
+  revisions.watchEra((change) => {
+    const { table, by, before, revision: after } = change;
+    log.writeNotice("store_era_changed", { table, by, before, after });
+  });
   const retryPause = { first: store.firstPauseMs as Ms, most: store.mostPauseMs as Ms };
   const follow = (
     table: string,
--- a/apps/box/src/storeRestored.test.ts
+++ b/apps/box/src/storeRestored.test.ts
@@ -20,6 +20,8 @@
   perSecond: 60,
   changes: OWN_PAUSES,
 };
+const SEVEN: SignCase = { ...PLAIN, boxes: 7 };
+const MANY: SignCase = { ...PLAIN, boxes: 14, perSecond: 120 };
 
 /** From the store's return to what happens then. */
 const SETTLED_MS = 500;
@@ -41,6 +43,14 @@
 
 const CASES: readonly (readonly [string, SignCase, Drill])[] = [
   ["versions lower by 30", PLAIN, DRILL],
+  ["versions lower by 2", PLAIN, { ...DRILL, lostVersions: 2 }],
+  ["only cut, 7 boxes", SEVEN, { ...DRILL, awayMs: 0 }],
+  [
+    "silent for 2 s, 14 boxes",
+    MANY,
+    { ...DRILL, awayMs: 2_000, mode: "silent", lostVersions: 200 },
+  ],
+  ["versions caught up before a box asks", PLAIN, { ...DRILL, regainedVersions: 400 }],
 ];
 
 describe("a server that leaves after the store came back from a copy", () => {
--- a/apps/box/src/suspendedBox.test.ts
+++ b/apps/box/src/suspendedBox.test.ts
@@ -13,7 +13,11 @@
   type Ms,
 } from "@stairgauge/common";
 import { createHubAsker } from "@stairgauge/peers";
-import { createTableMirror, type FollowerSink } from "@stairgauge/storefeed";
+import {
+  createTableMirror,
+  makeRevision,
+  type FollowerSink,
+} from "@stairgauge/storefeed";
 import {
   ask,
   closers,
@@ -73,7 +77,7 @@
     const { clock, passSuspended } = createSuspendableClock();
     const aging = toAgingClock(clock);
     const mirror = createTableMirror(aging);
-    mirror.observe(SINK).onWhole([], aging.monotonic(), 1);
+    mirror.observe(SINK).onWhole([], aging.monotonic(), makeRevision(1, 1));
     passSuspended(SUSPENDED_MS);
     expect(mirror.getAge()).toBeGreaterThanOrEqual(SUSPENDED_MS);
   });
--- a/packages/crashes/src/blockedList.test.ts
+++ b/packages/crashes/src/blockedList.test.ts
@@ -8,9 +8,11 @@
   type Result,
 } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
-import type { StoreWriteFailure } from "@stairgauge/storefeed";
+import { makeRevision, type StoreWriteFailure } from "@stairgauge/storefeed";
 import { createBlockedList, createRequestGuard, type RequestDigest } from "./index.js";
 
+const toRevision = (version: number) => makeRevision(1, version);
+
 const DIGEST = "0123456789abcdef0123456789abcdef" as RequestDigest;
 const MEMORY_MS = 3_600_000 as Ms;
 
@@ -53,7 +55,11 @@
       guard.recordEnd({ digest: DIGEST, server: server as ServerId }),
     );
   const judge = () => guard.judge(() => DIGEST).kind;
-  const makeRow = (value = values.get(DIGEST)!) => ({ key: DIGEST, value, revision: 1 });
+  const makeRow = (value = values.get(DIGEST)!) => ({
+    key: DIGEST,
+    value,
+    revision: toRevision(1),
+  });
   return {
     clock,
     calls,
@@ -78,7 +84,7 @@
     await advanceSettled(box.clock, 4_500 as Ms);
     expect(box.calls).toEqual([`put ${DIGEST}`, `put ${DIGEST}`, `put ${DIGEST}`]);
     expect(box.failures.length).toBe(3);
-    box.list.sink.onWhole([box.makeRow()], 0 as Ms, 1);
+    box.list.sink.onWhole([box.makeRow()], 0 as Ms, toRevision(1));
     await advanceSettled(box.clock, 10_000 as Ms);
     expect(box.calls.length).toBe(3);
   });
@@ -88,7 +94,7 @@
     first.recordEnds(["a", "b", "c"]);
     const later = createBox();
     later.clock.advance(600_000 as Ms);
-    later.list.sink.onWhole([first.makeRow()], 0 as Ms, 1);
+    later.list.sink.onWhole([first.makeRow()], 0 as Ms, toRevision(1));
     expect(later.guard.judge(() => DIGEST)).toEqual({
       kind: "blocked",
       ends: 3,
@@ -102,9 +108,10 @@
     (how) => {
       const box = createBox();
       box.recordEnds(["a", "b", "c"]);
-      box.list.sink.onWhole([box.makeRow()], 0 as Ms, 1);
-      if (how === "onWhole") box.list.sink.onWhole([], 0 as Ms, 2);
-      else box.list.sink.onChanges([{ kind: "gone", key: DIGEST }], 0 as Ms, 2);
+      box.list.sink.onWhole([box.makeRow()], 0 as Ms, toRevision(1));
+      if (how === "onWhole") box.list.sink.onWhole([], 0 as Ms, toRevision(2));
+      else
+        box.list.sink.onChanges([{ kind: "gone", key: DIGEST }], 0 as Ms, toRevision(2));
       expect(box.judge()).toBe("unsuspected");
     },
   );
@@ -112,14 +119,14 @@
   it("does not take a row that has not been written yet for one that was dropped", () => {
     const box = createBox();
     box.recordEnds(["a", "b", "c"]);
-    box.list.sink.onWhole([], 0 as Ms, 1);
+    box.list.sink.onWhole([], 0 as Ms, toRevision(1));
     expect(box.judge()).toBe("blocked");
   });
 
   it("takes a request off that a server has served", async () => {
     const box = createBox();
     box.recordEnds(["a", "b", "c"]);
-    box.list.sink.onWhole([box.makeRow()], 0 as Ms, 1);
+    box.list.sink.onWhole([box.makeRow()], 0 as Ms, toRevision(1));
     box.guard.recordServed(() => DIGEST);
     await advanceSettled(box.clock, 100 as Ms);
     expect(box.calls.at(-1)).toBe(`drop ${DIGEST}`);
@@ -131,7 +138,7 @@
       const box = createBox({ isKeeper });
       box.recordEnds(["a", "b", "c"]);
       box.list.start();
-      box.list.sink.onWhole([box.makeRow()], 0 as Ms, 1);
+      box.list.sink.onWhole([box.makeRow()], 0 as Ms, toRevision(1));
       await advanceSettled(box.clock, MEMORY_MS);
       await advanceSettled(box.clock, 120_000 as Ms);
       expect(box.calls.includes(`drop ${DIGEST}`)).toBe(isKeeper);
@@ -143,7 +150,7 @@
     "names a row it can't read: %j",
     (text) => {
       const box = createBox();
-      box.list.sink.onWhole([box.makeRow(Buffer.from(text))], 0 as Ms, 1);
+      box.list.sink.onWhole([box.makeRow(Buffer.from(text))], 0 as Ms, toRevision(1));
       expect(box.failures).toEqual([{ kind: "unreadable_request", key: DIGEST }]);
       expect(box.judge()).toBe("unsuspected");
     },
@@ -153,7 +160,7 @@
     const box = createBox();
     box.recordEnds(["a", "b", "c"]);
     const row = { ...box.makeRow(box.values.get(DIGEST)), key: "x" };
-    box.list.sink.onWhole([row], 0 as Ms, 1);
+    box.list.sink.onWhole([row], 0 as Ms, toRevision(1));
     expect(box.failures).toEqual([{ kind: "unreadable_request", key: "x" }]);
     expect(box.guard.judge(() => "x" as RequestDigest).kind).toBe("unsuspected");
   });
--- a/packages/fleet/src/followServers.test.ts
+++ b/packages/fleet/src/followServers.test.ts
@@ -16,7 +16,7 @@
   type ServerId,
   type ServerName,
 } from "@stairgauge/directory";
-import type { FollowerSink, StoredRow } from "@stairgauge/storefeed";
+import { makeRevision, type FollowerSink, type StoredRow } from "@stairgauge/storefeed";
 import { createServerSink } from "./followServers.js";
 
 const SERVICE = "writers" as ServiceName;
@@ -37,10 +37,11 @@
 const toRow = (key: string, text = "ready"): StoredRow => ({
   key,
   value: Buffer.from(text),
-  revision: 1,
+  revision: toRevision(1),
 });
 
-const REVISION = 1;
+const toRevision = (version: number) => makeRevision(1, version);
+const REVISION = toRevision(1);
 
 describe("the list of servers around an outage of the store", () => {
   let clock: VirtualClock;
@@ -91,15 +92,15 @@
   });
 
   it("sends nothing new where an entry has turned unreadable, and tells each change of it once", () => {
-    const odd = { ...toRow("a", "odd"), revision: 7 };
+    const odd = { ...toRow("a", "odd"), revision: toRevision(7) };
     for (let i = 0; i < 2; i += 1)
-      sink.onChanges([{ kind: "put", row: odd }], clock.monotonic(), 7);
-    sink.onWhole([odd, toRow("b")], clock.monotonic(), 8);
+      sink.onChanges([{ kind: "put", row: odd }], clock.monotonic(), toRevision(7));
+    sink.onWhole([odd, toRow("b")], clock.monotonic(), toRevision(8));
     expect(listReady()).toEqual(["b"]);
     expect(left).toEqual([]);
     expect(told).toEqual(["unreadable a"]);
     sink.onChanges(
-      [{ kind: "put", row: { ...odd, revision: 9 } }],
+      [{ kind: "put", row: { ...odd, revision: toRevision(9) } }],
       clock.monotonic(),
       REVISION,
     );
@@ -109,8 +110,12 @@
   });
 
   it("takes an unreadable entry that is dropped as gone", () => {
-    sink.onChanges([{ kind: "put", row: toRow("a", "odd") }], clock.monotonic(), 7);
-    sink.onChanges([{ kind: "gone", key: "a" }], clock.monotonic(), 8);
+    sink.onChanges(
+      [{ kind: "put", row: toRow("a", "odd") }],
+      clock.monotonic(),
+      toRevision(7),
+    );
+    sink.onChanges([{ kind: "gone", key: "a" }], clock.monotonic(), toRevision(8));
     expect(left).toEqual(["a"]);
   });
 
--- a/packages/fleet/src/followServers.ts
+++ b/packages/fleet/src/followServers.ts
@@ -6,7 +6,13 @@
   ServerId,
   ServerName,
 } from "@stairgauge/directory";
-import type { FollowerSink, StoredRow, StoreFailure } from "@stairgauge/storefeed";
+import {
+  compareRevisions,
+  type FollowerSink,
+  type StoredRow,
+  type StoreFailure,
+  type StoreRevision,
+} from "@stairgauge/storefeed";
 import { createLapsedEntries } from "./lapsedEntries.js";
 
 /** Living servers put a lapsed entry back about this long after the store's return; from the users' pages. */
@@ -46,9 +52,10 @@
   });
 
   /** Revisions of the rows that cannot be used, so that each change of one is told once. */
-  const unreadable = new Map<string, number>();
+  const unreadable = new Map<string, StoreRevision>();
   const tellUnreadable = ({ key, revision }: StoredRow, failure: unknown) => {
-    if (unreadable.get(key) === revision) return;
+    const told = unreadable.get(key);
+    if (told && compareRevisions(told, revision) === 0) return;
     unreadable.set(key, revision);
     onEvent({ kind: "unreadable", server: key, failure });
   };
--- a/packages/peers/src/answerTable.ts
+++ b/packages/peers/src/answerTable.ts
@@ -3,6 +3,9 @@
 import type { TableMirror } from "@stairgauge/storefeed";
 import type { TableAnswer, TableQuestion } from "./types.js";
 
+/** How long a box that is behind who asks it waits until it has read the table itself. */
+const BEHIND_WAIT_MS = 200 as Ms;
+
 /** What a box answers from. */
 export type AnswerSources = Readonly<{
   mirrors: ReadonlyMap<string, TableMirror>;
@@ -24,6 +27,7 @@
   // A box that has heard nothing yet has no age to tell.
   if (!mirror || pulse.readWhole().err) return { kind: "not_known" };
   if (question.kind === "whole") {
+    await mirror.awaitState({ atLeast: question.atLeast, wait: BEHIND_WAIT_MS });
     const read = mirror.readWhole();
     if (read.err) return read.val;
     const { rows, revision, source } = read.val;
--- a/packages/peers/src/peers.test.ts
+++ b/packages/peers/src/peers.test.ts
@@ -14,7 +14,12 @@
 import { NO_CRASH_NEWS, type CrashNews, type RequestDigest } from "@stairgauge/crashes";
 import type { ServerId } from "@stairgauge/directory";
 import type { LimitNews } from "@stairgauge/limits";
-import { createTableMirror, type TableMirror } from "@stairgauge/storefeed";
+import {
+  BEFORE_ALL,
+  createTableMirror,
+  makeRevision,
+  type TableMirror,
+} from "@stairgauge/storefeed";
 import { createLoadBook, type EngineReport, type PlacedRun } from "@stairgauge/placement";
 import {
   answerTable,
@@ -39,6 +44,8 @@
 import { decodeAnswer, decodeQuestion, encodeAnswer } from "./tableCodec.js";
 import { decodeUpdate, encodeUpdate } from "./updateCodec.js";
 
+const toRevision = (version: number) => makeRevision(1, version);
+
 const server = "e1" as ServerId;
 const DIGEST = "0123456789abcdef0123456789abcdef" as RequestDigest;
 const KNOWN_CRASHES: CrashNews = {
@@ -416,7 +423,7 @@
     silencer.stopAll();
     here.book.addRun(server, makeRun("unheard"));
     const given = new AbortController();
-    const question = { kind: "whole", table: "t" } as const;
+    const question = { kind: "whole", table: "t", atLeast: BEFORE_ALL } as const;
     const unanswered = here.links.ask(there.peer.box, question, given.signal);
     given.abort();
     expect((await unanswered).val).toMatchObject({ kind: "failed" });
@@ -483,7 +490,7 @@
 });
 
 describe("boxes that ask each other for a table", () => {
-  const row = { key: "k", value: Buffer.from([0, 200]), revision: 4 };
+  const row = { key: "k", value: Buffer.from([0, 200]), revision: toRevision(4) };
   const takeNothing = () => undefined;
   const NOBODY = {
     onWhole: takeNothing,
@@ -500,28 +507,42 @@
     await waitFor(() => here.links.listUp().length === 1);
     const ask = (question: TableQuestion) =>
       here.links.ask(there.peer.box, question, signal);
-    const whole = { kind: "whole", table: "t" } as const;
+    const whole = { kind: "whole", table: "t", atLeast: BEFORE_ALL } as const;
     expect((await ask(whole)).val).toEqual({ kind: "not_known" });
     const clock = createSystemClock();
     const mirror = createTableMirror(clock);
     there.mirrors.set("t", mirror);
     expect((await ask(whole)).val).toEqual({ kind: "not_known" });
     const sink = mirror.observe(NOBODY);
-    there.pulse.observe(NOBODY).onWhole([], clock.monotonic(), 1);
-    sink.onWhole([row], (clock.monotonic() - 50) as Ms, 7);
+    there.pulse.observe(NOBODY).onWhole([], clock.monotonic(), toRevision(1));
+    sink.onWhole([row], (clock.monotonic() - 50) as Ms, toRevision(7));
     const read = await ask(whole);
-    expect(read.val).toMatchObject({ kind: "whole", rows: [row], revision: 7 });
+    expect(read.val).toMatchObject({
+      kind: "whole",
+      rows: [row],
+      revision: toRevision(7),
+    });
     expect(read.ok && read.val.kind === "whole" && read.val.age).toBeGreaterThanOrEqual(
       50,
     );
-    const news = ask({ kind: "changes", table: "t", since: 7, wait: 60_000 as Ms });
-    sink.onChanges([{ kind: "gone", key: "k" }], clock.monotonic(), 9);
+    const news = ask({
+      kind: "changes",
+      table: "t",
+      since: toRevision(7),
+      wait: 60_000 as Ms,
+    });
+    sink.onChanges([{ kind: "gone", key: "k" }], clock.monotonic(), toRevision(9));
     expect((await news).val).toMatchObject({
       kind: "changes",
       changes: [{ kind: "gone", key: "k" }],
-      revision: 9,
+      revision: toRevision(9),
     });
-    const behind = { kind: "changes", table: "t", since: 3, wait: 0 as Ms } as const;
+    const behind = {
+      kind: "changes",
+      table: "t",
+      since: toRevision(3),
+      wait: 0 as Ms,
+    } as const;
     expect((await ask(behind)).val).toEqual({ kind: "history_gone" });
   });
 
@@ -530,8 +551,8 @@
     clock.advance(10_000 as Ms);
     const pulse = createTableMirror(clock);
     const other = createTableMirror(clock);
-    pulse.observe(NOBODY).onWhole([], 7_000 as Ms, 1);
-    other.observe(NOBODY).onWhole([], 9_900 as Ms, 1);
+    pulse.observe(NOBODY).onWhole([], 7_000 as Ms, toRevision(1));
+    other.observe(NOBODY).onWhole([], 9_900 as Ms, toRevision(1));
     const sources = {
       mirrors: new Map([
         ["pulse", pulse],
@@ -540,16 +561,20 @@
       pulse,
       mostSilence: MOST_SILENCE,
     };
-    const whole = await answerTable(sources, { kind: "whole", table: "other" });
+    const whole = await answerTable(sources, {
+      kind: "whole",
+      table: "other",
+      atLeast: BEFORE_ALL,
+    });
     expect(whole).toMatchObject({ age: 100, silence: 3_000 });
-    const question = { kind: "changes", table: "other", since: 1 } as const;
+    const question = { kind: "changes", table: "other", since: toRevision(1) } as const;
     const news = await answerTable(sources, { ...question, wait: 60_000 as Ms });
     expect(news).toMatchObject({ changes: [], age: 100, silence: 3_000 });
   });
 
   it("says that there is no link, that a call failed, and that it was given up", async () => {
     const here = openTeller();
-    const question = { kind: "whole", table: "t" } as const;
+    const question = { kind: "whole", table: "t", atLeast: BEFORE_ALL } as const;
     const nobody = "nobody" as BoxName;
     expect((await here.links.ask(nobody, question, signal)).val).toEqual({
       kind: "no_link",
@@ -560,12 +585,12 @@
     const mirror = createTableMirror(createSystemClock());
     there.mirrors.set("t", mirror);
     const now = createSystemClock().monotonic();
-    mirror.observe(NOBODY).onWhole([], now, 1);
-    there.pulse.observe(NOBODY).onWhole([], now, 1);
+    mirror.observe(NOBODY).onWhole([], now, toRevision(1));
+    there.pulse.observe(NOBODY).onWhole([], now, toRevision(1));
     const call = new AbortController();
     const waiting = here.links.ask(
       there.peer.box,
-      { kind: "changes", table: "t", since: 1, wait: 60_000 as Ms },
+      { kind: "changes", table: "t", since: toRevision(1), wait: 60_000 as Ms },
       call.signal,
     );
     call.abort();
@@ -575,7 +600,7 @@
 
 describe("tableCodec", () => {
   const KEY = fc.string({ maxLength: 20 });
-  const REVISION = fc.nat();
+  const REVISION = fc.tuple(fc.nat(), fc.nat()).map(([era, n]) => makeRevision(era, n));
   const ROW = fc.record({
     key: KEY,
     value: fc.uint8Array({ maxLength: 40 }).map((bytes) => Buffer.from(bytes)),
@@ -623,8 +648,8 @@
     const value = Buffer.from(JSON.stringify({ version: 7, routes }));
     const answer = {
       kind: "changes",
-      changes: [{ kind: "put", row: { key: "config", value, revision: 7 } }],
-      revision: 7,
+      changes: [{ kind: "put", row: { key: "config", value, revision: toRevision(7) } }],
+      revision: toRevision(7),
       age: 3 as Ms,
       silence: 3 as Ms,
     } as const;
@@ -709,7 +734,7 @@
   const toRow = (box: string, address: unknown) => ({
     key: box,
     value: Buffer.from(JSON.stringify(address)),
-    revision: 1,
+    revision: toRevision(1),
   });
 
   it("puts its row, tells who is there, and names a row that cannot be read", async () => {
@@ -738,9 +763,9 @@
     membership.sink.onWhole(
       [toRow("a", own.address), toRow("b", { host: "10.0.0.2", port: 7 }), toRow("c", 4)],
       0 as Ms,
-      1,
+      toRevision(1),
     );
-    membership.sink.onChanges([{ kind: "gone", key: "b" }], 1 as Ms, 1);
+    membership.sink.onChanges([{ kind: "gone", key: "b" }], 1 as Ms, toRevision(1));
     await membership.leave();
     expect(written).toEqual(["put a", "drop a"]);
     expect(peers).toEqual([["a", "b"], ["a"]]);
--- a/packages/peers/src/sharedKnowledge.test.ts
+++ b/packages/peers/src/sharedKnowledge.test.ts
@@ -54,6 +54,33 @@
     ),
   }));
 
+/** Drills of the store, one or two after each other, and changes that come before, while and after. */
+const DRILL_DAY = fc.record({
+  seed: fc.nat(),
+  changes: fc
+    .array(TIME, { minLength: 1, maxLength: 5 })
+    .map((times) => times.toSorted((a, b) => a - b)),
+  drills: fc
+    .array(
+      fc.record({
+        pause: fc.integer({ min: 1, max: 4_000 }),
+        away: fc.integer({ min: 0, max: 2_500 }),
+        copyAge: fc.integer({ min: 0, max: 3_000 }),
+        otherVersions: fc.nat(6),
+        rewriteAfter: fc.integer({ min: 1, max: 1_500 }),
+      }),
+      { minLength: 1, maxLength: 2 },
+    )
+    .map((list) => {
+      let end = 0;
+      return list.map(({ pause, away, ...rest }) => {
+        const from = end + pause;
+        end = from + away;
+        return { ...rest, from, until: end };
+      });
+    }),
+});
+
 describe("rankHearers", () => {
   it("names the same boxes whatever the order in which they are known", () => {
     expect(rankHearers(members.toReversed(), 3)).toEqual(rankHearers(members, 3));
@@ -189,6 +216,21 @@
       expect(asOf).toBeLessThanOrEqual(2_005);
   });
 
+  it("hear what is written again after the store came back from a copy, and lose nothing that they knew (property)", async () => {
+    await fc.assert(
+      fc.asyncProperty(DRILL_DAY, async ({ seed, changes, drills }) => {
+        const world = createWorld({ seed, boxes: BOXES, changes, troubles: [], drills });
+        world.start();
+        const rewritten = drills.map(({ until, rewriteAfter }) => until + rewriteAfter);
+        await world.runUntil(Math.max(...changes, ...rewritten) + BOUND_MS);
+        world.stop();
+        expect(world.knownBy).toEqual(world.knownBy.map(() => changes.length));
+        for (const { asOf, at } of world.claims) expect(asOf).toBeLessThanOrEqual(at);
+      }),
+      { seed: 15, numRuns: 300 },
+    );
+  }, 120_000);
+
   it("leave the calls to the store to two of them", async () => {
     const world = createWorld({ seed: 5, boxes: 12, changes: [50], troubles: [] });
     world.start();
--- a/packages/peers/src/sharedKnowledge.testkit.ts
+++ b/packages/peers/src/sharedKnowledge.testkit.ts
@@ -13,10 +13,12 @@
   createRevisionMark,
   createTableFollower,
   createTableMirror,
+  makeRevision,
   type FollowerSink,
   type RowChange,
   type StoredRow,
   type StoreReader,
+  type StoreRevision,
 } from "@stairgauge/storefeed";
 import { chooseLinks } from "./hubs.js";
 import { answerTable, createSharedReader } from "./index.js";
@@ -46,12 +48,26 @@
   until: number;
 }>;
 
+/** Times in ms of the world. */
+export type StoreDrill = Readonly<{
+  from: number;
+  until: number;
+  /** How old the copy is when the store goes away. */
+  copyAge: number;
+  /** Versions given out to others between the return and the operator's writing. */
+  otherVersions: number;
+  /** From the return to the operator's writing. */
+  rewriteAfter: number;
+}>;
+
 export type WorldOptions = Readonly<{
   seed: number;
   boxes: number;
   /** Times at which the operator changes the row. */
   changes: readonly number[];
   troubles: readonly Trouble[];
+  /** The store is away, and comes back from a copy; its operator writes again what was lost. */
+  drills?: readonly StoreDrill[];
   /** Boxes are linked to the hubs only, by links that come up after this time. */
   hubLinksUpAt?: number;
 }>;
@@ -71,7 +87,7 @@
   Number(row?.value.toString() ?? 0);
 
 export const createWorld = (options: WorldOptions) => {
-  const { seed, boxes, changes, troubles, hubLinksUpAt } = options;
+  const { seed, boxes, changes, troubles, drills = [], hubLinksUpAt } = options;
   const world = createVirtualClock();
   const random: Random = createSeededRandom(seed);
   const claims: Claim[] = [];
@@ -87,14 +103,47 @@
         world.now() < one.until,
     );
 
+  let written = 0;
   let count = 0;
+  let revision = makeRevision(1, 0);
+  let rowRevision = revision;
+  let isAway = false;
   const waiting = new Set<() => void>();
-  const makeRow = (): StoredRow => ({ key: KEY, value: toValue(count), revision: count });
+  const openCalls = new Set<() => void>();
+  const makeRow = (): StoredRow => ({
+    key: KEY,
+    value: toValue(count),
+    revision: rowRevision,
+  });
+  const writeRow = () => {
+    count = written;
+    revision = makeRevision(revision.era, revision.version + 1);
+    rowRevision = revision;
+    for (const end of [...waiting]) end();
+  };
   for (const at of changes)
     world.setTimer(at as Ms, () => {
-      count += 1;
-      for (const end of [...waiting]) end();
+      written += 1;
+      // While the store is away its operator tries on, and writes when it is back.
+      if (!isAway) writeRow();
     });
+  const recoverStore = (drill: StoreDrill) => {
+    isAway = false;
+    const copied = changes.filter((at) => at <= drill.from - drill.copyAge).length;
+    count = Math.min(count, copied);
+    rowRevision = makeRevision(revision.era + 1, count);
+    revision = makeRevision(revision.era + 1, count + drill.otherVersions);
+    const mayWrite = () => !isAway && count < written;
+    world.setTimer(drill.rewriteAfter as Ms, () => mayWrite() && writeRow());
+  };
+  for (const drill of drills) {
+    world.setTimer(drill.from as Ms, () => {
+      isAway = true;
+      waiting.clear();
+      for (const breakCall of [...openCalls]) breakCall();
+    });
+    world.setTimer(drill.until as Ms, () => recoverStore(drill));
+  }
 
   const isEnded = (box: number) => hasTrouble(box, "gone") || hasTrouble(box, "closed");
   const isDown = (box: number) => hasTrouble(box, "frozen") || isEnded(box);
@@ -130,8 +179,18 @@
           return;
         }
         if (hasTrouble(box, "cut_from_store")) return;
+        const breakCall = () => {
+          openCalls.delete(breakCall);
+          resolve(undefined);
+        };
+        openCalls.add(breakCall);
+        if (isAway) {
+          passTo(box, computeDelay(), breakCall);
+          return;
+        }
         world.setTimer(computeDelay(), () =>
           answer((value) => {
+            openCalls.delete(breakCall);
             if (hasTrouble(box, "cut_from_store")) return;
             passTo(box, computeDelay(), () => resolve(value));
           }),
@@ -139,23 +198,33 @@
       });
     return {
       readTable: async ({ signal }) => {
-        const read = await call<readonly [StoredRow[], number]>(signal, (send) =>
-          send([count > 0 ? [makeRow()] : [], count]),
+        const read = await call<readonly [StoredRow[], StoreRevision]>(signal, (send) =>
+          send([count > 0 ? [makeRow()] : [], revision]),
         );
         if (!read) return Err({ kind: "timed_out" });
         return Ok({ rows: read[0], revision: read[1], source: { kind: "store" } });
       },
       awaitChanges: async ({ since, wait, signal }) => {
-        const read = await call<readonly [RowChange[], number]>(signal, (send) => {
-          const answer = () => {
-            waiting.delete(answer);
-            timer.cancel();
-            send([count > since ? [{ kind: "put", row: makeRow() }] : [], count]);
-          };
-          const timer = world.setTimer(wait, answer);
-          if (count > since) answer();
-          else waiting.add(answer);
-        });
+        const read = await call<readonly [RowChange[], StoreRevision] | "gone">(
+          signal,
+          (send) => {
+            // The store is asked for a version only: it doesn't know of which era.
+            const isKnown = since.version <= revision.version;
+            const isNew = () => rowRevision.version > since.version;
+            const answer = () => {
+              waiting.delete(answer);
+              timer.cancel();
+              send([isNew() ? [{ kind: "put", row: makeRow() }] : [], revision]);
+            };
+            const timer = world.setTimer(wait, answer);
+            if (!isKnown) {
+              timer.cancel();
+              send("gone");
+            } else if (isNew()) answer();
+            else waiting.add(answer);
+          },
+        );
+        if (read === "gone") return Err({ kind: "history_gone" });
         if (!read) return Err({ kind: "timed_out" });
         return Ok({ changes: read[0], revision: read[1], source: { kind: "store" } });
       },
@@ -168,7 +237,9 @@
     const offset = 1_000_000 * box;
     const clock = makeClock(box, offset);
     const mirror = createTableMirror(clock);
-    const claim = (known: number, asOf: Ms) => {
+    const claim = (read: number, asOf: Ms) => {
+      // What the operator's word is about carries a number of its own, which never goes back.
+      const known = Math.max(knownBy[box]!, read);
       knownBy[box] = known;
       claims.push({ box, at: world.now(), asOf: asOf - offset, known });
     };
--- a/packages/peers/src/sharedReader.test.ts
+++ b/packages/peers/src/sharedReader.test.ts
@@ -9,17 +9,20 @@
   type Ms,
   type Result,
 } from "@stairgauge/common";
-import type {
-  ChangesRequest,
-  StoreFailure,
-  StoreReader,
-  WholeRequest,
+import {
+  makeRevision,
+  type ChangesRequest,
+  type StoreFailure,
+  type StoreReader,
+  type WholeRequest,
 } from "@stairgauge/storefeed";
 import { rankForAsker, rankHearers } from "./rankHearers.js";
 import { createSharedReader } from "./sharedReader.js";
 import { toEqualMember } from "./sharedKnowledge.testkit.js";
 import type { TableAnswer } from "./types.js";
 
+const toRevision = (version: number) => makeRevision(1, version);
+
 const members = Array.from({ length: 20 }, (_, i) =>
   toEqualMember(`box-${i}` as BoxName),
 );
@@ -53,7 +56,7 @@
           const answer: TableAnswer = {
             kind: "changes",
             changes: [],
-            revision: 5,
+            revision: toRevision(5),
             age: 1 as Ms,
             silence: 1 as Ms,
           };
@@ -80,7 +83,7 @@
   });
   const { signal } = new AbortController();
   const follow = (table: string) =>
-    reader.awaitChanges({ table, since: 4, wait: 400 as Ms, signal });
+    reader.awaitChanges({ table, since: toRevision(4), wait: 400 as Ms, signal });
   const advance = (duration: number) => advanceSettled(clock, duration as Ms);
   return { follow, ends, asked, stored, renewed, advance };
 };
--- a/packages/peers/src/sharedReader.ts
+++ b/packages/peers/src/sharedReader.ts
@@ -11,13 +11,18 @@
   type Ms,
   type Result,
 } from "@stairgauge/common";
-import type {
-  ChangesRequest,
-  StoreFailure,
-  StoreReader,
-  TableChanges,
-  TableSnapshot,
-  WholeRequest,
+import {
+  BEFORE_ALL,
+  compareRevisions,
+  isEarlierRevision,
+  NEW_ERA,
+  type ChangesRequest,
+  type StoreFailure,
+  type StoreReader,
+  type StoreRevision,
+  type TableChanges,
+  type TableSnapshot,
+  type WholeRequest,
 } from "@stairgauge/storefeed";
 import type { PeerLinks } from "./peerLinks.js";
 import { rankCarriers, rankForAsker, rankHearers } from "./rankHearers.js";
@@ -155,6 +160,8 @@
     const sentAt = clock.monotonic();
     const read = await call(AbortSignal.any([signal, within.signal]));
     timer.cancel();
+    // Given up for what another call has told: the store is there.
+    if (signal.reason === NEW_ERA) return read;
     const hasAnswered = read.ok || read.val.kind === "history_gone";
     storeLostUntil = hasAnswered ? -Infinity : clock.monotonic() + DISTRUST_MS;
     if (read.ok) recordGuarded(table, sentAt);
@@ -259,10 +266,11 @@
 
   const toSnapshot = (
     answer: TableAnswer | undefined,
-    atLeast: number,
+    atLeast: StoreRevision,
   ): TableSnapshot | undefined => {
-    if (answer?.kind !== "whole" || answer.revision < atLeast) return undefined;
+    if (answer?.kind !== "whole") return undefined;
     const { rows, revision, age } = answer;
+    if (isEarlierRevision(revision, atLeast)) return undefined;
     return { rows, revision, source: { kind: "box", age } };
   };
 
@@ -281,7 +289,10 @@
     );
     const early = await Promise.race([fromStore, waitFor(clock, STORE_FIRST_MS)]);
     if (early?.ok) return early;
-    const told = toSnapshot(await askAll({ kind: "whole", table }, signal), atLeast);
+    const told = toSnapshot(
+      await askAll({ kind: "whole", table, atLeast }, signal),
+      atLeast,
+    );
     if (!told) return fromStore;
     storeCall.abort();
     return Ok(told);
@@ -291,8 +302,9 @@
     request: WholeRequest,
   ): Promise<Result<TableSnapshot, StoreFailure>> => {
     const { table, atLeast, signal } = request;
-    if (atLeast === 0) return readFirst(request);
-    const answer = await askInTurn(chooseBox(), { kind: "whole", table }, signal);
+    if (compareRevisions(atLeast, BEFORE_ALL) === 0) return readFirst(request);
+    const question = { kind: "whole", table, atLeast } as const;
+    const answer = await askInTurn(chooseBox(), question, signal);
     const told = toSnapshot(answer, atLeast);
     if (told) return Ok(told);
     return callStore({ table, signal }, (limited) =>
@@ -318,6 +330,8 @@
     if (!answer) return awaitAtStore(AT_ONCE_MS);
     if (answer.kind !== "changes") return Err({ kind: "history_gone" });
     const { changes, revision, age } = answer;
+    // As a box of an earlier release answers, which tells no era.
+    if (isEarlierRevision(revision, since)) return awaitAtStore(AT_ONCE_MS);
     return Ok({ changes, revision, source: { kind: "box", age } });
   };
 
--- a/packages/peers/src/tableCodec.ts
+++ b/packages/peers/src/tableCodec.ts
@@ -1,7 +1,14 @@
 /** Questions for a table and their answers as bytes, and back; what another box sends is checked like any input. */
 import { gunzipSync, gzipSync } from "node:zlib";
 import type { Ms } from "@stairgauge/common";
-import type { RowChange, StoredRow } from "@stairgauge/storefeed";
+import {
+  BEFORE_ALL,
+  makeRevision,
+  UNTOLD_ERA,
+  type RowChange,
+  type StoredRow,
+  type StoreRevision,
+} from "@stairgauge/storefeed";
 import { z } from "zod";
 import type { TableAnswer, TableQuestion } from "./types.js";
 
@@ -9,11 +16,35 @@
   .number()
   .nonnegative()
   .transform((value) => value as Ms);
-const revision = z.number().nonnegative();
+const count = z.number().nonnegative();
+
+/** Boxes of earlier releases tell no era. */
+const revisionFields = { revision: count, era: count.default(UNTOLD_ERA) };
+
+type WireRevision = Readonly<{ revision: number; era: number }>;
+
+const toWireRevision = ({ era, version }: StoreRevision): WireRevision => ({
+  revision: version,
+  era,
+});
+
+const fromWireRevision = ({ revision, era }: WireRevision): StoreRevision =>
+  makeRevision(era, revision);
 
 const questionSchema = z.discriminatedUnion("kind", [
-  z.object({ kind: z.literal("whole"), table: z.string() }),
-  z.object({ kind: z.literal("changes"), table: z.string(), since: revision, wait: ms }),
+  z.object({
+    kind: z.literal("whole"),
+    table: z.string(),
+    revision: count.default(BEFORE_ALL.version),
+    era: revisionFields.era,
+  }),
+  z.object({
+    kind: z.literal("changes"),
+    table: z.string(),
+    since: count,
+    era: revisionFields.era,
+    wait: ms,
+  }),
 ]);
 
 /**
@@ -39,11 +70,22 @@
 const fromBase64 = (text: string): Buffer => Buffer.from(text, "base64");
 
 const rowSchema = z.union([
-  z.object({ key: z.string(), value: z.base64().transform(fromBase64), revision }),
   z
-    .object({ key: z.string(), zipped: z.base64(), revision })
-    .transform(({ zipped, ...row }) => ({
-      ...row,
+    .object({
+      key: z.string(),
+      value: z.base64().transform(fromBase64),
+      ...revisionFields,
+    })
+    .transform(({ key, value, ...wire }) => ({
+      key,
+      value,
+      revision: fromWireRevision(wire),
+    })),
+  z
+    .object({ key: z.string(), zipped: z.base64(), ...revisionFields })
+    .transform(({ key, zipped, ...wire }) => ({
+      key,
+      revision: fromWireRevision(wire),
       value: gunzipSync(fromBase64(zipped), { maxOutputLength: MOST_VALUE_BYTES }),
     })),
 ]);
@@ -56,21 +98,29 @@
 const ages = { age: ms, silence: ms };
 
 const answerSchema = z.discriminatedUnion("kind", [
-  z.object({ kind: z.literal("whole"), rows: z.array(rowSchema), revision, ...ages }),
+  z.object({
+    kind: z.literal("whole"),
+    rows: z.array(rowSchema),
+    ...revisionFields,
+    ...ages,
+  }),
   z.object({
     kind: z.literal("changes"),
     changes: z.array(changeSchema),
-    revision,
+    ...revisionFields,
     ...ages,
   }),
   z.object({ kind: z.literal("not_known") }),
   z.object({ kind: z.literal("history_gone") }),
 ]);
 
-const toWireRow = ({ value, ...row }: StoredRow) =>
-  value.length < COMPRESSED_FROM_BYTES
-    ? { ...row, value: value.toString("base64") }
-    : { ...row, zipped: encodeCompressed(value) };
+const toWireRow = ({ key, value, revision }: StoredRow) => ({
+  key,
+  ...toWireRevision(revision),
+  ...(value.length < COMPRESSED_FROM_BYTES
+    ? { value: value.toString("base64") }
+    : { zipped: encodeCompressed(value) }),
+});
 const toWireChange = (change: RowChange) =>
   change.kind === "put" ? toWireRow(change.row) : { gone: change.key };
 
@@ -78,19 +128,49 @@
 const parse = (bytes: Buffer): unknown => JSON.parse(bytes.toString("utf8"));
 
 /** Encodes a question. */
-export const encodeQuestion = (question: TableQuestion): Buffer => encode(question);
+export const encodeQuestion = (question: TableQuestion): Buffer => {
+  switch (question.kind) {
+    case "whole": {
+      const { atLeast, ...rest } = question;
+      return encode({ ...rest, ...toWireRevision(atLeast) });
+    }
+    case "changes": {
+      const { since, ...rest } = question;
+      return encode({ ...rest, since: since.version, era: since.era });
+    }
+  }
+};
 
 /** Decodes a question; throws on bytes that are none, as the transport expects of a decoder. */
-export const decodeQuestion = (bytes: Buffer): TableQuestion =>
-  questionSchema.parse(parse(bytes));
+export const decodeQuestion = (bytes: Buffer): TableQuestion => {
+  const question = questionSchema.parse(parse(bytes));
+  switch (question.kind) {
+    case "whole": {
+      const { revision, era, ...rest } = question;
+      return { ...rest, atLeast: makeRevision(era, revision) };
+    }
+    case "changes": {
+      const { since, era, ...rest } = question;
+      return { ...rest, since: makeRevision(era, since) };
+    }
+  }
+};
 
 /** Encodes an answer. */
 export const encodeAnswer = (answer: TableAnswer): Buffer => {
   switch (answer.kind) {
     case "whole":
-      return encode({ ...answer, rows: answer.rows.map(toWireRow) });
+      return encode({
+        ...answer,
+        ...toWireRevision(answer.revision),
+        rows: answer.rows.map(toWireRow),
+      });
     case "changes":
-      return encode({ ...answer, changes: answer.changes.map(toWireChange) });
+      return encode({
+        ...answer,
+        ...toWireRevision(answer.revision),
+        changes: answer.changes.map(toWireChange),
+      });
     case "not_known":
     case "history_gone":
       return encode(answer);
@@ -98,5 +178,19 @@
 };
 
 /** Decodes an answer; throws on bytes that are none. */
-export const decodeAnswer = (bytes: Buffer): TableAnswer =>
-  answerSchema.parse(parse(bytes));
+export const decodeAnswer = (bytes: Buffer): TableAnswer => {
+  const answer = answerSchema.parse(parse(bytes));
+  switch (answer.kind) {
+    case "whole": {
+      const { kind, rows, age, silence } = answer;
+      return { kind, rows, revision: fromWireRevision(answer), age, silence };
+    }
+    case "changes": {
+      const { kind, changes, age, silence } = answer;
+      return { kind, changes, revision: fromWireRevision(answer), age, silence };
+    }
+    case "not_known":
+    case "history_gone":
+      return answer;
+  }
+};
--- a/packages/peers/src/types.ts
+++ b/packages/peers/src/types.ts
@@ -5,7 +5,7 @@
 import type { BoxName, DataHallName, Ms } from "@stairgauge/common";
 import type { CrashNews } from "@stairgauge/crashes";
 import type { LimitNews } from "@stairgauge/limits";
-import type { RowChange, StoredRow } from "@stairgauge/storefeed";
+import type { RowChange, StoredRow, StoreRevision } from "@stairgauge/storefeed";
 import type { LeavingBasis, ServerAddress, ServerId } from "@stairgauge/directory";
 import type {
   EngineReport,
@@ -64,8 +64,9 @@
 
 /** What one box asks another of a table: all of it, or its changes as soon as there is news. */
 export type TableQuestion = Readonly<
-  | { kind: "whole"; table: string }
-  | { kind: "changes"; table: string; since: number; wait: Ms }
+  /** A state from that revision on is of use. */
+  | { kind: "whole"; table: string; atLeast: StoreRevision }
+  | { kind: "changes"; table: string; since: StoreRevision; wait: Ms }
 >;
 
 type AnswerAges = Readonly<{
@@ -77,8 +78,12 @@
 
 /** The answer. */
 export type TableAnswer = Readonly<
-  | ({ kind: "whole"; rows: readonly StoredRow[]; revision: number } & AnswerAges)
-  | ({ kind: "changes"; changes: readonly RowChange[]; revision: number } & AnswerAges)
+  | ({ kind: "whole"; rows: readonly StoredRow[]; revision: StoreRevision } & AnswerAges)
+  | ({
+      kind: "changes";
+      changes: readonly RowChange[];
+      revision: StoreRevision;
+    } & AnswerAges)
   | { kind: "not_known" }
   | { kind: "history_gone" }
 >;
--- a/packages/storefeed/src/index.ts
+++ b/packages/storefeed/src/index.ts
@@ -1,12 +1,22 @@
 /** Following tables of the platform's store. */
 export type * from "./types.js";
-export { createRevisionMark, createTableFollower } from "./tableFollower.js";
+export {
+  BEFORE_ALL,
+  compareRevisions,
+  isEarlierRevision,
+  makeRevision,
+  pickLaterRevision,
+  UNTOLD_ERA,
+} from "./revision.js";
+export type { StoreRevision } from "./revision.js";
+export { createRevisionMark } from "./revisionMark.js";
+export type { EraChange, RevisionMark, RevisionSighting } from "./revisionMark.js";
+export { createTableFollower, NEW_ERA } from "./tableFollower.js";
 export { createTableMirror } from "./tableMirror.js";
 export type { MirrorFailure, TableMirror } from "./tableMirror.js";
 export type {
   FollowerOptions,
   FollowerSink,
-  RevisionMark,
   StaleRead,
   TableFollower,
 } from "./tableFollower.js";
--- a/packages/storefeed/src/tableFollower.test.ts
+++ b/packages/storefeed/src/tableFollower.test.ts
@@ -11,6 +11,7 @@
 import {
   createRevisionMark,
   createTableFollower,
+  makeRevision,
   type StoreFailure,
   type StoreReader,
   type TableChanges,
@@ -26,14 +27,16 @@
 
 const source = { kind: "store" } as const;
 
+const toRevision = (version: number) => makeRevision(1, version);
+
 const makeRow = (key: string, revision: number) => ({
   key,
   value: Buffer.from(`${revision}`),
-  revision,
+  revision: toRevision(revision),
 });
 
 /** Plays one answer after another; a call that does not fit the script fails the test. */
-const setUp = (steps: readonly Step[], gather = 0) => {
+const setUp = (steps: readonly Step[], gather = 0, revisions = createRevisionMark()) => {
   const clock = createVirtualClock();
   const told: string[] = [];
   const calls: string[] = [];
@@ -52,7 +55,7 @@
       return Promise.resolve(step.whole);
     },
     awaitChanges: ({ since, wait, signal }) => {
-      calls.push(`changes since ${since}`);
+      calls.push(`changes since ${since.version}`);
       const step = script.shift();
       if (!step || "silence" in step) return waitForAbort(signal);
       if (!("changes" in step)) throw new TypeError("followed out of turn");
@@ -70,7 +73,7 @@
     gather: gather as Ms,
     patience: 500 as Ms,
     retryPause: { first: 100 as Ms, most: 400 as Ms },
-    revisions: createRevisionMark(),
+    revisions,
     onStaleRead: () => undefined,
     sink: {
       onWhole: (rows, asOf) =>
@@ -80,16 +83,20 @@
       onRegained: () => told.push("regained"),
     },
   });
-  return { clock, follower, told, calls };
+  return { clock, follower, told, calls, revisions };
 };
 
 describe("createTableFollower", () => {
   it("reads whole, then follows; an answer counts from when it was asked for", async () => {
     const { clock, follower, told, calls } = setUp([
-      { whole: Ok({ rows: [makeRow("a", 5)], revision: 7, source }) },
-      { changes: Ok({ changes: [], revision: 9, source }) },
+      { whole: Ok({ rows: [makeRow("a", 5)], revision: toRevision(7), source }) },
+      { changes: Ok({ changes: [], revision: toRevision(9), source }) },
       {
-        changes: Ok({ changes: [{ kind: "gone", key: "a" }], revision: 10, source }),
+        changes: Ok({
+          changes: [{ kind: "gone", key: "a" }],
+          revision: toRevision(10),
+          source,
+        }),
         after: 40,
       },
     ]);
@@ -107,12 +114,16 @@
   it("lets changes gather where that is asked for, and loses no time without one", async () => {
     const { clock, follower, calls } = setUp(
       [
-        { whole: Ok({ rows: [], revision: 1, source }) },
+        { whole: Ok({ rows: [], revision: toRevision(1), source }) },
         {
-          changes: Ok({ changes: [{ kind: "gone", key: "a" }], revision: 2, source }),
+          changes: Ok({
+            changes: [{ kind: "gone", key: "a" }],
+            revision: toRevision(2),
+            source,
+          }),
           after: 10,
         },
-        { changes: Ok({ changes: [], revision: 5, source }), after: 10 },
+        { changes: Ok({ changes: [], revision: toRevision(5), source }), after: 10 },
       ],
       300,
     );
@@ -126,9 +137,9 @@
 
   it("reads whole again when the history is gone, without a pause", async () => {
     const { clock, follower, told } = setUp([
-      { whole: Ok({ rows: [], revision: 1, source }) },
+      { whole: Ok({ rows: [], revision: toRevision(1), source }) },
       { changes: Err({ kind: "history_gone" }), after: 10 },
-      { whole: Ok({ rows: [makeRow("b", 2)], revision: 2, source }) },
+      { whole: Ok({ rows: [makeRow("b", 2)], revision: toRevision(2), source }) },
     ]);
     follower.start();
     await advanceSettled(clock, 20 as Ms);
@@ -138,10 +149,10 @@
 
   it("does not take a whole read that is older than what the store has shown", async () => {
     const { clock, follower, told } = setUp([
-      { whole: Ok({ rows: [], revision: 9, source }) },
+      { whole: Ok({ rows: [], revision: toRevision(9), source }) },
       { changes: Err({ kind: "history_gone" }), after: 10 },
-      { whole: Ok({ rows: [makeRow("old", 3)], revision: 4, source }) },
-      { whole: Ok({ rows: [makeRow("new", 9)], revision: 9, source }) },
+      { whole: Ok({ rows: [makeRow("old", 3)], revision: toRevision(4), source }) },
+      { whole: Ok({ rows: [makeRow("new", 9)], revision: toRevision(9), source }) },
     ]);
     follower.start();
     await advanceSettled(clock, 300 as Ms);
@@ -151,10 +162,10 @@
 
   it("gives a silent store up, says so once a failure, and takes up again", async () => {
     const { clock, follower, told } = setUp([
-      { whole: Ok({ rows: [], revision: 1, source }) },
+      { whole: Ok({ rows: [], revision: toRevision(1), source }) },
       { silence: "changes" },
       { whole: Err({ kind: "refused", status: 503 }) },
-      { whole: Ok({ rows: [], revision: 1, source }) },
+      { whole: Ok({ rows: [], revision: toRevision(1), source }) },
     ]);
     follower.start();
     await advanceSettled(clock, 2_500 as Ms);
@@ -163,3 +174,87 @@
     expect(told[4]).toMatch(/^whole {2}as of /);
   });
 });
+
+describe("a store that comes back from a copy", () => {
+  const BACK = makeRevision(2, 4);
+
+  it("is read whole once, however much lower its versions are", async () => {
+    const { clock, follower, told, calls } = setUp([
+      { whole: Ok({ rows: [], revision: toRevision(90), source }) },
+      { changes: Err({ kind: "history_gone" }), after: 10 },
+      { whole: Ok({ rows: [makeRow("copied", 3)], revision: BACK, source }) },
+      { changes: Ok({ changes: [], revision: BACK, source }) },
+    ]);
+    follower.start();
+    await advanceSettled(clock, 300 as Ms);
+    follower.stop();
+    expect(told).toEqual(["whole  as of 0", "whole copied as of 10"]);
+    expect(calls).toEqual(["whole", "changes since 90", "whole", "changes since 4"]);
+  });
+
+  it("is read whole where its versions have caught up and only the era tells", async () => {
+    const { clock, follower, told } = setUp([
+      { whole: Ok({ rows: [], revision: toRevision(9), source }) },
+      {
+        changes: Ok({ changes: [], revision: makeRevision(2, 30), source }),
+        after: 10,
+      },
+      {
+        whole: Ok({ rows: [makeRow("b", 20)], revision: makeRevision(2, 30), source }),
+      },
+    ]);
+    follower.start();
+    await advanceSettled(clock, 300 as Ms);
+    follower.stop();
+    expect(told).toEqual(["whole  as of 0", "whole b as of 10"]);
+  });
+
+  it("is read whole for every table once one of them shows the era, without a failure", async () => {
+    const revisions = createRevisionMark();
+    const { clock, follower, told, calls } = setUp(
+      [
+        { whole: Ok({ rows: [], revision: toRevision(9), source }) },
+        { silence: "changes" },
+        { whole: Ok({ rows: [makeRow("b", 2)], revision: BACK, source }) },
+      ],
+      0,
+      revisions,
+    );
+    follower.start();
+    await advanceSettled(clock, 50 as Ms);
+    revisions.raise({ table: "other", by: "store", revision: makeRevision(2, 3) });
+    await advanceSettled(clock, 1 as Ms);
+    follower.stop();
+    expect(told).toEqual(["whole  as of 0", "whole b as of 50"]);
+    expect(calls.slice(0, 3)).toEqual(["whole", "changes since 9", "whole"]);
+  });
+
+  it("is not believed to be what it was by an answer of the era before that arrives late", async () => {
+    const { clock, follower, told } = setUp([
+      { whole: Ok({ rows: [], revision: BACK, source }) },
+      { changes: Ok({ changes: [], revision: toRevision(99), source }), after: 10 },
+      { whole: Ok({ rows: [makeRow("lost", 98)], revision: toRevision(99), source }) },
+      { whole: Ok({ rows: [makeRow("kept", 3)], revision: BACK, source }) },
+    ]);
+    follower.start();
+    await advanceSettled(clock, 300 as Ms);
+    follower.stop();
+    expect(told).toEqual(["whole  as of 0", "whole kept as of 110"]);
+  });
+
+  it("is taken as it is, and followed, when it insists on an earlier era", async () => {
+    const insisted = {
+      whole: Ok({ rows: [], revision: toRevision(5), source }),
+    } as const;
+    const { clock, follower, calls } = setUp([
+      { whole: Ok({ rows: [], revision: BACK, source }) },
+      { changes: Err({ kind: "history_gone" }), after: 10 },
+      ...Array.from({ length: 41 }, () => insisted),
+      { changes: Ok({ changes: [], revision: toRevision(5), source }) },
+    ]);
+    follower.start();
+    await advanceSettled(clock, 6_000 as Ms);
+    follower.stop();
+    expect(calls.slice(-3)).toEqual(["whole", "changes since 5", "changes since 5"]);
+  });
+});
--- a/packages/storefeed/src/tableFollower.ts
+++ b/packages/storefeed/src/tableFollower.ts
@@ -1,5 +1,13 @@
 /** Follows one table of the store: reads it whole, then waits for its changes, again after each failure. */
 import { waitFor, type Clock, type Ms, type Random } from "@stairgauge/common";
+import {
+  BEFORE_ALL,
+  isEarlierRevision,
+  makeRevision,
+  pickLaterRevision,
+  type StoreRevision,
+} from "./revision.js";
+import type { RevisionMark } from "./revisionMark.js";
 import type {
   AnswerSource,
   RowChange,
@@ -11,8 +19,8 @@
 
 /** When what a follower tells was true at the store: at this time or later, and at which revision. */
 export type FollowerSink = Readonly<{
-  onWhole: (rows: readonly StoredRow[], asOf: Ms, revision: number) => void;
-  onChanges: (changes: readonly RowChange[], asOf: Ms, revision: number) => void;
+  onWhole: (rows: readonly StoredRow[], asOf: Ms, revision: StoreRevision) => void;
+  onChanges: (changes: readonly RowChange[], asOf: Ms, revision: StoreRevision) => void;
   onFailure: (failure: StoreFailure, failuresInARow: number) => void;
   /** The store answers again after failures. */
   onRegained: () => void;
@@ -22,8 +30,8 @@
 export type StaleRead = Readonly<{
   table: string;
   by: AnswerSource["kind"];
-  revision: number;
-  newest: number;
+  revision: StoreRevision;
+  newest: StoreRevision;
   inARow: number;
 }>;
 
@@ -41,29 +49,12 @@
   patience: Ms;
   /** First pause after a failure; it doubles up to the second. */
   retryPause: Readonly<{ first: Ms; most: Ms }>;
-  /** The newest revision that any answer of the store has shown to this process. */
+  /** Shared by all followers of the store. */
   revisions: RevisionMark;
   sink: FollowerSink;
   onStaleRead: (read: StaleRead) => void;
 }>;
 
-/** The newest revision seen; shared by all followers, since one counter numbers all tables. */
-export type RevisionMark = Readonly<{
-  get: () => number;
-  raise: (revision: number) => void;
-}>;
-
-/** Creates a mark that has seen nothing. */
-export const createRevisionMark = (): RevisionMark => {
-  let newest = 0;
-  return {
-    get: () => newest,
-    raise: (revision) => {
-      newest = Math.max(newest, revision);
-    },
-  };
-};
-
 /** A follower that can be started, stopped, and told to ask again at once. */
 export type TableFollower = Readonly<{
   start: () => void;
@@ -72,6 +63,9 @@
   reread: () => void;
 }>;
 
+/** Why a call is given up whose table is read whole instead: the store has come back from a copy since it was made. */
+export const NEW_ERA = "new_era";
+
 /** Whole reads that may be older than what is known before one is taken as it is. */
 const STALE_READS_BORNE = 40;
 const BACKOFF_FACTOR = 2;
@@ -83,7 +77,7 @@
   let isStopped = false;
   let failures = 0;
   let staleReads = 0;
-  let tableRevision = 0;
+  let tableRevision = BEFORE_ALL;
   let pause: number = retryPause.first;
   let abort = new AbortController();
 
@@ -109,8 +103,7 @@
     await waitFor(clock, jittered as Ms);
   };
 
-  const recordAnswer = (revision: number) => {
-    revisions.raise(revision);
+  const recordAnswer = () => {
     pause = retryPause.first;
     if (failures > 0) sink.onRegained();
     failures = 0;
@@ -121,28 +114,39 @@
     (source.kind === "store" ? sentAt : sentAt - source.age) as Ms;
 
   /** The store's answers show the newest revision of all tables; another box tells that of the one table. */
-  const getNewest = ({ source }: TableSnapshot, newestBefore: number) =>
+  const getNewest = ({ source }: TableSnapshot, newestBefore: StoreRevision) =>
     source.kind === "store" ? newestBefore : tableRevision;
 
+  /** Versions of another era say nothing of what came since. */
+  const isOfOtherEra = ({ era }: StoreRevision) => era !== revisions.get().era;
+
+  const getLeastUseful = (): StoreRevision =>
+    pickLaterRevision(tableRevision, makeRevision(revisions.get().era, 0));
+
   /** Whether a whole read is to be made again instead. */
-  const isPassedOver = (read: TableSnapshot, newestBefore: number): boolean => {
+  const isPassedOver = (read: TableSnapshot, newestBefore: StoreRevision): boolean => {
     const newest = getNewest(read, newestBefore);
-    if (read.revision >= newest || staleReads >= STALE_READS_BORNE) return false;
-    staleReads += 1;
     const { revision, source } = read;
+    if (!isEarlierRevision(revision, newest)) return false;
+    if (staleReads >= STALE_READS_BORNE) {
+      revisions.replace({ table, by: source.kind, revision });
+      return false;
+    }
+    staleReads += 1;
     options.onStaleRead({ table, by: source.kind, revision, newest, inARow: staleReads });
     return true;
   };
 
   /** Reads the table whole; undefined after a failure or a stale answer. */
-  const readWhole = async (): Promise<number | undefined> => {
+  const readWhole = async (): Promise<StoreRevision | undefined> => {
     const sentAt = clock.monotonic();
     const newestBefore = revisions.get();
     const read = await callWithin(patience, (signal) =>
-      reader.readTable({ table, atLeast: tableRevision, signal }),
+      reader.readTable({ table, atLeast: getLeastUseful(), signal }),
     );
     if (isStopped) return undefined;
     if (read.err) {
+      if (isOfOtherEra(newestBefore)) return undefined;
       await recordFailure(read.val);
       return undefined;
     }
@@ -152,27 +156,30 @@
       return undefined;
     }
     staleReads = 0;
-    recordAnswer(revision);
+    revisions.raise({ table, by: source.kind, revision });
+    recordAnswer();
     tableRevision = revision;
     sink.onWhole(rows, computeAsOf(sentAt, source), revision);
     return revision;
   };
 
   /** Waits for changes after `since`; the revision to go on from, or undefined to read whole. */
-  const followOnce = async (since: number): Promise<number | undefined> => {
+  const followOnce = async (since: StoreRevision): Promise<StoreRevision | undefined> => {
     const sentAt = clock.monotonic();
     const read = await callWithin((wait + patience) as Ms, (signal) =>
       reader.awaitChanges({ table, since, wait, signal }),
     );
     if (isStopped) return undefined;
     if (read.err) {
-      if (read.val.kind === "history_gone") return undefined;
+      if (read.val.kind === "history_gone" || isOfOtherEra(since)) return undefined;
       await recordFailure(read.val);
       return undefined;
     }
-    const { changes, source } = read.val;
-    recordAnswer(read.val.revision);
-    const revision = Math.max(since, read.val.revision);
+    const { changes, source, revision: told } = read.val;
+    revisions.raise({ table, by: source.kind, revision: told });
+    recordAnswer();
+    if (told.era !== since.era) return undefined;
+    const revision = pickLaterRevision(since, told);
     tableRevision = revision;
     sink.onChanges(changes, computeAsOf(sentAt, source), revision);
     if (changes.length > 0 && gather > 0) await waitFor(clock, gather);
@@ -180,12 +187,17 @@
   };
 
   const run = async () => {
-    let since: number | undefined;
+    let since: StoreRevision | undefined;
     while (!isStopped) {
-      since = since === undefined ? await readWhole() : await followOnce(since);
+      const isBroken = since === undefined || isOfOtherEra(since);
+      since = isBroken ? await readWhole() : await followOnce(since!);
     }
   };
 
+  revisions.watchEra(() => {
+    if (isOfOtherEra(tableRevision)) abort.abort(NEW_ERA);
+  });
+
   return {
     start: () => void run(),
     stop: () => {
--- a/packages/storefeed/src/tableMirror.test.ts
+++ b/packages/storefeed/src/tableMirror.test.ts
@@ -1,6 +1,13 @@
 import { describe, expect, it } from "vitest";
 import { createVirtualClock, type Ms } from "@stairgauge/common";
-import { createTableMirror, type FollowerSink, type RowChange } from "./index.js";
+import {
+  createTableMirror,
+  makeRevision,
+  type FollowerSink,
+  type RowChange,
+} from "./index.js";
+
+const toRevision = (version: number) => makeRevision(1, version);
 
 const takeNothing = () => undefined;
 const NOBODY: FollowerSink = {
@@ -13,7 +20,7 @@
 const makeRow = (key: string, revision: number) => ({
   key,
   value: Buffer.from(`${key} ${revision}`),
-  revision,
+  revision: toRevision(revision),
 });
 const makePut = (key: string, revision: number): RowChange => ({
   kind: "put",
@@ -31,19 +38,25 @@
   it("knows nothing before the table has been read", async () => {
     const { mirror } = setUp();
     expect(mirror.readWhole().val).toEqual({ kind: "not_known" });
-    expect((await mirror.awaitChanges({ since: 0, wait: WAIT })).val).toEqual({
-      kind: "not_known",
-    });
+    expect((await mirror.awaitChanges({ since: toRevision(0), wait: WAIT })).val).toEqual(
+      {
+        kind: "not_known",
+      },
+    );
   });
 
   it("holds the table as the changes make it, and ages with its own clock", () => {
     const { clock, mirror, sink } = setUp();
-    sink.onWhole([makeRow("a", 1), makeRow("b", 2)], 0 as Ms, 2);
-    sink.onChanges([{ kind: "gone", key: "a" }, makePut("c", 5)], 10 as Ms, 5);
+    sink.onWhole([makeRow("a", 1), makeRow("b", 2)], 0 as Ms, toRevision(2));
+    sink.onChanges(
+      [{ kind: "gone", key: "a" }, makePut("c", 5)],
+      10 as Ms,
+      toRevision(5),
+    );
     clock.advance(70 as Ms);
     expect(mirror.readWhole().val).toEqual({
       rows: [makeRow("b", 2), makeRow("c", 5)],
-      revision: 5,
+      revision: toRevision(5),
       source: { kind: "box", age: 60 },
     });
   });
@@ -51,46 +64,91 @@
   it("is not made younger by an older confirmation", () => {
     const { clock, mirror, sink } = setUp();
     clock.advance(100 as Ms);
-    sink.onWhole([], 90 as Ms, 2);
-    sink.onChanges([], 40 as Ms, 2);
+    sink.onWhole([], 90 as Ms, toRevision(2));
+    sink.onChanges([], 40 as Ms, toRevision(2));
     expect(mirror.getAge()).toBe(10);
   });
 
   it("answers at once with what came since, and not before there is news otherwise", async () => {
     const { clock, mirror, sink } = setUp();
-    sink.onWhole([], 0 as Ms, 2);
-    sink.onChanges([makePut("a", 4)], 0 as Ms, 4);
-    const behind = await mirror.awaitChanges({ since: 2, wait: WAIT });
-    expect(behind.val).toMatchObject({ changes: [makePut("a", 4)], revision: 4 });
+    sink.onWhole([], 0 as Ms, toRevision(2));
+    sink.onChanges([makePut("a", 4)], 0 as Ms, toRevision(4));
+    const behind = await mirror.awaitChanges({ since: toRevision(2), wait: WAIT });
+    expect(behind.val).toMatchObject({
+      changes: [makePut("a", 4)],
+      revision: toRevision(4),
+    });
     let answered: unknown;
     const waiting = mirror
-      .awaitChanges({ since: 4, wait: WAIT })
+      .awaitChanges({ since: toRevision(4), wait: WAIT })
       .then((answer) => (answered = answer.val));
     clock.advance(500 as Ms);
     await Promise.resolve();
     expect(answered).toBeUndefined();
-    sink.onChanges([], 500 as Ms, 6);
+    sink.onChanges([], 500 as Ms, toRevision(6));
     await waiting;
-    expect(answered).toMatchObject({ changes: [], revision: 6, source: { age: 0 } });
+    expect(answered).toMatchObject({
+      changes: [],
+      revision: toRevision(6),
+      source: { age: 0 },
+    });
   });
 
   it("never takes back a revision that the caller knows already", async () => {
     const { mirror, sink } = setUp();
-    sink.onWhole([], 0 as Ms, 2);
-    const ahead = await mirror.awaitChanges({ since: 9, wait: 0 as Ms });
-    expect(ahead.val).toMatchObject({ changes: [], revision: 9 });
+    sink.onWhole([], 0 as Ms, toRevision(2));
+    const ahead = await mirror.awaitChanges({ since: toRevision(9), wait: 0 as Ms });
+    expect(ahead.val).toMatchObject({ changes: [], revision: toRevision(9) });
   });
 
   it("says that it no longer keeps what is long past, and after a whole read what was before it", async () => {
     const { mirror, sink } = setUp();
-    sink.onWhole([], 0 as Ms, 1);
-    for (let at = 2; at <= 300; at += 1) sink.onChanges([makePut("a", at)], 0 as Ms, at);
-    const past = await mirror.awaitChanges({ since: 50, wait: WAIT });
+    sink.onWhole([], 0 as Ms, toRevision(1));
+    for (let version = 2; version <= 300; version += 1)
+      sink.onChanges([makePut("a", version)], 0 as Ms, toRevision(version));
+    const past = await mirror.awaitChanges({ since: toRevision(50), wait: WAIT });
     expect(past.val).toEqual({ kind: "history_gone" });
-    const recent = await mirror.awaitChanges({ since: 299, wait: WAIT });
+    const recent = await mirror.awaitChanges({ since: toRevision(299), wait: WAIT });
     expect(recent.val).toMatchObject({ changes: [makePut("a", 300)] });
-    sink.onWhole([], 0 as Ms, 400);
-    const before = await mirror.awaitChanges({ since: 399, wait: WAIT });
+    sink.onWhole([], 0 as Ms, toRevision(400));
+    const before = await mirror.awaitChanges({ since: toRevision(399), wait: WAIT });
     expect(before.val).toEqual({ kind: "history_gone" });
   });
+
+  it("sends who follows it to a whole read when the store has come back from a copy", async () => {
+    const { mirror, sink } = setUp();
+    sink.onWhole([], 0 as Ms, toRevision(50));
+    const waiting = mirror.awaitChanges({ since: toRevision(50), wait: WAIT });
+    sink.onWhole([makeRow("a", 3)], 10 as Ms, makeRevision(2, 60));
+    expect((await waiting).val).toEqual({ kind: "history_gone" });
+    const ahead = await mirror.awaitChanges({
+      since: makeRevision(3, 1),
+      wait: 0 as Ms,
+    });
+    expect(ahead.val).toMatchObject({ changes: [], revision: makeRevision(3, 1) });
+  });
+
+  it("answers a box that tells no era by the era that it holds", async () => {
+    const { mirror, sink } = setUp();
+    sink.onWhole([], 0 as Ms, makeRevision(4, 2));
+    sink.onChanges([makePut("a", 3)], 0 as Ms, makeRevision(4, 3));
+    const news = await mirror.awaitChanges({ since: makeRevision(0, 3), wait: 0 as Ms });
+    expect(news.val).toMatchObject({ changes: [], revision: makeRevision(4, 3) });
+  });
+
+  it("lets who is ahead of it wait for the state that is of use, and no longer than asked", async () => {
+    const { clock, mirror, sink } = setUp();
+    sink.onWhole([], 0 as Ms, toRevision(50));
+    const useful = { atLeast: makeRevision(2, 0), wait: 200 as Ms };
+    const told: string[] = [];
+    void mirror.awaitState(useful).then(() => told.push("in time"));
+    sink.onWhole([], 0 as Ms, makeRevision(2, 4));
+    await Promise.resolve();
+    await mirror.awaitState(useful);
+    expect(told).toEqual(["in time"]);
+    const late = mirror.awaitState({ ...useful, atLeast: makeRevision(3, 0) });
+    clock.advance(200 as Ms);
+    await late;
+    expect(mirror.readWhole().val).toMatchObject({ revision: makeRevision(2, 4) });
+  });
 });
--- a/packages/storefeed/src/tableMirror.ts
+++ b/packages/storefeed/src/tableMirror.ts
@@ -1,5 +1,12 @@
 /** What a box knows of one table, kept so that it can be handed on to other boxes with its age. */
 import { Err, Ok, type Clock, type Ms, type Result } from "@stairgauge/common";
+import {
+  BEFORE_ALL,
+  isEarlierRevision,
+  pickLaterRevision,
+  UNTOLD_ERA,
+  type StoreRevision,
+} from "./revision.js";
 import type { FollowerSink } from "./tableFollower.js";
 import type {
   ChangesRequest,
@@ -27,6 +34,8 @@
   /** How long ago what it holds was true at the store, at most. */
   getAge: () => Ms;
   readWhole: () => Result<Relayed<TableSnapshot>, MirrorFailure>;
+  /** Resolves once the table is as new as that, or the wait is over. */
+  awaitState: (useful: UsefulState) => Promise<void>;
   /** As the store does, from what this box knows. */
   awaitChanges: (
     request: Pick<ChangesRequest, "since" | "wait">,
@@ -36,15 +45,18 @@
 /** Changes kept; a box that is further behind reads the table whole. */
 const MOST_CHANGES = 200;
 
-type KeptChange = Readonly<{ change: RowChange; revision: number }>;
+type KeptChange = Readonly<{ change: RowChange; revision: StoreRevision }>;
+
+/** Which state of the table is of use to who asks, and how long it may be waited for. */
+export type UsefulState = Readonly<{ atLeast: StoreRevision; wait: Ms }>;
 
 /** Creates a mirror that knows nothing yet. */
 export const createTableMirror = (clock: Clock): TableMirror => {
   const rows = new Map<string, StoredRow>();
   let changes: KeptChange[] = [];
-  let revision: number | undefined;
+  let revision: StoreRevision | undefined;
   /** Changes since this revision are all kept. */
-  let keptSince = 0;
+  let keptSince = BEFORE_ALL;
   let confirmedAt = -Infinity;
   const waiting = new Set<() => void>();
 
@@ -59,7 +71,7 @@
     confirmedAt = Math.max(confirmedAt, asOf);
   };
 
-  const takeWhole = (all: readonly StoredRow[], asOf: Ms, at: number) => {
+  const takeWhole = (all: readonly StoredRow[], asOf: Ms, at: StoreRevision) => {
     rows.clear();
     for (const row of all) rows.set(row.key, row);
     changes = [];
@@ -68,7 +80,7 @@
     confirm(asOf);
     endWaits();
   };
-  const takeChange = (change: RowChange, at: number) => {
+  const takeChange = (change: RowChange, at: StoreRevision) => {
     if (change.kind === "put") rows.set(change.row.key, change.row);
     else rows.delete(change.key);
     changes.push({ change, revision: at });
@@ -76,7 +88,7 @@
   const dropOldest = () => {
     while (changes.length > MOST_CHANGES) keptSince = changes.shift()!.revision;
   };
-  const takeChanges = (news: readonly RowChange[], asOf: Ms, at: number) => {
+  const takeChanges = (news: readonly RowChange[], asOf: Ms, at: StoreRevision) => {
     for (const change of news) takeChange(change, at);
     dropOldest();
     revision = at;
@@ -84,19 +96,28 @@
     endWaits();
   };
 
-  const listSince = (since: number): readonly RowChange[] =>
-    changes.filter((kept) => kept.revision > since).map(({ change }) => change);
+  const listSince = (since: StoreRevision): readonly RowChange[] =>
+    changes
+      .filter((kept) => isEarlierRevision(since, kept.revision))
+      .map(({ change }) => change);
 
-  const answerChanges = (since: number): Result<Relayed<TableChanges>, MirrorFailure> => {
+  const answerChanges = (
+    asked: StoreRevision,
+  ): Result<Relayed<TableChanges>, MirrorFailure> => {
     if (revision === undefined) return Err({ kind: "not_known" });
-    if (since < keptSince) return Err({ kind: "history_gone" });
+    // A box of an earlier release tells no era; it can only mean the one that it was told last.
+    const since = asked.era === UNTOLD_ERA ? { ...asked, era: revision.era } : asked;
+    if (isEarlierRevision(since, keptSince)) return Err({ kind: "history_gone" });
     return Ok({
       changes: listSince(since),
-      revision: Math.max(since, revision),
+      revision: pickLaterRevision(since, revision),
       source: getSource(),
     });
   };
 
+  const isBefore = (state: StoreRevision) =>
+    revision === undefined || isEarlierRevision(revision, state);
+
   /** Whoever waits is answered when the store has confirmed what is known, too: the age told is then the least. */
   const waitForNews = (duration: Ms) =>
     new Promise<void>((resolve) => {
@@ -126,6 +147,9 @@
       revision === undefined
         ? Err({ kind: "not_known" })
         : Ok({ rows: [...rows.values()], revision, source: getSource() }),
+    awaitState: async ({ atLeast, wait }) => {
+      if (isBefore(atLeast)) await waitForNews(wait);
+    },
     awaitChanges: async ({ since, wait }) => {
       const now = answerChanges(since);
       if (now.err || now.val.changes.length > 0) return now;
--- a/packages/storefeed/src/types.ts
+++ b/packages/storefeed/src/types.ts
@@ -1,8 +1,9 @@
 /** Rows of the platform's store, as a follower of one table sees them. */
 import type { Ms, Result } from "@stairgauge/common";
+import type { StoreRevision } from "./revision.js";
 
 /** One row of a table. */
-export type StoredRow = Readonly<{ key: string; value: Buffer; revision: number }>;
+export type StoredRow = Readonly<{ key: string; value: Buffer; revision: StoreRevision }>;
 
 /** A change of a table: a row as it is now, or one that was dropped. */
 export type RowChange = Readonly<
@@ -18,14 +19,14 @@
 /** The whole of a table at one moment. */
 export type TableSnapshot = Readonly<{
   rows: readonly StoredRow[];
-  revision: number;
+  revision: StoreRevision;
   source: AnswerSource;
 }>;
 
 /** Changes since an earlier revision, in order; none when the wait ended without one. */
 export type TableChanges = Readonly<{
   changes: readonly RowChange[];
-  revision: number;
+  revision: StoreRevision;
   source: AnswerSource;
 }>;
 
@@ -46,14 +47,14 @@
 export type WholeRequest = Readonly<{
   table: string;
   /** Revision of the table that the caller knows; an older answer is of no use to it. */
-  atLeast: number;
+  atLeast: StoreRevision;
   signal: AbortSignal;
 }>;
 
 /** A call that waits for changes. */
 export type ChangesRequest = Readonly<{
   table: string;
-  since: number;
+  since: StoreRevision;
   wait: Ms;
   signal: AbortSignal;
 }>;
