fix: boxes ask those that hear the store again as soon as it is back at themselves

Cause: while the store is away each box passes over the others for 3 s (lost_the_store), and goes on calling the store itself for the rest of that time after its return.

--- a/packages/peers/src/sharedKnowledge.test.ts
+++ b/packages/peers/src/sharedKnowledge.test.ts
@@ -231,6 +231,36 @@
     );
   }, 120_000);
 
+  it.each([7, 66, 300])(
+    "read the store a few times each when it came back from a copy: %i boxes",
+    async (boxes) => {
+      const drill = {
+        from: 3_000,
+        until: 4_500,
+        copyAge: 1_000,
+        otherVersions: 0,
+        rewriteAfter: 300,
+      };
+      const world = createWorld({
+        seed: 4,
+        boxes,
+        changes: [100, 1_900, 2_500],
+        troubles: [],
+        drills: [drill],
+        ...(boxes > 12 && { hubLinksUpAt: 300 }),
+      });
+      world.start();
+      await world.runUntil(drill.until);
+      const before = [...world.storeCalls];
+      await world.runUntil(drill.until + 3_000);
+      world.stop();
+      expect(Math.min(...world.knownBy)).toBe(3);
+      const calls = world.storeCalls.map((count, box) => count - before[box]!);
+      expect(calls.reduce((sum, count) => sum + count, 0)).toBeLessThan(40 + boxes * 2);
+    },
+    60_000,
+  );
+
   it("leave the calls to the store to two of them", async () => {
     const world = createWorld({ seed: 5, boxes: 12, changes: [50], troubles: [] });
     world.start();
--- a/packages/peers/src/sharedReader.ts
+++ b/packages/peers/src/sharedReader.ts
@@ -71,20 +71,27 @@
 /** A caller that was let down by a box wants to know what is there now, not what comes. */
 const AT_ONCE_MS = 0 as Ms;
 
+type Distrust = Readonly<{ reason: DistrustReason; until: number }>;
+
 /** Why asking a box brought nothing. */
 type AskEnd = "silent" | "unreachable" | "lost_the_store";
 
 /** Creates the reader. */
 export const createSharedReader = (options: SharedReaderOptions): StoreReader => {
   const { clock, own, store, links, patience, mostSilence } = options;
-  const distrustedUntil = new Map<BoxName, number>();
+  const distrusted = new Map<BoxName, Distrust>();
   const asked = new Map<BoxName, Set<AbortController>>();
   let storeLostUntil = -Infinity;
   let guardedAsOf = -Infinity;
 
   const isTrusted = (box: BoxName) =>
-    (distrustedUntil.get(box) ?? -Infinity) <= clock.monotonic();
+    (distrusted.get(box)?.until ?? -Infinity) <= clock.monotonic();
   const hasStore = () => storeLostUntil <= clock.monotonic();
+  /** When the store is back here, it is likely to be back at the boxes that had lost it. */
+  const resumeTrust = () => {
+    for (const [box, { reason }] of distrusted)
+      if (reason === "lost_the_store") distrusted.delete(box);
+  };
 
   const listHearers = () =>
     rankHearers([own, ...links.listReachable()], options.hearers, links.countBoxes());
@@ -163,6 +170,7 @@
     // Given up for what another call has told: the store is there.
     if (signal.reason === NEW_ERA) return read;
     const hasAnswered = read.ok || read.val.kind === "history_gone";
+    if (hasAnswered && storeLostUntil > -Infinity) resumeTrust();
     storeLostUntil = hasAnswered ? -Infinity : clock.monotonic() + DISTRUST_MS;
     if (read.ok) recordGuarded(table, sentAt);
     return read;
@@ -170,7 +178,7 @@
 
   const passOver = (box: BoxName, reason: DistrustReason) => {
     if (!isTrusted(box)) return;
-    distrustedUntil.set(box, clock.monotonic() + DISTRUST_MS);
+    distrusted.set(box, { reason, until: clock.monotonic() + DISTRUST_MS });
     options.onDistrust(box, reason);
   };
 
