fix: a box that had less than its time to answer is not held for silent

Seen while testing a return of the store: boxes broke the links to sound peers (peer_lost, box_not_asked no_answer) just after it. Cause: what a box knows of the configuration bounds how long it waits for another one; where that is old already, the other has next to no time, and was passed over for 3 s, its link opened anew and all its calls ended. Change: such a call ends alone, and the store is asked. A box that had its whole time and is silent is passed over as before (the tests of frozen and cut boxes hold). The new test failed before.

--- a/packages/peers/src/sharedReader.test.ts
+++ b/packages/peers/src/sharedReader.test.ts
@@ -115,4 +115,15 @@
     expect(stored.toSorted()).toEqual(["boxes", "servers"]);
     expect(renewed).toEqual([first]);
   });
+
+  it("keeps the link to a box that had less than its time, since what is known grew too old", async () => {
+    const { follow, asked, stored, renewed, advance } = setUp();
+    // Nothing is known of the guarded table yet, as after a loss of the store: the box has no time at all.
+    const read = follow("guarded");
+    await advance(1_000);
+    expect((await read).ok).toBe(false);
+    expect(asked).toEqual([`guarded ${first}`]);
+    expect(stored).toEqual(["guarded"]);
+    expect(renewed).toEqual([]);
+  });
 });
--- a/packages/peers/src/sharedReader.ts
+++ b/packages/peers/src/sharedReader.ts
@@ -190,13 +190,15 @@
     for (const call of asked.get(box) ?? []) call.abort(end);
   };
 
-  /** How long a box may take: less when what this one knows grows too old meanwhile, as behind a slow link. */
-  const computePatience = (question: TableQuestion): Ms => {
-    if (question.kind === "whole") return patience;
-    const usual = question.wait + patience;
-    if (question.table !== options.guard.table) return usual as Ms;
-    const left = guardedAsOf + options.guard.age - clock.monotonic();
-    return Math.max(0, Math.min(usual, left)) as Ms;
+  /** A box that has not answered by then is silent. */
+  const computePatience = (question: TableQuestion): Ms =>
+    (question.kind === "whole" ? patience : question.wait + patience) as Ms;
+
+  /** What this one knows must not grow too old meanwhile, as behind a slow link. */
+  const computeGuardLeft = (question: TableQuestion): Ms => {
+    const isBound = question.kind === "changes" && question.table === options.guard.table;
+    if (!isBound) return Infinity as Ms;
+    return Math.max(0, guardedAsOf + options.guard.age - clock.monotonic()) as Ms;
   };
 
   const askWithin = async (
@@ -207,9 +209,11 @@
     const call = new AbortController();
     const abort = () => call.abort();
     const sentAt = clock.monotonic();
-    const timer = clock.setTimer(computePatience(question), () =>
-      endCalls(box, "silent"),
-    );
+    const usual = computePatience(question);
+    const guardLeft = computeGuardLeft(question);
+    // A box that was given less than its time may be sound: its link and its other calls stay.
+    const endCall = guardLeft < usual ? abort : () => endCalls(box, "silent");
+    const timer = clock.setTimer(Math.min(usual, guardLeft) as Ms, endCall);
     const calls = asked.get(box) ?? new Set();
     asked.set(box, calls.add(call));
     outer.addEventListener("abort", abort, { once: true });
