fix: what boxes know outlasts a store that comes back from a copy, by rules for each table

What callers and servers would have seen: a server whose entry had gone got requests again, since the copy lists it (DRAIN); a closed data hall was open until its operator wrote again (EVAC); a blocked request was released and never listed again; boxes broke their links over lost rows.

Cause: a whole read of the new era replaced what was known, although the copy is older. Change: a guard between the followed table and what takes it in, with rules for each table as a registry: a row that the copy undoes (a configuration of a lower number, a start before the one known, ready where it said leaving) does not count until it is written again; a lost row is kept for a while (halls 10 s, boxes 5 s, blocked requests 30 s, a configuration until another is written); a dropped server's entry counts only once it is written again or would have lapsed (6 s). Servers that the copy lacks are waited for by the list of servers as after an outage, also where no call failed. Lost rows of blocked requests are written again by the first three boxes, one after the other until they are there; a box puts its own row again at once. Mirrors hand on what the store says, and each box judges for itself. Boxes that catch up for another answer within half of its patience.

Sight: store_era_changed (before, after, by which answer), table_restored (rows undone, missing, withheld, how long it took), stairgauge_store_era, stairgauge_store_restored_rows_total.

--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -10,6 +10,7 @@
   type RegionName,
   type ServiceName,
 } from "@stairgauge/common";
+import { BLOCKED_RESTORE_RULES } from "@stairgauge/crashes";
 import type { BackendServer } from "@stairgauge/directory";
 import { createPlaceHub, createPlacer } from "@stairgauge/fleet";
 import {
@@ -21,7 +22,12 @@
   createRetryBudget,
   createWaitingRoom,
 } from "@stairgauge/forwarding";
-import { createMembership, createWatchShares, hasHubs } from "@stairgauge/peers";
+import {
+  createBoxRestoreRules,
+  createMembership,
+  createWatchShares,
+  hasHubs,
+} from "@stairgauge/peers";
 import {
   computeConnectionShare,
   createFleetPlaces,
@@ -319,8 +325,9 @@
     clock: agingClock,
     random,
     log,
+    metrics,
     links,
-    sinks: {
+    tables: {
       ...createSinks({
         clock,
         log,
@@ -331,8 +338,12 @@
         leavingWithin: settings.bounds.leavingMs as Ms,
         onLimits: clientServer.applyLimits,
       }),
-      boxes: membership.sink,
-      blocked: crashes.list.sink,
+      boxes: { sink: membership.sink, rules: createBoxRestoreRules(own) },
+      blocked: {
+        sink: crashes.list.sink,
+        rules: BLOCKED_RESTORE_RULES,
+        onRestored: crashes.list.recover,
+      },
     },
   });
 
--- a/apps/box/src/createCrashes.ts
+++ b/apps/box/src/createCrashes.ts
@@ -65,7 +65,7 @@
     table: BLOCKED_TABLE,
     limit: settings.store.patienceMs as Ms,
     getGuard: () => guard,
-    isKeeper: () => peers.links.findPlace()?.rank === 0,
+    getRank: () => peers.links.findPlace()?.rank,
     onFailure: (failure) => log.writeWarning("blocked_list", { failure }),
     onReview: countBlocked,
   });
--- a/apps/box/src/createKnowledge.ts
+++ b/apps/box/src/createKnowledge.ts
@@ -10,21 +10,32 @@
 import { BLOCKED_TABLE, BOX_TABLE, createStoreReader, TABLE } from "@stairgauge/platform";
 import type { BoxSettings } from "@stairgauge/settings";
 import {
+  createRestoreGuard,
   createRevisionMark,
   createTableFollower,
   createTableMirror,
   type FollowerOptions,
   type FollowerSink,
+  type RestoreReport,
+  type RestoreRules,
   type TableFollower,
 } from "@stairgauge/storefeed";
-import type { DecisionLog } from "@stairgauge/telemetry";
-
-/** Who takes what is read. */
-export type KnowledgeSinks = Readonly<{
-  configuration: FollowerSink;
-  servers: FollowerSink;
-  boxes: FollowerSink;
-  blocked: FollowerSink;
+import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
+import { observeEras } from "./observers.js";
+
+/** Who takes what is read of a table, and what counts of it when the store comes back from a copy. */
+export type TableUse = Readonly<{
+  sink: FollowerSink;
+  rules: RestoreRules;
+  onRestored?: (report: RestoreReport) => void;
+}>;
+
+/** The tables that a box follows. */
+export type KnowledgeTables = Readonly<{
+  configuration: TableUse;
+  servers: TableUse;
+  boxes: TableUse;
+  blocked: TableUse;
 }>;
 
 /** What following needs. */
@@ -33,8 +44,9 @@
   clock: Clock;
   random: Random;
   log: DecisionLog;
+  metrics: BoxMetrics;
   links: Pick<PeerLinks, "ask" | "listUp" | "listReachable" | "countBoxes" | "renew">;
-  sinks: KnowledgeSinks;
+  tables: KnowledgeTables;
 }>;
 
 /** The followed tables of one box. */
@@ -67,6 +79,9 @@
 const SLACK_SHARE = 0.1;
 const PATIENCE_SHARE = 0.2;
 
+/** Share of a box's patience that the box that it asks may take to read a table itself. */
+const CATCH_UP_SHARE = 0.5;
+
 /** Boxes that start together put their rows in one after the other: at 66 boxes each would make some 15 calls for them. */
 const GATHER_BOXES_MS = 500 as Ms;
 
@@ -105,10 +120,11 @@
 
 /** Creates the followers; nothing is asked before `start`. */
 export const createKnowledge = (options: KnowledgeOptions): Knowledge => {
-  const { settings, clock, random, log, links, sinks } = options;
+  const { settings, clock, random, log, metrics, links, tables } = options;
   const { store } = settings;
   const { wait, mostSilence, patience, guardAge, computeWholePatience } =
     computeTiming(settings);
+  const catchUpWait = (patience * CATCH_UP_SHARE) as Ms;
   const pulse = createTableMirror(clock);
   const mirrors = new Map([
     [TABLE.operator, pulse],
@@ -138,18 +154,24 @@
       log.writeDecision("box_not_asked", { peer: box, reason }),
   });
   const revisions = createRevisionMark();
-  revisions.watchEra((change) => {
-    const { table, by, before, revision: after } = change;
-    log.writeNotice("store_era_changed", { table, by, before, after });
-  });
+  const observer = observeEras({ log, metrics }, clock);
+  revisions.watchEra(observer.onEraChange);
   const retryPause = { first: store.firstPauseMs as Ms, most: store.mostPauseMs as Ms };
   const follow = (
     table: string,
     tableWait: number,
-    sink: FollowerSink,
+    { sink, rules, onRestored }: TableUse,
     changes: Partial<Pick<FollowerOptions, "gather" | "retryPause">> = {},
-  ) =>
-    createTableFollower({
+  ) => {
+    const guard = createRestoreGuard({
+      clock,
+      rules,
+      onRestored: (report) => {
+        observer.onRestored(table, report);
+        onRestored?.(report);
+      },
+    });
+    return createTableFollower({
       reader,
       clock,
       random,
@@ -159,24 +181,29 @@
       table,
       wait: tableWait as Ms,
       gather: 0 as Ms,
-      sink: mirrors.get(table)!.observe(sink),
+      sink: mirrors.get(table)!.observe(guard.observe(sink)),
       onStaleRead: (read) => log.writeDecision("stale_read", read),
       ...changes,
     });
+  };
 
-  const servers = follow(TABLE.servers, store.serversWaitMs, sinks.servers);
-  const boxes = follow(BOX_TABLE, store.boxesWaitMs, sinks.boxes, {
+  const servers = follow(TABLE.servers, store.serversWaitMs, tables.servers);
+  const boxes = follow(BOX_TABLE, store.boxesWaitMs, tables.boxes, {
     gather: GATHER_BOXES_MS,
   });
-  const blocked = follow(BLOCKED_TABLE, store.blockedWaitMs, sinks.blocked, {
+  const blocked = follow(BLOCKED_TABLE, store.blockedWaitMs, tables.blocked, {
     retryPause: BLOCKED_RETRY_PAUSE,
   });
+  const { sink: configurationSink } = tables.configuration;
   const configuration = follow(TABLE.operator, wait, {
-    ...sinks.configuration,
-    // A store that is lost for one table is lost for both: the longer call would notice late.
-    onFailure: (failure, failuresInARow) => {
-      sinks.configuration.onFailure(failure, failuresInARow);
-      if (failuresInARow === 1) servers.reread();
+    ...tables.configuration,
+    sink: {
+      ...configurationSink,
+      // A store that is lost for one table is lost for both: the longer call would notice late.
+      onFailure: (failure, failuresInARow) => {
+        configurationSink.onFailure(failure, failuresInARow);
+        if (failuresInARow === 1) servers.reread();
+      },
     },
   });
   const followers: readonly TableFollower[] = [configuration, servers, boxes, blocked];
@@ -193,6 +220,7 @@
     stop: () => {
       for (const follower of followers) follower.stop();
     },
-    answer: (question) => answerTable({ mirrors, pulse, mostSilence }, question),
+    answer: (question) =>
+      answerTable({ mirrors, pulse, mostSilence, catchUpWait }, question),
   };
 };
--- a/apps/box/src/createSinks.ts
+++ b/apps/box/src/createSinks.ts
@@ -4,6 +4,8 @@
 import {
   createClosedHallsSink,
   createConfigurationSink,
+  createOperatorRestoreRules,
+  createServerRestoreRules,
   createServerSink,
   withRowSink,
   type ColdSpells,
@@ -17,7 +19,7 @@
 } from "@stairgauge/platform";
 import type { ClientLimits, ConfigurationKeeper } from "@stairgauge/routing";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
-import type { KnowledgeSinks } from "./createKnowledge.js";
+import type { KnowledgeTables } from "./createKnowledge.js";
 import { observeConfiguration } from "./observers.js";
 
 /** What the sinks fill, and who is told. */
@@ -34,10 +36,10 @@
   onLimits: (limits: ClientLimits) => void;
 }>;
 
-/** Creates the sinks of the tables that the platform and its operators write. */
+/** Creates what takes the tables that the platform and its operators write. */
 export const createSinks = (
   options: SinksOptions,
-): Omit<KnowledgeSinks, "boxes" | "blocked"> => {
+): Omit<KnowledgeTables, "boxes" | "blocked"> => {
   const { clock, log, metrics, directory, keeper, spells, leavingWithin, onLimits } =
     options;
 
@@ -62,17 +64,27 @@
   });
 
   return {
-    servers: createServerSink({
-      clock,
-      directory,
-      decode: decodeServerEntry,
-      leavingWithin,
-      onListRead: spells.onListRead,
-      onEvent: (event) => log.writeWarning("server_list", event),
-    }),
-    configuration: withRowSink(
-      configuration,
-      createClosedHallsSink({ decodeKey: decodeClosedHall, onChange: setClosedHalls }),
-    ),
+    servers: {
+      sink: createServerSink({
+        clock,
+        directory,
+        decode: decodeServerEntry,
+        leavingWithin,
+        onListRead: spells.onListRead,
+        onEvent: (event) => log.writeWarning("server_list", event),
+      }),
+      rules: createServerRestoreRules({ decode: decodeServerEntry }),
+    },
+    configuration: {
+      sink: withRowSink(
+        configuration,
+        createClosedHallsSink({ decodeKey: decodeClosedHall, onChange: setClosedHalls }),
+      ),
+      rules: createOperatorRestoreRules({
+        key: CONFIGURATION_KEY,
+        decode: decodeConfiguration,
+        decodeHall: decodeClosedHall,
+      }),
+    },
   };
 };
--- a/apps/box/src/observers.ts
+++ b/apps/box/src/observers.ts
@@ -1,4 +1,5 @@
 /** Log lines and metrics of what a box decides and believes. */
+import type { Clock } from "@stairgauge/common";
 import type { DirectoryEvent, ServerDirectory, ServerId } from "@stairgauge/directory";
 import type { ConfigurationEvent } from "@stairgauge/fleet";
 import type {
@@ -11,6 +12,7 @@
 import type { MoveDecision, StandbyDecision } from "@stairgauge/migration";
 import type { PeerMessage } from "@stairgauge/peers";
 import type { RestEvent } from "@stairgauge/rests";
+import type { EraChange, RestoreReport } from "@stairgauge/storefeed";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
 
 type Sinks = Readonly<{ log: DecisionLog; metrics: BoxMetrics }>;
@@ -175,6 +177,34 @@
   }
 };
 
+/** Observes that the store has come back from a copy, and how each table differs from what was known. */
+export const observeEras = ({ log, metrics }: Sinks, clock: Clock) => {
+  let noticedAt = clock.monotonic();
+  return {
+    onEraChange: ({ table, by, before, revision: after }: EraChange): void => {
+      noticedAt = clock.monotonic();
+      metrics.storeEra.set(after.era);
+      log.writeNotice("store_era_changed", { table, by, before, after });
+    },
+    onRestored: (table: string, report: RestoreReport): void => {
+      const counts = {
+        undone: report.undone.length,
+        missing: report.missing.length,
+        withheld: report.withheld.length,
+      };
+      for (const [as, count] of Object.entries(counts))
+        metrics.restoredRows.inc({ table, as }, count);
+      log.writeNotice("table_restored", {
+        table,
+        revision: report.revision,
+        rows: report.rows,
+        ...counts,
+        tookMs: Math.round(clock.monotonic() - noticedAt),
+      });
+    },
+  };
+};
+
 /** Counts what boxes say to each other. */
 export const observePeers =
   ({ metrics }: Pick<Sinks, "metrics">) =>
--- a/apps/box/src/storeDrill.testkit.ts
+++ b/apps/box/src/storeDrill.testkit.ts
@@ -39,9 +39,9 @@
   const { store } = site;
   const copy = store.copy();
   store.spendVersions(drill.lostVersions);
-  doLostWork(site);
   // A change of the configuration shows the boxes how far the versions have come.
   site.putConfiguration();
+  doLostWork(site);
   await waitMs(HEARD_MS);
   if (drill.awayMs > 0) store.setMode(drill.mode);
   await waitMs(drill.awayMs);
--- a/apps/box/src/storeRestored.test.ts
+++ b/apps/box/src/storeRestored.test.ts
@@ -1,8 +1,9 @@
 /** Boxes before a store that comes back from a copy: versions went back and are given out again. */
 import { describe, expect, it } from "vitest";
-import { LEAVING_MS } from "@stairgauge/standins";
-import { TABLE } from "@stairgauge/platform";
-import { FULL_MACHINE_MS, waitMs } from "./box.testkit.js";
+import { BOX_TABLE, STATE_LEAVING, TABLE } from "@stairgauge/platform";
+import { LEAVING_MS, SITE_HALL, startUsersSite } from "@stairgauge/standins";
+import { closers, FULL_MACHINE_MS, waitFor, waitMs } from "./box.testkit.js";
+import { startFleet } from "./fleet.testkit.js";
 import {
   collectAnswers,
   listTurnedAway,
@@ -82,3 +83,70 @@
     FULL_MACHINE_MS,
   );
 });
+
+describe("what boxes know, and the store's copy has not", () => {
+  it("stays gone: a server whose entry was dropped, and stands in the copy", async () => {
+    const site = await startSignSite(PLAIN);
+    await runDrill(site, DRILL, ({ store }) => store.drop(TABLE.servers, LEFT_NAME));
+    const sentSince = performance.now() - LEAVING_MS;
+    expect(await listLate(site, sentSince)).toEqual([]);
+    expect(listTurnedAway(site.fleet)).toEqual([]);
+  });
+
+  it("stays leaving: a server whose entry said so, and says ready in the copy", async () => {
+    const site = await startSignSite(PLAIN);
+    await runDrill(site, DRILL, ({ store }) =>
+      store.change(TABLE.servers, LEFT_NAME, { state: STATE_LEAVING }),
+    );
+    const sentSince = performance.now() - LEAVING_MS;
+    expect(await listLate(site, sentSince)).toEqual([]);
+    expect(listTurnedAway(site.fleet)).toEqual([]);
+  });
+
+  it("stays closed: a data hall whose closing is not in the copy, until it is opened", async () => {
+    const site = await startSignSite(PLAIN);
+    await runDrill(site, DRILL, ({ closeHall }) => closeHall(SITE_HALL));
+    const before = site.servers.listArrivals(LEFT).length;
+    expect(await collectAnswers(await site.sendFor(BEYOND_MS))).toEqual(new Set([503]));
+    expect(site.servers.listArrivals(LEFT)).toHaveLength(before);
+    site.site.closeHall(SITE_HALL);
+    site.site.openHall(SITE_HALL);
+    await waitFor(() =>
+      site.fleet.every(({ lines }) => lines.some(({ event }) => event === "hall_opened")),
+    );
+    expect(await collectAnswers(await site.sendFor(500))).toEqual(new Set([200]));
+  });
+
+  it("stays removed: a key that a configuration took away, whose older one stands in the copy", async () => {
+    const site = await startSignSite(PLAIN);
+    await runDrill(site, DRILL, ({ putConfiguration }) =>
+      putConfiguration({ tenants: [] }),
+    );
+    await waitMs(SETTLED_MS);
+    expect(await collectAnswers(await site.sendFor(BEYOND_MS))).toEqual(new Set([401]));
+  });
+
+  it("is each other: boxes whose rows are lost go on telling each other, and put them again", async () => {
+    const site = await startUsersSite({ engines: 0, services: 1 });
+    closers.push(site.close);
+    site.putConfiguration();
+    const copy = site.store.copy();
+    const { fleet } = await startFleet({
+      store: site.store.address,
+      boxes: 3,
+      servers: 1,
+      changes: OWN_PAUSES,
+    });
+    const told = fleet.map(({ lines }) => lines.length);
+    site.store.restore(copy);
+    await waitFor(() => site.store.listKeys(BOX_TABLE).length === fleet.length);
+    fleet.forEach(({ lines }, box) => {
+      const since = lines.slice(told[box]);
+      expect(since.filter(({ event }) => event === "peer_lost")).toEqual([]);
+      const links = since
+        .filter(({ event }) => event === "peers")
+        .map((one) => one["links"]);
+      expect(new Set(links)).toEqual(new Set([fleet.length - 1]));
+    });
+  });
+});
--- a/packages/crashes/src/blockedList.test.ts
+++ b/packages/crashes/src/blockedList.test.ts
@@ -8,8 +8,17 @@
   type Result,
 } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
-import { makeRevision, type StoreWriteFailure } from "@stairgauge/storefeed";
-import { createBlockedList, createRequestGuard, type RequestDigest } from "./index.js";
+import {
+  makeRevision,
+  type RestoreReport,
+  type StoreWriteFailure,
+} from "@stairgauge/storefeed";
+import {
+  BLOCKED_RESTORE_RULES,
+  createBlockedList,
+  createRequestGuard,
+  type RequestDigest,
+} from "./index.js";
 
 const toRevision = (version: number) => makeRevision(1, version);
 
@@ -46,7 +55,7 @@
     table: "blocked",
     limit: 1_000 as Ms,
     getGuard: () => guard,
-    isKeeper: () => isKeeper,
+    getRank: () => (isKeeper ? 0 : 1),
     onFailure: (failure) => failures.push(failure),
     onReview: () => undefined,
   });
@@ -164,4 +173,61 @@
     expect(box.failures).toEqual([{ kind: "unreadable_request", key: "x" }]);
     expect(box.guard.judge(() => "x" as RequestDigest).kind).toBe("unsuspected");
   });
+
+  describe("when the store comes back from a copy", () => {
+    const makeReport = (changes: Partial<RestoreReport>): RestoreReport => ({
+      revision: makeRevision(2, 1),
+      rows: 0,
+      undone: [],
+      missing: [],
+      withheld: [],
+      isUnsettled: () => true,
+      ...changes,
+    });
+    const setUpListed = (isKeeper: boolean) => {
+      const box = createBox({ isKeeper });
+      box.recordEnds(["a", "b", "c"]);
+      box.list.sink.onWhole([box.makeRow()], 0 as Ms, toRevision(1));
+      box.calls.length = 0;
+      return box;
+    };
+
+    it("writes a lost row again, the first box at once and the next one if it must", async () => {
+      const first = setUpListed(true);
+      const second = setUpListed(false);
+      let isUnsettled = true;
+      for (const box of [first, second])
+        box.list.recover(
+          makeReport({ missing: [box.makeRow()], isUnsettled: () => isUnsettled }),
+        );
+      await advanceSettled(first.clock, 1 as Ms);
+      await advanceSettled(second.clock, 1 as Ms);
+      expect([first.calls, second.calls]).toEqual([[`put ${DIGEST}`], []]);
+      isUnsettled = false;
+      await advanceSettled(first.clock, 5_000 as Ms);
+      await advanceSettled(second.clock, 5_000 as Ms);
+      expect([first.calls, second.calls]).toEqual([[`put ${DIGEST}`], []]);
+      expect(first.judge()).toBe("blocked");
+    });
+
+    it("writes until the row is there, and drops again what was dropped", async () => {
+      const box = setUpListed(true);
+      box.setAnswer(Err({ kind: "answer_lost", detail: "x" }));
+      const row = { ...box.makeRow(), key: "dropped" };
+      box.list.recover(makeReport({ missing: [box.makeRow()], withheld: [row] }));
+      await advanceSettled(box.clock, 2_500 as Ms);
+      expect(box.calls.toSorted()).toEqual([
+        "drop dropped",
+        "drop dropped",
+        `put ${DIGEST}`,
+        `put ${DIGEST}`,
+      ]);
+    });
+
+    it("keeps a request blocked whose row is lost, and released one that was", () => {
+      const row = { ...createBox().makeRow(Buffer.from("")), key: DIGEST };
+      expect(BLOCKED_RESTORE_RULES.judgeMissing(row).kind).toBe("keep_for");
+      expect(BLOCKED_RESTORE_RULES.judgeDropped(row).kind).toBe("take_after");
+    });
+  });
 });
--- a/packages/crashes/src/blockedList.ts
+++ b/packages/crashes/src/blockedList.ts
@@ -1,6 +1,12 @@
 /** Keeps the store's list of blocked requests: puts what this box has found out, and drops what no longer holds. */
 import type { Clock, Ms, Result, Timer } from "@stairgauge/common";
-import type { FollowerSink, StoreWriteFailure, StoreWriter } from "@stairgauge/storefeed";
+import type {
+  FollowerSink,
+  RestoreReport,
+  RestoreRules,
+  StoreWriteFailure,
+  StoreWriter,
+} from "@stairgauge/storefeed";
 import {
   createBlockedRows,
   encodeBlockedRow,
@@ -17,8 +23,8 @@
   /** How long a write may take. */
   limit: Ms;
   getGuard: () => Pick<RequestGuard, "takeNews" | "release" | "judge">;
-  /** Whether it is this box that drops rows whose time has passed: one box does it for all. */
-  isKeeper: () => boolean;
+  /** The box's place among those that write for all; the first one drops rows whose time has passed. */
+  getRank: () => number | undefined;
   onFailure: (failure: StoreWriteFailure | BlockedRowFailure) => void;
   /** Blocks may have run out meanwhile. */
   onReview: () => void;
@@ -32,6 +38,8 @@
   put: (blocked: BlockedRequest) => void;
   /** Takes a request off that a server has served. */
   drop: (digest: RequestDigest) => void;
+  /** Writes again what the copy lacks that the store has come back from. */
+  recover: (report: RestoreReport) => void;
   start: () => void;
   stop: () => void;
 }>;
@@ -45,12 +53,25 @@
 /** Pause before a write is made again, until the row is seen as it should be. */
 const RETRY_PAUSE_MS = 2_000 as Ms;
 
+/** Boxes that write again what was lost, one after the other until it is there. */
+const RECOVERING_BOXES = 3;
+
+/** Lost rows are written again within this time; what is not is taken from the store as it is. */
+const RECOVERED_WITHIN_MS = 30_000 as Ms;
+
+/** What counts of the table when the store comes back from a copy. */
+export const BLOCKED_RESTORE_RULES: RestoreRules = {
+  isUndone: () => false,
+  judgeMissing: () => ({ kind: "keep_for", duration: RECOVERED_WITHIN_MS }),
+  judgeDropped: () => ({ kind: "take_after", duration: RECOVERED_WITHIN_MS }),
+};
+
 /** How often rows are looked through for those whose time has passed. */
 const REVIEW_MS = 60_000 as Ms;
 
 /** Creates the list. */
 export const createBlockedList = (options: BlockedListOptions): BlockedList => {
-  const { clock, writer, table, limit, getGuard, isKeeper, onFailure } = options;
+  const { clock, writer, table, limit, getGuard, getRank, onFailure } = options;
   let isStopped = false;
   let review: Timer | undefined;
   const rows = createBlockedRows({
@@ -81,10 +102,26 @@
       isDue: () => rows.has(digest) && !isBlocked(digest),
       write: (signal) => writer.dropRow({ table, key: digest, signal }),
     });
+  const recover = ({ missing, withheld, isUnsettled }: RestoreReport) => {
+    const rank = getRank() ?? 0;
+    if (rank >= RECOVERING_BOXES) return;
+    const writes: readonly PendingWrite[] = [
+      ...missing.map(({ key, value }) => ({
+        isDue: () => isUnsettled(key),
+        write: (signal: AbortSignal) => writer.putRow({ table, key, value, signal }),
+      })),
+      ...withheld.map(({ key }) => ({
+        isDue: () => isUnsettled(key),
+        write: (signal: AbortSignal) => writer.dropRow({ table, key, signal }),
+      })),
+    ];
+    for (const pending of writes)
+      clock.setTimer((rank * RETRY_PAUSE_MS) as Ms, () => void writeWhile(pending));
+  };
   const lookAtRows = () => {
     if (isStopped) return;
     options.onReview();
-    if (isKeeper()) rows.list().forEach(drop);
+    if (getRank() === 0) rows.list().forEach(drop);
     startReview();
   };
   const startReview = () => {
@@ -95,6 +132,7 @@
     sink: rows.sink,
     put,
     drop,
+    recover,
     start: startReview,
     stop: () => {
       isStopped = true;
--- a/packages/fleet/src/followServers.test.ts
+++ b/packages/fleet/src/followServers.test.ts
@@ -157,4 +157,12 @@
     sink.onWhole([], clock.monotonic(), REVISION);
     expect(left).toEqual(["a", "b"]);
   });
+
+  it("waits for entries that the store's copy lacks, though no call has failed", () => {
+    sink.onWhole([toRow("a")], clock.monotonic(), makeRevision(2, 1));
+    clock.advance(1_700 as Ms);
+    expect(listReady()).toEqual(["a", "b"]);
+    clock.advance(290 as Ms);
+    expect(left).toEqual(["b"]);
+  });
 });
--- a/packages/fleet/src/followServers.ts
+++ b/packages/fleet/src/followServers.ts
@@ -85,8 +85,16 @@
       takeMissing(entry.id);
   };
 
+  let era: number | undefined;
+  const takeEra = (revision: StoreRevision) => {
+    // Entries that the store's copy lacks are missing as if they had lapsed.
+    if (era !== undefined && era !== revision.era) lapsed.onStoreBack();
+    era = revision.era;
+  };
+
   return {
-    onWhole: (rows) => {
+    onWhole: (rows, _asOf, revision) => {
+      takeEra(revision);
       const listed = new Set(rows.map((row) => row.key));
       for (const key of unreadable.keys()) if (!listed.has(key)) unreadable.delete(key);
       for (const { entry } of directory.list())
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -4,6 +4,7 @@
 export { createClosedHallsSink, withRowSink } from "./followClosedHalls.js";
 export type { HallEvent } from "./followClosedHalls.js";
 export { createServerSink } from "./followServers.js";
+export { createOperatorRestoreRules, createServerRestoreRules } from "./restoreRules.js";
 export type { ServerListEvent } from "./followServers.js";
 export { createColdLimits } from "./coldLimits.js";
 export type { ColdBound, ColdLimits } from "./coldLimits.js";
--- /dev/null
+++ b/packages/fleet/src/restoreRules.test.ts
@@ -0,0 +1,91 @@
+import { describe, expect, it } from "vitest";
+import {
+  Err,
+  Ok,
+  type DataHallName,
+  type Ms,
+  type Result,
+  type ServiceName,
+} from "@stairgauge/common";
+import type { ServerEntry, ServerId, ServerName } from "@stairgauge/directory";
+import type { ConfigurationVersion, FleetConfiguration } from "@stairgauge/routing";
+import { makeRevision, type StoredRow } from "@stairgauge/storefeed";
+import { createOperatorRestoreRules, createServerRestoreRules } from "./restoreRules.js";
+
+const makeRow = (key: string, value: unknown): StoredRow => ({
+  key,
+  value: Buffer.from(JSON.stringify(value)),
+  revision: makeRevision(1, 1),
+});
+const parse = (value: Buffer) => JSON.parse(value.toString()) as Record<string, unknown>;
+
+const decodeEntry = (name: string, value: Buffer): Result<ServerEntry, string> => {
+  const { born, leaving } = parse(value) as { born?: number; leaving?: boolean };
+  if (leaving === undefined) return Err("odd");
+  return Ok({
+    id: `${name}@${born}` as ServerId,
+    name: name as ServerName,
+    startedAt: born as Ms | undefined,
+    service: "s" as ServiceName,
+    address: { host: "10.0.0.1", port: 80 },
+    dataHall: "h" as DataHallName,
+    slots: 6,
+    isLeaving: leaving,
+    warmUpLeft: 0 as Ms,
+  });
+};
+
+describe("a server's entry in the store's copy", () => {
+  const rules = createServerRestoreRules({ decode: decodeEntry });
+  const isUndone = (known: unknown, copied: unknown) =>
+    rules.isUndone(makeRow("a", known), makeRow("a", copied));
+
+  it.each([
+    ["ready of one that leaves", { leaving: true }, { leaving: false }, true],
+    ["leaving of one that was ready", { leaving: false }, { leaving: true }, false],
+    ["the same", { leaving: false }, { leaving: false }, false],
+    ["an earlier start", { born: 5, leaving: false }, { born: 4, leaving: true }, true],
+    ["a later start", { born: 5, leaving: true }, { born: 6, leaving: false }, false],
+    ["no start", { born: 5, leaving: false }, { leaving: false }, true],
+    ["unreadable", { leaving: true }, {}, false],
+    ["readable again", {}, { leaving: false }, false],
+  ])("counts, or what was known does: %s", (_, known, copied, expected) => {
+    expect(isUndone(known, copied)).toBe(expected);
+  });
+
+  it("proves no life where it was dropped, until it would have lapsed", () => {
+    const entry = makeRow("a", { leaving: false });
+    expect(rules.judgeDropped(entry)).toEqual({ kind: "take_after", duration: 6_000 });
+  });
+});
+
+describe("the operators' rows in the store's copy", () => {
+  const rules = createOperatorRestoreRules({
+    key: "config",
+    decode: (value) => {
+      const { version } = parse(value);
+      return version === undefined
+        ? Err("odd")
+        : Ok({ version: version as ConfigurationVersion } as FleetConfiguration);
+    },
+    decodeHall: (key) =>
+      key.startsWith("closed/") ? (key.slice(7) as DataHallName) : undefined,
+  });
+
+  it("never take a configuration back, by the number that operators give it", () => {
+    const known = makeRow("config", { version: 57 });
+    expect(rules.isUndone(known, makeRow("config", { version: 53 }))).toBe(true);
+    expect(rules.isUndone(known, makeRow("config", { version: 57 }))).toBe(false);
+    expect(rules.isUndone(known, makeRow("config", { version: 58 }))).toBe(false);
+    expect(rules.isUndone(known, makeRow("config", {}))).toBe(false);
+    expect(rules.judgeMissing(known)).toEqual({ kind: "keep" });
+  });
+
+  it("open no hall for a while, and close one that was opened until its row is dropped again", () => {
+    const closing = makeRow("closed/a", {});
+    expect(rules.isUndone(closing, closing)).toBe(false);
+    expect(rules.judgeMissing(closing)).toEqual({ kind: "keep_for", duration: 10_000 });
+    expect(rules.judgeDropped(closing)).toEqual({ kind: "take" });
+    expect(rules.judgeMissing(makeRow("other", {}))).toEqual({ kind: "drop" });
+  });
+});
--- a/packages/peers/src/answerTable.ts
+++ b/packages/peers/src/answerTable.ts
@@ -3,9 +3,6 @@
 import type { TableMirror } from "@stairgauge/storefeed";
 import type { TableAnswer, TableQuestion } from "./types.js";
 
-/** How long a box that is behind who asks it waits until it has read the table itself. */
-const BEHIND_WAIT_MS = 200 as Ms;
-
 /** What a box answers from. */
 export type AnswerSources = Readonly<{
   mirrors: ReadonlyMap<string, TableMirror>;
@@ -16,18 +13,20 @@
   pulse: TableMirror;
   /** A waiting question is answered sooner when the store is silent for longer. */
   mostSilence: Ms;
+  /** How long a box that is behind who asks it may read the table itself before it answers: less than the asker's patience. */
+  catchUpWait: Ms;
 }>;
 
 /** Answers from the mirror of the table. */
 export const answerTable = async (
-  { mirrors, pulse, mostSilence }: AnswerSources,
+  { mirrors, pulse, mostSilence, catchUpWait }: AnswerSources,
   question: TableQuestion,
 ): Promise<TableAnswer> => {
   const mirror = mirrors.get(question.table);
   // A box that has heard nothing yet has no age to tell.
   if (!mirror || pulse.readWhole().err) return { kind: "not_known" };
   if (question.kind === "whole") {
-    await mirror.awaitState({ atLeast: question.atLeast, wait: BEHIND_WAIT_MS });
+    await mirror.awaitState({ atLeast: question.atLeast, wait: catchUpWait });
     const read = mirror.readWhole();
     if (read.err) return read.val;
     const { rows, revision, source } = read.val;
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -5,6 +5,7 @@
 export { answerTable } from "./answerTable.js";
 export { createSharedReader } from "./sharedReader.js";
 export type { DistrustReason, SharedReaderOptions } from "./sharedReader.js";
+export { createBoxRestoreRules } from "./boxRestoreRules.js";
 export { createMembership } from "./membership.js";
 export type { Membership, MembershipOptions } from "./membership.js";
 export { createPeerLinks } from "./peerLinks.js";
--- a/packages/peers/src/peers.test.ts
+++ b/packages/peers/src/peers.test.ts
@@ -119,7 +119,10 @@
       book.dropPeer(box);
     },
     answerTable: (question) =>
-      answerTable({ mirrors, pulse, mostSilence: MOST_SILENCE }, question),
+      answerTable(
+        { mirrors, pulse, mostSilence: MOST_SILENCE, catchUpWait: 0 as Ms },
+        question,
+      ),
     answerPlace: (question, signal) => {
       places.push(question);
       signal.addEventListener("abort", () => withdrawn.push(question.run.id));
@@ -560,6 +563,7 @@
       ]),
       pulse,
       mostSilence: MOST_SILENCE,
+      catchUpWait: 0 as Ms,
     };
     const whole = await answerTable(sources, {
       kind: "whole",
--- a/packages/peers/src/sharedKnowledge.testkit.ts
+++ b/packages/peers/src/sharedKnowledge.testkit.ts
@@ -297,6 +297,7 @@
                   mirrors: new Map([[TABLE, mirrors[to]!.mirror]]),
                   pulse: mirrors[to]!.mirror,
                   mostSilence: MOST_SILENCE_MS,
+                  catchUpWait: (PATIENCE_MS / 2) as Ms,
                 },
                 question,
               );
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -24,6 +24,7 @@
 export type { ExampleAddresses, SignedBundle } from "./exampleSite.js";
 export { generateToken } from "./syntheticText.js";
 export {
+  SITE_HALL,
   SITE_HOST,
   SITE_KEY,
   SITE_WORKSPACE,
--- a/packages/standins/src/usersPlatform/usersStore.ts
+++ b/packages/standins/src/usersPlatform/usersStore.ts
@@ -18,6 +18,12 @@
 export type UsersStore = Listening &
   Readonly<{
     put: (table: string, key: string, value: unknown) => void;
+    /** Puts a row again with other fields. */
+    change: (
+      table: string,
+      key: string,
+      fields: Readonly<Record<string, unknown>>,
+    ) => void;
     drop: (table: string, key: string) => void;
     setMode: (mode: StoreMode) => void;
     /** Forgets the history and cuts all calls that wait. */
@@ -166,6 +172,11 @@
   return {
     ...listening,
     put: (table, key, value) => put(table, key, encodeValue(value)),
+    change: (table, key, fields) => {
+      const { value } = getTable(table).get(key)!;
+      const before = JSON.parse(Buffer.from(value, "base64").toString()) as object;
+      put(table, key, encodeValue({ ...before, ...fields }));
+    },
     drop,
     setMode: (next) => {
       mode = next;
--- a/packages/storefeed/src/index.ts
+++ b/packages/storefeed/src/index.ts
@@ -20,3 +20,12 @@
   StaleRead,
   TableFollower,
 } from "./tableFollower.js";
+export { createRestoreGuard } from "./restoreGuard.js";
+export type {
+  DroppedVerdict,
+  MissingVerdict,
+  RestoreGuard,
+  RestoreGuardOptions,
+  RestoreReport,
+  RestoreRules,
+} from "./restoreGuard.js";
--- a/packages/telemetry/src/boxMetrics.ts
+++ b/packages/telemetry/src/boxMetrics.ts
@@ -36,6 +36,17 @@
       labelNames: ["table", "kind"],
       registers,
     }),
+    storeEra: new Gauge({
+      name: "stairgauge_store_era",
+      help: "Era of the platform's store since it last came back from a copy, 0 before it has under this box",
+      registers,
+    }),
+    restoredRows: new Counter({
+      name: "stairgauge_store_restored_rows_total",
+      help: "Rows in which the store's copy differed from what was known, by table and how: undone, missing, withheld",
+      labelNames: ["table", "as"],
+      registers,
+    }),
     configurationVersion: new Gauge({
       name: "stairgauge_configuration_version",
       help: "Version of the configuration in force, 0 before the first",
