fix: a box that starts on the store's copy is told what the others know beyond it

Cause: tables come from the store, or from mirrors that hand on what it says; what boxes know against it was each box's own. Change: a box tells those whose links have just come up which rows count against the store's word, kept and withheld; and those of the last 10 s again once it has read a restored table itself. Most of the time there are none, and the greeting is as before. A row that has been written again, or another era, is left alone.

--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -144,6 +144,7 @@
     getDirectory: () => directory,
     getCrashes: () => crashes,
     getLimits: () => limits,
+    getKnowledge: () => knowledge,
     answerTable: (question) => knowledge.answer(question),
     answerPlace: async (question, signal) =>
       toPlaceAnswer(await placeHub.answer(question, signal)),
@@ -345,6 +346,7 @@
         onRestored: crashes.list.recover,
       },
     },
+    onRestored: peers.tellNewBoxes,
   });
 
   const isReady = () => {
--- a/apps/box/src/createKnowledge.ts
+++ b/apps/box/src/createKnowledge.ts
@@ -6,6 +6,7 @@
   type PeerLinks,
   type TableAnswer,
   type TableQuestion,
+  type ToldUnsettled,
 } from "@stairgauge/peers";
 import { BLOCKED_TABLE, BOX_TABLE, createStoreReader, TABLE } from "@stairgauge/platform";
 import type { BoxSettings } from "@stairgauge/settings";
@@ -16,6 +17,7 @@
   createTableMirror,
   type FollowerOptions,
   type FollowerSink,
+  type RestoreGuard,
   type RestoreReport,
   type RestoreRules,
   type TableFollower,
@@ -47,6 +49,8 @@
   metrics: BoxMetrics;
   links: Pick<PeerLinks, "ask" | "listUp" | "listReachable" | "countBoxes" | "renew">;
   tables: KnowledgeTables;
+  /** A table has been read whole for the first time since the store came back from a copy. */
+  onRestored: () => void;
 }>;
 
 /** The followed tables of one box. */
@@ -58,6 +62,10 @@
   stop: () => void;
   /** Answers another box by what this one knows. */
   answer: (question: TableQuestion) => Promise<TableAnswer>;
+  /** What this box knows beyond the copy that the store has come back from; nothing most of the time. */
+  listUnsettled: () => readonly ToldUnsettled[];
+  /** Takes what another box knows beyond it. */
+  takeUnsettled: (told: readonly ToldUnsettled[]) => void;
 }>;
 
 /**
@@ -154,6 +162,7 @@
       log.writeDecision("box_not_asked", { peer: box, reason }),
   });
   const revisions = createRevisionMark();
+  const guards = new Map<string, RestoreGuard>();
   const observer = observeEras({ log, metrics }, clock);
   revisions.watchEra(observer.onEraChange);
   const retryPause = { first: store.firstPauseMs as Ms, most: store.mostPauseMs as Ms };
@@ -169,8 +178,10 @@
       onRestored: (report) => {
         observer.onRestored(table, report);
         onRestored?.(report);
+        options.onRestored();
       },
     });
+    guards.set(table, guard);
     return createTableFollower({
       reader,
       clock,
@@ -220,6 +231,13 @@
     stop: () => {
       for (const follower of followers) follower.stop();
     },
+    listUnsettled: () =>
+      [...guards]
+        .map(([table, guard]) => ({ table, ...guard.listUnsettled() }))
+        .filter(({ kept, withheld }) => kept.length + withheld.length > 0),
+    takeUnsettled: (told) => {
+      for (const { table, ...rows } of told) guards.get(table)?.takeUnsettled(rows);
+    },
     answer: (question) =>
       answerTable({ mirrors, pulse, mostSilence, catchUpWait }, question),
   };
--- a/apps/box/src/createPeers.ts
+++ b/apps/box/src/createPeers.ts
@@ -1,5 +1,5 @@
 /** Wires together what a box says to others and hears from them: its links, its listener, and what it tells over both. */
-import type { Clock, Random } from "@stairgauge/common";
+import type { BoxName, Clock, Ms, Random } from "@stairgauge/common";
 import type { ServerDirectory } from "@stairgauge/directory";
 import type { ServerLimits } from "@stairgauge/limits";
 import {
@@ -18,6 +18,7 @@
 import type { LoadBook } from "@stairgauge/placement";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
 import type { Crashes } from "./createCrashes.js";
+import type { Knowledge } from "./createKnowledge.js";
 import { observePeers } from "./observers.js";
 import { listToldLeaving, type UpdateTaker } from "./takeUpdates.js";
 
@@ -33,6 +34,7 @@
   getDirectory: () => Pick<ServerDirectory, "list">;
   getCrashes: () => Pick<Crashes, "guard">;
   getLimits: () => Pick<ServerLimits, "listNews" | "takeNews">;
+  getKnowledge: () => Pick<Knowledge, "listUnsettled" | "takeUnsettled">;
 }> &
   Pick<PeerServerOptions, "answerTable" | "answerPlace" | "answerMoves">;
 
@@ -45,12 +47,17 @@
   isHandingOn: () => boolean;
   /** Hands it on to all boxes that are linked to this one, if this one does so. */
   passOn: (told: Partial<HubNotice>) => void;
+  /** Tells boxes that have started lately what this one knows beyond the copy that the store has come back from. */
+  tellNewBoxes: () => void;
 }>;
 
+/** A box that was greeted so long ago has known the tables as long as this one. */
+const NEW_BOX_MS = 10_000;
+
 /** Creates the parts; nobody is linked to and nothing is listened at. */
 export const createPeers = (options: PeersOptions): Peers => {
   const { clock, random, log, metrics, member, book, updates } = options;
-  const { getDirectory, getCrashes, getLimits } = options;
+  const { getDirectory, getCrashes, getLimits, getKnowledge } = options;
   const { answerTable, answerPlace, answerMoves } = options;
   const onMessage = observePeers({ metrics });
 
@@ -58,6 +65,14 @@
     notice.leaving.forEach(updates.takeLeaving);
     getCrashes().guard.takeNews(notice.crashes);
     getLimits().takeNews(notice.limits, by);
+    getKnowledge().takeUnsettled(notice.unsettled);
+  };
+  const greetedAt = new Map<BoxName, Ms>();
+  const isNewBox = (box: BoxName) =>
+    clock.monotonic() - (greetedAt.get(box) ?? -Infinity) < NEW_BOX_MS;
+  const recordGreeting = (box: BoxName) => {
+    for (const one of [...greetedAt.keys()]) if (!isNewBox(one)) greetedAt.delete(one);
+    greetedAt.set(box, clock.monotonic());
   };
   const teller = createRunTeller({
     clock,
@@ -80,15 +95,18 @@
   const peerServer = createPeerServer({
     onMessage,
     onUpdate: updates.takeUpdate,
-    makeGreeting: () =>
-      makeNotice({
+    makeGreeting: (box) => {
+      recordGreeting(box);
+      return makeNotice({
         // A box that has just started knows the entries only, which may be older than the servers' word.
         leaving: listToldLeaving(getDirectory()).filter(
           ({ basis }) => basis === "own_word",
         ),
         crashes: getCrashes().guard.listSharedNews(),
         limits: getLimits().listNews(),
-      }),
+        unsettled: getKnowledge().listUnsettled(),
+      });
+    },
     onPeerLost: (box) => {
       book.dropPeer(box);
       log.writeDecision("peer_lost", { peer: box });
@@ -101,5 +119,10 @@
   const passOn = (told: Partial<HubNotice>) => {
     if (isHandingOn()) peerServer.notifyAll(makeNotice(told));
   };
-  return { teller, links, peerServer, isHandingOn, passOn };
+  const tellNewBoxes = () => {
+    const unsettled = getKnowledge().listUnsettled();
+    const boxes = [...greetedAt.keys()].filter(isNewBox);
+    if (unsettled.length > 0) peerServer.notify(boxes, makeNotice({ unsettled }));
+  };
+  return { teller, links, peerServer, isHandingOn, passOn, tellNewBoxes };
 };
--- a/apps/box/src/storeRestored.test.ts
+++ b/apps/box/src/storeRestored.test.ts
@@ -2,7 +2,7 @@
 import { describe, expect, it } from "vitest";
 import { BOX_TABLE, STATE_LEAVING, TABLE } from "@stairgauge/platform";
 import { LEAVING_MS, SITE_HALL, startUsersSite } from "@stairgauge/standins";
-import { closers, FULL_MACHINE_MS, waitFor, waitMs } from "./box.testkit.js";
+import { ask, closers, FULL_MACHINE_MS, waitFor, waitMs } from "./box.testkit.js";
 import { startFleet } from "./fleet.testkit.js";
 import {
   collectAnswers,
@@ -150,3 +150,32 @@
     });
   });
 });
+
+describe("a box that starts on the store's copy", () => {
+  /** Starts a box and sends it requests once it is linked to the others. */
+  const askNewBox = async ({ addBox }: SignSite) => {
+    const { ports, lines } = await addBox();
+    await waitFor(() => lines.some((line) => line.event === "peers" && line.links === 3));
+    await waitMs(SETTLED_MS);
+    const answers = await Promise.all(
+      Array.from({ length: 40 }, () => ask(ports, { path: PLAIN.path })),
+    );
+    return new Set(answers.map(({ status }) => status));
+  };
+
+  it("opens nothing to a key that the others know to be gone", async () => {
+    const site = await startSignSite(PLAIN);
+    await runDrill(site, DRILL, ({ putConfiguration }) =>
+      putConfiguration({ tenants: [] }),
+    );
+    expect(await askNewBox(site)).toEqual(new Set([401]));
+  });
+
+  it("sends nothing to a server that the others know to be gone", async () => {
+    const site = await startSignSite(PLAIN);
+    await runDrill(site, DRILL, ({ store }) => store.drop(TABLE.servers, LEFT_NAME));
+    const before = site.servers.listArrivals(LEFT).length;
+    expect(await askNewBox(site)).toEqual(new Set([200]));
+    expect(site.servers.listArrivals(LEFT)).toHaveLength(before);
+  });
+});
--- a/packages/peers/src/makeNotice.ts
+++ b/packages/peers/src/makeNotice.ts
@@ -8,10 +8,12 @@
   leaving: [],
   crashes: NO_CRASH_NEWS,
   limits: NO_LIMIT_NEWS,
+  unsettled: [],
   ...told,
 });
 
 /** Whether there is anything in it. */
-export const hasNews = ({ leaving, crashes, limits }: HubNotice): boolean =>
+export const hasNews = ({ leaving, crashes, limits, unsettled }: HubNotice): boolean =>
+  unsettled.length > 0 ||
   leaving.length + crashes.ends.length + crashes.served.length > 0 ||
   limits.named.length + limits.lifted.length > 0;
--- a/packages/peers/src/peerServer.ts
+++ b/packages/peers/src/peerServer.ts
@@ -27,7 +27,7 @@
 export type PeerServerOptions = Readonly<{
   onUpdate: (update: RunUpdate) => void;
   /** What a box is told whose stream has just come up. */
-  makeGreeting: () => HubNotice;
+  makeGreeting: (box: BoxName) => HubNotice;
   /** A box's stream has ended: what it told is no longer kept up. */
   onPeerLost: (box: BoxName) => void;
   /** Another box asks for a table. */
@@ -68,8 +68,8 @@
   /** The stream that counts for a box: a box that came back opens another. */
   const streams = new Map<BoxName, UpdateStream>();
 
-  const sendGreeting = (stream: UpdateStream) => {
-    const greeting = options.makeGreeting();
+  const sendGreeting = (box: BoxName, stream: UpdateStream) => {
+    const greeting = options.makeGreeting(box);
     if (hasNews(greeting)) stream.write(greeting);
   };
 
@@ -86,7 +86,7 @@
       box = update.box;
       const isNew = streams.get(box) !== stream;
       streams.set(box, stream);
-      if (isNew) sendGreeting(stream);
+      if (isNew) sendGreeting(box, stream);
       options.onUpdate(update);
     });
     stream.on("error", loseBox);
--- a/packages/peers/src/peers.test.ts
+++ b/packages/peers/src/peers.test.ts
@@ -42,7 +42,7 @@
 } from "./index.js";
 import { toEqualMember } from "./sharedKnowledge.testkit.js";
 import { decodeAnswer, decodeQuestion, encodeAnswer } from "./tableCodec.js";
-import { decodeUpdate, encodeUpdate } from "./updateCodec.js";
+import { decodeNotice, decodeUpdate, encodeNotice, encodeUpdate } from "./updateCodec.js";
 
 const toRevision = (version: number) => makeRevision(1, version);
 
@@ -698,6 +698,18 @@
 });
 
 describe("updateCodec", () => {
+  it("brings a notice across unchanged", () => {
+    const row = { key: "k", value: Buffer.alloc(5_000, 7), revision: toRevision(4) };
+    const notice: HubNotice = {
+      leaving: [{ server, basis: "own_word" }],
+      crashes: KNOWN_CRASHES,
+      limits: KNOWN_LIMITS,
+      unsettled: [{ table: "t", era: 2, kept: [row], withheld: [row] }],
+    };
+    expect(decodeNotice(encodeNotice(notice))).toEqual(notice);
+    expect(decodeNotice(Buffer.from("{}")).unsettled).toEqual([]);
+  });
+
   it("brings an update across unchanged", () => {
     const update: RunUpdate = {
       box: "a" as BoxName,
--- a/packages/peers/src/types.ts
+++ b/packages/peers/src/types.ts
@@ -5,7 +5,12 @@
 import type { BoxName, DataHallName, Ms } from "@stairgauge/common";
 import type { CrashNews } from "@stairgauge/crashes";
 import type { LimitNews } from "@stairgauge/limits";
-import type { RowChange, StoredRow, StoreRevision } from "@stairgauge/storefeed";
+import type {
+  RowChange,
+  StoredRow,
+  StoreRevision,
+  UnsettledRows,
+} from "@stairgauge/storefeed";
 import type { LeavingBasis, ServerAddress, ServerId } from "@stairgauge/directory";
 import type {
   EngineReport,
@@ -55,11 +60,18 @@
   limits: LimitNews;
 }>;
 
-/** What a box tells those that are linked to it: of servers at which they have runs, requests that end servers, and limits. */
+/** Rows of one table that count at a box against the store's word. */
+export type ToldUnsettled = UnsettledRows & Readonly<{ table: string }>;
+
+/**
+ * What a box tells those that are linked to it: of servers at which they have runs, requests that end servers, limits, and
+ * what it knows beyond the copy that the store has come back from.
+ */
 export type HubNotice = Readonly<{
   leaving: readonly ToldLeaving[];
   crashes: CrashNews;
   limits: LimitNews;
+  unsettled: readonly ToldUnsettled[];
 }>;
 
 /** What one box asks another of a table: all of it, or its changes as soon as there is news. */
--- a/packages/peers/src/updateCodec.ts
+++ b/packages/peers/src/updateCodec.ts
@@ -10,7 +10,14 @@
 import { NO_LIMIT_NEWS, type LimitNews } from "@stairgauge/limits";
 import type { PlacedRun } from "@stairgauge/placement";
 import { z } from "zod";
-import type { HubNotice, RunUpdate, ToldLeaving, ToldReport } from "./types.js";
+import { count, rowSchema, toWireRow } from "./rowCodec.js";
+import type {
+  HubNotice,
+  RunUpdate,
+  ToldLeaving,
+  ToldReport,
+  ToldUnsettled,
+} from "./types.js";
 
 /** A placed run on the wire. */
 export const runSchema = z.object({
@@ -88,10 +95,20 @@
   lifted: z.array(z.object({ server: z.string(), age: z.number().nonnegative() })),
 });
 
+const unsettledSchema = z.array(
+  z.object({
+    table: z.string(),
+    era: count,
+    kept: z.array(rowSchema),
+    withheld: z.array(rowSchema),
+  }),
+);
+
 const noticeSchema = z.object({
   leaving: leavingSchema.default([]),
   crashes: crashesSchema.optional(),
   limits: limitsSchema.optional(),
+  unsettled: unsettledSchema.default([]),
 });
 
 const updateSchema = z.object({
@@ -188,13 +205,31 @@
         })),
       };
 
+const encodeUnsettled = (unsettled: readonly ToldUnsettled[]) =>
+  unsettled.length === 0
+    ? {}
+    : {
+        unsettled: unsettled.map(({ table, era, kept, withheld }) => ({
+          table,
+          era,
+          kept: kept.map(toWireRow),
+          withheld: withheld.map(toWireRow),
+        })),
+      };
+
 /** Encodes a notice. */
-export const encodeNotice = ({ leaving, crashes, limits }: HubNotice): Buffer =>
+export const encodeNotice = ({
+  leaving,
+  crashes,
+  limits,
+  unsettled,
+}: HubNotice): Buffer =>
   Buffer.from(
     JSON.stringify({
       leaving: encodeLeaving(leaving),
       ...encodeCrashes(crashes),
       ...encodeLimits(limits),
+      ...encodeUnsettled(unsettled),
     }),
   );
 
@@ -205,6 +240,7 @@
     leaving: decodeLeaving(notice.leaving),
     crashes: decodeCrashes(notice.crashes),
     limits: decodeLimits(notice.limits),
+    unsettled: notice.unsettled,
   };
 };
 
--- a/packages/storefeed/src/index.ts
+++ b/packages/storefeed/src/index.ts
@@ -28,4 +28,5 @@
   RestoreGuardOptions,
   RestoreReport,
   RestoreRules,
+  UnsettledRows,
 } from "./restoreGuard.js";
--- a/packages/storefeed/src/restoreGuard.test.ts
+++ b/packages/storefeed/src/restoreGuard.test.ts
@@ -65,7 +65,8 @@
     sink.onChanges(changes, clock.monotonic(), revision);
   const listRows = () => [...rows].map(([key, value]) => `${key} ${value}`).toSorted();
   const pass = (duration: number) => clock.advance(duration as Ms);
-  return { readWhole, change, listRows, pass, reports };
+  const { takeUnsettled, listUnsettled } = guard;
+  return { readWhole, change, listRows, pass, reports, takeUnsettled, listUnsettled };
 };
 
 describe("a table whose store comes back from a copy", () => {
@@ -165,4 +166,45 @@
     expect(listRows()).toEqual(["a 1"]);
     expect(reports).toEqual([]);
   });
+
+  it("is completed at a box that has just started by what another one knows", () => {
+    const other = setUp();
+    const keys = ["keep", "a", "gone", "same"];
+    other.readWhole(makeRevision(1, 40), ...keys.map((key) => makeRow(key, 5, OLD)));
+    other.change(OLD, makeGone("gone"));
+    const copied = [
+      makeRow("a", 4, makeRevision(2, 20)),
+      makeRow("gone", 5, makeRevision(2, 20)),
+      makeRow("same", 5, makeRevision(2, 20)),
+    ];
+    other.readWhole(COPIED, ...copied);
+    const told = other.listUnsettled();
+
+    const started = setUp();
+    started.takeUnsettled(told);
+    started.readWhole(COPIED, ...copied);
+    expect(started.listRows()).toEqual(["a 5", "keep 5", "same 5"]);
+    started.pass(WAIT);
+    expect(started.listRows()).toEqual(["a 5", "gone 5", "keep 5", "same 5"]);
+  });
+
+  it("is not taken back by what another box knows, once a row is written again, or in another era", () => {
+    const { readWhole, takeUnsettled, listRows } = setUp();
+    const written = makeRow("gone", 1, makeRevision(2, 31));
+    readWhole(makeRevision(2, 31), written);
+    const withheld = [makeRow("gone", 1, makeRevision(2, 20))];
+    takeUnsettled({ era: 2, kept: [], withheld });
+    expect(listRows()).toEqual(["gone 1"]);
+    takeUnsettled({ era: 1, kept: [makeRow("a", 1, makeRevision(0, 9))], withheld: [] });
+    expect(listRows()).toEqual(["gone 1"]);
+  });
+
+  it("leaves nothing unsettled once all has been written again", () => {
+    const { readWhole, change, listUnsettled } = setUp();
+    readWhole(OLD, makeRow("a", 5, OLD));
+    readWhole(COPIED);
+    expect(listUnsettled().kept).toHaveLength(1);
+    change(makeRevision(2, 31), makePut(makeRow("a", 5, makeRevision(2, 31))));
+    expect(listUnsettled()).toEqual({ era: 2, kept: [], withheld: [] });
+  });
 });
--- a/packages/storefeed/src/restoreGuard.ts
+++ b/packages/storefeed/src/restoreGuard.ts
@@ -3,7 +3,7 @@
  * acknowledged; whoever wrote it writes it again. Until then each table has rules for what counts.
  */
 import { assertNever, type Clock, type Ms, type Timer } from "@stairgauge/common";
-import type { StoreRevision } from "./revision.js";
+import { compareRevisions, UNTOLD_ERA, type StoreRevision } from "./revision.js";
 import type { FollowerSink } from "./tableFollower.js";
 import type { RowChange, StoredRow } from "./types.js";
 
@@ -42,6 +42,15 @@
   isUnsettled: (key: string) => boolean;
 }>;
 
+/** Rows that count against the store's word at one box, as it tells them to one that has just started. */
+export type UnsettledRows = Readonly<{
+  era: number;
+  /** Rows of earlier eras that count. */
+  kept: readonly StoredRow[];
+  /** Rows of the store that don't count. */
+  withheld: readonly StoredRow[];
+}>;
+
 /** What the guard needs. */
 export type RestoreGuardOptions = Readonly<{
   clock: Clock;
@@ -54,6 +63,10 @@
 export type RestoreGuard = Readonly<{
   /** Follows along before the sink given, which hears what counts. */
   observe: (inner: FollowerSink) => FollowerSink;
+  /** Nothing most of the time. */
+  listUnsettled: () => UnsettledRows;
+  /** Takes what another box knows beyond the store's copy. */
+  takeUnsettled: (told: UnsettledRows) => void;
 }>;
 
 /** Keys of dropped rows that are remembered, the latest ones. */
@@ -71,6 +84,10 @@
   /** Rows as they count. */
   const known = new Map<string, StoredRow>();
   const dropped = new Set<string>();
+  const withheld = new Map<string, StoredRow>();
+  /** What others told before the table was read. */
+  const toldEarly: UnsettledRows[] = [];
+  let tellInner: (change: RowChange) => void = () => undefined;
   /** Ends of the time for which a row counts, or doesn't, against the store's word. */
   const waits = new Map<string, Timer>();
   let last: Readonly<{ asOf: Ms; revision: StoreRevision }> | undefined;
@@ -81,6 +98,7 @@
   const settle = (key: string) => {
     waits.get(key)?.cancel();
     waits.delete(key);
+    withheld.delete(key);
   };
   const settleAll = () => {
     for (const key of [...waits.keys()]) settle(key);
@@ -108,91 +126,113 @@
   const isCopied = ({ revision }: StoredRow) =>
     revision.era === last?.revision.era && revision.version <= copiedUpTo;
 
-  const makeGuarded = (inner: FollowerSink): FollowerSink => {
-    /** Lets a change count that comes with time, not from the store. */
-    const changeAfter = (duration: Ms, change: RowChange, key: string) => {
-      if (isUnsettled(key)) return;
-      const timer = clock.setTimer(duration, () => {
-        applyChange(change);
-        inner.onChanges([change], last!.asOf, last!.revision);
-      });
-      waits.set(key, timer);
-    };
+  /** Lets a change count that comes with time, not from the store. */
+  const changeAfter = (duration: Ms, change: RowChange, key: string) => {
+    if (isUnsettled(key)) return;
+    const timer = clock.setTimer(duration, () => {
+      applyChange(change);
+      tellInner(change);
+    });
+    waits.set(key, timer);
+  };
 
-    /** Whether a row that the copy lacks counts. */
-    const admitMissing = (row: StoredRow): boolean => {
-      const verdict = rules.judgeMissing(row);
-      const { key } = row;
-      switch (verdict.kind) {
-        case "drop":
-          return false;
-        case "keep":
-          return true;
-        case "keep_for":
-          changeAfter(verdict.duration, { kind: "gone", key }, key);
-          return true;
-        default:
-          return assertNever(verdict);
-      }
-    };
-    /** Whether a row that was dropped counts again. */
-    const admitDropped = (row: StoredRow): boolean => {
-      const verdict = rules.judgeDropped(row);
-      switch (verdict.kind) {
-        case "take":
-          return true;
-        case "take_after":
-          changeAfter(verdict.duration, { kind: "put", row }, row.key);
-          return false;
-        default:
-          return assertNever(verdict);
-      }
-    };
+  /** Whether a row that the copy lacks counts. */
+  const admitMissing = (row: StoredRow): boolean => {
+    const verdict = rules.judgeMissing(row);
+    const { key } = row;
+    switch (verdict.kind) {
+      case "drop":
+        return false;
+      case "keep":
+        return true;
+      case "keep_for":
+        changeAfter(verdict.duration, { kind: "gone", key }, key);
+        return true;
+      default:
+        return assertNever(verdict);
+    }
+  };
+  /** Whether a row that was dropped counts again. */
+  const admitDropped = (row: StoredRow): boolean => {
+    const verdict = rules.judgeDropped(row);
+    switch (verdict.kind) {
+      case "take":
+        return true;
+      case "take_after":
+        changeAfter(verdict.duration, { kind: "put", row }, row.key);
+        withheld.set(row.key, row);
+        return false;
+      default:
+        return assertNever(verdict);
+    }
+  };
 
-    /** The row that counts, if any. */
-    const judgeCopied = (
-      row: StoredRow,
-      report: MutableReport,
-    ): StoredRow | undefined => {
-      const before = known.get(row.key);
-      if (before && isOfEarlierEra(before) && rules.isUndone(before, row)) {
-        report.undone.push(row.key);
-        return before;
-      }
-      if (before || !dropped.has(row.key) || admitDropped(row)) return row;
-      report.withheld.push(row);
-      return undefined;
-    };
-    const judgeRow = (row: StoredRow, report: MutableReport) => {
-      if (isCopied(row)) return judgeCopied(row, report);
-      settle(row.key);
-      return row;
-    };
-    const listMissing = (listed: ReadonlySet<string>) =>
-      [...known.values()].filter(
-        (row) => !listed.has(row.key) && isOfEarlierEra(row) && admitMissing(row),
-      );
-
-    const judgeAll = (rows: readonly StoredRow[]) => {
-      const report: MutableReport = { undone: [], missing: [], withheld: [] };
-      const listed = new Set(rows.map(({ key }) => key));
-      for (const key of [...waits.keys()])
-        if (!listed.has(key) && !known.has(key)) settle(key);
-      const counting = rows.flatMap((row) => judgeRow(row, report) ?? []);
-      report.missing.push(...listMissing(listed));
-      return { counting: [...counting, ...report.missing], report };
-    };
-    const replaceKnown = (counting: readonly StoredRow[]) => {
-      const before = new Set(known.keys());
-      known.clear();
-      for (const row of counting) {
-        known.set(row.key, row);
-        before.delete(row.key);
-        dropped.delete(row.key);
-      }
-      for (const key of before) recordDropped(key);
-    };
+  /** The row that counts, if any. */
+  const judgeCopied = (row: StoredRow, report: MutableReport): StoredRow | undefined => {
+    const before = known.get(row.key);
+    if (before && isOfEarlierEra(before) && rules.isUndone(before, row)) {
+      report.undone.push(row.key);
+      return before;
+    }
+    if (before || !dropped.has(row.key) || admitDropped(row)) return row;
+    report.withheld.push(row);
+    return undefined;
+  };
+  const judgeRow = (row: StoredRow, report: MutableReport) => {
+    if (isCopied(row)) return judgeCopied(row, report);
+    settle(row.key);
+    return row;
+  };
+  const listMissing = (listed: ReadonlySet<string>) =>
+    [...known.values()].filter(
+      (row) => !listed.has(row.key) && isOfEarlierEra(row) && admitMissing(row),
+    );
+  const judgeAll = (rows: readonly StoredRow[]) => {
+    const report: MutableReport = { undone: [], missing: [], withheld: [] };
+    const listed = new Set(rows.map(({ key }) => key));
+    for (const key of [...withheld.keys()]) if (!listed.has(key)) settle(key);
+    const counting = rows.flatMap((row) => judgeRow(row, report) ?? []);
+    report.missing.push(...listMissing(listed));
+    return { counting: [...counting, ...report.missing], report };
+  };
+  const replaceKnown = (counting: readonly StoredRow[]) => {
+    const before = new Set(known.keys());
+    known.clear();
+    for (const row of counting) {
+      known.set(row.key, row);
+      before.delete(row.key);
+      dropped.delete(row.key);
+    }
+    for (const key of before) recordDropped(key);
+  };
 
+  const takeKept = (row: StoredRow) => {
+    const own = known.get(row.key);
+    const counts = own ? rules.isUndone(row, own) : admitMissing(row);
+    if (!counts) return;
+    known.set(row.key, row);
+    tellInner({ kind: "put", row });
+  };
+  const takeWithheld = (row: StoredRow) => {
+    const own = known.get(row.key);
+    // A box that knows another state of it has heard of it later.
+    if (!own || compareRevisions(own.revision, row.revision) !== 0) return;
+    if (admitDropped(row)) return;
+    known.delete(row.key);
+    tellInner({ kind: "gone", key: row.key });
+  };
+  const takeUnsettled = (told: UnsettledRows) => {
+    if (last === undefined) {
+      toldEarly.push(told);
+      return;
+    }
+    if (told.era !== last.revision.era) return;
+    told.kept.forEach(takeKept);
+    told.withheld.forEach(takeWithheld);
+  };
+
+  const observe = (inner: FollowerSink): FollowerSink => {
+    tellInner = (change) => inner.onChanges([change], last!.asOf, last!.revision);
     return {
       ...inner,
       onWhole: (rows, asOf, revision) => {
@@ -206,6 +246,7 @@
         replaceKnown(counting);
         inner.onWhole(counting, asOf, revision);
         if (isNewEra) onRestored({ ...report, revision, rows: rows.length, isUnsettled });
+        for (const told of toldEarly.splice(0)) takeUnsettled(told);
       },
       onChanges: (changes, asOf, revision) => {
         last = { asOf, revision };
@@ -215,5 +256,13 @@
     };
   };
 
-  return { observe: makeGuarded };
+  return {
+    observe,
+    listUnsettled: () => ({
+      era: last?.revision.era ?? UNTOLD_ERA,
+      kept: [...known.values()].filter(isOfEarlierEra),
+      withheld: [...withheld.values()],
+    }),
+    takeUnsettled,
+  };
 };
