fix: boxes whose rows are lost together put them again spread over time

Cause: each box that missed its own row put it at once: 473 writes in one part, which takes 200 a second, beside what servers and operators write again then. Change: each waits a random part of 10 ms for each box known, so some 100 a second come; others keep the rows of boxes for 10 s (5 s before). The new test (400 boxes, fewer than 150 writes in the first second) failed before with 400.

--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -204,6 +204,7 @@
   let peerAddress = toHostAndPort(settings.listen.peers);
   const membership = createMembership({
     clock,
+    random,
     writer: createStoreWriter(settings.store.address),
     table: BOX_TABLE,
     getOwn: () => ({
--- a/packages/peers/src/boxRestoreRules.ts
+++ b/packages/peers/src/boxRestoreRules.ts
@@ -3,7 +3,7 @@
 import type { RestoreRules } from "@stairgauge/storefeed";
 
 /** A box that lives has put its lost row again within this time. */
-const REJOINED_WITHIN_MS = 5_000 as Ms;
+const REJOINED_WITHIN_MS = 10_000 as Ms;
 
 /** Creates the rules of the boxes' table; a box misses its own row at once, and puts it again. */
 export const createBoxRestoreRules = (own: BoxName): RestoreRules => ({
--- a/packages/peers/src/membership.ts
+++ b/packages/peers/src/membership.ts
@@ -1,5 +1,5 @@
 /** Puts this box's row into the store, and takes the rows of the others from it. */
-import type { Clock, Ms } from "@stairgauge/common";
+import type { Clock, Ms, Random } from "@stairgauge/common";
 import type { FollowerSink, StoreWriteFailure, StoreWriter } from "@stairgauge/storefeed";
 import { createMemberSink, encodeMember, type MemberFailure } from "./memberSink.js";
 import type { Peer } from "./types.js";
@@ -7,6 +7,7 @@
 /** What membership needs. */
 export type MembershipOptions = Readonly<{
   clock: Clock;
+  random: Random;
   writer: StoreWriter;
   table: string;
   /** This box, once it listens for others. */
@@ -30,9 +31,12 @@
 /** Pause before the own row is put again. */
 const JOIN_PAUSE_MS = 2_000 as Ms;
 
+/** Boxes whose rows are lost together put them again spread over so much time for each. */
+const REJOIN_SPREAD_MS = 10;
+
 /** Creates the membership of one box. */
 export const createMembership = (options: MembershipOptions): Membership => {
-  const { clock, writer, table, getOwn, limit, onPeers, onFailure } = options;
+  const { clock, random, writer, table, getOwn, limit, onPeers, onFailure } = options;
   let isListed = false;
   let isLeaving = false;
 
@@ -58,12 +62,17 @@
     clock.setTimer(JOIN_PAUSE_MS, () => void join());
   };
 
+  const joinAgain = (boxes: number) => {
+    const delay = random.nextFloat() * boxes * REJOIN_SPREAD_MS;
+    clock.setTimer(delay as Ms, () => void join());
+  };
+
   return {
     sink: createMemberSink({
       onMembers: (members) => {
         const wasListed = isListed;
         isListed = members.some(isSame);
-        if (wasListed && !isListed) void join();
+        if (wasListed && !isListed) joinAgain(members.length + 1);
         onPeers(members);
       },
       onUnreadable: onFailure,
--- a/packages/peers/src/peers.test.ts
+++ b/packages/peers/src/peers.test.ts
@@ -3,6 +3,7 @@
 import fc from "fast-check";
 import { afterEach, describe, expect, it } from "vitest";
 import {
+  advanceSettled,
   createSeededRandom,
   createSystemClock,
   createVirtualClock,
@@ -759,6 +760,7 @@
     const failures: unknown[] = [];
     const membership = createMembership({
       clock: createSystemClock(),
+      random: createSeededRandom(1),
       writer: {
         putRow: ({ key }) => {
           written.push(`put ${key}`);
@@ -787,4 +789,42 @@
     expect(peers).toEqual([["a", "b"], ["a"]]);
     expect(failures).toEqual([{ kind: "unreadable_member", key: "c" }]);
   });
+
+  it("spread their rows over time when the store has lost them all", async () => {
+    const BOXES = 400;
+    const clock = createVirtualClock();
+    const random = createSeededRandom(2);
+    const rows = Array.from({ length: BOXES }, (_, i) =>
+      toRow(`b${i}`, { host: "10.0.0.1", port: i + 1 }),
+    );
+    const writtenAt: number[] = [];
+    const putRow = () => {
+      writtenAt.push(clock.monotonic());
+      return Promise.resolve(Ok(undefined));
+    };
+    for (const { key } of rows) {
+      const { sink } = createMembership({
+        clock,
+        random,
+        writer: { putRow, dropRow: putRow },
+        table: "boxes",
+        getOwn: () => ({
+          box: key as BoxName,
+          address: { host: "10.0.0.1", port: Number(key.slice(1)) + 1 },
+          capacity: 1,
+        }),
+        limit: 100 as Ms,
+        onPeers: () => undefined,
+        onFailure: () => undefined,
+      });
+      sink.onWhole(rows, 0 as Ms, toRevision(1));
+      // The rule for the own row drops it alone.
+      const others = rows.filter((row) => row.key !== key);
+      sink.onWhole(others, 0 as Ms, makeRevision(2, 1));
+    }
+    await advanceSettled(clock, 1_000 as Ms);
+    expect(writtenAt.length).toBeLessThan(150);
+    const firstWrites = new Set(writtenAt);
+    expect(firstWrites.size).toBeGreaterThan(50);
+  });
 });
