fix: a follower that has read nothing takes any state, also when others have seen an era; an earlier era takes nothing back

A table followed for the first time asked for the era that another table had shown, and so never asked other boxes first while the store is silent at a start; a box that had not read the table yet made its asker wait. Where a store insists on an earlier era, known rows were of a later one, and no rule held for them. Types of the guard stand in a file of their own.

--- a/packages/storefeed/src/index.ts
+++ b/packages/storefeed/src/index.ts
@@ -21,12 +21,5 @@
   TableFollower,
 } from "./tableFollower.js";
 export { createRestoreGuard } from "./restoreGuard.js";
-export type {
-  DroppedVerdict,
-  MissingVerdict,
-  RestoreGuard,
-  RestoreGuardOptions,
-  RestoreReport,
-  RestoreRules,
-  UnsettledRows,
-} from "./restoreGuard.js";
+export type { RestoreGuard, RestoreGuardOptions } from "./restoreGuard.js";
+export type * from "./restoreTypes.js";
--- a/packages/storefeed/src/restoreGuard.test.ts
+++ b/packages/storefeed/src/restoreGuard.test.ts
@@ -207,4 +207,11 @@
     change(makeRevision(2, 31), makePut(makeRow("a", 5, makeRevision(2, 31))));
     expect(listUnsettled()).toEqual({ era: 2, kept: [], withheld: [] });
   });
+
+  it("takes nothing back either where the store insists on an earlier era", () => {
+    const { readWhole, listRows } = setUp();
+    readWhole(makeRevision(3, 50), makeRow("a", 5, makeRevision(3, 50)));
+    readWhole(makeRevision(1, 9), makeRow("a", 4, makeRevision(1, 9)));
+    expect(listRows()).toEqual(["a 5"]);
+  });
 });
--- a/packages/storefeed/src/restoreGuard.ts
+++ b/packages/storefeed/src/restoreGuard.ts
@@ -5,52 +5,9 @@
 import { assertNever, type Clock, type Ms, type Timer } from "@stairgauge/common";
 import { compareRevisions, UNTOLD_ERA, type StoreRevision } from "./revision.js";
 import type { FollowerSink } from "./tableFollower.js";
+import type { RestoreReport, RestoreRules, UnsettledRows } from "./restoreTypes.js";
 import type { RowChange, StoredRow } from "./types.js";
 
-/** What becomes of a known row that the copy lacks. */
-export type MissingVerdict = Readonly<
-  | { kind: "drop" }
-  /** It counts until somebody writes or drops it. */
-  | { kind: "keep" }
-  | { kind: "keep_for"; duration: Ms }
->;
-
-/** What becomes of a row of the copy that is known to have been dropped. */
-export type DroppedVerdict = Readonly<
-  { kind: "take" } | { kind: "take_after"; duration: Ms }
->;
-
-/** What counts of one table until its writers have written again. */
-export type RestoreRules = Readonly<{
-  /** Whether the copy holds an earlier state of a row than is known. */
-  isUndone: (known: StoredRow, copied: StoredRow) => boolean;
-  judgeMissing: (known: StoredRow) => MissingVerdict;
-  judgeDropped: (copied: StoredRow) => DroppedVerdict;
-}>;
-
-/** How what was known differs from the copy. */
-export type RestoreReport = Readonly<{
-  revision: StoreRevision;
-  rows: number;
-  /** Rows of which the copy has an earlier state; what was known counts. */
-  undone: readonly string[];
-  /** Rows that the copy lacks, and that count for now. */
-  missing: readonly StoredRow[];
-  /** Rows that were dropped, and that don't count for now. */
-  withheld: readonly StoredRow[];
-  /** Whether it still holds of a row that is missing or withheld. */
-  isUnsettled: (key: string) => boolean;
-}>;
-
-/** Rows that count against the store's word at one box, as it tells them to one that has just started. */
-export type UnsettledRows = Readonly<{
-  era: number;
-  /** Rows of earlier eras that count. */
-  kept: readonly StoredRow[];
-  /** Rows of the store that don't count. */
-  withheld: readonly StoredRow[];
-}>;
-
 /** What the guard needs. */
 export type RestoreGuardOptions = Readonly<{
   clock: Clock;
@@ -121,8 +78,8 @@
     }
   };
 
-  const isOfEarlierEra = ({ revision }: StoredRow) =>
-    last !== undefined && revision.era < last.revision.era;
+  const isOfOtherEra = ({ revision }: StoredRow) =>
+    last !== undefined && revision.era !== last.revision.era;
   const isCopied = ({ revision }: StoredRow) =>
     revision.era === last?.revision.era && revision.version <= copiedUpTo;
 
@@ -170,7 +127,7 @@
   /** The row that counts, if any. */
   const judgeCopied = (row: StoredRow, report: MutableReport): StoredRow | undefined => {
     const before = known.get(row.key);
-    if (before && isOfEarlierEra(before) && rules.isUndone(before, row)) {
+    if (before && isOfOtherEra(before) && rules.isUndone(before, row)) {
       report.undone.push(row.key);
       return before;
     }
@@ -185,7 +142,7 @@
   };
   const listMissing = (listed: ReadonlySet<string>) =>
     [...known.values()].filter(
-      (row) => !listed.has(row.key) && isOfEarlierEra(row) && admitMissing(row),
+      (row) => !listed.has(row.key) && isOfOtherEra(row) && admitMissing(row),
     );
   const judgeAll = (rows: readonly StoredRow[]) => {
     const report: MutableReport = { undone: [], missing: [], withheld: [] };
@@ -260,7 +217,7 @@
     observe,
     listUnsettled: () => ({
       era: last?.revision.era ?? UNTOLD_ERA,
-      kept: [...known.values()].filter(isOfEarlierEra),
+      kept: [...known.values()].filter(isOfOtherEra),
       withheld: [...withheld.values()],
     }),
     takeUnsettled,
--- a/packages/storefeed/src/tableFollower.test.ts
+++ b/packages/storefeed/src/tableFollower.test.ts
@@ -9,10 +9,12 @@
   type Result,
 } from "@stairgauge/common";
 import {
+  BEFORE_ALL,
   createRevisionMark,
   createTableFollower,
   makeRevision,
   type StoreFailure,
+  type StoreRevision,
   type StoreReader,
   type TableChanges,
   type TableSnapshot,
@@ -40,14 +42,16 @@
   const clock = createVirtualClock();
   const told: string[] = [];
   const calls: string[] = [];
+  const useful: StoreRevision[] = [];
   const script = [...steps];
   const waitForAbort = (signal: AbortSignal) =>
     new Promise<Result<never, StoreFailure>>((resolve) => {
       signal.addEventListener("abort", () => resolve(Err({ kind: "timed_out" })));
     });
   const reader: StoreReader = {
-    readTable: ({ signal }) => {
+    readTable: ({ atLeast, signal }) => {
       calls.push("whole");
+      useful.push(atLeast);
       const step = script.shift();
       if (!step) return waitForAbort(signal);
       if ("silence" in step) return waitForAbort(signal);
@@ -83,7 +87,7 @@
       onRegained: () => told.push("regained"),
     },
   });
-  return { clock, follower, told, calls, revisions };
+  return { clock, follower, told, calls, useful };
 };
 
 describe("createTableFollower", () => {
@@ -257,4 +261,21 @@
     follower.stop();
     expect(calls.slice(-3)).toEqual(["whole", "changes since 5", "changes since 5"]);
   });
+
+  it("is of use in whatever state to a follower that has read nothing, and from its era on to others", async () => {
+    const revisions = createRevisionMark();
+    revisions.raise({ table: "other", by: "store", revision: BACK });
+    const { clock, follower, useful } = setUp(
+      [
+        { whole: Ok({ rows: [], revision: toRevision(9), source }) },
+        { whole: Ok({ rows: [], revision: BACK, source }) },
+      ],
+      0,
+      revisions,
+    );
+    follower.start();
+    await advanceSettled(clock, 150 as Ms);
+    follower.stop();
+    expect(useful).toEqual([BEFORE_ALL, BEFORE_ALL]);
+  });
 });
--- a/packages/storefeed/src/tableFollower.ts
+++ b/packages/storefeed/src/tableFollower.ts
@@ -77,6 +77,7 @@
   let isStopped = false;
   let failures = 0;
   let staleReads = 0;
+  let hasRead = false;
   let tableRevision = BEFORE_ALL;
   let pause: number = retryPause.first;
   let abort = new AbortController();
@@ -120,8 +121,11 @@
   /** Versions of another era say nothing of what came since. */
   const isOfOtherEra = ({ era }: StoreRevision) => era !== revisions.get().era;
 
+  /** To a follower that knows nothing of its table yet every state is of use. */
   const getLeastUseful = (): StoreRevision =>
-    pickLaterRevision(tableRevision, makeRevision(revisions.get().era, 0));
+    hasRead
+      ? pickLaterRevision(tableRevision, makeRevision(revisions.get().era, 0))
+      : BEFORE_ALL;
 
   /** Whether a whole read is to be made again instead. */
   const isPassedOver = (read: TableSnapshot, newestBefore: StoreRevision): boolean => {
@@ -158,6 +162,7 @@
     staleReads = 0;
     revisions.raise({ table, by: source.kind, revision });
     recordAnswer();
+    hasRead = true;
     tableRevision = revision;
     sink.onWhole(rows, computeAsOf(sentAt, source), revision);
     return revision;
@@ -189,13 +194,15 @@
   const run = async () => {
     let since: StoreRevision | undefined;
     while (!isStopped) {
-      const isBroken = since === undefined || isOfOtherEra(since);
-      since = isBroken ? await readWhole() : await followOnce(since!);
+      since =
+        since === undefined || isOfOtherEra(since)
+          ? await readWhole()
+          : await followOnce(since);
     }
   };
 
   revisions.watchEra(() => {
-    if (isOfOtherEra(tableRevision)) abort.abort(NEW_ERA);
+    if (hasRead && isOfOtherEra(tableRevision)) abort.abort(NEW_ERA);
   });
 
   return {
--- a/packages/storefeed/src/tableMirror.ts
+++ b/packages/storefeed/src/tableMirror.ts
@@ -34,7 +34,7 @@
   /** How long ago what it holds was true at the store, at most. */
   getAge: () => Ms;
   readWhole: () => Result<Relayed<TableSnapshot>, MirrorFailure>;
-  /** Resolves once the table is as new as that, or the wait is over. */
+  /** Resolves once the table is as new as that, or the wait is over; at once where it was never read. */
   awaitState: (useful: UsefulState) => Promise<void>;
   /** As the store does, from what this box knows. */
   awaitChanges: (
@@ -116,7 +116,7 @@
   };
 
   const isBefore = (state: StoreRevision) =>
-    revision === undefined || isEarlierRevision(revision, state);
+    revision !== undefined && isEarlierRevision(revision, state);
 
   /** Whoever waits is answered when the store has confirmed what is known, too: the age told is then the least. */
   const waitForNews = (duration: Ms) =>
