--- a/packages/fleet/src/followServers.test.ts
+++ b/packages/fleet/src/followServers.test.ts
@@ -3,36 +3,22 @@
   createVirtualClock,
   Err,
   Ok,
-  type DataHallName,
   type Ms,
   type Result,
-  type ServiceName,
   type VirtualClock,
 } from "@stairgauge/common";
 import {
   createServerDirectory,
   type ServerDirectory,
   type ServerEntry,
-  type ServerId,
-  type ServerName,
 } from "@stairgauge/directory";
 import { makeRevision, type FollowerSink, type StoredRow } from "@stairgauge/storefeed";
+import { makeEntry, SERVICE } from "./entries.testkit.js";
 import { createServerSink } from "./followServers.js";
 
-const SERVICE = "writers" as ServiceName;
-const decode = (id: string, value: Buffer): Result<ServerEntry, unknown> => {
+const decode = (name: string, value: Buffer): Result<ServerEntry, unknown> => {
   if (value.toString() === "odd") return Err({ kind: "not_json" });
-  return Ok({
-    id: id as ServerId,
-    name: id as ServerName,
-    startedAt: undefined,
-    service: SERVICE,
-    address: { host: "10.0.0.1", port: 80 },
-    dataHall: "h" as DataHallName,
-    slots: 6,
-    isLeaving: value.toString() === "leaving",
-    warmUpLeft: 0 as Ms,
-  });
+  return Ok(makeEntry(name, { isLeaving: value.toString() === "leaving" }));
 };
 const toRow = (key: string, text = "ready"): StoredRow => ({
   key,
--- a/packages/fleet/src/restoreRules.test.ts
+++ b/packages/fleet/src/restoreRules.test.ts
@@ -1,15 +1,9 @@
 import { describe, expect, it } from "vitest";
-import {
-  Err,
-  Ok,
-  type DataHallName,
-  type Ms,
-  type Result,
-  type ServiceName,
-} from "@stairgauge/common";
-import type { ServerEntry, ServerId, ServerName } from "@stairgauge/directory";
+import { Err, Ok, type DataHallName, type Ms, type Result } from "@stairgauge/common";
+import type { ServerEntry } from "@stairgauge/directory";
 import type { ConfigurationVersion, FleetConfiguration } from "@stairgauge/routing";
 import { makeRevision, type StoredRow } from "@stairgauge/storefeed";
+import { makeEntry } from "./entries.testkit.js";
 import { createOperatorRestoreRules, createServerRestoreRules } from "./restoreRules.js";
 
 const makeRow = (key: string, value: unknown): StoredRow => ({
@@ -22,17 +16,7 @@
 const decodeEntry = (name: string, value: Buffer): Result<ServerEntry, string> => {
   const { born, leaving } = parse(value) as { born?: number; leaving?: boolean };
   if (leaving === undefined) return Err("odd");
-  return Ok({
-    id: `${name}@${born}` as ServerId,
-    name: name as ServerName,
-    startedAt: born as Ms | undefined,
-    service: "s" as ServiceName,
-    address: { host: "10.0.0.1", port: 80 },
-    dataHall: "h" as DataHallName,
-    slots: 6,
-    isLeaving: leaving,
-    warmUpLeft: 0 as Ms,
-  });
+  return Ok(makeEntry(name, { startedAt: born as Ms | undefined, isLeaving: leaving }));
 };
 
 describe("a server's entry in the store's copy", () => {
--- a/packages/fleet/src/restoredServers.testkit.ts
+++ b/packages/fleet/src/restoredServers.testkit.ts
@@ -4,16 +4,9 @@
   createVirtualClock,
   Err,
   Ok,
-  type DataHallName,
   type Ms,
-  type ServiceName,
 } from "@stairgauge/common";
-import {
-  createServerDirectory,
-  type ServerEntry,
-  type ServerId,
-  type ServerName,
-} from "@stairgauge/directory";
+import { createServerDirectory } from "@stairgauge/directory";
 import {
   createRestoreGuard,
   createRevisionMark,
@@ -23,10 +16,10 @@
   type StoredRow,
   type StoreReader,
 } from "@stairgauge/storefeed";
+import { makeEntry, SERVICE } from "./entries.testkit.js";
 import { createServerSink } from "./followServers.js";
 import { createServerRestoreRules } from "./restoreRules.js";
 
-const SERVICE = "s" as ServiceName;
 const TABLE = "servers";
 
 /** Servers write so often, and the store drops the entry of one that has not written for three such times. */
@@ -57,17 +50,7 @@
 type Copy = Readonly<{ at: number; rows: ReadonlyMap<string, Row>; version: number }>;
 
 const decode = (name: string, value: Buffer) =>
-  Ok<ServerEntry>({
-    id: name as ServerId,
-    name: name as ServerName,
-    startedAt: undefined,
-    service: SERVICE,
-    address: { host: "10.0.0.1", port: 80 },
-    dataHall: "h" as DataHallName,
-    slots: 6,
-    isLeaving: value.toString() === "leaving",
-    warmUpLeft: 0 as Ms,
-  });
+  Ok(makeEntry(name, { isLeaving: value.toString() === "leaving" }));
 
 const toRow = (key: string, { state, version }: Row, era: number): StoredRow => ({
   key,
