--- a/apps/box/src/createKnowledge.ts
+++ b/apps/box/src/createKnowledge.ts
@@ -90,13 +90,10 @@
 /** Share of a box's patience that the box that it asks may take to read a table itself. */
 const CATCH_UP_SHARE = 0.5;
 
-/** Boxes that start together put their rows in one after the other: at 66 boxes each would make some 15 calls for them. */
+/** Boxes that start together put their rows in one after the other, and each would be a call of its own. */
 const GATHER_BOXES_MS = 500 as Ms;
 
-/**
- * The list of blocked requests is in no hurry, since boxes tell each other of them: 64 boxes that were without the store for 7 of 25 s
- * made 5,881 calls to it for 6,648.
- */
+/** The list of blocked requests is in no hurry, since boxes tell each other of them. */
 const BLOCKED_RETRY_PAUSE = { first: 2_000 as Ms, most: 10_000 as Ms };
 
 type Timing = Readonly<{
--- a/packages/peers/src/rowCodec.ts
+++ b/packages/peers/src/rowCodec.ts
@@ -26,10 +26,7 @@
 export const fromWireRevision = ({ revision, era }: WireRevision): StoreRevision =>
   makeRevision(era, revision);
 
-/**
- * A value from this size on goes compressed: a configuration of 1,400 routes takes 0.4 MB, which would keep a box that hands it
- * to 100 others over 140 Mbit/s busy for 2.7 s, and less than 0.3 s compressed to a tenth (reckoned).
- */
+/** A value from this size on goes compressed: a box hands a large configuration on to dozens of others over its link. */
 const COMPRESSED_FROM_BYTES = 4 * 1024;
 
 /** More than any row of the store holds; what claims to be larger is refused. */
--- a/packages/peers/src/sharedReader.ts
+++ b/packages/peers/src/sharedReader.ts
@@ -55,7 +55,7 @@
 /** How long a box that did not answer or knew too little is passed over, and the store when it failed. */
 const DISTRUST_MS = 3_000;
 
-/** How long the store comes before other boxes for one that knows nothing yet; it answers in some 20 ms when it is well. */
+/** How long the store comes before other boxes for one that knows nothing yet. */
 const STORE_FIRST_MS = 250 as Ms;
 
 /**
@@ -130,8 +130,8 @@
   };
 
   /**
-   * Waits for a link to a box that hears the store, as long as what this one knows is fresh: without, 195 boxes that
-   * started together made 1,840 calls to the store until a second after, and 1,339 with it.
+   * Waits for a link to a box that hears the store, as long as what this one knows is fresh: boxes that start together would
+   * all call the store meanwhile.
    */
   const awaitLink = async (signal: AbortSignal): Promise<BoxName | undefined> => {
     const until = Math.min(guardedAsOf + options.guard.age, clock.monotonic() + LINK_MS);
@@ -247,8 +247,8 @@
   };
 
   /**
-   * What the first box tells that is there and has not lost the store: the others say so at once. Without, the loss of one that hears
-   * the store had every box that asked it call the store for each table. A silent one has taken the time of others.
+   * What the first box tells that is there and has not lost the store: the others say so at once, and need not be followed by
+   * calls to the store. A silent one has taken the time of others.
    */
   const askInTurn = async (
     first: BoxName | undefined,
