test: nothing at all reaches a server that boxes knew to be gone before the return; faults of an era are played

The stand-in could leave the era out, and no test did: a box is now played before a store that tells none, and one that can't be read; each is told once, and a new configuration comes through. Lines of requests and those turned away are found in one place.

--- a/apps/box/src/signSite.testkit.ts
+++ b/apps/box/src/signSite.testkit.ts
@@ -18,6 +18,7 @@
   waitMs,
   type Answer,
   type BoxChanges,
+  type Line,
 } from "./box.testkit.js";
 import { startFleet, type FleetBox } from "./fleet.testkit.js";
 
@@ -71,10 +72,22 @@
 /** Why boxes refuse for want of a connection to a server: each has its part of them, which a full machine keeps taken for seconds. */
 const NO_CONNECTION_LEFT = "no_server_known";
 
+/** Lines of all boxes about the requests. */
+export const listLinesOf = (
+  fleet: readonly FleetBox[],
+  sent: readonly SentRequest[],
+): readonly Line[] => {
+  const ids = new Set<unknown>(sent.map(({ id }) => id));
+  return fleet.flatMap(({ lines }) => lines).filter(({ request }) => ids.has(request));
+};
+
 /** Reasons and statuses by which requests were turned away, by the boxes or by servers; a full machine's doing is left out. */
 export const listTurnedAway = (fleet: readonly FleetBox[]): readonly unknown[] =>
-  fleet
-    .flatMap(({ lines }) => lines)
+  listTurnedAwayIn(fleet.flatMap(({ lines }) => lines));
+
+/** The same, of some lines. */
+export const listTurnedAwayIn = (lines: readonly Line[]): readonly unknown[] =>
+  lines
     .filter(({ event, status }) => ENDS.has(event) && status === REFUSED)
     .map(({ event, reason }) => (event === "refused" ? reason : REFUSED))
     .filter((reason) => reason !== NO_CONNECTION_LEFT);
--- a/apps/box/src/storeRestored.test.ts
+++ b/apps/box/src/storeRestored.test.ts
@@ -2,11 +2,20 @@
 import { describe, expect, it } from "vitest";
 import { BOX_TABLE, STATE_LEAVING, TABLE } from "@stairgauge/platform";
 import { LEAVING_MS, SITE_HALL, startUsersSite } from "@stairgauge/standins";
-import { ask, closers, FULL_MACHINE_MS, waitFor, waitMs } from "./box.testkit.js";
+import {
+  ask,
+  closers,
+  FULL_MACHINE_MS,
+  startSite,
+  waitFor,
+  waitMs,
+} from "./box.testkit.js";
 import { startFleet, type FleetBox } from "./fleet.testkit.js";
 import {
   collectAnswers,
+  listLinesOf,
   listTurnedAway,
+  listTurnedAwayIn,
   listWithSending,
   startSignSite,
   type SignCase,
@@ -56,6 +65,15 @@
   );
 };
 
+/** Sends requests for as long as in the other cases, of which none may reach the server: each box knew before the return. */
+const assertNothingArrives = async ({ servers, fleet, sendFor }: SignSite) => {
+  const before = servers.listArrivals(LEFT).length;
+  await collectAnswers(await sendFor(LEAVING_MS + BEYOND_MS));
+  expect(servers.listArrivals(LEFT)).toHaveLength(before);
+  expect(listStaleReads(fleet)).toEqual([]);
+  expect(listTurnedAway(fleet)).toEqual([]);
+};
+
 /** A box that a full machine holds up knows too little for a moment to say that a key is unknown; it opens nothing either. */
 const CLOSED_REASONS: ReadonlySet<unknown> = new Set([
   "key_unknown",
@@ -71,10 +89,8 @@
   const statuses = await collectAnswers(sent);
   expect(countArrivals()).toBe(before);
   expect(statuses).toContain(401);
-  const ids = new Set<unknown>(sent.map(({ id }) => id));
-  const reasons = fleet
-    .flatMap(({ lines }) => lines)
-    .filter(({ event, request }) => event === "refused" && ids.has(request))
+  const reasons = listLinesOf(fleet, sent)
+    .filter(({ event }) => event === "refused")
     .map(({ reason }) => reason);
   expect(reasons.filter((reason) => !CLOSED_REASONS.has(reason))).toEqual([]);
 };
@@ -125,9 +141,7 @@
   it("stays gone: a server whose entry was dropped, and stands in the copy", async () => {
     const site = await startSignSite(PLAIN);
     await runDrill(site, DRILL, ({ store }) => store.drop(TABLE.servers, LEFT_NAME));
-    const sentSince = performance.now() - LEAVING_MS;
-    expect(await listLate(site, sentSince)).toEqual([]);
-    expect(listTurnedAway(site.fleet)).toEqual([]);
+    await assertNothingArrives(site);
   });
 
   it("stays leaving: a server whose entry said so, and says ready in the copy", async () => {
@@ -135,9 +149,7 @@
     await runDrill(site, DRILL, ({ store }) =>
       store.change(TABLE.servers, LEFT_NAME, { state: STATE_LEAVING }),
     );
-    const sentSince = performance.now() - LEAVING_MS;
-    expect(await listLate(site, sentSince)).toEqual([]);
-    expect(listTurnedAway(site.fleet)).toEqual([]);
+    await assertNothingArrives(site);
   });
 
   it("stays closed: a data hall whose closing is not in the copy, until it is opened", async () => {
@@ -151,7 +163,9 @@
     await waitFor(() =>
       site.fleet.every(({ lines }) => lines.some(({ event }) => event === "hall_opened")),
     );
-    expect(await collectAnswers(await site.sendFor(500))).toContain(200);
+    const sent = await site.sendFor(500);
+    expect(await collectAnswers(sent)).toContain(200);
+    expect(listTurnedAwayIn(listLinesOf(site.fleet, sent))).toEqual([]);
   });
 
   it("stays removed: a key that a configuration took away, whose older one stands in the copy", async () => {
@@ -215,6 +229,32 @@
     await runDrill(site, DRILL, ({ store }) => store.drop(TABLE.servers, LEFT_NAME));
     const before = site.servers.listArrivals(LEFT).length;
     expect(await askNewBox(site)).toContain(200);
+    expect(listTurnedAway(site.fleet)).toEqual([]);
     expect(site.servers.listArrivals(LEFT)).toHaveLength(before);
   });
 });
+
+describe("a store whose answers tell no era that can be read", () => {
+  it("is followed as of the era known, and each fault is told once", async () => {
+    const { site, ports, lines, start } = await startSite(0, 1, OWN_TIMES);
+    await start();
+    site.store.restore(site.store.copy());
+    await waitFor(() => lines.some(({ event }) => event === "store_era_changed"));
+    const listFaults = () => lines.filter(({ event }) => event === "store_era_fault");
+    const faults = [
+      [undefined, { kind: "missing", known: 1 }],
+      ["x", { kind: "unreadable", text: "x", known: 1 }],
+    ] as const;
+    for (const [index, [era, fault]] of faults.entries()) {
+      site.store.setEra(era);
+      await waitFor(() => listFaults().length > index);
+      expect(listFaults()[index]).toMatchObject(fault);
+    }
+    site.putConfiguration();
+    await waitFor(() =>
+      lines.some((line) => line.event === "configuration_adopted" && line.version === 2),
+    );
+    expect((await ask(ports, { path: "/once/" })).status).toBe(200);
+    expect(listFaults()).toHaveLength(faults.length);
+  });
+});
