refactor: a restored table tells new boxes its own rows only

Found by reading the diff: each of the four tables, once restored, had the rows of all tables told again to boxes that had started in the last 10 s, a configuration up to four times. Now each tells its own; a greeting still tells all. Whether a table has such rows is asked in one place. The tests of boxes that start on the copy pass as before.

--- a/apps/box/src/createKnowledge.ts
+++ b/apps/box/src/createKnowledge.ts
@@ -3,6 +3,7 @@
 import {
   answerTable,
   createSharedReader,
+  hasUnsettled,
   type PeerLinks,
   type TableAnswer,
   type TableQuestion,
@@ -49,8 +50,8 @@
   metrics: BoxMetrics;
   links: Pick<PeerLinks, "ask" | "listUp" | "listReachable" | "countBoxes" | "renew">;
   tables: KnowledgeTables;
-  /** A table has been read whole for the first time since the store came back from a copy. */
-  onRestored: () => void;
+  /** A table has been read whole since the store came back from a copy; these of its rows count against the store's word. */
+  onRestored: (told: ToldUnsettled) => void;
 }>;
 
 /** The followed tables of one box. */
@@ -175,7 +176,7 @@
       onRestored: (report) => {
         observer.onRestored(table, report);
         onRestored?.(report);
-        options.onRestored();
+        options.onRestored({ table, ...guard.listUnsettled() });
       },
     });
     guards.set(table, guard);
@@ -231,7 +232,7 @@
     listUnsettled: () =>
       [...guards]
         .map(([table, guard]) => ({ table, ...guard.listUnsettled() }))
-        .filter(({ kept, withheld }) => kept.length + withheld.length > 0),
+        .filter(hasUnsettled),
     takeUnsettled: (told) => {
       for (const { table, ...rows } of told) guards.get(table)?.takeUnsettled(rows);
     },
--- a/apps/box/src/createPeers.ts
+++ b/apps/box/src/createPeers.ts
@@ -7,6 +7,7 @@
   createPeerServer,
   createRunTeller,
   hasHubs,
+  hasUnsettled,
   makeNotice,
   type HubNotice,
   type Member,
@@ -14,6 +15,7 @@
   type PeerServer,
   type PeerServerOptions,
   type RunTeller,
+  type ToldUnsettled,
 } from "@stairgauge/peers";
 import type { LoadBook } from "@stairgauge/placement";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
@@ -47,8 +49,8 @@
   isHandingOn: () => boolean;
   /** Hands it on to all boxes that are linked to this one, if this one does so. */
   passOn: (told: Partial<HubNotice>) => void;
-  /** Tells boxes that have started lately what this one knows beyond the copy that the store has come back from. */
-  tellNewBoxes: () => void;
+  /** Tells boxes that have started lately which rows of a restored table count at this one. */
+  tellNewBoxes: (told: ToldUnsettled) => void;
 }>;
 
 /** A box that was greeted so long ago has known the tables as long as this one. */
@@ -119,10 +121,10 @@
   const passOn = (told: Partial<HubNotice>) => {
     if (isHandingOn()) peerServer.notifyAll(makeNotice(told));
   };
-  const tellNewBoxes = () => {
-    const unsettled = getKnowledge().listUnsettled();
+  const tellNewBoxes = (told: ToldUnsettled) => {
+    if (!hasUnsettled(told)) return;
     const boxes = [...greetedAt.keys()].filter(isNewBox);
-    if (unsettled.length > 0) peerServer.notify(boxes, makeNotice({ unsettled }));
+    peerServer.notify(boxes, makeNotice({ unsettled: [told] }));
   };
   return { teller, links, peerServer, isHandingOn, passOn, tellNewBoxes };
 };
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -10,7 +10,7 @@
 export type { Membership, MembershipOptions } from "./membership.js";
 export { createPeerLinks } from "./peerLinks.js";
 export type { PeerLinks, PeerLinksOptions } from "./peerLinks.js";
-export { makeNotice } from "./makeNotice.js";
+export { hasUnsettled, makeNotice } from "./makeNotice.js";
 export { createPeerServer } from "./peerServer.js";
 export type { PeerServer, PeerServerOptions } from "./peerServer.js";
 export { createWatchShares } from "./watchShares.js";
--- a/packages/peers/src/rowCodec.ts
+++ b/packages/peers/src/rowCodec.ts
@@ -66,6 +66,7 @@
       value: gunzipSync(fromBase64(zipped), { maxOutputLength: MOST_VALUE_BYTES }),
     })),
 ]);
+
 /** Puts a row into the form that it has on the wire. */
 export const toWireRow = ({ key, value, revision }: StoredRow) => ({
   key,
