refactor: a box's connections to backend servers are opened by one replaceable function

Tests could not cut one box of a process off from the servers: all boxes of a test read the same addresses, and each exchange and engine call opened its own TCP connection.

Exchanges and engine calls now take a Dialer, which createBox accepts as an option; without one they connect over TCP as before.

--- a/apps/box/src/box.testkit.ts
+++ b/apps/box/src/box.testkit.ts
@@ -1,7 +1,7 @@
 /** Test helpers that start a complete box in front of the stand-in platform, on loopback. */
 import { request as openRequest, type IncomingMessage } from "node:http";
 import { afterEach } from "vitest";
-import { createSystemClock, type Clock } from "@stairgauge/common";
+import { createSystemClock, type Clock, type Dialer } from "@stairgauge/common";
 import { parseBoxSettings } from "@stairgauge/settings";
 import {
   SITE_HOST,
@@ -48,6 +48,8 @@
   hasProductionTimes?: boolean;
   /** Further settings, as lines of the settings file. */
   more?: string;
+  /** Opens the box's connections to servers. */
+  dialServer?: Dialer;
 }>;
 
 /** Time for which a box may still accept a removed key. */
@@ -95,7 +97,12 @@
   });
   /** Time at which the line was written, in ms of the process's monotonic clock. */
   const getWrittenAt = (line: Line) => writtenAt.get(line)!;
-  const box = createBox({ settings: settings.val, clock, log });
+  const box = createBox({
+    settings: settings.val,
+    clock,
+    log,
+    dialServer: changes.dialServer,
+  });
   const ports = await box.start();
   closers.push(box.stop);
   return { box, ports, lines, getWrittenAt };
--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -4,6 +4,7 @@
   type BoxName,
   type Clock,
   type DataHallName,
+  type Dialer,
   type Ms,
   type ServiceName,
 } from "@stairgauge/common";
@@ -55,10 +56,13 @@
   settings: BoxSettings;
   clock: Clock;
   log: DecisionLog;
+  /** Opens connections to backend servers; over TCP if undefined. */
+  dialServer?: Dialer | undefined;
 }>;
 
 /** Creates a box from its settings; it neither listens nor connects before `start`. */
-export const createBox = ({ settings: first, clock, log }: BoxOptions): Box => {
+export const createBox = (options: BoxOptions): Box => {
+  const { settings: first, clock, log, dialServer } = options;
   let settings = first;
   let maxBoxesSeen = 0;
   const random = createSystemRandom();
@@ -138,6 +142,7 @@
     random,
     log,
     metrics,
+    dialServer,
     getParts,
     limits,
     periods: cold.periods,
@@ -244,6 +249,7 @@
     random,
     log,
     metrics,
+    dialServer,
     configuration: knowledge.configuration,
     placer,
     runs,
--- a/apps/box/src/createServing.ts
+++ b/apps/box/src/createServing.ts
@@ -1,5 +1,5 @@
 /** Creates the parts that serve clients: the forwarder, its budget for retries, and the listener. */
-import type { Clock, Ms, Random } from "@stairgauge/common";
+import type { Clock, Dialer, Ms, Random } from "@stairgauge/common";
 import type { RequestGuard } from "@stairgauge/crashes";
 import type { FleetPlacer } from "@stairgauge/fleet";
 import {
@@ -32,6 +32,7 @@
   random: Random;
   log: DecisionLog;
   metrics: BoxMetrics;
+  dialServer?: Dialer | undefined;
   configuration: ConfigurationView;
   placer: FleetPlacer;
   runs: ActiveRuns;
@@ -78,6 +79,7 @@
     observer: observeForwarding({ log, metrics, configuration }),
     retryAfter: clients.retryAfterMs as Ms,
     connectLimit: clients.connectLimitMs as Ms,
+    dial: options.dialServer,
     maxHeldBytes: clients.heldMb * BYTES_PER_MB,
   });
   const clientServer = createClientServer({
--- a/apps/box/src/createSignals.ts
+++ b/apps/box/src/createSignals.ts
@@ -2,7 +2,7 @@
  * Dispatches the signals in backend servers' answers (leaving, limit, backoff, warm-up) to the
  * parts that handle them.
  */
-import { assertNever, type Clock, type Random } from "@stairgauge/common";
+import { assertNever, type Clock, type Dialer, type Random } from "@stairgauge/common";
 import {
   getLeavingEvidence,
   type BackendServer,
@@ -35,6 +35,7 @@
   random: Pick<Random, "nextFloat">;
   log: DecisionLog;
   metrics: BoxMetrics;
+  dialServer?: Dialer | undefined;
   getParts: () => Readonly<{
     directory: Pick<ServerDirectory, "find" | "list" | "mark">;
   }>;
@@ -147,7 +148,10 @@
   };
   return {
     handle,
-    actions: createEngineActions({ onSignals: handleFromEngine }),
+    actions: createEngineActions({
+      onSignals: handleFromEngine,
+      dial: options.dialServer,
+    }),
     backoffs,
   };
 };
--- a/apps/box/src/fleet.testkit.ts
+++ b/apps/box/src/fleet.testkit.ts
@@ -12,6 +12,8 @@
   changes?: BoxChanges;
   /** Clock of each box, by its number from 1; the machine's clock by default. */
   getClock?: (box: number) => Clock;
+  /** Further differences of each box, by its number from 1. */
+  getChanges?: (box: number) => BoxChanges;
   /** Further differences in the settings of box 1. */
   firstChanges?: BoxChanges;
 }>;
@@ -24,12 +26,17 @@
 
 /** Starts the boxes and waits until they are linked. The returned `start` adds one more. */
 export const startFleet = async (options: FleetOptions) => {
-  const { store, boxes, servers, changes, getClock, firstChanges } = options;
+  const { store, boxes, servers, changes, getClock, getChanges, firstChanges } = options;
   let started = 0;
   const start = async (): Promise<FleetBox> => {
     started += 1;
     const number = started;
-    const settings = { ...SETTINGS, ...changes, ...(number === 1 && firstChanges) };
+    const settings = {
+      ...SETTINGS,
+      ...changes,
+      ...getChanges?.(number),
+      ...(number === 1 && firstChanges),
+    };
     const box = await startBox(store, `box-${number}`, settings, getClock?.(number));
     await waitUntilRead(box.lines, servers);
     return box;
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -12,6 +12,8 @@
 export { createSeededRandom, createSystemRandom } from "./random.js";
 export type { Random } from "./random.js";
 export { waitFor } from "./waitFor.js";
+export { connectTcp } from "./dialer.js";
+export type { Dialer } from "./dialer.js";
 export { advanceSettled } from "./advanceSettled.js";
 export { createPoller } from "./poller.js";
 export type { Poller } from "./poller.js";
--- a/packages/forwarding/src/askServer.ts
+++ b/packages/forwarding/src/askServer.ts
@@ -2,7 +2,7 @@
  * Sends a health check to a server's address to find out whether the same server process still runs
  * there. Another process at the address identifies itself in its answer.
  */
-import type { Clock, Ms } from "@stairgauge/common";
+import type { Clock, Dialer, Ms } from "@stairgauge/common";
 import type { ServerEntry } from "@stairgauge/directory";
 import type { ServerSignals } from "@stairgauge/signals";
 import { openExchange } from "./openExchange.js";
@@ -43,6 +43,7 @@
   healthPath: string;
   /** Timeout for establishing the connection. */
   connectLimit: Ms;
+  dial?: Dialer | undefined;
 }>;
 
 /** Error code if the host is up but nothing listens on the port. */
@@ -73,7 +74,7 @@
 /** Resolves with the result; if the body does not end in time, the head alone decides. */
 export const askServer = (question: ServerQuestion): Promise<ServerPresence> =>
   new Promise((resolve) => {
-    const { clock, codec, entry, healthPath, connectLimit } = question;
+    const { clock, codec, entry, healthPath, connectLimit, dial } = question;
     let answer: AnswerHead | undefined;
     let body = Buffer.alloc(0);
     const finish = (presence: ServerPresence) => {
@@ -96,6 +97,7 @@
         headers: codec.encodeHealthCall(entry),
         body: Buffer.alloc(0),
         connectLimit,
+        dial,
       },
       {
         onHead: (status, raw) => {
--- a/packages/forwarding/src/createServerAsker.ts
+++ b/packages/forwarding/src/createServerAsker.ts
@@ -1,5 +1,5 @@
 /** Checks whether the process of a backend server that the box has on record still runs. */
-import type { Clock, Ms } from "@stairgauge/common";
+import type { Clock, Dialer, Ms } from "@stairgauge/common";
 import type { BackendServer } from "@stairgauge/directory";
 import type { ReceivedSignals } from "@stairgauge/signals";
 import { askServer, makeAbsent, type ServerPresence } from "./askServer.js";
@@ -17,6 +17,7 @@
   configuration: Pick<ConfigurationView, "getIndex">;
   /** Timeout for establishing a connection to a server. */
   connectLimit: Ms;
+  dial?: Dialer | undefined;
   placer: Pick<Placer, "takeAsk" | "isAlive">;
   dispatchSignals: (received: ReceivedSignals) => void;
 }>;
@@ -25,7 +26,7 @@
 export const createServerAsker =
   (deps: ServerAskerDeps): ServerAsker =>
   async (server) => {
-    const { clock, codec, configuration, connectLimit, placer } = deps;
+    const { clock, codec, configuration, connectLimit, dial, placer } = deps;
     const { entry } = server;
     const service = configuration.getIndex()?.findService(entry.service);
     if (service?.healthPath === undefined) return undefined;
@@ -35,7 +36,14 @@
         "it asked for a backoff, so no health check was sent",
         "not_heard",
       );
-    const health = await askServer({ clock, codec, entry, healthPath, connectLimit });
+    const health = await askServer({
+      clock,
+      codec,
+      entry,
+      healthPath,
+      connectLimit,
+      dial,
+    });
     if (health.kind === "absent") return health;
     deps.dispatchSignals({ server, signals: health.signals, source: { kind: "health" } });
     const isStartUnsaid = health.startedAt === undefined && entry.startedAt !== undefined;
--- a/packages/forwarding/src/forwarderTypes.ts
+++ b/packages/forwarding/src/forwarderTypes.ts
@@ -1,5 +1,5 @@
 /** The forwarder's dependencies. Only the files that connect its parts import them. */
-import type { Clock, Ms, Random } from "@stairgauge/common";
+import type { Clock, Dialer, Ms, Random } from "@stairgauge/common";
 import type { RequestGuard } from "@stairgauge/crashes";
 import type { ReceivedSignals } from "@stairgauge/signals";
 import type { ActiveRuns, RunKeeper } from "./activeRuns.js";
@@ -37,6 +37,8 @@
   retryAfter: Ms;
   /** Timeout for establishing a connection to a server. */
   connectLimit: Ms;
+  /** Opens connections to servers; over TCP if undefined. */
+  dial?: Dialer | undefined;
   /** Largest total size of request bodies in memory; requests beyond it are refused without being run. */
   maxHeldBytes: number;
 }>;
--- a/packages/forwarding/src/openExchange.ts
+++ b/packages/forwarding/src/openExchange.ts
@@ -6,8 +6,7 @@
  * docs/design/users-platform.md for the cost.
  */
 import { request as openRequest, type IncomingMessage } from "node:http";
-import { connect } from "node:net";
-import type { Clock, Ms } from "@stairgauge/common";
+import { connectTcp, type Clock, type Dialer, type Ms } from "@stairgauge/common";
 import type { ServerAddress } from "@stairgauge/directory";
 import type { ExchangeFailure, RawHeaders } from "./types.js";
 
@@ -23,6 +22,8 @@
   body: Buffer;
   /** Timeout for establishing the connection. */
   connectLimit: Ms;
+  /** Opens the connection; over TCP if undefined. */
+  dial?: Dialer | undefined;
 }>;
 
 /** What ended an answer: its framing, or a normal close of the connection that the framing does not prove complete. */
@@ -62,14 +63,14 @@
   sink: ExchangeSink,
 ): Exchange => {
   const { address, method, target, headers, body, connectLimit } = exchange;
+  const { dial = connectTcp } = exchange;
   let isConnected = false;
   let isOver = false;
   /** The answer was complete when its connection closed; later errors of the connection are ignored. */
   let isProven = false;
   let answer: IncomingMessage | undefined;
   let endedBy: EndedBy = "framing";
-  const { host, port } = address;
-  const socket = connect({ host, port, noDelay: true, allowHalfOpen: true });
+  const socket = dial(address);
 
   const finish = () => {
     if (isOver) return false;
