feat: a line says when an unreachable server last answered and what others have there

In the record of the partitioned boxes a failed connection could not be told from a failed server: a line named the server and 'no connection in time' only, not whether this box had just been served there, nor whether other boxes have requests there.

server_unreachable has both (answeredAgo, runsOfOthers), and stairgauge_unreachable_total counts by the latter. What is decided from it stays as it was.

--- a/apps/box/src/createDirectory.ts
+++ b/apps/box/src/createDirectory.ts
@@ -10,7 +10,7 @@
   type LeavingReason,
   type ServerDirectory,
 } from "@stairgauge/directory";
-import type { ReportPoller } from "@stairgauge/fleet";
+import type { FleetPlacer, ReportPoller } from "@stairgauge/fleet";
 import type { ServerLimits } from "@stairgauge/limits";
 import type { RunMover } from "@stairgauge/migration";
 import { makeNotice, type PeerServer, type RunReporter } from "@stairgauge/peers";
@@ -43,6 +43,7 @@
     reports: Pick<ReportPoller, "add">;
     mover: Pick<RunMover, "onServerLeaving" | "onServerForgotten">;
     capacity: Pick<Capacity, "forget">;
+    placer: Pick<FleetPlacer, "forget">;
     pace: Pick<Pace, "drop">;
   }>;
 }>;
@@ -92,6 +93,7 @@
     backoffs.forget(id);
     parts.getParts().capacity.forget(id);
     parts.getParts().pace.drop(id);
+    parts.getParts().placer.forget(id);
     parts.getParts().mover.onServerForgotten(server);
   };
   const onEvent = (event: DirectoryEvent) => {
--- a/apps/box/src/createPlacing.ts
+++ b/apps/box/src/createPlacing.ts
@@ -114,6 +114,10 @@
       reporter.reportBroken(server);
       log.writeDecision("server_broke_off", { server });
     },
+    onUnreachable: (report) => {
+      metrics.unreachable.inc({ others: report.runsOfOthers > 0 ? "there" : "none" });
+      log.writeDecision("server_unreachable", report);
+    },
   });
   const capacity: Capacity = createCapacity({
     clock,
--- a/packages/fleet/src/createPlacer.ts
+++ b/packages/fleet/src/createPlacer.ts
@@ -32,7 +32,7 @@
 import { getServerStatus } from "./getServerStatus.js";
 import { createPlainRuns } from "./plainRuns.js";
 import { createRunIds } from "./runIds.js";
-import { createSuspects } from "./suspects.js";
+import { createServerFaults, type ServerFaultsOptions } from "./serverFaults.js";
 
 /** What placement uses of the limits that servers name. */
 export type PlacingLimits = Pick<
@@ -70,15 +70,14 @@
   coldPeriods: Pick<ColdPeriods, "mayBeCold" | "onUnreachable">;
   limits: PlacingLimits;
   backoffs: PlacingBackoffs;
-  /** Called when a server broke off a request of this box before it answered. */
-  onBroken: (server: ServerId) => void;
   isAlive: (server: BackendServer) => Promise<boolean>;
   /**
    * Whether plain requests of the service are recorded as runs, so that other boxes know them; by
    * default none are.
    */
   isContended?: ((service: ServiceName) => boolean) | undefined;
-}>;
+}> &
+  Pick<ServerFaultsOptions, "onBroken" | "onUnreachable">;
 
 /** Conditions of a server with a free slot, by the records of all boxes. */
 export type RoomTerms = Readonly<{
@@ -138,6 +137,8 @@
     /** Handle another box's report that a server has broken off a request, or has answered one. */
     handleBroken: (server: ServerId) => void;
     handleAnswered: (server: ServerId) => void;
+    /** Drops what is on record of a server that the directory has removed. */
+    forget: (server: ServerId) => void;
   }>;
 
 /** A request to be placed, and the servers it has already tried. */
@@ -175,17 +176,13 @@
     isContended,
     isListed: (server) => directory.find(server) !== undefined,
   });
-  const suspects = createSuspects();
+  const faults = createServerFaults({ ...options, clock, registry, coldPeriods });
   /** A data hall of unknown region is in none of the given regions. */
   const isInRegions: FleetPlacer["isInRegions"] = ({ entry }, regions) => {
     if (!regions) return true;
     const region = options.findRegion(entry.dataHall);
     return region !== undefined && regions.includes(region);
   };
-  const markUnreachable = ({ entry }: BackendServer) => {
-    suspects.add(entry.id, clock.monotonic());
-    coldPeriods.onUnreachable(entry);
-  };
 
   const isAvailable = ({ entry }: BackendServer) =>
     backoffs.mayReceive(entry.id, registry.countOpen(entry.id));
@@ -239,7 +236,7 @@
     const candidates = listCandidates(terms, owner);
     const now = clock.monotonic();
     const decision = chooseServer({
-      candidates: suspects.filter(candidates.filtered.open, now),
+      candidates: faults.filter(candidates.filtered.open),
       demand: terms.demand,
       registry,
       ownHall,
@@ -270,7 +267,7 @@
     const ownCandidates = owner === "own" ? listCandidates(terms, owner) : undefined;
     const open = ownCandidates?.filtered.open ?? listForOtherPlain(terms);
     if (open.length === 0) return refuseAll(terms, listCandidates(terms, owner));
-    const candidates = suspects.filter(open, now).filter(room.hasRoom);
+    const candidates = faults.filter(open).filter(room.hasRoom);
     if (candidates.length === 0) return undefined;
     return chooseServer({
       candidates,
@@ -349,19 +346,17 @@
       getServerStatus({ directory, registry }, entry.id, clock.monotonic()),
     isAlive: async (server) => {
       const answers = await options.isAlive(server);
-      if (!answers) markUnreachable(server);
+      if (!answers) faults.recordUnreachable(server);
       return answers;
     },
     onAddressReused: (server) =>
       directory.mark(server.entry.id, "address_reused", clock.monotonic()),
-    onUnreachable: markUnreachable,
-    onBroken: ({ entry }) => {
-      suspects.addBreak(entry.id, clock.monotonic());
-      options.onBroken(entry.id);
-    },
-    onAnswered: ({ entry }) => suspects.removeBreaks(entry.id),
-    handleBroken: (server) => suspects.addBreak(server, clock.monotonic()),
-    handleAnswered: suspects.removeBreaks,
+    onUnreachable: faults.recordUnreachable,
+    onBroken: faults.recordBroken,
+    onAnswered: faults.recordAnswered,
+    handleBroken: faults.handleBroken,
+    handleAnswered: faults.handleAnswered,
+    forget: faults.forget,
     onRunBegun: (server, head) => {
       if (head.id !== undefined) registry.markBegun(server.entry.id, head.id);
     },
--- a/packages/telemetry/src/boxMetrics.ts
+++ b/packages/telemetry/src/boxMetrics.ts
@@ -152,6 +152,12 @@
       help: "Links that the box holds to others",
       registers,
     }),
+    unreachable: new Counter({
+      name: "stairgauge_unreachable_total",
+      help: "Attempts without a connection to their server, by whether other boxes had requests there",
+      labelNames: ["others"],
+      registers,
+    }),
     unevenServices: new Gauge({
       name: "stairgauge_uneven_services",
       help: "Services whose servers' service times differ so far that requests are placed by them",
