fix: a stream whose path is lost goes on from a copy of its run

A stream that was open when its box lost the path stayed silent until its client left, also where other boxes reached the engine, which went on with the run.

If its run may not be started anew and has no copy yet, the engine is asked, by a carried call, to copy and to stop the run; the stream goes on from the copy once the stop is confirmed.

--- a/apps/box/src/lostPathsFailures.test.ts
+++ b/apps/box/src/lostPathsFailures.test.ts
@@ -1,5 +1,6 @@
 /**
- * Guards callers when something else fails while boxes have lost their paths, and the other boxes, to which a cut box's failures say nothing.
+ * Guards callers when something else fails while boxes have lost their paths, the streams that were open
+ * when a path was lost, and the other boxes, to which a cut box's failures say nothing.
  */
 import { describe, expect, it } from "vitest";
 import {
@@ -114,6 +115,40 @@
   );
 });
 
+describe("a stream whose path is lost while it is open", () => {
+  it.each(["hang", "refuse_new"] as const)(
+    "is delivered whole from one run where its engine still runs it, connections %s",
+    async (form) => {
+      const { site, fleet, switches } = await startCuttableFleet(3);
+      const box = fleet[0]!;
+      let hasBegun = false;
+      const answered = ask(box.ports, {
+        path: "/draft/long",
+        headers: makeGeneration(300, LONG_DRAFT_EVENTS),
+        deadlineMs: LONG_DEADLINE_MS,
+        onData: () => {
+          hasBegun = true;
+        },
+      });
+      await waitFor(() => hasBegun);
+      switches[0]!.cut(form);
+      // Requests of other clients find out that the paths are lost.
+      const noise = sendFirstTries(fleet, () => false, 2_000);
+      const answer = await answered;
+      await noise;
+      expect({ status: answer.status, isWhole: answer.isWhole }).toEqual({
+        status: 200,
+        isWhole: true,
+      });
+      const ids = [...answer.body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
+      expect(ids).toEqual(ids.map((_, i) => i + (ids[0] ?? 0)));
+      expect(ids).toHaveLength(LONG_DRAFT_EVENTS);
+      expect(listRunTwice(site)).toEqual([]);
+    },
+    BUSY_MACHINE_TIMEOUT_MS,
+  );
+});
+
 describe("failures of a box that lost its paths", () => {
   it(
     "are not reported to the other boxes, and end no server in their records",
--- a/packages/migration/src/runMover.test.ts
+++ b/packages/migration/src/runMover.test.ts
@@ -231,6 +231,28 @@
     expect(await mover.recover(run, "refused")).toBeUndefined();
   });
 
+  it("copies and stops a run whose connection was lost at a living engine, and continues from the copy", async () => {
+    const { mover, run, calls, advance } = setUp([makeCopied("h"), makeCopied("h")]);
+    const found = mover.recover(run, "silent over a lost path");
+    await advance(1_000);
+    expect(calls.map(({ target, isLast }) => [target.host, isLast])).toEqual([
+      ["host-other", false],
+      ["host-other", true],
+    ]);
+    expect(await found).toMatchObject({
+      server: { entry: { id: "other" } },
+      memory: { source: { host: "host-old" }, handle: "h" },
+    });
+  });
+
+  it("does not continue a run from a copy whose engine did not confirm the stop", async () => {
+    const lost: CopyAnswer = { kind: "no_answer", detail: "timed out" };
+    const { mover, run, advance } = setUp([makeCopied("h"), lost]);
+    const found = mover.recover(run, "silent over a lost path");
+    await advance(2_000);
+    expect(await found).toBeUndefined();
+  });
+
   it("stops a run at its source before it continues from a standby copy, since only the connection may be lost", async () => {
     const { mover, run, calls, advance } = setUp([makeCopied("s")], { hasStandby: true });
     const found = mover.recover(run, "reset");
--- a/packages/migration/src/runMover.ts
+++ b/packages/migration/src/runMover.ts
@@ -70,6 +70,9 @@
 /** Timeout of the call that stops a run at an engine which broke off its stream. */
 const STOP_LIMIT_MS = 250 as Ms;
 
+/** Timeout of the copy of a run whose connection was lost; callers leave a stream that pauses for two seconds. */
+const INTERRUPTED_LIMIT_MS = 1_000 as Ms;
+
 /** Targets attempted for one move before the targets are ranked again. */
 const MAX_TARGETS = 3;
 
@@ -129,7 +132,7 @@
       from: BackendServer;
       target: BackendServer;
       isLast: boolean;
-      limit?: Ms;
+      limit?: Ms | undefined;
     }>,
   ): Promise<CopyAnswer> => {
     const { from, target, isLast, limit = COPY_LIMIT_MS } = request;
@@ -185,13 +188,18 @@
    * one lacks memory or another copy is in progress. A run whose stop is refused continues at its source until the source ends, and
    * then from this copy: a copy to another target would make this one invalid.
    */
-  const attemptMove = async (run: ActiveRun, move: Move, target: BackendServer) => {
+  const attemptMove = async (
+    run: ActiveRun,
+    move: Move,
+    target: BackendServer,
+    limit?: Ms,
+  ) => {
     const { from } = move;
     move.release();
     move.release = reserve(target, run);
     const names = { from: from.entry.id, to: target.entry.id };
     onDecision(run, { kind: "move_begun", ...names, tokens: run.getTokens() });
-    const copied = await copyOnce(run, { from, target, isLast: false });
+    const copied = await copyOnce(run, { from, target, isLast: false, limit });
     if (copied.kind !== "copied")
       return copied.kind !== "no_room" && copied.kind !== "under_way";
     if (!isCurrent(run, move)) {
@@ -200,7 +208,7 @@
       return true;
     }
     move.copy = makeContinuation(target, from.entry.address, copied.handle);
-    move.stopping = stopAtSource(run, move, target);
+    move.stopping = stopAtSource(run, move, target, limit);
     return true;
   };
 
@@ -214,13 +222,14 @@
     run: ActiveRun,
     move: Move,
     targets: readonly ServerId[],
+    limit?: Ms,
   ) => {
     const allowed = targets.filter((id) => mayMoveTo(run, deps.findServer(id)));
     for (const id of allowed.slice(0, MAX_TARGETS)) {
       const target = deps.findServer(id);
       if (!isCurrent(run, move)) return true;
       if (!mayMoveTo(run, target)) continue;
-      if (await attemptMove(run, move, target)) return true;
+      if (await attemptMove(run, move, target, limit)) return true;
     }
     return false;
   };
@@ -285,6 +294,23 @@
     await stopAtSource(run, move, move.copy.server, STOP_LIMIT_MS);
   };
 
+  /**
+   * Moves a run without a copy whose stream broke off: its engine may still run it, since only the
+   * connection was lost. The run must have stopped there before it continues from the copy.
+   */
+  const recoverInterrupted = async (run: ActiveRun, move: Move) => {
+    if (run.route.isResumable || move.copy) return;
+    const targets = await deps.rankNow(move.from, run);
+    await attemptEach(run, move, targets, INTERRUPTED_LIMIT_MS);
+    const stopped = await takeStopped(move);
+    if (stopped) {
+      move.stopping = Promise.resolve(stopped);
+      return;
+    }
+    dropMove(move);
+    move.copy = undefined;
+  };
+
   /** Removes and returns the copy. */
   const takeCopy = (run: ActiveRun, move: Move, detail: string) => {
     const { copy } = move;
@@ -319,8 +345,10 @@
     run: ActiveRun,
     detail: string,
   ): Promise<RunContinuation | undefined> => {
-    const move = moves.get(run) ?? (await createMove(run, run.getServer()));
+    const known = moves.get(run);
+    const move = known ?? (await createMove(run, run.getServer()));
     await confirmStopped(run, move);
+    if (!known) await recoverInterrupted(run, move);
     return (
       dropIfClosed(takeCopy(run, move, detail)) ??
       dropIfClosed(await takeStopped(move)) ??
