feat: servers that fall over when they reject requests get no more than their slots

A server may state in its answers that it falls over if it rejects more than N requests in a second. Nothing read the statement.

While it holds, the service counts as contended, so one box places the requests of all boxes; a brittle server gets its slots and no pipeline; a box without an answer in time asks no successor but uses its safe part, which adds up to the slots and leaves a server alone for a second after it rejected a request. Signs between boxes carry the statement; an answer to a later request without it lifts it, ten seconds without any let it expire. No further divider: capacity, its signs and the queue carry it.

Engines' statements are read and counted, but not acted on.

--- a/apps/box/src/askAdmitting.ts
+++ b/apps/box/src/askAdmitting.ts
@@ -1,10 +1,10 @@
 /** Asks the admitting box where plain requests go, and converts its answers to decisions of this box. */
 import { computeAskLimit, type AdmissionEvent } from "@stairgauge/capacity";
-import type { BoxName, Clock, Ms } from "@stairgauge/common";
+import type { BoxName, Clock, Ms, ServiceName } from "@stairgauge/common";
 import type { BackendServer, ServerId } from "@stairgauge/directory";
 import type { FleetPlacer } from "@stairgauge/fleet";
 import type { PlainAdmission, PlainRequest } from "@stairgauge/forwarding";
-import type { AdmittingAsker, PeerLinks, PlaceAnswer } from "@stairgauge/peers";
+import type { AdmittingAsker, AskScope, PeerLinks, PlaceAnswer } from "@stairgauge/peers";
 import {
   createPlainRun,
   type Demand,
@@ -19,6 +19,7 @@
   links: Pick<PeerLinks, "askPlace">;
   placer: Pick<FleetPlacer, "choose" | "getRunId" | "listClosedTo" | "mayTakeWork">;
   findServer: (id: ServerId) => BackendServer | undefined;
+  findScope: (service: ServiceName) => AskScope;
   onEvent: (event: AdmissionEvent) => void;
 }>;
 
@@ -103,6 +104,7 @@
       question: buildQuestion(request, urgency),
       limit: (computeAskLimit(aimLeft) + wait) as Ms,
       signal,
+      scope: options.findScope(request.service),
     });
     return reply && toAnswer(reply.answer, reply.by);
   };
--- a/apps/box/src/capacity.testkit.ts
+++ b/apps/box/src/capacity.testkit.ts
@@ -39,6 +39,7 @@
   const links = new Map<string, LinkState>();
   const ejected: string[] = [];
   const events: CapacityEvent[] = [];
+  const rejections: Readonly<{ server: string; at: number }>[] = [];
   const outcomes = { served: 0, rejected: 0, refused: 0, waited: 0 };
   let answerFor: ((box: BoxName) => PlaceAnswer | undefined) | undefined;
 
@@ -111,6 +112,7 @@
       directory,
       placer,
       queue: createFifoQueue(options.maxWaiting),
+      isEngineService: () => false,
       recordContended: (contended) => send({ contended }),
       forward: () => undefined,
       retryAfter: 400 as Ms,
@@ -161,6 +163,9 @@
       const release = placer.place(server, head, demand);
       servers.send(Number(server.entry.id.slice(1)), (isServed) => {
         release();
+        if (options.isBrittle) capacity.recordBrittle(server, 4);
+        if (!isServed)
+          rejections.push({ server: server.entry.id, at: clock.monotonic() });
         outcomes[isServed ? "served" : "rejected"] += 1;
         if (!isServed) capacity.plainAdmission.onRejected(server);
       });
@@ -210,6 +215,7 @@
     events,
     ejected,
     outcomes,
+    rejections,
     sendRequest,
     setLinks,
     setLink,
--- a/apps/box/src/capacityServers.testkit.ts
+++ b/apps/box/src/capacityServers.testkit.ts
@@ -10,6 +10,8 @@
   work: number;
   /** Delay of a message between boxes. */
   delay: number;
+  /** Whether the servers state in all answers that they are brittle. */
+  isBrittle?: boolean;
   /** Most requests that wait at the admitting box; the others are refused at once. */
   maxWaiting?: number;
 }>;
--- a/apps/box/src/createCapacity.test.ts
+++ b/apps/box/src/createCapacity.test.ts
@@ -278,3 +278,44 @@
     expect(fleet.some(({ capacity }) => capacity.isContended(SERVICE))).toBe(false);
   });
 });
+
+describe("brittle servers", () => {
+  /** Most rejections of one server within a second. */
+  const countMostRejected = (
+    rejections: readonly Readonly<{ server: string; at: number }>[],
+  ) =>
+    Math.max(
+      0,
+      ...rejections.map(
+        ({ server, at }) =>
+          rejections.filter(
+            (one) => one.server === server && one.at >= at && one.at < at + 1_000,
+          ).length,
+      ),
+    );
+  const ALLOWED = 4;
+
+  it.each([
+    [3, 2],
+    [14, 2],
+    [14, 40],
+    [14, 90],
+    [64, 40],
+  ])(
+    "reject few requests of %i boxes whose messages take %i ms, at twice the load that they serve",
+    async (boxes, delay) => {
+      const { load, outcomes, rejections } = await setUp({
+        boxes,
+        delay,
+        slots: [3, 3, 3],
+        extra: 2,
+        maxWaiting: 30,
+        isBrittle: true,
+      });
+      await load(40, 100);
+      await load(300 * 5, 1_000 / 300);
+      expect(countMostRejected(rejections)).toBeLessThanOrEqual(ALLOWED);
+      expect(outcomes.served).toBeGreaterThan(0);
+    },
+  );
+});
--- a/apps/box/src/createCapacity.ts
+++ b/apps/box/src/createCapacity.ts
@@ -3,6 +3,7 @@
  * contention, the admission of requests, and the part of a box on its own.
  */
 import {
+  createBrittleServers,
   createContention,
   createUsableSlots,
   type CapacityEvent,
@@ -10,8 +11,14 @@
   type SignSource,
 } from "@stairgauge/capacity";
 import type { AdmissionQueue } from "@stairgauge/admission";
-import { toBoottimeClock, type BoxName, type Clock, type Ms } from "@stairgauge/common";
-import type { ServerDirectory, ServerId } from "@stairgauge/directory";
+import {
+  toBoottimeClock,
+  type BoxName,
+  type Clock,
+  type Ms,
+  type ServiceName,
+} from "@stairgauge/common";
+import type { BackendServer, ServerDirectory, ServerId } from "@stairgauge/directory";
 import {
   createPlainAdmitter,
   createPlainHub,
@@ -21,7 +28,12 @@
   type PlainHub,
 } from "@stairgauge/fleet";
 import type { PlainAdmission } from "@stairgauge/forwarding";
-import { createAdmittingAsker, type HubNotice, type PeerLinks } from "@stairgauge/peers";
+import {
+  createAdmittingAsker,
+  type AskScope,
+  type HubNotice,
+  type PeerLinks,
+} from "@stairgauge/peers";
 import type { FleetPlaces, LoadRegistry, PlacementDecision } from "@stairgauge/placement";
 import { createAdmittingQuestions, toDemand } from "./askAdmitting.js";
 
@@ -45,6 +57,7 @@
     | "recordOpenRequests"
   >;
   queue: Pick<AdmissionQueue, "add" | "onRoom">;
+  isEngineService: (service: ServiceName) => boolean;
   /** Sends this box's signs to all boxes that it is linked to. */
   recordContended: (update: ContentionUpdate) => void;
   /** Forwards a notice to all boxes that are linked to this one, if this box forwards notices. */
@@ -62,6 +75,10 @@
   isContended: PlainAdmission["isContended"];
   applyShared: (update: ContentionUpdate, source: SignSource) => void;
   listSigns: () => ContentionUpdate;
+  /** A plain server states in an answer that it falls over if it rejects more requests in a second. */
+  recordBrittle: (server: BackendServer, maxRejected: number) => void;
+  /** A server answered a request without that statement. */
+  recordNotBrittle: (server: BackendServer, sentAgo: Ms) => void;
   /** A request of this or another box has ended at a server. */
   onEnded: (server: ServerId) => void;
   forget: (server: ServerId) => void;
@@ -85,6 +102,7 @@
     options.onEvent(event);
     if (event.kind === "contended") placer.recordOpenRequests(event.service);
   };
+  const brittle = createBrittleServers({ clock, onEvent });
   const contention = createContention({
     clock,
     onOwnUpdate: (update) => {
@@ -93,9 +111,16 @@
     },
     onSharedUpdate: (update) => options.forward({ contended: update }),
     onFull: (server) => admitter.onFull(server),
+    listBrittle: brittle.list,
+    onBrittle: (servers, age) => {
+      for (const id of servers) {
+        const server = directory.find(id);
+        if (server) brittle.applyShared(server.entry, age);
+      }
+    },
     onEvent,
   });
-  const usable = createUsableSlots({ clock, onEvent });
+  const usable = createUsableSlots({ clock, isBrittle: brittle.isBrittle, onEvent });
   const admitter = createPlainAdmitter({
     clock,
     registry,
@@ -112,6 +137,7 @@
     registry,
     places,
     placer,
+    brittle,
     retryAfter,
     onEvent,
   });
@@ -122,6 +148,9 @@
     links,
     onEjected,
   });
+  // Two boxes that admit at once may send twice what the servers have slots for.
+  const findScope = (service: ServiceName): AskScope =>
+    brittle.isServiceBrittle(service) ? "first_only" : "any";
   const admitHere: PlainAdmission["admitHere"] = (request, decide) => {
     const { service, except, workspace, subject, aimAt, endsAt, workMs } = request;
     const now = clock.monotonic();
@@ -145,7 +174,7 @@
       onOpenPlaced: (service) => {
         if (asker.find() === "own") admitter.checkUtilization(service);
       },
-      findAdmitting: asker.find,
+      findAdmitting: (service) => asker.find(findScope(service)),
       admitHere,
       ask: createAdmittingQuestions({
         clock,
@@ -154,9 +183,13 @@
         links,
         placer,
         findServer: directory.find,
+        findScope,
         onEvent,
       }),
-      onRejected: ({ entry }) => contention.onSign(entry.service, entry.id),
+      onRejected: ({ entry }) => {
+        brittle.recordRejected(entry.id);
+        contention.onSign(entry.service, entry.id);
+      },
       placeWithinSafePart: (request) => {
         const left = request.endsAt - clock.monotonic();
         // The time in which no admitting box answered may have left too little for the work.
@@ -169,7 +202,17 @@
     isContended: contention.isContended,
     applyShared: contention.applyShared,
     listSigns: contention.listSigns,
+    recordBrittle: ({ entry }, maxRejected) => {
+      if (options.isEngineService(entry.service)) return;
+      brittle.recordSaid(entry, maxRejected);
+      // One box places the requests of all boxes while any rejection is one too many.
+      contention.onSign(entry.service);
+    },
+    recordNotBrittle: ({ entry }, sentAgo) => brittle.recordUnsaid(entry, sentAgo),
     onEnded: admitter.onEnded,
-    forget: usable.forget,
+    forget: (server) => {
+      usable.forget(server);
+      brittle.forget(server);
+    },
   };
 };
--- a/apps/box/src/createPlacing.ts
+++ b/apps/box/src/createPlacing.ts
@@ -51,7 +51,7 @@
   metrics: BoxMetrics;
   own: BoxName;
   dataHall: DataHallName;
-  knowledge: Pick<Knowledge, "findService" | "getGapTarget">;
+  knowledge: Pick<Knowledge, "findService" | "getGapTarget" | "isEngineService">;
   registry: LoadRegistry;
   competing: CompetingRate;
   places: FleetPlaces;
@@ -138,6 +138,7 @@
     directory,
     placer,
     queue: waitQueue,
+    isEngineService: knowledge.isEngineService,
     recordContended: reporter.recordContended,
     forward: peers.forward,
     retryAfter,
--- a/apps/box/src/createSignals.test.ts
+++ b/apps/box/src/createSignals.test.ts
@@ -51,7 +51,10 @@
     log: createLineLog(write),
     metrics: createBoxMetrics(),
     random: createSeededRandom(44),
-    getParts: () => ({ directory }),
+    getParts: () => ({
+      directory,
+      capacity: { recordBrittle: () => undefined, recordNotBrittle: () => undefined },
+    }),
     limits: { applySignal: () => undefined },
     periods: { onEntry: () => undefined },
     onClosingAnnounced: ({ entry }) => write("closing", { server: entry.id }),
--- a/apps/box/src/createSignals.ts
+++ b/apps/box/src/createSignals.ts
@@ -18,6 +18,7 @@
   type BackoffSignal,
   type ServerBackoffs,
 } from "@stairgauge/backoffs";
+import type { BrittleSignal } from "@stairgauge/capacity";
 import {
   dispatchSignals,
   type ReceivedSignal,
@@ -27,6 +28,7 @@
   type SignalHandlers,
 } from "@stairgauge/signals";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
+import type { Capacity } from "./createCapacity.js";
 import { observeBackoffs } from "./observers.js";
 import { createUnreadableReporter } from "./reportUnreadable.js";
 
@@ -39,6 +41,7 @@
   findCarriedWay?: EngineActionsOptions["findCarriedWay"];
   getParts: () => Readonly<{
     directory: Pick<ServerDirectory, "find" | "list" | "mark">;
+    capacity: Pick<Capacity, "recordBrittle" | "recordNotBrittle">;
   }>;
   limits: Pick<ServerLimits, "applySignal">;
   periods: Pick<ColdPeriods, "onEntry">;
@@ -107,6 +110,24 @@
         assertNever(signal);
     }
   };
+  const handleBrittle = ({ server, signal, source }: ReceivedSignal<BrittleSignal>) => {
+    if (signal.kind !== "unsaid")
+      metrics.serverSigns.inc({ sign: "brittle", is: signal.kind });
+    switch (signal.kind) {
+      case "unsaid":
+        if (source.kind === "request")
+          getParts().capacity.recordNotBrittle(server, source.sentAgo);
+        return;
+      case "said":
+        getParts().capacity.recordBrittle(server, signal.maxRejected);
+        return;
+      case "unreadable":
+        reportUnreadable(server.entry.id, { sign: "brittle", text: signal.text });
+        return;
+      default:
+        assertNever(signal);
+    }
+  };
   const handleBackoff = ({ server, signal, source }: ReceivedSignal<BackoffSignal>) => {
     const { id } = server.entry;
     if (signal.kind !== "not_asked")
@@ -134,6 +155,7 @@
       const sentAgo = source.kind === "request" ? source.sentAgo : undefined;
       limits.applySignal(server.entry.id, signal, sentAgo);
     },
+    brittle: handleBrittle,
     leaving: handleLeaving,
     rest: handleBackoff,
   };
--- a/apps/box/src/hardLoad.testkit.ts
+++ b/apps/box/src/hardLoad.testkit.ts
@@ -31,10 +31,32 @@
 const MS_PER_S = 1_000;
 
 /** A plain server: requests that it runs at once, and those that wait there for a slot. */
-export type ServerSpec = Readonly<{ slots: number; queue: number; serviceMs: number }>;
+export type ServerSpec = Readonly<{
+  slots: number;
+  queue: number;
+  serviceMs: number;
+  /** Set if the server states from its start that it is brittle. */
+  brittle?: BrittleSpec;
+}>;
+
+/** From a time on a brittle server lets fewer requests wait, and falls over when it rejects too many. */
+export type BrittleSpec = Readonly<{
+  /** Rejections in one second above which it falls over, as it states in its answers. */
+  maxRejected: number;
+  queue: number;
+  fromMs: number;
+  /** How long it is gone after a fall. */
+  goneMs: number;
+}>;
 
 /** Requests of one workspace, whose tier is 0 for the most urgent. */
-export type LoadSource = Readonly<{ workspace: string; tier: number; perSecond: number }>;
+export type LoadSource = Readonly<{
+  workspace: string;
+  tier: number;
+  perSecond: number;
+  /** When its requests begin; with the load by default. */
+  fromMs?: number;
+}>;
 
 /** A request as a server received it. */
 export type ServerArrival = Readonly<{
@@ -88,35 +110,75 @@
 
 const startServer = async (clock: Clock, id: string, spec: ServerSpec) => {
   const arrivals: ServerArrival[] = [];
-  const waiting: (() => void)[] = [];
+  const falls: Ms[] = [];
+  const open = new Set<ServerResponse>();
+  const { brittle } = spec;
+  const startedAt = clock.monotonic();
+  let waiting: (() => void)[] = [];
   let running = 0;
+  let life = 0;
+  let isGone = false;
   const send = (response: ServerResponse, status: number, headers: object) => {
-    response.writeHead(status, { "Content-Length": "0", ...headers });
+    open.delete(response);
+    response.writeHead(status, {
+      "Content-Length": "0",
+      ...(brittle && { [HEADER.serverBrittle]: String(brittle.maxRejected) }),
+      ...headers,
+    });
     response.end();
   };
+  const countQueue = () =>
+    brittle && clock.monotonic() - startedAt >= brittle.fromMs
+      ? brittle.queue
+      : spec.queue;
+  const fall = (goneMs: number) => {
+    falls.push(clock.monotonic());
+    isGone = true;
+    life += 1;
+    running = 0;
+    waiting = [];
+    for (const response of open) response.socket?.resetAndDestroy();
+    open.clear();
+    clock.setTimer(goneMs as Ms, () => {
+      isGone = false;
+    });
+  };
+  const fallIfBrittle = () => {
+    const since = clock.monotonic() - MS_PER_S;
+    const rejected = arrivals.filter((one) => one.isRejected && one.at > since).length;
+    if (brittle && rejected > brittle.maxRejected) fall(brittle.goneMs);
+  };
   const runNext = () => {
     if (running < spec.slots) waiting.shift()?.();
   };
   const serve = (request: string, response: ServerResponse) => {
+    const ownLife = life;
     running += 1;
     clock.setTimer(spec.serviceMs as Ms, () => {
+      if (ownLife !== life) return;
       running -= 1;
       send(response, 200, { [HEADER.requestId]: request, [HEADER.signature]: "s" });
       runNext();
     });
   };
   const receive = (request: string, response: ServerResponse) => {
-    const isRejected = running + waiting.length >= spec.slots + spec.queue;
+    const isRejected = running + waiting.length >= spec.slots + countQueue();
     arrivals.push({ request, at: clock.monotonic(), isRejected });
     if (isRejected) {
       send(response, 503, { [HEADER.requestId]: request, [HEADER.notRun]: "1" });
+      fallIfBrittle();
       return;
     }
+    open.add(response);
     waiting.push(() => serve(request, response));
     runNext();
   };
   const handle = (incoming: IncomingMessage, response: ServerResponse) => {
     incoming.resume();
+    if (isGone) {
+      incoming.socket.resetAndDestroy();
+      return;
+    }
     if (incoming.url === HEALTH_PATH) send(response, 200, { [HEADER.instance]: id });
     else receive(String(incoming.headers[HEADER.requestId.toLowerCase()]), response);
   };
@@ -126,13 +188,15 @@
     server.close();
     server.closeAllConnections();
   });
-  return { address: `127.0.0.1:${port}`, arrivals };
+  return { address: `127.0.0.1:${port}`, arrivals, falls };
 };
 
 /** What was sent from `COUNTED_FROM_MS` on, and what of it arrived at each server. */
 export type LoadResult = Readonly<{
   requests: readonly LoadRequest[];
   arrivals: readonly (readonly ServerArrival[])[];
+  /** Times at which brittle servers fell over. */
+  falls: readonly number[];
 }>;
 
 export type LoadSite = Readonly<{
@@ -181,7 +245,7 @@
     return { id, workspace, sentAt, status };
   };
   /** Sends at random times, at the mean rate of the source. */
-  const sendFrom = ({ workspace, perSecond }: LoadSource, endsAt: number) => {
+  const sendFrom = ({ workspace, perSecond, fromMs = 0 }: LoadSource, endsAt: number) => {
     const sent: Promise<LoadRequest>[] = [];
     const scheduleNext = () => {
       const gap = (-Math.log(1 - random.nextFloat()) * MS_PER_S) / perSecond;
@@ -191,7 +255,7 @@
         scheduleNext();
       });
     };
-    scheduleNext();
+    clock.setTimer(fromMs as Ms, scheduleNext);
     return sent;
   };
 
@@ -202,13 +266,14 @@
     for (const event of events) clock.setTimer(event.atMs as Ms, () => void event.run());
     const sentLists = sources.map((source) => sendFrom(source, endsAt));
     while (clock.monotonic() < endsAt) await waitMs(20);
+    // Sources may begin later, so the lists are complete only now.
     const all = await Promise.all(sentLists.flat());
     const requests = all.filter(({ sentAt }) => sentAt >= countedFrom);
     const ids = new Set(requests.map(({ id }) => id));
     const arrivals = started.map((server) =>
       server.arrivals.filter(({ request }) => ids.has(request)),
     );
-    return { requests, arrivals };
+    return { requests, arrivals, falls: started.flatMap(({ falls }) => falls) };
   };
   return {
     site,
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -44,7 +44,7 @@
   limits: ["common", "directory", "placement"],
   backoffs: ["common", "directory"],
   capacity: ["common", "directory", "placement"],
-  signals: ["common", "directory", "limits", "backoffs"],
+  signals: ["common", "directory", "limits", "backoffs", "capacity"],
   forwarding: [
     "admission",
     "common",
--- a/packages/capacity/src/constants.ts
+++ b/packages/capacity/src/constants.ts
@@ -17,6 +17,15 @@
 /** How long a rejection lowers the usable slots of a server. */
 export const LOWERED_MS = 1_000 as Ms;
 
+/**
+ * How long a server counts as brittle after its last statement. A quiet service answers nothing for
+ * seconds, and the first requests of a burst must not be too many.
+ */
+export const BRITTLE_MEMORY_MS = 10_000;
+
+/** How long a box without an admitting box sends nothing to a brittle server that rejected its request. */
+export const REJECTED_MS = 1_000;
+
 /** Share of a service's slots in use from which it counts as contended. */
 export const CONTENDED_UTILIZATION = 0.9;
 
--- a/packages/capacity/src/contention.test.ts
+++ b/packages/capacity/src/contention.test.ts
@@ -23,18 +23,38 @@
   const sent: ContentionUpdate[] = [];
   const forwarded: ContentionUpdate[] = [];
   const full: string[] = [];
+  let brittle: readonly ServerId[] = [];
+  const learned: Readonly<{ servers: readonly ServerId[]; age: Ms }>[] = [];
+  const setBrittle = (servers: readonly ServerId[]) => {
+    brittle = servers;
+  };
   const events: ContentionEvent[] = [];
   const contention = createContention({
     clock,
     onOwnUpdate: (update) => sent.push(update),
     onSharedUpdate: (update) => forwarded.push(update),
     onFull: (server) => full.push(server),
+    listBrittle: () => brittle,
+    onBrittle: (servers, age) => void learned.push({ servers, age }),
     onEvent: (event) => events.push(event),
   });
-  return { clock, contention, sent, forwarded, full, events };
+  return { clock, contention, sent, forwarded, full, events, setBrittle, learned };
 };
 
 describe("createContention", () => {
+  it("states the brittle servers of a service in its signs, and passes on those that other boxes state", () => {
+    const { contention, sent, forwarded, setBrittle, learned } = setUp();
+    const brittle = [toServer("a")];
+    const sign = { service: SERVICE, age: 300 as Ms, full: [], brittle };
+    contention.applyShared({ signs: [sign], unknownParts: 0 }, FROM_BOX);
+    expect(learned).toEqual([{ servers: brittle, age: 300 }]);
+    setBrittle(brittle);
+    contention.onSign("other" as ServiceName);
+    expect(sent[0]!.signs).toEqual([{ ...sign, service: "other", age: 0 }]);
+    expect(contention.listSigns().signs[0]).toMatchObject({ brittle });
+    expect(forwarded).toHaveLength(1);
+  });
+
   it("keeps a service contended for 5 s after the newest sign, and reports when that is over", () => {
     const { clock, contention, events } = setUp();
     contention.onSign(SERVICE);
--- a/packages/capacity/src/contention.ts
+++ b/packages/capacity/src/contention.ts
@@ -27,6 +27,10 @@
   onSharedUpdate: (update: ContentionUpdate) => void;
   /** A server rejected a request of some box because it was full. */
   onFull: (server: ServerId) => void;
+  /** Servers of a service that state that they are brittle, which signs carry to other boxes. */
+  listBrittle: (service: ServiceName) => readonly ServerId[];
+  /** Another box knows that the servers are brittle. */
+  onBrittle: (servers: readonly ServerId[], age: Ms) => void;
   onEvent: (event: ContentionEvent) => void;
 }>;
 
@@ -104,15 +108,21 @@
     return true;
   };
 
-  const applySign = ({ service, age, full }: ContentionSign, source: SignSource) => {
+  const makeSign = (service: ServiceName, age: Ms, full: readonly ServerId[] = []) => {
+    const brittle = options.listBrittle(service);
+    return { service, age, full, ...(brittle.length > 0 && { brittle }) };
+  };
+  const applySign = (sign: ContentionSign, source: SignSource) => {
+    const { service, age, full, brittle = [] } = sign;
     if (age >= CONTENDED_MS) return;
+    options.onBrittle(brittle, age);
     const known = putSign(service, age, source.box);
     if (!known) return;
     full.forEach(onFull);
     // A sign that hubs forwarded to each other would never expire while their links are slow, since
     // its age does not include the transit. So a hub forwards only signs of the observing boxes.
     if (source.message === "update" && takeShare(known))
-      onSharedUpdate({ signs: [{ service, age, full: [] }], unknownParts: 0 });
+      onSharedUpdate({ signs: [makeSign(service, age)], unknownParts: 0 });
   };
 
   const isContended = (service: ServiceName) => {
@@ -127,7 +137,7 @@
       if (full !== undefined) onFull(full);
       const isFullShared = full !== undefined && takeFullShare(full);
       if (!takeShare(known) && !isFullShared) return;
-      const sign = { service, age: 0 as Ms, full: isFullShared ? [full] : [] };
+      const sign = makeSign(service, 0 as Ms, isFullShared ? [full] : []);
       onOwnUpdate({ signs: [sign], unknownParts: 0 });
     },
     applyShared: ({ signs, unknownParts }, source) => {
@@ -145,7 +155,7 @@
       const now = clock.monotonic();
       const signs = [...services].map(([service, { newestAt }]) => {
         const age = (now - newestAt) as Ms;
-        return { service, age, full: [] };
+        return makeSign(service, age);
       });
       return { signs: signs.filter(({ age }) => age < CONTENDED_MS), unknownParts: 0 };
     },
--- a/packages/capacity/src/index.ts
+++ b/packages/capacity/src/index.ts
@@ -9,6 +9,8 @@
   MAX_SERVICES,
   NO_CONTENTION,
 } from "./constants.js";
+export { createBrittleServers } from "./brittleServers.js";
+export type { BrittleServers } from "./brittleServers.js";
 export { createContention } from "./contention.js";
 export type { Contention, ContentionOptions } from "./contention.js";
 export { countPresent, createUsableSlots } from "./usableSlots.js";
--- a/packages/capacity/src/safePart.test.ts
+++ b/packages/capacity/src/safePart.test.ts
@@ -21,11 +21,17 @@
 const sendWithinPart = (
   servers: ReturnType<typeof makeServers>,
   places: Pick<ReturnType<typeof createFleetPlaces>, "computePart">,
+  isBrittle = false,
 ): number => {
   const open = new Map<ServerId, number>();
   const countOpen = (server: ServerId) => open.get(server) ?? 0;
   for (let sent = 0; ; sent += 1) {
-    const [next] = computeSafePart({ servers, places, countOpen }).usable;
+    const [next] = computeSafePart({
+      servers,
+      places,
+      countOpen,
+      isBrittle,
+    }).usable;
     if (next === undefined) return sent;
     open.set(next, countOpen(next) + 1);
   }
@@ -57,6 +63,25 @@
     );
   });
 
+  it("gives 6 to 473 boxes together no more than the slots of brittle servers (property)", () => {
+    fc.assert(
+      fc.property(
+        fc.integer({ min: 6, max: 473 }),
+        fc.array(fc.integer({ min: 1, max: 24 }), { minLength: 1, maxLength: 5 }),
+        (boxes, slots) => {
+          const servers = makeServers(slots);
+          const sent = Array.from({ length: boxes }, (_, rank) =>
+            sendWithinPart(servers, createSettledPlaces(rank, boxes), true),
+          );
+          expect(sent.reduce((sum, count) => sum + count, 0)).toBe(
+            slots.reduce((sum, one) => sum + one, 0),
+          );
+        },
+      ),
+      { seed: 7, numRuns: 40 },
+    );
+  });
+
   it("serves one request at a time in a box whose position has not settled", () => {
     const places = { computePart: () => 0 };
     expect(sendWithinPart(makeServers([6, 6]), places)).toBe(1);
--- a/packages/capacity/src/safePart.ts
+++ b/packages/capacity/src/safePart.ts
@@ -1,7 +1,7 @@
 /**
  * The slots that a box may use while no admitting box answers: its part of the slots of each server, and
- * at least one slot per service. The parts of all boxes add up to the slots; the boxes that have no
- * part at any server add one request each. Pure.
+ * at least one slot per service unless its servers are brittle. The parts of all boxes add up to the
+ * slots; the boxes that have no part at any server add one request each. Pure.
  */
 import type { ServerId } from "@stairgauge/directory";
 import type { FleetPlaces } from "@stairgauge/placement";
@@ -14,6 +14,8 @@
   places: Pick<FleetPlaces, "computePart">;
   /** Number of this box's open requests at a server. */
   countOpen: (server: ServerId) => number;
+  /** Whether the service's servers fall over if they reject requests. */
+  isBrittle: boolean;
 }>;
 
 /** This box's safe part of a service. */
@@ -31,7 +33,8 @@
 
 /** Computes this box's safe part of a service, and where it is not used up. */
 export const computeSafePart = (inputs: SafePartInputs): SafePart => {
-  const { servers, places, countOpen } = inputs;
+  const { servers, places, countOpen, isBrittle } = inputs;
+  const minPart = isBrittle ? 0 : MIN_PART;
   const parts = servers.map(({ id, slots }) => ({
     id,
     part: places.computePart({ whole: slots, server: id, isPlacedByFirst: false }),
@@ -39,11 +42,11 @@
   const sum = parts.reduce((total, { part }) => total + part, 0);
   const open = servers.reduce((total, { id }) => total + countOpen(id), 0);
   const usable =
-    sum < MIN_PART
-      ? parts.filter(() => open < MIN_PART)
+    sum < minPart
+      ? parts.filter(() => open < minPart)
       : parts.filter(({ id, part }) => countOpen(id) < part);
   return {
-    part: Math.max(MIN_PART, sum),
+    part: Math.max(minPart, sum),
     open,
     usable: new Set(usable.map(({ id }) => id)),
   };
--- a/packages/capacity/src/types.ts
+++ b/packages/capacity/src/types.ts
@@ -2,6 +2,20 @@
 import type { Ms, ServiceName } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
 
+/** What one answer of a server says about how it bears rejecting requests. */
+export type BrittleSignal = Readonly<
+  | { kind: "unsaid" }
+  /** It falls over if it rejects more than this many requests in a second for want of room. */
+  | { kind: "said"; maxRejected: number }
+  | { kind: "unreadable"; text: string }
+>;
+
+/** A change of the brittle servers; `maxRejected` is undefined if another box received the statement. */
+export type BrittleEvent = Readonly<
+  | { kind: "brittle"; server: ServerId; maxRejected: number | undefined; age: Ms }
+  | { kind: "brittle_over"; server: ServerId }
+>;
+
 /** A sign that a plain service has too little capacity, as boxes send it to each other. */
 export type ContentionSign = Readonly<{
   service: ServiceName;
@@ -9,6 +23,8 @@
   age: Ms;
   /** Servers of the service that have just rejected a request because they were full. */
   full: readonly ServerId[];
+  /** Servers of the service that state that they are brittle; undefined if there are none. */
+  brittle?: readonly ServerId[] | undefined;
 }>;
 
 /** The signs of a message. */
@@ -79,4 +95,4 @@
 >;
 
 /** All events of this package; each is logged as one line. */
-export type CapacityEvent = ContentionEvent | SlotsEvent | AdmissionEvent;
+export type CapacityEvent = ContentionEvent | SlotsEvent | AdmissionEvent | BrittleEvent;
--- a/packages/capacity/src/usableSlots.test.ts
+++ b/packages/capacity/src/usableSlots.test.ts
@@ -9,7 +9,9 @@
 const id = "s1" as ServerId;
 const setUp = () => {
   const clock = createVirtualClock();
-  return { clock, usable: createUsableSlots({ clock, onEvent: () => undefined }) };
+  const isBrittle = (server: ServerId) => server === "brittle";
+  const usable = createUsableSlots({ clock, isBrittle, onEvent: () => undefined });
+  return { clock, usable };
 };
 
 describe("createUsableSlots", () => {
@@ -22,6 +24,10 @@
     expect(setUp().usable.count({ id, slots })).toBe(whole);
   });
 
+  it("adds no pipeline to the slots of a brittle server", () => {
+    expect(setUp().usable.count({ id: "brittle" as ServerId, slots: 6 })).toBe(6);
+  });
+
   it("lowers the slots to the requests that were there, for one second", () => {
     const { clock, usable } = setUp();
     usable.lower({ id, slots: 6 }, 4);
--- a/packages/capacity/src/usableSlots.ts
+++ b/packages/capacity/src/usableSlots.ts
@@ -11,6 +11,8 @@
 /** Options of the usable slots. */
 export type UsableSlotsOptions = Readonly<{
   clock: Pick<Clock, "monotonic">;
+  /** Whether a server falls over if it rejects requests: it gets none beyond its slots. */
+  isBrittle: (server: ServerId) => boolean;
   onEvent: (event: SlotsEvent) => void;
 }>;
 
@@ -56,7 +58,8 @@
       if (until <= clock.monotonic()) lowered.delete(id);
   };
   const count = ({ id, slots }: SlotsEntry): number => {
-    const whole = Math.max(1, slots) + computePipeline(slots);
+    const pipeline = options.isBrittle(id) ? 0 : computePipeline(slots);
+    const whole = Math.max(1, slots) + pipeline;
     const low = lowered.get(id);
     return low && clock.monotonic() < low.until ? Math.min(whole, low.usable) : whole;
   };
--- a/packages/fleet/src/safeChoice.ts
+++ b/packages/fleet/src/safeChoice.ts
@@ -1,5 +1,9 @@
 /** Places plain requests of contended services within this box's safe part of the slots. */
-import { computeSafePart, type AdmissionEvent } from "@stairgauge/capacity";
+import {
+  computeSafePart,
+  type AdmissionEvent,
+  type BrittleServers,
+} from "@stairgauge/capacity";
 import type { Ms, ServiceName } from "@stairgauge/common";
 import type { ServerDirectory, ServerId } from "@stairgauge/directory";
 import type {
@@ -16,6 +20,7 @@
   registry: Pick<LoadRegistry, "countOpen">;
   places: Pick<FleetPlaces, "computePart">;
   placer: Pick<FleetPlacer, "chooseWithRoom">;
+  brittle: Pick<BrittleServers, "isServiceBrittle" | "hasRejected">;
   /** Delay after which a refused client should retry. */
   retryAfter: Ms;
   onEvent: (event: AdmissionEvent) => void;
@@ -30,14 +35,19 @@
 
 /** Creates the choice. */
 export const createSafeChoice = (options: SafeChoiceOptions): SafeChoice => {
-  const { directory, registry, places, placer, retryAfter, onEvent } = options;
+  const { directory, registry, places, placer, brittle, retryAfter, onEvent } = options;
 
   return (service, demand, except) => {
     const servers = directory.listReady(service).map(({ entry }) => entry);
     const { countOpen } = registry;
-    const { part, open, usable } = computeSafePart({ servers, places, countOpen });
+    const { part, open, usable } = computeSafePart({
+      servers,
+      places,
+      countOpen,
+      isBrittle: brittle.isServiceBrittle(service),
+    });
     const decision = placer.chooseWithRoom({ service, demand, except }, "own", {
-      hasRoom: ({ entry }) => usable.has(entry.id),
+      hasRoom: ({ entry }) => usable.has(entry.id) && !brittle.hasRejected(entry.id),
       countAt: countOpen,
     });
     const server = decision?.kind === "placed" ? decision.server.entry.id : undefined;
--- a/packages/forwarding/src/placePlainRequest.ts
+++ b/packages/forwarding/src/placePlainRequest.ts
@@ -46,7 +46,7 @@
   /** A request of an open service was placed: as the admitting box, checks whether its slots are used up. */
   onOpenPlaced: (service: ServiceName) => void;
   /** Which box admits; `none` if this box can reach none that it may rely on. */
-  findAdmitting: () => "own" | "other" | "none";
+  findAdmitting: (service: ServiceName) => "own" | "other" | "none";
   /** Places or queues the request at this box; the returned function cancels it. */
   admitHere: (
     request: PlainRequest,
@@ -117,7 +117,7 @@
     plainAdmission.onOpenPlaced(request.service);
     return cancel;
   }
-  const admitting = plainAdmission.findAdmitting();
+  const admitting = plainAdmission.findAdmitting(request.service);
   if (admitting === "own") return plainAdmission.admitHere(request, place);
   if (admitting === "none") {
     place(plainAdmission.placeWithinSafePart(request));
--- a/packages/peers/src/admittingAsker.test.ts
+++ b/packages/peers/src/admittingAsker.test.ts
@@ -54,6 +54,16 @@
 const ALL = ["a", "b", "c"];
 
 describe("createAdmittingAsker", () => {
+  it("asks no successor of an ejected box within the scope of the first one", async () => {
+    const late = setUp({ own: "c", hubs: ALL, up: ["a", "b"], boxes: 3 }, 80);
+    expect(await late.ask()).toBeUndefined();
+    expect(late.ejected).toEqual(["a"]);
+    expect(late.asker.find()).toBe("other");
+    expect(late.asker.find("first_only")).toBe("none");
+    await advanceSettled(late.clock, 3_000 as Ms);
+    expect(late.asker.find("first_only")).toBe("other");
+  });
+
   it("asks the first box in a full mesh of two, and that box decides by itself", async () => {
     const second = setUp({ own: "b", hubs: ["a", "b"], up: ["a"], boxes: 2 });
     expect(second.asker.find()).toBe("other");
--- a/packages/peers/src/admittingAsker.ts
+++ b/packages/peers/src/admittingAsker.ts
@@ -3,7 +3,7 @@
  * hubs, and in a full mesh the first box in that order.
  */
 import type { BoxName, Clock } from "@stairgauge/common";
-import { createEjectingAsker, type HubAsker } from "./hubAsker.js";
+import { createEjectingAsker, type AskScope, type HubAsker } from "./hubAsker.js";
 import { countHubs } from "./hubs.js";
 import type { PeerLinks } from "./peerLinks.js";
 
@@ -23,7 +23,8 @@
  * Asks the admitting box. Its ejections are separate from those for generations, whose questions have a longer time limit.
  */
 export type AdmittingAsker = Readonly<{
-  find: () => AdmittingBox;
+  /** Within `first_only` an ejected box has no successor, so that only one box admits. */
+  find: (scope?: AskScope) => AdmittingBox;
   ask: HubAsker["ask"];
 }>;
 
@@ -51,11 +52,12 @@
   });
 
   return {
-    find: () => {
-      const box = asker.findHub();
+    find: (scope) => {
+      const box = asker.findHub(scope);
       if (box === undefined) return "none";
       return box === own ? "own" : "other";
     },
-    ask: async (question) => (asker.findHub() === own ? undefined : asker.ask(question)),
+    ask: async (question) =>
+      asker.findHub(question.scope) === own ? undefined : asker.ask(question),
   };
 };
--- a/packages/peers/src/contentionCodec.ts
+++ b/packages/peers/src/contentionCodec.ts
@@ -16,15 +16,25 @@
   service: z.string().min(1),
   age: z.number().nonnegative(),
   full: z.array(z.string()).default([]),
+  brittle: z.array(z.string()).optional(),
 });
 
 /** The field of a message, which earlier releases don't send. */
 export const contendedSchema = z.unknown().optional();
 
-const toSign = ({ service, age, full }: z.infer<typeof signSchema>): ContentionSign => ({
+const toServers = (servers: readonly string[]): readonly ServerId[] =>
+  servers.slice(0, MAX_FULL_PER_SIGN).map((server) => server as ServerId);
+
+const toSign = ({
+  service,
+  age,
+  full,
+  brittle,
+}: z.infer<typeof signSchema>): ContentionSign => ({
   service: service as ServiceName,
   age: age as Ms,
-  full: full.slice(0, MAX_FULL_PER_SIGN).map((server) => server as ServerId),
+  full: toServers(full),
+  ...(brittle && { brittle: toServers(brittle) }),
 });
 
 /** Encodes the signs; left out of the message when there are none. */
--- a/packages/peers/src/hubAsker.ts
+++ b/packages/peers/src/hubAsker.ts
@@ -20,6 +20,8 @@
   /** Time limit of the answer. */
   limit: Ms;
   signal: AbortSignal;
+  /** Any box by default. */
+  scope?: AskScope | undefined;
 }>;
 
 /** An answer, and the hub that gave it. */
@@ -38,9 +40,12 @@
 /** How long a hub that gave no answer is not asked. */
 const EJECTION_MS = 3_000;
 
+/** Which boxes may be asked: the next one while the first is ejected, or the first only. */
+export type AskScope = "any" | "first_only";
+
 type EjectingOptions = Pick<HubAskerOptions, "clock" | "onEjected"> &
   Readonly<{
-    /** Returns the box to ask, the first that `isUsable`; undefined if there is none. */
+    /** Returns the first box that `isUsable`; undefined if there is none. */
     find: (isUsable: (box: BoxName) => boolean) => BoxName | undefined;
   }>;
 
@@ -50,10 +55,14 @@
 
   const isUsable = (box: BoxName) =>
     (ejectedUntil.get(box) ?? -Infinity) <= clock.monotonic();
-  const findHub = () => find(isUsable);
+  const findHub = (scope: AskScope = "any") => {
+    if (scope === "any") return find(isUsable);
+    const first = find(() => true);
+    return first !== undefined && isUsable(first) ? first : undefined;
+  };
 
-  const ask: HubAsker["ask"] = async ({ call, question, limit, signal }) => {
-    const hub = findHub();
+  const ask: HubAsker["ask"] = async ({ call, question, limit, signal, scope }) => {
+    const hub = findHub(scope);
     if (hub === undefined) return undefined;
     const timeout = new AbortController();
     const askedAt = clock.monotonic();
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -28,7 +28,7 @@
   AdmittingBox,
 } from "./admittingAsker.js";
 export { createHubAsker } from "./hubAsker.js";
-export type { HubAsker, HubAskerOptions } from "./hubAsker.js";
+export type { AskScope, HubAsker, HubAskerOptions } from "./hubAsker.js";
 export type { AnswerCarry, CarriedHandlers, CarryAnswer } from "./carryCall.js";
 export type { CarrierLinks } from "./carrierLinks.js";
 export type { PeerMessage } from "./service.js";
--- a/packages/signals/src/constants.ts
+++ b/packages/signals/src/constants.ts
@@ -5,6 +5,7 @@
   isClosing: false,
   warmUpLeft: undefined,
   limit: { kind: "unnamed" },
+  brittle: { kind: "unsaid" },
   leaving: { kind: "unsaid" },
   rest: { kind: "not_asked" },
 };
--- a/packages/signals/src/dispatchSignals.test.ts
+++ b/packages/signals/src/dispatchSignals.test.ts
@@ -22,6 +22,7 @@
       isClosing: makeHandler("isClosing"),
       warmUpLeft: makeHandler("warmUpLeft"),
       limit: makeHandler("limit"),
+      brittle: makeHandler("brittle"),
       leaving: makeHandler("leaving"),
       rest: makeHandler("rest"),
     };
--- a/packages/signals/src/types.ts
+++ b/packages/signals/src/types.ts
@@ -1,6 +1,7 @@
 /** Signals about a backend server itself, decoded from the heads of its answers. */
 import type { Ms } from "@stairgauge/common";
 import type { BackendServer } from "@stairgauge/directory";
+import type { BrittleSignal } from "@stairgauge/capacity";
 import type { LimitSignal } from "@stairgauge/limits";
 import type { BackoffSignal } from "@stairgauge/backoffs";
 
@@ -17,6 +18,8 @@
   warmUpLeft: Ms | undefined;
   /** How many requests the server accepts from all boxes together. */
   limit: LimitSignal;
+  /** Whether the server falls over if it rejects more than a few requests. */
+  brittle: BrittleSignal;
   leaving: LeavingSignal;
   /** Whether the server asks this box for a backoff. */
   rest: BackoffSignal;
