feat: explain and losses tell lost paths, and what a box carries is a setting

explain shows the path and carrier events of the box beside a request, and a late answer that was carried, or a refusal after which no other box could be asked, has the cause 'lost path' in losses. carrying.descriptorShare (0 to 0.5, 0.125 by default) and carrying.heldMb (16) replace two constants; a wrong value ends the start with its path. Whether another box may be asked no longer lists the links for each request.

Tests: contended services go on while the admitting box has lost its paths (3 and 14 boxes); servers that are silent to all boxes for a second lose no request and get work again.

--- a/apps/box/src/createPaths.ts
+++ b/apps/box/src/createPaths.ts
@@ -28,7 +28,7 @@
 import { observePaths } from "./observePaths.js";
 
 export type PathsOptions = Readonly<{
-  settings: Pick<BoxSettings, "clients" | "limits">;
+  settings: Pick<BoxSettings, "carrying" | "clients" | "limits">;
   clock: Clock;
   random: Random;
   log: DecisionLog;
@@ -57,6 +57,8 @@
   stop: () => void;
 }>;
 
+const BYTES_PER_MB = 1024 * 1024;
+
 /** Interval at which lost paths are checked for being due for a probe. */
 const CHECK_MS = 100 as Ms;
 
@@ -65,7 +67,12 @@
   const { settings, clock, random, log, metrics, dialServer, getParts } = options;
   const { carriers: carrierLinks } = options.peers.links;
   const connectLimit = settings.clients.connectLimitMs as Ms;
-  const bounds = createCarryBounds(settings.limits.descriptors);
+  const bounds = createCarryBounds({
+    maxRequests: Math.floor(
+      settings.limits.descriptors * settings.carrying.descriptorShare,
+    ),
+    maxHeldBytes: settings.carrying.heldMb * BYTES_PER_MB,
+  });
   const codec = createHeadCodec();
   const openOwn: OpenOwnExchange = (request, sink) =>
     openExchange(clock, { ...request, dial: dialServer }, sink);
@@ -85,7 +92,7 @@
       scheduleProbes();
     },
   });
-  const carriers = createCarriers({ clock, random, listBoxes: carrierLinks.listBoxes });
+  const carriers = createCarriers({ clock, random, ...carrierLinks });
 
   const probe = async (server: ReturnType<ServerDirectory["list"]>[number]) => {
     const { entry } = server;
--- a/apps/box/src/hardLoad.testkit.ts
+++ b/apps/box/src/hardLoad.testkit.ts
@@ -11,6 +11,7 @@
   createSeededRandom,
   createVirtualClock,
   type Clock,
+  type Dialer,
   type Ms,
 } from "@stairgauge/common";
 import { HEADER, TABLE } from "@stairgauge/platform";
@@ -82,6 +83,8 @@
   boxes: number;
   /** Prepares the site before boxes start. */
   prepare?: (site: UsersSite) => unknown;
+  /** Returns what opens the connections of box 1 to the servers at these addresses. */
+  getFirstDialer?: (addresses: readonly string[]) => Promise<Dialer>;
   /** Returns the clock of a box, by its number from 1; the shared clock by default. */
   getClock?: (box: number, clock: Clock) => Clock;
 }>;
@@ -131,7 +134,7 @@
     brittle && clock.monotonic() - startedAt >= brittle.fromMs
       ? brittle.queue
       : spec.queue;
-  const fall = (goneMs: number) => {
+  const failServer = (goneMs: number) => {
     falls.push(clock.monotonic());
     isGone = true;
     life += 1;
@@ -143,10 +146,10 @@
       isGone = false;
     });
   };
-  const fallIfBrittle = () => {
+  const failIfBrittle = () => {
     const since = clock.monotonic() - MS_PER_S;
     const rejected = arrivals.filter((one) => one.isRejected && one.at > since).length;
-    if (brittle && rejected > brittle.maxRejected) fall(brittle.goneMs);
+    if (brittle && rejected > brittle.maxRejected) failServer(brittle.goneMs);
   };
   const runNext = () => {
     if (running < spec.slots) waiting.shift()?.();
@@ -166,7 +169,7 @@
     arrivals.push({ request, at: clock.monotonic(), isRejected });
     if (isRejected) {
       send(response, 503, { [HEADER.requestId]: request, [HEADER.notRun]: "1" });
-      fallIfBrittle();
+      failIfBrittle();
       return;
     }
     open.add(response);
@@ -210,7 +213,7 @@
 
 /** Starts the servers and the boxes. */
 export const startLoadSite = async (load: Load): Promise<LoadSite> => {
-  const { servers, sources, boxes, prepare, getClock } = load;
+  const { servers, sources, boxes, prepare, getFirstDialer, getClock } = load;
   const clock = startLoadClock();
   const site = await startUsersSite({ engines: 0, services: 0 });
   closers.push(site.close);
@@ -225,12 +228,13 @@
     Object.fromEntries(sources.map(({ workspace, tier }) => [workspace, tier])),
   );
   await prepare?.(site);
+  const dialServer = await getFirstDialer?.(started.map(({ address }) => address));
   const { fleet } = await startFleet({
     store: site.store.address,
     boxes,
     servers: servers.length,
     getClock: (box) => getClock?.(box, clock) ?? clock,
-    firstChanges: FIRST_HUB,
+    firstChanges: { ...FIRST_HUB, ...(dialServer && { dialServer }) },
   });
   const random = createSeededRandom(1);
   let receivers: readonly FleetBox[] = fleet;
--- a/apps/box/src/hardLoadFailures.test.ts
+++ b/apps/box/src/hardLoadFailures.test.ts
@@ -15,6 +15,7 @@
   type LoadSite,
   type ServerSpec,
 } from "./hardLoad.testkit.js";
+import { startPathSwitch, type PathSwitch } from "./pathSwitch.testkit.js";
 import { startPeerProxy, type PeerProxy } from "./peerProxy.testkit.js";
 
 /** Requests in progress at the time of the failure are counted too. */
@@ -62,7 +63,7 @@
 
 /** Runs the load with a failure, which may end after `SUSPENDED_MS`. */
 const runFailure = async (
-  load: Pick<Load, "boxes" | "prepare" | "getClock">,
+  load: Pick<Load, "boxes" | "prepare" | "getClock" | "getFirstDialer">,
   fail: (site: LoadSite) => unknown,
   recover: (site: LoadSite) => unknown = () => undefined,
 ) => {
@@ -156,6 +157,26 @@
     BUSY_MACHINE_TIMEOUT_MS,
   );
 
+  it(
+    "go on while that box has lost its paths to the servers",
+    async () => {
+      let paths: PathSwitch | undefined;
+      const used = await runFailure(
+        {
+          boxes,
+          getFirstDialer: async (addresses) => {
+            paths = await startPathSwitch(addresses);
+            return paths.dial;
+          },
+        },
+        // Requests that are at the servers end there, so that each has a definite end.
+        () => paths!.cut("refuse_new"),
+      );
+      expect(used).toBeGreaterThanOrEqual(MIN_USED_IN_FAILURE);
+    },
+    BUSY_MACHINE_TIMEOUT_MS,
+  );
+
   it(
     "go on as before while the store is unavailable",
     async () => {
--- a/apps/box/src/lostPathsFailures.test.ts
+++ b/apps/box/src/lostPathsFailures.test.ts
@@ -149,6 +149,33 @@
   );
 });
 
+describe("servers that are silent for a second to all boxes", () => {
+  it(
+    "lose no request, are not taken to have ended or left, and get work again",
+    async () => {
+      const { site, fleet, switches } = await startCuttableFleet(3);
+      const page = site.services[0]!;
+      const addresses = [page.address, site.engines[0]!.address];
+      const first = sendFirstTries(fleet, () => false, 2_500);
+      await waitMs(500);
+      for (const one of switches) one.cut("hang", addresses);
+      await waitMs(1_000);
+      for (const one of switches) one.heal();
+      expect((await first).filter(({ answer }) => answer.status !== 200)).toEqual([]);
+      const received = page.listReceived().length;
+      await sendFirstTries(fleet, () => false, 3_000);
+      expect(page.listReceived().length).toBeGreaterThan(received);
+      for (const box of fleet) {
+        expect(countLines(box, "server_leaving")).toBe(0);
+        expect(countLines(box, "server_broke_off")).toBe(0);
+        expect(countLines(box, "path_regained")).toBe(countLines(box, "path_lost"));
+      }
+      expect(listRunTwice(site)).toEqual([]);
+    },
+    BUSY_MACHINE_TIMEOUT_MS,
+  );
+});
+
 describe("failures of a box that lost its paths", () => {
   it(
     "are not reported to the other boxes, and end no server in their records",
--- a/packages/diagnosis/src/classifyCause.ts
+++ b/packages/diagnosis/src/classifyCause.ts
@@ -44,6 +44,7 @@
   otherwise: Delay,
 ): Delay => {
   if (isLateByWaiting(requestLog, excess)) return "waiting";
+  if (hasLine(requestLog, "carried")) return "lost_path";
   return hasLine(requestLog, "retry") ? "repeat" : otherwise;
 };
 
@@ -66,7 +67,13 @@
   return { kind: "late", by: classifyDelay(requestLog, excess, "server") };
 };
 
+/** End of a failure's detail if the box could not find out whether others reach the server. */
+const NOT_CONFIRMED = "not confirmed by another box";
+
 const classifyRefused = ({ fields }: TimedLine): Cause => {
+  const { detail } = fields;
+  if (typeof detail === "string" && detail.endsWith(NOT_CONFIRMED))
+    return { kind: "lost_path" };
   const reason = typeof fields["reason"] === "string" ? fields["reason"] : "untold";
   if (ANSWER_LOST_REASONS.has(reason))
     return { kind: "server_failed", how: "answer_lost" };
@@ -160,7 +167,7 @@
 export const describeCause = (cause: Cause): string => {
   switch (cause.kind) {
     case "late":
-      return `late: ${cause.by}`;
+      return `late: ${cause.by.replaceAll("_", " ")}`;
     case "refused":
       return `refused: ${cause.reason}`;
     case "no_capacity":
@@ -173,6 +180,7 @@
       return "engine ended: within an event";
     case "served":
     case "out_of_time":
+    case "lost_path":
     case "box_ended":
     case "client_left":
     case "never_reached":
--- a/packages/diagnosis/src/explainRequest.ts
+++ b/packages/diagnosis/src/explainRequest.ts
@@ -17,6 +17,14 @@
   "evacuation",
   "server_leaving",
   "peer_lost",
+  "path_lost",
+  "path_regained",
+  "path_all_lost",
+  "path_some_left",
+  "path_down",
+  "carrier_passed_over",
+  "carrier_lost",
+  "server_unreachable",
 ]);
 
 /** One log line of the explanation. */
--- a/packages/diagnosis/src/types.ts
+++ b/packages/diagnosis/src/types.ts
@@ -58,7 +58,7 @@
 }>;
 
 /** Why an answer was late. */
-export type Delay = "waiting" | "prompt" | "pause" | "repeat" | "server";
+export type Delay = "waiting" | "prompt" | "pause" | "repeat" | "lost_path" | "server";
 
 /** How far the move of a stream to another engine was when its engine ended. */
 export type MoveProgress =
@@ -79,6 +79,8 @@
   | { kind: "no_capacity"; reason: "no_room" | "too_late" }
   | { kind: "server_failed"; how: "own_failure" | "answer_lost" }
   | { kind: "out_of_time" }
+  /** The box had lost its path to the servers, and no other box carried the request. */
+  | { kind: "lost_path" }
   | { kind: "engine_ended"; progress: MoveProgress }
   /** The stream ended in the middle of an event, and the box counted it as complete. */
   | { kind: "ended_within_event" }
--- a/packages/forwarding/src/carrying.test.ts
+++ b/packages/forwarding/src/carrying.test.ts
@@ -119,12 +119,11 @@
   });
 
   it("goes to another box while the carriers have no room, and none exceeds its bound", () => {
-    // An eighth of the descriptors may be used for other boxes.
     const fleet = createCarryingFleet({
       boxes: 4,
       servers: 1,
       cuts: [createCut(0, 1, true)],
-      descriptors: 80,
+      maxRequests: 10,
     });
     const sent = Array.from({ length: 40 }, (_, i) => fleet.send(0, 0, `r${i}`));
     fleet.clock.advance(1_000 as Ms);
--- a/packages/forwarding/src/carrying.testkit.ts
+++ b/packages/forwarding/src/carrying.testkit.ts
@@ -49,8 +49,8 @@
   cuts: readonly Cut[];
   /** Boxes that one box may ask; all others by default. */
   listCarriers?: ((box: number) => readonly number[]) | undefined;
-  /** Files and sockets that each box may have open. */
-  descriptors?: number;
+  /** Requests that each box may carry at once. */
+  maxRequests?: number;
   seed?: number;
 }>;
 
@@ -69,7 +69,7 @@
 const dropEvent = () => undefined;
 
 export const createCarryingFleet = (options: CarryingFleetOptions) => {
-  const { boxes, cuts, descriptors = 4_096 } = options;
+  const { boxes, cuts, maxRequests = 512 } = options;
   const clock = createVirtualClock();
   const random = createSeededRandom(options.seed ?? 1);
   const servers = Array.from({ length: options.servers }, (_, i) => toServer(i));
@@ -147,9 +147,10 @@
     const carriers = createCarriers({
       clock,
       random,
+      hasAny: () => others.some((other) => other !== index),
       listBoxes: () => others.filter((other) => other !== index).map(toBox),
     });
-    const bounds = createCarryBounds(descriptors);
+    const bounds = createCarryBounds({ maxRequests, maxHeldBytes: 1_000_000 });
     const carry = createCarryForOthers({
       clock,
       bounds,
--- a/packages/paths/src/carriers.ts
+++ b/packages/paths/src/carriers.ts
@@ -10,6 +10,8 @@
 export type CarriersOptions = Readonly<{
   clock: Pick<Clock, "monotonic">;
   random: Pick<Random, "nextInt">;
+  /** Whether any other box is known; asked before every request. */
+  hasAny: () => boolean;
   /** Boxes that can be asked, without this one. */
   listBoxes: () => readonly BoxName[];
 }>;
@@ -48,7 +50,7 @@
     );
 
   return {
-    hasAny: () => listBoxes().length > 0,
+    hasAny: options.hasAny,
     choose: (server, tried) => {
       const ranked = listBoxes()
         .filter((box) => !tried.has(box))
--- a/packages/paths/src/carryBounds.ts
+++ b/packages/paths/src/carryBounds.ts
@@ -1,9 +1,13 @@
 /** Limits what one box carries for others, so that its own clients keep most of it. */
-import {
-  CARRIED_DESCRIPTOR_SHARE,
-  MAX_CARRIED_BODY_BYTES,
-  MAX_CARRIED_TOTAL_BYTES,
-} from "./constants.js";
+import { MAX_CARRIED_BODY_BYTES } from "./constants.js";
+
+/** Options of the bounds. */
+export type CarryBoundsOptions = Readonly<{
+  /** Most requests at once; each takes one descriptor for its connection to the server. */
+  maxRequests: number;
+  /** Most bytes of bodies at once. */
+  maxHeldBytes: number;
+}>;
 
 /** What a box carries for others at present. */
 export type CarryBounds = Readonly<{
@@ -12,16 +16,16 @@
   count: () => number;
 }>;
 
-/** Creates the bounds of a box that may open this many files and sockets. */
-export const createCarryBounds = (descriptors: number): CarryBounds => {
-  const maxRequests = Math.floor(descriptors * CARRIED_DESCRIPTOR_SHARE);
+/** Creates the bounds; nothing is carried. */
+export const createCarryBounds = (options: CarryBoundsOptions): CarryBounds => {
+  const { maxRequests, maxHeldBytes } = options;
   let requests = 0;
   let bytes = 0;
 
   return {
     take: (bodyBytes) => {
       if (requests >= maxRequests || bodyBytes > MAX_CARRIED_BODY_BYTES) return undefined;
-      if (bytes + bodyBytes > MAX_CARRIED_TOTAL_BYTES) return undefined;
+      if (bytes + bodyBytes > maxHeldBytes) return undefined;
       requests += 1;
       bytes += bodyBytes;
       let isFreed = false;
--- a/packages/paths/src/constants.ts
+++ b/packages/paths/src/constants.ts
@@ -52,10 +52,3 @@
 
 /** Largest body of a carried request; twice as much fits into one message between boxes. */
 export const MAX_CARRIED_BODY_BYTES = 2 * 1024 * 1024;
-
-/**
- * What one box carries for others at once: its own clients keep seven eighths of its descriptors, and
- * the bodies stay below a tenth of the memory of a small box.
- */
-export const CARRIED_DESCRIPTOR_SHARE = 1 / 8;
-export const MAX_CARRIED_TOTAL_BYTES = 16 * 1024 * 1024;
--- a/packages/peers/src/carrierLinks.ts
+++ b/packages/peers/src/carrierLinks.ts
@@ -28,6 +28,8 @@
 
 /** The channels of one box to its carriers. */
 export type CarrierLinks = Readonly<{
+  /** Whether any other box is known. */
+  hasAny: () => boolean;
   listBoxes: () => readonly BoxName[];
   /** Asks a box to carry a request; undefined if there is no way to ask it. */
   call: (box: BoxName, question: CarryQuestion, sink: CarrySink) => CarryCall | undefined;
@@ -90,6 +92,7 @@
   };
 
   return {
+    hasAny: () => listPeers().some(({ box }) => box !== own),
     listBoxes: () => {
       const linked = listConnected().map(({ box }) => box);
       if (!hasHubs(listPeers().length)) return linked;
--- a/packages/peers/src/peerLinks.ts
+++ b/packages/peers/src/peerLinks.ts
@@ -57,7 +57,7 @@
   askPlace: PeerCall<PlaceQuestion, PlaceAnswer>;
   askMoves: PeerCall<MovesQuestion, MovesAnswer>;
   /** Boxes that may carry requests for this one. */
-  carriers: Pick<CarrierLinks, "listBoxes" | "call">;
+  carriers: Pick<CarrierLinks, "hasAny" | "listBoxes" | "call">;
   /** Closes the link to a box and opens a new one, since its connection no longer brings answers. */
   reopen: (box: BoxName) => void;
   /** Boxes whose link is up. */
--- a/packages/settings/src/boxSettings.test.ts
+++ b/packages/settings/src/boxSettings.test.ts
@@ -16,6 +16,7 @@
     expect(parsed.ok && parsed.val).toMatchObject({
       store: { hearers: 2, serversWaitMs: 10_000 },
       engines: { reportIntervalMs: 2_000 },
+      carrying: { descriptorShare: 0.125, heldMb: 16 },
       log: { level: "info", linesPerSecond: 200 },
     });
   });
@@ -35,6 +36,11 @@
     ['"10.1.0.1:80"', '"edge-1:80"', "listen.clients"],
     ["stopSeconds: 8", "stopSeconds: -8", "bounds.stopSeconds"],
     ["box: edge-1", "", "box"],
+    [
+      "box: edge-1",
+      "box: a\ncarrying: { descriptorShare: 0.9 }",
+      "carrying.descriptorShare",
+    ],
   ])("returns the path of an invalid setting (%s)", (from, to, path) => {
     const parsed = parseBoxSettings(VALID_SETTINGS.replace(from, to));
     expect(parsed.err && parsed.val).toMatchObject({
--- a/packages/settings/src/boxSettings.ts
+++ b/packages/settings/src/boxSettings.ts
@@ -124,6 +124,15 @@
       heldMb: z.number().positive().default(32),
     })
     .prefault({}),
+  /** Requests that this box sends for boxes which have lost their own paths to servers. */
+  carrying: z
+    .strictObject({
+      /** Share of `limits.descriptors` that they may use. */
+      descriptorShare: z.number().min(0).max(0.5).default(0.125),
+      /** Memory for their bodies, in MB. */
+      heldMb: z.number().positive().default(16),
+    })
+    .prefault({}),
   log: z
     .strictObject({
       level: z.enum(["debug", "info", "warn", "error", "silent"]).default("info"),
