perf: one carrier is asked about a silent server while the box reaches others

A server that is dark to everybody cost a request the wait at this box and at three carriers. While this box reached another server within the last second its own links are not what failed, so one carrier's failure is enough; three are asked while it reaches none, when other boxes may have lost their paths at the same moment. The test counts one carrier asked; the cases of lostPaths.test.ts pass as before.

--- a/packages/forwarding/src/carriedExchange.ts
+++ b/packages/forwarding/src/carriedExchange.ts
@@ -9,7 +9,6 @@
   CARRIER_ANSWER_MS,
   MAX_CARRIED_BODY_BYTES,
   MAX_OFFERS,
-  MAX_UNREACHED_CARRIERS,
   type Carriers,
   type CarryFrame,
   type CarryQuestion,
@@ -45,7 +44,7 @@
 /** Dependencies of carried requests. */
 export type CarriedExchangeDeps = Readonly<{
   clock: Clock;
-  paths: Pick<ServerPaths, "recordCarried">;
+  paths: Pick<ServerPaths, "recordCarried" | "countUnreachedAllowed">;
   carriers: Carriers;
   callCarrier: CallCarrier;
   onEvent: (event: CarryEvent) => void;
@@ -93,7 +92,8 @@
     stopAsking();
     isAsked = false;
     const isEnough =
-      tried.size >= MAX_OFFERS || unreachedDetails.length >= MAX_UNREACHED_CARRIERS;
+      tried.size >= MAX_OFFERS ||
+      unreachedDetails.length >= paths.countUnreachedAllowed();
     const carrier = isEnough ? undefined : carriers.choose(id, tried);
     if (carrier === undefined) failToCarry();
     else askCarrier(carrier);
--- a/packages/forwarding/src/carrying.test.ts
+++ b/packages/forwarding/src/carrying.test.ts
@@ -92,6 +92,22 @@
     expect(fleet.events.filter(({ kind }) => kind === "lost")).toEqual([]);
   });
 
+  it("asks one carrier about a silent server while the box reaches others", () => {
+    const fleet = createCarryingFleet({
+      boxes: 6,
+      servers: 2,
+      cuts: [0, 1, 2, 3, 4, 5].map((box) => ({ ...createCut(box, 1), servers: [0] })),
+    });
+    fleet.send(0, 1, "a");
+    fleet.clock.advance(100 as Ms);
+    const sent = fleet.send(0, 0, "b");
+    fleet.clock.advance(800 as Ms);
+    expect(sent.getOutcome()).toMatchObject({ kind: "unreachable" });
+    expect(
+      fleet.events.filter(({ kind }) => kind === "carrier_passed_over"),
+    ).toHaveLength(1);
+  });
+
   it("is offered to no carrier again for a moment after carriers failed to reach the server", () => {
     const fleet = createCarryingFleet({ boxes: 4, servers: 2, cuts: [] });
     fleet.setDown(0);
--- a/packages/forwarding/src/serverExchanges.ts
+++ b/packages/forwarding/src/serverExchanges.ts
@@ -55,6 +55,7 @@
       | "recordConnected"
       | "recordUnreached"
       | "recordCarried"
+      | "countUnreachedAllowed"
       | "recordDown"
     >;
   }>;
--- a/packages/paths/src/constants.ts
+++ b/packages/paths/src/constants.ts
@@ -41,11 +41,17 @@
 export const SILENT_MS = 3_000;
 
 /**
- * Boxes that one request is offered to, and how many of them may fail to reach the server. A refusal
- * takes a few milliseconds, a connection without an answer as long as the wait for one.
+ * Boxes that one request is offered to. A refusal takes a few milliseconds, a connection without an
+ * answer as long as the wait for one.
  */
 export const MAX_OFFERS = 24;
+
+/**
+ * Carriers that may fail to reach the server before it counts as down: one while this box reaches other
+ * servers; more while it reaches none, as other boxes may just have lost their paths as well.
+ */
 export const MAX_UNREACHED_CARRIERS = 3;
+export const REACHING_MS = 1_000;
 
 /** Longest time until a carrier has connected to the server or has refused. */
 export const CARRIER_ANSWER_MS = 400 as Ms;
--- a/packages/paths/src/index.ts
+++ b/packages/paths/src/index.ts
@@ -6,9 +6,4 @@
 export type { Carriers, CarriersOptions } from "./carriers.js";
 export { createCarryBounds } from "./carryBounds.js";
 export type { CarryBounds } from "./carryBounds.js";
-export {
-  CARRIER_ANSWER_MS,
-  MAX_CARRIED_BODY_BYTES,
-  MAX_OFFERS,
-  MAX_UNREACHED_CARRIERS,
-} from "./constants.js";
+export { CARRIER_ANSWER_MS, MAX_CARRIED_BODY_BYTES, MAX_OFFERS } from "./constants.js";
--- a/packages/paths/src/serverPaths.ts
+++ b/packages/paths/src/serverPaths.ts
@@ -12,9 +12,11 @@
   HANGS_TO_LOSE,
   LONGEST_KEPT,
   MAX_PROBES_AT_ONCE,
+  MAX_UNREACHED_CARRIERS,
   MIN_WAIT_MS,
   PROBE_INTERVAL_MS,
   PROBES_TO_REGAIN,
+  REACHING_MS,
   SERVERS_TO_LOSE_ALL,
   WAIT_FACTOR,
 } from "./constants.js";
@@ -43,6 +45,8 @@
   isDown: (server: ServerId) => boolean;
   /** How long a connection may take before another box is asked; `limit` while nothing is known. */
   computeWait: (entry: PathEntry, limit: Ms) => Ms;
+  /** How many carriers may fail to reach a server before it counts as down. */
+  countUnreachedAllowed: () => number;
   /** This box has connected to the server, which took this long. */
   recordConnected: (entry: PathEntry, took: Ms) => void;
   /** This box could not connect to the server. */
@@ -75,11 +79,13 @@
   /** Servers lost since any server was last reached. */
   const lostInRow = new Set<ServerId>();
   let areAllLost = false;
+  let reachedAt = -Infinity;
 
   const computeProbeTime = (interval: number) =>
     clock.monotonic() + interval * (0.75 + random.nextFloat() / 2);
 
   const recordSuccess = ({ id }: PathEntry) => {
+    reachedAt = clock.monotonic();
     lostInRow.clear();
     if (areAllLost) {
       areAllLost = false;
@@ -137,6 +143,8 @@
       if (longest === undefined) return limit;
       return Math.min(limit, Math.max(MIN_WAIT_MS, longest * WAIT_FACTOR)) as Ms;
     },
+    countUnreachedAllowed: () =>
+      clock.monotonic() - reachedAt < REACHING_MS ? 1 : MAX_UNREACHED_CARRIERS,
     recordConnected,
     recordUnreached,
     recordCarried: ({ id }, carrier) => {
