--- a/packages/measure/src/boxCost/boxProcess.ts
+++ b/packages/measure/src/boxCost/boxProcess.ts
@@ -23,6 +23,8 @@
   cores: number;
   /** Path of the start file. */
   bundle: string;
+  /** Further flags of the runtime. */
+  nodeFlags?: readonly string[];
 }>;
 
 /** A running box. */
@@ -49,7 +51,13 @@
   const folder = mkdtempSync(join(tmpdir(), "stairgauge-cost-"));
   const path = join(folder, "box.yaml");
   writeFileSync(path, formatSettings(choice));
-  const process = spawnProcess([...FLAGS, choice.bundle, "--settings", path]);
+  const process = spawnProcess([
+    ...FLAGS,
+    ...(choice.nodeFlags ?? []),
+    choice.bundle,
+    "--settings",
+    path,
+  ]);
   const [, port = ""] = await process.waitForLine(/"clients":(\d+).*"event":"started"/);
   await process.waitForLine(/"event":"server_joined"/);
   await process.waitForLine(/"event":"peers"/);
