fix: single lost packets at two servers do not make a path count as lost

Connections without an answer at several servers within two seconds proved a lost path together, also where connections had succeeded between them: over lossy links requests would have gone by way of other boxes for a second and more each time. Hangs now count in a row over all servers, or twice at one server. Found by reading; the test with a connection between two lost packets failed before (the second server's path was lost). The state of paths has tests of its own, with probes, waits and bounds.

--- a/packages/paths/src/serverPaths.ts
+++ b/packages/paths/src/serverPaths.ts
@@ -76,8 +76,9 @@
   const lost = new Map<ServerId, LostPath>();
   const downUntil = new Map<ServerId, number>();
   const longestByHall = new Map<DataHallName, number>();
-  /** Servers lost since any server was last reached. */
+  /** Since any server was last reached: servers lost, and connections without an answer. */
   const lostInRow = new Set<ServerId>();
+  let hangsInRow = 0;
   let areAllLost = false;
   let reachedAt = -Infinity;
 
@@ -87,6 +88,7 @@
   const recordSuccess = ({ id }: PathEntry) => {
     reachedAt = clock.monotonic();
     lostInRow.clear();
+    hangsInRow = 0;
     if (areAllLost) {
       areAllLost = false;
       onEvent({ kind: "some_left" });
@@ -108,12 +110,9 @@
     for (const [id, { at }] of failures) if (at < oldest) failures.delete(id);
     return failures;
   };
-  /** Connections that fail at several servers, without one that succeeded, have one cause. */
-  const isProven = ({ cause }: Failures) => {
-    const counts = [...listRecentFailures().values()].map(({ count }) => count);
-    const hangs = counts.reduce((sum, count) => sum + count, 0);
-    return cause === "refused" || hangs >= HANGS_TO_LOSE;
-  };
+  /** Hangs at several servers have one cause if no connection succeeded between them. */
+  const isProven = ({ cause, count }: Failures) =>
+    cause === "refused" || count >= HANGS_TO_LOSE || hangsInRow >= HANGS_TO_LOSE;
 
   const isLost = (id: ServerId) => areAllLost || lost.has(id);
 
@@ -127,6 +126,7 @@
   const recordUnreached: ServerPaths["recordUnreached"] = ({ id }, cause) => {
     const path = lost.get(id);
     if (path) path.successes = 0;
+    if (cause === "no_connection") hangsInRow += 1;
     const count = (listRecentFailures().get(id)?.count ?? 0) + 1;
     failures.set(id, { count, cause, at: clock.monotonic() });
   };
