fix: a box uses its own paths again when the servers with lost paths are gone

While all paths count as lost, only an answer to a probe ends that, and only lost paths are probed. If the servers whose paths were lost left the list meanwhile, as in a release, no path was probed any more: the box would have sent every request by way of others for good, also after its paths were back.

Dropping the last lost path now ends the state; the next request tries the own path, and is carried in the same attempt if that still fails. Found by reading the change once more; the test failed before ('all paths lost' after both servers were gone).

--- a/packages/paths/src/serverPaths.test.ts
+++ b/packages/paths/src/serverPaths.test.ts
@@ -88,6 +88,17 @@
     expect(listKinds()).toEqual(["lost", "lost", "lost", "all_lost", "some_left"]);
   });
 
+  it("tries its own paths again once the servers whose paths were lost are gone", () => {
+    const { paths, loseByRefusal, listKinds } = setUp();
+    loseByRefusal(A);
+    loseByRefusal(B);
+    paths.forget(A.id);
+    expect(paths.isLost(C.id)).toBe(true);
+    paths.forget(B.id);
+    expect(paths.isLost(C.id)).toBe(false);
+    expect(listKinds()).toEqual(["lost", "lost", "all_lost", "some_left"]);
+  });
+
   it("probes a lost path each second, and uses it again after two answers in a row", () => {
     const { clock, paths, events, loseByRefusal } = setUp();
     loseByRefusal(A);
--- a/packages/paths/src/serverPaths.ts
+++ b/packages/paths/src/serverPaths.ts
@@ -85,14 +85,16 @@
   const computeProbeTime = (interval: number) =>
     clock.monotonic() + interval * (0.75 + random.nextFloat() / 2);
 
+  const endAllLost = () => {
+    if (!areAllLost) return;
+    areAllLost = false;
+    onEvent({ kind: "some_left" });
+  };
   const recordSuccess = ({ id }: PathEntry) => {
     reachedAt = clock.monotonic();
     lostInRow.clear();
     hangsInRow = 0;
-    if (areAllLost) {
-      areAllLost = false;
-      onEvent({ kind: "some_left" });
-    }
+    endAllLost();
     downUntil.delete(id);
   };
   const restorePath = (id: ServerId, { since }: LostPath) => {
@@ -198,6 +200,8 @@
       lost.delete(id);
       lostInRow.delete(id);
       downUntil.delete(id);
+      // Without a lost path nothing is probed, so nothing else would end this state.
+      if (lost.size === 0) endAllLost();
     },
   };
 };
