refactor: the shapes of a carried call and of the way to a server are declared once

packages/peers and packages/forwarding each declared the asking box's call and sink and the carrier's answer and handlers; both use those of packages/paths now. The number of offers of a carried request was recorded for nobody, and is gone.

--- a/apps/box/src/createPaths.ts
+++ b/apps/box/src/createPaths.ts
@@ -17,9 +17,9 @@
   createCarriers,
   createCarryBounds,
   createServerPaths,
+  type AnswerCarry,
   type ServerPaths,
 } from "@stairgauge/paths";
-import type { AnswerCarry } from "@stairgauge/peers";
 import { createHeadCodec, type EngineActionsOptions } from "@stairgauge/platform";
 import type { BoxSettings } from "@stairgauge/settings";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
--- a/packages/forwarding/src/askServer.ts
+++ b/packages/forwarding/src/askServer.ts
@@ -5,13 +5,7 @@
 import type { Clock, Ms } from "@stairgauge/common";
 import type { ServerEntry } from "@stairgauge/directory";
 import type { ServerSignals } from "@stairgauge/signals";
-import {
-  openExchange,
-  REFUSED_CODE,
-  type Exchange,
-  type ExchangeRequest,
-  type ExchangeSink,
-} from "./openExchange.js";
+import { openExchange, REFUSED_CODE, type OpenBuilt } from "./openExchange.js";
 import type { AnswerHead, HeadCodec } from "./types.js";
 
 /** Result of a health check: an answer of the expected server, or anything else. */
@@ -50,7 +44,7 @@
   /** Timeout for establishing the connection. */
   connectLimit: Ms;
   /** Sends the check; over this box's own connection if undefined. */
-  open?: ((build: () => ExchangeRequest, sink: ExchangeSink) => Exchange) | undefined;
+  open?: OpenBuilt | undefined;
 }>;
 
 /** Creates the result for an absent server. */
--- a/packages/forwarding/src/carriedExchange.ts
+++ b/packages/forwarding/src/carriedExchange.ts
@@ -9,33 +9,17 @@
   CARRIER_ANSWER_MS,
   MAX_CARRIED_BODY_BYTES,
   MAX_OFFERS,
+  type CallCarrier,
   type Carriers,
+  type CarryCall,
   type CarryFrame,
-  type CarryQuestion,
   type ServerPaths,
 } from "@stairgauge/paths";
 import type { Exchange, ExchangeRequest, ExchangeSink } from "./openExchange.js";
 
-/** A carried request in progress, as the links to other boxes provide it. */
-export type CarryingCall = Readonly<{
-  cancel: () => void;
-  pause: () => void;
-  resume: () => void;
-}>;
-
-/** Asks another box to carry a request; undefined if there is no way to ask it. */
-export type CallCarrier = (
-  box: BoxName,
-  question: CarryQuestion,
-  sink: Readonly<{
-    onFrame: (frame: CarryFrame) => void;
-    onEnd: (detail: string | undefined) => void;
-  }>,
-) => CarryingCall | undefined;
-
 /** A step of a carried request; each is logged as one line. */
 export type CarryEvent = Readonly<
-  | { kind: "carried"; server: string; carrier: BoxName; offers: number }
+  | { kind: "carried"; server: string; carrier: BoxName }
   | { kind: "carrier_passed_over"; server: string; carrier: BoxName; reason: string }
   /** The link to the carrier broke before the answer was complete. */
   | { kind: "carrier_lost"; server: string; carrier: BoxName; detail: string }
@@ -50,7 +34,7 @@
   onEvent: (event: CarryEvent) => void;
 }>;
 
-/** Why no box carried a request; `detail` is the failure of a carrier that could not connect either. */
+/** Why no box carried a request: `unreached` is the failure of a carrier that could not connect either. */
 export type NotCarried = Readonly<{ unreached: string | undefined }>;
 
 /** A request to be carried. */
@@ -75,7 +59,7 @@
   let unreachedDetails: readonly string[] = [];
   let isOver = false;
   let isAsked = false;
-  let call: CarryingCall | undefined;
+  let call: CarryCall | undefined;
   let stopAsking = () => {};
 
   const finish = (): boolean => {
@@ -115,7 +99,7 @@
         return;
       case "connected":
         paths.recordCarried(server.entry, carrier);
-        onEvent({ kind: "carried", server: id, carrier, offers: tried.size });
+        onEvent({ kind: "carried", server: id, carrier });
         sink.onCarried?.(carrier);
         return;
       case "head":
--- a/packages/forwarding/src/carryForOthers.ts
+++ b/packages/forwarding/src/carryForOthers.ts
@@ -6,6 +6,8 @@
 import type { Clock, Ms } from "@stairgauge/common";
 import type { BackendServer, ServerId } from "@stairgauge/directory";
 import type {
+  AnswerCarry,
+  CarriedHandlers,
   CarryBounds,
   CarryFrame,
   CarryQuestion,
@@ -29,19 +31,13 @@
   openOwn: OpenOwnExchange;
 }>;
 
-/** Where the frames go; `write` returns false if the asking box reads more slowly. */
-type Answer = Readonly<{ write: (frame: CarryFrame) => boolean; end: () => void }>;
-
-/** What the asking box may do meanwhile. */
-type Handlers = Readonly<{ onCancelled: () => void; onDrain: () => void }>;
-
-const NOT_CARRIED: Handlers = {
+const NOT_CARRIED: CarriedHandlers = {
   onCancelled: () => undefined,
   onDrain: () => undefined,
 };
 
 /** Creates the carrier. */
-export const createCarryForOthers = (deps: CarryForOthersDeps) => {
+export const createCarryForOthers = (deps: CarryForOthersDeps): AnswerCarry => {
   const { clock, bounds, paths, findServer, isLeaving, isStopping, openOwn } = deps;
 
   const decideRefusal = (
@@ -54,8 +50,8 @@
     return paths.isDoubtful(server.entry.id) ? "path_lost" : undefined;
   };
 
-  return (question: CarryQuestion, answer: Answer): Handlers => {
-    const refuse = (reason: CarryRefusal): Handlers => {
+  return (question, answer) => {
+    const refuse = (reason: CarryRefusal): CarriedHandlers => {
       answer.write({ kind: "refused", reason });
       answer.end();
       return NOT_CARRIED;
--- a/packages/forwarding/src/carrying.testkit.ts
+++ b/packages/forwarding/src/carrying.testkit.ts
@@ -14,10 +14,11 @@
   createCarriers,
   createCarryBounds,
   createServerPaths,
+  type CallCarrier,
   type CarryFrame,
   type PathEvent,
 } from "@stairgauge/paths";
-import type { CallCarrier, CarryEvent } from "./carriedExchange.js";
+import type { CarryEvent } from "./carriedExchange.js";
 import { createCarryForOthers } from "./carryForOthers.js";
 import type { ExchangeRequest, ExchangeSink } from "./openExchange.js";
 import { createServerExchanges, type OpenOwnExchange } from "./serverExchanges.js";
--- a/packages/forwarding/src/openExchange.ts
+++ b/packages/forwarding/src/openExchange.ts
@@ -58,6 +58,9 @@
   isSent: () => boolean;
 }>;
 
+/** Opens an exchange with one server; `build` is called anew for each way that is tried. */
+export type OpenBuilt = (build: () => ExchangeRequest, sink: ExchangeSink) => Exchange;
+
 const EMPTY_LINE = "\r\n";
 
 /** Detail of a failure if the host is up but nothing listens on the port. */
--- a/packages/paths/src/types.ts
+++ b/packages/paths/src/types.ts
@@ -45,6 +45,48 @@
   | { kind: "failed"; as: "broken" | "malformed"; detail: string }
 >;
 
+/** Receives the frames of a carried request at the asking box; `onEnd` is final. */
+export type CarrySink = Readonly<{
+  onFrame: (frame: CarryFrame) => void;
+  /** The call has ended; `detail` says why if it did not end normally. */
+  onEnd: (detail: string | undefined) => void;
+}>;
+
+/** A carried request in progress, at the asking box. */
+export type CarryCall = Readonly<{
+  /** Ends the call at both boxes; the sink is not called any more. */
+  cancel: () => void;
+  pause: () => void;
+  resume: () => void;
+}>;
+
+/** Asks another box to carry a request; undefined if there is no way to ask it. */
+export type CallCarrier = (
+  box: BoxName,
+  question: CarryQuestion,
+  sink: CarrySink,
+) => CarryCall | undefined;
+
+/** What a carrier sends back. */
+export type CarryAnswer = Readonly<{
+  /** Returns false if the asking box reads more slowly than frames are written. */
+  write: (frame: CarryFrame) => boolean;
+  end: () => void;
+}>;
+
+/** What a carrier does when the asking box acts. */
+export type CarriedHandlers = Readonly<{
+  onCancelled: () => void;
+  /** The asking box reads again. */
+  onDrain: () => void;
+}>;
+
+/** Carries the request of another box. */
+export type AnswerCarry = (
+  question: CarryQuestion,
+  answer: CarryAnswer,
+) => CarriedHandlers;
+
 /** How a connection to a server failed before it was established. */
 export type UnreachedCause = "refused" | "no_connection";
 
--- a/packages/peers/src/carrierLinks.ts
+++ b/packages/peers/src/carrierLinks.ts
@@ -5,8 +5,8 @@
  */
 import { Client, credentials } from "@grpc/grpc-js";
 import type { BoxName, Clock, Ms, Timer } from "@stairgauge/common";
-import type { CarryQuestion } from "@stairgauge/paths";
-import { callCarry, type CarryCall, type CarrySink } from "./carryCall.js";
+import type { CallCarrier } from "@stairgauge/paths";
+import { callCarry } from "./carryCall.js";
 import { hasHubs } from "./hubs.js";
 import { LINK_OPTIONS } from "./peerLink.js";
 import { rankByHash, sortByHallsInTurn } from "./rankStoreReaders.js";
@@ -31,8 +31,7 @@
   /** Whether any other box is known. */
   hasAny: () => boolean;
   listBoxes: () => readonly BoxName[];
-  /** Asks a box to carry a request; undefined if there is no way to ask it. */
-  call: (box: BoxName, question: CarryQuestion, sink: CarrySink) => CarryCall | undefined;
+  call: CallCarrier;
   close: () => void;
 }>;
 
--- a/packages/peers/src/carryCall.ts
+++ b/packages/peers/src/carryCall.ts
@@ -6,24 +6,15 @@
   type ServerWritableStream,
   type ServiceError,
 } from "@grpc/grpc-js";
-import type { CarryFrame, CarryQuestion } from "@stairgauge/paths";
+import type {
+  AnswerCarry,
+  CarryCall,
+  CarryFrame,
+  CarryQuestion,
+  CarrySink,
+} from "@stairgauge/paths";
 import type { PeerService } from "./service.js";
 
-/** Receives the frames of a carried request; `onEnd` is final. */
-export type CarrySink = Readonly<{
-  onFrame: (frame: CarryFrame) => void;
-  /** The call has ended; `detail` says why if it did not end normally. */
-  onEnd: (detail: string | undefined) => void;
-}>;
-
-/** A carried request in progress. */
-export type CarryCall = Readonly<{
-  /** Ends the call at both boxes; the sink is not called any more. */
-  cancel: () => void;
-  pause: () => void;
-  resume: () => void;
-}>;
-
 /** Asks the box behind the client to carry the request. */
 export const callCarry = (
   client: Client,
@@ -62,26 +53,6 @@
   };
 };
 
-/** What a carrier sends back. */
-export type CarryAnswer = Readonly<{
-  /** Returns false if the asking box reads more slowly than frames are written. */
-  write: (frame: CarryFrame) => boolean;
-  end: () => void;
-}>;
-
-/** What a carrier does when the asking box acts. */
-export type CarriedHandlers = Readonly<{
-  onCancelled: () => void;
-  /** The asking box reads again. */
-  onDrain: () => void;
-}>;
-
-/** Carries the request of another box. */
-export type AnswerCarry = (
-  question: CarryQuestion,
-  answer: CarryAnswer,
-) => CarriedHandlers;
-
 /** Creates the handler of such calls. */
 export const createCarryHandler =
   (answerCarry: AnswerCarry) =>
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -29,6 +29,5 @@
 } from "./admittingAsker.js";
 export { createHubAsker } from "./hubAsker.js";
 export type { AskScope, HubAsker, HubAskerOptions } from "./hubAsker.js";
-export type { AnswerCarry, CarriedHandlers, CarryAnswer } from "./carryCall.js";
 export type { CarrierLinks } from "./carrierLinks.js";
 export type { PeerMessage } from "./service.js";
--- a/packages/peers/src/peerServer.ts
+++ b/packages/peers/src/peerServer.ts
@@ -10,8 +10,9 @@
 } from "@grpc/grpc-js";
 import type { BoxName } from "@stairgauge/common";
 import type { ServerAddress } from "@stairgauge/directory";
+import type { AnswerCarry } from "@stairgauge/paths";
 import { createTableStreamHandler } from "./answerTableStream.js";
-import { createCarryHandler, type AnswerCarry } from "./carryCall.js";
+import { createCarryHandler } from "./carryCall.js";
 import { hasContent } from "./makeNotice.js";
 import { createPeerService, type PeerMessage } from "./service.js";
 import type {
