fix: a broken connection is reported once its server was checked, not after a guessed time

The report of a broken connection to other boxes waited 50 ms for the health check that tells a lost path from a fault of the server.

The report now follows the check itself, which is under way for each broken connection, or 1 s without a result. An answer that is no valid one proves an open path, and is reported at once. The wait for a check has one piece of code with the wait of streams.

--- a/apps/box/src/createPlacing.ts
+++ b/apps/box/src/createPlacing.ts
@@ -77,12 +77,6 @@
   waitQueue: AdmissionQueue;
 }>;
 
-/**
- * How long a broken connection is kept from other boxes: a health check shows within this time whether
- * the path was lost, and a lost path of this box is no fault of the server.
- */
-const PATH_CHECK_MS = 50 as Ms;
-
 /** Creates the parts; no request waits, and all services are open. */
 export const createPlacing = (options: PlacingOptions): Placing => {
   const { settings, clock, random, log, metrics, own, directory, registry } = options;
@@ -96,6 +90,7 @@
     retryAfter,
     onEvent: observeAdmission({ log, metrics }),
   });
+  /** A lost path of this box is no fault of the server. */
   const reportBroken = (server: ServerId) => {
     if (options.paths.paths.isLost(server)) return;
     reporter.reportBroken(server);
@@ -123,7 +118,7 @@
         options.getMaxBoxesSeen(),
       ),
     isAlive: async (server) => (await reports.ask(server)) !== undefined,
-    onBroken: (server) => void clock.setTimer(PATH_CHECK_MS, () => reportBroken(server)),
+    onBroken: reportBroken,
     onUnreachable: (report) => {
       metrics.unreachable.inc({ others: report.runsOfOthers > 0 ? "there" : "none" });
       log.writeDecision("server_unreachable", report);
--- a/packages/fleet/src/serverFaults.ts
+++ b/packages/fleet/src/serverFaults.ts
@@ -19,7 +19,7 @@
   clock: Pick<Clock, "monotonic">;
   registry: Pick<LoadRegistry, "listPeerRuns">;
   coldPeriods: Pick<ColdPeriods, "onUnreachable">;
-  /** A server broke off a request of this box before it answered. */
+  /** A server broke off a request of this box before it answered, and has been checked since. */
   onBroken: (server: ServerId) => void;
   /** No connection to a server was established. */
   onUnreachable?: ((report: UnreachableReport) => void) | undefined;
@@ -28,8 +28,8 @@
 /** The failures of one box's servers. */
 export type ServerFaults = Readonly<{
   recordUnreachable: (server: BackendServer) => void;
-  /** The server broke off a request of this box before it answered. */
-  recordBroken: (server: BackendServer) => void;
+  /** The server broke off a request of this box before it answered; `checked` resolves after its check. */
+  recordBroken: (server: BackendServer, checked: Promise<unknown>) => void;
   recordAnswered: (server: BackendServer) => void;
   /** Handle another box's report that a server has broken off a request, or has answered one. */
   handleBroken: (server: ServerId) => void;
@@ -61,9 +61,9 @@
       coldPeriods.onUnreachable(entry);
       onUnreachable?.(describeUnreachable(entry.id, now));
     },
-    recordBroken: ({ entry }) => {
+    recordBroken: ({ entry }, checked) => {
       suspects.addBreak(entry.id, clock.monotonic());
-      onBroken(entry.id);
+      void checked.then(() => onBroken(entry.id));
     },
     recordAnswered: ({ entry }) => {
       suspects.removeBreaks(entry.id);
--- a/packages/forwarding/src/concludeAttempt.ts
+++ b/packages/forwarding/src/concludeAttempt.ts
@@ -28,11 +28,7 @@
 import { recordPlainAnswer } from "./observePace.js";
 import { recordServerSignals } from "./recordServerSignals.js";
 import { classifyAttempt } from "./requestAttempts.js";
-import type { AnswerHead, RawHeaders } from "./types.js";
-
-/** Whether the server's connection failed; the link to a carrier says nothing about the server. */
-const isBrokenByServer = (end: AttemptEnd): boolean =>
-  end.kind === "failed" && end.failure.kind !== "carrier_lost";
+import type { AnswerHead, ExchangeFailure, RawHeaders } from "./types.js";
 
 const NONE_TRIED: ReadonlySet<ServerId> = new Set();
 
@@ -74,6 +70,24 @@
     getSteps().finish();
   };
 
+  const recordFailure = ({ server }: Attempt, { kind }: ExchangeFailure) => {
+    switch (kind) {
+      case "broken":
+        placer.onBroken(server, guard.awaitCheck(server));
+        return;
+      case "malformed":
+        // Its bytes arrived, so the path is open.
+        placer.onBroken(server, Promise.resolve());
+        return;
+      case "unreachable":
+      case "carrier_lost":
+        // The link to a carrier says nothing about the server.
+        return;
+      default:
+        assertNever(kind);
+    }
+  };
+
   /** Tells the placer and the attempts' limits how the attempt ended. */
   const recordEnd = (attempt: Attempt, end: AttemptEnd) => {
     const { server } = attempt;
@@ -81,7 +95,7 @@
     const wasSent = attempt.exchange?.isSent() ?? false;
     attempts.recordEnd(classifyAttempt(wasSent, verdict, attempt.head?.signals));
     if (!wasSent) placer.onUnreachable(server);
-    else if (isBrokenByServer(end) && !attempt.head) placer.onBroken(server);
+    else if (end.kind === "failed" && !attempt.head) recordFailure(attempt, end.failure);
     if (end.kind === "answered" && end.head.isOtherServer) placer.onAddressReused(server);
     return verdict;
   };
--- a/packages/forwarding/src/guardCall.ts
+++ b/packages/forwarding/src/guardCall.ts
@@ -23,6 +23,9 @@
  */
 const VERDICT_WAIT_MS = 300 as Ms;
 
+/** How long other boxes are not told of a broken connection while the check of its server lasts. */
+const CHECK_WAIT_MS = 1_000 as Ms;
+
 /** A broken attempt and the state of its server, for the log. */
 export type BrokenAttempt = CrashCheck &
   InterruptedRun &
@@ -47,6 +50,8 @@
   mayContinue: (previous: BackendServer) => Promise<boolean>;
   /** The server broke the connection of the attempt. */
   onBroken: (attempt: Attempt) => void;
+  /** Resolves once the check of a server that broke a connection has a result, or takes too long. */
+  awaitCheck: (server: BackendServer) => Promise<unknown>;
   onServed: () => void;
 }>;
 
@@ -82,15 +87,15 @@
     reportBroken(server, { ...end, ...run, digest, aboard });
   };
 
+  const awaitCheckFor = (server: BackendServer, limit: Ms) =>
+    Promise.race([crashDetector.check(server), waitFor(clock, limit)]);
+
   return {
     findBlock,
     mayRepeat,
     mayContinue: async (previous) => {
       if (mayRepeat()) return true;
-      await Promise.race([
-        crashDetector.check(previous),
-        waitFor(clock, VERDICT_WAIT_MS),
-      ]);
+      await awaitCheckFor(previous, VERDICT_WAIT_MS);
       return mayRepeat();
     },
     onBroken: (attempt) => {
@@ -99,6 +104,7 @@
       if (mayHaveCrashedServer(run)) suspectedServers.add(server.entry.id);
       void checkBroken(server, run);
     },
+    awaitCheck: (server) => awaitCheckFor(server, CHECK_WAIT_MS),
     onServed: () => guard.recordServed(getDigest),
   };
 };
--- a/packages/forwarding/src/placer.ts
+++ b/packages/forwarding/src/placer.ts
@@ -28,8 +28,11 @@
   onAddressReused: (server: BackendServer) => void;
   /** No connection was established: the server may be dead although it is still listed. */
   onUnreachable: (server: BackendServer) => void;
-  /** The server broke the connection of a request before it answered. */
-  onBroken: (server: BackendServer) => void;
+  /**
+   * The server broke the connection of a request before it answered. `checked` resolves once it is known
+   * whether only this box has lost its path to the server.
+   */
+  onBroken: (server: BackendServer, checked: Promise<unknown>) => void;
   /** The server has started to answer a request. */
   onAnswered: (server: BackendServer) => void;
   /** Whether the server may get a health check now. It occupies a slot, so true counts as a request there. */
