feat: lines about servers and continued streams name the version of the software

`server_joined` and the other lines of the list have `softwareVersion`; `continued` and `resumed` have `fromVersion` and `toVersion`; stairgauge_stream_handovers_total counts them by how and by whether the version is the same.

--- a/apps/box/src/observers.ts
+++ b/apps/box/src/observers.ts
@@ -8,6 +8,7 @@
   ConfigurationView,
   ForwardDecision,
   ForwardObserver,
+  StreamHandover,
 } from "@stairgauge/forwarding";
 import type { LimitEvent, SharedLimit } from "@stairgauge/limits";
 import type { MoveDecision, StandbyDecision } from "@stairgauge/migration";
@@ -57,6 +58,12 @@
   }
 };
 
+/** Compares the software versions of the servers between which a stream passed. */
+const compareVersions = ({ fromVersion, toVersion }: StreamHandover) => {
+  if (fromVersion === undefined || toVersion === undefined) return "unknown";
+  return fromVersion === toVersion ? "same" : "other";
+};
+
 /** Writes decisions about requests to the log and the metrics. */
 export const observeForwarding = (
   options: Sinks & Readonly<{ configuration: ConfigurationView }>,
@@ -68,6 +75,8 @@
       metrics.decisions.inc({ kind });
       if (decision.kind === "placed" && decision.limited) metrics.limitedSent.inc();
       const streamEnd = classifyStreamEnd(decision);
+      if (decision.kind === "continued" || decision.kind === "resumed")
+        metrics.streamHandovers.inc({ by: kind, version: compareVersions(decision) });
       if (streamEnd)
         metrics.streamEnds.inc({
           framing: streamEnd.framing ?? "none",
@@ -143,6 +152,7 @@
   log.writeDecision(`server_${event.kind}`, {
     server: entry.id,
     service: entry.service,
+    softwareVersion: entry.softwareVersion,
     address: `${entry.address.host}:${entry.address.port}`,
     hall: entry.dataHall,
     reason: leaving?.reason,
--- a/packages/directory/src/serverDirectory.ts
+++ b/packages/directory/src/serverDirectory.ts
@@ -69,6 +69,7 @@
 
 const isSameEntry = (a: ServerEntry, b: ServerEntry): boolean =>
   a.service === b.service &&
+  a.softwareVersion === b.softwareVersion &&
   a.address.host === b.address.host &&
   a.address.port === b.address.port &&
   a.dataHall === b.dataHall &&
--- a/packages/directory/src/types.ts
+++ b/packages/directory/src/types.ts
@@ -16,6 +16,9 @@
 /** Name under which a server is listed and that it uses for itself. */
 export type ServerName = Brand<string, "ServerName">;
 
+/** Version of a server's software, not of the weights it serves. Versions have no order. */
+export type SoftwareVersion = Brand<string, "SoftwareVersion">;
+
 /** IP address and port on which a server listens. */
 export type ServerAddress = HostAndPort;
 
@@ -29,6 +32,8 @@
    */
   startedAt: Ms | undefined;
   service: ServiceName;
+  /** Undefined if the entry names none; then nothing proves that another server has the same one. */
+  softwareVersion?: SoftwareVersion | undefined;
   address: ServerAddress;
   dataHall: DataHallName;
   /** Number of requests that the server processes at the same time. */
--- a/packages/forwarding/src/createDispatchReports.ts
+++ b/packages/forwarding/src/createDispatchReports.ts
@@ -80,7 +80,18 @@
     ) => {
       const { from, ended } = previous;
       const events = relay.getEvents();
-      report({ kind, from: from.entry.id, to: to.entry.id, events, ...ended });
+      const versions = {
+        fromVersion: from.entry.softwareVersion,
+        toVersion: to.entry.softwareVersion,
+      };
+      report({
+        kind,
+        from: from.entry.id,
+        to: to.entry.id,
+        ...versions,
+        events,
+        ...ended,
+      });
     },
     reportContinuationRefused: (attempt: Attempt, end: AttemptEnd) => {
       const { id } = attempt.server.entry;
--- a/packages/forwarding/src/forwardDecision.ts
+++ b/packages/forwarding/src/forwardDecision.ts
@@ -1,7 +1,7 @@
 /** The forwarder's decisions about requests, and who receives them. */
 import type { BoxName, Ms } from "@stairgauge/common";
 import type { InterruptedRun, RequestDigest } from "@stairgauge/crashes";
-import type { ServerId } from "@stairgauge/directory";
+import type { ServerId, SoftwareVersion } from "@stairgauge/directory";
 import type { PlacementLimit } from "@stairgauge/placement";
 import type { AccessRefusal, Route } from "@stairgauge/routing";
 import type { CrashCheck } from "./crashDetector.js";
@@ -41,6 +41,16 @@
   | "out_of_time_unsent"
   | "out_of_time";
 
+/** The servers between which a started stream passes, with the versions of their software. */
+export type StreamHandover = Readonly<{
+  from: ServerId;
+  to: ServerId;
+  fromVersion: SoftwareVersion | undefined;
+  toVersion: SoftwareVersion | undefined;
+  /** Events that the client has received. */
+  events: number;
+}>;
+
 /** A decision about a request; each is logged as one line. */
 export type ForwardDecision = Readonly<
   | {
@@ -71,9 +81,9 @@
   | { kind: "waits"; memoryAfter: number; waiting: number | undefined }
   | (AnswerEnd & { kind: "retry"; server: ServerId; reason: string; detail: string })
   /** The same run continues at another server. */
-  | (AnswerEnd & { kind: "continued"; from: ServerId; to: ServerId; events: number })
+  | (AnswerEnd & StreamHandover & { kind: "continued" })
   /** A new run at another server continues after the last complete event. */
-  | (AnswerEnd & { kind: "resumed"; from: ServerId; to: ServerId; events: number })
+  | (AnswerEnd & StreamHandover & { kind: "resumed" })
   | (AnswerEnd & { kind: "continuation_refused"; to: ServerId; detail: string })
   /** The server broke the connection; afterwards the box checked whether the server crashed. */
   | (CrashCheck &
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -2,7 +2,11 @@
 export type * from "./types.js";
 export type { AdmittedRequest } from "./admittedRequest.js";
 export type { ConfigurationView } from "./configurationView.js";
-export type { ForwardDecision, ForwardObserver } from "./forwardDecision.js";
+export type {
+  ForwardDecision,
+  ForwardObserver,
+  StreamHandover,
+} from "./forwardDecision.js";
 export type { ForwarderDeps } from "./forwarderTypes.js";
 export type { Placer } from "./placer.js";
 export type { Framing, ServerStatus } from "./describeAnswerEnd.js";
--- a/packages/telemetry/src/boxMetrics.ts
+++ b/packages/telemetry/src/boxMetrics.ts
@@ -28,6 +28,12 @@
       labelNames: ["framing", "end"],
       registers,
     }),
+    streamHandovers: new Counter({
+      name: "stairgauge_stream_handovers_total",
+      help: "Started streams that went on at another server, by how (continued, resumed) and whether its software has the same version",
+      labelNames: ["by", "version"],
+      registers,
+    }),
     moves: new Counter({
       name: "stairgauge_moves_total",
       help: "Steps of moving runs between engines, by kind",
