--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -50,6 +50,11 @@
 } from "./usersPlatform/scriptedEngines.js";
 export { CRASHING_BODY, startCrashingServers } from "./usersPlatform/crashingServers.js";
 export type { CrashingKind, CrashingServers } from "./usersPlatform/crashingServers.js";
+export {
+  findEventVersion,
+  startVersionedEngines,
+} from "./usersPlatform/versionedEngines.js";
+export type { EngineStart, VersionedEngines } from "./usersPlatform/versionedEngines.js";
 export { countSentWhileLeaving, LEAVING_MS } from "./usersPlatform/leavingRule.js";
 export type { LeavingArrival } from "./usersPlatform/leavingRule.js";
 export { startSignalServers } from "./usersPlatform/signalServers.js";
--- a/packages/standins/src/usersPlatform/usersSite.ts
+++ b/packages/standins/src/usersPlatform/usersSite.ts
@@ -35,6 +35,13 @@
     state?: "ready" | "leaving",
     born?: number,
   ) => void;
+  /** Writes the entry of an engine, with this version of its software from now on. */
+  putEngineVersion: (
+    engine: Readonly<{ id: string; address: string }>,
+    version: string,
+  ) => void;
+  /** Removes a server's entry. */
+  dropEntry: (id: string) => void;
   /** Writes any value as a server's entry, also an invalid one. */
   putRawEntry: (id: string, entry: unknown) => void;
   /** Writes the entry of a plain server that was started elsewhere; `born` as for engines. */
@@ -65,6 +72,9 @@
 /** Data hall of all servers until `putHall` changes it. */
 export const SITE_HALL = "hall-a";
 
+/** Version of the servers' software until a test sets another one. */
+const FIRST_VERSION = "v1";
+
 /** With these a generation of some hundred events takes less than a second. */
 const ENGINE_TRAITS = {
   memoryTokens: 34_000,
@@ -148,6 +158,8 @@
     Array.from({ length: size.services }, (_, i) => startUsersService(`page-${i}`)),
   );
   let version = 0;
+  /** Software versions of the servers that have another than the first one. */
+  const versions = new Map<string, string>();
 
   const putEntry = (
     server: Readonly<{ id: string; address: string }>,
@@ -159,7 +171,7 @@
       service: isEngine ? ENGINE_SERVICE : PLAIN_SERVICE,
       address: server.address,
       zone: details.hall ?? SITE_HALL,
-      version: "v1",
+      version: versions.get(server.id) ?? FIRST_VERSION,
       slots: isEngine ? 48 : 6,
       state,
       warmupLeftMs: 0,
@@ -206,6 +218,11 @@
       putEntry({ id, address }, state === "leaving" ? STATE_LEAVING : "ready", true, {
         born,
       }),
+    putEngineVersion: (engine, version) => {
+      versions.set(engine.id, version);
+      putEntry(engine, "ready", true);
+    },
+    dropEntry: (id) => store.drop(TABLE.servers, id),
     putRawEntry: (id, entry) => store.put(TABLE.servers, id, entry),
     putService: (id, address, born) =>
       putEntry({ id, address }, "ready", false, { born }),
