fix: a stream goes on in its answer only at a server of the version that began it

Callers got answers whose events come from two software versions of one service: a stream whose server ended or left was continued at a server chosen as for a new request.

Cause: what a stream is bound to was known to nobody. A server's version was checked in its entry and dropped, and the choosers (new runs behind the last event, targets of moves, standby copies, the copy or the source from which a run goes on) chose by room, hall and pace.

A stream is bound at its first event (StreamBinding: service and software version), the demand and the record of a run carry the binding, and each of these choosers asks the same function, fitsBinding, by the server's entry as it is now. If the entry of the server that began the stream has come to name another version, neither is certain and the stream goes on nowhere. Targets are of the source's version, so that no copy is made elsewhere. With no such server the reason is none_of_version.

--- a/apps/box/src/createMoves.ts
+++ b/apps/box/src/createMoves.ts
@@ -51,7 +51,7 @@
   const { listTargets, isLeaving, isHallClosed, reserve } = placer;
   const { findTraits } = options;
   const mayTake = (server: BackendServer, run: ActiveRun) =>
-    placer.mayTakeRuns(server) && placer.isInRegions(server, run.regions);
+    placer.mayTakeRuns(server) && placer.fitsRun(server, run);
   const onDecision = observeMoves({ log, metrics });
 
   const planner = createMovePlanner({
--- a/apps/box/src/softwareVersions.testkit.ts
+++ b/apps/box/src/softwareVersions.testkit.ts
@@ -47,7 +47,7 @@
     servers: versions.length,
     ...(changes && { changes }),
   });
-  return { site, engines, fleet, start };
+  return { engines, fleet, start, putConfiguration: site.putConfiguration };
 };
 
 let nextStream = 0;
@@ -59,6 +59,8 @@
   resumes?: string | readonly string[];
   lastEventId?: string | undefined;
   key?: string;
+  /** Content of the request, which no two streams of a test share: a repeated content is suspected when servers end. */
+  body?: string;
 }>;
 
 /** One attempt of a client. */
@@ -76,8 +78,10 @@
 /** Opens a stream at a box. */
 export const openStream = (
   box: Pick<FleetBox, "ports">,
-  { id = `s${(nextStream += 1)}`, resumes, lastEventId, key = SITE_KEY }: StreamAsk = {},
+  ask: StreamAsk = {},
 ): StreamAttempt => {
+  const { id = `s${(nextStream += 1)}`, resumes, lastEventId, key = SITE_KEY } = ask;
+  const { body = `prompt of ${id}` } = ask;
   let text = "";
   const outgoing = openRequest({
     host: "127.0.0.1",
@@ -112,7 +116,7 @@
       });
     },
   );
-  outgoing.end("hello");
+  outgoing.end(body);
   const listEvents = () =>
     text
       .split("\n\n")
@@ -184,6 +188,7 @@
       ...(resumes !== null && { resumes }),
       ...(key !== undefined && { key }),
       lastEventId,
+      body: `prompt of ${first.id}`,
     });
     ({ status } = await attempt.ended);
     if (status === 200) return sumUp([first, attempt], status);
--- a/packages/fleet/src/createPlacer.ts
+++ b/packages/fleet/src/createPlacer.ts
@@ -16,6 +16,8 @@
 import type { PaceReader } from "@stairgauge/pace";
 import {
   chooseServer,
+  deriveBinding,
+  fitsBinding,
   estimateEngineLoad,
   type Demand,
   type EngineWay,
@@ -118,10 +120,10 @@
     mayTakeRuns: (server: BackendServer) => boolean;
     /** Records a request that another box sends to a server on this box's advice. */
     recordSend: (server: BackendServer, tier: number) => void;
-    /** Whether a server is in one of the regions; true if `regions` is undefined. */
-    isInRegions: (
+    /** Whether a started run may continue at a server, by its regions and its binding. */
+    fitsRun: (
       server: BackendServer,
-      regions: readonly RegionName[] | undefined,
+      run: Pick<ActiveRun, "regions" | "getBinding">,
     ) => boolean;
     /**
      * Whether a server's data hall is closed to new work, including runs that were stopped there.
@@ -178,12 +180,20 @@
   });
   const faults = createServerFaults({ ...options, clock, registry, coldPeriods });
   /** A data hall of unknown region is in none of the given regions. */
-  const isInRegions: FleetPlacer["isInRegions"] = ({ entry }, regions) => {
+  const isInRegions = ({ entry }: BackendServer, regions: Demand["regions"]) => {
     if (!regions) return true;
     const region = options.findRegion(entry.dataHall);
     return region !== undefined && regions.includes(region);
   };
 
+  /** Whether the server fits by its entry now: it may have changed since the server was chosen. */
+  const isBound = (server: BackendServer, binding: Demand["binding"]) =>
+    fitsBinding(directory.find(server.entry.id) ?? server, binding);
+  const getBinding: FleetPlacer["getBinding"] = (server) =>
+    deriveBinding(server, directory.find(server.entry.id));
+  const isAllowed = (server: BackendServer, { regions, binding }: Demand) =>
+    isInRegions(server, regions) && fitsBinding(server, binding);
+
   const isAvailable = ({ entry }: BackendServer) =>
     backoffs.mayReceive(entry.id, registry.countOpen(entry.id));
 
@@ -194,7 +204,7 @@
   ) => {
     const ready = directory
       .listReady(service)
-      .filter((server) => isInRegions(server, demand.regions));
+      .filter((server) => isAllowed(server, demand));
     const share = options.getConnectionShare(service);
     const untried = ready.filter(
       ({ entry }) => !except.has(entry.id) && registry.countOpen(entry.id) < share,
@@ -211,7 +221,7 @@
     return { perSecond, part, used };
   };
   const refuseAll = (
-    { service, demand: { regions } }: PlacementTerms,
+    { service, demand }: PlacementTerms,
     candidates: ReturnType<typeof listCandidates>,
   ): PlacementDecision => {
     const { ready, untried, warm, available, filtered } = candidates;
@@ -222,9 +232,11 @@
       available: available.length,
     };
     const staying = directory.listStaying(service);
+    const inRegions = staying.filter((server) => isInRegions(server, demand.regions));
     const reason = explainNoServer(counts, {
       staying: staying.length,
-      inRegions: staying.filter((server) => isInRegions(server, regions)).length,
+      inRegions: inRegions.length,
+      bound: inRegions.filter((server) => fitsBinding(server, demand.binding)).length,
     });
     const retryAfter =
       reason === "servers_resting"
@@ -259,9 +271,7 @@
   const listForOtherPlain = ({ service, demand, except }: PlacementTerms) =>
     directory
       .listReady(service)
-      .filter(
-        (server) => isInRegions(server, demand.regions) && !except.has(server.entry.id),
-      );
+      .filter((server) => isAllowed(server, demand) && !except.has(server.entry.id));
   const chooseWithRoom: FleetPlacer["chooseWithRoom"] = (terms, owner, room) => {
     const now = clock.monotonic();
     const ownCandidates = owner === "own" ? listCandidates(terms, owner) : undefined;
@@ -298,7 +308,9 @@
       if (isTaken) limits.recordSent(entry, undefined);
       return isTaken;
     },
-    takeContinuation: ({ entry }) => backoffs.takeDuringBackoff(entry.id),
+    getBinding,
+    takeContinuation: (server, binding) =>
+      isBound(server, binding) && backoffs.takeDuringBackoff(server.entry.id),
     place: (server, head, demand) => {
       const { id } = server.entry;
       const runId = getRunId(head);
@@ -340,7 +352,8 @@
       directory.mayTakeWork(entry.id) &&
       !limits.isLimited(entry.id) &&
       !backoffs.isBackingOff(entry.id),
-    isInRegions,
+    fitsRun: (server, run) =>
+      isInRegions(server, run.regions) && isBound(server, run.getBinding()),
     isHallClosed: ({ entry }) => directory.isHallClosed(entry.dataHall),
     getServerStatus: ({ entry }) =>
       getServerStatus({ directory, registry }, entry.id, clock.monotonic()),
@@ -362,8 +375,10 @@
     },
     listTargets: (source) => {
       const now = clock.monotonic();
+      const binding = getBinding(source);
       return directory
         .listReady(source.entry.service)
+        .filter((server) => fitsBinding(server, binding))
         .filter(
           // The capacity of cold or limited servers is reserved for new requests, which cannot have
           // been placed elsewhere before.
--- a/packages/fleet/src/explainNoServer.ts
+++ b/packages/fleet/src/explainNoServer.ts
@@ -9,12 +9,13 @@
     warm: number;
     available: number;
   }>,
-  known: Readonly<{ staying: number; inRegions: number }>,
+  known: Readonly<{ staying: number; inRegions: number; bound: number }>,
 ): NoServerReason => {
   if (candidates.available > 0) return "servers_limited";
   if (candidates.warm > 0) return "servers_resting";
   if (candidates.untried > 0) return "servers_cold";
   if (candidates.ready > 0) return "none_left";
-  if (known.inRegions > 0) return "halls_closed";
+  if (known.bound > 0) return "halls_closed";
+  if (known.inRegions > 0) return "none_of_version";
   return known.staying > 0 ? "none_in_regions" : "none_known";
 };
--- a/packages/fleet/src/placeDuringBackoff.test.ts
+++ b/packages/fleet/src/placeDuringBackoff.test.ts
@@ -80,9 +80,9 @@
     const { placer, backoffs, find } = setUp();
     backoffs.begin(FIRST, BACKOFF);
     expect(placer.takeAsk(find(FIRST))).toBe(true);
-    expect(placer.takeContinuation(find(FIRST))).toBe(true);
+    expect(placer.takeContinuation(find(FIRST), undefined)).toBe(true);
     expect(placer.takeAsk(find(FIRST))).toBe(false);
-    expect(placer.takeContinuation(find(FIRST))).toBe(false);
+    expect(placer.takeContinuation(find(FIRST), undefined)).toBe(false);
     expect(placer.takeAsk(find(SECOND))).toBe(true);
   });
 
--- a/packages/fleet/src/placing.testkit.ts
+++ b/packages/fleet/src/placing.testkit.ts
@@ -11,6 +11,7 @@
   createServerDirectory,
   type ServerId,
   type ServerName,
+  type SoftwareVersion,
 } from "@stairgauge/directory";
 import { createServerLimits } from "@stairgauge/limits";
 import {
@@ -44,6 +45,7 @@
         name: `e${i}` as ServerName,
         startedAt: undefined,
         service: SERVICE,
+        softwareVersion: "v1" as SoftwareVersion,
         address: { host: "10.0.0.1", port: 80 + i },
         dataHall: HALL,
         slots: 24,
--- a/packages/fleet/src/runExposure.test.ts
+++ b/packages/fleet/src/runExposure.test.ts
@@ -50,6 +50,7 @@
     getEventsMade: () => 10,
     getTokens: () => tokens,
     getTokensLeft: () => 500,
+    getBinding: () => undefined,
   });
   const excluded = new Set<ServerId>();
   const createJudge = () =>
--- a/packages/forwarding/src/activeRuns.ts
+++ b/packages/forwarding/src/activeRuns.ts
@@ -1,7 +1,7 @@
 /** The streams that this box relays. */
 import type { RegionName } from "@stairgauge/common";
 import type { BackendServer, ServerId } from "@stairgauge/directory";
-import type { Demand } from "@stairgauge/placement";
+import type { Demand, StreamBinding } from "@stairgauge/placement";
 import type { Route } from "@stairgauge/routing";
 import { TOKENS_PER_EVENT } from "./computeDemand.js";
 import type { StreamRelay } from "./streamRelay.js";
@@ -13,6 +13,8 @@
   route: Route;
   /** Regions in which the run may continue; all if undefined. */
   regions?: readonly RegionName[] | undefined;
+  /** What binds the run to certain servers; undefined until its client has received an event. */
+  getBinding: () => StreamBinding | undefined;
   /** The current server; between two servers, the previous one. */
   getServer: () => BackendServer;
   /** Whether its first event has arrived. */
@@ -61,19 +63,21 @@
   relay: Pick<StreamRelay, "hasBegun" | "getEvents">;
   /** The current server; undefined while the stream is between two servers. */
   findServer: () => BackendServer | undefined;
+  getBinding: ActiveRun["getBinding"];
   /** The server that started the run. */
   first: BackendServer;
 }>;
 
 /** Creates the record of a stream. */
 export const createActiveRun = (options: ActiveRunOptions): ActiveRun => {
-  const { id, route, demand, relay, findServer, first } = options;
+  const { id, route, demand, relay, findServer, getBinding, first } = options;
   let server = first;
   const getMade = () => relay.getEvents() * TOKENS_PER_EVENT;
   return {
     id,
     route,
     regions: demand.regions,
+    getBinding,
     getServer: () => {
       server = findServer() ?? server;
       return server;
--- a/packages/forwarding/src/concludeAttempt.ts
+++ b/packages/forwarding/src/concludeAttempt.ts
@@ -52,6 +52,7 @@
       demand,
       relay,
       findServer: () => state.getCurrent()?.server,
+      getBinding: state.getBinding,
       first: attempt.server,
     });
     state.setRun(run);
--- a/packages/forwarding/src/continueStream.ts
+++ b/packages/forwarding/src/continueStream.ts
@@ -42,11 +42,21 @@
     return runKeeper.recover(run, detail);
   };
 
+  /** The entry of a server may name another version than when the stream began there; then neither is certain. */
+  const checkBinding = ({ server }: Attempt) => {
+    const binding = state.getBinding();
+    if (binding?.softwareVersion === undefined) return;
+    const { softwareVersion } = placer.getBinding(server);
+    if (softwareVersion !== binding.softwareVersion)
+      state.setBinding({ ...binding, softwareVersion: undefined });
+  };
+
   const continueElsewhere = async (attempt: Attempt, end: AttemptEnd) => {
     const ended = reports.describeAttemptEnd(attempt, end);
     const previous: PreviousServer = { from: attempt.server, ended };
     const detail = describeEnd(end);
     sampler.reset();
+    checkBinding(attempt);
     state.dropCurrent();
     if (!relay.canContinue() || !(await guard.mayContinue(attempt.server))) {
       if (!state.isOver()) getSteps().failStream(previous, detail);
@@ -57,7 +67,8 @@
     state.addContinuation();
     const continuation = await recoverRun(detail);
     if (state.isOver()) return;
-    const mayContinue = continuation && placer.takeContinuation(continuation.server);
+    const mayContinue =
+      continuation && placer.takeContinuation(continuation.server, state.getBinding());
     if (mayContinue && guard.mayRepeat()) {
       continueRun(previous, continuation);
       return;
--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -92,7 +92,10 @@
     onFirstEvent: () => {
       const current = state.getCurrent();
       const run = state.getRun();
-      if (current) placer.onRunBegun(current.server, head);
+      if (current) {
+        placer.onRunBegun(current.server, head);
+        state.setBinding(placer.getBinding(current.server));
+      }
       if (run) runKeeper.onBegun(run);
     },
     onEvents: (now) => {
@@ -115,7 +118,10 @@
   const attempts = createRequestAttempts({
     deps,
     request,
-    demand,
+    getDemand: () => {
+      const binding = state.getBinding();
+      return binding ? { ...demand, binding } : demand;
+    },
     mayRepeat: guard.mayRepeat,
   });
   const parts: DispatchParts = {
--- a/packages/forwarding/src/dispatchState.ts
+++ b/packages/forwarding/src/dispatchState.ts
@@ -1,5 +1,6 @@
 /** State of one dispatch, changed by its parts only through the functions here. */
 import type { ActiveRun } from "./activeRuns.js";
+import type { StreamBinding } from "@stairgauge/placement";
 import type { Attempt } from "./attempt.js";
 
 /** The state of one dispatch. */
@@ -13,6 +14,9 @@
   /** The record of the stream; undefined until one has started. */
   getRun: () => ActiveRun | undefined;
   setRun: (run: ActiveRun) => void;
+  /** What binds the stream; undefined until its client has received an event. */
+  getBinding: () => StreamBinding | undefined;
+  setBinding: (binding: StreamBinding) => void;
   /** How often the stream was continued at another server. */
   countContinuations: () => number;
   addContinuation: () => void;
@@ -28,6 +32,7 @@
 export const createDispatchState = (): DispatchState => {
   let current: Attempt | undefined;
   let run: ActiveRun | undefined;
+  let binding: StreamBinding | undefined;
   let continuations = 0;
   let mayHaveRun = false;
   let isOver = false;
@@ -48,6 +53,10 @@
     setRun: (started) => {
       run = started;
     },
+    getBinding: () => binding,
+    setBinding: (bound) => {
+      binding = bound;
+    },
     countContinuations: () => continuations,
     addContinuation: () => {
       continuations += 1;
--- a/packages/forwarding/src/forwardDecision.ts
+++ b/packages/forwarding/src/forwardDecision.ts
@@ -19,6 +19,8 @@
   | "no_server_known"
   /** All available servers are in regions that the request must not be sent to. */
   | "no_server_in_regions"
+  /** No server has the software version that began the stream. */
+  | "no_server_of_version"
   /** All available servers are in data halls that operators have closed to new work. */
   | "data_halls_closed"
   /** The remaining servers have just started and already have all requests allowed during warm-up. */
--- a/packages/forwarding/src/placer.ts
+++ b/packages/forwarding/src/placer.ts
@@ -1,7 +1,7 @@
 /** What the forwarder needs of placement. */
 import type { ServiceName } from "@stairgauge/common";
 import type { BackendServer, ServerId } from "@stairgauge/directory";
-import type { Demand, PlacementDecision } from "@stairgauge/placement";
+import type { Demand, PlacementDecision, StreamBinding } from "@stairgauge/placement";
 import type { ServerStatus } from "./describeAnswerEnd.js";
 import type { RequestHead } from "./types.js";
 
@@ -37,8 +37,13 @@
   onAnswered: (server: BackendServer) => void;
   /** Whether the server may get a health check now. It occupies a slot, so true counts as a request there. */
   takeAsk: (server: BackendServer) => boolean;
+  /** What binds a stream whose first event the server has sent. */
+  getBinding: (server: BackendServer) => StreamBinding;
   /** Whether a started run may continue at the server now; true counts as a request there. */
-  takeContinuation: (server: BackendServer) => boolean;
+  takeContinuation: (
+    server: BackendServer,
+    binding: StreamBinding | undefined,
+  ) => boolean;
   /** Sends the server a call; resolves with whether it answers at all. */
   isAlive: (server: BackendServer) => Promise<boolean>;
 }>;
--- a/packages/forwarding/src/requestAttempts.test.ts
+++ b/packages/forwarding/src/requestAttempts.test.ts
@@ -46,7 +46,7 @@
       service: "pages" as ServiceName,
       endsAt: 1_000 as Ms,
     },
-    demand: { tier: 1, tokens: undefined },
+    getDemand: () => ({ tier: 1, tokens: undefined }),
     mayRepeat: () => true,
   });
   /** Sends the request to one server after another until no retry is allowed; returns the number of attempts. */
--- a/packages/forwarding/src/requestAttempts.ts
+++ b/packages/forwarding/src/requestAttempts.ts
@@ -41,7 +41,8 @@
 export type RequestAttemptsOptions = Readonly<{
   deps: Pick<ForwarderDeps, "budget" | "clock" | "placer">;
   request: Pick<AdmittedRequest, "route" | "service" | "endsAt">;
-  demand: Demand;
+  /** What the next server must offer; more is asked of it once the stream has begun. */
+  getDemand: () => Demand;
   /** False if too many servers crashed under the request for another attempt. */
   mayRepeat: () => boolean;
 }>;
@@ -72,7 +73,7 @@
 export const createRequestAttempts = (
   options: RequestAttemptsOptions,
 ): RequestAttempts => {
-  const { deps, request, demand, mayRepeat } = options;
+  const { deps, request, getDemand, mayRepeat } = options;
   const { budget, clock, placer } = deps;
   const { route, service, endsAt } = request;
   const tried = new Set<ServerId>();
@@ -82,7 +83,7 @@
     counts: 0,
   };
 
-  const choose = () => placer.choose(service, demand, tried);
+  const choose = () => placer.choose(service, getDemand(), tried);
   const takeFromBudget = () => budget.take(service, clock.monotonic());
   const countSent = () => ended.turned_away + ended.counts;
   const recordEnd = (end: AttemptResult) => {
--- a/packages/forwarding/src/sendOwnAnswer.ts
+++ b/packages/forwarding/src/sendOwnAnswer.ts
@@ -15,6 +15,7 @@
 export const REFUSAL_OF_NO_SERVER: Readonly<Record<NoServerReason, RefusalReason>> = {
   none_known: "no_server_known",
   none_in_regions: "no_server_in_regions",
+  none_of_version: "no_server_of_version",
   halls_closed: "data_halls_closed",
   servers_cold: "servers_cold",
   servers_limited: "servers_limited",
--- a/packages/migration/src/runMover.test.ts
+++ b/packages/migration/src/runMover.test.ts
@@ -61,6 +61,7 @@
     getEventsMade: () => 10,
     getTokens: () => 3_000,
     getTokensLeft: () => 500,
+    getBinding: () => undefined,
   };
   const mover = createRunMover({
     clock,
--- a/packages/migration/src/standbyKeeper.test.ts
+++ b/packages/migration/src/standbyKeeper.test.ts
@@ -38,6 +38,7 @@
   getEventsMade: () => 10,
   getTokens: () => 3_000,
   getTokensLeft: () => 500,
+  getBinding: () => undefined,
 });
 
 describe("createStandbyKeeper", () => {
--- a/packages/peers/src/adviceCodec.ts
+++ b/packages/peers/src/adviceCodec.ts
@@ -60,6 +60,7 @@
     reason: z.enum([
       "none_known",
       "none_in_regions",
+      "none_of_version",
       "halls_closed",
       "servers_cold",
       "servers_limited",
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -20,5 +20,7 @@
 export type { EngineWay, EngineWayName } from "./engineWays.js";
 export { createCompetingRate } from "./competingRate.js";
 export type { CompetingRate } from "./competingRate.js";
+export { deriveBinding, fitsBinding } from "./streamBinding.js";
+export type { StreamBinding } from "./streamBinding.js";
 export { rankTargets } from "./rankTargets.js";
 export type { MoveTarget, RunToMove } from "./rankTargets.js";
--- a/packages/placement/src/types.ts
+++ b/packages/placement/src/types.ts
@@ -1,5 +1,6 @@
 /** Types of requests, engine reports and placement decisions. */
 import type { BackendServer, ServerId } from "@stairgauge/directory";
+import type { StreamBinding } from "./streamBinding.js";
 import type {
   BoxName,
   Ms,
@@ -53,6 +54,8 @@
   tier: number;
   /** Regions whose servers may serve the request; all regions if undefined. */
   regions?: readonly RegionName[] | undefined;
+  /** Set for a stream that its client has already received events of. */
+  binding?: StreamBinding | undefined;
   /**
    * Memory that a generation needs, in tokens: the prompt at least, and the expected output.
    * Undefined for plain requests.
@@ -79,6 +82,8 @@
   | "none_known"
   /** The servers that are not leaving are all outside the allowed regions. */
   | "none_in_regions"
+  /** No server that is not leaving has the software version that began the stream. */
+  | "none_of_version"
   /** The servers that are not leaving are all in data halls closed to new work. */
   | "halls_closed"
   /**
