fix: a stream that its client takes up goes on only at the version that began it

Callers that came back to any box after a broken connection got the rest of their stream from a server of another software version: 23, 35 and 47 of 48, 80 and 84 streams at 3, 7 and 14 boxes, as by lot.

Cause: what a stream is bound to stayed with the box that had relayed its first event, and the request that the client names (Resumes) was read nowhere. So the next box chose as for a new request.

A box sends what began each resumable stream with the update that says that the run has begun (65 bytes), to all boxes of a mesh or to the hubs beyond 12 boxes. A box that has no record asks all that it is linked to. What nobody has on record is refused, unless only one version can be meant: then the service has had one version for as long as a stream may be taken up, by what this box and, through a row in the store, the boxes before it have seen. The key of a record is a digest with the workspace, so that an id of another one tells nothing. A stream that can't go on is refused at once, with no time to come back.

Also tested: stopped boxes, boxes that start later, take-ups in series, no server of the version left, no id, a wrong one, two, another workspace's, restarts of all boxes with one version and across a replacement.

--- a/apps/box/src/askHubs.ts
+++ b/apps/box/src/askHubs.ts
@@ -14,6 +14,7 @@
   type PlaceAnswer,
   type PlaceQuestion,
 } from "@stairgauge/peers";
+import { fitsBinding } from "@stairgauge/placement";
 
 export type HubsOptions = Readonly<{
   clock: Clock;
@@ -56,7 +57,7 @@
   request: AdviceRequest,
   resting: readonly ServerId[],
 ): PlaceQuestion => {
-  const { id, service, tier, tokens, regions, sharer, urgency } = request;
+  const { id, service, tier, tokens, regions, binding, sharer, urgency } = request;
   const except = new Set([...request.except, ...resting]);
   const run = {
     id,
@@ -65,7 +66,8 @@
     isMovable: tokens.isMovable,
     hasBegun: false,
   };
-  return { box: own, run, service, tier, regions, sharer, except: [...except], urgency };
+  const demand = { service, tier, regions, binding };
+  return { box: own, run, ...demand, sharer, except: [...except], urgency };
 };
 
 /** Creates the client of the hubs. */
@@ -77,7 +79,11 @@
    * Converts a hub's answer; undefined if this box can't use it, for example because the server
    * isn't in its list yet.
    */
-  const toAdvice = (answer: PlaceAnswer, by: BoxName): Advice | undefined => {
+  const toAdvice = (
+    answer: PlaceAnswer,
+    by: BoxName,
+    { binding }: AdviceRequest,
+  ): Advice | undefined => {
     if (answer.kind === "no_room") return answer;
     // Only plain requests are refused; a kind of a later release is no advice.
     if (answer.kind === "refused" || answer.kind === "unknown") return undefined;
@@ -89,6 +95,8 @@
     }
     const server = findServer(answer.server);
     if (!server || !options.mayTakeWork(server)) return undefined;
+    // A hub of an earlier release, or with an older list, may choose another version.
+    if (!fitsBinding(server, binding)) return undefined;
     return { kind: "decided", decision: { ...answer, server }, by };
   };
 
@@ -102,7 +110,7 @@
           limit: computeLimit(request),
           signal,
         });
-        return reply && toAdvice(reply.answer, reply.by);
+        return reply && toAdvice(reply.answer, reply.by, request);
       },
     },
     askForFacts: async ({ entry }, isFresh) => {
--- a/apps/box/src/boxParts.ts
+++ b/apps/box/src/boxParts.ts
@@ -6,6 +6,7 @@
 import type { ServerLimits } from "@stairgauge/limits";
 import type { RunMover } from "@stairgauge/migration";
 import type { Capacity } from "./createCapacity.js";
+import type { Origins } from "./createOrigins.js";
 import type { Pace } from "./createPace.js";
 import type { Paths } from "./createPaths.js";
 import type { FollowedTables } from "./createFollowedTables.js";
@@ -19,6 +20,7 @@
   guard: RequestGuard;
   limits: ServerLimits;
   mover: RunMover;
+  origins: Origins;
   pace: Pace;
   paths: Paths;
   placeHub: PlaceHub;
--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -36,6 +36,7 @@
 import { createLifecycle, type Lifecycle } from "./createLifecycle.js";
 import { createLimits } from "./createLimits.js";
 import { createMoves } from "./createMoves.js";
+import { createOrigins } from "./createOrigins.js";
 import { createPace } from "./createPace.js";
 import { createPaths } from "./createPaths.js";
 import { createPeers } from "./createPeers.js";
@@ -132,6 +133,7 @@
     peers,
     onBlocked: () => getParts().forwarder.stopBlocked(),
   });
+  const origins = createOrigins({ settings, clock, log, knowledge, peers, getParts });
   const places = createFleetPlaces(clock);
   const cold = createColdServers({
     settings,
@@ -183,6 +185,7 @@
     links.setPeers(listed);
     const place = links.findPlace();
     if (place) places.setPlace(place);
+    origins.rows.checkSoon();
     metrics.peerLinks.set(links.count());
     log.writeNotice("peers", { boxes: listed.length, links: links.count() });
   };
@@ -274,6 +277,7 @@
     runKeeper: mover,
     pace: pace.observer,
     guard: crashes.guard,
+    origins: origins.streams,
     signals,
     getMaxBoxesSeen: () => maxBoxesSeen,
   });
@@ -293,6 +297,7 @@
         holder,
         periods: cold.periods,
         leavingWithin: settings.bounds.leavingMs as Ms,
+        onServersRegained: origins.rows.reload,
         onLimits: clientServer.applyLimits,
       }),
       boxes: { sink: membership.sink, rules: createBoxRestoreRules(own) },
@@ -312,6 +317,7 @@
     guard: crashes.guard,
     limits,
     mover,
+    origins,
     pace,
     paths,
     placeHub,
@@ -330,6 +336,7 @@
     forwarder,
     followedTables,
     blockedList: crashes.list,
+    versionRows: origins.rows,
     membership,
     reports,
     standbys,
--- a/apps/box/src/createDirectory.ts
+++ b/apps/box/src/createDirectory.ts
@@ -19,6 +19,7 @@
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
 import type { Capacity } from "./createCapacity.js";
 import type { ColdServers } from "./createColdServers.js";
+import type { Origins } from "./createOrigins.js";
 import type { Pace } from "./createPace.js";
 import type { Paths } from "./createPaths.js";
 import type { Peers } from "./createPeers.js";
@@ -47,6 +48,7 @@
     placer: Pick<FleetPlacer, "forget">;
     paths: Readonly<{ paths: Pick<Paths["paths"], "forget"> }>;
     pace: Pick<Pace, "drop">;
+    origins: Pick<Origins, "onServersChanged">;
   }>;
 }>;
 
@@ -101,6 +103,7 @@
   };
   const onEvent = (event: DirectoryEvent) => {
     observeServers({ log, metrics }, directory, event);
+    parts.getParts().origins.onServersChanged();
     const { kind, server } = event;
     switch (kind) {
       case "joined":
--- a/apps/box/src/createKnowledge.ts
+++ b/apps/box/src/createKnowledge.ts
@@ -25,6 +25,8 @@
   isEngineService: (service: ServiceName) => boolean;
   /** Longest pause between events that every route allows; undefined if no route names one. */
   getGapTarget: () => Ms | undefined;
+  /** Longest time of one answer of the streams that clients may take up; undefined if no route has such. */
+  getLongestStream: () => Ms | undefined;
   /** Whether this box has lost the store. */
   isOutOfTouch: () => boolean;
   /** Whether new clients may be sent to this box. */
@@ -65,6 +67,12 @@
     findService,
     isEngineService: (service) => findService(service)?.engine !== undefined,
     getGapTarget: () => holder.getIndex()?.shortestPauseAim,
+    getLongestStream: () => {
+      const { routes = [] } = holder.getIndex()?.configuration ?? {};
+      const limits = routes.filter((route) => route.isResumable);
+      if (limits.length === 0) return undefined;
+      return Math.max(...limits.map(({ answerLimit }) => answerLimit)) as Ms;
+    },
     isOutOfTouch: () => configuration.getAge() > outOfTouchAge,
     isCurrent: () => {
       const freshness = configuration.getFreshness();
--- a/apps/box/src/createLifecycle.ts
+++ b/apps/box/src/createLifecycle.ts
@@ -4,6 +4,7 @@
 import type { ReportPoller } from "@stairgauge/fleet";
 import type { ActiveRuns, ClientServer, Forwarder } from "@stairgauge/forwarding";
 import type { StandbyKeeper } from "@stairgauge/migration";
+import type { VersionRows } from "@stairgauge/origins";
 import type { Membership, PeerLinks, PeerServer } from "@stairgauge/peers";
 import type { BoxSettings } from "@stairgauge/settings";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
@@ -44,6 +45,7 @@
   forwarder: Pick<Forwarder, "announceStop" | "countOpen">;
   followedTables: Pick<FollowedTables, "start" | "startOwnLists" | "stop">;
   blockedList: Pick<BlockedList, "start" | "stop">;
+  versionRows: Pick<VersionRows, "start" | "stop">;
   membership: Pick<Membership, "join" | "leave">;
   reports: Pick<ReportPoller, "stop">;
   standbys: Pick<StandbyKeeper, "start" | "stop">;
@@ -95,6 +97,7 @@
     });
     followedTables.stop();
     blockedList.stop();
+    options.versionRows.stop();
     reports.stop();
     standbys.stop();
     options.pace.stop();
@@ -117,6 +120,7 @@
       links.setSeeds(listSeeds());
       followedTables.startOwnLists();
       blockedList.start();
+      options.versionRows.start();
       membership.join();
       standbys.start();
       log.writeNotice("started", { ports, policy: getSettings().policy });
--- /dev/null
+++ b/apps/box/src/createOrigins.ts
@@ -0,0 +1,99 @@
+/** Creates what a box knows of the origins of streams that clients take up, and of the versions that may have begun them. */
+import type { Clock, Ms } from "@stairgauge/common";
+import type { ServerDirectory } from "@stairgauge/directory";
+import {
+  createOriginFinder,
+  createOriginRegistry,
+  createStreamOrigins,
+  createVersionHistory,
+  createVersionRows,
+  TAKE_UP_MARGIN_MS,
+  type StreamOrigins,
+  type VersionRows,
+} from "@stairgauge/origins";
+import {
+  createStoreReader,
+  createStoreWriter,
+  VERSIONS_TABLE,
+} from "@stairgauge/platform";
+import type { BoxSettings } from "@stairgauge/settings";
+import type { DecisionLog } from "@stairgauge/telemetry";
+import type { Knowledge } from "./createKnowledge.js";
+import type { Peers } from "./createPeers.js";
+
+export type OriginsOptions = Readonly<{
+  settings: BoxSettings;
+  clock: Clock;
+  log: DecisionLog;
+  knowledge: Pick<Knowledge, "isOutOfTouch" | "agingClock" | "getLongestStream">;
+  peers: Pick<Peers, "links" | "reporter">;
+  /** Parts that are created later. */
+  getParts: () => Readonly<{ directory: Pick<ServerDirectory, "list"> }>;
+}>;
+
+export type Origins = Readonly<{
+  streams: StreamOrigins;
+  rows: VersionRows;
+  /** The list of servers has changed. */
+  onServersChanged: () => void;
+}>;
+
+/** Longest time of one answer until the configuration is read. */
+const ASSUMED_ANSWER_MS = 60_000;
+
+/** Creates the parts; no origin is on record. */
+export const createOrigins = (options: OriginsOptions): Origins => {
+  const { settings, clock, log, knowledge, getParts } = options;
+  const { links, reporter } = options.peers;
+  const registry = createOriginRegistry();
+  const history = createVersionHistory(
+    () => ((knowledge.getLongestStream() ?? ASSUMED_ANSWER_MS) + TAKE_UP_MARGIN_MS) as Ms,
+  );
+  const rows = createVersionRows({
+    clock,
+    reader: createStoreReader({
+      address: settings.store.address,
+      // The followers of the tables report faults of the era.
+      onEraFault: () => undefined,
+    }),
+    writer: createStoreWriter(settings.store.address),
+    table: VERSIONS_TABLE,
+    limit: settings.store.patienceMs as Ms,
+    history,
+    getRank: () => links.findPlace()?.rank,
+    onFailure: (failure) => log.writeWarning("software_versions", { failure }),
+  });
+  const observeServers = () =>
+    history.observe(
+      getParts()
+        .directory.list()
+        .map(({ entry }) => entry),
+      clock.monotonic(),
+    );
+  const streams = createStreamOrigins({
+    clock,
+    registry,
+    finder: createOriginFinder({
+      clock,
+      registry,
+      listConnected: () => links.listConnected().map(({ box }) => box),
+      ask: links.askOrigin,
+    }),
+    listVersions: (service) => {
+      observeServers();
+      return rows.isLoaded() ? history.list(service, clock.monotonic()) : undefined;
+    },
+    isOutOfTouch: knowledge.isOutOfTouch,
+    countBoxes: links.countBoxes,
+    countConnected: () => links.listConnected().length,
+    sendOrigin: reporter.recordOrigin,
+  });
+  return {
+    streams,
+    rows,
+    onServersChanged: () => {
+      observeServers();
+      rows.checkSoon();
+    },
+  };
+};
--- a/apps/box/src/createPeers.ts
+++ b/apps/box/src/createPeers.ts
@@ -6,6 +6,7 @@
 import type { RequestGuard } from "@stairgauge/crashes";
 import type { ServerDirectory } from "@stairgauge/directory";
 import type { ServerLimits } from "@stairgauge/limits";
+import type { StreamOrigins } from "@stairgauge/origins";
 import {
   createPeerLinks,
   createPeerServer,
@@ -44,6 +45,7 @@
     limits: Pick<ServerLimits, "makeUpdate" | "applyUpdate">;
     followedTables: Pick<FollowedTables, "listUnsettled" | "applyUnsettled">;
     capacity: Pick<Capacity, "applyShared" | "listSigns">;
+    origins: Readonly<{ streams: Pick<StreamOrigins, "listOwn" | "answer"> }>;
     pace: Readonly<{ registry: Pick<PaceRegistry, "applyEstimates"> }>;
   }>;
 }> &
@@ -103,6 +105,7 @@
     listCrashes: () => getParts().guard.makeFullUpdate(),
     listLimits: () => getParts().limits.makeUpdate(),
     listContended,
+    listOrigins: () => getParts().origins.streams.listOwn(),
   });
   const links = createPeerLinks({
     clock,
@@ -136,6 +139,8 @@
     answerTable,
     answerPlace,
     answerMoves,
+    answerOrigin: (question) =>
+      Promise.resolve(getParts().origins.streams.answer(question)),
     answerCarry,
   });
   const isForwarding = () => hasHubs(links.countBoxes()) && links.isHub();
--- a/apps/box/src/createServing.ts
+++ b/apps/box/src/createServing.ts
@@ -19,6 +19,7 @@
   type RunKeeper,
   type ServerExchanges,
 } from "@stairgauge/forwarding";
+import type { StreamOrigins } from "@stairgauge/origins";
 import { createHeadCodec } from "@stairgauge/platform";
 import type { BoxSettings } from "@stairgauge/settings";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
@@ -43,6 +44,7 @@
   runKeeper: RunKeeper;
   pace: PaceObserver;
   guard: RequestGuard;
+  origins: StreamOrigins;
   signals: Pick<Signals, "handle">;
   /** Largest number of boxes that this box has known of. */
   getMaxBoxesSeen: () => number;
@@ -76,6 +78,7 @@
     runKeeper: options.runKeeper,
     pace: options.pace,
     guard: options.guard,
+    origins: options.origins,
     dispatchSignals: options.signals.handle,
     exchanges: options.exchanges,
     observer: observeForwarding({ log, metrics, configuration }),
--- a/apps/box/src/createSinks.ts
+++ b/apps/box/src/createSinks.ts
@@ -37,6 +37,8 @@
    * work.
    */
   leavingWithin: Ms;
+  /** Called when the list of servers is read again after the store was lost. */
+  onServersRegained: () => void;
   /** Called when a configuration with other client limits takes effect. */
   onLimits: (limits: ClientLimits) => void;
 }>;
@@ -76,7 +78,10 @@
         decode: decodeServerEntry,
         leavingWithin,
         onListRead: periods.onListRead,
-        onEvent: (event) => log.writeWarning("server_list", event),
+        onEvent: (event) => {
+          log.writeWarning("server_list", event);
+          if (event.kind === "store_regained") options.onServersRegained();
+        },
       }),
       rules: createServerRestoreRules({ decode: decodeServerEntry }),
     },
--- a/apps/box/src/receiveUpdates.test.ts
+++ b/apps/box/src/receiveUpdates.test.ts
@@ -25,6 +25,7 @@
       placer: { handleBroken: () => {}, handleAnswered: () => {} },
       guard: { applyUpdate: () => undefined },
       limits: { applyUpdate: () => undefined },
+      origins: { streams: { applyShared: () => undefined } },
       pace: { registry: { applyShared: () => undefined } },
       capacity: {
         applyShared: (update, source) => passed.push([update, source]),
--- a/apps/box/src/receiveUpdates.ts
+++ b/apps/box/src/receiveUpdates.ts
@@ -11,6 +11,7 @@
 } from "@stairgauge/directory";
 import type { FleetPlacer } from "@stairgauge/fleet";
 import type { ServerLimits } from "@stairgauge/limits";
+import type { StreamOrigins } from "@stairgauge/origins";
 import type { PaceRegistry } from "@stairgauge/pace";
 import { applyUpdate, type RunUpdate, type SharedLeaving } from "@stairgauge/peers";
 import {
@@ -34,6 +35,7 @@
     limits: Pick<ServerLimits, "applyUpdate">;
     capacity: Pick<Capacity, "applyShared" | "onEnded">;
     pace: Readonly<{ registry: Pick<PaceRegistry, "applyShared"> }>;
+    origins: Readonly<{ streams: Pick<StreamOrigins, "applyShared"> }>;
   }>;
   /** Whether this box has lost the store. */
   isOutOfTouch: () => boolean;
@@ -103,6 +105,7 @@
         onAnswered,
         onCrashes: getParts().guard.applyUpdate,
         onLimits: getParts().limits.applyUpdate,
+        onOrigins: getParts().origins.streams.applyShared,
         onPaces: getParts().pace.registry.applyShared,
         isListed: (server: ServerId) => getParts().directory.find(server) !== undefined,
         onEnded: (server: ServerId) => getParts().capacity.onEnded(server),
--- a/apps/box/src/softwareVersions.test.ts
+++ b/apps/box/src/softwareVersions.test.ts
@@ -14,9 +14,9 @@
 } from "./box.testkit.js";
 import { startFleet } from "./fleet.testkit.js";
 import {
-  awaitStream,
   countMixed,
   countWhole,
+  finishStream,
   openStream,
   makeVersions,
   startVersionedSite,
@@ -54,7 +54,9 @@
       await engines.end(first!.id, "v1.2");
       await waitMs(READING_MS);
       await engines.end(second!.id, "v1.2");
-      const outcomes = await Promise.all(streams.map(awaitStream));
+      const outcomes = await Promise.all(
+        streams.map((stream, i) => finishStream(stream, [fleet[(i + 1) % boxes]!])),
+      );
       expect(countMixed(outcomes)).toBe(0);
       expect(countWhole(outcomes)).toBe(count);
     },
--- a/apps/box/src/softwareVersions.testkit.ts
+++ b/apps/box/src/softwareVersions.testkit.ts
@@ -47,7 +47,7 @@
     servers: versions.length,
     ...(changes && { changes }),
   });
-  return { engines, fleet, start, putConfiguration: site.putConfiguration };
+  return { engines, fleet, start, putWorkspaces: site.putWorkspaces };
 };
 
 let nextStream = 0;
@@ -154,12 +154,6 @@
   };
 };
 
-/** Waits for the end of a stream that its client leaves alone. */
-export const awaitStream = async (attempt: StreamAttempt): Promise<StreamOutcome> => {
-  const { status } = await attempt.ended;
-  return sumUp([attempt], status);
-};
-
 /** Pauses of a client between its attempts to take a stream up. */
 const RETRY_PAUSE_MS = 100;
 const MAX_RETRIES = 4;
@@ -177,11 +171,12 @@
 export const takeUp = async (
   first: StreamAttempt,
   { at, resumes = first.id, key, maxRetries = MAX_RETRIES }: TakeUp,
-): Promise<StreamOutcome> => {
+): Promise<StreamOutcome & Readonly<{ retryAfter: string | undefined }>> => {
   first.leave();
   await first.ended;
   const lastEventId = first.listEvents().at(-1)?.id;
   let status = 0;
+  let retryAfter: string | undefined;
   for (let tried = 0; tried <= maxRetries; tried += 1) {
     if (tried > 0) await waitMs(RETRY_PAUSE_MS);
     const attempt = openStream(at[tried % at.length]!, {
@@ -190,10 +185,20 @@
       lastEventId,
       body: `prompt of ${first.id}`,
     });
-    ({ status } = await attempt.ended);
-    if (status === 200) return sumUp([first, attempt], status);
+    ({ status, retryAfter } = await attempt.ended);
+    if (status === 200) return { ...sumUp([first, attempt], status), retryAfter };
   }
-  return sumUp([first], status);
+  return { ...sumUp([first], status), retryAfter };
+};
+
+/** Reads a stream to its end, and takes it up once where its answer broke off, as clients do. */
+export const finishStream = async (
+  first: StreamAttempt,
+  at: TakeUp["at"],
+): Promise<StreamOutcome> => {
+  const { status } = await first.ended;
+  const outcome = sumUp([first], status);
+  return outcome.isWhole ? outcome : takeUp(first, { at });
 };
 
 /** Counts the streams that hold events of several versions. */
--- a/packages/diagnosis/src/classifyCause.ts
+++ b/packages/diagnosis/src/classifyCause.ts
@@ -163,13 +163,19 @@
     : classifyWithoutEnd(requestLog, endsAt);
 };
 
+/** Texts of reasons that say more than their names. */
+const REFUSAL_TEXTS: Readonly<Record<string, string>> = {
+  origin_not_known: "its software version was not known here",
+  no_server_of_version: "no server of its software version",
+};
+
 /** Describes a cause in a few words, for tables and plots. */
 export const describeCause = (cause: Cause): string => {
   switch (cause.kind) {
     case "late":
       return `late: ${cause.by.replaceAll("_", " ")}`;
     case "refused":
-      return `refused: ${cause.reason}`;
+      return `refused: ${REFUSAL_TEXTS[cause.reason] ?? cause.reason}`;
     case "no_capacity":
       return `no capacity: ${cause.reason.replaceAll("_", " ")}`;
     case "server_failed":
--- a/packages/fleet/src/placeHub.ts
+++ b/packages/fleet/src/placeHub.ts
@@ -80,10 +80,11 @@
     tier,
     except,
     regions,
+    binding,
   }: PlaceQuestion): PlacementDecision => {
     const { promptTokens, expectedOut, isMovable } = run;
     const tokens = { prompt: promptTokens, expectedOut, isMovable };
-    const demand: Demand = { tier, regions, tokens };
+    const demand: Demand = { tier, regions, binding, tokens };
     return placer.chooseForOther(service, demand, new Set(except));
   };
 
--- a/packages/forwarding/src/computeDemand.ts
+++ b/packages/forwarding/src/computeDemand.ts
@@ -42,14 +42,17 @@
   head,
   route,
   workspace,
+  binding,
 }: Pick<AdmittedRequest, "head" | "route"> &
-  Partial<Pick<AdmittedRequest, "workspace">>): Demand => {
-  const regions = computeRegions(route, workspace?.regions);
-  const tier = computeTier({ workspace, route });
-  if (route.kind !== "stream" || !head.usage) return { tier, regions, tokens: undefined };
+  Partial<Pick<AdmittedRequest, "workspace" | "binding">>): Demand => {
+  const shared = {
+    tier: computeTier({ workspace, route }),
+    regions: computeRegions(route, workspace?.regions),
+    binding,
+  };
+  if (route.kind !== "stream" || !head.usage) return { ...shared, tokens: undefined };
   return {
-    tier,
-    regions,
+    ...shared,
     tokens: {
       prompt: head.usage.prompt,
       expectedOut: estimateOutput(head.usage, head.lengthEstimate),
--- a/packages/forwarding/src/concludeAttempt.ts
+++ b/packages/forwarding/src/concludeAttempt.ts
@@ -28,6 +28,7 @@
 import { recordPlainAnswer } from "./observePace.js";
 import { recordServerSignals } from "./recordServerSignals.js";
 import { classifyAttempt } from "./requestAttempts.js";
+import { describeOrigin } from "./takenUpStream.js";
 import type { AnswerHead, ExchangeFailure, RawHeaders } from "./types.js";
 
 const NONE_TRIED: ReadonlySet<ServerId> = new Set();
@@ -152,6 +153,12 @@
     }
   };
 
+  const recordWholeStream = () => {
+    const binding = state.getBinding();
+    if (route.isResumable && binding)
+      deps.origins.recordWhole(describeOrigin(request), binding);
+  };
+
   return {
     conclude,
     handleHead: (attempt, answerHead) => {
@@ -187,6 +194,7 @@
           return;
         case "stream":
           reports.reportStreamEnded(attempt, end);
+          recordWholeStream();
           body.segment.finish();
           getSteps().finish();
           return;
--- a/packages/forwarding/src/createForwarder.ts
+++ b/packages/forwarding/src/createForwarder.ts
@@ -7,6 +7,7 @@
   type AccessRefusal,
   type Route,
 } from "@stairgauge/routing";
+import type { AdmittedRequest } from "./admittedRequest.js";
 import { createClientAnswer } from "./clientAnswer.js";
 import { createServerAsker } from "./createServerAsker.js";
 import { dispatchCall, type DispatchedCall } from "./dispatchCall.js";
@@ -16,6 +17,7 @@
 import { readRequestBody } from "./readRequestBody.js";
 import { sendOwnAnswer } from "./sendOwnAnswer.js";
 import { createCrashDetector } from "./crashDetector.js";
+import { decideTakeUp, describeOrigin, isTakenUp } from "./takenUpStream.js";
 
 /** Largest request body until a configuration is loaded. */
 const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
@@ -116,8 +118,43 @@
       return;
     }
 
-    const admit = (body: Buffer) => {
+    const dispatch = (request: AdmittedRequest) => {
       const now = clock.monotonic();
+      if (stop && !fitsBeforeStop({ ...stop, now, head, route: request.route })) {
+        refuse(503, "box_is_stopping", OTHER_BOX_AFTER_MS);
+        return;
+      }
+      call = dispatchCall(dispatchDeps, request);
+      if (!hasLeft) calls.add(call);
+    };
+    /** A stream that its client takes up goes on only at the software that began it. */
+    const takeUp = async (request: AdmittedRequest) => {
+      const resolved = await deps.origins.resolve(describeOrigin(request));
+      if (hasLeft) {
+        reportClientLeft();
+        return;
+      }
+      const decision = decideTakeUp(resolved, request.route, deps.retryAfter);
+      if (decision.kind === "refused") {
+        const { reason, retryAfter } = decision;
+        sendOwnAnswer(
+          deps,
+          { head, route, answer, receivedAt },
+          { status: 503, reason, retryAfter },
+        );
+        return;
+      }
+      const { binding, source } = decision;
+      const sinceReceived = (clock.monotonic() - receivedAt) as Ms;
+      const { requestId: resumes } = describeOrigin(request);
+      deps.observer.onDecision(
+        { head, route, sinceReceived },
+        { kind: "taken_up", ...binding, resumes, source },
+      );
+      dispatch({ ...request, service: binding.service, binding });
+    };
+
+    const admit = (body: Buffer) => {
       const access = decideAccess(
         configuration.getIndex(),
         configuration.getFreshness(),
@@ -136,24 +173,21 @@
         refuse(503, "too_many_bodies_held");
         return;
       }
-      const { workspace } = access;
-      if (stop && !fitsBeforeStop({ ...stop, now, head, route: access.route })) {
-        refuse(503, "box_is_stopping", OTHER_BOX_AFTER_MS);
-        return;
-      }
       held = body.length;
       heldBytes += held;
-      call = dispatchCall(dispatchDeps, {
+      const request: AdmittedRequest = {
         head,
         body,
         route: access.route,
-        workspace,
+        workspace: access.workspace,
         service: pickService(access.route),
+        binding: undefined,
         receivedAt,
         endsAt: (receivedAt + computeTimeLimit(access.route, head.patience)) as Ms,
         answer,
-      });
-      if (!hasLeft) calls.add(call);
+      };
+      if (isTakenUp(access.route, head)) void takeUp(request);
+      else dispatch(request);
     };
 
     void readRequestBody(incoming, limit).then((read) => {
--- a/packages/forwarding/src/createOwnAnswers.ts
+++ b/packages/forwarding/src/createOwnAnswers.ts
@@ -50,7 +50,11 @@
       sendAndFinish({
         status: 503,
         reason: REFUSAL_OF_NO_SERVER[decision.reason],
-        retryAfter: computeRetryAfter(decision, deps.retryAfter),
+        // A stream whose version is gone can't go on later; its client may begin anew at once.
+        retryAfter:
+          decision.reason === "none_of_version"
+            ? undefined
+            : computeRetryAfter(decision, deps.retryAfter),
       }),
     /** This box stops before the request could be answered; it has not run. */
     answerStopping: (retryAfter: Ms) =>
--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -4,6 +4,7 @@
  * steps has a file of its own; this one connects them and ends the request.
  */
 import type { Ms, Timer } from "@stairgauge/common";
+import type { StreamBinding } from "@stairgauge/placement";
 import type { AdmittedRequest } from "./admittedRequest.js";
 import { isProcessing } from "./attempt.js";
 import { computeDemand } from "./computeDemand.js";
@@ -21,6 +22,7 @@
 import { createRequestAttempts } from "./requestAttempts.js";
 import { createSending } from "./sendAttempt.js";
 import { createStreamRelay } from "./streamRelay.js";
+import { describeOrigin } from "./takenUpStream.js";
 
 /** A dispatched request, with callbacks for outside events. */
 export type DispatchedCall = Readonly<{
@@ -80,6 +82,10 @@
     endOutOfTime,
   );
 
+  const recordBegun = (binding: StreamBinding) => {
+    state.setBinding(binding);
+    if (route.isResumable) deps.origins.recordBegun(describeOrigin(request), binding);
+  };
   const sampler = createStreamSampler({
     pace: deps.pace,
     targetMs: route.pauseAim,
@@ -94,7 +100,7 @@
       const run = state.getRun();
       if (current) {
         placer.onRunBegun(current.server, head);
-        state.setBinding(placer.getBinding(current.server));
+        recordBegun(placer.getBinding(current.server));
       }
       if (run) runKeeper.onBegun(run);
     },
--- a/packages/forwarding/src/fitsBeforeStop.test.ts
+++ b/packages/forwarding/src/fitsBeforeStop.test.ts
@@ -29,6 +29,7 @@
   usage: { prompt: 100, maxOut: 2_000 },
   lengthEstimate,
   lastEventId: undefined,
+  resumes: { kind: "unnamed" },
   contentLength: undefined,
   forwardedHeaders: [],
 });
--- a/packages/forwarding/src/forwardDecision.ts
+++ b/packages/forwarding/src/forwardDecision.ts
@@ -2,7 +2,8 @@
 import type { BoxName, Ms } from "@stairgauge/common";
 import type { InterruptedRun, RequestDigest } from "@stairgauge/crashes";
 import type { ServerId, SoftwareVersion } from "@stairgauge/directory";
-import type { PlacementLimit } from "@stairgauge/placement";
+import type { OriginSource } from "@stairgauge/origins";
+import type { PlacementLimit, StreamBinding } from "@stairgauge/placement";
 import type { AccessRefusal, Route } from "@stairgauge/routing";
 import type { CrashCheck } from "./crashDetector.js";
 import type { AnswerEnd, Framing } from "./describeAnswerEnd.js";
@@ -21,6 +22,8 @@
   | "no_server_in_regions"
   /** No server has the software version that began the stream. */
   | "no_server_of_version"
+  /** It is not certain which software version began the stream that the client takes up. */
+  | "origin_not_known"
   /** All available servers are in data halls that operators have closed to new work. */
   | "data_halls_closed"
   /** The remaining servers have just started and already have all requests allowed during warm-up. */
@@ -76,6 +79,12 @@
       /** The box that chose the server; undefined if this box chose it. */
       by: string | undefined;
     }
+  /** The client takes a stream up, which goes on at servers of one software version only. */
+  | (StreamBinding & {
+      kind: "taken_up";
+      resumes: string | undefined;
+      source: OriginSource;
+    })
   /**
    * Every engine is full: the request waits for capacity. `waiting` is the length of this box's queue;
    * undefined if the request waits at another box.
--- a/packages/forwarding/src/forwarderTypes.ts
+++ b/packages/forwarding/src/forwarderTypes.ts
@@ -1,6 +1,7 @@
 /** The forwarder's dependencies. Only the files that connect its parts import them. */
 import type { Clock, Ms, Random } from "@stairgauge/common";
 import type { RequestGuard } from "@stairgauge/crashes";
+import type { StreamOrigins } from "@stairgauge/origins";
 import type { ReceivedSignals } from "@stairgauge/signals";
 import type { ActiveRuns, RunKeeper } from "./activeRuns.js";
 import type { ConfigurationView } from "./configurationView.js";
@@ -30,6 +31,7 @@
   plainAdmission: PlainAdmission;
   runKeeper: RunKeeper;
   pace: PaceObserver;
+  origins: Pick<StreamOrigins, "resolve" | "recordBegun" | "recordWhole">;
   guard: Pick<RequestGuard, "getStatus" | "recordCrash" | "recordServed">;
   /** Handles the signals that an answer carries about its server. */
   dispatchSignals: (received: ReceivedSignals) => void;
--- a/packages/forwarding/src/placeByAdvice.ts
+++ b/packages/forwarding/src/placeByAdvice.ts
@@ -27,6 +27,7 @@
   tier: number;
   tokens: NonNullable<Demand["tokens"]>;
   regions?: Demand["regions"];
+  binding?: Demand["binding"];
   sharer?: PlaceSharer | undefined;
   except: ReadonlySet<ServerId>;
   /** What the hub does while every engine is full. */
@@ -69,11 +70,11 @@
   request: PlaceableRequest,
 ): Omit<AdviceRequest, "urgency"> | undefined => {
   const { id, demand, terms, except } = request;
-  const { tokens, regions } = demand;
+  const { tokens, regions, binding } = demand;
   if (id === undefined || tokens === undefined) return undefined;
   const { service, tier, share } = terms;
   const sharer = share && { workspace: share.workspace, subject: share.subject };
-  return { id, service, tier, tokens, regions, sharer, except };
+  return { id, service, tier, tokens, regions, binding, sharer, except };
 };
 
 /** Places a request for the first time; the returned function cancels the placement while it waits. */
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -1,6 +1,7 @@
 /** Decoded requests of clients and answers of backend servers, and the codec that translates them. */
 import type { Brand, Ms, WorkspaceName } from "@stairgauge/common";
 import type { ServerAddress, ServerName } from "@stairgauge/directory";
+import type { NamedOrigin } from "@stairgauge/origins";
 import type { ServerSignals } from "@stairgauge/signals";
 
 /** Id that a client chooses for a request; a client that retries chooses a new one. */
@@ -27,6 +28,8 @@
   lengthEstimate: number | undefined;
   /** Id of the last event that the client received of a stream that it resumes. */
   lastEventId: string | undefined;
+  /** The request that brought the first event of the stream that the client resumes. */
+  resumes: NamedOrigin;
   contentLength: number | undefined;
   /** The headers that are forwarded to the server: all but those that the box sets itself. */
   forwardedHeaders: RawHeaders;
--- a/packages/peers/src/adviceCodec.ts
+++ b/packages/peers/src/adviceCodec.ts
@@ -6,7 +6,7 @@
   ServiceName,
   WorkspaceName,
 } from "@stairgauge/common";
-import type { ServerId } from "@stairgauge/directory";
+import type { ServerId, SoftwareVersion } from "@stairgauge/directory";
 import { z } from "zod";
 import type { MovesAnswer, MovesQuestion, PlaceAnswer, PlaceQuestion } from "./types.js";
 import { fromWireRun, runSchema, toWireRun } from "./updateCodec.js";
@@ -16,6 +16,11 @@
 const ms = count.transform((value) => value as Ms);
 const signedMs = z.number().transform((value) => value as Ms);
 
+const bindingSchema = z.object({
+  service: z.string().transform((name) => name as ServiceName),
+  softwareVersion: z.string().transform((name) => name as SoftwareVersion),
+});
+
 const placeQuestionSchema = z.object({
   box: z.string().min(1),
   run: runSchema,
@@ -23,6 +28,7 @@
   tier: z.number(),
   except: z.array(serverId),
   regions: z.array(z.string().transform((name) => name as RegionName)).optional(),
+  binding: bindingSchema.optional(),
   sharer: z.object({ workspace: z.string(), subject: z.string() }).optional(),
   urgency: z.discriminatedUnion("kind", [
     z.object({ kind: z.literal("at_once") }),
--- a/packages/peers/src/applyUpdate.ts
+++ b/packages/peers/src/applyUpdate.ts
@@ -5,6 +5,7 @@
 import type { ServerId } from "@stairgauge/directory";
 import type { LimitUpdate } from "@stairgauge/limits";
 import { isPlainRun, type LoadRegistry } from "@stairgauge/placement";
+import type { SharedOrigin } from "@stairgauge/origins";
 import type { SharedPace } from "@stairgauge/pace";
 import type { RunUpdate, SharedLeaving, SharedReport } from "./types.js";
 
@@ -23,6 +24,7 @@
   /** Runs of the other box have ended at the server. */
   onEnded?: ((server: ServerId) => void) | undefined;
   onContended?: ((update: ContentionUpdate, by: BoxName) => void) | undefined;
+  onOrigins?: ((origins: readonly SharedOrigin[]) => void) | undefined;
   onPaces?: ((paces: readonly SharedPace[], by: BoxName) => void) | undefined;
 }>;
 
@@ -49,5 +51,6 @@
   if (update.contended) sinks.onContended?.(update.contended, box);
   for (const server of new Set(drop.map((ended) => ended.server)))
     sinks.onEnded?.(server);
+  if (update.origins) sinks.onOrigins?.(update.origins);
   if (update.paces) sinks.onPaces?.(update.paces, box);
 };
--- a/packages/peers/src/peerLinks.ts
+++ b/packages/peers/src/peerLinks.ts
@@ -9,6 +9,7 @@
   type Timer,
 } from "@stairgauge/common";
 import type { ServerAddress } from "@stairgauge/directory";
+import type { OriginAnswer, OriginQuestion } from "@stairgauge/origins";
 import { createCarrierLinks, type CarrierLinks } from "./carrierLinks.js";
 import { chooseLinks, listHubs, MAX_LINKS } from "./hubs.js";
 import { withLastResult } from "./lastResult.js";
@@ -56,6 +57,7 @@
   ask: PeerCall<TableQuestion, TableAnswer>;
   askPlace: PeerCall<PlaceQuestion, PlaceAnswer>;
   askMoves: PeerCall<MovesQuestion, MovesAnswer>;
+  askOrigin: PeerCall<OriginQuestion, OriginAnswer>;
   /** Boxes that may carry requests for this one. */
   carriers: Pick<CarrierLinks, "hasAny" | "listBoxes" | "call">;
   /** Closes the link to a box and opens a new one, since its connection no longer brings answers. */
@@ -263,6 +265,7 @@
     ask: createCall((link, ...asked) => link.askTable(...asked)),
     askPlace: createUnaryCall(service.askPlace),
     askMoves: createUnaryCall(service.askMoves),
+    askOrigin: createUnaryCall(service.askOrigin),
     carriers,
     reopen: (box) => {
       const link = links.get(box);
--- a/packages/peers/src/peerServer.ts
+++ b/packages/peers/src/peerServer.ts
@@ -10,6 +10,7 @@
 } from "@grpc/grpc-js";
 import type { BoxName } from "@stairgauge/common";
 import type { ServerAddress } from "@stairgauge/directory";
+import type { OriginAnswer, OriginQuestion } from "@stairgauge/origins";
 import type { AnswerCarry } from "@stairgauge/paths";
 import { createTableStreamHandler } from "./answerTableStream.js";
 import { createCarryHandler } from "./carryCall.js";
@@ -39,6 +40,8 @@
   answerPlace: Answerer<PlaceQuestion, PlaceAnswer>;
   /** Another box asks which runs leave an engine, and where to. */
   answerMoves: Answerer<MovesQuestion, MovesAnswer>;
+  /** Another box asks what a stream is bound to that a client takes up there. */
+  answerOrigin: Answerer<OriginQuestion, OriginAnswer>;
   /** Another box asks this one to carry a request. */
   answerCarry: AnswerCarry;
   onMessage: (message: PeerMessage) => void;
@@ -117,6 +120,7 @@
     exchangeTables: createTableStreamHandler(options.answerTable),
     askPlace: createHandler(options.answerPlace),
     askMoves: createHandler(options.answerMoves),
+    askOrigin: createHandler(options.answerOrigin),
     carry: createCarryHandler(options.answerCarry),
   });
 
--- a/packages/peers/src/peers.test.ts
+++ b/packages/peers/src/peers.test.ts
@@ -141,6 +141,7 @@
       return Promise.resolve({ kind: "no_room", memoryAfter: 1.2 } as const);
     },
     answerMoves: () => Promise.resolve(MOVES),
+    answerOrigin: () => Promise.resolve({ kind: "not_known" }),
     answerCarry: (question, answer) => {
       carried.push(question);
       answer.write({ kind: "connected" });
--- a/packages/peers/src/runReporter.ts
+++ b/packages/peers/src/runReporter.ts
@@ -4,6 +4,7 @@
 import { NO_CRASH_UPDATE, type CrashUpdate } from "@stairgauge/crashes";
 import type { ServerId } from "@stairgauge/directory";
 import { NO_LIMIT_UPDATE, type LimitUpdate } from "@stairgauge/limits";
+import type { SharedOrigin } from "@stairgauge/origins";
 import type { SharedPace } from "@stairgauge/pace";
 import type { LoadRegistry, RunChange } from "@stairgauge/placement";
 import { makeRunUpdate } from "./makeRunUpdate.js";
@@ -34,6 +35,8 @@
   listCrashes: () => CrashUpdate;
   /** All limits on record that servers have named. */
   listLimits: () => LimitUpdate;
+  /** What streams of this box are bound to that their clients may take up elsewhere. */
+  listOrigins?: (() => readonly SharedOrigin[]) | undefined;
   /** The newest sign of each contended service. */
   listContended?: (() => ContentionUpdate) | undefined;
 }>;
@@ -58,6 +61,8 @@
   recordLimits: (update: LimitUpdate) => void;
   /** This box observed signs of contended services: sent with the next batch, after the runs that ended. */
   recordContended: (update: ContentionUpdate) => void;
+  /** What a stream of this box is bound to: sent with the next batch, like the run's first event. */
+  recordOrigin: (origin: SharedOrigin) => void;
   /**
    * Service times that this box has observed, to be sent with the next batch, which is not long in
    * coming at a busy box. A server in a slow period is reported at once.
@@ -74,6 +79,7 @@
   let limits = NO_LIMIT_UPDATE;
   let contended = NO_CONTENTION;
   let paces: SharedPace[] = [];
+  let origins: SharedOrigin[] = [];
   let isScheduled = false;
   let isPacesScheduled = false;
 
@@ -100,6 +106,7 @@
     const sentLimits = limits;
     const sentContended = contended;
     const sentPaces = paces;
+    const sentOrigins = origins;
     isScheduled = false;
     pending = [];
     reports = [];
@@ -107,6 +114,7 @@
     limits = NO_LIMIT_UPDATE;
     contended = NO_CONTENTION;
     paces = [];
+    origins = [];
     const last = new Map(
       changes.map((change) => [`${change.server} ${change.id}`, change]),
     );
@@ -118,6 +126,7 @@
         limits: sentLimits,
         ...(sentContended.signs.length > 0 && { contended: sentContended }),
         ...(sentPaces.length > 0 && { paces: sentPaces }),
+        ...(sentOrigins.length > 0 && { origins: sentOrigins }),
         put: kept.flatMap(({ server, run }) => (run ? [{ server, run }] : [])),
         drop: kept.flatMap(({ server, id, run }) => (run ? [] : [{ server, id }])),
       }),
@@ -141,6 +150,7 @@
         crashes: options.listCrashes(),
         limits: options.listLimits(),
         ...(options.listContended && { contended: options.listContended() }),
+        ...(options.listOrigins && { origins: options.listOrigins() }),
       }),
     recordCrashes: ({ ends, served }) => {
       crashes = {
@@ -160,6 +170,10 @@
       contended = { signs: [...contended.signs, ...signs], unknownParts: 0 };
       schedule();
     },
+    recordOrigin: (origin) => {
+      origins.push(origin);
+      schedule();
+    },
     recordPaces: (observed) => {
       paces = [...paces, ...observed];
       if (observed.some(({ isSlow }) => isSlow)) schedule();
--- a/packages/peers/src/service.ts
+++ b/packages/peers/src/service.ts
@@ -3,6 +3,7 @@
  * questions, and a stream of frames for each request that another box carries.
  */
 import type { ServiceDefinition } from "@grpc/grpc-js";
+import type { OriginAnswer, OriginQuestion } from "@stairgauge/origins";
 import type { CarryFrame, CarryQuestion } from "@stairgauge/paths";
 import {
   decodeMovesAnswer,
@@ -20,6 +21,12 @@
   encodeCarryFrame,
   encodeCarryQuestion,
 } from "./carryCodec.js";
+import {
+  decodeOriginAnswer,
+  decodeOriginQuestion,
+  encodeOriginAnswer,
+  encodeOriginQuestion,
+} from "./originCodec.js";
 import {
   decodeAnswer,
   decodeQuestion,
@@ -48,7 +55,7 @@
 
 /** A message between boxes, with its size on the wire. */
 export type PeerMessage = Readonly<{
-  call: "tell_runs" | "ask_table" | "ask_place" | "ask_moves" | "carry";
+  call: "tell_runs" | "ask_table" | "ask_place" | "ask_moves" | "ask_origin" | "carry";
   direction: "sent" | "received";
   bytes: number;
 }>;
@@ -109,6 +116,15 @@
     responseSerialize: (answer: MovesAnswer) => encodeMovesAnswer(answer),
     responseDeserialize: (bytes: Buffer) => decodeMovesAnswer(bytes),
   },
+  askOrigin: {
+    path: "/stairgauge.Peers/AskOrigin",
+    requestStream: false,
+    responseStream: false,
+    requestSerialize: (question: OriginQuestion) => encodeOriginQuestion(question),
+    requestDeserialize: (bytes: Buffer) => decodeOriginQuestion(bytes),
+    responseSerialize: (answer: OriginAnswer) => encodeOriginAnswer(answer),
+    responseDeserialize: (bytes: Buffer) => decodeOriginAnswer(bytes),
+  },
   carry: {
     path: "/stairgauge.Peers/Carry",
     requestStream: false,
@@ -151,6 +167,7 @@
     exchangeTables: observe("ask_table", DEFINITION.exchangeTables),
     askPlace: observe("ask_place", DEFINITION.askPlace),
     askMoves: observe("ask_moves", DEFINITION.askMoves),
+    askOrigin: observe("ask_origin", DEFINITION.askOrigin),
     carry: observe("carry", DEFINITION.carry),
   };
 };
--- a/packages/peers/src/types.ts
+++ b/packages/peers/src/types.ts
@@ -6,6 +6,7 @@
 import type { BoxName, DataHallName, Ms } from "@stairgauge/common";
 import type { CrashUpdate } from "@stairgauge/crashes";
 import type { LimitUpdate } from "@stairgauge/limits";
+import type { SharedOrigin } from "@stairgauge/origins";
 import type { SharedPace } from "@stairgauge/pace";
 import type {
   RowChange,
@@ -64,6 +65,8 @@
   limits: LimitUpdate;
   /** Signs of contended services; undefined in updates of earlier releases. */
   contended?: ContentionUpdate | undefined;
+  /** What streams of the box are bound to; undefined in updates of earlier releases. */
+  origins?: readonly SharedOrigin[] | undefined;
   /** Service times that the box has observed since its last update with any. */
   paces?: readonly SharedPace[] | undefined;
 }>;
--- a/packages/peers/src/updateCodec.ts
+++ b/packages/peers/src/updateCodec.ts
@@ -12,6 +12,7 @@
 import { z } from "zod";
 import { contendedSchema, decodeContended, encodeContended } from "./contentionCodec.js";
 import { decodePaces, encodePaces, pacesSchema } from "./paceCodec.js";
+import { decodeOrigins, encodeOrigins, originsSchema } from "./originCodec.js";
 import { count, rowSchema, toWireRow } from "./rowCodec.js";
 import type {
   HubNotice,
@@ -127,6 +128,7 @@
   limits: limitsSchema.optional(),
   contended: contendedSchema,
   paces: pacesSchema,
+  origins: originsSchema,
 });
 
 const encodeReport = ({
@@ -282,6 +284,7 @@
       ...encodeLimits(update.limits),
       ...encodeContended(update.contended),
       ...encodePaces(update.paces),
+      ...encodeOrigins(update.origins),
       ...(update.reports.length > 0 && { reports: update.reports.map(encodeReport) }),
     }),
   );
@@ -304,5 +307,6 @@
     limits: decodeLimits(update.limits),
     ...decodeContended(update.contended),
     ...decodePaces(update.paces),
+    ...decodeOrigins(update.origins),
   };
 };
--- a/packages/placement/src/types.ts
+++ b/packages/placement/src/types.ts
@@ -189,6 +189,8 @@
   except: readonly ServerId[];
   /** Regions whose servers may serve the request; all regions if undefined. */
   regions?: readonly RegionName[] | undefined;
+  /** Set for a stream that its client takes up. Boxes of earlier releases ignore it. */
+  binding?: StreamBinding | undefined;
   /** Who is charged for the run; undefined in the questions of older boxes. */
   sharer?: PlaceSharer | undefined;
   urgency: PlaceUrgency;
