--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -48,7 +48,11 @@
   ScriptedEngine,
   ScriptedEngines,
 } from "./usersPlatform/scriptedEngines.js";
-export { CRASHING_BODY, startCrashingServers } from "./usersPlatform/crashingServers.js";
+export {
+  CRASHING_BODY,
+  CRASHING_PART,
+  startCrashingServers,
+} from "./usersPlatform/crashingServers.js";
 export type { CrashingKind, CrashingServers } from "./usersPlatform/crashingServers.js";
 export {
   findEventVersion,
--- a/packages/standins/src/usersPlatform/crashingServers.ts
+++ b/packages/standins/src/usersPlatform/crashingServers.ts
@@ -17,7 +17,10 @@
 /** A request whose body contains this text crashes the server that runs it. */
 export const CRASHING_BODY = "ends its server";
 
-/** Time from the start of such a request to the crash, and from the crash to the restart. */
+/** So does one with this part in its prompt, before the last part. */
+export const CRASHING_PART = "bad0bad0";
+
+/** Time from the start of such a request to the crash, and by default from the crash to the restart. */
 const CRASH_DELAY_MS = 30;
 const RESTART_DELAY_MS = 300;
 
@@ -34,6 +37,12 @@
 export type CrashingServersOptions = Readonly<{
   kind: CrashingKind;
   count: number;
+  /** Time from a crash to the restart. */
+  restartMs?: number;
+  /** Duration of a stream that does not crash its engine; it is sent at once by default. */
+  streamMs?: number;
+  /** Whether an engine sends the first event of a stream that crashes it, or only the head; true by default. */
+  sendsFirstEvent?: boolean;
   /** Writes a server's directory entry; called at each start. `born` is the start time in Unix milliseconds. */
   putEntry: (id: string, address: string, born: number) => void;
 }>;
@@ -49,11 +58,18 @@
   close: () => void;
 }>;
 
+const hasCrashingPart = (head: string): boolean =>
+  (findHeader(head, HEADER.promptParts) ?? "")
+    .split(",")
+    .slice(0, -1)
+    .some((part) => part.startsWith(`${CRASHING_PART}:`));
+
 /** Starts the servers on loopback and writes their entries. */
 export const startCrashingServers = async (
   options: CrashingServersOptions,
 ): Promise<CrashingServers> => {
   const { kind, count, putEntry } = options;
+  const { restartMs = RESTART_DELAY_MS, streamMs = 0, sendsFirstEvent = true } = options;
   const isEngine = kind === "engine";
   const closers: (() => void)[] = [];
   const resetters: (() => void)[] = [];
@@ -84,11 +100,12 @@
       listener = undefined;
       crashes += 1;
       resetConnections();
-      setTimeout(() => void listen(), RESTART_DELAY_MS);
+      setTimeout(() => void listen(), restartMs);
     };
     const startCrash = (socket: Socket, request: string) => {
       arrivals += 1;
-      if (isEngine) sendStreamEvents({ socket, request }, { from: 0, to: 1 });
+      if (isEngine)
+        sendStreamEvents({ socket, request }, { from: 0, to: sendsFirstEvent ? 1 : 0 });
       setTimeout(stopServer, CRASH_DELAY_MS);
     };
     const handleRequest = (socket: Socket, head: string, body: string) => {
@@ -100,13 +117,12 @@
           `${HEADER.instance}: ${id}`,
           `${HEADER.born}: ${born}`,
         ]);
-      else if (body.includes(CRASHING_BODY)) startCrash(socket, request);
-      else if (isEngine)
-        sendWholeStream(
-          { socket, request },
-          Number(findHeader(head, HEADER.lastEventId) ?? -1) + 1,
-        );
-      else {
+      else if (body.includes(CRASHING_BODY) || hasCrashingPart(head))
+        startCrash(socket, request);
+      else if (isEngine) {
+        const from = Number(findHeader(head, HEADER.lastEventId) ?? -1) + 1;
+        setTimeout(() => sendWholeStream({ socket, request }, from), streamMs);
+      } else {
         setTimeout(() => sendPlainAnswer({ socket, request }), PLAIN_DURATION_MS);
         countPlainRequest();
       }
