fix: boxes that failed to reach a server a moment ago say so instead of refusing to carry

Cause: a box with failed connections to several servers refuses to carry to them, since it can't tell lost paths from failed servers. A refusal says nothing of the server, so the asking box went on to the next, up to 24, for every request, and the server never counted as down.

A box that failed to connect to the server within the last 0.5 s and has reached another one since answers unreached, as if it had tried again; one or three such answers make the server count as down. A box without a path is not asked about that server again for a second, and after 24 of them nobody is, whatever the number of boxes.

Tests that failed before: 336 questions in 0.4 s by 7 boxes about two servers that are down (14 now at most), 240 in a second by one of 64 boxes that have all lost their paths (48 at most). lostPaths, lostPathsFailures and the properties of carried requests pass.

--- a/apps/box/src/crowdedBox.test.ts
+++ b/apps/box/src/crowdedBox.test.ts
@@ -39,7 +39,7 @@
       const perSecond = CAPACITY_PER_SECOND * load;
       const sources = [{ workspace: "w", tier: 1, perSecond }];
       const site = await startLoadSite({ servers: SERVERS, sources, boxes });
-      const crowd = (box: number) => {
+      const setCrowded = (box: number) => {
         const crowded = site.fleet[box]!;
         const others = site.fleet.filter((one) => one !== crowded);
         const copies = Array.from(
@@ -49,8 +49,8 @@
         site.setReceivers([...copies, ...others]);
       };
       const { requests } = await site.run(ENDS_AT_MS, [
-        { atMs: CROWDED_AT_MS, run: () => crowd(0) },
-        { atMs: MOVED_AT_MS, run: () => crowd(1) },
+        { atMs: CROWDED_AT_MS, run: () => setCrowded(0) },
+        { atMs: MOVED_AT_MS, run: () => setCrowded(1) },
       ]);
       const begunAt = Math.min(...requests.map(({ sentAt }) => sentAt)) - 4_000;
       const measure = (from: number, to: number) =>
--- a/packages/forwarding/src/carriedExchange.ts
+++ b/packages/forwarding/src/carriedExchange.ts
@@ -83,7 +83,8 @@
     else askCarrier(carrier);
   };
   const passOver = (carrier: BoxName, reason: string) => {
-    carriers.recordRefused(carrier, id);
+    if (reason === "path_lost") carriers.recordPathLost(carrier, id);
+    else carriers.recordRefused(carrier, id);
     onEvent({ kind: "carrier_passed_over", server: id, carrier, reason });
     askNext();
   };
--- a/packages/forwarding/src/carryForOthers.ts
+++ b/packages/forwarding/src/carryForOthers.ts
@@ -14,7 +14,11 @@
   CarryRefusal,
   ServerPaths,
 } from "@stairgauge/paths";
-import { toUnreachedCause, type OpenOwnExchange } from "./serverExchanges.js";
+import {
+  toUnreachedCause,
+  toUnreachedDetail,
+  type OpenOwnExchange,
+} from "./serverExchanges.js";
 
 /** Dependencies of the carrier. */
 export type CarryForOthersDeps = Readonly<{
@@ -22,7 +26,11 @@
   bounds: Pick<CarryBounds, "take">;
   paths: Pick<
     ServerPaths,
-    "isDoubtful" | "computeWait" | "recordConnected" | "recordUnreached"
+    | "isDoubtful"
+    | "findServerFailure"
+    | "computeWait"
+    | "recordConnected"
+    | "recordUnreached"
   >;
   findServer: (server: ServerId) => BackendServer | undefined;
   isLeaving: (server: BackendServer) => boolean;
@@ -51,12 +59,17 @@
   };
 
   return (question, answer) => {
-    const refuse = (reason: CarryRefusal): CarriedHandlers => {
-      answer.write({ kind: "refused", reason });
+    const endWith = (frame: CarryFrame): CarriedHandlers => {
+      answer.write(frame);
       answer.end();
       return NOT_CARRIED;
     };
+    const refuse = (reason: CarryRefusal) => endWith({ kind: "refused", reason });
     const server = findServer(question.server);
+    const failure = paths.findServerFailure(question.server);
+    // Another attempt would tell no more, and a mere refusal makes the asking box ask all others.
+    if (server && failure)
+      return endWith({ kind: "unreached", detail: toUnreachedDetail(failure) });
     const refusal = decideRefusal(server, question);
     if (refusal !== undefined || !server) return refuse(refusal ?? "server_unknown");
     const release = bounds.take(question.body.length);
--- a/packages/forwarding/src/carrying.test.ts
+++ b/packages/forwarding/src/carrying.test.ts
@@ -5,6 +5,7 @@
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
 import type { Ms } from "@stairgauge/common";
+import { MAX_OFFERS } from "@stairgauge/paths";
 import { createCarryingFleet, toBox, type Cut } from "./carrying.testkit.js";
 
 const FOREVER = Number.MAX_SAFE_INTEGER;
@@ -120,6 +121,44 @@
     expect(fleet.events.length).toBe(before);
   });
 
+  it("is offered to few carriers while servers are down that all boxes failed to reach a moment ago", () => {
+    const boxes = 7;
+    const fleet = createCarryingFleet({ boxes, servers: 4, cuts: [] });
+    fleet.setDown(0);
+    fleet.setDown(1);
+    const sendRound = (round: number) => {
+      for (let box = 0; box < boxes; box += 1)
+        for (const server of [0, 1, 2, 3])
+          fleet.send(box, server, `${round} ${box} ${server}`);
+      fleet.clock.advance(100 as Ms);
+    };
+    for (let round = 0; round < 4; round += 1) sendRound(round);
+    const asked = fleet.events.filter(({ kind }) => kind === "carrier_passed_over");
+    // Each box asks one other about each server that is down.
+    expect(asked.length).toBeLessThanOrEqual(boxes * 2);
+  });
+
+  it("is offered to a bounded number of carriers a second, however many have lost their paths", () => {
+    const boxes = 64;
+    const fleet = createCarryingFleet({
+      boxes,
+      servers: 2,
+      cuts: Array.from({ length: boxes }, (_, box) => createCut(box, 2, true)),
+    });
+    for (let box = 0; box < boxes; box += 1)
+      for (const server of [0, 1]) fleet.send(box, server, `learn ${box} ${server}`);
+    fleet.clock.advance(1_000 as Ms);
+    const before = fleet.events.length;
+    for (let round = 0; round < 10; round += 1) {
+      fleet.send(0, 0, `again ${round}`);
+      fleet.clock.advance(100 as Ms);
+    }
+    const asked = fleet.events
+      .slice(before)
+      .filter(({ kind }) => kind === "carrier_passed_over");
+    expect(asked.length).toBeLessThanOrEqual(2 * MAX_OFFERS);
+  });
+
   it("stays open when its carrier stops after it has taken the request, and is offered to no other", () => {
     const fleet = createCarryingFleet({
       boxes: 3,
--- a/packages/forwarding/src/serverExchanges.ts
+++ b/packages/forwarding/src/serverExchanges.ts
@@ -3,7 +3,7 @@
  * the server. A request whose connection could not be established was not sent, so it is carried within
  * the same attempt; a request that may have been sent never changes its way.
  */
-import type { Ms } from "@stairgauge/common";
+import { assertNever, type Ms } from "@stairgauge/common";
 import type { BackendServer, ServerId } from "@stairgauge/directory";
 import type { ServerPaths, UnreachedCause } from "@stairgauge/paths";
 import {
@@ -72,6 +72,18 @@
 export const toUnreachedCause = (detail: string): UnreachedCause =>
   detail === REFUSED_CODE ? "refused" : "no_connection";
 
+/** Describes such a failure as the connection itself does. */
+export const toUnreachedDetail = (cause: UnreachedCause): string => {
+  switch (cause) {
+    case "refused":
+      return REFUSED_CODE;
+    case "no_connection":
+      return "no connection in time";
+    default:
+      return assertNever(cause);
+  }
+};
+
 /** Adds what another box found out: only its own failure confirms that nothing listens at the address. */
 const toUnreachable = (
   direct: ExchangeFailure,
--- a/packages/paths/src/constants.ts
+++ b/packages/paths/src/constants.ts
@@ -34,15 +34,15 @@
 /** Probes sent at one check; boxes with many lost paths probe them in turn. */
 export const MAX_PROBES_AT_ONCE = 4;
 
-/** How long a box that refused to carry to a server is asked last for it. */
+/** How long a box that refused to carry to a server is asked last for it, or not at all if it has lost its path. */
 export const REFUSED_MS = 1_000;
 
 /** How long a box that sent nothing for a carried request in time is asked last. */
 export const SILENT_MS = 3_000;
 
 /**
- * Boxes that one request is offered to. A refusal takes a few milliseconds, a connection without an
- * answer as long as the wait for one.
+ * Boxes that one request is offered to, and boxes that are asked about one server within REFUSED_MS while all of them
+ * have lost their paths. A refusal takes a few milliseconds, a connection without an answer as long as the wait for one.
  */
 export const MAX_OFFERS = 24;
 
--- a/packages/paths/src/serverPaths.ts
+++ b/packages/paths/src/serverPaths.ts
@@ -41,6 +41,11 @@
    * other box was asked whether it reaches the server.
    */
   isDoubtful: (server: ServerId) => boolean;
+  /**
+   * Why this box failed to connect to the server a moment ago, although it has reached others since: the path is
+   * intact as far as it can tell, so the server is what failed. Undefined otherwise.
+   */
+  findServerFailure: (server: ServerId) => UnreachedCause | undefined;
   /** Whether neither this box nor a carrier reached the server a moment ago. */
   isDown: (server: ServerId) => boolean;
   /** How long a connection may take before another box is asked; `limit` while nothing is known. */
@@ -139,6 +144,12 @@
       const recent = listRecentFailures();
       return isLost(id) || (recent.has(id) && recent.size > 1);
     },
+    findServerFailure: (id) => {
+      const failed = failures.get(id);
+      if (!failed || isLost(id)) return undefined;
+      const isRecent = clock.monotonic() - failed.at < DOWN_MS;
+      return isRecent && reachedAt >= failed.at ? failed.cause : undefined;
+    },
     isDown: (id) => (downUntil.get(id) ?? -Infinity) > clock.monotonic(),
     computeWait: ({ dataHall }, limit) => {
       const longest = longestByHall.get(dataHall);
