fix: a stream that may not be repeated is answered at once when its server breaks it off

The wait for the check of a server, up to 0.3 s, that the guard against crashing parts had brought came also where the request goes nowhere else whatever the check says. Its caller had to wait for the same 502.

--- a/packages/forwarding/src/concludeAttempt.ts
+++ b/packages/forwarding/src/concludeAttempt.ts
@@ -25,6 +25,7 @@
   EndingSteps,
   RetryingSteps,
 } from "./dispatchParts.js";
+import { mayRepeat } from "./mayRepeat.js";
 import { recordPlainAnswer } from "./observePace.js";
 import { recordServerSignals } from "./recordServerSignals.js";
 import { classifyAttempt } from "./requestAttempts.js";
@@ -155,10 +156,10 @@
 
   /**
    * Concludes an attempt that its server broke off before the first event. A stream that may have ended its server is
-   * tried elsewhere only once it is known that the server lives.
+   * tried elsewhere only once it is known that the server lives; one that may not be repeated has nothing to wait for.
    */
   const concludeBroken = async (attempt: Attempt, end: AttemptEnd) => {
-    await guard.mayContinue(attempt.server);
+    if (!isPlain && mayRepeat(route)) await guard.mayContinue(attempt.server);
     if (state.isCurrent(attempt)) conclude(attempt, end);
   };
 
@@ -217,8 +218,7 @@
       const { body } = attempt;
       switch (body.kind) {
         case "held":
-          if (isPlain) conclude(attempt, end);
-          else void concludeBroken(attempt, end);
+          void concludeBroken(attempt, end);
           return;
         case "passed_on": {
           const ended = reports.describeAttemptEnd(attempt, end);
