fix: the plain request that goes next is not refused for lack of room

Cause: a request is refused under overload if its answer is expected after nine tenths of its target, with twice its service time. One that goes next is not late by waiting, and its slot goes to a request that is later still.

--- a/packages/admission/src/decideWaiting.ts
+++ b/packages/admission/src/decideWaiting.ts
@@ -45,6 +45,9 @@
   if (answerAt > endsAt) return { refusal: "too_late", expectedWait };
   const plannedAim = arrivedAt + (aimAt - arrivedAt) * PLANNED_AIM_SHARE;
   const isOverload = rate !== undefined && arrivalsUpTo > rate * OVERLOAD_SHARE;
-  const refusal = isOverload && answerAt > plannedAim ? "no_room" : undefined;
+  // The request that goes next is not late by waiting: to refuse it would leave its slot to one that is later.
+  const isBehindOthers = position > 0;
+  const refusal =
+    isOverload && isBehindOthers && answerAt > plannedAim ? "no_room" : undefined;
   return { refusal, expectedWait };
 };
