--- a/apps/box/src/createLifecycle.ts
+++ b/apps/box/src/createLifecycle.ts
@@ -115,12 +115,12 @@
       // Starts what clients wait for first: after a loss of all boxes no request is served
       // before.
       followedTables.start();
+      options.versionRows.start();
       const ports = await listen();
       peerAddress.setPort(ports.peers);
       links.setSeeds(listSeeds());
       followedTables.startOwnLists();
       blockedList.start();
-      options.versionRows.start();
       membership.join();
       standbys.start();
       log.writeNotice("started", { ports, policy: getSettings().policy });
--- a/apps/box/src/createOrigins.ts
+++ b/apps/box/src/createOrigins.ts
@@ -83,6 +83,7 @@
       observeServers();
       return rows.isLoaded() ? history.list(service, clock.monotonic()) : undefined;
     },
+    awaitVersions: rows.awaitFirstRead,
     isOutOfTouch: knowledge.isOutOfTouch,
     countBoxes: links.countBoxes,
     countConnected: () => links.listConnected().length,
--- a/packages/origins/src/streamOrigins.ts
+++ b/packages/origins/src/streamOrigins.ts
@@ -28,6 +28,8 @@
   finder: OriginFinder;
   /** Versions that may have begun a stream of the service; undefined if this box can't be sure of them. */
   listVersions: (service: ServiceName) => VersionSet | undefined;
+  /** Resolves once this box knows which versions have served before it started, or has failed to learn it. */
+  awaitVersions: () => Promise<unknown>;
   isOutOfTouch: () => boolean;
   countBoxes: () => number;
   countConnected: () => number;
@@ -70,6 +72,7 @@
   return {
     resolve: async (subject) => {
       const found = await findOrigin(findKey(subject));
+      if (found.kind === "not_known") await deps.awaitVersions();
       return decideOrigin({
         found,
         service: subject.service,
--- a/packages/origins/src/versionRows.test.ts
+++ b/packages/origins/src/versionRows.test.ts
@@ -102,6 +102,14 @@
     expect(late.list()).toEqual(["v1", "v1.2"]);
   });
 
+  it("lets a request wait that comes before the rows have been read", async () => {
+    const clock = createVirtualClock();
+    const box = startBox(clock, createStore(), 0);
+    expect(box.rows.isLoaded()).toBe(false);
+    await box.rows.awaitFirstRead();
+    expect(box.rows.isLoaded()).toBe(true);
+  });
+
   it("forgets a version some time after its last server", async () => {
     const clock = createVirtualClock();
     const store = createStore();
--- a/packages/origins/src/versionRows.ts
+++ b/packages/origins/src/versionRows.ts
@@ -42,6 +42,8 @@
   checkSoon: () => void;
   /** Reads the rows again: this box may have missed versions while it had lost the store. */
   reload: () => void;
+  /** Resolves once the rows have been read for the first time, or that has failed. */
+  awaitFirstRead: () => Promise<unknown>;
   /** Whether the rows have been read, so that the history holds what served before this box started. */
   isLoaded: () => boolean;
   stop: () => void;
@@ -86,6 +88,7 @@
   const { clock, reader, writer, table, limit, history, getRank, onFailure } = options;
   let stored = new Map<ServiceName, VersionSet>();
   let isLoaded = false;
+  let firstRead: Promise<boolean> | undefined;
   let isStopped = false;
   let check: Timer | undefined;
   /** Since when the rows differ from the history; undefined while they don't. */
@@ -144,7 +147,11 @@
   };
   /** The box of rank 0 writes at once; the next ones step in, one check later each, if it has not. */
   const checkRows = async () => {
-    if (!isLoaded && !(await load())) return;
+    if (!isLoaded) {
+      const read = load();
+      firstRead ??= read;
+      if (!(await read)) return;
+    }
     if (listChanged().length === 0) {
       differsSince = undefined;
       return;
@@ -176,6 +183,7 @@
     reload: () => {
       if (isLoaded) void load();
     },
+    awaitFirstRead: () => firstRead ?? Promise.resolve(),
     isLoaded: () => isLoaded,
     stop: () => {
       isStopped = true;
