refactor: bounded collections are trimmed by one function

The record of harmless parts had brought a dropOldest of its own beside those of the crash registry, the pace package, the fair shares and the list of servers. The one of pace is in common now and serves all five.

--- a/packages/admission/src/fairShares.ts
+++ b/packages/admission/src/fairShares.ts
@@ -8,7 +8,7 @@
  *
  * Pure but for the times passed in.
  */
-import type { Ms } from "@stairgauge/common";
+import { dropOldest, type Ms } from "@stairgauge/common";
 import {
   MAX_ACCOUNTS,
   MAX_CREDIT_MS,
@@ -75,14 +75,6 @@
   return { pool, workspace: ofWorkspace, subject: `${ofWorkspace}\n${subject}` };
 };
 
-/** Removes the least recently used entries beyond `max`. */
-const evictOldest = (map: Map<string, unknown>, max: number): void => {
-  for (const key of map.keys()) {
-    if (map.size <= max) return;
-    map.delete(key);
-  }
-};
-
 /** Creates shares without any usage. */
 export const createFairShares = ({
   maxAccounts = MAX_ACCOUNTS,
@@ -174,14 +166,14 @@
       pool.level = Math.max(pool.level, workspace.usage);
       pool.spent += cost;
       pool.largest = Math.max(pool.largest, cost);
-      evictOldest(accounts, maxAccounts);
-      evictOldest(pools, maxAccounts);
+      dropOldest(accounts, maxAccounts);
+      dropOldest(pools, maxAccounts);
     },
     chargeRefused: (charged, now) => {
       advanceEpoch(now);
       const cost = charged.cost * REFUSED_COST_SHARE * getScale(now);
       openAccount(makeKeys(charged).subject, now).usage += cost;
-      evictOldest(accounts, maxAccounts);
+      dropOldest(accounts, maxAccounts);
     },
     compare: (a, b) => {
       const [first, second] = [getKeys(a), getKeys(b)];
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -11,6 +11,7 @@
 export type { VirtualClock } from "./virtualClock.js";
 export { createSeededRandom, createSystemRandom } from "./random.js";
 export type { Random } from "./random.js";
+export { dropOldest } from "./dropOldest.js";
 export { waitFor } from "./waitFor.js";
 export { connectTcp } from "./dialer.js";
 export type { Dialer } from "./dialer.js";
--- a/packages/crashes/src/crashRegistry.ts
+++ b/packages/crashes/src/crashRegistry.ts
@@ -1,5 +1,5 @@
 /** Records which servers crashed under which requests, in bounded memory. Pure: the time is passed in. */
-import type { Ms } from "@stairgauge/common";
+import { dropOldest, type Ms } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
 import { BLOCKED_PART_MEMORY_MS } from "./constants.js";
 import type { RequestDigest, ServerCrash, RequestStatus } from "./types.js";
@@ -71,10 +71,6 @@
     }
   };
 
-  const dropOldest = (entries: Map<RequestDigest, unknown>) => {
-    const [oldest] = entries.keys();
-    if (oldest !== undefined) entries.delete(oldest);
-  };
   /** Removes the oldest request with too few crashes to be blocked, or the oldest of all if there is none. */
   const dropLeastSuspect = () => {
     for (const [digest, known] of crashes) {
@@ -82,7 +78,7 @@
       crashes.delete(digest);
       return;
     }
-    dropOldest(crashes);
+    dropOldest(crashes, MAX_REQUESTS);
   };
 
   const add = (crash: ServerCrash, now: Ms): boolean => {
@@ -122,7 +118,7 @@
       if (!crashes.delete(digest)) return false;
       releasedAt.delete(digest);
       releasedAt.set(digest, now);
-      if (releasedAt.size > MAX_REQUESTS) dropOldest(releasedAt);
+      dropOldest(releasedAt, MAX_REQUESTS);
       return true;
     },
     getStatus,
--- a/packages/crashes/src/harmlessParts.ts
+++ b/packages/crashes/src/harmlessParts.ts
@@ -2,7 +2,7 @@
  * Records the parts of prompts on which servers have written answers and gone on. A part that crashes servers crashes
  * each, so a server that once survived a part did not end for it. In bounded memory; the time is passed in.
  */
-import type { Ms } from "@stairgauge/common";
+import { dropOldest, type Ms } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
 import type { RequestDigest } from "./types.js";
 
@@ -24,12 +24,6 @@
 /** A part that was survived longer ago may meet servers with other software. */
 const PROOF_MEMORY_MS = 3_600_000;
 
-const dropOldest = (entries: Map<unknown, unknown> | Set<unknown>, max: number) => {
-  if (entries.size <= max) return;
-  const [oldest] = entries.keys();
-  entries.delete(oldest);
-};
-
 /** Creates an empty record. */
 export const createHarmlessParts = (): HarmlessParts => {
   const byServer = new Map<ServerId, Set<RequestDigest>>();
--- a/packages/directory/src/serverDirectory.ts
+++ b/packages/directory/src/serverDirectory.ts
@@ -1,5 +1,10 @@
 /** The list of backend servers. It is changed only by entries and by marks. */
-import type { DataHallName, Ms, ServiceName } from "@stairgauge/common";
+import {
+  dropOldest,
+  type DataHallName,
+  type Ms,
+  type ServiceName,
+} from "@stairgauge/common";
 import { getLeavingEvidence, isStronger, isTakenBack } from "./leavingReasons.js";
 import type {
   BackendServer,
@@ -122,8 +127,7 @@
   const recordLeft = (id: ServerId, reason: LeavingReason) => {
     if (getLeavingEvidence(reason) !== "own_word") return;
     announcedLeaving.set(id, reason);
-    const [oldest] = announcedLeaving.keys();
-    if (announcedLeaving.size > MAX_ANNOUNCED_LEAVING) announcedLeaving.delete(oldest!);
+    dropOldest(announcedLeaving, MAX_ANNOUNCED_LEAVING);
   };
   const mark = (id: ServerId, reason: LeavingReason, now: Ms) => {
     const server = servers.get(id);
--- a/packages/pace/src/eventLimit.ts
+++ b/packages/pace/src/eventLimit.ts
@@ -1,8 +1,7 @@
 /** Reports estimates that have changed by more than half, at most a few per second. */
-import type { BoxName } from "@stairgauge/common";
+import { dropOldest, type BoxName } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
 import { EVENTS_PER_SECOND, MAX_SERVERS, REPORTED_FACTOR } from "./constants.js";
-import { dropOldest } from "./dropOldest.js";
 import { MEASURES, type PaceRecord } from "./paceRecord.js";
 import type { PaceEvent, PaceMeasure } from "./types.js";
 
--- a/packages/pace/src/paceRegistry.ts
+++ b/packages/pace/src/paceRegistry.ts
@@ -6,7 +6,13 @@
  * it has free slots, whatever each of them takes. All of it is advisory; it is lost with the box and
  * learned again within seconds.
  */
-import type { BoxName, Clock, Ms, ServiceName } from "@stairgauge/common";
+import {
+  dropOldest,
+  type BoxName,
+  type Clock,
+  type Ms,
+  type ServiceName,
+} from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
 import {
   EXPIRY_MS,
@@ -18,7 +24,6 @@
   VIEW_MS,
 } from "./constants.js";
 import { createEventLimit } from "./eventLimit.js";
-import { dropOldest } from "./dropOldest.js";
 import {
   addSums,
   MEASURES,
--- a/packages/pace/src/readingTimer.ts
+++ b/packages/pace/src/readingTimer.ts
@@ -5,10 +5,9 @@
  * different urgency, so the others would need the engine's own order. A hub needs no message besides
  * the updates of runs.
  */
-import type { ServiceName } from "@stairgauge/common";
+import { dropOldest, type ServiceName } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
 import { MIN_PROMPT_TOKENS } from "./constants.js";
-import { dropOldest } from "./dropOldest.js";
 import type { PaceSample } from "./types.js";
 
 /** The runs whose prompts wait or are processed, as one box knows them. */
