--- a/packages/decisions/src/lengthEstimator.ts
+++ b/packages/decisions/src/lengthEstimator.ts
@@ -6,6 +6,7 @@
  * Memory is bounded by the number of models and by `MAX_CURVES` for workspaces: the least recently
  * used curves are evicted.
  */
+import { dropOldest } from "@stairgauge/common";
 import {
   CURVE_DECAY,
   MAX_CURVES,
@@ -123,9 +124,7 @@
   const touch = (key: string, counts: Counts) => {
     byWorkspace.delete(key);
     byWorkspace.set(key, counts);
-    if (byWorkspace.size <= MAX_CURVES) return;
-    const [oldest] = byWorkspace.keys();
-    if (oldest !== undefined) byWorkspace.delete(oldest);
+    dropOldest(byWorkspace, MAX_CURVES);
   };
 
   return {
--- a/packages/storefeed/src/restoreGuard.ts
+++ b/packages/storefeed/src/restoreGuard.ts
@@ -2,7 +2,13 @@
  * Protects the known rows of a table when the store is restored from a backup. The backup may lack or undo writes that the
  * store had acknowledged; their writers write them again. Until then the rules of the table decide which rows are used.
  */
-import { assertNever, type Clock, type Ms, type Timer } from "@stairgauge/common";
+import {
+  assertNever,
+  dropOldest,
+  type Clock,
+  type Ms,
+  type Timer,
+} from "@stairgauge/common";
 import { compareRevisions, UNKNOWN_ERA, type StoreRevision } from "./revision.js";
 import type { FollowerSink } from "./tableFollower.js";
 import type { RestoreReport, RestoreRules, UnsettledRows } from "./restoreTypes.js";
@@ -64,8 +70,7 @@
   const recordDropped = (key: string) => {
     dropped.delete(key);
     dropped.add(key);
-    const [oldest] = dropped;
-    if (dropped.size > MAX_DROPPED) dropped.delete(oldest!);
+    dropOldest(dropped, MAX_DROPPED);
   };
   const applyChange = (change: RowChange) => {
     const key = change.kind === "put" ? change.row.key : change.key;
