refactor: a served stream's prompt parts are hashed without its body

Each stream whose prompt has parts hashed its whole body once it had been served, though only the parts are recorded; the whole digest is for requests that broke or are suspected. The suspects of a call are listed apart for that.

--- a/packages/crashes/src/hashRequest.ts
+++ b/packages/crashes/src/hashRequest.ts
@@ -1,5 +1,5 @@
 /** Identifies a request across its attempts by its host, path, caller and body. Pure. */
-import { createHash } from "node:crypto";
+import { createHash, type Hash } from "node:crypto";
 import type { RequestDigest } from "./types.js";
 
 /** 128 bits: the probability that two of a fleet's requests in a year share a digest by chance is below 1e-15. */
@@ -15,6 +15,10 @@
   body: Buffer;
 }>;
 
+/** Completes the hash of a suspect. */
+export const toDigest = (hash: Hash): RequestDigest =>
+  hash.digest("hex").slice(0, DIGEST_HEX_DIGITS) as RequestDigest;
+
 /** Computes the digest. Takes 7 µs for a body of 3 kB on one core (mean of 100,000). */
 export const hashRequest = ({
   host,
@@ -22,8 +26,8 @@
   caller,
   body,
 }: RequestContent): RequestDigest =>
-  createHash("sha256")
-    .update(JSON.stringify([host, target, caller ?? null]))
-    .update(body)
-    .digest("hex")
-    .slice(0, DIGEST_HEX_DIGITS) as RequestDigest;
+  toDigest(
+    createHash("sha256")
+      .update(JSON.stringify([host, target, caller ?? null]))
+      .update(body),
+  );
--- a/packages/crashes/src/partSuspects.test.ts
+++ b/packages/crashes/src/partSuspects.test.ts
@@ -23,6 +23,17 @@
 /** Ends that a load may take until each request with the bad part is refused; the users' rule begins after the fifth. */
 const MAX_ENDS = 4;
 
+/** Makes a request with these parts, whose last one is its own and its body. */
+const makeRequest = (...parts: string[]) =>
+  listSuspects({
+    host: "h",
+    target: "/a",
+    caller: "w",
+    body: Buffer.from(parts.at(-1)!),
+    service: SERVICE,
+    parts,
+  });
+
 const createGuard = (clock: ReturnType<typeof createVirtualClock>) =>
   createRequestGuard({
     clock,
@@ -47,17 +58,10 @@
   const random = createSeededRandom(seed);
   const guard = createGuard(clock);
   let next = 0;
-  const makeRequest = (isBad: boolean): readonly Suspect[] => {
+  const makeNext = (isBad: boolean) => {
     next += 1;
     const document = `d${random.nextInt(0, DOCUMENTS - 1)}`;
-    return listSuspects({
-      host: "h",
-      target: "/a",
-      caller: "w",
-      body: Buffer.from(String(next)),
-      service: SERVICE,
-      parts: [SYSTEM, ...(isBad ? [BAD] : []), document, `own${next}`],
-    });
+    return makeRequest(SYSTEM, ...(isBad ? [BAD] : []), document, `own${next}`);
   };
   const isRefused = (suspects: readonly Suspect[]) =>
     guard.findBlock(() => suspects) !== undefined;
@@ -65,25 +69,26 @@
   /** Servers complete sound requests, unless these are refused. */
   const serveSound = (count: number) => {
     for (let i = 0; i < count; i += 1) {
-      const suspects = makeRequest(false);
+      const suspects = makeNext(false);
       if (isRefused(suspects)) {
         soundRefused += 1;
         continue;
       }
       const begunAt = clock.monotonic();
       clock.advance(5 as Ms);
-      guard.recordSurvived({ suspects, server: `sound${i}` as ServerId, begunAt });
-      guard.recordServed(() => suspects[0]!.digest);
+      const [whole, ...parts] = suspects;
+      guard.recordSurvived({ parts, server: `sound${i}` as ServerId, begunAt });
+      guard.recordServed(() => whole.digest);
     }
   };
   serveSound(servedBefore);
   let ends = 0;
   while (ends < 12) {
-    const bad = makeRequest(true);
+    const bad = makeNext(true);
     if (isRefused(bad)) break;
     ends += 1;
     const server = `server${ends}` as ServerId;
-    const others = Array.from({ length: aboard }, () => makeRequest(false));
+    const others = Array.from({ length: aboard }, () => makeNext(false));
     for (const suspects of [bad, ...others])
       for (const suspect of suspects) guard.recordCrash({ ...suspect, server });
     clock.advance(50 as Ms);
@@ -131,22 +136,12 @@
   it("leaves nothing blocked when servers that have survived all parts end for another reason", () => {
     const clock = createVirtualClock();
     const guard = createGuard(clock);
-    const makeSound = (body: string) =>
-      listSuspects({
-        host: "h",
-        target: "/a",
-        caller: "w",
-        body: Buffer.from(body),
-        service: SERVICE,
-        parts: [SYSTEM, "d1", body],
-      });
+    const makeSound = (own: string) => makeRequest(SYSTEM, "d1", own);
     const servers = Array.from({ length: 12 }, (_, i) => `server${i}` as ServerId);
-    for (const server of servers)
-      guard.recordSurvived({
-        suspects: makeSound(`before ${server}`),
-        server,
-        begunAt: clock.monotonic(),
-      });
+    for (const server of servers) {
+      const [, ...parts] = makeSound(`before ${server}`);
+      guard.recordSurvived({ parts, server, begunAt: clock.monotonic() });
+    }
     clock.advance(10 as Ms);
     for (const server of servers)
       for (const suspect of makeSound(`aboard ${server}`))
@@ -157,15 +152,7 @@
 });
 
 describe("a blocked part of a prompt", () => {
-  const makeBad = (body: string) =>
-    listSuspects({
-      host: "h",
-      target: "/a",
-      caller: "w",
-      body: Buffer.from(body),
-      service: SERVICE,
-      parts: [BAD, body],
-    });
+  const makeBad = (own: string) => makeRequest(BAD, own);
 
   it("ends no more than three servers a day while it goes on crashing them", () => {
     const clock = createVirtualClock();
--- a/packages/crashes/src/requestGuard.ts
+++ b/packages/crashes/src/requestGuard.ts
@@ -17,6 +17,7 @@
 import { createHarmlessParts } from "./harmlessParts.js";
 import type {
   CrashUpdate,
+  PartSuspect,
   RequestDigest,
   ServerCrash,
   RequestStatus,
@@ -54,9 +55,9 @@
 /** A crash that this box has seen, of a server that the suspect may have crashed. */
 export type ObservedCrash = Pick<ServerCrash, "digest" | "server" | "part">;
 
-/** Suspects that a server has survived: it has written an answer on them, and goes on. */
+/** Parts of a prompt that a server has survived: it has written an answer on them, and goes on. */
 export type Survived = Readonly<{
-  suspects: readonly Suspect[];
+  parts: readonly PartSuspect[];
   server: ServerId;
   /** When the request was sent, by the monotonic clock. Earlier crashes had another cause. */
   begunAt: Ms;
@@ -265,9 +266,8 @@
       if (registry.isEmpty(getNow()) && broken.size === 0) return true;
       return getSuspects().every((suspect) => mayResendSuspect(suspect, broken));
     },
-    recordSurvived: ({ suspects, server, begunAt }) => {
-      for (const { kind, digest } of suspects) {
-        if (kind !== "prompt_part") continue;
+    recordSurvived: ({ parts, server, begunAt }) => {
+      for (const { digest } of parts) {
         harmless.add(server, digest, getNow());
         if (isAfterCrashes(digest, begunAt)) recordServed(digest);
       }
--- a/packages/crashes/src/types.ts
+++ b/packages/crashes/src/types.ts
@@ -5,13 +5,17 @@
 /** Identifies a request that is sent again under another id, at any box. A digest, so that no content is kept. */
 export type RequestDigest = Brand<string, "RequestDigest">;
 
+/** A part of a prompt as what may have caused a crash; other requests may hold it as well. */
+export type PartSuspect = Readonly<{
+  kind: "prompt_part";
+  digest: RequestDigest;
+  part: string;
+}>;
+
 /** What may have caused a crash. The digest identifies it among suspects of all kinds. */
-export type Suspect = Readonly<
+export type Suspect =
   /** The request as a whole, by its content. */
-  | { kind: "request"; digest: RequestDigest }
-  /** A part of its prompt, which other requests may hold as well. */
-  | { kind: "prompt_part"; digest: RequestDigest; part: string }
->;
+  Readonly<{ kind: "request"; digest: RequestDigest }> | PartSuspect;
 
 /** A crash of a server while it ran a request with this suspect. */
 export type ServerCrash = Readonly<{
--- a/packages/forwarding/src/guardCall.ts
+++ b/packages/forwarding/src/guardCall.ts
@@ -68,21 +68,22 @@
 export const createCallGuard = (options: GuardCallOptions): CallGuard => {
   const { deps, request, countEvents, reportBroken } = options;
   const { clock, placer, guard, crashDetector } = deps;
-  const getSuspects = createSuspects(request);
-  const getDigest = () => getSuspects()[0].digest;
+  const suspects = createSuspects(request);
+  const getDigest = () => suspects.listAll()[0].digest;
   /** Servers that broke the request off and are not known to be alive. */
   const suspectedServers = new Set<ServerId>();
 
   /** The attempt whose server is known to have survived the parts of the prompt. */
   let survivedAttempt: Attempt | undefined;
 
-  const mayRepeat = () => guard.mayResend(getSuspects, suspectedServers);
+  const mayRepeat = () => guard.mayResend(suspects.listAll, suspectedServers);
 
   const recordSurvived = (attempt: Attempt) => {
-    if (survivedAttempt === attempt || request.head.promptParts.length === 0) return;
+    if (survivedAttempt === attempt) return;
     survivedAttempt = attempt;
     const { server, openedAt: begunAt } = attempt;
-    guard.recordSurvived({ suspects: getSuspects(), server: server.entry.id, begunAt });
+    const parts = suspects.listParts();
+    guard.recordSurvived({ parts, server: server.entry.id, begunAt });
   };
 
   const measureRun = ({ answeredAt, eventsBefore }: Attempt): InterruptedRun => ({
@@ -94,13 +95,11 @@
     const { id } = server.entry;
     const aboard = placer.countRequestsAt(server);
     const end = await crashDetector.check(server);
-    const suspects = getSuspects();
-    const parts = suspects.flatMap((one) =>
-      one.kind === "prompt_part" ? [one.part] : [],
-    );
+    const parts = suspects.listParts().map(({ part }) => part);
     if (end.verdict !== "ended") suspectedServers.delete(id);
     else if (mayHaveCrashedServer(run))
-      for (const suspect of suspects) guard.recordCrash({ ...suspect, server: id });
+      for (const suspect of suspects.listAll())
+        guard.recordCrash({ ...suspect, server: id });
     reportBroken(server, { ...end, ...run, digest: getDigest(), parts, aboard });
   };
 
@@ -108,7 +107,7 @@
     Promise.race([crashDetector.check(server), waitFor(clock, limit)]);
 
   return {
-    findBlock: () => guard.findBlock(getSuspects),
+    findBlock: () => guard.findBlock(suspects.listAll),
     mayRepeat,
     mayContinue: async (previous) => {
       if (mayRepeat()) return true;
