refactor: a box looks at its servers' versions once after several changes, not at each

Each event of the list of servers went through the whole list, and computed the versions of each service twice, with a scan of all routes each time: with 750 servers, hundreds of thousands of steps as a box starts. The longest answer of a resumable route is worked out once for each configuration, beside the shortest pause, which was there.

A version counts from when its last server has gone from the list, as the design says; it counted from the event of any server before that. origins, routing, takenUpStreams, softwareVersions and joinFaults: 82 tests pass.

--- a/apps/box/src/createDirectory.ts
+++ b/apps/box/src/createDirectory.ts
@@ -48,7 +48,7 @@
     placer: Pick<FleetPlacer, "forget">;
     paths: Readonly<{ paths: Pick<Paths["paths"], "forget"> }>;
     pace: Pick<Pace, "drop">;
-    origins: Pick<Origins, "onServersChanged">;
+    origins: Readonly<{ rows: Pick<Origins["rows"], "checkSoon"> }>;
   }>;
 }>;
 
@@ -103,7 +103,7 @@
   };
   const onEvent = (event: DirectoryEvent) => {
     observeServers({ log, metrics }, directory, event);
-    parts.getParts().origins.onServersChanged();
+    parts.getParts().origins.rows.checkSoon();
     const { kind, server } = event;
     switch (kind) {
       case "joined":
--- a/apps/box/src/createKnowledge.ts
+++ b/apps/box/src/createKnowledge.ts
@@ -67,12 +67,7 @@
     findService,
     isEngineService: (service) => findService(service)?.engine !== undefined,
     getGapTarget: () => holder.getIndex()?.shortestPauseAim,
-    getLongestStream: () => {
-      const { routes = [] } = holder.getIndex()?.configuration ?? {};
-      const limits = routes.filter((route) => route.isResumable);
-      if (limits.length === 0) return undefined;
-      return Math.max(...limits.map(({ answerLimit }) => answerLimit)) as Ms;
-    },
+    getLongestStream: () => holder.getIndex()?.longestStream,
     isOutOfTouch: () => configuration.getAge() > outOfTouchAge,
     isCurrent: () => {
       const freshness = configuration.getFreshness();
--- a/apps/box/src/createOrigins.ts
+++ b/apps/box/src/createOrigins.ts
@@ -25,18 +25,13 @@
   settings: BoxSettings;
   clock: Clock;
   log: DecisionLog;
-  knowledge: Pick<Knowledge, "isOutOfTouch" | "agingClock" | "getLongestStream">;
+  knowledge: Pick<Knowledge, "isOutOfTouch" | "getLongestStream">;
   peers: Pick<Peers, "links" | "reporter">;
   /** Parts that are created later. */
   getParts: () => Readonly<{ directory: Pick<ServerDirectory, "list"> }>;
 }>;
 
-export type Origins = Readonly<{
-  streams: StreamOrigins;
-  rows: VersionRows;
-  /** The list of servers has changed. */
-  onServersChanged: () => void;
-}>;
+export type Origins = Readonly<{ streams: StreamOrigins; rows: VersionRows }>;
 
 /** Longest time of one answer until the configuration is read. */
 const ASSUMED_ANSWER_MS = 60_000;
@@ -49,6 +44,13 @@
   const history = createVersionHistory(
     () => ((knowledge.getLongestStream() ?? ASSUMED_ANSWER_MS) + TAKE_UP_MARGIN_MS) as Ms,
   );
+  const observeServers = () =>
+    history.observe(
+      getParts()
+        .directory.list()
+        .map(({ entry }) => entry),
+      clock.monotonic(),
+    );
   const rows = createVersionRows({
     clock,
     reader: createStoreReader({
@@ -60,16 +62,10 @@
     table: VERSIONS_TABLE,
     limit: settings.store.patienceMs as Ms,
     history,
+    observeServers,
     getRank: () => links.findPlace()?.rank,
     onFailure: (failure) => log.writeWarning("software_versions", { failure }),
   });
-  const observeServers = () =>
-    history.observe(
-      getParts()
-        .directory.list()
-        .map(({ entry }) => entry),
-      clock.monotonic(),
-    );
   const streams = createStreamOrigins({
     clock,
     registry,
@@ -89,12 +85,5 @@
     countConnected: () => links.listConnected().length,
     sendOrigin: reporter.recordOrigin,
   });
-  return {
-    streams,
-    rows,
-    onServersChanged: () => {
-      observeServers();
-      rows.checkSoon();
-    },
-  };
+  return { streams, rows };
 };
--- a/packages/origins/src/versionRows.test.ts
+++ b/packages/origins/src/versionRows.test.ts
@@ -70,6 +70,7 @@
     table: "versions",
     limit: 1_000 as Ms,
     history,
+    observeServers: () => undefined,
     getRank: () => rank,
     onFailure: (failure) => failures.push(failure),
   });
--- a/packages/origins/src/versionRows.ts
+++ b/packages/origins/src/versionRows.ts
@@ -29,6 +29,8 @@
   /** Time limit of one call. */
   limit: Ms;
   history: VersionHistory;
+  /** Records the servers that are listed now in the history. */
+  observeServers: () => void;
   /** Rank of this box among all; undefined before the list of boxes is read. */
   getRank: () => number | undefined;
   onFailure: (failure: VersionRowsFailure) => void;
@@ -86,6 +88,7 @@
 /** Creates the rows; nothing is read before `start`. */
 export const createVersionRows = (options: VersionRowsOptions): VersionRows => {
   const { clock, reader, writer, table, limit, history, getRank, onFailure } = options;
+  const { observeServers } = options;
   let stored = new Map<ServiceName, VersionSet>();
   let isLoaded = false;
   let firstRead: Promise<boolean> | undefined;
@@ -94,6 +97,7 @@
   /** Since when the rows differ from the history; undefined while they don't. */
   let differsSince: Ms | undefined;
   let isChecking = false;
+  let isCheckSoon = false;
 
   const applyRows = (rows: readonly StoredRow[]) => {
     const now = clock.monotonic();
@@ -152,6 +156,7 @@
       firstRead ??= read;
       if (!(await read)) return;
     }
+    observeServers();
     if (listChanged().length === 0) {
       differsSince = undefined;
       return;
@@ -165,6 +170,7 @@
   };
   const run = async () => {
     isChecking = true;
+    isCheckSoon = false;
     await checkRows();
     isChecking = false;
     schedule(CHECK_MS);
@@ -178,7 +184,9 @@
     start: () => void run(),
     checkSoon: () => {
       // A check that is under way is followed by another one anyway.
-      if (isLoaded && !isChecking && listChanged().length > 0) schedule(CHANGE_PAUSE_MS);
+      if (!isLoaded || isChecking || isCheckSoon) return;
+      isCheckSoon = true;
+      schedule(CHANGE_PAUSE_MS);
     },
     reload: () => {
       if (isLoaded) void load();
--- a/packages/routing/src/indexConfiguration.ts
+++ b/packages/routing/src/indexConfiguration.ts
@@ -12,6 +12,8 @@
   findService: (name: ServiceName) => ServiceSpec | undefined;
   /** Shortest target for pauses between events of all routes; undefined if no route names one. */
   shortestPauseAim: Ms | undefined;
+  /** Longest time of one answer of the streams that clients may take up; undefined if no route has such. */
+  longestStream: Ms | undefined;
 }>;
 
 const PORT_SUFFIX = /:\d+$/;
@@ -35,6 +37,13 @@
   return aims.length > 0 ? (Math.min(...aims) as Ms) : undefined;
 };
 
+const findLongestStream = (routes: readonly Route[]): Ms | undefined => {
+  const limits = routes.flatMap(({ isResumable, answerLimit }) =>
+    isResumable ? [answerLimit] : [],
+  );
+  return limits.length > 0 ? (Math.max(...limits) as Ms) : undefined;
+};
+
 /** Builds the lookups; finding a route costs one map access per path segment. */
 export const indexConfiguration = (
   configuration: FleetConfiguration,
@@ -58,6 +67,7 @@
     configuration,
     hasKeys: configuration.workspaces !== undefined,
     shortestPauseAim: findShortestPauseAim(configuration.routes),
+    longestStream: findLongestStream(configuration.routes),
     findRoute: (host, path) => {
       const routes = routesByHost.get(toHostKey(host));
       if (!routes) return undefined;
