refactor: the judging of suspects is a module of its own

What decides whether a suspect keeps a request from servers is in suspectJudge.ts, which reads what is on record and changes nothing.

--- a/packages/crashes/src/index.ts
+++ b/packages/crashes/src/index.ts
@@ -5,6 +5,7 @@
 export type { BlockedList, BlockedListOptions } from "./blockedList.js";
 export { hashPart, listPartSuspects, listSuspects } from "./suspects.js";
 export type { PromptContent, SuspectContent } from "./suspects.js";
+export type { FoundBlock } from "./suspectJudge.js";
 export { hashRequest } from "./hashRequest.js";
 export type { RequestContent } from "./hashRequest.js";
 export { mayHaveCrashedServer } from "./mayHaveCrashedServer.js";
@@ -12,7 +13,6 @@
 export { createRequestGuard } from "./requestGuard.js";
 export type {
   BlockedRequest,
-  FoundBlock,
   RequestGuard,
   RequestGuardOptions,
 } from "./requestGuard.js";
--- a/packages/crashes/src/requestGuard.ts
+++ b/packages/crashes/src/requestGuard.ts
@@ -3,18 +3,12 @@
  * those of all boxes. Crashes are shared over the links between boxes. Blocked requests are also listed in the store, since boxes
  * persist nothing and may all restart.
  */
-import { assertNever, type Clock, type Ms } from "@stairgauge/common";
+import type { Clock, Ms } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
-import {
-  CRASHES_TO_STOP_RETRIES,
-  MAX_EARLY_TRIALS,
-  MIN_SHARED_CRASHES,
-  PROVEN_PART_ENDS,
-  PROVEN_PART_MEMORY_MS,
-  TRIAL_PAUSE_MS,
-} from "./constants.js";
+import { MIN_SHARED_CRASHES } from "./constants.js";
 import { createCrashRegistry, type CrashLimits } from "./crashRegistry.js";
 import { createHarmlessParts } from "./harmlessParts.js";
+import { createSuspectJudge, type FoundBlock } from "./suspectJudge.js";
 import type {
   CrashUpdate,
   PartSuspect,
@@ -63,9 +57,6 @@
   begunAt: Ms;
 }>;
 
-/** The suspect for which a request is blocked, and for how long. */
-export type FoundBlock = Readonly<{ suspect: Suspect; left: Ms }>;
-
 /** Records crashes and decides which requests are blocked, for one box. */
 export type RequestGuard = Readonly<{
   /**
@@ -112,31 +103,14 @@
   const blocked = new Set<RequestDigest>();
   const getNow = () => clock.monotonic();
 
-  /** Time for which a part is blocked that servers have survived before. */
-  const getProvenStatus = (digest: RequestDigest): RequestStatus => {
-    const now = getNow();
-    const ends = registry
-      .listCrashes(digest)
-      .map(({ at }) => at)
-      .filter((at) => now - at < PROVEN_PART_MEMORY_MS)
-      .sort((a, b) => b - a);
-    const decisive = ends[PROVEN_PART_ENDS - 1];
-    return decisive === undefined
-      ? { kind: "suspected", ends: ends.length }
-      : {
-          kind: "blocked",
-          ends: ends.length,
-          left: (decisive + PROVEN_PART_MEMORY_MS - now) as Ms,
-        };
-  };
-  const getStatus = (
-    digest: RequestDigest,
-    unconfirmed?: ReadonlySet<ServerId>,
-  ): RequestStatus => {
-    const status = registry.getStatus(digest, getNow(), unconfirmed);
-    const isProven = status.kind === "blocked" && harmless.isProven(digest, getNow());
-    return isProven ? getProvenStatus(digest) : status;
-  };
+  const judge = createSuspectJudge({
+    clock,
+    limits,
+    registry,
+    harmless,
+    listBlocked: () => [...blocked],
+  });
+  const { getStatus } = judge;
   const isBlocked = (digest: RequestDigest) => getStatus(digest).kind === "blocked";
 
   const toShared = ({ digest, server, part, at }: ServerCrash): SharedCrash => ({
@@ -145,59 +119,6 @@
     ...(part !== undefined && { part }),
     age: Math.max(0, getNow() - at) as Ms,
   });
-  const listServers = (digest: RequestDigest): ReadonlySet<ServerId> =>
-    new Set(registry.listCrashes(digest).map(({ server }) => server));
-  /**
-   * Whether another blocked suspect, which the request does not hold, was aboard at all these crashes: then the part may
-   * have been there by chance, and the request shows which of the two it is. A suspect that servers have survived
-   * explains nothing.
-   */
-  const isExplained = (
-    { digest }: Suspect,
-    held: ReadonlySet<RequestDigest>,
-  ): boolean => {
-    const servers = listServers(digest);
-    return [...blocked].some((other) => {
-      if (held.has(other) || harmless.isProven(other, getNow())) return false;
-      const others = listServers(other);
-      return isBlocked(other) && [...servers].every((server) => others.has(server));
-    });
-  };
-  /** Whether a request may be tried that holds the blocked part; after several crashes only with pauses. */
-  const mayTryPart = (suspect: Suspect, held: ReadonlySet<RequestDigest>): boolean => {
-    const ends = registry.listCrashes(suspect.digest).map(({ at }) => at);
-    const isEarly = ends.length < limits.blockingEnds + MAX_EARLY_TRIALS;
-    const isRested = getNow() - Math.max(...ends) >= TRIAL_PAUSE_MS;
-    return (isEarly || isRested) && isExplained(suspect, held);
-  };
-  const findSuspectBlock = (
-    suspect: Suspect,
-    held: ReadonlySet<RequestDigest>,
-  ): FoundBlock | undefined => {
-    const status = getStatus(suspect.digest);
-    if (status.kind !== "blocked") return undefined;
-    switch (suspect.kind) {
-      case "request":
-        return { suspect, left: status.left };
-      case "prompt_part":
-        return mayTryPart(suspect, held) ? undefined : { suspect, left: status.left };
-      default:
-        return assertNever(suspect);
-    }
-  };
-  /** A part that no server has survived may have ended the server that broke the request off. */
-  const mayResendSuspect = (suspect: Suspect, broken: ReadonlySet<ServerId>): boolean => {
-    switch (suspect.kind) {
-      case "request": {
-        const status = getStatus(suspect.digest, broken);
-        return status.kind === "unsuspected" || status.ends < CRASHES_TO_STOP_RETRIES;
-      }
-      case "prompt_part":
-        return broken.size === 0 || harmless.isProven(suspect.digest, getNow());
-      default:
-        return assertNever(suspect);
-    }
-  };
   const listCrashes = (digest: RequestDigest) =>
     registry.listCrashes(digest).map(toShared);
 
@@ -254,17 +175,11 @@
     findBlock: (getSuspects) => {
       if (blocked.size === 0) return undefined;
       dropExpiredBlocks();
-      const suspects = getSuspects();
-      const held = new Set(suspects.map(({ digest }) => digest));
-      for (const suspect of suspects) {
-        const found = findSuspectBlock(suspect, held);
-        if (found) return found;
-      }
-      return undefined;
+      return judge.findBlock(getSuspects());
     },
     mayResend: (getSuspects, broken) => {
       if (registry.isEmpty(getNow()) && broken.size === 0) return true;
-      return getSuspects().every((suspect) => mayResendSuspect(suspect, broken));
+      return judge.mayResend(getSuspects(), broken);
     },
     recordSurvived: ({ parts, server, begunAt }) => {
       for (const { digest } of parts) {
