--- a/apps/box/src/crashingParts.test.ts
+++ b/apps/box/src/crashingParts.test.ts
@@ -4,12 +4,8 @@
  */
 import { describe, expect, it } from "vitest";
 import { BUSY_MACHINE_TIMEOUT_MS, waitFor } from "./box.testkit.js";
-import {
-  ARRIVALS_ALLOWED,
-  ENDS_ALLOWED,
-  runPartsLoad,
-  type PartsCase,
-} from "./crashingParts.testkit.js";
+import { ARRIVALS_ALLOWED } from "./crashingRequests.testkit.js";
+import { ENDS_ALLOWED, runPartsLoad, type PartsCase } from "./crashingParts.testkit.js";
 
 /** Share of the sound requests served before that are still served while the others are refused. */
 const MIN_SERVED_SHARE = 0.95;
--- a/apps/box/src/crashingParts.testkit.ts
+++ b/apps/box/src/crashingParts.testkit.ts
@@ -6,17 +6,12 @@
   startUsersSite,
 } from "@stairgauge/standins";
 import { ask, closers, makeGeneration, waitMs, type Answer } from "./box.testkit.js";
+import { CONTACT_MS } from "./crashingRequests.testkit.js";
 import { startFleet, type FleetBox } from "./fleet.testkit.js";
 
-/** Time after which boxes that are in contact must have the ends on record. */
-export const CONTACT_MS = 3_000;
-
 /** Servers that may end before the requests are kept from all servers. */
 export const ENDS_ALLOWED = 5;
 
-/** Arrivals that are allowed from the contact time after the fifth end on. */
-export const ARRIVALS_ALLOWED = 3;
-
 const SERVERS = 12;
 const RESTART_MS = 700;
 const STREAM_MS = 60;
@@ -57,13 +52,11 @@
 export type PartsResult = Readonly<{
   /** Ends of servers until the contact time after the fifth, or until the end if there were fewer. */
   ends: number;
-  /** Arrivals and ends after the contact time. */
+  /** Arrivals after the contact time. */
   lateArrivals: number;
-  lateEnds: number;
   /** Share of the sound requests that were served before the first crashing one, and after the contact time. */
   servedBefore: number;
   servedAfter: number;
-  fleet: readonly FleetBox[];
   /** Sends crashing requests to a box and returns how many of them reached servers. */
   countArrivalsAt: (box: Pick<FleetBox, "ports">, sent: number) => Promise<number>;
   start: () => Promise<FleetBox>;
@@ -137,10 +130,8 @@
   return {
     ends,
     lateArrivals: servers.countArrivals() - arrivals,
-    lateEnds: servers.countCrashes() - ends,
     servedBefore: computeServed(before),
     servedAfter: computeServed(after),
-    fleet,
     start,
     countArrivalsAt: async (box, sent) => {
       const already = servers.countArrivals();
--- a/apps/box/src/crowdedBox.test.ts
+++ b/apps/box/src/crowdedBox.test.ts
@@ -4,6 +4,7 @@
  */
 import { describe, expect, it } from "vitest";
 import { BUSY_MACHINE_TIMEOUT_MS } from "./box.testkit.js";
+import { CONTACT_MS } from "./crashingRequests.testkit.js";
 import { startLoadSite, type LoadRequest, type ServerSpec } from "./hardLoad.testkit.js";
 
 /** Copies of the crowded box among the receivers for each other box: it gets 95 of 100 requests. */
@@ -16,7 +17,6 @@
 const CROWDED_AT_MS = 8_000;
 const MOVED_AT_MS = 15_000;
 const ENDS_AT_MS = 22_000;
-const CONTACT_MS = 3_000;
 
 /** 133 requests per second together. */
 const SERVERS = [1, 2].map((): ServerSpec => ({ slots: 4, queue: 6, serviceMs: 60 }));
--- a/apps/box/src/softwareVersions.test.ts
+++ b/apps/box/src/softwareVersions.test.ts
@@ -5,40 +5,19 @@
  */
 import { describe, expect, it } from "vitest";
 import { startUsersSite } from "@stairgauge/standins";
-import {
-  beginDraft,
-  BUSY_MACHINE_TIMEOUT_MS,
-  closers,
-  waitFor,
-  waitMs,
-} from "./box.testkit.js";
+import { beginDraft, BUSY_MACHINE_TIMEOUT_MS, closers, waitMs } from "./box.testkit.js";
 import { startFleet } from "./fleet.testkit.js";
 import {
   countMixed,
   countWhole,
   finishStream,
-  openStream,
+  openStreams,
+  READING_MS,
   makeVersions,
   startVersionedSite,
   takeUp,
 } from "./softwareVersions.testkit.js";
 
-/** Time for which a client reads a stream before it takes it up elsewhere. */
-const READING_MS = 150;
-
-const openStreams = async (
-  fleet: Parameters<typeof openStream>[0][],
-  count: number,
-  until = READING_MS,
-) => {
-  const streams = Array.from({ length: count }, (_, i) =>
-    openStream(fleet[i % fleet.length]!),
-  );
-  await waitFor(() => streams.every((stream) => stream.hasBegun()));
-  await waitMs(until);
-  return streams;
-};
-
 describe("a started stream whose service has servers of several software versions", () => {
   it.each([
     [3, 48],
--- a/apps/box/src/softwareVersions.testkit.ts
+++ b/apps/box/src/softwareVersions.testkit.ts
@@ -8,7 +8,7 @@
   startUsersSite,
   startVersionedEngines,
 } from "@stairgauge/standins";
-import { closers, makeGeneration, waitMs, type BoxChanges } from "./box.testkit.js";
+import { closers, makeGeneration, waitFor, waitMs } from "./box.testkit.js";
 import { startFleet, type FleetBox } from "./fleet.testkit.js";
 
 /** Events of a whole stream, and the time between two of them. */
@@ -19,7 +19,6 @@
 export type VersionedSite = Readonly<{
   boxes: number;
   versions: readonly string[];
-  changes?: BoxChanges;
 }>;
 
 /** Returns a list with this many copies of each version. */
@@ -29,7 +28,7 @@
   );
 
 /** Starts engines and boxes, and waits until the boxes are linked. */
-export const startVersionedSite = async ({ boxes, versions, changes }: VersionedSite) => {
+export const startVersionedSite = async ({ boxes, versions }: VersionedSite) => {
   const site = await startUsersSite({ engines: 0, services: 0 });
   closers.push(site.close);
   const engines = await startVersionedEngines({
@@ -45,7 +44,6 @@
     store: site.store.address,
     boxes,
     servers: versions.length,
-    ...(changes && { changes }),
   });
   return { engines, fleet, start, putWorkspaces: site.putWorkspaces };
 };
@@ -136,6 +134,22 @@
   };
 };
 
+/** Time for which a client reads a stream before it takes it up elsewhere. */
+export const READING_MS = 150;
+
+/** Opens streams at the boxes in turn, and waits until all have begun and their clients have read for a while. */
+export const openStreams = async (
+  boxes: readonly Pick<FleetBox, "ports">[],
+  count: number,
+): Promise<readonly StreamAttempt[]> => {
+  const streams = Array.from({ length: count }, (_, i) =>
+    openStream(boxes[i % boxes.length]!),
+  );
+  await waitFor(() => streams.every((stream) => stream.hasBegun()));
+  await waitMs(READING_MS);
+  return streams;
+};
+
 /** The events of a stream over all attempts of its client. */
 export type StreamOutcome = Readonly<{
   versions: readonly string[];
--- a/apps/box/src/takenUpStreams.test.ts
+++ b/apps/box/src/takenUpStreams.test.ts
@@ -4,7 +4,7 @@
  */
 import { describe, expect, it } from "vitest";
 import { SITE_KEY } from "@stairgauge/standins";
-import { BUSY_MACHINE_TIMEOUT_MS, waitFor, waitMs } from "./box.testkit.js";
+import { BUSY_MACHINE_TIMEOUT_MS, waitFor } from "./box.testkit.js";
 import type { FleetBox } from "./fleet.testkit.js";
 import {
   countMixed,
@@ -12,25 +12,14 @@
   EVENTS,
   makeVersions,
   openStream,
+  openStreams,
   startVersionedSite,
   takeUp,
   type TakeUp,
 } from "./softwareVersions.testkit.js";
 
-/** Time for which a client reads a stream before it takes it up elsewhere. */
-const READING_MS = 150;
-
 const STREAMS = 24;
 
-const openStreams = async (boxes: readonly FleetBox[], count = STREAMS) => {
-  const streams = Array.from({ length: count }, (_, i) =>
-    openStream(boxes[i % boxes.length]!),
-  );
-  await waitFor(() => streams.every((stream) => stream.hasBegun()));
-  await waitMs(READING_MS);
-  return streams;
-};
-
 const takeAllUp = (
   streams: Awaited<ReturnType<typeof openStreams>>,
   at: TakeUp["at"],
@@ -48,7 +37,7 @@
     async (boxes) => {
       const { fleet } = await startVersionedSite({ boxes, versions: TWO_VERSIONS });
       const stopped = fleet.slice(0, 2);
-      const streams = await openStreams(stopped);
+      const streams = await openStreams(stopped, STREAMS);
       await Promise.all(stopped.map(({ box }) => box.stop()));
       const outcomes = await takeAllUp(streams, fleet.slice(2));
       expect(countMixed(outcomes)).toBe(0);
@@ -64,7 +53,7 @@
         boxes,
         versions: TWO_VERSIONS,
       });
-      const streams = await openStreams(fleet);
+      const streams = await openStreams(fleet, STREAMS);
       const late = await start();
       await waitFor(() =>
         late.lines.some(
@@ -107,7 +96,7 @@
         boxes: 3,
         versions: makeVersions({ v1: 2, "v1.2": 6 }),
       });
-      const streams = await openStreams(fleet);
+      const streams = await openStreams(fleet, STREAMS);
       const old = engines.list().filter(({ version }) => version === "v1");
       const begun = streams.filter((stream) => stream.listEvents()[0]!.version === "v1");
       await Promise.all(old.map(({ id }) => engines.end(id, "v1.2")));
@@ -168,7 +157,7 @@
     "goes on although its client names no request",
     async () => {
       const { fleet } = await startVersionedSite({ boxes: 3, versions: ONE_VERSION });
-      const streams = await openStreams(fleet);
+      const streams = await openStreams(fleet, STREAMS);
       const outcomes = await takeAllUp(streams, [fleet[0]!], { resumes: null });
       expect(countWhole(outcomes)).toBe(STREAMS);
     },
@@ -179,7 +168,7 @@
     "goes on after all boxes have been restarted",
     async () => {
       const site = await startVersionedSite({ boxes: 3, versions: ONE_VERSION });
-      const streams = await openStreams(site.fleet);
+      const streams = await openStreams(site.fleet, STREAMS);
       await Promise.all(site.fleet.map(({ box }) => box.stop()));
       const restarted = await Promise.all([site.start(), site.start(), site.start()]);
       const outcomes = await takeAllUp(streams, restarted);
@@ -192,7 +181,7 @@
     "is refused after all boxes have been restarted, if another version has just replaced it",
     async () => {
       const site = await startVersionedSite({ boxes: 3, versions: ONE_VERSION });
-      const streams = await openStreams(site.fleet);
+      const streams = await openStreams(site.fleet, STREAMS);
       await Promise.all(site.fleet.map(({ box }) => box.stop()));
       const old = site.engines.list();
       await Promise.all(old.map(({ id }) => site.engines.end(id, "v1.2")));
--- a/packages/forwarding/src/createForwarder.ts
+++ b/packages/forwarding/src/createForwarder.ts
@@ -129,7 +129,8 @@
     };
     /** A stream that its client takes up goes on only at the software that began it. */
     const takeUp = async (request: AdmittedRequest) => {
-      const resolved = await deps.origins.resolve(describeOrigin(request));
+      const origin = describeOrigin(request);
+      const resolved = await deps.origins.resolve(origin);
       if (hasLeft) {
         reportClientLeft();
         return;
@@ -146,10 +147,9 @@
       }
       const { binding, source } = decision;
       const sinceReceived = (clock.monotonic() - receivedAt) as Ms;
-      const { requestId: resumes } = describeOrigin(request);
       deps.observer.onDecision(
         { head, route, sinceReceived },
-        { kind: "taken_up", ...binding, resumes, source },
+        { kind: "taken_up", ...binding, resumes: origin.requestId, source },
       );
       dispatch({ ...request, service: binding.service, binding });
     };
--- a/packages/standins/src/usersPlatform/versionedEngines.ts
+++ b/packages/standins/src/usersPlatform/versionedEngines.ts
@@ -34,8 +34,6 @@
   list: () => readonly EngineStart[];
   /** Ends the engine and all its streams; it starts again at its address after a while, as the given version. */
   end: (id: string, backAs: string) => Promise<void>;
-  /** Breaks all streams that are open off; the engines go on. */
-  breakStreams: () => void;
   close: () => void;
 }>;
 
@@ -56,7 +54,6 @@
   const { versions, events, gapMs, putEntry, dropEntry } = options;
   const starts = new Map<string, EngineStart>();
   const listeners = new Map<string, Listening>();
-  const streams = new Set<ServerResponse>();
   let started = 0;
   let isClosed = false;
 
@@ -73,7 +70,6 @@
       [HEADER.requestId]: request,
       [HEADER.signature]: `signature-${version}`,
     });
-    streams.add(response);
     const timer = setInterval(() => {
       response.write(formatEvent(request, version, index));
       index += 1;
@@ -81,10 +77,7 @@
       clearInterval(timer);
       response.end();
     }, gapMs);
-    response.once("close", () => {
-      clearInterval(timer);
-      streams.delete(response);
-    });
+    response.once("close", () => clearInterval(timer));
   };
   const handle = async (
     incoming: IncomingMessage,
@@ -130,9 +123,6 @@
   return {
     list: () => [...starts.values()],
     end,
-    breakStreams: () => {
-      for (const response of streams) response.destroy();
-    },
     close: () => {
       isClosed = true;
       for (const listening of listeners.values()) listening.close();
