--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,7 +1,7 @@
 /**
  * ORDER: a model server is cut off from the store for a few seconds, so that its entry lapses and comes back. Runs that
- * the box still stops there after that end as complete streams, though they have pieces left. TROUBLE=0 cuts nothing.
- * Writes record.txt; exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+ * the box still stops there after that end as complete streams, though they have pieces left, if their answers have no
+ * length. TROUBLE=0 cuts nothing, and all answers are chunked. Writes record.txt; exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
  */
 import { writeFileSync } from "node:fs";
 import { request as openRequest } from "node:http";
@@ -12,14 +12,23 @@
 
 const isTrouble = process.env.TROUBLE !== "0";
 const ENGINES = 5;
-/** One of five servers (share 0.2), for 3.9 s: `srv_cut` says share (.2), for_s (5). */
-const CUT_MS = 3_900;
+/**
+ * `srv_cut` of the site: share (.2), for_s (5). One of five servers, for 3.8 s, from a heartbeat on. The engines that are
+ * cut off are the only ones of their zones, so that copies from them take twice as long.
+ */
+const CUT_MS = 3_800;
+/** `garble`, no length (`unframed`): share (.5), x 0.05, for_s 5. Two of five servers, every 20th answer, for 4.8 s. */
+const GARBLED = [1, 2];
+const EVERY = 20;
+const ZONES = ["hall-a", "hall-b", "hall-c", "hall-d", "hall-d"];
 /** heartbeatMs, and the silence after which the store drops an entry. */
 const BEAT_MS = 1_200;
 const LAPSE_MS = 3 * BEAT_MS;
-const RETRY_MS = 300;
-const STREAMS = 24;
-const PROMPT = 3_079;
+const RETRY_MS = 100;
+const STREAMS = 80;
+const STREAM_GAP_MS = 60;
+const CUT_AFTER_MS = 1_800;
+const PROMPT = 600;
 const EVENTS = 236;
 const ROUNDS = 8;
 
@@ -39,11 +48,33 @@
 
 const site = await startUsersSite({ engines: 0, services: 0 });
 const group = createEngineGroup(record);
+let isGarbling = false;
+const unframed = new Set();
 const engines = [];
+const putEntry = ({ name, address, zone }) =>
+  site.putRawEntry(name, {
+    service: "writers",
+    address,
+    zone,
+    version: "v1",
+    slots: 48,
+    state: "ready",
+    warmupLeftMs: 0,
+    sequence: 1,
+  });
 for (let i = 0; i < ENGINES; i += 1) {
-  const engine = await group.start(`engine-${i}`);
+  let answers = 0;
+  const isUnframed = (id) => {
+    if (!isGarbling || !GARBLED.includes(i)) return false;
+    answers += 1;
+    if (answers % EVERY !== 0) return false;
+    unframed.add(id);
+    record(`the answer to ${id} has no length`);
+    return true;
+  };
+  const engine = await group.start({ name: `engine-${i}`, zone: ZONES[i], isUnframed });
   engines.push({ ...engine, isCut: false, beatAt: performance.now(), isListed: true });
-  site.putEngine(engine.name, engine.address);
+  putEntry(engine);
 }
 site.putConfiguration();
 
@@ -56,7 +87,7 @@
   engine.beatAt = performance.now();
   if (!engine.isListed) {
     engine.isListed = true;
-    site.putEngine(engine.name, engine.address);
+    putEntry(engine);
     record(`the entry of ${engine.name} is back`);
   }
   setTimeout(() => beat(engine), BEAT_MS).unref();
@@ -132,22 +163,26 @@
   });
 
 const asks = [];
+/** Cuts an engine off right after its next heartbeat. */
+const cutOff = async (engine) => {
+  const before = engine.beatAt;
+  while (engine.beatAt === before) await wait(5);
+  engine.isCut = true;
+  record(`${engine.name} is cut off from the store; it has ${engine.countRuns()} runs`);
+  await wait(CUT_MS);
+  engine.isCut = false;
+  record(`${engine.name} reaches the store again; it has ${engine.countRuns()} runs`);
+};
 for (let round = 0; round < ROUNDS; round += 1) {
+  const engine = engines[GARBLED[round % GARBLED.length]];
+  isGarbling = isTrouble;
+  const cut = wait(CUT_AFTER_MS).then(() => (isTrouble ? cutOff(engine) : undefined));
   for (let i = 0; i < STREAMS; i += 1) {
     asks.push(ask(`s${round}-${i}`, fleet.boxes[i % fleet.boxes.length]));
-    await wait(40);
-  }
-  const cut = engines[round % ENGINES];
-  if (isTrouble) {
-    cut.isCut = true;
-    record(`${cut.name} is cut off from the store; it has ${cut.countRuns()} runs`);
+    await wait(STREAM_GAP_MS);
   }
-  await wait(CUT_MS);
-  if (isTrouble)
-    record(`${cut.name} reaches the store again; it has ${cut.countRuns()} runs`);
-  cut.isCut = false;
-  await Promise.all(asks);
-  await wait(1_500);
+  isGarbling = false;
+  await Promise.all([...asks, cut]);
 }
 await stop();
 
@@ -157,7 +192,7 @@
 );
 const whole = answered.filter(({ isWhole, isComplete }) => isWhole && isComplete).length;
 const facts =
-  `${answered.length} streams, ${whole} whole and complete; ${broken.length} ended as complete before their last piece` +
+  `${answered.length} streams, ${unframed.size} answers without a length, ${whole} whole and complete; ${broken.length} ended as complete before their last piece` +
   (broken.length > 0
     ? ` (${broken.map(({ id, events }) => `${id}: ${events} of ${EVENTS}`).join(", ")})`
     : "");
--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -43,7 +43,7 @@
 /** Settings as deploy/box-settings.yaml fills them from the bounds of a small site (SYSTEM.md). */
 const formatSettings = ({ name, storeAddress, ports, seeds }) => `box: ${name}
 dataHall: hall-a
-regions: { "hall-a": "region" }
+regions: { "hall-a": "region", "hall-b": "region", "hall-c": "region", "hall-d": "region" }
 listen: { clients: "${HOST}:${ports[0]}", ready: "${HOST}:${ports[1]}", metrics: "${HOST}:${ports[2]}", peers: "${HOST}:${ports[3]}" }
 seeds: [${seeds.map((seed) => `"${seed}"`).join(", ")}]
 store: { address: "${storeAddress}" }
--- a/review/lib/streamEngine.mjs
+++ b/review/lib/streamEngine.mjs
@@ -1,8 +1,9 @@
 /**
- * A stand-in model server as PROTOCOL.md tells it, as far as the case needs it: streams whose answers have no length and
- * end with their connection, reports, and copies of a run's memory to another server (`/kv-move`, `Kv-From`). Copies leave
- * a server one after the other, at `kvTokenBytes` a token over `linkMbps`. A run that is stopped for a copy has its stream
- * closed between two events, without its end. Runs whose connection closes are dropped.
+ * A stand-in model server as PROTOCOL.md tells it, as far as the cases need it: streams, reports, and copies of a run's
+ * memory to another server (`/kv-move`, `Kv-From`). Copies leave a server one after the other, at `kvTokenBytes` a token
+ * over `linkMbps`, twice as long to another zone. Answers are chunked, or have no length and end with their connection, as
+ * `isUnframed` says. A run that is stopped for a copy has its stream closed between two events, without its end (the last
+ * chunk). Runs whose connection closes are dropped.
  */
 import { createServer } from "node:net";
 import { HOST, wait } from "./site.mjs";
@@ -15,6 +16,7 @@
 /** kvTokenBytes and linkMbps of the stand-in site's configuration. */
 const MS_PER_COPIED_TOKEN = (131_072 * 8) / (19_000 * 1_000);
 const HANDLE_MS = 5_000;
+const FAR_FACTOR = 2;
 
 const HEAD_END = "\r\n\r\n";
 
@@ -43,13 +45,14 @@
   const engines = new Map();
   let handles = 0;
 
-  const start = (name) =>
+  const start = ({ name, zone, isUnframed }) =>
     new Promise((resolve) => {
       /** Runs by request id. */
       const runs = new Map();
       /** Copies that were made here for runs of other engines, and runs stopped here: by "address/handle". */
       const copies = new Map();
       let linkFreeAt = 0;
+      let isDraining = false;
       const sockets = new Set();
 
       const countRun = (run) => run.prompt + run.made * TOKENS_PER_EVENT;
@@ -67,21 +70,27 @@
       const sendJson = (socket, line, value) =>
         send(socket, line, "Content-Type: application/json\r\n", JSON.stringify(value));
 
+      const writeEvent = ({ socket, id, made, isChunked }) => {
+        const event = formatEvent(id, made);
+        socket.write(isChunked ? `${event.length.toString(16)}\r\n${event}\r\n` : event);
+      };
       const generate = async (run) => {
         await wait(run.promptLeft / PROMPT_TOKENS_PER_MS);
         while (runs.get(run.id) === run) {
           if (run.made === run.total) {
             runs.delete(run.id);
             record(`${name} has made all ${run.total} events of ${run.id}`);
-            run.socket.end();
+            run.socket.end(run.isChunked ? "0\r\n\r\n" : undefined);
             return;
           }
-          run.socket.write(formatEvent(run.id, run.made));
+          writeEvent(run);
           run.made += 1;
           await wait(EVENT_MS);
         }
       };
       const begin = (socket, { id, prompt, total, made, promptLeft }) => {
+        const isChunked = !isUnframed(id);
+        const framing = isChunked ? "Transfer-Encoding: chunked\r\n" : "";
         const run = {
           id,
           socket,
@@ -89,6 +98,7 @@
           total,
           made,
           promptLeft,
+          isChunked,
           moving: false,
           handle: undefined,
           copied: 0,
@@ -96,7 +106,7 @@
         runs.set(id, run);
         socket.write(
           `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nResponse-Signature: ${name}.${id}\r\n` +
-            `Content-Type: text/event-stream\r\nConnection: close${HEAD_END}`,
+            `Content-Type: text/event-stream\r\n${framing}Connection: close${HEAD_END}`,
         );
         socket.once("close", () => {
           if (runs.get(id) !== run) return;
@@ -169,7 +179,8 @@
         if (last) copies.set(key, { id, tokens });
         run.moving = true;
         const now = performance.now();
-        linkFreeAt = Math.max(now, linkFreeAt) + toCopy * MS_PER_COPIED_TOKEN;
+        const factor = target.zone === zone ? 1 : FAR_FACTOR;
+        linkFreeAt = Math.max(now, linkFreeAt) + toCopy * MS_PER_COPIED_TOKEN * factor;
         await wait(linkFreeAt - now);
         run.moving = false;
         run.copied = tokens;
@@ -180,7 +191,7 @@
       const report = (socket) =>
         sendJson(socket, "200 OK", {
           stage: "dual",
-          state: "ready",
+          state: isDraining ? "draining" : "ready",
           models: [{ name: "m", version: 1, adapters: [] }],
           busy: false,
           sequence: 1,
@@ -198,8 +209,10 @@
         const expected = get("expect-instance");
         if (expected !== undefined && expected !== name)
           return send(socket, "421 Misdirected Request", "Not-Executed: 1\r\n");
-        if (path === "/healthz")
-          return send(socket, "200 OK", `Instance-Id: ${name}\r\n`);
+        if (path === "/healthz") {
+          const line = isDraining ? "503 Service Unavailable" : "200 OK";
+          return send(socket, line, `Instance-Id: ${name}\r\n`);
+        }
         if (path === "/report") return report(socket);
         if (path === "/kv-move") return void move(socket, request);
         if (method === "DELETE" && path.startsWith("/kv-handle/")) {
@@ -227,9 +240,13 @@
         address = `${HOST}:${server.address().port}`;
         const engine = {
           name,
+          zone,
           address,
           hasRoom,
           countRuns: () => runs.size,
+          drain: () => {
+            isDraining = true;
+          },
           putCopy: (key, copy) => void copies.set(key, copy),
           updateCopy: (key, tokens) => {
             const copy = copies.get(key);
