--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -107,6 +107,15 @@
       box.end = signal ?? code;
     });
   };
+  // A script that fails or is stopped leaves no box behind.
+  process.once("exit", () => {
+    for (const box of boxes) if (!box.ended) box.process.kill("SIGKILL");
+  });
+  for (const signal of ["SIGINT", "SIGTERM"]) process.once(signal, () => process.exit(2));
+  process.once("uncaughtException", (error) => {
+    process.stderr.write(`${error.stack}\n`);
+    process.exit(2);
+  });
   for (const box of boxes) start(box);
   const awaitReady = async (limit = 20_000) => {
     const until = Date.now() + limit;
