fix: what a server sends that is no answer costs a box a bounded number of bytes

Callers saw 504 at their deadline while the box read on: bytes before a head, the body of a failure, of a refusal or of an unsigned answer, and the framing of chunks were read as long as the server wrote them, and bodies were held whole. One such answer took a box of 178 MB to 2,000 MB in two seconds.

Cause: nothing said what a call may cost. Only single events of streams, health checks' bodies and calls by way of another box had a limit, each of its own.

A carrier holds 128 KB of an answer that its asker has not read; it was sixteen frames. An answer over a limit is malformed: line answer_over_limit, counter stairgauge_answers_over_limit_total, and it counts as a failure of its server. A health check so answered has failed.

--- a/apps/box/src/createPaths.ts
+++ b/apps/box/src/createPaths.ts
@@ -10,6 +10,7 @@
   createServerExchanges,
   openExchange,
   probePath,
+  type AnswerExcess,
   type OpenOwnExchange,
   type ServerExchanges,
 } from "@stairgauge/forwarding";
@@ -76,8 +77,12 @@
     maxHeldBytes: settings.carrying.heldMb * BYTES_PER_MB,
   });
   const codec = createHeadCodec();
-  const openOwn: OpenOwnExchange = (request, sink) =>
-    openExchange(clock, { ...request, dial: dialServer }, sink);
+  const openOwn: OpenOwnExchange = (request, sink) => {
+    const { host, port } = request.address;
+    const onExcess = (excess: AnswerExcess) =>
+      observer.onAnswerOverLimit(`${host}:${port}`, excess);
+    return openExchange(clock, { ...request, dial: dialServer, onExcess }, sink);
+  };
   let isStopping = false;
   let probeTimer: Timer | undefined;
 
--- a/apps/box/src/observePaths.ts
+++ b/apps/box/src/observePaths.ts
@@ -1,5 +1,5 @@
 /** Log lines and metrics of a box's paths to servers, and of the requests that other boxes carry for it. */
-import type { CarryEvent } from "@stairgauge/forwarding";
+import type { AnswerExcess, CarryEvent } from "@stairgauge/forwarding";
 import type { PathEvent } from "@stairgauge/paths";
 import { roundNumbers } from "./roundNumbers.js";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
@@ -16,7 +16,14 @@
     metrics.lostPaths.set(countLost());
     log.writeNotice(`path_${kind}`, roundNumbers(fields));
   },
+  /** An answer that this box reads from `address` (IP:PORT) itself exceeds a limit; its connection is closed. */
+  onAnswerOverLimit: (address: string, excess: AnswerExcess): void => {
+    metrics.answersOverLimit.inc({ limit: excess.limit });
+    log.writeDecision("answer_over_limit", { address, ...excess });
+  },
   onCarryEvent: (event: CarryEvent): void => {
+    if (event.kind === "answer_over_limit")
+      metrics.answersOverLimit.inc({ limit: event.limit });
     metrics.carrySteps.inc({ step: event.kind });
     // The line of the request itself names the carrier.
     if (event.kind === "carried") return;
--- a/packages/forwarding/src/answerSink.ts
+++ b/packages/forwarding/src/answerSink.ts
@@ -2,11 +2,12 @@
  * Receives the answer of one attempt: buffers it, forwards it to the client, or passes its events to the
  * stream's relay, and reports how it ended.
  */
-import { assertNever, type BoxName } from "@stairgauge/common";
+import { assertNever, type BoxName, type Clock } from "@stairgauge/common";
+import { describeExcess, HELD_BODY_LIMITS, type AnswerExcess } from "./answerLimits.js";
 import type { RunStop } from "./activeRuns.js";
 import type { ServerPresence } from "./askServer.js";
 import { countBytesLeft, type Attempt } from "./attempt.js";
-import { isBodyNeeded, isStreamOf, decideVerdict } from "./decideNext.js";
+import { decideVerdict, isBodyNeeded, isStreamOf } from "./decideNext.js";
 import type { AdmittedRequest } from "./admittedRequest.js";
 import { describeHeadFault, findHeadFault, type HeadFault } from "./checkAnswerHead.js";
 import {
@@ -20,10 +21,7 @@
 import type { SegmentStep, StreamRelay } from "./streamRelay.js";
 import type { AnswerHead, ExchangeFailure, HeadCodec } from "./types.js";
 
-/** Largest answer that is buffered; a longer one is forwarded as it arrives. */
-const HELD_ANSWER_BYTES = 512 * 1024;
-
-/** Callbacks of an attempt; at most one of `onWhole`, `onFailure` and `onNoStream` is called, once. */
+/** Callbacks of an attempt; at most one of `onWhole`, `onFailure` and `onHeadOnly` is called, once. */
 export type AttemptListener = Readonly<{
   /** Whether the attempt is still the request's current one; if not, the rest of its answer is ignored. */
   isCurrent: () => boolean;
@@ -36,12 +34,13 @@
   /** The answer is complete, by its framing or because its server's process still runs. */
   onWhole: () => void;
   onFailure: (failure: ExchangeFailure) => void;
-  /** The attempt had to continue a started stream, but its answer is something else. */
-  onNoStream: () => void;
+  /** The head alone decides what follows; the body is not read. */
+  onHeadOnly: () => void;
 }>;
 
 /** Options of the sink. */
 export type AnswerSinkOptions = Readonly<{
+  clock: Clock;
   codec: HeadCodec;
   request: AdmittedRequest;
   relay: StreamRelay;
@@ -77,7 +76,27 @@
       return;
     }
     // Only events may follow events, so any other answer to a continuation is not read.
-    if (relay.hasBegun()) listener.onNoStream();
+    if (relay.hasBegun()) listener.onHeadOnly();
+    else if (!isFinal(answerHead)) limitBodyTime();
+  };
+  const isFinal = (answerHead: AnswerHead): boolean =>
+    decideVerdict({ kind: "answered", head: answerHead }, head.id) === "final";
+
+  /** Gives up a body that is held only to be forwarded as a whole; the head decides then. */
+  const dropBody = (excess: AnswerExcess) => {
+    attempt.excess = excess;
+    attempt.exchange?.cancelFor(excess);
+    listener.onHeadOnly();
+  };
+  const limitBodyTime = () => {
+    const dropSlowBody = wrapIfCurrent(() => {
+      if (attempt.endedBy === undefined)
+        dropBody({ limit: "held_body_time", bytes: attempt.heldBytes });
+    });
+    attempt.bodyTimer = options.clock.setTimer(HELD_BODY_LIMITS.failure.maxTime, () => {
+      // A pause of this process may have delayed bytes that have arrived.
+      setImmediate(dropSlowBody);
+    });
   };
 
   const failByHead = (fault: HeadFault) => {
@@ -88,12 +107,13 @@
   const appendHeld = (parts: Buffer[], chunk: Buffer) => {
     parts.push(chunk);
     attempt.heldBytes += chunk.length;
-    if (attempt.heldBytes > HELD_ANSWER_BYTES) startPassingOn(parts);
+    if (isFinal(attempt.head!)) {
+      if (attempt.heldBytes > HELD_BODY_LIMITS.answer.maxBytes) startPassingOn(parts);
+    } else if (attempt.heldBytes > HELD_BODY_LIMITS.failure.maxBytes)
+      dropBody({ limit: "held_body", bytes: attempt.heldBytes });
   };
   const startPassingOn = (parts: readonly Buffer[]) => {
     const answerHead = attempt.head!;
-    if (decideVerdict({ kind: "answered", head: answerHead }, head.id) !== "final")
-      return;
     listener.onPassingOn();
     const { status, forwardedHeaders } = answerHead;
     answer.begin({ status, reason: attempt.reason, headers: forwardedHeaders });
@@ -124,8 +144,8 @@
       case "passed_on":
         applyPace(step.isClientSlow);
         return;
-      case "too_long":
-        listener.onFailure({ kind: "malformed", detail: "an event too long to hold" });
+      case "no_event":
+        failStream({ limit: "stream_gap", bytes: step.bytes });
         return;
       case "does_not_follow":
         listener.onFailure({
@@ -138,6 +158,12 @@
     }
   };
 
+  const failStream = (excess: AnswerExcess) => {
+    attempt.excess = excess;
+    attempt.exchange?.cancelFor(excess);
+    listener.onFailure({ kind: "malformed", detail: describeExcess(excess) });
+  };
+
   const handleEnd = (endedBy: EndedBy) => {
     attempt.endedBy = endedBy;
     const proof = classifyEnd({
--- a/packages/forwarding/src/askServer.ts
+++ b/packages/forwarding/src/askServer.ts
@@ -5,6 +5,7 @@
 import type { Clock, Ms } from "@stairgauge/common";
 import type { ServerEntry } from "@stairgauge/directory";
 import type { ServerSignals } from "@stairgauge/signals";
+import { createHeldBody, describeExcess, HELD_BODY_LIMITS } from "./answerLimits.js";
 import { openExchange, REFUSED_CODE, type OpenBuilt } from "./openExchange.js";
 import type { AnswerHead, HeadCodec } from "./types.js";
 
@@ -26,15 +27,6 @@
  */
 export type AbsenceCause = "ended" | "not_heard";
 
-/**
- * Timeout of the health check. It waits for a slot at the server like a request, at most as long as
- * the slowest requests take.
- */
-const ANSWER_LIMIT_MS = 1_000 as Ms;
-
-/** Largest number of body bytes that are read; the server's start is at the beginning. */
-const MAX_BODY_BYTES = 4_096;
-
 /** The server to check, and what the check needs. */
 export type ServerQuestion = Readonly<{
   clock: Clock;
@@ -75,14 +67,19 @@
     const { clock, codec, entry, healthPath, connectLimit } = question;
     const { open = (build, sink) => openExchange(clock, build(), sink) } = question;
     let answer: AnswerHead | undefined;
-    let body = Buffer.alloc(0);
+    const limits = HELD_BODY_LIMITS.healthCheck;
+    const body = createHeldBody(limits);
     const finish = (presence: ServerPresence) => {
       timer.cancel();
       exchange.cancel();
       resolve(presence);
     };
     const classifyReceived = (received: AnswerHead) =>
-      classifyAnswer(entry, received, received.startedAt ?? codec.decodeHealthBody(body));
+      classifyAnswer(
+        entry,
+        received,
+        received.startedAt ?? codec.decodeHealthBody(body.getBytes()),
+      );
     const finishEarly = (detail: string) => {
       const cause = detail === REFUSED_CODE ? "ended" : "not_heard";
       finish(answer ? classifyReceived(answer) : makeAbsent(detail, cause));
@@ -103,12 +100,14 @@
           if (isEnough || entry.startedAt === undefined) finish(classifyReceived(answer));
         },
         onData: (chunk) => {
-          body = Buffer.concat([body, chunk]);
-          if (body.length > MAX_BODY_BYTES) finishEarly("an answer too long");
+          const excess = body.add(chunk);
+          if (!excess) return;
+          exchange.cancelFor(excess);
+          finish(makeAbsent(describeExcess(excess), "not_heard"));
         },
         onEnd: () => finishEarly("no answer"),
         onFailure: ({ detail }) => finishEarly(detail),
       },
     );
-    const timer = clock.setTimer(ANSWER_LIMIT_MS, () => finishEarly("no answer in time"));
+    const timer = clock.setTimer(limits.maxTime, () => finishEarly("no answer in time"));
   });
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -2,6 +2,7 @@
 import type { BoxName, Ms, Timer } from "@stairgauge/common";
 import type { BackendServer } from "@stairgauge/directory";
 import type { Demand } from "@stairgauge/placement";
+import type { AnswerExcess } from "./answerLimits.js";
 import type { ClientAnswer } from "./clientAnswer.js";
 import type { EndedBy, Exchange } from "./openExchange.js";
 import type { StreamSegment } from "./streamRelay.js";
@@ -37,6 +38,10 @@
   endedBy: EndedBy | undefined;
   body: AttemptBody;
   heldBytes: number;
+  /** Limits the time of a body that is held; undefined if it has no limit of its own. */
+  bodyTimer: Timer | undefined;
+  /** The limit that the answer has exceeded; undefined if it has exceeded none. */
+  excess: AnswerExcess | undefined;
   /** Frees the server's slot. */
   readonly release: () => void;
   /** Watches for a server that sends no answer head; undefined if the attempt is not watched. */
@@ -66,6 +71,8 @@
   endedBy: undefined,
   body: { kind: "held", parts: [] },
   heldBytes: 0,
+  bodyTimer: undefined,
+  excess: undefined,
   release,
   silenceWatch: undefined,
 });
--- a/packages/forwarding/src/carriedExchange.ts
+++ b/packages/forwarding/src/carriedExchange.ts
@@ -15,6 +15,7 @@
   type CarryFrame,
   type ServerPaths,
 } from "@stairgauge/paths";
+import type { AnswerExcess } from "./answerLimits.js";
 import type { Exchange, ExchangeRequest, ExchangeSink } from "./openExchange.js";
 
 /** A step of a carried request; each is logged as one line. */
@@ -23,6 +24,8 @@
   | { kind: "carrier_passed_over"; server: string; carrier: BoxName; reason: string }
   /** The link to the carrier broke before the answer was complete. */
   | { kind: "carrier_lost"; server: string; carrier: BoxName; detail: string }
+  /** A carried answer exceeds a limit; its carrier is told to end it. */
+  | (AnswerExcess & { kind: "answer_over_limit"; server: string })
 >;
 
 /** Dependencies of carried requests. */
@@ -166,10 +169,16 @@
     if (!isOver) askNext();
   });
 
+  const cancel = () => {
+    firstAsk.cancel();
+    finish();
+  };
   return {
-    cancel: () => {
-      firstAsk.cancel();
-      finish();
+    cancel,
+    cancelFor: (excess) => {
+      if (isOver) return;
+      onEvent({ kind: "answer_over_limit", server: id, ...excess });
+      cancel();
     },
     pause: () => call?.pause(),
     resume: () => call?.resume(),
--- a/packages/forwarding/src/carrying.testkit.ts
+++ b/packages/forwarding/src/carrying.testkit.ts
@@ -129,6 +129,7 @@
         cancel: () => {
           isOver = true;
         },
+        cancelFor: dropEvent,
         pause: dropEvent,
         resume: dropEvent,
         isSent: () => isConnected,
--- a/packages/forwarding/src/concludeAttempt.ts
+++ b/packages/forwarding/src/concludeAttempt.ts
@@ -98,7 +98,9 @@
     const wasSent = attempt.exchange?.isSent() ?? false;
     attempts.recordEnd(classifyAttempt(wasSent, verdict, attempt.head?.signals));
     if (!wasSent) placer.onUnreachable(server);
-    else if (end.kind === "failed" && !attempt.head) recordFailure(attempt, end.failure);
+    else if (end.kind === "failed" && (!attempt.head || end.failure.kind === "malformed"))
+      recordFailure(attempt, end.failure);
+    else if (attempt.excess) placer.onBroken(server, Promise.resolve());
     if (end.kind === "answered" && end.head.isOtherServer) placer.onAddressReused(server);
     return verdict;
   };
@@ -170,7 +172,12 @@
   };
 
   return {
-    conclude,
+    concludeByHead: (attempt) =>
+      conclude(attempt, {
+        kind: "answered",
+        head: attempt.head!,
+        isBodyUnproven: true,
+      }),
     handleHead: (attempt, answerHead) => {
       attempt.silenceWatch?.cancel();
       attempt.answeredAt = clock.monotonic();
--- a/packages/forwarding/src/decideNext.test.ts
+++ b/packages/forwarding/src/decideNext.test.ts
@@ -128,4 +128,12 @@
     expect(step("full", makeRoute("once"), false, true)).toBe("answer_unknown");
     expect(step("unreachable", makeRoute("once"), false, true)).toBe("answer_unknown");
   });
+
+  it("forwards no failure whose body was not read to the end", () => {
+    const end = { ...makeAnswered({ status: 500 }), isBodyUnproven: true };
+    const route = makeRoute("once");
+    const inputs = { end, route, mayHaveRunBefore: false, takeRetry: () => true };
+    const { kind } = decideNext({ ...inputs, verdict: decideVerdict(end, id) });
+    expect(kind).toBe("answer_unknown");
+  });
 });
--- a/packages/forwarding/src/decideNext.ts
+++ b/packages/forwarding/src/decideNext.ts
@@ -18,7 +18,7 @@
   | {
       kind: "answered";
       head: AnswerHead;
-      /** Only the head was evaluated: the body may be truncated and must not be forwarded. */
+      /** Only the head was evaluated: the body may be truncated or too long, and must not be forwarded. */
       isBodyUnproven?: boolean;
     }
   | { kind: "failed"; failure: ExchangeFailure }
@@ -138,11 +138,14 @@
   takeRetry: () => boolean;
 }>;
 
+const hasUnprovenBody = (end: AttemptEnd): boolean =>
+  end.kind === "answered" && (end.isBodyUnproven ?? false);
+
 const answerForUnserved = (inputs: StepInputs): NextStep => {
   const { end, route, mayHaveRunBefore } = inputs;
   if (mayHaveRunBefore && !mayRepeat(route)) return { kind: "answer_unknown" };
   const isServersOwn =
-    end.kind === "answered" && !end.head.isOtherServer && !end.isBodyUnproven;
+    end.kind === "answered" && !end.head.isOtherServer && !hasUnprovenBody(end);
   return isServersOwn ? { kind: "pass_on" } : { kind: "answer_not_run" };
 };
 
@@ -159,8 +162,9 @@
         ? { kind: "retry", reason: verdict }
         : { kind: "answer_unknown" };
     case "ran_and_failed":
-      return mayRepeat(route) && takeRetry()
-        ? { kind: "retry", reason: verdict }
+      if (mayRepeat(route) && takeRetry()) return { kind: "retry", reason: verdict };
+      return hasUnprovenBody(inputs.end)
+        ? { kind: "answer_unknown" }
         : { kind: "pass_on" };
   }
 };
--- a/packages/forwarding/src/dispatchParts.ts
+++ b/packages/forwarding/src/dispatchParts.ts
@@ -58,7 +58,8 @@
   handleStreamBegun: (attempt: Attempt) => void;
   handleFailure: (attempt: Attempt, failure: ExchangeFailure) => void;
   finishWhole: (attempt: Attempt) => void;
-  conclude: (attempt: Attempt, end: AttemptEnd) => void;
+  /** Concludes by the head of the answer; its body was not read to the end. */
+  concludeByHead: (attempt: Attempt) => void;
 }>;
 
 /** Continues an interrupted stream. */
--- a/packages/forwarding/src/dispatchState.ts
+++ b/packages/forwarding/src/dispatchState.ts
@@ -51,6 +51,7 @@
     dropCurrent: () => {
       current?.exchange?.cancel();
       current?.silenceWatch?.cancel();
+      current?.bodyTimer?.cancel();
       current?.release();
       current = undefined;
     },
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -21,6 +21,13 @@
 } from "./activeRuns.js";
 export { createClientServer } from "./clientServer.js";
 export type { ClientServer, ClientServerOptions } from "./clientServer.js";
+export {
+  createHeldBody,
+  describeExcess,
+  HELD_BODY_LIMITS,
+  MAX_OVERHEAD_BYTES,
+  type AnswerExcess,
+} from "./answerLimits.js";
 export { createForwarder } from "./createForwarder.js";
 export type { Forwarder } from "./createForwarder.js";
 export { createServerExchanges } from "./serverExchanges.js";
--- a/packages/forwarding/src/openExchange.ts
+++ b/packages/forwarding/src/openExchange.ts
@@ -14,6 +14,11 @@
   type Ms,
 } from "@stairgauge/common";
 import type { ServerAddress } from "@stairgauge/directory";
+import {
+  createOverheadMeter,
+  describeExcess,
+  type AnswerExcess,
+} from "./answerLimits.js";
 import type { ExchangeFailure, RawHeaders } from "./types.js";
 
 /** Largest head of a server's answer. */
@@ -30,6 +35,8 @@
   connectLimit: Ms;
   /** Opens the connection; over TCP if undefined. */
   dial?: Dialer | undefined;
+  /** Reports an answer that exceeds a limit. */
+  onExcess?: ((excess: AnswerExcess) => void) | undefined;
 }>;
 
 /** What ended an answer: its framing, or a normal close of the connection that the framing does not prove complete. */
@@ -52,6 +59,8 @@
 export type Exchange = Readonly<{
   /** Closes the connection; the sink is not called any more. */
   cancel: () => void;
+  /** Like `cancel`, since the answer exceeds a limit of its sink; reports it. */
+  cancelFor: (excess: AnswerExcess) => void;
   pause: () => void;
   resume: () => void;
   /** Whether a connection was established, so that the server may have received the request. */
@@ -79,13 +88,14 @@
   sink: ExchangeSink,
 ): Exchange => {
   const { address, method, target, headers, body, connectLimit } = exchange;
-  const { dial = connectTcp } = exchange;
+  const { dial = connectTcp, onExcess } = exchange;
   let isConnected = false;
   let isOver = false;
   /** The answer was complete when its connection closed; later errors of the connection are ignored. */
   let isProven = false;
   let answer: IncomingMessage | undefined;
   let endedBy: EndedBy = "framing";
+  const meter = createOverheadMeter();
   const socket = dial(address);
 
   const finish = () => {
@@ -114,6 +124,12 @@
       : { kind: "broken", detail };
   };
 
+  const failByExcess = (excess: AnswerExcess) => {
+    if (isOver) return;
+    onExcess?.(excess);
+    fail({ kind: "malformed", detail: describeExcess(excess) });
+  };
+
   socket.once("connect", () => {
     isConnected = true;
     connectTimer.cancel();
@@ -126,6 +142,13 @@
     headers: headers as string[],
     maxHeaderSize: ANSWER_HEAD_BYTES,
   });
+  // The parser has the bytes first, so that those of a body are counted before they are compared.
+  outgoing.once("socket", () =>
+    socket.on("data", (bytes: Buffer) => {
+      const excess = meter.addReceived(bytes.length);
+      if (excess) failByExcess(excess);
+    }),
+  );
   // NOTE: Node.js reports a reset that arrives with the last bytes as a normal end. Only a write that
   // fails reveals the reset, and this matters only for an answer that is not complete yet. Servers
   // skip an empty line between requests, so writing one is harmless.
@@ -147,6 +170,7 @@
     if (isOver) return;
     answer = incoming;
     incoming.on("data", (chunk: Buffer) => {
+      meter.addBody(chunk.length);
       if (!isOver) sink.onData(chunk);
     });
     incoming.on("end", () => {
@@ -168,9 +192,15 @@
   });
   outgoing.end(body);
 
+  const cancel = () => {
+    if (finish()) socket.destroy();
+  };
   return {
-    cancel: () => {
-      if (finish()) socket.destroy();
+    cancel,
+    cancelFor: (excess) => {
+      if (isOver) return;
+      onExcess?.(excess);
+      cancel();
     },
     pause: () => answer?.pause(),
     resume: () => answer?.resume(),
--- a/packages/forwarding/src/sendAttempt.ts
+++ b/packages/forwarding/src/sendAttempt.ts
@@ -50,6 +50,7 @@
 
   const createSink = (attempt: Attempt, server: BackendServer) =>
     createAnswerSink({
+      clock,
       codec,
       request,
       relay,
@@ -69,8 +70,7 @@
         onPassingOn: state.markMayHaveRun,
         onWhole: () => getSteps().finishWhole(attempt),
         onFailure: (failure) => getSteps().handleFailure(attempt, failure),
-        onNoStream: () =>
-          getSteps().conclude(attempt, { kind: "answered", head: attempt.head! }),
+        onHeadOnly: () => getSteps().concludeByHead(attempt),
       },
     });
 
--- a/packages/forwarding/src/serverExchanges.ts
+++ b/packages/forwarding/src/serverExchanges.ts
@@ -169,6 +169,10 @@
         watch.end();
         own.cancel();
       },
+      cancelFor: (excess) => {
+        watch.end();
+        own.cancelFor(excess);
+      },
       pause: () => {
         watch.setPaused(true);
         own.pause();
@@ -223,6 +227,10 @@
           isCancelled = true;
           current.cancel();
         },
+        cancelFor: (excess) => {
+          isCancelled = true;
+          current.cancelFor(excess);
+        },
         pause: () => current.pause(),
         resume: () => current.resume(),
         isSent: () => current.isSent(),
--- a/packages/forwarding/src/streamRelay.test.ts
+++ b/packages/forwarding/src/streamRelay.test.ts
@@ -90,7 +90,7 @@
     segment.push(Buffer.from(makeEvent(0, "a")));
     const part = Buffer.alloc(64 * 1024, "x");
     const steps = Array.from({ length: 10 }, () => segment.push(part).kind);
-    expect(steps).toContain("too_long");
+    expect(steps).toContain("no_event");
     expect(steps.at(-1)).toBe("held");
     relay.beginSegment([], "").push(Buffer.from(makeEvent(1, "b")));
     expect(getSent()).toBe(makeEvent(0, "a") + makeEvent(1, "b"));
--- a/packages/forwarding/src/streamRelay.ts
+++ b/packages/forwarding/src/streamRelay.ts
@@ -5,6 +5,7 @@
  * incomplete event of one server is never joined to an event of the next.
  */
 import { assertNever, type Clock, type Ms } from "@stairgauge/common";
+import { HELD_BODY_LIMITS } from "./answerLimits.js";
 import { addId, canContinueAfter, checkJoin, createIdSequence } from "./checkJoin.js";
 import type { ClientAnswer } from "./clientAnswer.js";
 import { createEventSplitter, type EventBatch } from "./eventSplitter.js";
@@ -16,8 +17,8 @@
   | { kind: "held" }
   /** Complete events were forwarded; `isClientSlow` if the client's write buffer is full. */
   | { kind: "passed_on"; isClientSlow: boolean }
-  /** An event is too long to buffer. */
-  | { kind: "too_long" }
+  /** More bytes than may be held have come without an event. */
+  | { kind: "no_event"; bytes: number }
   /** The segment's first event does not follow the client's last one; nothing was forwarded. */
   | {
       kind: "does_not_follow";
@@ -69,9 +70,6 @@
 
 const STREAM_STATUS = 200;
 
-/** Largest incomplete event that is buffered. A server that never ends an event would fill the box's memory. */
-const MAX_EVENT_BYTES = 512 * 1024;
-
 /** Largest number of buffered comments before the first event of a segment. */
 const MAX_HELD_COMMENTS = 16;
 
@@ -125,6 +123,8 @@
   const beginSegment = (headers: RawHeaders, reason: string): StreamSegment => {
     const splitter = createEventSplitter();
     let isJoined = false;
+    /** Bytes of comments since the last event. */
+    let commentBytes = 0;
     const comments: Buffer[] = [];
     const begin = () => {
       if (!answer.hasBegun()) answer.begin({ status: STREAM_STATUS, reason, headers });
@@ -155,9 +155,12 @@
       push: (chunk) => {
         if (current !== segment) return { kind: "held" };
         const batch = splitter.push(chunk);
-        if (splitter.countHeldBytes() > MAX_EVENT_BYTES) {
+        if (batch)
+          commentBytes = batch.ids.length > 0 ? 0 : commentBytes + batch.bytes.length;
+        const bytes = commentBytes + splitter.countHeldBytes();
+        if (bytes > HELD_BODY_LIMITS.streamGap.maxBytes) {
           current = undefined;
-          return { kind: "too_long" };
+          return { kind: "no_event", bytes };
         }
         if (!batch) return { kind: "held" };
         return isJoined ? sendBatch(batch) : joinBatch(batch);
--- a/packages/peers/src/carryCall.ts
+++ b/packages/peers/src/carryCall.ts
@@ -53,15 +53,37 @@
   };
 };
 
+/**
+ * Bytes of an answer that may wait to be sent to the asking box. The stream itself counts frames, and sixteen of them
+ * may be a megabyte.
+ */
+const MAX_WAITING_BYTES = 128 * 1024;
+
+const countBytes = (frame: CarryFrame): number =>
+  frame.kind === "data" ? frame.bytes.length : 0;
+
 /** Creates the handler of such calls. */
 export const createCarryHandler =
   (answerCarry: AnswerCarry) =>
   (call: ServerWritableStream<CarryQuestion, CarryFrame>): void => {
+    let waiting = 0;
+    let isFull = false;
+    const handleSent = (bytes: number) => {
+      waiting -= bytes;
+      if (!isFull || waiting > MAX_WAITING_BYTES) return;
+      isFull = false;
+      handlers.onDrain();
+    };
     const handlers = answerCarry(call.request, {
-      write: (frame) => call.write(frame),
+      write: (frame) => {
+        const bytes = countBytes(frame);
+        waiting += bytes;
+        isFull = waiting > MAX_WAITING_BYTES;
+        call.write(frame, () => handleSent(bytes));
+        return !isFull;
+      },
       end: () => call.end(),
     });
     call.on("cancelled", handlers.onCancelled);
     call.on("error", handlers.onCancelled);
-    call.on("drain", handlers.onDrain);
   };
--- a/packages/telemetry/src/boxMetrics.ts
+++ b/packages/telemetry/src/boxMetrics.ts
@@ -169,6 +169,12 @@
       help: "Backend servers that this box does not reach although other boxes do",
       registers,
     }),
+    answersOverLimit: new Counter({
+      name: "stairgauge_answers_over_limit_total",
+      help: "Answers of servers that were given up since they exceed a limit on what may be read in vain, by limit",
+      labelNames: ["limit"],
+      registers,
+    }),
     carrySteps: new Counter({
       name: "stairgauge_carry_steps_total",
       help: "Steps of requests sent by way of another box: carried, carrier_passed_over, carrier_lost",
