fix: a request does not wait for a body that will not be forwarded

Callers saw 504 at their deadline, with free servers beside it, where a server sent the head of a failure and its body slowly or never: the head had decided that another server is tried, or that the box answers itself.

Change: once a short body has had the time to arrive with its head, the head decides (isDecidedByHead): an answer that can't be forwarded ends at once, a refusal or a failure if another attempt is possible and allowed. Only what may still be forwarded is read on, within its limits. Such ends are told as by_head in the lines of requests.

--- a/apps/box/src/endlessAnswers.test.ts
+++ b/apps/box/src/endlessAnswers.test.ts
@@ -397,3 +397,54 @@
     },
   );
 });
+
+/** Guards against a request that waits for a body which it doesn't need, while its server writes that slowly. */
+describe("a failure whose body comes slowly", () => {
+  const writeSlowly =
+    (status: string, lines: readonly string[]): Writing =>
+    (id) => ({
+      begin: formatHead(status, [formatIdLine(id), ...lines]),
+      repeat: "x",
+      pauseMs: 50,
+    });
+  const WRITINGS = {
+    failure: writeSlowly("500 Failed", [SIGNED]),
+    refusal: writeSlowly("503 Full", [NOT_RUN]),
+    unsigned: writeSlowly("200 OK", []),
+  } as const;
+  const sendUntilReached = async (
+    kind: keyof typeof WRITINGS,
+    { path, sound }: Readonly<{ path: string; sound: number }>,
+  ) => {
+    const site = await startEndlessSite({ endless: 1, sound }, () => WRITINGS[kind]);
+    const answers: Awaited<ReturnType<typeof measureRequest>>[] = [];
+    for (let at = 0; site.reached.size === 0 && at < 40; at += 1)
+      answers.push(await measureRequest(site, path, `slow-${at}`));
+    expect(site.reached.size).toBe(1);
+    return {
+      statuses: [...new Set(answers.map(({ status }) => status))],
+      isSoon: answers.every(({ isAtDeadline }) => !isAtDeadline),
+    };
+  };
+
+  it.each(["failure", "refusal", "unsigned"] as const)(
+    "is not awaited while another server is there: %s",
+    async (kind) => {
+      const answers = await sendUntilReached(kind, { path: "/again/", sound: 3 });
+      expect(answers).toEqual({ statuses: [200], isSoon: true });
+    },
+  );
+
+  it.each([
+    ["failure", "/once/", 502],
+    ["failure", "/again/", 502],
+    ["refusal", "/once/", 503],
+    ["unsigned", "/once/", 502],
+  ] as const)(
+    "is not awaited until the deadline without another server: %s, at %s",
+    async (kind, path, status) => {
+      const answers = await sendUntilReached(kind, { path, sound: 0 });
+      expect(answers).toEqual({ statuses: [status], isSoon: true });
+    },
+  );
+});
--- a/packages/forwarding/src/answerSink.ts
+++ b/packages/forwarding/src/answerSink.ts
@@ -7,7 +7,13 @@
 import type { RunStop } from "./activeRuns.js";
 import type { ServerPresence } from "./askServer.js";
 import { countBytesLeft, type Attempt } from "./attempt.js";
-import { decideVerdict, isBodyNeeded, isStreamOf } from "./decideNext.js";
+import {
+  decideVerdict,
+  isBodyNeeded,
+  isDecidedByHead,
+  isStreamOf,
+  type Verdict,
+} from "./decideNext.js";
 import type { AdmittedRequest } from "./admittedRequest.js";
 import { describeHeadFault, findHeadFault, type HeadFault } from "./checkAnswerHead.js";
 import {
@@ -47,6 +53,8 @@
   attempt: Attempt;
   /** Whether the attempt's server gets no new work because it is about to stop. */
   isLeaving: () => boolean;
+  /** Whether another attempt would be possible and allowed after this verdict on the answer. */
+  mayRetryAfter: (verdict: Verdict) => boolean;
   /** Finds out whether this box had the attempt's run stopped there. */
   findStop: () => Promise<RunStop>;
   /** Sends a health check to the server; resolves with undefined if it has no health path. */
@@ -77,8 +85,24 @@
     }
     // Only events may follow events, so any other answer to a continuation is not read.
     if (relay.hasBegun()) listener.onHeadOnly();
-    else if (!isFinal(answerHead)) limitBodyTime();
+    else if (!isFinal(answerHead)) awaitShortBody(answerHead);
+  };
+  /** A short body arrives with its head; one that does not is awaited only if it may be forwarded. */
+  const awaitShortBody = (answerHead: AnswerHead) => {
+    const decide = wrapIfCurrent(() => {
+      if (isHeadEnough(answerHead)) listener.onHeadOnly();
+      else limitBodyTime();
+    });
+    // The end of an answer is reported one turn of the event loop after its last bytes.
+    setImmediate(() => setImmediate(decide));
   };
+  const isHeadEnough = (answerHead: AnswerHead): boolean =>
+    isDecidedByHead({
+      head: answerHead,
+      id: head.id,
+      route: request.route,
+      mayRetryAfter: options.mayRetryAfter,
+    });
   const isFinal = (answerHead: AnswerHead): boolean =>
     decideVerdict({ kind: "answered", head: answerHead }, head.id) === "final";
 
--- a/packages/forwarding/src/decideNext.test.ts
+++ b/packages/forwarding/src/decideNext.test.ts
@@ -1,7 +1,12 @@
 import { describe, expect, it, vi } from "vitest";
 import type { Ms, ServiceName } from "@stairgauge/common";
 import type { Route, RouteName } from "@stairgauge/routing";
-import { decideNext, decideVerdict, type AttemptEnd } from "./decideNext.js";
+import {
+  decideNext,
+  decideVerdict,
+  isDecidedByHead,
+  type AttemptEnd,
+} from "./decideNext.js";
 import { makeAnswerHead } from "./answerHead.testkit.js";
 import type { AnswerHead, ClientRequestId } from "./types.js";
 
@@ -137,3 +142,35 @@
     expect(kind).toBe("answer_unknown");
   });
 });
+
+describe("isDecidedByHead", () => {
+  const isDecided = (
+    changes: Partial<AnswerHead>,
+    kind: Route["kind"],
+    mayRetry: boolean,
+  ) =>
+    isDecidedByHead({
+      head: makeHead(changes),
+      id,
+      route: makeRoute(kind),
+      mayRetryAfter: () => mayRetry,
+    });
+
+  it.each([
+    ["a success", {}, [false, false, false, false]],
+    ["a 404", { status: 404 }, [false, false, false, false]],
+    ["no signature", { isSigned: false }, [true, true, true, true]],
+    ["a bare 503", { status: 503 }, [true, true, true, true]],
+    ["a refusal", { status: 503, isNotRun: true }, [false, true, false, true]],
+    ["another server", { status: 421, isOtherServer: true }, [true, true, true, true]],
+    ["a failure", { status: 500 }, [false, false, false, true]],
+  ] as const)(
+    "%s: on a once route without and with another attempt, and on a repeatable one",
+    (_, changes, expected) => {
+      const decided = (["once", "repeatable"] as const).flatMap((kind) =>
+        [false, true].map((mayRetry) => isDecided(changes, kind, mayRetry)),
+      );
+      expect(decided).toEqual(expected);
+    },
+  );
+});
--- a/packages/forwarding/src/decideNext.ts
+++ b/packages/forwarding/src/decideNext.ts
@@ -107,6 +107,35 @@
   id: ClientRequestId | undefined,
 ): boolean => endedBy === "connection" && !isBodyNeeded(head!, id);
 
+/** Inputs of the question whether an answer's head decides. */
+export type HeadInputs = Readonly<{
+  head: AnswerHead;
+  id: ClientRequestId | undefined;
+  route: Route;
+  /** Whether another attempt would be possible and allowed after this verdict. */
+  mayRetryAfter: (verdict: Verdict) => boolean;
+}>;
+
+/** Whether the head decides what follows, so that the body need not be awaited: it will not be forwarded. */
+export const isDecidedByHead = ({
+  head,
+  id,
+  route,
+  mayRetryAfter,
+}: HeadInputs): boolean => {
+  const verdict = decideVerdict({ kind: "answered", head }, id);
+  switch (verdict) {
+    case "final":
+      return false;
+    case "may_have_run":
+      return true;
+    case "not_run":
+      return head.isOtherServer || mayRetryAfter(verdict);
+    case "ran_and_failed":
+      return mayRepeat(route) && mayRetryAfter(verdict);
+  }
+};
+
 /** Converts the end of a failed continuation to the outcome that is reported to the run keeper. */
 export const toContinuationOutcome = (end: AttemptEnd): ContinuationOutcome =>
   end.kind === "answered"
--- a/packages/forwarding/src/describeAnswerEnd.ts
+++ b/packages/forwarding/src/describeAnswerEnd.ts
@@ -23,7 +23,7 @@
 export type AnswerEnd = Readonly<{
   /** Undefined if no head arrived. */
   framing: Framing | undefined;
-  /** `by_framing`, `in_order` for a connection that ended the answer, `left_open`, or the failure's detail. */
+  /** `by_framing`, `in_order` for a connection that ended the answer, `by_head` if the rest was not awaited, `left_open`, or the failure's detail. */
   closed: string;
   /** Id of the last event that the client received; undefined if there is none or it has no id. */
   lastEventId: string | undefined;
@@ -57,6 +57,17 @@
   return head.contentLength === undefined ? "chunks" : "length";
 };
 
+const describeEndedBy = (endedBy: EndedBy | undefined): string => {
+  switch (endedBy) {
+    case "connection":
+      return "in_order";
+    case "framing":
+      return "by_framing";
+    case undefined:
+      return "by_head";
+  }
+};
+
 const describeClosing = (
   closing: AnswerClosing,
   endedBy: EndedBy | undefined,
@@ -67,7 +78,7 @@
     case "failed":
       return describeEnd(closing);
     case "answered":
-      return endedBy === "connection" ? "in_order" : "by_framing";
+      return describeEndedBy(endedBy);
   }
 };
 
--- a/packages/forwarding/src/requestAttempts.ts
+++ b/packages/forwarding/src/requestAttempts.ts
@@ -58,6 +58,8 @@
   recordChosen: (server: ServerId) => void;
   /** Records the result of an attempt that has ended or is given up. */
   recordEnd: (end: AttemptResult) => void;
+  /** Whether the request could be sent again if the open attempt ended like this. */
+  mayRetryAfter: (end: AttemptResult) => boolean;
   /** Whether the request may be sent again after the attempts that ended; true takes from the retry budget. */
   takeRetry: () => boolean;
   /** Like `takeRetry`, for an attempt that is still open; the attempt counts only if the result is true. */
@@ -102,10 +104,19 @@
   /** A request that never reached a server costs no budget, as sending it again is no repeat. */
   const takeRetry = () => canRetry() && (countSent() === 0 || takeFromBudget());
 
+  const mayRetryAfter = (end: AttemptResult) => {
+    ended[end] += 1;
+    const mayRetry =
+      canRetry() && (countSent() === 0 || budget.has(service, clock.monotonic()));
+    ended[end] -= 1;
+    return mayRetry;
+  };
+
   return {
     tried,
     countSent,
     choose,
+    mayRetryAfter,
     recordChosen: (server) => void tried.add(server),
     recordEnd,
     takeRetry,
--- a/packages/forwarding/src/retryBudget.ts
+++ b/packages/forwarding/src/retryBudget.ts
@@ -13,6 +13,8 @@
 /** Counts the requests and repeats of each service. */
 export type RetryBudget = Readonly<{
   recordRequest: (service: ServiceName, now: Ms) => void;
+  /** Whether a repeat is left in the budget. */
+  has: (service: ServiceName, now: Ms) => boolean;
   /** Takes one repeat from the budget; false if it is used up. */
   take: (service: ServiceName, now: Ms) => boolean;
 }>;
@@ -38,13 +40,17 @@
     return serviceCounts;
   };
 
+  const has = (service: ServiceName, now: Ms): boolean => {
+    const { ratio, slack } = getLimits();
+    const { requests, repeats } = getCounts(service, now);
+    return repeats.length + 1 <= ratio * requests.length + slack;
+  };
   return {
     recordRequest: (service, now) => void getCounts(service, now).requests.push(now),
+    has,
     take: (service, now) => {
-      const { ratio, slack } = getLimits();
-      const { requests, repeats } = getCounts(service, now);
-      if (repeats.length + 1 > ratio * requests.length + slack) return false;
-      repeats.push(now);
+      if (!has(service, now)) return false;
+      getCounts(service, now).repeats.push(now);
       return true;
     },
   };
--- a/packages/forwarding/src/sendAttempt.ts
+++ b/packages/forwarding/src/sendAttempt.ts
@@ -9,6 +9,7 @@
   RetryingSteps,
   SendingSteps,
 } from "./dispatchParts.js";
+import { classifyAttempt } from "./requestAttempts.js";
 import { mayRepeat } from "./mayRepeat.js";
 import { watchSilence } from "./watchSilence.js";
 
@@ -56,6 +57,8 @@
       relay,
       attempt,
       isLeaving: () => placer.isLeaving(server),
+      mayRetryAfter: (verdict) =>
+        attempts.mayRetryAfter(classifyAttempt(true, verdict, attempt.head?.signals)),
       findStop,
       askServer: () => deps.askServer(server),
       runStep: parts.runStep,
