fix: request bodies that are still being read count against the box's memory

Change: each byte counts from when it is read (bodyMemory.ts). Where the length is told and doesn't fit, the request is refused before its body. Requests that would be refused by their heads, such as those without a valid key, share an eighth of the memory.

--- a/apps/box/src/boxLimits.test.ts
+++ b/apps/box/src/boxLimits.test.ts
@@ -2,7 +2,7 @@
 import { connect, type Socket } from "node:net";
 import { describe, expect, it } from "vitest";
 import { parseBoxSettings } from "@stairgauge/settings";
-import { formatBoxSettings } from "@stairgauge/standins";
+import { formatBoxSettings, SITE_HOST, SITE_KEY } from "@stairgauge/standins";
 import { ask, closers, startSite, waitFor } from "./box.testkit.js";
 
 const openClient = (port: number) => {
@@ -52,6 +52,29 @@
     expect(taken.status).toBe(200);
   });
 
+  it("counts bodies that are still being read against its memory, fewer of them without a key", async () => {
+    const { ports, start } = await startSite(0, 1, { more: "clients: { heldMb: 0.08 }" });
+    await start();
+    const refused: string[] = [];
+    const beginUpload = (key: string) => {
+      const socket = openClient(ports.clients);
+      const name = `Authorization: Token ${key}`;
+      const head = `POST /once/x HTTP/1.1\r\nHost: ${SITE_HOST}\r\n${name}\r\nTransfer-Encoding: chunked`;
+      socket.write(`${head}\r\n\r\n2000\r\n${"x".repeat(8_192)}\r\n`);
+      socket.once("data", (bytes) => refused.push(bytes.toString().slice(9, 12)));
+    };
+    const beginUploads = async (key: string, held: number) => {
+      refused.length = 0;
+      for (let at = 0; at < 12; at += 1) beginUpload(key);
+      await waitFor(() => refused.length >= 12 - held);
+      expect(refused).toEqual(Array(12 - held).fill("503"));
+    };
+    await beginUploads("none", 1);
+    await beginUploads(SITE_KEY, 9);
+    const told = await ask(ports, { path: "/once/x", body: "x".repeat(5_000) });
+    expect(told).toMatchObject({ status: 503, headers: { connection: "close" } });
+  });
+
   it("opens no more than its share of the connections that a server accepts", async () => {
     const { site, ports, lines, start } = await startSite(0, 1, { stopSeconds: 1 });
     await start();
--- a/packages/forwarding/src/createForwarder.ts
+++ b/packages/forwarding/src/createForwarder.ts
@@ -1,6 +1,6 @@
 /** Handles clients' requests: reads them, admits or refuses them, and dispatches those admitted. */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Ms, ServiceName } from "@stairgauge/common";
+import { assertNever, type Ms, type ServiceName } from "@stairgauge/common";
 import {
   computeTimeLimit,
   decideAccess,
@@ -8,6 +8,7 @@
   type Route,
 } from "@stairgauge/routing";
 import type { AdmittedRequest } from "./admittedRequest.js";
+import { createBodyMemory } from "./bodyMemory.js";
 import { createClientAnswer } from "./clientAnswer.js";
 import { createServerAsker } from "./createServerAsker.js";
 import { dispatchCall, type DispatchedCall } from "./dispatchCall.js";
@@ -59,8 +60,8 @@
   const dispatchDeps: DispatchDeps = { ...deps, askServer, crashDetector };
   let stop: StopTimes | undefined;
   const calls = new Set<DispatchedCall>();
+  const bodyMemory = createBodyMemory(deps.maxHeldBytes);
   let open = 0;
-  let heldBytes = 0;
 
   const pickService = (route: Route): ServiceName => {
     const total = route.shares.reduce((sum, share) => sum + share.weight, 0);
@@ -114,13 +115,24 @@
       isLast = true;
       refuse(413, "body_too_long");
     };
+    /** The rest of the body is not read, so the connection can't serve another request. */
+    const refuseForMemory = () => {
+      isLast = true;
+      refuse(503, "too_many_bodies_held");
+    };
+    const decideByHead = () =>
+      decideAccess(configuration.getIndex(), configuration.getFreshness(), {
+        host: head.host,
+        path: head.target,
+        key: head.key,
+      });
+    const share = bodyMemory.open(decideByHead().kind === "admitted");
     let call: DispatchedCall | undefined;
-    let held = 0;
     let hasLeft = false;
     open += 1;
     response.once("close", () => {
       open -= 1;
-      heldBytes -= held;
+      share.release();
       hasLeft = true;
       call?.onClientLeft();
       if (call) calls.delete(call);
@@ -132,6 +144,10 @@
       refuseLongBody();
       return;
     }
+    if (!share.fits(head.contentLength ?? 0)) {
+      refuseForMemory();
+      return;
+    }
 
     const dispatch = (request: AdmittedRequest) => {
       const now = clock.monotonic();
@@ -170,26 +186,12 @@
     };
 
     const admit = (body: Buffer) => {
-      const access = decideAccess(
-        configuration.getIndex(),
-        configuration.getFreshness(),
-        {
-          host: head.host,
-          path: head.target,
-          key: head.key,
-        },
-      );
+      const access = decideByHead();
       route = access.route;
       if (access.kind === "refused") {
         refuse(STATUS_OF_REFUSAL[access.reason], access.reason);
         return;
       }
-      if (heldBytes + body.length > deps.maxHeldBytes) {
-        refuse(503, "too_many_bodies_held");
-        return;
-      }
-      held = body.length;
-      heldBytes += held;
       const request: AdmittedRequest = {
         head,
         body,
@@ -214,13 +216,21 @@
         admit(read.val);
         return;
       }
-      if (read.val.kind === "client_left") {
-        reportClientLeft();
-        return;
+      switch (read.val.kind) {
+        case "client_left":
+          reportClientLeft();
+          return;
+        case "no_memory":
+          refuseForMemory();
+          return;
+        case "too_long":
+          refuseLongBody();
+          return;
+        default:
+          assertNever(read.val);
       }
-      refuseLongBody();
     };
-    void readRequestBody(incoming, limit).then(handleBody).catch(endByFault);
+    void readRequestBody({ incoming, limit, share }).then(handleBody).catch(endByFault);
   };
 
   return {
--- a/packages/forwarding/src/readRequestBody.ts
+++ b/packages/forwarding/src/readRequestBody.ts
@@ -1,33 +1,50 @@
-/** Reads the complete body of a client's request, up to the configured limit. */
+/** Reads the complete body of a client's request, up to the configured limit and the memory that is left. */
 import type { IncomingMessage } from "node:http";
 import { Err, Ok, type Result } from "@stairgauge/common";
+import type { BodyShare } from "./bodyMemory.js";
 
 /** Why a body could not be read. */
 export type RequestBodyFailure = Readonly<
   | { kind: "too_long"; limit: number }
+  /** The memory for bodies is used up. */
+  | { kind: "no_memory" }
   /** The client disconnected, or sent invalid framing. */
   | { kind: "client_left" }
 >;
 
-/** Reads the body; never buffers more than `limit` bytes. */
-export const readRequestBody = (
-  incoming: IncomingMessage,
-  limit: number,
-): Promise<Result<Buffer, RequestBodyFailure>> =>
+/** Options of the read. */
+export type RequestBodyOptions = Readonly<{
+  incoming: IncomingMessage;
+  /** Largest body, in bytes. */
+  limit: number;
+  share: Pick<BodyShare, "take">;
+}>;
+
+/** Reads the body; never buffers more than `limit` bytes, nor more than the share takes. */
+export const readRequestBody = ({
+  incoming,
+  limit,
+  share,
+}: RequestBodyOptions): Promise<Result<Buffer, RequestBodyFailure>> =>
   new Promise((resolve) => {
-    const chunks: Buffer[] = [];
+    let chunks: Buffer[] = [];
     let length = 0;
+    let isOver = false;
+    const fail = (failure: RequestBodyFailure) => {
+      isOver = true;
+      chunks = [];
+      resolve(Err(failure));
+    };
     incoming.on("data", (chunk: Buffer) => {
+      if (isOver) return;
       length += chunk.length;
-      if (length > limit) {
-        resolve(Err({ kind: "too_long", limit }));
-        return;
-      }
-      chunks.push(chunk);
+      if (length > limit) fail({ kind: "too_long", limit });
+      else if (!share.take(chunk.length)) fail({ kind: "no_memory" });
+      else chunks.push(chunk);
     });
     incoming.on("end", () =>
       resolve(Ok(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks))),
     );
-    incoming.on("error", () => resolve(Err({ kind: "client_left" })));
+    incoming.on("error", () => fail({ kind: "client_left" }));
     incoming.on("close", () => resolve(Err({ kind: "client_left" })));
   });
