fix: a stream that a leaving server ends while it stops its process does not end as complete

Cause: one answer right after the end doesn't tell a server that goes on from one that is about to exit.

Change: at a leaving server the check is made again 300 ms later, and the stream is whole only if the server answers both. Events are not delayed; the end of a whole stream is, there only.

Evidence: unframedStreams.test.ts, ends its streams while it stops its process: failed before (complete after event 4 of 40), passes now; endsOfStreams.test.ts passes as it is.

--- a/apps/box/src/unframedStreams.test.ts
+++ b/apps/box/src/unframedStreams.test.ts
@@ -3,7 +3,7 @@
  * since their server leaves, where nothing but the end of the connection marks their end.
  */
 import { describe, expect, it } from "vitest";
-import { waitFor } from "./box.testkit.js";
+import { waitFor, waitMs } from "./box.testkit.js";
 import { beginUnframed, WHOLE, type CopyCall } from "./unframedStreams.testkit.js";
 
 describe("a stream that ends with its connection", () => {
@@ -34,6 +34,17 @@
     expect(calls).toEqual([{ engine, isLast: false }]);
   });
 
+  it("does not end as complete if its server, which leaves, ends its streams while it stops its process", async () => {
+    const stream = await beginUnframed({ copyMs: 2_000 });
+    const { site, engine, address, calls, answered } = stream;
+    site.putEngine(engine, address, "leaving");
+    await waitFor(() => calls.length === 1);
+    stream.endStreams();
+    await waitMs(50);
+    stream.stopListening();
+    expect(await answered).toMatchObject({ status: 200, isWhole: false });
+  });
+
   it("goes on if its box is told to stop while it is between two servers", async () => {
     let stopBox: () => unknown = () => undefined;
     const stream = await beginUnframed({ copyMs: 50, onCopy: () => void stopBox() });
--- a/apps/box/src/unframedStreams.testkit.ts
+++ b/apps/box/src/unframedStreams.testkit.ts
@@ -97,6 +97,10 @@
   return {
     address,
     breakOff: () => breakOff(),
+    endStreams: () => {
+      for (const end of [...runs.values()]) end();
+    },
+    stopListening: close,
   };
 };
 
@@ -112,6 +116,10 @@
   address: string;
   /** Resets the connection of the stream; the run goes on. */
   breakOff: () => void;
+  /** Ends the stream before its last event; the engine goes on answering. */
+  endStreams: () => void;
+  /** Closes the engine's listener and all its connections. */
+  stopListening: () => void;
 }>;
 
 /**
--- a/packages/forwarding/src/answerSink.ts
+++ b/packages/forwarding/src/answerSink.ts
@@ -2,7 +2,13 @@
  * Receives the answer of one attempt: buffers it, forwards it to the client, or passes its events to the
  * stream's relay, and reports how it ended.
  */
-import { assertNever, type BoxName, type Clock } from "@stairgauge/common";
+import {
+  assertNever,
+  waitFor,
+  type BoxName,
+  type Clock,
+  type Ms,
+} from "@stairgauge/common";
 import { describeExcess, HELD_BODY_LIMITS, type AnswerExcess } from "./answerLimits.js";
 import type { RunStop } from "./activeRuns.js";
 import type { ServerPresence } from "./askServer.js";
@@ -27,6 +33,9 @@
 import type { SegmentStep, StreamRelay } from "./streamRelay.js";
 import type { AnswerHead, ExchangeFailure, HeadCodec } from "./types.js";
 
+/** How long after the end of a stream a leaving server must still run: a stop in order ends streams first, the process soon after. */
+const LEAVING_CHECK_MS = 300 as Ms;
+
 /** Callbacks of an attempt; at most one of `onWhole`, `onFailure` and `onHeadOnly` is called, once. */
 export type AttemptListener = Readonly<{
   /** Whether the attempt is still the request's current one; if not, the rest of its answer is ignored. */
@@ -216,10 +225,18 @@
         assertNever(proof);
     }
   };
+  /** Asks twice where a leaving server has ended a stream, since it answers for a while if it stops its process in order. */
+  const findPresenceProof = async (): Promise<EndProof> => {
+    const isLeavingStream = attempt.body.kind === "stream" && options.isLeaving();
+    const proof = classifyEndByPresence(await options.askServer());
+    if (!isLeavingStream || proof.kind !== "whole") return proof;
+    await waitFor(options.clock, LEAVING_CHECK_MS);
+    return classifyEndByPresence(await options.askServer());
+  };
   const findProof = async (): Promise<EndProof> => {
     const proof = classifyEndByStop(await options.findStop());
     if (proof.kind !== "unproven") return proof;
-    const byPresence = classifyEndByPresence(await options.askServer());
+    const byPresence = await findPresenceProof();
     // A stop may have been asked for meanwhile, since a lost connection doesn't end a run.
     const later = classifyEndByStop(await options.findStop());
     return later.kind === "unproven" ? byPresence : later;
