fix: nothing of a body is taken from the memory for bodies once its request has ended

Found by reading: bytes that come behind the end of a request would have been counted and never freed. bodyMemory.test.ts shows it (the second test fails without the change).

--- a/packages/forwarding/src/bodyMemory.ts
+++ b/packages/forwarding/src/bodyMemory.ts
@@ -12,7 +12,7 @@
   fits: (bytes: number) => boolean;
   /** Takes memory for bytes that were read; false if they don't fit. */
   take: (bytes: number) => boolean;
-  /** Frees all of it. */
+  /** Frees all of it; nothing can be taken after that. */
   release: () => void;
 }>;
 
@@ -29,7 +29,9 @@
   return {
     open: (isAdmitted) => {
       let own = 0;
+      let isReleased = false;
       const fits = (bytes: number) =>
+        !isReleased &&
         taken + bytes <= maxBytes &&
         (isAdmitted || takenByRefused + bytes <= maxBytes * REFUSED_SHARE);
       const add = (bytes: number) => {
@@ -44,7 +46,10 @@
           add(bytes);
           return true;
         },
-        release: () => add(-own),
+        release: () => {
+          isReleased = true;
+          add(-own);
+        },
       };
     },
   };
