refactor: an answer's verdict is computed only beyond the smaller limit of held bodies, and a probe waits as a health check does

Behaviour is as it was: 280 tests of forwarding and of answers without end pass, types and lint too.

--- a/packages/forwarding/src/answerSink.ts
+++ b/packages/forwarding/src/answerSink.ts
@@ -117,7 +117,7 @@
 
   /** Gives up a body that is held only to be forwarded as a whole; the head decides then. */
   const dropBody = (excess: AnswerExcess) => {
-    attempt.excess = excess;
+    attempt.isBodyDropped = true;
     attempt.exchange?.cancelFor(excess);
     listener.onHeadOnly();
   };
@@ -140,10 +140,11 @@
   const appendHeld = (parts: Buffer[], chunk: Buffer) => {
     parts.push(chunk);
     attempt.heldBytes += chunk.length;
-    if (isFinal(attempt.head!)) {
-      if (attempt.heldBytes > HELD_BODY_LIMITS.answer.maxBytes) startPassingOn(parts);
-    } else if (attempt.heldBytes > HELD_BODY_LIMITS.failure.maxBytes)
+    const { answer: sound, failure } = HELD_BODY_LIMITS;
+    if (attempt.heldBytes <= failure.maxBytes) return;
+    if (!isFinal(attempt.head!))
       dropBody({ limit: "held_body", bytes: attempt.heldBytes });
+    else if (attempt.heldBytes > sound.maxBytes) startPassingOn(parts);
   };
   const startPassingOn = (parts: readonly Buffer[]) => {
     const answerHead = attempt.head!;
@@ -192,7 +193,6 @@
   };
 
   const failStream = (excess: AnswerExcess) => {
-    attempt.excess = excess;
     attempt.exchange?.cancelFor(excess);
     listener.onFailure({ kind: "malformed", detail: describeExcess(excess) });
   };
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -2,7 +2,6 @@
 import type { BoxName, Ms, Timer } from "@stairgauge/common";
 import type { BackendServer } from "@stairgauge/directory";
 import type { Demand } from "@stairgauge/placement";
-import type { AnswerExcess } from "./answerLimits.js";
 import type { ClientAnswer } from "./clientAnswer.js";
 import type { EndedBy, Exchange } from "./openExchange.js";
 import type { StreamSegment } from "./streamRelay.js";
@@ -40,8 +39,8 @@
   heldBytes: number;
   /** Limits the time of a body that is held; undefined if it has no limit of its own. */
   bodyTimer: Timer | undefined;
-  /** The limit that the answer has exceeded; undefined if it has exceeded none. */
-  excess: AnswerExcess | undefined;
+  /** Whether the body exceeded a limit, so that its rest was not read. */
+  isBodyDropped: boolean;
   /** Frees the server's slot. */
   readonly release: () => void;
   /** Watches for a server that sends no answer head; undefined if the attempt is not watched. */
@@ -72,7 +71,7 @@
   body: { kind: "held", parts: [] },
   heldBytes: 0,
   bodyTimer: undefined,
-  excess: undefined,
+  isBodyDropped: false,
   release,
   silenceWatch: undefined,
 });
--- a/packages/forwarding/src/concludeAttempt.ts
+++ b/packages/forwarding/src/concludeAttempt.ts
@@ -100,7 +100,7 @@
     if (!wasSent) placer.onUnreachable(server);
     else if (end.kind === "failed" && (!attempt.head || end.failure.kind === "malformed"))
       recordFailure(attempt, end.failure);
-    else if (attempt.excess) placer.onBroken(server, Promise.resolve());
+    else if (attempt.isBodyDropped) placer.onBroken(server, Promise.resolve());
     if (end.kind === "answered" && end.head.isOtherServer) placer.onAddressReused(server);
     return verdict;
   };
--- a/packages/forwarding/src/probePath.ts
+++ b/packages/forwarding/src/probePath.ts
@@ -1,6 +1,7 @@
 /** Finds out whether a box's own path to a server is open, without a client's request. */
 import type { Clock, Ms } from "@stairgauge/common";
 import type { ServerEntry } from "@stairgauge/directory";
+import { HELD_BODY_LIMITS } from "./answerLimits.js";
 import type { OpenOwnExchange } from "./serverExchanges.js";
 import type { HeadCodec } from "./types.js";
 
@@ -15,9 +16,6 @@
   openOwn: OpenOwnExchange;
 }>;
 
-/** Time limit of an answer; a server that is full rejects a health check at once. */
-const ANSWER_LIMIT_MS = 1_000 as Ms;
-
 /** Resolves with whether the server answered; what it answered says nothing about the path. */
 export const probePath = (probe: PathProbe): Promise<boolean> =>
   new Promise((resolve) => {
@@ -46,5 +44,7 @@
         onFailure: () => finish(false),
       },
     );
-    const timer = clock.setTimer(ANSWER_LIMIT_MS, () => finish(false));
+    const timer = clock.setTimer(HELD_BODY_LIMITS.healthCheck.maxTime, () =>
+      finish(false),
+    );
   });
