fix: a box closes connections unread only if it can't read them in the time that callers wait

The log had no line about them.

Cause: a connection was given up after 250 ms unread, a time that fits callers who wait 600 ms, whatever its own callers wait and however soon its turn comes; the first ones, which had waited for all of it, were closed first. Besides, a burst keeps the event loop busy, so after half a second the box counted as short of processor time and closed what was still in the kernel.

How long a connection may stay unread is now learned from the requests that were read, and how long reading takes is measured; what the box won't reach in time is closed at once, the last ones first. A burst that becomes shorter without closing anybody is no lack of processor time. The kernel holds 4,096 connections instead of 1,024 that were not accepted. What is closed is told: connections_closed_unread at most once a second, and the counter by reason.

--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -124,6 +124,7 @@
     metrics,
     countOpen: () =>
       getParts().clientServer.countUnused() + getParts().forwarder.countOpen(),
+    readBacklog: () => getParts().clientServer.readBacklog(),
     readLoop: options.readLoop,
   });
   const paths = createPaths({
--- a/apps/box/src/createSaturation.ts
+++ b/apps/box/src/createSaturation.ts
@@ -4,6 +4,7 @@
   createIntake,
   createLoopMeter,
   readLoop,
+  type Backlog,
   type Intake,
   type LoopMeter,
   type LoopReading,
@@ -17,6 +18,8 @@
   metrics: BoxMetrics;
   /** Requests that this box works on, and connections that have sent none yet. */
   countOpen: () => number;
+  /** Reads how many connections wait to be read. */
+  readBacklog: () => Backlog;
   /** Reads what the event loop has used; that of this process if undefined. */
   readLoop?: (() => LoopReading) | undefined;
 }>;
@@ -25,9 +28,14 @@
 
 /** Creates the parts; the measurement has not been started. */
 export const createSaturation = (options: SaturationOptions): Saturation => {
-  const { clock, countOpen, log, metrics } = options;
+  const { clock, countOpen, readBacklog, log, metrics } = options;
   const observer = observeSaturation({ log, metrics });
-  const intake = createIntake({ clock, countOpen, onEvent: observer.onEvent });
+  const intake = createIntake({
+    clock,
+    countOpen,
+    readBacklog,
+    onEvent: observer.onEvent,
+  });
   const meter = createLoopMeter({
     clock,
     read: options.readLoop ?? readLoop,
@@ -36,9 +44,9 @@
       intake.applyWindow(window);
     },
   });
-  const recordTurnedAway = () => {
-    metrics.turnedAway.inc();
-    intake.recordTurnedAway();
+  const recordTurnedAway: Intake["recordTurnedAway"] = (reason, waited) => {
+    metrics.turnedAway.inc({ reason });
+    intake.recordTurnedAway(reason, waited);
   };
   return { meter, intake: { ...intake, recordTurnedAway } };
 };
--- a/apps/box/src/createServing.ts
+++ b/apps/box/src/createServing.ts
@@ -21,7 +21,7 @@
 } from "@stairgauge/forwarding";
 import type { StreamOrigins } from "@stairgauge/origins";
 import { createHeadCodec } from "@stairgauge/platform";
-import type { Intake } from "@stairgauge/saturation";
+import { createUnreadLimit, type Intake } from "@stairgauge/saturation";
 import type { BoxSettings } from "@stairgauge/settings";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
 import type { Signals } from "./createSignals.js";
@@ -68,6 +68,7 @@
       window: (windowSeconds * 1000) as Ms,
     };
   });
+  const unreadLimit = createUnreadLimit();
   const forwarder = createForwarder({
     clock,
     random,
@@ -86,6 +87,7 @@
     dispatchSignals: options.signals.handle,
     exchanges: options.exchanges,
     isShort: options.intake.isShort,
+    unreadLimit,
     observer: observeForwarding({ log, metrics, configuration }),
     retryAfter: clients.retryAfterMs as Ms,
     connectLimit: clients.connectLimitMs as Ms,
@@ -96,6 +98,7 @@
     handle: forwarder.handle,
     intake: options.intake,
     isBusy: options.isBusy,
+    unreadLimit,
     maxConnections: computeClientConnections(limits.descriptors),
     onClientError: (code) => log.writeDecision("client_fault", { code }),
   });
--- a/apps/box/src/crowdedProcesses.testkit.ts
+++ b/apps/box/src/crowdedProcesses.testkit.ts
@@ -25,7 +25,7 @@
 const PLAIN_SERVERS = 4;
 const STREAM_SERVERS = 8;
 
-/** Each stream has this many events at even gaps. */
+/** Each stream has this many events at even gaps, unless a test asks for others. */
 const STREAM_EVENTS = 90;
 const STREAM_MS = 3_000;
 const TOKENS_PER_EVENT = 4;
@@ -71,6 +71,8 @@
   /** Processor share of each box, from 0 to 1. */
   share: number;
   perSecond: number;
+  /** Events of each stream. */
+  streamEvents?: number;
 }>;
 
 /** A running box: its process, its port for clients, and the lines that it has written. */
@@ -122,7 +124,7 @@
   );
 };
 
-const startStreamServer = (id: string) =>
+const startStreamServer = (id: string, events: number) =>
   startListening(
     createServer((incoming, response) => {
       incoming.resume();
@@ -146,10 +148,10 @@
       const timer = setInterval(() => {
         response.write(`id: ${event}\ndata: ${request} token group ${event}\n\n`);
         event += 1;
-        if (event < STREAM_EVENTS) return;
+        if (event < events) return;
         clearInterval(timer);
         response.end();
-      }, STREAM_MS / STREAM_EVENTS);
+      }, STREAM_MS / events);
       response.on("close", () => clearInterval(timer));
     }),
   );
@@ -169,6 +171,7 @@
 store: { address: "${store}" }
 bounds: { configurationMs: 2000, keyRemovalMs: 5000, isKeyRemovalStrict: false, leavingMs: 2000, stopSeconds: 1 }
 retries: { ratio: 0.2, slack: 54, windowSeconds: 10 }
+limits: { descriptors: 16384 }
 `,
   );
   const script = `import { runBox } from ${JSON.stringify(RUN_BOX)}; await runBox({ keptCode: "absent" });`;
@@ -198,6 +201,7 @@
   kind: CrowdRequest["kind"],
   id: string,
   deadlineMs: number,
+  silenceMs = STREAM_SILENCE_MS,
 ): Promise<AttemptEnd> =>
   new Promise((resolve) => {
     let hasAnswer = false;
@@ -230,7 +234,7 @@
     const watchSilence = () => {
       if (kind !== "draft") return;
       clearTimeout(silence);
-      silence = setTimeout(() => finish("silent"), STREAM_SILENCE_MS);
+      silence = setTimeout(() => finish("silent"), silenceMs);
     };
     watchSilence();
     outgoing.on("socket", (socket) => {
@@ -258,6 +262,13 @@
   boxes: readonly CrowdBox[];
   /** Sends requests through the phases without a pause; resolves with the requests that began in each. */
   run: (phases: readonly CrowdPhase[]) => Promise<readonly (readonly CrowdRequest[])[]>;
+  /** Opens `count` connections to one box at once, each with one attempt that isn't repeated and lasts until its deadline. */
+  sendBurst: (
+    box: number,
+    count: number,
+    kind: CrowdRequest["kind"],
+    deadlineMs: number,
+  ) => Promise<readonly AttemptEnd[]>;
 }>;
 
 /** Starts the servers and the boxes, and holds the boxes to their shares. */
@@ -269,7 +280,10 @@
   for (let i = 0; i < PLAIN_SERVERS; i += 1)
     site.putService(`plain-${i}`, await startPlainServer(`plain-${i}`));
   for (let i = 0; i < STREAM_SERVERS; i += 1)
-    site.putEngine(`engine-${i}`, await startStreamServer(`engine-${i}`));
+    site.putEngine(
+      `engine-${i}`,
+      await startStreamServer(`engine-${i}`, options.streamEvents ?? STREAM_EVENTS),
+    );
   site.limitConnections(2_000);
   const boxes = await Promise.all(
     Array.from({ length: options.boxes }, (_, i) =>
@@ -326,5 +340,13 @@
     for (const phase of phases) sent.push(await sendPhase(phase));
     return Promise.all(sent.map((ofPhase) => Promise.all(ofPhase)));
   };
-  return { boxes, run };
+  const sendBurst: Crowd["sendBurst"] = (box, count, kind, deadlineMs) =>
+    Promise.all(
+      Array.from({ length: count }, () => {
+        sequence += 1;
+        const id = `burst-${sequence}`;
+        return sendAttempt(boxes[box]!.port, kind, id, deadlineMs, deadlineMs);
+      }),
+    );
+  return { boxes, run, sendBurst };
 };
--- a/apps/box/src/observeSaturation.ts
+++ b/apps/box/src/observeSaturation.ts
@@ -17,7 +17,8 @@
     metrics.processorShare.set(processorShare);
   },
   onEvent: ({ kind, ...fields }: SaturationEvent): void => {
-    metrics.processorShort.inc({ to: TARGET_STATE[kind] });
+    if (kind !== "connections_closed_unread")
+      metrics.processorShort.inc({ to: TARGET_STATE[kind] });
     log.writeNotice(kind, roundNumbers(fields));
   },
 });
--- a/packages/forwarding/src/clientAnswer.ts
+++ b/packages/forwarding/src/clientAnswer.ts
@@ -25,10 +25,18 @@
   headers: RawHeaders;
 }>;
 
+/** Options of an answer. */
+export type ClientAnswerOptions = Readonly<{
+  /** Whether the answer has to end its connection. */
+  isLastOnConnection: () => boolean;
+  /** The head was written. */
+  onBegun: () => void;
+}>;
+
 /** Wraps the response object of one request. */
 export const createClientAnswer = (
   response: ServerResponse,
-  isLastOnConnection: () => boolean,
+  { isLastOnConnection, onBegun }: ClientAnswerOptions,
 ): ClientAnswer => {
   // HTTP/1.0 has no chunks: an answer ends when the connection closes, so a broken one needs a reset.
   const supportsChunks = response.req.httpVersion !== "1.0";
@@ -43,6 +51,7 @@
     if (reason) response.writeHead(status, reason, all);
     else response.writeHead(status, all);
     hasBegun = true;
+    onBegun();
   };
 
   return {
--- a/packages/forwarding/src/clientServer.ts
+++ b/packages/forwarding/src/clientServer.ts
@@ -6,9 +6,15 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
-import type { Clock } from "@stairgauge/common";
+import type { Clock, Ms } from "@stairgauge/common";
 import type { ClientLimits } from "@stairgauge/routing";
-import { createArrivals, type Arrivals, type Intake } from "@stairgauge/saturation";
+import {
+  createArrivals,
+  type Arrivals,
+  type Backlog,
+  type Intake,
+  type UnreadLimit,
+} from "@stairgauge/saturation";
 
 /** Limits until a configuration is loaded; the defaults in the platform's documentation. */
 const DEFAULT_HEADER_MS = 3_000;
@@ -32,6 +38,9 @@
 /** Below zero, since the server takes zero for no limit. */
 const NO_CONNECTIONS = -1;
 
+/** Connections that may wait in the kernel to be accepted; the client of a further one gets no connection. */
+const MAX_NOT_ACCEPTED = 4_096;
+
 /** Options of the client server. */
 export type ClientServerOptions = Readonly<{
   clock: Pick<Clock, "monotonic">;
@@ -42,6 +51,8 @@
   intake: Pick<Intake, "hasRoom" | "recordTurnedAway">;
   /** Whether the event loop has no idle time. */
   isBusy: () => boolean;
+  /** Tells how long a connection may stay unread. */
+  unreadLimit: Pick<UnreadLimit, "get">;
   /** A client sent an invalid request, or its connection was dropped; `code` is the error code. */
   onClientError: (code: string) => void;
 }>;
@@ -53,6 +64,8 @@
   applyLimits: (limits: ClientLimits) => void;
   /** Number of connections that have not sent their first request. */
   countUnused: () => number;
+  /** Reads how many connections wait to be read. */
+  readBacklog: () => Backlog;
   /** Stops listening and closes all connections. */
   close: () => void;
 }>;
@@ -80,26 +93,21 @@
 /** Keeps the server from reading a new connection until it has accepted those that wait. */
 const createSocketArrivals = (
   server: Server,
-  {
-    clock,
-    isBusy,
-    onUnread,
-  }: Pick<ClientServerOptions, "clock" | "isBusy"> & {
-    readonly onUnread: () => void;
-  },
+  { clock, isBusy, intake, unreadLimit }: ClientServerOptions,
 ): Arrivals<Socket> => {
   const listeners = server.listeners("connection");
   const arrivals = createArrivals<Socket>({
     clock,
     isBusy,
+    getUnreadLimit: unreadLimit.get,
     scheduleTurnEnd: setImmediate,
     startReading: (socket) => {
       for (const onConnection of listeners) onConnection.call(server, socket);
       socket.resume();
     },
-    closeUnread: (socket) => {
+    closeUnread: (socket, reason, waited) => {
       socket.destroy();
-      onUnread();
+      intake.recordTurnedAway(reason, waited);
     },
   });
   // The types of the options of an HTTP server lack this one of its listener.
@@ -122,7 +130,7 @@
   const handleDrop = () => {
     arrivals.recordClosed();
     if (intake.hasRoom()) options.onClientError("too_many_connections");
-    else intake.recordTurnedAway();
+    else intake.recordTurnedAway("no_room", 0 as Ms);
   };
   const server = createServer(
     {
@@ -149,11 +157,7 @@
     get: () => (intake.hasRoom() ? options.maxConnections : NO_CONNECTIONS),
   });
   server.on("drop", handleDrop);
-  const arrivals = createSocketArrivals(server, {
-    clock: options.clock,
-    isBusy: options.isBusy,
-    onUnread: intake.recordTurnedAway,
-  });
+  const arrivals = createSocketArrivals(server, options);
   server.on("connection", trackConnection);
   server.keepAliveTimeout = DEFAULT_IDLE_MS + IDLE_MARGIN_MS;
   server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
@@ -164,10 +168,11 @@
 
   return {
     countUnused: () => unused.size,
+    readBacklog: arrivals.readBacklog,
     listen: (host, port) =>
       new Promise((resolve, reject) => {
         server.once("error", reject);
-        server.listen({ host, port, backlog: 1024 }, () => {
+        server.listen({ host, port, backlog: MAX_NOT_ACCEPTED }, () => {
           const address = server.address();
           resolve(typeof address === "object" && address ? address.port : port);
         });
--- a/packages/forwarding/src/createForwarder.ts
+++ b/packages/forwarding/src/createForwarder.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { assertNever, type Ms, type ServiceName } from "@stairgauge/common";
 import {
+  computeReadingTerms,
   computeTimeLimit,
   decideAccess,
   type AccessRefusal,
@@ -81,10 +82,11 @@
       headers: incoming.rawHeaders,
     });
     let isLast = false;
-    const answer = createClientAnswer(
-      response,
-      () => stop !== undefined || isLast || deps.isShort(),
-    );
+    const answer = createClientAnswer(response, {
+      isLastOnConnection: () => stop !== undefined || isLast || deps.isShort(),
+      onBegun: () =>
+        deps.unreadLimit.recordAnswer((clock.monotonic() - receivedAt) as Ms),
+    });
     let route: Route | undefined;
     const refuse = (status: number, reason: RefusalReason, pause = deps.retryAfter) => {
       const retryAfter = status === 503 ? pause : undefined;
@@ -126,7 +128,10 @@
         path: head.target,
         key: head.key,
       });
-    const share = bodyMemory.open(decideByHead().kind === "admitted");
+    const access = decideByHead();
+    if (access.route)
+      deps.unreadLimit.recordRead(computeReadingTerms(access.route, head.patience));
+    const share = bodyMemory.open(access.kind === "admitted");
     let call: DispatchedCall | undefined;
     let hasLeft = false;
     open += 1;
--- a/packages/forwarding/src/forwarderTypes.ts
+++ b/packages/forwarding/src/forwarderTypes.ts
@@ -2,6 +2,7 @@
 import type { Clock, Ms, Random } from "@stairgauge/common";
 import type { RequestGuard } from "@stairgauge/crashes";
 import type { StreamOrigins } from "@stairgauge/origins";
+import type { UnreadLimit } from "@stairgauge/saturation";
 import type { ReceivedSignals } from "@stairgauge/signals";
 import type { ActiveRuns, RunKeeper } from "./activeRuns.js";
 import type { ConfigurationView } from "./configurationView.js";
@@ -44,6 +45,8 @@
    * go to other boxes as well.
    */
   isShort: () => boolean;
+  /** Learns from requests and their answers how long a connection may stay unread. */
+  unreadLimit: Pick<UnreadLimit, "recordRead" | "recordAnswer">;
   exchanges: ServerExchanges;
   /** Delay after which a refused client should retry. */
   retryAfter: Ms;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -9,5 +9,7 @@
   ConfigurationFreshness,
   FreshnessLimits,
 } from "./configurationHolder.js";
+export { computeReadingTerms } from "./computeReadingTerms.js";
+export type { ReadingTerms } from "./computeReadingTerms.js";
 export { computeTimeLimit, decideAccess } from "./decideAccess.js";
 export type { AccessDecision, AccessRefusal, AccessRequest } from "./decideAccess.js";
--- a/packages/saturation/src/constants.ts
+++ b/packages/saturation/src/constants.ts
@@ -47,14 +47,32 @@
 /** Requests that a box works on at once even if it never gets calm: where all boxes lack processor time, each still serves some. */
 export const MIN_INTAKE = 2;
 
+/** How many requests and answers tell how long callers wait and how long answers take. */
+export const LAST_REQUESTS = 32;
+
+/** Callers wait at least as long as this quantile of the last requests; a single impatient client changes nothing. */
+export const CALLER_QUANTILE = 0.1;
+
+/** Answers begin within this quantile of the last ones. */
+export const ANSWER_QUANTILE = 0.9;
+
+/** Share of a caller's time that a connection may stay unread, however long answers take: slow servers are no reason to send callers away. */
+export const MIN_UNREAD_SHARE = 1 / 3;
+
+/** Readings before their mean tells how long one takes. The first ones of a process run code that is not compiled yet. */
+export const MIN_READINGS = 8;
+
 /**
- * Longest time for which a connection stays unread. Callers of plain requests wait some 600 ms; the rest suffices for a
- * try at another box. One request may take a box with an eighth of a processor 200 ms.
+ * Time for which the connections that wait may become more without being a lack of processor time. Callers give a
+ * connection a second to come up, so those of one burst have been accepted or given up by then.
  */
-export const MAX_UNREAD_MS = 250 as Ms;
+export const MAX_RISING_MS = 2_000;
+
+/** How often the connections closed unread are logged at most. */
+export const REPORT_INTERVAL_MS = 1_000 as Ms;
 
 /**
- * Part of a turn of the event loop that counts toward that time. After a suspension or a pause of the garbage
+ * Part of a turn of the event loop that counts toward the time for which a connection is unread. After a suspension or a pause of the garbage
  * collector, a box reads its clients' requests and doesn't send them away.
  */
 export const MAX_COUNTED_TURN_MS = 50 as Ms;
--- a/packages/saturation/src/createArrivals.test.ts
+++ b/packages/saturation/src/createArrivals.test.ts
@@ -2,17 +2,26 @@
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
 import { createVirtualClock, type Ms } from "@stairgauge/common";
-import { MAX_ACCEPTING_TURNS, MAX_UNREAD_MS } from "./constants.js";
+import type { UnreadReason } from "./backlog.js";
+import { MAX_ACCEPTING_TURNS, MAX_COUNTED_TURN_MS } from "./constants.js";
 import { createArrivals } from "./createArrivals.js";
 
+const LIMIT = 250 as Ms;
+
+type LoopOptions = Readonly<{ isBusy?: boolean; limit?: Ms | undefined }>;
+
 /** Simulates an event loop that accepts one connection a turn and takes its time to read from one. */
-const createSimulatedLoop = (readingTime: Ms, isBusy = true) => {
+const createSimulatedLoop = (
+  readingTime: Ms,
+  { isBusy = true, ...options }: LoopOptions = {},
+) => {
+  const limit = "limit" in options ? options.limit : LIMIT;
   const clock = createVirtualClock();
   const inKernel: { arrivedAt: number }[] = [];
-  const ends: { end: "read" | "unread"; waited: number }[] = [];
+  const ends: { end: "read" | UnreadReason; waited: number }[] = [];
   let runAtTurnEnd: (() => void) | undefined;
 
-  const recordEnd = (end: "read" | "unread", { arrivedAt }: { arrivedAt: number }) =>
+  const recordEnd = (end: "read" | UnreadReason, { arrivedAt }: { arrivedAt: number }) =>
     ends.push({ end, waited: clock.monotonic() - arrivedAt });
   const arrivals = createArrivals<{ arrivedAt: number }>({
     clock,
@@ -20,11 +29,12 @@
       runAtTurnEnd = run;
     },
     isBusy: () => isBusy,
+    getUnreadLimit: () => limit,
     startReading: (connection) => {
       recordEnd("read", connection);
       clock.advance(readingTime);
     },
-    closeUnread: (connection) => recordEnd("unread", connection),
+    closeUnread: (connection, reason) => recordEnd(reason, connection),
   });
   const runTurn = () => {
     clock.advance(1 as Ms);
@@ -61,7 +71,9 @@
         const readWhileAccepting = Math.ceil(clients / MAX_ACCEPTING_TURNS);
         const acceptedWithin = clients + readWhileAccepting * readingTime;
         for (const { waited } of loop.ends)
-          expect(waited).toBeLessThanOrEqual(acceptedWithin + MAX_UNREAD_MS + 50);
+          expect(waited).toBeLessThanOrEqual(
+            acceptedWithin + LIMIT + MAX_COUNTED_TURN_MS,
+          );
       }),
       { numRuns: 200, seed: 1 },
     );
@@ -75,12 +87,55 @@
   });
 
   it("closes nobody unread while the event loop has idle time", () => {
-    const loop = createSimulatedLoop(50 as Ms, false);
+    const loop = createSimulatedLoop(50 as Ms, { isBusy: false });
     loop.connectClients(40);
     for (let turn = 0; turn < 100; turn += 1) loop.runTurn();
     expect(loop.ends.map(({ end }) => end)).toEqual(Array(40).fill("read"));
   });
 
+  // Guards against closing what could be served: 500 connections at once at a box with processor time to spare.
+  it("closes nobody whom it reads within the limit, however many come at once (property)", () => {
+    const inputs = fc.record({
+      clients: fc.integer({ min: 1, max: 500 }),
+      readingTime: fc.integer({ min: 1, max: 20 }),
+    });
+    fc.assert(
+      fc.property(inputs, ({ clients, readingTime }) => {
+        // Accepting takes a turn of 1 ms for each, reading one turn more.
+        const needed = clients * (readingTime + 2);
+        const loop = createSimulatedLoop(readingTime as Ms, { limit: needed as Ms });
+        loop.connectClients(clients);
+        for (let turn = 0; turn < 2 * clients + 2; turn += 1) loop.runTurn();
+        expect(loop.ends.map(({ end }) => end)).toEqual(Array(clients).fill("read"));
+      }),
+      { numRuns: 100, seed: 1 },
+    );
+  });
+
+  it("closes nobody while nobody knows how long callers wait", () => {
+    const loop = createSimulatedLoop(20 as Ms, { limit: undefined });
+    loop.connectClients(500);
+    for (let turn = 0; turn < 1_002; turn += 1) loop.runTurn();
+    expect(loop.ends.map(({ end }) => end)).toEqual(Array(500).fill("read"));
+  });
+
+  it("closes those that it won't reach in time before they have waited for long, and the first ones never", () => {
+    const loop = createSimulatedLoop(20 as Ms);
+    loop.connectClients(60);
+    for (let turn = 0; turn < 200; turn += 1) loop.runTurn();
+    loop.ends.length = 0;
+    loop.connectClients(60);
+    for (let turn = 0; turn < 200; turn += 1) loop.runTurn();
+    const closed = loop.ends.filter(({ end }) => end !== "read");
+    expect(new Set(closed.map(({ end }) => end))).toEqual(new Set(["out_of_reach"]));
+    expect(loop.ends.at(-1)!.end).toBe("read");
+    const closedWaits = closed.map(({ waited }) => waited).toSorted((a, b) => a - b);
+    expect(closedWaits[closedWaits.length >> 1]).toBeLessThan(LIMIT);
+    // What is read is read in time, and as many as the limit has time for.
+    const read = loop.ends.length - closed.length;
+    expect(read).toBeGreaterThanOrEqual(LIMIT / (20 + 1) - 1);
+  });
+
   it("closes nobody unread since the process was suspended", () => {
     const loop = createSimulatedLoop(1 as Ms);
     loop.connectClients(2);
--- a/packages/saturation/src/createArrivals.ts
+++ b/packages/saturation/src/createArrivals.ts
@@ -1,10 +1,11 @@
 /**
  * Connections that were accepted and not read yet. The event loop accepts one connection a turn; while its turns are
  * long, connections wait in the kernel, where their clients get neither an answer nor another box. So accepting goes
- * first: a connection is read in a turn that accepted none, and closed unread if that took too long.
+ * first: a connection is read in a turn that accepted none. It is closed unread once it can't be read in time.
  */
-import type { Clock } from "@stairgauge/common";
-import { MAX_ACCEPTING_TURNS, MAX_COUNTED_TURN_MS, MAX_UNREAD_MS } from "./constants.js";
+import type { Clock, Ms } from "@stairgauge/common";
+import { decideReach, type Backlog, type UnreadReason } from "./backlog.js";
+import { MAX_ACCEPTING_TURNS, MAX_COUNTED_TURN_MS, MIN_READINGS } from "./constants.js";
 
 /** Options of the arrivals. */
 export type ArrivalsOptions<Connection> = Readonly<{
@@ -13,10 +14,12 @@
   scheduleTurnEnd: (run: () => void) => void;
   /** Whether the event loop has no idle time, so that connections wait for this box and not for the machine. */
   isBusy: () => boolean;
+  /** Time for which a connection may stay unread; undefined if it is not known. */
+  getUnreadLimit: () => Ms | undefined;
   /** Begins to read from a connection. */
   startReading: (connection: Connection) => void;
-  /** Closes a connection that was not read in time. */
-  closeUnread: (connection: Connection) => void;
+  /** Closes a connection that can't be read in time and has waited for `waited`. */
+  closeUnread: (connection: Connection, reason: UnreadReason, waited: Ms) => void;
 }>;
 
 /** The connections of one listener that were not read yet. */
@@ -25,43 +28,82 @@
   add: (connection: Connection) => void;
   /** Handles a connection that was accepted and closed at once. */
   recordClosed: () => void;
+  /** Reads how many connections wait, and for how long. */
+  readBacklog: () => Backlog;
 }>;
 
-type Arrival<Connection> = Readonly<{ connection: Connection; readBy: number }>;
+type Arrival<Connection> = Readonly<{ connection: Connection; arrivedAt: number }>;
+
+/** Measures how long it takes to read from a connection. */
+const createReadingMeter = () => {
+  let mean = 0;
+  let readings = 0;
+  return {
+    record: (time: number) => {
+      readings = Math.min(readings + 1, MIN_READINGS);
+      mean += (time - mean) / readings;
+    },
+    getTime: () => (readings < MIN_READINGS ? undefined : mean),
+  };
+};
 
 /** Creates arrivals without a connection. */
 export const createArrivals = <Connection>(
   options: ArrivalsOptions<Connection>,
 ): Arrivals<Connection> => {
-  const { clock, scheduleTurnEnd, isBusy, startReading, closeUnread } = options;
-  const waiting: Arrival<Connection>[] = [];
+  const { clock, scheduleTurnEnd, isBusy, getUnreadLimit, startReading, closeUnread } =
+    options;
+  let waiting: Arrival<Connection>[] = [];
   let hasAccepted = false;
   /** Turns in a row that accepted connections and read from none. */
   let acceptingTurns = 0;
+  /** Whether the last turn began to read from a connection; the next one handles its request. */
+  let hasRead = false;
   let turnEndedAt = clock.monotonic();
   /** Time for which connections have waited; a turn of any length counts as `MAX_COUNTED_TURN_MS` at most. */
   let waited = 0;
+  /** When a connection began to wait while no other did. */
+  let waitingSince = 0;
+  const readingMeter = createReadingMeter();
 
   const countTurn = () => {
     const now = clock.monotonic();
-    waited += Math.min(now - turnEndedAt, MAX_COUNTED_TURN_MS);
+    const time = Math.min(now - turnEndedAt, MAX_COUNTED_TURN_MS);
+    waited += time;
     turnEndedAt = now;
+    if (hasRead) readingMeter.record(time);
+    hasRead = false;
   };
-  const closeLate = () => {
-    const isLate = () => waiting.length > 0 && waiting[0]!.readBy <= waited;
-    if (!isLate() || !isBusy()) return;
-    while (isLate()) closeUnread(waiting.shift()!.connection);
+  const closeOutOfReach = () => {
+    const limit = getUnreadLimit();
+    const [first] = waiting;
+    if (!first || limit === undefined) return;
+    const readingTime = readingMeter.getTime();
+    const longestWait =
+      waited - first.arrivedAt + (readingTime ?? 0) * (waiting.length - 1);
+    if (longestWait <= limit || !isBusy()) return;
+    const reasons = decideReach(
+      waiting.map(({ arrivedAt }) => waited - arrivedAt),
+      { limit, readingTime },
+    );
+    for (const [i, { connection, arrivedAt }] of waiting.entries()) {
+      const reason = reasons[i];
+      if (reason) closeUnread(connection, reason, (waited - arrivedAt) as Ms);
+    }
+    waiting = waiting.filter((_, i) => !reasons[i]);
   };
   const readNext = () => {
     const isAccepting = hasAccepted && acceptingTurns < MAX_ACCEPTING_TURNS;
     hasAccepted = false;
     acceptingTurns = isAccepting ? acceptingTurns + 1 : 0;
     const next = isAccepting ? undefined : waiting.shift();
-    if (next) startReading(next.connection);
+    if (!next) return;
+    hasRead = true;
+    startReading(next.connection);
   };
   const endTurn = () => {
     countTurn();
-    closeLate();
+    closeOutOfReach();
     readNext();
     if (waiting.length > 0) scheduleTurnEnd(endTurn);
   };
@@ -71,12 +113,19 @@
       hasAccepted = true;
       if (waiting.length === 0) {
         turnEndedAt = clock.monotonic();
+        waitingSince = waited;
+        hasRead = false;
         scheduleTurnEnd(endTurn);
       }
-      waiting.push({ connection, readBy: waited + MAX_UNREAD_MS });
+      waiting.push({ connection, arrivedAt: waited });
     },
     recordClosed: () => {
       hasAccepted = true;
     },
+    readBacklog: () => ({
+      count: waiting.length,
+      age: waiting.length > 0 ? waited - waitingSince : 0,
+      limit: getUnreadLimit(),
+    }),
   };
 };
--- a/packages/saturation/src/createIntake.test.ts
+++ b/packages/saturation/src/createIntake.test.ts
@@ -2,6 +2,7 @@
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
 import { createVirtualClock, type Ms } from "@stairgauge/common";
+import type { Backlog } from "./backlog.js";
 import { createIntake } from "./createIntake.js";
 import type { SaturationEvent } from "./types.js";
 
@@ -15,9 +16,11 @@
   const clock = createVirtualClock();
   const events: SaturationEvent[] = [];
   let open = 0;
+  let backlog: Backlog = { count: 0, age: 0, limit: undefined };
   const intake = createIntake({
     clock,
     countOpen: () => open,
+    readBacklog: () => backlog,
     onEvent: (event) => events.push(event),
   });
   const applyBusyShare = (busyShare: number) => {
@@ -30,12 +33,15 @@
     open = Math.floor(open * (1 - endedShare));
     for (let arrived = open; arrived < wanted; arrived += 1) {
       if (intake.hasRoom()) open += 1;
-      else intake.recordTurnedAway();
+      else intake.recordTurnedAway("no_room", 0 as Ms);
     }
     applyBusyShare(Math.min(1, open * shareOfEach));
     return open;
   };
-  return { intake, events, applyBusyShare, runWindow };
+  const setBacklog = (next: Backlog) => {
+    backlog = next;
+  };
+  return { intake, events, applyBusyShare, runWindow, setBacklog };
 };
 
 describe("createIntake", () => {
@@ -85,4 +91,36 @@
     const last = events.at(-1);
     expect(last?.kind === "processor_enough" && last.turnedAway).toBeGreaterThan(100);
   });
+
+  it("turns nobody away during a burst that becomes shorter, and does once it does not", () => {
+    const { intake, applyBusyShare, setBacklog } = createSimulatedBox(0);
+    for (let count = 400; count > 0; count -= 40) {
+      setBacklog({ count, age: 3_000, limit: 10_000 as Ms });
+      applyBusyShare(1);
+      expect(intake.isShort()).toBe(false);
+    }
+    setBacklog({ count: 400, age: 5_000, limit: 10_000 as Ms });
+    applyBusyShare(1);
+    applyBusyShare(1);
+    expect(intake.isShort()).toBe(true);
+  });
+
+  it("tells at most once a second how many connections were closed unread, why, and how long they waited", () => {
+    const { intake, events, applyBusyShare } = createSimulatedBox(0);
+    const listReports = () =>
+      events.filter(({ kind }) => kind === "connections_closed_unread");
+    for (let window = 0; window < 9; window += 1) {
+      intake.recordTurnedAway("out_of_reach", (10 * window) as Ms);
+      intake.recordTurnedAway("waited_too_long", 300 as Ms);
+      applyBusyShare(0.5);
+    }
+    const counts = { no_room: 0, longestWait: 300 };
+    expect(listReports()).toMatchObject([
+      { out_of_reach: 1, waited_too_long: 1, ...counts },
+      { out_of_reach: 4, waited_too_long: 4, ...counts },
+      { out_of_reach: 4, waited_too_long: 4, ...counts },
+    ]);
+    for (let window = 0; window < 8; window += 1) applyBusyShare(0.5);
+    expect(listReports()).toHaveLength(3);
+  });
 });
--- a/packages/saturation/src/createIntake.ts
+++ b/packages/saturation/src/createIntake.ts
@@ -4,8 +4,10 @@
  * answered in time is lost for its client.
  */
 import type { Clock, Ms } from "@stairgauge/common";
+import { isCatchingUp, type Backlog, type UnreadReason } from "./backlog.js";
 import { computeFirstLimit, computeNextLimit, type IntakeLimit } from "./intakeLimit.js";
 import { decideSaturation, ENOUGH } from "./saturation.js";
+import { createUnreadReport } from "./createUnreadReport.js";
 import type { LoopWindow, SaturationEvent } from "./types.js";
 
 /** Options of an intake. */
@@ -13,6 +15,8 @@
   clock: Pick<Clock, "monotonic">;
   /** Requests that this box works on, and connections that have sent none yet. */
   countOpen: () => number;
+  /** Reads how many connections wait to be read. */
+  readBacklog: () => Backlog;
   onEvent: (event: SaturationEvent) => void;
 }>;
 
@@ -24,19 +28,21 @@
   isShort: () => boolean;
   /** Whether the box may work on one more request. */
   hasRoom: () => boolean;
-  /** A connection was closed unread since there was no room. */
-  recordTurnedAway: () => void;
+  /** A connection was closed unread after this time. */
+  recordTurnedAway: (reason: UnreadReason, waited: Ms) => void;
 }>;
 
 /** Creates the intake of a box that has enough processor time. */
 export const createIntake = (options: IntakeOptions): Intake => {
-  const { clock, countOpen, onEvent } = options;
+  const { clock, countOpen, readBacklog, onEvent } = options;
   let state = ENOUGH;
   let changedAt = clock.monotonic();
   let limit: IntakeLimit | undefined;
   /** Connections closed unread in this window, and since the box became short. */
   let turnedAway = 0;
   let turnedAwayInAll = 0;
+  let countBefore = 0;
+  const report = createUnreadReport({ clock, onEvent });
 
   const startLimit = (window: LoopWindow, open: number) => {
     limit = computeFirstLimit({ ...window, open });
@@ -56,8 +62,12 @@
       const isHeldBack = turnedAway > 0;
       const open = countOpen();
       const before = state.kind;
+      const backlog = readBacklog();
+      const isInBurst = isCatchingUp(backlog, countBefore, isHeldBack);
+      countBefore = backlog.count;
       turnedAway = 0;
-      state = decideSaturation(state, { busyShare, isHeldBack });
+      report.flush();
+      state = decideSaturation(state, { busyShare, isHeldBack, isInBurst });
       if (state.kind === before) {
         limit &&= computeNextLimit(limit, { ...window, open, isHeldBack });
         return;
@@ -68,9 +78,10 @@
     },
     isShort: () => state.kind === "short",
     hasRoom: () => limit === undefined || countOpen() < limit.maxOpen,
-    recordTurnedAway: () => {
+    recordTurnedAway: (reason, waited) => {
       turnedAway += 1;
       turnedAwayInAll += 1;
+      report.record(reason, waited);
     },
   };
 };
--- a/packages/saturation/src/index.ts
+++ b/packages/saturation/src/index.ts
@@ -1,6 +1,9 @@
 /** Whether a box has the processor time that its work needs. */
 export { createArrivals } from "./createArrivals.js";
 export type { Arrivals } from "./createArrivals.js";
+export type { Backlog, UnreadReason } from "./backlog.js";
+export { createUnreadLimit } from "./createUnreadLimit.js";
+export type { UnreadLimit } from "./createUnreadLimit.js";
 export { createIntake } from "./createIntake.js";
 export type { Intake } from "./createIntake.js";
 export { createLoopMeter } from "./loopMeter.js";
--- a/packages/saturation/src/saturation.test.ts
+++ b/packages/saturation/src/saturation.test.ts
@@ -4,9 +4,15 @@
 import { computeWindow, createLoopMeter } from "./loopMeter.js";
 import { decideSaturation, ENOUGH, type Saturation } from "./saturation.js";
 
-const applyShares = (shares: readonly number[], from: Saturation = ENOUGH): Saturation =>
+const CALM_WINDOW = { isHeldBack: false, isInBurst: false };
+
+const applyShares = (
+  shares: readonly number[],
+  from: Saturation = ENOUGH,
+  window = CALM_WINDOW,
+): Saturation =>
   shares.reduce(
-    (state, busyShare) => decideSaturation(state, { busyShare, isHeldBack: false }),
+    (state, busyShare) => decideSaturation(state, { ...window, busyShare }),
     from,
   );
 
@@ -22,6 +28,14 @@
     expect(applyShares([0.3, 1, 1]).kind).toBe("short");
   });
 
+  // Guards against closing connections unread because many came at once.
+  it("takes no burst that the box gets through in time for a lack", () => {
+    const window = { ...CALM_WINDOW, isInBurst: true };
+    expect(applyShares(Array<number>(20).fill(1), ENOUGH, window).kind).toBe("enough");
+    const afterwards = applyShares([1, 1], applyShares([1, 1], ENOUGH, window));
+    expect(afterwards.kind).toBe("short");
+  });
+
   it("takes one window without idle time for a pause, however long it lasted", () => {
     const before = makeReading(1_000, 900, 50);
     const window = computeWindow(before, makeReading(6_000, 900, 60));
--- a/packages/saturation/src/types.ts
+++ b/packages/saturation/src/types.ts
@@ -1,5 +1,6 @@
 /** How busy a box is, and whether it lacks processor time. */
 import type { Ms } from "@stairgauge/common";
+import type { UnreadReason } from "./backlog.js";
 
 /** What the process has used so far. */
 export type LoopReading = Readonly<{
@@ -34,4 +35,8 @@
       turnedAway: number;
       shortFor: Ms;
     } & LoopWindow)
+  | ({ kind: "connections_closed_unread" } & ClosedUnread)
 >;
+
+/** Connections that were closed unread: how many for each reason, and for how long the longest one had waited. */
+export type ClosedUnread = Readonly<Record<UnreadReason, number> & { longestWait: Ms }>;
--- a/packages/telemetry/src/boxMetrics.ts
+++ b/packages/telemetry/src/boxMetrics.ts
@@ -204,7 +204,8 @@
     }),
     turnedAway: new Counter({
       name: "stairgauge_connections_turned_away_total",
-      help: "Connections of clients that were closed unread since the box lacks processor time",
+      help: "Connections of clients that were closed unread, by reason: no_room while the box lacks processor time; waited_too_long, out_of_reach if it could not read them in time",
+      labelNames: ["reason"],
       registers,
     }),
     unevenServices: new Gauge({
