fix: a request that arrived in time is no longer refused with 408 because its box was suspended

Cause: Node checks the time limits of connections in a timer, and after a stop timers run before the event loop reads from sockets.

--- a/packages/forwarding/src/clientServer.ts
+++ b/packages/forwarding/src/clientServer.ts
@@ -76,9 +76,12 @@
     incoming.url?.length ?? 0,
   );
 
+/** Code of the error of a connection whose head did not come in time. */
+const HEAD_TIMEOUT = "ERR_HTTP_REQUEST_TIMEOUT";
+
 const STATUS_LINES: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
-  ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+  [HEAD_TIMEOUT]: "408 Request Timeout",
 };
 
 const rejectMalformed = (socket: Socket, code: string) => {
@@ -122,6 +125,8 @@
   const { intake } = options;
   let headBytes = PARSER_HEAD_BYTES;
   const unused = new Set<Socket>();
+  /** Connections whose head is late, until this turn of the event loop ends. */
+  const overdue = new Set<Socket>();
 
   const trackConnection = (socket: Socket) => {
     unused.add(socket);
@@ -142,6 +147,7 @@
     },
     (incoming, response) => {
       unused.delete(incoming.socket);
+      overdue.delete(incoming.socket);
       if (measureHead(incoming) <= headBytes) {
         options.handle(incoming, response);
         return;
@@ -160,10 +166,22 @@
   const arrivals = createSocketArrivals(server, options);
   server.on("connection", trackConnection);
   server.keepAliveTimeout = DEFAULT_IDLE_MS + IDLE_MARGIN_MS;
-  server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
-    const code = error.code ?? "unknown";
+  const reject = (socket: Socket, code: string) => {
     options.onClientError(code);
-    rejectMalformed(socket as Socket, code);
+    rejectMalformed(socket, code);
+  };
+  server.on("clientError", (error: NodeJS.ErrnoException, duplex) => {
+    const socket = duplex as Socket;
+    const code = error.code ?? "unknown";
+    if (code !== HEAD_TIMEOUT) {
+      reject(socket, code);
+      return;
+    }
+    // After a suspension, time limits are checked before what has arrived meanwhile is read.
+    overdue.add(socket);
+    setImmediate(() => {
+      if (overdue.delete(socket)) reject(socket, code);
+    });
   });
 
   return {
