fix: requests are not refused by slots because one box has used up its connections

Cause: a box whose equal part of the connections to all servers was used up, for a moment and perhaps only since the box itself was slow, made its whole plain service contended. For five seconds the admitting box then placed the requests of all boxes by the servers' slots, counting those that waited at slow boxes as if they were at servers.

Such a sign now says that it is one of connections. Boxes go on placing within an equal part of three quarters of the connections by themselves, and ask the admitting box only for more, which bounds them by the shared quarter. Slots bound them once a server rejects a request, or if one is brittle.

Boxes of the release before take the sign for one of slots, as theirs is.

--- a/apps/box/src/capacityPlacer.testkit.ts
+++ b/apps/box/src/capacityPlacer.testkit.ts
@@ -17,6 +17,7 @@
   createCompetingRate,
   ENGINE_WAYS,
   type LoadRegistry,
+  computeConnectionBounds,
 } from "@stairgauge/placement";
 import type { FleetOptions } from "./capacityServers.testkit.js";
 
@@ -27,7 +28,7 @@
 export const createBoxPlacer = (
   clock: VirtualClock,
   index: number,
-  { slots }: FleetOptions,
+  { boxes, slots, connections }: FleetOptions,
   registry: LoadRegistry,
   isContended: () => boolean,
 ) => {
@@ -75,7 +76,10 @@
       mayReceive: () => true,
       takeDuringBackoff: () => true,
     },
-    getConnectionBounds: () => ({ plain: Infinity, own: Infinity, shared: Infinity }),
+    getConnectionBounds: () =>
+      connections === undefined
+        ? { plain: Infinity, own: Infinity, shared: Infinity }
+        : computeConnectionBounds(connections, boxes),
     hasFleetRecords: () => true,
     isAlive: () => Promise.resolve(true),
     onBroken: () => undefined,
--- a/apps/box/src/capacityServers.testkit.ts
+++ b/apps/box/src/capacityServers.testkit.ts
@@ -14,6 +14,8 @@
   isBrittle?: boolean;
   /** Most requests that wait at the admitting box; the others are refused at once. */
   maxWaiting?: number;
+  /** Connections that each server accepts from all boxes together; any number if undefined. */
+  connections?: number;
 }>;
 
 /** A queue in order of arrival. */
--- a/apps/box/src/createCapacity.test.ts
+++ b/apps/box/src/createCapacity.test.ts
@@ -114,6 +114,61 @@
   });
 });
 
+describe("a service that is contended since one box has used up its connections", () => {
+  const USED_UP = { boxes: 14, connections: 100, maxWaiting: 0 };
+
+  // Guards against refusing requests by slots although servers are idle and only a box is slow.
+  it("has requests of that box and of the others served beyond the slots", async () => {
+    const { load, advance, outcomes, fleet } = await setUp({ ...USED_UP, extra: 90 });
+    await load(14, 0);
+    await load(16, 0, 3);
+    await advance(20);
+    expect(fleet.every(({ capacity }) => capacity.isContended(SERVICE))).toBe(true);
+    await load(14, 0);
+    await advance(2_000);
+    expect(outcomes).toMatchObject({ served: 44, rejected: 0, refused: 0 });
+  });
+
+  it("is contended by slots as soon as a server rejects a request", async () => {
+    const { load, advance, outcomes, servers } = await setUp({ ...USED_UP, extra: 6 });
+    for (let second = 0; second < 4; second += 1) {
+      await load(60, 0, 3);
+      await advance(1_000);
+    }
+    // The bound by slots lets four and one through at each server, and the rejections lower it further.
+    servers.maxPresent.fill(0);
+    const rejected = outcomes.rejected;
+    await load(60, 0, 3);
+    await advance(1_000);
+    expect(Math.max(...servers.maxPresent)).toBeLessThanOrEqual(5);
+    expect(outcomes.rejected).toBe(rejected);
+  });
+
+  it("has no more requests at a server than it accepts connections (property)", async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.integer({ min: 2, max: 14 }),
+        fc.integer({ min: 40, max: 120 }),
+        fc.array(fc.tuple(fc.integer({ min: 0, max: 13 }), fc.integer({ max: 80 })), {
+          minLength: 1,
+          maxLength: 6,
+        }),
+        async (boxes, connections, bursts) => {
+          const options = { boxes, connections, extra: 200, maxWaiting: 40 };
+          const { load, advance, servers } = await setUp({ ...options, work: 400 });
+          for (const [box, count] of bursts) {
+            await load(Math.max(0, count), 0, box % boxes);
+            await advance(10);
+          }
+          for (const most of servers.maxPresent)
+            expect(most).toBeLessThanOrEqual(connections);
+        },
+      ),
+      { seed: 7, numRuns: 25 },
+    );
+  });
+});
+
 describe("failures of the admission", () => {
   it("serves within the safe part, and by the next box, when the admitting box dies while questions wait", async () => {
     const { load, advance, markContended, setLinks, outcomes, ejected, countEvents } =
--- a/apps/box/src/createCapacity.ts
+++ b/apps/box/src/createCapacity.ts
@@ -54,6 +54,7 @@
     | "getRunId"
     | "listClosedTo"
     | "mayTakeWork"
+    | "hasOwnConnection"
     | "needsSharedConnections"
     | "recordOpenRequests"
   >;
@@ -73,7 +74,7 @@
 export type Capacity = Readonly<{
   plainAdmission: PlainAdmission;
   plainHub: PlainHub;
-  isContended: PlainAdmission["isContended"];
+  isContended: (service: ServiceName) => boolean;
   applyShared: (update: ContentionUpdate, source: SignSource) => void;
   listSigns: () => ContentionUpdate;
   /** A plain server states in an answer that it falls over if it rejects more requests in a second. */
@@ -171,12 +172,17 @@
 
   return {
     plainAdmission: {
-      isContended: contention.isContended,
+      needsAdmission: (request) => {
+        const { service } = request;
+        if (!contention.isContended(service)) return false;
+        if (contention.isShortOfSlots(service)) return true;
+        return !placer.hasOwnConnection(service, toDemand(request));
+      },
       checkConnections: (request) => {
         const { service } = request;
         if (contention.isContended(service)) return;
         if (placer.needsSharedConnections(service, toDemand(request)))
-          contention.onSign(service);
+          contention.onConnectionsUsed(service);
       },
       onOpenPlaced: (service) => {
         if (asker.find() === "own") admitter.checkUtilization(service);
@@ -197,12 +203,14 @@
         brittle.recordRejected(entry.id);
         contention.onSign(entry.service, entry.id);
       },
-      placeWithinSafePart: (request) => {
+      placeWithinOwnPart: (request) => {
         const left = request.endsAt - clock.monotonic();
         // The time in which no admitting box answered may have left too little for the work.
         if (left < request.workMs)
           return { kind: "no_server", reason: "too_late", known: 0, retryAfter };
-        return chooseSafe(request.service, toDemand(request), request.except);
+        const { service, except } = request;
+        const choose = contention.isShortOfSlots(service) ? chooseSafe : placer.choose;
+        return choose(service, toDemand(request), except);
       },
     },
     plainHub,
--- a/packages/capacity/src/contention.test.ts
+++ b/packages/capacity/src/contention.test.ts
@@ -67,7 +67,7 @@
     expect(contention.isContended(SERVICE)).toBe(false);
     expect(contention.getContendedFor(SERVICE)).toBe(0);
     expect(events).toEqual([
-      { kind: "contended", service: SERVICE, by: undefined, age: 0 },
+      { kind: "contended", service: SERVICE, by: undefined, age: 0, of: "slots" },
       { kind: "uncontended", service: SERVICE, lasted: 8_000 },
     ]);
   });
@@ -105,6 +105,37 @@
     expect(contention.isContended(SERVICE)).toBe(false);
   });
 
+  // Guards against refusing requests for lack of slots because one box has used up its connections.
+  it("is short of slots only by signs of slots, its own ones and those of other boxes", () => {
+    const ofConnections = [{ service: SERVICE, age: 0, full: [], isOfConnections: true }];
+    const observing = setUp();
+    observing.contention.onConnectionsUsed(SERVICE);
+    expect(observing.contention.isContended(SERVICE)).toBe(true);
+    expect(observing.contention.isShortOfSlots(SERVICE)).toBe(false);
+    expect(observing.sent[0]!.signs).toEqual(ofConnections);
+    expect(observing.contention.listSigns().signs).toEqual(ofConnections);
+
+    const { clock, contention, forwarded } = setUp();
+    contention.applyShared(observing.sent[0]!, FROM_BOX);
+    expect(forwarded[0]!.signs).toEqual(ofConnections);
+    expect(contention.isContended(SERVICE)).toBe(true);
+    expect(contention.isShortOfSlots(SERVICE)).toBe(false);
+    contention.applyShared(makeUpdate(2_000), FROM_BOX);
+    expect(contention.isShortOfSlots(SERVICE)).toBe(true);
+    expect(contention.listSigns().signs).toEqual(makeUpdate(2_000).signs);
+    clock.advance(3_000 as Ms);
+    expect(contention.isShortOfSlots(SERVICE)).toBe(false);
+    expect(contention.isContended(SERVICE)).toBe(true);
+  });
+
+  it("is short of slots whenever it is contended while servers are brittle", () => {
+    const { contention, setBrittle } = setUp();
+    setBrittle([toServer("a")]);
+    expect(contention.isShortOfSlots(SERVICE)).toBe(false);
+    contention.onConnectionsUsed(SERVICE);
+    expect(contention.isShortOfSlots(SERVICE)).toBe(true);
+  });
+
   it("expires between two hubs on slow links: signs from notices are not forwarded", () => {
     const { clock, contention, forwarded } = setUp();
     contention.applyShared(makeUpdate(0), FROM_BOX);
--- a/packages/capacity/src/contention.ts
+++ b/packages/capacity/src/contention.ts
@@ -1,6 +1,7 @@
 /**
  * Keeps which plain services are contended: a sign of too little capacity was observed by some box
- * within the last five seconds. All state is advisory; it expires by itself and is learned again.
+ * within the last five seconds. It may be one of slots, or only of the connections of one box, which tells nothing of
+ * the servers. All state is advisory; it expires by itself and is learned again.
  */
 import type { Clock, Ms, ServiceName } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
@@ -38,9 +39,13 @@
 export type Contention = Readonly<{
   /** Records a sign that this box observed; `full` is the server that rejected a request, if one did. */
   onSign: (service: ServiceName, full?: ServerId) => void;
+  /** This box's part of the connections to the service's servers is used up. */
+  onConnectionsUsed: (service: ServiceName) => void;
   /** Records the signs of another box's message. */
   applyShared: (update: ContentionUpdate, source: SignSource) => void;
   isContended: (service: ServiceName) => boolean;
+  /** Whether the service is contended for its slots, not by a box's used-up connections alone. */
+  isShortOfSlots: (service: ServiceName) => boolean;
   /** For how long the service has been contended at this box; 0 if it is open. */
   getContendedFor: (service: ServiceName) => Ms;
   /** The newest sign of each contended service, for boxes that have just been linked to. */
@@ -50,10 +55,15 @@
 type Contended = {
   readonly since: number;
   newestAt: number;
+  /** Time of the newest sign of slots; undefined before the first one. */
+  slotsAt: number | undefined;
   /** Time of the newest sign that was sent or forwarded. */
   sharedAt: number;
 };
 
+/** What a sign is about. */
+type SignKind = "slots" | "connections";
+
 /** Creates the state; all services are open. */
 export const createContention = (options: ContentionOptions): Contention => {
   const { clock, onOwnUpdate, onSharedUpdate, onFull, onEvent } = options;
@@ -74,12 +84,18 @@
   };
 
   /** Records a sign; undefined if there are too many services. */
-  const putSign = (service: ServiceName, age: Ms, by: string | undefined) => {
+  const putSign = (
+    { service, age, kind }: Readonly<{ service: ServiceName; age: Ms; kind: SignKind }>,
+    by: string | undefined,
+  ) => {
     const now = clock.monotonic();
     const at = now - age;
+    const slotsAt = kind === "slots" ? at : undefined;
     const known = services.get(service);
     if (known) {
       known.newestAt = Math.max(known.newestAt, at);
+      if (slotsAt !== undefined)
+        known.slotsAt = Math.max(known.slotsAt ?? slotsAt, slotsAt);
       return known;
     }
     if (services.size >= MAX_SERVICES) {
@@ -87,9 +103,9 @@
       return undefined;
     }
     clock.setTimer((CONTENDED_MS - age) as Ms, () => expire(service));
-    const added = { since: now, newestAt: at, sharedAt: -Infinity };
+    const added = { since: now, newestAt: at, slotsAt, sharedAt: -Infinity };
     services.set(service, added);
-    onEvent({ kind: "contended", service, by, age });
+    onEvent({ kind: "contended", service, by, age, of: kind });
     return added;
   };
 
@@ -108,44 +124,65 @@
     return true;
   };
 
-  const makeSign = (service: ServiceName, age: Ms, full: readonly ServerId[] = []) => {
+  const makeSign = (
+    service: ServiceName,
+    age: Ms,
+    { kind = "slots", full = [] }: { kind?: SignKind; full?: readonly ServerId[] } = {},
+  ): ContentionSign => {
     const brittle = options.listBrittle(service);
-    return { service, age, full, ...(brittle.length > 0 && { brittle }) };
+    return {
+      service,
+      age,
+      full,
+      ...(brittle.length > 0 && { brittle }),
+      ...(kind === "connections" && { isOfConnections: true }),
+    };
   };
   const applySign = (sign: ContentionSign, source: SignSource) => {
     const { service, age, full, brittle = [] } = sign;
     if (age >= CONTENDED_MS) return;
     options.onBrittle(brittle, age);
-    const known = putSign(service, age, source.box);
+    const kind = sign.isOfConnections ? "connections" : "slots";
+    const known = putSign({ service, age, kind }, source.box);
     if (!known) return;
     full.forEach(onFull);
     // A sign that hubs forwarded to each other would never expire while their links are slow, since
     // its age does not include the transit. So a hub forwards only signs of the observing boxes.
     if (source.message === "update" && takeShare(known))
-      onSharedUpdate({ signs: [makeSign(service, age)], unknownParts: 0 });
+      onSharedUpdate({ signs: [makeSign(service, age, { kind })], unknownParts: 0 });
   };
 
-  const isContended = (service: ServiceName) => {
-    const known = services.get(service);
-    return known !== undefined && clock.monotonic() - known.newestAt < CONTENDED_MS;
-  };
+  const isRecent = (at: number | undefined) =>
+    at !== undefined && clock.monotonic() - at < CONTENDED_MS;
+  const isContended = (service: ServiceName) => isRecent(services.get(service)?.newestAt);
 
   return {
     onSign: (service, full) => {
-      const known = putSign(service, 0 as Ms, undefined);
+      const known = putSign({ service, age: 0 as Ms, kind: "slots" }, undefined);
       if (!known) return;
       if (full !== undefined) onFull(full);
       const isFullShared = full !== undefined && takeFullShare(full);
       if (!takeShare(known) && !isFullShared) return;
-      const sign = makeSign(service, 0 as Ms, isFullShared ? [full] : []);
+      const sign = makeSign(service, 0 as Ms, { full: isFullShared ? [full] : [] });
       onOwnUpdate({ signs: [sign], unknownParts: 0 });
     },
+    onConnectionsUsed: (service) => {
+      const kind = "connections";
+      const known = putSign({ service, age: 0 as Ms, kind }, undefined);
+      if (!known || !takeShare(known)) return;
+      onOwnUpdate({ signs: [makeSign(service, 0 as Ms, { kind })], unknownParts: 0 });
+    },
     applyShared: ({ signs, unknownParts }, source) => {
       if (unknownParts > 0)
         onEvent({ kind: "signs_left_out", by: source.box, count: unknownParts });
       for (const sign of signs) applySign(sign, source);
     },
     isContended,
+    // No request too many may reach a brittle server, whatever made its service contended.
+    isShortOfSlots: (service) =>
+      isContended(service) &&
+      (isRecent(services.get(service)?.slotsAt) ||
+        options.listBrittle(service).length > 0),
     getContendedFor: (service) => {
       const { since } = services.get(service) ?? {};
       const isKnown = since !== undefined && isContended(service);
@@ -153,10 +190,11 @@
     },
     listSigns: () => {
       const now = clock.monotonic();
-      const signs = [...services].map(([service, { newestAt }]) => {
-        const age = (now - newestAt) as Ms;
-        return makeSign(service, age);
-      });
+      const signs = [...services].map(([service, { newestAt, slotsAt }]) =>
+        slotsAt !== undefined && isRecent(slotsAt)
+          ? makeSign(service, (now - slotsAt) as Ms)
+          : makeSign(service, (now - newestAt) as Ms, { kind: "connections" }),
+      );
       return { signs: signs.filter(({ age }) => age < CONTENDED_MS), unknownParts: 0 };
     },
   };
--- a/packages/capacity/src/types.ts
+++ b/packages/capacity/src/types.ts
@@ -25,6 +25,8 @@
   full: readonly ServerId[];
   /** Servers of the service that state that they are brittle; undefined if there are none. */
   brittle?: readonly ServerId[] | undefined;
+  /** Set if the sign is one of used-up connections, not of slots. Earlier releases don't send it, and don't read it. */
+  isOfConnections?: true | undefined;
 }>;
 
 /** The signs of a message. */
@@ -40,7 +42,13 @@
 /** A change of what a box believes about contention. */
 export type ContentionEvent = Readonly<
   /** `by` is the box that sent the sign; undefined if this box observed it. */
-  | { kind: "contended"; service: ServiceName; by: string | undefined; age: Ms }
+  | {
+      kind: "contended";
+      service: ServiceName;
+      by: string | undefined;
+      age: Ms;
+      of: "slots" | "connections";
+    }
   | { kind: "uncontended"; service: ServiceName; lasted: Ms }
   /** Signs that could not be read, or that exceed the number of services on record. */
   | { kind: "signs_left_out"; by: string | undefined; count: number }
@@ -62,9 +70,10 @@
       box: string;
       service: ServiceName;
       server: ServerId;
-      /** Requests of all boxes at the server before this one, and its usable slots. */
+      /** Requests of all boxes at the server before this one. */
       present: number;
-      usable: number;
+      /** Its usable slots; undefined if only connections are short. */
+      usable: number | undefined;
       waited: Ms;
     }
   | {
--- a/packages/fleet/src/admitPlain.ts
+++ b/packages/fleet/src/admitPlain.ts
@@ -11,7 +11,12 @@
 } from "@stairgauge/capacity";
 import type { AdmissionQueue } from "@stairgauge/admission";
 import type { Clock, Ms, ServiceName } from "@stairgauge/common";
-import type { BackendServer, ServerDirectory, ServerId } from "@stairgauge/directory";
+import type {
+  BackendServer,
+  ServerDirectory,
+  ServerEntry,
+  ServerId,
+} from "@stairgauge/directory";
 import type {
   CapacityRefusal,
   Demand,
@@ -27,7 +32,10 @@
   registry: LoadRegistry;
   placer: Pick<FleetPlacer, "chooseWithRoom">;
   directory: Pick<ServerDirectory, "find" | "listReady">;
-  contention: Pick<Contention, "onSign" | "getContendedFor">;
+  contention: Pick<
+    Contention,
+    "onSign" | "getContendedFor" | "isContended" | "isShortOfSlots"
+  >;
   usable: UsableSlots;
   queue: Pick<AdmissionQueue, "add" | "onRoom">;
   onEvent: (event: AdmissionEvent) => void;
@@ -79,19 +87,25 @@
 
 /** Creates the admission. */
 export const createPlainAdmitter = (options: PlainAdmitterOptions): PlainAdmitter => {
-  const { clock, registry, placer, directory, usable, queue, onEvent } = options;
+  const { clock, registry, placer, directory, contention, usable, queue, onEvent } =
+    options;
   const waitingByService = new Map<ServiceName, number>();
   let isRetryPending = false;
 
   const countAt = (server: ServerId) => countPresent(registry, server);
-  const hasRoom = ({ entry }: BackendServer) => countAt(entry.id) < usable.count(entry);
+  /** Undefined while only connections are short: `chooseWithRoom` bounds those. */
+  const countUsable = (entry: ServerEntry): number | undefined =>
+    contention.isShortOfSlots(entry.service) ? usable.count(entry) : undefined;
+  const hasRoom = ({ entry }: BackendServer) =>
+    countAt(entry.id) < (countUsable(entry) ?? Infinity);
 
   const checkUtilization = (service: ServiceName) => {
+    // What is on record may be waiting at slow boxes; servers say themselves when they are full.
+    if (contention.isContended(service) && !contention.isShortOfSlots(service)) return;
     const servers = directory.listReady(service);
     const slots = servers.reduce((sum, { entry }) => sum + entry.slots, 0);
     const present = servers.reduce((sum, { entry }) => sum + countAt(entry.id), 0);
-    if (slots > 0 && present >= slots * CONTENDED_UTILIZATION)
-      options.contention.onSign(service);
+    if (slots > 0 && present >= slots * CONTENDED_UTILIZATION) contention.onSign(service);
   };
 
   const changeWaiting = (service: ServiceName, step: number) => {
@@ -140,7 +154,7 @@
         service,
         server: chosen.id,
         present: countAt(chosen.id),
-        usable: usable.count(chosen),
+        usable: countUsable(chosen),
         waited: getWaited(),
       });
     const attempt = () => {
@@ -192,13 +206,13 @@
       const server = directory.find(id);
       if (!server) return;
       const { service } = server.entry;
-      if (options.contention.getContendedFor(service) > 0) queue.onRoom(service);
+      if (contention.getContendedFor(service) > 0) queue.onRoom(service);
     },
     onFull: (id) => {
       const server = directory.find(id);
       if (!server) return;
       const { service } = server.entry;
-      if (options.contention.getContendedFor(service) >= RECORDING_MS)
+      if (contention.getContendedFor(service) >= RECORDING_MS)
         usable.lower(server.entry, countAt(id));
     },
     checkUtilization,
--- a/packages/fleet/src/createPlacer.ts
+++ b/packages/fleet/src/createPlacer.ts
@@ -111,6 +111,8 @@
      * while more could be shared by need.
      */
     needsSharedConnections: (service: ServiceName, demand: Demand) => boolean;
+    /** Whether this box's part of the connections has room for the request at some server. */
+    hasOwnConnection: (service: ServiceName, demand: Demand) => boolean;
     /** Lists the servers of a service that may get no request of this box, for reasons only it knows. */
     listClosedTo: (service: ServiceName, demand: Demand) => readonly ServerId[];
     /** Id under which a request is recorded as a run. */
@@ -210,8 +212,11 @@
   const createConnectionCheck = (service: ServiceName, demand: Demand) => {
     const bounds = options.getConnectionBounds(service);
     // Requests of open plain services are on record at their own box only.
-    if (demand.tokens === undefined)
-      return ({ entry }: BackendServer) => registry.countOpen(entry.id) < bounds.plain;
+    if (demand.tokens === undefined) {
+      // The rest is shared by the admitting box once some box has used up its part.
+      const part = isContended(service) ? bounds.own : bounds.plain;
+      return ({ entry }: BackendServer) => registry.countOpen(entry.id) < part;
+    }
     const isKnown = options.hasFleetRecords(service);
     return ({ entry: { id } }: BackendServer) =>
       mayConnect(bounds, {
@@ -375,6 +380,11 @@
       const isUsedUp = ready.every(({ entry }) => registry.countOpen(entry.id) >= plain);
       return isUsedUp && ready.some((server) => isAllowed(server, demand));
     },
+    hasOwnConnection: (service, demand) =>
+      directory
+        .listReady(service)
+        .filter((server) => isAllowed(server, demand))
+        .some(createConnectionCheck(service, demand)),
     listClosedTo: (service, demand) => {
       const terms = { service, demand, except: new Set<ServerId>() };
       const { ready, filtered } = listCandidates(terms, "own", allowAny);
--- a/packages/forwarding/src/dispatchFaults.test.ts
+++ b/packages/forwarding/src/dispatchFaults.test.ts
@@ -62,9 +62,9 @@
       getServerStatus: () => ({ kind: "ready", age: undefined }),
     }),
     plainAdmission: createStub<DispatchDeps["plainAdmission"]>({
-      isContended: () => true,
+      needsAdmission: () => true,
       findAdmitting: () => "none",
-      placeWithinSafePart: changes.choose ?? (() => PLACED),
+      placeWithinOwnPart: changes.choose ?? (() => PLACED),
     }),
     budget: createStub<DispatchDeps["budget"]>({
       has: () => true,
--- a/packages/forwarding/src/placePlainRequest.test.ts
+++ b/packages/forwarding/src/placePlainRequest.test.ts
@@ -37,7 +37,7 @@
   const placed: unknown[] = [];
   let reports = 0;
   const plainAdmission: PlainAdmission = {
-    isContended: () => true,
+    needsAdmission: () => true,
     checkConnections: () => undefined,
     onOpenPlaced: () => asked.push("open"),
     findAdmitting: () => "other",
@@ -49,7 +49,7 @@
       return new Promise((resolve) => clock.setTimer(wait as Ms, () => resolve(answer)));
     },
     onRejected: () => undefined,
-    placeWithinSafePart: () => SAFE!,
+    placeWithinOwnPart: () => SAFE!,
     ...changes,
   };
   const request = { service: "s" as ServiceName, endsAt } as unknown as PlainRequest;
@@ -67,7 +67,7 @@
 
 describe("placePlainRequest", () => {
   it("places at once and asks nobody while the service is open", () => {
-    const { placed, asked } = setUp([], { isContended: () => false });
+    const { placed, asked } = setUp([], { needsAdmission: () => false });
     expect(placed).toEqual([[CHOSEN, undefined]]);
     expect(asked).toEqual(["open"]);
   });
--- a/packages/forwarding/src/placePlainRequest.ts
+++ b/packages/forwarding/src/placePlainRequest.ts
@@ -42,7 +42,8 @@
 
 /** The admission of plain requests, as the forwarder uses it. */
 export type PlainAdmission = Readonly<{
-  isContended: (service: ServiceName) => boolean;
+  /** Whether the admitting box has to place the request; otherwise this box does, within its part of the connections. */
+  needsAdmission: (request: PlainRequest) => boolean;
   /**
    * Makes the service contended if this box's part of the servers' connections is used up: the admitting box then
    * shares them by need.
@@ -71,8 +72,8 @@
    * on record, as those that remain are the server's usable slots.
    */
   onRejected: (server: BackendServer) => void;
-  /** Places the request within this box's safe part, or refuses it. */
-  placeWithinSafePart: (request: PlainRequest) => PlacementDecision;
+  /** Places the request within this box's own part of the slots or connections, or refuses it. */
+  placeWithinOwnPart: (request: PlainRequest) => PlacementDecision;
 }>;
 
 type Deps = Readonly<{ clock: Pick<Clock, "monotonic">; plainAdmission: PlainAdmission }>;
@@ -118,7 +119,7 @@
   const reportWaiting = () =>
     report({ kind: "waits", memoryAfter: 0, waiting: undefined });
   plainAdmission.checkConnections(request);
-  if (!plainAdmission.isContended(request.service)) {
+  if (!plainAdmission.needsAdmission(request)) {
     const cancel = placeOpen();
     plainAdmission.onOpenPlaced(request.service);
     return cancel;
@@ -126,14 +127,14 @@
   const admitting = plainAdmission.findAdmitting(request.service);
   if (admitting === "own") return plainAdmission.admitHere(request, place);
   if (admitting === "none") {
-    place(plainAdmission.placeWithinSafePart(request));
+    place(plainAdmission.placeWithinOwnPart(request));
     return () => undefined;
   }
   const call = new AbortController();
   void askUntilDecided(deps, request, call.signal, reportWaiting).then((advice) => {
     if (call.signal.aborted) return;
     if (advice) place(advice.decision, advice.by);
-    else place(plainAdmission.placeWithinSafePart(request));
+    else place(plainAdmission.placeWithinOwnPart(request));
   });
   return () => call.abort();
 };
--- a/packages/peers/src/contentionCodec.test.ts
+++ b/packages/peers/src/contentionCodec.test.ts
@@ -19,7 +19,8 @@
   age: 20 as Ms,
   full: ["s1" as ServerId],
 };
-const CONTENDED = { signs: [SIGN], unknownParts: 0 };
+const SIGN_OF_CONNECTIONS = { ...SIGN, isOfConnections: true as const };
+const CONTENDED = { signs: [SIGN, SIGN_OF_CONNECTIONS], unknownParts: 0 };
 const UPDATE = makeRunUpdate("b" as BoxName, {
   put: [{ server: "s1" as ServerId, run: createPlainRun("r") }],
 });
--- a/packages/peers/src/contentionCodec.ts
+++ b/packages/peers/src/contentionCodec.ts
@@ -17,6 +17,7 @@
   age: z.number().nonnegative(),
   full: z.array(z.string()).default([]),
   brittle: z.array(z.string()).optional(),
+  isOfConnections: z.literal(true).optional(),
 });
 
 /** The field of a message, which earlier releases don't send. */
@@ -30,11 +31,13 @@
   age,
   full,
   brittle,
+  isOfConnections,
 }: z.infer<typeof signSchema>): ContentionSign => ({
   service: service as ServiceName,
   age: age as Ms,
   full: toServers(full),
   ...(brittle && { brittle: toServers(brittle) }),
+  ...(isOfConnections && { isOfConnections }),
 });
 
 /** Encodes the signs; left out of the message when there are none. */
