--- a/apps/box/src/startFile.test.ts
+++ b/apps/box/src/startFile.test.ts
@@ -55,4 +55,19 @@
     const script = findArguments(/target\/stairgauged\.cjs/).at(-1)!;
     expect(await start(["--no-opt", script])).toBe("refused");
   });
+
+  // Guards against a bench that waits forever since the box has closed some of its streams unread.
+  it(
+    "serves the streams of bench:forward, which ends",
+    async () => {
+      const durations = ["--seconds", "1", "--repeats", "1", "--warm-up", "0"];
+      const bench = spawnProcess([
+        "packages/measure/dist/benchForwardMain.js",
+        ...durations,
+      ]);
+      const code = await bench.waitForExit();
+      expect({ code, lines: bench.listLines() }).toMatchObject({ code: 0 });
+    },
+    BUSY_MACHINE_TIMEOUT_MS,
+  );
 });
--- a/packages/measure/src/benchForwardMain.ts
+++ b/packages/measure/src/benchForwardMain.ts
@@ -15,11 +15,13 @@
 
 const MS_PER_SECOND = 1_000;
 const MICROSECONDS_PER_SECOND = 1_000_000;
-const WARM_UP_MS = 2_000;
 const SITE_READY_MS = 1_500;
 /** Far more than the streams of a run, because a box uses only its share of the connections that a server accepts. */
 const MAX_CONNECTIONS = 5_000;
 
+/** Streams that are open at once, and the times for which they run before and while they are measured. */
+type Run = Readonly<{ streams: number; seconds: number; warmUpSeconds: number }>;
+
 type Target = Readonly<{ name: string; process: SpawnedProcess; url: string }>;
 
 const wait = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
@@ -63,8 +65,7 @@
 /** Returns the CPU time of the target per event, in microseconds. */
 const measureTarget = async (
   target: Target,
-  streams: number,
-  seconds: number,
+  { streams, seconds, warmUpSeconds }: Run,
 ): Promise<number> => {
   const client = createLoadClient({
     url: target.url,
@@ -73,7 +74,7 @@
     streams,
   });
   await client.waitForAll();
-  await wait(WARM_UP_MS);
+  await wait(warmUpSeconds * MS_PER_SECOND);
   client.restart();
   const before = readUsage(target.process.pid);
   await wait(seconds * MS_PER_SECOND);
@@ -91,8 +92,9 @@
     gapMs: option({ type: number, long: "gap-ms", defaultValue: () => 50 }),
     seconds: option({ type: number, long: "seconds", defaultValue: () => 3 }),
     repeats: option({ type: number, long: "repeats", defaultValue: () => 3 }),
+    warmUpSeconds: option({ type: number, long: "warm-up", defaultValue: () => 2 }),
   },
-  handler: async ({ streams, gapMs, seconds, repeats }) => {
+  handler: async ({ gapMs, repeats, ...measured }) => {
     const source = spawnProcess([
       toPath("./relayBench/eventSourceMain.js"),
       String(gapMs),
@@ -103,7 +105,7 @@
     for (let i = 0; i < repeats; i += 1) {
       const micros: number[] = [];
       for (const target of targets) {
-        micros.push(await measureTarget(target, streams, seconds));
+        micros.push(await measureTarget(target, measured));
         process.stdout.write(`${target.name} ${micros.at(-1)!.toFixed(1)} us an event\n`);
       }
       ratios.push(micros[1]! / micros[0]!);
@@ -111,7 +113,7 @@
     const sorted = ratios.toSorted((a, b) => a - b);
     const median = sorted[sorted.length >> 1]!.toFixed(2);
     const spread = `${sorted[0]!.toFixed(2)} to ${sorted.at(-1)!.toFixed(2)}`;
-    process.stdout.write(`ratio ${median} (${spread}) at ${streams} streams\n`);
+    process.stdout.write(`ratio ${median} (${spread}) at ${measured.streams} streams\n`);
     process.exit(0);
   },
 });
--- a/packages/measure/src/benchRelayMain.ts
+++ b/packages/measure/src/benchRelayMain.ts
@@ -17,7 +17,6 @@
 const MS_PER_SECOND = 1_000;
 const MICROSECONDS_PER_SECOND = 1_000_000;
 const KIB = 1024;
-const WARM_UP_MS = 2_000;
 
 /** Numbers of streams with the gap between tokens: longer gaps for more streams, so that no process is saturated. */
 const SIZES = [
@@ -33,6 +32,9 @@
   headers: Readonly<Record<string, string>>;
 }>;
 
+/** Time for which a target is measured, and for which its streams run before. */
+type Durations = Readonly<{ seconds: number; warmUpSeconds: number }>;
+
 type Row = Readonly<{
   target: string;
   streams: number;
@@ -54,13 +56,13 @@
 const measureTarget = async (
   target: Target,
   size: (typeof SIZES)[number],
-  seconds: number,
+  { seconds, warmUpSeconds }: Durations,
 ): Promise<Row> => {
   const idle = readUsage(target.process.pid);
   const { url, headers } = target;
   const client = createLoadClient({ url, headers, body: BODY, streams: size.streams });
   await client.waitForAll();
-  await wait(WARM_UP_MS);
+  await wait(warmUpSeconds * MS_PER_SECOND);
   client.restart();
   const before = readUsage(target.process.pid);
   await wait(seconds * MS_PER_SECOND);
@@ -132,9 +134,10 @@
   args: {
     seconds: option({ type: number, long: "seconds", defaultValue: () => 5 }),
     repeats: option({ type: number, long: "repeats", defaultValue: () => 3 }),
+    warmUpSeconds: option({ type: number, long: "warm-up", defaultValue: () => 2 }),
     json: flag({ type: boolean, long: "json" }),
   },
-  handler: async ({ seconds, repeats, json }) => {
+  handler: async ({ repeats, json, ...durations }) => {
     const source = spawnProcess([toPath("sourceMain.js")]);
     const [, address = ""] = await source.waitForLine(/engine on (\S+)/);
     const passThrough = spawnProcess([toPath("passThroughMain.js"), address]);
@@ -165,7 +168,7 @@
       await setGap(address, size.gapMs);
       for (let repeat = 0; repeat < repeats; repeat += 1) {
         for (const target of targets) {
-          const row = await measureTarget(target, size, seconds);
+          const row = await measureTarget(target, size, durations);
           rows.push(row);
           printRow(row);
           await wait(MS_PER_SECOND);
--- a/packages/measure/src/relayBench/loadClient.ts
+++ b/packages/measure/src/relayBench/loadClient.ts
@@ -3,6 +3,7 @@
 import { Agent } from "undici";
 
 const MICROSECONDS_PER_MS = 1_000;
+const SUCCESS = 200;
 const STAMP_PATTERN = /"(?:t|content)":"(\d+\.\d+)"/g;
 
 /** Open streams to one benchmark target. */
@@ -12,7 +13,7 @@
   delays: Histogram;
   /** Resets the counts and delays. */
   restart: () => void;
-  /** Resolves when every stream has received a token. */
+  /** Resolves when every stream has received a token; rejects if one can't be opened. */
   waitForAll: () => Promise<void>;
   close: () => Promise<void>;
 }>;
@@ -29,9 +30,17 @@
   const startedStreams = new Set<number>();
   let tokens = 0;
   let resolveAll: () => void = () => undefined;
-  const allStarted = new Promise<void>((resolve) => {
+  let failAll: (error: Error) => void = () => undefined;
+  const allStarted = new Promise<void>((resolve, reject) => {
     resolveAll = resolve;
+    failAll = reject;
   });
+  // Streams may fail before the caller waits for them.
+  allStarted.catch(() => undefined);
+  const failStream = (stream: number, reason: string) =>
+    failAll(
+      new Error(`stream ${stream} of ${options.streams} at ${options.url}: ${reason}`),
+    );
 
   const readChunk = (stream: number, chunk: Buffer) => {
     const now = performance.timeOrigin + performance.now();
@@ -55,8 +64,12 @@
       },
       {
         onRequestStart: () => undefined,
+        onResponseStart: (_controller, status) => {
+          if (status !== SUCCESS) failStream(stream, `answered with ${status}`);
+        },
         onResponseData: (_controller, chunk) => readChunk(stream, chunk),
-        onResponseError: () => undefined,
+        onResponseEnd: () => failStream(stream, "ended"),
+        onResponseError: (_controller, error) => failStream(stream, error.message),
       },
     );
   }
