--- a/apps/box/src/spoiledHeads.test.ts
+++ b/apps/box/src/spoiledHeads.test.ts
@@ -5,15 +5,10 @@
 import { createServer, type Socket } from "node:net";
 import { describe, expect, it } from "vitest";
 import { createSeededRandom } from "@stairgauge/common";
-import { listenOnLoopback } from "@stairgauge/standins";
-import {
-  ask,
-  closers,
-  makeGeneration,
-  startSite,
-  waitFor,
-  waitMs,
-} from "./box.testkit.js";
+import { listenOnLoopback, startUsersSite } from "@stairgauge/standins";
+import { ask, closers, makeGeneration, waitMs, type Line } from "./box.testkit.js";
+import { startFleet, type FleetBox } from "./fleet.testkit.js";
+import { startPathSwitch } from "./pathSwitch.testkit.js";
 
 /** How long each client waits, and how late an answer may be after it. Streams have a longer limit of their route. */
 const DEADLINE_MS = 2_000;
@@ -65,15 +60,47 @@
   return address;
 };
 
-/** Sends requests of all kinds one after the other and returns those that did not end in time. */
-const listUnended = async (count: number, writeHead: WriteHead) => {
-  const { site, box, ports, lines, start } = await startSite(0, 0, { stopSeconds: 4 });
-  site.putService("plain", await startSpoilingServer("plain", writeHead));
-  site.putEngine("engine", await startSpoilingServer("engine", writeHead));
-  await start();
-  await waitFor(
-    () => lines.filter(({ event }) => event === "server_joined").length === 2,
+/** Where the heads are read: from one server, from a second one after the first, or by way of another box. */
+type Way = "own" | "second" | "carried";
+
+/** Starts a site with `count` servers of each kind that spoil their heads; returns their addresses. */
+const startSpoilingSite = async (count: number, writeHead: WriteHead) => {
+  const site = await startUsersSite({ engines: 0, services: 0 });
+  closers.push(site.close);
+  const addresses: string[] = [];
+  for (let i = 0; i < count; i += 1) {
+    const plain = await startSpoilingServer(`plain-${i}`, writeHead);
+    const engine = await startSpoilingServer(`engine-${i}`, writeHead);
+    site.putService(`plain-${i}`, plain);
+    site.putEngine(`engine-${i}`, engine);
+    addresses.push(plain, engine);
+  }
+  site.putConfiguration();
+  return { site, addresses };
+};
+
+/** Starts a box whose requests take this way; the others, if there are any, only carry. */
+const startOnWay = async (way: Way, writeHead: WriteHead): Promise<FleetBox> => {
+  const { site, addresses } = await startSpoilingSite(
+    way === "second" ? 2 : 1,
+    writeHead,
   );
+  const pathSwitch = await startPathSwitch(addresses);
+  const { fleet, start } = await startFleet({
+    store: site.store.address,
+    boxes: way === "carried" ? 2 : 0,
+    servers: addresses.length,
+    changes: { stopSeconds: 4, hasProductionTimes: true },
+    getChanges: (box) => (box === 1 ? { dialServer: pathSwitch.dial } : {}),
+  });
+  if (way !== "carried") return start();
+  pathSwitch.cut("refuse_new");
+  return fleet[0]!;
+};
+
+/** Sends requests of all kinds one after the other; returns those that did not end in time, and what the box wrote of them. */
+const listUnended = async (count: number, writeHead: WriteHead, way: Way = "own") => {
+  const { box, ports, lines } = await startOnWay(way, writeHead);
   const unended: string[] = [];
   const send = async (at: number) => {
     const path = ["/once/", "/again/", "/draft/", "/verdict/"][at % 4]!;
@@ -88,9 +115,23 @@
   await box.stop();
   const stopped = lines.find(({ event }) => event === "stopped");
   const errors = lines.filter(({ event }) => event === "unexpected_error");
-  return { unended, open: stopped?.["open"], errors };
+  return { ends: { unended, open: stopped?.["open"], errors }, lines };
+};
+
+/** Counts the requests that the box placed more than once. */
+const countPlacedAgain = (lines: readonly Line[]) => {
+  const placed = lines.filter(({ event }) => event === "placed");
+  return placed.length - new Set(placed.map(({ request }) => request)).size;
 };
 
+const countCarried = (lines: readonly Line[]) =>
+  lines.filter(({ event }) => event === "carried").length;
+
+const countOwn = (lines: readonly Line[]) =>
+  lines.filter(({ event }) => event === "placed").length;
+
+const NOTHING_LEFT = { unended: [], open: 0, errors: [] };
+
 const replaceLine =
   (index: number, line: string): WriteHead =>
   (lines) =>
@@ -106,22 +147,26 @@
     ["a control character in a header", replaceLine(3, "Content-Type: a\x02b")],
     ["a header of high bytes", replaceLine(3, "Content-Type: \xff\xfe\x80")],
   ])("end in time: %s", async (_, writeHead) => {
-    expect(await listUnended(16, writeHead)).toEqual({
-      unended: [],
-      open: 0,
-      errors: [],
-    });
+    expect((await listUnended(16, writeHead)).ends).toEqual(NOTHING_LEFT);
   });
 
-  it("end in time, whichever byte of a head was changed", async () => {
-    const random = createSeededRandom(1);
-    const changeByte: WriteHead = (lines) => {
-      const head = lines.join("\r\n");
-      const at = random.nextInt(0, head.length - 1);
-      const byte = String.fromCharCode(random.nextInt(0, 255));
-      return head.slice(0, at) + byte + head.slice(at + 1);
-    };
-    const { unended, open, errors } = await listUnended(400, changeByte);
-    expect({ unended, open, errors }).toEqual({ unended: [], open: 0, errors: [] });
-  });
+  it.each([
+    { way: "own", count: 400, countOnWay: countOwn },
+    { way: "second", count: 160, countOnWay: countPlacedAgain },
+    { way: "carried", count: 160, countOnWay: countCarried },
+  ] as const)(
+    "end in time, whichever byte of a head was changed: $way",
+    async ({ way, count, countOnWay }) => {
+      const random = createSeededRandom(1);
+      const changeByte: WriteHead = (lines) => {
+        const head = lines.join("\r\n");
+        const at = random.nextInt(0, head.length - 1);
+        const byte = String.fromCharCode(random.nextInt(0, 255));
+        return head.slice(0, at) + byte + head.slice(at + 1);
+      };
+      const { ends, lines } = await listUnended(count, changeByte, way);
+      expect(ends).toEqual(NOTHING_LEFT);
+      expect(countOnWay(lines)).toBeGreaterThan(10);
+    },
+  );
 });
