fix: clients can't have a box close others' connections by naming short deadlines

How long a connection may stay unread went by the deadlines of all requests that were read. Clients without a key, or a tenth of all with a deadline of a millisecond, would have had a busy box close the connections of everybody else unread.

Only admitted requests count now, and the limit is 200 ms at least, which a test asks for deadlines of 1, 0 and below.

--- a/packages/forwarding/src/createForwarder.ts
+++ b/packages/forwarding/src/createForwarder.ts
@@ -129,9 +129,11 @@
         key: head.key,
       });
     const access = decideByHead();
-    if (access.route)
+    const isAdmitted = access.kind === "admitted";
+    // Clients that the site doesn't serve decide nothing about others.
+    if (isAdmitted)
       deps.unreadLimit.recordRead(computeReadingTerms(access.route, head.patience));
-    const share = bodyMemory.open(access.kind === "admitted");
+    const share = bodyMemory.open(isAdmitted);
     let call: DispatchedCall | undefined;
     let hasLeft = false;
     open += 1;
--- a/packages/saturation/src/constants.ts
+++ b/packages/saturation/src/constants.ts
@@ -59,6 +59,9 @@
 /** Share of a caller's time that a connection may stay unread, however long answers take: slow servers are no reason to send callers away. */
 export const MIN_UNREAD_SHARE = 1 / 3;
 
+/** Time that a connection may stay unread in any case: no client can have the box close those of others by naming a shorter one. */
+export const MIN_UNREAD_MS = 200;
+
 /** Readings before their mean tells how long one takes. The first ones of a process run code that is not compiled yet. */
 export const MIN_READINGS = 8;
 
--- a/packages/saturation/src/createUnreadLimit.test.ts
+++ b/packages/saturation/src/createUnreadLimit.test.ts
@@ -41,6 +41,11 @@
     );
   });
 
+  it("is never so short that clients who name odd times have those of others closed", () => {
+    for (const odd of [0, -5, 1])
+      expect(createTaught(makeMany(32, makeRequest(odd, odd)), []).get()).toBe(200);
+  });
+
   it("goes by the time in which a request has to be read if that is shorter", () => {
     expect(createTaught(makeMany(8, makeRequest(9_000, 1_000)), []).get()).toBe(1_000);
   });
--- a/packages/saturation/src/createUnreadLimit.ts
+++ b/packages/saturation/src/createUnreadLimit.ts
@@ -7,6 +7,7 @@
   ANSWER_QUANTILE,
   CALLER_QUANTILE,
   LAST_REQUESTS,
+  MIN_UNREAD_MS,
   MIN_UNREAD_SHARE,
 } from "./constants.js";
 
@@ -42,7 +43,8 @@
       Math.max(answerWithin - answerTime, answerWithin * MIN_UNREAD_SHARE),
     ),
   );
-  return pickQuantile(limits, CALLER_QUANTILE) as Ms | undefined;
+  const limit = pickQuantile(limits, CALLER_QUANTILE);
+  return limit === undefined ? undefined : (Math.max(MIN_UNREAD_MS, limit) as Ms);
 };
 
 const pushLast = <T>(values: T[], value: T) => {
