test: drawn writings without end by way of other boxes, and without an early 421

What a box reads for another one was checked for the listed writings only; 60 drawn ones now go the same way, and none costs more than its bound, is late or leaves a connection.

--- a/apps/box/src/endlessAnswers.test.ts
+++ b/apps/box/src/endlessAnswers.test.ts
@@ -162,17 +162,17 @@
 /** Whether a stream's bytes reach the client of a plain request, to which they are a sound body. */
 const isSoundToPlain = (name: string) => name.endsWith("of a stream");
 
-const generateWriting = (random: Random): Writing => {
+const STATUSES = ["200 OK", "200 OK", "404 None", "429 Slow", "500 Failed", "503 Full"];
+
+/** Answers that one test draws. */
+const DRAWN = 60;
+
+/** A server that answers so counts as replaced, and gets no further request. */
+const REPLACED = "421 Other";
+
+const generateWriting = (random: Random, statuses: readonly string[]): Writing => {
   const pick = <T>(all: readonly T[]): T => all[random.nextInt(0, all.length - 1)]!;
-  const status = pick([
-    "200 OK",
-    "200 OK",
-    "404 None",
-    "421 Other",
-    "429 Slow",
-    "500 Failed",
-    "503 Full",
-  ]);
+  const status = pick(statuses);
   const pickOptional = (line: string) => (random.nextFloat() < 0.5 ? [line] : []);
   const lines = [SIGNED, NOT_RUN, STREAM, "Content-Encoding: br", "Connection: close"];
   const framing = pick([[], [LONG], [CHUNKED]]);
@@ -314,34 +314,58 @@
 describe("what a server writes without end", () => {
   const CARRIED = DECIDED.filter(([name]) => !isSoundToPlain(name));
 
+  /** Starts such a server behind a box that reaches it by way of another box alone. */
+  const startCarriedSite = async (findWriting: (id: string) => Writing | undefined) => {
+    const recorded = createRecordingDialer();
+    const site = await startUsersSite({ engines: 0, services: 0 });
+    closers.push(site.close);
+    const started = await startServers(site, { endless: 1, sound: 0 }, findWriting);
+    site.putConfiguration();
+    const { fleet } = await startFleet({
+      store: site.store.address,
+      boxes: 2,
+      servers: 2,
+      changes: BOX_CHANGES,
+      getChanges: (box) => ({ dialServer: box === 1 ? dialClosedPort : recorded.dial }),
+    });
+    const { ports, lines } = fleet[0]!;
+    return { ports, lines, ...recorded, ...started };
+  };
+
   it.each(CARRIED)(
     "costs a box that carries the request as little: %s",
     async (_, writing) => {
-      const recorded = createRecordingDialer();
-      const site = await startUsersSite({ engines: 0, services: 0 });
-      closers.push(site.close);
-      const started = await startServers(site, { endless: 1, sound: 0 }, () => writing);
-      site.putConfiguration();
-      const { fleet } = await startFleet({
-        store: site.store.address,
-        boxes: 2,
-        servers: 2,
-        changes: BOX_CHANGES,
-        getChanges: (box) => ({ dialServer: box === 1 ? dialClosedPort : recorded.dial }),
-      });
-      const { ports, lines } = fleet[0]!;
-      const cut = { ports, lines, ...recorded, ...started };
+      const cut = await startCarriedSite(() => writing);
       for (const path of PATHS) {
         const measured = await measureRequest(cut, path, path);
         const { isAtDeadline, inVain, open, status, isWhole } = measured;
         const isEnded = !isAtDeadline && (status === 0 || status >= 500 || !isWhole);
         expect({ path, isEnded, open }).toEqual({ path, isEnded: true, open: 0 });
         expect(inVain).toBeLessThanOrEqual(MAX_READ_IN_VAIN);
-        expect(started.reached).toContain(path);
+        expect(cut.reached).toContain(path);
       }
     },
   );
 
+  it("costs a box that carries the request a bounded number of bytes, whatever it is", async () => {
+    const random = createSeededRandom(5);
+    const writings = new Map<string, Writing>();
+    const cut = await startCarriedSite((id) => writings.get(id));
+    const failures: unknown[] = [];
+    for (let at = 0; at < DRAWN; at += 1) {
+      const id = `drawn-${at}`;
+      writings.set(id, generateWriting(random, STATUSES));
+      const path = PATHS[at % PATHS.length]!;
+      const measured = await measureRequest(cut, path, id);
+      const { took, inVain, open, tries } = measured;
+      const isLate = took > DEADLINE_MS + CLOSED_WITHIN_MS;
+      if (isLate || open > 0 || inVain > MAX_READ_IN_VAIN * Math.max(1, tries))
+        failures.push({ id, path, ...measured });
+    }
+    expect(failures).toEqual([]);
+    expect(cut.reached.size).toBeGreaterThan(30);
+  });
+
   it.each(HEADLESS)("ends a health check as failed: %s", async (_, writing) => {
     const recorded = createRecordingDialer();
     const boxed = await startSite(0, 0, { ...BOX_CHANGES, dialServer: recorded.dial });
@@ -374,9 +398,10 @@
         writings.get(id),
       );
       const failures: unknown[] = [];
-      for (let at = 0; at < 60; at += 1) {
+      for (let at = 0; at < DRAWN; at += 1) {
         const id = `drawn-${at}`;
-        writings.set(id, generateWriting(random));
+        const isLast = at >= DRAWN - endless;
+        writings.set(id, generateWriting(random, isLast ? [REPLACED] : STATUSES));
         const path = PATHS[at % PATHS.length]!;
         const measured = await measureRequest(site, path, id);
         const { took, inVain, open, tries } = measured;
@@ -385,6 +410,8 @@
           failures.push({ id, path, ...measured });
       }
       expect(failures).toEqual([]);
+      // Servers that are known for it get few requests while others are there.
+      if (endless === 4) expect(site.reached.size).toBeGreaterThan(DRAWN / 2);
       if (endless < 4) {
         const sound = await askCounted(site.ports, {
           path: "/again/",
