fix: a retried request asks the admitting box if its box's part is used up at the servers that are left

While a service is contended by connections, a box placed a request itself if its part had room at any server, also at one that the request had tried already; it was then refused although other servers had room. The test calls for the decision alone.

--- a/apps/box/src/createCapacity.test.ts
+++ b/apps/box/src/createCapacity.test.ts
@@ -3,6 +3,7 @@
 import { describe, expect, it } from "vitest";
 import { advanceSettled, type Ms } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
+import type { PlainRequest } from "@stairgauge/forwarding";
 import { createCapacityFleet } from "./capacity.testkit.js";
 import { SERVICE } from "./capacityPlacer.testkit.js";
 import type { FleetOptions } from "./capacityServers.testkit.js";
@@ -11,6 +12,20 @@
 /** Time after which boxes have settled in their positions. */
 const SETTLED_MS = 3_000;
 
+/** A request that may not be sent to these servers. */
+const makePlainRequest = (except: readonly string[]): PlainRequest => ({
+  head: { id: "r" } as unknown as PlainRequest["head"],
+  service: SERVICE,
+  tier: 1,
+  regions: undefined,
+  workspace: undefined,
+  subject: undefined,
+  aimAt: 300 as Ms,
+  endsAt: 4_000 as Ms,
+  workMs: 60 as Ms,
+  except: new Set(except as readonly ServerId[]),
+});
+
 const setUp = async (options: Partial<FleetOptions> = {}) => {
   const fleet = createCapacityFleet({ ...DEFAULTS, ...options });
   const advance = (duration: number) => advanceSettled(fleet.clock, duration as Ms);
@@ -129,6 +144,21 @@
     expect(outcomes).toMatchObject({ served: 44, rejected: 0, refused: 0 });
   });
 
+  it("places a request elsewhere if its own part is used up at the servers that it may still try", async () => {
+    const { load, advance, fleet } = await setUp({ ...USED_UP, extra: 90, work: 1_000 });
+    await load(16, 0, 3);
+    await advance(20);
+    const { capacity, registry } = fleet[3]!;
+    const open = (["s0", "s1"] as const).map((id) => registry.countOpen(id as ServerId));
+    const request = makePlainRequest(["s0"]);
+    expect(Math.min(...open)).toBeGreaterThanOrEqual(3);
+    expect(capacity.plainAdmission.needsAdmission(request)).toBe(true);
+    expect(fleet[4]!.capacity.plainAdmission.needsAdmission(request)).toBe(false);
+    expect(
+      fleet[4]!.capacity.plainAdmission.needsAdmission(makePlainRequest(["s0", "s1"])),
+    ).toBe(true);
+  });
+
   it("is contended by slots as soon as a server rejects a request", async () => {
     const { load, advance, outcomes, servers } = await setUp({ ...USED_UP, extra: 6 });
     for (let second = 0; second < 4; second += 1) {
--- a/apps/box/src/createCapacity.ts
+++ b/apps/box/src/createCapacity.ts
@@ -173,10 +173,10 @@
   return {
     plainAdmission: {
       needsAdmission: (request) => {
-        const { service } = request;
+        const { service, except } = request;
         if (!contention.isContended(service)) return false;
         if (contention.isShortOfSlots(service)) return true;
-        return !placer.hasOwnConnection(service, toDemand(request));
+        return !placer.hasOwnConnection({ service, demand: toDemand(request), except });
       },
       checkConnections: (request) => {
         const { service } = request;
--- a/packages/fleet/src/createPlacer.ts
+++ b/packages/fleet/src/createPlacer.ts
@@ -112,7 +112,7 @@
      */
     needsSharedConnections: (service: ServiceName, demand: Demand) => boolean;
     /** Whether this box's part of the connections has room for the request at some server. */
-    hasOwnConnection: (service: ServiceName, demand: Demand) => boolean;
+    hasOwnConnection: (terms: PlacementTerms) => boolean;
     /** Lists the servers of a service that may get no request of this box, for reasons only it knows. */
     listClosedTo: (service: ServiceName, demand: Demand) => readonly ServerId[];
     /** Id under which a request is recorded as a run. */
@@ -298,8 +298,8 @@
       limited: toPlacementLimit(decision.server),
     };
   };
-  /** Servers that another box's plain request may be sent to: limits and backoffs are the other box's own. */
-  const listForOtherPlain = ({ service, demand, except }: PlacementTerms) =>
+  /** Servers that any box's plain request may be sent to: limits and backoffs are each box's own. */
+  const listForPlain = ({ service, demand, except }: PlacementTerms) =>
     directory
       .listReady(service)
       .filter((server) => isAllowed(server, demand) && !except.has(server.entry.id));
@@ -307,7 +307,7 @@
     const now = clock.monotonic();
     const ownCandidates =
       owner === "own" ? listCandidates(terms, owner, allowAny) : undefined;
-    const open = ownCandidates?.filtered.open ?? listForOtherPlain(terms);
+    const open = ownCandidates?.filtered.open ?? listForPlain(terms);
     if (open.length === 0)
       return refuseAll(terms, ownCandidates ?? listCandidates(terms, owner, allowAny));
     const { plain, shared } = options.getConnectionBounds(terms.service);
@@ -380,11 +380,8 @@
       const isUsedUp = ready.every(({ entry }) => registry.countOpen(entry.id) >= plain);
       return isUsedUp && ready.some((server) => isAllowed(server, demand));
     },
-    hasOwnConnection: (service, demand) =>
-      directory
-        .listReady(service)
-        .filter((server) => isAllowed(server, demand))
-        .some(createConnectionCheck(service, demand)),
+    hasOwnConnection: (terms) =>
+      listForPlain(terms).some(createConnectionCheck(terms.service, terms.demand)),
     listClosedTo: (service, demand) => {
       const terms = { service, demand, except: new Set<ServerId>() };
       const { ready, filtered } = listCandidates(terms, "own", allowAny);
--- a/packages/saturation/src/createIntake.ts
+++ b/packages/saturation/src/createIntake.ts
@@ -41,6 +41,7 @@
   /** Connections closed unread in this window, and since the box became short. */
   let turnedAway = 0;
   let turnedAwayInAll = 0;
+  /** Connections that waited at the end of the last window. */
   let countBefore = 0;
   const report = createUnreadReport({ clock, onEvent });
 
