--- a/packages/standins/src/usersPlatform/loopback.ts
+++ b/packages/standins/src/usersPlatform/loopback.ts
@@ -1,4 +1,5 @@
 /** HTTP helpers of the stand-ins: listening on loopback, reading whole bodies, sending JSON. */
+import { once } from "node:events";
 import { Server as HttpServer } from "node:http";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { AddressInfo, Server } from "node:net";
@@ -12,6 +13,26 @@
 
 const LOOPBACK = "127.0.0.1";
 
+/** A port that was given up may be taken for a moment by a connection of any process of the machine. */
+const RETRY_MS = 50;
+const MAX_TRIES = 200;
+
+/** Listens once the port is free; rejects after ten seconds. */
+const listenOnceFree = async (server: Server, port: number): Promise<void> => {
+  for (let tries = 1; ; tries += 1) {
+    const listening = once(server, "listening");
+    server.listen(port, LOOPBACK);
+    try {
+      await listening;
+      return;
+    } catch (error) {
+      const isTaken = (error as NodeJS.ErrnoException).code === "EADDRINUSE";
+      if (!isTaken || tries >= MAX_TRIES) throw error;
+    }
+    await new Promise((resolve) => setTimeout(resolve, RETRY_MS));
+  }
+};
+
 /** Health check path of every stand-in server; the answer names the server's instance id. */
 export const HEALTH_PATH = "/healthz";
 
@@ -20,7 +41,7 @@
   server: Server,
   atPort = 0,
 ): Promise<Listening> => {
-  await new Promise<void>((resolve) => server.listen(atPort, LOOPBACK, resolve));
+  await listenOnceFree(server, atPort);
   const { port } = server.address() as AddressInfo;
   return {
     address: `${LOOPBACK}:${port}`,
