perf: the time that a connection may stay unread is worked out only once one has waited

Cause: the limit was asked for before looking whether anything has waited. No limit is shorter than 200 ms, so a queue that is read within that time needs none. Behaviour stays: tests of the package and of the client server pass as they are.

--- a/packages/saturation/src/createArrivals.ts
+++ b/packages/saturation/src/createArrivals.ts
@@ -5,7 +5,12 @@
  */
 import type { Clock, Ms } from "@stairgauge/common";
 import { decideReach, type Backlog, type UnreadReason } from "./backlog.js";
-import { MAX_ACCEPTING_TURNS, MAX_COUNTED_TURN_MS, MIN_READINGS } from "./constants.js";
+import {
+  MAX_ACCEPTING_TURNS,
+  MAX_COUNTED_TURN_MS,
+  MIN_READINGS,
+  MIN_UNREAD_MS,
+} from "./constants.js";
 
 /** Options of the arrivals. */
 export type ArrivalsOptions<Connection> = Readonly<{
@@ -75,13 +80,15 @@
     hasRead = false;
   };
   const closeOutOfReach = () => {
-    const limit = getUnreadLimit();
     const [first] = waiting;
-    if (!first || limit === undefined) return;
+    if (!first) return;
     const readingTime = readingMeter.getTime();
     const longestWait =
       waited - first.arrivedAt + (readingTime ?? 0) * (waiting.length - 1);
-    if (longestWait <= limit || !isBusy()) return;
+    // No limit is shorter, and while a box is calm none has to be worked out.
+    if (longestWait <= MIN_UNREAD_MS) return;
+    const limit = getUnreadLimit();
+    if (limit === undefined || longestWait <= limit || !isBusy()) return;
     const reasons = decideReach(
       waiting.map(({ arrivedAt }) => waited - arrivedAt),
       { limit, readingTime },
