refactor: the servers of the drawn heads are those of the endless answers

spoiledHeads.test.ts had its own server that reads a request's head from the socket, answers health checks and writes bytes of the test's choice, beside startWritingServer of endlessAnswers.testkit.ts, which does the same; two of its counts differed only by the event. It uses the shared server now, and one count.

--- a/apps/box/src/spoiledHeads.test.ts
+++ b/apps/box/src/spoiledHeads.test.ts
@@ -2,11 +2,11 @@
  * Guards against a request without an end: whatever a server writes as the head of its answer, the client gets an answer or a
  * closed connection by the deadline, and nothing of the request is left at the box.
  */
-import { createServer, type Socket } from "node:net";
 import { describe, expect, it } from "vitest";
 import { createSeededRandom } from "@stairgauge/common";
-import { listenOnLoopback, startUsersSite } from "@stairgauge/standins";
+import { startUsersSite } from "@stairgauge/standins";
 import { ask, closers, makeGeneration, waitMs, type Line } from "./box.testkit.js";
+import { startWritingServer, writeSoundAnswer } from "./endlessAnswers.testkit.js";
 import { startFleet, type FleetBox } from "./fleet.testkit.js";
 import { startPathSwitch } from "./pathSwitch.testkit.js";
 
@@ -36,29 +36,12 @@
 };
 
 /** Starts a server that answers generations and plain requests with a head of the test's choice. */
-const startSpoilingServer = async (id: string, writeHead: WriteHead): Promise<string> => {
-  const handleHead = (socket: Socket, head: string) => {
-    const request = /^request-id: (.*)$/im.exec(head)?.[1] ?? "";
-    const isHealthCheck = head.startsWith("GET");
-    const answer = isHealthCheck
-      ? `HTTP/1.1 200 OK\r\nInstance-Id: ${id}\r\nContent-Length: 2${HEAD_END}{}`
-      : formatAnswer(request, /^model: /im.test(head), writeHead);
-    socket.write(Buffer.from(answer, "latin1"));
-  };
-  const server = createServer((socket) => {
-    let received = "";
-    socket.on("error", () => undefined);
-    socket.on("data", (bytes) => {
-      received += bytes.toString("latin1");
-      if (!received.includes(HEAD_END)) return;
-      handleHead(socket, received);
-      received = "";
-    });
-  });
-  const { address, close } = await listenOnLoopback(server);
-  closers.push(close);
-  return address;
-};
+const startSpoilingServer = (id: string, writeHead: WriteHead): Promise<string> =>
+  startWritingServer((call) =>
+    call.method === "GET"
+      ? writeSoundAnswer(id, call)
+      : { begin: formatAnswer(call.id, /^\/(draft|verdict)/.test(call.path), writeHead) },
+  );
 
 /** Where the heads are read: from one server, from a second one after the first, or by way of another box. */
 type Way = "own" | "second" | "carried";
@@ -124,11 +107,8 @@
   return placed.length - new Set(placed.map(({ request }) => request)).size;
 };
 
-const countCarried = (lines: readonly Line[]) =>
-  lines.filter(({ event }) => event === "carried").length;
-
-const countOwn = (lines: readonly Line[]) =>
-  lines.filter(({ event }) => event === "placed").length;
+const countEvents = (event: string) => (lines: readonly Line[]) =>
+  lines.filter((line) => line.event === event).length;
 
 const NOTHING_LEFT = { unended: [], open: 0, errors: [] };
 
@@ -151,9 +131,9 @@
   });
 
   it.each([
-    { way: "own", count: 400, countOnWay: countOwn },
+    { way: "own", count: 400, countOnWay: countEvents("placed") },
     { way: "second", count: 160, countOnWay: countPlacedAgain },
-    { way: "carried", count: 160, countOnWay: countCarried },
+    { way: "carried", count: 160, countOnWay: countEvents("carried") },
   ] as const)(
     "end in time, whichever byte of a head was changed: $way",
     async ({ way, count, countOnWay }) => {
