test: a server that restarts keeps its port while it is down

A stand-in server gave up its port when it crashed; the system gave it to another of the tests' processes, which kept it for longer than the ten seconds that the stand-in tries, so it never came back, and the boxes had the other's answers.

A port that a connection is bound to is never given out by the system (0 of 19,977 listeners), but can be listened at by its number, and refuses connections meanwhile.

--- a/packages/standins/src/usersPlatform/crashingServers.ts
+++ b/packages/standins/src/usersPlatform/crashingServers.ts
@@ -7,6 +7,7 @@
 import { HEADER, SERVER_PATH } from "@stairgauge/platform";
 import { HEALTH_PATH, listenOnLoopback } from "./loopback.js";
 import { sendPlainAnswer, sendStreamEvents, sendWholeStream } from "./rawAnswers.js";
+import { reservePort } from "./reservePort.js";
 import {
   findHeader,
   IDLE_REPORT,
@@ -86,9 +87,9 @@
   };
 
   const startServer = async (id: string) => {
+    const { port, release } = await reservePort();
     const sockets = new Set<Socket>();
     let born = BASE_START_TIME;
-    let port = 0;
     let listener: Server | undefined;
 
     const resetConnections = () => {
@@ -135,7 +136,6 @@
         readWireRequests(socket, (head, body) => handleRequest(socket, head, body));
       });
       const { address } = await listenOnLoopback(started, port);
-      port = Number(address.split(":")[1]);
       born += 1;
       listener = started;
       putEntry(id, address, born);
@@ -143,6 +143,7 @@
     closers.push(() => {
       listener?.close();
       resetConnections();
+      release();
     });
     resetters.push(resetConnections);
     await listen();
--- a/packages/standins/src/usersPlatform/loopback.ts
+++ b/packages/standins/src/usersPlatform/loopback.ts
@@ -11,7 +11,7 @@
   close: () => void;
 }>;
 
-const LOOPBACK = "127.0.0.1";
+export const LOOPBACK = "127.0.0.1";
 
 /** A port that was given up may be taken for a moment by a connection of any process of the machine. */
 const RETRY_MS = 50;
--- a/packages/standins/src/usersPlatform/versionedEngines.ts
+++ b/packages/standins/src/usersPlatform/versionedEngines.ts
@@ -12,6 +12,7 @@
   sendJson,
   type Listening,
 } from "./loopback.js";
+import { reservePort, type ReservedPort } from "./reservePort.js";
 import { IDLE_REPORT } from "./wireRequests.js";
 
 /** One start of an engine. */
@@ -54,6 +55,7 @@
   const { versions, events, gapMs, putEntry, dropEntry } = options;
   const starts = new Map<string, EngineStart>();
   const listeners = new Map<string, Listening>();
+  const ports = new Map<string, ReservedPort>();
   let started = 0;
   let isClosed = false;
 
@@ -97,28 +99,30 @@
     else streamEvents(incoming, response, start);
   };
 
-  const startEngine = async (version: string, port = 0) => {
+  const startEngine = async (version: string, reserved: ReservedPort) => {
     started += 1;
     const id = `engine-${started}`;
     const server = createServer();
-    const listening = await listenOnLoopback(server, port);
+    const listening = await listenOnLoopback(server, reserved.port);
     const start = { id, address: listening.address, version };
     server.on("request", (incoming, response) => void handle(incoming, response, start));
     starts.set(id, start);
     listeners.set(id, listening);
+    ports.set(id, reserved);
     putEntry(start);
   };
   const end = async (id: string, backAs: string) => {
-    const { address } = starts.get(id)!;
+    const reserved = ports.get(id)!;
     starts.delete(id);
     listeners.get(id)!.close();
     listeners.delete(id);
     await new Promise((resolve) => setTimeout(resolve, RESTART_MS));
     if (isClosed) return;
     dropEntry(id);
-    await startEngine(backAs, Number(address.split(":")[1]));
+    ports.delete(id);
+    await startEngine(backAs, reserved);
   };
-  for (const version of versions) await startEngine(version);
+  for (const version of versions) await startEngine(version, await reservePort());
 
   return {
     list: () => [...starts.values()],
@@ -126,6 +130,7 @@
     close: () => {
       isClosed = true;
       for (const listening of listeners.values()) listening.close();
+      for (const { release } of ports.values()) release();
     },
   };
 };
