fix: answers that arrived while a box was suspended no longer count as missing

Callers got 504 for requests whose answers had arrived in time, and streams that could go on were broken off, after their box's process had been stopped for longer than the time limit of the call under way.

Cause: the event loop runs due timers before it reads. The limit of each call ended it although its answer lay in the kernel. openExchange and answerSink each had a way of their own around that.

Clocks get setTimeLimit, which counts only after what has arrived was read and reported; runWithin makes a signal of it. Limits of requests, of calls to servers, engines, the store, hubs and other boxes, and of bodies use them. Reports of engines are dated by their arrival, so late ones are dropped.

--- a/apps/box/src/createSignals.ts
+++ b/apps/box/src/createSignals.ts
@@ -33,7 +33,7 @@
 import { createUnreadableReporter } from "./reportUnreadable.js";
 
 export type SignalsOptions = Readonly<{
-  clock: Pick<Clock, "monotonic">;
+  clock: Clock;
   random: Pick<Random, "nextFloat">;
   log: DecisionLog;
   metrics: BoxMetrics;
@@ -172,6 +172,7 @@
   return {
     handle,
     actions: createEngineActions({
+      clock,
       onSignals: handleFromEngine,
       dial: options.dialServer,
       findCarriedWay: options.findCarriedWay,
--- a/packages/common/src/clock.ts
+++ b/packages/common/src/clock.ts
@@ -21,6 +21,11 @@
   boottime: () => Ms;
   /** Calls `fire` once, after `delay` milliseconds. */
   setTimer: (delay: Ms, fire: () => void) => Timer;
+  /**
+   * Like `setTimer`, for the end of a wait for an answer: what has arrived by then is read and reported first. After a process
+   * was suspended, the event loop runs timers before it reads what arrived meanwhile.
+   */
+  setTimeLimit: (limit: Ms, fire: () => void) => Timer;
 }>;
 
 /** A view of the clock whose `monotonic` is `boottime`, for code that uses time only to check the age of data. */
@@ -41,4 +46,20 @@
     const handle = setTimeout(fire, delay);
     return { cancel: () => clearTimeout(handle) };
   },
+  setTimeLimit: (limit, fire) => {
+    let afterReads: NodeJS.Immediate | undefined;
+    // What is read in a turn of the event loop may be reported at its end.
+    const scheduleFire = () => {
+      afterReads = setImmediate(() => {
+        afterReads = setImmediate(fire);
+      });
+    };
+    const handle = setTimeout(scheduleFire, limit);
+    return {
+      cancel: () => {
+        clearTimeout(handle);
+        clearImmediate(afterReads);
+      },
+    };
+  },
 });
--- a/packages/common/src/virtualClock.ts
+++ b/packages/common/src/virtualClock.ts
@@ -94,25 +94,28 @@
     return true;
   };
 
+  const setTimer: Clock["setTimer"] = (delay, fire) => {
+    const timerOrder = order++;
+    let isPending = true;
+    const run = () => {
+      isPending = false;
+      fire();
+    };
+    heap.add({ at: time + Math.max(0, delay), order: timerOrder, fire: run });
+    return {
+      cancel: () => {
+        if (isPending) cancelled.add(timerOrder);
+        isPending = false;
+      },
+    };
+  };
+
   return {
     now: () => time as Ms,
     monotonic: () => time as Ms,
     boottime: () => time as Ms,
-    setTimer: (delay, fire) => {
-      const timerOrder = order++;
-      let isPending = true;
-      const run = () => {
-        isPending = false;
-        fire();
-      };
-      heap.add({ at: time + Math.max(0, delay), order: timerOrder, fire: run });
-      return {
-        cancel: () => {
-          if (isPending) cancelled.add(timerOrder);
-          isPending = false;
-        },
-      };
-    },
+    setTimer,
+    setTimeLimit: setTimer,
     advance: (duration) => {
       const endsAt = time + duration;
       for (
--- a/packages/crashes/src/blockedList.ts
+++ b/packages/crashes/src/blockedList.ts
@@ -1,5 +1,11 @@
 /** Keeps the store's list of blocked requests: adds those that this box blocked, and removes outdated ones. */
-import type { Clock, Ms, Result, Timer } from "@stairgauge/common";
+import {
+  runWithin,
+  type Clock,
+  type Ms,
+  type Result,
+  type Timer,
+} from "@stairgauge/common";
 import type {
   FollowerSink,
   RestoreReport,
@@ -88,7 +94,7 @@
 
   const writeWhile = async ({ isDue, write }: PendingWrite): Promise<void> => {
     if (isStopped || !isDue()) return;
-    const written = await write(AbortSignal.timeout(limit));
+    const written = await runWithin(clock, limit, write);
     if (written.err) onFailure(written.val);
     clock.setTimer(RETRY_PAUSE_MS, () => void writeWhile({ isDue, write }));
   };
--- a/packages/fleet/src/pollReports.test.ts
+++ b/packages/fleet/src/pollReports.test.ts
@@ -42,16 +42,24 @@
   let interval = 2_000 as Ms;
   let requestCount = 0;
   let polledCount = 0;
+  let reportCount = 0;
+  let suspendedFor = 0;
   let isAnswering = true;
+  /** Time for which the process is suspended after each report is sent. */
+  let suspension = 0 as Ms;
   let startedAt = STARTED_AT;
   const readReport: EngineActions["readReport"] = () => {
     requestCount += 1;
+    suspendedFor += suspension;
     return Promise.resolve(
       isAnswering ? Ok({ ...REPORT, startedAt }) : Err({ kind: "no_answer", detail: "" }),
     );
   };
   const poller = createReportPoller({
-    clock,
+    clock: {
+      ...clock,
+      boottime: () => (clock.monotonic() + suspendedFor) as Ms,
+    },
     random,
     directory,
     registry: createLoadRegistry(),
@@ -60,7 +68,9 @@
     limit: 500 as Ms,
     shares: { isWatcher: (id) => watched.has(id), countWatchers: () => watchers },
     isEngineService: () => true,
-    onReport: () => undefined,
+    onReport: () => {
+      reportCount += 1;
+    },
     onPolled: () => {
       polledCount += 1;
     },
@@ -87,6 +97,10 @@
     poller,
     countRequests: () => requestCount,
     countPolled: () => polledCount,
+    countReports: () => reportCount,
+    setSuspension: (duration: number) => {
+      suspension = duration as Ms;
+    },
     setInterval: (next: number) => {
       interval = next as Ms;
     },
@@ -147,4 +161,19 @@
     expect(countRequests()).toBeGreaterThan(6);
     expect(countPolled()).toBe(0);
   });
+
+  it("ignores reports of the time before the process was suspended", async () => {
+    const { clock, poller, countReports, countRequests, setSuspension } = setUp(
+      new Set(ENGINES),
+      1,
+    );
+    setSuspension(600);
+    await advanceSettled(clock, 5_000 as Ms);
+    expect(countRequests()).toBeGreaterThan(0);
+    expect(countReports()).toBe(0);
+    setSuspension(0);
+    await advanceSettled(clock, 5_000 as Ms);
+    poller.stop();
+    expect(countReports()).toBeGreaterThan(0);
+  });
 });
--- a/packages/fleet/src/pollReports.ts
+++ b/packages/fleet/src/pollReports.ts
@@ -69,8 +69,11 @@
   let isStopped = false;
 
   const ask = async (server: BackendServer) => {
+    const askedAt = clock.boottime();
     const read = await actions.readReport(server.entry.address, limit);
-    if (read.err) return undefined;
+    // A report that arrived while this process was suspended tells of the time before.
+    const isLate = clock.boottime() - askedAt > limit;
+    if (read.err || isLate) return undefined;
     if (isOtherStart(server, read.val)) {
       directory.mark(server.entry.id, "started_again", clock.monotonic());
       return undefined;
--- a/packages/forwarding/src/answerSink.ts
+++ b/packages/forwarding/src/answerSink.ts
@@ -126,10 +126,10 @@
       if (attempt.endedBy === undefined)
         dropBody({ limit: "held_body_time", bytes: attempt.heldBytes });
     });
-    attempt.bodyTimer = options.clock.setTimer(HELD_BODY_LIMITS.failure.maxTime, () => {
-      // A pause of this process may have delayed bytes that have arrived.
-      setImmediate(dropSlowBody);
-    });
+    attempt.bodyTimer = options.clock.setTimeLimit(
+      HELD_BODY_LIMITS.failure.maxTime,
+      dropSlowBody,
+    );
   };
 
   const failByHead = (fault: HeadFault) => {
--- a/packages/forwarding/src/askServer.test.ts
+++ b/packages/forwarding/src/askServer.test.ts
@@ -135,7 +135,7 @@
   it("reports no answer after the timeout", async () => {
     const clock: Clock = {
       ...createSystemClock(),
-      setTimer: (_after, run) => {
+      setTimeLimit: (_after, run) => {
         queueMicrotask(run);
         return { cancel: () => undefined };
       },
--- a/packages/forwarding/src/askServer.ts
+++ b/packages/forwarding/src/askServer.ts
@@ -109,5 +109,7 @@
         onFailure: ({ detail }) => finishEarly(detail),
       },
     );
-    const timer = clock.setTimer(limits.maxTime, () => finishEarly("no answer in time"));
+    const timer = clock.setTimeLimit(limits.maxTime, () =>
+      finishEarly("no answer in time"),
+    );
   });
--- a/packages/forwarding/src/carriedExchange.ts
+++ b/packages/forwarding/src/carriedExchange.ts
@@ -137,7 +137,7 @@
     }
     let isCurrent = true;
     const release = carriers.begin(carrier);
-    const silenceTimer = clock.setTimer(CARRIER_ANSWER_MS, () => {
+    const silenceTimer = clock.setTimeLimit(CARRIER_ANSWER_MS, () => {
       carriers.recordSilent(carrier);
       onEvent({ kind: "carrier_passed_over", server: id, carrier, reason: "silent" });
     });
--- a/packages/forwarding/src/clientServer.test.ts
+++ b/packages/forwarding/src/clientServer.test.ts
@@ -1,24 +1,18 @@
 /** Guards against answering 408 to clients whose requests arrived in time. */
 import { connect } from "node:net";
 import { afterEach, describe, expect, it } from "vitest";
-import type { Ms } from "@stairgauge/common";
+import { stopEventLoop, type Ms } from "@stairgauge/common";
 import { createClientServer, type ClientServer } from "./clientServer.js";
 
 const HEADER_TIME = 200 as Ms;
 
 /** The time limits of connections are checked twice a second. */
-const CHECKED_AFTER_MS = 700;
+const CHECKED_AFTER = 700 as Ms;
 
 const HEAD = "GET / HTTP/1.1\r\nHost: site.example\r\nConnection: close\r\n\r\n";
 
 const wait = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
 
-/** Keeps the event loop from running, as a suspension of the process does. */
-const stopEventLoop = (ms: number) => {
-  const endsAt = performance.now() + ms;
-  while (performance.now() < endsAt);
-};
-
 describe("createClientServer", () => {
   let server: ClientServer;
   afterEach(() => server.close());
@@ -59,7 +53,7 @@
     // Timers that are due run next, before the event loop reads from sockets.
     setImmediate(() => {
       socket.write(HEAD);
-      stopEventLoop(CHECKED_AFTER_MS);
+      stopEventLoop(CHECKED_AFTER);
     });
     expect(await receiveAll()).toMatch(/^HTTP\/1\.1 200[^]*served/);
     expect(faults).toEqual([]);
--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -92,9 +92,8 @@
     if (mayStillRun) ownAnswers.answerOutOfTime();
     else ownAnswers.answerNotRun("out_of_time_unsent");
   };
-  const limitTimer: Timer = clock.setTimer((endsAt - clock.monotonic()) as Ms, () =>
-    runStep(endOutOfTime),
-  );
+  const timeLeft = (endsAt - clock.monotonic()) as Ms;
+  const limitTimer: Timer = clock.setTimeLimit(timeLeft, () => runStep(endOutOfTime));
 
   const recordBegun = (binding: StreamBinding) => {
     state.setBinding(binding);
--- a/packages/forwarding/src/openExchange.ts
+++ b/packages/forwarding/src/openExchange.ts
@@ -110,11 +110,8 @@
     socket.destroy();
     sink.onFailure(failure);
   };
-  const connectTimer = clock.setTimer(connectLimit, () => {
-    // A pause of this process may have delayed the report of a connection that is established.
-    setImmediate(() => {
-      if (!isConnected) fail({ kind: "unreachable", detail: "no connection in time" });
-    });
+  const connectTimer = clock.setTimeLimit(connectLimit, () => {
+    if (!isConnected) fail({ kind: "unreachable", detail: "no connection in time" });
   });
   const toFailure = (error: unknown): ExchangeFailure => {
     const detail = getCode(error);
--- a/packages/forwarding/src/probePath.ts
+++ b/packages/forwarding/src/probePath.ts
@@ -44,7 +44,7 @@
         onFailure: () => finish(false),
       },
     );
-    const timer = clock.setTimer(HELD_BODY_LIMITS.healthCheck.maxTime, () =>
+    const timer = clock.setTimeLimit(HELD_BODY_LIMITS.healthCheck.maxTime, () =>
       finish(false),
     );
   });
--- a/packages/forwarding/src/watchSilence.ts
+++ b/packages/forwarding/src/watchSilence.ts
@@ -38,7 +38,7 @@
     if (!isOver) onSilent();
   };
   const timeout = aim * (isGeneration ? GENERATION_TIMEOUT_FACTOR : PLAIN_TIMEOUT_FACTOR);
-  const timer = clock.setTimer(timeout as Ms, () => void checkSilence());
+  const timer = clock.setTimeLimit(timeout as Ms, () => void checkSilence());
   return {
     cancel: () => {
       isOver = true;
--- a/packages/http/src/readBody.ts
+++ b/packages/http/src/readBody.ts
@@ -35,7 +35,7 @@
     const chunks: Buffer[] = [];
     let size = 0;
     let idleTimer: Timer | undefined;
-    const totalTimer = clock.setTimer(limits.totalTimeout, () =>
+    const totalTimer = clock.setTimeLimit(limits.totalTimeout, () =>
       finish(Err({ kind: "body_too_slow" })),
     );
 
@@ -48,7 +48,7 @@
     };
     const resetIdleTimer = () => {
       idleTimer?.cancel();
-      idleTimer = clock.setTimer(limits.idleTimeout, () =>
+      idleTimer = clock.setTimeLimit(limits.idleTimeout, () =>
         finish(Err({ kind: "body_too_slow" })),
       );
     };
--- a/packages/hunt/src/gate.ts
+++ b/packages/hunt/src/gate.ts
@@ -45,6 +45,7 @@
 export const createGatedClock = (clock: Clock, gate: Gate): Clock => ({
   ...clock,
   setTimer: (delay, fire) => clock.setTimer(delay, () => gate.run(fire)),
+  setTimeLimit: (limit, fire) => clock.setTimeLimit(limit, () => gate.run(fire)),
 });
 
 const wrapPromise = <T>(gate: Gate, promise: Promise<T>): Promise<T> =>
--- a/packages/origins/src/versionRows.ts
+++ b/packages/origins/src/versionRows.ts
@@ -2,7 +2,14 @@
  * Keeps the versions of each service in the platform's store, so that a box that has just started knows which versions
  * may have begun a stream. A box reads the rows at its start, and a few boxes write them when the versions change.
  */
-import type { Clock, Ms, Result, ServiceName, Timer } from "@stairgauge/common";
+import {
+  runWithin,
+  type Clock,
+  type Ms,
+  type Result,
+  type ServiceName,
+  type Timer,
+} from "@stairgauge/common";
 import type { SoftwareVersion } from "@stairgauge/directory";
 import {
   INITIAL_REVISION,
@@ -112,8 +119,9 @@
     }
   };
   const load = async (): Promise<boolean> => {
-    const signal = AbortSignal.timeout(limit);
-    const read = await reader.readTable({ table, atLeast: INITIAL_REVISION, signal });
+    const read = await runWithin(clock, limit, (signal) =>
+      reader.readTable({ table, atLeast: INITIAL_REVISION, signal }),
+    );
     if (read.err) {
       onFailure(read.val);
       return false;
@@ -136,12 +144,12 @@
       );
   const writeChanged = async () => {
     for (const { service, versions } of listChanged()) {
-      const written: Result<void, StoreWriteFailure> = await writer.putRow({
-        table,
-        key: service,
-        value: encodeVersions(versions),
-        signal: AbortSignal.timeout(limit),
-      });
+      const row = { table, key: service, value: encodeVersions(versions) };
+      const written: Result<void, StoreWriteFailure> = await runWithin(
+        clock,
+        limit,
+        (signal) => writer.putRow({ ...row, signal }),
+      );
       if (written.err) {
         onFailure(written.val);
         return;
--- a/packages/peers/src/hubAsker.ts
+++ b/packages/peers/src/hubAsker.ts
@@ -2,7 +2,7 @@
  * Sends questions to the first hub, which all boxes ask. The answer is advice: a box that gets none in time decides from its
  * own state, and asks the next hub for a while.
  */
-import type { BoxName, Clock, Ms } from "@stairgauge/common";
+import { runWithin, type BoxName, type Clock, type Ms } from "@stairgauge/common";
 import type { PeerCall, PeerLinks } from "./peerLinks.js";
 
 /** Options of a hub asker. */
@@ -64,11 +64,10 @@
   const ask: HubAsker["ask"] = async ({ call, question, limit, signal, scope }) => {
     const hub = findHub(scope);
     if (hub === undefined) return undefined;
-    const timeout = new AbortController();
     const askedAt = clock.monotonic();
-    const timer = clock.setTimer(limit, () => timeout.abort());
-    const read = await call(hub, question, AbortSignal.any([signal, timeout.signal]));
-    timer.cancel();
+    const read = await runWithin(clock, limit, (timeLimit) =>
+      call(hub, question, AbortSignal.any([signal, timeLimit])),
+    );
     // After this process was suspended, the answer may be too old to use: others have since taken its share of a limit.
     const isLate = clock.monotonic() - askedAt > limit;
     if (read.ok && !isLate) return { answer: read.val, by: hub };
--- a/packages/peers/src/membership.ts
+++ b/packages/peers/src/membership.ts
@@ -1,5 +1,5 @@
 /** Writes this box's row to the table of boxes in the store, and reads the rows of the others. */
-import type { Clock, Ms, Random } from "@stairgauge/common";
+import { runWithin, type Clock, type Ms, type Random } from "@stairgauge/common";
 import type { FollowerSink, StoreWriteFailure, StoreWriter } from "@stairgauge/storefeed";
 import { createMemberSink, encodeMember, type MemberFailure } from "./memberSink.js";
 import type { Peer } from "./types.js";
@@ -52,12 +52,10 @@
   const join = async () => {
     if (isListed || isLeaving) return;
     const own = getOwn();
-    const written = await writer.putRow({
-      table,
-      key: own.box,
-      value: encodeMember(own),
-      signal: AbortSignal.timeout(limit),
-    });
+    const row = { table, key: own.box, value: encodeMember(own) };
+    const written = await runWithin(clock, limit, (signal) =>
+      writer.putRow({ ...row, signal }),
+    );
     if (written.err) onFailure(written.val);
     clock.setTimer(JOIN_PAUSE_MS, () => void join());
   };
@@ -80,8 +78,9 @@
     join: () => void join(),
     leave: async () => {
       isLeaving = true;
-      const signal = AbortSignal.timeout(limit);
-      const dropped = await writer.dropRow({ table, key: getOwn().box, signal });
+      const dropped = await runWithin(clock, limit, (signal) =>
+        writer.dropRow({ table, key: getOwn().box, signal }),
+      );
       if (dropped.err) onFailure(dropped.val);
     },
   };
--- a/packages/peers/src/sharedKnowledge.testkit.ts
+++ b/packages/peers/src/sharedKnowledge.testkit.ts
@@ -161,6 +161,8 @@
     monotonic: () => (globalClock.now() + offset) as Ms,
     boottime: () => (globalClock.now() + offset) as Ms,
     setTimer: (delay, fire) => globalClock.setTimer(delay, () => runAt(box, fire)),
+    setTimeLimit: (limit, fire) =>
+      globalClock.setTimeLimit(limit, () => runAt(box, fire)),
   });
 
   const computeDelay = (...ends: readonly number[]): Ms => {
--- a/packages/peers/src/sharedReader.ts
+++ b/packages/peers/src/sharedReader.ts
@@ -6,6 +6,7 @@
 import {
   Err,
   Ok,
+  runWithin,
   waitFor,
   type BoxName,
   type Clock,
@@ -186,12 +187,11 @@
     call: (signal: AbortSignal) => Promise<Result<T, StoreFailure>>,
   ): Promise<Result<T, StoreFailure>> => {
     const { table, signal, wait = 0 } = request;
-    const timeout = new AbortController();
     const limit = (wait + options.storePatience) as Ms;
-    const timer = clock.setTimer(limit, () => timeout.abort());
     const sentAt = clock.monotonic();
-    const read = await call(AbortSignal.any([signal, timeout.signal]));
-    timer.cancel();
+    const read = await runWithin(clock, limit, (timeLimit) =>
+      call(AbortSignal.any([signal, timeLimit])),
+    );
     // Aborted because another answer showed a new era: the store has not failed.
     if (signal.reason === NEW_ERA) return read;
     const hasAnswered = read.ok || read.val.kind === "history_gone";
@@ -238,7 +238,7 @@
     const guardTimeLeft = computeGuardTimeLeft(question);
     // A box that had less than its full time may be healthy: its link and its other calls stay.
     const onTimeout = guardTimeLeft < timeout ? abort : () => abortCalls(box, "silent");
-    const timer = clock.setTimer(Math.min(timeout, guardTimeLeft) as Ms, onTimeout);
+    const timer = clock.setTimeLimit(Math.min(timeout, guardTimeLeft) as Ms, onTimeout);
     const calls = openCalls.get(box) ?? new Set();
     openCalls.set(box, calls.add(call));
     outer.addEventListener("abort", abort, { once: true });
--- a/packages/storefeed/src/tableFollower.ts
+++ b/packages/storefeed/src/tableFollower.ts
@@ -101,7 +101,7 @@
   ): Promise<T> => {
     abort = new AbortController();
     const { signal } = abort;
-    const timer = clock.setTimer(limit, () => abort.abort());
+    const timer = clock.setTimeLimit(limit, () => abort.abort());
     try {
       return await call(signal);
     } finally {
