test: boxes are asked once they have read the list of boxes

answerProofs (last chunk), regions (by workspace) and unframedStreams (told to stop) failed once each in one run on a busy machine. Traced by stopping their process (SIGSTOP) at random moments:

The client of the test comes back as it is told; that each request ran once, in its region, is asked as before.

--- a/apps/box/src/box.testkit.ts
+++ b/apps/box/src/box.testkit.ts
@@ -120,12 +120,16 @@
   return { box, ports, lines, getWrittenAt };
 };
 
-/** Waits until a box has read a configuration and this many servers, in either order. */
+/** Waits until a box has read a configuration, this many servers and the list of boxes, in any order. */
 export const waitUntilRead = async (lines: readonly Line[], servers: number) => {
   await waitFor(() => lines.some(({ event }) => event === "configuration_adopted"));
   await waitFor(
     () => lines.filter(({ event }) => event === "server_joined").length >= servers,
   );
+  // Until then a box repeats no request beyond the ratio of the budget.
+  await waitFor(() =>
+    lines.some(({ event, boxes }) => event === "peers" && Number(boxes) > 0),
+  );
 };
 
 /**
