fix: a stream's origin that arrived while a box was suspended is no longer missed

Both use a time limit that counts after reads. Without it the new test of originFinder fails (not_known).

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -12,7 +12,7 @@
 export { createSeededRandom, createSystemRandom } from "./random.js";
 export type { Random } from "./random.js";
 export { dropOldest } from "./dropOldest.js";
-export { waitFor } from "./waitFor.js";
+export { waitFor, waitForLimit } from "./waitFor.js";
 export { runWithin } from "./runWithin.js";
 export { connectTcp } from "./dialer.js";
 export type { Dialer } from "./dialer.js";
--- a/packages/forwarding/src/guardCall.ts
+++ b/packages/forwarding/src/guardCall.ts
@@ -3,7 +3,7 @@
  * it, with all other streams there: with one retry per request and clients that retry as well, all six
  * engines of a service crashed within 1.4 s.
  */
-import { waitFor, type Ms } from "@stairgauge/common";
+import { waitForLimit, type Ms } from "@stairgauge/common";
 import {
   MAX_FATAL_EVENTS,
   mayHaveCrashedServer,
@@ -104,7 +104,7 @@
   };
 
   const awaitCheckFor = (server: BackendServer, limit: Ms) =>
-    Promise.race([crashDetector.check(server), waitFor(clock, limit)]);
+    Promise.race([crashDetector.check(server), waitForLimit(clock, limit)]);
 
   return {
     findBlock: () => guard.findBlock(suspects.listAll),
--- a/packages/origins/src/originFinder.test.ts
+++ b/packages/origins/src/originFinder.test.ts
@@ -1,10 +1,14 @@
 /** Guards against a stream that is refused because its record is a few milliseconds late or only one box has it. */
+import { once } from "node:events";
+import { connect, createServer, type AddressInfo, type Socket } from "node:net";
 import { describe, expect, it } from "vitest";
 import {
   advanceSettled,
+  createSystemClock,
   createVirtualClock,
   Err,
   Ok,
+  stopEventLoop,
   type BoxName,
   type Ms,
   type ServiceName,
@@ -12,6 +16,7 @@
 import type { SoftwareVersion } from "@stairgauge/directory";
 import { hashStreamKey } from "./hashStreamKey.js";
 import { createOriginFinder, type AskOrigin, type FoundOrigin } from "./originFinder.js";
+import { ASK_LIMIT_MS } from "./constants.js";
 import { createOriginRegistry } from "./originRegistry.js";
 
 const KEY = hashStreamKey({ host: "h", caller: "site", requestId: "r" });
@@ -103,4 +108,27 @@
     expect(getFound()).toEqual({ kind: "not_known", answered: 0 });
     expect(countAsked()).toBe(0);
   });
+
+  it("finds an origin whose record arrived in time while the process was suspended", async () => {
+    const server = createServer();
+    await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+    const near = connect((server.address() as AddressInfo).port, "127.0.0.1");
+    const [far] = (await once(server, "connection")) as [Socket];
+    await once(near, "connect");
+    const finder = createOriginFinder({
+      clock: createSystemClock(),
+      registry: createOriginRegistry(),
+      listConnected: () => ["box-0" as BoxName],
+      ask: async () => {
+        await once(near, "data");
+        return answer("known");
+      },
+    });
+    const found = finder.find(KEY);
+    far.write("a");
+    stopEventLoop((2 * ASK_LIMIT_MS) as Ms);
+    expect(await found).toMatchObject({ kind: "known", by: "box-0" });
+    near.destroy();
+    server.close();
+  });
 });
--- a/packages/origins/src/originFinder.ts
+++ b/packages/origins/src/originFinder.ts
@@ -1,6 +1,7 @@
 /** Finds the origin of a stream that a client takes up: on record here, or at the boxes that this one is linked to. */
 import {
   waitFor,
+  waitForLimit,
   type BoxName,
   type Clock,
   type Ms,
@@ -58,7 +59,7 @@
         else answered += 1;
       };
       void Promise.all(listConnected().map(askOne)).then(() => resolve(undefined));
-      void waitFor(clock, ASK_LIMIT_MS).then(() => resolve(undefined));
+      void waitForLimit(clock, ASK_LIMIT_MS).then(() => resolve(undefined));
     });
     call.abort();
     return found ?? { kind: "not_known", answered };
