test: an engine that has sent its last event sends none beyond it

The streams last a second. 37 had ended whole before their clients came to leave them, so these named the last event when they took them up, and the stand-in sent event 24 of 24 once more after it: 25 events, not counted as whole. No box was at fault.

The stand-in now ends such an answer without an event.

--- a/packages/standins/src/usersPlatform/versionedEngines.ts
+++ b/packages/standins/src/usersPlatform/versionedEngines.ts
@@ -72,6 +72,11 @@
       [HEADER.requestId]: request,
       [HEADER.signature]: `signature-${version}`,
     });
+    // A client may have received the whole stream before it takes it up.
+    if (index >= events) {
+      response.end();
+      return;
+    }
     const timer = setInterval(() => {
       response.write(formatEvent(request, version, index));
       index += 1;
