--- a/packages/standins/src/usersPlatform/scriptedEngines.ts
+++ b/packages/standins/src/usersPlatform/scriptedEngines.ts
@@ -3,9 +3,8 @@
  * next script, which writes to the raw socket and also ends the stream, for example with a reset.
  */
 import { createServer, type Socket } from "node:net";
-import type { AddressInfo } from "node:net";
 import { HEADER, SERVER_PATH } from "@stairgauge/platform";
-import { HEALTH_PATH } from "./loopback.js";
+import { HEALTH_PATH, listenOnLoopback } from "./loopback.js";
 import {
   findHeader,
   HEAD_END,
@@ -37,8 +36,6 @@
   listCalls: () => readonly ScriptedCall[];
 }>;
 
-const LOOPBACK = "127.0.0.1";
-
 /** Formats the response head of a stream. `framing` is added as further header lines; without it the response ends with its connection. */
 export const formatStreamHead = (requestId: string, framing?: string): string =>
   [
@@ -85,9 +82,7 @@
       const engine = { id, stopListening: () => server.close() };
       readWireRequests(socket, (head) => handleRequest(engine, socket, head));
     });
-    await new Promise<void>((resolve) => server.listen(0, LOOPBACK, resolve));
-    const { port } = server.address() as AddressInfo;
-    return { id, address: `${LOOPBACK}:${port}`, close: () => server.close() };
+    return { id, ...(await listenOnLoopback(server)) };
   };
 
   return { start, listCalls: () => calls };
--- a/packages/standins/src/usersPlatform/sendRequests.ts
+++ b/packages/standins/src/usersPlatform/sendRequests.ts
@@ -1,9 +1,9 @@
 /** Sends requests to a box, as clients of the stand-in site do. */
 import { request } from "node:http";
 import { HEADER } from "@stairgauge/platform";
+import { LOOPBACK } from "./loopback.js";
 import { SITE_HOST, SITE_KEY } from "./usersSite.js";
 
-const LOOPBACK = "127.0.0.1";
 const SUCCESS = 200;
 const DEADLINE_MS = 30_000;
 const PROMPT_TOKENS = 300;
--- a/packages/standins/src/usersPlatform/versionedEngines.ts
+++ b/packages/standins/src/usersPlatform/versionedEngines.ts
@@ -12,7 +12,7 @@
   sendJson,
   type Listening,
 } from "./loopback.js";
-import { reservePort, type ReservedPort } from "./reservePort.js";
+import { reservePort } from "./reservePort.js";
 import { IDLE_REPORT } from "./wireRequests.js";
 
 /** One start of an engine. */
@@ -55,7 +55,7 @@
   const { versions, events, gapMs, putEntry, dropEntry } = options;
   const starts = new Map<string, EngineStart>();
   const listeners = new Map<string, Listening>();
-  const ports = new Map<string, ReservedPort>();
+  const ports = await Promise.all(versions.map(reservePort));
   let started = 0;
   let isClosed = false;
 
@@ -104,30 +104,29 @@
     else streamEvents(incoming, response, start);
   };
 
-  const startEngine = async (version: string, reserved: ReservedPort) => {
+  const startEngine = async (version: string, port: number) => {
     started += 1;
     const id = `engine-${started}`;
     const server = createServer();
-    const listening = await listenOnLoopback(server, reserved.port);
+    const listening = await listenOnLoopback(server, port);
     const start = { id, address: listening.address, version };
     server.on("request", (incoming, response) => void handle(incoming, response, start));
     starts.set(id, start);
     listeners.set(id, listening);
-    ports.set(id, reserved);
     putEntry(start);
   };
   const end = async (id: string, backAs: string) => {
-    const reserved = ports.get(id)!;
+    const { address } = starts.get(id)!;
     starts.delete(id);
     listeners.get(id)!.close();
     listeners.delete(id);
     await new Promise((resolve) => setTimeout(resolve, RESTART_MS));
     if (isClosed) return;
     dropEntry(id);
-    ports.delete(id);
-    await startEngine(backAs, reserved);
+    await startEngine(backAs, Number(address.split(":")[1]));
   };
-  for (const version of versions) await startEngine(version, await reservePort());
+  for (const [i, version] of versions.entries())
+    await startEngine(version, ports[i]!.port);
 
   return {
     list: () => [...starts.values()],
@@ -135,7 +134,7 @@
     close: () => {
       isClosed = true;
       for (const listening of listeners.values()) listening.close();
-      for (const { release } of ports.values()) release();
+      for (const { release } of ports) release();
     },
   };
 };
--- a/packages/storefeed/src/tableFollower.ts
+++ b/packages/storefeed/src/tableFollower.ts
@@ -1,5 +1,5 @@
 /** Follows one table of the store: reads it whole, then waits for its changes; retries after each failure. */
-import { waitFor, type Clock, type Ms, type Random } from "@stairgauge/common";
+import { runWithin, waitFor, type Clock, type Ms, type Random } from "@stairgauge/common";
 import {
   INITIAL_REVISION,
   isEarlierRevision,
@@ -95,18 +95,15 @@
       };
     });
 
-  const callWithin = async <T>(
+  const callWithin = <T>(
     limit: Ms,
     call: (signal: AbortSignal) => Promise<T>,
   ): Promise<T> => {
     abort = new AbortController();
     const { signal } = abort;
-    const timer = clock.setTimeLimit(limit, () => abort.abort());
-    try {
-      return await call(signal);
-    } finally {
-      timer.cancel();
-    }
+    return runWithin(clock, limit, (timeLimit) =>
+      call(AbortSignal.any([signal, timeLimit])),
+    );
   };
 
   const recordFailure = async (failure: StoreFailure) => {
