test: a box on a small machine before clients that send too much and read nothing

Checked: the process lives, its memory and descriptors stay within the machine, and an ordinary request of 20 kB is answered while the crowd is there and once it has gone.

--- /dev/null
+++ b/apps/box/src/misbehavingClients.testkit.ts
@@ -0,0 +1,267 @@
+/**
+ * Test helpers: a box as a process of its own on a small machine, clients that send more than it can hold and read
+ * no answer, and clients that stay within the limits.
+ */
+import { mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { request as openRequest } from "node:http";
+import { connect, type Socket } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { HEADER } from "@stairgauge/platform";
+import { SITE_HOST, SITE_KEY, startUsersSite } from "@stairgauge/standins";
+import { spawnProcess } from "@stairgauge/testkit";
+import { closers, waitFor, waitMs } from "./box.testkit.js";
+import { startWritingServer, writeSoundAnswer } from "./endlessAnswers.testkit.js";
+
+/** The machine of the box: memory and open files that the process may use. */
+export const MACHINE = { memoryMb: 144, descriptors: 480 } as const;
+
+/** Heap of the box's process: a machine of 200 MB gives 96, and this one has 56 less. */
+const HEAP_MB = 40;
+
+/** Memory for request bodies. */
+const BODIES_MB = 2;
+
+const SERVERS = 3;
+const BYTES_PER_KB = 1024;
+
+/** How long the crowd stays. */
+const CROWD_MS = 6_000;
+
+/** A client whose connection was closed connects again after this. */
+const RECONNECT_MS = 100;
+const SAMPLE_MS = 50;
+
+/** Path of requests whose answers are long. */
+export const LONG_ANSWER_PATH = "/again/long";
+const LONG_ANSWER_BYTES = 100_000;
+
+/** Body of an ordinary request, in bytes. */
+const ORDINARY_BODY = 20_000;
+const TRIES = 5;
+const TRY_MS = 5_000;
+const TRY_PAUSE_MS = 1_000;
+
+/** The most that the process used. */
+export type ProcessUse = Readonly<{ memoryMb: number; descriptors: number }>;
+
+/** The process of a box. */
+export type SmallBox = Readonly<{
+  port: number;
+  hasEnded: () => boolean;
+  listLines: () => readonly string[];
+  readUse: () => ProcessUse;
+}>;
+
+const RUN_BOX = fileURLToPath(new URL("../dist/main.js", import.meta.url));
+
+const formatSettings = (store: string) => `
+box: box-1
+dataHall: hall-a
+listen: { clients: "127.0.0.1:0", ready: "127.0.0.1:0", metrics: "127.0.0.1:0", peers: "127.0.0.1:0" }
+store: { address: "${store}" }
+bounds: { configurationMs: 2000, keyRemovalMs: 5000, isKeyRemovalStrict: false, leavingMs: 2000, stopSeconds: 1 }
+retries: { ratio: 0.2, slack: 54, windowSeconds: 10 }
+limits: { descriptors: ${MACHINE.descriptors} }
+clients: { heldMb: ${BODIES_MB} }
+`;
+
+/** Samples what a process uses until it ends. */
+const watchUse = (pid: number) => {
+  let descriptors = 0;
+  let memoryMb = 0;
+  const sample = () => {
+    try {
+      descriptors = Math.max(descriptors, readdirSync(`/proc/${pid}/fd`).length);
+      const status = readFileSync(`/proc/${pid}/status`, "utf8");
+      const [, peakKb = "0"] = /^VmHWM:\s+(\d+) kB$/m.exec(status) ?? [];
+      memoryMb = Math.max(memoryMb, Math.ceil(Number(peakKb) / BYTES_PER_KB));
+    } catch {
+      // The process has ended.
+    }
+  };
+  const timer = setInterval(sample, SAMPLE_MS);
+  closers.push(() => clearInterval(timer));
+  return () => {
+    sample();
+    return { memoryMb, descriptors };
+  };
+};
+
+const startServer = (name: string) =>
+  startWritingServer((call) => {
+    if (!call.path.startsWith(LONG_ANSWER_PATH)) return writeSoundAnswer(name, call);
+    const { begin } = writeSoundAnswer(name, call);
+    const body = "x".repeat(LONG_ANSWER_BYTES);
+    return {
+      begin:
+        begin.replace(/Content-Length: \d+/, `Content-Length: ${body.length}`) + body,
+    };
+  });
+
+/** Starts the store, the servers, and the compiled program of a box. */
+export const startSmallBox = async (): Promise<SmallBox> => {
+  const site = await startUsersSite({ engines: 0, services: 0 });
+  closers.push(site.close);
+  for (let i = 0; i < SERVERS; i += 1)
+    site.putService(`plain-${i}`, await startServer(`plain-${i}`));
+  site.putConfiguration();
+  const folder = mkdtempSync(join(tmpdir(), "stairgauge-clients-"));
+  closers.push(() => rmSync(folder, { recursive: true }));
+  const path = join(folder, "box.yaml");
+  writeFileSync(path, formatSettings(site.store.address));
+  const script = `import { runBox } from ${JSON.stringify(RUN_BOX)}; await runBox({ keptCode: "absent" });`;
+  const started = spawnProcess([
+    `--max-old-space-size=${HEAP_MB}`,
+    "--max-semi-space-size=2",
+    "--input-type=module",
+    "-e",
+    script,
+    "--",
+    "--settings",
+    path,
+  ]);
+  let hasEnded = false;
+  void started.waitForExit().then(() => (hasEnded = true));
+  closers.push(async () => {
+    started.kill("SIGKILL");
+    await started.waitForExit();
+  });
+  const readUse = watchUse(started.pid);
+  const [line = ""] = await started.waitForLine(/.*"event":"started".*/);
+  const { ports } = JSON.parse(line) as { ports: { clients: number } };
+  return {
+    port: ports.clients,
+    hasEnded: () => hasEnded,
+    listLines: started.listLines,
+    readUse,
+  };
+};
+
+const askOnce = (port: number, id: string): Promise<number> =>
+  new Promise((resolve) => {
+    const outgoing = openRequest({
+      host: "127.0.0.1",
+      port,
+      method: "POST",
+      path: `/once/${id}`,
+      agent: false,
+      headers: {
+        [HEADER.host]: SITE_HOST,
+        [HEADER.authorization]: `Token ${SITE_KEY}`,
+        [HEADER.requestId]: id,
+        [HEADER.deadline]: String(TRY_MS),
+        "Content-Length": String(ORDINARY_BODY),
+      },
+    });
+    const limit = setTimeout(() => outgoing.destroy(), TRY_MS);
+    outgoing.on("response", (incoming) => {
+      incoming.resume();
+      incoming.on("error", () => resolve(0));
+      incoming.on("end", () => resolve(incoming.statusCode ?? 0));
+    });
+    outgoing.on("error", () => resolve(0));
+    outgoing.on("close", () => {
+      clearTimeout(limit);
+      resolve(0);
+    });
+    outgoing.end("x".repeat(ORDINARY_BODY));
+  });
+
+/** Sends an ordinary request on a new connection, a few times at most; resolves with the status of each try, 0 for none. */
+export const askInTries = async (box: SmallBox, name: string): Promise<number[]> => {
+  const statuses: number[] = [];
+  while (statuses.length < TRIES && !box.hasEnded()) {
+    if (statuses.length > 0) await waitMs(TRY_PAUSE_MS);
+    statuses.push(await askOnce(box.port, `${name}-${statuses.length}`));
+    if (statuses.at(-1) === 200) break;
+  }
+  return statuses;
+};
+
+/** What one client of a crowd does: a block that it writes, or a pause. */
+export type Step = string | Readonly<{ pauseMs: number }>;
+
+/** The steps of one client; behind the last one it stays connected. */
+export type Writing = Iterator<Step, void>;
+
+const writeAll = (socket: Socket, writing: Writing) => {
+  const writeOn = () => {
+    while (!socket.destroyed) {
+      const next = writing.next();
+      if (next.done) return;
+      const step = next.value;
+      if (typeof step !== "string") {
+        setTimeout(writeOn, step.pauseMs);
+        return;
+      }
+      if (!socket.write(step, "latin1")) {
+        socket.once("drain", () => setImmediate(writeOn));
+        return;
+      }
+    }
+  };
+  writeOn();
+};
+
+/** Connects clients that write and never read, and again where the box has closed a connection. */
+export const startCrowd = (port: number, clients: number, write: () => Writing) => {
+  const sockets = new Set<Socket>();
+  let isOver = false;
+  const open = () => {
+    if (isOver) return;
+    const socket = connect({ host: "127.0.0.1", port });
+    sockets.add(socket);
+    socket.pause();
+    socket.on("error", () => undefined);
+    socket.on("connect", () => writeAll(socket, write()));
+    socket.on("close", () => {
+      sockets.delete(socket);
+      setTimeout(open, RECONNECT_MS);
+    });
+  };
+  for (let i = 0; i < clients; i += 1) open();
+  const leave = () => {
+    isOver = true;
+    for (const socket of sockets) socket.destroy();
+  };
+  closers.push(leave);
+  return { leave };
+};
+
+/** Keeps a crowd at the box for a while, and sends an ordinary request meanwhile and one afterwards. */
+export const runCrowd = async (box: SmallBox, clients: number, write: () => Writing) => {
+  const crowd = startCrowd(box.port, clients, write);
+  await Promise.race([waitMs(CROWD_MS), waitFor(box.hasEnded)]);
+  const meanwhile = await askInTries(box, "meanwhile");
+  crowd.leave();
+  const afterwards = await askInTries(box, "afterwards");
+  return {
+    hasEnded: box.hasEnded(),
+    meanwhile: meanwhile.at(-1),
+    afterwards: afterwards.at(-1),
+    use: box.readUse(),
+  };
+};
+
+/** Writes one block and reads until the connection ends or `isWhole`; resolves with what was read. */
+export const sendRaw = (
+  port: number,
+  blocks: readonly string[],
+  isWhole: (text: string) => boolean,
+): Promise<string> =>
+  new Promise((resolve) => {
+    let text = "";
+    const socket = connect({ host: "127.0.0.1", port, noDelay: true });
+    closers.push(() => socket.destroy());
+    socket.on("data", (bytes) => {
+      text += bytes.toString("latin1");
+      if (!isWhole(text)) return;
+      resolve(text);
+      socket.destroy();
+    });
+    socket.on("error", () => undefined);
+    socket.on("close", () => resolve(text));
+    for (const block of blocks) socket.write(block, "latin1");
+  });
