fix: a connection's requests are read one after the other, and long reads in turn

Callers got no answer, and the process ended: five clients that sent requests ahead and read nothing, with and without the usual headers, ended a box with a heap of 40 MB within 4 s. The event loop did nothing but begin their requests.

Cause: the HTTP parser handles a read of 64 KB in one go and begins each request in it, some 2,000 of the shortest. Nothing bounded the requests open on a connection, and nothing bounded the work of one turn of the event loop. The server stops reading only by answers that wait, and answers that don't exist yet weigh nothing.

A reader of ours (connectionReader) now stands between the socket and the parser. It hands on pieces of 4 KB at most, which end behind the first end of a head, and none while a request of the connection is open. What waits on all connections is bounded (clients.unreadMb); beyond that, the connections that hold some longest get no further request: the one that is open is answered with Connection: close. A request that is not read has no promise to break, and answers keep their order. createReadTurns handles what is short at once and the rest in turn, in half of the time at most, so that other clients are answered and the box doesn't take itself for short of processor time.

A request without a host, or with an expectation, was refused by the server itself, which the reader would not see; the listener refuses them now, with the same status.

Clients within the limits are served as before: three requests ahead, one right behind a body. New tests replay the turns with a virtual clock.

--- a/packages/forwarding/src/clientServer.test.ts
+++ b/packages/forwarding/src/clientServer.test.ts
@@ -1,7 +1,8 @@
 /** Guards against answering 408 to clients whose requests arrived in time. */
+import type { ServerResponse } from "node:http";
 import { connect } from "node:net";
 import { afterEach, describe, expect, it } from "vitest";
-import { stopEventLoop, type Ms } from "@stairgauge/common";
+import { createSystemClock, stopEventLoop, type Ms } from "@stairgauge/common";
 import { createClientServer, type ClientServer } from "./clientServer.js";
 
 const HEADER_TIME = 200 as Ms;
@@ -20,9 +21,10 @@
   const start = async () => {
     const faults: string[] = [];
     server = createClientServer({
-      clock: { monotonic: () => performance.now() as Ms },
+      clock: createSystemClock(),
       handle: (_, response) => response.end("served"),
       maxConnections: 10,
+      maxWaitingBytes: 1_000_000,
       intake: { hasRoom: () => true, recordTurnedAway: () => undefined },
       isBusy: () => false,
       unreadLimit: { get: () => undefined },
@@ -69,3 +71,116 @@
     }
   });
 });
+
+/** Guards against clients that send many requests ahead: each would be open at once. */
+describe("createClientServer, requests sent ahead", () => {
+  let server: ClientServer;
+  afterEach(() => server.close());
+
+  const REQUEST = "GET / HTTP/1.1\r\nHost: site.example\r\n\r\n";
+  const UPLOAD = `POST / HTTP/1.1\r\nHost: site.example\r\nContent-Length: 5000\r\n\r\n${"x".repeat(5_000)}`;
+
+  const start = async (maxWaitingBytes = 1_000_000) => {
+    const open: ServerResponse[] = [];
+    server = createClientServer({
+      clock: createSystemClock(),
+      handle: (incoming, response) => {
+        incoming.resume();
+        open.push(response);
+      },
+      maxConnections: 10,
+      maxWaitingBytes,
+      intake: { hasRoom: () => true, recordTurnedAway: () => undefined },
+      isBusy: () => false,
+      unreadLimit: { get: () => undefined },
+      onClientError: () => undefined,
+    });
+    const port = await server.listen("127.0.0.1", 0);
+    const connectClient = () => {
+      const socket = connect({ host: "127.0.0.1", port, noDelay: true });
+      let received = "";
+      let isClosed = false;
+      socket.on("data", (bytes) => {
+        received += bytes.toString();
+      });
+      socket.on("error", () => undefined);
+      socket.on("close", () => {
+        isClosed = true;
+      });
+      return { socket, getReceived: () => received, isClosed: () => isClosed };
+    };
+    return { open, connectClient };
+  };
+  const waitUntil = async (isMet: () => boolean) => {
+    while (!isMet()) await wait(2);
+  };
+
+  it.each([
+    ["without a body", REQUEST],
+    ["with a body", UPLOAD],
+  ])("begins the next one once the one before was answered, %s", async (_, request) => {
+    const { open, connectClient } = await start();
+    const { socket, getReceived } = connectClient();
+    socket.write(request.repeat(40));
+    for (let i = 0; i < 40; i += 1) {
+      await waitUntil(() => open.length > i);
+      await wait(2);
+      // The piece with the end of a body may hold the next head.
+      expect(open.length).toBeLessThanOrEqual(i + (request === REQUEST ? 1 : 2));
+      open[i]!.end(`answer ${i};`);
+    }
+    await waitUntil(() => getReceived().includes("answer 39;"));
+    const answers = [...getReceived().matchAll(/answer (\d+);/g)].map(([, i]) =>
+      Number(i),
+    );
+    expect(answers).toEqual(Array.from({ length: 40 }, (__, i) => i));
+  });
+
+  it("sees that the client has left while a request is open and others wait", async () => {
+    const { open, connectClient } = await start();
+    const { socket } = connectClient();
+    socket.write(REQUEST.repeat(3));
+    await waitUntil(() => open.length === 1);
+    let hasLeft = false;
+    open[0]!.once("close", () => {
+      hasLeft = true;
+    });
+    socket.destroy();
+    await waitUntil(() => hasLeft);
+    expect(open.length).toBe(1);
+  });
+
+  it("drops what waits longest where there is too much, and answers the open request before it closes", async () => {
+    const { open, connectClient } = await start(2_000);
+    const first = connectClient();
+    first.socket.write(REQUEST.repeat(30));
+    await waitUntil(() => open.length === 1);
+    const second = connectClient();
+    second.socket.write(REQUEST.repeat(30));
+    await waitUntil(() => open.length === 2);
+    open[0]!.end("answered");
+    await waitUntil(first.isClosed);
+    expect(first.getReceived()).toMatch(/Connection: close[^]*answered/);
+    open[1]!.end("answered");
+    await waitUntil(() => open.length === 3);
+    expect(second.getReceived()).not.toMatch(/Connection: close/);
+  });
+
+  it.each([
+    ["a request without a host", "GET / HTTP/1.1\r\n\r\n", 400],
+    [
+      "an expectation that it can't meet",
+      "GET / HTTP/1.1\r\nHost: a\r\nExpect: more\r\n\r\n",
+      417,
+    ],
+  ])("refuses %s and closes", async (_, request, status) => {
+    const { open, connectClient } = await start();
+    const { socket, getReceived, isClosed } = connectClient();
+    socket.write(request + REQUEST);
+    await waitUntil(isClosed);
+    expect(getReceived()).toMatch(
+      new RegExp(`^HTTP/1.1 ${status} [^]*Connection: close`),
+    );
+    expect(open).toEqual([]);
+  });
+});
--- a/packages/forwarding/src/clientServer.ts
+++ b/packages/forwarding/src/clientServer.ts
@@ -10,11 +10,18 @@
 import type { ClientLimits } from "@stairgauge/routing";
 import {
   createArrivals,
+  createReadTurns,
   type Arrivals,
   type Backlog,
   type Intake,
   type UnreadLimit,
 } from "@stairgauge/saturation";
+import {
+  createConnectionReader,
+  type ConnectionReader,
+  type ConnectionReaderOptions,
+} from "./connectionReader.js";
+import { createReclaimableMemory } from "./reclaimableMemory.js";
 
 /** Limits until a configuration is loaded; the defaults in the platform's documentation. */
 const DEFAULT_HEADER_MS = 3_000;
@@ -43,10 +50,12 @@
 
 /** Options of the client server. */
 export type ClientServerOptions = Readonly<{
-  clock: Pick<Clock, "monotonic">;
+  clock: Pick<Clock, "monotonic" | "setTimer">;
   handle: (incoming: IncomingMessage, response: ServerResponse) => void;
   /** Largest number of open connections; further ones are closed unread. */
   maxConnections: number;
+  /** Most bytes that clients have sent and that wait to be handled; beyond it, those that wait longest are dropped. */
+  maxWaitingBytes: number;
   /** Decides about each new connection; one that finds no room is closed unread. */
   intake: Pick<Intake, "hasRoom" | "recordTurnedAway">;
   /** Whether the event loop has no idle time. */
@@ -76,6 +85,14 @@
     incoming.url?.length ?? 0,
   );
 
+const isHostMissing = ({ headers, httpVersion }: IncomingMessage): boolean =>
+  headers.host === undefined && httpVersion === "1.1";
+
+const rejectRequest = (response: ServerResponse, status: number) => {
+  response.writeHead(status, ["Connection", "close", "Content-Length", "0"]);
+  response.end();
+};
+
 /** Code of the error of a connection whose head did not come in time. */
 const HEAD_TIMEOUT = "ERR_HTTP_REQUEST_TIMEOUT";
 
@@ -93,10 +110,27 @@
   socket.end(`HTTP/1.1 ${line}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
 };
 
+/** Has the server's parser get what a client sends from a reader of ours, instead of all that a read brings. */
+const startReader = (
+  socket: Socket,
+  shared: Pick<ConnectionReaderOptions, "turns" | "memory">,
+): ConnectionReader => {
+  const parsers = socket.listeners("data");
+  socket.removeAllListeners("data");
+  return createConnectionReader({
+    ...shared,
+    socket,
+    parse: (piece) => {
+      for (const parse of parsers) parse.call(socket, piece);
+    },
+  });
+};
+
 /** Keeps the server from reading a new connection until it has accepted those that wait. */
 const createSocketArrivals = (
   server: Server,
   { clock, isBusy, intake, unreadLimit }: ClientServerOptions,
+  startReading: (socket: Socket) => void,
 ): Arrivals<Socket> => {
   const listeners = server.listeners("connection");
   const arrivals = createArrivals<Socket>({
@@ -106,7 +140,7 @@
     scheduleTurnEnd: setImmediate,
     startReading: (socket) => {
       for (const onConnection of listeners) onConnection.call(server, socket);
-      socket.resume();
+      startReading(socket);
     },
     closeUnread: (socket, reason, waited) => {
       socket.destroy();
@@ -128,10 +162,22 @@
   /** Connections whose head is late, until this turn of the event loop ends. */
   const overdue = new Set<Socket>();
 
+  const readers = new WeakMap<Socket, ConnectionReader>();
+  const turns = createReadTurns({
+    clock: options.clock,
+    scheduleTurnEnd: setImmediate,
+  });
+  const memory = createReclaimableMemory(options.maxWaitingBytes);
+
   const trackConnection = (socket: Socket) => {
     unused.add(socket);
     socket.once("close", () => unused.delete(socket));
   };
+  const recordRequest = (incoming: IncomingMessage, response: ServerResponse) => {
+    unused.delete(incoming.socket);
+    overdue.delete(incoming.socket);
+    readers.get(incoming.socket)?.onRequest(incoming, response);
+  };
   const handleDrop = () => {
     arrivals.recordClosed();
     if (intake.hasRoom()) options.onClientError("too_many_connections");
@@ -144,18 +190,20 @@
       keepAlive: true,
       keepAliveInitialDelay: KEEPALIVE_MS,
       noDelay: true,
+      // A request that the server refused by itself would not be counted as open on its connection.
+      requireHostHeader: false,
     },
     (incoming, response) => {
-      unused.delete(incoming.socket);
-      overdue.delete(incoming.socket);
-      if (measureHead(incoming) <= headBytes) {
-        options.handle(incoming, response);
-        return;
-      }
-      response.writeHead(431, ["Connection", "close", "Content-Length", "0"]);
-      response.end();
+      recordRequest(incoming, response);
+      if (measureHead(incoming) > headBytes) rejectRequest(response, 431);
+      else if (isHostMissing(incoming)) rejectRequest(response, 400);
+      else options.handle(incoming, response);
     },
   );
+  server.on("checkExpectation", (incoming, response) => {
+    recordRequest(incoming, response);
+    rejectRequest(response, 417);
+  });
   server.headersTimeout = DEFAULT_HEADER_MS;
   server.requestTimeout = 0;
   // The server reads the limit for each new connection, and closes one beyond it before it reads from it.
@@ -163,7 +211,9 @@
     get: () => (intake.hasRoom() ? options.maxConnections : NO_CONNECTIONS),
   });
   server.on("drop", handleDrop);
-  const arrivals = createSocketArrivals(server, options);
+  const arrivals = createSocketArrivals(server, options, (socket) => {
+    readers.set(socket, startReader(socket, { turns, memory }));
+  });
   server.on("connection", trackConnection);
   server.keepAliveTimeout = DEFAULT_IDLE_MS + IDLE_MARGIN_MS;
   const reject = (socket: Socket, code: string) => {
--- /dev/null
+++ b/packages/forwarding/src/connectionReader.ts
@@ -0,0 +1,145 @@
+/**
+ * Hands what a client has sent to the parser of its connection: one request after the other, in pieces of a bounded
+ * size. The parser handles all that it is given in one go, and would begin every request that a read holds.
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import {
+  SHORT_READ_BYTES,
+  type PendingReader,
+  type ReadTurns,
+} from "@stairgauge/saturation";
+import type { ReclaimableMemory } from "./reclaimableMemory.js";
+
+/** Largest piece. In chunks of one byte it costs about a millisecond. */
+const MAX_PIECE_BYTES = 4 * 1024;
+
+/**
+ * Bytes that may wait before no more are read from the socket. While a request is open, reading on is what shows that
+ * its client has left.
+ */
+const MAX_WAITING_BYTES = 16 * 1024;
+
+/** The ends of a head that the parser accepts: the blank line with and without a carriage return. */
+const HEAD_ENDS = ["\n\r\n", "\n\n"] as const;
+
+const NOTHING = Buffer.alloc(0);
+
+type Exchange = Readonly<{ incoming: IncomingMessage; response: ServerResponse }>;
+
+/** Options of a reader. */
+export type ConnectionReaderOptions = Readonly<{
+  socket: Socket;
+  /** Handles bytes of the connection. */
+  parse: (piece: Buffer) => void;
+  turns: ReadTurns;
+  /** Counts the bytes that wait. */
+  memory: ReclaimableMemory;
+}>;
+
+/** Reads from one connection. */
+export type ConnectionReader = Readonly<{
+  /** A request began: the next one isn't read before its answer was sent. */
+  onRequest: (incoming: IncomingMessage, response: ServerResponse) => void;
+}>;
+
+/** Finds the end of the next piece: behind the first end of a head, so that no piece holds two of them. */
+const findPieceEnd = (bytes: Buffer): number => {
+  const piece = bytes.subarray(0, MAX_PIECE_BYTES);
+  const ends = HEAD_ENDS.map((end) => piece.indexOf(end) + end.length).filter(
+    (end, i) => end >= HEAD_ENDS[i]!.length,
+  );
+  return Math.min(piece.length, ...ends);
+};
+
+/** Starts to read. */
+export const createConnectionReader = ({
+  socket,
+  parse,
+  turns,
+  memory,
+}: ConnectionReaderOptions): ConnectionReader => {
+  let waiting: Buffer = NOTHING;
+  /** Bytes of the current request that were handled. */
+  let handled = 0;
+  /** Whether the client has sent bytes behind a request before that was answered. */
+  let isAhead = false;
+  /** Whether nothing more is read: the connection ends with the answers that are open. */
+  let isOver = false;
+  const exchanges: Exchange[] = [];
+
+  const stopReading = () => {
+    isOver = true;
+    waiting = NOTHING;
+    const last = exchanges.at(-1);
+    if (last?.incoming.complete) last.response.shouldKeepAlive = false;
+    else socket.destroy();
+  };
+  const held = memory.open(stopReading);
+  const setWaiting = (bytes: Buffer) => {
+    waiting = bytes;
+    held.set(bytes.length);
+  };
+
+  /** Whether the parser may be given more: the head of a request, or the rest of its body. */
+  const mayParse = () => {
+    if (isOver || socket.destroyed || socket.writableEnded) return false;
+    const [first, second] = exchanges;
+    if (!first) return true;
+    return !second && !first.incoming.complete && !first.response.writableEnded;
+  };
+  const takeArrived = () => {
+    if (isOver || waiting.length >= MAX_WAITING_BYTES) return;
+    const bytes = socket.read() as Buffer | null;
+    if (bytes) setWaiting(waiting.length > 0 ? Buffer.concat([waiting, bytes]) : bytes);
+  };
+  const hasPiece = () => waiting.length > 0 && mayParse();
+  /** Frees the read that brought the bytes that wait, if most of it was handled. */
+  const dropHandled = () => {
+    if (2 * waiting.length < waiting.buffer.byteLength) waiting = Buffer.from(waiting);
+  };
+  const takePiece = () => {
+    const end = findPieceEnd(waiting);
+    const piece = waiting.subarray(0, end);
+    setWaiting(waiting.subarray(end));
+    handled += end;
+    return piece;
+  };
+  const reader: PendingReader = {
+    isLong: () => isAhead || handled >= SHORT_READ_BYTES,
+    readPiece: () => {
+      if (!hasPiece()) return { isRequest: false, hasMore: false };
+      parse(takePiece());
+      if (waiting.length === 0) takeArrived();
+      const isRequest = exchanges.at(-1)?.incoming.complete === true;
+      if (isRequest) {
+        handled = 0;
+        isAhead = waiting.length > 0;
+      }
+      const hasMore = hasPiece();
+      if (!hasMore) dropHandled();
+      return { isRequest, hasMore };
+    },
+  };
+  const readOn = () => {
+    takeArrived();
+    if (hasPiece()) turns.read(reader);
+  };
+
+  socket.on("readable", readOn);
+  socket.once("close", () => {
+    isOver = true;
+    setWaiting(NOTHING);
+  });
+  return {
+    onRequest: (incoming, response) => {
+      const exchange = { incoming, response };
+      exchanges.push(exchange);
+      response.once("close", () => {
+        exchanges.splice(exchanges.indexOf(exchange), 1);
+        if (isOver && exchanges.length === 0) socket.end();
+        else readOn();
+      });
+    },
+  };
+};
--- a/packages/saturation/src/constants.ts
+++ b/packages/saturation/src/constants.ts
@@ -82,3 +82,21 @@
 
 /** Turns in a row that only accept connections. Reading from one costs as much as accepting and closing a dozen. */
 export const MAX_ACCEPTING_TURNS = 8;
+
+/**
+ * Bytes of a request that are handled as soon as they arrive: more than the head of an ordinary one, and few enough
+ * that they cost about a millisecond in chunks of one byte.
+ */
+export const SHORT_READ_BYTES = 4 * 1024;
+
+/**
+ * Share of the time in which what goes beyond that is handled. It leaves an event loop under such a load enough idle
+ * time that the box doesn't take itself for short of processor time and turn other clients away.
+ */
+export const LONG_READ_SHARE = 0.5;
+
+/** Longest time without a pause for that, well below the time of a turn that is long. */
+export const MAX_LONG_READ_MS = 5;
+
+/** Pause behind it. */
+export const LONG_READ_PAUSE_MS = 5 as Ms;
--- /dev/null
+++ b/packages/saturation/src/createReadTurns.test.ts
@@ -0,0 +1,102 @@
+/** Guards against clients that keep all others waiting by what they send: much, in costly pieces, or many requests ahead. */
+import { describe, expect, it } from "vitest";
+import { createVirtualClock, type Ms } from "@stairgauge/common";
+import { LONG_READ_PAUSE_MS, LONG_READ_SHARE, MAX_LONG_READ_MS } from "./constants.js";
+import { createReadTurns, type PendingReader } from "./createReadTurns.js";
+
+const PLAYED_MS = 1_000;
+
+/** Simulates an event loop in which each piece, and the work that a request causes behind it, takes its time. */
+const createSimulatedTurns = () => {
+  const clock = createVirtualClock();
+  let runAtTurnEnd: (() => void) | undefined;
+  const turns = createReadTurns({
+    clock,
+    scheduleTurnEnd: (run) => {
+      runAtTurnEnd = run;
+    },
+  });
+  /** Creates a connection that has sent this many pieces of one kind. */
+  const createReader = (
+    pieces: number,
+    kind: Readonly<{ isLong: boolean; pieceMs: number; requestMs?: number }>,
+  ) => {
+    let handled = 0;
+    const reader: PendingReader = {
+      isLong: () => kind.isLong,
+      readPiece: () => {
+        handled += 1;
+        clock.advance(kind.pieceMs as Ms);
+        return { isRequest: kind.requestMs !== undefined, hasMore: handled < pieces };
+      },
+    };
+    return { reader, countHandled: () => handled, requestMs: kind.requestMs ?? 0 };
+  };
+  /** Runs turns of the event loop for a while; resolves with the time in which nothing was done. */
+  const runFor = (duration: number, requestMs = 0) => {
+    const endsAt = clock.monotonic() + duration;
+    let idle = 0;
+    while (clock.monotonic() < endsAt) {
+      const run = runAtTurnEnd;
+      runAtTurnEnd = undefined;
+      if (run) {
+        clock.advance(requestMs as Ms);
+        run();
+        continue;
+      }
+      const before = clock.monotonic();
+      const next = Math.min(clock.getNextAt() ?? endsAt, endsAt);
+      idle += next - before;
+      clock.advance((next - before) as Ms);
+    }
+    return idle;
+  };
+  return { clock, turns, createReader, runFor };
+};
+
+describe("createReadTurns", () => {
+  it("handles what is short at once, however many long reads wait", () => {
+    const { turns, clock, createReader, runFor } = createSimulatedTurns();
+    for (let i = 0; i < 400; i += 1)
+      turns.read(createReader(1_000, { isLong: true, pieceMs: 1 }).reader);
+    runFor(100);
+    const short = createReader(3, { isLong: false, pieceMs: 0.1 });
+    const before = clock.monotonic();
+    turns.read(short.reader);
+    expect(short.countHandled()).toBe(3);
+    expect(clock.monotonic() - before).toBeCloseTo(0.3);
+  });
+
+  it("leaves the event loop idle for a part of the time while long reads wait, and gives each the same part", () => {
+    const { turns, createReader, runFor } = createSimulatedTurns();
+    const long = Array.from({ length: 20 }, () =>
+      createReader(100_000, { isLong: true, pieceMs: 0.5 }),
+    );
+    for (const { reader } of long) turns.read(reader);
+    // The first one had no others beside it at first.
+    const before = long.map(({ countHandled }) => countHandled());
+    const idle = runFor(PLAYED_MS);
+    expect(idle / PLAYED_MS).toBeGreaterThanOrEqual(LONG_READ_SHARE - 0.05);
+    const counts = long.map(({ countHandled }, i) => countHandled() - before[i]!);
+    expect(Math.max(...counts) - Math.min(...counts)).toBeLessThanOrEqual(1);
+    expect(Math.min(...counts)).toBeGreaterThan(0);
+  });
+
+  it("counts the work that requests sent ahead cause in their turn", () => {
+    const { turns, createReader, runFor } = createSimulatedTurns();
+    const long = Array.from({ length: 20 }, () =>
+      createReader(100_000, { isLong: true, pieceMs: 0.05, requestMs: 1 }),
+    );
+    for (const { reader } of long) turns.read(reader);
+    const idle = runFor(PLAYED_MS, 1);
+    expect(idle / PLAYED_MS).toBeGreaterThanOrEqual(LONG_READ_SHARE - 0.05);
+  });
+
+  it("handles a long read that nothing else waits behind without a pause", () => {
+    const { turns, clock, createReader } = createSimulatedTurns();
+    const one = createReader(16, { isLong: true, pieceMs: 0.1 });
+    turns.read(one.reader);
+    expect(one.countHandled()).toBe(16);
+    expect(clock.monotonic()).toBeLessThan(MAX_LONG_READ_MS + LONG_READ_PAUSE_MS);
+  });
+});
--- /dev/null
+++ b/packages/saturation/src/createReadTurns.ts
@@ -0,0 +1,102 @@
+/**
+ * Divides the event loop's time among the clients' connections. What a client has sent is handled at once if it is
+ * short. The rest of what is long is handled piece by piece, in turn with that of other connections and in a part of
+ * the time only: so clients that send much, or in pieces that cost much, keep no other client waiting.
+ */
+import type { Clock } from "@stairgauge/common";
+import { LONG_READ_PAUSE_MS, LONG_READ_SHARE, MAX_LONG_READ_MS } from "./constants.js";
+
+/** What was handled. */
+export type ReadPiece = Readonly<{
+  /** Whether a request is whole now: it causes more work in this turn of the event loop. */
+  isRequest: boolean;
+  /** Whether another piece may be handled behind it now. */
+  hasMore: boolean;
+}>;
+
+/** A connection from which bytes were received that are not handled yet. */
+export type PendingReader = Readonly<{
+  /** Whether the client has sent more than a short request. */
+  isLong: () => boolean;
+  /** Handles the next piece. */
+  readPiece: () => ReadPiece;
+}>;
+
+/** Options of the turns. */
+export type ReadTurnsOptions = Readonly<{
+  clock: Pick<Clock, "monotonic" | "setTimer">;
+  /** Runs the function once in this turn of the event loop, after the work that reading has caused in it. */
+  scheduleTurnEnd: (run: () => void) => void;
+}>;
+
+/** The turns of one event loop. */
+export type ReadTurns = Readonly<{
+  /** Handles what a connection has sent: at once while it is short, the rest in turn. */
+  read: (reader: PendingReader) => void;
+}>;
+
+/** Creates the turns; no connection waits for one. */
+export const createReadTurns = ({
+  clock,
+  scheduleTurnEnd,
+}: ReadTurnsOptions): ReadTurns => {
+  /** In the order of their turns. */
+  const waiting = new Set<PendingReader>();
+  /** Time that may be spent on long reads now. */
+  let allowance = MAX_LONG_READ_MS;
+  let countedAt = clock.monotonic();
+  let isScheduled = false;
+
+  const countElapsed = () => {
+    const now = clock.monotonic();
+    const earned = (now - countedAt) * LONG_READ_SHARE;
+    allowance = Math.min(MAX_LONG_READ_MS, allowance + earned);
+    countedAt = now;
+  };
+  const countSpent = () => {
+    const now = clock.monotonic();
+    allowance -= now - countedAt;
+    countedAt = now;
+  };
+  const finishTurn = () => {
+    isScheduled = false;
+    countSpent();
+    readInTurn();
+  };
+  const finishPause = () => {
+    isScheduled = false;
+    countElapsed();
+    readInTurn();
+  };
+  const readInTurn = () => {
+    for (const reader of waiting) {
+      if (allowance <= 0) break;
+      waiting.delete(reader);
+      const { isRequest, hasMore } = reader.readPiece();
+      // The iteration also comes to what is added during it, so this connection is next behind all others.
+      if (hasMore) waiting.add(reader);
+      if (isRequest) {
+        isScheduled = true;
+        scheduleTurnEnd(finishTurn);
+        return;
+      }
+      countSpent();
+    }
+    if (waiting.size === 0) return;
+    isScheduled = true;
+    clock.setTimer(LONG_READ_PAUSE_MS, finishPause);
+  };
+
+  return {
+    read: (reader) => {
+      if (waiting.has(reader)) return;
+      let hasMore = true;
+      while (hasMore && !reader.isLong()) hasMore = reader.readPiece().hasMore;
+      if (!hasMore) return;
+      waiting.add(reader);
+      if (isScheduled) return;
+      countElapsed();
+      readInTurn();
+    },
+  };
+};
--- a/packages/settings/src/boxSettings.ts
+++ b/packages/settings/src/boxSettings.ts
@@ -122,6 +122,8 @@
       connectLimitMs: ms.default(250),
       /** Memory for request bodies that are held at once, in MB; a request that exceeds it is refused without being run. */
       heldMb: z.number().positive().default(32),
+      /** Memory for what clients have sent and this box has not handled yet, and for answers that they don't read, in MB. */
+      unreadMb: z.number().positive().default(16),
     })
     .prefault({}),
   /** Requests that this box sends for boxes which have lost their own paths to servers. */
