fix: request bodies that stop short of their end hold no memory against others

Where the memory is used up, the unfinished bodies that were begun first are given up for others: 503, not run, and the connection closes. A request that would be refused by its head takes memory from such requests only. And a body that has not come within the time limit of its request is refused with 408, also not run; one without a valid key has 10 s.

--- a/packages/forwarding/src/createForwarder.ts
+++ b/packages/forwarding/src/createForwarder.ts
@@ -25,6 +25,9 @@
 /** Largest request body until a configuration is loaded. */
 const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
 
+/** Time in which the body of a request has to arrive that would be refused by its head. */
+const REFUSED_BODY_MS = 10_000 as Ms;
+
 /** Retry delay while this box stops: another box takes the request as soon as the client connects to it. */
 const OTHER_BOX_AFTER_MS = 20 as Ms;
 
@@ -82,6 +85,8 @@
       headers: incoming.rawHeaders,
     });
     let isLast = false;
+    /** Whether the request was refused before its body was complete. */
+    let isRefusedUnread = false;
     const answer = createClientAnswer(response, {
       isLastOnConnection: () => stop !== undefined || isLast || deps.isShort(),
       onBegun: () =>
@@ -118,10 +123,12 @@
       refuse(413, "body_too_long");
     };
     /** The rest of the body is not read, so the connection can't serve another request. */
-    const refuseForMemory = () => {
+    const refuseUnread = (status: number, reason: RefusalReason) => {
       isLast = true;
-      refuse(503, "too_many_bodies_held");
+      isRefusedUnread = true;
+      refuse(status, reason);
     };
+    const refuseForMemory = () => refuseUnread(503, "too_many_bodies_held");
     const decideByHead = () =>
       decideAccess(configuration.getIndex(), configuration.getFreshness(), {
         host: head.host,
@@ -133,7 +140,7 @@
     // Clients that the site doesn't serve decide nothing about others.
     if (isAdmitted)
       deps.unreadLimit.recordRead(computeReadingTerms(access.route, head.patience));
-    const share = bodyMemory.open(isAdmitted);
+    const share = bodyMemory.open({ isAdmitted, onGivenUp: refuseForMemory });
     let call: DispatchedCall | undefined;
     let hasLeft = false;
     open += 1;
@@ -214,7 +221,16 @@
       else dispatch(request);
     };
 
+    const readWithin = isAdmitted
+      ? computeTimeLimit(access.route, head.patience)
+      : REFUSED_BODY_MS;
+    const readTimer = clock.setTimeLimit(readWithin, () =>
+      refuseUnread(408, "body_too_late"),
+    );
     const handleBody = (read: Awaited<ReturnType<typeof readRequestBody>>) => {
+      readTimer.cancel();
+      share.finish();
+      if (isRefusedUnread) return;
       if (hasLeft) {
         reportClientLeft();
         return;
--- a/packages/forwarding/src/forwardDecision.ts
+++ b/packages/forwarding/src/forwardDecision.ts
@@ -14,6 +14,8 @@
   | AccessRefusal
   | "body_too_long"
   | "too_many_bodies_held"
+  /** The client did not send its whole body within the time limit of the request. */
+  | "body_too_late"
   | "box_is_stopping"
   /** A fault of this box, before the request was sent to any server. */
   | "box_failed"
