perf: a request body is collected in few buffers that aren't copied as it grows

New bytes now go to a further buffer, whose size is an eighth of what came before; they are joined once, when the body is whole.

--- a/packages/forwarding/src/readRequestBody.ts
+++ b/packages/forwarding/src/readRequestBody.ts
@@ -20,15 +20,46 @@
   share: Pick<BodyShare, "take">;
 }>;
 
-const NOTHING = Buffer.alloc(0);
-
-/** By how much more than needed the buffer of a body grows: few copies, and little memory beside the bytes. */
+/** Size of the buffers that a body is copied into: an eighth of what came before, and no less than this. */
 const SPARE_SHARE = 1 / 8;
-const SPARE_BYTES = 64;
+const MIN_BUFFER_BYTES = 64;
+
+/** Collects bytes in few buffers. */
+const createCollector = () => {
+  const full: Buffer[] = [];
+  let last = Buffer.alloc(0);
+  /** Bytes of the last buffer that are used. */
+  let used = 0;
+  let length = 0;
+
+  const startBuffer = (bytes: number) => {
+    if (used > 0) full.push(last);
+    const spare = Math.max(MIN_BUFFER_BYTES, Math.floor(length * SPARE_SHARE));
+    last = Buffer.allocUnsafeSlow(length === 0 ? bytes : Math.max(bytes, spare));
+    used = 0;
+  };
+  return {
+    getLength: () => length,
+    append: (chunk: Buffer) => {
+      const fitting = chunk.copy(last, used);
+      used += fitting;
+      length += fitting;
+      if (fitting === chunk.length) return;
+      startBuffer(chunk.length - fitting);
+      const rest = chunk.copy(last, 0, fitting);
+      used = rest;
+      length += rest;
+    },
+    join: (): Buffer => {
+      const end = last.subarray(0, used);
+      return full.length === 0 ? end : Buffer.concat([...full, end], length);
+    },
+  };
+};
 
 /**
- * Reads the body; never holds more than `limit` bytes, nor more than the share takes. It is copied into one buffer: a
- * chunk of its own would cost some hundred bytes, however short it is, and keep the whole read that brought it.
+ * Reads the body; never holds more than `limit` bytes, nor more than the share takes. The chunks are copied: each would
+ * cost some hundred bytes, however short it is, and keep the whole read that brought it.
  */
 export const readRequestBody = ({
   incoming,
@@ -36,33 +67,20 @@
   share,
 }: RequestBodyOptions): Promise<Result<Buffer, RequestBodyFailure>> =>
   new Promise((resolve) => {
-    let body = NOTHING;
-    let length = 0;
+    let body = createCollector();
     let isOver = false;
     const fail = (failure: RequestBodyFailure) => {
       isOver = true;
-      body = NOTHING;
+      body = createCollector();
       resolve(Err(failure));
     };
-    const makeRoom = (needed: number) => {
-      if (needed <= body.length) return;
-      const spare = length === 0 ? 0 : Math.floor(length * SPARE_SHARE) + SPARE_BYTES;
-      const larger = Buffer.allocUnsafeSlow(Math.min(limit, needed + spare));
-      body.copy(larger, 0, 0, length);
-      body = larger;
-    };
-    const append = (chunk: Buffer) => {
-      makeRoom(length + chunk.length);
-      chunk.copy(body, length);
-      length += chunk.length;
-    };
     incoming.on("data", (chunk: Buffer) => {
       if (isOver) return;
-      if (length + chunk.length > limit) fail({ kind: "too_long", limit });
+      if (body.getLength() + chunk.length > limit) fail({ kind: "too_long", limit });
       else if (!share.take(chunk.length)) fail({ kind: "no_memory" });
-      else append(chunk);
+      else body.append(chunk);
     });
-    incoming.on("end", () => resolve(Ok(body.subarray(0, length))));
+    incoming.on("end", () => resolve(Ok(body.join())));
     incoming.on("error", () => fail({ kind: "client_left" }));
     incoming.on("close", () => resolve(Err({ kind: "client_left" })));
   });
