fix: a new connection takes the place of one that is idle where there are too many

Cause: connections beyond the limit were closed unread whatever the others did, and a client that sends nothing is closed after the time for its head only, and connects again.

At the limit, the connection that has sent no whole request for longest, or else the kept one that has been idle longest, is closed for a new one, if it has been idle for 250 ms: it has no request that could be lost. One with an open request, or that still waits to be read, is never closed for it.

--- a/packages/forwarding/src/clientServer.test.ts
+++ b/packages/forwarding/src/clientServer.test.ts
@@ -184,3 +184,49 @@
     expect(open).toEqual([]);
   });
 });
+
+/** Guards against clients that connect and send no request, until no one else gets a connection. */
+describe("createClientServer, at its limit of connections", () => {
+  let server: ClientServer;
+  afterEach(() => server.close());
+
+  it("closes the connection that has been idle longest for a new one, and none with an open request", async () => {
+    const faults: string[] = [];
+    server = createClientServer({
+      clock: createSystemClock(),
+      handle: (incoming, response) => {
+        if (incoming.url !== "/open") response.end("served");
+      },
+      maxConnections: 3,
+      maxWaitingBytes: 1_000,
+      intake: { hasRoom: () => true, recordTurnedAway: () => undefined },
+      isBusy: () => false,
+      unreadLimit: { get: () => undefined },
+      onClientError: (code) => faults.push(code),
+    });
+    const port = await server.listen("127.0.0.1", 0);
+    const closed: string[] = [];
+    const openClient = async (name: string, request: string) => {
+      const socket = connect({ host: "127.0.0.1", port, noDelay: true });
+      socket.on("close", () => closed.push(name));
+      const answered = new Promise((resolve) => {
+        socket.on("data", resolve);
+        socket.on("close", resolve);
+      });
+      await new Promise((resolve) => socket.on("connect", resolve));
+      socket.write(request);
+      await wait(20);
+      return { socket, answered };
+    };
+    const formatRequest = (path: string) =>
+      `GET ${path} HTTP/1.1\r\nHost: site.example\r\n\r\n`;
+    await openClient("with a request", formatRequest("/open"));
+    await openClient("silent", "GET /");
+    await openClient("also silent", "");
+    await wait(300);
+    const { answered } = await openClient("new", formatRequest("/"));
+    expect(String(await answered)).toMatch(/served/);
+    expect(closed).toEqual(["silent"]);
+    expect(faults).toEqual(["idle_connection_closed"]);
+  });
+});
--- a/packages/forwarding/src/clientServer.ts
+++ b/packages/forwarding/src/clientServer.ts
@@ -21,6 +21,7 @@
   type ConnectionReader,
   type ConnectionReaderOptions,
 } from "./connectionReader.js";
+import { createIdleConnections } from "./idleConnections.js";
 import { createReclaimableMemory } from "./reclaimableMemory.js";
 
 /** Limits until a configuration is loaded; the defaults in the platform's documentation. */
@@ -44,6 +45,10 @@
 
 /** Below zero, since the server takes zero for no limit. */
 const NO_CONNECTIONS = -1;
+const UNLIMITED_CONNECTIONS = Number.MAX_SAFE_INTEGER;
+
+/** Connections beyond the limit while idle ones that were closed for them are still being freed. */
+const SPARE_CONNECTIONS = 32;
 
 /** Connections that may wait in the kernel to be accepted; the client of a further one gets no connection. */
 const MAX_NOT_ACCEPTED = 4_096;
@@ -52,7 +57,7 @@
 export type ClientServerOptions = Readonly<{
   clock: Pick<Clock, "monotonic" | "setTimer">;
   handle: (incoming: IncomingMessage, response: ServerResponse) => void;
-  /** Largest number of open connections; further ones are closed unread. */
+  /** Largest number of open connections; a further one takes the place of an idle one, or is closed unread if there is none. */
   maxConnections: number;
   /** Most bytes that clients have sent and that wait to be handled; beyond it, those that wait longest are dropped. */
   maxWaitingBytes: number;
@@ -139,6 +144,7 @@
     getUnreadLimit: unreadLimit.get,
     scheduleTurnEnd: setImmediate,
     startReading: (socket) => {
+      if (socket.destroyed) return;
       for (const onConnection of listeners) onConnection.call(server, socket);
       startReading(socket);
     },
@@ -169,14 +175,36 @@
   });
   const memory = createReclaimableMemory(options.maxWaitingBytes);
 
+  const idle = createIdleConnections<Socket>(options.clock);
+  let connections = 0;
+
   const trackConnection = (socket: Socket) => {
     unused.add(socket);
-    socket.once("close", () => unused.delete(socket));
+    connections += 1;
+    socket.once("close", () => {
+      unused.delete(socket);
+      idle.remove(socket);
+      connections -= 1;
+    });
+    if (connections <= options.maxConnections) return;
+    idle.take()?.destroy();
+    options.onClientError("idle_connection_closed");
   };
+  /** Whether the server takes one more connection: beyond the limit it closes an idle one for it. */
+  const canAccept = () =>
+    intake.hasRoom() &&
+    (connections < options.maxConnections ||
+      (connections < options.maxConnections + SPARE_CONNECTIONS && idle.canTake()));
   const recordRequest = (incoming: IncomingMessage, response: ServerResponse) => {
     unused.delete(incoming.socket);
     overdue.delete(incoming.socket);
-    readers.get(incoming.socket)?.onRequest(incoming, response);
+    const { socket } = incoming;
+    const reader = readers.get(socket);
+    reader?.onRequest(incoming, response);
+    idle.remove(socket);
+    response.once("close", () => {
+      if (reader?.isIdle() && !socket.destroyed) idle.add(socket, "used");
+    });
   };
   const handleDrop = () => {
     arrivals.recordClosed();
@@ -208,11 +236,12 @@
   server.requestTimeout = 0;
   // The server reads the limit for each new connection, and closes one beyond it before it reads from it.
   Object.defineProperty(server, "maxConnections", {
-    get: () => (intake.hasRoom() ? options.maxConnections : NO_CONNECTIONS),
+    get: () => (canAccept() ? UNLIMITED_CONNECTIONS : NO_CONNECTIONS),
   });
   server.on("drop", handleDrop);
   const arrivals = createSocketArrivals(server, options, (socket) => {
     readers.set(socket, startReader(socket, { turns, memory }));
+    idle.add(socket, "unused");
   });
   server.on("connection", trackConnection);
   server.keepAliveTimeout = DEFAULT_IDLE_MS + IDLE_MARGIN_MS;
--- a/packages/forwarding/src/connectionReader.ts
+++ b/packages/forwarding/src/connectionReader.ts
@@ -41,6 +41,8 @@
 export type ConnectionReader = Readonly<{
   /** A request began: the next one isn't read before its answer was sent. */
   onRequest: (incoming: IncomingMessage, response: ServerResponse) => void;
+  /** Whether no request is open. */
+  isIdle: () => boolean;
 }>;
 
 /** Finds the end of the next piece: behind the first end of a head, so that no piece holds two of them. */
@@ -141,5 +143,6 @@
         else readOn();
       });
     },
+    isIdle: () => exchanges.length === 0,
   };
 };
