fix: answers that clients don't read take a bounded part of a box's memory

Cause, read in the code: a client that doesn't read keeps its answer in the box, up to 512 KB held as a whole, for as long as it likes; 1,850 connections of a box of 4,100 descriptors may hold several hundred MB.

What waits for a client to read it counts toward clients.unreadMb with what clients have sent ahead; beyond that, the connections that hold some longest are closed. An answer handed over as a whole has a minute to be read.

Evidence: the new test fails before (the first of two unread answers stays).

--- a/apps/box/src/createServing.ts
+++ b/apps/box/src/createServing.ts
@@ -100,7 +100,7 @@
     isBusy: options.isBusy,
     unreadLimit,
     maxConnections: computeClientConnections(limits.descriptors),
-    maxWaitingBytes: clients.unreadMb * BYTES_PER_MB,
+    maxUnreadBytes: clients.unreadMb * BYTES_PER_MB,
     onClientError: (code) => log.writeDecision("client_fault", { code }),
   });
   return { forwarder, clientServer };
--- a/packages/forwarding/src/clientServer.test.ts
+++ b/packages/forwarding/src/clientServer.test.ts
@@ -24,7 +24,7 @@
       clock: createSystemClock(),
       handle: (_, response) => response.end("served"),
       maxConnections: 10,
-      maxWaitingBytes: 1_000_000,
+      maxUnreadBytes: 1_000_000,
       intake: { hasRoom: () => true, recordTurnedAway: () => undefined },
       isBusy: () => false,
       unreadLimit: { get: () => undefined },
@@ -80,7 +80,7 @@
   const REQUEST = "GET / HTTP/1.1\r\nHost: site.example\r\n\r\n";
   const UPLOAD = `POST / HTTP/1.1\r\nHost: site.example\r\nContent-Length: 5000\r\n\r\n${"x".repeat(5_000)}`;
 
-  const start = async (maxWaitingBytes = 1_000_000) => {
+  const start = async (maxUnreadBytes = 1_000_000) => {
     const open: ServerResponse[] = [];
     server = createClientServer({
       clock: createSystemClock(),
@@ -89,7 +89,7 @@
         open.push(response);
       },
       maxConnections: 10,
-      maxWaitingBytes,
+      maxUnreadBytes,
       intake: { hasRoom: () => true, recordTurnedAway: () => undefined },
       isBusy: () => false,
       unreadLimit: { get: () => undefined },
@@ -166,6 +166,27 @@
     expect(second.getReceived()).not.toMatch(/Connection: close/);
   });
 
+  it("closes the connection whose answer was not read for longest where answers take too much memory", async () => {
+    const { open, connectClient } = await start(40_000_000);
+    const clients = [1, 2].map(() => connectClient());
+    for (const [i, { socket }] of clients.entries()) {
+      socket.pause();
+      socket.write(REQUEST);
+      await waitUntil(() => open.length > i);
+    }
+    let isFirstClosed = false;
+    open[0]!.once("close", () => {
+      isFirstClosed = true;
+    });
+    open[0]!.end(Buffer.alloc(30_000_000, "x"));
+    await wait(20);
+    expect(isFirstClosed).toBe(false);
+    open[1]!.end(Buffer.alloc(30_000_000, "x"));
+    await waitUntil(() => isFirstClosed);
+    clients[1]!.socket.resume();
+    await waitUntil(() => clients[1]!.getReceived().length > 30_000_000);
+  });
+
   it.each([
     ["a request without a host", "GET / HTTP/1.1\r\n\r\n", 400],
     [
@@ -198,7 +219,7 @@
         if (incoming.url !== "/open") response.end("served");
       },
       maxConnections: 3,
-      maxWaitingBytes: 1_000,
+      maxUnreadBytes: 1_000,
       intake: { hasRoom: () => true, recordTurnedAway: () => undefined },
       isBusy: () => false,
       unreadLimit: { get: () => undefined },
--- a/packages/forwarding/src/clientServer.ts
+++ b/packages/forwarding/src/clientServer.ts
@@ -59,8 +59,11 @@
   handle: (incoming: IncomingMessage, response: ServerResponse) => void;
   /** Largest number of open connections; a further one takes the place of an idle one, or is closed unread if there is none. */
   maxConnections: number;
-  /** Most bytes that clients have sent and that wait to be handled; beyond it, those that wait longest are dropped. */
-  maxWaitingBytes: number;
+  /**
+   * Most bytes that clients have sent and that wait to be handled, and of answers that clients don't read; beyond it,
+   * connections that hold some longest are closed.
+   */
+  maxUnreadBytes: number;
   /** Decides about each new connection; one that finds no room is closed unread. */
   intake: Pick<Intake, "hasRoom" | "recordTurnedAway">;
   /** Whether the event loop has no idle time. */
@@ -118,7 +121,7 @@
 /** Has the server's parser get what a client sends from a reader of ours, instead of all that a read brings. */
 const startReader = (
   socket: Socket,
-  shared: Pick<ConnectionReaderOptions, "turns" | "memory">,
+  shared: Pick<ConnectionReaderOptions, "clock" | "turns" | "memory">,
 ): ConnectionReader => {
   const parsers = socket.listeners("data");
   socket.removeAllListeners("data");
@@ -173,7 +176,7 @@
     clock: options.clock,
     scheduleTurnEnd: setImmediate,
   });
-  const memory = createReclaimableMemory(options.maxWaitingBytes);
+  const memory = createReclaimableMemory(options.maxUnreadBytes);
 
   const idle = createIdleConnections<Socket>(options.clock);
   let connections = 0;
@@ -240,7 +243,7 @@
   });
   server.on("drop", handleDrop);
   const arrivals = createSocketArrivals(server, options, (socket) => {
-    readers.set(socket, startReader(socket, { turns, memory }));
+    readers.set(socket, startReader(socket, { clock: options.clock, turns, memory }));
     idle.add(socket, "unused");
   });
   server.on("connection", trackConnection);
--- a/packages/forwarding/src/connectionReader.ts
+++ b/packages/forwarding/src/connectionReader.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import type { Clock, Ms } from "@stairgauge/common";
 import {
   SHORT_READ_BYTES,
   type PendingReader,
@@ -20,6 +21,12 @@
  */
 const MAX_WAITING_BYTES = 16 * 1024;
 
+/**
+ * Time in which a client has to read the rest of an answer that was handed to its connection as a whole. No client waits
+ * longer than a minute for an answer.
+ */
+const MAX_UNREAD_ANSWER_MS = 60_000 as Ms;
+
 /** The ends of a head that the parser accepts: the blank line with and without a carriage return. */
 const HEAD_ENDS = ["\n\r\n", "\n\n"] as const;
 
@@ -32,8 +39,9 @@
   socket: Socket;
   /** Handles bytes of the connection. */
   parse: (piece: Buffer) => void;
+  clock: Pick<Clock, "setTimer">;
   turns: ReadTurns;
-  /** Counts the bytes that wait. */
+  /** Counts the bytes that wait to be handled, and those of answers that wait to be read. */
   memory: ReclaimableMemory;
 }>;
 
@@ -58,6 +66,7 @@
 export const createConnectionReader = ({
   socket,
   parse,
+  clock,
   turns,
   memory,
 }: ConnectionReaderOptions): ConnectionReader => {
@@ -128,6 +137,18 @@
     if (hasPiece()) turns.read(reader);
   };
 
+  /** Ends the connection if its client doesn't read the answer, in time or before others need the memory. */
+  const limitUnreadAnswer = (response: ServerResponse) => {
+    if (socket.writableLength === 0) return;
+    const unread = memory.open(() => socket.destroy());
+    const timer = clock.setTimer(MAX_UNREAD_ANSWER_MS, () => socket.destroy());
+    response.once("close", () => {
+      timer.cancel();
+      unread.set(0);
+    });
+    unread.set(socket.writableLength);
+  };
+
   socket.on("readable", readOn);
   socket.once("close", () => {
     isOver = true;
@@ -137,6 +158,7 @@
     onRequest: (incoming, response) => {
       const exchange = { incoming, response };
       exchanges.push(exchange);
+      response.once("prefinish", () => limitUnreadAnswer(response));
       response.once("close", () => {
         exchanges.splice(exchanges.indexOf(exchange), 1);
         if (isOver && exchanges.length === 0) socket.end();
