feat: the memory for clients' bytes is a share of the machine's

deploy/box-settings.yaml did not hand the machine's memory on, so the limits of 32, 16 and 16 MB held on machines of 178 MB as well as on those of 600. It is read now (limits.memoryMb): request bodies take an eighth of it at most, carried ones and what is unread a sixteenth each.

--- a/apps/box/src/createPaths.ts
+++ b/apps/box/src/createPaths.ts
@@ -21,6 +21,7 @@
   type AnswerCarry,
   type ServerPaths,
 } from "@stairgauge/paths";
+import { computeSettingsLimits } from "./computeSettingsLimits.js";
 import { createHeadCodec, type EngineActionsOptions } from "@stairgauge/platform";
 import type { BoxSettings } from "@stairgauge/settings";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
@@ -60,8 +61,6 @@
   stop: () => void;
 }>;
 
-const BYTES_PER_MB = 1024 * 1024;
-
 /** Interval at which lost paths are checked for being due for a probe. */
 const CHECK_MS = 100 as Ms;
 
@@ -74,7 +73,7 @@
     maxRequests: Math.floor(
       settings.limits.descriptors * settings.carrying.descriptorShare,
     ),
-    maxHeldBytes: settings.carrying.heldMb * BYTES_PER_MB,
+    maxHeldBytes: computeSettingsLimits(settings).carried,
   });
   const codec = createHeadCodec();
   const openOwn: OpenOwnExchange = (request, sink) => {
--- a/apps/box/src/createServing.ts
+++ b/apps/box/src/createServing.ts
@@ -24,11 +24,10 @@
 import { createUnreadLimit, type Intake } from "@stairgauge/saturation";
 import type { BoxSettings } from "@stairgauge/settings";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
+import { computeSettingsLimits } from "./computeSettingsLimits.js";
 import type { Signals } from "./createSignals.js";
 import { observeForwarding } from "./observers.js";
 
-const BYTES_PER_MB = 1024 * 1024;
-
 export type ServingOptions = Readonly<{
   getSettings: () => BoxSettings;
   clock: Clock;
@@ -60,6 +59,7 @@
 export const createServing = (options: ServingOptions): Serving => {
   const { getSettings, clock, random, log, metrics, configuration } = options;
   const { clients, limits } = getSettings();
+  const byteLimits = computeSettingsLimits(getSettings());
   const budget = createRetryBudget(() => {
     const { ratio, slack, windowSeconds } = getSettings().retries;
     return {
@@ -91,7 +91,7 @@
     observer: observeForwarding({ log, metrics, configuration }),
     retryAfter: clients.retryAfterMs as Ms,
     connectLimit: clients.connectLimitMs as Ms,
-    maxHeldBytes: clients.heldMb * BYTES_PER_MB,
+    maxHeldBytes: byteLimits.bodies,
   });
   const clientServer = createClientServer({
     clock,
@@ -100,7 +100,7 @@
     isBusy: options.isBusy,
     unreadLimit,
     maxConnections: computeClientConnections(limits.descriptors),
-    maxUnreadBytes: clients.unreadMb * BYTES_PER_MB,
+    maxUnreadBytes: byteLimits.unread,
     onClientError: (code) => log.writeDecision("client_fault", { code }),
   });
   return { forwarder, clientServer };
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -39,6 +39,8 @@
 export { probePath } from "./probePath.js";
 export { createRetryBudget } from "./retryBudget.js";
 export type { RetryBudget, RetryBudgetLimits } from "./retryBudget.js";
+export { computeByteLimits } from "./computeByteLimits.js";
+export type { ByteLimits, SetByteLimits } from "./computeByteLimits.js";
 export { computeClientConnections } from "./computeClientConnections.js";
 export { computePlacingTerms, hasCapacityFor, placeOrWait } from "./placeOrWait.js";
 export type { GenerationQueue, PlacingTerms } from "./placeOrWait.js";
--- a/packages/settings/src/boxSettings.ts
+++ b/packages/settings/src/boxSettings.ts
@@ -96,6 +96,12 @@
     .strictObject({
       /** Number of files and sockets that the process may have open. */
       descriptors: z.int().positive().default(4_096),
+      /** The machine's memory in MB; if it is given, the memory for clients' bytes is a share of it at most. */
+      memoryMb: z
+        .number()
+        .positive()
+        .nullish()
+        .transform((given) => given ?? undefined),
       /** The box's network bandwidth in Mbit/s and its CPU cores or fraction of one; boxes with more of them pass on more of the updates for all boxes. */
       linkMbps: capacity,
       cores: capacity,
