--- a/apps/box/src/createServing.ts
+++ b/apps/box/src/createServing.ts
@@ -102,6 +102,10 @@
     maxConnections: computeClientConnections(limits.descriptors),
     maxUnreadBytes: byteLimits.unread,
     onClientError: (code) => log.writeDecision("client_fault", { code }),
+    onLimit: (limit) => {
+      metrics.connectionsLimited.inc({ limit });
+      log.writeDecision("connection_limited", { limit });
+    },
   });
   return { forwarder, clientServer };
 };
--- a/packages/forwarding/src/clientServer.test.ts
+++ b/packages/forwarding/src/clientServer.test.ts
@@ -4,6 +4,7 @@
 import { afterEach, describe, expect, it } from "vitest";
 import { createSystemClock, stopEventLoop, type Ms } from "@stairgauge/common";
 import { createClientServer, type ClientServer } from "./clientServer.js";
+import type { ClientLimit } from "./connectionReader.js";
 
 const HEADER_TIME = 200 as Ms;
 
@@ -29,6 +30,7 @@
       isBusy: () => false,
       unreadLimit: { get: () => undefined },
       onClientError: (code) => faults.push(code),
+      onLimit: () => undefined,
     });
     server.applyLimits({
       headerBytes: 1_000,
@@ -82,6 +84,7 @@
 
   const start = async (maxUnreadBytes = 1_000_000) => {
     const open: ServerResponse[] = [];
+    const limits: ClientLimit[] = [];
     server = createClientServer({
       clock: createSystemClock(),
       handle: (incoming, response) => {
@@ -94,6 +97,7 @@
       isBusy: () => false,
       unreadLimit: { get: () => undefined },
       onClientError: () => undefined,
+      onLimit: (limit) => limits.push(limit),
     });
     const port = await server.listen("127.0.0.1", 0);
     const connectClient = () => {
@@ -109,7 +113,7 @@
       });
       return { socket, getReceived: () => received, isClosed: () => isClosed };
     };
-    return { open, connectClient };
+    return { open, limits, connectClient };
   };
   const waitUntil = async (isMet: () => boolean) => {
     while (!isMet()) await wait(2);
@@ -151,7 +155,7 @@
   });
 
   it("drops what waits longest where there is too much, and answers the open request before it closes", async () => {
-    const { open, connectClient } = await start(2_000);
+    const { open, limits, connectClient } = await start(2_000);
     const first = connectClient();
     first.socket.write(REQUEST.repeat(30));
     await waitUntil(() => open.length === 1);
@@ -164,10 +168,11 @@
     open[1]!.end("answered");
     await waitUntil(() => open.length === 3);
     expect(second.getReceived()).not.toMatch(/Connection: close/);
+    expect(limits).toEqual(["sent_ahead"]);
   });
 
   it("closes the connection whose answer was not read for longest where answers take too much memory", async () => {
-    const { open, connectClient } = await start(40_000_000);
+    const { open, limits, connectClient } = await start(40_000_000);
     const clients = [1, 2].map(() => connectClient());
     for (const [i, { socket }] of clients.entries()) {
       socket.pause();
@@ -185,6 +190,7 @@
     await waitUntil(() => isFirstClosed);
     clients[1]!.socket.resume();
     await waitUntil(() => clients[1]!.getReceived().length > 30_000_000);
+    expect(limits).toEqual(["answer_unread"]);
   });
 
   it.each([
@@ -212,7 +218,7 @@
   afterEach(() => server.close());
 
   it("closes the connection that has been idle longest for a new one, and none with an open request", async () => {
-    const faults: string[] = [];
+    const limits: ClientLimit[] = [];
     server = createClientServer({
       clock: createSystemClock(),
       handle: (incoming, response) => {
@@ -223,7 +229,8 @@
       intake: { hasRoom: () => true, recordTurnedAway: () => undefined },
       isBusy: () => false,
       unreadLimit: { get: () => undefined },
-      onClientError: (code) => faults.push(code),
+      onClientError: () => undefined,
+      onLimit: (limit) => limits.push(limit),
     });
     const port = await server.listen("127.0.0.1", 0);
     const closed: string[] = [];
@@ -248,6 +255,6 @@
     const { answered } = await openClient("new", formatRequest("/"));
     expect(String(await answered)).toMatch(/served/);
     expect(closed).toEqual(["silent"]);
-    expect(faults).toEqual(["idle_connection_closed"]);
+    expect(limits).toEqual(["idle"]);
   });
 });
--- a/packages/forwarding/src/clientServer.ts
+++ b/packages/forwarding/src/clientServer.ts
@@ -18,6 +18,7 @@
 } from "@stairgauge/saturation";
 import {
   createConnectionReader,
+  type ClientLimit,
   type ConnectionReader,
   type ConnectionReaderOptions,
 } from "./connectionReader.js";
@@ -72,6 +73,8 @@
   unreadLimit: Pick<UnreadLimit, "get">;
   /** A client sent an invalid request, or its connection was dropped; `code` is the error code. */
   onClientError: (code: string) => void;
+  /** A connection was ended for what its client kept the box from doing for others. */
+  onLimit: (limit: ClientLimit) => void;
 }>;
 
 /** The HTTP server for clients. */
@@ -121,7 +124,7 @@
 /** Has the server's parser get what a client sends from a reader of ours, instead of all that a read brings. */
 const startReader = (
   socket: Socket,
-  shared: Pick<ConnectionReaderOptions, "clock" | "turns" | "memory">,
+  shared: Pick<ConnectionReaderOptions, "clock" | "turns" | "memory" | "onLimit">,
 ): ConnectionReader => {
   const parsers = socket.listeners("data");
   socket.removeAllListeners("data");
@@ -165,7 +168,7 @@
 
 /** Creates the server; it does not listen yet. */
 export const createClientServer = (options: ClientServerOptions): ClientServer => {
-  const { intake } = options;
+  const { clock, intake, onLimit } = options;
   let headBytes = PARSER_HEAD_BYTES;
   const unused = new Set<Socket>();
   /** Connections whose head is late, until this turn of the event loop ends. */
@@ -173,12 +176,12 @@
 
   const readers = new WeakMap<Socket, ConnectionReader>();
   const turns = createReadTurns({
-    clock: options.clock,
+    clock,
     scheduleTurnEnd: setImmediate,
   });
   const memory = createReclaimableMemory(options.maxUnreadBytes);
 
-  const idle = createIdleConnections<Socket>(options.clock);
+  const idle = createIdleConnections<Socket>(clock);
   let connections = 0;
 
   const trackConnection = (socket: Socket) => {
@@ -190,8 +193,10 @@
       connections -= 1;
     });
     if (connections <= options.maxConnections) return;
-    idle.take()?.destroy();
-    options.onClientError("idle_connection_closed");
+    const longest = idle.take();
+    if (!longest) return;
+    onLimit("idle");
+    longest.destroy();
   };
   /** Whether the server takes one more connection: beyond the limit it closes an idle one for it. */
   const canAccept = () =>
@@ -243,7 +248,7 @@
   });
   server.on("drop", handleDrop);
   const arrivals = createSocketArrivals(server, options, (socket) => {
-    readers.set(socket, startReader(socket, { clock: options.clock, turns, memory }));
+    readers.set(socket, startReader(socket, { clock, turns, memory, onLimit }));
     idle.add(socket, "unused");
   });
   server.on("connection", trackConnection);
--- a/packages/forwarding/src/connectionReader.ts
+++ b/packages/forwarding/src/connectionReader.ts
@@ -34,6 +34,17 @@
 
 type Exchange = Readonly<{ incoming: IncomingMessage; response: ServerResponse }>;
 
+/** Why a connection was ended although its client has sent nothing invalid. */
+export type ClientLimit =
+  /** There were too many connections, and this one had been idle for longest. */
+  | "idle"
+  /** Too much waited to be handled, and some of this one's had waited for longest. */
+  | "sent_ahead"
+  /** Too much of answers waited to be read, and this one's had waited for longest. */
+  | "answer_unread"
+  /** Its client did not read an answer in time. */
+  | "answer_too_late";
+
 /** Options of a reader. */
 export type ConnectionReaderOptions = Readonly<{
   socket: Socket;
@@ -43,6 +54,8 @@
   turns: ReadTurns;
   /** Counts the bytes that wait to be handled, and those of answers that wait to be read. */
   memory: ReclaimableMemory;
+  /** The connection reached a limit: it is closed, at once or behind the answer that is open. */
+  onLimit: (limit: ClientLimit) => void;
 }>;
 
 /** Reads from one connection. */
@@ -69,6 +82,7 @@
   clock,
   turns,
   memory,
+  onLimit,
 }: ConnectionReaderOptions): ConnectionReader => {
   let waiting: Buffer = NOTHING;
   /** Bytes of the current request that were handled. */
@@ -80,6 +94,7 @@
   const exchanges: Exchange[] = [];
 
   const stopReading = () => {
+    onLimit("sent_ahead");
     isOver = true;
     waiting = NOTHING;
     const last = exchanges.at(-1);
@@ -140,8 +155,12 @@
   /** Ends the connection if its client doesn't read the answer, in time or before others need the memory. */
   const limitUnreadAnswer = (response: ServerResponse) => {
     if (socket.writableLength === 0) return;
-    const unread = memory.open(() => socket.destroy());
-    const timer = clock.setTimer(MAX_UNREAD_ANSWER_MS, () => socket.destroy());
+    const close = (limit: ClientLimit) => {
+      onLimit(limit);
+      socket.destroy();
+    };
+    const unread = memory.open(() => close("answer_unread"));
+    const timer = clock.setTimer(MAX_UNREAD_ANSWER_MS, () => close("answer_too_late"));
     response.once("close", () => {
       timer.cancel();
       unread.set(0);
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -21,6 +21,7 @@
 } from "./activeRuns.js";
 export { createClientServer } from "./clientServer.js";
 export type { ClientServer, ClientServerOptions } from "./clientServer.js";
+export type { ClientLimit } from "./connectionReader.js";
 export {
   createHeldBody,
   describeExcess,
--- a/packages/telemetry/src/boxMetrics.ts
+++ b/packages/telemetry/src/boxMetrics.ts
@@ -208,6 +208,12 @@
       labelNames: ["reason"],
       registers,
     }),
+    connectionsLimited: new Counter({
+      name: "stairgauge_connections_limited_total",
+      help: "Connections of clients that were ended for others, by limit: idle where there were too many; sent_ahead, answer_unread where they held too much memory; answer_too_late",
+      labelNames: ["limit"],
+      registers,
+    }),
     unevenServices: new Gauge({
       name: "stairgauge_uneven_services",
       help: "Services whose servers' service times differ so far that requests are placed by them",
