fix: a client that leaves is seen also while much of what it sent waits

Cause: since requests are read one after the other, a connection with more than 16 KB waiting was no longer read, and only reading shows that the client has left.

It is now read every 500 ms then; what comes beyond its memory is dropped.

Two cases of clientServer.test.ts failed before and pass.

--- a/packages/forwarding/src/clientServer.test.ts
+++ b/packages/forwarding/src/clientServer.test.ts
@@ -140,19 +140,27 @@
     expect(answers).toEqual(Array.from({ length: 40 }, (__, i) => i));
   });
 
-  it("sees that the client has left while a request is open and others wait", async () => {
-    const { open, connectClient } = await start();
-    const { socket } = connectClient();
-    socket.write(REQUEST.repeat(3));
-    await waitUntil(() => open.length === 1);
-    let hasLeft = false;
-    open[0]!.once("close", () => {
-      hasLeft = true;
-    });
-    socket.destroy();
-    await waitUntil(() => hasLeft);
-    expect(open.length).toBe(1);
-  });
+  it.each([
+    ["a few", 3, 1_000_000],
+    ["more than is read", 10_000, 1_000_000],
+    ["more than there is memory for", 10_000, 100_000],
+  ])(
+    "sees that the client has left while a request is open and others wait: %s",
+    async (_, ahead, maxBytes) => {
+      const { open, connectClient } = await start(maxBytes);
+      const { socket } = connectClient();
+      socket.write(REQUEST.repeat(ahead));
+      await waitUntil(() => open.length === 1);
+      await wait(1_200);
+      let hasLeft = false;
+      open[0]!.once("close", () => {
+        hasLeft = true;
+      });
+      socket.destroy();
+      await waitUntil(() => hasLeft);
+      expect(open.length).toBe(1);
+    },
+  );
 
   it("drops what waits longest where there is too much, and answers the open request before it closes", async () => {
     const { open, limits, connectClient } = await start(2_000);
--- a/packages/forwarding/src/connectionReader.ts
+++ b/packages/forwarding/src/connectionReader.ts
@@ -4,7 +4,7 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import type { Clock, Ms } from "@stairgauge/common";
+import type { Clock, Ms, Timer } from "@stairgauge/common";
 import {
   SHORT_READ_BYTES,
   type PendingReader,
@@ -15,12 +15,12 @@
 /** Largest piece. In chunks of one byte it costs about a millisecond. */
 const MAX_PIECE_BYTES = 4 * 1024;
 
-/**
- * Bytes that may wait before no more are read from the socket. While a request is open, reading on is what shows that
- * its client has left.
- */
+/** Bytes that may wait before the socket is read seldom. */
 const MAX_WAITING_BYTES = 16 * 1024;
 
+/** How often it is read then: only reading shows that the client has left. */
+const SELDOM_READ_MS = 500 as Ms;
+
 /**
  * Time in which a client has to read the rest of an answer that was handed to its connection as a whole. No client waits
  * longer than a minute for an answer.
@@ -91,6 +91,8 @@
   let isAhead = false;
   /** Whether nothing more is read: the connection ends with the answers that are open. */
   let isOver = false;
+  /** The next reading while too much waits. */
+  let seldomReading: Timer | undefined;
   const exchanges: Exchange[] = [];
 
   const stopReading = () => {
@@ -114,10 +116,21 @@
     if (!first) return true;
     return !second && !first.incoming.complete && !first.response.writableEnded;
   };
-  const takeArrived = () => {
-    if (isOver || waiting.length >= MAX_WAITING_BYTES) return;
+  const readSocket = () => {
     const bytes = socket.read() as Buffer | null;
-    if (bytes) setWaiting(waiting.length > 0 ? Buffer.concat([waiting, bytes]) : bytes);
+    if (!bytes || isOver) return;
+    setWaiting(waiting.length > 0 ? Buffer.concat([waiting, bytes]) : bytes);
+  };
+  const takeArrived = () => {
+    if (!isOver && waiting.length < MAX_WAITING_BYTES) {
+      readSocket();
+      return;
+    }
+    seldomReading ??= clock.setTimer(SELDOM_READ_MS, () => {
+      seldomReading = undefined;
+      readSocket();
+      readOn();
+    });
   };
   const hasPiece = () => waiting.length > 0 && mayParse();
   /** Frees the read that brought the bytes that wait, if most of it was handled. */
@@ -171,6 +184,7 @@
   socket.on("readable", readOn);
   socket.once("close", () => {
     isOver = true;
+    seldomReading?.cancel();
     setWaiting(NOTHING);
   });
   return {
