fix: long bodies are read on soon behind a suspension or a long turn

Found by reading: the time for long reads is charged with what passes while a piece is read. A process that is stopped for 2.5 s then read no body beyond 4 KB for 5 s, and in a box with long turns each whole body was charged with the whole turn, also with the work for others.

What a charge may leave owing is bounded (20 ms, so 40 ms of pause at most), and the turn is charged only for requests that were sent ahead, whose work it is there to bound.

Evidence: the new case of createReadTurns.test.ts failed before (0 of 2 pieces of another connection within 100 ms of a suspension) and passes.

--- a/packages/forwarding/src/connectionReader.ts
+++ b/packages/forwarding/src/connectionReader.ts
@@ -147,17 +147,18 @@
   const reader: PendingReader = {
     isLong: () => isAhead || handled >= SHORT_READ_BYTES,
     readPiece: () => {
-      if (!hasPiece()) return { isRequest: false, hasMore: false };
+      if (!hasPiece()) return { isSentAhead: false, hasMore: false };
+      const wasAhead = isAhead;
       parse(takePiece());
       if (waiting.length === 0) takeArrived();
-      const isRequest = exchanges.at(-1)?.incoming.complete === true;
-      if (isRequest) {
+      const isWhole = exchanges.at(-1)?.incoming.complete === true;
+      if (isWhole) {
         handled = 0;
         isAhead = waiting.length > 0;
       }
       const hasMore = hasPiece();
       if (!hasMore) dropHandled();
-      return { isRequest, hasMore };
+      return { isSentAhead: wasAhead && isWhole, hasMore };
     },
   };
   const readOn = () => {
--- a/packages/saturation/src/constants.ts
+++ b/packages/saturation/src/constants.ts
@@ -98,5 +98,11 @@
 /** Longest time without a pause for that, well below the time of a turn that is long. */
 export const MAX_LONG_READ_MS = 5;
 
+/**
+ * Time beyond that which still counts. A turn is longer while the box has much other work, or was suspended; long reads
+ * go on soon nevertheless.
+ */
+export const MAX_LONG_READ_DEBT_MS = 20;
+
 /** Pause behind it. */
 export const LONG_READ_PAUSE_MS = 5 as Ms;
--- a/packages/saturation/src/createReadTurns.test.ts
+++ b/packages/saturation/src/createReadTurns.test.ts
@@ -27,7 +27,7 @@
       readPiece: () => {
         handled += 1;
         clock.advance(kind.pieceMs as Ms);
-        return { isRequest: kind.requestMs !== undefined, hasMore: handled < pieces };
+        return { isSentAhead: kind.requestMs !== undefined, hasMore: handled < pieces };
       },
     };
     return { reader, countHandled: () => handled, requestMs: kind.requestMs ?? 0 };
@@ -99,4 +99,14 @@
     expect(one.countHandled()).toBe(16);
     expect(clock.monotonic()).toBeLessThan(MAX_LONG_READ_MS + LONG_READ_PAUSE_MS);
   });
+
+  it("goes on soon behind a piece in which the process was suspended", () => {
+    const { turns, createReader, runFor } = createSimulatedTurns();
+    const first = createReader(1, { isLong: true, pieceMs: 2_500 });
+    const second = createReader(2, { isLong: true, pieceMs: 0.1 });
+    turns.read(first.reader);
+    turns.read(second.reader);
+    runFor(100);
+    expect(second.countHandled()).toBe(2);
+  });
 });
--- a/packages/saturation/src/createReadTurns.ts
+++ b/packages/saturation/src/createReadTurns.ts
@@ -4,12 +4,17 @@
  * the time only: so clients that send much, or in pieces that cost much, keep no other client waiting.
  */
 import type { Clock } from "@stairgauge/common";
-import { LONG_READ_PAUSE_MS, LONG_READ_SHARE, MAX_LONG_READ_MS } from "./constants.js";
+import {
+  LONG_READ_PAUSE_MS,
+  LONG_READ_SHARE,
+  MAX_LONG_READ_DEBT_MS,
+  MAX_LONG_READ_MS,
+} from "./constants.js";
 
 /** What was handled. */
 export type ReadPiece = Readonly<{
-  /** Whether a request is whole now: it causes more work in this turn of the event loop. */
-  isRequest: boolean;
+  /** Whether a request that was sent ahead is whole now: it causes more work in this turn of the event loop. */
+  isSentAhead: boolean;
   /** Whether another piece may be handled behind it now. */
   hasMore: boolean;
 }>;
@@ -55,7 +60,7 @@
   };
   const countSpent = () => {
     const now = clock.monotonic();
-    allowance -= now - countedAt;
+    allowance = Math.max(-MAX_LONG_READ_DEBT_MS, allowance - (now - countedAt));
     countedAt = now;
   };
   const finishTurn = () => {
@@ -72,10 +77,10 @@
     for (const reader of waiting) {
       if (allowance <= 0) break;
       waiting.delete(reader);
-      const { isRequest, hasMore } = reader.readPiece();
+      const { isSentAhead, hasMore } = reader.readPiece();
       // The iteration also comes to what is added during it, so this connection is next behind all others.
       if (hasMore) waiting.add(reader);
-      if (isRequest) {
+      if (isSentAhead) {
         isScheduled = true;
         scheduleTurnEnd(finishTurn);
         return;
