--- a/apps/box/src/createPaths.ts
+++ b/apps/box/src/createPaths.ts
@@ -21,10 +21,10 @@
   type AnswerCarry,
   type ServerPaths,
 } from "@stairgauge/paths";
-import { computeSettingsLimits } from "./computeSettingsLimits.js";
 import { createHeadCodec, type EngineActionsOptions } from "@stairgauge/platform";
 import type { BoxSettings } from "@stairgauge/settings";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
+import { computeSettingsLimits } from "./computeSettingsLimits.js";
 import type { Knowledge } from "./createKnowledge.js";
 import type { Peers } from "./createPeers.js";
 import { observePaths } from "./observePaths.js";
--- a/apps/box/src/crowdedProcesses.testkit.ts
+++ b/apps/box/src/crowdedProcesses.testkit.ts
@@ -2,11 +2,7 @@
  * Test helpers: boxes as processes that are held to a share of one processor, in front of plain and streaming servers,
  * while most new connections go to a few of the boxes.
  */
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { createServer, request as openRequest, type Server } from "node:http";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-import { fileURLToPath } from "node:url";
 import { createSeededRandom } from "@stairgauge/common";
 import { HEADER, SERVER_PATH } from "@stairgauge/platform";
 import {
@@ -16,8 +12,9 @@
   SITE_KEY,
   startUsersSite,
 } from "@stairgauge/standins";
-import { createShareKeeper, spawnProcess } from "@stairgauge/testkit";
+import { createShareKeeper } from "@stairgauge/testkit";
 import { closers, waitMs } from "./box.testkit.js";
+import { startBoxProcess, type BoxProcess } from "./boxProcess.testkit.js";
 
 /** Plain servers work on this many requests at once, each for this long. */
 const PLAIN_SLOTS = 6;
@@ -75,13 +72,6 @@
   streamEvents?: number;
 }>;
 
-/** A running box: its process, its port for clients, and the lines that it has written. */
-type CrowdBox = Readonly<{
-  pid: number;
-  port: number;
-  listLines: () => readonly string[];
-}>;
-
 const startListening = async (server: Server): Promise<string> => {
   const { address, close } = await listenOnLoopback(server);
   closers.push(close);
@@ -156,45 +146,6 @@
     }),
   );
 
-const RUN_BOX = fileURLToPath(new URL("../dist/main.js", import.meta.url));
-
-/** Starts the compiled program of a box. */
-const startBoxProcess = async (name: string, store: string): Promise<CrowdBox> => {
-  const folder = mkdtempSync(join(tmpdir(), "stairgauge-crowd-"));
-  const path = join(folder, "box.yaml");
-  writeFileSync(
-    path,
-    `
-box: ${name}
-dataHall: hall-a
-listen: { clients: "127.0.0.1:0", ready: "127.0.0.1:0", metrics: "127.0.0.1:0", peers: "127.0.0.1:0" }
-store: { address: "${store}" }
-bounds: { configurationMs: 2000, keyRemovalMs: 5000, isKeyRemovalStrict: false, leavingMs: 2000, stopSeconds: 1 }
-retries: { ratio: 0.2, slack: 54, windowSeconds: 10 }
-limits: { descriptors: 16384 }
-`,
-  );
-  const script = `import { runBox } from ${JSON.stringify(RUN_BOX)}; await runBox({ keptCode: "absent" });`;
-  const started = spawnProcess([
-    "--max-old-space-size=96",
-    "--max-semi-space-size=2",
-    "--input-type=module",
-    "-e",
-    script,
-    "--",
-    "--settings",
-    path,
-  ]);
-  closers.push(async () => {
-    started.kill("SIGKILL");
-    await started.waitForExit();
-  });
-  const [line = ""] = await started.waitForLine(/.*"event":"started".*/);
-  const { ports } = JSON.parse(line) as { ports: { clients: number } };
-  rmSync(folder, { recursive: true });
-  return { pid: started.pid, port: ports.clients, listLines: started.listLines };
-};
-
 /** Sends one attempt on a new connection and waits for its end. */
 const sendAttempt = (
   port: number,
@@ -259,7 +210,7 @@
 export type CrowdPhase = Readonly<{ durationMs: number; firstCrowded?: number }>;
 
 export type Crowd = Readonly<{
-  boxes: readonly CrowdBox[];
+  boxes: readonly BoxProcess[];
   /** Sends requests through the phases without a pause; resolves with the requests that began in each. */
   run: (phases: readonly CrowdPhase[]) => Promise<readonly (readonly CrowdRequest[])[]>;
   /** Opens `count` connections to one box at once, each with one attempt that isn't repeated and lasts until its deadline. */
@@ -287,7 +238,12 @@
   site.limitConnections(2_000);
   const boxes = await Promise.all(
     Array.from({ length: options.boxes }, (_, i) =>
-      startBoxProcess(`box-${i}`, site.store.address),
+      startBoxProcess({
+        name: `box-${i}`,
+        store: site.store.address,
+        heapMb: 96,
+        descriptors: 16_384,
+      }),
     ),
   );
   await waitMs(3_000);
--- a/apps/box/src/misbehavingClients.testkit.ts
+++ b/apps/box/src/misbehavingClients.testkit.ts
@@ -2,16 +2,13 @@
  * Test helpers: a box as a process of its own on a small machine, clients that send more than it can hold and read
  * no answer, and clients that stay within the limits.
  */
-import { mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { readdirSync, readFileSync } from "node:fs";
 import { request as openRequest } from "node:http";
 import { connect, type Socket } from "node:net";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-import { fileURLToPath } from "node:url";
 import { HEADER } from "@stairgauge/platform";
 import { SITE_HOST, SITE_KEY, startUsersSite } from "@stairgauge/standins";
-import { spawnProcess } from "@stairgauge/testkit";
 import { closers, waitFor, waitMs } from "./box.testkit.js";
+import { startBoxProcess } from "./boxProcess.testkit.js";
 import { startWritingServer, writeSoundAnswer } from "./endlessAnswers.testkit.js";
 
 /** The machine of the box: memory and open files that the process may use. */
@@ -50,23 +47,9 @@
 export type SmallBox = Readonly<{
   port: number;
   hasEnded: () => boolean;
-  listLines: () => readonly string[];
   readUse: () => ProcessUse;
 }>;
 
-const RUN_BOX = fileURLToPath(new URL("../dist/main.js", import.meta.url));
-
-const formatSettings = (store: string) => `
-box: box-1
-dataHall: hall-a
-listen: { clients: "127.0.0.1:0", ready: "127.0.0.1:0", metrics: "127.0.0.1:0", peers: "127.0.0.1:0" }
-store: { address: "${store}" }
-bounds: { configurationMs: 2000, keyRemovalMs: 5000, isKeyRemovalStrict: false, leavingMs: 2000, stopSeconds: 1 }
-retries: { ratio: 0.2, slack: 54, windowSeconds: 10 }
-limits: { descriptors: ${MACHINE.descriptors} }
-clients: { heldMb: ${BODIES_MB} }
-`;
-
 /** Samples what a process uses until it ends. */
 const watchUse = (pid: number) => {
   let descriptors = 0;
@@ -107,36 +90,22 @@
   for (let i = 0; i < SERVERS; i += 1)
     site.putService(`plain-${i}`, await startServer(`plain-${i}`));
   site.putConfiguration();
-  const folder = mkdtempSync(join(tmpdir(), "stairgauge-clients-"));
-  closers.push(() => rmSync(folder, { recursive: true }));
-  const path = join(folder, "box.yaml");
-  writeFileSync(path, formatSettings(site.store.address));
-  const script = `import { runBox } from ${JSON.stringify(RUN_BOX)}; await runBox({ keptCode: "absent" });`;
-  const started = spawnProcess([
-    `--max-old-space-size=${HEAP_MB}`,
-    "--max-semi-space-size=2",
-    "--input-type=module",
-    "-e",
-    script,
-    "--",
-    "--settings",
-    path,
-  ]);
+  let readUse = (): ProcessUse => ({ memoryMb: 0, descriptors: 0 });
+  const { port, waitForExit } = await startBoxProcess(
+    {
+      name: "box-1",
+      store: site.store.address,
+      heapMb: HEAP_MB,
+      descriptors: MACHINE.descriptors,
+      more: `clients: { heldMb: ${BODIES_MB} }`,
+    },
+    (pid) => {
+      readUse = watchUse(pid);
+    },
+  );
   let hasEnded = false;
-  void started.waitForExit().then(() => (hasEnded = true));
-  closers.push(async () => {
-    started.kill("SIGKILL");
-    await started.waitForExit();
-  });
-  const readUse = watchUse(started.pid);
-  const [line = ""] = await started.waitForLine(/.*"event":"started".*/);
-  const { ports } = JSON.parse(line) as { ports: { clients: number } };
-  return {
-    port: ports.clients,
-    hasEnded: () => hasEnded,
-    listLines: started.listLines,
-    readUse,
-  };
+  void waitForExit().then(() => (hasEnded = true));
+  return { port, hasEnded: () => hasEnded, readUse };
 };
 
 const askOnce = (port: number, id: string): Promise<number> =>
@@ -206,7 +175,7 @@
 };
 
 /** Connects clients that write and never read, and again where the box has closed a connection. */
-export const startCrowd = (port: number, clients: number, write: () => Writing) => {
+const startCrowd = (port: number, clients: number, write: () => Writing) => {
   const sockets = new Set<Socket>();
   let isOver = false;
   const open = () => {
--- a/packages/forwarding/src/clientServer.test.ts
+++ b/packages/forwarding/src/clientServer.test.ts
@@ -3,7 +3,11 @@
 import { connect } from "node:net";
 import { afterEach, describe, expect, it } from "vitest";
 import { createSystemClock, stopEventLoop, type Ms } from "@stairgauge/common";
-import { createClientServer, type ClientServer } from "./clientServer.js";
+import {
+  createClientServer,
+  type ClientServer,
+  type ClientServerOptions,
+} from "./clientServer.js";
 import type { ClientLimit } from "./connectionReader.js";
 
 const HEADER_TIME = 200 as Ms;
@@ -13,6 +17,18 @@
 
 const HEAD = "GET / HTTP/1.1\r\nHost: site.example\r\nConnection: close\r\n\r\n";
 
+/** Options that no test here is about. */
+const OPTIONS: Omit<ClientServerOptions, "handle"> = {
+  clock: createSystemClock(),
+  maxConnections: 10,
+  maxUnreadBytes: 1_000_000,
+  intake: { hasRoom: () => true, recordTurnedAway: () => undefined },
+  isBusy: () => false,
+  unreadLimit: { get: () => undefined },
+  onClientError: () => undefined,
+  onLimit: () => undefined,
+};
+
 const wait = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
 
 describe("createClientServer", () => {
@@ -22,15 +38,9 @@
   const start = async () => {
     const faults: string[] = [];
     server = createClientServer({
-      clock: createSystemClock(),
+      ...OPTIONS,
       handle: (_, response) => response.end("served"),
-      maxConnections: 10,
-      maxUnreadBytes: 1_000_000,
-      intake: { hasRoom: () => true, recordTurnedAway: () => undefined },
-      isBusy: () => false,
-      unreadLimit: { get: () => undefined },
       onClientError: (code) => faults.push(code),
-      onLimit: () => undefined,
     });
     server.applyLimits({
       headerBytes: 1_000,
@@ -86,17 +96,12 @@
     const open: ServerResponse[] = [];
     const limits: ClientLimit[] = [];
     server = createClientServer({
-      clock: createSystemClock(),
+      ...OPTIONS,
       handle: (incoming, response) => {
         incoming.resume();
         open.push(response);
       },
-      maxConnections: 10,
       maxUnreadBytes,
-      intake: { hasRoom: () => true, recordTurnedAway: () => undefined },
-      isBusy: () => false,
-      unreadLimit: { get: () => undefined },
-      onClientError: () => undefined,
       onLimit: (limit) => limits.push(limit),
     });
     const port = await server.listen("127.0.0.1", 0);
@@ -228,16 +233,12 @@
   it("closes the connection that has been idle longest for a new one, and none with an open request", async () => {
     const limits: ClientLimit[] = [];
     server = createClientServer({
-      clock: createSystemClock(),
+      ...OPTIONS,
       handle: (incoming, response) => {
         if (incoming.url !== "/open") response.end("served");
       },
       maxConnections: 3,
       maxUnreadBytes: 1_000,
-      intake: { hasRoom: () => true, recordTurnedAway: () => undefined },
-      isBusy: () => false,
-      unreadLimit: { get: () => undefined },
-      onClientError: () => undefined,
       onLimit: (limit) => limits.push(limit),
     });
     const port = await server.listen("127.0.0.1", 0);
--- a/packages/forwarding/src/clientServer.ts
+++ b/packages/forwarding/src/clientServer.ts
@@ -204,9 +204,9 @@
     (connections < options.maxConnections ||
       (connections < options.maxConnections + SPARE_CONNECTIONS && idle.canTake()));
   const recordRequest = (incoming: IncomingMessage, response: ServerResponse) => {
-    unused.delete(incoming.socket);
-    overdue.delete(incoming.socket);
     const { socket } = incoming;
+    unused.delete(socket);
+    overdue.delete(socket);
     const reader = readers.get(socket);
     reader?.onRequest(incoming, response);
     idle.remove(socket);
