--- a/apps/box/src/boxProcess.testkit.ts
+++ b/apps/box/src/boxProcess.testkit.ts
@@ -5,11 +5,13 @@
 import { fileURLToPath } from "node:url";
 import { spawnProcess } from "@stairgauge/testkit";
 import { closers } from "./box.testkit.js";
+import type { BoxPorts } from "./createLifecycle.js";
 
-/** A running box: its process, its port for clients, and the lines that it has written. */
+/** A running box: its process, its ports, that for clients by itself as well, and the lines that it has written. */
 export type BoxProcess = Readonly<{
   pid: number;
   port: number;
+  ports: BoxPorts;
   listLines: () => readonly string[];
   waitForExit: () => Promise<number | null>;
 }>;
@@ -63,8 +65,8 @@
     await started.waitForExit();
   });
   const [line = ""] = await started.waitForLine(/.*"event":"started".*/);
-  const { ports } = JSON.parse(line) as { ports: { clients: number } };
+  const { ports } = JSON.parse(line) as { ports: BoxPorts };
   rmSync(folder, { recursive: true });
   const { pid, listLines, waitForExit } = started;
-  return { pid, port: ports.clients, listLines, waitForExit };
+  return { pid, port: ports.clients, ports, listLines, waitForExit };
 };
--- a/apps/box/src/misbehavingClients.alone.test.ts
+++ b/apps/box/src/misbehavingClients.alone.test.ts
@@ -109,9 +109,9 @@
 ]);
 
 /** Clients of one kind. */
-type Crowd = Readonly<{ does: string; clients: number; write: () => Writing }>;
+type Kind = Readonly<{ does: string; clients: number; write: () => Writing }>;
 
-const CROWDS: readonly Crowd[] = [
+const CROWDS: readonly Kind[] = [
   {
     does: "leave bodies open, in chunks of one byte",
     clients: 10,
@@ -200,7 +200,7 @@
   it.each(CROWDS.map((crowd) => [crowd.does, crowd] as const))(
     "%s",
     async (_, { clients, write }) => {
-      const { use, ...seen } = await runCrowd(box, clients, write);
+      const { use, ...seen } = await runCrowd(box, { port: box.port, clients, write });
       expect({ ...seen, use }).toMatchObject({
         hasEnded: false,
         meanwhile: 200,
--- a/apps/box/src/misbehavingClients.testkit.ts
+++ b/apps/box/src/misbehavingClients.testkit.ts
@@ -3,12 +3,13 @@
  * no answer, and clients that stay within the limits.
  */
 import { readdirSync, readFileSync } from "node:fs";
-import { request as openRequest } from "node:http";
+import { request as openRequest, type RequestOptions } from "node:http";
 import { connect, type Socket } from "node:net";
-import { HEADER } from "@stairgauge/platform";
+import { HEADER, READY_PATH } from "@stairgauge/platform";
 import { SITE_HOST, SITE_KEY, startUsersSite } from "@stairgauge/standins";
 import { closers, waitFor, waitMs } from "./box.testkit.js";
 import { startBoxProcess } from "./boxProcess.testkit.js";
+import type { BoxPorts } from "./createLifecycle.js";
 import { startWritingServer, writeSoundAnswer } from "./endlessAnswers.testkit.js";
 
 /** The machine of the box: memory and open files that the process may use. */
@@ -26,7 +27,7 @@
 /** How long the crowd stays. */
 const CROWD_MS = 6_000;
 
-/** A client whose connection was closed connects again after this. */
+/** A client whose connection was closed connects again after this, unless its crowd waits longer. */
 const RECONNECT_MS = 100;
 const SAMPLE_MS = 50;
 
@@ -46,6 +47,8 @@
 /** The process of a box. */
 export type SmallBox = Readonly<{
   port: number;
+  ports: BoxPorts;
+  listLines: () => readonly string[];
   hasEnded: () => boolean;
   readUse: () => ProcessUse;
 }>;
@@ -91,7 +94,7 @@
     site.putService(`plain-${i}`, await startServer(`plain-${i}`));
   site.putConfiguration();
   let readUse = (): ProcessUse => ({ memoryMb: 0, descriptors: 0 });
-  const { port, waitForExit } = await startBoxProcess(
+  const { port, ports, listLines, waitForExit } = await startBoxProcess(
     {
       name: "box-1",
       store: site.store.address,
@@ -105,25 +108,13 @@
   );
   let hasEnded = false;
   void waitForExit().then(() => (hasEnded = true));
-  return { port, hasEnded: () => hasEnded, readUse };
+  return { port, ports, listLines, hasEnded: () => hasEnded, readUse };
 };
 
-const askOnce = (port: number, id: string): Promise<number> =>
+/** Sends one request on a new connection; resolves with the status, 0 without a whole answer. */
+const sendOnce = (options: RequestOptions, body = ""): Promise<number> =>
   new Promise((resolve) => {
-    const outgoing = openRequest({
-      host: "127.0.0.1",
-      port,
-      method: "POST",
-      path: `/once/${id}`,
-      agent: false,
-      headers: {
-        [HEADER.host]: SITE_HOST,
-        [HEADER.authorization]: `Token ${SITE_KEY}`,
-        [HEADER.requestId]: id,
-        [HEADER.deadline]: String(TRY_MS),
-        "Content-Length": String(ORDINARY_BODY),
-      },
-    });
+    const outgoing = openRequest({ host: "127.0.0.1", agent: false, ...options });
     const limit = setTimeout(() => outgoing.destroy(), TRY_MS);
     outgoing.on("response", (incoming) => {
       incoming.resume();
@@ -135,20 +126,42 @@
       clearTimeout(limit);
       resolve(0);
     });
-    outgoing.end("x".repeat(ORDINARY_BODY));
+    outgoing.end(body);
   });
 
-/** Sends an ordinary request on a new connection, a few times at most; resolves with the status of each try, 0 for none. */
-export const askInTries = async (box: SmallBox, name: string): Promise<number[]> => {
+const askOnce = (port: number, id: string): Promise<number> => {
+  const headers = {
+    [HEADER.host]: SITE_HOST,
+    [HEADER.authorization]: `Token ${SITE_KEY}`,
+    [HEADER.requestId]: id,
+    [HEADER.deadline]: String(TRY_MS),
+    "Content-Length": String(ORDINARY_BODY),
+  };
+  const request = { port, method: "POST", path: `/once/${id}`, headers };
+  return sendOnce(request, "x".repeat(ORDINARY_BODY));
+};
+
+const retryUntilServed = async (
+  box: SmallBox,
+  ask: (tries: number) => Promise<number>,
+): Promise<number[]> => {
   const statuses: number[] = [];
   while (statuses.length < TRIES && !box.hasEnded()) {
     if (statuses.length > 0) await waitMs(TRY_PAUSE_MS);
-    statuses.push(await askOnce(box.port, `${name}-${statuses.length}`));
+    statuses.push(await ask(statuses.length));
     if (statuses.at(-1) === 200) break;
   }
   return statuses;
 };
 
+/** Sends an ordinary request on a new connection, a few times at most; resolves with the status of each try, 0 for none. */
+export const askInTries = (box: SmallBox, name: string): Promise<number[]> =>
+  retryUntilServed(box, (tries) => askOnce(box.port, `${name}-${tries}`));
+
+/** Checks the readiness likewise. */
+export const checkReadyInTries = (box: SmallBox): Promise<number[]> =>
+  retryUntilServed(box, () => sendOnce({ port: box.ports.ready, path: READY_PATH }));
+
 /** What one client of a crowd does: a block that it writes, or a pause. */
 export type Step = string | Readonly<{ pauseMs: number }>;
 
@@ -174,8 +187,16 @@
   writeOn();
 };
 
+/** Clients of one kind, at one port of a box. */
+export type Crowd = Readonly<{
+  port: number;
+  clients: number;
+  write: () => Writing;
+  reconnectMs?: number;
+}>;
+
 /** Connects clients that write and never read, and again where the box has closed a connection. */
-const startCrowd = (port: number, clients: number, write: () => Writing) => {
+const startCrowd = ({ port, clients, write, reconnectMs = RECONNECT_MS }: Crowd) => {
   const sockets = new Set<Socket>();
   let isOver = false;
   const open = () => {
@@ -187,7 +208,7 @@
     socket.on("connect", () => writeAll(socket, write()));
     socket.on("close", () => {
       sockets.delete(socket);
-      setTimeout(open, RECONNECT_MS);
+      setTimeout(open, reconnectMs);
     });
   };
   for (let i = 0; i < clients; i += 1) open();
@@ -199,17 +220,21 @@
   return { leave };
 };
 
-/** Keeps a crowd at the box for a while, and sends an ordinary request meanwhile and one afterwards. */
-export const runCrowd = async (box: SmallBox, clients: number, write: () => Writing) => {
-  const crowd = startCrowd(box.port, clients, write);
+/** Keeps a crowd at the box for a while; sends an ordinary request and checks the readiness meanwhile and afterwards. */
+export const runCrowd = async (box: SmallBox, kind: Crowd) => {
+  const crowd = startCrowd(kind);
   await Promise.race([waitMs(CROWD_MS), waitFor(box.hasEnded)]);
   const meanwhile = await askInTries(box, "meanwhile");
+  const readyMeanwhile = await checkReadyInTries(box);
   crowd.leave();
   const afterwards = await askInTries(box, "afterwards");
+  const readyAfterwards = await checkReadyInTries(box);
   return {
     hasEnded: box.hasEnded(),
     meanwhile: meanwhile.at(-1),
+    readyMeanwhile: readyMeanwhile.at(-1),
     afterwards: afterwards.at(-1),
+    readyAfterwards: readyAfterwards.at(-1),
     use: box.readUse(),
   };
 };
