test: calls that cannot be made end as lost though nothing was sent

A server's row whose name cannot be sent in a head costs requests: at one box and at two, of 30 repeatable and once requests some end as 502 answer_lost one after the other, each with a connect ECONNREFUSED that nobody handles. The same holds for a workspace's name. One with a space before it is trimmed on the way: its requests run under the name of another workspace.

--- /dev/null
+++ b/apps/box/src/unsendableCalls.test.ts
@@ -0,0 +1,121 @@
+/**
+ * Guards against calls that cannot be made, as a value of another writer does not fit into a head: requests
+ * that end as lost although nothing was sent, errors without a handler, and other boxes that are blamed.
+ */
+import { afterEach, describe, expect, it } from "vitest";
+import { SITE_KEY, startUsersSite } from "@stairgauge/standins";
+import {
+  ask,
+  closers,
+  makeGeneration,
+  startBox,
+  startSite,
+  waitFor,
+  waitMs,
+  type Line,
+} from "./box.testkit.js";
+import { startFleet } from "./fleet.testkit.js";
+
+const KEYS = [
+  ["a line break", "a b\r\nX: y"],
+  ["characters beyond Latin-1", "\u4e2d\u6587"],
+  ["a zero character", "a\u0000"],
+  ["a delete character", "a\u007f"],
+] as const;
+
+/** Entry of a server at whose address nothing listens. */
+const makeEntry = (service: string) => ({
+  service,
+  address: "127.0.0.1:9",
+  zone: "hall-a",
+  version: "v1",
+  slots: 6,
+  state: "ready",
+  warmupLeftMs: 0,
+  sequence: 1,
+});
+
+const errors: unknown[] = [];
+const recordError = (error: unknown) => void errors.push(error);
+afterEach(() => {
+  process.off("uncaughtException", recordError);
+  errors.length = 0;
+});
+
+const startBoxes = async (count: number, key: string) => {
+  process.on("uncaughtException", recordError);
+  const site = await startUsersSite({ engines: 1, services: 1 });
+  closers.push(site.close);
+  site.putConfiguration();
+  site.putRawEntry(key, makeEntry("pages"));
+  site.putRawEntry(`${key}-engine`, makeEntry("writers"));
+  const fleet =
+    count === 1
+      ? [await startBox(site.store.address, "box-1", { isKeyRemovalStrict: false })]
+      : (await startFleet({ store: site.store.address, boxes: count, servers: 2 })).fleet;
+  const isReported = (lines: readonly Line[]) =>
+    lines.filter(({ event, kind }) => event === "server_list" && kind === "unreadable");
+  await waitFor(() =>
+    fleet.every(
+      ({ lines }) =>
+        isReported(lines).length === 2 ||
+        lines.filter(({ event }) => event === "server_joined").length === 4,
+    ),
+  );
+  return { site, fleet, isReported };
+};
+
+describe("a server whose name cannot be sent", () => {
+  it.each(
+    [1, 2].flatMap((boxes) => KEYS.map(([what, key]) => [what, boxes, key] as const)),
+  )("with %s costs no request at %i boxes", async (_what, boxes, key) => {
+    const { fleet, isReported } = await startBoxes(boxes, key);
+    const sent = Array.from({ length: 15 }, (_, i) => fleet[i % boxes]!.ports).flatMap(
+      (ports) => [
+        ask(ports, { path: "/again/", method: "GET" }),
+        ask(ports, { path: "/once/" }),
+      ],
+    );
+    const streams = fleet.flatMap(({ ports }) =>
+      [0, 1].map(() => ask(ports, { path: "/draft/1", headers: makeGeneration(20, 5) })),
+    );
+    const answers = await Promise.all([...sent, ...streams]);
+    expect(answers.map(({ status }) => status)).toEqual(answers.map(() => 200));
+    await waitMs(50);
+    expect(errors).toEqual([]);
+    for (const { lines } of fleet) {
+      const events = lines.map(({ event }) => event);
+      expect(events).not.toContain("carrier_lost");
+      expect(isReported(lines)).toHaveLength(2);
+    }
+  });
+});
+
+describe("a workspace whose name cannot be sent", () => {
+  it.each([...KEYS, ["a space before it", " site-workspace"] as const])(
+    "with %s has its requests refused as not run, and no others",
+    async (_what, name) => {
+      process.on("uncaughtException", recordError);
+      const { site, ports, lines, start } = await startSite(0, 1);
+      await start();
+      site.putConfiguration({
+        tenants: [
+          { name, apiKeys: ["other-key"], priority: 1 },
+          { name: "site-workspace", apiKeys: [SITE_KEY], priority: 1 },
+        ],
+      });
+      const countAdopted = () =>
+        lines.filter(({ event }) => event === "configuration_adopted").length;
+      await waitFor(() => countAdopted() === 2);
+      const headers = { Authorization: "Token other-key" };
+      for (const path of ["/again/", "/once/"]) {
+        const refused = await ask(ports, { path, headers });
+        expect(refused.status).toBe(503);
+        expect(refused.headers["retry-after"]).toBeDefined();
+        expect((await ask(ports, { path })).status).toBe(200);
+      }
+      expect(site.services[0]!.listReceived()).toHaveLength(2);
+      expect(errors).toEqual([]);
+    },
+  );
+});
--- a/packages/forwarding/src/carrying.testkit.ts
+++ b/packages/forwarding/src/carrying.testkit.ts
@@ -2,6 +2,7 @@
  * Boxes before servers on a virtual clock, with the real state of paths, choice of carriers and exchanges;
  * connections and links are simulated.
  */
+import { Socket } from "node:net";
 import {
   createSeededRandom,
   createVirtualClock,
@@ -20,7 +21,7 @@
 } from "@stairgauge/paths";
 import type { CarryEvent } from "./carriedExchange.js";
 import { createCarryForOthers } from "./carryForOthers.js";
-import type { ExchangeRequest, ExchangeSink } from "./openExchange.js";
+import { openExchange, type ExchangeRequest, type ExchangeSink } from "./openExchange.js";
 import { createServerExchanges, type OpenOwnExchange } from "./serverExchanges.js";
 
 export const CONNECT_LIMIT = 250 as Ms;
@@ -38,7 +39,7 @@
 }>;
 
 export type Outcome = Readonly<{
-  kind: "served" | "unreachable" | "broken" | "carrier_lost" | "open";
+  kind: "served" | "unreachable" | "unsendable" | "broken" | "carrier_lost" | "open";
   detail?: string;
   carrier?: BoxName | undefined;
   after: number;
@@ -55,6 +56,12 @@
   seed?: number;
 }>;
 
+/** Differences of a request from one without headers. */
+export type SendChanges = Readonly<{
+  headers?: readonly string[];
+  onBuild?: () => void;
+}>;
+
 export const toBox = (index: number) => `box-${index}` as BoxName;
 
 const toServer = (index: number): BackendServer =>
@@ -93,7 +100,11 @@
   /** A connection of one box; a request runs when it arrives over an established one. */
   const createOpenOwn =
     (box: number): OpenOwnExchange =>
-    ({ address, connectLimit, target }: ExchangeRequest, sink: ExchangeSink) => {
+    (request: ExchangeRequest, sink: ExchangeSink) => {
+      const { address, connectLimit, target, headers } = request;
+      // What can't be sent fails before there is a connection to simulate.
+      if (headers.length > 0)
+        return openExchange(clock, { ...request, dial: () => new Socket() }, sink);
       const server = address.port;
       let isOver = false;
       let isConnected = false;
@@ -208,7 +219,7 @@
   );
 
   /** Sends one request, and returns how it ended so far. */
-  const send = (box: number, server: number, id: string) => {
+  const send = (box: number, server: number, id: string, changes: SendChanges = {}) => {
     const startedAt = clock.monotonic();
     let outcome: Outcome = { kind: "open", after: 0 };
     let carrier: BoxName | undefined;
@@ -218,14 +229,17 @@
     exchanges[box]!.open({
       server: servers[server]!,
       isNewWork: true,
-      build: () => ({
-        address: servers[server]!.entry.address,
-        method: "POST",
-        target: id,
-        headers: [],
-        body: Buffer.alloc(0),
-        connectLimit: CONNECT_LIMIT,
-      }),
+      build: () => {
+        changes.onBuild?.();
+        return {
+          address: servers[server]!.entry.address,
+          method: "POST",
+          target: id,
+          headers: changes.headers ?? [],
+          body: Buffer.alloc(0),
+          connectLimit: CONNECT_LIMIT,
+        };
+      },
       sink: {
         onCarried: (by) => {
           carrier = by;
--- a/packages/forwarding/src/dispatchFaults.test.ts
+++ b/packages/forwarding/src/dispatchFaults.test.ts
@@ -47,7 +47,7 @@
 
 /** Dispatches a request whose connection its server breaks; returns the status of its answer. */
 const dispatchBroken = (
-  changes: Readonly<{ choose?: () => never; take?: () => never }>,
+  changes: Readonly<{ choose?: () => never; take?: () => never; open?: () => never }>,
 ) => {
   const statuses: number[] = [];
   const decisions: ForwardDecision["kind"][] = [];
@@ -84,6 +84,7 @@
     observer: { onDecision: (_, { kind }) => void decisions.push(kind) },
     exchanges: createStub<DispatchDeps["exchanges"]>({
       open: (request) => {
+        changes.open?.();
         sink = request.sink;
         return createStub<Exchange>({ isSent: () => true });
       },
@@ -127,4 +128,11 @@
     expect(decisions).toContain("step_failed");
     expect(statuses).toEqual([503]);
   });
+
+  it("is said not to have run if the call itself could not be opened", async () => {
+    const { statuses, decisions } = dispatchBroken({ open: failStep });
+    await new Promise(setImmediate);
+    expect(decisions).toContain("step_failed");
+    expect(statuses).toEqual([503]);
+  });
 });
--- a/packages/forwarding/src/openExchange.test.ts
+++ b/packages/forwarding/src/openExchange.test.ts
@@ -1,4 +1,4 @@
-import { createServer, type Socket } from "node:net";
+import { createServer, Socket } from "node:net";
 import type { AddressInfo } from "node:net";
 import { afterEach, describe, expect, it } from "vitest";
 import { createSystemClock, type Ms } from "@stairgauge/common";
@@ -120,3 +120,67 @@
     expect((await fetchFrom(address)).end).toBe("unreachable");
   });
 });
+
+describe("openExchange with a head that cannot be sent", () => {
+  it.each([
+    ["a line break", { headers: ["Host", "a\r\nb: c"] }],
+    ["a character beyond Latin-1", { headers: ["Host", "\u4e2d"] }],
+    ["a name that is no token", { headers: ["a b", "c"] }],
+    ["a space in its target", { target: "/a b" }],
+    ["a method that is no token", { method: "G T" }],
+  ])("with %s dials nothing and reports it as not sent", async (_name, changes) => {
+    let dialed = 0;
+    const exchange: { isSent: () => boolean } = { isSent: () => true };
+    const failed = new Promise<string>((resolve) => {
+      const opened = openExchange(
+        createSystemClock(),
+        {
+          address: { host: "127.0.0.1", port: 9 },
+          method: "GET",
+          target: "/a",
+          headers: [],
+          body: Buffer.alloc(0),
+          connectLimit: 1_000 as Ms,
+          dial: () => {
+            dialed += 1;
+            return new Socket();
+          },
+          ...changes,
+        },
+        {
+          onHead: () => resolve("head"),
+          onData: () => resolve("data"),
+          onEnd: () => resolve("end"),
+          onFailure: ({ kind }) => resolve(kind),
+        },
+      );
+      exchange.isSent = opened.isSent;
+    });
+    expect(await failed).toBe("unsendable");
+    expect(dialed).toBe(0);
+    expect(exchange.isSent()).toBe(false);
+  });
+
+  it("reports a connection that cannot be dialed as not sent", async () => {
+    const failed = new Promise<string>((resolve) => {
+      openExchange(
+        createSystemClock(),
+        {
+          address: { host: "127.0.0.1", port: 70_000 },
+          method: "GET",
+          target: "/a",
+          headers: [],
+          body: Buffer.alloc(0),
+          connectLimit: 1_000 as Ms,
+        },
+        {
+          onHead: () => resolve("head"),
+          onData: () => resolve("data"),
+          onEnd: () => resolve("end"),
+          onFailure: ({ kind }) => resolve(kind),
+        },
+      );
+    });
+    expect(await failed).toBe("unreachable");
+  });
+});
