--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -17,6 +17,7 @@
 export { connectTcp } from "./dialer.js";
 export type { Dialer } from "./dialer.js";
 export { advanceSettled } from "./advanceSettled.js";
+export { collectRejections } from "./collectRejections.js";
 export { stopEventLoop } from "./stopEventLoop.js";
 export { createPoller } from "./poller.js";
 export type { Poller } from "./poller.js";
--- a/packages/crashes/src/blockedList.test.ts
+++ b/packages/crashes/src/blockedList.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from "vitest";
 import {
   advanceSettled,
+  collectRejections,
   createVirtualClock,
   Err,
   Ok,
@@ -31,6 +32,7 @@
   const values = new Map<string, Buffer>();
   const failures: unknown[] = [];
   let answer: Result<void, StoreWriteFailure> = Ok(undefined);
+  let isThrowing = false;
   const guard = createRequestGuard({
     clock,
     limits: { blockingEnds: 3, memory: MEMORY_MS },
@@ -43,6 +45,7 @@
     clock,
     writer: {
       putRow: async ({ key, value }) => {
+        if (isThrowing) throw new Error("odd");
         calls.push(`put ${key}`);
         values.set(key, value);
         return answer;
@@ -79,6 +82,9 @@
     recordCrashes,
     getKind,
     makeRow,
+    setThrowing: (throwing: boolean) => {
+      isThrowing = throwing;
+    },
     setAnswer: (next: typeof answer) => {
       answer = next;
     },
@@ -230,4 +236,17 @@
       expect(BLOCKED_RESTORE_RULES.resolveDropped(row).kind).toBe("take_after");
     });
   });
+
+  it("repeats a write that throws", async () => {
+    const box = createBox();
+    box.setThrowing(true);
+    const errors = await collectRejections(async () => {
+      box.recordCrashes(["a", "b", "c"]);
+      await advanceSettled(box.clock, 3_000 as Ms);
+    });
+    expect(errors).toContainEqual(new Error("odd"));
+    box.setThrowing(false);
+    await advanceSettled(box.clock, 2_000 as Ms);
+    expect(box.calls).toEqual([`put ${DIGEST}`]);
+  });
 });
--- a/packages/fleet/src/followClosedHalls.test.ts
+++ b/packages/fleet/src/followClosedHalls.test.ts
@@ -89,4 +89,20 @@
     expect(getClosed()).toEqual(["a"]);
     expect(reported).toEqual(["closed a"]);
   });
+
+  it("reports a change again if applying it threw", () => {
+    const applied: string[][] = [];
+    let isThrowing = true;
+    const sink = createClosedHallsSink({
+      decodeKey,
+      onChange: (halls) => {
+        if (isThrowing) throw new Error("odd");
+        applied.push([...halls]);
+      },
+    });
+    expect(() => sink.onWhole([makeRow("closed/a")], NOW, toRevision(1))).toThrow("odd");
+    isThrowing = false;
+    sink.onWhole([makeRow("closed/a")], NOW, toRevision(1));
+    expect(applied).toEqual([["a"]]);
+  });
 });
--- a/packages/fleet/src/pollReports.test.ts
+++ b/packages/fleet/src/pollReports.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from "vitest";
 import {
   advanceSettled,
+  collectRejections,
   createSeededRandom,
   createVirtualClock,
   Err,
@@ -48,8 +49,10 @@
   /** Time for which the process is suspended after each report is sent. */
   let suspension = 0 as Ms;
   let startedAt = STARTED_AT;
+  let isThrowing = false;
   const readReport: EngineActions["readReport"] = () => {
     requestCount += 1;
+    if (isThrowing) throw new Error("odd");
     suspendedFor += suspension;
     return Promise.resolve(
       isAnswering ? Ok({ ...REPORT, startedAt }) : Err({ kind: "no_answer", detail: "" }),
@@ -104,6 +107,9 @@
     setInterval: (next: number) => {
       interval = next as Ms;
     },
+    setThrowing: (throwing: boolean) => {
+      isThrowing = throwing;
+    },
     fail: () => {
       isAnswering = false;
     },
@@ -176,4 +182,15 @@
     poller.stop();
     expect(countReports()).toBeGreaterThan(0);
   });
+
+  it("polls an engine again after a poll that throws", async () => {
+    const { clock, poller, countPolled, setThrowing } = setUp(new Set(ENGINES), 1);
+    setThrowing(true);
+    const errors = await collectRejections(() => advanceSettled(clock, 10_000 as Ms));
+    setThrowing(false);
+    await advanceSettled(clock, 10_000 as Ms);
+    poller.stop();
+    expect(errors).toContainEqual(new Error("odd"));
+    expect(countPolled()).toBeGreaterThanOrEqual(ENGINES.length);
+  });
 });
--- a/packages/migration/src/standbyKeeper.test.ts
+++ b/packages/migration/src/standbyKeeper.test.ts
@@ -1,6 +1,7 @@
 import { beforeEach, describe, expect, it } from "vitest";
 import {
   advanceSettled,
+  collectRejections,
   createVirtualClock,
   type DataHallName,
   type Ms,
@@ -51,6 +52,7 @@
   let copied: string[];
   let dropped: string[];
   let reserved: number;
+  let isThrowing: boolean;
   let decisions: string[];
   const run = makeRun("r1");
 
@@ -63,11 +65,13 @@
     copied = [];
     dropped = [];
     reserved = 0;
+    isThrowing = false;
     decisions = [];
     keeper = createStandbyKeeper({
       clock,
       actions: {
         copyRun: ({ id, isLast }) => {
+          if (isThrowing) throw new Error("odd");
           copied.push(`${id}${isLast ? " last" : ""}`);
           const answer = answers.shift() ?? {
             kind: "copied",
@@ -186,4 +190,14 @@
     await advance(100);
     expect(copied).toEqual(["r1", "r2"]);
   });
+
+  it("copies a run at a later check after one that throws, and frees what was reserved", async () => {
+    isThrowing = true;
+    const errors = await collectRejections(() => advance(500));
+    expect(errors).toEqual([new Error("odd")]);
+    expect(reserved).toBe(0);
+    isThrowing = false;
+    await advance(500);
+    expect(copied).toEqual(["r1"]);
+  });
 });
--- a/packages/origins/src/versionRows.test.ts
+++ b/packages/origins/src/versionRows.test.ts
@@ -2,6 +2,7 @@
 import { describe, expect, it } from "vitest";
 import {
   advanceSettled,
+  collectRejections,
   createVirtualClock,
   Err,
   Ok,
@@ -23,7 +24,7 @@
   );
 
 /** A store that all boxes share, and that may be away. */
-const createStore = () => {
+const createStore = (failingReads = 0) => {
   const values = new Map<string, Buffer>();
   const counts = { reads: 0, writes: 0 };
   let isAway = false;
@@ -36,6 +37,7 @@
     reader: {
       readTable: async () => {
         counts.reads += 1;
+        if (counts.reads <= failingReads) throw new Error("odd");
         if (isAway) return Err({ kind: "timed_out" } as const);
         const revision = makeRevision(0, 1);
         const rows: StoredRow[] = [...values].map(([key, value]) => ({
@@ -193,4 +195,19 @@
     await advance(clock, 2_100);
     expect(store.values.get(SERVICE)?.toString()).toContain("v1");
   });
+
+  it("checks on after a check that throws, and passes its error on", async () => {
+    const clock = createVirtualClock();
+    const store = createStore(2);
+    let box: ReturnType<typeof startBox>;
+    const errors = await collectRejections(async () => {
+      box = startBox(clock, store, 0);
+      await advance(clock, 10_000);
+    });
+    expect(box!.rows.isLoaded()).toBe(true);
+    expect(errors).toContainEqual(new Error("odd"));
+    box!.observe("v1");
+    await advance(clock, 100);
+    expect(store.counts.writes).toBe(1);
+  });
 });
--- a/packages/peers/src/memberSink.test.ts
+++ b/packages/peers/src/memberSink.test.ts
@@ -1,8 +1,9 @@
 /** Any process may write a row of the table of boxes. An unusable row must affect nothing but itself. */
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
-import type { BoxName, DataHallName } from "@stairgauge/common";
-import { decodeMember, encodeMember } from "./memberSink.js";
+import type { BoxName, DataHallName, Ms } from "@stairgauge/common";
+import { makeRevision } from "@stairgauge/storefeed";
+import { createMemberSink, decodeMember, encodeMember } from "./memberSink.js";
 import type { Peer } from "./types.js";
 
 const PEER: Peer = {
@@ -48,3 +49,20 @@
     );
   });
 });
+
+describe("a box whose row can't be read any more", () => {
+  it.each(["onWhole", "onChanges"] as const)("stays a member (%s)", (how) => {
+    const members: string[][] = [];
+    const sink = createMemberSink({
+      onMembers: (all) => members.push(all.map(({ box }) => box)),
+      onUnreadable: () => undefined,
+    });
+    const revision = makeRevision(1, 1);
+    const row = { key: "box-1", value: encodeMember(PEER), revision };
+    const odd = { ...row, value: Buffer.of() };
+    sink.onWhole([row], 0 as Ms, revision);
+    if (how === "onWhole") sink.onWhole([odd], 0 as Ms, revision);
+    else sink.onChanges([{ kind: "put", row: odd }], 0 as Ms, revision);
+    expect(members).toEqual([["box-1"], ["box-1"]]);
+  });
+});
--- a/packages/standins/src/usersPlatform/usersStore.ts
+++ b/packages/standins/src/usersPlatform/usersStore.ts
@@ -24,6 +24,11 @@
   value: Readonly<Record<string, unknown>>,
 ) => Readonly<Record<string, unknown>> | undefined;
 
+/** Returns what goes out in place of a row, as any JSON value; undefined sends the row as it is. */
+export type SentRowChange = (
+  row: Readonly<{ table: string; key: string; ver: number; gone?: boolean }>,
+) => unknown;
+
 /** A running store, with what a test can change. */
 export type UsersStore = Listening &
   Readonly<{
@@ -42,6 +47,8 @@
     loseAnswers: (count: number) => void;
     /** Changes fields of the rows that boxes write from now on. */
     changeWrittenRows: (change: RowChange) => void;
+    /** Replaces rows of all answers as they go out; undefined sends them unchanged again. */
+    replaceSentRows: (replaceRow: SentRowChange | undefined) => void;
     /** Answers the next `count` reads of a whole table with the state before that table's last change. */
     serveStaleReads: (count: number) => void;
     /** Keys of the rows that are not deleted. */
@@ -60,6 +67,9 @@
 /** A feed call that waits for changes later than revision `since`. */
 type PendingFeedCall = Readonly<{ table: string; since: number; answer: () => void }>;
 
+/** Most rows of one answer. */
+const MAX_PAGE_ROWS = 500;
+
 const encodeValue = (value: unknown) =>
   Buffer.from(JSON.stringify(value)).toString("base64");
 const decodeValue = (value: string) =>
@@ -74,6 +84,7 @@
   let mode: StoreMode = "up";
   let answersToLose = 0;
   let changeRow: RowChange | undefined;
+  let replaceSentRow: SentRowChange | undefined;
   let staleReads = 0;
   /** Rows of each table before its last change, and the revision until then. */
   const previous = new Map<string, TableState>();
@@ -98,31 +109,39 @@
   const drop = (table: string, key: string) =>
     apply(table, { key, value: "", gone: true });
 
-  const toWire = (table: string, { key, value, ver, gone }: StoredRow) => ({
-    table,
-    part: "",
-    key,
-    ver,
-    ...(gone ? { gone: true } : { value }),
-  });
-  const send = (response: ServerResponse, rows: readonly unknown[], ver = revision) =>
+  const toWire = (table: string, { key, value, ver, gone }: StoredRow): unknown => {
+    const row = { table, part: "", key, ver, ...(gone ? { gone: true } : { value }) };
+    const replaced = replaceSentRow?.(row);
+    return replaced === undefined ? row : replaced;
+  };
+  const send = (
+    response: ServerResponse,
+    rows: readonly unknown[],
+    { ver = revision, more = false } = {},
+  ) =>
     sendJson(response, 200, {
       rows,
-      more: false,
+      more,
       ver,
       now_ms: Math.round(performance.now()),
     });
 
-  const readTable = (response: ServerResponse, table: string) => {
+  const readTable = (response: ServerResponse, query: URLSearchParams) => {
+    const table = query.get("table") ?? "";
+    const from = query.get("from") ?? "";
+    const limit = Number(query.get("limit") ?? MAX_PAGE_ROWS);
     const isStale = staleReads > 0;
     if (isStale) staleReads -= 1;
     const current = { rows: listRows(table), ver: revision };
     const { rows, ver } = (isStale && previous.get(table)) || current;
-    const present = rows.filter(({ gone }) => !gone);
+    const present = rows
+      .filter(({ key, gone }) => !gone && key >= from)
+      .sort((a, b) => (a.key < b.key ? -1 : 1));
+    const page = present.slice(0, Math.min(limit, MAX_PAGE_ROWS));
     send(
       response,
-      present.map((row) => toWire(table, row)),
-      ver,
+      page.map((row) => toWire(table, row)),
+      { ver, more: page.length < present.length },
     );
   };
 
@@ -191,8 +210,7 @@
       return;
     }
     const url = new URL(incoming.url ?? "/", "http://store");
-    if (url.pathname === STORE_PATH.rows)
-      readTable(response, url.searchParams.get("table") ?? "");
+    if (url.pathname === STORE_PATH.rows) readTable(response, url.searchParams);
     else if (url.pathname === STORE_PATH.feed) awaitChanges(response, url.searchParams);
     else if (url.pathname === STORE_PATH.write) void write(incoming, response);
     else sendJson(response, 404, {});
@@ -222,6 +240,9 @@
     changeWrittenRows: (next) => {
       changeRow = next;
     },
+    replaceSentRows: (replaceRow) => {
+      replaceSentRow = replaceRow;
+    },
     serveStaleReads: (count) => {
       staleReads = count;
     },
--- a/packages/storefeed/src/tableFollower.test.ts
+++ b/packages/storefeed/src/tableFollower.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from "vitest";
 import {
   advanceSettled,
+  collectRejections,
   createSeededRandom,
   createVirtualClock,
   Err,
@@ -42,6 +43,7 @@
   steps: readonly Step[],
   gather = 0,
   revisions = createRevisionWatermark(),
+  failSink: (event: string) => void = () => undefined,
 ) => {
   const clock = createVirtualClock();
   const events: string[] = [];
@@ -72,7 +74,13 @@
       });
     },
   };
+  const failed: unknown[] = [];
+  const record = (event: string) => {
+    events.push(event);
+    failSink(event);
+  };
   const follower = createTableFollower({
+    ...{ onStepFailed: (step: unknown) => failed.push(step) },
     table: "t",
     reader,
     clock,
@@ -85,14 +93,13 @@
     onStaleRead: () => undefined,
     sink: {
       onWhole: (rows, asOf) =>
-        events.push(`whole ${rows.map((r) => r.key).join()} as of ${asOf}`),
-      onChanges: (changes, asOf) =>
-        events.push(`${changes.length} changes as of ${asOf}`),
-      onFailure: (failure, inARow) => events.push(`${failure.kind} ${inARow}`),
-      onRegained: () => events.push("regained"),
+        record(`whole ${rows.map((r) => r.key).join()} as of ${asOf}`),
+      onChanges: (changes, asOf) => record(`${changes.length} changes as of ${asOf}`),
+      onFailure: (failure, inARow) => record(`${failure.kind} ${inARow}`),
+      onRegained: () => record("regained"),
     },
   });
-  return { clock, follower, events, calls, requestedRevisions };
+  return { clock, follower, events, calls, requestedRevisions, failed };
 };
 
 describe("createTableFollower", () => {
@@ -312,3 +319,92 @@
     expect(requestedRevisions).toEqual([INITIAL_REVISION, INITIAL_REVISION]);
   });
 });
+
+/** Guards against a table that is never followed again because applying one of its answers threw. */
+describe("a follower whose sink throws", () => {
+  const error = new Error("odd");
+  const whole = Ok({ rows: [makeRow("a", 5)], revision: toRevision(7), source });
+  const toChange = (version: number) =>
+    Ok({
+      changes: [{ kind: "gone", key: "a" }] as const,
+      revision: toRevision(version),
+      source,
+    });
+  const failOn = (times: number, pattern: RegExp) => {
+    let left = times;
+    return (event: string) => {
+      if (!pattern.test(event) || left === 0) return;
+      left -= 1;
+      throw error;
+    };
+  };
+
+  it.each<[string, readonly Step[], RegExp, readonly string[]]>([
+    [
+      "at a whole read reads the table again",
+      [{ whole }, { whole }],
+      /whole/,
+      ["whole", "whole", "changes since 7"],
+    ],
+    [
+      "at changes reads the whole table again",
+      [{ whole }, { changes: toChange(8), after: 1 }, { whole }],
+      /changes/,
+      ["whole", "changes since 7", "whole", "changes since 7"],
+    ],
+    [
+      "at a failure reads the table again",
+      [{ whole: Err({ kind: "timed_out" }) }, { whole }],
+      /timed_out/,
+      ["whole", "whole", "changes since 7"],
+    ],
+  ])("%s", async (_, steps, pattern, expected) => {
+    const { clock, follower, calls, failed } = setUp(
+      steps,
+      0,
+      createRevisionWatermark(),
+      failOn(1, pattern),
+    );
+    const errors = await collectRejections(async () => {
+      follower.start();
+      await advanceSettled(clock, 1_000 as Ms);
+      follower.stop();
+    });
+    expect(calls.slice(0, expected.length)).toEqual(expected);
+    expect(errors).toEqual([]);
+    expect(failed).toEqual([{ table: "t", error, inARow: 1 }]);
+  });
+
+  it("pauses longer and longer while it keeps throwing", async () => {
+    const wholes = Array.from({ length: 50 }, () => ({ whole }));
+    const { clock, follower, calls, failed } = setUp(
+      wholes,
+      0,
+      createRevisionWatermark(),
+      failOn(50, /whole/),
+    );
+    const errors = await collectRejections(async () => {
+      follower.start();
+      await advanceSettled(clock, 4_000 as Ms);
+      follower.stop();
+    });
+    expect(errors).toEqual([]);
+    expect(calls.length).toBeGreaterThan(5);
+    expect(calls.length).toBeLessThan(30);
+    expect(failed).toHaveLength(calls.length);
+  });
+
+  it("pauses between two answers that can't be continued, so that a store of such answers isn't called without end", async () => {
+    const gone = { changes: Err({ kind: "history_gone" } as const), after: 1 };
+    const steps = Array.from({ length: 400 }, (_v, i) =>
+      i % 2 === 0 ? { whole } : gone,
+    );
+    const { clock, follower, calls } = setUp(steps);
+    follower.start();
+    await advanceSettled(clock, 1_000 as Ms);
+    follower.stop();
+    expect(calls.slice(0, 3)).toEqual(["whole", "changes since 7", "whole"]);
+    expect(calls.length).toBeGreaterThan(5);
+    expect(calls.length).toBeLessThan(40);
+  });
+});
