fix: readiness and metrics have a bounded listener, as clients do

What callers saw: 100 connections to the readiness port that send GET /ready ahead and read nothing keep the box from answering anyone, and end its process; 100 at the metrics port end it within 2 s; silent connections at either take more descriptors than the process has.

Cause: both listeners were plain servers of the library. Each request that a read holds began at once, answers that nobody reads were held without a limit, nothing bounded the connections, and the text of the metrics was built anew for each request.

Change: what bounds the clients' listener is a listener of its own now (boundedListener.ts: one request after the other, counted bytes, an idle connection closed for a new one), which clients, readiness and metrics are built on, each with its own limits. A new one is always taken, also where all others hold unread answers: a check comes anew every second and sends at once. Lines and counters name the listener.

The tests of the clients' listener pass unchanged, but for the idle times that are an argument now, and boxLimits.test.ts, which compares a whole line, expects its new key as well.

--- a/apps/box/src/boxLimits.test.ts
+++ b/apps/box/src/boxLimits.test.ts
@@ -29,7 +29,11 @@
     const refused = openClient(ports.clients);
     refused.resume();
     await waitFor(() => isEnded(refused));
-    expect(lines).toContainEqual({ event: "client_fault", code: "too_many_connections" });
+    expect(lines).toContainEqual({
+      event: "client_fault",
+      listener: "clients",
+      code: "too_many_connections",
+    });
     expect(sockets.filter(isEnded)).toEqual([]);
     sockets[0]!.destroy();
     const answers: number[] = [];
--- a/apps/box/src/createLifecycle.ts
+++ b/apps/box/src/createLifecycle.ts
@@ -2,7 +2,12 @@
 import { toHostAndPort, type Clock, type Ms } from "@stairgauge/common";
 import type { BlockedList } from "@stairgauge/crashes";
 import type { ReportPoller } from "@stairgauge/fleet";
-import type { ActiveRuns, ClientServer, Forwarder } from "@stairgauge/forwarding";
+import type {
+  ActiveRuns,
+  BoundedListener,
+  ClientServer,
+  Forwarder,
+} from "@stairgauge/forwarding";
 import type { StandbyKeeper } from "@stairgauge/migration";
 import type { VersionRows } from "@stairgauge/origins";
 import type { Membership, PeerLinks, PeerServer } from "@stairgauge/peers";
@@ -13,7 +18,7 @@
 import type { Pace } from "./createPace.js";
 import type { Paths } from "./createPaths.js";
 import type { PeerAddress } from "./peerAddress.js";
-import { createMetricsServer, createReadyServer, listenOn } from "./smallServers.js";
+import { createMetricsServer, createReadyServer } from "./smallServers.js";
 import { stopInOrder } from "./stopInOrder.js";
 
 /** Ports that a started box listens on. */
@@ -65,18 +70,22 @@
   const { membership, reports, standbys, links, peerServer, runs } = options;
   let stopped: Promise<void> | undefined;
   const readyServer = createReadyServer(
+    options,
     () => stopped === undefined && options.isCurrent(),
   );
-  const metricsServer = createMetricsServer(options.metrics);
+  const metricsServer = createMetricsServer(options);
 
   const listSeeds = () =>
     getSettings().seeds.map(toHostAndPort).filter(peerAddress.isOther);
 
+  const listenOn = (listener: Pick<BoundedListener, "listen">, address: string) => {
+    const { host, port } = toHostAndPort(address);
+    return listener.listen(host, port);
+  };
   const listen = async (): Promise<BoxPorts> => {
     const { listen: addresses } = getSettings();
-    const clients = toHostAndPort(addresses.clients);
     return {
-      clients: await clientServer.listen(clients.host, clients.port),
+      clients: await listenOn(clientServer, addresses.clients),
       ready: await listenOn(readyServer, addresses.ready),
       peers: await peerServer.listen(peerAddress.get()),
       metrics: await listenOn(metricsServer, addresses.metrics),
--- a/apps/box/src/createServing.ts
+++ b/apps/box/src/createServing.ts
@@ -27,6 +27,7 @@
 import { computeSettingsLimits } from "./computeSettingsLimits.js";
 import type { Signals } from "./createSignals.js";
 import { observeForwarding } from "./observers.js";
+import { createConnectionReports } from "./smallServers.js";
 
 export type ServingOptions = Readonly<{
   getSettings: () => BoxSettings;
@@ -101,11 +102,7 @@
     unreadLimit,
     maxConnections: computeClientConnections(limits.descriptors),
     maxUnreadBytes: byteLimits.unread,
-    onClientError: (code) => log.writeDecision("client_fault", { code }),
-    onLimit: (limit) => {
-      metrics.connectionsLimited.inc({ limit });
-      log.writeDecision("connection_limited", { limit });
-    },
+    ...createConnectionReports("clients", { log, metrics }),
   });
   return { forwarder, clientServer };
 };
--- a/apps/box/src/hardLoad.testkit.ts
+++ b/apps/box/src/hardLoad.testkit.ts
@@ -7,6 +7,7 @@
  * that a test counts don't depend on the machine.
  */
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
 import {
   createSeededRandom,
   createVirtualClock,
@@ -18,7 +19,6 @@
 import { startUsersSite, type UsersSite } from "@stairgauge/standins";
 import { ask, closers, waitMs, type BoxChanges } from "./box.testkit.js";
 import { startFleet, type FleetBox } from "./fleet.testkit.js";
-import { listenOn } from "./smallServers.js";
 
 /** Requests are counted from this time on: until then boxes learn of the load. */
 export const COUNTED_FROM_MS = 4_000;
@@ -186,7 +186,8 @@
     else receive(String(incoming.headers[HEADER.requestId.toLowerCase()]), response);
   };
   const server = createServer(handle);
-  const port = await listenOn(server, "127.0.0.1:0");
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
   closers.push(() => {
     server.close();
     server.closeAllConnections();
--- a/packages/forwarding/src/idleConnections.test.ts
+++ b/packages/forwarding/src/idleConnections.test.ts
@@ -3,11 +3,12 @@
 import { createIdleConnections } from "./idleConnections.js";
 
 const LONG = 250 as Ms;
+const MIN_IDLE = { unused: LONG, used: LONG, unread: Infinity as Ms };
 
 describe("createIdleConnections", () => {
   it("takes those that have sent no request first, the longest idle of them, and none that has just come", () => {
     const clock = createVirtualClock();
-    const idle = createIdleConnections<string>(clock);
+    const idle = createIdleConnections<string>(clock, MIN_IDLE);
     idle.add("kept", "used");
     clock.advance(1 as Ms);
     idle.add("silent", "unused");
@@ -27,10 +28,24 @@
 
   it("takes none that has a request", () => {
     const clock = createVirtualClock();
-    const idle = createIdleConnections<string>(clock);
+    const idle = createIdleConnections<string>(clock, MIN_IDLE);
     idle.add("busy", "unused");
     idle.remove("busy");
     clock.advance(LONG);
     expect(idle.canTake()).toBe(false);
   });
+
+  it("takes one whose answer is not read only where the listener allows it, and last", () => {
+    const clock = createVirtualClock();
+    const kept = createIdleConnections<string>(clock, MIN_IDLE);
+    const closed = createIdleConnections<string>(clock, { ...MIN_IDLE, unread: LONG });
+    for (const idle of [kept, closed]) {
+      idle.add("reads nothing", "used");
+      idle.add("reads nothing", "unread");
+      idle.add("kept", "used");
+    }
+    clock.advance(LONG);
+    expect([kept.take(), kept.take()]).toEqual(["kept", undefined]);
+    expect([closed.take(), closed.take()]).toEqual(["kept", "reads nothing"]);
+  });
 });
--- a/packages/forwarding/src/idleConnections.ts
+++ b/packages/forwarding/src/idleConnections.ts
@@ -1,18 +1,26 @@
 /**
- * Connections without an open request, of which one may be closed for a new one where there are too many: its client
- * loses nothing but the connection. Those that have sent no whole request yet go first, and of them, as of the others,
- * the one that has been idle longest: a client with a request sends it as soon as it is connected.
+ * Connections without a request that is being handled, of which one may be closed for a new one where there are too
+ * many. Those that have sent no whole request yet go first, as their clients lose nothing but the connection, and those
+ * whose client has not read its answer last; of each kind the one that has been idle longest: a client with a request
+ * sends it as soon as it is connected.
  */
-import type { Clock } from "@stairgauge/common";
+import type { Clock, Ms } from "@stairgauge/common";
 
-/** Time in which a new connection, or one that has just been answered, is not closed: a request may be on its way. */
-const MIN_IDLE_MS = 250;
+/** Whether a connection has sent a whole request, and whether its client has still to read the answer. */
+export type ConnectionUse = "unused" | "used" | "unread";
 
-/** Whether a connection has sent a whole request. */
-export type ConnectionUse = "unused" | "used";
+/**
+ * Time in which a connection is not closed: of a new one, or one that has just been answered, a request may be on its
+ * way. Infinity where connections of a kind are never closed.
+ */
+export type MinIdle = Readonly<Record<ConnectionUse, Ms>>;
+
+/** In the order in which they are closed. */
+const USES: readonly ConnectionUse[] = ["unused", "used", "unread"];
 
 /** The idle connections of one listener. */
 export type IdleConnections<Connection> = Readonly<{
+  /** Adds one, or changes its use; its time begins anew. */
   add: (connection: Connection, use: ConnectionUse) => void;
   /** The connection has a request now, or is closed. */
   remove: (connection: Connection) => void;
@@ -25,24 +33,34 @@
 /** Creates an empty collection. */
 export const createIdleConnections = <Connection>(
   clock: Pick<Clock, "monotonic">,
+  minIdle: MinIdle,
 ): IdleConnections<Connection> => {
   /** When each connection became idle, the longest idle first. */
   const since: Readonly<Record<ConnectionUse, Map<Connection, number>>> = {
     unused: new Map(),
     used: new Map(),
+    unread: new Map(),
   };
-  const findLongest = (connections: ReadonlyMap<Connection, number>) => {
-    const [first] = connections;
-    const isLongEnough = first && clock.monotonic() - first[1] >= MIN_IDLE_MS;
+  const findLongest = (use: ConnectionUse) => {
+    const [first] = since[use];
+    const isLongEnough = first && clock.monotonic() - first[1] >= minIdle[use];
     return isLongEnough ? first[0] : undefined;
   };
-  const find = () => findLongest(since.unused) ?? findLongest(since.used);
+  const find = () => {
+    for (const use of USES) {
+      const found = findLongest(use);
+      if (found !== undefined) return found;
+    }
+    return undefined;
+  };
   const remove = (connection: Connection) => {
-    since.unused.delete(connection);
-    since.used.delete(connection);
+    for (const use of USES) since[use].delete(connection);
   };
   return {
-    add: (connection, use) => since[use].set(connection, clock.monotonic()),
+    add: (connection, use) => {
+      remove(connection);
+      since[use].set(connection, clock.monotonic());
+    },
     remove,
     canTake: () => find() !== undefined,
     take: () => {
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -19,6 +19,8 @@
   RunKeeper,
   RunStop,
 } from "./activeRuns.js";
+export { createBoundedListener } from "./boundedListener.js";
+export type { BoundedListener, ListenerLimits } from "./boundedListener.js";
 export { createClientServer } from "./clientServer.js";
 export type { ClientServer, ClientServerOptions } from "./clientServer.js";
 export type { ClientLimit } from "./connectionReader.js";
--- a/packages/telemetry/src/boxMetrics.ts
+++ b/packages/telemetry/src/boxMetrics.ts
@@ -210,8 +210,8 @@
     }),
     connectionsLimited: new Counter({
       name: "stairgauge_connections_limited_total",
-      help: "Connections of clients that were ended for others, by limit: idle where there were too many; sent_ahead, answer_unread where they held too much memory; answer_too_late",
-      labelNames: ["limit"],
+      help: "Connections that were ended for others, by listener and limit: idle where there were too many; sent_ahead, answer_unread where they held too much memory; answer_too_late",
+      labelNames: ["listener", "limit"],
       registers,
     }),
     unevenServices: new Gauge({
