fix: connections of other boxes are bounded

What was seen: silent connections to the peers' port, and ones that send no more than the preface of HTTP/2, take as many descriptors as they like, so that clients get none.

Cause: the gRPC server listens by itself. It has no limit on connections and no way to close one.

Change: a listener of ours accepts them and hands them to the server's connection injector. At the limit (a quarter of the descriptors, 64 at least) a new connection takes the place of the one that has been without a call for longest. One with a call on which a valid message came is never closed for it: a box opens such a call as soon as it is connected and keeps it open, so the links of a large fleet stay. Connections beyond the 64 that were reserved before lower the limit for clients, so that both stay within the descriptors.

--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -99,6 +99,7 @@
     isOutOfTouch,
   });
   const peers = createPeers({
+    settings,
     clock,
     random,
     log,
@@ -296,6 +297,7 @@
     intake,
     isBusy: meter.isBusy,
     getMaxBoxesSeen: () => maxBoxesSeen,
+    countPeerConnections: peerServer.countConnections,
   });
   const followedTables = createFollowedTables({
     settings,
--- a/apps/box/src/createPeers.ts
+++ b/apps/box/src/createPeers.ts
@@ -5,6 +5,7 @@
 import type { BoxName, Clock, Ms, Random } from "@stairgauge/common";
 import type { RequestGuard } from "@stairgauge/crashes";
 import type { ServerDirectory } from "@stairgauge/directory";
+import { computePeerConnections } from "@stairgauge/forwarding";
 import type { ServerLimits } from "@stairgauge/limits";
 import type { StreamOrigins } from "@stairgauge/origins";
 import {
@@ -24,13 +25,16 @@
 } from "@stairgauge/peers";
 import type { PaceRegistry } from "@stairgauge/pace";
 import type { LoadRegistry } from "@stairgauge/placement";
+import type { BoxSettings } from "@stairgauge/settings";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
+import { createConnectionReports } from "./connectionReports.js";
 import type { Capacity } from "./createCapacity.js";
 import type { FollowedTables } from "./createFollowedTables.js";
 import { observePeers } from "./observers.js";
 import { listSharedLeaving, type UpdateReceiver } from "./receiveUpdates.js";
 
 export type PeersOptions = Readonly<{
+  settings: Pick<BoxSettings, "limits">;
   clock: Clock;
   random: Random;
   log: DecisionLog;
@@ -73,7 +77,7 @@
 
 /** Creates links and listener; nothing is connected yet. */
 export const createPeers = (options: PeersOptions): Peers => {
-  const { clock, random, log, metrics, member, registry, updates } = options;
+  const { settings, clock, random, log, metrics, member, registry, updates } = options;
   const { getParts } = options;
   const { answerTable, answerPlace, answerMoves, answerCarry } = options;
   const listContended = () => getParts().capacity.listSigns();
@@ -142,6 +146,8 @@
     answerOrigin: (question) =>
       Promise.resolve(getParts().origins.streams.answer(question)),
     answerCarry,
+    limits: { maxConnections: computePeerConnections(settings.limits.descriptors) },
+    onLimit: createConnectionReports("peers", options).onLimit,
   });
   const isForwarding = () => hasHubs(links.countBoxes()) && links.isHub();
   const forward = (notice: Partial<HubNotice>) => {
--- a/apps/box/src/createServing.ts
+++ b/apps/box/src/createServing.ts
@@ -24,10 +24,10 @@
 import { createUnreadLimit, type Intake } from "@stairgauge/saturation";
 import type { BoxSettings } from "@stairgauge/settings";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
+import { createConnectionReports } from "./connectionReports.js";
 import { computeSettingsLimits } from "./computeSettingsLimits.js";
 import type { Signals } from "./createSignals.js";
 import { observeForwarding } from "./observers.js";
-import { createConnectionReports } from "./smallServers.js";
 
 export type ServingOptions = Readonly<{
   getSettings: () => BoxSettings;
@@ -52,6 +52,8 @@
   isBusy: () => boolean;
   /** Largest number of boxes that this box has known of. */
   getMaxBoxesSeen: () => number;
+  /** Connections of other boxes, which share the descriptors with those of clients. */
+  countPeerConnections: () => number;
 }>;
 
 export type Serving = Readonly<{ forwarder: Forwarder; clientServer: ClientServer }>;
@@ -100,7 +102,8 @@
     intake: options.intake,
     isBusy: options.isBusy,
     unreadLimit,
-    maxConnections: computeClientConnections(limits.descriptors),
+    getMaxConnections: () =>
+      computeClientConnections(limits.descriptors, options.countPeerConnections()),
     maxUnreadBytes: byteLimits.unread,
     ...createConnectionReports("clients", { log, metrics }),
   });
--- a/apps/box/src/smallServers.ts
+++ b/apps/box/src/smallServers.ts
@@ -4,11 +4,11 @@
 import {
   createBoundedListener,
   type BoundedListener,
-  type ClientLimit,
   type ListenerLimits,
 } from "@stairgauge/forwarding";
 import { READY_PATH } from "@stairgauge/platform";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
+import { createConnectionReports, type ListenerName } from "./connectionReports.js";
 
 /**
  * Connections at each of these listeners: some balancers and operators keep one each. What is beyond it are mostly
@@ -32,21 +32,6 @@
   minIdle: MIN_IDLE,
 });
 
-/** A listener of a box, as log lines and metrics name it. */
-export type ListenerName = "clients" | "ready" | "metrics";
-
-/** Creates what reports the faults of a listener's connections. */
-export const createConnectionReports = (
-  listener: ListenerName,
-  { log, metrics }: Readonly<{ log: DecisionLog; metrics: BoxMetrics }>,
-) => ({
-  onClientError: (code: string) => log.writeDecision("client_fault", { listener, code }),
-  onLimit: (limit: ClientLimit) => {
-    metrics.connectionsLimited.inc({ listener, limit });
-    log.writeDecision("connection_limited", { listener, limit });
-  },
-});
-
 /** Options of these listeners. */
 export type SmallServerOptions = Readonly<{
   clock: Clock;
--- a/packages/forwarding/src/clientServer.test.ts
+++ b/packages/forwarding/src/clientServer.test.ts
@@ -20,7 +20,7 @@
 /** Options that no test here is about. */
 const OPTIONS: Omit<ClientServerOptions, "handle"> = {
   clock: createSystemClock(),
-  maxConnections: 10,
+  getMaxConnections: () => 10,
   maxUnreadBytes: 1_000_000,
   intake: { hasRoom: () => true, recordTurnedAway: () => undefined },
   isBusy: () => false,
@@ -237,7 +237,7 @@
       handle: (incoming, response) => {
         if (incoming.url !== "/open") response.end("served");
       },
-      maxConnections: 3,
+      getMaxConnections: () => 3,
       maxUnreadBytes: 1_000,
       onLimit: (limit) => limits.push(limit),
     });
--- a/packages/forwarding/src/clientServer.ts
+++ b/packages/forwarding/src/clientServer.ts
@@ -14,6 +14,7 @@
   PARSER_HEAD_BYTES,
   rejectRequest,
   type BoundedListener,
+  type ListenerLimits,
 } from "./boundedListener.js";
 import type { ClientLimit } from "./connectionReader.js";
 import type { MinIdle } from "./idleConnections.js";
@@ -31,13 +32,6 @@
 export type ClientServerOptions = Readonly<{
   clock: Pick<Clock, "monotonic" | "setTimer">;
   handle: (incoming: IncomingMessage, response: ServerResponse) => void;
-  /** Largest number of open connections; a further one takes the place of an idle one, or is closed unread if there is none. */
-  maxConnections: number;
-  /**
-   * Most bytes that clients have sent and that wait to be handled, and of answers that clients don't read; beyond it,
-   * connections that hold some longest are closed.
-   */
-  maxUnreadBytes: number;
   /** Decides about each new connection; one that finds no room is closed unread. */
   intake: Pick<Intake, "hasRoom" | "recordTurnedAway">;
   /** Whether the event loop has no idle time. */
@@ -48,7 +42,8 @@
   onClientError: (code: string) => void;
   /** A connection was ended for what its client kept the box from doing for others. */
   onLimit: (limit: ClientLimit) => void;
-}>;
+}> &
+  Pick<ListenerLimits, "getMaxConnections" | "maxUnreadBytes">;
 
 /** The HTTP server for clients. */
 export type ClientServer = Readonly<{
@@ -94,7 +89,7 @@
   const listener = createBoundedListener({
     clock,
     limits: {
-      getMaxConnections: () => options.maxConnections,
+      getMaxConnections: options.getMaxConnections,
       spareConnections: SPARE_CONNECTIONS,
       maxUnreadBytes: options.maxUnreadBytes,
       minIdle: MIN_IDLE,
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -44,7 +44,10 @@
 export type { RetryBudget, RetryBudgetLimits } from "./retryBudget.js";
 export { computeByteLimits } from "./computeByteLimits.js";
 export type { ByteLimits, SetByteLimits } from "./computeByteLimits.js";
-export { computeClientConnections } from "./computeClientConnections.js";
+export {
+  computeClientConnections,
+  computePeerConnections,
+} from "./computeClientConnections.js";
 export { computePlacingTerms, hasCapacityFor, placeOrWait } from "./placeOrWait.js";
 export type { GenerationQueue, PlacingTerms } from "./placeOrWait.js";
 export type { Advice, AdviceRequest, PlacementAdvisor } from "./placeByAdvice.js";
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -16,6 +16,7 @@
 export { makeRunUpdate } from "./makeRunUpdate.js";
 export { createPeerServer } from "./peerServer.js";
 export type { PeerServer, PeerServerOptions } from "./peerServer.js";
+export type { PeerLimit, PeerLimits } from "./peerConnections.js";
 export { createWatchShares } from "./watchShares.js";
 export type { WatchShares } from "./watchShares.js";
 export { createRunReporter } from "./runReporter.js";
--- a/packages/peers/src/peerServer.ts
+++ b/packages/peers/src/peerServer.ts
@@ -2,7 +2,6 @@
 import {
   Metadata,
   Server,
-  ServerCredentials,
   status,
   type sendUnaryData,
   type ServerDuplexStream,
@@ -15,6 +14,8 @@
 import { createTableStreamHandler } from "./answerTableStream.js";
 import { createCarryHandler } from "./carryCall.js";
 import { hasContent } from "./makeNotice.js";
+import { createPeerConnections, type PeerConnectionsOptions } from "./peerConnections.js";
+import { createCallObserver, createPeerListener } from "./peerListener.js";
 import { createPeerService, type PeerMessage } from "./service.js";
 import type {
   HubNotice,
@@ -45,7 +46,8 @@
   /** Another box asks this one to carry a request. */
   answerCarry: AnswerCarry;
   onMessage: (message: PeerMessage) => void;
-}>;
+}> &
+  PeerConnectionsOptions;
 
 type Answerer<Question, Answer> = (
   question: Question,
@@ -60,6 +62,7 @@
   notify: (boxes: readonly BoxName[], notice: HubNotice) => void;
   /** Sends a notice to all boxes whose streams are open. */
   notifyAll: (notice: HubNotice) => void;
+  countConnections: () => number;
   close: () => void;
 }>;
 
@@ -75,7 +78,12 @@
 
 /** Creates a peer server. */
 export const createPeerServer = (options: PeerServerOptions): PeerServer => {
-  const server = new Server(SERVER_OPTIONS);
+  const connections = createPeerConnections(options);
+  const server = new Server({
+    ...SERVER_OPTIONS,
+    interceptors: [createCallObserver(connections)],
+  });
+  const listener = createPeerListener(server, connections);
   /** The current stream of each box; a box that reconnects opens another one. */
   const streams = new Map<BoxName, UpdateStream>();
 
@@ -125,23 +133,14 @@
   });
 
   return {
-    listen: ({ host, port }) =>
-      new Promise((resolve, reject) => {
-        server.bindAsync(
-          `${host}:${port}`,
-          ServerCredentials.createInsecure(),
-          (error, bound) => {
-            if (error) reject(error);
-            else resolve(bound);
-          },
-        );
-      }),
+    listen: listener.listen,
     notify: (boxes, notice) => {
       for (const box of boxes) streams.get(box)?.write(notice);
     },
     notifyAll: (notice) => {
       for (const stream of streams.values()) stream.write(notice);
     },
-    close: () => server.forceShutdown(),
+    countConnections: connections.count,
+    close: listener.close,
   };
 };
--- a/packages/peers/src/peers.test.ts
+++ b/packages/peers/src/peers.test.ts
@@ -157,6 +157,8 @@
       };
     },
     onMessage: (message) => messages.push(message),
+    limits: { maxConnections: 100 },
+    onLimit: () => undefined,
   });
   const port = await server.listen({ host: "127.0.0.1", port: 0 });
   cleanups.push(server.close);
