fix: a request whose call could not be opened counts as not run

Callers saw 502 answer_lost a moment after their request was placed, although nothing had been sent. When a step throws, the dispatch ends its request by what is true of it: it asked whether an attempt had ever been recorded, and an attempt is recorded before its exchange is opened, so opening that throws counted as sent.

Evidence: the test 'is said not to have run if the call itself could not be opened' gave 502 instead of 503 before.

The state now answers whether any attempt was sent, by the exchanges themselves (isSent), the current one and those before it. An exchange without a connection has sent nothing; one that another box carries counts as soon as that box was asked, as before. A fault between two attempts still promises nothing (test in the same file).

--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -69,7 +69,7 @@
     reports.report({ kind: "step_failed", detail: describeFault(error) });
     try {
       if (answer.hasBegun()) answer.break();
-      else if (state.hasOpened()) ownAnswers.answerUnknown("answer_lost");
+      else if (state.hasSent()) ownAnswers.answerUnknown("answer_lost");
       else ownAnswers.answerNotRun("box_failed");
     } catch {
       answer.break();
--- a/packages/forwarding/src/dispatchState.ts
+++ b/packages/forwarding/src/dispatchState.ts
@@ -9,8 +9,8 @@
   getCurrent: () => Attempt | undefined;
   setCurrent: (attempt: Attempt) => void;
   isCurrent: (attempt: Attempt) => boolean;
-  /** Whether an attempt was ever opened, so that a server may have the request. */
-  hasOpened: () => boolean;
+  /** Whether an attempt was ever sent, so that a server may have the request. */
+  hasSent: () => boolean;
   /** Closes the open attempt and frees its server's slot. */
   dropCurrent: () => void;
   /** The record of the stream; undefined until one has started. */
@@ -33,22 +33,25 @@
 /** Creates the state of a dispatch that has not begun. */
 export const createDispatchState = (): DispatchState => {
   let current: Attempt | undefined;
-  let hasOpened = false;
+  /** Whether any attempt before the current one was sent. */
+  let hasSentBefore = false;
   let run: ActiveRun | undefined;
   let binding: StreamBinding | undefined;
   let continuations = 0;
   let mayHaveRun = false;
   let isOver = false;
 
+  const hasSent = () => hasSentBefore || (current?.exchange?.isSent() ?? false);
+
   return {
     getCurrent: () => current,
     setCurrent: (attempt) => {
       current = attempt;
-      hasOpened = true;
     },
     isCurrent: (attempt) => current === attempt && !isOver,
-    hasOpened: () => hasOpened,
+    hasSent,
     dropCurrent: () => {
+      hasSentBefore = hasSent();
       current?.exchange?.cancel();
       current?.silenceWatch?.cancel();
       current?.bodyTimer?.cancel();
