fix: a call that cannot be made is a typed failure and blames nobody

Callers saw 502 answer_lost where a server's name, or their workspace's, did not fit into an HTTP head; streams and requests that may run once as well. Beside each such request the log had an unexpected_error (connect ECONNREFUSED without a handler), and with other boxes carrier_lost, which blames a sound one.

Cause: openExchange dialed first and built the head then, so what that threw left a socket without a listener, and passed through the callers: the paths recorded nothing, the placer neither, a carrier kept the place of the request, and its box's question ended as 'Unknown error'.

Making a call is now a step of its own. The head is built before the connection is dialed, and whatever throws is the failure 'unsendable': not sent, so not run, retried at another server as one that could not be reached, and without a statement about the server, the path (probes included) or the carrier. A box that has a request carried checks the head before it asks, and a carrier refuses one that it cannot send; a box of an earlier release reads that as no room. A link that throws when it is asked counts as none, and its place is given back. One line call_unsendable and a counter say what could not be sent, with the header's name and no value.

The fixture of the carrying tests had spaces in its targets, which no client can send; they are encoded now.

--- a/apps/box/src/createPaths.ts
+++ b/apps/box/src/createPaths.ts
@@ -80,7 +80,10 @@
     const { host, port } = request.address;
     const onExcess = (excess: AnswerExcess) =>
       observer.onAnswerOverLimit(`${host}:${port}`, excess);
-    return openExchange(clock, { ...request, dial: dialServer, onExcess }, sink);
+    const onUnsendable = (detail: string) =>
+      observer.onUnsendable(`${host}:${port}`, detail);
+    const own = { ...request, dial: dialServer, onExcess, onUnsendable };
+    return openExchange(clock, own, sink);
   };
   let isStopping = false;
   let probeTimer: Timer | undefined;
@@ -105,7 +108,8 @@
     if (!getParts().placer.takeAsk(server)) return;
     const healthPath = options.findService(entry.service)?.healthPath;
     const request = { clock, codec, entry, healthPath, connectLimit, openOwn };
-    paths.recordProbe(entry, await probePath(request));
+    const isReached = await probePath(request);
+    if (isReached !== undefined) paths.recordProbe(entry, isReached);
   };
   const sendProbes = () => {
     probeTimer = undefined;
--- a/apps/box/src/observePaths.ts
+++ b/apps/box/src/observePaths.ts
@@ -21,9 +21,15 @@
     metrics.answersOverLimit.inc({ limit: excess.limit });
     log.writeDecision("answer_over_limit", { address, ...excess });
   },
+  /** A call to `address` (IP:PORT) could not be made; nothing was sent. */
+  onUnsendable: (address: string, detail: string): void => {
+    metrics.unsendableCalls.inc();
+    log.writeDecision("call_unsendable", { address, detail });
+  },
   onCarryEvent: (event: CarryEvent): void => {
     if (event.kind === "answer_over_limit")
       metrics.answersOverLimit.inc({ limit: event.limit });
+    if (event.kind === "call_unsendable") metrics.unsendableCalls.inc();
     metrics.carrySteps.inc({ step: event.kind });
     // The line of the request itself names the carrier.
     if (event.kind === "carried") return;
--- a/packages/forwarding/src/carriedExchange.ts
+++ b/packages/forwarding/src/carriedExchange.ts
@@ -17,6 +17,7 @@
 } from "@stairgauge/paths";
 import type { AnswerExcess } from "./answerLimits.js";
 import type { Exchange, ExchangeRequest, ExchangeSink } from "./openExchange.js";
+import { assertSendable, attemptMake } from "./unsendable.js";
 
 /** A step of a carried request; each is logged as one line. */
 export type CarryEvent = Readonly<
@@ -26,6 +27,8 @@
   | { kind: "carrier_lost"; server: string; carrier: BoxName; detail: string }
   /** A carried answer exceeds a limit; its carrier is told to end it. */
   | (AnswerExcess & { kind: "answer_over_limit"; server: string })
+  /** A request could not be built, or a carrier could not send it; no box was blamed. */
+  | { kind: "call_unsendable"; server: string; detail: string }
 >;
 
 /** Dependencies of carried requests. */
@@ -75,6 +78,12 @@
     if (finish()) onNotCarried({ unreached: unreachedDetails.at(-1) });
   };
 
+  const failUnsendable = (detail: string) => {
+    if (!finish()) return;
+    onEvent({ kind: "call_unsendable", server: id, detail });
+    sink.onFailure({ kind: "unsendable", detail });
+  };
+
   const askNext = () => {
     stopAsking();
     isAsked = false;
@@ -95,7 +104,9 @@
   const handleFrame = (carrier: BoxName, frame: CarryFrame) => {
     switch (frame.kind) {
       case "refused":
-        passOver(carrier, frame.reason);
+        if (frame.reason === "unsendable")
+          failUnsendable("the carrier could not send the request");
+        else passOver(carrier, frame.reason);
         return;
       case "unreached":
         unreachedDetails = [...unreachedDetails, frame.detail];
@@ -130,7 +141,16 @@
 
   const askCarrier = (carrier: BoxName) => {
     tried.add(carrier);
-    const { method, target, headers, body } = build();
+    const built = attemptMake(() => {
+      const request = build();
+      assertSendable(request);
+      return request;
+    });
+    if (built.err) {
+      failUnsendable(built.val.detail);
+      return;
+    }
+    const { method, target, headers, body } = built.val;
     if (body.length > MAX_CARRIED_BODY_BYTES) {
       failToCarry();
       return;
@@ -142,26 +162,29 @@
       onEvent({ kind: "carrier_passed_over", server: id, carrier, reason: "silent" });
     });
     const question = { server: id, isNewWork, method, target, headers, body };
-    const begun = callCarrier(carrier, question, {
-      onFrame: (frame) => {
-        silenceTimer.cancel();
-        if (isCurrent && !isOver) handleFrame(carrier, frame);
-      },
-      onEnd: (detail) => {
-        if (isCurrent && !isOver) loseCarrier(carrier, detail ?? "ended early");
-      },
-    });
+    const begun = attemptMake(() =>
+      callCarrier(carrier, question, {
+        onFrame: (frame) => {
+          silenceTimer.cancel();
+          if (isCurrent && !isOver) handleFrame(carrier, frame);
+        },
+        onEnd: (detail) => {
+          if (isCurrent && !isOver) loseCarrier(carrier, detail ?? "ended early");
+        },
+      }),
+    );
     stopAsking = () => {
       isCurrent = false;
       silenceTimer.cancel();
       release();
-      begun?.cancel();
+      if (begun.ok) begun.val?.cancel();
     };
-    if (!begun) {
+    // A link that was closed this moment throws.
+    if (begun.err || !begun.val) {
       passOver(carrier, "no_link");
       return;
     }
-    call = begun;
+    call = begun.val;
     isAsked = true;
   };
   // Callers expect no callback before they have the exchange.
--- a/packages/forwarding/src/carryForOthers.ts
+++ b/packages/forwarding/src/carryForOthers.ts
@@ -3,7 +3,7 @@
  * box's own path, and passes the answer back as it arrives. Nothing is decided here; the asking box
  * chose the server and evaluates the answer.
  */
-import type { Clock, Ms } from "@stairgauge/common";
+import { assertNever, type Clock, type Ms } from "@stairgauge/common";
 import type { BackendServer, ServerId } from "@stairgauge/directory";
 import type {
   AnswerCarry,
@@ -103,15 +103,24 @@
         },
         onEnd: (by) => finishWith({ kind: "ended", by }),
         onFailure: ({ kind, detail }) => {
-          if (kind === "unreachable") {
-            paths.recordUnreached(entry, toUnreachedCause(detail));
-            finishWith({ kind: "unreached", detail });
-          } else
-            finishWith({
-              kind: "failed",
-              as: kind === "malformed" ? kind : "broken",
-              detail,
-            });
+          switch (kind) {
+            case "unreachable":
+              paths.recordUnreached(entry, toUnreachedCause(detail));
+              finishWith({ kind: "unreached", detail });
+              return;
+            case "unsendable":
+              finishWith({ kind: "refused", reason: "unsendable" });
+              return;
+            case "malformed":
+              finishWith({ kind: "failed", as: kind, detail });
+              return;
+            case "broken":
+            case "carrier_lost":
+              finishWith({ kind: "failed", as: "broken", detail });
+              return;
+            default:
+              assertNever(kind);
+          }
         },
       },
     );
--- a/packages/forwarding/src/carrying.testkit.ts
+++ b/packages/forwarding/src/carrying.testkit.ts
@@ -64,6 +64,8 @@
 
 export const toBox = (index: number) => `box-${index}` as BoxName;
 
+const toTarget = (id: string) => encodeURIComponent(id);
+
 const toServer = (index: number): BackendServer =>
   ({
     entry: {
@@ -234,7 +236,7 @@
         return {
           address: servers[server]!.entry.address,
           method: "POST",
-          target: id,
+          target: toTarget(id),
           headers: changes.headers ?? [],
           body: Buffer.alloc(0),
           connectLimit: CONNECT_LIMIT,
@@ -259,7 +261,7 @@
     fleet,
     events,
     send,
-    countRuns: (id: string) => runs.get(id) ?? 0,
+    countRuns: (id: string) => runs.get(toTarget(id)) ?? 0,
     getMaxCarried: () => maxCarried,
     /** The box neither sends nor receives any more. */
     stop: (box: number) => void stopped.add(box),
--- a/packages/forwarding/src/concludeAttempt.ts
+++ b/packages/forwarding/src/concludeAttempt.ts
@@ -15,6 +15,7 @@
   isFullRejection,
   isServed,
   isTurnedAway,
+  isUnsendable,
   type AttemptEnd,
   type NextStep,
 } from "./decideNext.js";
@@ -83,8 +84,9 @@
         placer.onBroken(server, Promise.resolve());
         return;
       case "unreachable":
+      case "unsendable":
       case "carrier_lost":
-        // The link to a carrier says nothing about the server.
+        // Neither the request itself nor the link to a carrier says anything about the server.
         return;
       default:
         assertNever(kind);
@@ -97,6 +99,7 @@
     const verdict = decideVerdict(end, head.id);
     const wasSent = attempt.exchange?.isSent() ?? false;
     attempts.recordEnd(classifyAttempt(wasSent, verdict, attempt.head?.signals));
+    if (isUnsendable(end)) return verdict;
     if (!wasSent) placer.onUnreachable(server);
     else if (end.kind === "failed" && (!attempt.head || end.failure.kind === "malformed"))
       recordFailure(attempt, end.failure);
--- a/packages/forwarding/src/decideNext.ts
+++ b/packages/forwarding/src/decideNext.ts
@@ -60,13 +60,20 @@
   return !isSuccess(head.status) || head.isSigned;
 };
 
+/** Whether the attempt ended before anything could be sent, for a reason that is not the server's. */
+export const isUnsendable = (end: AttemptEnd): boolean =>
+  end.kind === "failed" && end.failure.kind === "unsendable";
+
+/** Whether nothing was sent to the server. */
+const isUnsent = ({ kind }: ExchangeFailure): boolean =>
+  kind === "unreachable" || kind === "unsendable";
+
 /** Decides what an attempt's end proves. */
 export const decideVerdict = (
   end: AttemptEnd,
   id: ClientRequestId | undefined,
 ): Verdict => {
-  if (end.kind === "failed")
-    return end.failure.kind === "unreachable" ? "not_run" : "may_have_run";
+  if (end.kind === "failed") return isUnsent(end.failure) ? "not_run" : "may_have_run";
   const { head } = end;
   if (!isTrustworthy(head, id)) return "may_have_run";
   if (head.isNotRun || head.isOtherServer) return "not_run";
--- a/packages/forwarding/src/openExchange.ts
+++ b/packages/forwarding/src/openExchange.ts
@@ -5,13 +5,19 @@
  * next request, or the server could close it while a request that may run only once is being sent. See
  * docs/design/users-platform.md for the cost.
  */
-import { request as openRequest, type IncomingMessage } from "node:http";
+import {
+  request as openRequest,
+  type ClientRequest,
+  type IncomingMessage,
+} from "node:http";
+import type { Socket } from "node:net";
 import {
   connectTcp,
   type BoxName,
   type Clock,
   type Dialer,
   type Ms,
+  type Result,
 } from "@stairgauge/common";
 import type { ServerAddress } from "@stairgauge/directory";
 import {
@@ -20,6 +26,7 @@
   type AnswerExcess,
 } from "./answerLimits.js";
 import type { ExchangeFailure, RawHeaders } from "./types.js";
+import { failUnsent, attemptMake } from "./unsendable.js";
 
 /** Largest head of a server's answer. */
 const ANSWER_HEAD_BYTES = 64 * 1024;
@@ -37,6 +44,8 @@
   dial?: Dialer | undefined;
   /** Reports an answer that exceeds a limit. */
   onExcess?: ((excess: AnswerExcess) => void) | undefined;
+  /** Reports a request that cannot be sent. */
+  onUnsendable?: ((detail: string) => void) | undefined;
 }>;
 
 /** What ended an answer: its framing, or a normal close of the connection that the framing does not prove complete. */
@@ -81,14 +90,49 @@
   return error instanceof Error ? error.message : "unknown";
 };
 
-/** Sends a request and passes the answer to the sink. */
+type Outgoing = Readonly<{ outgoing: ClientRequest; socket: Socket }>;
+
+/** Makes the request. Its connection is dialed once the head is complete; if anything throws, none is left open. */
+const makeOutgoing = (
+  { address, method, target, headers }: ExchangeRequest,
+  dial: Dialer,
+): Result<Outgoing, Extract<ExchangeFailure, { kind: "unsendable" }>> => {
+  const dialed: Socket[] = [];
+  const made = attemptMake(() => {
+    const outgoing = openRequest({
+      createConnection: () => {
+        const socket = dial(address);
+        dialed.push(socket);
+        return socket;
+      },
+      method,
+      path: target,
+      headers: headers as string[],
+      maxHeaderSize: ANSWER_HEAD_BYTES,
+    });
+    const [socket] = dialed;
+    if (socket) return { outgoing, socket };
+    // What dialing threw is emitted later.
+    outgoing.on("error", () => undefined).destroy();
+    throw new TypeError("Address cannot be dialed");
+  });
+  if (made.err) for (const socket of dialed) socket.destroy();
+  return made;
+};
+
+/** Sends a request and passes the answer to the sink; never throws. */
 export const openExchange = (
   clock: Clock,
   exchange: ExchangeRequest,
   sink: ExchangeSink,
 ): Exchange => {
-  const { address, method, target, headers, body, connectLimit } = exchange;
-  const { dial = connectTcp, onExcess } = exchange;
+  const { body, connectLimit, dial = connectTcp, onExcess } = exchange;
+  const made = makeOutgoing(exchange, dial);
+  if (made.err) {
+    exchange.onUnsendable?.(made.val.detail);
+    return failUnsent(clock, made.val, sink);
+  }
+  const { outgoing, socket } = made.val;
   let isConnected = false;
   let isOver = false;
   /** The answer was complete when its connection closed; later errors of the connection are ignored. */
@@ -96,7 +140,6 @@
   let answer: IncomingMessage | undefined;
   let endedBy: EndedBy = "framing";
   const meter = createOverheadMeter();
-  const socket = dial(address);
 
   const finish = () => {
     if (isOver) return false;
@@ -132,13 +175,6 @@
     connectTimer.cancel();
     if (!isOver) sink.onConnected?.();
   });
-  const outgoing = openRequest({
-    createConnection: () => socket,
-    method,
-    path: target,
-    headers: headers as string[],
-    maxHeaderSize: ANSWER_HEAD_BYTES,
-  });
   // The parser has the bytes first, so that those of a body are counted before they are compared.
   outgoing.once("socket", () =>
     socket.on("data", (bytes: Buffer) => {
--- a/packages/forwarding/src/probePath.ts
+++ b/packages/forwarding/src/probePath.ts
@@ -16,11 +16,14 @@
   openOwn: OpenOwnExchange;
 }>;
 
-/** Resolves with whether the server answered; what it answered says nothing about the path. */
-export const probePath = (probe: PathProbe): Promise<boolean> =>
+/**
+ * Resolves with whether the server answered; what it answered says nothing about the path. Undefined if the
+ * probe could not be sent.
+ */
+export const probePath = (probe: PathProbe): Promise<boolean | undefined> =>
   new Promise((resolve) => {
     const { clock, codec, entry, healthPath, connectLimit, openOwn } = probe;
-    const finish = (isReached: boolean) => {
+    const finish = (isReached: boolean | undefined) => {
       timer.cancel();
       exchange.cancel();
       resolve(isReached);
@@ -41,7 +44,7 @@
         onHead: () => finish(true),
         onData: () => undefined,
         onEnd: () => finish(true),
-        onFailure: () => finish(false),
+        onFailure: ({ kind }) => finish(kind === "unsendable" ? undefined : false),
       },
     );
     const timer = clock.setTimeLimit(HELD_BODY_LIMITS.healthCheck.maxTime, () =>
--- a/packages/forwarding/src/serverExchanges.ts
+++ b/packages/forwarding/src/serverExchanges.ts
@@ -18,6 +18,7 @@
   type ExchangeSink,
 } from "./openExchange.js";
 import type { ExchangeFailure } from "./types.js";
+import { failUnsent, attemptMake } from "./unsendable.js";
 
 /** A request to one server. */
 export type ServerRequest = Readonly<{
@@ -39,7 +40,7 @@
   breakSilent: () => void;
 }>;
 
-/** Opens an exchange over this box's own connection to the server. */
+/** Opens an exchange over this box's own connection to the server; never throws, nor calls the sink before it returns. */
 export type OpenOwnExchange = (request: ExchangeRequest, sink: ExchangeSink) => Exchange;
 
 /** Dependencies of the exchanges. */
@@ -95,7 +96,7 @@
 
 /** Creates the exchanges. */
 export const createServerExchanges = (deps: ServerExchangesDeps): ServerExchanges => {
-  const { clock, paths, carriers, openOwn } = deps;
+  const { clock, paths, carriers, openOwn, onEvent } = deps;
 
   const begunAnswers = new Map<BegunAnswer, ServerId>();
 
@@ -140,7 +141,13 @@
   ): Exchange => {
     const { entry } = server;
     const startedAt = clock.monotonic();
-    const request = build();
+    const built = attemptMake(build);
+    if (built.err) {
+      const { detail } = built.val;
+      onEvent({ kind: "call_unsendable", server: entry.id, detail });
+      return failUnsent(clock, built.val, sink);
+    }
+    const request = built.val;
     const limit = request.connectLimit;
     const connectLimit = carriers.hasAny() ? paths.computeWait(entry, limit) : limit;
     const watch = watchAnswer(entry.id, sink, () => {
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -119,6 +119,8 @@
 export type ExchangeFailure = Readonly<
   /** No connection was established: nothing was sent. */
   | { kind: "unreachable"; detail: string }
+  /** The call could not be made: nothing was sent, and nothing follows for the server or the path to it. */
+  | { kind: "unsendable"; detail: string }
   /** The connection broke; the server may have received the request. */
   | { kind: "broken"; detail: string }
   /** The server sent bytes that are no valid answer. */
--- a/packages/paths/src/types.ts
+++ b/packages/paths/src/types.ts
@@ -27,6 +27,8 @@
   | "stopping"
   | "server_unknown"
   | "server_leaving"
+  /** The request does not fit into a head, so no box can send it. */
+  | "unsendable"
   /** A box of an earlier release. */
   | "not_supported";
 
--- a/packages/peers/src/carryCodec.ts
+++ b/packages/peers/src/carryCodec.ts
@@ -41,7 +41,14 @@
     kind: z.literal("refused"),
     // A reason of a later release means the same to this box: nothing was sent.
     reason: z
-      .enum(["path_lost", "no_room", "stopping", "server_unknown", "server_leaving"])
+      .enum([
+        "path_lost",
+        "no_room",
+        "stopping",
+        "server_unknown",
+        "server_leaving",
+        "unsendable",
+      ])
       .catch("no_room"),
   }),
   z.object({ kind: z.literal("unreached"), detail: z.string() }),
--- a/packages/telemetry/src/boxMetrics.ts
+++ b/packages/telemetry/src/boxMetrics.ts
@@ -175,6 +175,11 @@
       labelNames: ["limit"],
       registers,
     }),
+    unsendableCalls: new Counter({
+      name: "stairgauge_unsendable_calls_total",
+      help: "Calls to servers that could not be made, as a value does not fit into a head",
+      registers,
+    }),
     carrySteps: new Counter({
       name: "stairgauge_carry_steps_total",
       help: "Steps of requests sent by way of another box: carried, carrier_passed_over, carrier_lost",
