fix: a box whose row can't be read stays a member after a whole read as well

Callers saw nothing yet by itself; with a spoiled row of the table of boxes, boxes that read the table whole dropped the box, and those that read the change kept it. Cause: a whole read cleared the members first. Evidence: the test failed before ([[box-1], []] instead of [[box-1], [box-1]]). Now a whole read drops just the members that aren't listed.

--- a/packages/peers/src/memberSink.ts
+++ b/packages/peers/src/memberSink.ts
@@ -60,7 +60,9 @@
 
   return {
     onWhole: (rows) => {
-      members.clear();
+      // A box whose row can't be read stays where it was.
+      const listed = new Set(rows.map(({ key }) => key));
+      for (const key of [...members.keys()]) if (!listed.has(key)) members.delete(key);
       for (const row of rows) put(row);
       emitMembers();
     },
