fix: a row of the store that can't be read costs only itself

Callers: with one row whose value is no base64, running boxes stopped to follow the whole table (a new server was never used, one that had left still was), starting ones refused all requests. Operators: store_lost and store_regained by turns, no row named. Cause: one schema for the whole answer. The same for a version that is no number, a missing or odd key, and null, a number or a list in place of a row, in whole reads, pages and feeds, of each table.

--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -148,7 +148,15 @@
     peers,
     onBlocked: () => getParts().forwarder.stopBlocked(),
   });
-  const origins = createOrigins({ settings, clock, log, knowledge, peers, getParts });
+  const origins = createOrigins({
+    settings,
+    clock,
+    log,
+    metrics,
+    knowledge,
+    peers,
+    getParts,
+  });
   const places = createFleetPlaces(clock);
   const cold = createColdServers({
     settings,
--- a/apps/box/src/createFollowedTables.ts
+++ b/apps/box/src/createFollowedTables.ts
@@ -28,6 +28,7 @@
 } from "@stairgauge/storefeed";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
 import { observeEras } from "./observers.js";
+import { createRowFaultReporter } from "./reportRowFaults.js";
 
 /**
  * Consumers of one table: its sink, and the rules by which rows count after the store was
@@ -192,6 +193,7 @@
     store: createStoreReader({
       address: store.address,
       onEraFault: (fault) => log.writeWarning("store_era_fault", fault),
+      onRowFault: createRowFaultReporter({ log, metrics }),
     }),
     links,
     minStoreReaders: store.hearers,
--- a/apps/box/src/createOrigins.ts
+++ b/apps/box/src/createOrigins.ts
@@ -17,14 +17,16 @@
   VERSIONS_TABLE,
 } from "@stairgauge/platform";
 import type { BoxSettings } from "@stairgauge/settings";
-import type { DecisionLog } from "@stairgauge/telemetry";
+import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
 import type { Knowledge } from "./createKnowledge.js";
 import type { Peers } from "./createPeers.js";
+import { createRowFaultReporter } from "./reportRowFaults.js";
 
 export type OriginsOptions = Readonly<{
   settings: BoxSettings;
   clock: Clock;
   log: DecisionLog;
+  metrics: BoxMetrics;
   knowledge: Pick<Knowledge, "isOutOfTouch" | "getLongestStream">;
   peers: Pick<Peers, "links" | "reporter">;
   /** Parts that are created later. */
@@ -38,7 +40,7 @@
 
 /** Creates the parts; no origin is on record. */
 export const createOrigins = (options: OriginsOptions): Origins => {
-  const { settings, clock, log, knowledge, getParts } = options;
+  const { settings, clock, log, metrics, knowledge, getParts } = options;
   const { links, reporter } = options.peers;
   const registry = createOriginRegistry();
   const history = createVersionHistory(
@@ -57,6 +59,7 @@
       address: settings.store.address,
       // The followers of the tables report faults of the era.
       onEraFault: () => undefined,
+      onRowFault: createRowFaultReporter({ log, metrics }),
     }),
     writer: createStoreWriter(settings.store.address),
     table: VERSIONS_TABLE,
--- a/packages/telemetry/src/boxMetrics.ts
+++ b/packages/telemetry/src/boxMetrics.ts
@@ -46,6 +46,12 @@
       labelNames: ["table", "kind"],
       registers,
     }),
+    unreadableRows: new Counter({
+      name: "stairgauge_store_unreadable_rows_total",
+      help: "Changes of rows of which a part can't be read, by table and part: key, value, version",
+      labelNames: ["table", "fault"],
+      registers,
+    }),
     storeEra: new Gauge({
       name: "stairgauge_store_era",
       help: "Era of the platform's store since it last came back from a copy, 0 before it has under this box",
