fix: requests of a workspace whose name cannot be sent are refused as not run

A workspace named with a space before or behind it had its requests run under the name without it, which may be another workspace's: spaces around a header's value are lost on the way. One named with a control character or beyond Latin-1 has its requests fail at each server in turn.

The configuration stays in force, since one name must not cost all others their routes; a request with a key of such a workspace is refused at once, 503 workspace_unsendable, with when to come back, as the next configuration may name it otherwise.

--- a/packages/forwarding/src/createForwarder.ts
+++ b/packages/forwarding/src/createForwarder.ts
@@ -34,6 +34,7 @@
 const STATUS_OF_REFUSAL: Readonly<Record<AccessRefusal, number>> = {
   no_configuration: 503,
   knowledge_too_old: 503,
+  workspace_unsendable: 503,
   no_such_route: 404,
   key_missing: 401,
   key_unknown: 401,
--- a/packages/routing/src/decideAccess.ts
+++ b/packages/routing/src/decideAccess.ts
@@ -18,6 +18,8 @@
   /** The configuration was confirmed too long ago to deny an unknown route or key, or to accept a key. */
   | "knowledge_too_old"
   | "no_such_route"
+  /** The name of the workspace cannot be sent to servers; the next configuration may have another. */
+  | "workspace_unsendable"
   | "key_missing"
   | "key_unknown";
 
@@ -57,6 +59,7 @@
   if (freshness === "expired") return refuse("knowledge_too_old", route);
   const workspace = index.findWorkspace(request.key);
   if (!workspace) return deny(freshness, "key_unknown", route);
+  if (workspace.isUnsendable) return refuse("workspace_unsendable", route);
   return { kind: "admitted", route, workspace };
 };
 
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -92,6 +92,8 @@
   tier: number | undefined;
   /** Regions whose servers may get its requests, among those that the route allows; all if undefined. */
   regions?: readonly RegionName[] | undefined;
+  /** Whether its name cannot be sent to servers as it is, so that they would take its requests for another's. */
+  isUnsendable?: boolean;
 }>;
 
 /** Limits on the size of a client's requests, and on how long a client may take to send a head or be idle. */
