--- a/packages/forwarding/src/carrying.testkit.ts
+++ b/packages/forwarding/src/carrying.testkit.ts
@@ -51,6 +51,8 @@
   cuts: readonly Cut[];
   /** Boxes that one box may ask; all others by default. */
   listCarriers?: ((box: number) => readonly number[]) | undefined;
+  /** Boxes whose links throw when they are asked. */
+  closedLinks?: readonly number[];
   /** Requests that each box may carry at once. */
   maxRequests?: number;
   seed?: number;
@@ -185,6 +187,7 @@
   /** A call over a link; frames take a moment, and a stopped box sends none. */
   const callCarrier: CallCarrier = (name, question, sink) => {
     const carrier = findBox(name);
+    if (options.closedLinks?.includes(carrier.index)) throw new Error("link is closed");
     let isOver = false;
     let handlers: ReturnType<typeof carrier.carry> | undefined;
     const sendLater = (act: () => void) =>
--- a/packages/forwarding/src/unsendableCalls.test.ts
+++ b/packages/forwarding/src/unsendableCalls.test.ts
@@ -52,4 +52,18 @@
     expect(bounds.count()).toBe(0);
     expect(fleet.events).toEqual([]);
   });
+
+  it("is offered to the next box if the link to one throws", () => {
+    const fleet = createCarryingFleet({
+      boxes: 3,
+      servers: 1,
+      cuts: [CUT],
+      closedLinks: [1],
+    });
+    const sent = [0, 1, 2, 3].map((i) => fleet.send(0, 0, `r${i}`));
+    fleet.clock.advance(500 as Ms);
+    expect(sent.map(({ getOutcome }) => getOutcome())).toMatchObject(
+      sent.map(() => ({ kind: "served", carrier: "box-2" })),
+    );
+  });
 });
