fix: a question on a link that was closed this moment is a failed one

A request that asks a hub or the admitting box where it goes, or a stream that asks which software began it, waited without an end until its time was over if the link to that box was closed just then: the channel throws ('Channel has been shut down'), the promise of the answer was rejected, and nobody handles that, as an answer that does not come is a result.

Evidence: the new test threw 'Channel has been shut down' before.

What the channel throws is now the failure 'failed' of the question, as any other broken call, so that the box decides by its own state at once.

--- a/packages/peers/src/unaryCall.ts
+++ b/packages/peers/src/unaryCall.ts
@@ -16,13 +16,13 @@
   method: UnaryMethod<Question, Answer>;
 }>;
 
-/** Asks one question; the call is cancelled when the signal aborts. */
+/** Asks one question; the call is cancelled when the signal aborts. A closed channel throws, which is a failure as well. */
 export const callUnary = <Question, Answer>(
   { client, method }: UnaryTarget<Question, Answer>,
   question: Question,
   signal: AbortSignal,
 ): Promise<Result<Answer, AskFailure>> =>
-  new Promise((resolve) => {
+  new Promise<Result<Answer, AskFailure>>((resolve) => {
     const call = client.makeUnaryRequest(
       method.path,
       method.requestSerialize,
@@ -34,4 +34,9 @@
       },
     );
     signal.addEventListener("abort", () => call.cancel(), { once: true });
-  });
+  }).catch((error: unknown) =>
+    Err({
+      kind: "failed",
+      detail: error instanceof Error ? error.message : String(error),
+    }),
+  );
