fix: a stream that ends behind its head without a length is no whole one

What callers saw: where a server closed right behind the head of an answer without length or chunks, 200 with Content-Length: 0 on streaming routes; where it did so as next server of a stream, the part that another server had sent (2 of 4 events), ended as complete; where the client took its stream up with Last-Event-ID, 200 without events.

Cause: an end by the connection counted as whole if the server's process still answers. That tells a process that was killed from one that lives, not a body from none: a server that fails where it would begin lives as well.

Now such an end of a success on a streaming route is cut before its first event, whichever server of the stream it is: another one is tried where that is allowed, else the stream is broken off or refused. A length of 0 or a last chunk still proves that there is nothing more. Plain answers stay as they were: an empty body without a length is legal there, and is still whole only by a FIN of a server that answers its health check.

--- a/packages/forwarding/src/answerSink.ts
+++ b/packages/forwarding/src/answerSink.ts
@@ -12,11 +12,12 @@
 import { describeExcess, HELD_BODY_LIMITS, type AnswerExcess } from "./answerLimits.js";
 import type { RunStop } from "./activeRuns.js";
 import type { ServerPresence } from "./askServer.js";
-import { countBytesLeft, type Attempt } from "./attempt.js";
+import { countBytesLeft, hasBodyBegun, type Attempt } from "./attempt.js";
 import {
   decideVerdict,
   isBodyNeeded,
   isDecidedByHead,
+  isServed,
   isStreamOf,
   type Verdict,
 } from "./decideNext.js";
@@ -203,6 +204,10 @@
       endedBy,
       isBodyNeeded: isBodyNeeded(attempt.head!, head.id),
       bytesLeft: countBytesLeft(attempt),
+      isStreamUnbegun:
+        request.route.kind === "stream" &&
+        isServed(attempt.head!, head.id) &&
+        !hasBodyBegun(attempt),
       isSettledElsewhere:
         attempt.body.kind === "stream" &&
         request.route.isResumable &&
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -1,5 +1,5 @@
 /** State of one attempt: a request that is sent to one server. */
-import type { BoxName, Ms, Timer } from "@stairgauge/common";
+import { assertNever, type BoxName, type Ms, type Timer } from "@stairgauge/common";
 import type { BackendServer } from "@stairgauge/directory";
 import type { Demand } from "@stairgauge/placement";
 import type { ClientAnswer } from "./clientAnswer.js";
@@ -80,6 +80,20 @@
 export const countBytesLeft = ({ body }: Attempt): number =>
   body.kind === "stream" ? body.segment.countBytesLeft() : 0;
 
+/** Whether anything of the answer's body has come: a whole event, if it is a stream. */
+export const hasBodyBegun = ({ body, heldBytes }: Attempt): boolean => {
+  switch (body.kind) {
+    case "held":
+      return heldBytes > 0;
+    case "passed_on":
+      return true;
+    case "stream":
+      return body.segment.hasEvents();
+    default:
+      return assertNever(body);
+  }
+};
+
 /** Sends the buffered answer unchanged, with additional headers of the box. */
 export const sendHeldAnswer = (
   answer: Pick<ClientAnswer, "sendWhole">,
--- a/packages/forwarding/src/classifyEnd.test.ts
+++ b/packages/forwarding/src/classifyEnd.test.ts
@@ -11,6 +11,7 @@
   endedBy: "connection",
   isBodyNeeded: true,
   bytesLeft: 0,
+  isStreamUnbegun: false,
   isSettledElsewhere: false,
   ...changes,
 });
@@ -32,6 +33,12 @@
       expect(classifyEnd(makeEnded({ bytesLeft })).kind).not.toBe("whole");
   });
 
+  it("treats a stream that ends before its first event as truncated unless its framing says that there is none", () => {
+    expect(classifyEnd(makeEnded({ isStreamUnbegun: true })).kind).toBe("cut");
+    const framed = makeEnded({ endedBy: "framing", isStreamUnbegun: true });
+    expect(classifyEnd(framed).kind).toBe("whole");
+  });
+
   it("treats a stream as truncated if it ends within an event, or if a server that leaves ended it and the next one tells", () => {
     expect(classifyEnd(makeEnded({ bytesLeft: 1 })).kind).toBe("cut");
     expect(classifyEnd(makeEnded({ isSettledElsewhere: true })).kind).toBe("cut");
--- a/packages/forwarding/src/classifyEnd.ts
+++ b/packages/forwarding/src/classifyEnd.ts
@@ -15,6 +15,8 @@
   isBodyNeeded: boolean;
   /** Bytes of the incomplete last event. */
   bytesLeft: number;
+  /** Whether the answer is the success of a request for a stream, or of the rest of one, and holds no event. */
+  isStreamUnbegun: boolean;
   /** Whether the answer is a stream that can go on at another server, and its own one is about to stop. */
   isSettledElsewhere: boolean;
 }>;
@@ -31,6 +33,9 @@
 export const classifyEnd = (ended: EndedAnswer): EndProof => {
   if (ended.bytesLeft > 0) return { kind: "cut", detail: "ended within an event" };
   if (ended.endedBy === "framing" || !ended.isBodyNeeded) return { kind: "whole" };
+  // A server that fails where it would begin also closes here; one with nothing to send can say so by its framing.
+  if (ended.isStreamUnbegun)
+    return { kind: "cut", detail: "connection ended before the first event" };
   if (ended.isSettledElsewhere)
     return { kind: "cut", detail: "connection ended without an end of the stream" };
   return { kind: "unproven" };
--- a/packages/forwarding/src/streamRelay.ts
+++ b/packages/forwarding/src/streamRelay.ts
@@ -33,6 +33,8 @@
   push: (chunk: Buffer) => SegmentStep;
   /** Bytes of an incomplete event. */
   countBytesLeft: () => number;
+  /** Whether an event of this segment was forwarded. */
+  hasEvents: () => boolean;
   /** Ends the stream: the segment is complete and the last one. */
   finish: () => void;
 }>;
@@ -123,6 +125,7 @@
   const beginSegment = (headers: RawHeaders, reason: string): StreamSegment => {
     const splitter = createEventSplitter();
     let isJoined = false;
+    let hasEvents = false;
     /** Bytes of comments since the last event. */
     let commentBytes = 0;
     const comments: Buffer[] = [];
@@ -132,6 +135,7 @@
     const sendBatch = (batch: EventBatch): SegmentStep => {
       begin();
       for (const comment of comments.splice(0)) answer.write(comment);
+      hasEvents ||= batch.ids.length > 0;
       return passOn(batch);
     };
     const joinBatch = (batch: EventBatch): SegmentStep => {
@@ -166,6 +170,7 @@
         return isJoined ? sendBatch(batch) : joinBatch(batch);
       },
       countBytesLeft: splitter.countPendingBytes,
+      hasEvents: () => hasEvents,
       finish: () => {
         if (current !== segment) return;
         begin();
