fix: the check of a server that throws has a verdict, and is made again

A request whose server broke it off waits for the check of that server. Where the check threw, its rejected promise stayed on record: each later request that the same server broke off got it at once, its step ended it as failed although another server could run it, and the check was never made again.

Evidence: the new test was rejected with the error of the check before.

A check that throws knows nothing of the server, as one without an answer; the verdict is dropped then, so that the next request has the server checked anew.

--- a/packages/forwarding/src/crashDetector.test.ts
+++ b/packages/forwarding/src/crashDetector.test.ts
@@ -51,6 +51,22 @@
     });
   });
 
+  it("knows nothing of a server whose check throws, and checks it again", async () => {
+    let asked = 0;
+    const detector = createCrashDetector({
+      clock: createVirtualClock(),
+      ask: () => {
+        asked += 1;
+        return Promise.reject(new Error("fault of the test"));
+      },
+      isLeaving: () => false,
+    });
+    for (const count of [1, 2]) {
+      expect(await detector.check(SERVER)).toMatchObject({ verdict: "not_known" });
+      expect(asked).toBe(count);
+    }
+  });
+
   it("sends no health check to a leaving server", async () => {
     const left = await checkServer([REFUSED], { isLeaving: true });
     expect(left).toEqual({ verdict: "left", asked: 0 });
--- a/packages/forwarding/src/crashDetector.ts
+++ b/packages/forwarding/src/crashDetector.ts
@@ -7,6 +7,7 @@
 import type { BackendServer, ServerId } from "@stairgauge/directory";
 import type { ServerPresence } from "./askServer.js";
 import type { ServerAsker } from "./createServerAsker.js";
+import { describeFault } from "./runStep.js";
 
 /** State of a server that broke the connection of a request. */
 export type CrashVerdict =
@@ -64,7 +65,7 @@
   const { clock, ask, isLeaving } = options;
   const checks = new Map<ServerId, Promise<CrashCheck>>();
 
-  const askUntilAnswered = async (server: BackendServer): Promise<CrashCheck> => {
+  const askRepeatedly = async (server: BackendServer): Promise<CrashCheck> => {
     let detail = "";
     for (let asked = 0; asked < MAX_ASKED; asked += 1) {
       if (asked > 0) await waitFor(clock, ASK_PAUSE_MS);
@@ -76,6 +77,15 @@
     return { verdict: "not_known", detail };
   };
 
+  /** Requests wait for the verdict, so a check that throws has one as well. */
+  const askUntilAnswered = async (server: BackendServer): Promise<CrashCheck> => {
+    try {
+      return await askRepeatedly(server);
+    } catch (error) {
+      return { verdict: "not_known", detail: describeFault(error) };
+    }
+  };
+
   const checkOnce = async (server: BackendServer): Promise<CrashCheck> => {
     const { id } = server.entry;
     const result = await askUntilAnswered(server);
