fix: a request whose placement throws after a wait is ended, and holds up no other

A dispatch ends its request when one of its steps throws, but only steps that it runs itself. What a placement did later, from the admission queue or after the answer of a hub or of the admitting box, threw into the queue or into a promise that nobody handles: the request had neither a server nor an end until its time was over, and in the queue it stayed first, so that each later request of its service waited behind it.

A placement now hands what it throws to the dispatch, which ends the request by what is true of it, as for any other step, and the queue goes on with the next. A hub's question is answered with the error.

--- a/apps/box/src/capacity.testkit.ts
+++ b/apps/box/src/capacity.testkit.ts
@@ -181,6 +181,9 @@
       },
       place,
       report: () => void (outcomes.waited += 1),
+      fail: (error) => {
+        throw error;
+      },
     });
   };
 
--- a/packages/fleet/src/placeHub.ts
+++ b/packages/fleet/src/placeHub.ts
@@ -99,7 +99,7 @@
   });
 
   const waitForCapacity = (question: PlaceQuestion, wait: Ms, signal: AbortSignal) =>
-    new Promise<GivenAdvice>((resolve) => {
+    new Promise<GivenAdvice>((resolve, reject) => {
       const { service, tier } = question;
       const until = (clock.monotonic() + wait) as Ms;
       const cancelWait = placeOrWait(
@@ -109,6 +109,7 @@
           choose: () => choose(question),
           place: (decision) => resolve(placeFor(question, decision)),
           report: () => undefined,
+          fail: reject,
         },
       );
       signal.addEventListener("abort", cancelWait, { once: true });
--- a/packages/forwarding/src/placeByAdvice.test.ts
+++ b/packages/forwarding/src/placeByAdvice.test.ts
@@ -42,6 +42,7 @@
   const asked: AdviceRequest["urgency"][] = [];
   const placed: (readonly [PlacementDecision, string | undefined])[] = [];
   const reported: string[] = [];
+  const failed: unknown[] = [];
   const request: PlaceableRequest = {
     id: "r" as ClientRequestId,
     demand: { tier: 1, tokens: TOKENS },
@@ -70,9 +71,10 @@
     choose: () => OWN,
     place: (decision: PlacementDecision, by?: string) => placed.push([decision, by]),
     report: ({ kind }: { kind: string }) => reported.push(kind),
+    fail: (error: unknown) => failed.push(error),
   };
   const advance = (duration: number) => advanceSettled(clock, duration as Ms);
-  return { deps, request, steps, asked, placed, reported, advance };
+  return { deps, request, steps, asked, placed, reported, failed, advance };
 };
 
 describe("placeByAdvice", () => {
@@ -122,6 +124,23 @@
   });
 });
 
+/** Guards against a request that nothing places or ends any more, since its placement threw after a wait. */
+describe("a placement that throws after the hub gave no advice", () => {
+  it.each([
+    ["for the first time", placeByAdvice],
+    ["again", placeAgain],
+  ])("ends its request: %s", async (_, place) => {
+    const { deps, request, steps, failed, advance } = setUp([undefined]);
+    const error = new Error("fault of the test");
+    const choose = () => {
+      throw error;
+    };
+    place(deps, request, { ...steps, choose });
+    await advance(10);
+    expect(failed).toEqual([error]);
+  });
+});
+
 describe("placeAgain", () => {
   it("asks for an immediate placement, and decides by itself without an answer", async () => {
     const advised = setUp([DECIDED]);
--- a/packages/forwarding/src/placeByAdvice.ts
+++ b/packages/forwarding/src/placeByAdvice.ts
@@ -107,11 +107,13 @@
     if (first?.kind !== "no_room" || call.signal.aborted) return first;
     return askWhenFull(first.memoryAfter);
   };
-  void askForPlace().then((advice) => {
-    if (call.signal.aborted) return;
-    if (advice?.kind === "decided") steps.place(advice.decision, advice.by);
-    else leave = placeHere();
-  });
+  void askForPlace()
+    .then((advice) => {
+      if (call.signal.aborted) return;
+      if (advice?.kind === "decided") steps.place(advice.decision, advice.by);
+      else leave = placeHere();
+    })
+    .catch(steps.fail);
   return () => leave();
 };
 
@@ -119,7 +121,7 @@
 export const placeAgain = (
   { advisor }: Pick<Deps, "advisor">,
   request: PlaceableRequest,
-  { choose, place }: Omit<AdvisedSteps, "report">,
+  { choose, place, fail }: Omit<AdvisedSteps, "report">,
 ): (() => void) => {
   const adviceRequest = buildAdviceRequest(request);
   if (!adviceRequest || !advisor.isNeeded()) {
@@ -128,10 +130,13 @@
   }
   const call = new AbortController();
   const urgency = { kind: "at_once" } as const;
-  void advisor.ask({ ...adviceRequest, urgency }, call.signal).then((advice) => {
-    if (call.signal.aborted) return;
-    if (advice?.kind === "decided") place(advice.decision, advice.by);
-    else place(choose());
-  });
+  void advisor
+    .ask({ ...adviceRequest, urgency }, call.signal)
+    .then((advice) => {
+      if (call.signal.aborted) return;
+      if (advice?.kind === "decided") place(advice.decision, advice.by);
+      else place(choose());
+    })
+    .catch(fail);
   return () => call.abort();
 };
--- a/packages/forwarding/src/placeCall.ts
+++ b/packages/forwarding/src/placeCall.ts
@@ -121,6 +121,10 @@
     choose: attempts.choose,
     place: handlePlacement,
     report: reports.report,
+    fail: (error) =>
+      parts.runStep(() => {
+        throw error;
+      }),
   });
 
   return {
--- a/packages/forwarding/src/placeOrWait.test.ts
+++ b/packages/forwarding/src/placeOrWait.test.ts
@@ -23,9 +23,10 @@
 
 /** Places one request at time 0 whose target time to the first answer is 1,000 ms. */
 const setUp = (first: PlacementDecision, queue = createQueue()) => {
-  let decision = first;
+  let decide = () => first;
   const placed: PlacementDecision[] = [];
   const reported: string[] = [];
+  const failed: unknown[] = [];
   const request = {
     service: "writers" as ServiceName,
     workspace: undefined,
@@ -33,15 +34,24 @@
     receivedAt: 0 as Ms,
   };
   const leave = placeOrWait(queue, computePlacingTerms(request), {
-    choose: () => decision,
+    choose: () => decide(),
     place: (chosen) => placed.push(chosen),
     report: ({ kind }) => reported.push(kind),
+    fail: (error) => {
+      leave();
+      failed.push(error);
+    },
   });
   const change = (next: PlacementDecision) => {
-    decision = next;
+    decide = () => next;
+  };
+  const failToDecide = () => {
+    decide = () => {
+      throw new Error("fault of the test");
+    };
   };
   const advance = (duration: number) => queue.clock.advance(duration as Ms);
-  return { queue, placed, reported, leave, change, advance };
+  return { queue, placed, reported, failed, leave, change, failToDecide, advance };
 };
 const createQueue = () => {
   const clock = createVirtualClock();
@@ -99,6 +109,17 @@
     expect(placed).toEqual([]);
   });
 
+  it("ends a request whose placement throws in the queue, and holds up none behind it", () => {
+    const first = setUp(makePlaced(1.1));
+    const second = setUp(makePlaced(1.1), first.queue);
+    first.failToDecide();
+    second.change(makePlaced(0.5));
+    first.advance(30);
+    expect(first.failed).toHaveLength(1);
+    expect(first.queue.waitQueue.count()).toBe(0);
+    expect(second.placed).toHaveLength(1);
+  });
+
   it("charges what it places, so that a workspace with less usage goes first among those that wait", () => {
     const { clock, waitQueue } = createQueue();
     const placed: string[] = [];
@@ -117,6 +138,7 @@
           choose: () => decision,
           place: () => placed.push(workspace),
           report: () => undefined,
+          fail: () => undefined,
         },
       );
     send("large");
--- a/packages/forwarding/src/placeOrWait.ts
+++ b/packages/forwarding/src/placeOrWait.ts
@@ -30,6 +30,8 @@
   /** Sends the request to the chosen server, or answers it if there is none. */
   place: (decision: PlacementDecision) => void;
   report: (decision: ForwardDecision) => void;
+  /** Ends the request, whose placement threw later than its caller returned. */
+  fail: (error: unknown) => void;
 }>;
 
 /** Conditions of a placement. */
@@ -115,7 +117,7 @@
 export const placeOrWait = (
   { waitQueue }: Readonly<{ waitQueue: GenerationQueue }>,
   terms: PlacingTerms,
-  { choose, place, report }: PlacingSteps,
+  { choose, place, report, fail }: PlacingSteps,
 ): (() => void) => {
   const { share = NO_SHARE, until, ...sharer } = terms;
   const decision = choose();
@@ -124,6 +126,21 @@
     place(decision);
     return () => undefined;
   }
+  /** A request that stayed in the queue would hold up all behind it. */
+  const failIfThrown = (attempt: () => boolean): boolean => {
+    try {
+      return attempt();
+    } catch (error) {
+      fail(error);
+      return true;
+    }
+  };
+  const attemptNow = () => {
+    const found = choose();
+    const fits = mayPlace(found);
+    if (fits) place(found);
+    return fits;
+  };
   const memoryAfter = getMemoryAfter(decision);
   report({ kind: "waits", memoryAfter, waiting: waitQueue.count() });
   return waitQueue.add({
@@ -131,12 +148,11 @@
     ...sharer,
     ...share,
     until,
-    attempt: () => {
-      const found = choose();
-      const fits = mayPlace(found);
-      if (fits) place(found);
-      return fits;
-    },
-    placeAnyway: () => place(choose()),
+    attempt: () => failIfThrown(attemptNow),
+    placeAnyway: () =>
+      failIfThrown(() => {
+        place(choose());
+        return true;
+      }),
   });
 };
--- a/packages/forwarding/src/placePlainRequest.test.ts
+++ b/packages/forwarding/src/placePlainRequest.test.ts
@@ -60,6 +60,7 @@
     },
     place: (decision, by) => placed.push([decision, by]),
     report: () => void (reports += 1),
+    fail: (error) => placed.push(error),
   });
   const advance = (duration: number) => advanceSettled(clock, duration as Ms);
   return { asked, placed, cancel, advance, countReports: () => reports };
@@ -99,6 +100,16 @@
     },
   );
 
+  it("ends the request if placing within the safe part throws", async () => {
+    const error = new Error("fault of the test");
+    const placeWithinOwnPart = () => {
+      throw error;
+    };
+    const { placed, advance } = setUp([], { placeWithinOwnPart });
+    await advance(600);
+    expect(placed).toEqual([error]);
+  });
+
   it("uses the safe part at once when there is no admitting box", () => {
     const { placed, asked } = setUp([], { findAdmitting: () => "none" });
     expect(placed).toEqual([[SAFE, undefined]]);
--- a/packages/forwarding/src/placePlainRequest.ts
+++ b/packages/forwarding/src/placePlainRequest.ts
@@ -103,7 +103,7 @@
 };
 
 /** Callbacks of a placement. */
-export type PlainSteps = Pick<AdvisedSteps, "place" | "report"> &
+export type PlainSteps = Pick<AdvisedSteps, "place" | "report" | "fail"> &
   Readonly<{
     /** Places the request while its service is open; the returned function cancels the placement. */
     placeOpen: () => () => void;
@@ -113,7 +113,7 @@
 export const placePlainRequest = (
   deps: Deps,
   request: PlainRequest,
-  { placeOpen, place, report }: PlainSteps,
+  { placeOpen, place, report, fail }: PlainSteps,
 ): (() => void) => {
   const { plainAdmission } = deps;
   const reportWaiting = () =>
@@ -131,10 +131,12 @@
     return () => undefined;
   }
   const call = new AbortController();
-  void askUntilDecided(deps, request, call.signal, reportWaiting).then((advice) => {
-    if (call.signal.aborted) return;
-    if (advice) place(advice.decision, advice.by);
-    else place(plainAdmission.placeWithinOwnPart(request));
-  });
+  void askUntilDecided(deps, request, call.signal, reportWaiting)
+    .then((advice) => {
+      if (call.signal.aborted) return;
+      if (advice) place(advice.decision, advice.by);
+      else place(plainAdmission.placeWithinOwnPart(request));
+    })
+    .catch(fail);
   return () => call.abort();
 };
--- a/packages/measure/src/crowded/fleet.ts
+++ b/packages/measure/src/crowded/fleet.ts
@@ -181,6 +181,9 @@
           if (decision.kind === "placed") addAt(decision.server.entry.id, placed);
         },
         report: () => undefined,
+        fail: (error) => {
+          throw error;
+        },
       },
     );
 
