fix: a box whose stop fails ends all the same

Callers and the platform saw a process that stayed for ever after SIGTERM if a step of its stop threw: the handlers took only the outcome of a stop that succeeds, and the rejection was logged as an unexpected_error while the process went on. If leaving the list of boxes threw, the requests that came meanwhile lost their second wait and no listener was closed.

The end now follows the stop whatever its outcome, with status 1 and the error in the log if it failed; a failure to leave the list costs no step after it.

--- a/apps/box/src/createLifecycle.ts
+++ b/apps/box/src/createLifecycle.ts
@@ -105,6 +105,8 @@
       countOpen,
       grace,
       leave: membership.leave,
+      onLeaveFailure: (error) =>
+        log.writeWarning("unexpected_error", { error: String(error) }),
     });
     followedTables.stop();
     blockedList.stop();
--- a/apps/box/src/main.ts
+++ b/apps/box/src/main.ts
@@ -18,6 +18,7 @@
  */
 const SETTINGS_VARIABLE = "STAIRGAUGE_BOOT";
 const DEFAULT_PATH = "/etc/stairgauge/settings.conf";
+const EXIT_STOPPED = 0;
 const EXIT_USAGE = 2;
 const EXIT_FAILED = 1;
 
@@ -69,15 +70,25 @@
     process.exit(code);
   };
 
-  process.on("SIGTERM", () => void box.stop().then(() => endProcess(0)));
-  process.on("SIGINT", () => void box.stop().then(() => endProcess(0)));
+  const reportError = (error: unknown) => {
+    const text = error instanceof Error ? (error.stack ?? error.message) : String(error);
+    log.writeWarning("unexpected_error", { error: text });
+  };
+  const endInOrder = async () => {
+    try {
+      await box.stop();
+      endProcess(EXIT_STOPPED);
+    } catch (error) {
+      reportError(error);
+      endProcess(EXIT_FAILED);
+    }
+  };
+
+  process.on("SIGTERM", () => void endInOrder());
+  process.on("SIGINT", () => void endInOrder());
   watchSettings({ path, clock, log, onChanged: box.applySettings });
-  process.on("uncaughtException", (error) => {
-    log.writeWarning("unexpected_error", { error: error.stack ?? error.message });
-  });
-  process.on("unhandledRejection", (error) => {
-    log.writeWarning("unexpected_error", { error: String(error) });
-  });
+  process.on("uncaughtException", reportError);
+  process.on("unhandledRejection", reportError);
   log.writeNotice("starting", facts);
 
   try {
--- a/apps/box/src/startFile.test.ts
+++ b/apps/box/src/startFile.test.ts
@@ -234,6 +234,23 @@
     expect(code).toBe(0);
   });
 
+  // Guards against a process that stays although it serves no longer, because a step of its stop has failed.
+  it("ends with status 1 although its stop fails", async () => {
+    const hook = join(folder, "hook.cjs");
+    writeFileSync(
+      hook,
+      `require("node:http").Server.prototype.closeAllConnections = () => {
+  throw new Error("the stop fails");
+};
+`,
+    );
+    const box = startBox(["--require", hook]);
+    await box.waitForLine(/"event":"started"/);
+    box.kill("SIGTERM");
+    expect(await box.waitForExit()).toBe(1);
+    expect(box.listLines().join("\n")).toContain("the stop fails");
+  });
+
   // Guards against a restart that fails because the process before finishes its requests first.
   it("starts beside a process that holds its ports until its streams have ended", async () => {
     const site = await startUsersSite({ engines: 1, services: 1 });
--- a/apps/box/src/stopInOrder.test.ts
+++ b/apps/box/src/stopInOrder.test.ts
@@ -16,7 +16,7 @@
 const GRACE_MS = 8_000 as Ms;
 const LEAVE_MS = 12 as Ms;
 
-const setUp = (grace = GRACE_MS) => {
+const setUp = (grace = GRACE_MS, leaveFailure?: Error) => {
   const clock = createVirtualClock();
   const open = new Set<string>();
   const recorded: string[] = [];
@@ -28,13 +28,18 @@
   const leave = () =>
     new Promise<void>((resolve) => {
       record("leaves");
+      if (leaveFailure) throw leaveFailure;
       clock.setTimer(LEAVE_MS, resolve);
     });
   const start = () => {
     const countOpen = () => open.size;
-    void stopInOrder({ clock, countOpen, grace, leave }).then(() =>
-      record(`ends with ${open.size} open,`),
-    );
+    void stopInOrder({
+      clock,
+      countOpen,
+      grace,
+      leave,
+      onLeaveFailure: (error) => record(String(error)),
+    }).then(() => record(`ends with ${open.size} open,`));
   };
   return { clock, recorded, serve, start };
 };
@@ -48,6 +53,19 @@
     expect(recorded).toEqual(["leaves 3500", "ends with 0 open, 3612"]);
   });
 
+  // Guards against requests that are cut, and listeners that stay open, because the list can't be written.
+  it("stops in order although it can't leave the list", async () => {
+    const { clock, recorded, serve, start } = setUp(GRACE_MS, new Error("no list"));
+    serve("r", 3_450, 3_560);
+    start();
+    await advanceSettled(clock, 5_000 as Ms);
+    expect(recorded).toEqual([
+      "leaves 3600",
+      "Error: no list 3600",
+      "ends with 0 open, 3600",
+    ]);
+  });
+
   it("stops as soon as it has left the list if no request arrives", async () => {
     const { clock, recorded, start } = setUp();
     start();
--- a/apps/box/src/stopInOrder.ts
+++ b/apps/box/src/stopInOrder.ts
@@ -16,6 +16,7 @@
   grace: Ms;
   /** Removes the box from the list of boxes. */
   leave: () => Promise<void>;
+  onLeaveFailure: (error: unknown) => void;
 }>;
 
 /**
@@ -23,7 +24,7 @@
  * before `grace` ends.
  */
 export const stopInOrder = async (options: StopOptions): Promise<void> => {
-  const { clock, countOpen, grace, leave } = options;
+  const { clock, countOpen, grace, leave, onLeaveFailure } = options;
   const begunAt = clock.monotonic();
 
   const waitUntilServed = () =>
@@ -38,7 +39,7 @@
     });
 
   await waitUntilServed();
-  await leave();
+  await leave().catch(onLeaveFailure);
   // Without a second wait, a request that arrives during this call would be cut off while its
   // server runs it.
   await waitUntilServed();
