fix: signals neither end a box that starts nor one that asks nothing of it

Callers lost all requests of a box that got SIGHUP or SIGTERM in the first 0.1 to 0.2 s of its process, which ended by the signal: the handlers were added after the program, the settings and the box were read. SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO, SIGPWR and SIGXCPU ended a running box, since their default action does; SIGUSR1 opened the debugger of the runtime.

The start file now holds all of these signals with its first statement; the runtime hands them over in the first turn of the event loop, by which the program has added its own handlers, so none is lost. Signals that ask for nothing are logged as signal_ignored. What comes while the runtime itself starts can't be held.

--- a/apps/box/src/main.ts
+++ b/apps/box/src/main.ts
@@ -11,6 +11,7 @@
 } from "@stairgauge/settings";
 import { createDecisionLog } from "@stairgauge/telemetry";
 import { createBox } from "./createBox.js";
+import { IGNORED_SIGNALS, STOP_SIGNALS } from "./signals.js";
 import { watchSettings } from "./watchSettings.js";
 
 /**
@@ -84,8 +85,9 @@
     }
   };
 
-  process.on("SIGTERM", () => void endInOrder());
-  process.on("SIGINT", () => void endInOrder());
+  for (const signal of STOP_SIGNALS) process.on(signal, () => void endInOrder());
+  for (const signal of IGNORED_SIGNALS)
+    process.on(signal, () => log.writeDecision("signal_ignored", { signal }));
   watchSettings({ path, clock, log, onChanged: box.applySettings });
   process.on("uncaughtException", reportError);
   process.on("unhandledRejection", reportError);
--- a/apps/box/src/watchSettings.ts
+++ b/apps/box/src/watchSettings.ts
@@ -7,6 +7,7 @@
   type BoxSettings,
 } from "@stairgauge/settings";
 import type { DecisionLog } from "@stairgauge/telemetry";
+import { RELOAD_SIGNAL } from "./signals.js";
 
 /** Interval of checks for a changed file; a change takes effect within seconds. */
 const CHECK_INTERVAL_MS = 1_000 as Ms;
@@ -62,6 +63,6 @@
 
   lastText = readText() ?? "";
   lastStamp = findStamp();
-  process.on("SIGHUP", applyChange);
+  process.on(RELOAD_SIGNAL, applyChange);
   clock.setTimer(CHECK_INTERVAL_MS, check);
 };
--- a/deploy/build.js
+++ b/deploy/build.js
@@ -62,7 +62,20 @@
 const RESET_FLAGS = `for (const flag of ["--max-old-space-size=0", "--max-semi-space-size=0"]) require("node:v8").setFlagsFromString(flag);
 `;
 
-const START_FILE = `${RESET_FLAGS}const { readFileSync } = require("node:fs");
+// Signals are held first: reading the program takes a good part of a start.
+const {
+  outputFiles: [holdSignals],
+} = await build({
+  entryPoints: ["apps/box/src/holdSignals.ts"],
+  bundle: true,
+  platform: "node",
+  target: "node20",
+  format: "iife",
+  minify: true,
+  write: false,
+});
+
+const START_FILE = `${holdSignals.text}${RESET_FLAGS}const { readFileSync } = require("node:fs");
 const { join } = require("node:path");
 const { Script } = require("node:vm");
 const path = join(__dirname, "box.cjs");
