fix: a box waits for settings that are missing, cut or wrong at its start

A box whose settings file came a moment late, or was read while it was written, ended with status 2 at once and served nobody. A file whose last value was cut could even be taken: "windowSeconds: 1" is valid, and the beginning of 10. A change between the first read of the file and the start of its watch was never applied, since the watch took the changed text for the one in force.

The start reads the file until it is whole and valid, for a minute at most; what is wrong goes to standard error at once, and again at the end, which has status 2 as before. A valid file counts as whole if its last line ends, or if it has not changed for a second. The watch compares with the text that the settings were read from. SIGTERM meanwhile ends the process with status 0. "--settings" without a path, which fell back to the default path, ends at once with status 2. Nobody needs to read the output for it.

--- /dev/null
+++ b/apps/box/src/awaitSettings.ts
@@ -0,0 +1,66 @@
+/** Reads the settings of a box that starts, and waits for those that are being written. */
+import { readFileSync } from "node:fs";
+import { Err, Ok, type Clock, type Ms, type Result } from "@stairgauge/common";
+import {
+  formatSettingsFailure,
+  parseBoxSettings,
+  type BoxSettings,
+} from "@stairgauge/settings";
+import { START_LIMIT_MS } from "./startLimit.js";
+
+const RETRY_MS = 100 as Ms;
+
+/** A text that ends within a line, so maybe within a value, counts as whole once it has not changed for this long. */
+const UNCHANGED_MS = 1_000;
+
+/** Settings, and the text that they were read from. */
+export type ReadSettings = Readonly<{ settings: BoxSettings; text: string }>;
+
+export type AwaitSettingsOptions = Readonly<{
+  path: string;
+  clock: Pick<Clock, "monotonic" | "setTimer">;
+  /** Called with what is wrong, once for each reason. */
+  onWaiting: (reason: string) => void;
+  /** Called after the start limit, with what is wrong; ends the process. */
+  onFailed: (reason: string) => never;
+}>;
+
+/** Resolves, in the same turn of the event loop if they are there, to the settings of the file. */
+export const awaitSettings = async (
+  options: AwaitSettingsOptions,
+): Promise<ReadSettings> => {
+  const { path, clock, onWaiting, onFailed } = options;
+  const begunAt = clock.monotonic();
+  let lastText: string | undefined;
+  let textSince = begunAt;
+  let lastReason: string | undefined;
+
+  const isUnchanged = (text: string) => {
+    if (text !== lastText) textSince = clock.monotonic();
+    lastText = text;
+    return clock.monotonic() - textSince >= UNCHANGED_MS;
+  };
+  const read = (): Result<ReadSettings, string> => {
+    let text: string;
+    try {
+      text = readFileSync(path, "utf8");
+    } catch (error) {
+      return Err(error instanceof Error ? error.message : "unreadable");
+    }
+    const parsed = parseBoxSettings(text);
+    if (parsed.err) return Err(`settings ${path}\n${formatSettingsFailure(parsed.val)}`);
+    if (text.endsWith("\n") || isUnchanged(text))
+      return Ok({ settings: parsed.val, text });
+    return Err(`settings ${path}\nthe last line has no end`);
+  };
+
+  for (;;) {
+    const found = read();
+    if (found.ok) return found.val;
+    const reason = found.val;
+    if (clock.monotonic() - begunAt >= START_LIMIT_MS) onFailed(reason);
+    if (reason !== lastReason) onWaiting(reason);
+    lastReason = reason;
+    await new Promise<void>((resolve) => clock.setTimer(RETRY_MS, resolve));
+  }
+};
--- a/apps/box/src/main.ts
+++ b/apps/box/src/main.ts
@@ -2,16 +2,12 @@
  * Command `stairgauged`: runs one box on a platform that keeps configuration and server list.
  * All boxes run the same program.
  */
-import { readFileSync } from "node:fs";
+import { writeSync } from "node:fs";
 import { createSystemClock, type Clock } from "@stairgauge/common";
-import {
-  formatSettingsFailure,
-  parseBoxSettings,
-  type BoxSettings,
-} from "@stairgauge/settings";
 import { createDecisionLog } from "@stairgauge/telemetry";
+import { awaitSettings } from "./awaitSettings.js";
 import { createBox } from "./createBox.js";
-import { IGNORED_SIGNALS, STOP_SIGNALS } from "./signals.js";
+import { IGNORED_SIGNALS, RELOAD_SIGNAL, STOP_SIGNALS } from "./signals.js";
 import { watchSettings } from "./watchSettings.js";
 
 /**
@@ -19,33 +15,32 @@
  */
 const SETTINGS_VARIABLE = "STAIRGAUGE_BOOT";
 const DEFAULT_PATH = "/etc/stairgauge/settings.conf";
+const STANDARD_ERROR = 2;
 const EXIT_STOPPED = 0;
 const EXIT_USAGE = 2;
 const EXIT_FAILED = 1;
 
+const writeLine = (message: string) => {
+  try {
+    writeSync(STANDARD_ERROR, `stairgauged: ${message}\n`);
+  } catch {
+    // NOTE: nobody reads standard error; there is no other place to report this.
+  }
+};
 const exitWith = (code: number, message: string): never => {
-  process.stderr.write(`stairgauged: ${message}\n`);
+  writeLine(message);
   process.exit(code);
 };
+const toText = (error: unknown): string =>
+  error instanceof Error ? error.message : String(error);
 
 const findPath = (): string => {
   const at = process.argv.indexOf("--settings");
   const named = at < 0 ? undefined : process.argv[at + 1];
+  if (at >= 0 && !named) return exitWith(EXIT_USAGE, "--settings needs a path");
   return named ?? process.env[SETTINGS_VARIABLE] ?? DEFAULT_PATH;
 };
 
-const readSettings = (path: string): BoxSettings => {
-  let text: string;
-  try {
-    text = readFileSync(path, "utf8");
-  } catch (error) {
-    return exitWith(EXIT_USAGE, error instanceof Error ? error.message : "unreadable");
-  }
-  const parsed = parseBoxSettings(text);
-  if (parsed.ok) return parsed.val;
-  return exitWith(EXIT_USAGE, `settings ${path}\n${formatSettingsFailure(parsed.val)}`);
-};
-
 /** Facts about the process's start, logged at the start. */
 export type StartFacts = Readonly<{
   /** Whether the code cache that the build stored was used. */
@@ -55,7 +50,34 @@
 /** Runs a box until SIGTERM or SIGINT. */
 export const runBox = async (facts: StartFacts): Promise<void> => {
   const path = findPath();
-  const settings = readSettings(path);
+  let stop = async () => {};
+  let isStopping = false;
+  let endProcess = (code: number): void => process.exit(code);
+  let reportError = (error: unknown) => writeLine(toText(error));
+  let reportIgnored = (signal: string) => writeLine(`signal ignored: ${signal}`);
+
+  const endInOrder = async (code: number) => {
+    isStopping = true;
+    try {
+      await stop();
+      endProcess(code);
+    } catch (error) {
+      reportError(error);
+      endProcess(EXIT_FAILED);
+    }
+  };
+  for (const signal of STOP_SIGNALS)
+    process.on(signal, () => void endInOrder(EXIT_STOPPED));
+  for (const signal of IGNORED_SIGNALS) process.on(signal, () => reportIgnored(signal));
+  // Settings that are awaited are read again without it.
+  process.on(RELOAD_SIGNAL, () => undefined);
+
+  const { settings, text } = await awaitSettings({
+    path,
+    clock: createSystemClock(),
+    onWaiting: (reason) => writeLine(`waiting for the settings: ${reason}`),
+    onFailed: (reason) => exitWith(EXIT_USAGE, reason),
+  });
   const clock: Clock = createSystemClock((duration) =>
     log.writeWarning("clock_gap", { gapMs: Math.round(duration) }),
   );
@@ -66,29 +88,17 @@
     base: { box: settings.box },
   });
   const box = createBox({ settings, clock, log });
-  const endProcess = (code: number) => {
+  stop = box.stop;
+  endProcess = (code) => {
     log.flush();
     process.exit(code);
   };
-
-  const reportError = (error: unknown) => {
+  reportError = (error) => {
     const text = error instanceof Error ? (error.stack ?? error.message) : String(error);
     log.writeWarning("unexpected_error", { error: text });
   };
-  const endInOrder = async () => {
-    try {
-      await box.stop();
-      endProcess(EXIT_STOPPED);
-    } catch (error) {
-      reportError(error);
-      endProcess(EXIT_FAILED);
-    }
-  };
-
-  for (const signal of STOP_SIGNALS) process.on(signal, () => void endInOrder());
-  for (const signal of IGNORED_SIGNALS)
-    process.on(signal, () => log.writeDecision("signal_ignored", { signal }));
-  watchSettings({ path, clock, log, onChanged: box.applySettings });
+  reportIgnored = (signal) => log.writeDecision("signal_ignored", { signal });
+  watchSettings({ path, text, clock, log, onChanged: box.applySettings });
   process.on("uncaughtException", reportError);
   process.on("unhandledRejection", reportError);
   log.writeNotice("starting", facts);
@@ -96,7 +106,8 @@
   try {
     await box.start();
   } catch (error) {
-    log.flush();
-    exitWith(EXIT_FAILED, error instanceof Error ? error.message : "cannot listen");
+    if (isStopping) return;
+    writeLine(toText(error));
+    await endInOrder(EXIT_FAILED);
   }
 };
--- a/apps/box/src/watchSettings.test.ts
+++ b/apps/box/src/watchSettings.test.ts
@@ -1,4 +1,4 @@
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, renameSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { afterEach, describe, expect, it } from "vitest";
@@ -32,6 +32,7 @@
   const write = (event: string) => void events.push(event);
   watchSettings({
     path,
+    text: makeText(54),
     clock,
     log: createLineLog(write),
     onChanged: ({ retries }) => slacks.push(retries.slack),
@@ -47,6 +48,15 @@
     expect(slacks).toEqual([1_000]);
   });
 
+  it("applies a file that replaces the former one by a rename", () => {
+    const { path, clock, slacks } = setUp();
+    clock.advance(1_000 as Ms);
+    writeFileSync(`${path}.new`, makeText(99));
+    renameSync(`${path}.new`, path);
+    clock.advance(1_000 as Ms);
+    expect(slacks).toEqual([99]);
+  });
+
   it("applies a changed file on SIGHUP, and an unchanged one only once", () => {
     const { path, slacks } = setUp();
     process.emit("SIGHUP");
--- a/apps/box/src/watchSettings.ts
+++ b/apps/box/src/watchSettings.ts
@@ -14,14 +14,18 @@
 
 export type WatchOptions = Readonly<{
   path: string;
+  /** The file's text that is in force. */
+  text: string;
   clock: Clock;
   log: DecisionLog;
   onChanged: (settings: BoxSettings) => void;
 }>;
 
 /** Watches the file. Invalid settings are logged, and the active ones stay. */
-export const watchSettings = ({ path, clock, log, onChanged }: WatchOptions): void => {
-  let lastText = "";
+export const watchSettings = (options: WatchOptions): void => {
+  const { path, clock, log, onChanged } = options;
+  let lastText = options.text;
+  // The first check reads the file, which may have changed since its text was read.
   let lastStamp = "";
 
   const findStamp = (): string => {
@@ -53,16 +57,14 @@
     onChanged(parsed.val);
   };
   const check = () => {
+    clock.setTimer(CHECK_INTERVAL_MS, check);
     const stamp = findStamp();
     if (stamp !== lastStamp) {
       lastStamp = stamp;
       applyChange();
     }
-    clock.setTimer(CHECK_INTERVAL_MS, check);
   };
 
-  lastText = readText() ?? "";
-  lastStamp = findStamp();
   process.on(RELOAD_SIGNAL, applyChange);
   clock.setTimer(CHECK_INTERVAL_MS, check);
 };
