fix: a box waits for a port that is in use instead of ending its start

A box whose port was in use for a moment ended with status 1 and served nobody: the process before it keeps all four ports while it finishes its requests, and any outgoing connection may have got one. Each listener rejected with the first error, and a second attempt was impossible for the peers' listener, whose library keeps the failed attempt.

All four listeners now go through one function, which tries again ten times a second after EADDRINUSE and EADDRNOTAVAIL for a minute and the stop time, logs address_in_use and address_free with the listener, and ends at once if the box is stopped. Then the box stops in order, with status 1 as before. The ports are bound side by side; what serving needs starts once that for clients is bound, and the box joins the others once it has all. A box that never joined leaves the row of its name alone when it stops. The peers' listener is a plain one that hands its connections to the library, so it can be bound again, and its error keeps its code.

Evidence: twelve tests of startFile.test.ts failed on (status 1, EADDRINUSE) and pass now, among them a start beside a process that holds all four ports until its stream has ended. The four tests that name the listener expected its field behind the event, but the log writes the event last; they now expect this order, and nothing less.

--- a/apps/box/src/createLifecycle.ts
+++ b/apps/box/src/createLifecycle.ts
@@ -2,12 +2,7 @@
 import { toHostAndPort, type Clock, type Ms } from "@stairgauge/common";
 import type { BlockedList } from "@stairgauge/crashes";
 import type { ReportPoller } from "@stairgauge/fleet";
-import type {
-  ActiveRuns,
-  BoundedListener,
-  ClientServer,
-  Forwarder,
-} from "@stairgauge/forwarding";
+import type { ActiveRuns, ClientServer, Forwarder } from "@stairgauge/forwarding";
 import type { StandbyKeeper } from "@stairgauge/migration";
 import type { VersionRows } from "@stairgauge/origins";
 import type { Membership, PeerLinks, PeerServer } from "@stairgauge/peers";
@@ -17,8 +12,10 @@
 import type { FollowedTables } from "./createFollowedTables.js";
 import type { Pace } from "./createPace.js";
 import type { Paths } from "./createPaths.js";
+import { listenWhenFree } from "./listenWhenFree.js";
 import type { PeerAddress } from "./peerAddress.js";
 import { createMetricsServer, createReadyServer } from "./smallServers.js";
+import { START_LIMIT_MS } from "./startLimit.js";
 import { stopInOrder } from "./stopInOrder.js";
 
 /** Ports that a started box listens on. */
@@ -31,6 +28,7 @@
 
 /** A box that can be started and stopped. */
 export type Lifecycle = Readonly<{
+  /** Rejects if a port can't be bound in time, or if the box is stopped before. */
   start: () => Promise<BoxPorts>;
   /**
    * Stops accepting requests, finishes those that are open, and resolves when the process may
@@ -69,6 +67,7 @@
   const { clientServer, forwarder, followedTables, blockedList } = options;
   const { membership, reports, standbys, links, peerServer, runs } = options;
   let stopped: Promise<void> | undefined;
+  let hasJoined = false;
   const readyServer = createReadyServer(
     options,
     () => stopped === undefined && options.isCurrent(),
@@ -78,25 +77,55 @@
   const listSeeds = () =>
     getSettings().seeds.map(toHostAndPort).filter(peerAddress.isOther);
 
-  const listenOn = (listener: Pick<BoundedListener, "listen">, address: string) => {
-    const { host, port } = toHostAndPort(address);
-    return listener.listen(host, port);
-  };
-  const listen = async (): Promise<BoxPorts> => {
-    const { listen: addresses } = getSettings();
-    return {
-      clients: await listenOn(clientServer, addresses.clients),
-      ready: await listenOn(readyServer, addresses.ready),
-      peers: await peerServer.listen(peerAddress.get()),
-      metrics: await listenOn(metricsServer, addresses.metrics),
+  const getGrace = () => (getSettings().bounds.stopSeconds * 1000) as Ms;
+
+  /** Begins to listen at all ports. */
+  const listen = () => {
+    const addresses = getSettings().listen;
+    const shared = {
+      clock,
+      log,
+      // The process before this one may take its whole stop time.
+      limit: (START_LIMIT_MS + getGrace()) as Ms,
+      isStopped: () => stopped !== undefined,
     };
+    const clients = listenWhenFree({
+      ...shared,
+      listener: "clients",
+      address: toHostAndPort(addresses.clients),
+      listen: ({ host, port }) => clientServer.listen(host, port),
+    });
+    const ready = listenWhenFree({
+      ...shared,
+      listener: "ready",
+      address: toHostAndPort(addresses.ready),
+      listen: ({ host, port }) => readyServer.listen(host, port),
+    });
+    const peers = listenWhenFree({
+      ...shared,
+      listener: "peers",
+      address: peerAddress.get(),
+      listen: peerServer.listen,
+    });
+    const metrics = listenWhenFree({
+      ...shared,
+      listener: "metrics",
+      address: toHostAndPort(addresses.metrics),
+      listen: ({ host, port }) => metricsServer.listen(host, port),
+    });
+    return { clients, all: Promise.all([clients, ready, peers, metrics]) };
   };
 
   /** Requests of this box's clients, and those that it carries for other boxes. */
   const countOpen = () => forwarder.countOpen() + options.paths.countCarried();
 
+  /** A box that never joined leaves the row of its name to the process that wrote it. */
+  const leave = async () => {
+    if (hasJoined) await membership.leave();
+  };
+
   const stopOnce = async () => {
-    const grace = (getSettings().bounds.stopSeconds * 1000) as Ms;
+    const grace = getGrace();
     forwarder.announceStop((clock.monotonic() + grace) as Ms);
     options.paths.announceStop();
     log.writeNotice("stopping", { open: countOpen(), runs: runs.count() });
@@ -104,7 +133,7 @@
       clock,
       countOpen,
       grace,
-      leave: membership.leave,
+      leave,
       onLeaveFailure: (error) =>
         log.writeWarning("unexpected_error", { error: String(error) }),
     });
@@ -130,14 +159,20 @@
       // before.
       followedTables.start();
       options.versionRows.start();
-      const ports = await listen();
-      peerAddress.setPort(ports.peers);
+      const listening = listen();
+      // Clients are served while another port is awaited. While theirs is, the process before may still hold it, whose links
+      // to other boxes bear the same name as those of this one.
+      await Promise.race([listening.clients, listening.all]);
       links.setSeeds(listSeeds());
       followedTables.startOwnLists();
       blockedList.start();
-      membership.join();
       standbys.start();
       options.meter.start();
+      const [clients, ready, peers, metrics] = await listening.all;
+      const ports = { clients, ready, metrics, peers };
+      peerAddress.setPort(peers);
+      hasJoined = true;
+      membership.join();
       log.writeNotice("started", { ports, policy: getSettings().policy });
       return ports;
     },
--- a/apps/box/src/hardLoad.testkit.ts
+++ b/apps/box/src/hardLoad.testkit.ts
@@ -7,8 +7,8 @@
  * that a test counts don't depend on the machine.
  */
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
 import {
+  listenOn,
   createSeededRandom,
   createVirtualClock,
   type Clock,
@@ -186,8 +186,7 @@
     else receive(String(incoming.headers[HEADER.requestId.toLowerCase()]), response);
   };
   const server = createServer(handle);
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const { port } = server.address() as AddressInfo;
+  const port = await listenOn(server, { host: "127.0.0.1", port: 0 });
   closers.push(() => {
     server.close();
     server.closeAllConnections();
--- a/apps/box/src/startFile.test.ts
+++ b/apps/box/src/startFile.test.ts
@@ -138,7 +138,7 @@
   it.each(PORT_USES)("waits until its port for %s is free", async (use) => {
     const releasePort = await takePort(FIRST_PORT + PORT_USES.indexOf(use));
     const box = startBox();
-    await box.waitForLine(new RegExp(`"event":"address_in_use".*"listener":"${use}"`));
+    await box.waitForLine(new RegExp(`"listener":"${use}".*"event":"address_in_use"`));
     releasePort();
     await box.waitForLine(/"event":"started"/);
   });
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -14,6 +14,7 @@
 export { dropOldest } from "./dropOldest.js";
 export { waitFor, waitForLimit } from "./waitFor.js";
 export { runWithin } from "./runWithin.js";
+export { listenOn } from "./listenOn.js";
 export { connectTcp } from "./dialer.js";
 export type { Dialer } from "./dialer.js";
 export { advanceSettled } from "./advanceSettled.js";
--- a/packages/forwarding/src/boundedListener.ts
+++ b/packages/forwarding/src/boundedListener.ts
@@ -10,7 +10,7 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
-import type { Clock, Ms } from "@stairgauge/common";
+import { listenOn, type Clock, type Ms } from "@stairgauge/common";
 import { createReadTurns, type Arrivals } from "@stairgauge/saturation";
 import {
   createConnectionReader,
@@ -81,7 +81,7 @@
 
 /** The listener. */
 export type BoundedListener = Readonly<{
-  /** Resolves with the port; rejects if the listener cannot listen. */
+  /** Resolves with the port; rejects if the listener cannot listen, and may then be called again. */
   listen: (host: string, port: number) => Promise<number>;
   /** Sets within which time a head has to arrive, and for how long a connection may be idle. */
   setTimes: (times: Readonly<{ headerTime: Ms; idleTime: Ms }>) => void;
@@ -264,14 +264,7 @@
     setTimes,
     startReading,
     countUnused: () => unused.size,
-    listen: (host, port) =>
-      new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen({ host, port, backlog: MAX_NOT_ACCEPTED }, () => {
-          const address = server.address();
-          resolve(typeof address === "object" && address ? address.port : port);
-        });
-      }),
+    listen: (host, port) => listenOn(server, { host, port, backlog: MAX_NOT_ACCEPTED }),
     close: () => {
       server.close();
       server.closeAllConnections();
--- a/packages/peers/src/peerListener.ts
+++ b/packages/peers/src/peerListener.ts
@@ -9,6 +9,7 @@
   type Server,
   type ServerInterceptor,
 } from "@grpc/grpc-js";
+import { listenOn } from "@stairgauge/common";
 import type { ServerAddress } from "@stairgauge/directory";
 import type { PeerConnections } from "./peerConnections.js";
 
@@ -35,7 +36,7 @@
 
 /** The listener. */
 export type PeerListener = Readonly<{
-  /** Resolves to the port that it listens at. */
+  /** Resolves to the port that it listens at; rejects if it cannot listen, and may then be called again. */
   listen: (address: ServerAddress) => Promise<number>;
   /** Stops listening and closes all connections. */
   close: () => void;
@@ -60,14 +61,7 @@
   };
   const listener = createServer({ noDelay: true }, accept);
   return {
-    listen: ({ host, port }) =>
-      new Promise((resolve, reject) => {
-        listener.once("error", reject);
-        listener.listen({ host, port }, () => {
-          const bound = listener.address();
-          resolve(typeof bound === "object" && bound ? bound.port : port);
-        });
-      }),
+    listen: (address) => listenOn(listener, address),
     close: () => {
       listener.close();
       server.forceShutdown();
--- a/packages/peers/src/peerServer.ts
+++ b/packages/peers/src/peerServer.ts
@@ -56,7 +56,7 @@
 
 /** The server for calls of other boxes. */
 export type PeerServer = Readonly<{
-  /** Resolves to the port that it listens at. */
+  /** Resolves to the port that it listens at; rejects if it cannot listen, and may then be called again. */
   listen: (address: ServerAddress) => Promise<number>;
   /** Sends a notice to those of the boxes whose streams are open. */
   notify: (boxes: readonly BoxName[], notice: HubNotice) => void;
