test: what a call that cannot be made says about its request, servers and path

Guards the parts of the typed failure that had no test: the verdict and the next step, three attempts of which no server counts as unreachable, and a probe.

--- a/packages/forwarding/src/decideNext.test.ts
+++ b/packages/forwarding/src/decideNext.test.ts
@@ -8,7 +8,7 @@
   type AttemptEnd,
 } from "./decideNext.js";
 import { makeAnswerHead } from "./answerHead.testkit.js";
-import type { AnswerHead, ClientRequestId } from "./types.js";
+import type { AnswerHead, ClientRequestId, ExchangeFailure } from "./types.js";
 
 const id = "r1" as ClientRequestId;
 
@@ -34,7 +34,7 @@
   kind: "answered",
   head: makeHead(changes),
 });
-const makeFailed = (kind: "unreachable" | "broken" | "malformed"): AttemptEnd => ({
+const makeFailed = (kind: ExchangeFailure["kind"]): AttemptEnd => ({
   kind: "failed",
   failure: { kind, detail: "" },
 });
@@ -56,6 +56,7 @@
   error: makeAnswered({ status: 500 }),
   "not found": makeAnswered({ status: 404 }),
   unreachable: makeFailed("unreachable"),
+  unsendable: makeFailed("unsendable"),
   broken: makeFailed("broken"),
   malformed: makeFailed("malformed"),
 } as const;
@@ -88,6 +89,7 @@
     ["error", "pass_on", "retry"],
     ["not found", "pass_on", "pass_on"],
     ["unreachable", "retry", "retry"],
+    ["unsendable", "retry", "retry"],
     ["broken", "answer_unknown", "retry"],
     ["malformed", "answer_unknown", "retry"],
   ] as const)(
@@ -104,6 +106,7 @@
     ["full", "pass_on"],
     ["other server", "answer_not_run"],
     ["unreachable", "answer_not_run"],
+    ["unsendable", "answer_not_run"],
     ["broken", "answer_unknown"],
     ["error", "pass_on"],
   ] as const)("after %s without another server: %s", (name, expected) => {
--- a/packages/forwarding/src/dispatchFaults.test.ts
+++ b/packages/forwarding/src/dispatchFaults.test.ts
@@ -8,6 +8,7 @@
 import type { DispatchDeps } from "./forwarderTypes.js";
 import type { Exchange, ExchangeSink } from "./openExchange.js";
 import { makeServer } from "./server.testkit.js";
+import type { ExchangeFailure } from "./types.js";
 
 const CLOCK = createVirtualClock();
 const ROUTE: Route = {
@@ -45,10 +46,17 @@
   throw new Error("fault of the test");
 };
 
-/** Dispatches a request whose connection its server breaks; returns the status of its answer. */
-const dispatchBroken = (
-  changes: Readonly<{ choose?: () => never; take?: () => never; open?: () => never }>,
-) => {
+type Changes = Readonly<{
+  choose?: () => never;
+  take?: () => never;
+  open?: () => never;
+  failure?: ExchangeFailure;
+}>;
+
+/** Dispatches a request whose connection its server breaks, or that fails otherwise; returns the status of its answer. */
+const dispatchBroken = (changes: Changes) => {
+  const { failure = { kind: "broken", detail: "ECONNRESET" } } = changes;
+  let unreachable = 0;
   const statuses: number[] = [];
   const decisions: ForwardDecision["kind"][] = [];
   let sink: ExchangeSink | undefined;
@@ -59,6 +67,7 @@
     placer: createStub<DispatchDeps["placer"]>({
       choose: () => PLACED,
       place: () => () => undefined,
+      onUnreachable: () => void (unreachable += 1),
       getServerStatus: () => ({ kind: "ready", age: undefined }),
     }),
     plainAdmission: createStub<DispatchDeps["plainAdmission"]>({
@@ -86,7 +95,8 @@
       open: (request) => {
         changes.open?.();
         sink = request.sink;
-        return createStub<Exchange>({ isSent: () => true });
+        if (changes.failure) queueMicrotask(() => request.sink.onFailure(failure));
+        return createStub<Exchange>({ isSent: () => failure.kind === "broken" });
       },
     }),
   });
@@ -110,8 +120,8 @@
     }),
   });
   dispatchCall(deps, { ...request, binding: undefined });
-  sink?.onFailure({ kind: "broken", detail: "ECONNRESET" });
-  return { statuses, decisions };
+  if (!changes.failure) sink?.onFailure(failure);
+  return { statuses, decisions, countUnreachable: () => unreachable };
 };
 
 describe("a request of which a step throws", () => {
@@ -136,3 +146,18 @@
     expect(statuses).toEqual([503]);
   });
 });
+
+describe("a request that nothing was sent of", () => {
+  it.each([
+    ["unreachable", 3],
+    ["unsendable", 0],
+  ] as const)(
+    "is said not to have run, and its servers count as unreachable only if they are: %s",
+    async (kind, count) => {
+      const dispatched = dispatchBroken({ failure: { kind, detail: "" } });
+      await new Promise(setImmediate);
+      expect(dispatched.statuses).toEqual([503]);
+      expect(dispatched.countUnreachable()).toBe(count);
+    },
+  );
+});
