fix: a table is followed on after a step that throws

Callers: none was seen; by reading, what throws while an answer is applied ended the follower's loop for good, so the table was never followed again (new servers unused, ones that left still used, configurations never in force), and one unexpected_error without a stack was all that said so. Cause: the loop had no handler. Now a step that throws is reported, and after a pause that doubles the whole table is read; the revision and the first read count as reached only once their rows have been applied, closed halls likewise; a configuration that was adopted is announced again, and a restore reported, if doing so threw.

--- a/apps/box/src/createFollowedTables.ts
+++ b/apps/box/src/createFollowedTables.ts
@@ -29,6 +29,7 @@
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
 import { observeEras } from "./observers.js";
 import { createRowFaultReporter } from "./reportRowFaults.js";
+import { createUnexpectedErrorReporter } from "./reportUnexpected.js";
 
 /**
  * Consumers of one table: its sink, and the rules by which rows count after the store was
@@ -205,6 +206,7 @@
     onEjected: (box, reason) => log.writeDecision("box_not_asked", { peer: box, reason }),
   });
   const revisions = createRevisionWatermark();
+  const reportUnexpected = createUnexpectedErrorReporter(log);
   const guards = new Map<string, RestoreGuard>();
   const observer = observeEras({ log, metrics }, clock);
   revisions.watchEra(observer.onEraChange);
@@ -237,6 +239,10 @@
       gather: 0 as Ms,
       sink: mirrors.get(table)!.observe(guard.observe(sink)),
       onStaleRead: (read) => log.writeDecision("stale_read", read),
+      onStepFailed: ({ error, inARow }) => {
+        metrics.failedTableSteps.inc({ table });
+        reportUnexpected(error, { table, inARow });
+      },
       ...changes,
     });
   };
--- a/apps/box/src/main.ts
+++ b/apps/box/src/main.ts
@@ -7,6 +7,7 @@
 import { createDecisionLog } from "@stairgauge/telemetry";
 import { awaitSettings } from "./awaitSettings.js";
 import { createBox } from "./createBox.js";
+import { createUnexpectedErrorReporter } from "./reportUnexpected.js";
 import { IGNORED_SIGNALS, RELOAD_SIGNAL, STOP_SIGNALS } from "./signals.js";
 import { watchSettings } from "./watchSettings.js";
 
@@ -93,14 +94,12 @@
     log.flush();
     process.exit(code);
   };
-  reportError = (error) => {
-    const text = error instanceof Error ? (error.stack ?? error.message) : String(error);
-    log.writeWarning("unexpected_error", { error: text });
-  };
+  const reportUnexpected = createUnexpectedErrorReporter(log);
+  reportError = (error) => reportUnexpected(error);
   reportIgnored = (signal) => log.writeDecision("signal_ignored", { signal });
   watchSettings({ path, text, clock, log, onChanged: box.applySettings });
-  process.on("uncaughtException", reportError);
-  process.on("unhandledRejection", reportError);
+  process.on("uncaughtException", (error) => reportUnexpected(error));
+  process.on("unhandledRejection", (error) => reportUnexpected(error));
   log.writeNotice("starting", facts);
 
   try {
--- a/packages/fleet/src/followClosedHalls.ts
+++ b/packages/fleet/src/followClosedHalls.ts
@@ -40,8 +40,8 @@
         .filter((hall) => !halls.has(hall))
         .map((hall) => ({ kind: "opened", hall }) as const),
     ];
-    closed = halls;
     if (events.length > 0) onChange(halls, events);
+    closed = halls;
   };
   const applyChange = (halls: Set<DataHallName>, change: RowChange) => {
     const hall = decodeKey(change.kind === "put" ? change.row.key : change.key);
--- a/packages/fleet/src/followConfiguration.ts
+++ b/packages/fleet/src/followConfiguration.ts
@@ -31,6 +31,14 @@
   options: ConfigurationSinkOptions,
 ): FollowerSink => {
   const { key, holder, decode, onEvent } = options;
+  /** Adopted, but not announced to its end: what was to be done with it threw. */
+  let unannounced: FleetConfiguration | undefined;
+
+  const announce = (configuration: FleetConfiguration) => {
+    unannounced = configuration;
+    onEvent({ kind: "adopted", configuration });
+    unannounced = undefined;
+  };
 
   const adopt = (row: StoredRow, asOf: Ms) => {
     const decoded = decode(row.value);
@@ -42,7 +50,7 @@
     const outcome = holder.adopt(configuration, asOf);
     switch (outcome.kind) {
       case "adopted":
-        onEvent({ kind: "adopted", configuration });
+        announce(configuration);
         return;
       case "older":
         onEvent({
@@ -52,6 +60,7 @@
         });
         return;
       case "known":
+        if (unannounced) announce(unannounced);
         return;
     }
   };
--- a/packages/fleet/src/restoredServers.testkit.ts
+++ b/packages/fleet/src/restoredServers.testkit.ts
@@ -218,6 +218,9 @@
     revisions: createRevisionWatermark(),
     sink: guard.observe(sink),
     onStaleRead: () => undefined,
+    onStepFailed: ({ error }) => {
+      throw error;
+    },
   });
 
   return {
--- a/packages/peers/src/sharedKnowledge.testkit.ts
+++ b/packages/peers/src/sharedKnowledge.testkit.ts
@@ -332,6 +332,9 @@
       retryPause: { first: 100 as Ms, most: 500 as Ms },
       revisions: createRevisionWatermark(),
       onStaleRead: () => undefined,
+      onStepFailed: ({ error }) => {
+        throw error;
+      },
       sink,
     });
   });
--- a/packages/storefeed/src/index.ts
+++ b/packages/storefeed/src/index.ts
@@ -19,6 +19,7 @@
 export { createTableMirror } from "./tableMirror.js";
 export type { MirrorFailure, TableMirror } from "./tableMirror.js";
 export type {
+  FailedStep,
   FollowerOptions,
   FollowerSink,
   StaleRead,
--- a/packages/storefeed/src/restoreGuard.test.ts
+++ b/packages/storefeed/src/restoreGuard.test.ts
@@ -40,8 +40,10 @@
   const clock = createVirtualClock();
   const rows = new Map<string, string>();
   const reports: RestoreReport[] = [];
+  let isThrowing = false;
   const inner: FollowerSink = {
     onWhole: (all) => {
+      if (isThrowing) throw new Error("odd");
       rows.clear();
       for (const { key, value } of all) rows.set(key, value.toString());
     },
@@ -74,6 +76,9 @@
     reports,
     applyUnsettled,
     listUnsettled,
+    setThrowing: (throwing: boolean) => {
+      isThrowing = throwing;
+    },
   };
 };
 
@@ -222,4 +227,17 @@
     readWhole(makeRevision(1, 9), makeRow("a", 4, makeRevision(1, 9)));
     expect(listRows()).toEqual(["a 5"]);
   });
+
+  it("is reported once its first read has been applied, if applying it threw", () => {
+    const { readWhole, setThrowing, listRows, reports } = setUp();
+    readWhole(OLD, makeRow("a", 5, OLD), makeRow("keep", 5, OLD));
+    const copied = makeRow("a", 4, makeRevision(2, 10));
+    setThrowing(true);
+    expect(() => readWhole(RESTORED, copied)).toThrow("odd");
+    setThrowing(false);
+    readWhole(makeRevision(2, 31), copied);
+    readWhole(makeRevision(2, 31), copied);
+    expect(listRows()).toEqual(["a 5", "keep 5"]);
+    expect(reports).toMatchObject([{ undone: ["a"], missing: [{ key: "keep" }] }]);
+  });
 });
--- a/packages/storefeed/src/restoreGuard.ts
+++ b/packages/storefeed/src/restoreGuard.ts
@@ -55,6 +55,8 @@
   const timers = new Map<string, Timer>();
   /** Of the latest answer; undefined before the first read. */
   let last: Readonly<{ asOf: Ms; revision: StoreRevision }> | undefined;
+  /** Whether the first read of the era has not been applied to its end yet, which the sink may prevent by throwing. */
+  let isRestoring = false;
   /** Versions of the current era up to this one may stem from the backup. */
   let backupVersion = -Infinity;
 
@@ -205,13 +207,16 @@
         const isNewEra = last !== undefined && last.revision.era !== revision.era;
         last = { asOf, revision };
         if (isNewEra) {
+          isRestoring = true;
           backupVersion = revision.version;
           settleAll();
         }
         const { usedRows, report } = resolveAll(rows);
         replaceKnown(usedRows);
         inner.onWhole(usedRows, asOf, revision);
-        if (isNewEra) onRestored({ ...report, revision, rows: rows.length, isUnsettled });
+        if (isRestoring)
+          onRestored({ ...report, revision, rows: rows.length, isUnsettled });
+        isRestoring = false;
         for (const received of deferredUnsettled.splice(0)) applyUnsettled(received);
       },
       onChanges: (changes, asOf, revision) => {
--- a/packages/storefeed/src/tableFollower.ts
+++ b/packages/storefeed/src/tableFollower.ts
@@ -36,6 +36,14 @@
   inARow: number;
 }>;
 
+/** A step of a follower that threw, as what applies an answer may. */
+export type FailedStep = Readonly<{
+  table: string;
+  error: unknown;
+  /** How many steps have thrown in a row, this one included. */
+  inARow: number;
+}>;
+
 /** Options of a follower. */
 export type FollowerOptions = Readonly<{
   table: string;
@@ -54,6 +62,7 @@
   revisions: RevisionWatermark;
   sink: FollowerSink;
   onStaleRead: (read: StaleRead) => void;
+  onStepFailed: (step: FailedStep) => void;
 }>;
 
 /** A follower of one table. */
@@ -79,6 +88,9 @@
   const { retryPause, revisions, sink } = options;
   let isStopped = false;
   let failures = 0;
+  let failedSteps = 0;
+  /** Answers in a row to requests for changes after which the whole table had to be read. */
+  let lostHistories = 0;
   let staleReads = 0;
   let hasRead = false;
   let tableRevision = INITIAL_REVISION;
@@ -106,12 +118,20 @@
     );
   };
 
+  const waitJittered = (duration: number) =>
+    waitPaused((duration * (0.5 + random.nextFloat())) as Ms);
+  /** Pauses before the next try after this many in a row that have brought nothing. */
+  const waitAfter = (inARow: number) =>
+    waitJittered(
+      Math.min(retryPause.most, retryPause.first * BACKOFF_FACTOR ** (inARow - 1)),
+    );
+
   const recordFailure = async (failure: StoreFailure) => {
     failures += 1;
     sink.onFailure(failure, failures);
-    const jittered = pause * (0.5 + random.nextFloat());
+    const before = pause;
     pause = Math.min(retryPause.most, pause * BACKOFF_FACTOR);
-    await waitPaused(jittered as Ms);
+    await waitJittered(before);
   };
 
   const recordAnswer = () => {
@@ -172,12 +192,18 @@
     staleReads = 0;
     revisions.raise({ table, by: source.kind, revision });
     recordAnswer();
+    sink.onWhole(rows, computeAsOf(sentAt, source), revision);
     hasRead = true;
     tableRevision = revision;
-    sink.onWhole(rows, computeAsOf(sentAt, source), revision);
     return revision;
   };
 
+  /** The first time the table is read at once; a store that answers so again and again isn't asked without a pause. */
+  const recordLostHistory = async () => {
+    lostHistories += 1;
+    if (lostHistories > 1) await waitAfter(lostHistories - 1);
+  };
+
   /** Waits for changes after `since`. Returns the revision to continue from, or undefined if the whole table must be read. */
   const followOnce = async (since: StoreRevision): Promise<StoreRevision | undefined> => {
     const sentAt = clock.monotonic();
@@ -186,28 +212,41 @@
     );
     if (isStopped) return undefined;
     if (read.err) {
-      if (read.val.kind === "history_gone" || isOfOtherEra(since)) return undefined;
-      await recordFailure(read.val);
+      if (isOfOtherEra(since)) return undefined;
+      if (read.val.kind === "history_gone") await recordLostHistory();
+      else await recordFailure(read.val);
       return undefined;
     }
+    lostHistories = 0;
     const { changes, source, revision: answered } = read.val;
     revisions.raise({ table, by: source.kind, revision: answered });
     recordAnswer();
     if (answered.era !== since.era) return undefined;
     const revision = pickLaterRevision(since, answered);
-    tableRevision = revision;
     sink.onChanges(changes, computeAsOf(sentAt, source), revision);
+    tableRevision = revision;
     if (changes.length > 0 && gather > 0) await waitFor(clock, gather);
     return revision;
   };
 
+  const step = (since: StoreRevision | undefined) =>
+    since === undefined || isOfOtherEra(since) ? readWhole() : followOnce(since);
+  const recordFailedStep = async (error: unknown) => {
+    failedSteps += 1;
+    options.onStepFailed({ table, error, inARow: failedSteps });
+    await waitAfter(failedSteps);
+  };
   const run = async () => {
     let since: StoreRevision | undefined;
     while (!isStopped) {
-      since =
-        since === undefined || isOfOtherEra(since)
-          ? await readWhole()
-          : await followOnce(since);
+      try {
+        since = await step(since);
+        failedSteps = 0;
+      } catch (error) {
+        // The answer may have been applied in part, so the whole table is read.
+        since = undefined;
+        await recordFailedStep(error);
+      }
     }
   };
 
--- a/packages/telemetry/src/boxMetrics.ts
+++ b/packages/telemetry/src/boxMetrics.ts
@@ -52,6 +52,12 @@
       labelNames: ["table", "fault"],
       registers,
     }),
+    failedTableSteps: new Counter({
+      name: "stairgauge_table_steps_failed_total",
+      help: "Answers about a table that could not be applied since a step threw, by table; the table is read whole again",
+      labelNames: ["table"],
+      registers,
+    }),
     storeEra: new Gauge({
       name: "stairgauge_store_era",
       help: "Era of the platform's store since it last came back from a copy, 0 before it has under this box",
