fix: loops and timers go on after a step that throws

Callers: by reading; a check that threw ended its loop, or left its mark set, for good: versions of the software were no longer written (isChecking), an engine no longer polled, a blocked request's row no longer written, runs no longer copied and their reservation kept, the list of blocked requests, paths, links, paces and settings no longer checked. An attempt that threw for one waiting request ended the poll of the queues of all services until another request came to wait: requests of other services were neither placed nor refused. Cause: the next step was scheduled only by a step that ended well. Now it is scheduled in any case; the error goes on to where unexpected ones are reported. One run or service whose step throws keeps no other from its turn, and errors of the queues' poll come no more often than its interval. The timers of paths, links, paces, settings and of a peer's stream were changed by reading and have no test of their own.

--- a/apps/box/src/createPaths.ts
+++ b/apps/box/src/createPaths.ts
@@ -113,13 +113,19 @@
   };
   const sendProbes = () => {
     probeTimer = undefined;
+    try {
+      sendDueProbes();
+    } finally {
+      scheduleProbes();
+    }
+  };
+  const sendDueProbes = () => {
     exchanges.breakSilent();
     const staying = getParts()
       .directory.list()
       .filter(({ leaving }) => leaving === undefined);
     const due = new Set(paths.takeProbes(staying.map(({ entry }) => entry)));
     for (const server of staying) if (due.has(server.entry.id)) void probe(server);
-    scheduleProbes();
   };
   const scheduleProbes = () => {
     if (isStopping || probeTimer || !paths.needsProbes()) return;
--- a/packages/admission/src/admissionQueue.ts
+++ b/packages/admission/src/admissionQueue.ts
@@ -6,7 +6,13 @@
  * Plain requests wait while every slot of their service is taken, and only as long as that is useful.
  * Pure apart from the given clock.
  */
-import type { Clock, Ms, ServiceName, Timer } from "@stairgauge/common";
+import {
+  runEach,
+  type Clock,
+  type Ms,
+  type ServiceName,
+  type Timer,
+} from "@stairgauge/common";
 import { EXPIRY_DELAY_MS, POLL_INTERVAL_MS } from "./constants.js";
 import type { FairShares } from "./fairShares.js";
 import { createForecaster } from "./forecaster.js";
@@ -154,7 +160,13 @@
   };
   const poll = () => {
     timer = undefined;
-    for (const service of [...queues.keys()]) drain(service);
+    try {
+      runEach([...queues.keys()], drain);
+    } catch (error) {
+      // An error that comes again and again isn't polled without a pause.
+      if (queues.size > 0) scheduleAt(clock.monotonic() + POLL_INTERVAL_MS);
+      throw error;
+    }
     schedule();
   };
   /** Time at which the request is refused if it still waits. */
--- a/packages/admission/src/plainQueue.test.ts
+++ b/packages/admission/src/plainQueue.test.ts
@@ -21,6 +21,7 @@
   aim?: number;
   ends?: number;
   work?: number;
+  service?: string;
 }>;
 
 describe("createAdmissionQueue with plain requests", () => {
@@ -29,6 +30,7 @@
   let free: number;
   let slots: number | undefined;
   let placed: string[];
+  let isThrowing: boolean;
   let refused: (readonly [
     name: string,
     reason: string,
@@ -41,6 +43,7 @@
     clock = createVirtualClock();
     free = 0;
     slots = undefined;
+    isThrowing = false;
     [placed, refused, events] = [[], [], []];
     queue = createAdmissionQueue({
       clock,
@@ -55,7 +58,7 @@
     const now = clock.monotonic();
     return queue.add({
       kind: "plain",
-      service: PLAIN,
+      service: (changes.service ?? PLAIN) as ServiceName,
       tier: changes.tier ?? 1,
       workspace: changes.workspace ?? "own",
       subject: "key",
@@ -65,6 +68,7 @@
       endsAt: (now + (changes.ends ?? 1_000)) as Ms,
       workMs: (changes.work ?? 50) as Ms,
       attempt: () => {
+        if (name === "odd" && isThrowing) throw new Error("odd");
         if (free === 0) return false;
         free -= 1;
         placed.push(name);
@@ -239,4 +243,21 @@
     expect(isNested).toBe(true);
     expect(placed).toEqual(["second"]);
   });
+
+  it("places and refuses others on time while an attempt for one service throws", () => {
+    add("odd");
+    add("placed", { service: "other" });
+    add("refused", { service: "third", ends: 200 });
+    isThrowing = true;
+    for (let i = 0; i < 30; i += 1) {
+      try {
+        advance(10);
+      } catch (error) {
+        expect(error).toEqual(new Error("odd"));
+      }
+      if (i === 10) free = 1;
+    }
+    expect(placed).toEqual(["placed"]);
+    expect(refused.map(([name]) => name)).toEqual(["refused"]);
+  });
 });
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -18,6 +18,7 @@
 export { connectTcp } from "./dialer.js";
 export type { Dialer } from "./dialer.js";
 export { advanceSettled } from "./advanceSettled.js";
+export { runEach } from "./runEach.js";
 export { collectRejections } from "./collectRejections.js";
 export { stopEventLoop } from "./stopEventLoop.js";
 export { createPoller } from "./poller.js";
--- a/packages/common/src/poller.ts
+++ b/packages/common/src/poller.ts
@@ -1,4 +1,4 @@
-/** Repeats an asynchronous call; each call starts an interval after the previous one has ended. */
+/** Repeats an asynchronous call; each call starts an interval after the previous one has ended, also after one that throws. */
 import type { Clock, Timer } from "./clock.js";
 import type { Ms } from "./types.js";
 
@@ -16,8 +16,11 @@
   let isStopped = false;
 
   const pollOnce = async () => {
-    await poll();
-    if (!isStopped) timer = clock.setTimer(interval, () => void pollOnce());
+    try {
+      await poll();
+    } finally {
+      if (!isStopped) timer = clock.setTimer(interval, () => void pollOnce());
+    }
   };
 
   return {
--- a/packages/crashes/src/blockedList.ts
+++ b/packages/crashes/src/blockedList.ts
@@ -94,9 +94,12 @@
 
   const writeWhile = async ({ isDue, write }: PendingWrite): Promise<void> => {
     if (isStopped || !isDue()) return;
-    const written = await runWithin(clock, limit, write);
-    if (written.err) onFailure(written.val);
-    clock.setTimer(RETRY_PAUSE_MS, () => void writeWhile({ isDue, write }));
+    try {
+      const written = await runWithin(clock, limit, write);
+      if (written.err) onFailure(written.val);
+    } finally {
+      clock.setTimer(RETRY_PAUSE_MS, () => void writeWhile({ isDue, write }));
+    }
   };
   const put = ({ digest, ends }: BlockedRequest) =>
     void writeWhile({
@@ -129,9 +132,9 @@
   };
   const checkRows = () => {
     if (isStopped) return;
+    startReview();
     options.onReview();
     if (getRank() === 0) rows.list().forEach(drop);
-    startReview();
   };
   const startReview = () => {
     review = clock.setTimer(REVIEW_MS, checkRows);
--- a/packages/crashes/src/blockedRows.ts
+++ b/packages/crashes/src/blockedRows.ts
@@ -81,7 +81,14 @@
     else onUnreadable(decoded.val);
   };
   const drop = (digest: RequestDigest) => {
-    if (listed.delete(digest)) onDropped(digest);
+    if (!listed.delete(digest)) return;
+    try {
+      onDropped(digest);
+    } catch (error) {
+      // The next read of the table drops it again.
+      listed.add(digest);
+      throw error;
+    }
   };
 
   return {
--- a/packages/fleet/src/admitPlain.ts
+++ b/packages/fleet/src/admitPlain.ts
@@ -10,7 +10,7 @@
   type UsableSlots,
 } from "@stairgauge/capacity";
 import type { AdmissionQueue } from "@stairgauge/admission";
-import type { Clock, Ms, ServiceName } from "@stairgauge/common";
+import { runEach, type Clock, type Ms, type ServiceName } from "@stairgauge/common";
 import type {
   BackendServer,
   ServerDirectory,
@@ -115,9 +115,13 @@
   };
   const retryWaiting = () => {
     isRetryPending = false;
-    for (const service of [...waitingByService.keys()])
-      if (directory.listReady(service).some(hasRoom)) queue.onRoom(service, 0);
-    scheduleRetry();
+    try {
+      runEach([...waitingByService.keys()], (service) => {
+        if (directory.listReady(service).some(hasRoom)) queue.onRoom(service, 0);
+      });
+    } finally {
+      scheduleRetry();
+    }
   };
   const scheduleRetry = () => {
     if (isRetryPending || waitingByService.size === 0) return;
--- a/packages/fleet/src/pollReports.ts
+++ b/packages/fleet/src/pollReports.ts
@@ -96,20 +96,26 @@
     return clock.monotonic() - (polled.get(id) ?? -Infinity) >= delay;
   };
 
+  const pollIfDue = async (server: BackendServer) => {
+    const { id, service } = server.entry;
+    const isWatchedHere = options.isEngineService(service) && shares.isWatcher(id);
+    if (!isWatchedHere || !isDue(id)) return;
+    polled.set(id, clock.monotonic());
+    const report = await ask(server);
+    if (report) options.onPolled(server, report);
+  };
+
   const poll = async (id: ServerId) => {
     const server = directory.find(id);
     if (isStopped || !server || server.leaving) {
       polled.delete(id);
       return;
     }
-    const isWatchedHere =
-      options.isEngineService(server.entry.service) && shares.isWatcher(id);
-    if (isWatchedHere && isDue(id)) {
-      polled.set(id, clock.monotonic());
-      const report = await ask(server);
-      if (report) options.onPolled(server, report);
+    try {
+      await pollIfDue(server);
+    } finally {
+      schedule(id);
     }
-    schedule(id);
   };
 
   return {
--- a/packages/migration/src/standbyKeeper.ts
+++ b/packages/migration/src/standbyKeeper.ts
@@ -133,10 +133,13 @@
     const names = { from: from.entry.id, to: target.entry.id };
     onDecision(run, { kind: "standby_begun", ...names, tokens: run.getTokens() });
     const releaseReservation = deps.reserve(target, run);
-    if (!(await copyTo(run, target, releaseReservation))) {
-      releaseReservation();
-      return;
+    let isCopied = false;
+    try {
+      isCopied = await copyTo(run, target, releaseReservation);
+    } finally {
+      if (!isCopied) releaseReservation();
     }
+    if (!isCopied) return;
     if (!awaitedRuns.has(run) && !isStillAt(run, from))
       release(run, "the run ended or moved before its copy was complete");
   };
@@ -161,17 +164,25 @@
     return isDue ? () => updateStandby(run, standby) : undefined;
   };
 
-  const checkRuns = async () => {
-    if (isChecking) return;
-    isChecking = true;
-    for (const run of deps.listRuns()) {
-      const done = findDueCopy(run)?.();
-      if (!done) continue;
-      inProgress = { run, done };
+  const checkRun = async (run: ActiveRun) => {
+    const done = findDueCopy(run)?.();
+    if (!done) return;
+    inProgress = { run, done };
+    try {
       await done;
+    } finally {
       inProgress = undefined;
     }
+  };
+  /** An error of one run keeps no other run from being checked; the first one is passed on. */
+  const checkRuns = async () => {
+    if (isChecking) return;
+    isChecking = true;
+    const errors: unknown[] = [];
+    for (const run of deps.listRuns())
+      await checkRun(run).catch((error: unknown) => errors.push(error));
     isChecking = false;
+    if (errors.length > 0) throw errors[0];
   };
   const schedule = () => {
     timer = clock.setTimer(CHECK_INTERVAL_MS, () => {
@@ -186,7 +197,8 @@
     take: async (run) => {
       if (inProgress?.run === run) {
         awaitedRuns.add(run);
-        await inProgress.done;
+        // A copy that failed with an error, which the check passes on, is none.
+        await inProgress.done.catch(() => undefined);
         awaitedRuns.delete(run);
       }
       const standby = findUsableStandby(run);
--- a/packages/origins/src/versionRows.ts
+++ b/packages/origins/src/versionRows.ts
@@ -179,9 +179,12 @@
   const run = async () => {
     isChecking = true;
     isCheckSoon = false;
-    await checkRows();
-    isChecking = false;
-    schedule(CHECK_MS);
+    try {
+      await checkRows();
+    } finally {
+      isChecking = false;
+      schedule(CHECK_MS);
+    }
   };
   const schedule = (pause: Ms) => {
     check?.cancel();
--- a/packages/pace/src/paceExchange.ts
+++ b/packages/pace/src/paceExchange.ts
@@ -29,13 +29,13 @@
   const { clock, registry, sendUpdate, sendNotice, isHub } = options;
   let timer: Timer;
   const tick = () => {
+    timer = clock.setTimer(UPDATE_INTERVAL_MS, tick);
     const changes = registry.takeChanges();
     if (changes.length > 0) sendUpdate(changes);
     if (isHub()) {
       const uneven = registry.listUneven();
       if (uneven.length > 0) sendNotice(uneven);
     }
-    timer = clock.setTimer(UPDATE_INTERVAL_MS, tick);
   };
   timer = clock.setTimer(UPDATE_INTERVAL_MS, tick);
   return { stop: () => timer.cancel() };
--- a/packages/peers/src/membership.ts
+++ b/packages/peers/src/membership.ts
@@ -51,13 +51,16 @@
 
   const join = async () => {
     if (isListed || isLeaving) return;
-    const own = getOwn();
-    const row = { table, key: own.box, value: encodeMember(own) };
-    const written = await runWithin(clock, limit, (signal) =>
-      writer.putRow({ ...row, signal }),
-    );
-    if (written.err) onFailure(written.val);
-    clock.setTimer(JOIN_PAUSE_MS, () => void join());
+    try {
+      const own = getOwn();
+      const row = { table, key: own.box, value: encodeMember(own) };
+      const written = await runWithin(clock, limit, (signal) =>
+        writer.putRow({ ...row, signal }),
+      );
+      if (written.err) onFailure(written.val);
+    } finally {
+      clock.setTimer(JOIN_PAUSE_MS, () => void join());
+    }
   };
 
   const joinAgain = (boxes: number) => {
--- a/packages/peers/src/peerLink.ts
+++ b/packages/peers/src/peerLink.ts
@@ -75,7 +75,16 @@
     retry = clock.setTimer(jittered as Ms, openStream);
   };
 
+  const makeFirst = (): RunUpdate => {
+    try {
+      return makeWhole();
+    } catch (error) {
+      scheduleRetry();
+      throw error;
+    }
+  };
   const openStream = () => {
+    const whole = makeFirst();
     const opened = client.makeBidiStreamRequest(
       reportRuns.path,
       reportRuns.requestSerialize,
@@ -93,7 +102,7 @@
       stream = undefined;
       scheduleRetry();
     });
-    opened.write(makeWhole());
+    opened.write(whole);
   };
   openStream();
 
--- a/packages/peers/src/peerLinks.ts
+++ b/packages/peers/src/peerLinks.ts
@@ -212,9 +212,9 @@
 
   const checkLinks = () => {
     if (isClosed) return;
+    checkTimer = clock.setTimer(CHECK_MS, checkLinks);
     recordStates();
     setLinks();
-    checkTimer = clock.setTimer(CHECK_MS, checkLinks);
   };
 
   const listReachable = () =>
