fix: one odd part of another box's message costs only itself

Callers: by reading; one row that can't be read made the whole answer of a box unreadable, so the store was asked instead, or the table not followed where only boxes reach it; one odd part of an update or notice, as of a box of another release, ended the stream, which began anew with the whole state and the same part. Cause: one schema for each message, and a decompression that throws inside it. Now rows of tables are decoded as those of the store (an unreadable value is an empty one, after a change without a key the table is read whole), unsettled rows that can't be read are no reason to deviate, and any other part that can't be read is left out. peer_part_unreadable names the field once, stairgauge_peer_unreadable_parts_total counts. Evidence: 13 tests failed before (ZodError, unexpected end of file) and pass. Seven older cases expected that the whole message is rejected for one odd part (three updates, three origins, compressed values), and one that all service times are; that is the fault. They now expect that the odd part is left out or empty, that sound ones beside it are kept, and that it is reported, so what is odd is used as little as before.

--- a/apps/box/src/createPeers.ts
+++ b/apps/box/src/createPeers.ts
@@ -30,7 +30,7 @@
 import { createConnectionReports } from "./connectionReports.js";
 import type { Capacity } from "./createCapacity.js";
 import type { FollowedTables } from "./createFollowedTables.js";
-import { observePeers } from "./observers.js";
+import { observeOddParts, observePeers } from "./observers.js";
 import { listSharedLeaving, type UpdateReceiver } from "./receiveUpdates.js";
 
 export type PeersOptions = Readonly<{
@@ -82,6 +82,7 @@
   const { answerTable, answerPlace, answerMoves, answerCarry } = options;
   const listContended = () => getParts().capacity.listSigns();
   const onMessage = observePeers({ metrics });
+  const onOddPart = observeOddParts({ log, metrics });
 
   const handleNotice = (notice: HubNotice, by: Member["box"]) => {
     notice.leaving.forEach(updates.receiveLeaving);
@@ -118,9 +119,11 @@
     makeWhole: reporter.makeWhole,
     onNotice: handleNotice,
     onMessage,
+    onOddPart,
   });
   const peerServer = createPeerServer({
     onMessage,
+    onOddPart,
     onUpdate: updates.receiveUpdate,
     makeFirstNotice: (box) => {
       recordGreeting(box);
--- a/apps/box/src/observers.ts
+++ b/apps/box/src/observers.ts
@@ -12,7 +12,7 @@
 } from "@stairgauge/forwarding";
 import type { LimitEvent, SharedLimit } from "@stairgauge/limits";
 import type { MoveDecision, StandbyDecision } from "@stairgauge/migration";
-import type { PeerMessage } from "@stairgauge/peers";
+import type { OddPart, PeerMessage } from "@stairgauge/peers";
 import type { BackoffEvent } from "@stairgauge/backoffs";
 import type { EraChange, RestoreReport } from "@stairgauge/storefeed";
 import type { PaceRegistryOptions } from "@stairgauge/pace";
@@ -255,6 +255,18 @@
     metrics.peerBytes.inc({ call, direction }, bytes);
   };
 
+/** Counts the parts of other boxes' messages that can't be read, and logs the first one of each field. */
+export const observeOddParts = ({ log, metrics }: Sinks) => {
+  const logged = new Set<string>();
+  return ({ call, field }: OddPart): void => {
+    metrics.unreadableParts.inc({ call, field });
+    const name = `${call} ${field}`;
+    if (logged.has(name)) return;
+    logged.add(name);
+    log.writeWarning("peer_part_unreadable", { call, field });
+  };
+};
+
 /** Writes changes of service times to the log, and how far expectations were off to the metrics. */
 export const observePaces = ({
   log,
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -31,4 +31,4 @@
 export { createHubAsker } from "./hubAsker.js";
 export type { AskScope, HubAsker, HubAskerOptions } from "./hubAsker.js";
 export type { CarrierLinks } from "./carrierLinks.js";
-export type { PeerMessage } from "./service.js";
+export type { OddPart, PeerMessage } from "./service.js";
--- a/packages/peers/src/originCodec.ts
+++ b/packages/peers/src/originCodec.ts
@@ -16,7 +16,7 @@
   .transform((key) => key as StreamKey);
 
 /** Key, service, software version (null if not certain) and the time left in milliseconds. */
-const originSchema = z.tuple([
+export const originSchema = z.tuple([
   keySchema,
   z.string(),
   z.string().nullable(),
@@ -26,7 +26,7 @@
 type WireOrigin = z.infer<typeof originSchema>;
 
 /** The origins of an update; boxes of earlier releases send none. */
-export const originsSchema = z.array(originSchema).optional();
+export const originsSchema = z.array(z.unknown()).optional().catch(undefined);
 
 const encodeOrigin = ({ key, binding, left }: SharedOrigin): WireOrigin => [
   key,
@@ -49,7 +49,7 @@
   origins.length > 0 ? { origins: origins.map(encodeOrigin) } : {};
 
 /** Left out when the message has none. */
-export const decodeOrigins = (origins: z.infer<typeof originsSchema>) =>
+export const decodeOrigins = (origins: readonly WireOrigin[] | undefined) =>
   origins ? { origins: origins.map(decodeOrigin) } : {};
 
 const questionSchema = z.object({ key: keySchema });
--- a/packages/peers/src/paceCodec.ts
+++ b/packages/peers/src/paceCodec.ts
@@ -20,7 +20,8 @@
   z.number().nonnegative(),
 ]);
 
-const paceSchema = z.object({
+/** A server's service times in a message. */
+export const paceSchema = z.object({
   server: z.string(),
   service: z.string(),
   age: z.number().nonnegative(),
@@ -34,7 +35,7 @@
 type WirePace = z.infer<typeof paceSchema>;
 
 /** The field `paces` of a message. An invalid one is ignored, since the rest of the message matters more. */
-export const pacesSchema = z.array(paceSchema).optional().catch(undefined);
+export const pacesSchema = z.array(z.unknown()).optional().catch(undefined);
 
 /** Four digits are more than the estimates are worth. */
 const round = (value: number): number => Number(value.toPrecision(4));
--- a/packages/peers/src/peerLinks.ts
+++ b/packages/peers/src/peerLinks.ts
@@ -15,7 +15,7 @@
 import { withLastResult } from "./lastResult.js";
 import { openPeerLink, type PeerLink } from "./peerLink.js";
 import { rankByCapacity } from "./rankStoreReaders.js";
-import { createPeerService, type PeerMessage } from "./service.js";
+import { createPeerService, type OddPart, type PeerMessage } from "./service.js";
 import { callUnary, type UnaryMethod } from "./unaryCall.js";
 import type {
   AskFailure,
@@ -41,6 +41,8 @@
   /** A hub has sent a notice to this box. */
   onNotice: (notice: HubNotice, by: BoxName) => void;
   onMessage: (message: PeerMessage) => void;
+  /** Called for each part of a message that can't be read, which is left out. */
+  onOddPart?: ((part: OddPart) => void) | undefined;
 }>;
 
 /** The links of one box. */
@@ -109,7 +111,7 @@
 /** Creates the links; there are none until peers are set. */
 export const createPeerLinks = (options: PeerLinksOptions): PeerLinks => {
   const { clock, random, own, makeWhole, onNotice } = options;
-  const service = createPeerService(options.onMessage);
+  const service = createPeerService(options.onMessage, options.onOddPart);
   const linkOptions = { clock, random, service, makeWhole, onNotice };
   const links = new Map<BoxName, Link>();
   const avoidedUntil = new Map<BoxName, number>();
--- a/packages/peers/src/peerServer.ts
+++ b/packages/peers/src/peerServer.ts
@@ -16,7 +16,7 @@
 import { hasContent } from "./makeNotice.js";
 import { createPeerConnections, type PeerConnectionsOptions } from "./peerConnections.js";
 import { createCallObserver, createPeerListener } from "./peerListener.js";
-import { createPeerService, type PeerMessage } from "./service.js";
+import { createPeerService, type OddPart, type PeerMessage } from "./service.js";
 import type {
   HubNotice,
   MovesAnswer,
@@ -46,6 +46,8 @@
   /** Another box asks this one to carry a request. */
   answerCarry: AnswerCarry;
   onMessage: (message: PeerMessage) => void;
+  /** Called for each part of a message that can't be read, which is left out. */
+  onOddPart?: ((part: OddPart) => void) | undefined;
 }> &
   PeerConnectionsOptions;
 
@@ -122,7 +124,7 @@
         (error: unknown) => send({ code: status.INTERNAL, details: String(error) }),
       );
     };
-  server.addService(createPeerService(options.onMessage), {
+  server.addService(createPeerService(options.onMessage, options.onOddPart), {
     reportRuns: handleStream,
     askTable: createHandler(options.answerTable),
     exchangeTables: createTableStreamHandler(options.answerTable),
--- a/packages/peers/src/rowCodec.ts
+++ b/packages/peers/src/rowCodec.ts
@@ -67,6 +67,31 @@
     })),
 ]);
 
+const keySchema = z.object({ key: z.string() });
+const versionSchema = z.object({ revision: count, era: revisionFields.era });
+const EMPTY = Buffer.of();
+
+/**
+ * Decodes a row of a table in a message. A value that can't be read becomes an empty one, which is unreadable to all who use the row, and a
+ * version that can't be read that of the whole message. Undefined if the key can't be read.
+ */
+export const decodeTableRow = (
+  row: unknown,
+  message: StoreRevision,
+  onOddPart: () => void,
+): StoredRow | undefined => {
+  try {
+    return rowSchema.parse(row);
+  } catch {
+    onOddPart();
+    const keyed = keySchema.safeParse(row);
+    if (!keyed.success) return undefined;
+    const version = versionSchema.safeParse(row);
+    const revision = version.success ? fromWireRevision(version.data) : message;
+    return { key: keyed.data.key, value: EMPTY, revision };
+  }
+};
+
 /** Converts a row to its form in a message. */
 export const toWireRow = ({ key, value, revision }: StoredRow) => ({
   key,
--- a/packages/peers/src/service.ts
+++ b/packages/peers/src/service.ts
@@ -21,6 +21,7 @@
   encodeCarryFrame,
   encodeCarryQuestion,
 } from "./carryCodec.js";
+import type { ReportOddPart } from "./decodeParts.js";
 import {
   decodeOriginAnswer,
   decodeOriginQuestion,
@@ -60,6 +61,9 @@
   bytes: number;
 }>;
 
+/** A part of a message that can't be read and was left out. */
+export type OddPart = Readonly<{ call: PeerMessage["call"]; field: string }>;
+
 type Method<Question, Answer> = Readonly<{
   path: string;
   requestStream: boolean;
@@ -70,15 +74,27 @@
   responseDeserialize: (bytes: Buffer) => Answer;
 }>;
 
+/** A method whose messages may have parts that can't be read. */
+type MethodOfParts<Question, Answer> = Omit<
+  Method<Question, Answer>,
+  "requestDeserialize" | "responseDeserialize"
+> &
+  Readonly<{
+    requestDeserialize: (bytes: Buffer, onOddPart: ReportOddPart) => Question;
+    responseDeserialize: (bytes: Buffer, onOddPart: ReportOddPart) => Answer;
+  }>;
+
 const DEFINITION = {
   reportRuns: {
     path: "/stairgauge.Peers/TellRuns",
     requestStream: true,
     responseStream: true,
     requestSerialize: (update: RunUpdate) => encodeUpdate(update),
-    requestDeserialize: (bytes: Buffer) => decodeUpdate(bytes),
+    requestDeserialize: (bytes: Buffer, onOddPart?: ReportOddPart) =>
+      decodeUpdate(bytes, onOddPart),
     responseSerialize: (notice: HubNotice) => encodeNotice(notice),
-    responseDeserialize: (bytes: Buffer) => decodeNotice(bytes),
+    responseDeserialize: (bytes: Buffer, onOddPart?: ReportOddPart) =>
+      decodeNotice(bytes, onOddPart),
   },
   askTable: {
     path: "/stairgauge.Peers/AskTable",
@@ -87,7 +103,8 @@
     requestSerialize: (question: TableQuestion) => encodeQuestion(question),
     requestDeserialize: (bytes: Buffer) => decodeQuestion(bytes),
     responseSerialize: (answer: TableAnswer) => encodeAnswer(answer),
-    responseDeserialize: (bytes: Buffer) => decodeAnswer(bytes),
+    responseDeserialize: (bytes: Buffer, onOddPart?: ReportOddPart) =>
+      decodeAnswer(bytes, onOddPart),
   },
   exchangeTables: {
     path: "/stairgauge.Peers/ExchangeTables",
@@ -96,7 +113,8 @@
     requestSerialize: (call: TableCall) => encodeTableCall(call),
     requestDeserialize: (bytes: Buffer) => decodeTableCall(bytes),
     responseSerialize: (reply: TableReply) => encodeTableReply(reply),
-    responseDeserialize: (bytes: Buffer) => decodeTableReply(bytes),
+    responseDeserialize: (bytes: Buffer, onOddPart?: ReportOddPart) =>
+      decodeTableReply(bytes, onOddPart),
   },
   askPlace: {
     path: "/stairgauge.Peers/AskPlace",
@@ -136,8 +154,11 @@
   },
 } as const satisfies ServiceDefinition;
 
-/** Creates the service definition for clients and servers; `onMessage` is called for each message. */
-export const createPeerService = (onMessage: (message: PeerMessage) => void) => {
+/** Creates the service definition for clients and servers; `onMessage` is called for each message, `onOddPart` for each part left out. */
+export const createPeerService = (
+  onMessage: (message: PeerMessage) => void,
+  onOddPart: (part: OddPart) => void = () => undefined,
+) => {
   const observeSent =
     <T>(call: PeerMessage["call"], serialize: (value: T) => Buffer) =>
     (value: T): Buffer => {
@@ -146,14 +167,17 @@
       return bytes;
     };
   const observeReceived =
-    <T>(call: PeerMessage["call"], deserialize: (bytes: Buffer) => T) =>
+    <T>(
+      call: PeerMessage["call"],
+      deserialize: (bytes: Buffer, onOddPart: ReportOddPart) => T,
+    ) =>
     (bytes: Buffer): T => {
       onMessage({ call, direction: "received", bytes: bytes.length });
-      return deserialize(bytes);
+      return deserialize(bytes, (field) => onOddPart({ call, field }));
     };
   const observe = <Question, Answer>(
     call: PeerMessage["call"],
-    method: Method<Question, Answer>,
+    method: MethodOfParts<Question, Answer>,
   ): Method<Question, Answer> => ({
     ...method,
     requestSerialize: observeSent(call, method.requestSerialize),
--- a/packages/peers/src/tableCodec.ts
+++ b/packages/peers/src/tableCodec.ts
@@ -1,12 +1,18 @@
 /** Codec for table questions and their answers between boxes. Messages are validated like any input. */
 import type { Ms } from "@stairgauge/common";
-import { INITIAL_REVISION, makeRevision, type RowChange } from "@stairgauge/storefeed";
+import {
+  INITIAL_REVISION,
+  makeRevision,
+  type RowChange,
+  type StoreRevision,
+} from "@stairgauge/storefeed";
 import { z } from "zod";
+import type { ReportOddPart } from "./decodeParts.js";
 import {
   count,
+  decodeTableRow,
   fromWireRevision,
   revisionFields,
-  rowSchema,
   toWireRevision,
   toWireRow,
 } from "./rowCodec.js";
@@ -32,24 +38,19 @@
   }),
 ]);
 
-const changeSchema = z.union([
-  rowSchema.transform((row) => ({ kind: "put", row }) as const),
-  z
-    .object({ gone: z.string() })
-    .transform(({ gone }) => ({ kind: "gone", key: gone }) as const),
-]);
+const goneSchema = z.object({ gone: z.string() });
 const ages = { age: ms, silence: ms };
 
 const answerSchema = z.discriminatedUnion("kind", [
   z.object({
     kind: z.literal("whole"),
-    rows: z.array(rowSchema),
+    rows: z.array(z.unknown()),
     ...revisionFields,
     ...ages,
   }),
   z.object({
     kind: z.literal("changes"),
-    changes: z.array(changeSchema),
+    changes: z.array(z.unknown()),
     ...revisionFields,
     ...ages,
   }),
@@ -124,17 +125,41 @@
 /** Encodes an answer. */
 export const encodeAnswer = (answer: TableAnswer): Buffer => encode(toWireAnswer(answer));
 
-/** Converts an answer from its form in a message; throws if it is invalid. */
-export const parseAnswer = (value: unknown): TableAnswer => {
+const decodeChange = (
+  change: unknown,
+  message: StoreRevision,
+  onOddPart: () => void,
+): RowChange | undefined => {
+  const gone = goneSchema.safeParse(change);
+  if (gone.success) return { kind: "gone", key: gone.data.gone };
+  const row = decodeTableRow(change, message, onOddPart);
+  return row && { kind: "put", row };
+};
+
+/** Converts an answer from its form in a message; throws if it is invalid. A row that can't be read costs only itself. */
+export const parseAnswer = (
+  value: unknown,
+  onOddPart: ReportOddPart = () => undefined,
+): TableAnswer => {
   const answer = answerSchema.parse(value);
   switch (answer.kind) {
     case "whole": {
-      const { kind, rows, age, silence } = answer;
-      return { kind, rows, revision: fromWireRevision(answer), age, silence };
+      const { kind, age, silence } = answer;
+      const revision = fromWireRevision(answer);
+      const rows = answer.rows.flatMap(
+        (row) => decodeTableRow(row, revision, () => onOddPart("rows")) ?? [],
+      );
+      return { kind, rows, revision, age, silence };
     }
     case "changes": {
-      const { kind, changes, age, silence } = answer;
-      return { kind, changes, revision: fromWireRevision(answer), age, silence };
+      const { kind, age, silence } = answer;
+      const revision = fromWireRevision(answer);
+      const changes = answer.changes.flatMap(
+        (change) => decodeChange(change, revision, () => onOddPart("changes")) ?? [],
+      );
+      // Any row of the table may have changed.
+      if (changes.length < answer.changes.length) return { kind: "history_gone" };
+      return { kind, changes, revision, age, silence };
     }
     case "not_known":
     case "history_gone":
@@ -143,4 +168,5 @@
 };
 
 /** Decodes an answer; throws on invalid bytes. */
-export const decodeAnswer = (bytes: Buffer): TableAnswer => parseAnswer(parse(bytes));
+export const decodeAnswer = (bytes: Buffer, onOddPart?: ReportOddPart): TableAnswer =>
+  parseAnswer(parse(bytes), onOddPart);
--- a/packages/peers/src/tableStreamCodec.ts
+++ b/packages/peers/src/tableStreamCodec.ts
@@ -1,5 +1,6 @@
 /** Codec for the stream of table questions between two boxes. Each message names its question by a number of the asker. */
 import { z } from "zod";
+import type { ReportOddPart } from "./decodeParts.js";
 import {
   parseAnswer,
   parseQuestion,
@@ -68,12 +69,19 @@
     : encode({ id: reply.id, failed: reply.detail });
 
 /** Decodes a message of the answering box; throws without a number. An unreadable answer fails its own question only. */
-export const decodeTableReply = (bytes: Buffer): TableReply => {
+export const decodeTableReply = (
+  bytes: Buffer,
+  onOddPart?: ReportOddPart,
+): TableReply => {
   const reply = replySchema.parse(parse(bytes));
   if (reply.failed !== undefined)
     return { kind: "failed", id: reply.id, detail: reply.failed };
   try {
-    return { kind: "answered", id: reply.id, answer: parseAnswer(reply.answer) };
+    return {
+      kind: "answered",
+      id: reply.id,
+      answer: parseAnswer(reply.answer, onOddPart),
+    };
   } catch {
     return { kind: "failed", id: reply.id, detail: "unreadable answer" };
   }
--- a/packages/peers/src/updateCodec.ts
+++ b/packages/peers/src/updateCodec.ts
@@ -11,8 +11,18 @@
 import type { PlacedRun } from "@stairgauge/placement";
 import { z } from "zod";
 import { contendedSchema, decodeContended, encodeContended } from "./contentionCodec.js";
-import { decodePaces, encodePaces, pacesSchema } from "./paceCodec.js";
-import { decodeOrigins, encodeOrigins, originsSchema } from "./originCodec.js";
+import {
+  createPartsDecoder,
+  type DecodeParts,
+  type ReportOddPart,
+} from "./decodeParts.js";
+import { decodePaces, encodePaces, paceSchema, pacesSchema } from "./paceCodec.js";
+import {
+  decodeOrigins,
+  encodeOrigins,
+  originSchema,
+  originsSchema,
+} from "./originCodec.js";
 import { count, rowSchema, toWireRow } from "./rowCodec.js";
 import type {
   HubNotice,
@@ -52,6 +62,8 @@
 });
 
 const putSchema = runSchema.extend({ server: z.string() });
+const dropSchema = z.object({ server: z.string(), id: z.string() });
+const serverSchema = z.string();
 
 const reportedRunSchema = z.tuple([z.string(), z.number(), z.number()]);
 
@@ -64,63 +76,56 @@
   running: z.number(),
   used: z.number(),
   total: z.number(),
-  runs: z.array(reportedRunSchema),
+  runs: z.array(z.unknown()),
 });
 
-const leavingSchema = z.array(
-  z.object({
-    server: z.string(),
-    /** The only evidence is that the server's entry is gone. */
-    gone: z.boolean(),
-    /** The server announced it itself; boxes of earlier releases omit this. */
-    own: z.boolean().default(false),
-  }),
-);
+const leavingSchema = z.object({
+  server: z.string(),
+  /** The only evidence is that the server's entry is gone. */
+  gone: z.boolean(),
+  /** The server announced it itself; boxes of earlier releases omit this. */
+  own: z.boolean().default(false),
+});
 
 const digestSchema = z.string().regex(REQUEST_DIGEST);
 
 /** Longest id of a part that is accepted; ids have a dozen characters. */
 const MAX_PART_LENGTH = 200;
 
-const crashesSchema = z.object({
-  ends: z.array(
-    z.object({
-      digest: digestSchema,
-      server: z.string(),
-      age: z.number().nonnegative(),
-      /** Set for a part of a prompt; boxes of earlier releases take it for a request. */
-      part: z.string().max(MAX_PART_LENGTH).optional(),
-    }),
-  ),
-  served: z.array(digestSchema),
+const endSchema = z.object({
+  digest: digestSchema,
+  server: z.string(),
+  age: z.number().nonnegative(),
+  /** Set for a part of a prompt; boxes of earlier releases take it for a request. */
+  part: z.string().max(MAX_PART_LENGTH).optional(),
 });
-
-const limitsSchema = z.object({
-  named: z.array(
-    z.object({
-      server: z.string(),
-      perSecond: z.number().positive(),
-      knownFor: z.number().nonnegative(),
-      age: z.number().nonnegative(),
-    }),
-  ),
-  lifted: z.array(z.object({ server: z.string(), age: z.number().nonnegative() })),
+const limitSchema = z.object({
+  server: z.string(),
+  perSecond: z.number().positive(),
+  knownFor: z.number().nonnegative(),
+  age: z.number().nonnegative(),
 });
+const liftedSchema = z.object({ server: z.string(), age: z.number().nonnegative() });
 
-const unsettledSchema = z.array(
-  z.object({
-    table: z.string(),
-    era: count,
-    kept: z.array(rowSchema),
-    withheld: z.array(rowSchema),
-  }),
-);
+/** The parts of a field, which are decoded one by one. */
+const parts = z.array(z.unknown());
+const optionalParts = parts.default([]);
+
+const crashesSchema = z.object({ ends: parts, served: parts });
+const limitsSchema = z.object({ named: parts, lifted: parts });
+
+const unsettledSchema = z.object({
+  table: z.string(),
+  era: count,
+  kept: parts,
+  withheld: parts,
+});
 
 const noticeSchema = z.object({
-  leaving: leavingSchema.default([]),
+  leaving: optionalParts,
   crashes: crashesSchema.optional(),
   limits: limitsSchema.optional(),
-  unsettled: unsettledSchema.default([]),
+  unsettled: optionalParts,
   contended: contendedSchema,
   paces: pacesSchema,
 });
@@ -128,11 +133,11 @@
 const updateSchema = z.object({
   box: z.string().min(1),
   whole: z.boolean(),
-  put: z.array(putSchema),
-  drop: z.array(z.object({ server: z.string(), id: z.string() })),
-  leaving: leavingSchema.default([]),
-  reports: z.array(reportSchema).default([]),
-  broken: z.array(z.string()).default([]),
+  put: parts,
+  drop: parts,
+  leaving: optionalParts,
+  reports: optionalParts,
+  broken: optionalParts,
   crashes: crashesSchema.optional(),
   limits: limitsSchema.optional(),
   contended: contendedSchema,
@@ -155,7 +160,10 @@
   runs: report.runs.map((run) => [run.id, run.tokensInMemory, run.eventsMade]),
 });
 
-const decodeReport = (message: z.infer<typeof reportSchema>): SharedReport => ({
+const decodeReport = (
+  message: z.infer<typeof reportSchema>,
+  decodeParts: DecodeParts,
+): SharedReport => ({
   server: message.server as ServerId,
   report: {
     // The server's id contains the start time.
@@ -167,17 +175,15 @@
     running: message.running,
     memoryUsed: message.used,
     memoryTotal: message.total,
-    runs: message.runs.map(([id, tokensInMemory, eventsMade]) => ({
-      id,
-      tokensInMemory,
-      eventsMade,
-    })),
+    runs: decodeParts("runs", reportedRunSchema, message.runs).map(
+      ([id, tokensInMemory, eventsMade]) => ({ id, tokensInMemory, eventsMade }),
+    ),
   },
 });
 
 const encodeLeaving = (
   leaving: readonly SharedLeaving[],
-): z.input<typeof leavingSchema> =>
+): readonly z.input<typeof leavingSchema>[] =>
   leaving.map(({ server, evidence }) => ({
     server,
     gone: evidence === "entry_gone",
@@ -190,9 +196,10 @@
 };
 
 const decodeLeaving = (
-  leaving: z.infer<typeof leavingSchema>,
+  leaving: readonly unknown[],
+  decodeParts: DecodeParts,
 ): readonly SharedLeaving[] =>
-  leaving.map((message) => ({
+  decodeParts("leaving", leavingSchema, leaving).map((message) => ({
     server: message.server as ServerId,
     evidence: toBasis(message),
   }));
@@ -203,36 +210,48 @@
 
 const decodeCrashes = (
   message: z.infer<typeof crashesSchema> | undefined,
+  decodeParts: DecodeParts,
 ): CrashUpdate =>
   message === undefined
     ? NO_CRASH_UPDATE
     : {
-        ends: message.ends.map(({ digest, server, age, part }) => ({
-          digest: digest as RequestDigest,
-          server: server as ServerId,
-          age: age as Ms,
-          ...(part !== undefined && { part }),
-        })),
-        served: message.served.map((digest) => digest as RequestDigest),
+        ends: decodeParts("ends", endSchema, message.ends).map(
+          ({ digest, server, age, part }) => ({
+            digest: digest as RequestDigest,
+            server: server as ServerId,
+            age: age as Ms,
+            ...(part !== undefined && { part }),
+          }),
+        ),
+        served: decodeParts("served", digestSchema, message.served).map(
+          (digest) => digest as RequestDigest,
+        ),
       };
 
 const encodeLimits = (limits: LimitUpdate) =>
   limits.named.length + limits.lifted.length > 0 ? { limits } : {};
 
-const decodeLimits = (message: z.infer<typeof limitsSchema> | undefined): LimitUpdate =>
+const decodeLimits = (
+  message: z.infer<typeof limitsSchema> | undefined,
+  decodeParts: DecodeParts,
+): LimitUpdate =>
   message === undefined
     ? NO_LIMIT_UPDATE
     : {
-        named: message.named.map(({ server, perSecond, knownFor, age }) => ({
-          server: server as ServerId,
-          perSecond,
-          knownFor: knownFor as Ms,
-          age: age as Ms,
-        })),
-        lifted: message.lifted.map(({ server, age }) => ({
-          server: server as ServerId,
-          age: age as Ms,
-        })),
+        named: decodeParts("named", limitSchema, message.named).map(
+          ({ server, perSecond, knownFor, age }) => ({
+            server: server as ServerId,
+            perSecond,
+            knownFor: knownFor as Ms,
+            age: age as Ms,
+          }),
+        ),
+        lifted: decodeParts("lifted", liftedSchema, message.lifted).map(
+          ({ server, age }) => ({
+            server: server as ServerId,
+            age: age as Ms,
+          }),
+        ),
       };
 
 const encodeUnsettled = (unsettled: readonly SharedUnsettledRows[]) =>
@@ -247,6 +266,20 @@
         })),
       };
 
+/** A row that can't be read is no reason to deviate from the store. */
+const decodeUnsettled = (
+  unsettled: readonly unknown[],
+  decodeParts: DecodeParts,
+): readonly SharedUnsettledRows[] =>
+  decodeParts("unsettled", unsettledSchema, unsettled).map(
+    ({ table, era, kept, withheld }) => ({
+      table,
+      era,
+      kept: decodeParts("kept", rowSchema, kept),
+      withheld: decodeParts("withheld", rowSchema, withheld),
+    }),
+  );
+
 /** Encodes a notice. */
 export const encodeNotice = ({
   leaving,
@@ -267,16 +300,20 @@
     }),
   );
 
-/** Decodes a notice; throws on invalid bytes, as gRPC expects of a decoder. */
-export const decodeNotice = (bytes: Buffer): HubNotice => {
+/** Decodes a notice; throws on invalid bytes, as gRPC expects of a decoder. A part that can't be read is left out. */
+export const decodeNotice = (
+  bytes: Buffer,
+  onOddPart: ReportOddPart = () => undefined,
+): HubNotice => {
+  const decodeParts = createPartsDecoder(onOddPart);
   const notice = noticeSchema.parse(JSON.parse(bytes.toString("utf8")));
   return {
-    leaving: decodeLeaving(notice.leaving),
-    crashes: decodeCrashes(notice.crashes),
-    limits: decodeLimits(notice.limits),
-    unsettled: notice.unsettled,
+    leaving: decodeLeaving(notice.leaving, decodeParts),
+    crashes: decodeCrashes(notice.crashes, decodeParts),
+    limits: decodeLimits(notice.limits, decodeParts),
+    unsettled: decodeUnsettled(notice.unsettled, decodeParts),
     ...decodeContended(notice.contended),
-    ...decodePaces(notice.paces),
+    ...decodePaces(decodeParts("paces", paceSchema, notice.paces)),
   };
 };
 
@@ -286,7 +323,10 @@
     JSON.stringify({
       box: update.box,
       whole: update.isWhole,
-      put: update.put.map(({ server, run }) => ({ server, ...toWireRun(run) })),
+      put: update.put.map(({ server, run }) => ({
+        server,
+        ...toWireRun(run),
+      })),
       drop: update.drop,
       leaving: encodeLeaving(update.leaving),
       ...(update.broken.length > 0 && { broken: update.broken }),
@@ -299,24 +339,37 @@
     }),
   );
 
-/** Decodes an update; throws on invalid bytes, as gRPC expects of a decoder. */
-export const decodeUpdate = (bytes: Buffer): RunUpdate => {
+/** Decodes an update; throws on invalid bytes, as gRPC expects of a decoder. A part that can't be read is left out. */
+export const decodeUpdate = (
+  bytes: Buffer,
+  onOddPart: ReportOddPart = () => undefined,
+): RunUpdate => {
+  const decodeParts = createPartsDecoder(onOddPart);
   const update = updateSchema.parse(JSON.parse(bytes.toString("utf8")));
   return {
     box: update.box as BoxName,
     isWhole: update.whole,
-    put: update.put.map(({ server, ...run }) => ({
+    put: decodeParts("put", putSchema, update.put).map(({ server, ...run }) => ({
       server: server as ServerId,
       run: fromWireRun(run),
     })),
-    drop: update.drop.map(({ server, id }) => ({ server: server as ServerId, id })),
-    leaving: decodeLeaving(update.leaving),
-    reports: update.reports.map(decodeReport),
-    broken: update.broken.map((server) => server as ServerId),
-    crashes: decodeCrashes(update.crashes),
-    limits: decodeLimits(update.limits),
+    drop: decodeParts("drop", dropSchema, update.drop).map(({ server, id }) => ({
+      server: server as ServerId,
+      id,
+    })),
+    leaving: decodeLeaving(update.leaving, decodeParts),
+    reports: decodeParts("reports", reportSchema, update.reports).map((report) =>
+      decodeReport(report, decodeParts),
+    ),
+    broken: decodeParts("broken", serverSchema, update.broken).map(
+      (server) => server as ServerId,
+    ),
+    crashes: decodeCrashes(update.crashes, decodeParts),
+    limits: decodeLimits(update.limits, decodeParts),
     ...decodeContended(update.contended),
-    ...decodePaces(update.paces),
-    ...decodeOrigins(update.origins),
+    ...decodePaces(decodeParts("paces", paceSchema, update.paces)),
+    ...decodeOrigins(
+      update.origins && decodeParts("origins", originSchema, update.origins),
+    ),
   };
 };
--- a/packages/telemetry/src/boxMetrics.ts
+++ b/packages/telemetry/src/boxMetrics.ts
@@ -153,6 +153,12 @@
       buckets: LATENCY_BUCKETS_SECONDS,
       registers,
     }),
+    unreadableParts: new Counter({
+      name: "stairgauge_peer_unreadable_parts_total",
+      help: "Parts of other boxes' messages that can't be read and were left out, by call and field",
+      labelNames: ["call", "field"],
+      registers,
+    }),
     peerMessages: new Counter({
       name: "stairgauge_peer_messages_total",
       help: "Messages between boxes, by call and direction",
