fix: a row that throws while it is applied keeps no other row from use

Callers: by reading; a row whose use throws came again with each read of the whole table, so the rows behind it were never applied however often the table was read. Cause: the rows are applied in one loop. Now each is applied, then the first error goes on to the follower, which reports it and reads the table again after its pause. For servers and blocked requests; the table of boxes and the configuration have no step of a row that may throw but their decoders, which return what they can't read. Evidence: the test of the servers' table failed before (no server ready instead of two); blocked requests have none of their own.

--- a/packages/crashes/src/blockedRows.ts
+++ b/packages/crashes/src/blockedRows.ts
@@ -2,7 +2,7 @@
  * Blocked requests as rows of the store, where they survive a restart of all boxes. An operator unblocks a request by dropping
  * its row.
  */
-import { Err, Ok, type Clock, type Ms, type Result } from "@stairgauge/common";
+import { Err, Ok, runEach, type Clock, type Ms, type Result } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
 import type { FollowerSink, StoredRow } from "@stairgauge/storefeed";
 import { z } from "zod";
@@ -95,14 +95,18 @@
     sink: {
       onWhole: (rows) => {
         const present = new Set<string>(rows.map(({ key }) => key));
-        for (const digest of [...listed]) if (!present.has(digest)) drop(digest);
-        rows.forEach(put);
+        const absent = [...listed].filter((digest) => !present.has(digest));
+        try {
+          runEach(absent, drop);
+        } finally {
+          runEach(rows, put);
+        }
       },
       onChanges: (changes) => {
-        for (const change of changes) {
+        runEach(changes, (change) => {
           if (change.kind === "put") put(change.row);
           else drop(change.key as RequestDigest);
-        }
+        });
       },
       onFailure: () => undefined,
       onRegained: () => undefined,
--- a/packages/fleet/src/followServers.test.ts
+++ b/packages/fleet/src/followServers.test.ts
@@ -17,6 +17,7 @@
 import { createServerSink } from "./followServers.js";
 
 const decode = (name: string, value: Buffer): Result<ServerEntry, unknown> => {
+  if (value.toString() === "throws") throw new Error("odd");
   if (value.toString() === "odd") return Err({ kind: "not_json" });
   return Ok(makeEntry(name, { isLeaving: value.toString() === "leaving" }));
 };
@@ -66,6 +67,19 @@
   };
   const listReady = () => directory.listReady(SERVICE).map(({ entry }) => entry.id);
 
+  it("applies the other rows if one of them throws, and passes the error on", () => {
+    const rows = [toRow("x", "throws"), toRow("c"), toRow("d")];
+    expect(() => sink.onWhole(rows, clock.monotonic(), REVISION)).toThrow("odd");
+    expect(listReady()).toEqual(["c", "d"]);
+    const changes = [
+      { kind: "put", row: toRow("x", "throws") },
+      { kind: "gone", key: "c" },
+      { kind: "put", row: toRow("e") },
+    ] as const;
+    expect(() => sink.onChanges(changes, clock.monotonic(), REVISION)).toThrow("odd");
+    expect(listReady()).toEqual(["d", "e"]);
+  });
+
   it("keeps servers whose entry lapsed during the outage if they write it again", () => {
     loseAndRegain();
     sink.onWhole([toRow("a")], clock.monotonic(), REVISION);
--- a/packages/fleet/src/followServers.ts
+++ b/packages/fleet/src/followServers.ts
@@ -1,5 +1,5 @@
 /** Keeps the directory of backend servers up to date by following the servers' table. */
-import type { Clock, Ms, Result } from "@stairgauge/common";
+import { runEach, type Clock, type Ms, type Result } from "@stairgauge/common";
 import type {
   ServerDirectory,
   ServerEntry,
@@ -105,14 +105,17 @@
       for (const key of unreadable.keys()) if (!listed.has(key)) unreadable.delete(key);
       for (const { entry } of directory.list())
         if (!listed.has(entry.name)) handleMissing(entry.id);
-      for (const row of rows) putRow(row);
-      options.onListRead();
+      try {
+        runEach(rows, putRow);
+      } finally {
+        options.onListRead();
+      }
     },
     onChanges: (changes) => {
-      for (const change of changes) {
+      runEach(changes, (change) => {
         if (change.kind === "gone") handleGoneRow(change.key);
         else putRow(change.row);
-      }
+      });
       directory.dropForgotten(clock.monotonic());
     },
     onFailure: (failure, failuresInARow) => {
