--- a/apps/box/src/observePaths.ts
+++ b/apps/box/src/observePaths.ts
@@ -30,7 +30,7 @@
     if (event.kind === "answer_over_limit")
       metrics.answersOverLimit.inc({ limit: event.limit });
     if (event.kind === "call_unsendable") metrics.unsendableCalls.inc();
-    metrics.carrySteps.inc({ step: event.kind });
+    else metrics.carrySteps.inc({ step: event.kind });
     // The line of the request itself names the carrier.
     if (event.kind === "carried") return;
     const { kind, ...fields } = event;
--- a/packages/forwarding/src/openExchange.ts
+++ b/packages/forwarding/src/openExchange.ts
@@ -26,7 +26,7 @@
   type AnswerExcess,
 } from "./answerLimits.js";
 import type { ExchangeFailure, RawHeaders } from "./types.js";
-import { failUnsent, attemptMake } from "./unsendable.js";
+import { attemptMake, failUnsent, type UnsendableFailure } from "./unsendable.js";
 
 /** Largest head of a server's answer. */
 const ANSWER_HEAD_BYTES = 64 * 1024;
@@ -96,7 +96,7 @@
 const makeOutgoing = (
   { address, method, target, headers }: ExchangeRequest,
   dial: Dialer,
-): Result<Outgoing, Extract<ExchangeFailure, { kind: "unsendable" }>> => {
+): Result<Outgoing, UnsendableFailure> => {
   const dialed: Socket[] = [];
   const made = attemptMake(() => {
     const outgoing = openRequest({
--- a/packages/forwarding/src/unsendable.ts
+++ b/packages/forwarding/src/unsendable.ts
@@ -7,7 +7,8 @@
 import type { Exchange, ExchangeRequest, ExchangeSink } from "./openExchange.js";
 import type { ExchangeFailure } from "./types.js";
 
-type UnsendableFailure = Extract<ExchangeFailure, { kind: "unsendable" }>;
+/** The failure of such a call. */
+export type UnsendableFailure = Extract<ExchangeFailure, { kind: "unsendable" }>;
 
 const METHOD_TOKEN = /^[!#$%&'*+.^_`|~\w-]+$/;
 const TARGET = /^[\x21-\xff]+$/;
