fix: a link opens its stream later if the state to be sent first can't be made

Callers: by reading; what threw then left a stream open that had sent no state, or a client that no link knew of. Cause: the stream was opened before its first message was made. Now it is opened once that is made, else after the next pause; the error is passed on.

--- a/packages/peers/src/peerLink.ts
+++ b/packages/peers/src/peerLink.ts
@@ -72,19 +72,11 @@
     retry?.cancel();
     const jittered = pause * (0.5 + random.nextFloat());
     pause = Math.min(MAX_PAUSE_MS, pause * 2);
-    retry = clock.setTimer(jittered as Ms, openStream);
+    retry = clock.setTimer(jittered as Ms, () => void attemptOpen());
   };
 
-  const makeFirst = (): RunUpdate => {
-    try {
-      return makeWhole();
-    } catch (error) {
-      scheduleRetry();
-      throw error;
-    }
-  };
   const openStream = () => {
-    const whole = makeFirst();
+    const whole = makeWhole();
     const opened = client.makeBidiStreamRequest(
       reportRuns.path,
       reportRuns.requestSerialize,
@@ -104,7 +96,16 @@
     });
     opened.write(whole);
   };
-  openStream();
+  /** Opens the stream now, or later if that throws; the error is a rejection, so that the link itself stays usable. */
+  const attemptOpen = () =>
+    new Promise<void>((resolve) => {
+      openStream();
+      resolve();
+    }).catch((error: unknown) => {
+      scheduleRetry();
+      throw error;
+    });
+  void attemptOpen();
 
   return {
     peer,
