fix: calls of other boxes, and answers that they don't read, are bounded

What was seen: 20 connections to the peers' port that open streams without an end, ask for tables and read no answer, or ask without an end on one stream, end the process within 2 to 5 s.

Cause: the library takes any number of streams on a connection, and holds what is not read without a limit; the stream of table questions answered on while its answers waited.

Change: 100 open calls a connection, beyond which the asking side holds its own calls back; half as many calls as descriptors in all, beside the two streams that each link has: beyond it the connection with most calls is ended, and those without a valid message, which would bring as many in the same turn of the event loop. Bytes of messages are counted until they were sent. Where they take more than clients.unreadMb, connections that have held some for a quarter of a second are ended, the longest first; while that is not enough, questions are refused, and the asking box asks another one. The stream of table questions reads no further ones while 16 answers wait. A box that leaves 1,024 notices unread is ended as well, to be sent its state anew.

--- a/apps/box/src/createPeers.ts
+++ b/apps/box/src/createPeers.ts
@@ -27,6 +27,7 @@
 import type { LoadRegistry } from "@stairgauge/placement";
 import type { BoxSettings } from "@stairgauge/settings";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
+import { computeSettingsLimits } from "./computeSettingsLimits.js";
 import { createConnectionReports } from "./connectionReports.js";
 import type { Capacity } from "./createCapacity.js";
 import type { FollowedTables } from "./createFollowedTables.js";
@@ -34,7 +35,7 @@
 import { listSharedLeaving, type UpdateReceiver } from "./receiveUpdates.js";
 
 export type PeersOptions = Readonly<{
-  settings: Pick<BoxSettings, "limits">;
+  settings: BoxSettings;
   clock: Clock;
   random: Random;
   log: DecisionLog;
@@ -149,7 +150,12 @@
     answerOrigin: (question) =>
       Promise.resolve(getParts().origins.streams.answer(question)),
     answerCarry,
-    limits: { maxConnections: computePeerConnections(settings.limits.descriptors) },
+    clock,
+    limits: {
+      maxConnections: computePeerConnections(settings.limits.descriptors),
+      maxCalls: settings.limits.descriptors / 2,
+      maxUnreadBytes: computeSettingsLimits(settings).unread,
+    },
     onLimit: createConnectionReports("peers", options).onLimit,
   });
   const isForwarding = () => hasHubs(links.countBoxes()) && links.isHub();
--- a/packages/peers/src/answerTableStream.ts
+++ b/packages/peers/src/answerTableStream.ts
@@ -8,21 +8,32 @@
 /** Questions that one box may have open: it follows four tables, with one question for each at a time. */
 const MAX_OPEN_QUESTIONS = 64;
 
-/** Creates the handler of such streams. */
+/** Detail of the failure of a question whose answer nothing may be held for. */
+export const NO_ROOM = "too many unread answers";
+
+/** Creates the handler of such streams; `hasRoom` tells whether there is memory for another answer. */
 export const createTableStreamHandler =
-  (answerTable: AnswerTable) =>
+  (answerTable: AnswerTable, hasRoom: () => boolean) =>
   (stream: ServerDuplexStream<TableCall, TableReply>): void => {
     const open = new Map<number, AbortController>();
 
+    /** Sends a reply; while the other box does not read, no further questions of it are read. */
+    const write = (reply: TableReply) => {
+      if (!stream.write(reply)) stream.pause();
+    };
     const send = (reply: TableReply) => {
       // Nobody waits for the answer to a cancelled question.
-      if (open.delete(reply.id)) stream.write(reply);
+      if (open.delete(reply.id)) write(reply);
+    };
+    const sendAnswer = (id: number, answer: TableAnswer) => {
+      if (hasRoom()) send({ kind: "answered", id, answer });
+      else send({ kind: "failed", id, detail: NO_ROOM });
     };
     const answerQuestion = (id: number, question: TableQuestion) => {
       const cancellation = new AbortController();
       open.set(id, cancellation);
       answerTable(question, cancellation.signal).then(
-        (answer) => send({ kind: "answered", id, answer }),
+        (answer) => sendAnswer(id, answer),
         (error: unknown) => send({ kind: "failed", id, detail: String(error) }),
       );
     };
@@ -35,13 +46,14 @@
       stream.end();
     };
 
+    stream.on("drain", () => stream.resume());
     stream.on("data", (call: TableCall) => {
       const { id } = call;
       if (call.kind === "cancel") cancelQuestion(id);
       else if (call.kind === "unknown")
-        stream.write({ kind: "failed", id, detail: "unknown kind of question" });
+        write({ kind: "failed", id, detail: "unknown kind of question" });
       else if (open.size >= MAX_OPEN_QUESTIONS)
-        stream.write({ kind: "failed", id, detail: "too many open questions" });
+        write({ kind: "failed", id, detail: "too many open questions" });
       else answerQuestion(id, call.question);
     });
     stream.on("error", endStream);
--- a/packages/peers/src/peerConnections.test.ts
+++ b/packages/peers/src/peerConnections.test.ts
@@ -1,24 +1,32 @@
-/** Guards against connections that send nothing, until the process has no descriptor left, and against ending those of boxes for them. */
+/**
+ * Guards against connections that take what a process has: its descriptors by sending nothing, its memory by calls and
+ * unread answers without an end; and against ending those of boxes for them.
+ */
 import { describe, expect, it } from "vitest";
+import { createVirtualClock, type Ms } from "@stairgauge/common";
 import { createPeerConnections } from "./peerConnections.js";
 
 const openConnections = (maxConnections: number) => {
   const ended: string[] = [];
   const reported: string[] = [];
+  const boxes = new Set<string>();
+  const clock = createVirtualClock();
   const connections = createPeerConnections({
-    limits: { maxConnections },
+    clock,
+    limits: { maxConnections, maxCalls: 10, maxUnreadBytes: 1_000 },
     onLimit: (limit) => reported.push(limit),
   });
   const add = (peer: string) =>
     connections.add(peer, { destroy: () => ended.push(peer) });
   /** A box opens a call and sends its state as soon as it is connected. */
   const addBox = (peer: string) => {
-    add(peer);
+    if (!boxes.has(peer)) add(peer);
+    boxes.add(peer);
     const call = connections.openCall(peer);
     call.onMessage();
     return call;
   };
-  return { connections, ended, reported, add, addBox };
+  return { clock, connections, ended, reported, add, addBox };
 };
 
 describe("createPeerConnections", () => {
@@ -50,4 +58,28 @@
     connections.remove("a", former);
     expect(connections.count()).toBe(1);
   });
+
+  it("ends the connection with most calls where there are too many, and those that sent no message", () => {
+    const { connections, ended, reported, add, addBox } = openConnections(20);
+    for (const box of ["box-1", "box-2"]) {
+      addBox(box);
+      addBox(box).onEnd();
+    }
+    add("silent");
+    for (let i = 0; i < 20; i += 1) connections.openCall("box-2");
+    expect(ended).toEqual(["box-2", "silent"]);
+    expect(reported).toEqual(["too_many_calls", "too_many_calls"]);
+  });
+
+  it("ends a connection that doesn't read where answers take too much memory, and no other", () => {
+    const { clock, connections, ended, addBox } = openConnections(20);
+    addBox("reads nothing").holdBytes(600);
+    const release = addBox("box-1").holdBytes(600);
+    expect([connections.hasRoom(), ended]).toEqual([false, []]);
+    release();
+    expect(connections.hasRoom()).toBe(true);
+    clock.advance(250 as Ms);
+    addBox("box-2").holdBytes(600);
+    expect([connections.hasRoom(), ended]).toEqual([true, ["reads nothing"]]);
+  });
 });
--- a/packages/peers/src/peerConnections.ts
+++ b/packages/peers/src/peerConnections.ts
@@ -2,11 +2,19 @@
  * The connections at the listener for other boxes, and what each may take of the process. A box that reaches a limit
  * loses its connection, opens it anew and sends its whole state again.
  */
+import type { Clock } from "@stairgauge/common";
 
 /** What bounds these connections. */
 export type PeerLimits = Readonly<{
   /** Largest number of open connections; a further one takes the place of one without a call. */
   maxConnections: number;
+  /**
+   * Largest number of open calls beside `CALLS_OF_A_LINK` for each connection; beyond it, the connection with most of
+   * them is ended, and those without a valid message on a call.
+   */
+  maxCalls: number;
+  /** Most bytes of messages that wait to be read by other boxes; beyond it, connections that hold some longest are ended. */
+  maxUnreadBytes: number;
 }>;
 
 /** Why a connection was ended, or not taken. */
@@ -14,7 +22,20 @@
   /** There were too many connections, and this one had been without a call for longest. */
   | "idle"
   /** There were too many connections, all with calls, and this one was new. */
-  | "too_many_connections";
+  | "too_many_connections"
+  /** There were too many open calls, and most of them were on this one, or it had no call with a valid message. */
+  | "too_many_calls"
+  /** Too much waited to be read by other boxes, and some of this one's had waited for longest. */
+  | "answer_unread";
+
+/**
+ * Time in which the answers on a connection may wait before it is ended for them. Connections that are read hold some
+ * for a shorter time.
+ */
+const MIN_UNREAD_MS = 250;
+
+/** Calls that a link between two boxes always has open: the streams of updates and of table questions. */
+const CALLS_OF_A_LINK = 2;
 
 /** What is needed of a connection's socket. */
 export type PeerSocket = Readonly<{ destroy: () => void }>;
@@ -23,6 +44,8 @@
 export type PeerCall = Readonly<{
   /** The other box has sent a valid message on it. */
   onMessage: () => void;
+  /** Counts bytes of a message to the other box; returns what is called when they were sent. */
+  holdBytes: (bytes: number) => () => void;
   onEnd: () => void;
 }>;
 
@@ -34,6 +57,10 @@
   remove: (peer: string, socket: PeerSocket) => void;
   /** A call began on a connection. */
   openCall: (peer: string) => PeerCall;
+  /** Whether there is memory for another answer. */
+  hasRoom: () => boolean;
+  /** The other box does not read what is sent on a connection. */
+  endUnread: (peer: string) => void;
   count: () => number;
   /** Closes all. */
   close: () => void;
@@ -41,6 +68,7 @@
 
 /** Options of the connections. */
 export type PeerConnectionsOptions = Readonly<{
+  clock: Pick<Clock, "monotonic">;
   limits: PeerLimits;
   onLimit: (limit: PeerLimit) => void;
 }>;
@@ -48,32 +76,83 @@
 type Connection = {
   readonly peer: string;
   readonly socket: PeerSocket;
-  /** Open calls on which a valid message came. */
+  /** Open calls, and those of them on which a valid message came. */
+  calls: number;
   activeCalls: number;
+  /** Bytes that wait to be read by the other box, and since when there are some. */
+  unreadBytes: number;
+  unreadSince: number;
+};
+
+/** A call on a connection that has ended. */
+const NO_CALL: PeerCall = {
+  onMessage: () => undefined,
+  holdBytes: () => () => undefined,
+  onEnd: () => undefined,
 };
 
 /** Creates them; none is open. */
 export const createPeerConnections = ({
+  clock,
   limits,
   onLimit,
 }: PeerConnectionsOptions): PeerConnections => {
   const connections = new Map<string, Connection>();
   /** Connections without an active call, the longest first. */
   const idle = new Set<Connection>();
+  /** Connections with unread bytes, the longest first. */
+  const unread = new Set<Connection>();
+  let calls = 0;
+  let unreadBytes = 0;
 
   const drop = (connection: Connection) => {
     connections.delete(connection.peer);
     idle.delete(connection);
+    unread.delete(connection);
+    calls -= connection.calls;
+    unreadBytes -= connection.unreadBytes;
   };
+  const isOpen = (connection: Connection) =>
+    connections.get(connection.peer) === connection;
   const endConnection = (connection: Connection, limit: PeerLimit) => {
     drop(connection);
     onLimit(limit);
     connection.socket.destroy();
   };
+  const changeCalls = (connection: Connection, change: 1 | -1) => {
+    connection.calls += change;
+    if (isOpen(connection)) calls += change;
+  };
   const changeActiveCalls = (connection: Connection, change: 1 | -1) => {
     connection.activeCalls += change;
     if (connection.activeCalls > 0) idle.delete(connection);
-    else if (connections.get(connection.peer) === connection) idle.add(connection);
+    else if (isOpen(connection)) idle.add(connection);
+  };
+  const changeUnread = (connection: Connection, bytes: number) => {
+    if (!isOpen(connection)) return;
+    connection.unreadBytes += bytes;
+    unreadBytes += bytes;
+    if (connection.unreadBytes <= 0) unread.delete(connection);
+    else if (!unread.has(connection)) {
+      connection.unreadSince = clock.monotonic();
+      unread.add(connection);
+    }
+  };
+  const limitCalls = () => {
+    if (calls <= limits.maxCalls + CALLS_OF_A_LINK * connections.size) return;
+    const most = [...connections.values()].reduce((one, other) =>
+      other.calls > one.calls ? other : one,
+    );
+    endConnection(most, "too_many_calls");
+    // A crowd's other connections bring as many in this turn of the event loop, before any of its calls can end.
+    for (const connection of [...idle]) endConnection(connection, "too_many_calls");
+  };
+  const endLongestUnread = () => {
+    for (const connection of unread) {
+      const isLong = clock.monotonic() - connection.unreadSince >= MIN_UNREAD_MS;
+      if (unreadBytes <= limits.maxUnreadBytes || !isLong) return;
+      endConnection(connection, "answer_unread");
+    }
   };
 
   return {
@@ -87,7 +166,14 @@
         }
         endConnection(longest, "idle");
       }
-      const connection = { peer, socket, activeCalls: 0 };
+      const connection = {
+        peer,
+        socket,
+        calls: 0,
+        activeCalls: 0,
+        unreadBytes: 0,
+        unreadSince: 0,
+      };
       connections.set(peer, connection);
       idle.add(connection);
       return true;
@@ -99,25 +185,49 @@
     },
     openCall: (peer) => {
       const connection = connections.get(peer);
+      if (!connection) return NO_CALL;
       let isActive = false;
+      let heldBytes = 0;
+      let isOver = false;
+      changeCalls(connection, 1);
+      limitCalls();
       return {
         onMessage: () => {
-          if (!connection || isActive) return;
+          if (isActive) return;
           isActive = true;
           changeActiveCalls(connection, 1);
         },
+        holdBytes: (bytes) => {
+          heldBytes += bytes;
+          changeUnread(connection, bytes);
+          return () => {
+            if (isOver) return;
+            heldBytes -= bytes;
+            changeUnread(connection, -bytes);
+          };
+        },
         onEnd: () => {
-          if (!connection || !isActive) return;
-          isActive = false;
-          changeActiveCalls(connection, -1);
+          isOver = true;
+          changeCalls(connection, -1);
+          changeUnread(connection, -heldBytes);
+          if (isActive) changeActiveCalls(connection, -1);
         },
       };
     },
+    hasRoom: () => {
+      endLongestUnread();
+      return unreadBytes <= limits.maxUnreadBytes;
+    },
+    endUnread: (peer) => {
+      const connection = connections.get(peer);
+      if (connection) endConnection(connection, "answer_unread");
+    },
     count: () => connections.size,
     close: () => {
-      for (const { socket } of connections.values()) socket.destroy();
-      connections.clear();
-      idle.clear();
+      for (const connection of [...connections.values()]) {
+        drop(connection);
+        connection.socket.destroy();
+      }
     },
   };
 };
--- a/packages/peers/src/peerListener.ts
+++ b/packages/peers/src/peerListener.ts
@@ -7,6 +7,7 @@
   ServerCredentials,
   ServerInterceptingCall,
   type Server,
+  type ServerInterceptingCallInterface,
   type ServerInterceptor,
 } from "@grpc/grpc-js";
 import { listenOn } from "@stairgauge/common";
@@ -17,12 +18,41 @@
 const formatPeer = ({ remoteAddress, remotePort }: Socket): string | undefined =>
   remoteAddress === undefined ? undefined : `${remoteAddress}:${String(remotePort)}`;
 
-/** Creates what reports calls to the connections that they came on. */
+/** Options of the observer of calls. */
+export type CallObserverOptions = Readonly<{
+  connections: PeerConnections;
+  /** Bytes of all messages that were encoded so far. */
+  countEncoded: () => number;
+}>;
+
+/** Creates what reports calls, and the messages on them, to the connections that they came on. */
 export const createCallObserver =
-  (connections: PeerConnections): ServerInterceptor =>
+  ({ connections, countEncoded }: CallObserverOptions): ServerInterceptor =>
   (_method, call) => {
     const opened = connections.openCall(call.getPeer());
-    return new ServerInterceptingCall(call, {
+    const sendMessage = (message: unknown, onSent: () => void) => {
+      const before = countEncoded();
+      let release = () => undefined as void;
+      call.sendMessage(message, () => {
+        release();
+        onSent();
+      });
+      release = opened.holdBytes(countEncoded() - before);
+    };
+    const counted: ServerInterceptingCallInterface = {
+      start: (listener) => call.start(listener),
+      sendMetadata: (metadata) => call.sendMetadata(metadata),
+      sendMessage,
+      sendStatus: (status) => call.sendStatus(status),
+      startRead: () => call.startRead(),
+      getPeer: () => call.getPeer(),
+      getDeadline: () => call.getDeadline(),
+      getHost: () => call.getHost(),
+      getAuthContext: () => call.getAuthContext(),
+      getConnectionInfo: () => call.getConnectionInfo(),
+      getMetricsRecorder: () => call.getMetricsRecorder(),
+    };
+    return new ServerInterceptingCall(counted, {
       start: (next) =>
         next({
           onReceiveMessage: (message: unknown, passOn) => {
--- a/packages/peers/src/peerServer.ts
+++ b/packages/peers/src/peerServer.ts
@@ -11,7 +11,7 @@
 import type { ServerAddress } from "@stairgauge/directory";
 import type { OriginAnswer, OriginQuestion } from "@stairgauge/origins";
 import type { AnswerCarry } from "@stairgauge/paths";
-import { createTableStreamHandler } from "./answerTableStream.js";
+import { createTableStreamHandler, NO_ROOM } from "./answerTableStream.js";
 import { createCarryHandler } from "./carryCall.js";
 import { hasContent } from "./makeNotice.js";
 import { createPeerConnections, type PeerConnectionsOptions } from "./peerConnections.js";
@@ -70,28 +70,52 @@
 
 type UpdateStream = ServerDuplexStream<RunUpdate, HubNotice>;
 
+/**
+ * Calls that one box may have open at once; its side holds further ones back. A call costs some 20 kB, and all
+ * connections together may begin as many in one turn of the event loop.
+ */
+const MAX_STREAMS = 100;
+
+/** Memory of one connection in MB, beyond which it gets no further call; a few of the largest answers. */
+const MAX_SESSION_MB = 8;
+
+/** Notices that may wait for a box; one that was suspended for as long is sent its state anew. */
+const MAX_WAITING_NOTICES = 1_024;
+
 /** A half-open connection is detected here as soon as at the other box; the state that the box sent is then dropped. */
 const SERVER_OPTIONS = {
   "grpc.keepalive_time_ms": 5_000,
   "grpc.keepalive_timeout_ms": 1_500,
   // Nothing reads the library's own statistics, which cost a listener and several objects per connection and call.
   "grpc.enable_channelz": 0,
+  "grpc.max_concurrent_streams": MAX_STREAMS,
+  "grpc-node.max_session_memory": MAX_SESSION_MB,
 } as const;
 
 /** Creates a peer server. */
 export const createPeerServer = (options: PeerServerOptions): PeerServer => {
   const connections = createPeerConnections(options);
-  const server = new Server({
-    ...SERVER_OPTIONS,
-    interceptors: [createCallObserver(connections)],
+  let encodedBytes = 0;
+  const countMessage = (message: PeerMessage) => {
+    if (message.direction === "sent") encodedBytes += message.bytes;
+    options.onMessage(message);
+  };
+  const observeCall = createCallObserver({
+    connections,
+    countEncoded: () => encodedBytes,
   });
+  const server = new Server({ ...SERVER_OPTIONS, interceptors: [observeCall] });
   const listener = createPeerListener(server, connections);
   /** The current stream of each box; a box that reconnects opens another one. */
   const streams = new Map<BoxName, UpdateStream>();
 
+  const sendNotice = (stream: UpdateStream, notice: HubNotice) => {
+    if (stream.writableLength < MAX_WAITING_NOTICES) stream.write(notice);
+    else connections.endUnread(stream.getPeer());
+  };
   const sendGreeting = (box: BoxName, stream: UpdateStream) => {
     const greeting = options.makeFirstNotice(box);
-    if (hasContent(greeting)) stream.write(greeting);
+    if (hasContent(greeting)) sendNotice(stream, greeting);
   };
 
   const handleStream = (stream: UpdateStream) => {
@@ -120,14 +144,17 @@
       const cancellation = new AbortController();
       call.on("cancelled", () => cancellation.abort());
       answerQuestion(call.request, cancellation.signal).then(
-        (answer) => send(null, answer),
+        (answer) => {
+          if (connections.hasRoom()) send(null, answer);
+          else send({ code: status.RESOURCE_EXHAUSTED, details: NO_ROOM });
+        },
         (error: unknown) => send({ code: status.INTERNAL, details: String(error) }),
       );
     };
-  server.addService(createPeerService(options.onMessage, options.onOddPart), {
+  server.addService(createPeerService(countMessage, options.onOddPart), {
     reportRuns: handleStream,
     askTable: createHandler(options.answerTable),
-    exchangeTables: createTableStreamHandler(options.answerTable),
+    exchangeTables: createTableStreamHandler(options.answerTable, connections.hasRoom),
     askPlace: createHandler(options.answerPlace),
     askMoves: createHandler(options.answerMoves),
     askOrigin: createHandler(options.answerOrigin),
@@ -137,10 +164,13 @@
   return {
     listen: listener.listen,
     notify: (boxes, notice) => {
-      for (const box of boxes) streams.get(box)?.write(notice);
+      for (const box of boxes) {
+        const stream = streams.get(box);
+        if (stream) sendNotice(stream, notice);
+      }
     },
     notifyAll: (notice) => {
-      for (const stream of streams.values()) stream.write(notice);
+      for (const stream of streams.values()) sendNotice(stream, notice);
     },
     countConnections: connections.count,
     close: listener.close,
--- a/packages/peers/src/peers.test.ts
+++ b/packages/peers/src/peers.test.ts
@@ -157,7 +157,8 @@
       };
     },
     onMessage: (message) => messages.push(message),
-    limits: { maxConnections: 100 },
+    clock: createSystemClock(),
+    limits: { maxConnections: 100, maxCalls: 100, maxUnreadBytes: 1_000_000 },
     onLimit: () => undefined,
   });
   const port = await server.listen({ host: "127.0.0.1", port: 0 });
@@ -358,6 +359,23 @@
     urgency,
   });
 
+  // Guards against a bound on open calls that fails the questions of a sound box.
+  it("receive all answers where they ask more at once than one connection may have open", async () => {
+    const remote = await openServer();
+    const local = openReporter();
+    local.links.setPeers([remote.peer]);
+    await waitFor(() => local.links.listConnected().length === 1);
+    const { signal } = new AbortController();
+    const asked = makeQuestion({ kind: "if_room" });
+    const places = await Promise.all(
+      Array.from({ length: 300 }, () =>
+        local.links.askPlace(remote.peer.box, asked, signal),
+      ),
+    );
+    expect(places.filter((place) => place.err)).toEqual([]);
+    expect(remote.lost).toEqual([]);
+  });
+
   it("receive its answers to questions for a place and for moves", async () => {
     const remote = await openServer();
     const local = openReporter();
--- a/packages/peers/src/tableStream.test.ts
+++ b/packages/peers/src/tableStream.test.ts
@@ -72,7 +72,7 @@
       new Promise<TableAnswer>((answer) =>
         asked.push({ question, by, signal: aborted, answer }),
       );
-  const handleStream = createTableStreamHandler(waitForAnswer("stream"));
+  const handleStream = createTableStreamHandler(waitForAnswer("stream"), () => true);
   const unary = {
     askTable: (call: Call, send: sendUnaryData<TableAnswer>) =>
       void waitForAnswer("unary")(call.request, signal).then((answer) =>
@@ -204,6 +204,7 @@
         new Promise((answer) =>
           asked.push({ question, by: "stream", signal: aborted, answer }),
         ),
+      () => true,
     );
     const { exchangeTables } = service;
     server.addService({ exchangeTables }, { exchangeTables: handle });
