fix: an answer that ends its connection is no longer lost while its client still sends

What callers saw: a client that sends on, and reads once it has sent, got a broken pipe instead of the answer: 413, 503 and 408 before the body was read, 431, 417 and 400, the answer to a request with Connection: close behind which more was sent, and that of a box that was told to stop.

Cause: the server closed the socket once the answer was written. The kernel resets a connection that is closed while bytes of its client are unread or still to come, and the client's next write fails before it has read.

Now there is one way to end a connection behind an answer: the box closes its own side, and reads and drops what comes until the client closes its side. A connection closed by such a bound is logged (connection_limited, sent_behind) and counted. Answers that are broken off still end with a reset.

--- a/apps/box/src/earlyAnswers.test.ts
+++ b/apps/box/src/earlyAnswers.test.ts
@@ -32,7 +32,7 @@
     socket.once("connect", () => void sendAll());
   });
 
-const HEAD = [`Host: ${SITE_HOST}`, `Authorization: Token ${SITE_KEY}`];
+const HEAD = [`Host: ${SITE_HOST}`, `Authorization: Token ${SITE_KEY}`, "Request-Id: r"];
 const formatRequest = (lines: readonly string[], path = "/once/x") =>
   [`POST ${path} HTTP/1.1`, ...lines, "", ""].join("\r\n");
 const CHUNK_BYTES = 60_000;
@@ -56,14 +56,14 @@
   ],
   [
     "a body that finds no memory",
-    formatRequest([...HEAD, LENGTH]),
-    "clients: { heldMb: 0.1 }",
-    /^HTTP\/1.1 (413|503) /,
+    formatRequest([...HEAD, "Content-Length: 60000"]),
+    "clients: { heldMb: 0.01 }",
+    /^HTTP\/1.1 503 /,
   ],
   [
     "chunks that find no memory",
     formatRequest([...HEAD, "Transfer-Encoding: chunked"]),
-    "clients: { heldMb: 0.1 }",
+    "clients: { heldMb: 0.01 }",
     /^HTTP\/1.1 503 /,
   ],
   [
@@ -117,8 +117,8 @@
   it("to a body that comes too late", async () => {
     const { ports, start } = await startSite(0, 1);
     await start();
-    const head = formatRequest([...HEAD, LENGTH], "/short/x");
-    const pieces = [head, ...BODY.slice(0, 30).map((piece) => piece.slice(0, 1_000))];
+    const head = formatRequest([...HEAD, "Content-Length: 9000"], "/short/x");
+    const pieces = [head, ...Array.from({ length: 30 }, () => "x".repeat(200))];
     const { text, error } = await sendThenRead(ports.clients, pieces, 20);
     expect({ text: text.slice(0, 12), whole: isWhole(text), error }).toEqual({
       text: "HTTP/1.1 408",
@@ -153,16 +153,23 @@
 
 describe("a connection that lingers for its client", () => {
   it("is closed in the end if its client sends without end, and the box serves others meanwhile", async () => {
-    const { ports, start } = await startSite(0, 1);
+    const { ports, lines, start } = await startSite(0, 1);
     await start();
-    const socket = connect({ port: ports.clients, host: "127.0.0.1" });
+    const socket = connect({
+      port: ports.clients,
+      host: "127.0.0.1",
+      allowHalfOpen: true,
+    });
     const closed = new Promise((resolve) => socket.once("close", resolve));
     socket.on("error", () => undefined);
     socket.resume();
     const head = formatRequest([...HEAD, `Content-Length: ${1e12}`]);
-    const sendOn = () => void (socket.destroyed || socket.write(CHUNK, sendOn));
+    const sendOn = (fault?: Error | null) => {
+      if (!fault) socket.write(CHUNK, sendOn);
+    };
     socket.write(head, sendOn);
     expect((await ask(ports, { path: "/once/x" })).status).toBe(200);
     await closed;
+    expect(lines).toContainEqual({ event: "connection_limited", limit: "sent_behind" });
   }, 30_000);
 });
--- a/packages/forwarding/src/boundedListener.ts
+++ b/packages/forwarding/src/boundedListener.ts
@@ -19,6 +19,7 @@
   type ConnectionReaderOptions,
 } from "./connectionReader.js";
 import { createIdleConnections, type MinIdle } from "./idleConnections.js";
+import { createLingeringCloses } from "./lingeringClose.js";
 import { createReclaimableMemory } from "./reclaimableMemory.js";
 
 /** Time limits until others are set. */
@@ -107,19 +108,23 @@
   [HEAD_TIMEOUT]: "408 Request Timeout",
 };
 
-const rejectMalformed = (socket: Socket, code: string) => {
+const rejectMalformed = (socket: Socket, code: string, close: () => void) => {
   if (!socket.writable || code === "ECONNRESET") {
     socket.destroy();
     return;
   }
   const line = STATUS_LINES[code] ?? "400 Bad Request";
-  socket.end(`HTTP/1.1 ${line}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+  socket.write(`HTTP/1.1 ${line}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+  close();
 };
 
 /** Has the server's parser get what a client sends from a reader of ours, instead of all that a read brings. */
 const startReader = (
   socket: Socket,
-  shared: Pick<ConnectionReaderOptions, "clock" | "turns" | "memory" | "onLimit">,
+  shared: Pick<
+    ConnectionReaderOptions,
+    "clock" | "turns" | "closes" | "memory" | "onLimit"
+  >,
 ): ConnectionReader => {
   const parsers = socket.listeners("data");
   socket.removeAllListeners("data");
@@ -161,6 +166,7 @@
     clock,
     scheduleTurnEnd: setImmediate,
   });
+  const closes = createLingeringCloses({ clock, turns });
   const memory = createReclaimableMemory(limits.maxUnreadBytes);
 
   const idle = createIdleConnections<Socket>(clock, limits.minIdle);
@@ -198,7 +204,8 @@
       if (!socket.destroyed) idle.add(socket, "unread");
     });
     response.once("close", () => {
-      if (reader?.isIdle() && !socket.destroyed) idle.add(socket, "used");
+      if (!reader?.isIdle() || socket.destroyed) return;
+      idle.add(socket, reader.isClosing() ? "unused" : "used");
     });
   };
   const server = createServer(
@@ -228,7 +235,7 @@
   const startReading = (socket: Socket) => {
     if (socket.destroyed) return;
     openConnection(socket);
-    readers.set(socket, startReader(socket, { clock, turns, memory, onLimit }));
+    readers.set(socket, startReader(socket, { clock, turns, closes, memory, onLimit }));
     idle.add(socket, "unused");
   };
   const openConnection = takeConnections(server, arrivals?.add ?? startReading);
@@ -244,7 +251,7 @@
   setTimes({ headerTime: DEFAULT_HEADER_MS, idleTime: DEFAULT_IDLE_MS });
   const reject = (socket: Socket, code: string) => {
     options.onClientError(code);
-    rejectMalformed(socket, code);
+    rejectMalformed(socket, code, () => readers.get(socket)?.close());
   };
   server.on("clientError", (error: NodeJS.ErrnoException, duplex) => {
     const socket = duplex as Socket;
--- a/packages/forwarding/src/clientServer.test.ts
+++ b/packages/forwarding/src/clientServer.test.ts
@@ -225,6 +225,32 @@
   });
 });
 
+/** Guards against connections that outlive their server, whose client reads the last answer and leaves its own side open. */
+describe("createClientServer, behind the last answer of a connection", () => {
+  it("closes the connection with the server", async () => {
+    const server = createClientServer({
+      ...OPTIONS,
+      handle: (_, response) => response.end("served"),
+    });
+    const port = await server.listen("127.0.0.1", 0);
+    const socket = connect({ host: "127.0.0.1", port, allowHalfOpen: true });
+    let isClosed = false;
+    socket.on("error", () => undefined);
+    socket.on("close", () => {
+      isClosed = true;
+    });
+    socket.resume();
+    socket.write(HEAD);
+    await new Promise((resolve) => socket.once("end", resolve));
+    server.close();
+    // A client learns that the other side is closed as well by a write.
+    while (!isClosed) {
+      socket.write("more");
+      await wait(2);
+    }
+  }, 1_500);
+});
+
 /** Guards against clients that connect and send no request, until no one else gets a connection. */
 describe("createClientServer, at its limit of connections", () => {
   let server: ClientServer;
--- a/packages/forwarding/src/connectionReader.ts
+++ b/packages/forwarding/src/connectionReader.ts
@@ -10,6 +10,7 @@
   type PendingReader,
   type ReadTurns,
 } from "@stairgauge/saturation";
+import type { LingeringCloses } from "./lingeringClose.js";
 import type { ReclaimableMemory } from "./reclaimableMemory.js";
 
 /** Largest piece. In chunks of one byte it costs about a millisecond. */
@@ -43,7 +44,9 @@
   /** Too much of answers waited to be read, and this one's had waited for longest. */
   | "answer_unread"
   /** Its client did not read an answer in time. */
-  | "answer_too_late";
+  | "answer_too_late"
+  /** Its client sent on for too long, or too much, behind its last answer. */
+  | "sent_behind";
 
 /** Options of a reader. */
 export type ConnectionReaderOptions = Readonly<{
@@ -52,6 +55,8 @@
   parse: (piece: Buffer) => void;
   clock: Pick<Clock, "setTimer">;
   turns: ReadTurns;
+  /** Closes the connection behind its last answer. */
+  closes: LingeringCloses;
   /** Counts the bytes that wait to be handled, and those of answers that wait to be read. */
   memory: ReclaimableMemory;
   /** The connection reached a limit: it is closed, at once or behind the answer that is open. */
@@ -64,6 +69,10 @@
   onRequest: (incoming: IncomingMessage, response: ServerResponse) => void;
   /** Whether no request is open. */
   isIdle: () => boolean;
+  /** Closes the connection behind what was written to it, so that its client can read that. */
+  close: () => void;
+  /** Whether the connection serves no more requests. */
+  isClosing: () => boolean;
 }>;
 
 /** Finds the end of the next piece: behind the first end of a head, so that no piece holds two of them. */
@@ -81,6 +90,7 @@
   parse,
   clock,
   turns,
+  closes,
   memory,
   onLimit,
 }: ConnectionReaderOptions): ConnectionReader => {
@@ -94,6 +104,7 @@
   /** The next reading while too much waits. */
   let seldomReading: Timer | undefined;
   const exchanges: Exchange[] = [];
+  let isClosing = false;
 
   const stopReading = () => {
     onLimit("sent_ahead");
@@ -122,6 +133,7 @@
     setWaiting(waiting.length > 0 ? Buffer.concat([waiting, bytes]) : bytes);
   };
   const takeArrived = () => {
+    if (isClosing) return;
     if (!isOver && waiting.length < MAX_WAITING_BYTES) {
       readSocket();
       return;
@@ -182,6 +194,18 @@
     unread.set(socket.writableLength);
   };
 
+  const close = () => {
+    if (isClosing || socket.destroyed) return;
+    isClosing = true;
+    isOver = true;
+    seldomReading?.cancel();
+    setWaiting(NOTHING);
+    // The listener above stays: without one the socket would drop what comes, uncounted and as fast as it can.
+    closes.close(socket, () => onLimit("sent_behind"));
+  };
+  // The server ends each connection by this one, once the answer that says so was written.
+  socket.destroySoon = close;
+
   socket.on("readable", readOn);
   socket.once("close", () => {
     isOver = true;
@@ -195,10 +219,12 @@
       response.once("prefinish", () => limitUnreadAnswer(response));
       response.once("close", () => {
         exchanges.splice(exchanges.indexOf(exchange), 1);
-        if (isOver && exchanges.length === 0) socket.end();
+        if (isOver && exchanges.length === 0) close();
         else readOn();
       });
     },
     isIdle: () => exchanges.length === 0,
+    close,
+    isClosing: () => isClosing,
   };
 };
--- a/packages/telemetry/src/boxMetrics.ts
+++ b/packages/telemetry/src/boxMetrics.ts
@@ -233,7 +233,7 @@
     }),
     connectionsLimited: new Counter({
       name: "stairgauge_connections_limited_total",
-      help: "Connections that were ended for others, by listener and limit: idle, too_many_connections, too_many_calls where there were too many; sent_ahead, answer_unread where they held too much memory; answer_too_late",
+      help: "Connections that were ended for others, by listener and limit: idle, too_many_connections, too_many_calls where there were too many; sent_ahead, answer_unread where they held too much memory; answer_too_late; sent_behind",
       labelNames: ["listener", "limit"],
       registers,
     }),
