fix: a client that asks for a tunnel gets an answer

What callers saw: CONNECT ended with a closed connection and no answer, and the box logged nothing.

Cause: the HTTP server closes such a connection unless somebody listens for it. It now answers 501, logs client_fault with tunnel, and closes behind the answer.

--- a/packages/forwarding/src/boundedListener.ts
+++ b/packages/forwarding/src/boundedListener.ts
@@ -103,7 +103,11 @@
 /** Code of the error of a connection whose head did not come in time. */
 const HEAD_TIMEOUT = "ERR_HTTP_REQUEST_TIMEOUT";
 
+/** Code of a client's request for a tunnel, which the server hands over unanswered. */
+const TUNNEL = "tunnel";
+
 const STATUS_LINES: Readonly<Record<string, string>> = {
+  [TUNNEL]: "501 Not Implemented",
   HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
   [HEAD_TIMEOUT]: "408 Request Timeout",
 };
@@ -253,6 +257,7 @@
     options.onClientError(code);
     rejectMalformed(socket, code, () => readers.get(socket)?.close());
   };
+  server.on("connect", (_, duplex) => reject(duplex as Socket, TUNNEL));
   server.on("clientError", (error: NodeJS.ErrnoException, duplex) => {
     const socket = duplex as Socket;
     const code = error.code ?? "unknown";
