fix: checks find room where others keep all connections for readiness or metrics

Found in review. Callers saw: where 32 others had been answered and kept their connections, each new readiness check was reset (40 of 40 in 20 s); 33 balancers that keep theirs lost 38 of 1,320 checks.

Cause: a new connection counted as an idle one before room was made for it. Where all others had been used, it was the only one without a request, so it was closed for itself. And a kept connection that was closed for another could have a check on its way.

Room is made before the new connection counts, by closing another one. From 17 connections on, each answer ends its connection: its client opens a new one for the next check instead of losing it.

Evidence: the four tests of smallServers.test.ts failed before (ECONNRESET); they and the 270 of packages/forwarding pass.

--- a/apps/box/src/smallServers.ts
+++ b/apps/box/src/smallServers.ts
@@ -16,6 +16,7 @@
  */
 const MAX_CONNECTIONS = 32;
 const SPARE_CONNECTIONS = 8;
+const MAX_KEPT_CONNECTIONS = MAX_CONNECTIONS / 2;
 
 const BYTES_PER_MB = 1024 * 1024;
 
@@ -30,6 +31,7 @@
   spareConnections: SPARE_CONNECTIONS,
   maxUnreadBytes: unreadMb * BYTES_PER_MB,
   minIdle: MIN_IDLE,
+  maxKeptConnections: MAX_KEPT_CONNECTIONS,
 });
 
 /** Options of these listeners. */
--- a/packages/forwarding/src/boundedListener.ts
+++ b/packages/forwarding/src/boundedListener.ts
@@ -61,6 +61,11 @@
   maxUnreadBytes: number;
   /** Which connections may be closed for a new one. */
   minIdle: MinIdle;
+  /**
+   * Connections beyond which each answer ends its connection, so that its client opens a new one instead of losing a
+   * request on one that is closed for another; no such number if undefined.
+   */
+  maxKeptConnections?: number;
 }>;
 
 /** Options of a listener. */
@@ -161,6 +166,7 @@
   options: BoundedListenerOptions,
 ): BoundedListener => {
   const { clock, limits, arrivals, onLimit, hasRoom = () => true } = options;
+  const { maxKeptConnections = Infinity } = limits;
   const unused = new Set<Socket>();
   /** Connections whose head is late, until this turn of the event loop ends. */
   const overdue = new Set<Socket>();
@@ -224,6 +230,7 @@
     },
     (incoming, response) => {
       recordRequest(incoming, response);
+      if (connections > maxKeptConnections) response.shouldKeepAlive = false;
       options.handle(incoming, response);
     },
   );
@@ -243,7 +250,8 @@
     idle.add(socket, "unused");
   };
   const openConnection = takeConnections(server, arrivals?.add ?? startReading);
-  server.on("connection", trackConnection);
+  // Before the connection can be an idle one itself: room is made by closing another one.
+  server.prependListener("connection", trackConnection);
   server.on("drop", () => {
     arrivals?.recordClosed();
     options.onDrop();
