fix: a box's connection that has the port of a former one is counted and bounded

Cause: a connection that comes under the name of one whose close is not reported yet left the former in the list of those without a call. At the limit that one was closed for a new connection, and with it the count of the present one, a box's, was dropped.

The former is dropped when its name comes again. Evidence: the new case of peerConnections.test.ts failed before (ended: former); all 6 pass.

--- a/packages/peers/src/peerConnections.test.ts
+++ b/packages/peers/src/peerConnections.test.ts
@@ -59,6 +59,15 @@
     expect(connections.count()).toBe(1);
   });
 
+  it("closes none for a new one under the name of one that has ended unreported", () => {
+    const { connections, ended, add, addBox } = openConnections(2);
+    connections.add("a", { destroy: () => ended.push("former") });
+    add("a");
+    addBox("b");
+    expect(add("c")).toBe(true);
+    expect(ended).toEqual(["a"]);
+  });
+
   it("ends the connection with most calls where there are too many, and those that sent no message", () => {
     const { connections, ended, reported, add, addBox } = openConnections(20);
     for (const box of ["box-1", "box-2"]) {
--- a/packages/peers/src/peerConnections.ts
+++ b/packages/peers/src/peerConnections.ts
@@ -157,6 +157,9 @@
 
   return {
     add: (peer, socket) => {
+      const former = connections.get(peer);
+      // It has ended, or no other could have its port; its close is reported later.
+      if (former) drop(former);
       if (connections.size >= limits.maxConnections) {
         const [longest] = idle;
         if (!longest) {
