--- a/apps/box/src/unsendableCalls.test.ts
+++ b/apps/box/src/unsendableCalls.test.ts
@@ -97,7 +97,11 @@
 });
 
 describe("a workspace whose name cannot be sent", () => {
-  it.each([...KEYS, ["a space before it", " site-workspace"] as const])(
+  it.each([
+    ...KEYS,
+    ["a space before it", " site-workspace"] as const,
+    ["more characters than a server takes", "w".repeat(20_000)] as const,
+  ])(
     "with %s has its requests refused as not run, and no others",
     async (_what, name) => {
       process.on("uncaughtException", recordError);
