fix: a limit longer than timers can hold does not fire at once

Callers: every request of a route whose configuration allows more than 2^31-1 ms (a "no limit", as 1e12), with a client that waits as long, ended with 504 at once. Cause: the platform's timers take a longer delay for 1 ms, and both timers of the system clock passed any delay on. Now a long timeout is set again in parts until it is over, for all users of the clock; an infinite one never fires, on the virtual clock either, which stepped to it.

--- a/packages/common/src/clock.ts
+++ b/packages/common/src/clock.ts
@@ -1,5 +1,6 @@
 /** A clock interface, so that the same code runs on the machine's clock and on a virtual one. */
 import { createBootClock } from "./bootClock.js";
+import { startTimeout } from "./startTimeout.js";
 import type { Ms } from "./types.js";
 
 /** A pending or fired timer. */
@@ -19,7 +20,7 @@
    * For checks of the age of data: data that looks too old is only fetched again.
    */
   boottime: () => Ms;
-  /** Calls `fire` once, after `delay` milliseconds. */
+  /** Calls `fire` once, after `delay` milliseconds; never if it is infinite. */
   setTimer: (delay: Ms, fire: () => void) => Timer;
   /**
    * Like `setTimer`, for the end of a wait for an answer: what has arrived by then is read and reported first. After a process
@@ -42,10 +43,7 @@
     { steady: () => performance.now(), timeOfDay: () => Date.now() },
     onGap,
   ),
-  setTimer: (delay, fire) => {
-    const handle = setTimeout(fire, delay);
-    return { cancel: () => clearTimeout(handle) };
-  },
+  setTimer: (delay, fire) => ({ cancel: startTimeout(delay, fire) }),
   setTimeLimit: (limit, fire) => {
     let afterReads: NodeJS.Immediate | undefined;
     // What is read in a turn of the event loop may be reported at its end.
@@ -54,10 +52,10 @@
         afterReads = setImmediate(fire);
       });
     };
-    const handle = setTimeout(scheduleFire, limit);
+    const cancelTimeout = startTimeout(limit, scheduleFire);
     return {
       cancel: () => {
-        clearTimeout(handle);
+        cancelTimeout();
         clearImmediate(afterReads);
       },
     };
--- a/packages/common/src/virtualClock.ts
+++ b/packages/common/src/virtualClock.ts
@@ -95,6 +95,7 @@
   };
 
   const setTimer: Clock["setTimer"] = (delay, fire) => {
+    if (delay === Infinity) return { cancel: () => undefined };
     const timerOrder = order++;
     let isPending = true;
     const run = () => {
