fix: a question about a table on a link that was just closed is a failed one

Callers: by reading; a reader of tables got the error "Channel has been shut down" instead of a failure, so it did not go on to the next box. Cause: opening the stream throws on a closed channel; the question's entry and its abort listener stayed. Evidence: the test in tableStream.test.ts failed before with that error from createCall, and passes. Writing to the stream gives a result, as a unary call does; a failed one settles its question, which removes the entry and the listener.

--- a/packages/peers/src/tableStream.test.ts
+++ b/packages/peers/src/tableStream.test.ts
@@ -1,4 +1,5 @@
 /** Table questions over one stream: which answer belongs to which question, and what ends a question. */
+import { getEventListeners } from "node:events";
 import {
   Client,
   credentials,
@@ -186,6 +187,19 @@
   });
 });
 
+/** Guards against a question that throws and leaves its entry and its listener behind, since its link was closed this moment. */
+describe("a table question on a closed link", () => {
+  it("is a failed one, and keeps nothing", async () => {
+    const client = new Client("127.0.0.1:9", credentials.createInsecure());
+    const tables = createTableStream({ clock: createVirtualClock(), client, service });
+    client.close();
+    const asking = new AbortController();
+    const answered = await tables.ask(toChanges("a"), asking.signal);
+    expect(answered.val).toMatchObject({ kind: "failed" });
+    expect(getEventListeners(asking.signal, "abort")).toEqual([]);
+  });
+});
+
 describe("a box of an earlier release", () => {
   it("is asked by unary calls, and for the stream again after 30 s", async () => {
     const clock = createVirtualClock();
--- a/packages/peers/src/tableStream.ts
+++ b/packages/peers/src/tableStream.ts
@@ -78,10 +78,16 @@
     });
     return opened;
   };
-  const write = (call: TableCall) => {
-    stream ??= openStream();
-    if (stream.writableLength > MAX_BUFFERED_BYTES) stream.cancel();
-    else stream.write(call);
+  /** A closed channel throws, which is a failure as well. */
+  const attemptWrite = (call: TableCall): Result<void, AskFailure> => {
+    try {
+      stream ??= openStream();
+      if (stream.writableLength > MAX_BUFFERED_BYTES) stream.cancel();
+      else stream.write(call);
+      return Ok(undefined);
+    } catch (error) {
+      return fail(error instanceof Error ? error.message : String(error));
+    }
   };
 
   return {
@@ -99,12 +105,13 @@
           endUnused();
         };
         const cancel = () => {
-          if (stream) write({ kind: "cancel", id });
+          if (stream) attemptWrite({ kind: "cancel", id });
           settle(fail("cancelled"));
         };
         open.set(id, { settle, askUnary });
         signal.addEventListener("abort", cancel, { once: true });
-        write({ kind: "ask", id, question });
+        const written = attemptWrite({ kind: "ask", id, question });
+        if (written.err) settle(written);
       });
     },
     close: () => {
