fix: a question that throws leaves no time limit that ejects its box

Callers: by reading; after a question to a box threw, the box was ejected as silent and its link opened anew, though it was healthy. Cause: the time limit, the entry among the open calls and the abort listener were removed only after an answer. Evidence: the test in sharedReader.test.ts failed before (box-10 reopened instead of none), and passes: all three are removed in any case.

--- a/packages/peers/src/sharedReader.test.ts
+++ b/packages/peers/src/sharedReader.test.ts
@@ -30,7 +30,7 @@
 const own = members.find(({ box }) => !storeReaders.includes(box))!;
 const [first, second] = rankForAsker(storeReaders, own.box);
 
-const setUp = () => {
+const setUp = ({ isLinkBroken = false } = {}) => {
   const clock = createVirtualClock();
   const ends = new Map<string, () => void>();
   const asked: string[] = [];
@@ -52,6 +52,7 @@
     links: {
       ask: (box, question, signal) => {
         asked.push(`${question.table} ${box}`);
+        if (isLinkBroken) throw new Error("fault of the test");
         if (box !== first) {
           const answer: TableAnswer = {
             kind: "changes",
@@ -126,4 +127,12 @@
     expect(storeCalls).toEqual(["guarded"]);
     expect(renewed).toEqual([]);
   });
+
+  it("takes no box for silent because a question to it threw", async () => {
+    const { follow, renewed, advance } = setUp({ isLinkBroken: true });
+    const read = follow("servers");
+    await expect(read).rejects.toThrow("fault of the test");
+    await advance(2_000);
+    expect(renewed).toEqual([]);
+  });
 });
--- a/packages/peers/src/sharedReader.ts
+++ b/packages/peers/src/sharedReader.ts
@@ -242,10 +242,17 @@
     const calls = openCalls.get(box) ?? new Set();
     openCalls.set(box, calls.add(call));
     outer.addEventListener("abort", abort, { once: true });
-    const answered = await links.ask(box, question, call.signal);
-    outer.removeEventListener("abort", abort);
-    calls.delete(call);
-    timer.cancel();
+    const askLink = async () => {
+      try {
+        return await links.ask(box, question, call.signal);
+      } finally {
+        // A timer that is left would eject the box as silent.
+        timer.cancel();
+        calls.delete(call);
+        outer.removeEventListener("abort", abort);
+      }
+    };
+    const answered = await askLink();
     if (answered.ok) {
       if ("age" in answered.val) recordGuarded(question.table, sentAt - answered.val.age);
       return answered.val;
