fix: a carried request that its carrier could not send counts as not sent

Callers: by reading; such a request counted as one that may have run, as in the records of its end. Cause: only a request that was passed over was reset to not sent. The carrier refuses before it connects, so nothing was sent. Evidence: the test in unsendableCalls.test.ts failed before (sent: true, true instead of true, false), and passes.

--- a/packages/forwarding/src/carriedExchange.ts
+++ b/packages/forwarding/src/carriedExchange.ts
@@ -80,6 +80,7 @@
 
   const failUnsendable = (detail: string) => {
     if (!finish()) return;
+    isAsked = false;
     onEvent({ kind: "call_unsendable", server: id, detail });
     sink.onFailure({ kind: "unsendable", detail });
   };
--- a/packages/forwarding/src/unsendableCalls.test.ts
+++ b/packages/forwarding/src/unsendableCalls.test.ts
@@ -3,10 +3,12 @@
  * its carrier, or that keeps what it took: a place among the carried requests, a server's slot.
  */
 import { describe, expect, it } from "vitest";
-import type { Ms } from "@stairgauge/common";
+import { createVirtualClock, type BoxName, type Ms } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
 import type { CarryFrame } from "@stairgauge/paths";
+import { openCarriedExchange } from "./carriedExchange.js";
 import { createCarryingFleet, type Cut } from "./carrying.testkit.js";
+import { makeServer } from "./server.testkit.js";
 
 const UNSENDABLE = ["Expect-Instance", "a\r\nb"];
 const CUT: Cut = { box: 0, servers: [0], from: 0, to: 100_000, isRefused: true };
@@ -53,6 +55,39 @@
     expect(fleet.events).toEqual([]);
   });
 
+  it("counts as not sent after its carrier could not send it", () => {
+    const clock = createVirtualClock();
+    const wasSent: boolean[] = [];
+    const exchange = openCarriedExchange(
+      {
+        clock,
+        paths: { recordCarried: () => undefined, countUnreachedAllowed: () => 2 },
+        carriers: {
+          choose: () => "box-1" as BoxName,
+          begin: () => () => undefined,
+        } as never,
+        callCarrier: (_box, _question, { onFrame }) => {
+          clock.setTimer(1 as Ms, () => {
+            wasSent.push(exchange.isSent());
+            onFrame({ kind: "refused", reason: "unsendable" });
+          });
+          return { cancel() {}, pause() {}, resume() {} };
+        },
+        onEvent: () => undefined,
+      },
+      {
+        server: makeServer("s0"),
+        isNewWork: true,
+        build: () =>
+          ({ method: "GET", target: "/", headers: [], body: Buffer.alloc(0) }) as never,
+        sink: { onFailure: () => wasSent.push(exchange.isSent()) } as never,
+        onNotCarried: () => undefined,
+      },
+    );
+    clock.advance(10 as Ms);
+    expect(wasSent).toEqual([true, false]);
+  });
+
   it("is offered to the next box if the link to one throws", () => {
     const fleet = createCarryingFleet({
       boxes: 3,
