fix: an answerer that throws ends the call of the box that asked

Callers: a question for changes of a table whose answerer threw at once got no answer before its box's time limit, and the error went out of the stream's handler into the process; the other calls ended with "Unknown error", which hides the cause. Cause: the handlers treated only rejections. A carried call ends with an error status, so it counts as one that may have run.

--- a/packages/peers/src/answerTableStream.ts
+++ b/packages/peers/src/answerTableStream.ts
@@ -1,5 +1,6 @@
 /** Answers the table questions that another box asks over one stream. */
 import type { ServerDuplexStream } from "@grpc/grpc-js";
+import { callAnswerer } from "./callAnswerer.js";
 import type { TableCall, TableReply } from "./tableStreamCodec.js";
 import type { TableAnswer, TableQuestion } from "./types.js";
 
@@ -32,7 +33,7 @@
     const answerQuestion = (id: number, question: TableQuestion) => {
       const cancellation = new AbortController();
       open.set(id, cancellation);
-      answerTable(question, cancellation.signal).then(
+      callAnswerer(() => answerTable(question, cancellation.signal)).then(
         (answer) => sendAnswer(id, answer),
         (error: unknown) => send({ kind: "failed", id, detail: String(error) }),
       );
--- a/packages/peers/src/carryCall.ts
+++ b/packages/peers/src/carryCall.ts
@@ -8,6 +8,8 @@
 } from "@grpc/grpc-js";
 import type {
   AnswerCarry,
+  CarriedHandlers,
+  CarryAnswer,
   CarryCall,
   CarryFrame,
   CarryQuestion,
@@ -68,13 +70,14 @@
   (call: ServerWritableStream<CarryQuestion, CarryFrame>): void => {
     let waiting = 0;
     let isFull = false;
+    let handlers: CarriedHandlers | undefined;
     const handleSent = (bytes: number) => {
       waiting -= bytes;
       if (!isFull || waiting > MAX_WAITING_BYTES) return;
       isFull = false;
-      handlers.onDrain();
+      handlers?.onDrain();
     };
-    const handlers = answerCarry(call.request, {
+    const answer: CarryAnswer = {
       write: (frame) => {
         const bytes = countBytes(frame);
         waiting += bytes;
@@ -83,7 +86,14 @@
         return !isFull;
       },
       end: () => call.end(),
-    });
+    };
+    try {
+      handlers = answerCarry(call.request, answer);
+    } catch (error) {
+      // The asking box takes the request for one that may have run.
+      call.emit("error", { code: status.INTERNAL, details: String(error) });
+      return;
+    }
     call.on("cancelled", handlers.onCancelled);
     call.on("error", handlers.onCancelled);
   };
--- a/packages/peers/src/peerServer.ts
+++ b/packages/peers/src/peerServer.ts
@@ -12,6 +12,7 @@
 import type { OriginAnswer, OriginQuestion } from "@stairgauge/origins";
 import type { AnswerCarry } from "@stairgauge/paths";
 import { createTableStreamHandler, NO_ROOM } from "./answerTableStream.js";
+import { callAnswerer } from "./callAnswerer.js";
 import { createCarryHandler } from "./carryCall.js";
 import { hasContent } from "./makeNotice.js";
 import { createPeerConnections, type PeerConnectionsOptions } from "./peerConnections.js";
@@ -143,7 +144,7 @@
     (call: ServerUnaryCall<Question, Answer>, send: sendUnaryData<Answer>) => {
       const cancellation = new AbortController();
       call.on("cancelled", () => cancellation.abort());
-      answerQuestion(call.request, cancellation.signal).then(
+      callAnswerer(() => answerQuestion(call.request, cancellation.signal)).then(
         (answer) => {
           if (connections.hasRoom()) send(null, answer);
           else send({ code: status.RESOURCE_EXHAUSTED, details: NO_ROOM });
