fix: a plan that could not be made is made anew for the next run

Callers: by reading; once the plan of a leaving engine was rejected, no later run of that engine was moved, and it ended with the engine. Cause: the rejected plan stayed in the record of plans. Evidence: the test in runMover.test.ts failed before (no copy instead of one of r2), and passes.

--- a/packages/migration/src/runMover.test.ts
+++ b/packages/migration/src/runMover.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from "vitest";
 import {
   advanceSettled,
+  collectRejections,
   createVirtualClock,
   Ok,
   type DataHallName,
@@ -41,12 +42,13 @@
 /** Sets up a run at `old` with two targets. Copy calls get the `answers` in turn, each after 100 ms. */
 const setUp = (
   answers: readonly CopyAnswer[],
-  changes: { isResumable?: boolean; hasStandby?: boolean } = {},
+  changes: { isResumable?: boolean; hasStandby?: boolean; badPlans?: number } = {},
 ) => {
   const clock = createVirtualClock();
   const servers = new Map(["old", "new", "other"].map((id) => [id, makeServer(id)]));
   const old = servers.get("old")!;
   const pendingAnswers = [...answers];
+  let badPlans = changes.badPlans ?? 0;
   const calls: CopyRequest[] = [];
   const decisions: string[] = [];
   const dropped: string[] = [];
@@ -85,10 +87,13 @@
     isLeaving: (server) => leavingServers.has(server.entry.id),
     mayTake: ({ entry }) => entry.id !== "old" && !closedHalls.has(entry.id),
     isHallClosed: ({ entry }) => closedHalls.has(entry.id),
-    makePlan: () =>
-      Promise.resolve({
+    makePlan: () => {
+      badPlans -= 1;
+      if (badPlans >= 0) return Promise.reject(new Error("fault of the test"));
+      return Promise.resolve({
         planRun: () => ({ copyAt: 0 as Ms, targets: ["new", "other"] as ServerId[] }),
-      }),
+      });
+    },
     takeStandby: () => {
       const server = servers.get("new")!;
       const memory = { source: old.entry.address, handle: "s" };
@@ -392,4 +397,15 @@
     await advance(200);
     expect(calls).toEqual([]);
   });
+
+  it("makes a new plan for the next run after one could not be made", async () => {
+    const { mover, run, calls, advance } = setUp([makeCopied("h")], { badPlans: 1 });
+    await collectRejections(async () => {
+      mover.onBegun(run);
+      await advance(10);
+    });
+    mover.onBegun({ ...run, id: "r2" as ClientRequestId });
+    await advance(10);
+    expect(calls.map(({ id }) => id)).toEqual(["r2"]);
+  });
 });
--- a/packages/migration/src/runMover.ts
+++ b/packages/migration/src/runMover.ts
@@ -129,8 +129,14 @@
 
   const getPlan = (server: BackendServer): Promise<EvacuationPlan> => {
     const { id } = server.entry;
-    const plan = plans.get(id) ?? deps.makePlan(server);
+    const known = plans.get(id);
+    if (known) return known;
+    const plan = deps.makePlan(server);
     plans.set(id, plan);
+    // The next run gets a new plan.
+    plan.catch(() => {
+      if (plans.get(id) === plan) plans.delete(id);
+    });
     return plan;
   };
 
