fix: a question for a place that throws counts as one without an answer

Callers: by reading; a request ended with a fault of the box when the question to the hub or the admitting box threw, though its own box could place it. Cause: only a missing answer led to the box's own decision; an error ended the request. Sound, since the same holds as after no answer in time: the other box's reservation or held request expires by itself, and a plain request keeps to the own part of the slots. A choice that throws still ends its request. The line advice_failed, a decision like the others and counted with them, tells the two cases apart. Evidence: the tests in placeByAdvice.test.ts (both ways) and placePlainRequest.test.ts failed before (nothing placed, the error instead of the own part), and pass.

--- a/packages/forwarding/src/forwardDecision.ts
+++ b/packages/forwarding/src/forwardDecision.ts
@@ -96,6 +96,8 @@
    * undefined if the request waits at another box.
    */
   | { kind: "waits"; memoryAfter: number; waiting: number | undefined }
+  /** The question to the box that should place the request threw, so this box places it as without an answer. */
+  | { kind: "advice_failed"; detail: string }
   | (AnswerEnd & { kind: "retry"; server: ServerId; reason: string; detail: string })
   /** The same run continues at another server. */
   | (AnswerEnd & StreamHandover & { kind: "continued" })
--- a/packages/forwarding/src/placeByAdvice.test.ts
+++ b/packages/forwarding/src/placeByAdvice.test.ts
@@ -141,6 +141,22 @@
   });
 });
 
+/** Guards against a request that ends with a fault of the box, since the question to another box threw. */
+describe("a question to the hub that throws", () => {
+  it.each([
+    ["for the first time", placeByAdvice],
+    ["again", placeAgain],
+  ])("counts as no advice: %s", async (_, place) => {
+    const { deps, request, steps, placed, failed, reported, advance } = setUp([]);
+    const ask = () => Promise.reject(new Error("fault of the test"));
+    place({ ...deps, advisor: { ...deps.advisor, ask } }, request, steps);
+    await advance(10);
+    expect(placed).toEqual([[OWN, undefined]]);
+    expect(failed).toEqual([]);
+    expect(reported).toEqual(["advice_failed"]);
+  });
+});
+
 describe("placeAgain", () => {
   it("asks for an immediate placement, and decides by itself without an answer", async () => {
     const advised = setUp([DECIDED]);
--- a/packages/forwarding/src/placeByAdvice.ts
+++ b/packages/forwarding/src/placeByAdvice.ts
@@ -77,6 +77,20 @@
   return { id, service, tier, tokens, regions, binding, sharer, except };
 };
 
+/** Awaits advice; a question that throws counts as one without an answer, since the box can decide by itself. */
+export const awaitAdvice = async <T>(
+  ask: (signal: AbortSignal) => Promise<T | undefined>,
+  signal: AbortSignal,
+  report: AdvisedSteps["report"],
+): Promise<T | undefined> => {
+  try {
+    return await ask(signal);
+  } catch (error) {
+    if (!signal.aborted) report({ kind: "advice_failed", detail: String(error) });
+    return undefined;
+  }
+};
+
 /** Places a request for the first time; the returned function cancels the placement while it waits. */
 export const placeByAdvice = (
   deps: Deps,
@@ -107,7 +121,7 @@
     if (first?.kind !== "no_room" || call.signal.aborted) return first;
     return askWhenFull(first.memoryAfter);
   };
-  void askForPlace()
+  void awaitAdvice(askForPlace, call.signal, steps.report)
     .then((advice) => {
       if (call.signal.aborted) return;
       if (advice?.kind === "decided") steps.place(advice.decision, advice.by);
@@ -121,7 +135,7 @@
 export const placeAgain = (
   { advisor }: Pick<Deps, "advisor">,
   request: PlaceableRequest,
-  { choose, place, fail }: Omit<AdvisedSteps, "report">,
+  { choose, place, report, fail }: AdvisedSteps,
 ): (() => void) => {
   const adviceRequest = buildAdviceRequest(request);
   if (!adviceRequest || !advisor.isNeeded()) {
@@ -130,8 +144,9 @@
   }
   const call = new AbortController();
   const urgency = { kind: "at_once" } as const;
-  void advisor
-    .ask({ ...adviceRequest, urgency }, call.signal)
+  const askAtOnce = (signal: AbortSignal) =>
+    advisor.ask({ ...adviceRequest, urgency }, signal);
+  void awaitAdvice(askAtOnce, call.signal, report)
     .then((advice) => {
       if (call.signal.aborted) return;
       if (advice?.kind === "decided") place(advice.decision, advice.by);
--- a/packages/forwarding/src/placePlainRequest.test.ts
+++ b/packages/forwarding/src/placePlainRequest.test.ts
@@ -100,6 +100,14 @@
     },
   );
 
+  it("uses the safe part when the question to the admitting box throws", async () => {
+    const ask = () => Promise.reject(new Error("fault of the test"));
+    const { placed, advance, countReports } = setUp([], { ask });
+    await advance(10);
+    expect(placed).toEqual([[SAFE, undefined]]);
+    expect(countReports()).toBe(1);
+  });
+
   it("ends the request if placing within the safe part throws", async () => {
     const error = new Error("fault of the test");
     const placeWithinOwnPart = () => {
--- a/packages/forwarding/src/placePlainRequest.ts
+++ b/packages/forwarding/src/placePlainRequest.ts
@@ -12,7 +12,7 @@
 } from "@stairgauge/common";
 import type { BackendServer, ServerId } from "@stairgauge/directory";
 import type { PlacementDecision, PlaceUrgency } from "@stairgauge/placement";
-import type { AdvisedSteps } from "./placeByAdvice.js";
+import { awaitAdvice, type AdvisedSteps } from "./placeByAdvice.js";
 import type { RequestHead } from "./types.js";
 
 /** A plain request to be placed; servers in `except` are not chosen. */
@@ -131,7 +131,9 @@
     return () => undefined;
   }
   const call = new AbortController();
-  void askUntilDecided(deps, request, call.signal, reportWaiting)
+  const ask = (signal: AbortSignal) =>
+    askUntilDecided(deps, request, signal, reportWaiting);
+  void awaitAdvice(ask, call.signal, report)
     .then((advice) => {
       if (call.signal.aborted) return;
       if (advice) place(advice.decision, advice.by);
