fix: a plain request whose placing throws at the admitting box holds up no other

Callers: by reading; all requests of the service behind such a request waited until their times were over. Cause: the error went into the admission queue, the entry stayed first and counted as waiting for good. The admission now ends with a decision or a failure, as the placing of generations does: the box's own request ends by it, and another box's question is rejected and no longer held (heldRequests.test.ts, new with this). A request is held only once its admission has started, so one that throws there leaves nothing behind.

--- a/apps/box/src/createCapacity.ts
+++ b/apps/box/src/createCapacity.ts
@@ -153,7 +153,7 @@
   // Two boxes that admit at once may send twice what the servers have slots for.
   const findScope = (service: ServiceName): AskScope =>
     brittle.isServiceBrittle(service) ? "first_only" : "any";
-  const admitHere: PlainAdmission["admitHere"] = (request, decide) => {
+  const admitHere: PlainAdmission["admitHere"] = (request, { decide, fail }) => {
     const { service, except, workspace, subject, aimAt, endsAt, workMs } = request;
     const now = clock.monotonic();
     const terms = {
@@ -166,7 +166,7 @@
     const demand = toDemand(request);
     return admitter.admit(
       { box: own, owner: "own", service, demand, except, terms },
-      (decision) => decide(toDecision(decision)),
+      { decide: (decision) => decide(toDecision(decision)), fail },
     );
   };
 
--- a/packages/fleet/src/admitPlain.ts
+++ b/packages/fleet/src/admitPlain.ts
@@ -56,13 +56,18 @@
   | PlacementDecision
   | Readonly<{ kind: "refused"; reason: CapacityRefusal; retryAfter: Ms }>;
 
+/** What the admission of a request ends with; one of them is called once, perhaps at once. */
+export type AdmissionSteps = Readonly<{
+  /** Records the request before it returns. */
+  decide: (decision: PlainDecision) => void;
+  /** Placing the request threw; it no longer waits. */
+  fail: (error: unknown) => void;
+}>;
+
 /** Admits plain requests at one box. */
 export type PlainAdmitter = Readonly<{
-  /**
-   * Places, queues or refuses a request. `decide` is called once, perhaps at once, and records the
-   * request before it returns; the returned function cancels the request while it waits.
-   */
-  admit: (entry: PlainEntry, decide: (decision: PlainDecision) => void) => () => void;
+  /** Places, queues or refuses a request; the returned function cancels the request while it waits. */
+  admit: (entry: PlainEntry, steps: AdmissionSteps) => () => void;
   /** A request of any box has ended at a server. */
   onEnded: (server: ServerId) => void;
   /** A server rejected a request of any box because it was full; that request is no longer on record. */
@@ -139,7 +144,7 @@
     return isCold ? undefined : decision;
   };
 
-  const admit: PlainAdmitter["admit"] = (entry, decide) => {
+  const admit: PlainAdmitter["admit"] = (entry, { decide, fail }) => {
     const { box, service, demand, terms } = entry;
     const arrivedAt = clock.monotonic();
     const getWaited = () => (clock.monotonic() - arrivedAt) as Ms;
@@ -161,16 +166,30 @@
         usable: countUsable(chosen),
         waited: getWaited(),
       });
-    const attempt = () => {
-      if (isOver) return true;
+    const attemptNow = () => {
       const decision = choose(entry);
       if (!decision) return false;
       finish();
       if (decision.kind === "placed") reportPlaced(decision.server);
       decide(decision);
-      checkUtilization(service);
       return true;
     };
+    /** A request that stayed in the queue would hold up all behind it. */
+    const failIfThrown = (): boolean => {
+      try {
+        return attemptNow();
+      } catch (error) {
+        finish();
+        fail(error);
+        return true;
+      }
+    };
+    const attempt = () => {
+      if (isOver) return true;
+      const isDecided = failIfThrown();
+      if (isDecided) checkUtilization(service);
+      return isDecided;
+    };
     const refuse = (retryAfter: Ms, reason: CapacityRefusal) => {
       if (!finish()) return;
       const waited = getWaited();
--- a/packages/fleet/src/heldRequests.test.ts
+++ b/packages/fleet/src/heldRequests.test.ts
@@ -8,14 +8,16 @@
   const held = createHeldRequests<string>(clock);
   const seen = { started: 0, cancelled: 0, givenUp: 0 };
   let decide = (_: string) => {};
+  let fail = (_: unknown) => {};
   const ask = (wait: number, signal = new AbortController().signal) =>
     held.await(
       {
         key: "b r",
         wait: wait as Ms,
-        start: (give) => {
+        start: (give, end) => {
           seen.started += 1;
           decide = give;
+          fail = end;
           return () => void (seen.cancelled += 1);
         },
         onGivenUp: () => void (seen.givenUp += 1),
@@ -23,7 +25,14 @@
       signal,
     );
   const advance = (duration: number) => advanceSettled(clock, duration as Ms);
-  return { held, seen, ask, advance, decide: (given: string) => decide(given) };
+  return {
+    held,
+    seen,
+    ask,
+    advance,
+    decide: (given: string) => decide(given),
+    fail: (error: unknown) => fail(error),
+  };
 };
 
 describe("createHeldRequests", () => {
@@ -75,4 +84,12 @@
     expect(await later).toBe("s1");
     expect(seen.started).toBe(1);
   });
+
+  it("rejects the question for a request whose admission failed, and keeps it no longer", async () => {
+    const { held, ask, fail } = setUp();
+    const answer = ask(500);
+    fail(new Error("fault of the test"));
+    await expect(answer).rejects.toThrow("fault of the test");
+    expect(held.count()).toBe(0);
+  });
 });
--- a/packages/fleet/src/heldRequests.ts
+++ b/packages/fleet/src/heldRequests.ts
@@ -2,16 +2,27 @@
  * Requests of other boxes that wait at the admitting box, between the questions in which those boxes
  * ask for them. A request is dropped when its box no longer asks.
  */
-import type { Clock, Ms, Timer } from "@stairgauge/common";
+import {
+  Err,
+  Ok,
+  type Clock,
+  type Ms,
+  type Result,
+  type Timer,
+} from "@stairgauge/common";
 
-/** Starts the admission of a request; the returned function cancels it. `decide` may be called at once. */
-export type StartAdmission<Given> = (decide: (given: Given) => void) => () => void;
+/** Starts the admission of a request; the returned function cancels it. `decide` and `fail` may be called at once. */
+export type StartAdmission<Given> = (
+  decide: (given: Given) => void,
+  fail: (error: unknown) => void,
+) => () => void;
 
 /** Requests that wait. */
 export type HeldRequests<Given> = Readonly<{
   /**
    * Resolves with the decision about a request, or with undefined if there is none within `wait`; the
-   * request then stays for a while, until it is asked for again. The signal drops it.
+   * request then stays for a while, until it is asked for again. The signal drops it. Rejects if the
+   * admission failed.
    */
   await: (
     question: HeldQuestion<Given>,
@@ -38,13 +49,19 @@
 const KEEP_MS = 500 as Ms;
 
 type Held<Given> = {
-  given: Given | undefined;
+  end: Result<Given, unknown> | undefined;
   cancel: () => void;
   /** Ends the current question. */
   answer: (() => void) | undefined;
   timer: Timer | undefined;
 };
 
+/** The decision, undefined if there is none yet; throws if the admission failed. */
+const getGiven = <Given>({ end }: Held<Given>): Given | undefined => {
+  if (end?.err) throw end.val;
+  return end?.val;
+};
+
 /** Creates the set, with no requests. */
 export const createHeldRequests = <Given>(
   clock: Pick<Clock, "setTimer">,
@@ -65,28 +82,32 @@
   };
   const startHeld = ({ key, start }: HeldQuestion<Given>): Held<Given> => {
     const held: Held<Given> = {
-      given: undefined,
+      end: undefined,
       cancel: () => undefined,
       answer: undefined,
       timer: undefined,
     };
-    heldByKey.set(key, held);
-    held.cancel = start((given) => {
-      held.given = given;
+    const settle = (end: Result<Given, unknown>) => {
+      held.end = end;
       held.answer?.();
-    });
+    };
+    held.cancel = start(
+      (given) => settle(Ok(given)),
+      (error) => settle(Err(error)),
+    );
+    heldByKey.set(key, held);
     return held;
   };
 
   const takeAnswer = (
     question: HeldQuestion<Given>,
     held: Held<Given>,
-  ): Given | undefined => {
+  ): Promise<Given | undefined> => {
     held.answer = undefined;
     held.timer?.cancel();
-    if (held.given !== undefined) drop(question.key, held);
+    if (held.end) drop(question.key, held);
     else held.timer = clock.setTimer(KEEP_MS, () => dropUnasked(question, held));
-    return held.given;
+    return new Promise((resolve) => resolve(getGiven(held)));
   };
 
   return {
@@ -96,8 +117,7 @@
       // An earlier question for the same request ends without a decision.
       held.answer?.();
       held.timer?.cancel();
-      if (held.given !== undefined || question.wait === 0)
-        return Promise.resolve(takeAnswer(question, held));
+      if (held.end || question.wait === 0) return takeAnswer(question, held);
       return new Promise((resolve) => {
         const answer = () => resolve(takeAnswer(question, held));
         held.answer = answer;
--- a/packages/fleet/src/plainHub.ts
+++ b/packages/fleet/src/plainHub.ts
@@ -11,7 +11,7 @@
   type PlaceQuestion,
   type PlainTerms,
 } from "@stairgauge/placement";
-import type { PlainAdmitter, PlainDecision } from "./admitPlain.js";
+import type { AdmissionSteps, PlainAdmitter, PlainDecision } from "./admitPlain.js";
 import { createHeldRequests } from "./heldRequests.js";
 
 /** Dependencies of the plain hub. */
@@ -59,10 +59,7 @@
       admitter.onEnded(entry.id);
     });
   };
-  const startAdmission = (
-    question: PlainQuestion,
-    decide: (decision: PlainDecision) => void,
-  ) => {
+  const startAdmission = (question: PlainQuestion, { decide, fail }: AdmissionSteps) => {
     const { box, service, tier, regions, except, admission } = question;
     return admitter.admit(
       {
@@ -73,9 +70,12 @@
         except: new Set(except),
         terms: admission,
       },
-      (decision) => {
-        if (decision.kind === "placed") reserveSlot(question, decision.server);
-        decide(decision);
+      {
+        decide: (decision) => {
+          if (decision.kind === "placed") reserveSlot(question, decision.server);
+          decide(decision);
+        },
+        fail,
       },
     );
   };
@@ -95,7 +95,7 @@
         {
           key,
           wait: urgency.kind === "within" ? urgency.wait : (0 as Ms),
-          start: (decide) => startAdmission(question, decide),
+          start: (decide, fail) => startAdmission(question, { decide, fail }),
           onGivenUp: () => {
             const waited = (clock.monotonic() - askedAt) as Ms;
             onEvent({ kind: "plain_given_up", box, service, waited });
--- a/packages/forwarding/src/placePlainRequest.ts
+++ b/packages/forwarding/src/placePlainRequest.ts
@@ -53,10 +53,13 @@
   onOpenPlaced: (service: ServiceName) => void;
   /** Which box admits; `none` if this box can reach none that it may rely on. */
   findAdmitting: (service: ServiceName) => "own" | "other" | "none";
-  /** Places or queues the request at this box; the returned function cancels it. */
+  /** Places or queues the request at this box, or fails it if that throws; the returned function cancels it. */
   admitHere: (
     request: PlainRequest,
-    decide: (decision: PlacementDecision) => void,
+    steps: Readonly<{
+      decide: (decision: PlacementDecision) => void;
+      fail: AdvisedSteps["fail"];
+    }>,
   ) => () => void;
   /**
    * Asks the admitting box, which queues a request without a slot and answers `waits`, at the latest
@@ -125,7 +128,8 @@
     return cancel;
   }
   const admitting = plainAdmission.findAdmitting(request.service);
-  if (admitting === "own") return plainAdmission.admitHere(request, place);
+  if (admitting === "own")
+    return plainAdmission.admitHere(request, { decide: place, fail });
   if (admitting === "none") {
     place(plainAdmission.placeWithinOwnPart(request));
     return () => undefined;
