fix: bad rows of the store can't fill the log

Operators: by reading; with more bad rows than are on record each read of the whole table logged all of them again, and a bad row that is written often was a line a write. Cause: only rows on record were left out. Now a table gets 32 lines at once and then one a second, which says how many rows were left out; the counter counts all.

--- a/apps/box/src/createFollowedTables.ts
+++ b/apps/box/src/createFollowedTables.ts
@@ -194,7 +194,7 @@
     store: createStoreReader({
       address: store.address,
       onEraFault: (fault) => log.writeWarning("store_era_fault", fault),
-      onRowFault: createRowFaultReporter({ log, metrics }),
+      onRowFault: createRowFaultReporter({ clock, log, metrics }),
     }),
     links,
     minStoreReaders: store.hearers,
--- a/apps/box/src/createOrigins.ts
+++ b/apps/box/src/createOrigins.ts
@@ -59,7 +59,7 @@
       address: settings.store.address,
       // The followers of the tables report faults of the era.
       onEraFault: () => undefined,
-      onRowFault: createRowFaultReporter({ log, metrics }),
+      onRowFault: createRowFaultReporter({ clock, log, metrics }),
     }),
     writer: createStoreWriter(settings.store.address),
     table: VERSIONS_TABLE,
