fix: a whole stream whose server leaves ends as complete if the next one has nothing more

What callers saw: a resumable stream without length or chunks whose server was marked as leaving while it ran came with all its events and a FIN, and was broken off (stream_lost): the next server had nothing behind Last-Event-Id, and closed without framing as well. That takes planned work only.

Neither of the two ends proves anything alone; together they were not looked at.

The proof is kept for the position of the client's last event. A rest that ends unframed before its first event is complete if there is such a proof for this position, and its own server lives after the FIN. A former server that was reset, is gone, or sent nothing leaves no such proof; the end stays cut then, also where a client takes a stream up: the box has heard no former server, and a known broken stream can be asked for again. The detail of a cut rest says which of the two servers failed.

--- a/packages/forwarding/src/answerSink.ts
+++ b/packages/forwarding/src/answerSink.ts
@@ -27,7 +27,9 @@
   classifyEnd,
   classifyEndByPresence,
   classifyEndByStop,
+  classifyRest,
   type EndProof,
+  type SettledEnd,
 } from "./classifyEnd.js";
 import type { EndedBy, ExchangeSink } from "./openExchange.js";
 import type { RunStep } from "./runStep.js";
@@ -67,6 +69,10 @@
   mayRetryAfter: (verdict: Verdict) => boolean;
   /** Finds out whether this box had the attempt's run stopped there. */
   findStop: () => Promise<RunStop>;
+  /** Keeps the proof of an end that is left to the next server, for the event that the client has last. */
+  recordOpenEnd: (proof: Promise<SettledEnd>) => void;
+  /** The proof that was kept for the client's last event; undefined if there is none. */
+  findOpenEnd: () => Promise<SettledEnd> | undefined;
   /** Sends a health check to the server; resolves with undefined if it has no health path. */
   askServer: () => Promise<ServerPresence | undefined>;
   listener: AttemptListener;
@@ -208,6 +214,7 @@
         request.route.kind === "stream" &&
         isServed(attempt.head!, head.id) &&
         !hasBodyBegun(attempt),
+      isEndLeftOpen: options.findOpenEnd() !== undefined,
       isSettledElsewhere:
         attempt.body.kind === "stream" &&
         request.route.isResumable &&
@@ -226,19 +233,23 @@
       case "unproven":
         options.runStep(confirmEnd);
         return;
+      case "left_to_next":
+        registerOpenEnd();
+        listener.onFailure({ kind: "broken", detail: proof.detail });
+        return;
       default:
         assertNever(proof);
     }
   };
   /** Asks twice where a leaving server has ended a stream, since it answers for a while if it stops its process in order. */
-  const findPresenceProof = async (): Promise<EndProof> => {
+  const findPresenceProof = async (): Promise<SettledEnd> => {
     const isLeavingStream = attempt.body.kind === "stream" && options.isLeaving();
     const proof = classifyEndByPresence(await options.askServer());
     if (!isLeavingStream || proof.kind !== "whole") return proof;
     await waitFor(options.clock, LEAVING_CHECK_MS);
     return classifyEndByPresence(await options.askServer());
   };
-  const findProof = async (): Promise<EndProof> => {
+  const findProof = async (): Promise<SettledEnd> => {
     const proof = classifyEndByStop(await options.findStop());
     if (proof.kind !== "unproven") return proof;
     const byPresence = await findPresenceProof();
@@ -246,8 +257,19 @@
     const later = classifyEndByStop(await options.findStop());
     return later.kind === "unproven" ? byPresence : later;
   };
+  /** Asks this server at once, as one that leaves may be gone when the next one has ended. */
+  const registerOpenEnd = () => {
+    const proof = findProof();
+    options.recordOpenEnd(proof);
+    options.runStep(() => proof);
+  };
+  const findProofOfRest = async (): Promise<SettledEnd> => {
+    const openEnd = hasBodyBegun(attempt) ? undefined : options.findOpenEnd();
+    const [former, own] = await Promise.all([openEnd, findProof()]);
+    return former === undefined ? own : classifyRest(former, own);
+  };
   const confirmEnd = async () => {
-    const proof = await findProof();
+    const proof = await findProofOfRest();
     if (listener.isCurrent()) applyProof(proof);
   };
 
--- a/packages/forwarding/src/classifyEnd.ts
+++ b/packages/forwarding/src/classifyEnd.ts
@@ -17,32 +17,45 @@
   bytesLeft: number;
   /** Whether the answer is the success of a request for a stream, or of the rest of one, and holds no event. */
   isStreamUnbegun: boolean;
+  /** Whether the former server of the stream left its end to this one (`left_to_next`), behind the client's last event. */
+  isEndLeftOpen: boolean;
   /** Whether the answer is a stream that can go on at another server, and its own one is about to stop. */
   isSettledElsewhere: boolean;
 }>;
 
-/** Whether the answer is complete. */
+/** Whether the answer is complete, as far as can be found out. */
+export type SettledEnd = Readonly<{ kind: "whole" } | { kind: "cut"; detail: string }>;
+
+/** Whether the answer is complete by what was received. */
 export type EndProof = Readonly<
-  | { kind: "whole" }
-  | { kind: "cut"; detail: string }
+  | SettledEnd
   /** Complete if this box didn't have the run stopped and the server's process still runs. */
   | { kind: "unproven" }
+  /** Ended behind an event; the next server tells whether more follows. */
+  | { kind: "left_to_next"; detail: string }
 >;
 
 /** Classifies an end by what was received. */
 export const classifyEnd = (ended: EndedAnswer): EndProof => {
   if (ended.bytesLeft > 0) return { kind: "cut", detail: "ended within an event" };
   if (ended.endedBy === "framing" || !ended.isBodyNeeded) return { kind: "whole" };
-  // A server that fails where it would begin also closes here; one with nothing to send can say so by its framing.
+  // A server that fails where it would begin also closes here, so this alone proves nothing.
   if (ended.isStreamUnbegun)
-    return { kind: "cut", detail: "connection ended before the first event" };
+    return ended.isEndLeftOpen
+      ? { kind: "unproven" }
+      : { kind: "cut", detail: "connection ended before the first event" };
   if (ended.isSettledElsewhere)
-    return { kind: "cut", detail: "connection ended without an end of the stream" };
+    return {
+      kind: "left_to_next",
+      detail: "connection ended without an end of the stream",
+    };
   return { kind: "unproven" };
 };
 
 /** Classifies an unproven end by whether this box had the run stopped: a stopped stream ends without its rest. */
-export const classifyEndByStop = (stop: RunStop): EndProof => {
+export const classifyEndByStop = (
+  stop: RunStop,
+): SettledEnd | Readonly<{ kind: "unproven" }> => {
   switch (stop) {
     case "none":
       return { kind: "unproven" };
@@ -62,8 +75,19 @@
  * Classifies an unproven end by a health check right after it. `undefined` means that the server has
  * no health path; its answer then counts as complete.
  */
-export const classifyEndByPresence = (presence: ServerPresence | undefined): EndProof => {
+export const classifyEndByPresence = (
+  presence: ServerPresence | undefined,
+): SettledEnd => {
   if (!presence || presence.kind === "present") return { kind: "whole" };
   const detail = `connection ended, and its server is not known to live: ${presence.detail}`;
   return { kind: "cut", detail };
 };
+
+/**
+ * Classifies an end without events by the proof of the former server's end, which was left to it. Each of them alone may
+ * be that of a server that failed: a rest is empty only if both servers closed in order.
+ */
+export const classifyRest = (former: SettledEnd, own: SettledEnd): SettledEnd =>
+  former.kind === "cut"
+    ? { kind: "cut", detail: `no rest, but the former server's ${former.detail}` }
+    : own;
--- a/packages/forwarding/src/dispatchState.ts
+++ b/packages/forwarding/src/dispatchState.ts
@@ -2,6 +2,15 @@
 import type { ActiveRun } from "./activeRuns.js";
 import type { StreamBinding } from "@stairgauge/placement";
 import type { Attempt } from "./attempt.js";
+import type { SettledEnd } from "./classifyEnd.js";
+
+/** An end of a server's part of a stream that its next server is to settle. */
+export type OpenEnd = Readonly<{
+  /** Events that the client had received by then. */
+  events: number;
+  /** Whether the server ended its part in order. */
+  proof: Promise<SettledEnd>;
+}>;
 
 /** The state of one dispatch. */
 export type DispatchState = Readonly<{
@@ -19,6 +28,9 @@
   /** What binds the stream; undefined until its client has received an event. */
   getBinding: () => StreamBinding | undefined;
   setBinding: (binding: StreamBinding) => void;
+  /** The last end that was left to the next server; undefined if none was. */
+  getOpenEnd: () => OpenEnd | undefined;
+  setOpenEnd: (end: OpenEnd) => void;
   /** How often the stream was continued at another server. */
   countContinuations: () => number;
   addContinuation: () => void;
@@ -37,6 +49,7 @@
   let hasSentBefore = false;
   let run: ActiveRun | undefined;
   let binding: StreamBinding | undefined;
+  let openEnd: OpenEnd | undefined;
   let continuations = 0;
   let mayHaveRun = false;
   let isOver = false;
@@ -66,6 +79,10 @@
     setBinding: (bound) => {
       binding = bound;
     },
+    getOpenEnd: () => openEnd,
+    setOpenEnd: (end) => {
+      openEnd = end;
+    },
     countContinuations: () => continuations,
     addContinuation: () => {
       continuations += 1;
--- a/packages/forwarding/src/sendAttempt.ts
+++ b/packages/forwarding/src/sendAttempt.ts
@@ -3,6 +3,7 @@
 import { createAnswerSink } from "./answerSink.js";
 import { createAttempt, type Attempt } from "./attempt.js";
 import { buildExchangeRequest } from "./buildExchangeRequest.js";
+import type { SettledEnd } from "./classifyEnd.js";
 import type {
   ConcludingSteps,
   DispatchParts,
@@ -49,6 +50,13 @@
     return run ? deps.runKeeper.findStop(run) : "none";
   };
 
+  const recordOpenEnd = (proof: Promise<SettledEnd>) =>
+    state.setOpenEnd({ events: relay.getEvents(), proof });
+  const findOpenEnd = () => {
+    const end = state.getOpenEnd();
+    return end?.events === relay.getEvents() ? end.proof : undefined;
+  };
+
   const createSink = (attempt: Attempt, server: BackendServer) =>
     createAnswerSink({
       clock,
@@ -60,6 +68,8 @@
       mayRetryAfter: (verdict) =>
         attempts.mayRetryAfter(classifyAttempt(true, verdict, attempt.head?.signals)),
       findStop,
+      recordOpenEnd,
+      findOpenEnd,
       askServer: () => deps.askServer(server),
       runStep: parts.runStep,
       listener: {
