--- a/apps/box/src/earlyAnswers.test.ts
+++ b/apps/box/src/earlyAnswers.test.ts
@@ -170,6 +170,10 @@
     socket.write(head, sendOn);
     expect((await ask(ports, { path: "/once/x" })).status).toBe(200);
     await closed;
-    expect(lines).toContainEqual({ event: "connection_limited", limit: "sent_behind" });
+    expect(lines).toContainEqual({
+      event: "connection_limited",
+      listener: "clients",
+      limit: "sent_behind",
+    });
   }, 30_000);
 });
--- a/apps/box/src/reportRowFaults.test.ts
+++ b/apps/box/src/reportRowFaults.test.ts
@@ -1,7 +1,6 @@
 /** Guards against a log that bad rows of the store fill: more of them than the record holds, or one that is written often. */
 import { describe, expect, it } from "vitest";
 import { createVirtualClock, type Ms } from "@stairgauge/common";
-import type { RowFault } from "@stairgauge/platform";
 import { createRowFaultReporter } from "./reportRowFaults.js";
 
 const setUp = () => {
@@ -19,9 +18,9 @@
 };
 
 describe("createRowFaultReporter", () => {
-  it.each([
-    ["more bad rows than its record holds", (i: number) => [`k${i % 2_000}`, 1] as const],
-    ["a bad row that is written often", (i: number) => ["k", i] as const],
+  it.each<[string, (i: number) => readonly [string, number]]>([
+    ["more bad rows than its record holds", (i) => [`k${i % 2_000}`, 1]],
+    ["a bad row that is written often", (i) => ["k", i]],
   ])("logs at most a burst and a line a second for %s", (_, toRow) => {
     const { clock, lines, reportRow, countRows } = setUp();
     for (let i = 0; i < 10_000; i += 1) {
--- a/apps/box/src/smallServers.test.ts
+++ b/apps/box/src/smallServers.test.ts
@@ -53,7 +53,7 @@
   return keepers;
 };
 
-const repeatCheck = async (port: number, agent: Agent | false, times: number) => {
+const sendChecks = async (port: number, agent: Agent | false, times: number) => {
   const seen: (number | string)[] = [];
   for (let i = 0; i < times; i += 1) seen.push(await check(port, agent));
   return seen;
@@ -65,7 +65,7 @@
     async (name) => {
       const port = await startListener(name);
       for (const keeper of createKeepers(40)) expect(await check(port, keeper)).toBe(200);
-      expect(await repeatCheck(port, false, 20)).toEqual(Array(20).fill(200));
+      expect(await sendChecks(port, false, 20)).toEqual(Array(20).fill(200));
     },
   );
 
--- a/packages/fleet/src/admitPlain.test.ts
+++ b/packages/fleet/src/admitPlain.test.ts
@@ -1,7 +1,12 @@
 /** Guards against a plain request whose placing throws at the admitting box: it stayed first, and all behind it waited. */
 import { describe, expect, it } from "vitest";
 import { createAdmissionQueue, createFairShares } from "@stairgauge/admission";
-import { createVirtualClock, type Ms, type ServiceName } from "@stairgauge/common";
+import {
+  createVirtualClock,
+  type Ms,
+  type ServiceName,
+  type WorkspaceName,
+} from "@stairgauge/common";
 import type { BackendServer, ServerId } from "@stairgauge/directory";
 import { createLoadRegistry, type PlacementDecision } from "@stairgauge/placement";
 import { createPlainAdmitter, type PlainAdmitterOptions } from "./index.js";
@@ -48,7 +53,7 @@
         demand: { tier: 1, tokens: undefined },
         except: new Set(),
         terms: {
-          workspace: "w",
+          workspace: "w" as WorkspaceName,
           subject: name,
           aimInMs: 2_000 as Ms,
           endsInMs: 4_000 as Ms,
--- a/packages/peers/src/throwingAnswers.test.ts
+++ b/packages/peers/src/throwingAnswers.test.ts
@@ -31,7 +31,8 @@
     answerOrigin: failToAnswer,
     answerCarry: failToAnswer,
     onMessage: () => undefined,
-    limits: { maxConnections: 10 },
+    clock: createSystemClock(),
+    limits: { maxConnections: 10, maxCalls: 10, maxUnreadBytes: 1_000 },
     onLimit: () => undefined,
   });
   const port = await server.listen({ host: "127.0.0.1", port: 0 });
