refactor: what signals and errors act on before and after there is a box has a name

runBox assigned four functions anew once the settings were read. They are one value now, without and with a box. Behaviour is unchanged.

--- a/apps/box/src/main.ts
+++ b/apps/box/src/main.ts
@@ -4,9 +4,9 @@
  */
 import { writeSync } from "node:fs";
 import { createSystemClock, type Clock } from "@stairgauge/common";
-import { createDecisionLog } from "@stairgauge/telemetry";
+import { createDecisionLog, type DecisionLog } from "@stairgauge/telemetry";
 import { awaitSettings } from "./awaitSettings.js";
-import { createBox } from "./createBox.js";
+import { createBox, type Box } from "./createBox.js";
 import { createUnexpectedErrorReporter } from "./reportUnexpected.js";
 import { IGNORED_SIGNALS, RELOAD_SIGNAL, STOP_SIGNALS } from "./signals.js";
 import { watchSettings } from "./watchSettings.js";
@@ -48,28 +48,62 @@
   keptCode: "used" | "refused" | "absent";
 }>;
 
+/** What signals and errors that nothing else handles act on. */
+type ProcessActions = Readonly<{
+  stop: () => Promise<void>;
+  endProcess: (code: number) => void;
+  reportError: (error: unknown) => void;
+  reportIgnored: (signal: string) => void;
+}>;
+
+/** Before the settings are read there is neither a box to stop nor a log. */
+const ACTIONS_WITHOUT_BOX: ProcessActions = {
+  stop: () => Promise.resolve(),
+  endProcess: (code) => process.exit(code),
+  reportError: (error) => writeLine(toText(error)),
+  reportIgnored: (signal) => writeLine(`signal ignored: ${signal}`),
+};
+
+const createActions = (box: Pick<Box, "stop">, log: DecisionLog): ProcessActions => {
+  const reportUnexpected = createUnexpectedErrorReporter(log);
+  return {
+    stop: box.stop,
+    endProcess: (code) => {
+      log.flush();
+      process.exit(code);
+    },
+    reportError: (error) => reportUnexpected(error),
+    reportIgnored: (signal) => log.writeDecision("signal_ignored", { signal }),
+  };
+};
+
+/** Stops the box, if there is one, and ends the process, also if the stop fails. */
+const endInOrder = async (
+  { stop, endProcess, reportError }: ProcessActions,
+  code: number,
+): Promise<void> => {
+  try {
+    await stop();
+    endProcess(code);
+  } catch (error) {
+    reportError(error);
+    endProcess(EXIT_FAILED);
+  }
+};
+
 /** Runs a box until SIGTERM or SIGINT. */
 export const runBox = async (facts: StartFacts): Promise<void> => {
   const path = findPath();
-  let stop = async () => {};
+  let actions = ACTIONS_WITHOUT_BOX;
   let isStopping = false;
-  let endProcess = (code: number): void => process.exit(code);
-  let reportError = (error: unknown) => writeLine(toText(error));
-  let reportIgnored = (signal: string) => writeLine(`signal ignored: ${signal}`);
 
-  const endInOrder = async (code: number) => {
+  const handleStop = () => {
     isStopping = true;
-    try {
-      await stop();
-      endProcess(code);
-    } catch (error) {
-      reportError(error);
-      endProcess(EXIT_FAILED);
-    }
+    void endInOrder(actions, EXIT_STOPPED);
   };
-  for (const signal of STOP_SIGNALS)
-    process.on(signal, () => void endInOrder(EXIT_STOPPED));
-  for (const signal of IGNORED_SIGNALS) process.on(signal, () => reportIgnored(signal));
+  for (const signal of STOP_SIGNALS) process.on(signal, handleStop);
+  for (const signal of IGNORED_SIGNALS)
+    process.on(signal, () => actions.reportIgnored(signal));
   // Settings that are awaited are read again without it.
   process.on(RELOAD_SIGNAL, () => undefined);
 
@@ -89,17 +123,11 @@
     base: { box: settings.box },
   });
   const box = createBox({ settings, clock, log });
-  stop = box.stop;
-  endProcess = (code) => {
-    log.flush();
-    process.exit(code);
-  };
-  const reportUnexpected = createUnexpectedErrorReporter(log);
-  reportError = (error) => reportUnexpected(error);
-  reportIgnored = (signal) => log.writeDecision("signal_ignored", { signal });
+  const boxActions = createActions(box, log);
+  actions = boxActions;
   watchSettings({ path, text, clock, log, onChanged: box.applySettings });
-  process.on("uncaughtException", (error) => reportUnexpected(error));
-  process.on("unhandledRejection", (error) => reportUnexpected(error));
+  process.on("uncaughtException", (error) => boxActions.reportError(error));
+  process.on("unhandledRejection", (error) => boxActions.reportError(error));
   log.writeNotice("starting", facts);
 
   try {
@@ -107,6 +135,6 @@
   } catch (error) {
     if (isStopping) return;
     writeLine(toText(error));
-    await endInOrder(EXIT_FAILED);
+    await endInOrder(actions, EXIT_FAILED);
   }
 };
