--- a/apps/box/src/box.testkit.ts
+++ b/apps/box/src/box.testkit.ts
@@ -248,3 +248,15 @@
   await waitFor(() => hasBegun);
   return { answered };
 };
+
+/** Makes a sound entry of a server at whose address nothing listens. */
+export const makeDeadEntry = (service: string) => ({
+  service,
+  address: "127.0.0.1:9",
+  zone: "hall-a",
+  version: "v1",
+  slots: 6,
+  state: "ready",
+  warmupLeftMs: 0,
+  sequence: 1,
+});
--- a/apps/box/src/oddEntries.test.ts
+++ b/apps/box/src/oddEntries.test.ts
@@ -5,18 +5,16 @@
  * runs there runs on, and other entries are unaffected.
  */
 import { describe, expect, it } from "vitest";
-import { ask, beginDraft, startSite, waitFor, type Line } from "./box.testkit.js";
+import {
+  ask,
+  beginDraft,
+  makeDeadEntry,
+  startSite,
+  waitFor,
+  type Line,
+} from "./box.testkit.js";
 
-const VALID = {
-  service: "pages",
-  address: "127.0.0.1:9",
-  zone: "hall-a",
-  version: "v1",
-  slots: 6,
-  state: "ready",
-  warmupLeftMs: 0,
-  sequence: 1,
-};
+const VALID = makeDeadEntry("pages");
 
 const ODD_ENTRIES: readonly Readonly<[string, unknown]>[] = [
   ["an unknown state", { ...VALID, state: "sleeping" }],
--- a/apps/box/src/unsendableCalls.test.ts
+++ b/apps/box/src/unsendableCalls.test.ts
@@ -7,6 +7,7 @@
 import {
   ask,
   closers,
+  makeDeadEntry,
   makeGeneration,
   startBox,
   startSite,
@@ -23,18 +24,6 @@
   ["a delete character", "a\u007f"],
 ] as const;
 
-/** Entry of a server at whose address nothing listens. */
-const makeEntry = (service: string) => ({
-  service,
-  address: "127.0.0.1:9",
-  zone: "hall-a",
-  version: "v1",
-  slots: 6,
-  state: "ready",
-  warmupLeftMs: 0,
-  sequence: 1,
-});
-
 const errors: unknown[] = [];
 const recordError = (error: unknown) => void errors.push(error);
 afterEach(() => {
@@ -47,8 +36,8 @@
   const site = await startUsersSite({ engines: 1, services: 1 });
   closers.push(site.close);
   site.putConfiguration();
-  site.putRawEntry(key, makeEntry("pages"));
-  site.putRawEntry(`${key}-engine`, makeEntry("writers"));
+  site.putRawEntry(key, makeDeadEntry("pages"));
+  site.putRawEntry(`${key}-engine`, makeDeadEntry("writers"));
   const fleet =
     count === 1
       ? [await startBox(site.store.address, "box-1", { isKeyRemovalStrict: false })]
