--- a/deploy/build.js
+++ b/deploy/build.js
@@ -6,7 +6,7 @@
 import { spawnSync } from "node:child_process";
 import { readFileSync, writeFileSync } from "node:fs";
 import { createRequire } from "node:module";
-import { dirname, join, resolve } from "node:path";
+import { resolve } from "node:path";
 import { runInThisContext, Script } from "node:vm";
 import { build } from "esbuild";
 
@@ -38,10 +38,6 @@
   },
 };
 
-// Each workspace has its own copy of the library, all of one version; a start would read three of them.
-const requireFromSettings = createRequire(resolve("packages/settings/package.json"));
-const zod = join(dirname(requireFromSettings.resolve("zod/package.json")), "index.js");
-
 await build({
   entryPoints: ["apps/box/src/main.ts"],
   outfile: BUNDLE,
@@ -49,7 +45,6 @@
   platform: "node",
   target: "node20",
   format: "cjs",
-  alias: { zod },
   conditions: ["@stairgauge/source"],
   minify: true,
   plugins: [englishOnly, smallLibraries],
