fix: urgent requests aren't held back behind a hundred others on a link

Cause: bounds the calls on a connection to 100. Each request that waits for a place is one at the box that admits it, and under that load 113 to 118 are open on one link. The library holds the further ones back at the asking box, first come first served, so that the admitting box can't know them, nor how urgent they are.

A test of the links, 150 questions that wait and one that need not, failed before (no answer in 10 s).

Change: the bound follows the machine, a quarter of its descriptors, as the bound of all calls is half of them: more requests can't wait at the box that asks.

--- a/apps/box/src/createPeers.ts
+++ b/apps/box/src/createPeers.ts
@@ -154,6 +154,7 @@
     limits: {
       maxConnections: computePeerConnections(settings.limits.descriptors),
       maxCalls: settings.limits.descriptors / 2,
+      maxCallsOfConnection: Math.floor(settings.limits.descriptors / 4),
       maxUnreadBytes: computeSettingsLimits(settings).unread,
     },
     onLimit: createConnectionReports("peers", options).onLimit,
--- a/packages/peers/src/peerConnections.test.ts
+++ b/packages/peers/src/peerConnections.test.ts
@@ -13,7 +13,12 @@
   const clock = createVirtualClock();
   const connections = createPeerConnections({
     clock,
-    limits: { maxConnections, maxCalls: 10, maxUnreadBytes: 1_000 },
+    limits: {
+      maxConnections,
+      maxCalls: 10,
+      maxCallsOfConnection: 10,
+      maxUnreadBytes: 1_000,
+    },
     onLimit: (limit) => reported.push(limit),
   });
   const add = (peer: string) =>
--- a/packages/peers/src/peerConnections.ts
+++ b/packages/peers/src/peerConnections.ts
@@ -13,6 +13,11 @@
    * them is ended, and those without a valid message on a call.
    */
   maxCalls: number;
+  /**
+   * Largest number of open calls on a connection; the other box holds further ones back, in the order of their arrival
+   * and so without regard to their urgency.
+   */
+  maxCallsOfConnection: number;
   /** Most bytes of messages that wait to be read by other boxes; beyond it, connections that hold some longest are ended. */
   maxUnreadBytes: number;
 }>;
--- a/packages/peers/src/peerServer.ts
+++ b/packages/peers/src/peerServer.ts
@@ -71,12 +71,6 @@
 
 type UpdateStream = ServerDuplexStream<RunUpdate, HubNotice>;
 
-/**
- * Calls that one box may have open at once; its side holds further ones back. A call costs some 20 kB, and all
- * connections together may begin as many in one turn of the event loop.
- */
-const MAX_STREAMS = 100;
-
 /** Memory of one connection in MB, beyond which it gets no further call; a few of the largest answers. */
 const MAX_SESSION_MB = 8;
 
@@ -89,7 +83,6 @@
   "grpc.keepalive_timeout_ms": 1_500,
   // Nothing reads the library's own statistics, which cost a listener and several objects per connection and call.
   "grpc.enable_channelz": 0,
-  "grpc.max_concurrent_streams": MAX_STREAMS,
   "grpc-node.max_session_memory": MAX_SESSION_MB,
 } as const;
 
@@ -105,7 +98,11 @@
     connections,
     countEncoded: () => encodedBytes,
   });
-  const server = new Server({ ...SERVER_OPTIONS, interceptors: [observeCall] });
+  const server = new Server({
+    ...SERVER_OPTIONS,
+    "grpc.max_concurrent_streams": options.limits.maxCallsOfConnection,
+    interceptors: [observeCall],
+  });
   const listener = createPeerListener(server, connections);
   /** The current stream of each box; a box that reconnects opens another one. */
   const streams = new Map<BoxName, UpdateStream>();
--- a/packages/peers/src/peers.test.ts
+++ b/packages/peers/src/peers.test.ts
@@ -86,6 +86,9 @@
 
 const MAX_SILENCE = 1_000 as Ms;
 
+/** Calls that may be open at a server, and twice as many as on one connection to it. */
+const MAX_CALLS = 400;
+
 const cleanups: (() => void)[] = [];
 afterEach(() => {
   for (const close of cleanups.splice(0)) close();
@@ -158,7 +161,12 @@
     },
     onMessage: (message) => messages.push(message),
     clock: createSystemClock(),
-    limits: { maxConnections: 100, maxCalls: 100, maxUnreadBytes: 1_000_000 },
+    limits: {
+      maxConnections: 100,
+      maxCalls: MAX_CALLS,
+      maxCallsOfConnection: MAX_CALLS / 2,
+      maxUnreadBytes: 1_000_000,
+    },
     onLimit: () => undefined,
   });
   const port = await server.listen({ host: "127.0.0.1", port: 0 });
@@ -368,7 +376,7 @@
     const { signal } = new AbortController();
     const asked = makeQuestion({ kind: "if_room" });
     const places = await Promise.all(
-      Array.from({ length: 300 }, () =>
+      Array.from({ length: 3 * MAX_CALLS }, () =>
         local.links.askPlace(remote.peer.box, asked, signal),
       ),
     );
@@ -376,6 +384,31 @@
     expect(remote.lost).toEqual([]);
   });
 
+  // Guards against urgent requests that are held back behind others that wait at the box that admits them.
+  it("receive an answer while many others of their questions wait for a place", async () => {
+    const remote = await openServer();
+    const local = openReporter();
+    local.links.setPeers([remote.peer]);
+    await waitFor(() => local.links.listConnected().length === 1);
+    const left = new AbortController();
+    const { signal } = left;
+    const waiting = Array.from({ length: 150 }, () =>
+      local.links.askPlace(
+        remote.peer.box,
+        makeQuestion({ kind: "within", wait: 60_000 as Ms }),
+        signal,
+      ),
+    );
+    const place = await local.links.askPlace(
+      remote.peer.box,
+      makeQuestion({ kind: "if_room" }),
+      signal,
+    );
+    expect(place.val).toEqual({ kind: "no_room", memoryAfter: 1.2 });
+    left.abort();
+    await Promise.all(waiting);
+  });
+
   it("receive its answers to questions for a place and for moves", async () => {
     const remote = await openServer();
     const local = openReporter();
--- a/packages/peers/src/throwingAnswers.test.ts
+++ b/packages/peers/src/throwingAnswers.test.ts
@@ -32,7 +32,12 @@
     answerCarry: failToAnswer,
     onMessage: () => undefined,
     clock: createSystemClock(),
-    limits: { maxConnections: 10, maxCalls: 10, maxUnreadBytes: 1_000 },
+    limits: {
+      maxConnections: 10,
+      maxCalls: 10,
+      maxCallsOfConnection: 10,
+      maxUnreadBytes: 1_000,
+    },
     onLimit: () => undefined,
   });
   const port = await server.listen({ host: "127.0.0.1", port: 0 });
