fix: the ends of carried requests no longer end the link with all others on it

A box that has lost its paths got 502 answer_lost, all at once, for requests that another box carried at that moment, and streams were broken off; both boxes, their servers and the network were sound.

The asking box cancels its call when it has the last frame of a carried request, although the carrier ends the call itself behind that frame. Where the end is not read together with the frame, each carried request so resets an HTTP/2 stream. The carrier's HTTP/2 library (Node 20, nghttp2) takes more than 1,000 resets beyond 33 a second for an attack and ends the connection with code 2, and every call on it: carried requests, questions, updates.

A call whose last frame has come is left to its own end; it is only resumed, as a paused one would never read it. Calls before their last frame are cancelled as before, since the carrier has to stop what it runs.

--- a/packages/peers/src/carryCall.ts
+++ b/packages/peers/src/carryCall.ts
@@ -6,6 +6,7 @@
   type ServerWritableStream,
   type ServiceError,
 } from "@grpc/grpc-js";
+import { assertNever } from "@stairgauge/common";
 import type {
   AnswerCarry,
   CarriedHandlers,
@@ -17,6 +18,23 @@
 } from "@stairgauge/paths";
 import type { PeerService } from "./service.js";
 
+/** Whether nothing of the call follows but its own end. */
+const isLast = (frame: CarryFrame): boolean => {
+  switch (frame.kind) {
+    case "connected":
+    case "head":
+    case "data":
+      return false;
+    case "refused":
+    case "unreached":
+    case "ended":
+    case "failed":
+      return true;
+    default:
+      return assertNever(frame);
+  }
+};
+
 /** Asks the box behind the client to carry the request. */
 export const callCarry = (
   client: Client,
@@ -24,6 +42,7 @@
   { question, sink }: Readonly<{ question: CarryQuestion; sink: CarrySink }>,
 ): CarryCall => {
   let isOver = false;
+  let isComplete = false;
   const finish = (detail: string | undefined) => {
     if (isOver) return;
     isOver = true;
@@ -36,6 +55,7 @@
     question,
   );
   stream.on("data", (frame: CarryFrame) => {
+    isComplete ||= isLast(frame);
     if (!isOver) sink.onFrame(frame);
   });
   stream.on("error", (error: ServiceError) => {
@@ -48,7 +68,9 @@
   return {
     cancel: () => {
       isOver = true;
-      stream.cancel();
+      // A reset would add nothing, and the carrier's library ends a connection with many of them.
+      if (isComplete) stream.resume();
+      else stream.cancel();
     },
     pause: () => void stream.pause(),
     resume: () => void stream.resume(),
