fix: each link between boxes has a connection of its own

A link that was opened anew, since its connection no longer brought answers, got the same connection again if anything else in its process still had it. All boxes of a test, which run in one process, shared one connection to each of them, and with it the 100 calls that one box may have open, the limit on cancelled calls, and its end.

Cause: the gRPC library keeps the connections of a process in one pool by address. With a pool for each link there is one connection each.

The test failed: 1 connection instead of 2 for two boxes.

--- a/packages/peers/src/peerLink.ts
+++ b/packages/peers/src/peerLink.ts
@@ -44,6 +44,8 @@
   "grpc.initial_reconnect_backoff_ms": 200,
   "grpc.max_reconnect_backoff_ms": 2_000,
   "grpc.enable_retries": 0,
+  // Links to the same address would share a connection, its limits and its end.
+  "grpc.use_local_subchannel_pool": 1,
   // Nothing reads the library's own statistics, which cost several objects per connection and call.
   "grpc.enable_channelz": 0,
 } as const;
--- a/packages/peers/src/peers.test.ts
+++ b/packages/peers/src/peers.test.ts
@@ -176,6 +176,7 @@
     lost,
     notify: server.notify,
     notifyAll: server.notifyAll,
+    countConnections: server.countConnections,
     crashes,
     limits,
     leaving,
@@ -585,6 +586,37 @@
   });
 });
 
+/** Guards against boxes of one process that share a connection, its limits and its end, as those of tests do. */
+describe("boxes that run in one process", () => {
+  it("have a connection each, and a new one if they open their links anew", async () => {
+    const remote = await openServer();
+    const locals = [openReporter(), openReporter()];
+    for (const { links } of locals) links.setPeers([remote.peer]);
+    const hasLinks = () =>
+      locals.every(({ links }) => links.listConnected().length === 1);
+    await waitFor(hasLinks);
+    expect(remote.countConnections()).toBe(2);
+    const [, other] = locals;
+    let lost = 0;
+    other!.links.carriers.call(
+      remote.peer.box,
+      {
+        server,
+        isNewWork: true,
+        method: "GET",
+        target: "/held",
+        headers: [],
+        body: Buffer.of(),
+      },
+      { onFrame: () => undefined, onEnd: () => (lost += 1) },
+    );
+    await waitFor(() => remote.carried.length === 1);
+    other!.links.reopen(remote.peer.box);
+    await waitFor(hasLinks);
+    expect([remote.countConnections(), lost]).toEqual([3, 0]);
+  });
+});
+
 describe("boxes known by address only", () => {
   it("stay linked until the list of boxes names others", async () => {
     const remote = await openServer();
