fix: calls that are given up no longer end the link with all others on it

A link between two boxes ended, and every request that was carried on it and every question with it, while more than 33 calls a second were given up on it for some time: questions whose time limit passed or whose client left, carried requests whose client left.

Each of them resets an HTTP/2 stream, and the HTTP/2 library of the asked box (Node 20, nghttp2, without an option for it) takes more than 1,000 resets beyond 33 a second for an attack and ends the connection with code 2.

--- a/packages/peers/src/carrierLinks.ts
+++ b/packages/peers/src/carrierLinks.ts
@@ -8,7 +8,7 @@
 import type { CallCarrier } from "@stairgauge/paths";
 import { callCarry } from "./carryCall.js";
 import { hasHubs } from "./hubs.js";
-import { LINK_OPTIONS } from "./peerLink.js";
+import { createLinkOptions } from "./peerLink.js";
 import { rankByHash, sortByHallsInTurn } from "./rankStoreReaders.js";
 import type { PeerService } from "./service.js";
 import type { Member, Peer } from "./types.js";
@@ -70,7 +70,11 @@
       return known.client;
     }
     closeChannel(box);
-    const client = new Client(address, credentials.createInsecure(), LINK_OPTIONS);
+    const client = new Client(
+      address,
+      credentials.createInsecure(),
+      createLinkOptions(clock),
+    );
     channels.set(box, { address, client, idle: scheduleClose(box) });
     return client;
   };
--- a/packages/peers/src/peerLink.ts
+++ b/packages/peers/src/peerLink.ts
@@ -6,6 +6,7 @@
   type ClientDuplexStream,
 } from "@grpc/grpc-js";
 import type { BoxName, Clock, Ms, Random, Timer } from "@stairgauge/common";
+import { createCancelInterceptor } from "./callResets.js";
 import type { PeerService } from "./service.js";
 import { createTableStream, type TableStream } from "./tableStream.js";
 import type { HubNotice, Peer, RunUpdate } from "./types.js";
@@ -38,7 +39,7 @@
 const MAX_PAUSE_MS = 5_000;
 
 /** An idle link is probed this often, so that a half-open connection is detected. */
-export const LINK_OPTIONS = {
+const LINK_OPTIONS = {
   "grpc.keepalive_time_ms": 5_000,
   "grpc.keepalive_timeout_ms": 1_500,
   "grpc.initial_reconnect_backoff_ms": 200,
@@ -50,6 +51,12 @@
   "grpc.enable_channelz": 0,
 } as const;
 
+/** Creates the options of one link. */
+export const createLinkOptions = (clock: Clock) => ({
+  ...LINK_OPTIONS,
+  interceptors: [createCancelInterceptor(clock)],
+});
+
 /** Bytes that may be buffered for a slow peer before its stream is cancelled and opened anew. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
 
@@ -61,7 +68,7 @@
   const client = new Client(
     `${host}:${port}`,
     credentials.createInsecure(),
-    LINK_OPTIONS,
+    createLinkOptions(clock),
   );
   const tables = createTableStream({ clock, client, service: options.service });
   let stream: ClientDuplexStream<RunUpdate, HubNotice> | undefined;
--- a/packages/peers/src/unaryCall.ts
+++ b/packages/peers/src/unaryCall.ts
@@ -33,7 +33,12 @@
         else resolve(Err({ kind: "failed", detail: error?.details ?? "no answer" }));
       },
     );
-    signal.addEventListener("abort", () => call.cancel(), { once: true });
+    const cancel = () => {
+      // The call itself may end later.
+      resolve(Err({ kind: "failed", detail: "cancelled" }));
+      call.cancel();
+    };
+    signal.addEventListener("abort", cancel, { once: true });
   }).catch((error: unknown) =>
     Err({
       kind: "failed",
