fix: updates and table questions for a box that reads none are bounded as meant

A box that answers pings, but reads none of another one's updates, cost that one the memory of 262,144 updates, and of 65,536 questions about tables, before their stream was cancelled; 262,144 with 100 server names each are far more than a box has.

Cause: the bounds were in bytes, but streams of messages count messages. They are numbers of messages now: 1,024 updates, as for notices in the other direction, and 640 questions, which is what 64 kB held at 100 bytes each.

The bound on questions has no test of its own.

--- a/packages/peers/src/peerLink.test.ts
+++ b/packages/peers/src/peerLink.test.ts
@@ -1,16 +1,27 @@
-/** Guards against a link whose stream is never opened, or stays open without the state, because that could not be made once. */
-import { expect, it } from "vitest";
+/**
+ * Guards against a link whose stream is never opened, or stays open without the state, because that could not be made once;
+ * and against updates that fill the memory while the other box reads none.
+ */
+import { Server, ServerCredentials } from "@grpc/grpc-js";
+import { afterEach, expect, it } from "vitest";
 import {
   collectRejections,
   createSeededRandom,
+  createSystemClock,
   createVirtualClock,
   type BoxName,
   type Ms,
 } from "@stairgauge/common";
+import type { ServerId } from "@stairgauge/directory";
 import { makeRunUpdate } from "./makeRunUpdate.js";
 import { openPeerLink, type PeerLink } from "./peerLink.js";
 import { createPeerService } from "./service.js";
 
+const closers: (() => void)[] = [];
+afterEach(() => {
+  for (const close of closers.splice(0)) close();
+});
+
 it("a link opens its stream later if the state to be sent first can't be made, and passes the error on", async () => {
   const clock = createVirtualClock();
   const own = "box-1" as BoxName;
@@ -45,3 +56,46 @@
   expect(tries).toBe(3);
   expect(errors).toEqual([new Error("odd"), new Error("odd")]);
 });
+
+it("a link opens its stream anew if the other box reads none of thousands of updates", async () => {
+  const service = createPeerService(() => undefined);
+  let streams = 0;
+  const server = new Server();
+  server.addService(
+    { reportRuns: service.reportRuns },
+    { reportRuns: () => (streams += 1) },
+  );
+  const port = await new Promise<number>((resolve) =>
+    server.bindAsync("127.0.0.1:0", ServerCredentials.createInsecure(), (_, bound) =>
+      resolve(bound),
+    ),
+  );
+  const own = "box-1" as BoxName;
+  const link = openPeerLink(
+    {
+      box: "box-2" as BoxName,
+      address: { host: "127.0.0.1", port },
+      capacity: 1,
+      dataHall: undefined,
+    },
+    {
+      clock: createSystemClock(),
+      random: createSeededRandom(1),
+      service,
+      makeWhole: () => makeRunUpdate(own, { isWhole: true }),
+      onNotice: () => undefined,
+    },
+  );
+  const update = makeRunUpdate(own, {
+    broken: Array.from({ length: 100 }, (_, i) => `server-${i}` as ServerId),
+  });
+  /** The test's own time limit ends it. */
+  const waitForStreams = async (count: number) => {
+    while (streams < count) await new Promise((resolve) => setTimeout(resolve, 10));
+  };
+  closers.push(link.close, server.forceShutdown.bind(server));
+  await waitForStreams(1);
+  for (let i = 0; i < 3_000; i += 1) link.write(update);
+  await waitForStreams(2);
+  expect(streams).toBe(2);
+});
--- a/packages/peers/src/peerLink.ts
+++ b/packages/peers/src/peerLink.ts
@@ -57,8 +57,8 @@
   interceptors: [createCancelInterceptor(clock)],
 });
 
-/** Bytes that may be buffered for a slow peer before its stream is cancelled and opened anew. */
-const MAX_BUFFERED_BYTES = 256 * 1024;
+/** Updates that may wait for a slow peer before its stream is cancelled and opened anew: some seconds of a busy box. */
+const MAX_WAITING_UPDATES = 1_024;
 
 /** Opens a link. Whenever its stream ends, it is opened anew and begins with the whole state. */
 export const openPeerLink = (peer: Peer, options: PeerLinkOptions): PeerLink => {
@@ -124,7 +124,8 @@
       client.getChannel().getConnectivityState(false) === connectivityState.READY,
     write: (update) => {
       if (!stream) return;
-      if (stream.writableLength > MAX_BUFFERED_BYTES) stream.cancel();
+      // The stream counts messages, not bytes.
+      if (stream.writableLength > MAX_WAITING_UPDATES) stream.cancel();
       else stream.write(update);
     },
     close: () => {
--- a/packages/peers/src/tableStream.ts
+++ b/packages/peers/src/tableStream.ts
@@ -30,8 +30,8 @@
 /** A box of an earlier release is asked by unary calls for this long: it may be replaced at the same address. */
 const UNARY_ONLY_MS = 30_000;
 
-/** Bytes that may be buffered for a slow box before its stream is cancelled; a question takes about 100. */
-const MAX_BUFFERED_BYTES = 64 * 1024;
+/** Questions and their cancellations that may wait for a slow box before its stream is cancelled. */
+const MAX_WAITING_CALLS = 640;
 
 const fail = (detail: string) => Err({ kind: "failed", detail } as const);
 
@@ -82,7 +82,8 @@
   const attemptWrite = (call: TableCall): Result<void, AskFailure> => {
     try {
       stream ??= openStream();
-      if (stream.writableLength > MAX_BUFFERED_BYTES) stream.cancel();
+      // The stream counts messages, not bytes.
+      if (stream.writableLength > MAX_WAITING_CALLS) stream.cancel();
       else stream.write(call);
       return Ok(undefined);
     } catch (error) {
