fix: a second of long turns no longer has a box close a thousand connections it would read

Callers of a burst saw their connections closed unread by a box that would have read them in time: of 2,000 at once at one box, whose callers wait 30 s, 868, 531 and 774 (three trials beside five or six busy processes on 8 cores), all for the reason out_of_reach, none for no_room or waited_too_long.

Cause: the time that one reading takes was the mean of the last eight turns, by wall clock, at most 50 ms each, and was multiplied by all connections that waited. Turns were 2 to 14 ms (mean about 5); then three or four in a row took 69, 241, 356 and 101 ms, as the events of streams that began together came together and the process got 0.4 to 0.6 of a processor. That made the mean 17 to 25 ms, 28 s for 1,590 connections at a limit of 27.7 s. Over the whole burst a reading took 9.9 ms.

Now the mean goes over an eighth as many readings as connections wait, and over eight at least, as before. So what is predicted from is in proportion to what is predicted; for the few connections that a box with impatient callers keeps waiting nothing changes.

--- a/packages/saturation/src/constants.ts
+++ b/packages/saturation/src/constants.ts
@@ -65,6 +65,12 @@
 /** Readings before their mean tells how long one takes. The first ones of a process run code that is not compiled yet. */
 export const MIN_READINGS = 8;
 
+/**
+ * Readings of that mean, as a share of the connections that wait. A second of long turns, as when the events of many streams
+ * arrive together, says little of what a thousand further readings take; where few wait, it is most of their time.
+ */
+export const MEASURED_SHARE = 1 / 8;
+
 /**
  * Time for which the connections that wait may become more without being a lack of processor time. Callers give a
  * connection a second to come up, so those of one burst have been accepted or given up by then.
--- a/packages/saturation/src/createArrivals.test.ts
+++ b/packages/saturation/src/createArrivals.test.ts
@@ -10,9 +10,19 @@
 
 type LoopOptions = Readonly<{ isBusy?: boolean; limit?: Ms | undefined }>;
 
-/** Simulates an event loop that accepts one connection a turn and takes its time to read from one. */
+/**
+ * Turns in ms, as a box beside busy processes took them: the events of streams that began together arrive together, and
+ * the machine gives the box half of a processor.
+ */
+const ORDINARY_TURNS_MS = [4, 6, 2, 8, 6, 2, 2, 6, 2, 7, 5, 5, 12, 2, 6, 7, 6, 2, 11, 14];
+const LONG_TURNS_MS = [69, 241, 356, 101, 34, 13, 7, 54];
+
+/**
+ * Simulates an event loop that accepts one connection a turn and takes its time to read from one: always the same, or by
+ * how many it has read from before.
+ */
 const createSimulatedLoop = (
-  readingTime: Ms,
+  readingTime: Ms | ((readBefore: number) => number),
   { isBusy = true, ...options }: LoopOptions = {},
 ) => {
   const limit = "limit" in options ? options.limit : LIMIT;
@@ -20,6 +30,7 @@
   const inKernel: { arrivedAt: number }[] = [];
   const ends: { end: "read" | UnreadReason; waited: number }[] = [];
   let runAtTurnEnd: (() => void) | undefined;
+  let readBefore = 0;
 
   const recordEnd = (end: "read" | UnreadReason, { arrivedAt }: { arrivedAt: number }) =>
     ends.push({ end, waited: clock.monotonic() - arrivedAt });
@@ -32,7 +43,10 @@
     getUnreadLimit: () => limit,
     startReading: (connection) => {
       recordEnd("read", connection);
-      clock.advance(readingTime);
+      const time =
+        typeof readingTime === "number" ? readingTime : readingTime(readBefore);
+      readBefore += 1;
+      clock.advance(time as Ms);
     },
     closeUnread: (connection, reason) => recordEnd(reason, connection),
   });
@@ -56,6 +70,12 @@
   };
 };
 
+const countBy = (ends: readonly { end: string }[]) => {
+  const counts: Record<string, number> = {};
+  for (const { end } of ends) counts[end] = (counts[end] ?? 0) + 1;
+  return counts;
+};
+
 describe("createArrivals", () => {
   it("leaves no client without an end for long, however many come at once and however long their requests take (property)", () => {
     const inputs = fc.record({
@@ -112,6 +132,36 @@
     );
   });
 
+  // Guards against a second of long turns that is taken for what each of 1,600 readings will cost.
+  it("closes nobody out of 2,000 for a few long turns if it reads all in time", () => {
+    const ordinary = Array.from({ length: 8 }, () => ORDINARY_TURNS_MS).flat();
+    const turns = [...ordinary, ...LONG_TURNS_MS];
+    const loop = createSimulatedLoop((i) => turns[i % turns.length]!, {
+      limit: 27_700 as Ms,
+    });
+    loop.connectClients(2_000);
+    for (let turn = 0; turn < 4_002; turn += 1) loop.runTurn();
+    expect(countBy(loop.ends)).toEqual({ read: 2_000 });
+    expect(Math.max(...loop.ends.map(({ waited }) => waited))).toBeLessThan(27_700);
+  });
+
+  it("closes those of a large burst that it won't reach soon after its turns have become long for good", () => {
+    const fast = 400;
+    const loop = createSimulatedLoop((i) => (i < fast ? 5 : 40), {
+      limit: 27_700 as Ms,
+    });
+    loop.connectClients(2_000);
+    for (let turn = 0; turn < 4_002; turn += 1) loop.runTurn();
+    expect(loop.ends).toHaveLength(2_000);
+    const closed = loop.ends.filter(({ end }) => end !== "read");
+    expect(countBy(closed)).toEqual({ out_of_reach: closed.length });
+    expect(closed.length).toBeGreaterThan(2_000 - fast - 27_700 / 40);
+    // Most callers have two thirds of their time left for another box, and all of them some.
+    const closedWaits = closed.map(({ waited }) => waited).toSorted((a, b) => a - b);
+    expect(closedWaits[closedWaits.length >> 1]).toBeLessThan(27_700 / 3);
+    expect(closedWaits.at(-1)).toBeLessThan(27_700 * 0.75);
+  });
+
   it("closes nobody while nobody knows how long callers wait", () => {
     const loop = createSimulatedLoop(20 as Ms, { limit: undefined });
     loop.connectClients(500);
--- a/packages/saturation/src/createArrivals.ts
+++ b/packages/saturation/src/createArrivals.ts
@@ -8,6 +8,7 @@
 import {
   MAX_ACCEPTING_TURNS,
   MAX_COUNTED_TURN_MS,
+  MEASURED_SHARE,
   MIN_READINGS,
   MIN_UNREAD_MS,
 } from "./constants.js";
@@ -39,13 +40,14 @@
 
 type Arrival<Connection> = Readonly<{ connection: Connection; arrivedAt: number }>;
 
-/** Measures how long it takes to read from a connection. */
+/** Measures how long it takes to read from a connection, over the more readings the more connections wait for theirs. */
 const createReadingMeter = () => {
   let mean = 0;
   let readings = 0;
   return {
-    record: (time: number) => {
-      readings = Math.min(readings + 1, MIN_READINGS);
+    record: (time: number, waiting: number) => {
+      const measured = Math.max(MIN_READINGS, waiting * MEASURED_SHARE);
+      readings = Math.min(readings + 1, measured);
       mean += (time - mean) / readings;
     },
     getTime: () => (readings < MIN_READINGS ? undefined : mean),
@@ -76,7 +78,7 @@
     const time = Math.min(now - turnEndedAt, MAX_COUNTED_TURN_MS);
     waited += time;
     turnEndedAt = now;
-    if (hasRead) readingMeter.record(time);
+    if (hasRead) readingMeter.record(time, waiting.length);
     hasRead = false;
   };
   const closeOutOfReach = () => {
