test: the port of a stand-in that has ended is given to no other

Cause, as far as it can be shown without that run's records: a box of another test goes on asking an engine that has ended for its report, about every 50 ms, and the system gives the engine's port to a server of this test, which records GET /report as a request of its own.

Ruled out: reads of the store that time out.

Stand-ins that listen at any free port now reserve it until their process ends, as those that restart do. A connection that is bound to the port keeps it, whether or not anybody listens. It doesn't delay the end of a process.

Not covered: servers that tests start without listenOnLoopback, stand-ins whose whole process ends, and other programs on the machine. What oddRows asserts is unchanged.

--- a/packages/standins/src/usersPlatform/loopback.ts
+++ b/packages/standins/src/usersPlatform/loopback.ts
@@ -2,7 +2,8 @@
 import { once } from "node:events";
 import { Server as HttpServer } from "node:http";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { AddressInfo, Server } from "node:net";
+import type { Server } from "node:net";
+import { LOOPBACK, reservePort } from "./reservePort.js";
 
 /** A server that listens on loopback. */
 export type Listening = Readonly<{
@@ -11,8 +12,6 @@
   close: () => void;
 }>;
 
-export const LOOPBACK = "127.0.0.1";
-
 /** A port that was given up may be taken for a moment by a connection of any process of the machine. */
 const RETRY_MS = 50;
 const MAX_TRIES = 200;
@@ -36,13 +35,16 @@
 /** Health check path of every stand-in server; the answer names the server's instance id. */
 export const HEALTH_PATH = "/healthz";
 
-/** Listens on the given loopback port, or on any free one if it is 0. */
+/**
+ * Listens on the given loopback port, or on any free one if it is 0. That one is given to nobody else while this process lives: boxes go
+ * on calling a server that has ended, and a server of another test at its port would record their calls as its own.
+ */
 export const listenOnLoopback = async (
   server: Server,
   atPort = 0,
 ): Promise<Listening> => {
-  await listenOnceFree(server, atPort);
-  const { port } = server.address() as AddressInfo;
+  const port = atPort === 0 ? (await reservePort()).port : atPort;
+  await listenOnceFree(server, port);
   return {
     address: `${LOOPBACK}:${port}`,
     close: () => {
--- a/packages/standins/src/usersPlatform/reservePort.test.ts
+++ b/packages/standins/src/usersPlatform/reservePort.test.ts
@@ -2,8 +2,8 @@
 import { once } from "node:events";
 import { connect, createServer } from "node:net";
 import { expect, it } from "vitest";
-import { listenOnLoopback, LOOPBACK } from "./loopback.js";
-import { reservePort } from "./reservePort.js";
+import { listenOnLoopback } from "./loopback.js";
+import { LOOPBACK, reservePort } from "./reservePort.js";
 
 const attempt = async (port: number): Promise<string> => {
   const socket = connect(port, LOOPBACK);
--- a/packages/standins/src/usersPlatform/sendRequests.ts
+++ b/packages/standins/src/usersPlatform/sendRequests.ts
@@ -1,7 +1,7 @@
 /** Sends requests to a box, as clients of the stand-in site do. */
 import { request } from "node:http";
 import { HEADER } from "@stairgauge/platform";
-import { LOOPBACK } from "./loopback.js";
+import { LOOPBACK } from "./reservePort.js";
 import { SITE_HOST, SITE_KEY } from "./usersSite.js";
 
 const SUCCESS = 200;
--- a/packages/standins/src/usersPlatform/usersEngine.ts
+++ b/packages/standins/src/usersPlatform/usersEngine.ts
@@ -125,7 +125,6 @@
       while (reports.length > 1 && reports[1]!.at <= now - traits.reportLagMs)
         reports.shift();
     };
-    const timer = setInterval(step, traits.stepMs);
 
     const startRun = (incoming: IncomingMessage, response: ServerResponse) => {
       const headers = incoming.headers;
@@ -221,6 +220,7 @@
     const listening = await listenOnLoopback(server);
     const { address } = listening;
     capacityChecks.set(address, hasCapacity);
+    const timer = setInterval(step, traits.stepMs);
     const close = () => {
       isClosed = true;
       clearInterval(timer);
