refactor: the wait for a port in use is in packages/common

apps/daemon needs it as well. The log is given by its two functions, and the listener's name is any text; nothing else changed.

--- a/apps/box/src/awaitSettings.ts
+++ b/apps/box/src/awaitSettings.ts
@@ -1,12 +1,18 @@
 /** Reads the settings of a box that starts, and waits for those that are being written. */
 import { readFileSync } from "node:fs";
-import { Err, Ok, type Clock, type Ms, type Result } from "@stairgauge/common";
+import {
+  Err,
+  Ok,
+  START_LIMIT_MS,
+  type Clock,
+  type Ms,
+  type Result,
+} from "@stairgauge/common";
 import {
   formatSettingsFailure,
   parseBoxSettings,
   type BoxSettings,
 } from "@stairgauge/settings";
-import { START_LIMIT_MS } from "./startLimit.js";
 
 const RETRY_MS = 100 as Ms;
 
--- a/apps/box/src/createLifecycle.ts
+++ b/apps/box/src/createLifecycle.ts
@@ -1,5 +1,11 @@
 /** Starts and stops a box: its listeners, and the parts that work on their own. */
-import { toHostAndPort, type Clock, type Ms } from "@stairgauge/common";
+import {
+  listenWhenFree,
+  START_LIMIT_MS,
+  toHostAndPort,
+  type Clock,
+  type Ms,
+} from "@stairgauge/common";
 import type { BlockedList } from "@stairgauge/crashes";
 import type { ReportPoller } from "@stairgauge/fleet";
 import type { ActiveRuns, ClientServer, Forwarder } from "@stairgauge/forwarding";
@@ -12,10 +18,8 @@
 import type { FollowedTables } from "./createFollowedTables.js";
 import type { Pace } from "./createPace.js";
 import type { Paths } from "./createPaths.js";
-import { listenWhenFree } from "./listenWhenFree.js";
 import type { PeerAddress } from "./peerAddress.js";
 import { createMetricsServer, createReadyServer } from "./smallServers.js";
-import { START_LIMIT_MS } from "./startLimit.js";
 import { stopInOrder } from "./stopInOrder.js";
 
 /** Ports that a started box listens on. */
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -15,6 +15,8 @@
 export { waitFor, waitForLimit } from "./waitFor.js";
 export { runWithin } from "./runWithin.js";
 export { listenOn } from "./listenOn.js";
+export { listenWhenFree } from "./listenWhenFree.js";
+export { START_LIMIT_MS } from "./startLimit.js";
 export { connectTcp } from "./dialer.js";
 export type { Dialer } from "./dialer.js";
 export { advanceSettled } from "./advanceSettled.js";
--- a/apps/box/src/listenWhenFree.test.ts
+++ b/packages/common/src/listenWhenFree.test.ts
@@ -1,18 +1,20 @@
 import { describe, expect, it } from "vitest";
-import { advanceSettled, createVirtualClock, type Ms } from "@stairgauge/common";
-import { createLineLog } from "./lineLog.testkit.js";
+import { advanceSettled } from "./advanceSettled.js";
 import { listenWhenFree } from "./listenWhenFree.js";
+import type { Ms } from "./types.js";
+import { createVirtualClock } from "./virtualClock.js";
 
 /** Listens at an address that can't be bound until a time. */
 const setUp = (code: string, freeAt: number) => {
   const clock = createVirtualClock();
   const events: string[] = [];
+  const writeLine = (event: string) => void events.push(event);
   let isStopped = false;
   let attempts = 0;
   const begunAt = clock.monotonic();
   const result = listenWhenFree({
     clock,
-    log: createLineLog((event) => void events.push(event)),
+    log: { writeNotice: writeLine, writeWarning: writeLine },
     listener: "ready",
     address: { host: "127.0.0.1", port: 81 },
     listen: ({ port }) => {
--- a/apps/box/src/listenWhenFree.ts
+++ b/packages/common/src/listenWhenFree.ts
@@ -2,9 +2,9 @@
  * Waits for an address that is in use at the start of a box. The process before it keeps its ports until its requests have
  * ended, an outgoing connection may have got one of them, and a network interface may come up later than the box.
  */
-import type { Clock, HostAndPort, Ms } from "@stairgauge/common";
-import type { DecisionLog } from "@stairgauge/telemetry";
-import type { BoxPorts } from "./createLifecycle.js";
+import type { Clock } from "./clock.js";
+import type { HostAndPort } from "./toHostAndPort.js";
+import type { Ms } from "./types.js";
 
 /** Pause between two attempts: a restarted box serves soon after the process before it has ended. */
 const RETRY_MS = 100 as Ms;
@@ -14,10 +14,13 @@
   "EADDRNOTAVAIL",
 ]);
 
+type WriteLine = (event: string, fields: Readonly<Record<string, unknown>>) => void;
+
 export type ListenWhenFreeOptions = Readonly<{
   clock: Pick<Clock, "monotonic" | "setTimer">;
-  log: Pick<DecisionLog, "writeNotice" | "writeWarning">;
-  listener: keyof BoxPorts;
+  log: Readonly<{ writeNotice: WriteLine; writeWarning: WriteLine }>;
+  /** Its name in the log. */
+  listener: string;
   address: HostAndPort;
   listen: (address: HostAndPort) => Promise<number>;
   /** How long the address is awaited. */
