fix: the daemon waits for a port in use

The daemon ended at once with status 1 ("cannot listen", EADDRINUSE) if its port for callers or for operators was in use for a moment, by the process before it, which keeps the operators' port until its answers have ended, or by an outgoing connection.

Both ports are now awaited, each on its own, with the wait that boxes have: a minute beyond the stop time, logged once as address_in_use. While callers' port is awaited the operators' port answers, and /readyz says not_listening, since that port may be another process's. A stop meanwhile ends with 0.

--- a/apps/daemon/src/createDaemon.ts
+++ b/apps/daemon/src/createDaemon.ts
@@ -3,6 +3,8 @@
 import {
   createSystemClock,
   createSystemRandom,
+  listenWhenFree,
+  START_LIMIT_MS,
   toHostAndPort,
   type Ms,
   type Timer,
@@ -11,7 +13,7 @@
 import { createServiceRouter } from "@stairgauge/decisions";
 import { createHttpEngineClient } from "@stairgauge/engines";
 import { createAnswerRegistry, createEntryServer } from "@stairgauge/entry";
-import type { TlsIdentity } from "@stairgauge/http";
+import type { HttpServer, TlsIdentity } from "@stairgauge/http";
 import { createServerListWatcher } from "@stairgauge/membership";
 import { createHttpPlatform } from "@stairgauge/stores";
 import { createRelay } from "@stairgauge/relay";
@@ -26,6 +28,7 @@
 
 /** A box that can be started and stopped. */
 export type Daemon = Readonly<{
+  /** Waits for ports in use. Rejects if one can't be bound in time, or if the box is stopped before. */
   start: () => Promise<DaemonPorts>;
   /** Takes no new work, lets running answers finish, then closes. Called again, it hastens. */
   stop: () => Promise<void>;
@@ -57,6 +60,8 @@
   const onceGuard = createOnceGuard({ table, batcher, random, clock });
   let index: BundleIndex | undefined;
   let isStopping = false;
+  /** Whether callers are served; their port may be another process's before. */
+  let isListening = false;
   let graceTimer: Timer | undefined;
   let stopped: Promise<void> | undefined;
   let resolveBundle: () => void = () => undefined;
@@ -125,6 +130,7 @@
   });
   const findNotReadyReason = () => {
     if (isStopping) return "stopping";
+    if (!isListening) return "not_listening";
     return index ? undefined : "no_bundle";
   };
   const operatorsServer = createOperatorsServer({
@@ -166,16 +172,36 @@
     logger.info("stopped");
   };
 
+  const listen = (listener: keyof DaemonPorts, address: string, { open }: HttpServer) =>
+    listenWhenFree({
+      clock,
+      log: {
+        writeNotice: (event, fields) => logger.info(fields, event),
+        writeWarning: (event, fields) => logger.warn(fields, event),
+      },
+      listener,
+      address: toHostAndPort(address),
+      listen: ({ host, port }) => open(host, port),
+      // The process before this one may take its whole stop time.
+      limit: (START_LIMIT_MS + settings.drainGraceMs) as Ms,
+      isStopped: () => isStopping,
+    });
+
+  const listenForCallers = async () => {
+    const port = await listen("callers", settings.listen, entryServer);
+    isListening = true;
+    return port;
+  };
+
   return {
     start: async () => {
       watcher.start();
       listWatcher.start();
-      const callers = toHostAndPort(settings.listen);
-      const operators = toHostAndPort(settings.operatorsListen);
-      return {
-        callers: await entryServer.open(callers.host, callers.port),
-        operators: await operatorsServer.open(operators.host, operators.port),
-      };
+      const [callers, operators] = await Promise.all([
+        listenForCallers(),
+        listen("operators", settings.operatorsListen, operatorsServer),
+      ]);
+      return { callers, operators };
     },
     stop: () => {
       if (stopped) hasten();
--- a/apps/daemon/src/main.ts
+++ b/apps/daemon/src/main.ts
@@ -42,11 +42,16 @@
   const { level, format } = settings.log;
   const logger = createLogger({ level, format, base: { box: settings.box } });
   const daemon = createDaemon({ settings, logger, tls: readTls(settings) });
-  stopOnSignals(daemon.stop);
+  let isStopping = false;
+  stopOnSignals(() => {
+    isStopping = true;
+    return daemon.stop();
+  });
   try {
     const ports = await daemon.start();
     logger.info({ ...ports, version: VERSION }, "listening");
   } catch (error) {
+    if (isStopping) return;
     logger.error({ err: error }, "cannot listen");
     process.exit(EXIT_FAILED);
   }
--- a/apps/daemon/src/operatorsServer.ts
+++ b/apps/daemon/src/operatorsServer.ts
@@ -12,7 +12,7 @@
   metrics: Metrics;
   logger: Logger;
   /** Why the box takes no callers; undefined while it does. */
-  findNotReadyReason: () => "no_bundle" | "stopping" | undefined;
+  findNotReadyReason: () => "no_bundle" | "not_listening" | "stopping" | undefined;
   getStatus: () => Readonly<Record<string, unknown>>;
 }>;
 
--- /dev/null
+++ b/apps/daemon/src/starts.test.ts
@@ -0,0 +1,79 @@
+/** Guards against a daemon that ends because of what its start meets for a moment: a port in use, late settings, a signal. */
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { spawnProcess, type SpawnedProcess } from "@stairgauge/testkit";
+
+const MAIN = fileURLToPath(new URL("../dist/main.js", import.meta.url));
+const EXAMPLE = fileURLToPath(new URL("../../../examples/box-1.yaml", import.meta.url));
+
+const PORTS = { callers: 18_790, operators: 18_791 } as const;
+const LISTENERS = ["callers", "operators"] as const;
+
+const SETTINGS = readFileSync(EXAMPLE, "utf8")
+  .replace("127.0.0.1:8080", `127.0.0.1:${PORTS.callers}`)
+  .replace("127.0.0.1:8081", `127.0.0.1:${PORTS.operators}`)
+  // No platform; a daemon starts without one, and is not ready.
+  .replaceAll("127.0.0.1:9000", "127.0.0.1:1");
+
+let folder: string;
+let settings: string;
+const closers: (() => unknown)[] = [];
+
+beforeEach(() => {
+  folder = mkdtempSync(join(tmpdir(), "stairgauge-"));
+  closers.push(() => rmSync(folder, { recursive: true }));
+  settings = join(folder, "box.yaml");
+  writeFileSync(settings, SETTINGS);
+});
+afterEach(async () => {
+  for (const close of closers.splice(0).reverse()) await close();
+});
+
+const startDaemon = (args: readonly string[] = []): SpawnedProcess => {
+  const daemon = spawnProcess([...args, MAIN, "--settings", settings]);
+  closers.push(() => {
+    daemon.kill("SIGKILL");
+    return daemon.waitForExit();
+  });
+  return daemon;
+};
+
+const takePort = (port: number) =>
+  new Promise<() => void>((resolve, reject) => {
+    const server = createServer();
+    const releasePort = () => void server.close();
+    closers.push(releasePort);
+    server.once("error", reject);
+    server.listen(port, "127.0.0.1", () => resolve(releasePort));
+  });
+
+describe("a port in use", () => {
+  it.each(LISTENERS)("is awaited by the listener for %s", async (listener) => {
+    const releasePort = await takePort(PORTS[listener]);
+    const daemon = startDaemon();
+    await daemon.waitForLine(new RegExp(`"listener":"${listener}".*"address_in_use"`));
+    releasePort();
+    await daemon.waitForLine(/"listening"/);
+  });
+
+  // Guards against callers who are sent to the process that holds the port, as this one is said to be ready.
+  it("of callers lets operators see that the daemon is not ready", async () => {
+    await takePort(PORTS.callers);
+    await startDaemon().waitForLine(/"address_in_use"/);
+    const answer = await fetch(`http://127.0.0.1:${PORTS.operators}/readyz`);
+    expect(answer.status).toBe(503);
+    expect(await answer.json()).toMatchObject({ reason: "not_listening" });
+  });
+
+  it.each(LISTENERS)("for %s does not make a stop a failure", async (listener) => {
+    await takePort(PORTS[listener]);
+    const daemon = startDaemon();
+    await daemon.waitForLine(/"address_in_use"/);
+    daemon.kill("SIGTERM");
+    expect(await daemon.waitForExit()).toBe(0);
+  });
+});
--- a/packages/http/src/httpServer.ts
+++ b/packages/http/src/httpServer.ts
@@ -7,8 +7,9 @@
   type ServerResponse,
 } from "node:http";
 import { createServer as createTlsServer } from "node:https";
-import type { AddressInfo, Socket } from "node:net";
+import type { Socket } from "node:net";
 import findMyWay from "find-my-way";
+import { listenOn } from "@stairgauge/common";
 import { HEADERS_TIMEOUT_MS, KEEP_ALIVE_MS, MAX_HEADER_BYTES } from "./constants.js";
 
 /** A request, its response and the parsed URL, as passed to a route's handler. */
@@ -54,7 +55,7 @@
 
 /** A server that can be opened and closed. */
 export type HttpServer = Readonly<{
-  /** Listens on `host:port` and resolves to the port; port 0 picks a free one. Rejects if it can't listen. */
+  /** Listens on `host:port` and resolves to the port; port 0 picks a free one. Rejects if it can't listen, and may then be called again. */
   open: (host: string, port: number) => Promise<number>;
   /** Stops accepting connections and closes idle ones; resolves when all are closed. */
   close: () => Promise<void>;
@@ -162,14 +163,7 @@
   });
 
   return {
-    open: (host, port) =>
-      new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(port, host, () => {
-          server.off("error", reject);
-          resolve((server.address() as AddressInfo).port);
-        });
-      }),
+    open: (host, port) => listenOn(server, { host, port }),
     close: () =>
       new Promise((resolve) => {
         isClosing = true;
