refactor: the wait for settings is in packages/settings

apps/daemon needs it as well, for settings of its own, so the function that parses them is an option. Its test brings the settings as a text, since packages/settings knows no stand-ins; the cases are the same.

--- a/apps/box/src/main.ts
+++ b/apps/box/src/main.ts
@@ -4,8 +4,8 @@
  */
 import { writeSync } from "node:fs";
 import { createSystemClock, type Clock } from "@stairgauge/common";
+import { awaitSettings, parseBoxSettings } from "@stairgauge/settings";
 import { createDecisionLog, type DecisionLog } from "@stairgauge/telemetry";
-import { awaitSettings } from "./awaitSettings.js";
 import { createBox, type Box } from "./createBox.js";
 import { createUnexpectedErrorReporter } from "./reportUnexpected.js";
 import { IGNORED_SIGNALS, RELOAD_SIGNAL, STOP_SIGNALS } from "./signals.js";
@@ -109,6 +109,7 @@
 
   const { settings, text } = await awaitSettings({
     path,
+    parse: parseBoxSettings,
     clock: createSystemClock(),
     onWaiting: (reason) => writeLine(`waiting for the settings: ${reason}`),
     onFailed: (reason) => exitWith(EXIT_USAGE, reason),
--- a/apps/box/src/awaitSettings.test.ts
+++ b/packages/settings/src/awaitSettings.test.ts
@@ -3,14 +3,16 @@
 import { join } from "node:path";
 import { afterEach, describe, expect, it } from "vitest";
 import { advanceSettled, createVirtualClock, type Ms } from "@stairgauge/common";
-import { formatBoxSettings } from "@stairgauge/standins";
 import { awaitSettings } from "./awaitSettings.js";
+import { parseBoxSettings } from "./parseSettings.js";
 
-const SETTINGS = formatBoxSettings({
-  name: "box-1",
-  storeAddress: "10.2.0.1:80",
-  firstPort: 80,
-});
+const SETTINGS = `box: box-1
+dataHall: brest
+listen: { clients: "10.1.0.1:80", ready: "10.1.0.1:81", metrics: "10.1.0.1:82", peers: "10.1.0.1:83" }
+store: { address: "10.2.0.1:80" }
+bounds: { configurationMs: 2000, keyRemovalMs: 5000, leavingMs: 2000, stopSeconds: 8 }
+retries: { ratio: 0.2, slack: 54, windowSeconds: 10 }
+`;
 
 const folders: string[] = [];
 afterEach(() => {
@@ -27,6 +29,7 @@
   let found: string | undefined;
   void awaitSettings({
     path,
+    parse: parseBoxSettings,
     clock,
     onWaiting: (reason) => reasons.push(reason),
     onFailed: (reason) => {
--- a/apps/box/src/awaitSettings.ts
+++ b/packages/settings/src/awaitSettings.ts
@@ -8,11 +8,7 @@
   type Ms,
   type Result,
 } from "@stairgauge/common";
-import {
-  formatSettingsFailure,
-  parseBoxSettings,
-  type BoxSettings,
-} from "@stairgauge/settings";
+import { formatSettingsFailure, type SettingsFailure } from "./parseSettings.js";
 
 const RETRY_MS = 100 as Ms;
 
@@ -20,10 +16,11 @@
 const UNCHANGED_MS = 1_000;
 
 /** Settings, and the text that they were read from. */
-export type ReadSettings = Readonly<{ settings: BoxSettings; text: string }>;
+export type ReadSettings<Settings> = Readonly<{ settings: Settings; text: string }>;
 
-export type AwaitSettingsOptions = Readonly<{
+export type AwaitSettingsOptions<Settings> = Readonly<{
   path: string;
+  parse: (text: string) => Result<Settings, SettingsFailure>;
   clock: Pick<Clock, "monotonic" | "setTimer">;
   /** Called with what is wrong, once for each reason. */
   onWaiting: (reason: string) => void;
@@ -32,10 +29,10 @@
 }>;
 
 /** Resolves, in the same turn of the event loop if they are there, to the settings of the file. */
-export const awaitSettings = async (
-  options: AwaitSettingsOptions,
-): Promise<ReadSettings> => {
-  const { path, clock, onWaiting, onFailed } = options;
+export const awaitSettings = async <Settings>(
+  options: AwaitSettingsOptions<Settings>,
+): Promise<ReadSettings<Settings>> => {
+  const { path, parse, clock, onWaiting, onFailed } = options;
   const begunAt = clock.monotonic();
   let lastText: string | undefined;
   let textSince = begunAt;
@@ -46,14 +43,14 @@
     lastText = text;
     return clock.monotonic() - textSince >= UNCHANGED_MS;
   };
-  const read = (): Result<ReadSettings, string> => {
+  const read = (): Result<ReadSettings<Settings>, string> => {
     let text: string;
     try {
       text = readFileSync(path, "utf8");
     } catch (error) {
       return Err(error instanceof Error ? error.message : "unreadable");
     }
-    const parsed = parseBoxSettings(text);
+    const parsed = parse(text);
     if (parsed.err) return Err(`settings ${path}\n${formatSettingsFailure(parsed.val)}`);
     if (text.endsWith("\n") || isUnchanged(text))
       return Ok({ settings: parsed.val, text });
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,4 +1,5 @@
 /** Parses the settings of boxes and of the command line from YAML and validates them. */
+export { awaitSettings } from "./awaitSettings.js";
 export {
   formatSettingsFailure,
   parseBoxSettings,
