fix: the daemon waits for settings that are late or cut

The daemon ended at once with status 2 if its settings file, or a TLS file that it names, was not there yet or was being written at the moment of its start. A file cut within its last value was worse: the daemon ran with half a secret.

It now waits as a box does: a minute, with each reason once on standard error, and for the end of the last line. A stop meanwhile ends with 0.

--- a/apps/daemon/src/main.ts
+++ b/apps/daemon/src/main.ts
@@ -2,51 +2,59 @@
 /** `stairgauged`: the daemon of an entry box. */
 import { readFileSync } from "node:fs";
 import { command, flag, option, runSafely, string } from "cmd-ts";
-import {
-  formatSettingsFailure,
-  parseSettings,
-  type Settings,
-} from "@stairgauge/settings";
+import { createSystemClock } from "@stairgauge/common";
+import { awaitSettings, formatSettingsFailure } from "@stairgauge/settings";
 import { createLogger } from "@stairgauge/telemetry";
 import { EXIT_FAILED, EXIT_OK, EXIT_USAGE, VERSION } from "./constants.js";
 import { createDaemon } from "./createDaemon.js";
+import { loadSettings } from "./loadSettings.js";
 import { stopOnSignals } from "./stopOnSignals.js";
 
-const exitWithUsage = (message: string): never => {
+const writeLine = (message: string) => {
   process.stderr.write(`stairgauged: ${message}\n`);
+};
+
+const exitWithUsage = (message: string): never => {
+  writeLine(message);
   process.exit(EXIT_USAGE);
 };
 
-const readFileOrExit = (path: string, what: string): string => {
+const readTextOrExit = (path: string): string => {
   try {
     return readFileSync(path, "utf8");
   } catch (error) {
     const detail = error instanceof Error ? error.message : "unreadable";
-    return exitWithUsage(`${what}: ${detail}`);
+    return exitWithUsage(`settings: ${detail}`);
   }
 };
 
-const readSettings = (path: string): Settings => {
-  const parsed = parseSettings(readFileOrExit(path, "settings"));
-  if (parsed.ok) return parsed.val;
-  return exitWithUsage(`settings ${path}\n${formatSettingsFailure(parsed.val)}`);
+const checkSettings = (path: string): never => {
+  const loaded = loadSettings(readTextOrExit(path));
+  if (loaded.err)
+    return exitWithUsage(`settings ${path}\n${formatSettingsFailure(loaded.val)}`);
+  process.stdout.write(`${path}: settings are valid\n`);
+  process.exit(EXIT_OK);
 };
 
-const readTls = (settings: Settings) =>
-  settings.tls && {
-    cert: readFileOrExit(settings.tls.certFile, "tls.certFile"),
-    key: readFileOrExit(settings.tls.keyFile, "tls.keyFile"),
-  };
-
-const serve = async (settings: Settings) => {
-  const { level, format } = settings.log;
-  const logger = createLogger({ level, format, base: { box: settings.box } });
-  const daemon = createDaemon({ settings, logger, tls: readTls(settings) });
+const serve = async (path: string) => {
   let isStopping = false;
+  let stop = () => Promise.resolve();
   stopOnSignals(() => {
     isStopping = true;
-    return daemon.stop();
+    return stop();
+  });
+  const loaded = await awaitSettings({
+    path,
+    parse: loadSettings,
+    clock: createSystemClock(),
+    onWaiting: (reason) => writeLine(`waiting for the settings: ${reason}`),
+    onFailed: exitWithUsage,
   });
+  const { settings, tls } = loaded.settings;
+  const { level, format } = settings.log;
+  const logger = createLogger({ level, format, base: { box: settings.box } });
+  const daemon = createDaemon({ settings, logger, tls });
+  stop = daemon.stop;
   try {
     const ports = await daemon.start();
     logger.info({ ...ports, version: VERSION }, "listening");
@@ -69,13 +77,7 @@
     }),
     check: flag({ long: "check", description: "check the settings and exit" }),
   },
-  handler: ({ settings: path, check }) => {
-    const settings = readSettings(path);
-    if (!check) return serve(settings);
-    readTls(settings);
-    process.stdout.write(`${path}: settings are valid\n`);
-    process.exit(EXIT_OK);
-  },
+  handler: ({ settings: path, check }) => (check ? checkSettings(path) : serve(path)),
 });
 
 const result = await runSafely(app, process.argv.slice(2));
--- a/apps/daemon/src/starts.test.ts
+++ b/apps/daemon/src/starts.test.ts
@@ -4,6 +4,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
+import { generate } from "selfsigned";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { spawnProcess, type SpawnedProcess } from "@stairgauge/testkit";
 
@@ -77,3 +78,63 @@
     expect(await daemon.waitForExit()).toBe(0);
   });
 });
+
+describe("settings that are being written", () => {
+  it.each([
+    ["there", undefined],
+    ["whole", SETTINGS.slice(0, 200)],
+    ["whole, though they are sound", SETTINGS.trimEnd().slice(0, -1)],
+  ])("are awaited until they are %s", async (_what, text) => {
+    if (text === undefined) rmSync(settings);
+    else writeFileSync(settings, text);
+    const daemon = startDaemon();
+    await daemon.waitForLine(/waiting for the settings/);
+    writeFileSync(settings, SETTINGS);
+    await daemon.waitForLine(/"listening"/);
+  });
+
+  it("are awaited until their certificate is whole and fits its key", async () => {
+    const { cert, private: key } = await generate([
+      { name: "commonName", value: "127.0.0.1" },
+    ]);
+    const certFile = join(folder, "cert.pem");
+    const keyFile = join(folder, "key.pem");
+    writeFileSync(settings, `${SETTINGS}tls: ${JSON.stringify({ certFile, keyFile })}\n`);
+    writeFileSync(certFile, cert);
+    const daemon = startDaemon();
+    await daemon.waitForLine(/tls.keyFile: /);
+    writeFileSync(keyFile, key.slice(0, 200));
+    await daemon.waitForLine(/tls: /);
+    writeFileSync(keyFile, key);
+    await daemon.waitForLine(/"listening"/);
+  });
+
+  it("do not make a stop a failure", async () => {
+    rmSync(settings);
+    const daemon = startDaemon();
+    await daemon.waitForLine(/waiting for the settings/);
+    daemon.kill("SIGTERM");
+    expect(await daemon.waitForExit()).toBe(0);
+  });
+
+  it.each([
+    ["not there", undefined, "settings", "ENOENT"],
+    ["not valid", `${SETTINGS}colour: red\n`, "settings", "colour: no such setting"],
+  ])(
+    "end the daemon with status 2 after a minute in which they are %s",
+    async (_what, text, ...said) => {
+      if (text === undefined) rmSync(settings);
+      else writeFileSync(settings, text);
+      const hook = join(folder, "hook.cjs");
+      // A minute takes a second.
+      writeFileSync(
+        hook,
+        "const now = performance.now.bind(performance); performance.now = () => now() * 60;",
+      );
+      const daemon = startDaemon(["--require", hook]);
+      expect(await daemon.waitForExit()).toBe(2);
+      const lines = daemon.listLines().join("\n");
+      for (const part of said) expect(lines).toContain(part);
+    },
+  );
+});
