fix: a daemon whose output nobody reads waits for its settings

A daemon whose reader of standard error had gone ended while it waited for its settings: the line that says so came back as EPIPE, an error of the stream that nothing handles. The line is now written with a call that may fail. The log had no such fault: a daemon that starts at once lived before as well.

Evidence: of the two tests the one that waits failed before ("ended"), the other passed; both pass now.

--- a/apps/daemon/src/main.ts
+++ b/apps/daemon/src/main.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 /** `stairgauged`: the daemon of an entry box. */
-import { readFileSync } from "node:fs";
+import { readFileSync, writeSync } from "node:fs";
 import { command, flag, option, runSafely, string } from "cmd-ts";
 import { createSystemClock } from "@stairgauge/common";
 import { awaitSettings, formatSettingsFailure } from "@stairgauge/settings";
@@ -10,8 +10,14 @@
 import { loadSettings } from "./loadSettings.js";
 import { stopOnSignals } from "./stopOnSignals.js";
 
+const STANDARD_ERROR = 2;
+
 const writeLine = (message: string) => {
-  process.stderr.write(`stairgauged: ${message}\n`);
+  try {
+    writeSync(STANDARD_ERROR, `stairgauged: ${message}\n`);
+  } catch {
+    // NOTE: nobody reads standard error; there is no other place to report this.
+  }
 };
 
 const exitWithUsage = (message: string): never => {
--- a/apps/daemon/src/starts.test.ts
+++ b/apps/daemon/src/starts.test.ts
@@ -1,4 +1,5 @@
 /** Guards against a daemon that ends because of what its start meets for a moment: a port in use, late settings, a signal. */
+import { spawn } from "node:child_process";
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
@@ -138,3 +139,34 @@
     },
   );
 });
+
+describe("output that nobody reads", () => {
+  const startUnread = () => {
+    const daemon = spawn(process.execPath, [MAIN, "--settings", settings]);
+    closers.push(() => daemon.kill("SIGKILL"));
+    daemon.stdout.destroy();
+    daemon.stderr.destroy();
+    return new Promise((resolve) => daemon.once("exit", () => resolve("ended")));
+  };
+  const waitMs = (duration: number) =>
+    new Promise<void>((resolve) => setTimeout(resolve, duration));
+  const waitUntilLive = async () => {
+    const url = `http://127.0.0.1:${PORTS.operators}/livez`;
+    while (!(await fetch(url).catch(() => undefined))) await waitMs(50);
+    return "live";
+  };
+
+  it("does not end a daemon that starts", async () => {
+    const ended = startUnread();
+    expect(await Promise.race([ended, waitUntilLive()])).toBe("live");
+    expect(await Promise.race([ended, waitMs(500)])).toBeUndefined();
+  });
+
+  it("does not end a daemon that waits for its settings", async () => {
+    rmSync(settings);
+    const ended = startUnread();
+    expect(await Promise.race([ended, waitMs(1_500)])).toBeUndefined();
+    writeFileSync(settings, SETTINGS);
+    expect(await Promise.race([ended, waitUntilLive()])).toBe("live");
+  });
+});
