--- a/apps/box/src/main.ts
+++ b/apps/box/src/main.ts
@@ -3,12 +3,17 @@
  * All boxes run the same program.
  */
 import { writeSync } from "node:fs";
-import { createSystemClock, type Clock } from "@stairgauge/common";
+import {
+  createSystemClock,
+  IGNORED_SIGNALS,
+  RELOAD_SIGNAL,
+  STOP_SIGNALS,
+  type Clock,
+} from "@stairgauge/common";
 import { awaitSettings, parseBoxSettings } from "@stairgauge/settings";
 import { createDecisionLog, type DecisionLog } from "@stairgauge/telemetry";
 import { createBox, type Box } from "./createBox.js";
 import { createUnexpectedErrorReporter } from "./reportUnexpected.js";
-import { IGNORED_SIGNALS, RELOAD_SIGNAL, STOP_SIGNALS } from "./signals.js";
 import { watchSettings } from "./watchSettings.js";
 
 /**
--- a/apps/box/src/watchSettings.ts
+++ b/apps/box/src/watchSettings.ts
@@ -1,13 +1,12 @@
 /** Reloads the settings after SIGHUP, or when the file has changed without one. */
 import { readFileSync, statSync } from "node:fs";
-import type { Clock, Ms } from "@stairgauge/common";
+import { RELOAD_SIGNAL, type Clock, type Ms } from "@stairgauge/common";
 import {
   formatSettingsFailure,
   parseBoxSettings,
   type BoxSettings,
 } from "@stairgauge/settings";
 import type { DecisionLog } from "@stairgauge/telemetry";
-import { RELOAD_SIGNAL } from "./signals.js";
 
 /** Interval of checks for a changed file; a change takes effect within seconds. */
 const CHECK_INTERVAL_MS = 1_000 as Ms;
--- a/apps/box/src/signals.ts
+++ b/packages/common/src/signals.ts
@@ -1,12 +1,12 @@
-/** Signals that a box handles; all others keep their default action. */
+/** Signals that a daemon handles; all others keep their default action. */
 
-/** They stop a box in order. */
+/** They stop it in order. */
 export const STOP_SIGNALS = ["SIGTERM", "SIGINT"] as const;
 
-/** It has a box read its settings again. */
+/** It has it read its settings again. */
 export const RELOAD_SIGNAL = "SIGHUP";
 
-/** They ask for nothing that a box does, and would end it, or open a debugger. */
+/** They ask for nothing that it does, and would end it, or open a debugger. */
 export const IGNORED_SIGNALS = [
   "SIGUSR1",
   "SIGUSR2",
