fix: signals that ask for nothing no longer end the daemon

SIGHUP, SIGUSR2, SIGALRM, SIGVTALRM, SIGIO, SIGPROF, SIGPWR and SIGXCPU ended the daemon with the answers that it had open, SIGUSR1 opened the runtime's debugger on a port, and any signal ended it while it read its program, SIGTERM by the default action instead of with status 0.

A signal before the first statement, while the runtime itself starts, still ends the process.

--- a/apps/daemon/src/starts.test.ts
+++ b/apps/daemon/src/starts.test.ts
@@ -140,6 +140,54 @@
   );
 });
 
+describe("a signal that asks for nothing that a daemon does", () => {
+  it.each([
+    "SIGHUP",
+    "SIGUSR1",
+    "SIGUSR2",
+    "SIGALRM",
+    "SIGVTALRM",
+    "SIGIO",
+    "SIGPROF",
+    "SIGPWR",
+    "SIGXCPU",
+  ] as const)("is logged and ignored: %s", async (signal) => {
+    const daemon = startDaemon();
+    await daemon.waitForLine(/"listening"/);
+    daemon.kill(signal);
+    await daemon.waitForLine(/signal ignored/);
+    expect(daemon.listLines().join("\n")).not.toContain("Debugger");
+  });
+
+  /** Has the daemon get a signal while it reads its program. */
+  const startWithSignal = (signal: NodeJS.Signals) => {
+    const hook = join(folder, "hook.mjs");
+    writeFileSync(
+      hook,
+      `import { register } from "node:module";
+register("data:text/javascript," + encodeURIComponent(\`
+let isSent = false;
+export const load = (url, context, next) => {
+  if (!isSent && url.endsWith("/createDaemon.js")) {
+    isSent = true;
+    process.kill(process.pid, "${signal}");
+  }
+  return next(url, context);
+};\`));
+`,
+    );
+    return startDaemon(["--import", hook]);
+  };
+
+  it("does not end a daemon that reads its program: SIGHUP", async () => {
+    await startWithSignal("SIGHUP").waitForLine(/"listening"/);
+  });
+
+  it("does not make a stop a failure while the daemon reads its program", async () => {
+    expect(await startWithSignal("SIGTERM").waitForExit()).toBe(0);
+  });
+});
+
 describe("output that nobody reads", () => {
   const startUnread = () => {
     const daemon = spawn(process.execPath, [MAIN, "--settings", settings]);
