--- a/packages/peers/src/carryCall.test.ts
+++ b/packages/peers/src/carryCall.test.ts
@@ -37,7 +37,12 @@
     answerCarry,
     onMessage: () => undefined,
     clock: createSystemClock(),
-    limits: { maxConnections: 10, maxCalls: 1_000, maxUnreadBytes: 1_000_000 },
+    limits: {
+      maxConnections: 10,
+      maxCalls: 1_000,
+      maxCallsOfConnection: 500,
+      maxUnreadBytes: 1_000_000,
+    },
     onLimit: () => undefined,
   });
   const port = await server.listen({ host: "127.0.0.1", port: 0 });
