--- a/deploy/build.js
+++ b/deploy/build.js
@@ -66,6 +66,7 @@
   platform: "node",
   target: "node20",
   format: "iife",
+  conditions: ["@stairgauge/source"],
   minify: true,
   write: false,
 });
