fix: a closed link between boxes is over although its cancellation waits

Where more calls of a link were given up than may be reset at once, and the link was then closed (its box moved, is a hub no longer, or the link is opened anew), the cancellation of its stream of updates waited behind theirs, a thirtieth of a second for each. Meanwhile the other box took the link for open, with the runs that were last sent on it, and notices that it sent were still taken from the closed link.

Cause: since a cancellation may wait, and closing relied on its being done at once.

Shown by the test, with time that stands still: before, the notice was taken, and the other box did not see the end within 5 s (the time limit of the test).

Notices are taken only from the stream in use.

--- a/packages/peers/src/peerLink.test.ts
+++ b/packages/peers/src/peerLink.test.ts
@@ -1,8 +1,8 @@
 /**
  * Guards against a link whose stream is never opened, or stays open without the state, because that could not be made once;
- * and against updates that fill the memory while the other box reads none.
+ * against updates that fill the memory while the other box reads none; and against a closed link that goes on.
  */
-import { Server, ServerCredentials } from "@grpc/grpc-js";
+import { Server, ServerCredentials, type ServerDuplexStream } from "@grpc/grpc-js";
 import { afterEach, expect, it } from "vitest";
 import {
   collectRejections,
@@ -13,9 +13,12 @@
   type Ms,
 } from "@stairgauge/common";
 import type { ServerId } from "@stairgauge/directory";
+import { INITIAL_REVISION } from "@stairgauge/storefeed";
+import { makeNotice } from "./makeNotice.js";
 import { makeRunUpdate } from "./makeRunUpdate.js";
 import { openPeerLink, type PeerLink } from "./peerLink.js";
 import { createPeerService } from "./service.js";
+import type { HubNotice, RunUpdate } from "./types.js";
 
 const closers: (() => void)[] = [];
 afterEach(() => {
@@ -99,3 +102,64 @@
   await waitForStreams(2);
   expect(streams).toBe(2);
 });
+
+it("a link that is closed behind 600 questions that were given up is over for both boxes, whose cancellations wait", async () => {
+  const service = createPeerService(() => undefined);
+  const own = "box-1" as BoxName;
+  const notices: HubNotice[] = [];
+  let updates: ServerDuplexStream<RunUpdate, HubNotice> | undefined;
+  let hasEnded = false;
+  const server = new Server();
+  server.addService(
+    { reportRuns: service.reportRuns, askTable: service.askTable },
+    {
+      askTable: () => undefined,
+      reportRuns: (stream: ServerDuplexStream<RunUpdate, HubNotice>) => {
+        updates = stream.on("end", () => {
+          hasEnded = true;
+        });
+        stream.resume();
+      },
+    },
+  );
+  const port = await new Promise<number>((resolve) =>
+    server.bindAsync("127.0.0.1:0", ServerCredentials.createInsecure(), (_, bound) =>
+      resolve(bound),
+    ),
+  );
+  const link = openPeerLink(
+    {
+      box: "box-2" as BoxName,
+      address: { host: "127.0.0.1", port },
+      capacity: 1,
+      dataHall: undefined,
+    },
+    {
+      // Its time stands still: cancellations beyond the first 500 wait.
+      clock: createVirtualClock(),
+      random: createSeededRandom(1),
+      service,
+      makeWhole: () => makeRunUpdate(own, { isWhole: true }),
+      onNotice: (notice) => notices.push(notice),
+    },
+  );
+  closers.push(link.close, server.forceShutdown.bind(server));
+  /** The test's own time limit ends it. */
+  const waitUntil = async (isMet: () => boolean) => {
+    while (!isMet()) await new Promise((resolve) => setTimeout(resolve, 10));
+  };
+  await waitUntil(() => updates !== undefined);
+  const givenUp = new AbortController();
+  const asked = Array.from({ length: 600 }, () =>
+    link.askTable(
+      { kind: "whole", table: "servers", atLeast: INITIAL_REVISION },
+      givenUp.signal,
+    ),
+  );
+  givenUp.abort();
+  await Promise.all(asked);
+  link.close();
+  updates?.write(makeNotice({}));
+  await waitUntil(() => hasEnded);
+  expect(notices).toEqual([]);
+});
--- a/packages/peers/src/peerLink.ts
+++ b/packages/peers/src/peerLink.ts
@@ -95,7 +95,9 @@
     opened.on("metadata", () => {
       pause = FIRST_PAUSE_MS;
     });
-    opened.on("data", (notice: HubNotice) => onNotice(notice, peer.box));
+    opened.on("data", (notice: HubNotice) => {
+      if (stream === opened) onNotice(notice, peer.box);
+    });
     // The status event follows; it opens the stream anew.
     opened.on("error", () => undefined);
     opened.on("status", () => {
@@ -131,6 +133,8 @@
     close: () => {
       isClosed = true;
       retry?.cancel();
+      // Its cancellation may wait behind others; the other box then ends it.
+      stream?.end();
       stream?.cancel();
       stream = undefined;
       tables.close();
