fix: a daemon that can't have its other port lets callers' requests end

A daemon whose operators' port stayed in use served callers for a minute and its stop time, and then ended at once with status 1: their requests were cut, their connections reset.

Cause: since callers are served while the other port is awaited, but the end behind the wait was still that of a daemon that serves nobody.

Shown by the test, which got ECONNRESET before. Such a daemon now stops as by a signal, within its stop time for requests, and then ends with status 1, as a box does.

--- a/apps/daemon/src/runDaemon.ts
+++ b/apps/daemon/src/runDaemon.ts
@@ -70,6 +70,8 @@
   } catch (error) {
     if (isStopping) return;
     logger.error({ err: error }, "cannot listen");
+    // Callers may be served while another port is awaited.
+    await daemon.stop();
     process.exit(EXIT_FAILED);
   }
 };
--- a/apps/daemon/src/starts.test.ts
+++ b/apps/daemon/src/starts.test.ts
@@ -1,9 +1,10 @@
 /** Guards against a daemon that ends because of what its start meets for a moment: a port in use, late settings, a signal. */
 import { spawn } from "node:child_process";
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
-import { createServer } from "node:net";
+import { connect, createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { text as readText } from "node:stream/consumers";
 import { fileURLToPath } from "node:url";
 import { generate } from "selfsigned";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
@@ -53,6 +54,16 @@
     server.listen(port, "127.0.0.1", () => resolve(releasePort));
   });
 
+/** Starts a daemon for which a minute takes a second. */
+const startFastDaemon = () => {
+  const hook = join(folder, "hook.cjs");
+  writeFileSync(
+    hook,
+    "const now = performance.now.bind(performance); performance.now = () => now() * 60;",
+  );
+  return startDaemon(["--require", hook]);
+};
+
 describe("a port in use", () => {
   it.each(LISTENERS)("is awaited by the listener for %s", async (listener) => {
     const releasePort = await takePort(PORTS[listener]);
@@ -71,6 +82,19 @@
     expect(await answer.json()).toMatchObject({ reason: "not_listening" });
   });
 
+  // Guards against a daemon that serves callers while it waits for its other port, and then ends with their requests.
+  it("of operators that is never free does not cut the request of a caller", async () => {
+    await takePort(PORTS.operators);
+    const daemon = startFastDaemon();
+    await daemon.waitForLine(/"address_in_use"/);
+    const caller = connect(PORTS.callers, "127.0.0.1");
+    caller.write("GET /v1/models HTTP/1.1\r\nHost: a\r\n");
+    await daemon.waitForLine(/cannot listen/);
+    caller.write("Connection: close\r\n\r\n");
+    expect(await readText(caller)).toMatch(/^HTTP\/1.1 /);
+    expect(await daemon.waitForExit()).toBe(1);
+  });
+
   it.each(LISTENERS)("for %s does not make a stop a failure", async (listener) => {
     await takePort(PORTS[listener]);
     const daemon = startDaemon();
@@ -126,13 +150,7 @@
     async (_what, text, ...said) => {
       if (text === undefined) rmSync(settings);
       else writeFileSync(settings, text);
-      const hook = join(folder, "hook.cjs");
-      // A minute takes a second.
-      writeFileSync(
-        hook,
-        "const now = performance.now.bind(performance); performance.now = () => now() * 60;",
-      );
-      const daemon = startDaemon(["--require", hook]);
+      const daemon = startFastDaemon();
       expect(await daemon.waitForExit()).toBe(2);
       const lines = daemon.listLines().join("\n");
       for (const part of said) expect(lines).toContain(part);
