fix: a build keeps the machine code of its own bundle even if the keeper fails

Cause: the keeper runs two boxes and sends requests to them. On a busy machine a box lacks processor time and closes a connection unread; the error of its request was nobody's, and the boxes in the same process go on after such. So the keeper hung until the build ended it, after a minute, by SIGTERM, on which a box stops in order, with status 0. The build took that for kept code.

Evidence: two of four keepers beside test files hung, the log has turnedAway 2 and the orderly stop, and no code was written.

Change: a keeper that fails ends with status 1, and one that hangs is ended by SIGKILL; the build then keeps the code of the modules, as it says. The bundle is unchanged.

--- a/deploy/build.js
+++ b/deploy/build.js
@@ -107,7 +107,12 @@
   const { status } = spawnSync(
     process.execPath,
     [...process.execArgv, KEEPER, BUNDLE, CODE],
-    { stdio: ["ignore", "ignore", "inherit"], timeout: KEEPER_TIMEOUT_MS },
+    {
+      stdio: ["ignore", "ignore", "inherit"],
+      timeout: KEEPER_TIMEOUT_MS,
+      // A box that is asked to stop ends with status 0.
+      killSignal: "SIGKILL",
+    },
   );
   return status === 0;
 };
--- a/deploy/keepCode.js
+++ b/deploy/keepCode.js
@@ -5,13 +5,12 @@
 // a large part of its CPU time.
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { createRequire } from "node:module";
-import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join, resolve } from "node:path";
 import { setTimeout as wait } from "node:timers/promises";
 import { setFlagsFromString } from "node:v8";
 import { Script } from "node:vm";
-import { sendRequests, startUsersSite } from "@stairgauge/standins";
+import { reservePort, sendRequests, startUsersSite } from "@stairgauge/standins";
 
 const [, , bundle, code] = process.argv;
 const LINK_MS = 1_500;
@@ -34,15 +33,6 @@
   filename: path,
 });
 
-const findFreePort = () =>
-  new Promise((resolve) => {
-    const server = createServer();
-    server.listen(0, "127.0.0.1", () => {
-      const { port } = server.address();
-      server.close(() => resolve(port));
-    });
-  });
-
 const runBox = (settings) => {
   const box = { exports: {} };
   script.runInThisContext()(createRequire(path), box, box.exports);
@@ -58,7 +48,7 @@
   const folder = mkdtempSync(join(tmpdir(), "stairgauge-build-"));
   const ports = [];
   for (let i = 0; i < BOXES; i += 1) {
-    const port = await findFreePort();
+    const { port } = await reservePort();
     const settings = join(folder, `box-${i}.yaml`);
     writeFileSync(settings, formatSettings(`box-${i}`, site.store.address, port));
     await runBox(settings);
@@ -80,4 +70,8 @@
   process.exit(0);
 };
 
-void keepUsedCode();
+// The boxes in this process go on after what nobody handles.
+keepUsedCode().catch((error) => {
+  console.error(error);
+  process.exit(1);
+});
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -37,6 +37,7 @@
 export { startUsersEventSource } from "./usersPlatform/usersEventSource.js";
 export { formatEngineEvent } from "./usersPlatform/usersEngine.js";
 export { listenOnLoopback, readWhole, sendJson } from "./usersPlatform/loopback.js";
+export { reservePort } from "./usersPlatform/reservePort.js";
 export { IDLE_REPORT } from "./usersPlatform/wireRequests.js";
 export { formatServiceBody } from "./usersPlatform/usersService.js";
 export type { ServiceFault } from "./usersPlatform/usersService.js";
