refactor: both daemons write what comes before their log by one function

The same eight lines stood in apps/box/src/main.ts and, since the daemon waits for its settings, in apps/daemon/src/runDaemon.ts. No line changes.

--- a/apps/box/src/main.ts
+++ b/apps/box/src/main.ts
@@ -2,12 +2,12 @@
  * Command `stairgauged`: runs one box on a platform that keeps configuration and server list.
  * All boxes run the same program.
  */
-import { writeSync } from "node:fs";
 import {
   createSystemClock,
   IGNORED_SIGNALS,
   RELOAD_SIGNAL,
   STOP_SIGNALS,
+  writeErrorLine,
   type Clock,
 } from "@stairgauge/common";
 import { awaitSettings, parseBoxSettings } from "@stairgauge/settings";
@@ -21,20 +21,12 @@
  */
 const SETTINGS_VARIABLE = "STAIRGAUGE_BOOT";
 const DEFAULT_PATH = "/etc/stairgauge/settings.conf";
-const STANDARD_ERROR = 2;
 const EXIT_STOPPED = 0;
 const EXIT_USAGE = 2;
 const EXIT_FAILED = 1;
 
-const writeLine = (message: string) => {
-  try {
-    writeSync(STANDARD_ERROR, `stairgauged: ${message}\n`);
-  } catch {
-    // NOTE: nobody reads standard error; there is no other place to report this.
-  }
-};
 const exitWith = (code: number, message: string): never => {
-  writeLine(message);
+  writeErrorLine(message);
   process.exit(code);
 };
 const toText = (error: unknown): string =>
@@ -65,8 +57,8 @@
 const ACTIONS_WITHOUT_BOX: ProcessActions = {
   stop: () => Promise.resolve(),
   endProcess: (code) => process.exit(code),
-  reportError: (error) => writeLine(toText(error)),
-  reportIgnored: (signal) => writeLine(`signal ignored: ${signal}`),
+  reportError: (error) => writeErrorLine(toText(error)),
+  reportIgnored: (signal) => writeErrorLine(`signal ignored: ${signal}`),
 };
 
 const createActions = (box: Pick<Box, "stop">, log: DecisionLog): ProcessActions => {
@@ -116,7 +108,7 @@
     path,
     parse: parseBoxSettings,
     clock: createSystemClock(),
-    onWaiting: (reason) => writeLine(`waiting for the settings: ${reason}`),
+    onWaiting: (reason) => writeErrorLine(`waiting for the settings: ${reason}`),
     onFailed: (reason) => exitWith(EXIT_USAGE, reason),
   });
   const clock: Clock = createSystemClock((duration) =>
@@ -140,7 +132,7 @@
     await box.start();
   } catch (error) {
     if (isStopping) return;
-    writeLine(toText(error));
+    writeErrorLine(toText(error));
     await endInOrder(actions, EXIT_FAILED);
   }
 };
--- a/apps/daemon/src/runDaemon.ts
+++ b/apps/daemon/src/runDaemon.ts
@@ -1,7 +1,12 @@
 /** The program of `stairgauged`, the daemon of an entry box. */
-import { readFileSync, writeSync } from "node:fs";
+import { readFileSync } from "node:fs";
 import { command, flag, option, runSafely, string } from "cmd-ts";
-import { createSystemClock, IGNORED_SIGNALS, RELOAD_SIGNAL } from "@stairgauge/common";
+import {
+  createSystemClock,
+  IGNORED_SIGNALS,
+  RELOAD_SIGNAL,
+  writeErrorLine,
+} from "@stairgauge/common";
 import { awaitSettings, formatSettingsFailure } from "@stairgauge/settings";
 import { createLogger } from "@stairgauge/telemetry";
 import { EXIT_FAILED, EXIT_OK, EXIT_USAGE, VERSION } from "./constants.js";
@@ -9,18 +14,8 @@
 import { loadSettings } from "./loadSettings.js";
 import { stopOnSignals } from "./stopOnSignals.js";
 
-const STANDARD_ERROR = 2;
-
-const writeLine = (message: string) => {
-  try {
-    writeSync(STANDARD_ERROR, `stairgauged: ${message}\n`);
-  } catch {
-    // NOTE: nobody reads standard error; there is no other place to report this.
-  }
-};
-
 const exitWithUsage = (message: string): never => {
-  writeLine(message);
+  writeErrorLine(message);
   process.exit(EXIT_USAGE);
 };
 
@@ -44,7 +39,7 @@
 const serve = async (path: string) => {
   let isStopping = false;
   let stop = () => Promise.resolve();
-  let reportIgnored = (signal: string) => writeLine(`signal ignored: ${signal}`);
+  let reportIgnored = (signal: string) => writeErrorLine(`signal ignored: ${signal}`);
   stopOnSignals(() => {
     isStopping = true;
     return stop();
@@ -55,7 +50,7 @@
     path,
     parse: loadSettings,
     clock: createSystemClock(),
-    onWaiting: (reason) => writeLine(`waiting for the settings: ${reason}`),
+    onWaiting: (reason) => writeErrorLine(`waiting for the settings: ${reason}`),
     onFailed: exitWithUsage,
   });
   const { settings, tls } = loaded.settings;
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -18,6 +18,7 @@
 export { listenWhenFree } from "./listenWhenFree.js";
 export { START_LIMIT_MS } from "./startLimit.js";
 export { IGNORED_SIGNALS, RELOAD_SIGNAL, STOP_SIGNALS } from "./signals.js";
+export { writeErrorLine } from "./writeErrorLine.js";
 export { connectTcp } from "./dialer.js";
 export type { Dialer } from "./dialer.js";
 export { advanceSettled } from "./advanceSettled.js";
