refactor: stand-ins listen by the function that the programs listen by

reservePort and listenOnLoopback each bound and awaited a server by hand, beside listenOn of packages/common, which may be called again after a failure as well. The tests of packages/standins pass.

--- a/packages/standins/src/usersPlatform/loopback.ts
+++ b/packages/standins/src/usersPlatform/loopback.ts
@@ -1,8 +1,8 @@
 /** HTTP helpers of the stand-ins: listening on loopback, reading whole bodies, sending JSON. */
-import { once } from "node:events";
 import { Server as HttpServer } from "node:http";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Server } from "node:net";
+import { listenOn } from "@stairgauge/common";
 import { LOOPBACK, reservePort } from "./reservePort.js";
 
 /** A server that listens on loopback. */
@@ -19,10 +19,8 @@
 /** Listens once the port is free; rejects after ten seconds. */
 const listenOnceFree = async (server: Server, port: number): Promise<void> => {
   for (let tries = 1; ; tries += 1) {
-    const listening = once(server, "listening");
-    server.listen(port, LOOPBACK);
     try {
-      await listening;
+      await listenOn(server, { host: LOOPBACK, port });
       return;
     } catch (error) {
       const isTaken = (error as NodeJS.ErrnoException).code === "EADDRINUSE";
--- a/packages/standins/src/usersPlatform/reservePort.ts
+++ b/packages/standins/src/usersPlatform/reservePort.ts
@@ -1,14 +1,13 @@
 /** Reserves loopback ports of stand-ins, so that callers of one that has ended reach no other. */
 import { once } from "node:events";
-import { connect, createServer, type AddressInfo, type Server } from "node:net";
+import { connect, createServer, type AddressInfo } from "node:net";
+import { listenOn } from "@stairgauge/common";
 
 export const LOOPBACK = "127.0.0.1";
 
 /** A port that the operating system gives to no other process, whether or not the stand-in listens at it. */
 export type ReservedPort = Readonly<{ port: number; release: () => void }>;
 
-const getPort = (server: Server) => (server.address() as AddressInfo).port;
-
 /**
  * Reserves a free port until it is released or the process ends, which it doesn't delay. A connection bound to the port keeps it:
  * listening at it by its number is allowed, and connections to it are refused while nothing listens.
@@ -18,11 +17,9 @@
     socket.on("error", () => undefined);
     socket.resume().unref();
   });
-  server.listen(0, LOOPBACK);
-  await once(server, "listening");
   const socket = connect({
     host: LOOPBACK,
-    port: getPort(server),
+    port: await listenOn(server, { host: LOOPBACK, port: 0 }),
     localAddress: LOOPBACK,
     localPort: 0,
   });
