test: the tests of a link share its set-up

Three tests opened a link with the same ten lines, two bound the same kind of server, each had a wait of its own. What they assert is unchanged; 3 of 3 pass.

--- a/packages/peers/src/peerLink.test.ts
+++ b/packages/peers/src/peerLink.test.ts
@@ -16,7 +16,7 @@
 import { INITIAL_REVISION } from "@stairgauge/storefeed";
 import { makeNotice } from "./makeNotice.js";
 import { makeRunUpdate } from "./makeRunUpdate.js";
-import { openPeerLink, type PeerLink } from "./peerLink.js";
+import { openPeerLink, type PeerLink, type PeerLinkOptions } from "./peerLink.js";
 import { createPeerService } from "./service.js";
 import type { HubNotice, RunUpdate } from "./types.js";
 
@@ -25,87 +25,84 @@
   for (const close of closers.splice(0)) close();
 });
 
+const own = "box-1" as BoxName;
+const service = createPeerService(() => undefined);
+
+/** Resolves to the port of loopback at which the server listens; it ends with the test. */
+const startListening = (server: Server): Promise<number> => {
+  closers.push(server.forceShutdown.bind(server));
+  return new Promise((resolve) =>
+    server.bindAsync("127.0.0.1:0", ServerCredentials.createInsecure(), (_, bound) =>
+      resolve(bound),
+    ),
+  );
+};
+
+/** Opens a link to the other box at a port of loopback; it ends with the test. */
+const openLink = (
+  port: number,
+  options: Partial<PeerLinkOptions> & Pick<PeerLinkOptions, "clock">,
+): PeerLink => {
+  const address = { host: "127.0.0.1", port };
+  const link = openPeerLink(
+    { box: "box-2" as BoxName, address, capacity: 1, dataHall: undefined },
+    {
+      random: createSeededRandom(1),
+      service,
+      makeWhole: () => makeRunUpdate(own, { isWhole: true }),
+      onNotice: () => undefined,
+      ...options,
+    },
+  );
+  closers.push(link.close);
+  return link;
+};
+
+/** The test's own time limit ends it. */
+const waitUntil = async (isMet: () => boolean) => {
+  while (!isMet()) await new Promise((resolve) => setTimeout(resolve, 10));
+};
+
 it("a link opens its stream later if the state to be sent first can't be made, and passes the error on", async () => {
   const clock = createVirtualClock();
-  const own = "box-1" as BoxName;
   let tries = 0;
-  let link: PeerLink | undefined;
   const errors = await collectRejections(async () => {
-    link = openPeerLink(
-      {
-        box: "box-2" as BoxName,
-        address: { host: "127.0.0.1", port: 9 },
-        capacity: 1,
-        dataHall: undefined,
-      },
-      {
-        clock,
-        random: createSeededRandom(1),
-        service: createPeerService(() => undefined),
-        makeWhole: () => {
-          tries += 1;
-          if (tries <= 2) throw new Error("odd");
-          return makeRunUpdate(own, { isWhole: true });
-        },
-        onNotice: () => undefined,
+    openLink(9, {
+      clock,
+      makeWhole: () => {
+        tries += 1;
+        if (tries <= 2) throw new Error("odd");
+        return makeRunUpdate(own, { isWhole: true });
       },
-    );
+    });
     for (let i = 0; i < 3; i += 1) {
       await Promise.resolve().then(() => undefined);
       clock.advance(1_000 as Ms);
     }
   });
-  link?.close();
   expect(tries).toBe(3);
   expect(errors).toEqual([new Error("odd"), new Error("odd")]);
 });
 
 it("a link opens its stream anew if the other box reads none of thousands of updates", async () => {
-  const service = createPeerService(() => undefined);
   let streams = 0;
   const server = new Server();
   server.addService(
     { reportRuns: service.reportRuns },
     { reportRuns: () => (streams += 1) },
   );
-  const port = await new Promise<number>((resolve) =>
-    server.bindAsync("127.0.0.1:0", ServerCredentials.createInsecure(), (_, bound) =>
-      resolve(bound),
-    ),
-  );
-  const own = "box-1" as BoxName;
-  const link = openPeerLink(
-    {
-      box: "box-2" as BoxName,
-      address: { host: "127.0.0.1", port },
-      capacity: 1,
-      dataHall: undefined,
-    },
-    {
-      clock: createSystemClock(),
-      random: createSeededRandom(1),
-      service,
-      makeWhole: () => makeRunUpdate(own, { isWhole: true }),
-      onNotice: () => undefined,
-    },
-  );
+  const port = await startListening(server);
+  const link = openLink(port, { clock: createSystemClock() });
   const update = makeRunUpdate(own, {
     broken: Array.from({ length: 100 }, (_, i) => `server-${i}` as ServerId),
   });
-  /** The test's own time limit ends it. */
-  const waitForStreams = async (count: number) => {
-    while (streams < count) await new Promise((resolve) => setTimeout(resolve, 10));
-  };
-  closers.push(link.close, server.forceShutdown.bind(server));
-  await waitForStreams(1);
+  await waitUntil(() => streams >= 1);
   for (let i = 0; i < 3_000; i += 1) link.write(update);
-  await waitForStreams(2);
+  await waitUntil(() => streams >= 2);
   expect(streams).toBe(2);
 });
 
 it("a link that is closed behind 600 questions that were given up is over for both boxes, whose cancellations wait", async () => {
-  const service = createPeerService(() => undefined);
-  const own = "box-1" as BoxName;
   const notices: HubNotice[] = [];
   let updates: ServerDuplexStream<RunUpdate, HubNotice> | undefined;
   let hasEnded = false;
@@ -122,32 +119,12 @@
       },
     },
   );
-  const port = await new Promise<number>((resolve) =>
-    server.bindAsync("127.0.0.1:0", ServerCredentials.createInsecure(), (_, bound) =>
-      resolve(bound),
-    ),
-  );
-  const link = openPeerLink(
-    {
-      box: "box-2" as BoxName,
-      address: { host: "127.0.0.1", port },
-      capacity: 1,
-      dataHall: undefined,
-    },
-    {
-      // Its time stands still: cancellations beyond the first 500 wait.
-      clock: createVirtualClock(),
-      random: createSeededRandom(1),
-      service,
-      makeWhole: () => makeRunUpdate(own, { isWhole: true }),
-      onNotice: (notice) => notices.push(notice),
-    },
-  );
-  closers.push(link.close, server.forceShutdown.bind(server));
-  /** The test's own time limit ends it. */
-  const waitUntil = async (isMet: () => boolean) => {
-    while (!isMet()) await new Promise((resolve) => setTimeout(resolve, 10));
-  };
+  const port = await startListening(server);
+  const link = openLink(port, {
+    // Its time stands still: cancellations beyond the first 500 wait.
+    clock: createVirtualClock(),
+    onNotice: (notice) => notices.push(notice),
+  });
   await waitUntil(() => updates !== undefined);
   const givenUp = new AbortController();
   const asked = Array.from({ length: 600 }, () =>
