--- a/apps/box/src/startFile.test.ts
+++ b/apps/box/src/startFile.test.ts
@@ -4,12 +4,11 @@
  */
 import { spawn } from "node:child_process";
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
-import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { afterAll, beforeAll, beforeEach, describe, expect, it } from "vitest";
 import { READY_PATH } from "@stairgauge/platform";
-import { spawnProcess, type SpawnedProcess } from "@stairgauge/testkit";
+import { spawnProcess, takePort, type SpawnedProcess } from "@stairgauge/testkit";
 import { formatBoxSettings, sendRequests, startUsersSite } from "@stairgauge/standins";
 import { BUSY_MACHINE_TIMEOUT_MS, closers, waitFor } from "./box.testkit.js";
 
@@ -101,14 +100,12 @@
     });
     return box;
   };
-  const takePort = (port: number) =>
-    new Promise<() => void>((resolve, reject) => {
-      const server = createServer();
-      const releasePort = () => void server.close();
-      closers.push(releasePort);
-      server.once("error", reject);
-      server.listen(port, "127.0.0.1", () => resolve(releasePort));
-    });
+  /** Takes one of the box's ports until it is released or the test ends. */
+  const takePortFor = async (use: (typeof PORT_USES)[number]) => {
+    const releasePort = await takePort(FIRST_PORT + PORT_USES.indexOf(use));
+    closers.push(releasePort);
+    return releasePort;
+  };
   const findStatus = (port: number) =>
     fetch(`http://127.0.0.1:${port}${READY_PATH}`).then(
       ({ status }) => status,
@@ -136,7 +133,7 @@
 
   // Guards against a box that ends because the process before it still holds a port.
   it.each(PORT_USES)("waits until its port for %s is free", async (use) => {
-    const releasePort = await takePort(FIRST_PORT + PORT_USES.indexOf(use));
+    const releasePort = await takePortFor(use);
     const box = startBox();
     await box.waitForLine(new RegExp(`"listener":"${use}".*"event":"address_in_use"`));
     releasePort();
@@ -147,7 +144,7 @@
   it.each(["ready", "metrics", "peers"] as const)(
     "answers clients while its port for %s is in use",
     async (use) => {
-      await takePort(FIRST_PORT + PORT_USES.indexOf(use));
+      await takePortFor(use);
       const box = startBox();
       await box.waitForLine(/"event":"address_in_use"/);
       await waitFor(async () => (await findStatus(FIRST_PORT)) !== undefined);
@@ -213,7 +210,7 @@
   it.each(PORT_USES)(
     "ends with status 0 if SIGTERM comes while it waits for its port for %s",
     async (use) => {
-      await takePort(FIRST_PORT + PORT_USES.indexOf(use));
+      await takePortFor(use);
       const box = startBox();
       await box.waitForLine(/"event":"address_in_use"/);
       box.kill("SIGTERM");
--- a/apps/daemon/src/starts.test.ts
+++ b/apps/daemon/src/starts.test.ts
@@ -1,14 +1,14 @@
 /** Guards against a daemon that ends because of what its start meets for a moment: a port in use, late settings, a signal. */
 import { spawn } from "node:child_process";
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
-import { connect, createServer } from "node:net";
+import { connect } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { text as readText } from "node:stream/consumers";
 import { fileURLToPath } from "node:url";
 import { generate } from "selfsigned";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { spawnProcess, type SpawnedProcess } from "@stairgauge/testkit";
+import { spawnProcess, takePort, type SpawnedProcess } from "@stairgauge/testkit";
 
 const MAIN = fileURLToPath(new URL("../dist/main.js", import.meta.url));
 const EXAMPLE = fileURLToPath(new URL("../../../examples/box-1.yaml", import.meta.url));
@@ -45,14 +45,12 @@
   return daemon;
 };
 
-const takePort = (port: number) =>
-  new Promise<() => void>((resolve, reject) => {
-    const server = createServer();
-    const releasePort = () => void server.close();
-    closers.push(releasePort);
-    server.once("error", reject);
-    server.listen(port, "127.0.0.1", () => resolve(releasePort));
-  });
+/** Takes one of the daemon's ports until it is released or the test ends. */
+const takePortFor = async (listener: keyof typeof PORTS) => {
+  const releasePort = await takePort(PORTS[listener]);
+  closers.push(releasePort);
+  return releasePort;
+};
 
 /** Starts a daemon for which a minute takes a second. */
 const startFastDaemon = () => {
@@ -66,7 +64,7 @@
 
 describe("a port in use", () => {
   it.each(LISTENERS)("is awaited by the listener for %s", async (listener) => {
-    const releasePort = await takePort(PORTS[listener]);
+    const releasePort = await takePortFor(listener);
     const daemon = startDaemon();
     await daemon.waitForLine(new RegExp(`"listener":"${listener}".*"address_in_use"`));
     releasePort();
@@ -75,7 +73,7 @@
 
   // Guards against callers who are sent to the process that holds the port, as this one is said to be ready.
   it("of callers lets operators see that the daemon is not ready", async () => {
-    await takePort(PORTS.callers);
+    await takePortFor("callers");
     await startDaemon().waitForLine(/"address_in_use"/);
     const answer = await fetch(`http://127.0.0.1:${PORTS.operators}/readyz`);
     expect(answer.status).toBe(503);
@@ -84,7 +82,7 @@
 
   // Guards against a daemon that serves callers while it waits for its other port, and then ends with their requests.
   it("of operators that is never free does not cut the request of a caller", async () => {
-    await takePort(PORTS.operators);
+    await takePortFor("operators");
     const daemon = startFastDaemon();
     await daemon.waitForLine(/"address_in_use"/);
     const caller = connect(PORTS.callers, "127.0.0.1");
@@ -96,7 +94,7 @@
   });
 
   it.each(LISTENERS)("for %s does not make a stop a failure", async (listener) => {
-    await takePort(PORTS[listener]);
+    await takePortFor(listener);
     const daemon = startDaemon();
     await daemon.waitForLine(/"address_in_use"/);
     daemon.kill("SIGTERM");
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,6 +1,7 @@
 /** Test helpers: sites of separate processes, a streaming client and a fake engine. */
 export { spawnProcess } from "./spawnProcess.js";
 export type { SpawnedProcess } from "./spawnProcess.js";
+export { takePort } from "./takePort.js";
 export { createBoxForEngine, createProcessSite, spawnStandin } from "./processSite.js";
 export type {
   BoxProcess,
