test: boxes of the bundle before servers that answer in small pieces

Callers saw boxes that ended, or answered nobody, while one server sent an answer in chunks of one or a few bytes.

--- a/apps/box/src/misbehavingClients.testkit.ts
+++ b/apps/box/src/misbehavingClients.testkit.ts
@@ -2,7 +2,6 @@
  * Test helpers: a box as a process of its own on a small machine, clients that send more than it can hold and read
  * no answer, and clients that stay within the limits.
  */
-import { readdirSync, readFileSync } from "node:fs";
 import { request as openRequest, type RequestOptions } from "node:http";
 import { connect, type Socket } from "node:net";
 import { HEADER, READY_PATH } from "@stairgauge/platform";
@@ -11,6 +10,7 @@
 import { startBoxProcess } from "./boxProcess.testkit.js";
 import type { BoxPorts } from "./createLifecycle.js";
 import { startWritingServer, writeSoundAnswer } from "./endlessAnswers.testkit.js";
+import { watchUse, type ProcessUse } from "./processUse.testkit.js";
 
 /** The machine of the box: memory and open files that the process may use. */
 export const MACHINE = { memoryMb: 144, descriptors: 480 } as const;
@@ -22,14 +22,12 @@
 const BODIES_MB = 2;
 
 const SERVERS = 3;
-const BYTES_PER_KB = 1024;
 
 /** How long the crowd stays. */
 const CROWD_MS = 6_000;
 
 /** A client whose connection was closed connects again after this, unless its crowd waits longer. */
 const RECONNECT_MS = 100;
-const SAMPLE_MS = 50;
 
 /** Path of requests whose answers are long. */
 export const LONG_ANSWER_PATH = "/again/long";
@@ -41,9 +39,6 @@
 const TRY_MS = 5_000;
 const TRY_PAUSE_MS = 1_000;
 
-/** The most that the process used. */
-export type ProcessUse = Readonly<{ memoryMb: number; descriptors: number }>;
-
 /** The process of a box. */
 export type SmallBox = Readonly<{
   port: number;
@@ -53,28 +48,6 @@
   readUse: () => ProcessUse;
 }>;
 
-/** Samples what a process uses until it ends. */
-const watchUse = (pid: number) => {
-  let descriptors = 0;
-  let memoryMb = 0;
-  const sample = () => {
-    try {
-      descriptors = Math.max(descriptors, readdirSync(`/proc/${pid}/fd`).length);
-      const status = readFileSync(`/proc/${pid}/status`, "utf8");
-      const [, peakKb = "0"] = /^VmHWM:\s+(\d+) kB$/m.exec(status) ?? [];
-      memoryMb = Math.max(memoryMb, Math.ceil(Number(peakKb) / BYTES_PER_KB));
-    } catch {
-      // The process has ended.
-    }
-  };
-  const timer = setInterval(sample, SAMPLE_MS);
-  closers.push(() => clearInterval(timer));
-  return () => {
-    sample();
-    return { memoryMb, descriptors };
-  };
-};
-
 const startServer = (name: string) =>
   startWritingServer((call) => {
     if (!call.path.startsWith(LONG_ANSWER_PATH)) return writeSoundAnswer(name, call);
--- a/apps/box/src/startFile.test.ts
+++ b/apps/box/src/startFile.test.ts
@@ -3,7 +3,7 @@
  * deploy/system.toml.
  */
 import { spawn } from "node:child_process";
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { afterAll, beforeAll, beforeEach, describe, expect, it } from "vitest";
@@ -11,8 +11,8 @@
 import { spawnProcess, takePort, type SpawnedProcess } from "@stairgauge/testkit";
 import { formatBoxSettings, sendRequests, startUsersSite } from "@stairgauge/standins";
 import { BUSY_MACHINE_TIMEOUT_MS, closers, waitFor } from "./box.testkit.js";
+import { buildBundle, findStartArguments } from "./deployedBox.testkit.js";
 
-const DEPLOYMENT = readFileSync("deploy/system.toml", "utf8");
 /** Address without a store. A box starts without one, and is not ready. */
 const NO_STORE = "127.0.0.1:1";
 const FIRST_PORT = 18_700;
@@ -37,13 +37,6 @@
 /** Part of the settings, in whose middle a value ends. */
 const CUT_SETTINGS = SETTINGS.slice(0, 200);
 
-/** Finds the arguments after `node` in the command that runs the script. */
-const findArguments = (script: RegExp): readonly string[] => {
-  const match = new RegExp(`node ((?:--\\S+ )*\\S*${script.source})`).exec(DEPLOYMENT);
-  if (!match) throw new TypeError(`deploy/system.toml starts no ${script.source}`);
-  return match[1]!.split(" ");
-};
-
 describe("the program of a box", () => {
   let folder: string;
   let settings: string;
@@ -51,8 +44,7 @@
   beforeAll(async () => {
     folder = mkdtempSync(join(tmpdir(), "stairgauge-"));
     settings = join(folder, "box.yaml");
-    const build = spawnProcess(findArguments(/deploy\/build\.js/));
-    expect(await build.waitForExit()).toBe(0);
+    await buildBundle();
   }, BUSY_MACHINE_TIMEOUT_MS);
   beforeEach(() => writeFileSync(settings, SETTINGS));
   afterAll(() => rmSync(folder, { recursive: true }));
@@ -67,11 +59,11 @@
   };
 
   it("uses the code cache that the build stored", async () => {
-    expect(await start(findArguments(/target\/stairgauged\.cjs/))).toBe("used");
+    expect(await start(findStartArguments())).toBe("used");
   });
 
   it("starts without the code cache if the runtime rejects it, and logs that", async () => {
-    const script = findArguments(/target\/stairgauged\.cjs/).at(-1)!;
+    const script = findStartArguments().at(-1)!;
     expect(await start(["--no-opt", script])).toBe("refused");
   });
 
@@ -92,7 +84,7 @@
 
   /** Starts a box that the test ends. */
   const startBox = (args: readonly string[] = []): SpawnedProcess => {
-    const command = findArguments(/target\/stairgauged\.cjs/);
+    const command = findStartArguments();
     const box = spawnProcess([...args, ...command, "--settings", settings]);
     closers.push(async () => {
       box.kill("SIGKILL");
@@ -168,7 +160,7 @@
   // Guards against a box that ends since nobody reads what it writes while it waits.
   it("starts when its settings are there although its output is closed", async () => {
     rmSync(settings);
-    const command = findArguments(/target\/stairgauged\.cjs/);
+    const command = findStartArguments();
     const box = spawn(process.execPath, [...command, "--settings", settings]);
     closers.push(() => box.kill("SIGKILL"));
     box.stdout.destroy();
--- a/packages/standins/src/usersPlatform/usersSite.ts
+++ b/packages/standins/src/usersPlatform/usersSite.ts
@@ -46,6 +46,8 @@
   putRawEntry: (id: string, entry: unknown) => void;
   /** Writes the entry of a plain server that was started elsewhere; `born` as for engines. */
   putService: (id: string, address: string, born?: number) => void;
+  /** Writes the entry of a server of a second plain service, and a configuration with a route to it. */
+  putOtherService: (id: string, address: string) => void;
   /** Writes a server's entry with another data hall. */
   putHall: (server: UsersEngine | UsersService, hall: string) => void;
   /** Closes a data hall to new requests. */
@@ -68,6 +70,7 @@
 
 const ENGINE_SERVICE = "writers";
 const PLAIN_SERVICE = "pages";
+const OTHER_SERVICE = "others";
 
 /** Data hall of all servers until `putHall` changes it. */
 export const SITE_HALL = "hall-a";
@@ -119,6 +122,13 @@
   }),
 ];
 
+const OTHER_ROUTE = createRoute("other", {
+  routeType: "idempotent",
+  service: OTHER_SERVICE,
+});
+
+const PLAIN_SPEC = { name: PLAIN_SERVICE, healthPath: HEALTH_PATH, maxConnections: 100 };
+
 const CONFIGURATION = {
   routes: ROUTES,
   services: [
@@ -136,7 +146,7 @@
         handleS: 5,
       },
     },
-    { name: PLAIN_SERVICE, healthPath: HEALTH_PATH, maxConnections: 100 },
+    PLAIN_SPEC,
   ],
   limits: {
     maxHeaderBytes: 16_384,
@@ -161,24 +171,32 @@
   /** Software versions of the servers that have another than the first one. */
   const versions = new Map<string, string>();
 
-  const putEntry = (
+  type EntryArguments = readonly [
     server: Readonly<{ id: string; address: string }>,
     state: string,
-    isEngine = engines.some(({ id }) => id === server.id),
-    details: Readonly<{ hall?: string; born?: number | undefined }> = {},
-  ) => {
-    store.put(TABLE.servers, server.id, {
-      service: isEngine ? ENGINE_SERVICE : PLAIN_SERVICE,
-      address: server.address,
-      zone: details.hall ?? SITE_HALL,
-      version: versions.get(server.id) ?? FIRST_VERSION,
-      slots: isEngine ? 48 : 6,
+    isEngine?: boolean,
+    details?: Readonly<{ hall?: string; born?: number | undefined }>,
+  ];
+  const makeEntry = (
+    ...[
+      server,
       state,
-      warmupLeftMs: 0,
-      sequence: 1,
-      ...(details.born !== undefined && { born: details.born }),
-    });
-  };
+      isEngine = engines.some(({ id }) => id === server.id),
+      details = {},
+    ]: EntryArguments
+  ) => ({
+    service: isEngine ? ENGINE_SERVICE : PLAIN_SERVICE,
+    address: server.address,
+    zone: details.hall ?? SITE_HALL,
+    version: versions.get(server.id) ?? FIRST_VERSION,
+    slots: isEngine ? 48 : 6,
+    state,
+    warmupLeftMs: 0,
+    sequence: 1,
+    ...(details.born !== undefined && { born: details.born }),
+  });
+  const putEntry = (...entry: EntryArguments) =>
+    store.put(TABLE.servers, entry[0].id, makeEntry(...entry));
   for (const server of [...engines, ...services]) putEntry(server, "ready");
 
   const putConfiguration: UsersSite["putConfiguration"] = (changes = {}) => {
@@ -226,6 +244,16 @@
     putRawEntry: (id, entry) => store.put(TABLE.servers, id, entry),
     putService: (id, address, born) =>
       putEntry({ id, address }, "ready", false, { born }),
+    putOtherService: (id, address) => {
+      store.put(TABLE.servers, id, {
+        ...makeEntry({ id, address }, "ready", false),
+        service: OTHER_SERVICE,
+      });
+      putConfiguration({
+        routes: [...ROUTES, OTHER_ROUTE],
+        services: [...CONFIGURATION.services, { ...PLAIN_SPEC, name: OTHER_SERVICE }],
+      });
+    },
     putHall: (server, hall) => putEntry(server, "ready", undefined, { hall }),
     closeHall: (hall) => store.put(TABLE.operator, CLOSED_HALL_PREFIX + hall, {}),
     openHall: (hall) => store.drop(TABLE.operator, CLOSED_HALL_PREFIX + hall),
