--- /dev/null
+++ b/packages/forwarding/src/answerReader.ts
@@ -0,0 +1,194 @@
+/**
+ * Hands what a server sends to the parser of its connection in pieces of a bounded cost, and what each piece holds of the
+ * body to the sink at once. The parser handles all that it is given in one go and makes an object for each chunk, so a
+ * read of 64 KB in chunks of one byte would cost as much as ten thousand answers, in memory as well as in time.
+ */
+import type { Socket } from "node:net";
+import type { Clock, Ms } from "@stairgauge/common";
+import { createByteCollector } from "./byteCollector.js";
+import {
+  SHORT_READ_BYTES,
+  type PendingReader,
+  type ReadTurns,
+} from "@stairgauge/saturation";
+
+/** Pieces with fewer chunks than this may be followed by one of twice the size, up to the largest one. */
+const FEW_CHUNKS = 64;
+const MAX_PIECE_BYTES = 64 * 1024;
+
+/**
+ * Chunks of one answer that are handled as soon as they arrive, and how many are allowed anew in a second. A stream has some
+ * thirty events a second; a thousand chunks cost one or two milliseconds.
+ */
+const MAX_PROMPT_CHUNKS = 1_000;
+const PROMPT_CHUNKS_PER_MS = 1;
+
+/**
+ * Bytes of the body that are read although the reader is paused. A server may reset the connection behind a complete answer,
+ * and what was not read of it by then is lost.
+ */
+const MAX_PAUSED_BYTES = 16 * 1024;
+
+/** Options of a reader. */
+export type AnswerReaderOptions = Readonly<{
+  socket: Socket;
+  /** Handles bytes of the connection; calls `addChunk` for what they hold of the body. */
+  parse: (piece: Buffer) => void;
+  /** Whether nothing of what follows belongs to the answer. */
+  isComplete: () => boolean;
+  /** What a piece has held of the body. */
+  onBody: (bytes: Buffer) => void;
+  clock: Pick<Clock, "monotonic">;
+  turns: ReadTurns;
+}>;
+
+/** Reads one answer. */
+export type AnswerReader = Readonly<{
+  /** The parser has found a chunk of the body. */
+  addChunk: (chunk: Buffer) => void;
+  /** Hands nothing to the sink until `resume`. */
+  pause: () => void;
+  resume: () => void;
+  /** Calls the function once all that was parsed has been handed to the sink. */
+  onDelivered: (run: () => void) => void;
+}>;
+
+/** Joins the chunks of one piece. A single one is not copied. */
+const createPieceBody = () => {
+  let first: Buffer | undefined;
+  let joined: Buffer | undefined;
+  let used = 0;
+  let chunks = 0;
+  return {
+    /** `maxBytes`: the most that the chunks can have together. */
+    add: (chunk: Buffer, maxBytes: number) => {
+      chunks += 1;
+      if (!first) {
+        first = chunk;
+        used = chunk.length;
+        return;
+      }
+      if (!joined || joined.length < used + chunk.length) {
+        const larger = Buffer.allocUnsafeSlow(Math.max(maxBytes, used + chunk.length));
+        (joined ?? first).copy(larger, 0, 0, used);
+        joined = larger;
+      }
+      used += chunk.copy(joined, used);
+    },
+    take: () => {
+      const bytes = joined?.subarray(0, used) ?? first;
+      const taken = { bytes, chunks };
+      first = undefined;
+      joined = undefined;
+      used = 0;
+      chunks = 0;
+      return taken;
+    },
+  };
+};
+
+/** Counts chunks against those that are handled promptly. */
+const createPromptChunks = (clock: Pick<Clock, "monotonic">) => {
+  let left = MAX_PROMPT_CHUNKS;
+  let countedAt: Ms = clock.monotonic();
+  const refill = () => {
+    const now = clock.monotonic();
+    left = Math.min(MAX_PROMPT_CHUNKS, left + (now - countedAt) * PROMPT_CHUNKS_PER_MS);
+    countedAt = now;
+  };
+  return {
+    spend: (chunks: number) => {
+      refill();
+      left -= chunks;
+    },
+    hasLeft: () => left > 0,
+  };
+};
+
+/** Begins to read from a connection that nothing else reads from. */
+export const startAnswerReader = (options: AnswerReaderOptions): AnswerReader => {
+  const { socket, parse, isComplete, onBody, clock, turns } = options;
+  const body = createPieceBody();
+  const prompt = createPromptChunks(clock);
+  let pieceBytes = SHORT_READ_BYTES;
+  let isParsing = false;
+  let isPaused = false;
+  let isFlushScheduled = false;
+  /** What was parsed while the reader is paused. */
+  let held = createByteCollector();
+  let notifyDelivered: (() => void) | undefined;
+
+  const flush = () => {
+    const { bytes, chunks } = body.take();
+    if (!bytes) return chunks;
+    if (isPaused) held.append(bytes);
+    else onBody(bytes);
+    return chunks;
+  };
+  const deliverHeld = () => {
+    if (held.getLength() === 0) return;
+    const bytes = held.join();
+    held = createByteCollector();
+    onBody(bytes);
+  };
+  const reportDelivered = () => {
+    if (isPaused || isFlushScheduled) return;
+    notifyDelivered?.();
+    notifyDelivered = undefined;
+  };
+  /** Chooses the size of the next piece by what the last one has cost; one without a chunk may be framing only. */
+  const adaptPiece = (chunks: number) => {
+    prompt.spend(chunks);
+    const isCheap = chunks > 0 && chunks < FEW_CHUNKS;
+    pieceBytes = isCheap ? Math.min(2 * pieceBytes, MAX_PIECE_BYTES) : SHORT_READ_BYTES;
+  };
+  const canRead = () =>
+    !socket.destroyed && !(isPaused && held.getLength() >= MAX_PAUSED_BYTES);
+  const hasMore = () => canRead() && socket.readableLength > 0;
+  const reader: PendingReader = {
+    isLong: () => socket.readableLength > SHORT_READ_BYTES || !prompt.hasLeft(),
+    readPiece: () => {
+      if (!canRead()) return { isSentAhead: false, hasMore: false };
+      // Reads on if there is nothing, so that the end of the connection is found.
+      const length = Math.min(pieceBytes, socket.readableLength);
+      const piece = socket.read(length === 0 ? undefined : length) as Buffer | null;
+      if (piece && !isComplete()) {
+        isParsing = true;
+        parse(piece);
+        isParsing = false;
+        adaptPiece(flush());
+      }
+      return { isSentAhead: false, hasMore: hasMore() };
+    },
+  };
+  const readOn = () => {
+    if (canRead()) turns.read(reader);
+  };
+  socket.on("readable", readOn);
+  return {
+    addChunk: (chunk) => {
+      body.add(chunk, pieceBytes);
+      if (isParsing || isFlushScheduled) return;
+      // The parser hands over later what came with the head.
+      isFlushScheduled = true;
+      process.nextTick(() => {
+        isFlushScheduled = false;
+        prompt.spend(flush());
+        reportDelivered();
+      });
+    },
+    pause: () => {
+      isPaused = true;
+    },
+    resume: () => {
+      isPaused = false;
+      deliverHeld();
+      reportDelivered();
+      readOn();
+    },
+    onDelivered: (run) => {
+      notifyDelivered = run;
+      reportDelivered();
+    },
+  };
+};
