fix: an answer in small pieces costs a box a bounded part of its memory and time

Callers saw boxes end while a server answered in chunks of a few bytes: 8 of 8 endless answers in chunks of 1, 2 or 8 bytes ended the process within a second on, as did sound answers of 300,000 bytes in chunks of 1 byte and failures without end.

Cause: the limits count bytes. The parser was given whole reads, so that 64 KB in chunks of one byte were ten thousand objects, places in a list and writes in one turn of the event loop, each keeping its read alive, and no pause took effect before its end.

The parser is now given pieces of 4 KB, larger ones only while chunks are large, and what a piece holds of the body goes on as one buffer. Long reads come in turn, in half of the time, as those of clients do; a stream's events are handled at once up to a thousand chunks a second. Bodies that are held are copied into few buffers, by the collector that request bodies have. A paused answer is read up to 16 KB, so that a reset behind a complete answer loses nothing.

--- a/apps/box/src/createPaths.ts
+++ b/apps/box/src/createPaths.ts
@@ -22,6 +22,7 @@
   type ServerPaths,
 } from "@stairgauge/paths";
 import { createHeadCodec, type EngineActionsOptions } from "@stairgauge/platform";
+import { createReadTurns } from "@stairgauge/saturation";
 import type { BoxSettings } from "@stairgauge/settings";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
 import { computeSettingsLimits } from "./computeSettingsLimits.js";
@@ -76,13 +77,14 @@
     maxHeldBytes: computeSettingsLimits(settings).carried,
   });
   const codec = createHeadCodec();
+  const turns = createReadTurns({ clock, scheduleTurnEnd: setImmediate });
   const openOwn: OpenOwnExchange = (request, sink) => {
     const { host, port } = request.address;
     const onExcess = (excess: AnswerExcess) =>
       observer.onAnswerOverLimit(`${host}:${port}`, excess);
     const onUnsendable = (detail: string) =>
       observer.onUnsendable(`${host}:${port}`, detail);
-    const own = { ...request, dial: dialServer, onExcess, onUnsendable };
+    const own = { ...request, dial: dialServer, turns, onExcess, onUnsendable };
     return openExchange(clock, own, sink);
   };
   let isStopping = false;
--- a/packages/forwarding/src/answerLimits.ts
+++ b/packages/forwarding/src/answerLimits.ts
@@ -3,6 +3,7 @@
  * client is bounded: what is read before a head and beside a body, what is held of a body, and how long it is awaited.
  */
 import type { Ms } from "@stairgauge/common";
+import { createByteCollector } from "./byteCollector.js";
 
 const KB = 1024;
 
@@ -90,15 +91,14 @@
 export const createHeldBody = ({
   maxBytes,
 }: Pick<HeldBodyLimits, "maxBytes">): HeldBody => {
-  const parts: Buffer[] = [];
-  let length = 0;
+  const collector = createByteCollector();
   return {
     add: (chunk) => {
-      length += chunk.length;
-      if (length > maxBytes) return { limit: "held_body", bytes: length };
-      parts.push(chunk);
+      const bytes = collector.getLength() + chunk.length;
+      if (bytes > maxBytes) return { limit: "held_body", bytes };
+      collector.append(chunk);
       return undefined;
     },
-    getBytes: () => Buffer.concat(parts),
+    getBytes: collector.join,
   };
 };
--- a/packages/forwarding/src/answerReader.ts
+++ b/packages/forwarding/src/answerReader.ts
@@ -91,14 +91,14 @@
 const createPromptChunks = (clock: Pick<Clock, "monotonic">) => {
   let left = MAX_PROMPT_CHUNKS;
   let countedAt: Ms = clock.monotonic();
-  const refill = () => {
+  const countElapsed = () => {
     const now = clock.monotonic();
     left = Math.min(MAX_PROMPT_CHUNKS, left + (now - countedAt) * PROMPT_CHUNKS_PER_MS);
     countedAt = now;
   };
   return {
     spend: (chunks: number) => {
-      refill();
+      countElapsed();
       left -= chunks;
     },
     hasLeft: () => left > 0,
@@ -125,7 +125,7 @@
     else onBody(bytes);
     return chunks;
   };
-  const deliverHeld = () => {
+  const passHeldOn = () => {
     if (held.getLength() === 0) return;
     const bytes = held.join();
     held = createByteCollector();
@@ -137,7 +137,7 @@
     notifyDelivered = undefined;
   };
   /** Chooses the size of the next piece by what the last one has cost; one without a chunk may be framing only. */
-  const adaptPiece = (chunks: number) => {
+  const choosePiece = (chunks: number) => {
     prompt.spend(chunks);
     const isCheap = chunks > 0 && chunks < FEW_CHUNKS;
     pieceBytes = isCheap ? Math.min(2 * pieceBytes, MAX_PIECE_BYTES) : SHORT_READ_BYTES;
@@ -156,7 +156,7 @@
         isParsing = true;
         parse(piece);
         isParsing = false;
-        adaptPiece(flush());
+        choosePiece(flush());
       }
       return { isSentAhead: false, hasMore: hasMore() };
     },
@@ -182,7 +182,7 @@
     },
     resume: () => {
       isPaused = false;
-      deliverHeld();
+      passHeldOn();
       reportDelivered();
       readOn();
     },
--- a/packages/forwarding/src/answerSink.ts
+++ b/packages/forwarding/src/answerSink.ts
@@ -21,6 +21,7 @@
   isStreamOf,
   type Verdict,
 } from "./decideNext.js";
+import type { ByteCollector } from "./byteCollector.js";
 import type { AdmittedRequest } from "./admittedRequest.js";
 import { describeHeadFault, findHeadFault, type HeadFault } from "./checkAnswerHead.js";
 import {
@@ -144,29 +145,29 @@
     listener.onFailure({ kind: "malformed", detail: describeHeadFault(fault) });
   };
 
-  const appendHeld = (parts: Buffer[], chunk: Buffer) => {
-    parts.push(chunk);
+  const appendHeld = (held: ByteCollector, chunk: Buffer) => {
+    held.append(chunk);
     attempt.heldBytes += chunk.length;
     const { answer: sound, failure } = HELD_BODY_LIMITS;
     if (attempt.heldBytes <= failure.maxBytes) return;
     if (!isFinal(attempt.head!))
       dropBody({ limit: "held_body", bytes: attempt.heldBytes });
-    else if (attempt.heldBytes > sound.maxBytes) startPassingOn(parts);
+    else if (attempt.heldBytes > sound.maxBytes) startPassingOn(held);
   };
-  const startPassingOn = (parts: readonly Buffer[]) => {
+  const startPassingOn = (held: ByteCollector) => {
     const answerHead = attempt.head!;
     listener.onPassingOn();
     const { status, forwardedHeaders } = answerHead;
     answer.begin({ status, reason: attempt.reason, headers: forwardedHeaders });
     attempt.body = { kind: "passed_on" };
-    applyPace(!answer.write(Buffer.concat(parts)));
+    applyPace(!answer.write(held.join()));
   };
 
   const handleData = (chunk: Buffer) => {
     const { body } = attempt;
     switch (body.kind) {
       case "held":
-        appendHeld(body.parts, chunk);
+        appendHeld(body.bytes, chunk);
         return;
       case "passed_on":
         applyPace(!answer.write(chunk));
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -2,6 +2,7 @@
 import { assertNever, type BoxName, type Ms, type Timer } from "@stairgauge/common";
 import type { BackendServer } from "@stairgauge/directory";
 import type { Demand } from "@stairgauge/placement";
+import { createByteCollector, type ByteCollector } from "./byteCollector.js";
 import type { ClientAnswer } from "./clientAnswer.js";
 import type { EndedBy, Exchange } from "./openExchange.js";
 import type { StreamSegment } from "./streamRelay.js";
@@ -9,8 +10,8 @@
 
 /** How the body of an attempt's answer is delivered to the client. */
 export type AttemptBody = Readonly<
-  /** The body is buffered in `parts` until it is complete. */
-  | { kind: "held"; parts: Buffer[] }
+  /** The body is collected until it is complete. */
+  | { kind: "held"; bytes: ByteCollector }
   /** The body is too long to buffer; chunks are forwarded as they arrive. */
   | { kind: "passed_on" }
   /** Complete events are forwarded. */
@@ -68,7 +69,7 @@
   eventsBefore,
   reason: "",
   endedBy: undefined,
-  body: { kind: "held", parts: [] },
+  body: { kind: "held", bytes: createByteCollector() },
   heldBytes: 0,
   bodyTimer: undefined,
   isBodyDropped: false,
@@ -94,6 +95,8 @@
   }
 };
 
+const NOTHING = Buffer.alloc(0);
+
 /** Sends the buffered answer unchanged, with additional headers of the box. */
 export const sendHeldAnswer = (
   answer: Pick<ClientAnswer, "sendWhole">,
@@ -102,8 +105,8 @@
 ): void => {
   const { status, forwardedHeaders } = head!;
   const headers = [...forwardedHeaders, ...ownHeaders];
-  const parts = body.kind === "held" ? body.parts : [];
-  answer.sendWhole({ status, reason, headers }, Buffer.concat(parts));
+  const bytes = body.kind === "held" ? body.bytes.join() : NOTHING;
+  answer.sendWhole({ status, reason, headers }, bytes);
 };
 
 /**
--- a/packages/forwarding/src/openExchange.ts
+++ b/packages/forwarding/src/openExchange.ts
@@ -20,11 +20,13 @@
   type Result,
 } from "@stairgauge/common";
 import type { ServerAddress } from "@stairgauge/directory";
+import { createReadTurns, type ReadTurns } from "@stairgauge/saturation";
 import {
   createOverheadMeter,
   describeExcess,
   type AnswerExcess,
 } from "./answerLimits.js";
+import { startAnswerReader, type AnswerReader } from "./answerReader.js";
 import type { ExchangeFailure, RawHeaders } from "./types.js";
 import { attemptMake, failUnsent, type UnsendableFailure } from "./unsendable.js";
 
@@ -42,6 +44,8 @@
   connectLimit: Ms;
   /** Opens the connection; over TCP if undefined. */
   dial?: Dialer | undefined;
+  /** Divides the time for reading among the answers of this process; this one has turns of its own if undefined. */
+  turns?: ReadTurns | undefined;
   /** Reports an answer that exceeds a limit. */
   onExcess?: ((excess: AnswerExcess) => void) | undefined;
   /** Reports a request that cannot be sent. */
@@ -127,6 +131,7 @@
   sink: ExchangeSink,
 ): Exchange => {
   const { body, connectLimit, dial = connectTcp, onExcess } = exchange;
+  const { turns = createReadTurns({ clock, scheduleTurnEnd: setImmediate }) } = exchange;
   const made = makeOutgoing(exchange, dial);
   if (made.err) {
     exchange.onUnsendable?.(made.val.detail);
@@ -139,6 +144,7 @@
   let isProven = false;
   let answer: IncomingMessage | undefined;
   let endedBy: EndedBy = "framing";
+  let reader: AnswerReader | undefined;
   const meter = createOverheadMeter();
 
   const finish = () => {
@@ -164,6 +170,11 @@
       : { kind: "broken", detail };
   };
 
+  const end = () => {
+    if (!finish()) return;
+    socket.destroy();
+    sink.onEnd(endedBy);
+  };
   const failByExcess = (excess: AnswerExcess) => {
     if (isOver) return;
     onExcess?.(excess);
@@ -176,12 +187,24 @@
     if (!isOver) sink.onConnected?.();
   });
   // The parser has the bytes first, so that those of a body are counted before they are compared.
-  outgoing.once("socket", () =>
-    socket.on("data", (bytes: Buffer) => {
-      const excess = meter.addReceived(bytes.length);
-      if (excess) failByExcess(excess);
-    }),
-  );
+  outgoing.once("socket", () => {
+    const parsers = socket.listeners("data");
+    socket.removeAllListeners("data");
+    reader = startAnswerReader({
+      socket,
+      parse: (piece) => {
+        for (const parse of parsers) parse.call(socket, piece);
+        const excess = meter.addReceived(piece.length);
+        if (excess) failByExcess(excess);
+      },
+      isComplete: () => answer?.complete === true,
+      onBody: (bytes) => {
+        if (!isOver) sink.onData(bytes);
+      },
+      clock,
+      turns,
+    });
+  });
   // NOTE: Node.js reports a reset that arrives with the last bytes as a normal end. Only a write that
   // fails reveals the reset, and this matters only for an answer that is not complete yet. Servers
   // skip an empty line between requests, so writing one is harmless.
@@ -204,16 +227,12 @@
     answer = incoming;
     incoming.on("data", (chunk: Buffer) => {
       meter.addBody(chunk.length);
-      if (!isOver) sink.onData(chunk);
+      reader?.addChunk(chunk);
     });
     incoming.on("end", () => {
       if (!incoming.complete) return;
       // An error may still arrive in this turn of the event loop; the end counts only if none does.
-      setImmediate(() => {
-        if (!finish()) return;
-        socket.destroy();
-        sink.onEnd(endedBy);
-      });
+      setImmediate(() => reader?.onDelivered(end));
     });
     incoming.on("error", (error) => fail(toFailure(error)));
     incoming.on("aborted", () => fail({ kind: "broken", detail: "aborted" }));
@@ -235,8 +254,8 @@
       onExcess?.(excess);
       cancel();
     },
-    pause: () => answer?.pause(),
-    resume: () => answer?.resume(),
+    pause: () => reader?.pause(),
+    resume: () => reader?.resume(),
     isSent: () => isConnected,
   };
 };
--- a/packages/forwarding/src/readRequestBody.ts
+++ b/packages/forwarding/src/readRequestBody.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from "node:http";
 import { Err, Ok, type Result } from "@stairgauge/common";
 import type { BodyShare } from "./bodyMemory.js";
+import { createByteCollector } from "./byteCollector.js";
 
 /** Why a body could not be read. */
 export type RequestBodyFailure = Readonly<
@@ -20,58 +21,18 @@
   share: Pick<BodyShare, "take">;
 }>;
 
-/** Size of the buffers that a body is copied into: an eighth of what came before, and no less than this. */
-const SPARE_SHARE = 1 / 8;
-const MIN_BUFFER_BYTES = 64;
-
-/** Collects bytes in few buffers. */
-const createCollector = () => {
-  const full: Buffer[] = [];
-  let last = Buffer.alloc(0);
-  /** Bytes of the last buffer that are used. */
-  let used = 0;
-  let length = 0;
-
-  const startBuffer = (bytes: number) => {
-    if (used > 0) full.push(last);
-    const spare = Math.max(MIN_BUFFER_BYTES, Math.floor(length * SPARE_SHARE));
-    last = Buffer.allocUnsafeSlow(length === 0 ? bytes : Math.max(bytes, spare));
-    used = 0;
-  };
-  return {
-    getLength: () => length,
-    append: (chunk: Buffer) => {
-      const fitting = chunk.copy(last, used);
-      used += fitting;
-      length += fitting;
-      if (fitting === chunk.length) return;
-      startBuffer(chunk.length - fitting);
-      const rest = chunk.copy(last, 0, fitting);
-      used = rest;
-      length += rest;
-    },
-    join: (): Buffer => {
-      const end = last.subarray(0, used);
-      return full.length === 0 ? end : Buffer.concat([...full, end], length);
-    },
-  };
-};
-
-/**
- * Reads the body; never holds more than `limit` bytes, nor more than the share takes. The chunks are copied: each would
- * cost some hundred bytes, however short it is, and keep the whole read that brought it.
- */
+/** Reads the body; never holds more than `limit` bytes, nor more than the share takes. */
 export const readRequestBody = ({
   incoming,
   limit,
   share,
 }: RequestBodyOptions): Promise<Result<Buffer, RequestBodyFailure>> =>
   new Promise((resolve) => {
-    let body = createCollector();
+    let body = createByteCollector();
     let isOver = false;
     const fail = (failure: RequestBodyFailure) => {
       isOver = true;
-      body = createCollector();
+      body = createByteCollector();
       resolve(Err(failure));
     };
     incoming.on("data", (chunk: Buffer) => {
--- a/packages/saturation/src/createReadTurns.ts
+++ b/packages/saturation/src/createReadTurns.ts
@@ -1,7 +1,7 @@
 /**
- * Divides the event loop's time among the clients' connections. What a client has sent is handled at once if it is
- * short. The rest of what is long is handled piece by piece, in turn with that of other connections and in a part of
- * the time only: so clients that send much, or in pieces that cost much, keep no other client waiting.
+ * Divides the event loop's time among connections of clients and servers. What has been received is handled at once if
+ * it is short. The rest of what is long is handled piece by piece, in turn with that of other connections and in a part of
+ * the time only: so peers that send much, or in pieces that cost much, keep nobody else waiting.
  */
 import type { Clock } from "@stairgauge/common";
 import {
@@ -21,7 +21,7 @@
 
 /** A connection from which bytes were received that are not handled yet. */
 export type PendingReader = Readonly<{
-  /** Whether the client has sent more than a short request. */
+  /** Whether more was received than is handled at once. */
   isLong: () => boolean;
   /** Handles the next piece. */
   readPiece: () => ReadPiece;
