fix: a stream's pieces are read once, however little each of them completes

Callers of a stream whose server sent one event without end, comments or line feeds in chunks of one byte got no answer 1.5 s behind their deadline, and no other caller of the box did meanwhile: 9 of 9 such tests on.

Cause: the splitter joined each piece with all that came before and searched it anew, so that the time grew with the square of the bytes: 512 KB in single bytes are 128 GB.

The ends of events are found by a state that reads each byte once, and what is incomplete is copied into few buffers.

--- a/packages/forwarding/src/eventSplitter.ts
+++ b/packages/forwarding/src/eventSplitter.ts
@@ -5,6 +5,8 @@
  * feed, a carriage return, or both; blank lines before an event belong to it.
  */
 
+import { createByteCollector } from "./byteCollector.js";
+
 /** Complete events. */
 export type EventBatch = Readonly<{
   bytes: Buffer;
@@ -30,7 +32,6 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const SPACE = 0x20;
-const BLANK_LINE = "\n\n";
 const ID_FIELD = "id:";
 const DATA_FIELD = "data";
 const FIRST_OF_ID = ID_FIELD.charCodeAt(0);
@@ -39,49 +40,45 @@
 /** Ends of the complete events, each the index after the event's last byte. */
 type EventEnds = readonly number[];
 
-const passLineFeeds = (text: string, from: number): number => {
-  let at = from;
-  while (text.charCodeAt(at) === LINE_FEED) at += 1;
-  return at;
-};
-
-const findPlainEnds = (text: string): EventEnds => {
-  const ends: number[] = [];
-  let at = text.indexOf(BLANK_LINE, passLineFeeds(text, 0));
-  while (at >= 0) {
-    const end = at + BLANK_LINE.length;
-    ends.push(end);
-    at = text.indexOf(BLANK_LINE, passLineFeeds(text, end));
-  }
-  return ends;
-};
-
 const isLineEnd = (byte: number | undefined): boolean =>
   byte === LINE_FEED || byte === CARRIAGE_RETURN;
 
-/** Start of the line after the line end at `at`; -1 if a line feed that belongs to it may still follow. */
-const findNextLine = (bytes: Buffer, at: number, isComplete: boolean): number => {
-  if (bytes[at] === LINE_FEED) return at + 1;
-  if (at + 1 === bytes.length) return isComplete ? at + 1 : -1;
-  return bytes[at + 1] === LINE_FEED ? at + 2 : at + 1;
-};
+/** Finds the ends of events in bytes that come one after the other; reads each byte once. */
+type EndFinder = Readonly<{
+  /** Returns the ends in the next bytes, as indexes of them. */
+  find: (bytes: Buffer) => EventEnds;
+  /** Whether the bytes so far, if no more follow, end with an event that a last carriage return completes. */
+  isCompleteAtEnd: () => boolean;
+}>;
 
-/** Finds ends where lines end in any of the three ways; `isComplete`: no more bytes follow. */
-const findMixedEnds = (bytes: Buffer, isComplete: boolean): EventEnds => {
-  const ends: number[] = [];
-  let lineStart = 0;
+const createEndFinder = (): EndFinder => {
+  let isLineBlank = true;
   let hasContent = false;
-  for (let at = 0; at < bytes.length; at += 1) {
-    if (!isLineEnd(bytes[at])) continue;
-    const next = findNextLine(bytes, at, isComplete);
-    if (next < 0) break;
-    const isBlank = at === lineStart;
-    if (isBlank && hasContent) ends.push(next);
-    hasContent = !isBlank;
-    lineStart = next;
-    at = next - 1;
-  }
-  return ends;
+  /** Whether the last byte is a carriage return, to which a line feed may still belong. */
+  let isAfterReturn = false;
+
+  const isEventComplete = () => isLineBlank && hasContent;
+  const endLine = (next: number, ends: number[]) => {
+    if (isEventComplete()) ends.push(next);
+    hasContent = !isLineBlank;
+    isLineBlank = true;
+  };
+  return {
+    find: (bytes) => {
+      const ends: number[] = [];
+      for (let at = 0; at < bytes.length; at += 1) {
+        const byte = bytes[at];
+        const isSecondOfLineEnd = isAfterReturn && byte === LINE_FEED;
+        if (isAfterReturn) endLine(isSecondOfLineEnd ? at + 1 : at, ends);
+        isAfterReturn = byte === CARRIAGE_RETURN;
+        if (isSecondOfLineEnd || isAfterReturn) continue;
+        if (byte === LINE_FEED) endLine(at + 1, ends);
+        else isLineBlank = false;
+      }
+      return ends;
+    },
+    isCompleteAtEnd: () => isAfterReturn && isEventComplete(),
+  };
 };
 
 /** The fields of one event that matter here. */
@@ -130,9 +127,6 @@
 /** Decodes each byte to one character, so that indexes agree. */
 const toText = (bytes: Buffer): string => bytes.toString("latin1");
 
-const findEventEnds = (bytes: Buffer, text: string, isComplete: boolean): EventEnds =>
-  text.includes("\r") ? findMixedEnds(bytes, isComplete) : findPlainEnds(text);
-
 const FULL_LINE_END = Buffer.from("\r\n");
 
 /**
@@ -141,39 +135,46 @@
  * feed is missing.
  */
 const countUnfinishedBytes = (pending: Buffer): number => {
-  const isComplete = !pending.includes(FULL_LINE_END);
-  const left = pending.subarray(
-    findEventEnds(pending, toText(pending), isComplete).at(-1) ?? 0,
-  );
+  const finder = createEndFinder();
+  const end = finder.find(pending).at(-1) ?? 0;
+  if (finder.isCompleteAtEnd() && !pending.includes(FULL_LINE_END)) return 0;
+  const left = pending.subarray(end);
   return left.every(isLineEnd) ? 0 : left.length;
 };
 
 /** Creates a splitter for a new stream. */
 export const createEventSplitter = (): EventSplitter => {
-  let pending: Buffer = Buffer.alloc(0);
+  let pending = createByteCollector();
+  let finder = createEndFinder();
   let lastEventId: string | undefined;
 
   return {
     push: (chunk) => {
-      const bytes = pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
-      const text = toText(bytes);
-      const ends = findEventEnds(bytes, text, false);
+      const ends = finder.find(chunk);
       const end = ends.at(-1);
       if (end === undefined) {
-        pending = bytes;
+        pending.append(chunk);
         return undefined;
       }
-      pending = bytes.subarray(end);
-      const ids = listIds(text, ends);
+      const before = pending.join();
+      const last = chunk.subarray(0, end);
+      const bytes = before.length === 0 ? last : Buffer.concat([before, last]);
+      pending = createByteCollector();
+      pending.append(chunk.subarray(end));
+      const ids = listIds(
+        toText(bytes),
+        ends.map((index) => before.length + index),
+      );
       lastEventId = ids.findLast((id) => id !== undefined) ?? lastEventId;
-      return { bytes: bytes.subarray(0, end), events: ends.length, ids };
+      return { bytes, events: ends.length, ids };
     },
     getLastEventId: () => lastEventId,
-    countPendingBytes: () => countUnfinishedBytes(pending),
-    countHeldBytes: () => pending.length,
+    countPendingBytes: () => countUnfinishedBytes(pending.join()),
+    countHeldBytes: () => pending.getLength(),
     takePending: () => {
-      const taken = pending;
-      pending = Buffer.alloc(0);
+      const taken = pending.join();
+      pending = createByteCollector();
+      finder = createEndFinder();
       return taken;
     },
   };
