refactor: clients' and servers' connections share the turns of long reads

Each listener and the answers of servers had turns of their own, each with half of the time, so that floods from both sides could take all of it. One set of turns per box now bounds their sum; reads count beside chunks as what is handled at once.

--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -24,7 +24,7 @@
   createCompetingRate,
 } from "@stairgauge/placement";
 import { BOX_TABLE, createStoreWriter } from "@stairgauge/platform";
-import type { LoopReading } from "@stairgauge/saturation";
+import { createReadTurns, type LoopReading } from "@stairgauge/saturation";
 import type { BoxSettings } from "@stairgauge/settings";
 import { createBoxMetrics, type DecisionLog } from "@stairgauge/telemetry";
 import { answerMoves, createHubs, toPlaceAnswer } from "./askHubs.js";
@@ -128,9 +128,11 @@
     readBacklog: () => getParts().clientServer.readBacklog(),
     readLoop: options.readLoop,
   });
+  const turns = createReadTurns({ clock, scheduleTurnEnd: setImmediate });
   const paths = createPaths({
     settings,
     clock,
+    turns,
     random,
     log,
     metrics,
@@ -287,6 +289,7 @@
   const { forwarder, clientServer } = createServing({
     getSettings,
     clock,
+    turns,
     random,
     log,
     metrics,
--- a/apps/box/src/createPaths.ts
+++ b/apps/box/src/createPaths.ts
@@ -22,7 +22,7 @@
   type ServerPaths,
 } from "@stairgauge/paths";
 import { createHeadCodec, type EngineActionsOptions } from "@stairgauge/platform";
-import { createReadTurns } from "@stairgauge/saturation";
+import type { ReadTurns } from "@stairgauge/saturation";
 import type { BoxSettings } from "@stairgauge/settings";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
 import { computeSettingsLimits } from "./computeSettingsLimits.js";
@@ -37,6 +37,8 @@
   log: DecisionLog;
   metrics: BoxMetrics;
   dialServer: Dialer | undefined;
+  /** Divides the time for reading among connections of clients and servers. */
+  turns: ReadTurns;
   peers: Readonly<{ links: Pick<Peers["links"], "carriers"> }>;
   findService: Knowledge["findService"];
   /** Whether this box has the processor time to carry one more request. */
@@ -67,7 +69,7 @@
 
 /** Creates the ways; all paths are intact. */
 export const createPaths = (options: PathsOptions): Paths => {
-  const { settings, clock, random, log, metrics, dialServer, getParts } = options;
+  const { settings, clock, random, log, metrics, dialServer, turns, getParts } = options;
   const { carriers: carrierLinks } = options.peers.links;
   const connectLimit = settings.clients.connectLimitMs as Ms;
   const bounds = createCarryBounds({
@@ -77,7 +79,6 @@
     maxHeldBytes: computeSettingsLimits(settings).carried,
   });
   const codec = createHeadCodec();
-  const turns = createReadTurns({ clock, scheduleTurnEnd: setImmediate });
   const openOwn: OpenOwnExchange = (request, sink) => {
     const { host, port } = request.address;
     const onExcess = (excess: AnswerExcess) =>
--- a/apps/box/src/createServing.ts
+++ b/apps/box/src/createServing.ts
@@ -21,7 +21,7 @@
 } from "@stairgauge/forwarding";
 import type { StreamOrigins } from "@stairgauge/origins";
 import { createHeadCodec } from "@stairgauge/platform";
-import { createUnreadLimit, type Intake } from "@stairgauge/saturation";
+import { createUnreadLimit, type Intake, type ReadTurns } from "@stairgauge/saturation";
 import type { BoxSettings } from "@stairgauge/settings";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
 import { createConnectionReports } from "./connectionReports.js";
@@ -30,6 +30,8 @@
 import { observeForwarding } from "./observers.js";
 
 export type ServingOptions = Readonly<{
+  /** Divides the time for reading among connections of clients and servers. */
+  turns: ReadTurns;
   getSettings: () => BoxSettings;
   clock: Clock;
   random: Random;
@@ -98,6 +100,7 @@
   });
   const clientServer = createClientServer({
     clock,
+    turns: options.turns,
     handle: forwarder.handle,
     intake: options.intake,
     isBusy: options.isBusy,
--- a/apps/box/src/misbehavingClients.testkit.ts
+++ b/apps/box/src/misbehavingClients.testkit.ts
@@ -169,7 +169,12 @@
 }>;
 
 /** Connects clients that write and never read, and again where the box has closed a connection. */
-const startCrowd = ({ port, clients, write, reconnectMs = RECONNECT_MS }: Crowd) => {
+export const startCrowd = ({
+  port,
+  clients,
+  write,
+  reconnectMs = RECONNECT_MS,
+}: Crowd) => {
   const sockets = new Set<Socket>();
   let isOver = false;
   const open = () => {
--- a/apps/box/src/smallPieces.alone.test.ts
+++ b/apps/box/src/smallPieces.alone.test.ts
@@ -4,9 +4,11 @@
  */
 import { beforeAll, describe, expect, it } from "vitest";
 import { HEADER } from "@stairgauge/platform";
+import { SITE_HOST, SITE_KEY } from "@stairgauge/standins";
 import { BUSY_MACHINE_TIMEOUT_MS } from "./box.testkit.js";
 import { buildBundle, DEPLOYED_MACHINE } from "./deployedBox.testkit.js";
 import { formatHead, type ServerWriting } from "./endlessAnswers.testkit.js";
+import { startCrowd } from "./misbehavingClients.testkit.js";
 import { askForPieces, startBoxBeforePieces } from "./smallPieces.testkit.js";
 
 const CHUNKED = "Transfer-Encoding: chunked";
@@ -48,6 +50,21 @@
       LAST_CHUNK,
   });
 
+/** A client's request whose body has no end. */
+const writeOpenBody = function* () {
+  yield formatRequestHead("/once/open");
+  yield formatChunk("x").repeat(60_000);
+};
+
+const formatRequestHead = (path: string) =>
+  [
+    `POST ${path} HTTP/1.1`,
+    `${HEADER.host}: ${SITE_HOST}`,
+    `${HEADER.authorization}: Token ${SITE_KEY}`,
+    `${HEADER.requestId}: open`,
+    CHUNKED,
+  ].join("\r\n") + "\r\n\r\n";
+
 const LONG_BODY = "x".repeat(300_000);
 const PLAIN = "/again/";
 const STREAM = "/draft/";
@@ -191,4 +208,27 @@
     },
     BUSY_MACHINE_TIMEOUT_MS,
   );
+
+  // Guards against floods from both sides that take half of the time each.
+  it(
+    "serves others while clients send bodies and servers answer in chunks of 1 byte",
+    async () => {
+      const box = await startBoxBeforePieces(({ id }) => writeEndlessOf(1)(id));
+      const crowd = startCrowd({
+        port: box.ports.clients,
+        clients: 100,
+        write: writeOpenBody,
+      });
+      const { answers, ...outcome } = await askForPieces(box, {
+        path: PLAIN,
+        requests: 100,
+      });
+      crowd.leave();
+      expect({ ...outcome, lines: box.listLines().slice(-3) }).toMatchObject(SOUND);
+      expect(outcome.memoryMb).toBeLessThanOrEqual(DEPLOYED_MACHINE.memoryMb);
+      expect(outcome.meanwhile.filter((status) => status !== 200)).toEqual([]);
+      expect(answers).toHaveLength(100);
+    },
+    BUSY_MACHINE_TIMEOUT_MS,
+  );
 });
--- a/packages/forwarding/src/answerReader.ts
+++ b/packages/forwarding/src/answerReader.ts
@@ -17,11 +17,11 @@
 const MAX_PIECE_BYTES = 64 * 1024;
 
 /**
- * Chunks of one answer that are handled as soon as they arrive, and how many are allowed anew in a second. A stream has some
- * thirty events a second; a thousand chunks cost one or two milliseconds.
+ * Reads and chunks of one answer that are handled as soon as they arrive, and how many are allowed anew in a second. A stream
+ * has some thirty events a second; a thousand chunks cost one or two milliseconds.
  */
-const MAX_PROMPT_CHUNKS = 1_000;
-const PROMPT_CHUNKS_PER_MS = 1;
+const MAX_PROMPT_PARTS = 1_000;
+const PROMPT_PARTS_PER_MS = 1;
 
 /**
  * Bytes of the body that are read although the reader is paused. A server may reset the connection behind a complete answer,
@@ -87,19 +87,19 @@
   };
 };
 
-/** Counts chunks against those that are handled promptly. */
-const createPromptChunks = (clock: Pick<Clock, "monotonic">) => {
-  let left = MAX_PROMPT_CHUNKS;
+/** Counts reads and chunks against those that are handled promptly. */
+const createPromptParts = (clock: Pick<Clock, "monotonic">) => {
+  let left = MAX_PROMPT_PARTS;
   let countedAt: Ms = clock.monotonic();
   const countElapsed = () => {
     const now = clock.monotonic();
-    left = Math.min(MAX_PROMPT_CHUNKS, left + (now - countedAt) * PROMPT_CHUNKS_PER_MS);
+    left = Math.min(MAX_PROMPT_PARTS, left + (now - countedAt) * PROMPT_PARTS_PER_MS);
     countedAt = now;
   };
   return {
-    spend: (chunks: number) => {
+    spend: (parts: number) => {
       countElapsed();
-      left -= chunks;
+      left -= parts;
     },
     hasLeft: () => left > 0,
   };
@@ -109,7 +109,7 @@
 export const startAnswerReader = (options: AnswerReaderOptions): AnswerReader => {
   const { socket, parse, isComplete, onBody, clock, turns } = options;
   const body = createPieceBody();
-  const prompt = createPromptChunks(clock);
+  const prompt = createPromptParts(clock);
   let pieceBytes = SHORT_READ_BYTES;
   let isParsing = false;
   let isPaused = false;
@@ -138,7 +138,7 @@
   };
   /** Chooses the size of the next piece by what the last one has cost; one without a chunk may be framing only. */
   const choosePiece = (chunks: number) => {
-    prompt.spend(chunks);
+    prompt.spend(1 + chunks);
     const isCheap = chunks > 0 && chunks < FEW_CHUNKS;
     pieceBytes = isCheap ? Math.min(2 * pieceBytes, MAX_PIECE_BYTES) : SHORT_READ_BYTES;
   };
--- a/packages/forwarding/src/boundedListener.ts
+++ b/packages/forwarding/src/boundedListener.ts
@@ -11,7 +11,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import { listenOn, type Clock, type Ms } from "@stairgauge/common";
-import { createReadTurns, type Arrivals } from "@stairgauge/saturation";
+import { createReadTurns, type Arrivals, type ReadTurns } from "@stairgauge/saturation";
 import {
   createConnectionReader,
   type ClientLimit,
@@ -73,6 +73,8 @@
   clock: Pick<Clock, "monotonic" | "setTimer">;
   limits: ListenerLimits;
   handle: (incoming: IncomingMessage, response: ServerResponse) => void;
+  /** Divides the time for reading among all connections of the process; the listener has turns of its own if undefined. */
+  turns?: ReadTurns | undefined;
   /** Whether the process takes one more connection, whatever the limit. */
   hasRoom?: () => boolean;
   /** Decides when a new connection is read, by `startReading`; without it, each is read at once. */
@@ -172,10 +174,7 @@
   const overdue = new Set<Socket>();
 
   const readers = new WeakMap<Socket, ConnectionReader>();
-  const turns = createReadTurns({
-    clock,
-    scheduleTurnEnd: setImmediate,
-  });
+  const { turns = createReadTurns({ clock, scheduleTurnEnd: setImmediate }) } = options;
   const closes = createLingeringCloses({ clock, turns });
   const memory = createReclaimableMemory(limits.maxUnreadBytes);
 
--- a/packages/forwarding/src/clientServer.ts
+++ b/packages/forwarding/src/clientServer.ts
@@ -14,6 +14,7 @@
   PARSER_HEAD_BYTES,
   rejectRequest,
   type BoundedListener,
+  type BoundedListenerOptions,
   type ListenerLimits,
 } from "./boundedListener.js";
 import type { ClientLimit } from "./connectionReader.js";
@@ -43,7 +44,8 @@
   /** A connection was ended for what its client kept the box from doing for others. */
   onLimit: (limit: ClientLimit) => void;
 }> &
-  Pick<ListenerLimits, "getMaxConnections" | "maxUnreadBytes">;
+  Pick<ListenerLimits, "getMaxConnections" | "maxUnreadBytes"> &
+  Pick<BoundedListenerOptions, "turns">;
 
 /** The HTTP server for clients. */
 export type ClientServer = Readonly<{
@@ -88,6 +90,7 @@
   );
   const listener = createBoundedListener({
     clock,
+    turns: options.turns,
     limits: {
       getMaxConnections: options.getMaxConnections,
       spareConnections: SPARE_CONNECTIONS,
