fix: an answer that waits for its turn isn't lost when its connection is reset

What has arrived is parsed before the reset is handled, as long as its chunks are not small; a reset costs a box little then. The clock is read for the prompt parts of an answer only once they are used up.

The new test failed before (no head, broken) and passes.

--- a/packages/forwarding/src/answerReader.ts
+++ b/packages/forwarding/src/answerReader.ts
@@ -87,21 +87,23 @@
   };
 };
 
-/** Counts reads and chunks against those that are handled promptly. */
+/** Counts reads and chunks against those that are handled promptly; reads the clock only once they are used up. */
 const createPromptParts = (clock: Pick<Clock, "monotonic">) => {
   let left = MAX_PROMPT_PARTS;
   let countedAt: Ms = clock.monotonic();
-  const countElapsed = () => {
+  const addEarned = () => {
     const now = clock.monotonic();
     left = Math.min(MAX_PROMPT_PARTS, left + (now - countedAt) * PROMPT_PARTS_PER_MS);
     countedAt = now;
   };
   return {
     spend: (parts: number) => {
-      countElapsed();
       left -= parts;
     },
-    hasLeft: () => left > 0,
+    hasLeft: () => {
+      if (left <= 0) addEarned();
+      return left > 0;
+    },
   };
 };
 
@@ -142,22 +144,32 @@
     const isCheap = chunks > 0 && chunks < FEW_CHUNKS;
     pieceBytes = isCheap ? Math.min(2 * pieceBytes, MAX_PIECE_BYTES) : SHORT_READ_BYTES;
   };
-  const canRead = () =>
-    !socket.destroyed && !(isPaused && held.getLength() >= MAX_PAUSED_BYTES);
+  const canHold = () => !isPaused || held.getLength() < MAX_PAUSED_BYTES;
+  const canRead = () => canHold() && !socket.destroyed;
   const hasMore = () => canRead() && socket.readableLength > 0;
+  /** Handles the next piece; returns its chunks, undefined if there is nothing to read. */
+  const readPiece = () => {
+    // Reads on if there is nothing, so that the end of the connection is found.
+    const length = Math.min(pieceBytes, socket.readableLength);
+    const piece = socket.read(length === 0 ? undefined : length) as Buffer | null;
+    if (!piece || isComplete()) return undefined;
+    isParsing = true;
+    parse(piece);
+    isParsing = false;
+    const chunks = flush();
+    choosePiece(chunks);
+    return chunks;
+  };
+  /** Reads what had arrived before the connection was reset, as long as it costs little: an answer may be complete with it. */
+  const readRest = () => {
+    let chunks: number | undefined = 0;
+    while (chunks !== undefined && chunks < FEW_CHUNKS && canHold()) chunks = readPiece();
+  };
   const reader: PendingReader = {
     isLong: () => socket.readableLength > SHORT_READ_BYTES || !prompt.hasLeft(),
     readPiece: () => {
       if (!canRead()) return { isSentAhead: false, hasMore: false };
-      // Reads on if there is nothing, so that the end of the connection is found.
-      const length = Math.min(pieceBytes, socket.readableLength);
-      const piece = socket.read(length === 0 ? undefined : length) as Buffer | null;
-      if (piece && !isComplete()) {
-        isParsing = true;
-        parse(piece);
-        isParsing = false;
-        choosePiece(flush());
-      }
+      readPiece();
       return { isSentAhead: false, hasMore: hasMore() };
     },
   };
@@ -165,6 +177,7 @@
     if (canRead()) turns.read(reader);
   };
   socket.on("readable", readOn);
+  socket.prependListener("error", readRest);
   return {
     addChunk: (chunk) => {
       body.add(chunk, pieceBytes);
--- a/packages/forwarding/src/openExchange.test.ts
+++ b/packages/forwarding/src/openExchange.test.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo } from "node:net";
 import { afterEach, describe, expect, it } from "vitest";
 import { createSystemClock, type Ms } from "@stairgauge/common";
+import type { ReadTurns } from "@stairgauge/saturation";
 import { openExchange, type EndedBy } from "./openExchange.js";
 
 type Received = {
@@ -27,7 +28,10 @@
   return { host: "127.0.0.1", port: (server.address() as AddressInfo).port };
 };
 
-const fetchFrom = (address: { host: string; port: number }): Promise<Received> =>
+const fetchFrom = (
+  address: { host: string; port: number },
+  turns?: ReadTurns,
+): Promise<Received> =>
   new Promise((resolve) => {
     const received: Received = { status: undefined, body: "", end: undefined };
     openExchange(
@@ -39,6 +43,7 @@
         headers: ["Host", "a.example"],
         body: Buffer.alloc(0),
         connectLimit: 1_000 as Ms,
+        turns,
       },
       {
         onHead: (status) => {
@@ -113,6 +118,18 @@
     expect(await fetchFrom(address)).toMatchObject({ body: "ok", end: "whole" });
   });
 
+  // Guards against an answer that is lost because its connection was reset while it waited for its turn.
+  it("receives all of an answer that had arrived before its connection was reset", async () => {
+    const body = "x".repeat(10_000);
+    const address = await serveRaw((socket) => {
+      socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
+      setTimeout(() => socket.resetAndDestroy(), 50);
+    });
+    const noTurns: ReadTurns = { read: () => undefined };
+    const received = await fetchFrom(address, noTurns);
+    expect(received).toEqual({ status: 200, body, end: "whole", endedBy: "framing" });
+  });
+
   it("reports the server as unreachable if no connection is established", async () => {
     const address = await serveRaw(() => undefined);
     closers.splice(0).forEach((close) => close());
