feat: an answer in small pieces is named in the log and counted

An operator could not tell which server's answers cost a box its time: nothing was written about an answer that is within its limits of bytes. One line for each answer whose rest is read in turn names its server, bytes and chunks; a counter sums them. The size of pieces grows only behind whole ones, and chunks are joined in a buffer as long as their piece, no longer of up to 64 KB for two events.

--- a/apps/box/src/createPaths.ts
+++ b/apps/box/src/createPaths.ts
@@ -13,6 +13,7 @@
   type AnswerExcess,
   type OpenOwnExchange,
   type ServerExchanges,
+  type SmallPieces,
 } from "@stairgauge/forwarding";
 import {
   createCarriers,
@@ -85,7 +86,16 @@
       observer.onAnswerOverLimit(`${host}:${port}`, excess);
     const onUnsendable = (detail: string) =>
       observer.onUnsendable(`${host}:${port}`, detail);
-    const own = { ...request, dial: dialServer, turns, onExcess, onUnsendable };
+    const onSmallPieces = (pieces: SmallPieces) =>
+      observer.onSmallPieces(`${host}:${port}`, pieces);
+    const own = {
+      ...request,
+      dial: dialServer,
+      turns,
+      onExcess,
+      onSmallPieces,
+      onUnsendable,
+    };
     return openExchange(clock, own, sink);
   };
   let isStopping = false;
--- a/apps/box/src/observePaths.ts
+++ b/apps/box/src/observePaths.ts
@@ -1,5 +1,5 @@
 /** Log lines and metrics of a box's paths to servers, and of the requests that other boxes carry for it. */
-import type { AnswerExcess, CarryEvent } from "@stairgauge/forwarding";
+import type { AnswerExcess, CarryEvent, SmallPieces } from "@stairgauge/forwarding";
 import type { PathEvent } from "@stairgauge/paths";
 import { roundNumbers } from "./roundNumbers.js";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
@@ -21,6 +21,11 @@
     metrics.answersOverLimit.inc({ limit: excess.limit });
     log.writeDecision("answer_over_limit", { address, ...excess });
   },
+  /** The rest of an answer from `address` (IP:PORT) is read in turn with long reads, since it comes in small pieces. */
+  onSmallPieces: (address: string, pieces: SmallPieces): void => {
+    metrics.answersInSmallPieces.inc();
+    log.writeDecision("answer_in_small_pieces", { address, ...pieces });
+  },
   /** A call to `address` (IP:PORT) could not be made; nothing was sent. */
   onUnsendable: (address: string, detail: string): void => {
     metrics.unsendableCalls.inc();
--- a/packages/forwarding/src/answerReader.test.ts
+++ b/packages/forwarding/src/answerReader.test.ts
@@ -4,7 +4,11 @@
 import { describe, expect, it } from "vitest";
 import { createVirtualClock } from "@stairgauge/common";
 import type { PendingReader } from "@stairgauge/saturation";
-import { startAnswerReader, type AnswerReader } from "./answerReader.js";
+import {
+  startAnswerReader,
+  type AnswerReader,
+  type SmallPieces,
+} from "./answerReader.js";
 
 const READ_BYTES = 256 * 1024;
 const SHORT_PIECE = 4 * 1024;
@@ -16,6 +20,7 @@
   const socket = new PassThrough({ highWaterMark: READ_BYTES });
   const pieces: number[] = [];
   const bodies: number[] = [];
+  const reported: SmallPieces[] = [];
   const waiting: PendingReader[] = [];
   const reader: AnswerReader = startAnswerReader({
     socket: socket as unknown as Socket,
@@ -26,6 +31,7 @@
     },
     isComplete: () => false,
     onBody: (bytes) => bodies.push(bytes.length),
+    onSmallPieces: (found) => reported.push(found),
     clock,
     turns: {
       read: (pending) => {
@@ -35,7 +41,7 @@
     },
   });
   const takeTurn = () => waiting[0]?.readPiece();
-  return { socket, pieces, bodies, waiting, takeTurn, reader };
+  return { socket, pieces, bodies, waiting, takeTurn, reader, reported };
 };
 
 describe("the reader of an answer", () => {
@@ -59,13 +65,14 @@
   });
 
   it("handles a short read at once, until its chunks are more than a stream has", async () => {
-    const { socket, pieces, waiting } = setUp(1);
+    const { socket, pieces, waiting, reported } = setUp(1);
     for (let read = 0; read < 3; read += 1) {
       socket.write("x".repeat(600));
       await waitTurn();
     }
     expect(pieces).toEqual([600, 600]);
     expect(waiting).toHaveLength(1);
+    expect(reported).toEqual([{ bytes: 1_200, chunks: 1_200 }]);
   });
 
   // Guards against a paused reader that loses what a reset connection had brought, or holds all that a server sends.
--- a/packages/forwarding/src/answerReader.ts
+++ b/packages/forwarding/src/answerReader.ts
@@ -29,6 +29,9 @@
  */
 const MAX_PAUSED_BYTES = 16 * 1024;
 
+/** Bytes of an answer that were read, and the chunks of its body in them. */
+export type SmallPieces = Readonly<{ bytes: number; chunks: number }>;
+
 /** Options of a reader. */
 export type AnswerReaderOptions = Readonly<{
   socket: Socket;
@@ -38,6 +41,8 @@
   isComplete: () => boolean;
   /** What a piece has held of the body. */
   onBody: (bytes: Buffer) => void;
+  /** The answer has come in so many pieces that the rest of it is read in turn with long reads; called once at most. */
+  onSmallPieces: (pieces: SmallPieces) => void;
   clock: Pick<Clock, "monotonic">;
   turns: ReadTurns;
 }>;
@@ -109,11 +114,16 @@
 
 /** Begins to read from a connection that nothing else reads from. */
 export const startAnswerReader = (options: AnswerReaderOptions): AnswerReader => {
-  const { socket, parse, isComplete, onBody, clock, turns } = options;
+  const { socket, parse, isComplete, onBody, onSmallPieces, clock, turns } = options;
   const body = createPieceBody();
   const prompt = createPromptParts(clock);
   let pieceBytes = SHORT_READ_BYTES;
+  /** Length of the piece that was parsed last. */
+  let parsedBytes = 0;
   let isParsing = false;
+  let bytesRead = 0;
+  let chunksRead = 0;
+  let isReported = false;
   let isPaused = false;
   let isFlushScheduled = false;
   /** What was parsed while the reader is paused. */
@@ -138,11 +148,22 @@
     notifyDelivered?.();
     notifyDelivered = undefined;
   };
-  /** Chooses the size of the next piece by what the last one has cost; one without a chunk may be framing only. */
+  const countChunks = (chunks: number) => {
+    prompt.spend(chunks);
+    chunksRead += chunks;
+  };
+  /** Chooses the size of the next piece by what a whole one has cost; one without a chunk may be framing only. */
   const choosePiece = (chunks: number) => {
-    prompt.spend(1 + chunks);
     const isCheap = chunks > 0 && chunks < FEW_CHUNKS;
-    pieceBytes = isCheap ? Math.min(2 * pieceBytes, MAX_PIECE_BYTES) : SHORT_READ_BYTES;
+    if (!isCheap) pieceBytes = SHORT_READ_BYTES;
+    else if (parsedBytes === pieceBytes)
+      pieceBytes = Math.min(2 * pieceBytes, MAX_PIECE_BYTES);
+  };
+  const isPromptUsedUp = () => {
+    if (prompt.hasLeft()) return false;
+    if (!isReported) onSmallPieces({ bytes: bytesRead, chunks: chunksRead });
+    isReported = true;
+    return true;
   };
   const canHold = () => !isPaused || held.getLength() < MAX_PAUSED_BYTES;
   const canRead = () => canHold() && !socket.destroyed;
@@ -153,10 +174,14 @@
     const length = Math.min(pieceBytes, socket.readableLength);
     const piece = socket.read(length === 0 ? undefined : length) as Buffer | null;
     if (!piece || isComplete()) return undefined;
+    parsedBytes = piece.length;
+    bytesRead += parsedBytes;
+    prompt.spend(1);
     isParsing = true;
     parse(piece);
     isParsing = false;
     const chunks = flush();
+    countChunks(chunks);
     choosePiece(chunks);
     return chunks;
   };
@@ -166,7 +191,7 @@
     while (chunks !== undefined && chunks < FEW_CHUNKS && canHold()) chunks = readPiece();
   };
   const reader: PendingReader = {
-    isLong: () => socket.readableLength > SHORT_READ_BYTES || !prompt.hasLeft(),
+    isLong: () => socket.readableLength > SHORT_READ_BYTES || isPromptUsedUp(),
     readPiece: () => {
       if (!canRead()) return { isSentAhead: false, hasMore: false };
       readPiece();
@@ -180,13 +205,13 @@
   socket.prependListener("error", readRest);
   return {
     addChunk: (chunk) => {
-      body.add(chunk, pieceBytes);
+      body.add(chunk, parsedBytes);
       if (isParsing || isFlushScheduled) return;
       // The parser hands over later what came with the head.
       isFlushScheduled = true;
       process.nextTick(() => {
         isFlushScheduled = false;
-        prompt.spend(flush());
+        countChunks(flush());
         reportDelivered();
       });
     },
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -37,6 +37,7 @@
 export type { OpenOwnExchange, ServerExchanges } from "./serverExchanges.js";
 export type { CarryEvent } from "./carriedExchange.js";
 export { createCarryForOthers } from "./carryForOthers.js";
+export type { SmallPieces } from "./answerReader.js";
 export { openExchange } from "./openExchange.js";
 export type { ExchangeRequest, OpenBuilt } from "./openExchange.js";
 export { probePath } from "./probePath.js";
--- a/packages/forwarding/src/openExchange.ts
+++ b/packages/forwarding/src/openExchange.ts
@@ -26,7 +26,11 @@
   describeExcess,
   type AnswerExcess,
 } from "./answerLimits.js";
-import { startAnswerReader, type AnswerReader } from "./answerReader.js";
+import {
+  startAnswerReader,
+  type AnswerReader,
+  type SmallPieces,
+} from "./answerReader.js";
 import type { ExchangeFailure, RawHeaders } from "./types.js";
 import { attemptMake, failUnsent, type UnsendableFailure } from "./unsendable.js";
 
@@ -48,6 +52,8 @@
   turns?: ReadTurns | undefined;
   /** Reports an answer that exceeds a limit. */
   onExcess?: ((excess: AnswerExcess) => void) | undefined;
+  /** Reports an answer whose rest is read in turn since it comes in small pieces. */
+  onSmallPieces?: ((pieces: SmallPieces) => void) | undefined;
   /** Reports a request that cannot be sent. */
   onUnsendable?: ((detail: string) => void) | undefined;
 }>;
@@ -201,6 +207,7 @@
       onBody: (bytes) => {
         if (!isOver) sink.onData(bytes);
       },
+      onSmallPieces: (pieces) => exchange.onSmallPieces?.(pieces),
       clock,
       turns,
     });
--- a/packages/telemetry/src/boxMetrics.ts
+++ b/packages/telemetry/src/boxMetrics.ts
@@ -193,6 +193,11 @@
       labelNames: ["limit"],
       registers,
     }),
+    answersInSmallPieces: new Counter({
+      name: "stairgauge_answers_in_small_pieces_total",
+      help: "Answers of servers whose rest was read in turn with long reads, since they came in small pieces",
+      registers,
+    }),
     unsendableCalls: new Counter({
       name: "stairgauge_unsendable_calls_total",
       help: "Calls to servers that could not be made, as a value does not fit into a head",
