fix: messages in small pieces at the port for peers cost a bounded part of memory and time

Cause: the gRPC library keeps an object for each piece of an incomplete message, so that a message of 4 MB may cost hundreds; no limit counted what was received and not handled. A read of 64 KB brings thousands of pieces, and nothing held back who sends them.

What waits is counted for all calls, with what holds it; beyond a bound the connections that hold some longest are closed.

--- a/apps/box/src/createPeers.ts
+++ b/apps/box/src/createPeers.ts
@@ -156,6 +156,7 @@
       maxCalls: settings.limits.descriptors / 2,
       maxCallsOfConnection: Math.floor(settings.limits.descriptors / 4),
       maxUnreadBytes: computeSettingsLimits(settings).unread,
+      maxUnhandledBytes: computeSettingsLimits(settings).unread,
     },
     onLimit: createConnectionReports("peers", options).onLimit,
   });
--- a/packages/peers/src/carryCall.test.ts
+++ b/packages/peers/src/carryCall.test.ts
@@ -42,6 +42,7 @@
       maxCalls: 1_000,
       maxCallsOfConnection: 500,
       maxUnreadBytes: 1_000_000,
+      maxUnhandledBytes: 1_000_000,
     },
     onLimit: () => undefined,
   });
--- a/packages/peers/src/peerConnections.test.ts
+++ b/packages/peers/src/peerConnections.test.ts
@@ -6,6 +6,8 @@
 import { createVirtualClock, type Ms } from "@stairgauge/common";
 import { createPeerConnections } from "./peerConnections.js";
 
+const NO_READING = { stop: () => undefined, start: () => undefined };
+
 const openConnections = (maxConnections: number) => {
   const ended: string[] = [];
   const reported: string[] = [];
@@ -18,11 +20,12 @@
       maxCalls: 10,
       maxCallsOfConnection: 10,
       maxUnreadBytes: 1_000,
+      maxUnhandledBytes: 1_000_000,
     },
     onLimit: (limit) => reported.push(limit),
   });
   const add = (peer: string) =>
-    connections.add(peer, { destroy: () => ended.push(peer) });
+    connections.add(peer, { destroy: () => ended.push(peer), reading: NO_READING });
   /** A box opens a call and sends its state as soon as it is connected. */
   const addBox = (peer: string) => {
     if (!boxes.has(peer)) add(peer);
@@ -57,7 +60,7 @@
 
   it("counts a connection with the port of one that has just been ended", () => {
     const { connections, add } = openConnections(2);
-    const former = { destroy: () => undefined };
+    const former = { destroy: () => undefined, reading: NO_READING };
     connections.add("a", former);
     add("a");
     connections.remove("a", former);
@@ -66,7 +69,10 @@
 
   it("closes none for a new one under the name of one that has ended unreported", () => {
     const { connections, ended, add, addBox } = openConnections(2);
-    connections.add("a", { destroy: () => ended.push("former") });
+    connections.add("a", {
+      destroy: () => ended.push("former"),
+      reading: NO_READING,
+    });
     add("a");
     addBox("b");
     expect(add("c")).toBe(true);
--- a/packages/peers/src/peerConnections.ts
+++ b/packages/peers/src/peerConnections.ts
@@ -3,6 +3,7 @@
  * loses its connection, opens it anew and sends its whole state again.
  */
 import type { Clock } from "@stairgauge/common";
+import { createPieceTurns, type ConnectionPieces, type Reading } from "./pieceTurns.js";
 
 /** What bounds these connections. */
 export type PeerLimits = Readonly<{
@@ -20,6 +21,11 @@
   maxCallsOfConnection: number;
   /** Most bytes of messages that wait to be read by other boxes; beyond it, connections that hold some longest are ended. */
   maxUnreadBytes: number;
+  /**
+   * Most bytes that have been received and not been handled, as a rule of messages that are not whole yet; beyond it,
+   * the connections that hold some longest are ended.
+   */
+  maxUnhandledBytes: number;
 }>;
 
 /** Why a connection was ended, or not taken. */
@@ -31,7 +37,9 @@
   /** There were too many open calls, and most of them were on this one, or it had no call with a valid message. */
   | "too_many_calls"
   /** Too much waited to be read by other boxes, and some of this one's had waited for longest. */
-  | "answer_unread";
+  | "answer_unread"
+  /** Too much was received that could not be handled, and some of this one's had waited for longest. */
+  | "sent_ahead";
 
 /**
  * Time in which the answers on a connection may wait before it is ended for them. Connections that are read hold some
@@ -43,7 +51,7 @@
 const CALLS_OF_A_LINK = 2;
 
 /** What is needed of a connection's socket. */
-export type PeerSocket = Readonly<{ destroy: () => void }>;
+export type PeerSocket = Readonly<{ destroy: () => void; reading: Reading }>;
 
 /** One call on a connection. */
 export type PeerCall = Readonly<{
@@ -51,6 +59,10 @@
   onMessage: () => void;
   /** Counts bytes of a message to the other box; returns what is called when they were sent. */
   holdBytes: (bytes: number) => () => void;
+  /** Changes the count of bytes that were received and not handled. */
+  changeUnhandled: (bytes: number) => void;
+  /** A small piece of a message has arrived. */
+  onSmallPiece: () => void;
   onEnd: () => void;
 }>;
 
@@ -73,7 +85,7 @@
 
 /** Options of the connections. */
 export type PeerConnectionsOptions = Readonly<{
-  clock: Pick<Clock, "monotonic">;
+  clock: Pick<Clock, "monotonic" | "setTimer">;
   limits: PeerLimits;
   onLimit: (limit: PeerLimit) => void;
 }>;
@@ -81,6 +93,7 @@
 type Connection = {
   readonly peer: string;
   readonly socket: PeerSocket;
+  readonly pieces: ConnectionPieces;
   /** Open calls, and those of them on which a valid message came. */
   calls: number;
   activeCalls: number;
@@ -89,10 +102,15 @@
   unreadSince: number;
 };
 
+/** What a call holds that was received and not handled. */
+type Unhandled = Readonly<{ connection: Connection; bytes: number }>;
+
 /** A call on a connection that has ended. */
 const NO_CALL: PeerCall = {
   onMessage: () => undefined,
   holdBytes: () => () => undefined,
+  changeUnhandled: () => undefined,
+  onSmallPiece: () => undefined,
   onEnd: () => undefined,
 };
 
@@ -103,15 +121,20 @@
   onLimit,
 }: PeerConnectionsOptions): PeerConnections => {
   const connections = new Map<string, Connection>();
+  const turns = createPieceTurns(clock);
   /** Connections without an active call, the longest first. */
   const idle = new Set<Connection>();
   /** Connections with unread bytes, the longest first. */
   const unread = new Set<Connection>();
+  /** Calls with bytes that were not handled, the longest first. */
+  const unhandled = new Map<symbol, Unhandled>();
   let calls = 0;
   let unreadBytes = 0;
+  let unhandledBytes = 0;
 
   const drop = (connection: Connection) => {
     connections.delete(connection.peer);
+    connection.pieces.close();
     idle.delete(connection);
     unread.delete(connection);
     calls -= connection.calls;
@@ -143,6 +166,20 @@
       unread.add(connection);
     }
   };
+  const setUnhandled = (call: symbol, connection: Connection, bytes: number) => {
+    unhandledBytes += bytes - (unhandled.get(call)?.bytes ?? 0);
+    if (bytes > 0) unhandled.set(call, { connection, bytes });
+    else unhandled.delete(call);
+  };
+  /** The calls of an ended connection hold nothing any more once they have ended, which they do at once. */
+  const limitUnhandled = () => {
+    let left = unhandledBytes;
+    for (const { connection, bytes } of unhandled.values()) {
+      if (left <= limits.maxUnhandledBytes) return;
+      left -= bytes;
+      if (isOpen(connection)) endConnection(connection, "sent_ahead");
+    }
+  };
   const limitCalls = () => {
     if (calls <= limits.maxCalls + CALLS_OF_A_LINK * connections.size) return;
     const most = [...connections.values()].reduce((one, other) =>
@@ -177,6 +214,7 @@
       const connection = {
         peer,
         socket,
+        pieces: turns.open(socket.reading),
         calls: 0,
         activeCalls: 0,
         unreadBytes: 0,
@@ -197,6 +235,8 @@
       let isActive = false;
       let heldBytes = 0;
       let isOver = false;
+      let unhandledOfCall = 0;
+      const id = Symbol("call");
       changeCalls(connection, 1);
       limitCalls();
       return {
@@ -214,8 +254,16 @@
             changeUnread(connection, -bytes);
           };
         },
+        changeUnhandled: (bytes) => {
+          if (isOver) return;
+          unhandledOfCall += bytes;
+          setUnhandled(id, connection, unhandledOfCall);
+          if (bytes > 0) limitUnhandled();
+        },
+        onSmallPiece: connection.pieces.spend,
         onEnd: () => {
           isOver = true;
+          setUnhandled(id, connection, 0);
           changeCalls(connection, -1);
           changeUnread(connection, -heldBytes);
           if (isActive) changeActiveCalls(connection, -1);
--- a/packages/peers/src/peerListener.ts
+++ b/packages/peers/src/peerListener.ts
@@ -12,12 +12,22 @@
 } from "@grpc/grpc-js";
 import { listenOn } from "@stairgauge/common";
 import type { ServerAddress } from "@stairgauge/directory";
+import { findStream, joinPieces } from "./joinPieces.js";
 import type { PeerConnections } from "./peerConnections.js";
+import type { Reading } from "./pieceTurns.js";
 
 /** Formats the peer of a connection as the library does; undefined if the connection has ended already. */
 const formatPeer = ({ remoteAddress, remotePort }: Socket): string | undefined =>
   remoteAddress === undefined ? undefined : `${remoteAddress}:${String(remotePort)}`;
 
+/** What reads from a socket; the HTTP/2 library takes it over, so that the socket itself can't be paused. */
+type SocketHandle = Readonly<{ readStop: () => void; readStart: () => void }>;
+
+const findReading = (socket: Socket): Reading => {
+  const find = () => (socket as { _handle?: SocketHandle })._handle;
+  return { stop: () => find()?.readStop(), start: () => find()?.readStart() };
+};
+
 /** Options of the observer of calls. */
 export type CallObserverOptions = Readonly<{
   connections: PeerConnections;
@@ -30,6 +40,8 @@
   ({ connections, countEncoded }: CallObserverOptions): ServerInterceptor =>
   (_method, call) => {
     const opened = connections.openCall(call.getPeer());
+    const stream = findStream(call);
+    if (stream) joinPieces(stream, opened);
     const sendMessage = (message: unknown, onSent: () => void) => {
       const before = countEncoded();
       let release = () => undefined as void;
@@ -82,11 +94,12 @@
     const peer = formatPeer(socket);
     // The library handles errors only of connections that it was handed.
     socket.on("error", () => undefined);
-    if (peer === undefined || !connections.add(peer, socket)) {
+    const added = { destroy: () => socket.destroy(), reading: findReading(socket) };
+    if (peer === undefined || !connections.add(peer, added)) {
       socket.destroy();
       return;
     }
-    socket.once("close", () => connections.remove(peer, socket));
+    socket.once("close", () => connections.remove(peer, added));
     injector.injectConnection(socket);
   };
   const listener = createServer({ noDelay: true }, accept);
--- a/packages/peers/src/peers.test.ts
+++ b/packages/peers/src/peers.test.ts
@@ -166,6 +166,7 @@
       maxCalls: MAX_CALLS,
       maxCallsOfConnection: MAX_CALLS / 2,
       maxUnreadBytes: 1_000_000,
+      maxUnhandledBytes: 1_000_000,
     },
     onLimit: () => undefined,
   });
--- a/packages/peers/src/throwingAnswers.test.ts
+++ b/packages/peers/src/throwingAnswers.test.ts
@@ -37,6 +37,7 @@
       maxCalls: 10,
       maxCallsOfConnection: 10,
       maxUnreadBytes: 1_000,
+      maxUnhandledBytes: 1_000_000,
     },
     onLimit: () => undefined,
   });
