fix: small pieces of a carried answer wait for an asking box in one frame

A server that answers in small pieces has each of them sent on as a frame of its own. The limit of 128 KB for what an asking box has not taken counted their bytes only, so that a slowly written stream of pieces of 1 byte could hold 131,072 frames for each request, each with an object, a buffer and a callback, and as many messages to read at the asking box.

Short data that comes while a frame is on its way is now joined, in order, and goes on as one frame; frames count with 512 bytes beside their own.

--- a/apps/box/src/deployedBox.testkit.ts
+++ b/apps/box/src/deployedBox.testkit.ts
@@ -5,6 +5,7 @@
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { toHostAndPort } from "@stairgauge/common";
 import { spawnProcess } from "@stairgauge/testkit";
 import { closers } from "./box.testkit.js";
 import type { BoxPorts } from "./createLifecycle.js";
@@ -19,6 +20,9 @@
   stopSeconds: 8,
 } as const;
 
+/** Nothing listens on this port of the loopback address. */
+const CLOSED_PORT = 1;
+
 /** Finds the arguments after `node` in the command of the deploy file that runs the script. */
 export const findArguments = (script: RegExp): readonly string[] => {
   const match = new RegExp(`node ((?:--\\S+ )*\\S*${script.source})`).exec(DEPLOYMENT);
@@ -55,8 +59,22 @@
   /** Address of the store. */
   store: string;
   stopSeconds?: number;
+  /** Addresses that this box does not reach. */
+  cutAddresses?: readonly string[];
 }>;
 
+/** Makes connections to the ports fail; a module that the box's process loads first. */
+const formatCut = (addresses: readonly string[]) => `
+const { Socket } = require("node:net");
+const cut = new Set(${JSON.stringify(addresses.map((address) => toHostAndPort(address).port))});
+const connect = Socket.prototype.connect;
+Socket.prototype.connect = function (...args) {
+  const options = Array.isArray(args[0]) ? args[0][0] : args[0];
+  if (cut.has(Number(options.port))) options.port = ${CLOSED_PORT};
+  return connect.apply(this, args);
+};
+`;
+
 /** Settings as deploy/box-settings.yaml fills them from the bounds of a small site. */
 const formatSettings = ({
   name,
@@ -80,7 +98,14 @@
   const folder = mkdtempSync(join(tmpdir(), "stairgauge-box-"));
   const path = join(folder, "box.yaml");
   writeFileSync(path, formatSettings(options));
-  const started = spawnProcess([...findStartArguments(), "--settings", path]);
+  const cutPath = join(folder, "cut.cjs");
+  writeFileSync(cutPath, formatCut(options.cutAddresses ?? []));
+  const started = spawnProcess([
+    ...(options.cutAddresses ? ["--require", cutPath] : []),
+    ...findStartArguments(),
+    "--settings",
+    path,
+  ]);
   let hasEnded = false;
   void started.waitForExit().then(() => (hasEnded = true));
   const readUse = watchUse(started.pid, ({ memoryMb }) => {
--- a/apps/box/src/smallPieces.testkit.ts
+++ b/apps/box/src/smallPieces.testkit.ts
@@ -29,21 +29,34 @@
 /** Pause before a request that was not taken is sent again. */
 const RETRY_MS = 100;
 
-/** Starts the store, the box, a server of another service, and servers of pages and an engine that write what is chosen. */
-export const startBoxBeforePieces = async (
-  choose: ChooseWriting,
-): Promise<DeployedBox> => {
+/** The store and the servers before which boxes are started. */
+export type PiecesSite = Readonly<{ store: string; addresses: readonly string[] }>;
+
+/** Starts the store, a server of another service, and servers of pages and an engine that write what is chosen. */
+export const startPiecesSite = async (choose: ChooseWriting): Promise<PiecesSite> => {
   const site = await startUsersSite({ engines: 0, services: 0 });
   closers.push(site.close);
-  const startServer = (name: string) =>
-    startWritingServer((call) =>
+  const addresses: string[] = [];
+  const startServer = async (name: string) => {
+    const address = await startWritingServer((call) =>
       call.path.endsWith(PIECES) ? choose(call) : writeSoundAnswer(name, call),
     );
+    addresses.push(address);
+    return address;
+  };
   for (const name of ["page-a", "page-b"]) site.putService(name, await startServer(name));
   for (const name of ["engine-a", "engine-b"])
     site.putEngine(name, await startServer(name));
   site.putOtherService("other", await startServer("other"));
-  const box = await startDeployedBox({ name: "box-1", store: site.store.address });
+  return { store: site.store.address, addresses };
+};
+
+/** Starts such a site and a box before it. */
+export const startBoxBeforePieces = async (
+  choose: ChooseWriting,
+): Promise<DeployedBox> => {
+  const { store } = await startPiecesSite(choose);
+  const box = await startDeployedBox({ name: "box-1", store });
   await awaitService(box);
   return box;
 };
@@ -70,7 +83,8 @@
   }
 };
 
-const awaitService = async (box: DeployedBox) => {
+/** Resolves once the box serves. */
+export const awaitService = async (box: DeployedBox) => {
   for (let tries = 0; (await askSound(box, `first-${tries}`)) !== 200; tries += 1)
     await waitMs(SOUND_EVERY_MS);
 };
--- a/packages/peers/src/carryCall.test.ts
+++ b/packages/peers/src/carryCall.test.ts
@@ -102,3 +102,42 @@
   await Promise.all(Array.from({ length: AT_ONCE }, sendInTurn));
   expect(lost).toBe(0);
 });
+
+// Guards against frames of a byte each that cost a carrier, or a box that does not read them, many times their bytes.
+it("an answer in small pieces goes on whole, in order and in few frames, to a box that has not read for a while", async () => {
+  const PIECES = 100_000;
+  const makePiece = (i: number) => Buffer.of(i % 251);
+  let written = 0;
+  let hasPaused = false;
+  const send = await openCarrier((_, answer) => {
+    const writeOn = () => {
+      while (written < PIECES) {
+        const isOpen = answer.write({ kind: "data", bytes: makePiece(written) });
+        written += 1;
+        if (isOpen) continue;
+        hasPaused = true;
+        return;
+      }
+      answer.write({ kind: "ended", by: "framing" });
+      answer.end();
+    };
+    setImmediate(writeOn);
+    return { onCancelled: () => undefined, onDrain: writeOn };
+  });
+  const received: Buffer[] = [];
+  await new Promise<void>((resolve) => {
+    const call = send(
+      "/",
+      (frame) => {
+        if (frame.kind === "data") received.push(frame.bytes);
+      },
+      resolve,
+    );
+    call.pause();
+    setTimeout(call.resume, 200);
+  });
+  const whole = Buffer.concat(Array.from({ length: PIECES }, (_, i) => makePiece(i)));
+  expect(Buffer.concat(received).equals(whole)).toBe(true);
+  expect(received.length).toBeLessThan(100);
+  expect(hasPaused).toBe(true);
+});
--- a/packages/peers/src/carryCall.ts
+++ b/packages/peers/src/carryCall.ts
@@ -16,6 +16,7 @@
   CarryQuestion,
   CarrySink,
 } from "@stairgauge/paths";
+import { createPieceBuffer } from "./pieceBuffer.js";
 import type { PeerService } from "./service.js";
 
 /** Whether nothing of the call follows but its own end. */
@@ -83,31 +84,77 @@
  */
 const MAX_WAITING_BYTES = 128 * 1024;
 
+/** What a frame costs beside its bytes until it is sent. */
+const FRAME_COST_BYTES = 512;
+
+/** Bytes that are sent in a frame of their own, although others are on their way. */
+const LONG_DATA_BYTES = 4 * 1024;
+
 const countBytes = (frame: CarryFrame): number =>
-  frame.kind === "data" ? frame.bytes.length : 0;
+  FRAME_COST_BYTES + (frame.kind === "data" ? frame.bytes.length : 0);
+
+/**
+ * Sends frames. Short data that comes while others are on their way waits and goes on in one frame, so that many small pieces
+ * cost neither box more than their bytes.
+ */
+const createFrameSender = (
+  call: ServerWritableStream<CarryQuestion, CarryFrame>,
+  onSent: () => void,
+) => {
+  const joined = createPieceBuffer();
+  let unsentFrames = 0;
+  let unsentBytes = 0;
+
+  const send = (frame: CarryFrame) => {
+    const bytes = countBytes(frame);
+    unsentFrames += 1;
+    unsentBytes += bytes;
+    call.write(frame, () => {
+      unsentFrames -= 1;
+      unsentBytes -= bytes;
+      if (unsentFrames === 0) flush();
+      onSent();
+    });
+  };
+  const flush = () => {
+    if (!joined.isEmpty()) send({ kind: "data", bytes: joined.take() });
+  };
+  return {
+    write: (frame: CarryFrame) => {
+      const isShort = frame.kind === "data" && frame.bytes.length < LONG_DATA_BYTES;
+      if (isShort && unsentFrames > 0) {
+        joined.append(frame.bytes);
+        return;
+      }
+      flush();
+      send(frame);
+    },
+    flush,
+    isFull: () => unsentBytes + joined.getCost() > MAX_WAITING_BYTES,
+  };
+};
 
 /** Creates the handler of such calls. */
 export const createCarryHandler =
   (answerCarry: AnswerCarry) =>
   (call: ServerWritableStream<CarryQuestion, CarryFrame>): void => {
-    let waiting = 0;
-    let isFull = false;
+    let isPaused = false;
     let handlers: CarriedHandlers | undefined;
-    const handleSent = (bytes: number) => {
-      waiting -= bytes;
-      if (!isFull || waiting > MAX_WAITING_BYTES) return;
-      isFull = false;
+    const sender = createFrameSender(call, () => {
+      if (!isPaused || sender.isFull()) return;
+      isPaused = false;
       handlers?.onDrain();
-    };
+    });
     const answer: CarryAnswer = {
       write: (frame) => {
-        const bytes = countBytes(frame);
-        waiting += bytes;
-        isFull = waiting > MAX_WAITING_BYTES;
-        call.write(frame, () => handleSent(bytes));
-        return !isFull;
+        sender.write(frame);
+        isPaused = sender.isFull();
+        return !isPaused;
+      },
+      end: () => {
+        sender.flush();
+        call.end();
       },
-      end: () => call.end(),
     };
     try {
       handlers = answerCarry(call.request, answer);
