fix: answers that go on count in clients.unreadMb while their clients read nothing

Callers that read nothing of long answers or of streams had a box hold up to some 580 KB each in the buffers of their connections, uncounted: only an answer that was handed over as a whole was counted, at its end. Some hundred such callers were beyond a small machine's memory, which nothing bounded.

What waits in the connection's buffer is now counted whenever a write fills it, once the kernel has taken what it takes, and no more once it has drained; where all of it is beyond clients.unreadMb, the connection that has held some for longest is closed (answer_unread), as for whole answers. A write that the connection takes costs nothing more.

--- a/packages/forwarding/src/boundedListener.ts
+++ b/packages/forwarding/src/boundedListener.ts
@@ -68,11 +68,19 @@
   maxKeptConnections?: number;
 }>;
 
+/** Handles a request; `countUnread` counts what of its answer waits to be read. */
+export type HandleRequest = (
+  incoming: IncomingMessage,
+  response: ServerResponse,
+  countUnread: () => void,
+) => void;
+
 /** Options of a listener. */
 export type BoundedListenerOptions = Readonly<{
   clock: Pick<Clock, "monotonic" | "setTimer">;
   limits: ListenerLimits;
-  handle: (incoming: IncomingMessage, response: ServerResponse) => void;
+  /** `countUnread` has to be called when an answer that goes on has filled the buffer of its connection. */
+  handle: HandleRequest;
   /** Whether the process takes one more connection, whatever the limit. */
   hasRoom?: () => boolean;
   /** Decides when a new connection is read, by `startReading`; without it, each is read at once. */
@@ -208,7 +216,7 @@
     unused.delete(socket);
     overdue.delete(socket);
     const reader = readers.get(socket);
-    reader?.onRequest(incoming, response);
+    const countUnread = reader?.onRequest(incoming, response);
     idle.remove(socket);
     response.once("prefinish", () => {
       if (!socket.destroyed) idle.add(socket, "unread");
@@ -217,6 +225,7 @@
       if (!reader?.isIdle() || socket.destroyed) return;
       idle.add(socket, reader.isClosing() ? "unused" : "used");
     });
+    return countUnread ?? (() => undefined);
   };
   const server = createServer(
     {
@@ -229,9 +238,9 @@
       requireHostHeader: false,
     },
     (incoming, response) => {
-      recordRequest(incoming, response);
+      const countUnread = recordRequest(incoming, response);
       if (connections > maxKeptConnections) response.shouldKeepAlive = false;
-      options.handle(incoming, response);
+      options.handle(incoming, response, countUnread);
     },
   );
   server.on("checkExpectation", (incoming, response) => {
--- a/packages/forwarding/src/clientAnswer.ts
+++ b/packages/forwarding/src/clientAnswer.ts
@@ -31,12 +31,14 @@
   isLastOnConnection: () => boolean;
   /** The head was written. */
   onBegun: () => void;
+  /** The client reads more slowly than the answer is written: more waits than the write buffer is meant to hold. */
+  onBufferFull: () => void;
 }>;
 
 /** Wraps the response object of one request. */
 export const createClientAnswer = (
   response: ServerResponse,
-  { isLastOnConnection, onBegun }: ClientAnswerOptions,
+  { isLastOnConnection, onBegun, onBufferFull }: ClientAnswerOptions,
 ): ClientAnswer => {
   // HTTP/1.0 has no chunks: an answer ends when the connection closes, so a broken one needs a reset.
   const supportsChunks = response.req.httpVersion !== "1.0";
@@ -69,7 +71,11 @@
       writeHead(head, supportsChunks ? ["Transfer-Encoding", "chunked"] : []);
       response.flushHeaders();
     },
-    write: (bytes) => isOver || response.write(bytes),
+    write: (bytes) => {
+      if (isOver || response.write(bytes)) return true;
+      onBufferFull();
+      return false;
+    },
     end: () => {
       if (isOver) return;
       isOver = true;
--- a/packages/forwarding/src/clientServer.test.ts
+++ b/packages/forwarding/src/clientServer.test.ts
@@ -94,12 +94,14 @@
 
   const start = async (maxUnreadBytes = 1_000_000) => {
     const open: ServerResponse[] = [];
+    const countUnread: (() => void)[] = [];
     const limits: ClientLimit[] = [];
     server = createClientServer({
       ...OPTIONS,
-      handle: (incoming, response) => {
+      handle: (incoming, response, count) => {
         incoming.resume();
         open.push(response);
+        countUnread.push(count);
       },
       maxUnreadBytes,
       onLimit: (limit) => limits.push(limit),
@@ -118,7 +120,7 @@
       });
       return { socket, getReceived: () => received, isClosed: () => isClosed };
     };
-    return { open, limits, connectClient };
+    return { open, countUnread, limits, connectClient };
   };
   const waitUntil = async (isMet: () => boolean) => {
     while (!isMet()) await wait(2);
@@ -206,6 +208,37 @@
     expect(limits).toEqual(["answer_unread"]);
   });
 
+  /** Guards against answers that go on whose clients read nothing: each holds what its server was ahead. */
+  it("closes the connection whose answer goes on and was not read for longest where answers take too much memory", async () => {
+    const { open, countUnread, limits, connectClient } = await start(40_000_000);
+    const clients = [1, 2].map(() => connectClient());
+    for (const [i, { socket }] of clients.entries()) {
+      socket.pause();
+      socket.write(REQUEST);
+      await waitUntil(() => open.length > i);
+    }
+    let isFirstClosed = false;
+    open[0]!.once("close", () => {
+      isFirstClosed = true;
+    });
+    const writePart = (i: number) => {
+      expect(open[i]!.write(Buffer.alloc(30_000_000, "x"))).toBe(false);
+      countUnread[i]!();
+    };
+    writePart(0);
+    await wait(20);
+    expect(isFirstClosed).toBe(false);
+    writePart(1);
+    await waitUntil(() => isFirstClosed);
+    expect(limits).toEqual(["answer_unread"]);
+    clients[1]!.socket.resume();
+    await waitUntil(() => open[1]!.writableLength === 0);
+    writePart(1);
+    open[1]!.end("whole");
+    await waitUntil(() => clients[1]!.getReceived().includes("whole"));
+    expect(limits).toEqual(["answer_unread"]);
+  });
+
   it.each([
     ["a request without a host", "GET / HTTP/1.1\r\n\r\n", 400],
     [
--- a/packages/forwarding/src/clientServer.ts
+++ b/packages/forwarding/src/clientServer.ts
@@ -1,5 +1,5 @@
 /** The HTTP listener for clients, with limits on head size, and new connections that wait while the process is busy. */
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 import type { Clock, Ms } from "@stairgauge/common";
 import type { ClientLimits } from "@stairgauge/routing";
@@ -14,6 +14,7 @@
   PARSER_HEAD_BYTES,
   rejectRequest,
   type BoundedListener,
+  type HandleRequest,
   type ListenerLimits,
 } from "./boundedListener.js";
 import type { ClientLimit } from "./connectionReader.js";
@@ -31,7 +32,7 @@
 /** Options of the client server. */
 export type ClientServerOptions = Readonly<{
   clock: Pick<Clock, "monotonic" | "setTimer">;
-  handle: (incoming: IncomingMessage, response: ServerResponse) => void;
+  handle: HandleRequest;
   /** Decides about each new connection; one that finds no room is closed unread. */
   intake: Pick<Intake, "hasRoom" | "recordTurnedAway">;
   /** Whether the event loop has no idle time. */
@@ -94,10 +95,10 @@
       maxUnreadBytes: options.maxUnreadBytes,
       minIdle: MIN_IDLE,
     },
-    handle: (incoming, response) => {
+    handle: (incoming, response, countUnread) => {
       if (measureHead(incoming) > headBytes) rejectRequest(response, 431);
       else if (isHostMissing(incoming)) rejectRequest(response, 400);
-      else options.handle(incoming, response);
+      else options.handle(incoming, response, countUnread);
     },
     hasRoom: intake.hasRoom,
     arrivals,
--- a/packages/forwarding/src/connectionReader.ts
+++ b/packages/forwarding/src/connectionReader.ts
@@ -11,7 +11,7 @@
   type ReadTurns,
 } from "@stairgauge/saturation";
 import type { LingeringCloses } from "./lingeringClose.js";
-import type { ReclaimableMemory } from "./reclaimableMemory.js";
+import type { HeldBytes, ReclaimableMemory } from "./reclaimableMemory.js";
 
 /** Largest piece. In chunks of one byte it costs about a millisecond. */
 const MAX_PIECE_BYTES = 4 * 1024;
@@ -65,8 +65,11 @@
 
 /** Reads from one connection. */
 export type ConnectionReader = Readonly<{
-  /** A request began: the next one isn't read before its answer was sent. */
-  onRequest: (incoming: IncomingMessage, response: ServerResponse) => void;
+  /**
+   * A request began: the next one isn't read before its answer was sent. The returned function counts what of the answer waits
+   * to be read; to be called when the buffer of the connection is full.
+   */
+  onRequest: (incoming: IncomingMessage, response: ServerResponse) => () => void;
   /** Whether no request is open. */
   isIdle: () => boolean;
   /** Closes the connection behind what was written to it, so that its client can read that. */
@@ -178,20 +181,32 @@
     if (hasPiece()) turns.read(reader);
   };
 
-  /** Ends the connection if its client doesn't read the answer, in time or before others need the memory. */
-  const limitUnreadAnswer = (response: ServerResponse) => {
-    if (socket.writableLength === 0) return;
-    const close = (limit: ClientLimit) => {
-      onLimit(limit);
-      socket.destroy();
+  const closeUnread = (limit: ClientLimit) => {
+    onLimit(limit);
+    socket.destroy();
+  };
+  /** Ends the connection if its client doesn't read the answer before others need the memory. */
+  const createUnreadCount = (response: ServerResponse) => {
+    let unread: HeldBytes | undefined;
+    const open = () => {
+      const opened = memory.open(() => closeUnread("answer_unread"));
+      // The client has read all: what is written now has not waited.
+      response.on("drain", () => opened.set(0));
+      response.once("close", () => opened.set(0));
+      return opened;
+    };
+    return () => {
+      if (socket.destroyed || response.closed) return;
+      unread ??= open();
+      unread.set(socket.writableLength);
     };
-    const unread = memory.open(() => close("answer_unread"));
-    const timer = clock.setTimer(MAX_UNREAD_ANSWER_MS, () => close("answer_too_late"));
-    response.once("close", () => {
-      timer.cancel();
-      unread.set(0);
-    });
-    unread.set(socket.writableLength);
+  };
+  /** Ends the connection if its client doesn't read the answer in time. */
+  const limitUnreadTime = (response: ServerResponse) => {
+    const timer = clock.setTimer(MAX_UNREAD_ANSWER_MS, () =>
+      closeUnread("answer_too_late"),
+    );
+    response.once("close", timer.cancel);
   };
 
   const close = () => {
@@ -216,12 +231,19 @@
     onRequest: (incoming, response) => {
       const exchange = { incoming, response };
       exchanges.push(exchange);
-      response.once("prefinish", () => limitUnreadAnswer(response));
+      const countUnread = createUnreadCount(response);
+      response.once("prefinish", () => {
+        if (socket.writableLength === 0) return;
+        limitUnreadTime(response);
+        countUnread();
+      });
       response.once("close", () => {
         exchanges.splice(exchanges.indexOf(exchange), 1);
         if (isOver && exchanges.length === 0) close();
         else readOn();
       });
+      // What was written in this turn is only now handed to the kernel, which may take all of it.
+      return () => process.nextTick(countUnread);
     },
     isIdle: () => exchanges.length === 0,
     close,
--- a/packages/forwarding/src/createForwarder.ts
+++ b/packages/forwarding/src/createForwarder.ts
@@ -1,5 +1,4 @@
 /** Handles clients' requests: reads them, admits or refuses them, and dispatches those admitted. */
-import type { IncomingMessage, ServerResponse } from "node:http";
 import { assertNever, type Ms, type ServiceName } from "@stairgauge/common";
 import {
   computeReadingTerms,
@@ -10,6 +9,7 @@
 } from "@stairgauge/routing";
 import type { AdmittedRequest } from "./admittedRequest.js";
 import { createBodyMemory } from "./bodyMemory.js";
+import type { HandleRequest } from "./boundedListener.js";
 import { createClientAnswer } from "./clientAnswer.js";
 import { createServerAsker } from "./createServerAsker.js";
 import { dispatchCall, type DispatchedCall } from "./dispatchCall.js";
@@ -42,7 +42,7 @@
 
 /** Handles the requests of one box. */
 export type Forwarder = Readonly<{
-  handle: (incoming: IncomingMessage, response: ServerResponse) => void;
+  handle: HandleRequest;
   /**
    * Prepares for the stop of the box at `endsAt`: every further answer closes its connection, and
    * requests that would not finish by `endsAt` are refused so that their clients try another box.
@@ -78,7 +78,7 @@
     return route.shares.at(-1)!.service;
   };
 
-  const handle = (incoming: IncomingMessage, response: ServerResponse) => {
+  const handle: HandleRequest = (incoming, response, countUnread) => {
     const receivedAt = clock.monotonic();
     const head = codec.decodeRequest({
       method: incoming.method ?? "GET",
@@ -92,6 +92,7 @@
       isLastOnConnection: () => stop !== undefined || isLast || deps.isShort(),
       onBegun: () =>
         deps.unreadLimit.recordAnswer((clock.monotonic() - receivedAt) as Ms),
+      onBufferFull: countUnread,
     });
     let route: Route | undefined;
     const refuse = (status: number, reason: RefusalReason, pause = deps.retryAfter) => {
