fix: all answers that a box holds together are bounded

Callers of any server got no answer once a box held many answers at once, each within its own limit (512 KB of a success, 128 KB of a failure, 512 KB of a stream without an event): the machine ended the process beyond 200 MB.

Where it is used up, those give way that have been held for longest: a success is passed on from then on (line passed_on), a failure is decided by its head, a stream ends as one without an event does (answer_over_limit, held_memory). Nothing counts against a server whose answer gave way, but for an event without end. An event resets a stream's place, so that a stream that goes on is never the oldest. Short answers and events cost a comparison each.

--- a/apps/box/src/computeSettingsLimits.ts
+++ b/apps/box/src/computeSettingsLimits.ts
@@ -1,4 +1,4 @@
-/** Reads from a box's settings how much memory it uses for bytes of clients. */
+/** Reads from a box's settings how much memory it uses for bytes of clients and servers. */
 import { computeByteLimits, type ByteLimits } from "@stairgauge/forwarding";
 import type { BoxSettings } from "@stairgauge/settings";
 
@@ -11,5 +11,6 @@
     bodiesMb: clients.heldMb,
     unreadMb: clients.unreadMb,
     carriedMb: carrying.heldMb,
+    answersMb: clients.answersMb,
     memoryMb: limits.memoryMb,
   });
--- a/apps/box/src/createServing.ts
+++ b/apps/box/src/createServing.ts
@@ -95,6 +95,7 @@
     retryAfter: clients.retryAfterMs as Ms,
     connectLimit: clients.connectLimitMs as Ms,
     maxHeldBytes: byteLimits.bodies,
+    maxHeldAnswerBytes: byteLimits.answers,
   });
   const clientServer = createClientServer({
     clock,
--- a/packages/forwarding/src/answerLimits.ts
+++ b/packages/forwarding/src/answerLimits.ts
@@ -40,6 +40,12 @@
   storeCall: { maxBytes: 32 * 1024 * KB, maxTime: undefined },
 } as const satisfies Readonly<Record<string, HeldBodyLimits>>;
 
+/**
+ * Bytes of one answer that don't count against the memory of all: what ordinary answers and events hold, for a moment. There
+ * are no more answers than connections.
+ */
+export const UNCOUNTED_BYTES = 4 * KB;
+
 /** Which limit an answer has exceeded. */
 export type ExceededLimit =
   /** Bytes beside the body. */
@@ -47,7 +53,9 @@
   | "held_body"
   | "held_body_time"
   /** Bytes of a stream without an event. */
-  | "stream_gap";
+  | "stream_gap"
+  /** Bytes of all answers that are held: this one has been held for longest. */
+  | "held_memory";
 
 /** An answer that has exceeded a limit, by `bytes` when it was found out. */
 export type AnswerExcess = Readonly<{ limit: ExceededLimit; bytes: number }>;
--- a/packages/forwarding/src/answerSink.ts
+++ b/packages/forwarding/src/answerSink.ts
@@ -9,7 +9,12 @@
   type Clock,
   type Ms,
 } from "@stairgauge/common";
-import { describeExcess, HELD_BODY_LIMITS, type AnswerExcess } from "./answerLimits.js";
+import {
+  describeExcess,
+  HELD_BODY_LIMITS,
+  UNCOUNTED_BYTES,
+  type AnswerExcess,
+} from "./answerLimits.js";
 import type { RunStop } from "./activeRuns.js";
 import type { ServerPresence } from "./askServer.js";
 import { countBytesLeft, hasBodyBegun, type Attempt } from "./attempt.js";
@@ -33,8 +38,9 @@
   type SettledEnd,
 } from "./classifyEnd.js";
 import type { EndedBy, ExchangeSink } from "./openExchange.js";
+import type { ReclaimableMemory } from "./reclaimableMemory.js";
 import type { RunStep } from "./runStep.js";
-import type { SegmentStep, StreamRelay } from "./streamRelay.js";
+import type { SegmentStep, StreamRelay, StreamSegment } from "./streamRelay.js";
 import type { AnswerHead, ExchangeFailure, HeadCodec } from "./types.js";
 
 /** How long after the end of a stream a leaving server must still run: a stop in order ends streams first, the process soon after. */
@@ -48,8 +54,8 @@
   onCarried: (carrier: BoxName) => void;
   onHead: (head: AnswerHead) => void;
   onStreamBegun: () => void;
-  /** A long answer is forwarded from now on. */
-  onPassingOn: () => void;
+  /** A long answer is forwarded from now on; `excess` if only for the memory of all answers. */
+  onPassingOn: (excess?: AnswerExcess) => void;
   /** The answer is complete, by its framing or because its server's process still runs. */
   onWhole: () => void;
   onFailure: (failure: ExchangeFailure) => void;
@@ -64,6 +70,8 @@
   request: AdmittedRequest;
   relay: StreamRelay;
   attempt: Attempt;
+  /** The memory of all answers that are held. */
+  memory: ReclaimableMemory;
   /** Whether the attempt's server gets no new work because it is about to stop. */
   isLeaving: () => boolean;
   /** Whether another attempt would be possible and allowed after this verdict on the answer. */
@@ -125,7 +133,8 @@
 
   /** Gives up a body that is held only to be forwarded as a whole; the head decides then. */
   const dropBody = (excess: AnswerExcess) => {
-    attempt.isBodyDropped = true;
+    // Other answers have used up the memory of all: that is no fault of this server.
+    attempt.isBodyDropped = excess.limit !== "held_memory";
     attempt.exchange?.cancelFor(excess);
     listener.onHeadOnly();
   };
@@ -154,37 +163,73 @@
       dropBody({ limit: "held_body", bytes: attempt.heldBytes });
     else if (attempt.heldBytes > sound.maxBytes) startPassingOn(held);
   };
-  const startPassingOn = (held: ByteCollector) => {
+  const startPassingOn = (held: ByteCollector, excess?: AnswerExcess) => {
     const answerHead = attempt.head!;
-    listener.onPassingOn();
+    attempt.heldMemory?.set(0);
+    listener.onPassingOn(excess);
     const { status, forwardedHeaders } = answerHead;
     answer.begin({ status, reason: attempt.reason, headers: forwardedHeaders });
     attempt.body = { kind: "passed_on" };
     applyPace(!answer.write(held.join()));
   };
 
+  /** Gives up what is held, since others need the memory and this answer has been held for longest. */
+  const releaseMemory = () => {
+    const { body } = attempt;
+    switch (body.kind) {
+      case "held": {
+        const excess = { limit: "held_memory", bytes: attempt.heldBytes } as const;
+        if (isFinal(attempt.head!)) startPassingOn(body.bytes, excess);
+        else dropBody(excess);
+        return;
+      }
+      case "stream": {
+        const { segment } = body;
+        const bytes = segment.countBytesHeld();
+        segment.drop();
+        failStream({ limit: "held_memory", bytes });
+        return;
+      }
+      case "passed_on":
+        return;
+      default:
+        assertNever(body);
+    }
+  };
+  const countHeld = (bytes: number) => {
+    const counted = bytes > UNCOUNTED_BYTES ? bytes : 0;
+    if (counted > 0)
+      attempt.heldMemory ??= options.memory.open(wrapIfCurrent(releaseMemory));
+    attempt.heldMemory?.set(counted);
+  };
+
   const handleData = (chunk: Buffer) => {
     const { body } = attempt;
     switch (body.kind) {
       case "held":
         appendHeld(body.bytes, chunk);
+        if (attempt.body === body) countHeld(attempt.heldBytes);
         return;
       case "passed_on":
         applyPace(!answer.write(chunk));
         return;
       case "stream":
-        handleStep(body.segment.push(chunk));
+        handleStep(body.segment, body.segment.push(chunk));
         return;
       default:
         assertNever(body);
     }
   };
-  const handleStep = (step: SegmentStep) => {
+  const handleStep = (segment: StreamSegment, step: SegmentStep) => {
     switch (step.kind) {
       case "held":
+        countHeld(segment.countBytesHeld());
         return;
       case "passed_on":
         applyPace(step.isClientSlow);
+        // What is held now has come with this event at the earliest.
+        attempt.heldMemory?.set(0);
+        countHeld(segment.countBytesHeld());
         return;
       case "no_event":
         failStream({ limit: "stream_gap", bytes: step.bytes });
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -5,6 +5,7 @@
 import { createByteCollector, type ByteCollector } from "./byteCollector.js";
 import type { ClientAnswer } from "./clientAnswer.js";
 import type { EndedBy, Exchange } from "./openExchange.js";
+import type { HeldBytes } from "./reclaimableMemory.js";
 import type { StreamSegment } from "./streamRelay.js";
 import type { AnswerHead, RawHeaders } from "./types.js";
 
@@ -38,9 +39,11 @@
   endedBy: EndedBy | undefined;
   body: AttemptBody;
   heldBytes: number;
+  /** Its part of the memory for answers that are held; undefined while it has held little. */
+  heldMemory: HeldBytes | undefined;
   /** Limits the time of a body that is held; undefined if it has no limit of its own. */
   bodyTimer: Timer | undefined;
-  /** Whether the body exceeded a limit, so that its rest was not read. */
+  /** Whether the body exceeded a limit of its own, so that its rest was not read. */
   isBodyDropped: boolean;
   /** Frees the server's slot. */
   readonly release: () => void;
@@ -71,6 +74,7 @@
   endedBy: undefined,
   body: { kind: "held", bytes: createByteCollector() },
   heldBytes: 0,
+  heldMemory: undefined,
   bodyTimer: undefined,
   isBodyDropped: false,
   release,
--- a/packages/forwarding/src/createForwarder.ts
+++ b/packages/forwarding/src/createForwarder.ts
@@ -17,6 +17,7 @@
 import type { DispatchDeps, ForwarderDeps } from "./forwarderTypes.js";
 import { fitsBeforeStop, type StopTimes } from "./fitsBeforeStop.js";
 import { readRequestBody } from "./readRequestBody.js";
+import { createReclaimableMemory } from "./reclaimableMemory.js";
 import { sendOwnAnswer } from "./sendOwnAnswer.js";
 import { describeFault } from "./runStep.js";
 import { createCrashDetector } from "./crashDetector.js";
@@ -62,7 +63,8 @@
     ask: askServer,
     isLeaving: placer.isLeaving,
   });
-  const dispatchDeps: DispatchDeps = { ...deps, askServer, crashDetector };
+  const answerMemory = createReclaimableMemory(deps.maxHeldAnswerBytes);
+  const dispatchDeps: DispatchDeps = { ...deps, askServer, crashDetector, answerMemory };
   let stop: StopTimes | undefined;
   const calls = new Set<DispatchedCall>();
   const bodyMemory = createBodyMemory(deps.maxHeldBytes);
--- a/packages/forwarding/src/dispatchState.ts
+++ b/packages/forwarding/src/dispatchState.ts
@@ -68,6 +68,7 @@
       current?.exchange?.cancel();
       current?.silenceWatch?.cancel();
       current?.bodyTimer?.cancel();
+      current?.heldMemory?.set(0);
       current?.release();
       current = undefined;
     },
--- a/packages/forwarding/src/forwardDecision.ts
+++ b/packages/forwarding/src/forwardDecision.ts
@@ -5,6 +5,7 @@
 import type { OriginSource } from "@stairgauge/origins";
 import type { PlacementLimit, StreamBinding } from "@stairgauge/placement";
 import type { AccessRefusal, Route } from "@stairgauge/routing";
+import type { AnswerExcess } from "./answerLimits.js";
 import type { CrashCheck } from "./crashDetector.js";
 import type { AnswerEnd, Framing } from "./describeAnswerEnd.js";
 import type { RequestHead } from "./types.js";
@@ -117,6 +118,8 @@
       })
   /** This box has lost its path to the server, so `carrier` sends the request. */
   | { kind: "carried"; server: ServerId; carrier: BoxName }
+  /** A sound answer that was held is forwarded as it arrives: other answers need the memory. */
+  | (AnswerExcess & { kind: "passed_on"; server: ServerId })
   | { kind: "answered"; server: ServerId; status: number }
   | (AnswerEnd & {
       kind: "stream_ended";
--- a/packages/forwarding/src/forwarderTypes.ts
+++ b/packages/forwarding/src/forwarderTypes.ts
@@ -14,6 +14,7 @@
 import type { PlainAdmission } from "./placePlainRequest.js";
 import type { GenerationQueue } from "./placeOrWait.js";
 import type { Placer } from "./placer.js";
+import type { ReclaimableMemory } from "./reclaimableMemory.js";
 import type { RetryBudget } from "./retryBudget.js";
 import type { ServerExchanges } from "./serverExchanges.js";
 import type { HeadCodec } from "./types.js";
@@ -54,8 +55,14 @@
   connectLimit: Ms;
   /** Largest total size of request bodies in memory; requests beyond it are refused without being run. */
   maxHeldBytes: number;
+  /** Most bytes of servers' answers that are held at once; beyond it, those that have been held for longest give way. */
+  maxHeldAnswerBytes: number;
 }>;
 
 /** Dependencies of a dispatch: those of the forwarder, and what all its dispatches share. */
 export type DispatchDeps = ForwarderDeps &
-  Readonly<{ askServer: ServerAsker; crashDetector: CrashDetector }>;
+  Readonly<{
+    askServer: ServerAsker;
+    crashDetector: CrashDetector;
+    answerMemory: ReclaimableMemory;
+  }>;
--- a/packages/forwarding/src/sendAttempt.ts
+++ b/packages/forwarding/src/sendAttempt.ts
@@ -64,6 +64,7 @@
       request,
       relay,
       attempt,
+      memory: deps.answerMemory,
       isLeaving: () => placer.isLeaving(server),
       mayRetryAfter: (verdict) =>
         attempts.mayRetryAfter(classifyAttempt(true, verdict, attempt.head?.signals)),
@@ -80,7 +81,11 @@
         },
         onHead: (answerHead) => getSteps().handleHead(attempt, answerHead),
         onStreamBegun: () => getSteps().handleStreamBegun(attempt),
-        onPassingOn: state.markMayHaveRun,
+        onPassingOn: (excess) => {
+          state.markMayHaveRun();
+          if (excess)
+            reports.report({ kind: "passed_on", server: server.entry.id, ...excess });
+        },
         onWhole: () => getSteps().finishWhole(attempt),
         onFailure: (failure) => getSteps().handleFailure(attempt, failure),
         onHeadOnly: () => getSteps().concludeByHead(attempt),
--- a/packages/forwarding/src/streamRelay.ts
+++ b/packages/forwarding/src/streamRelay.ts
@@ -33,6 +33,10 @@
   push: (chunk: Buffer) => SegmentStep;
   /** Bytes of an incomplete event. */
   countBytesLeft: () => number;
+  /** All bytes that are held: of an incomplete event, and comments. */
+  countBytesHeld: () => number;
+  /** Gives up what is held; nothing more is forwarded. */
+  drop: () => void;
   /** Whether an event of this segment was forwarded. */
   hasEvents: () => boolean;
   /** Ends the stream: the segment is complete and the last one. */
@@ -129,12 +133,23 @@
     /** Bytes of comments since the last event. */
     let commentBytes = 0;
     const comments: Buffer[] = [];
+    let heldCommentBytes = 0;
+    const takeComments = () => {
+      heldCommentBytes = 0;
+      return comments.splice(0);
+    };
+    const putComments = (bytes: Buffer) => {
+      // Excess comments may be dropped, as they are no events.
+      if (comments.length >= MAX_HELD_COMMENTS) return;
+      comments.push(bytes);
+      heldCommentBytes += bytes.length;
+    };
     const begin = () => {
       if (!answer.hasBegun()) answer.begin({ status: STREAM_STATUS, reason, headers });
     };
     const sendBatch = (batch: EventBatch): SegmentStep => {
       begin();
-      for (const comment of comments.splice(0)) answer.write(comment);
+      for (const comment of takeComments()) answer.write(comment);
       hasEvents ||= batch.ids.length > 0;
       return passOn(batch);
     };
@@ -145,8 +160,7 @@
           isJoined = true;
           return sendBatch(batch);
         case "tells_nothing":
-          // Excess comments may be dropped, as they are no events.
-          if (comments.length < MAX_HELD_COMMENTS) comments.push(batch.bytes);
+          putComments(batch.bytes);
           return { kind: "held" };
         case "does_not_follow":
           current = undefined;
@@ -170,11 +184,17 @@
         return isJoined ? sendBatch(batch) : joinBatch(batch);
       },
       countBytesLeft: splitter.countPendingBytes,
+      countBytesHeld: () => heldCommentBytes + splitter.countHeldBytes(),
+      drop: () => {
+        if (current === segment) current = undefined;
+        takeComments();
+        splitter.takePending();
+      },
       hasEvents: () => hasEvents,
       finish: () => {
         if (current !== segment) return;
         begin();
-        for (const bytes of [...comments, splitter.takePending()])
+        for (const bytes of [...takeComments(), splitter.takePending()])
           if (bytes.length > 0) answer.write(bytes);
         answer.end();
       },
--- a/packages/settings/src/boxSettings.ts
+++ b/packages/settings/src/boxSettings.ts
@@ -130,6 +130,8 @@
       heldMb: z.number().positive().default(32),
       /** Memory for what clients have sent and this box has not handled yet, and for answers that they don't read, in MB. */
       unreadMb: z.number().positive().default(16),
+      /** Memory for servers' answers that are held until they are whole, in MB. */
+      answersMb: z.number().positive().default(16),
     })
     .prefault({}),
   /** Requests that this box sends for boxes which have lost their own paths to servers. */
