--- a/packages/forwarding/src/answerReader.ts
+++ b/packages/forwarding/src/answerReader.ts
@@ -17,11 +17,11 @@
 const MAX_PIECE_BYTES = 64 * 1024;
 
 /**
- * Chunks of one answer that are handled as soon as they arrive, and how many are allowed anew in a second. A stream has some
- * thirty events a second; a thousand chunks cost one or two milliseconds.
+ * Reads and chunks of one answer that are handled as soon as they arrive, and how many are allowed anew in a second. A stream
+ * has some thirty events a second; a thousand chunks cost one or two milliseconds.
  */
-const MAX_PROMPT_CHUNKS = 1_000;
-const PROMPT_CHUNKS_PER_MS = 1;
+const MAX_PROMPT_PARTS = 1_000;
+const PROMPT_PARTS_PER_MS = 1;
 
 /**
  * Bytes of the body that are read although the reader is paused. A server may reset the connection behind a complete answer,
@@ -29,6 +29,9 @@
  */
 const MAX_PAUSED_BYTES = 16 * 1024;
 
+/** Bytes of an answer that were read, and the chunks of its body in them. */
+export type SmallPieces = Readonly<{ bytes: number; chunks: number }>;
+
 /** Options of a reader. */
 export type AnswerReaderOptions = Readonly<{
   socket: Socket;
@@ -38,6 +41,8 @@
   isComplete: () => boolean;
   /** What a piece has held of the body. */
   onBody: (bytes: Buffer) => void;
+  /** The answer has come in so many pieces that the rest of it is read in turn with long reads; called once at most. */
+  onSmallPieces: (pieces: SmallPieces) => void;
   clock: Pick<Clock, "monotonic">;
   turns: ReadTurns;
 }>;
@@ -87,31 +92,38 @@
   };
 };
 
-/** Counts chunks against those that are handled promptly. */
-const createPromptChunks = (clock: Pick<Clock, "monotonic">) => {
-  let left = MAX_PROMPT_CHUNKS;
+/** Counts reads and chunks against those that are handled promptly; reads the clock only once they are used up. */
+const createPromptParts = (clock: Pick<Clock, "monotonic">) => {
+  let left = MAX_PROMPT_PARTS;
   let countedAt: Ms = clock.monotonic();
-  const countElapsed = () => {
+  const addEarned = () => {
     const now = clock.monotonic();
-    left = Math.min(MAX_PROMPT_CHUNKS, left + (now - countedAt) * PROMPT_CHUNKS_PER_MS);
+    left = Math.min(MAX_PROMPT_PARTS, left + (now - countedAt) * PROMPT_PARTS_PER_MS);
     countedAt = now;
   };
   return {
-    spend: (chunks: number) => {
-      countElapsed();
-      left -= chunks;
+    spend: (parts: number) => {
+      left -= parts;
+    },
+    hasLeft: () => {
+      if (left <= 0) addEarned();
+      return left > 0;
     },
-    hasLeft: () => left > 0,
   };
 };
 
 /** Begins to read from a connection that nothing else reads from. */
 export const startAnswerReader = (options: AnswerReaderOptions): AnswerReader => {
-  const { socket, parse, isComplete, onBody, clock, turns } = options;
+  const { socket, parse, isComplete, onBody, onSmallPieces, clock, turns } = options;
   const body = createPieceBody();
-  const prompt = createPromptChunks(clock);
+  const prompt = createPromptParts(clock);
   let pieceBytes = SHORT_READ_BYTES;
+  /** Length of the piece that was parsed last. */
+  let parsedBytes = 0;
   let isParsing = false;
+  let bytesRead = 0;
+  let chunksRead = 0;
+  let isReported = false;
   let isPaused = false;
   let isFlushScheduled = false;
   /** What was parsed while the reader is paused. */
@@ -136,28 +148,53 @@
     notifyDelivered?.();
     notifyDelivered = undefined;
   };
-  /** Chooses the size of the next piece by what the last one has cost; one without a chunk may be framing only. */
-  const choosePiece = (chunks: number) => {
+  const countChunks = (chunks: number) => {
     prompt.spend(chunks);
+    chunksRead += chunks;
+  };
+  /** Chooses the size of the next piece by what a whole one has cost; one without a chunk may be framing only. */
+  const choosePiece = (chunks: number) => {
     const isCheap = chunks > 0 && chunks < FEW_CHUNKS;
-    pieceBytes = isCheap ? Math.min(2 * pieceBytes, MAX_PIECE_BYTES) : SHORT_READ_BYTES;
+    if (!isCheap) pieceBytes = SHORT_READ_BYTES;
+    else if (parsedBytes === pieceBytes)
+      pieceBytes = Math.min(2 * pieceBytes, MAX_PIECE_BYTES);
   };
-  const canRead = () =>
-    !socket.destroyed && !(isPaused && held.getLength() >= MAX_PAUSED_BYTES);
+  const isPromptUsedUp = () => {
+    if (prompt.hasLeft()) return false;
+    if (!isReported) onSmallPieces({ bytes: bytesRead, chunks: chunksRead });
+    isReported = true;
+    return true;
+  };
+  const canHold = () => !isPaused || held.getLength() < MAX_PAUSED_BYTES;
+  const canRead = () => canHold() && !socket.destroyed;
   const hasMore = () => canRead() && socket.readableLength > 0;
+  /** Handles the next piece; returns its chunks, undefined if there is nothing to read. */
+  const readPiece = () => {
+    // Reads on if there is nothing, so that the end of the connection is found.
+    const length = Math.min(pieceBytes, socket.readableLength);
+    const piece = socket.read(length === 0 ? undefined : length) as Buffer | null;
+    if (!piece || isComplete()) return undefined;
+    parsedBytes = piece.length;
+    bytesRead += parsedBytes;
+    prompt.spend(1);
+    isParsing = true;
+    parse(piece);
+    isParsing = false;
+    const chunks = flush();
+    countChunks(chunks);
+    choosePiece(chunks);
+    return chunks;
+  };
+  /** Reads what had arrived before the connection was reset, as long as it costs little: an answer may be complete with it. */
+  const readRest = () => {
+    let chunks: number | undefined = 0;
+    while (chunks !== undefined && chunks < FEW_CHUNKS && canHold()) chunks = readPiece();
+  };
   const reader: PendingReader = {
-    isLong: () => socket.readableLength > SHORT_READ_BYTES || !prompt.hasLeft(),
+    isLong: () => socket.readableLength > SHORT_READ_BYTES || isPromptUsedUp(),
     readPiece: () => {
       if (!canRead()) return { isSentAhead: false, hasMore: false };
-      // Reads on if there is nothing, so that the end of the connection is found.
-      const length = Math.min(pieceBytes, socket.readableLength);
-      const piece = socket.read(length === 0 ? undefined : length) as Buffer | null;
-      if (piece && !isComplete()) {
-        isParsing = true;
-        parse(piece);
-        isParsing = false;
-        choosePiece(flush());
-      }
+      readPiece();
       return { isSentAhead: false, hasMore: hasMore() };
     },
   };
@@ -165,15 +202,16 @@
     if (canRead()) turns.read(reader);
   };
   socket.on("readable", readOn);
+  socket.prependListener("error", readRest);
   return {
     addChunk: (chunk) => {
-      body.add(chunk, pieceBytes);
+      body.add(chunk, parsedBytes);
       if (isParsing || isFlushScheduled) return;
       // The parser hands over later what came with the head.
       isFlushScheduled = true;
       process.nextTick(() => {
         isFlushScheduled = false;
-        prompt.spend(flush());
+        countChunks(flush());
         reportDelivered();
       });
     },
