--- a/packages/forwarding/src/answerReader.ts
+++ b/packages/forwarding/src/answerReader.ts
@@ -183,6 +183,8 @@
     const chunks = flush();
     countChunks(chunks);
     choosePiece(chunks);
+    // The end of the connection may have arrived already; nothing else would tell.
+    if (socket.readableLength === 0) socket.read(0);
     return chunks;
   };
   /** Reads what had arrived before the connection was reset, as long as it costs little: an answer may be complete with it. */
@@ -191,7 +193,9 @@
     while (chunks !== undefined && chunks < FEW_CHUNKS && canHold()) chunks = readPiece();
   };
   const reader: PendingReader = {
-    isLong: () => socket.readableLength > SHORT_READ_BYTES || isPromptUsedUp(),
+    // The first piece, which has the head, is handled at once: a head that waited would count as a silent server.
+    isLong: () =>
+      parsedBytes > 0 && (socket.readableLength > SHORT_READ_BYTES || isPromptUsedUp()),
     readPiece: () => {
       if (!canRead()) return { isSentAhead: false, hasMore: false };
       readPiece();
--- a/packages/forwarding/src/openExchange.test.ts
+++ b/packages/forwarding/src/openExchange.test.ts
@@ -2,7 +2,7 @@
 import type { AddressInfo } from "node:net";
 import { afterEach, describe, expect, it } from "vitest";
 import { createSystemClock, type Ms } from "@stairgauge/common";
-import type { ReadTurns } from "@stairgauge/saturation";
+import type { PendingReader, ReadTurns } from "@stairgauge/saturation";
 import { openExchange, type EndedBy } from "./openExchange.js";
 
 type Received = {
@@ -130,6 +130,61 @@
     expect(received).toEqual({ status: 200, body, end: "whole", endedBy: "framing" });
   });
 
+  /** Turns that come some time after what is read has arrived. */
+  const createLateTurns = (): ReadTurns => {
+    let isWaiting = false;
+    const takeTurns = (reader: PendingReader) => {
+      isWaiting = reader.readPiece().hasMore;
+      if (isWaiting) setTimeout(takeTurns, 1, reader);
+    };
+    return {
+      read: (reader) => {
+        if (!isWaiting) setTimeout(takeTurns, 100, reader);
+        isWaiting = true;
+      },
+    };
+  };
+  const LONG = "x".repeat(10_000);
+
+  // Guards against an answer that is open until its deadline because its end arrived while it waited for its turn.
+  it.each([
+    ["a cut head", `HTTP/1.1 200 OK\r\nA: ${LONG}`],
+    [
+      "a chunk's extension",
+      `HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;a=${LONG}`,
+    ],
+    ["informational answers", "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(400)],
+  ])("reports as broken what ends while it waits: %s", async (_name, text) => {
+    const address = await serveRaw((socket) => socket.end(text));
+    expect((await fetchFrom(address, createLateTurns())).end).toBe("broken");
+  });
+
+  // Guards against bytes behind the end of an answer that reach a parser which is gone.
+  it.each([
+    [
+      "malformed",
+      "a malformed answer",
+      `HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nZZ${LONG}`,
+    ],
+    [
+      "broken",
+      "a change of the protocol",
+      `HTTP/1.1 101 Switching\r\nConnection: upgrade\r\nUpgrade: a\r\n\r\n${LONG}`,
+    ],
+  ])("reports as %s what is reset while it waits: %s", async (end, _name, text) => {
+    const errors: unknown[] = [];
+    const recordError = (error: unknown) => errors.push(error);
+    process.prependListener("uncaughtException", recordError);
+    closers.push(() => process.removeListener("uncaughtException", recordError));
+    const address = await serveRaw((socket) => {
+      socket.write(text);
+      setTimeout(() => socket.resetAndDestroy(), 50);
+    });
+    const noTurns: ReadTurns = { read: () => undefined };
+    expect((await fetchFrom(address, noTurns)).end).toBe(end);
+    expect(errors).toEqual([]);
+  });
+
   it("reports the server as unreachable if no connection is established", async () => {
     const address = await serveRaw(() => undefined);
     closers.splice(0).forEach((close) => close());
--- a/packages/forwarding/src/openExchange.ts
+++ b/packages/forwarding/src/openExchange.ts
@@ -203,7 +203,8 @@
         const excess = meter.addReceived(piece.length);
         if (excess) failByExcess(excess);
       },
-      isComplete: () => answer?.complete === true,
+      // Node.js takes its parser away behind a malformed answer, and fails on any further bytes.
+      isComplete: () => isOver || answer?.complete === true,
       onBody: (bytes) => {
         if (!isOver) sink.onData(bytes);
       },
@@ -229,6 +230,9 @@
   outgoing.on("close", () =>
     fail({ kind: "broken", detail: "closed without an answer" }),
   );
+  outgoing.once("upgrade", () =>
+    fail({ kind: "broken", detail: "closed without an answer" }),
+  );
   outgoing.on("response", (incoming) => {
     if (isOver) return;
     answer = incoming;
--- a/packages/saturation/src/constants.ts
+++ b/packages/saturation/src/constants.ts
@@ -101,6 +101,12 @@
  */
 export const LONG_READ_SHARE = 0.5;
 
+/**
+ * Time of one connection's turn. Turns of a number of pieces would be as long as each sender makes them: a piece in chunks of
+ * one byte costs a hundred times as much as another.
+ */
+export const LONG_READ_TURN_MS = 0.5;
+
 /** Longest time without a pause for that, well below the time of a turn that is long. */
 export const MAX_LONG_READ_MS = 5;
 
--- a/packages/saturation/src/createReadTurns.test.ts
+++ b/packages/saturation/src/createReadTurns.test.ts
@@ -1,7 +1,12 @@
 /** Guards against clients that keep all others waiting by what they send: much, in costly pieces, or many requests ahead. */
 import { describe, expect, it } from "vitest";
 import { createVirtualClock, type Ms } from "@stairgauge/common";
-import { LONG_READ_PAUSE_MS, LONG_READ_SHARE, MAX_LONG_READ_MS } from "./constants.js";
+import {
+  LONG_READ_PAUSE_MS,
+  LONG_READ_SHARE,
+  LONG_READ_TURN_MS,
+  MAX_LONG_READ_MS,
+} from "./constants.js";
 import { createReadTurns, type PendingReader } from "./createReadTurns.js";
 
 const PLAYED_MS = 1_000;
@@ -109,4 +114,55 @@
     runFor(100);
     expect(second.countHandled()).toBe(2);
   });
+
+  // Guards against a connection that waits long for its turns because the pieces of others cost much.
+  it("gives each connection the same time, whatever its pieces cost", () => {
+    const { turns, createReader, runFor } = createSimulatedTurns();
+    const costly = Array.from({ length: 9 }, () =>
+      createReader(Infinity, { isLong: true, pieceMs: 1 }),
+    );
+    const cheap = createReader(Infinity, { isLong: true, pieceMs: 0.01 });
+    for (const { reader } of [...costly, cheap]) turns.read(reader);
+    runFor(PLAYED_MS);
+    const turnsOfEach = Math.min(...costly.map(({ countHandled }) => countHandled()));
+    expect(turnsOfEach).toBeGreaterThan(0);
+    expect(cheap.countHandled() * 0.01).toBeGreaterThanOrEqual(
+      turnsOfEach * LONG_READ_TURN_MS,
+    );
+  });
+
+  // Guards against timers that become more each time a reader has another one read on within its turn.
+  it("waits for one timer, however often connections are added within a turn", () => {
+    const clock = createVirtualClock();
+    let timers = 0;
+    const turns = createReadTurns({
+      clock: {
+        ...clock,
+        setTimer: (delay, fire) => {
+          timers += 1;
+          return clock.setTimer(delay, () => {
+            timers -= 1;
+            fire();
+          });
+        },
+      },
+      scheduleTurnEnd: () => undefined,
+    });
+    let pieces = 0;
+    const readPiece = () => {
+      clock.advance(1 as Ms);
+      return { isSentAhead: false, hasMore: true };
+    };
+    const adding: PendingReader = {
+      isLong: () => true,
+      readPiece: () => {
+        pieces += 1;
+        if (pieces <= 20) turns.read({ isLong: () => true, readPiece });
+        return readPiece();
+      },
+    };
+    turns.read(adding);
+    while (pieces <= 20) clock.step();
+    expect(timers).toBe(1);
+  });
 });
--- a/packages/saturation/src/createReadTurns.ts
+++ b/packages/saturation/src/createReadTurns.ts
@@ -8,6 +8,7 @@
   LONG_READ_PAUSE_MS,
   LONG_READ_SHARE,
   MAX_LONG_READ_DEBT_MS,
+  LONG_READ_TURN_MS,
   MAX_LONG_READ_MS,
 } from "./constants.js";
 
@@ -73,23 +74,35 @@
     countElapsed();
     readInTurn();
   };
+  /** Handles pieces for an equal time, so that a connection whose pieces cost little isn't as slow as one whose pieces cost much. */
+  const takeTurn = (reader: PendingReader): ReadPiece => {
+    const from = clock.monotonic();
+    let piece = reader.readPiece();
+    while (
+      piece.hasMore &&
+      !piece.isSentAhead &&
+      clock.monotonic() - from < LONG_READ_TURN_MS
+    )
+      piece = reader.readPiece();
+    if (!piece.isSentAhead) countSpent();
+    return piece;
+  };
   const readInTurn = () => {
+    // What is read may have another reader read on, which joins this turn.
+    isScheduled = true;
     for (const reader of waiting) {
       if (allowance <= 0) break;
       waiting.delete(reader);
-      const { isSentAhead, hasMore } = reader.readPiece();
+      const { isSentAhead, hasMore } = takeTurn(reader);
       // The iteration also comes to what is added during it, so this connection is next behind all others.
       if (hasMore) waiting.add(reader);
       if (isSentAhead) {
-        isScheduled = true;
         scheduleTurnEnd(finishTurn);
         return;
       }
-      countSpent();
     }
-    if (waiting.size === 0) return;
-    isScheduled = true;
-    clock.setTimer(LONG_READ_PAUSE_MS, finishPause);
+    isScheduled = waiting.size > 0;
+    if (isScheduled) clock.setTimer(LONG_READ_PAUSE_MS, finishPause);
   };
 
   return {
