fix: calls that other processes open and reset at once count until their memory is freed

Cause, as traced: 1,641 calls had begun and ended on 20 connections before one timer ran, the heap was at 36 MB, and no limit had been met. A call that is reset ends in the same turn of the event loop, so the count of open calls stayed at a few, while the memory of each is freed only behind the turn.

A call that ended without a valid message now counts until the turn has ended, so that the bound of all calls ends the crowd's connections within it. Calls of boxes have a valid message and count as before.

The new unit test failed before.

--- a/packages/peers/src/peerConnections.test.ts
+++ b/packages/peers/src/peerConnections.test.ts
@@ -12,6 +12,7 @@
   const ended: string[] = [];
   const reported: string[] = [];
   const boxes = new Set<string>();
+  const turnEnds: (() => void)[] = [];
   const clock = createVirtualClock();
   const connections = createPeerConnections({
     clock,
@@ -23,7 +24,11 @@
       maxUnhandledBytes: 1_000_000,
     },
     onLimit: (limit) => reported.push(limit),
+    scheduleTurnEnd: (run) => turnEnds.push(run),
   });
+  const endTurn = () => {
+    for (const run of turnEnds.splice(0)) run();
+  };
   const add = (peer: string) =>
     connections.add(peer, { destroy: () => ended.push(peer), reading: NO_READING });
   /** A box opens a call and sends its state as soon as it is connected. */
@@ -34,7 +39,7 @@
     call.onMessage();
     return call;
   };
-  return { clock, connections, ended, reported, add, addBox };
+  return { clock, connections, ended, reported, add, addBox, endTurn };
 };
 
 describe("createPeerConnections", () => {
@@ -91,6 +96,37 @@
     expect(reported).toEqual(["too_many_calls", "too_many_calls"]);
   });
 
+  it("ends connections that open and reset many calls in one turn of the event loop, and none for those of former turns", () => {
+    const { connections, ended, add, addBox, endTurn } = openConnections(20);
+    const resetCalls = (peer: string, calls: number) => {
+      for (let i = 0; i < calls; i += 1) connections.openCall(peer).onEnd();
+    };
+    addBox("box-1");
+    add("crowd");
+    for (let turn = 0; turn < 5; turn += 1) {
+      resetCalls("crowd", 10);
+      for (let i = 0; i < 20; i += 1) addBox("box-1").onEnd();
+      endTurn();
+    }
+    expect(ended).toEqual([]);
+    resetCalls("crowd", 20);
+    expect(ended).toEqual(["crowd"]);
+  });
+
+  it("ends the connection whose messages have been incomplete for longest where they take too much memory", () => {
+    const { connections, ended, reported, add, addBox } = openConnections(20);
+    add("partial");
+    connections.openCall("partial").changeUnhandled(600_000);
+    const call = addBox("box-1");
+    call.changeUnhandled(300_000);
+    expect(ended).toEqual([]);
+    call.changeUnhandled(200_000);
+    expect([ended, reported]).toEqual([["partial"], ["sent_ahead"]]);
+    call.changeUnhandled(-500_000);
+    addBox("box-2").changeUnhandled(300_000);
+    expect(ended).toEqual(["partial"]);
+  });
+
   it("ends a connection that doesn't read where answers take too much memory, and no other", () => {
     const { clock, connections, ended, addBox } = openConnections(20);
     addBox("reads nothing").holdBytes(600);
--- a/packages/peers/src/peerConnections.ts
+++ b/packages/peers/src/peerConnections.ts
@@ -88,6 +88,8 @@
   clock: Pick<Clock, "monotonic" | "setTimer">;
   limits: PeerLimits;
   onLimit: (limit: PeerLimit) => void;
+  /** Calls the function when this turn of the event loop has ended. */
+  scheduleTurnEnd?: (run: () => void) => void;
 }>;
 
 type Connection = {
@@ -119,6 +121,7 @@
   clock,
   limits,
   onLimit,
+  scheduleTurnEnd = setImmediate,
 }: PeerConnectionsOptions): PeerConnections => {
   const connections = new Map<string, Connection>();
   const turns = createPieceTurns(clock);
@@ -264,7 +267,9 @@
         onEnd: () => {
           isOver = true;
           setUnhandled(id, connection, 0);
-          changeCalls(connection, -1);
+          // Its memory is freed with this turn, in which a crowd may open and reset any number of calls.
+          if (isActive) changeCalls(connection, -1);
+          else scheduleTurnEnd(() => changeCalls(connection, -1));
           changeUnread(connection, -heldBytes);
           if (isActive) changeActiveCalls(connection, -1);
         },
