--- a/packages/forwarding/src/clientServer.ts
+++ b/packages/forwarding/src/clientServer.ts
@@ -1,5 +1,5 @@
 /** The HTTP listener for clients, with limits on head size, and new connections that wait while the process is busy. */
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 import type { Clock, Ms } from "@stairgauge/common";
 import type { ClientLimits } from "@stairgauge/routing";
@@ -14,6 +14,8 @@
   PARSER_HEAD_BYTES,
   rejectRequest,
   type BoundedListener,
+  type BoundedListenerOptions,
+  type HandleRequest,
   type ListenerLimits,
 } from "./boundedListener.js";
 import type { ClientLimit } from "./connectionReader.js";
@@ -31,7 +33,7 @@
 /** Options of the client server. */
 export type ClientServerOptions = Readonly<{
   clock: Pick<Clock, "monotonic" | "setTimer">;
-  handle: (incoming: IncomingMessage, response: ServerResponse) => void;
+  handle: HandleRequest;
   /** Decides about each new connection; one that finds no room is closed unread. */
   intake: Pick<Intake, "hasRoom" | "recordTurnedAway">;
   /** Whether the event loop has no idle time. */
@@ -43,7 +45,8 @@
   /** A connection was ended for what its client kept the box from doing for others. */
   onLimit: (limit: ClientLimit) => void;
 }> &
-  Pick<ListenerLimits, "getMaxConnections" | "maxUnreadBytes">;
+  Pick<ListenerLimits, "getMaxConnections" | "maxUnreadBytes"> &
+  Pick<BoundedListenerOptions, "turns">;
 
 /** The HTTP server for clients. */
 export type ClientServer = Readonly<{
@@ -88,16 +91,17 @@
   );
   const listener = createBoundedListener({
     clock,
+    turns: options.turns,
     limits: {
       getMaxConnections: options.getMaxConnections,
       spareConnections: SPARE_CONNECTIONS,
       maxUnreadBytes: options.maxUnreadBytes,
       minIdle: MIN_IDLE,
     },
-    handle: (incoming, response) => {
+    handle: (incoming, response, countUnread) => {
       if (measureHead(incoming) > headBytes) rejectRequest(response, 431);
       else if (isHostMissing(incoming)) rejectRequest(response, 400);
-      else options.handle(incoming, response);
+      else options.handle(incoming, response, countUnread);
     },
     hasRoom: intake.hasRoom,
     arrivals,
