--- a/packages/standins/src/usersPlatform/usersSite.ts
+++ b/packages/standins/src/usersPlatform/usersSite.ts
@@ -46,6 +46,8 @@
   putRawEntry: (id: string, entry: unknown) => void;
   /** Writes the entry of a plain server that was started elsewhere; `born` as for engines. */
   putService: (id: string, address: string, born?: number) => void;
+  /** Writes the entry of a plain server that was started elsewhere and works on this many requests at once. */
+  putServiceOfSlots: (id: string, address: string, slots: number) => void;
   /** Writes the entry of a server of a second plain service, and a configuration with a route to it. */
   putOtherService: (id: string, address: string) => void;
   /** Writes a server's entry with another data hall. */
@@ -175,7 +177,7 @@
     server: Readonly<{ id: string; address: string }>,
     state: string,
     isEngine?: boolean,
-    details?: Readonly<{ hall?: string; born?: number | undefined }>,
+    details?: Readonly<{ hall?: string; born?: number | undefined; slots?: number }>,
   ];
   const makeEntry = (
     ...[
@@ -189,7 +191,7 @@
     address: server.address,
     zone: details.hall ?? SITE_HALL,
     version: versions.get(server.id) ?? FIRST_VERSION,
-    slots: isEngine ? 48 : 6,
+    slots: details.slots ?? (isEngine ? 48 : 6),
     state,
     warmupLeftMs: 0,
     sequence: 1,
@@ -244,6 +246,8 @@
     putRawEntry: (id, entry) => store.put(TABLE.servers, id, entry),
     putService: (id, address, born) =>
       putEntry({ id, address }, "ready", false, { born }),
+    putServiceOfSlots: (id, address, slots) =>
+      putEntry({ id, address }, "ready", false, { slots }),
     putOtherService: (id, address) => {
       store.put(TABLE.servers, id, {
         ...makeEntry({ id, address }, "ready", false),
