fix: a planned stop answers what it took, instead of cutting it

Callers whose requests a stopping box took late in its grace lost them: their servers had them, and the box closed their connections without an answer, also of requests that may not be repeated.

Cause: two ends of one stop. The forwarder accepted what would end within graceS, and the shutdown closed all connections 250 ms before that. And whatever was still open at the close ended as a cut connection, since nobody answered it.

Now there is one division of the grace, computeStopTimes: answers must be out a twelfth of it (a second at most) before its end, and requests are accepted by that end; connections are closed a thirty-second of it (250 ms at most) before. At the first end the listener closes and each request whose answer has not begun is answered: 503 if it was not sent (also one whose body is not complete, or that waits for the origin of its stream), 502 if it may have run. Later ones are refused as soon as their head is read. Carried requests end at the carrier, and the asking box answers. Answers that have begun may go on until the close, and are broken off with a line. The box then reads what had arrived, and waits, bounded, for answers to be flushed and for connections that are being closed. The call that leaves the list of boxes is no longer awaited beyond these ends, settings that shorten graceS meanwhile count at once, and a box that is stopped during its start does not join afterwards.

stairgauge explain tells a request that a stop ended as "box ended".

--- a/apps/box/src/createLifecycle.ts
+++ b/apps/box/src/createLifecycle.ts
@@ -17,6 +17,7 @@
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
 import type { FollowedTables } from "./createFollowedTables.js";
 import type { Pace } from "./createPace.js";
+import { computeStopTimes } from "./computeStopTimes.js";
 import type { Paths } from "./createPaths.js";
 import type { PeerAddress } from "./peerAddress.js";
 import { createMetricsServer, createReadyServer } from "./smallServers.js";
@@ -50,7 +51,10 @@
   isCurrent: () => boolean;
   peerAddress: PeerAddress;
   clientServer: ClientServer;
-  forwarder: Pick<Forwarder, "announceStop" | "countOpen">;
+  forwarder: Pick<
+    Forwarder,
+    "announceStop" | "countOpen" | "endUnanswered" | "breakBegun"
+  >;
   followedTables: Pick<FollowedTables, "start" | "startOwnLists" | "stop">;
   blockedList: Pick<BlockedList, "start" | "stop">;
   versionRows: Pick<VersionRows, "start" | "stop">;
@@ -60,7 +64,7 @@
   links: Pick<PeerLinks, "setSeeds" | "close">;
   peerServer: Pick<PeerServer, "listen" | "close">;
   pace: Pick<Pace, "stop">;
-  paths: Pick<Paths, "announceStop" | "countCarried" | "stop">;
+  paths: Pick<Paths, "announceStop" | "countCarried" | "endCarried" | "stop">;
   runs: Pick<ActiveRuns, "count">;
   meter: LoopMeter;
 }>;
@@ -128,18 +132,36 @@
     if (hasJoined) await membership.leave();
   };
 
+  /** Settings that change meanwhile may shorten the stop: the process may be killed at the earlier end. */
+  const createEnds = () => {
+    const begunAt = clock.monotonic();
+    let grace = getGrace();
+    return () => {
+      grace = Math.min(grace, getGrace()) as Ms;
+      return computeStopTimes(begunAt, grace);
+    };
+  };
+
   const stopOnce = async () => {
-    const grace = getGrace();
-    forwarder.announceStop((clock.monotonic() + grace) as Ms);
+    const getEnds = createEnds();
+    forwarder.announceStop(() => getEnds().answersEndAt);
     options.paths.announceStop();
     log.writeNotice("stopping", { open: countOpen(), runs: runs.count() });
     await stopInOrder({
       clock,
-      countOpen,
-      grace,
+      // A connection that was accepted may bring a request once it is read.
+      countOpen: () => countOpen() + clientServer.readBacklog().count,
+      countClosing: clientServer.countClosing,
+      getEnds,
       leave,
       onLeaveFailure: (error) =>
         log.writeWarning("unexpected_error", { error: String(error) }),
+      endUnanswered: () => {
+        clientServer.stopListening();
+        forwarder.endUnanswered();
+        options.paths.endCarried();
+      },
+      breakBegun: forwarder.breakBegun,
     });
     followedTables.stop();
     blockedList.stop();
@@ -175,8 +197,11 @@
       const [clients, ready, peers, metrics] = await listening.all;
       const ports = { clients, ready, metrics, peers };
       peerAddress.setPort(peers);
-      hasJoined = true;
-      membership.join();
+      // A row that is written after the box has left would stay in the list.
+      if (stopped === undefined) {
+        hasJoined = true;
+        membership.join();
+      }
       log.writeNotice("started", { ports, policy: getSettings().policy });
       return ports;
     },
--- a/apps/box/src/createPaths.ts
+++ b/apps/box/src/createPaths.ts
@@ -58,6 +58,8 @@
   countCarried: () => number;
   /** Carries nothing more for others. */
   announceStop: () => void;
+  /** Ends what it carries for others, so that the asking boxes answer. */
+  endCarried: () => void;
   stop: () => void;
 }>;
 
@@ -169,7 +171,7 @@
       return (build, sink) => exchanges.open({ server, isNewWork: false, build, sink });
     },
     answerCarry: (question, answer) => {
-      const handlers = carryForOthers(question, answer);
+      const handlers = carryForOthers.answerCarry(question, answer);
       metrics.carriedForOthers.set(bounds.count());
       return handlers;
     },
@@ -177,6 +179,12 @@
     announceStop: () => {
       isStopping = true;
     },
+    endCarried: () => {
+      const requests = bounds.count();
+      if (requests > 0) log.writeNotice("carried_ended", { requests });
+      carryForOthers.endAll();
+      metrics.carriedForOthers.set(bounds.count());
+    },
     stop: () => {
       isStopping = true;
       probeTimer?.cancel();
--- a/apps/box/src/observers.ts
+++ b/apps/box/src/observers.ts
@@ -48,6 +48,7 @@
     case "stream_lost":
       return { framing: decision.framing, end: "lost" } as const;
     case "out_of_time":
+    case "stop_reached":
     case "client_left": {
       if (decision.events === 0) return undefined;
       const end = decision.kind === "client_left" ? "left" : "lost";
--- a/apps/box/src/plannedStops.alone.test.ts
+++ b/apps/box/src/plannedStops.alone.test.ts
@@ -14,13 +14,14 @@
   startStopSite,
   type CallerEnd,
   type Route,
+  type StopSite,
 } from "./plannedStops.testkit.js";
 
 const ROUTES: readonly Route[] = ["again", "once"];
 
 /** Callers of each kind whose works end about when the box does. */
-const LATE_CALLERS = 30;
-const LATE_FROM_MS = 5_500;
+const LATE_CALLERS = 60;
+const LATE_FROM_MS = 4_900;
 const LATE_UNTIL_MS = 6_100;
 const LATE_WORK_MS = { least: 1_800, most: 1_990 };
 
@@ -40,11 +41,21 @@
   [7_000, "SIGINT"],
 ];
 
+/** The process is late when its answers must be out. */
+const SUSPENSION: Signals = [
+  [7_000, "SIGSTOP"],
+  [7_600, "SIGCONT"],
+];
+
+/** Time between the stops of two boxes. */
+const NEXT_STOP_MS = 3_000;
+
 /** Sends the requests of all kinds of callers around a stop that begins now. */
 const callAroundStop = async (
   box: DeployedBox,
-  { kept, signals }: Readonly<{ kept: readonly Agent[]; signals: Signals }>,
+  signals: Signals,
 ): Promise<readonly CallerEnd[]> => {
+  const kept = await openKept(box, `kept-${box.pid}`, 2 * LATE_CALLERS);
   const random = createSeededRandom(1);
   const begunAt = performance.now();
   const sendAt = async (atMs: number, send: () => Promise<CallerEnd>) => {
@@ -55,7 +66,7 @@
     random.nextInt(least, most);
   const sent: Promise<CallerEnd>[] = [];
   const call = (atMs: number, route: Route, workMs: number, agent?: Agent) => {
-    const id = `stop-${sent.length}`;
+    const id = `stop-${box.pid}-${sent.length}`;
     sent.push(
       sendAt(atMs, () => callBox(box, { route, id, workMs, kept: agent }, begunAt)),
     );
@@ -77,23 +88,45 @@
   return Promise.all(sent);
 };
 
+/** Checks that nothing was lost, that requests were served and refused, and that the box has ended. */
+const checkStop = async (
+  site: StopSite,
+  box: DeployedBox,
+  ends: readonly CallerEnd[],
+) => {
+  expect(listLost(site, box, ends)).toEqual([]);
+  expect(ends.filter(({ status }) => status === 200).length).toBeGreaterThan(0);
+  expect(ends.filter(({ status }) => status === 503).length).toBeGreaterThan(0);
+  expect(await box.waitForExit()).toBe(0);
+};
+
 describe("a box of two that is stopped as planned", () => {
   beforeAll(buildBundle, BUSY_MACHINE_TIMEOUT_MS);
 
   it.each([
     ["without further signals", []],
     ["with further signals meanwhile", SIGNALS],
+    ["and that is suspended at the end", SUSPENSION],
   ] as const)(
     "answers each request that a server got: %s",
     async (_, signals) => {
       const site = await startStopSite(2);
-      const [box] = site.boxes;
-      const kept = await openKept(box!, "kept", 2 * LATE_CALLERS);
-      const ends = await callAroundStop(box!, { kept, signals });
-      expect(listLost(site, ends)).toEqual([]);
-      expect(ends.filter(({ status }) => status === 200).length).toBeGreaterThan(0);
-      expect(ends.filter(({ status }) => status === 503).length).toBeGreaterThan(0);
-      expect(await box!.waitForExit()).toBe(0);
+      const box = site.boxes[0]!;
+      await checkStop(site, box, await callAroundStop(box, signals));
+    },
+    BUSY_MACHINE_TIMEOUT_MS,
+  );
+
+  it(
+    "answers each request that a server got: and then the other box",
+    async () => {
+      const site = await startStopSite(2);
+      const stops = site.boxes.map(async (box, index) => {
+        await waitMs(index * NEXT_STOP_MS);
+        return callAroundStop(box, []);
+      });
+      for (const [index, ends] of (await Promise.all(stops)).entries())
+        await checkStop(site, site.boxes[index]!, ends);
     },
     BUSY_MACHINE_TIMEOUT_MS,
   );
--- a/apps/box/src/plannedStops.testkit.ts
+++ b/apps/box/src/plannedStops.testkit.ts
@@ -124,19 +124,20 @@
     outgoing.end("hello");
   });
 
-/** Opens connections that are kept: each has served one request. */
-export const openKept = async (box: DeployedBox, name: string, count: number) =>
-  Promise.all(
-    Array.from({ length: count }, async (_, i) => {
-      const kept = new Agent({ keepAlive: true, maxSockets: 1 });
-      closers.push(() => kept.destroy());
-      const id = `${name}-first-${i}`;
-      const first = await callBox(box, { route: "again", id, workMs: 1, kept }, 0);
-      if (first.status !== 200)
-        throw new Error(`no connection is kept: ${first.status} for ${id}`);
-      return kept;
-    }),
-  );
+/** Opens connections that are kept, one after the other: each has served one request. */
+export const openKept = async (box: DeployedBox, name: string, count: number) => {
+  const agents: Agent[] = [];
+  while (agents.length < count) {
+    const kept = new Agent({ keepAlive: true, maxSockets: 1 });
+    closers.push(() => kept.destroy());
+    const id = `${name}-first-${agents.length}`;
+    const first = await callBox(box, { route: "again", id, workMs: 1, kept }, 0);
+    if (first.status !== 200)
+      throw new Error(`no connection is kept: ${first.status} for ${id}`);
+    agents.push(kept);
+  }
+  return agents;
+};
 
 /** Starts the store, the servers and the boxes; resolves once each box serves. */
 export const startStopSite = async (
@@ -171,14 +172,26 @@
   return { site, boxes, hasReceived: (id) => received.has(id) };
 };
 
-/** Describes the requests that a server received although their callers got no whole answer. */
+/** Ids of the requests that the box has read, by its log. */
+const listRead = (box: DeployedBox): ReadonlySet<unknown> =>
+  new Set(
+    box
+      .listLines()
+      .filter((line) => line.startsWith("{"))
+      .map((line) => (JSON.parse(line) as { request?: unknown }).request),
+  );
+
+/** Describes the requests that a server received, or the box has read, although their callers got no whole answer. */
 export const listLost = (
   { hasReceived }: Pick<StopSite, "hasReceived">,
+  box: DeployedBox,
   ends: readonly CallerEnd[],
-): readonly string[] =>
-  ends
-    .filter(({ id, isWhole }) => !isWhole && hasReceived(id))
+): readonly string[] => {
+  const read = listRead(box);
+  return ends
+    .filter(({ id, isWhole }) => !isWhole && (hasReceived(id) || read.has(id)))
     .map(
       ({ id, sentAt, endedAt }) =>
         `${id}, sent after ${Math.round(sentAt)} ms, cut after ${Math.round(endedAt)} ms`,
     );
+};
--- a/packages/diagnosis/src/classifyCause.ts
+++ b/packages/diagnosis/src/classifyCause.ts
@@ -22,6 +22,7 @@
 /** A refusal with another status is of a request that may have run. */
 const NOT_RUN_STATUS = 503;
 const OUT_OF_TIME_REASON = "out_of_time";
+const STOPPING_REASON = "box_is_stopping";
 
 const findLast = (requestLog: RequestLog, event: string): TimedLine | undefined =>
   requestLog.lines.findLast((line) => line.event === event);
@@ -79,6 +80,8 @@
     return { kind: "server_failed", how: "answer_lost" };
   if (reason === OUT_OF_TIME_REASON) return { kind: "out_of_time" };
   const { status } = fields;
+  if (reason === STOPPING_REASON && status !== undefined && status !== NOT_RUN_STATUS)
+    return { kind: "box_ended" };
   const isForCapacity = reason === "no_room" || reason === "too_late";
   if (!isForCapacity || status === undefined) return { kind: "refused", reason };
   return status === NOT_RUN_STATUS
@@ -158,6 +161,7 @@
   const end = requestLog.lines.findLast(isEnd);
   if (end) return classifyEnded(requestLog, end, happenings);
   if (hasLine(requestLog, "out_of_time")) return { kind: "out_of_time" };
+  if (hasLine(requestLog, "stop_reached")) return { kind: "box_ended" };
   return isLastLineTooOld(requestLog)
     ? { kind: "unexplained" }
     : classifyWithoutEnd(requestLog, endsAt);
--- a/packages/diagnosis/src/diagnosis.test.ts
+++ b/packages/diagnosis/src/diagnosis.test.ts
@@ -135,6 +135,19 @@
       ],
     ],
     ["out of time", [makePlaced(0), ["out_of_time", { mayHaveRun: true }]]],
+    [
+      "box ended",
+      [
+        makePlaced(0),
+        ["stop_reached", { mayHaveRun: true }],
+        ["refused", { reason: "box_is_stopping", status: 502 }],
+      ],
+    ],
+    ["box ended", [makePlaced(0), ["stop_reached", { mayHaveRun: true }]]],
+    [
+      "refused: box_is_stopping",
+      [["refused", { reason: "box_is_stopping", status: 503 }]],
+    ],
     ["client left", [makePlaced(0), ["client_left", { events: 3 }]]],
     ["engine ended: unannounced", [makePlaced(0), ["stream_lost", { server: "s1" }]]],
     [
--- a/packages/forwarding/src/boundedListener.ts
+++ b/packages/forwarding/src/boundedListener.ts
@@ -9,7 +9,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Socket } from "node:net";
+import { Server as NetServer, type Socket } from "node:net";
 import { listenOn, type Clock, type Ms } from "@stairgauge/common";
 import { createReadTurns, type Arrivals } from "@stairgauge/saturation";
 import {
@@ -95,6 +95,10 @@
   startReading: (socket: Socket) => void;
   /** Number of connections that have not sent their first request. */
   countUnused: () => number;
+  /** Number of connections that are being closed behind their last answers. */
+  countClosing: () => number;
+  /** Takes no new connections; those that are open stay. */
+  stopListening: () => void;
   /** Stops listening and closes all connections. */
   close: () => void;
 }>;
@@ -285,6 +289,11 @@
     startReading,
     countUnused: () => unused.size,
     listen: (host, port) => listenOn(server, { host, port, backlog: MAX_NOT_ACCEPTED }),
+    countClosing: closes.count,
+    stopListening: () => {
+      // That of the HTTP server also closes connections on which a request may be on its way.
+      NetServer.prototype.close.call(server);
+    },
     close: () => {
       server.close();
       server.closeAllConnections();
--- a/packages/forwarding/src/carryForOthers.ts
+++ b/packages/forwarding/src/carryForOthers.ts
@@ -46,10 +46,19 @@
   onDrain: () => undefined,
 };
 
+/** Carries for other boxes until it is told to end. */
+export type CarryForOthers = Readonly<{
+  answerCarry: AnswerCarry;
+  /** Ends all that is carried, so that the asking boxes answer: they learn that it was not sent, or that it may have run. */
+  endAll: () => void;
+}>;
+
 /** Creates the carrier. */
-export const createCarryForOthers = (deps: CarryForOthersDeps): AnswerCarry => {
+export const createCarryForOthers = (deps: CarryForOthersDeps): CarryForOthers => {
   const { clock, bounds, paths, findServer, isLeaving, isStopping, openOwn } = deps;
 
+  const ends = new Set<() => void>();
+
   const decideRefusal = (
     server: BackendServer | undefined,
     { isNewWork }: CarryQuestion,
@@ -61,7 +70,7 @@
     return paths.isDoubtful(server.entry.id) ? "path_lost" : undefined;
   };
 
-  return (question, answer) => {
+  const answerCarry: AnswerCarry = (question, answer) => {
     const endWith = (frame: CarryFrame): CarriedHandlers => {
       answer.write(frame);
       answer.end();
@@ -75,8 +84,12 @@
       return endWith({ kind: "unreached", detail: toUnreachedDetail(failure) });
     const refusal = decideRefusal(server, question);
     if (refusal !== undefined || !server) return refuse(refusal ?? "server_unknown");
-    const release = bounds.take(question.body.length);
-    if (!release) return refuse("no_room");
+    const releaseRoom = bounds.take(question.body.length);
+    if (!releaseRoom) return refuse("no_room");
+    const release = () => {
+      ends.delete(endForStop);
+      releaseRoom();
+    };
 
     const { entry } = server;
     const startedAt = clock.monotonic();
@@ -85,6 +98,15 @@
       answer.write(frame);
       answer.end();
     };
+    const endForStop = () => {
+      exchange.cancel();
+      if (!exchange.isSent()) finishWith({ kind: "refused", reason: "stopping" });
+      else {
+        // A call that ends without the end of an answer counts as that of a carrier that was lost.
+        release();
+        answer.end();
+      }
+    };
     const exchange = openOwn(
       {
         ...question,
@@ -124,6 +146,7 @@
         },
       },
     );
+    ends.add(endForStop);
     return {
       onCancelled: () => {
         release();
@@ -132,4 +155,10 @@
       onDrain: exchange.resume,
     };
   };
+  return {
+    answerCarry,
+    endAll: () => {
+      for (const endForStop of [...ends]) endForStop();
+    },
+  };
 };
--- a/packages/forwarding/src/carrying.testkit.ts
+++ b/packages/forwarding/src/carrying.testkit.ts
@@ -168,7 +168,7 @@
       listBoxes: () => others.filter((other) => other !== index).map(toBox),
     });
     const bounds = createCarryBounds({ maxRequests, maxHeldBytes: 1_000_000 });
-    const carry = createCarryForOthers({
+    const { answerCarry: carry } = createCarryForOthers({
       clock,
       bounds,
       paths,
--- a/packages/forwarding/src/clientServer.ts
+++ b/packages/forwarding/src/clientServer.ts
@@ -51,7 +51,10 @@
   /** Reads how many connections wait to be read. */
   readBacklog: () => Backlog;
 }> &
-  Pick<BoundedListener, "listen" | "countUnused" | "close">;
+  Pick<
+    BoundedListener,
+    "listen" | "countUnused" | "countClosing" | "stopListening" | "close"
+  >;
 
 const measureHead = (incoming: IncomingMessage): number =>
   incoming.rawHeaders.reduce(
@@ -111,6 +114,8 @@
   return {
     listen: listener.listen,
     countUnused: listener.countUnused,
+    countClosing: listener.countClosing,
+    stopListening: listener.stopListening,
     close: listener.close,
     readBacklog: arrivals.readBacklog,
     applyLimits: (limits) => {
--- a/packages/forwarding/src/createDispatchReports.ts
+++ b/packages/forwarding/src/createDispatchReports.ts
@@ -116,6 +116,10 @@
       const events = relay.getEvents();
       report({ kind: "out_of_time", mayHaveRun, events, framing: getOpenFraming(open) });
     },
+    reportStopReached: (open: Attempt | undefined, mayHaveRun: boolean) => {
+      const events = relay.getEvents();
+      report({ kind: "stop_reached", mayHaveRun, events, framing: getOpenFraming(open) });
+    },
     reportClientLeft: (open: Attempt | undefined) => {
       const events = relay.getEvents();
       report({ kind: "client_left", events, framing: getOpenFraming(open) });
--- a/packages/forwarding/src/createForwarder.ts
+++ b/packages/forwarding/src/createForwarder.ts
@@ -44,10 +44,17 @@
 export type Forwarder = Readonly<{
   handle: (incoming: IncomingMessage, response: ServerResponse) => void;
   /**
-   * Prepares for the stop of the box at `endsAt`: every further answer closes its connection, and
-   * requests that would not finish by `endsAt` are refused so that their clients try another box.
+   * Prepares for the stop of the box: every further answer closes its connection, and requests that would not be
+   * answered by the end are refused so that their clients try another box. The end may become earlier meanwhile.
    */
-  announceStop: (endsAt: Ms) => void;
+  announceStop: (getEndsAt: () => Ms) => void;
+  /**
+   * Answers every request whose answer has not begun: it is refused if it was not sent to a server, and otherwise told
+   * that it may have run. Requests that are read from now on are refused.
+   */
+  endUnanswered: () => void;
+  /** Breaks off the answers that have begun. */
+  breakBegun: () => void;
   countOpen: () => number;
   /** Ends requests that have been blocked because servers crashed while running them. */
   stopBlocked: () => void;
@@ -63,7 +70,12 @@
     isLeaving: placer.isLeaving,
   });
   const dispatchDeps: DispatchDeps = { ...deps, askServer, crashDetector };
-  let stop: StopTimes | undefined;
+  /** When the stop was announced and when answers must be out; undefined until then. */
+  let getStop: (() => StopTimes) | undefined;
+  /** Whether this box answers nothing any more but by refusals. */
+  let hasEnded = false;
+  /** Refuse the requests that are being read or wait to be dispatched. */
+  const undispatched = new Set<() => void>();
   const calls = new Set<DispatchedCall>();
   const bodyMemory = createBodyMemory(deps.maxHeldBytes);
   let open = 0;
@@ -86,10 +98,10 @@
       headers: incoming.rawHeaders,
     });
     let isLast = false;
-    /** Whether the request was refused before its body was complete. */
-    let isRefusedUnread = false;
+    /** Whether the request was refused before its body was complete, or before it could be dispatched. */
+    let isRefusedEarly = false;
     const answer = createClientAnswer(response, {
-      isLastOnConnection: () => stop !== undefined || isLast || deps.isShort(),
+      isLastOnConnection: () => getStop !== undefined || isLast || deps.isShort(),
       onBegun: () =>
         deps.unreadLimit.recordAnswer((clock.monotonic() - receivedAt) as Ms),
     });
@@ -124,10 +136,13 @@
       refuse(413, "body_too_long");
     };
     /** The rest of the body is not read, so the connection can't serve another request. */
-    const refuseUnread = (status: number, reason: RefusalReason) => {
+    const refuseUnread = (status: number, reason: RefusalReason, pause?: Ms) => {
       isLast = true;
-      isRefusedUnread = true;
-      refuse(status, reason);
+      isRefusedEarly = true;
+      refuse(status, reason, pause);
+    };
+    const refuseAtEnd = () => {
+      if (!answer.isOver()) refuseUnread(503, "box_is_stopping", OTHER_BOX_AFTER_MS);
     };
     const refuseForMemory = () => refuseUnread(503, "too_many_bodies_held");
     const decideByHead = () =>
@@ -145,14 +160,20 @@
     let call: DispatchedCall | undefined;
     let hasLeft = false;
     open += 1;
+    undispatched.add(refuseAtEnd);
     response.once("close", () => {
       open -= 1;
+      undispatched.delete(refuseAtEnd);
       share.release();
       hasLeft = true;
       call?.onClientLeft();
       if (call) calls.delete(call);
     });
 
+    if (hasEnded) {
+      refuseAtEnd();
+      return;
+    }
     const limit =
       configuration.getIndex()?.configuration.limits.bodyBytes ?? DEFAULT_BODY_BYTES;
     if ((head.contentLength ?? 0) > limit) {
@@ -165,7 +186,9 @@
     }
 
     const dispatch = (request: AdmittedRequest) => {
+      undispatched.delete(refuseAtEnd);
       const now = clock.monotonic();
+      const stop = getStop?.();
       if (stop && !fitsBeforeStop({ ...stop, now, head, route: request.route })) {
         refuse(503, "box_is_stopping", OTHER_BOX_AFTER_MS);
         return;
@@ -177,6 +200,7 @@
     const takeUp = async (request: AdmittedRequest) => {
       const origin = describeOrigin(request);
       const resolved = await deps.origins.resolve(origin);
+      if (isRefusedEarly) return;
       if (hasLeft) {
         reportClientLeft();
         return;
@@ -231,7 +255,7 @@
     const handleBody = (read: Awaited<ReturnType<typeof readRequestBody>>) => {
       readTimer.cancel();
       share.finish();
-      if (isRefusedUnread) return;
+      if (isRefusedEarly) return;
       if (hasLeft) {
         reportClientLeft();
         return;
@@ -259,9 +283,18 @@
 
   return {
     handle,
-    announceStop: (endsAt) => {
-      stop = { announcedAt: clock.monotonic(), endsAt };
-      for (const call of [...calls]) call.refuseIfWaiting(stop, OTHER_BOX_AFTER_MS);
+    announceStop: (getEndsAt) => {
+      const announcedAt = clock.monotonic();
+      getStop = () => ({ announcedAt, endsAt: getEndsAt() });
+      for (const call of [...calls]) call.refuseIfWaiting(getStop(), OTHER_BOX_AFTER_MS);
+    },
+    endUnanswered: () => {
+      hasEnded = true;
+      for (const refuseAtEnd of [...undispatched]) refuseAtEnd();
+      for (const call of [...calls]) call.endUnanswered(OTHER_BOX_AFTER_MS);
+    },
+    breakBegun: () => {
+      for (const call of [...calls]) call.breakBegun();
     },
     countOpen: () => open,
     stopBlocked: () => {
--- a/packages/forwarding/src/dispatchCall.ts
+++ b/packages/forwarding/src/dispatchCall.ts
@@ -31,10 +31,14 @@
   /** Ends the request if it has been blocked and no server is processing it. */
   stopIfBlocked: () => void;
   /**
-   * Refuses the request if it still waits for a server and might not be answered before `endsAt`, when
-   * the box stops: its client tries another box at once.
+   * Refuses the request if it still waits for a server and might not be answered by the end of
+   * the stop: its client tries another box at once.
    */
   refuseIfWaiting: (stop: StopTimes, retryAfter: Ms) => void;
+  /** Ends the request unless its answer has begun, by what is true of it: not run, or it may have run. */
+  endUnanswered: (retryAfter: Ms) => void;
+  /** Breaks the answer off if it has begun. */
+  breakBegun: () => void;
 }>;
 
 /** Dispatches a request; it always ends with one final answer, or when the client disconnects. */
@@ -92,6 +96,13 @@
     if (mayStillRun) ownAnswers.answerOutOfTime();
     else ownAnswers.answerNotRun("out_of_time_unsent");
   };
+  const endForStop = (retryAfter: Ms) => {
+    const current = state.getCurrent();
+    const mayHaveRun = state.mayHaveRun() || (current?.exchange?.isSent() ?? false);
+    reports.reportStopReached(current, mayHaveRun);
+    if (mayHaveRun) ownAnswers.answerUnknown("box_is_stopping");
+    else ownAnswers.answerStopping(retryAfter);
+  };
   const timeLeft = (endsAt - clock.monotonic()) as Ms;
   const limitTimer: Timer = clock.setTimeLimit(timeLeft, () => runStep(endOutOfTime));
 
@@ -196,6 +207,15 @@
       if (!fitsBeforeStop({ ...stop, now, head, route }))
         ownAnswers.answerStopping(retryAfter);
     },
+    endUnanswered: (retryAfter) => {
+      if (!state.isOver() && !answer.hasBegun()) runStep(() => endForStop(retryAfter));
+    },
+    breakBegun: () => {
+      if (state.isOver() || !answer.hasBegun()) return;
+      reports.reportStopReached(state.getCurrent(), true);
+      answer.break();
+      finish();
+    },
     stopIfBlocked: () => {
       const current = state.getCurrent();
       if (state.isOver() || relay.hasBegun()) return;
--- a/packages/forwarding/src/fitsBeforeStop.ts
+++ b/packages/forwarding/src/fitsBeforeStop.ts
@@ -16,7 +16,7 @@
 /** Time per token on a busy engine: 10 ms measured at the operators' sites, plus 50 % as a margin. */
 const TOKEN_MS = 15;
 
-/** When the stop of the box was announced, and when the box stops. */
+/** When the stop of the box was announced, and when all answers must be out, which is before its connections are closed. */
 export type StopTimes = Readonly<{ announcedAt: Ms; endsAt: Ms }>;
 
 /** Inputs of the decision. */
--- a/packages/forwarding/src/forwardDecision.ts
+++ b/packages/forwarding/src/forwardDecision.ts
@@ -16,6 +16,7 @@
   | "too_many_bodies_held"
   /** The client did not send its whole body within the time limit of the request. */
   | "body_too_late"
+  /** The request would not have ended before this box does, or had not. */
   | "box_is_stopping"
   /** A fault of this box, before the request was sent to any server. */
   | "box_failed"
@@ -137,6 +138,13 @@
   | { kind: "step_failed"; detail: string }
   /** `framing` describes the answer that was in progress; undefined if there was none. */
   | { kind: "client_left"; events: number; framing: Framing | undefined }
+  /** This box stops, and the request has no whole answer: it gets one that says so, or its answer breaks off. */
+  | {
+      kind: "stop_reached";
+      mayHaveRun: boolean;
+      events: number;
+      framing: Framing | undefined;
+    }
   | {
       kind: "out_of_time";
       mayHaveRun: boolean;
--- a/packages/forwarding/src/lingeringClose.ts
+++ b/packages/forwarding/src/lingeringClose.ts
@@ -33,6 +33,8 @@
    * sends.
    */
   close: (socket: Socket, onLimit: () => void) => void;
+  /** Number of connections that are being closed. */
+  count: () => number;
 }>;
 
 /** Creates the closes; no connection is being closed. */
@@ -43,6 +45,7 @@
   /** Those that have something to read, in the order of their reads. */
   const waiting = new Set<PendingReader>();
   let nextRead: Timer | undefined;
+  const closing = new Set<Socket>();
 
   const readNext = () => {
     nextRead = undefined;
@@ -97,10 +100,14 @@
       scheduleRead();
     };
     limitTime(socket, () => dropped, closeAtLimit);
-    socket.once("close", () => waiting.delete(reader));
+    closing.add(socket);
+    socket.once("close", () => {
+      closing.delete(socket);
+      waiting.delete(reader);
+    });
     socket.on("readable", readOn);
     socket.end();
     readOn();
   };
-  return { close };
+  return { close, count: () => closing.size };
 };
