--- a/packages/forwarding/src/clientServer.ts
+++ b/packages/forwarding/src/clientServer.ts
@@ -54,7 +54,10 @@
   /** Reads how many connections wait to be read. */
   readBacklog: () => Backlog;
 }> &
-  Pick<BoundedListener, "listen" | "countUnused" | "close">;
+  Pick<
+    BoundedListener,
+    "listen" | "countUnused" | "countClosing" | "stopListening" | "close"
+  >;
 
 const measureHead = (incoming: IncomingMessage): number =>
   incoming.rawHeaders.reduce(
@@ -115,6 +118,8 @@
   return {
     listen: listener.listen,
     countUnused: listener.countUnused,
+    countClosing: listener.countClosing,
+    stopListening: listener.stopListening,
     close: listener.close,
     readBacklog: arrivals.readBacklog,
     applyLimits: (limits) => {
