--- a/apps/box/src/smallPieces.testkit.ts
+++ b/apps/box/src/smallPieces.testkit.ts
@@ -60,7 +60,7 @@
   ]);
 
 /** Sends a sound request, and again if it was not taken, until its deadline has passed; resolves with the last status, 0 for none. */
-const askSound = async (box: DeployedBox, id: string): Promise<number> => {
+export const askSound = async (box: DeployedBox, id: string): Promise<number> => {
   const until = performance.now() + DEADLINE_MS;
   for (let tries = 0; ; tries += 1) {
     const answer = await askPatiently(box, `${OTHER_PATH}${id}`, `${id}-${tries}`);
@@ -70,7 +70,8 @@
   }
 };
 
-const awaitService = async (box: DeployedBox) => {
+/** Waits until a sound request is served. */
+export const awaitService = async (box: DeployedBox) => {
   for (let tries = 0; (await askSound(box, `first-${tries}`)) !== 200; tries += 1)
     await waitMs(SOUND_EVERY_MS);
 };
