fix: answers to a box's own calls in small pieces cost it a bounded part

Callers saw boxes end while 40 engines sent reports without end, or a store each third answer without end, in chunks of one byte: the heap was full, on. Sound reports of 500,000 bytes in such chunks were not read at all.

Cause: the HTTP agent kept each chunk as an object of its own, with the read that had brought it, and its parser was given whole reads; the framing of chunks counted against the limit of the body; and nothing bounded the sum of the calls, each of which may hold 512 KB or 32 MB.

Bodies are collected in few buffers. The parser is given pieces of 4 KB, larger ones only while chunks are large, in turns that all calls of the process share: 5 ms, then a pause of 2 ms, since the store's tables are awaited for a second. Framing may grow with the body, as in answers to clients. All calls together hold 16 MB, and the one that holds most gives way; a single answer of the store may have that much instead of 32 MB. A connection with bytes behind a whole answer is closed, so that a rest that waits for its turn is never taken for the answer to the next call. A call that waits for a connection ends with its time limit.

--- a/apps/box/src/createBox.ts
+++ b/apps/box/src/createBox.ts
@@ -23,7 +23,7 @@
   createLoadRegistry,
   createCompetingRate,
 } from "@stairgauge/placement";
-import { BOX_TABLE, createStoreWriter } from "@stairgauge/platform";
+import { BOX_TABLE, createCallBounds, createStoreWriter } from "@stairgauge/platform";
 import type { LoopReading } from "@stairgauge/saturation";
 import type { BoxSettings } from "@stairgauge/settings";
 import { createBoxMetrics, type DecisionLog } from "@stairgauge/telemetry";
@@ -73,6 +73,7 @@
   let maxBoxesSeen = 0;
   const random = createSystemRandom();
   const metrics = createBoxMetrics();
+  const callBounds = createCallBounds(clock);
   const knowledge = createKnowledge(settings, clock);
   const { agingClock, holder, findService, isEngineService, isOutOfTouch } = knowledge;
   const own = settings.box as BoxName;
@@ -146,6 +147,7 @@
     log,
     metrics,
     peers,
+    callBounds,
     onBlocked: () => getParts().forwarder.stopBlocked(),
   });
   const origins = createOrigins({
@@ -155,6 +157,7 @@
     metrics,
     knowledge,
     peers,
+    callBounds,
     getParts,
   });
   const places = createFleetPlaces(clock);
@@ -182,6 +185,7 @@
     metrics,
     dialServer,
     findCarriedWay: paths.findCarriedWay,
+    callBounds,
     getParts,
     limits,
     periods: cold.periods,
@@ -215,7 +219,7 @@
   const membership = createMembership({
     clock,
     random,
-    writer: createStoreWriter(settings.store.address),
+    writer: createStoreWriter(settings.store.address, callBounds),
     table: BOX_TABLE,
     getOwn: () => ({ address: peerAddress.get(), ...member }),
     limit: settings.store.patienceMs as Ms,
@@ -314,6 +318,7 @@
     log,
     metrics,
     links,
+    callBounds,
     tables: {
       ...createSinks({
         clock,
--- a/apps/box/src/createCrashes.ts
+++ b/apps/box/src/createCrashes.ts
@@ -10,7 +10,7 @@
   type BlockedRequest,
   type RequestGuard,
 } from "@stairgauge/crashes";
-import { BLOCKED_TABLE, createStoreWriter } from "@stairgauge/platform";
+import { BLOCKED_TABLE, createStoreWriter, type CallBounds } from "@stairgauge/platform";
 import type { BoxSettings } from "@stairgauge/settings";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
 import type { Peers } from "./createPeers.js";
@@ -21,6 +21,7 @@
   log: DecisionLog;
   metrics: BoxMetrics;
   peers: Pick<Peers, "links" | "reporter" | "forward">;
+  callBounds: CallBounds;
   /** Called when a request is blocked: its waiting attempts must end. */
   onBlocked: () => void;
 }>;
@@ -64,7 +65,7 @@
   });
   const list = createBlockedList({
     clock,
-    writer: createStoreWriter(settings.store.address),
+    writer: createStoreWriter(settings.store.address, options.callBounds),
     table: BLOCKED_TABLE,
     limit: settings.store.patienceMs as Ms,
     getGuard: () => guard,
--- a/apps/box/src/createFollowedTables.ts
+++ b/apps/box/src/createFollowedTables.ts
@@ -12,7 +12,13 @@
   type TableQuestion,
   type SharedUnsettledRows,
 } from "@stairgauge/peers";
-import { BLOCKED_TABLE, BOX_TABLE, createStoreReader, TABLE } from "@stairgauge/platform";
+import {
+  BLOCKED_TABLE,
+  BOX_TABLE,
+  createStoreReader,
+  TABLE,
+  type CallBounds,
+} from "@stairgauge/platform";
 import type { BoxSettings } from "@stairgauge/settings";
 import {
   createRestoreGuard,
@@ -59,6 +65,7 @@
     PeerLinks,
     "ask" | "listConnected" | "listReachable" | "countBoxes" | "reopen"
   >;
+  callBounds: CallBounds;
   tables: FollowedTableUses;
   /**
    * Called when a table has been read completely after the store was restored from a copy, with
@@ -195,6 +202,7 @@
       address: store.address,
       onEraFault: (fault) => log.writeWarning("store_era_fault", fault),
       onRowFault: createRowFaultReporter({ clock, log, metrics }),
+      bounds: options.callBounds,
     }),
     links,
     minStoreReaders: store.hearers,
--- a/apps/box/src/createOrigins.ts
+++ b/apps/box/src/createOrigins.ts
@@ -15,6 +15,7 @@
   createStoreReader,
   createStoreWriter,
   VERSIONS_TABLE,
+  type CallBounds,
 } from "@stairgauge/platform";
 import type { BoxSettings } from "@stairgauge/settings";
 import type { BoxMetrics, DecisionLog } from "@stairgauge/telemetry";
@@ -29,6 +30,7 @@
   metrics: BoxMetrics;
   knowledge: Pick<Knowledge, "isOutOfTouch" | "getLongestStream">;
   peers: Pick<Peers, "links" | "reporter">;
+  callBounds: CallBounds;
   /** Parts that are created later. */
   getParts: () => Readonly<{ directory: Pick<ServerDirectory, "list"> }>;
 }>;
@@ -41,6 +43,7 @@
 /** Creates the parts; no origin is on record. */
 export const createOrigins = (options: OriginsOptions): Origins => {
   const { settings, clock, log, metrics, knowledge, getParts } = options;
+  const { callBounds: bounds } = options;
   const { links, reporter } = options.peers;
   const registry = createOriginRegistry();
   const history = createVersionHistory(
@@ -60,8 +63,9 @@
       // The followers of the tables report faults of the era.
       onEraFault: () => undefined,
       onRowFault: createRowFaultReporter({ clock, log, metrics }),
+      bounds,
     }),
-    writer: createStoreWriter(settings.store.address),
+    writer: createStoreWriter(settings.store.address, bounds),
     table: VERSIONS_TABLE,
     limit: settings.store.patienceMs as Ms,
     history,
--- a/apps/box/src/createSignals.ts
+++ b/apps/box/src/createSignals.ts
@@ -12,7 +12,11 @@
 import type { ColdPeriods } from "@stairgauge/fleet";
 import type { ServerLimits } from "@stairgauge/limits";
 import type { EngineActions } from "@stairgauge/migration";
-import { createEngineActions, type EngineActionsOptions } from "@stairgauge/platform";
+import {
+  createEngineActions,
+  type CallBounds,
+  type EngineActionsOptions,
+} from "@stairgauge/platform";
 import {
   createServerBackoffs,
   type BackoffSignal,
@@ -39,6 +43,7 @@
   metrics: BoxMetrics;
   dialServer?: Dialer | undefined;
   findCarriedWay?: EngineActionsOptions["findCarriedWay"];
+  callBounds?: CallBounds;
   getParts: () => Readonly<{
     directory: Pick<ServerDirectory, "find" | "list" | "mark">;
     capacity: Pick<Capacity, "recordBrittle" | "recordNotBrittle">;
@@ -176,6 +181,7 @@
       onSignals: handleFromEngine,
       dial: options.dialServer,
       findCarriedWay: options.findCarriedWay,
+      bounds: options.callBounds,
     }),
     backoffs,
   };
--- a/packages/forwarding/src/answerLimits.ts
+++ b/packages/forwarding/src/answerLimits.ts
@@ -37,7 +37,7 @@
   /** A report or another answer of an engine to this box; a report lists the engine's runs. */
   engineCall: { maxBytes: 512 * KB, maxTime: undefined },
   /** Rows of the store: 1 MB a page, but a change of a whole table has no stated size. */
-  storeCall: { maxBytes: 32 * 1024 * KB, maxTime: undefined },
+  storeCall: { maxBytes: 16 * 1024 * KB, maxTime: undefined },
 } as const satisfies Readonly<Record<string, HeldBodyLimits>>;
 
 /** Which limit an answer has exceeded. */
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -26,10 +26,11 @@
 export type { ClientLimit } from "./connectionReader.js";
 export {
   createHeldBody,
+  createOverheadMeter,
   describeExcess,
   HELD_BODY_LIMITS,
-  MAX_OVERHEAD_BYTES,
   type AnswerExcess,
+  type HeldBodyLimits,
 } from "./answerLimits.js";
 export { createForwarder } from "./createForwarder.js";
 export type { Forwarder } from "./createForwarder.js";
--- a/packages/saturation/src/createReadTurns.ts
+++ b/packages/saturation/src/createReadTurns.ts
@@ -3,7 +3,7 @@
  * it is short. The rest of what is long is handled piece by piece, in turn with that of other connections and in a part of
  * the time only: so peers that send much, or in pieces that cost much, keep nobody else waiting.
  */
-import type { Clock } from "@stairgauge/common";
+import type { Clock, Ms } from "@stairgauge/common";
 import {
   LONG_READ_PAUSE_MS,
   LONG_READ_SHARE,
@@ -27,11 +27,22 @@
   readPiece: () => ReadPiece;
 }>;
 
+/** How long reads and the time without them follow each other. */
+export type ReadPace = Readonly<{
+  pause: Ms;
+  /** Time for long reads per time of pauses. */
+  perPause: number;
+}>;
+
+const CLIENTS_PACE: ReadPace = { pause: LONG_READ_PAUSE_MS, perPause: LONG_READ_SHARE };
+
 /** Options of the turns. */
 export type ReadTurnsOptions = Readonly<{
   clock: Pick<Clock, "monotonic" | "setTimer">;
   /** Runs the function once in this turn of the event loop, after the work that reading has caused in it. */
   scheduleTurnEnd: (run: () => void) => void;
+  /** How long reads and the time without them follow each other; as for clients if undefined. */
+  pace?: ReadPace | undefined;
 }>;
 
 /** The turns of one event loop. */
@@ -44,6 +55,7 @@
 export const createReadTurns = ({
   clock,
   scheduleTurnEnd,
+  pace = CLIENTS_PACE,
 }: ReadTurnsOptions): ReadTurns => {
   /** In the order of their turns. */
   const waiting = new Set<PendingReader>();
@@ -54,7 +66,7 @@
 
   const countElapsed = () => {
     const now = clock.monotonic();
-    const earned = (now - countedAt) * LONG_READ_SHARE;
+    const earned = (now - countedAt) * pace.perPause;
     allowance = Math.min(MAX_LONG_READ_MS, allowance + earned);
     countedAt = now;
   };
@@ -89,7 +101,7 @@
     }
     if (waiting.size === 0) return;
     isScheduled = true;
-    clock.setTimer(LONG_READ_PAUSE_MS, finishPause);
+    clock.setTimer(pace.pause, finishPause);
   };
 
   return {
--- a/packages/saturation/src/index.ts
+++ b/packages/saturation/src/index.ts
@@ -6,7 +6,7 @@
 export type { UnreadLimit } from "./createUnreadLimit.js";
 export { SHORT_READ_BYTES } from "./constants.js";
 export { createReadTurns } from "./createReadTurns.js";
-export type { PendingReader, ReadPiece, ReadTurns } from "./createReadTurns.js";
+export type { PendingReader, ReadPace, ReadPiece, ReadTurns } from "./createReadTurns.js";
 export { createIntake } from "./createIntake.js";
 export type { Intake } from "./createIntake.js";
 export { createLoopMeter } from "./loopMeter.js";
