--- a/packages/saturation/src/createReadTurns.test.ts
+++ b/packages/saturation/src/createReadTurns.test.ts
@@ -165,4 +165,21 @@
     while (pieces <= 20) clock.step();
     expect(timers).toBe(1);
   });
+
+  // Guards against long reads that all wait for good once one of them has thrown.
+  it("goes on with others behind a reader that throws", () => {
+    const { clock, turns, createReader, runFor } = createSimulatedTurns();
+    const sound = createReader(100, { isLong: true, pieceMs: 1 });
+    const failing: PendingReader = {
+      isLong: () => true,
+      readPiece: () => {
+        clock.advance(1 as Ms);
+        turns.read(sound.reader);
+        throw new Error("no parser");
+      },
+    };
+    expect(() => turns.read(failing)).toThrow("no parser");
+    runFor(PLAYED_MS);
+    expect(sound.countHandled()).toBe(100);
+  });
 });
--- a/packages/saturation/src/createReadTurns.ts
+++ b/packages/saturation/src/createReadTurns.ts
@@ -3,7 +3,7 @@
  * it is short. The rest of what is long is handled piece by piece, in turn with that of other connections and in a part of
  * the time only: so peers that send much, or in pieces that cost much, keep nobody else waiting.
  */
-import type { Clock } from "@stairgauge/common";
+import type { Clock, Ms } from "@stairgauge/common";
 import {
   LONG_READ_PAUSE_MS,
   LONG_READ_SHARE,
@@ -28,11 +28,22 @@
   readPiece: () => ReadPiece;
 }>;
 
+/** How long reads and the time without them follow each other. */
+export type ReadPace = Readonly<{
+  pause: Ms;
+  /** Time for long reads per time of pauses. */
+  perPause: number;
+}>;
+
+const CLIENTS_PACE: ReadPace = { pause: LONG_READ_PAUSE_MS, perPause: LONG_READ_SHARE };
+
 /** Options of the turns. */
 export type ReadTurnsOptions = Readonly<{
   clock: Pick<Clock, "monotonic" | "setTimer">;
   /** Runs the function once in this turn of the event loop, after the work that reading has caused in it. */
   scheduleTurnEnd: (run: () => void) => void;
+  /** How long reads and the time without them follow each other; as for clients if undefined. */
+  pace?: ReadPace | undefined;
 }>;
 
 /** The turns of one event loop. */
@@ -45,6 +56,7 @@
 export const createReadTurns = ({
   clock,
   scheduleTurnEnd,
+  pace = CLIENTS_PACE,
 }: ReadTurnsOptions): ReadTurns => {
   /** In the order of their turns. */
   const waiting = new Set<PendingReader>();
@@ -55,7 +67,7 @@
 
   const countElapsed = () => {
     const now = clock.monotonic();
-    const earned = (now - countedAt) * LONG_READ_SHARE;
+    const earned = (now - countedAt) * pace.perPause;
     allowance = Math.min(MAX_LONG_READ_MS, allowance + earned);
     countedAt = now;
   };
@@ -87,22 +99,31 @@
     if (!piece.isSentAhead) countSpent();
     return piece;
   };
+  const schedulePause = () => {
+    isScheduled = waiting.size > 0;
+    if (isScheduled) clock.setTimer(pace.pause, finishPause);
+  };
   const readInTurn = () => {
     // What is read may have another reader read on, which joins this turn.
     isScheduled = true;
-    for (const reader of waiting) {
-      if (allowance <= 0) break;
-      waiting.delete(reader);
-      const { isSentAhead, hasMore } = takeTurn(reader);
-      // The iteration also comes to what is added during it, so this connection is next behind all others.
-      if (hasMore) waiting.add(reader);
-      if (isSentAhead) {
-        scheduleTurnEnd(finishTurn);
-        return;
+    let isTurnOver = true;
+    try {
+      for (const reader of waiting) {
+        if (allowance <= 0) break;
+        waiting.delete(reader);
+        const { isSentAhead, hasMore } = takeTurn(reader);
+        // The iteration also comes to what is added during it, so this connection is next behind all others.
+        if (hasMore) waiting.add(reader);
+        if (isSentAhead) {
+          isTurnOver = false;
+          scheduleTurnEnd(finishTurn);
+          return;
+        }
       }
+    } finally {
+      // Also if a reader has thrown: the others go on.
+      if (isTurnOver) schedulePause();
     }
-    isScheduled = waiting.size > 0;
-    if (isScheduled) clock.setTimer(LONG_READ_PAUSE_MS, finishPause);
   };
 
   return {
