--- a/apps/box/src/createLifecycle.ts
+++ b/apps/box/src/createLifecycle.ts
@@ -157,7 +157,6 @@
       onLeaveFailure: (error) =>
         log.writeWarning("unexpected_error", { error: String(error) }),
       endUnanswered: () => {
-        clientServer.stopListening();
         forwarder.endUnanswered();
         options.paths.endCarried();
       },
--- a/packages/forwarding/src/boundedListener.ts
+++ b/packages/forwarding/src/boundedListener.ts
@@ -9,7 +9,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { Server as NetServer, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import { listenOn, type Clock, type Ms } from "@stairgauge/common";
 import { createReadTurns, type Arrivals, type ReadTurns } from "@stairgauge/saturation";
 import {
@@ -107,8 +107,6 @@
   countUnused: () => number;
   /** Number of connections that are being closed behind their last answers. */
   countClosing: () => number;
-  /** Takes no new connections; those that are open stay. */
-  stopListening: () => void;
   /** Stops listening and closes all connections. */
   close: () => void;
 }>;
@@ -298,10 +296,6 @@
     countUnused: () => unused.size,
     listen: (host, port) => listenOn(server, { host, port, backlog: MAX_NOT_ACCEPTED }),
     countClosing: closes.count,
-    stopListening: () => {
-      // That of the HTTP server also closes connections on which a request may be on its way.
-      NetServer.prototype.close.call(server);
-    },
     close: () => {
       server.close();
       server.closeAllConnections();
--- a/packages/forwarding/src/clientServer.ts
+++ b/packages/forwarding/src/clientServer.ts
@@ -54,10 +54,7 @@
   /** Reads how many connections wait to be read. */
   readBacklog: () => Backlog;
 }> &
-  Pick<
-    BoundedListener,
-    "listen" | "countUnused" | "countClosing" | "stopListening" | "close"
-  >;
+  Pick<BoundedListener, "listen" | "countUnused" | "countClosing" | "close">;
 
 const measureHead = (incoming: IncomingMessage): number =>
   incoming.rawHeaders.reduce(
@@ -119,7 +116,6 @@
     listen: listener.listen,
     countUnused: listener.countUnused,
     countClosing: listener.countClosing,
-    stopListening: listener.stopListening,
     close: listener.close,
     readBacklog: arrivals.readBacklog,
     applyLimits: (limits) => {
--- a/packages/forwarding/src/createForwarder.ts
+++ b/packages/forwarding/src/createForwarder.ts
@@ -252,9 +252,9 @@
     const readWithin = isAdmitted
       ? computeTimeLimit(access.route, head.patience)
       : REFUSED_BODY_MS;
-    const readTimer = clock.setTimeLimit(readWithin, () =>
-      refuseUnread(408, "body_too_late"),
-    );
+    const readTimer = clock.setTimeLimit(readWithin, () => {
+      if (!answer.isOver()) refuseUnread(408, "body_too_late");
+    });
     const handleBody = (read: Awaited<ReturnType<typeof readRequestBody>>) => {
       readTimer.cancel();
       share.finish();
