--- a/packages/saturation/src/constants.ts
+++ b/packages/saturation/src/constants.ts
@@ -96,8 +96,8 @@
 export const SHORT_READ_BYTES = 4 * 1024;
 
 /**
- * Share of the time in which what goes beyond that is handled. It leaves an event loop under such a load enough idle
- * time that the box doesn't take itself for short of processor time and turn other clients away.
+ * Time in which what goes beyond that is handled, per time without it: a third of all. It leaves an event loop under such a
+ * load enough idle time that the box doesn't take itself for short of processor time and turn other clients away.
  */
 export const LONG_READ_SHARE = 0.5;
 
