--- a/packages/forwarding/src/answerReader.ts
+++ b/packages/forwarding/src/answerReader.ts
@@ -5,16 +5,14 @@
  */
 import type { Socket } from "node:net";
 import type { Clock, Ms } from "@stairgauge/common";
-import { createByteCollector } from "./byteCollector.js";
 import {
+  FEW_CHUNKS,
+  MAX_PIECE_BYTES,
   SHORT_READ_BYTES,
   type PendingReader,
   type ReadTurns,
 } from "@stairgauge/saturation";
-
-/** Pieces with fewer chunks than this may be followed by one of twice the size, up to the largest one. */
-const FEW_CHUNKS = 64;
-const MAX_PIECE_BYTES = 64 * 1024;
+import { createByteCollector } from "./byteCollector.js";
 
 /**
  * Reads and chunks of one answer that are handled as soon as they arrive, and how many are allowed anew in a second. A stream
--- a/packages/saturation/src/constants.ts
+++ b/packages/saturation/src/constants.ts
@@ -95,6 +95,13 @@
  */
 export const SHORT_READ_BYTES = 4 * 1024;
 
+/**
+ * An answer is parsed in pieces of that size. Those with fewer chunks than this may be followed by one of twice the size, up to
+ * the largest one.
+ */
+export const FEW_CHUNKS = 64;
+export const MAX_PIECE_BYTES = 64 * 1024;
+
 /**
  * Time in which what goes beyond that is handled, per time without it: a third of all. It leaves an event loop under such a
  * load enough idle time that the box doesn't take itself for short of processor time and turn other clients away.
--- a/packages/saturation/src/index.ts
+++ b/packages/saturation/src/index.ts
@@ -4,7 +4,7 @@
 export type { Backlog, UnreadReason } from "./backlog.js";
 export { createUnreadLimit } from "./createUnreadLimit.js";
 export type { UnreadLimit } from "./createUnreadLimit.js";
-export { SHORT_READ_BYTES } from "./constants.js";
+export { FEW_CHUNKS, MAX_PIECE_BYTES, SHORT_READ_BYTES } from "./constants.js";
 export { createReadTurns } from "./createReadTurns.js";
 export type { PendingReader, ReadPace, ReadPiece, ReadTurns } from "./createReadTurns.js";
 export { createIntake } from "./createIntake.js";
