fix: a part of an answer without a length no longer counts as whole while its request is being written

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection; the client got the part as a complete answer, as status 200 with its end.

Cause: where a reset has arrived with the last bytes, libuv reports the end of the connection without reading the error (poll says that both sides are closed), so the box writes an empty line at the end, whose failure shows the reset. With 4 MB of upload the line waits behind the rest of it, and the HTTP client of Node.js destroys the socket in its own listener for the end: the pending write and its error are dropped, the parser is told that the body is complete, and no error comes any more. A trace of the system calls shows one read of the answer with EPOLLERR|EPOLLHUP and then the close of the socket, without a read or a write that could have shown the reset.

Change: the client's listener for the end is called a turn of the event loop later. The write that is pending (or the empty line) fails in the turn in which the end was found, and the answer is broken.

--- a/packages/forwarding/src/openExchange.ts
+++ b/packages/forwarding/src/openExchange.ts
@@ -100,6 +100,21 @@
   return error instanceof Error ? error.message : "unknown";
 };
 
+/**
+ * Error code of a write on a connection that was reset after the other side had ended in order. Without such an end it is
+ * `ECONNRESET`.
+ */
+const RESET_BEHIND_END_CODE = "EPIPE";
+
+/** Removes the listeners for the end of a connection, but for those that are kept; returns a function that calls them. */
+const takeEndListeners = (socket: Socket, kept: ReadonlySet<unknown>) => {
+  const taken = socket.listeners("end").filter((listener) => !kept.has(listener));
+  for (const listener of taken) socket.removeListener("end", listener as () => void);
+  return () => {
+    for (const listener of taken) listener.call(socket);
+  };
+};
+
 type Outgoing = Readonly<{ outgoing: ClientRequest; socket: Socket }>;
 
 /** Makes the request. Its connection is dialed once the head is complete; if anything throws, none is left open. */
@@ -150,6 +165,8 @@
   let isProven = false;
   let answer: IncomingMessage | undefined;
   let endedBy: EndedBy = "framing";
+  /** Reports the end of the connection to the HTTP client, which then destroys it. */
+  let notifyClient = () => {};
   let reader: AnswerReader | undefined;
   const meter = createOverheadMeter();
 
@@ -192,10 +209,32 @@
     connectTimer.cancel();
     if (!isOver) sink.onConnected?.();
   });
+  const concludeEnd = () => {
+    if (isOver || isProven) return;
+    notifyClient();
+    isProven = answer?.complete ?? false;
+  };
+
+  // NOTE: Node.js reports a reset that arrives with the last bytes as a normal end. Only a write that
+  // fails reveals the reset, and this matters only for an answer that is not complete yet. Servers
+  // skip an empty line between requests, so writing one is harmless; a request that is still being
+  // written fails as well, but only while the HTTP client has not destroyed the connection.
+  socket.prependListener("end", () => {
+    if (isOver || answer?.complete) return;
+    if (!answer) {
+      notifyClient();
+      return;
+    }
+    endedBy = "connection";
+    socket.write(EMPTY_LINE);
+    setImmediate(concludeEnd);
+  });
+  const ownEndListeners = new Set(socket.listeners("end"));
   // The parser has the bytes first, so that those of a body are counted before they are compared.
   outgoing.once("socket", () => {
     const parsers = socket.listeners("data");
     socket.removeAllListeners("data");
+    notifyClient = takeEndListeners(socket, ownEndListeners);
     reader = startAnswerReader({
       socket,
       parse: (piece) => {
@@ -213,20 +252,11 @@
       turns,
     });
   });
-  // NOTE: Node.js reports a reset that arrives with the last bytes as a normal end. Only a write that
-  // fails reveals the reset, and this matters only for an answer that is not complete yet. Servers
-  // skip an empty line between requests, so writing one is harmless.
-  socket.prependListener("end", () => {
-    if (!answer || answer.complete) return;
-    endedBy = "connection";
-    socket.write(EMPTY_LINE, (error) => {
-      if (error) fail(toFailure(error));
-    });
-    setImmediate(() => {
-      isProven = answer?.complete ?? false;
-    });
+  outgoing.on("error", (error) => {
+    if (endedBy === "connection" && getCode(error) === RESET_BEHIND_END_CODE)
+      concludeEnd();
+    fail(toFailure(error));
   });
-  outgoing.on("error", (error) => fail(toFailure(error)));
   outgoing.on("close", () =>
     fail({ kind: "broken", detail: "closed without an answer" }),
   );
