fix: an answer whose status HTTP does not have reaches no client

What callers saw: a server answered with status 600, 700 or 999, and the client got it as an answer, by the box's own way and by way of another box, on all four kinds of routes (12 of 12 each in this test before).

Cause: the check of heads let every status through that can be written.

Evidence: spoiledHeads.test.ts, 70 malformed heads (statuses from 000 to 0x200, names with blanks, control bytes and high bytes, before and behind the signature, in 200 and 500) on four routes, own and carried: 600, 700 and 999 were received before, none after; all 70 were written by the servers in both ways. The other 67 were handled already.

--- a/apps/box/src/spoiledHeads.test.ts
+++ b/apps/box/src/spoiledHeads.test.ts
@@ -1,6 +1,7 @@
 /**
  * Guards against a request without an end: whatever a server writes as the head of its answer, the client gets an answer or a
- * closed connection by the deadline, and nothing of the request is left at the box.
+ * closed connection by the deadline, and nothing of the request is left at the box. Guards also against an answer that reaches
+ * its client although its head is none of HTTP.
  */
 import { describe, expect, it } from "vitest";
 import { createSeededRandom } from "@stairgauge/common";
@@ -150,3 +151,82 @@
     },
   );
 });
+
+const STATUSES = [
+  ..."000 001 042 099 20 2 0200 -200 +200 2OO 200.5 1000 2000 0x200 600 700 999".split(
+    " ",
+  ),
+  "2 00",
+  "\t200",
+];
+
+const NAME_LINES = [
+  " X-Any: a",
+  "\tX-Any: a",
+  "X Any: a",
+  "X\tAny: a",
+  "X-Any : a",
+  "X-Any\t: a",
+  "X\x01Any: a",
+  "\x02X-Any: a",
+  "X-Any\x1f: a",
+  "X\x00Any: a",
+  "X-Any\x7f: a",
+  "X-Any\x80: a",
+  ": a",
+  "no colon",
+  "Content-Length : 1",
+  "Content-Length\x0b: 1",
+  "Transfer-Encoding\x01: chunked",
+];
+
+const insertLine =
+  (index: number, line: string): WriteHead =>
+  (lines) =>
+    [...lines.slice(0, index), line, ...lines.slice(index)].join("\r\n");
+
+const MALFORMED_HEADS: readonly WriteHead[] = [
+  ...STATUSES.map((status) => replaceLine(0, `HTTP/1.1 ${status} OK`)),
+  // Before the request's id and behind the signature.
+  ...NAME_LINES.flatMap((line) => [insertLine(1, line), insertLine(3, line)]),
+  ...NAME_LINES.map((line) => insertLine(3, line)).map(
+    (write): WriteHead =>
+      (lines) =>
+        write(["HTTP/1.1 500 Internal Server Error", ...lines.slice(1)]),
+  ),
+];
+
+/** Sends a request of each kind for each malformed head; returns what reached clients, and the heads that were written. */
+const listReceived = async (way: Way) => {
+  const written = new Set<number>();
+  const { ports } = await startOnWay(way, (lines) => {
+    const at = Number(/odd-(\d+)/.exec(lines[1]!)![1]);
+    written.add(at);
+    return MALFORMED_HEADS[at]!(lines);
+  });
+  const received: string[] = [];
+  const send = async (at: number, path: string) => {
+    const headers = /^\/(draft|verdict)/.test(path) ? makeGeneration(10, 4) : {};
+    const id = `odd-${at}`;
+    const answer = await ask(ports, { path, id, headers, deadlineMs: DEADLINE_MS });
+    const isOwn = [0, 502, 503, 504].includes(answer.status);
+    if (isOwn && answer.headers["response-signature"] === undefined) return;
+    received.push(
+      `${path}: ${answer.status} ${answer.body}, head ${JSON.stringify(MALFORMED_HEADS[at]!(["HTTP/1.1 200 OK", "a", "b"]))}`,
+    );
+  };
+  for (let at = 0; at < MALFORMED_HEADS.length; at += 1)
+    await Promise.all(
+      ["/once/", "/again/", "/draft/", "/verdict/"].map((path) => send(at, path)),
+    );
+  return { received, written: written.size };
+};
+
+describe("answers whose heads are none of HTTP reach no client", () => {
+  it.each(["own", "carried"] as const)("%s way", async (way) => {
+    expect(await listReceived(way)).toEqual({
+      received: [],
+      written: MALFORMED_HEADS.length,
+    });
+  });
+});
--- a/packages/forwarding/src/checkAnswerHead.test.ts
+++ b/packages/forwarding/src/checkAnswerHead.test.ts
@@ -59,6 +59,11 @@
       kind: "status",
       status: 99,
     });
+    expect(findHeadFault({ ...head, status: 599 })).toBeUndefined();
+    expect(findHeadFault({ ...head, status: 600 })).toEqual({
+      kind: "status",
+      status: 600,
+    });
     expect(findHeadFault({ ...head, headers: ["a b", ""] })).toEqual({
       kind: "header_name",
       index: 0,
--- a/packages/forwarding/src/checkAnswerHead.ts
+++ b/packages/forwarding/src/checkAnswerHead.ts
@@ -1,12 +1,12 @@
 /**
  * Checks that the head of a server's answer can be passed on. The parser lets statuses, reason phrases and header
- * values through that can't be written as the head of another answer. Pure.
+ * values through that HTTP doesn't have or that can't be written as the head of another answer. Pure.
  */
 import type { RawHeaders } from "./types.js";
 
-/** Statuses of final answers that can be written. */
+/** Statuses of final answers; HTTP has no others (RFC 9110, section 15), but the parser lets any of three digits through. */
 const MIN_STATUS = 200;
-const MAX_STATUS = 999;
+const MAX_STATUS = 599;
 
 /** Tabs and printable characters of one byte. */
 const TEXT = /^[\t\x20-\x7e\x80-\xff]*$/;
