fix: a health check whose answer is none of HTTP does not prove that its server lives

What callers could see: a stream or an answer without a length counts as whole if its connection ended in order and its server still answers its health check. A server in trouble whose health check answered with status 000, 099, 600 or 999, or a control byte in its reason, counted as living, so that a part could come out as whole. Found by looking for the cause of the malformed heads where else answers are read; not seen at a client.

Cause: only heads that are passed on were checked. Change: a health check's head is checked the same way; a malformed one is no answer (`not_heard`), as bytes that are none are already.

Evidence: askServer.test.ts, 5 of 5 new cases failed before ("present"), all pass.

--- a/packages/forwarding/src/askServer.test.ts
+++ b/packages/forwarding/src/askServer.test.ts
@@ -113,6 +113,17 @@
     expect(await ask(address, undefined, STARTED_AT)).toMatchObject({ kind: "present" });
   });
 
+  // Guards against a part of a stream that counts as whole since its server answers its health check with something.
+  it.each(["000 OK", "099 OK", "600 OK", "999 OK", "200 O\x01"])(
+    "reports no answer if its head is none of HTTP: %s",
+    async (status) => {
+      expect(await askOne(sendAnswer(status, EXPECTED_NAME))).toMatchObject({
+        kind: "absent",
+        cause: "not_heard",
+      });
+    },
+  );
+
   it("reports no answer if the connection is accepted and then reset", async () => {
     const presence = await askOne((socket) => void socket.resetAndDestroy());
     expect(presence).toEqual({
--- a/packages/forwarding/src/askServer.ts
+++ b/packages/forwarding/src/askServer.ts
@@ -6,6 +6,7 @@
 import type { ServerEntry } from "@stairgauge/directory";
 import type { ServerSignals } from "@stairgauge/signals";
 import { createHeldBody, describeExcess, HELD_BODY_LIMITS } from "./answerLimits.js";
+import { describeHeadFault, findHeadFault } from "./checkAnswerHead.js";
 import { openExchange, REFUSED_CODE, type OpenBuilt } from "./openExchange.js";
 import type { AnswerHead, HeadCodec } from "./types.js";
 
@@ -94,7 +95,12 @@
         connectLimit,
       }),
       {
-        onHead: (status, raw) => {
+        onHead: (status, raw, reason) => {
+          const fault = findHeadFault({ status, headers: raw, reason });
+          if (fault) {
+            finish(makeAbsent(describeHeadFault(fault), "not_heard"));
+            return;
+          }
           answer = codec.decodeAnswer(status, raw);
           const isEnough = answer.isOtherServer || answer.startedAt !== undefined;
           if (isEnough || entry.startedAt === undefined) finish(classifyReceived(answer));
