--- a/apps/box/src/earlyAnswerEnds.alone.test.ts
+++ b/apps/box/src/earlyAnswerEnds.alone.test.ts
@@ -10,6 +10,7 @@
   askEarly,
   formatUnframedHead,
   startBoxBeforeEarly,
+  startCutOffBoxBeforeEarly,
   type AnswerEarly,
 } from "./earlyAnswerEnds.testkit.js";
 
@@ -18,6 +19,9 @@
 /** Less than that. */
 const SHORT_BYTES = 900_000;
 
+/** Close to the largest body that is carried. */
+const CARRIED_BYTES = 2_000_000;
+
 const REQUESTS = 12;
 
 const EVENTS = "Content-Type: text/event-stream";
@@ -125,6 +129,21 @@
     BUSY_MACHINE_TIMEOUT_MS,
   );
 
+  it.each(["once", "draft"])(
+    "a part of an answer without a length that another box carries is not taken for all of it: %s",
+    async (route) => {
+      const lines = route === "draft" ? [EVENTS] : [];
+      const box = await startCutOffBoxBeforeEarly((socket, id) => {
+        socket.write(formatUnframedHead(id, lines) + writeEvents(50));
+        socket.resetAndDestroy();
+      });
+      expect(await listWhole(box, route, CARRIED_BYTES)).toEqual([]);
+      const carried = box.listLines().filter((line) => /"event":"carried"/.test(line));
+      expect(carried.length).toBeGreaterThanOrEqual(REQUESTS / 2);
+    },
+    BUSY_MACHINE_TIMEOUT_MS,
+  );
+
   it.each(WHOLE_CASES)(
     "a whole answer is delivered: %s",
     async (_, answer) => {
--- a/apps/box/src/earlyAnswerEnds.testkit.ts
+++ b/apps/box/src/earlyAnswerEnds.testkit.ts
@@ -89,14 +89,37 @@
       countLines(box, "server_joined") >= PAGES.length + ENGINES.length,
   );
 
-/** Starts the store, engines and plain servers that answer early, and a box before them. */
-export const startBoxBeforeEarly = async (answer: AnswerEarly): Promise<DeployedBox> => {
+/** Starts the store, and engines and plain servers that answer early; resolves with the addresses of all. */
+const startEarlySite = async (answer: AnswerEarly) => {
   const site = await startUsersSite({ engines: 0, services: 0 });
   closers.push(site.close);
-  for (const name of PAGES) site.putService(name, await startEarlyServer(name, answer));
-  for (const name of ENGINES) site.putEngine(name, await startEarlyServer(name, answer));
+  const addresses: string[] = [];
+  const startServer = async (name: string) => {
+    const address = await startEarlyServer(name, answer);
+    addresses.push(address);
+    return address;
+  };
+  for (const name of PAGES) site.putService(name, await startServer(name));
+  for (const name of ENGINES) site.putEngine(name, await startServer(name));
   site.putConfiguration({ limits: LIMITS });
-  const box = await startDeployedBox({ name: "box-1", store: site.store.address });
+  return { store: site.store.address, addresses };
+};
+
+/** Starts such a site and a box before it. */
+export const startBoxBeforeEarly = async (answer: AnswerEarly): Promise<DeployedBox> => {
+  const { store } = await startEarlySite(answer);
+  const box = await startDeployedBox({ name: "box-1", store });
+  await waitUntilReady(box);
+  return box;
+};
+
+/** Starts such a site and two boxes; resolves with one that reaches no server, so that the other carries its requests. */
+export const startCutOffBoxBeforeEarly = async (
+  answer: AnswerEarly,
+): Promise<DeployedBox> => {
+  const { store, addresses } = await startEarlySite(answer);
+  await waitUntilReady(await startDeployedBox({ name: "box-1", store }));
+  const box = await startDeployedBox({ name: "box-2", store, cutAddresses: addresses });
   await waitUntilReady(box);
   return box;
 };
--- a/packages/forwarding/src/earlyAnswerEnds.test.ts
+++ b/packages/forwarding/src/earlyAnswerEnds.test.ts
@@ -104,7 +104,7 @@
   },
 ];
 const RESET_CASES = RESETS.flatMap((reset) =>
-  [1, 1_000, 60_000].flatMap((bytes) =>
+  [0, 1, 1_000, 60_000].flatMap((bytes) =>
     [0, 1, 5].map((delayMs) => ({ ...reset, bytes, delayMs })),
   ),
 );
