--- a/packages/forwarding/src/openExchange.ts
+++ b/packages/forwarding/src/openExchange.ts
@@ -31,6 +31,7 @@
   type AnswerReader,
   type SmallPieces,
 } from "./answerReader.js";
+import { isResetBehindEnd, watchConnectionEnd } from "./connectionEnd.js";
 import type { ExchangeFailure, RawHeaders } from "./types.js";
 import { attemptMake, failUnsent, type UnsendableFailure } from "./unsendable.js";
 
@@ -89,8 +90,6 @@
 /** Opens an exchange with one server; `build` is called anew for each way that is tried. */
 export type OpenBuilt = (build: () => ExchangeRequest, sink: ExchangeSink) => Exchange;
 
-const EMPTY_LINE = "\r\n";
-
 /** Detail of a failure if the host is up but nothing listens on the port. */
 export const REFUSED_CODE = "ECONNREFUSED";
 
@@ -100,21 +99,6 @@
   return error instanceof Error ? error.message : "unknown";
 };
 
-/**
- * Error code of a write on a connection that was reset after the other side had ended in order. Without such an end it is
- * `ECONNRESET`.
- */
-const RESET_BEHIND_END_CODE = "EPIPE";
-
-/** Removes the listeners for the end of a connection, but for those that are kept; returns a function that calls them. */
-const takeEndListeners = (socket: Socket, kept: ReadonlySet<unknown>) => {
-  const taken = socket.listeners("end").filter((listener) => !kept.has(listener));
-  for (const listener of taken) socket.removeListener("end", listener as () => void);
-  return () => {
-    for (const listener of taken) listener.call(socket);
-  };
-};
-
 type Outgoing = Readonly<{ outgoing: ClientRequest; socket: Socket }>;
 
 /** Makes the request. Its connection is dialed once the head is complete; if anything throws, none is left open. */
@@ -165,8 +149,6 @@
   let isProven = false;
   let answer: IncomingMessage | undefined;
   let endedBy: EndedBy = "framing";
-  /** Reports the end of the connection to the HTTP client, which then destroys it. */
-  let notifyClient = () => {};
   let reader: AnswerReader | undefined;
   const meter = createOverheadMeter();
 
@@ -211,30 +193,24 @@
   });
   const concludeEnd = () => {
     if (isOver || isProven) return;
-    notifyClient();
+    connectionEnd.notifyClient();
     isProven = answer?.complete ?? false;
   };
-
-  // NOTE: Node.js reports a reset that arrives with the last bytes as a normal end. Only a write that
-  // fails reveals the reset, and this matters only for an answer that is not complete yet. Servers
-  // skip an empty line between requests, so writing one is harmless; a request that is still being
-  // written fails as well, but only while the HTTP client has not destroyed the connection.
-  socket.prependListener("end", () => {
+  const connectionEnd = watchConnectionEnd(socket, () => {
     if (isOver || answer?.complete) return;
     if (!answer) {
-      notifyClient();
+      connectionEnd.notifyClient();
       return;
     }
     endedBy = "connection";
-    socket.write(EMPTY_LINE);
+    connectionEnd.probe();
     setImmediate(concludeEnd);
   });
-  const ownEndListeners = new Set(socket.listeners("end"));
   // The parser has the bytes first, so that those of a body are counted before they are compared.
   outgoing.once("socket", () => {
     const parsers = socket.listeners("data");
     socket.removeAllListeners("data");
-    notifyClient = takeEndListeners(socket, ownEndListeners);
+    connectionEnd.takeListeners();
     reader = startAnswerReader({
       socket,
       parse: (piece) => {
@@ -253,8 +229,7 @@
     });
   });
   outgoing.on("error", (error) => {
-    if (endedBy === "connection" && getCode(error) === RESET_BEHIND_END_CODE)
-      concludeEnd();
+    if (endedBy === "connection" && isResetBehindEnd(error)) concludeEnd();
     fail(toFailure(error));
   });
   outgoing.on("close", () =>
