fix: an answer whose connection ends and is reset while its request is being written does not count as whole

What callers could see: a server ended its side behind a part of an answer and reset the connection, or was closed with all read that had arrived, which sends the same: data, FIN, and a reset for what comes afterwards.

Cause: a FIN was taken for the end while the request that the server no longer reads was still being written.

A server that reads on gets the rest, and its answer is whole; if the connection is reset, the write fails and the answer is broken. No error code decides any more.

--- a/packages/forwarding/src/connectionEnd.ts
+++ b/packages/forwarding/src/connectionEnd.ts
@@ -8,21 +8,17 @@
 /** Servers skip an empty line between requests, so writing one is harmless. */
 const EMPTY_LINE = "\r\n";
 
-/** Error code of a write if the other side had ended in order before the connection was reset; otherwise it is `ECONNRESET`. */
-const RESET_BEHIND_END_CODE = "EPIPE";
-
-/** Whether the error of a connection that has ended is a reset that came behind the end. */
-export const isResetBehindEnd = (error: NodeJS.ErrnoException): boolean =>
-  error.code === RESET_BEHIND_END_CODE;
-
 /** The end of one connection. */
 export type ConnectionEnd = Readonly<{
   /** Takes over the listeners that the HTTP client has added, which are called by `notifyClient` only. */
   takeListeners: () => void;
   /** Calls the HTTP client's listeners: its parser concludes the answer, and the connection is destroyed. */
   notifyClient: () => void;
-  /** If the connection was reset, it emits an error before this turn of the event loop ends. */
-  probe: () => void;
+  /**
+   * Calls the function once all of the request has been written. If the connection was reset, it emits an error instead: one that
+   * was reset already does so before this turn of the event loop ends.
+   */
+  probe: (onWritten: () => void) => void;
 }>;
 
 /** Watches a connection to which no HTTP client has added listeners yet; `onEnd` is called at its end. */
@@ -40,7 +36,11 @@
     notifyClient: () => {
       for (const notify of taken) notify.call(socket);
     },
-    // Behind a request that is still being written the line waits, and that write fails instead.
-    probe: () => void socket.write(EMPTY_LINE),
+    probe: (onWritten) => {
+      // Behind a request that is still being written the line waits, and that write fails instead.
+      socket.write(EMPTY_LINE, (error) => {
+        if (!error) onWritten();
+      });
+    },
   };
 };
